Rename violetdeck to flintfield and lay the files out in decision/ and wire/

Cause: the new programs need a folder each for wire, memory and lifecycle. Only names and imports change; no statement of the decisions does.

--- a/violetdeck/policy.py
+++ b/flintfield/decision/policy.py
@@ -1,4 +1,4 @@
-"""Every decision of a dispatcher; its settings, events and actions are in violetdeck/interface.py.
+"""Every decision of a dispatcher; its settings, events and actions are in flintfield/decision/interface.py.
 
 A price per worker rises while the demand for its slots is above RHO of capacity; each job draws its worker
 from concave shares that trade speed against price. docs/design.md names the paper's equations.
@@ -10,12 +10,12 @@
 import random
 from collections.abc import Callable, Iterable
 
-from violetdeck.interface import (
+from flintfield.decision.interface import (
     Action, AttemptEnded, Cancel, Effect, Event, Fail, First, Gone, Group, ListMode, Note,
     Outcome, Probe, Probed, Refuse, Report, Request, Send, ServerList, SetTimer, Settings, State, Timer,
     Watch, WorkerId,
 )
-from violetdeck.records import Account, Attempt, Held, Job, Mean, Sort, Worker, lot
+from flintfield.decision.records import Account, Attempt, Held, Job, Mean, Sort, Worker, lot
 
 TICK_MS = 100.0  # a price step; jittered so that dispatchers do not step alike
 RHO = 0.8  # load factor: the part of a worker's slots that is sold without its price rising
--- a/violetdeck/records.py
+++ b/flintfield/decision/records.py
@@ -6,7 +6,7 @@
 import math
 from collections import deque
 
-from violetdeck.interface import NEVER_RAN, Entry, Outcome, Request, WorkerId
+from flintfield.decision.interface import NEVER_RAN, Entry, Outcome, Request, WorkerId
 
 Sort = tuple[int, float, float, int]
 """Held jobs of one class, worth and size in slots wait alike; those that were sent before wait alone."""
--- a/violetdeck/drill.py
+++ b/flintfield/drill.py
@@ -1,6 +1,6 @@
 """The adapter loop: reads batches, hands each event to its instance, writes the actions back.
 
-It decides nothing and shares nothing between instances. `python -m violetdeck.drill` starts it.
+It decides nothing and shares nothing between instances. `python -m flintfield.drill` starts it.
 """
 
 from __future__ import annotations
@@ -8,9 +8,9 @@
 import sys
 from typing import BinaryIO
 
-from violetdeck import wire
-from violetdeck.interface import Action, Entry
-from violetdeck.policy import Dispatcher
+from flintfield.wire.simulator import frames as wire
+from flintfield.decision.interface import Action, Entry
+from flintfield.decision.policy import Dispatcher
 
 
 class Host:
@@ -90,7 +90,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except wire.WireError as error:
-        print(f"violetdeck.drill: {error}", file=sys.stderr)
+        print(f"flintfield.drill: {error}", file=sys.stderr)
         return 1
     return 0
 
--- /dev/null
+++ b/flintfield/wire/simulator/__init__.py
@@ -0,0 +1,1 @@
+"""The simulator's binary wire."""
--- a/violetdeck/wire.py
+++ b/flintfield/wire/simulator/frames.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from violetdeck.interface import (
+from flintfield.decision.interface import (
     Action, AttemptEnded, Cancel, Effect, Entry, Event, Fail, First, Gone, Group, Limits, ListMode, Note,
     Outcome, Prices, Probe, Probed, Refuse, Report, Request, RequestClass, Rules, Send, ServerList,
     SetTimer, Settings, State, Tenant, Timer, Watch,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,11 +5,11 @@
 from dataclasses import replace
 from typing import Any, TypeVar
 
-from violetdeck.interface import (
+from flintfield.decision.interface import (
     Action, AttemptEnded, Effect, Entry, Limits, ListMode, Outcome, Probe, Probed, Report, Request,
     RequestClass, Rules, Send, ServerList, SetTimer, Settings, Timer,
 )
-from violetdeck.policy import Dispatcher
+from flintfield.decision.policy import Dispatcher
 
 A = TypeVar("A")
 
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from helpers import RULES, World, only, sent_to, settings
-from violetdeck.interface import (
+from flintfield.decision.interface import (
     Cancel, Effect, Entry, Fail, Group, ListMode, Note, Outcome, Probe, Probed, Refuse, Report, RequestClass,
     Send, ServerList, Tenant,
 )
--- a/tests/test_market.py
+++ b/tests/test_market.py
@@ -13,11 +13,11 @@
 from hypothesis import given, settings as hypothesis_settings, strategies as st
 
 from helpers import World, only, sent_to, settings
-from violetdeck.interface import (
+from flintfield.decision.interface import (
     Entry, Fail, Note, Outcome, Probed, Refuse, Report, Request, RequestClass, Send, Settings, Tenant,
 )
-from violetdeck.policy import RHO, Dispatcher
-from violetdeck.records import Worker
+from flintfield.decision.policy import RHO, Dispatcher
+from flintfield.decision.records import Worker
 
 ROOT = Path(__file__).parent.parent
 hypothesis_settings.register_profile("same", derandomize=True, deadline=None, max_examples=60)
@@ -198,7 +198,7 @@
 SCRIPT = """
 import sys; sys.path.insert(0, "tests")
 from helpers import World, settings
-from violetdeck.interface import Entry, Outcome
+from flintfield.decision.interface import Entry, Outcome
 worlds = [World(settings(), [Entry(n) for n in range(9)], seed=s) for s in (1, 2)]
 for n in range(40):
     for w in (worlds if len(sys.argv) > 1 else worlds[:1]):
@@ -217,10 +217,10 @@
 
 
 def test_the_module_stays_readable() -> None:
-    lines = (ROOT / "violetdeck/policy.py").read_text().splitlines()
+    lines = (ROOT / "flintfield/decision/policy.py").read_text().splitlines()
     assert len([line for line in lines if line.strip()]) <= 400
     assert max(map(len, lines)) <= 110
-    assert "violetdeck/interface.py" in lines[0]
+    assert "flintfield/decision/interface.py" in lines[0]
 
 
 def test_the_examples_in_the_readme_run() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,7 +5,7 @@
 import pytest
 
 from helpers import World, only, sent_to, settings
-from violetdeck.interface import (
+from flintfield.decision.interface import (
     Cancel, Effect, Entry, Fail, Gone, Group, ListMode, Outcome, Refuse, Send, ServerList, State, Watch,
 )
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,12 +9,13 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from violetdeck import drill, wire
-from violetdeck.interface import (
+from flintfield import drill
+from flintfield.wire.simulator import frames as wire
+from flintfield.decision.interface import (
     Action, AttemptEnded, Cancel, Effect, Fail, Group, ListMode, Note, Outcome, Probe, Refuse, Request,
     Send, ServerList, SetTimer, State, Timer, Watch,
 )
-from violetdeck.policy import Dispatcher
+from flintfield.decision.policy import Dispatcher
 
 FIELDS = ("util", "latency_ms", "free")
 RAW = {
--- a/violetdeck/__init__.py
+++ /dev/null
@@ -1,6 +0,0 @@
-"""violetdeck: market-based decisions for a dispatcher that pushes jobs to workers."""
-
-from violetdeck.policy import Dispatcher
-
-__all__ = ["Dispatcher"]
-__version__ = "0.1.0"
