--- /dev/null
+++ b/flintfield/lifecycle/program.py
@@ -0,0 +1,162 @@
+"""The running scheduler: messages go into the reducer, its effects are carried out, the clock wakes it."""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+
+from flintfield.decision.policy import Dispatcher
+from flintfield.lifecycle.config import Config
+from flintfield.memory.messages import (
+    Answer, CallDiscovery, Defect, DropBranch, Effect, Message, OpenBranch, ProbeHop, StopAsked, Woke,
+    WriteBranch,
+)
+from flintfield.memory.reducer import reduce
+from flintfield.memory.state import State
+from flintfield.wire.http1.caller import Callers, Pages
+from flintfield.wire.http1.client import Pool
+from flintfield.wire.http1.discovery import Discovery, Reader
+from flintfield.wire.http1.hop import NextHops
+
+SWEEP_S = 1.0
+SPARE_SOCKETS = 0.4  # of the descriptors: for next hops, discovery and the program's own
+STOP_ACCEPT_S = 0.55  # after SIGTERM new connections keep coming for up to 0.4 s
+STOP_FRESH_S = 0.3  # then a connection that never brought a request is closed
+STOP_CHECK_S = 0.02
+
+
+def make_clock() -> Callable[[], float]:
+    """Unix milliseconds that only move forward."""
+    base = time.time() - time.monotonic()
+    return lambda: (base + time.monotonic()) * 1000.0
+
+
+class Program:
+    """One real scheduler."""
+
+    def __init__(self, config: Config, log: Any) -> None:
+        self._config, self._log = config, log
+        self._clock = make_clock()
+        self.state = State(Dispatcher(config.settings, config.seed), config.most_held)
+        self._inbox: deque[Message] = deque()
+        self._taking = False
+        self._rearm = anyio.Event()
+        self._armed = float("inf")
+        self._tasks: TaskGroup
+        pool = Pool(self._clock, config.conn_idle_ms, config.dial_timeout_ms)
+        self._pool = pool
+        reader = Reader(config.zones, config.kinds)
+        self._known = reader.news(config.known, cached=True)
+        self._hops = NextHops(self.tell, self._clock, pool, config.report_names)
+        self._discovery = Discovery(self.tell, pool, config.discovery, reader)
+        pages = Pages(lambda: not self.state.stopping, lambda: self.state.counters)
+        self._callers = Callers(self.tell, pages, config.class_names,
+                                int(config.sockets * (1 - SPARE_SOCKETS)), self._count)
+        self._perform: dict[type, Callable[[Any], None]] = {
+            OpenBranch: lambda e: self._hops.open(e, self._tasks),
+            WriteBranch: self._hops.write,
+            DropBranch: self._hops.drop,
+            Answer: self._callers.answer,
+            ProbeHop: self._start(self._hops.probe),
+            CallDiscovery: self._start(self._discovery.call),
+            Defect: lambda e: self._log.error("defect", where=e.where, error=e.error),
+        }
+
+    def _start(self, task: Callable[[Any], Coroutine[Any, Any, None]]) -> Callable[[Any], None]:
+        """Carry an effect out in a task of its own."""
+        def start(effect: Any) -> None:
+            self._tasks.start_soon(task, effect)
+
+        return start
+
+    def _count(self, name: str) -> None:
+        self.state.counters[name] += 1
+
+    # -------------------------------------------------------------- messages
+
+    def tell(self, message: Message) -> None:
+        """Hand a message to the reducer and carry out what it asks for."""
+        self._inbox.append(message)
+        if self._taking:  # told while an effect is carried out: it waits its turn
+            return
+        self._taking = True
+        try:
+            while self._inbox:
+                for effect in self._reduce(self._inbox.popleft()):
+                    self._carry_out(effect)
+        finally:
+            self._taking = False
+        due = self.state.timers.next_at()
+        if due is not None and due < self._armed:
+            self._rearm.set()
+
+    def _reduce(self, message: Message) -> list[Effect]:
+        try:
+            return reduce(self.state, self._clock(), message)
+        except Exception as error:  # guards against one odd message ending the program
+            self._count("defects")
+            self._log.exception("defect", where=type(message).__name__, error=repr(error))
+            return []
+
+    def _carry_out(self, effect: Effect) -> None:
+        try:
+            self._perform[type(effect)](effect)
+        except Exception as error:
+            self._count("defects")
+            self._log.exception("defect", where=type(effect).__name__, error=repr(error))
+
+    # ------------------------------------------------------------- the tasks
+
+    def listen(self) -> None:
+        """Take the listening address."""
+        self._port = self._callers.listen(self._config.listen)
+
+    async def run(self, stop_asked: anyio.Event) -> None:
+        """Serve until asked to stop and all is settled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            self.tell(self._known)
+            tasks.start_soon(self._keep_time)
+            tasks.start_soon(self._sweep)
+            tasks.start_soon(self._callers.accept_all, tasks)
+            self._log.info("serving", port=self._port, next_hops=len(self.state.routes),
+                           generation=self.state.generation)
+            await stop_asked.wait()
+            await self._stop(tasks)
+            tasks.cancel_scope.cancel()
+        self._log.info("stopped", counters=dict(sorted(self.state.counters.items())))
+
+    async def _keep_time(self) -> None:
+        while True:
+            due = self.state.timers.next_at()
+            self._armed = float("inf") if due is None else due
+            self._rearm = anyio.Event()
+            if due is None:
+                await self._rearm.wait()
+                continue
+            with anyio.move_on_after((due - self._clock()) / 1000):
+                await self._rearm.wait()
+            if self._clock() >= due:
+                self.tell(Woke())
+
+    async def _sweep(self) -> None:
+        while True:
+            await anyio.sleep(SWEEP_S)
+            self._pool.sweep()
+
+    async def _stop(self, tasks: TaskGroup) -> None:
+        """Stop taking requests in, settle those that were taken, and end."""
+        self._log.info("stopping", transactions=len(self.state.transactions), legs=self._callers.open_legs)
+        self.tell(StopAsked())
+        self._callers.close_idle(fresh_too=False)
+        await anyio.sleep(STOP_ACCEPT_S)
+        self._callers.stop_listening(tasks)
+        await anyio.sleep(STOP_FRESH_S)
+        while self.state.transactions or self._callers.open_legs:
+            self._callers.close_idle(fresh_too=True)
+            await anyio.sleep(STOP_CHECK_S)
--- /dev/null
+++ b/flintfield/lifecycle/start.py
@@ -0,0 +1,49 @@
+"""Start: configuration, log, signals, the event loop; and the program's exit code."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from typing import Any
+
+import anyio
+
+from flintfield.lifecycle.config import Config, ConfigError, read_config
+from flintfield.lifecycle.log import make_log
+from flintfield.lifecycle.program import Program
+from flintfield.wire.http1.discovery import ListError
+
+BAD_CONFIG = 2
+
+
+def main() -> int:
+    """Run one real scheduler until SIGTERM or SIGINT."""
+    try:
+        config = read_config(os.environ)
+        anyio.run(_serve, config, make_log(name=config.name))
+    except ConfigError as error:
+        print(f"flintfield: {error}", file=sys.stderr)
+        return BAD_CONFIG
+    except ListError as error:
+        print(f"flintfield: known: {error}", file=sys.stderr)
+        return BAD_CONFIG
+    except OSError as error:
+        print(f"flintfield: listen: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+async def _serve(config: Config, log: Any) -> None:
+    program, stop_asked = Program(config, log), anyio.Event()
+    program.listen()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_heed_signals, stop_asked)
+        await program.run(stop_asked)
+        tasks.cancel_scope.cancel()
+
+
+async def _heed_signals(stop_asked: anyio.Event) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            stop_asked.set()
--- /dev/null
+++ b/flintfield/memory/messages.py
@@ -0,0 +1,232 @@
+"""What the reducer is told (messages) and what it asks for (effects): plain values, no I/O.
+
+A transaction is named by `rid`, one of its branches by `(rid, branch)`. Times are Unix milliseconds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, IntEnum
+
+from flintfield.decision.interface import Entry, ListMode, Report, WorkerId
+
+Address = tuple[str, int]
+
+
+# ------------------------------------------------------------------- values
+
+
+class Reach(IntEnum):
+    """How far an attempt had come when it ended."""
+
+    DIALLING = 0  # no connection yet
+    WRITING = 1  # connected, but the last byte had not left
+    SENT = 2  # the last byte may have left
+    ANSWERED = 3  # the next hop had answered
+
+
+class End(Enum):
+    """What ended a branch, a probe or a call."""
+
+    DONE = "done"
+    FAILED = "failed"
+    DECLINED = "declined"  # turned away or handed back: the next hop proves that it never ran
+    LOST = "lost"
+    BROKEN = "broken"  # the connection: refused, never up, reset or ended early
+
+
+@dataclass(frozen=True, slots=True)
+class Ending:
+    """An error, or a result, as a value: what happened and how far it had come."""
+
+    end: End
+    reach: Reach
+    result: bytes = b""
+    report: Report | None = None
+    word: str = ""  # for people
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """A line of the route set: a next hop, where it listens and what the decisions are told of it."""
+
+    name: str
+    address: Address
+    entry: Entry
+
+
+@dataclass(frozen=True, slots=True)
+class Submission:
+    """A caller's request as it came; `target` is path and query."""
+
+    name: str
+    method: bytes
+    target: bytes
+    body: bytes
+    cls: int
+    class_name: str
+    wait_ms: float  # how long the caller waits, from its send
+    key: int = 0
+    cost_ms: float | None = None
+    slots: float = 1.0
+    memory: float = 0.0
+    repeat: bool = False
+
+
+class Verdict(Enum):
+    """The kinds of final answer."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+# ----------------------------------------------------------------- messages
+
+
+@dataclass(frozen=True, slots=True)
+class RouteNews:
+    """Discovery's word: the changes since our version, or the whole list."""
+
+    mode: ListMode
+    generation: int
+    routes: tuple[Route, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RouteCallFailed:
+    """A watch failed, timed out or told nonsense."""
+
+    word: str
+
+
+@dataclass(frozen=True, slots=True)
+class Submitted:
+    """A caller's request has wholly come in; `rid` was given by the caller leg."""
+
+    rid: int
+    submission: Submission
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLeft:
+    """The caller closed its connection before the answer."""
+
+    rid: int
+
+
+@dataclass(frozen=True, slots=True)
+class BranchUp:
+    """A branch has its connection; nothing is written before `WriteBranch`."""
+
+    rid: int
+    branch: int
+
+
+@dataclass(frozen=True, slots=True)
+class BranchNoted:
+    """A next hop tells that the job started, or the share that is done."""
+
+    rid: int
+    branch: int
+    started: bool
+    share: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class BranchEnded:
+    """A branch came to its end on the wire."""
+
+    rid: int
+    branch: int
+    ending: Ending
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeEnded:
+    """A probe came to its end."""
+
+    worker: WorkerId
+    ending: Ending
+    took_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Woke:
+    """The clock reached the first timer."""
+
+
+@dataclass(frozen=True, slots=True)
+class StopAsked:
+    """The program was told to end."""
+
+
+Message = (RouteNews | RouteCallFailed | Submitted | CallerLeft | BranchUp | BranchNoted | BranchEnded
+           | ProbeEnded | Woke | StopAsked)
+
+
+# ------------------------------------------------------------------ effects
+
+
+@dataclass(frozen=True, slots=True)
+class OpenBranch:
+    """Get a connection to a next hop, then tell `BranchUp`."""
+
+    rid: int
+    branch: int
+    address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class WriteBranch:
+    """Write the request on the branch's connection; the next hop has until `deadline`."""
+
+    rid: int
+    branch: int
+    submission: Submission
+    wait_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class DropBranch:
+    """Close the branch's connection now, whatever it is doing."""
+
+    rid: int
+    branch: int
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Give the caller its final answer; `close` ends the caller leg after it."""
+
+    rid: int
+    verdict: Verdict
+    body: bytes = b""
+    retry_after_ms: float = 0.0
+    close: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeHop:
+    """Ask a next hop for its load."""
+
+    worker: WorkerId
+    address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class CallDiscovery:
+    """Make one watch call for what is newer than `generation`."""
+
+    generation: int
+
+
+@dataclass(frozen=True, slots=True)
+class Defect:
+    """Something that must not happen did; it is contained and is to be logged."""
+
+    where: str
+    error: str
+
+
+Effect = OpenBranch | WriteBranch | DropBranch | Answer | ProbeHop | CallDiscovery | Defect
--- /dev/null
+++ b/flintfield/memory/reducer.py
@@ -0,0 +1,296 @@
+"""The one place where the scheduler's memory changes and where the decision module is asked.
+
+`reduce(state, now, message)` is synchronous, does no I/O and reads no clock: it returns the effects that the
+message calls for, in order. It must not be called while it runs.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from flintfield.decision.interface import (
+    Action, AttemptEnded, Cancel, Event, Fail, Gone, ListMode, Note, Outcome, Probe, Probed, Refuse, Request,
+    Send, ServerList, SetTimer, State as Lifecycle, Timer, Watch,
+)
+from flintfield.decision.policy import TICK, TICK_MS
+from flintfield.memory.messages import (
+    Answer, BranchEnded, BranchNoted, BranchUp, CallDiscovery, CallerLeft, Defect, DropBranch, Effect, End,
+    Ending, Message, OpenBranch, ProbeEnded, ProbeHop, Reach, RouteCallFailed, RouteNews, StopAsked,
+    Submitted, Verdict, Woke, WriteBranch,
+)
+from flintfield.memory.state import Branch, BranchDue, DeadlineDue, State, TokenDue, Transaction
+
+DEADLINE_MARGIN_MS = 10.0  # deadlines count from the caller's send, which we see later; a loop may run late
+
+OUTCOMES = {
+    End.DONE: Outcome.OK, End.FAILED: Outcome.ERROR, End.DECLINED: Outcome.FULL, End.LOST: Outcome.RESET,
+}
+
+
+def outcome_of(ending: Ending) -> Outcome:
+    """What an ending proves. A broken connection proves nothing once the last byte may have left."""
+    if ending.end is End.BROKEN:
+        return Outcome.CONNECT_FAILED if ending.reach < Reach.SENT else Outcome.RESET
+    return OUTCOMES[ending.end]
+
+
+def reduce(state: State, now: float, message: Message) -> list[Effect]:
+    """Take one message in and return the effects it calls for."""
+    turn = _Turn(state, now)
+    turn.take(message)
+    return turn.effects
+
+
+class _Turn:
+    """One run of the reducer: events wait here until the decision module is free for them."""
+
+    def __init__(self, state: State, now: float) -> None:
+        self.state, self.now = state, now
+        self.effects: list[Effect] = []
+        self._events: deque[Event] = deque()
+
+    def take(self, message: Message) -> None:
+        HANDLERS[type(message)](self, message)
+        self._run_events()
+
+    # ------------------------------------------------- the decision module
+
+    def _run_events(self) -> None:
+        while self._events:
+            event = self._events.popleft()
+            for action in self._decide(event):
+                ACTIONS[type(action)](self, action)
+
+    def _decide(self, event: Event) -> list[Action]:
+        dispatcher = self.state.dispatcher
+        try:
+            return dispatcher.handle(self.now, event)
+        except Exception as error:
+            # Guards against one bad event ending the price tick, or a caller's wait without an answer.
+            self._defect(f"decision on {type(event).__name__}", repr(error))
+            actions = list(dispatcher.actions)
+            if isinstance(event, Timer) and event.token == TICK:
+                actions = [a for a in actions if not (isinstance(a, SetTimer) and a.token == TICK)]
+                actions.append(SetTimer(TICK_MS, TICK))
+            if isinstance(event, Request) and not any(isinstance(a, Send) for a in actions):
+                actions.append(Fail(event.rid))
+            return actions
+
+    def _defect(self, where: str, error: str) -> None:
+        self.state.counters["defects"] += 1
+        self.effects.append(Defect(where, error))
+
+    # ------------------------------------------------------------- actions
+
+    def send(self, action: Send) -> None:
+        transaction = self.state.transactions.get(action.rid)
+        if transaction is None or transaction.answered:
+            self._defect("send for an ended transaction", str(action.rid))
+            return
+        number, route = len(transaction.branches), self.state.routes.get(action.worker)
+        branch = Branch(action.worker, route.address if route else ("", 0), self.now)
+        transaction.branches.append(branch)
+        if route is None or number >= self.state.limits.max_attempts or self.now >= transaction.deadline:
+            self._end_branch(transaction, number, Outcome.MOOT)
+            return
+        if action.timeout_ms > 0:
+            self.state.timers.set(self.now + action.timeout_ms, BranchDue(action.rid, number))
+        self.state.counters["branches.opened"] += 1
+        self.effects.append(OpenBranch(action.rid, number, route.address))
+
+    def refuse(self, action: Refuse) -> None:
+        self._answer(action.rid, Verdict.REFUSED, retry_after_ms=action.retry_after_ms)
+
+    def fail(self, action: Fail) -> None:
+        self._answer(action.rid, Verdict.FAILED)
+
+    def cancel(self, action: Cancel) -> None:
+        transaction = self.state.transactions.get(action.rid)
+        if transaction is not None and not transaction.branches[action.attempt].ended:
+            self._drop(transaction, action.attempt, Outcome.CANCELLED)
+
+    def set_timer(self, action: SetTimer) -> None:
+        self.state.timers.set(self.now + action.after_ms, TokenDue(action.token))
+
+    def probe(self, action: Probe) -> None:
+        route = self.state.routes.get(action.worker)
+        if route is None:
+            self._events.append(Probed(action.worker, Outcome.CONNECT_FAILED, 0.0))
+            return
+        self.state.counters["probes.sent"] += 1
+        self.effects.append(ProbeHop(action.worker, route.address))
+
+    def watch(self, _: Watch) -> None:
+        if not self.state.watching:
+            self.state.watching = True
+            self._call_discovery()
+
+    # -------------------------------------------------------- transactions
+
+    def submitted(self, message: Submitted) -> None:
+        state, given = self.state, message.submission
+        state.counters[f"requests.taken.{given.class_name}"] += 1
+        deadline = self.now + max(0.0, given.wait_ms - DEADLINE_MARGIN_MS)
+        transaction = Transaction(message.rid, given, deadline)
+        state.transactions[message.rid] = transaction
+        if given.name in state.names:
+            # Guards against a second copy of one job: the first one of this id is still in work.
+            state.counters["requests.same_id"] += 1
+            self._answer(message.rid, Verdict.FAILED)
+            return
+        state.names[given.name] = message.rid
+        if len(state.transactions) > state.most_held:
+            self._answer(message.rid, Verdict.REFUSED)
+            return
+        state.timers.set(deadline, DeadlineDue(message.rid))
+        self._events.append(Request(message.rid, given.cls, deadline, key=given.key, hint_ms=given.cost_ms,
+                                    slots=given.slots, memory=given.memory, repeat=given.repeat))
+
+    def caller_left(self, message: CallerLeft) -> None:
+        transaction = self.state.transactions.get(message.rid)
+        if transaction is None or transaction.answered:
+            return
+        self.state.counters[f"requests.left.{transaction.submission.class_name}"] += 1
+        self._answer(message.rid, Verdict.FAILED)  # should it only have ended its sending, it still gets one
+        self._events.append(Gone(message.rid))
+
+    def _answer(self, rid: int, verdict: Verdict, body: bytes = b"", retry_after_ms: float = 0.0) -> None:
+        transaction = self.state.transactions.get(rid)
+        if transaction is None or transaction.answered:
+            return
+        transaction.answered = True
+        self.state.counters[f"answers.{verdict.value}.{transaction.submission.class_name}"] += 1
+        self.effects.append(Answer(rid, verdict, body, retry_after_ms, self.state.stopping))
+        self._forget_settled(transaction)
+
+    def _forget_settled(self, transaction: Transaction) -> None:
+        if transaction.settled():
+            self.state.transactions.pop(transaction.rid, None)
+            if self.state.names.get(transaction.submission.name) == transaction.rid:
+                del self.state.names[transaction.submission.name]
+
+    # ------------------------------------------------------------ branches
+
+    def _out(self, rid: int, number: int) -> tuple[Transaction, Branch] | None:
+        """The branch if it is still out: what comes later is ignored."""
+        transaction = self.state.transactions.get(rid)
+        if transaction is None or transaction.branches[number].ended:
+            self.state.counters["branches.late_word"] += 1
+            return None
+        return transaction, transaction.branches[number]
+
+    def branch_up(self, message: BranchUp) -> None:
+        if (found := self._out(message.rid, message.branch)) is None:
+            return
+        transaction, branch = found
+        route = self.state.routes.get(branch.worker)
+        # Guards against a first byte after the drain's grace: the dial may have outlasted it.
+        if route is None or route.entry.state is not Lifecycle.READY or transaction.answered:
+            self._end_branch(transaction, message.branch, Outcome.MOOT)
+            return
+        self.state.counters["branches.written"] += 1
+        self.effects.append(WriteBranch(message.rid, message.branch, transaction.submission,
+                                        max(1.0, transaction.deadline - self.now)))
+
+    def branch_noted(self, message: BranchNoted) -> None:
+        if found := self._out(message.rid, message.branch):
+            self._events.append(Note(message.rid, message.branch, found[1].worker, message.started,
+                                     message.share))
+
+    def branch_ended(self, message: BranchEnded) -> None:
+        if found := self._out(message.rid, message.branch):
+            ending = message.ending
+            outcome = outcome_of(ending)
+            if outcome is Outcome.OK:
+                self._answer(message.rid, Verdict.SERVED, ending.result)
+            self._end_branch(found[0], message.branch, outcome, ending)
+
+    def _end_branch(self, transaction: Transaction, number: int, outcome: Outcome,
+                    ending: Ending | None = None) -> None:
+        branch = transaction.branches[number]
+        branch.ended = True
+        self.state.counters[f"branches.ended.{outcome.value}"] += 1
+        report = ending.report if ending else None
+        self._events.append(AttemptEnded(transaction.rid, number, branch.worker, outcome,
+                                         self.now - branch.opened, transaction.answered, report))
+        self._forget_settled(transaction)
+
+    def _drop(self, transaction: Transaction, number: int, outcome: Outcome) -> None:
+        self.effects.append(DropBranch(transaction.rid, number))
+        self._end_branch(transaction, number, outcome)
+
+    # -------------------------------------------- probes, route set, timers
+
+    def probe_ended(self, message: ProbeEnded) -> None:
+        outcome = outcome_of(message.ending)
+        self.state.counters[f"probes.ended.{outcome.value}"] += 1
+        self._events.append(Probed(message.worker, outcome, message.took_ms, message.ending.report))
+
+    def route_news(self, message: RouteNews) -> None:
+        state = self.state
+        if message.mode is not ListMode.DELTA:
+            state.routes.clear()
+        for route in message.routes:
+            if route.entry.state is Lifecycle.GONE:
+                state.routes.pop(route.entry.worker, None)
+            else:
+                state.routes[route.entry.worker] = route
+        state.generation = message.generation
+        if message.mode is not ListMode.CACHED:
+            state.counters["discovery.lines"] += len(message.routes)
+            self._call_discovery()  # at once: a watch that pauses for 200 ms is a new one
+        self._events.append(ServerList(message.mode, tuple(r.entry for r in message.routes)))
+
+    def route_call_failed(self, _: RouteCallFailed) -> None:
+        self.state.watching = False
+        self.state.counters["discovery.failed"] += 1
+        self._events.append(ServerList(ListMode.FAILED))
+
+    def _call_discovery(self) -> None:
+        self.state.counters["discovery.calls"] += 1
+        self.effects.append(CallDiscovery(self.state.generation))
+
+    def woke(self, _: Woke) -> None:
+        while (due := self.state.timers.pop_due(self.now)) is not None:
+            if isinstance(due, TokenDue):
+                self._events.append(Timer(due.token))
+            elif isinstance(due, BranchDue):
+                self._time_out(due.rid, due.branch)
+            else:
+                self._deadline(due.rid)
+            self._run_events()
+
+    def _time_out(self, rid: int, number: int) -> None:
+        transaction = self.state.transactions.get(rid)
+        if transaction is not None and not transaction.branches[number].ended:
+            self._drop(transaction, number, Outcome.TIMEOUT)
+
+    def _deadline(self, rid: int) -> None:
+        transaction = self.state.transactions.get(rid)
+        if transaction is None:
+            return
+        for number in range(len(transaction.branches)):
+            self._time_out(rid, number)
+        self._run_events()
+        if not transaction.answered:
+            # Guards rule 1 whatever the decisions do: no caller is left without its answer.
+            self._defect("overdue transaction", transaction.submission.name)
+            self._answer(rid, Verdict.FAILED)
+            self._events.append(Gone(rid))
+
+    def stop_asked(self, _: StopAsked) -> None:
+        self.state.stopping = True
+
+
+HANDLERS: dict[type, Callable[[_Turn, Any], None]] = {
+    RouteNews: _Turn.route_news, RouteCallFailed: _Turn.route_call_failed, Submitted: _Turn.submitted,
+    CallerLeft: _Turn.caller_left, BranchUp: _Turn.branch_up, BranchNoted: _Turn.branch_noted,
+    BranchEnded: _Turn.branch_ended, ProbeEnded: _Turn.probe_ended, Woke: _Turn.woke,
+    StopAsked: _Turn.stop_asked,
+}
+ACTIONS: dict[type, Callable[[_Turn, Any], None]] = {
+    Send: _Turn.send, Refuse: _Turn.refuse, Fail: _Turn.fail, Cancel: _Turn.cancel, Probe: _Turn.probe,
+    SetTimer: _Turn.set_timer, Watch: _Turn.watch,
+}
--- /dev/null
+++ b/flintfield/memory/state.py
@@ -0,0 +1,99 @@
+"""Everything the scheduler remembers. Only the reducer writes to it."""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from dataclasses import dataclass, field
+
+from flintfield.decision.interface import Limits, WorkerId
+from flintfield.decision.policy import Dispatcher
+from flintfield.memory.messages import Address, Route, Submission
+
+
+@dataclass(slots=True)
+class Branch:
+    """One attempt at a next hop."""
+
+    worker: WorkerId
+    address: Address
+    opened: float
+    ended: bool = False
+
+
+@dataclass(slots=True)
+class Transaction:
+    """One caller's request, from its last byte to its answer and the end of its branches."""
+
+    rid: int
+    submission: Submission
+    deadline: float
+    branches: list[Branch] = field(default_factory=list)
+    answered: bool = False
+
+    def settled(self) -> bool:
+        """Whether it is answered and nothing of it is still out."""
+        return self.answered and all(b.ended for b in self.branches)
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class TokenDue:
+    """A timer of the decision module."""
+
+    token: int
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class DeadlineDue:
+    """Memory's own backstop: by now the transaction must be settled."""
+
+    rid: int
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class BranchDue:
+    """The time-out of one branch."""
+
+    rid: int
+    branch: int
+
+
+Due = TokenDue | DeadlineDue | BranchDue
+
+
+class Timers:
+    """What is to happen when, soonest first."""
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[float, int, Due]] = []
+        self._count = 0
+
+    def set(self, at: float, due: Due) -> None:
+        """Add a timer; those of one moment ring in the order they were set."""
+        self._count += 1
+        heapq.heappush(self._heap, (at, self._count, due))
+
+    def next_at(self) -> float | None:
+        """When the first one rings."""
+        return self._heap[0][0] if self._heap else None
+
+    def pop_due(self, now: float) -> Due | None:
+        """Take the first one that has come due."""
+        return heapq.heappop(self._heap)[2] if self._heap and self._heap[0][0] <= now else None
+
+
+class State:
+    """The scheduler's memory."""
+
+    def __init__(self, dispatcher: Dispatcher, most_held: int) -> None:
+        self.dispatcher = dispatcher
+        self.limits: Limits = dispatcher.settings.limits
+        self.most_held = most_held
+        self.transactions: dict[int, Transaction] = {}
+        self.names: dict[str, int] = {}  # the ids callers gave to the transactions that are not settled
+        self.routes: dict[WorkerId, Route] = {}
+        self.generation = 0
+        self.watching = False  # a call to discovery is out, or the next one follows
+        self.timers = Timers()
+        self.counters: Counter[str] = Counter()
+        self.stopping = False
--- /dev/null
+++ b/flintfield/wire/http1/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 on sockets: caller legs, next hops and discovery."""
--- /dev/null
+++ b/flintfield/wire/http1/hop.py
@@ -0,0 +1,213 @@
+"""The next hop's side: branches with a job's lines, and probes. It tells what came back, no more."""
+
+from __future__ import annotations
+
+import json
+import math
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+
+from flintfield.decision.interface import Report
+from flintfield.memory.messages import (
+    BranchEnded, BranchNoted, BranchUp, DropBranch, End, Ending, Message, OpenBranch, ProbeEnded, ProbeHop,
+    Reach, Submission, WriteBranch,
+)
+from flintfield.wire.http1.client import Connection, Head, Pool
+
+PROBE_MS = 400.0  # a probe without an answer by then has failed
+TAIL_S = 1.0  # how long the end of a response may lag behind its last line
+MOST_LINE = 1 << 18
+FINAL = {"done": End.DONE, "failed": End.FAILED, "returned": End.DECLINED, "lost": End.LOST}
+
+
+@dataclass(slots=True)
+class _Out:
+    """A branch that is out."""
+
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    connection: Connection | None = None
+    order: WriteBranch | None = None
+
+
+class NextHops:
+    """All branches and probes that are out."""
+
+    def __init__(self, tell: Callable[[Message], None], clock: Callable[[], float], pool: Pool,
+                 report_names: Mapping[str, str]) -> None:
+        self._tell, self._clock, self._pool, self._names = tell, clock, pool, report_names
+        self._outs: dict[tuple[int, int], _Out] = {}
+
+    # -------------------------------------------------------------- branches
+
+    def open(self, effect: OpenBranch, tasks: TaskGroup) -> None:
+        """Start a branch."""
+        out = self._outs[effect.rid, effect.branch] = _Out()
+        tasks.start_soon(self._run, effect, out)
+
+    def write(self, effect: WriteBranch) -> None:
+        """Let a branch write that has told `BranchUp`."""
+        if out := self._outs.get((effect.rid, effect.branch)):
+            out.order = effect
+
+    def drop(self, effect: DropBranch) -> None:
+        """Close a branch's connection before anything else is written."""
+        if out := self._outs.pop((effect.rid, effect.branch), None):
+            if out.connection:
+                out.connection.stream.close()
+            out.scope.cancel()
+
+    async def _run(self, effect: OpenBranch, out: _Out) -> None:
+        with out.scope:
+            try:
+                ending = await self._attempt(effect, out)
+            except Exception as error:  # exceptions stop at the connection; it may have run for all we know
+                ending = Ending(End.BROKEN, Reach.SENT, word=repr(error))
+            self._outs.pop((effect.rid, effect.branch), None)
+            if ending:
+                self._tell(BranchEnded(effect.rid, effect.branch, ending))
+            with anyio.move_on_after(TAIL_S):
+                await self._keep(out.connection, ending)
+        if out.connection and out.scope.cancelled_caught:
+            out.connection.stream.close()
+
+    async def _keep(self, connection: Connection | None, ending: Ending | None) -> None:
+        """Read a response to its end, so that its connection serves again; one that broke is closed."""
+        if connection is None:
+            return
+        if ending is None:
+            self._pool.keep(connection, unused=True)
+            return
+        whole = False
+        try:
+            whole = ending.reach is Reach.ANSWERED and await connection.body() is not None
+        finally:
+            if not whole:
+                connection.stream.close()
+        if whole:
+            self._pool.keep(connection)
+
+    async def _attempt(self, effect: OpenBranch, out: _Out) -> Ending | None:
+        """One attempt; None if it was not to be written after all."""
+        connection = await self._pool.get(effect.address)
+        if connection is None:
+            return Ending(End.BROKEN, Reach.DIALLING, word="no connection")
+        out.connection = connection
+        self._tell(BranchUp(effect.rid, effect.branch))
+        if out.order is None:
+            return None
+        given = out.order.submission
+        data = connection.request(given.method, given.target, [
+            (b"Req-Id", given.name.encode()), (b"Req-Kind", given.class_name.encode()),
+            (b"Req-Deadline", b"%dm" % out.order.wait_ms),
+        ], given.body)
+        if await connection.stream.send(data) < len(data):
+            return Ending(End.BROKEN, Reach.WRITING, word="broke while writing")
+        return await self._job(effect, given, connection)
+
+    async def _job(self, effect: OpenBranch, given: Submission, connection: Connection) -> Ending:
+        head = await connection.head()
+        if head is None:
+            return Ending(End.BROKEN, Reach.SENT, word="ended before an answer")
+        if head.status != 200:
+            declined = head.status in (503, 504) and head.headers.get(b"srv-declined") == b"1"
+            end = End.DECLINED if declined else End.FAILED
+            return Ending(end, Reach.ANSWERED, report=self._load(head), word=str(head.status))
+        buffer = b""
+        while piece := await connection.data():
+            *lines, buffer = (buffer + piece).split(b"\n")
+            if len(buffer) > MOST_LINE:
+                break
+            for line in lines:
+                if line.strip() and (ending := self._line(effect, given.name, line)):
+                    return ending
+        if buffer.strip() and (ending := self._line(effect, given.name, buffer)):
+            return ending  # a last line without its line feed
+        return Ending(End.BROKEN, Reach.SENT, word="ended before the last line")
+
+    def _line(self, effect: OpenBranch, name: str, line: bytes) -> Ending | None:
+        """Take one line of a job; an ending if it is the last, or is odd: then it may have run."""
+        try:
+            told = json.loads(line)
+            if told["id"] != name:
+                return Ending(End.BROKEN, Reach.SENT, word="a line of another job")
+            state = told["state"]
+            if state in FINAL:
+                result = told.get("result", "")
+                body = result if isinstance(result, str) else json.dumps(result)
+                load = make_report(told.get("load"), self._names)
+                return Ending(FINAL[state], Reach.ANSWERED, body.encode(), load, state)
+            if state in ("started", "running"):
+                share = float(told.get("share", 0.0))
+                self._tell(BranchNoted(effect.rid, effect.branch, state == "started", share))
+        except (ValueError, KeyError, TypeError):
+            return Ending(End.BROKEN, Reach.SENT, word="a line that cannot be read")
+        return None
+
+    # ---------------------------------------------------------------- probes
+
+    async def probe(self, effect: ProbeHop) -> None:
+        """Ask once for the load, and tell how it went."""
+        began, connection = self._clock(), None
+        ending = Ending(End.BROKEN, Reach.DIALLING)
+        whole = False
+        try:
+            with anyio.move_on_after(PROBE_MS / 1000):
+                connection = await self._pool.get(effect.address)
+                if connection:
+                    ending, whole = await self._ask_load(connection)
+        except Exception as error:  # exceptions stop at the connection
+            ending = Ending(End.BROKEN, Reach.SENT, word=repr(error))
+        finally:
+            if connection and not whole:
+                connection.stream.close()
+        if connection and whole:
+            self._pool.keep(connection)
+        self._tell(ProbeEnded(effect.worker, ending, self._clock() - began))
+
+    async def _ask_load(self, connection: Connection) -> tuple[Ending, bool]:
+        data = connection.request(b"GET", b"/status/load", [], b"")
+        if await connection.stream.send(data) < len(data):
+            return Ending(End.BROKEN, Reach.WRITING), False
+        head = await connection.head()
+        body = await connection.body() if head else None
+        if head is None or body is None:
+            return Ending(End.BROKEN, Reach.SENT), False
+        end = End.DONE if head.status == 200 else End.DECLINED if head.status == 503 else End.FAILED
+        return Ending(end, Reach.ANSWERED, report=read_load(body, self._names) or self._load(head)), True
+
+    # --------------------------------------------------------------- reports
+
+    def _load(self, head: Head) -> Report | None:
+        return read_load(head.headers.get(b"srv-load", b""), self._names)
+
+
+def read_load(text: bytes, names: Mapping[str, str]) -> Report | None:
+    """Read a load report: `TEXT name=value, name=value`, or a JSON object."""
+    plain = text.decode("ascii", "replace").strip()
+    if plain.startswith("{"):
+        try:
+            values = json.loads(plain)
+        except ValueError:
+            return None
+        return make_report(values.get("load", values), names)
+    if plain[:4].upper() == "TEXT":
+        plain = plain[4:]
+    return make_report(dict(p.strip().split("=", 1) for p in plain.split(",") if "=" in p), names)
+
+
+def make_report(values: Any, names: Mapping[str, str]) -> Report | None:
+    """Name a report's values in the decisions' words; those that are no number are left out."""
+    known: dict[str, float] = {}
+    for name, value in values.items() if isinstance(values, Mapping) else ():
+        ours = names.get(name)
+        try:
+            number = float(value)
+        except (TypeError, ValueError):
+            continue
+        if ours and math.isfinite(number):
+            known[ours] = number
+    return Report(**known) if known else None
--- /dev/null
+++ b/flintfield/wire/http1/stream.py
@@ -0,0 +1,109 @@
+"""A non-blocking TCP socket. Errors are values: a short count when sending, an empty text when reading.
+
+anyio's own streams do not tell how much of a text the kernel took before a connection broke, nor do they
+close at once; both decide here whether a job may have run. So sockets are waited for with anyio and used
+directly.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+CHUNK = 65_536
+
+
+class Stream:
+    """One connection."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._sock = sock
+        self.closed = False
+
+    async def send(self, data: bytes) -> int:
+        """Hand the bytes to the kernel; fewer than given means that the connection broke."""
+        sent = 0
+        while sent < len(data):
+            try:
+                sent += self._sock.send(memoryview(data)[sent:])
+            except BlockingIOError:
+                if not await self._wait(anyio.wait_writable):
+                    break
+            except OSError:
+                break
+        return sent
+
+    async def receive(self) -> bytes:
+        """The next bytes; none once the other side has ended or the connection broke."""
+        while not self.closed:
+            try:
+                return self._sock.recv(CHUNK)
+            except BlockingIOError:
+                await self._wait(anyio.wait_readable)
+            except OSError:
+                break
+        return b""
+
+    async def _wait(self, ready: Callable[[socket.socket], Awaitable[None]]) -> bool:
+        try:
+            await ready(self._sock)
+        except (anyio.ClosedResourceError, OSError, ValueError):
+            return False
+        return True
+
+    def is_quiet(self) -> bool:
+        """Whether it is open with nothing to read: neither bytes nor an end."""
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return not self.closed
+        except OSError:
+            pass
+        return False
+
+    def end_sending(self) -> None:
+        """Tell the other side that no more comes."""
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.close()
+
+    def close(self) -> None:
+        """Close now; whoever waits on it is woken."""
+        if not self.closed:
+            self.closed = True
+            anyio.notify_closing(self._sock)
+            self._sock.close()
+
+
+async def dial(address: tuple[str, int], timeout_ms: float) -> Stream | None:
+    """Connect within that time, or not at all."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    try:
+        sock = socket.socket(family, socket.SOCK_STREAM)
+    except OSError:
+        return None
+    stream = Stream(sock)
+    connected = False
+    try:
+        with anyio.move_on_after(timeout_ms / 1000):
+            connected = await _connect(sock, address)
+    finally:
+        if not connected:
+            stream.close()
+    return stream if connected else None
+
+
+async def _connect(sock: socket.socket, address: tuple[str, int]) -> bool:
+    try:
+        sock.connect(address)
+    except BlockingIOError:
+        await anyio.wait_writable(sock)
+        return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
+    except OSError:
+        return False
+    return True
--- a/flintfield/wire/simulator/frames.py
+++ b/flintfield/wire/simulator/frames.py
@@ -9,13 +9,12 @@
 import struct
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
-from typing import Any
 
 from flintfield.decision.interface import (
-    Action, AttemptEnded, Cancel, Effect, Entry, Event, Fail, First, Gone, Group, Limits, ListMode, Note,
-    Outcome, Prices, Probe, Probed, Refuse, Report, Request, RequestClass, Rules, Send, ServerList,
-    SetTimer, Settings, State, Tenant, Timer, Watch,
+    Action, AttemptEnded, Cancel, Entry, Event, Fail, First, Gone, ListMode, Note, Outcome, Probe, Probed,
+    Refuse, Report, Request, Send, ServerList, SetTimer, Settings, State, Timer, Watch,
 )
+from flintfield.lifecycle import config
 
 BATCH_HEAD = struct.Struct("<dII")
 REPLY_HEAD = struct.Struct("<II")
@@ -43,9 +42,6 @@
 }
 STATES = {0: State.GONE, 1: State.READY, 2: State.DRAINING}
 MODES = {0: ListMode.DELTA, 1: ListMode.FULL, 2: ListMode.CACHED, 3: ListMode.FAILED}
-EFFECTS = {"free": Effect.SAFE, "guarded": Effect.KEYED, "single_shot": Effect.UNSAFE}
-REPORT_NAMES = {"rif": "inflight", "q": "queue", "busy": "util", "lat_ms": "latency_ms"}
-PRICE_NAMES = ("cross_zone", "origin", "late_fail", "waste")
 
 
 class WireError(Exception):
@@ -77,83 +73,11 @@
 
 
 def read_settings(text: bytes) -> tuple[Settings, tuple[str | None, ...]]:
-    """Translate the settings text; unknown keys are skipped, absent ones take mild defaults."""
+    """Translate the settings text of the first message."""
     try:
-        raw: dict[str, Any] = json.loads(text)
-        return _settings(raw), _report_fields(raw)
-    except (ValueError, TypeError, KeyError, AttributeError, IndexError) as error:
-        raise WireError(f"settings cannot be read: {error!r}") from error
-
-
-def _part(raw: Mapping[str, Any], name: str) -> dict[str, Any]:
-    value = raw.get(name)
-    return value if isinstance(value, dict) else {}
-
-
-def _settings(raw: Mapping[str, Any]) -> Settings:
-    limits, rules, prices = _part(raw, "limits"), _part(raw, "rules"), _part(raw, "deductions")
-    family, report = _part(raw, "family_info"), _part(raw, "report")
-    return Settings(
-        classes=tuple(_request_class(i, c, family) for i, c in enumerate(raw["request_classes"])),
-        tenants=tuple(
-            Tenant(float(t.get("allowance_per_s", 0.0)), float(t.get("portion", 0.0)))
-            for t in raw.get("parties") or ()
-        ),
-        over_share_worth=float(raw.get("over_share_worth", 1.0)),
-        me=int(raw.get("me", 0)),
-        dispatchers=int(raw.get("replicas_of_me", 1)),
-        zone=int(raw.get("az", 0)),
-        ask_list=raw.get("membership_mode") == "subscribe",
-        has_weights=raw.get("weight_kind", "off") != "off",
-        reports=report.get("how", "off") != "off",
-        reports_in_answers=report.get("how") == "inline",
-        tells_start=bool(family.get("tells_start", False)),
-        resolution_ms=float(raw.get("resolution_ms", 1.0)),
-        worth_by_work=raw.get("worth_by") == "work",
-        limits=Limits(
-            max_attempts=int(limits.get("max_attempts", 3)),
-            probes=bool(limits.get("probes", False)),
-            cancel=bool(limits.get("may_cancel", False)),
-            second_copies=bool(limits.get("second_copies", False)),
-            retry_after=bool(limits.get("retry_after", False)),
-            max_retry_after_ms=float(limits.get("max_retry_after_ms", 0.0)),
-        ),
-        rules=Rules(
-            answer_slack_ms=float(rules.get("answer_slack_ms", 0.0)),
-            ask_within_ms=float(rules.get("ask_within_ms", 10_000.0)),
-            drain_grace_ms=float(rules.get("drain_grace_ms", 0.0)),
-            cold_from=float(rules.get("cold_from", 1.0)),
-            cold_ms=float(rules.get("ramp_time_ms", 0.0)),
-            fall_multiple=float(rules.get("tip_multiple", 1.0)),
-            fall_ms=float(rules.get("fall_ms", 1_000.0)),
-        ),
-        prices=Prices(**{name: float(prices.get(name, 0.0)) for name in PRICE_NAMES}),
-    )
-
-
-def _request_class(index: int, raw: Mapping[str, Any], family: Mapping[str, Any]) -> RequestClass:
-    kinds, stretches = family.get("class_kind") or (), family.get("class_stretch") or ()
-    kind = int(kinds[index]) if index < len(kinds) else -1
-    stretch = stretches[index] if index < len(stretches) else raw.get("aim_stretch", 0.0)
-    return RequestClass(
-        aim_ms=float(raw["aim_ms"]),
-        deadline_ms=float(raw["hard_limit_ms"]),
-        worth=float(raw.get("worth", 1.0)),
-        late_worth=float(raw.get("late_worth", 0.0)),
-        stretch=float(stretch),
-        effect=EFFECTS[raw.get("effect", "single_shot")],
-        group=Group(raw.get("group", "all")),
-        window_ms=float(raw.get("window_ms", 0.0)),
-        kind=None if kind < 0 else kind,
-        stream=bool(raw.get("stream", False)),
-    )
-
-
-def _report_fields(raw: Mapping[str, Any]) -> tuple[str | None, ...]:
-    """Name the report's values in our words; None for those that no decision reads."""
-    is_free = _part(raw, "family_info").get("report_x0") == "free slots"
-    names = REPORT_NAMES | ({"x0": "free"} if is_free else {})
-    return tuple(names.get(f) for f in _part(raw, "report").get("fields") or ())
+        return config.read_settings(json.loads(text))
+    except (ValueError, config.ConfigError) as error:
+        raise WireError(f"settings cannot be read: {error}") from error
 
 
 # -------------------------------------------------------------------- events
