--- a/flintfield/decision/policy.py
+++ b/flintfield/decision/policy.py
@@ -349,9 +349,17 @@
         """Give the final answer: refused where a retry is sure to be harmless (rule 2), else failed."""
         cls = self.settings.classes[job.request.cls]
         repeatable = cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
-        answer = Refuse if repeatable or not job.maybe_ran() else Fail
-        self._forget(job)  # no advice to wait: a client that comes back soon is often still in time
-        self.actions.append(answer(job.request.rid))
+        refused = repeatable or not job.maybe_ran()
+        self._forget(job)
+        rid = job.request.rid
+        self.actions.append(Refuse(rid, self._advice(job)) if refused else Fail(rid))
+
+    def _advice(self, job: Job) -> float:
+        """When to come back: once the jobs held here and this one have had their turn at our slots."""
+        slots = sum(max(1.0, w.most) for w in self.near if not self._silent(w))
+        ahead = 1 + sum(len(jobs) for jobs in self.held.sorts.values())
+        most = self.settings.limits.max_retry_after_ms
+        return min(most, max(TICK_MS, ahead * job.cost * (self.pace.value or 1.0) / slots)) if slots else most
 
     def _forget(self, job: Job) -> None:
         """Nothing is owed for the job any more: stop what still runs for it."""
--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -13,8 +13,8 @@
 from flintfield.decision.policy import Dispatcher
 from flintfield.lifecycle.config import Config
 from flintfield.memory.messages import (
-    Answer, CallDiscovery, Defect, DropBranch, Effect, Message, OpenBranch, ProbeHop, StopAsked, Woke,
-    WriteBranch,
+    Answer, CallDiscovery, Defect, DropBranch, Effect, Message, OpenBranch, ProbeHop, StopAsked, WatchFailed,
+    Woke, WriteBranch,
 )
 from flintfield.memory.reducer import reduce
 from flintfield.memory.state import State
@@ -65,6 +65,7 @@
             ProbeHop: self._start(self._hops.probe),
             CallDiscovery: self._start(self._discovery.call),
             Defect: lambda e: self._log.error("defect", where=e.where, error=e.error),
+            WatchFailed: lambda e: self._log.warning("watch failed", word=e.word),
         }
 
     def _start(self, task: Callable[[Any], Coroutine[Any, Any, None]]) -> Callable[[Any], None]:
--- a/flintfield/lifecycle/start.py
+++ b/flintfield/lifecycle/start.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import anyio
+from anyio.abc import TaskStatus
 
 from flintfield.lifecycle.config import Config, ConfigError, read_config
 from flintfield.lifecycle.log import make_log
@@ -38,12 +39,14 @@
     program, stop_asked = Program(config, log), anyio.Event()
     program.listen()
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_heed_signals, stop_asked)
+        # Guards against a signal right after the start, which would kill a program that does not listen yet.
+        await tasks.start(_heed_signals, stop_asked)
         await program.run(stop_asked)
         tasks.cancel_scope.cancel()
 
 
-async def _heed_signals(stop_asked: anyio.Event) -> None:
+async def _heed_signals(stop_asked: anyio.Event, *, task_status: TaskStatus[None]) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        task_status.started()
         async for _ in signals:
             stop_asked.set()
--- a/flintfield/memory/messages.py
+++ b/flintfield/memory/messages.py
@@ -229,4 +229,11 @@
     error: str
 
 
-Effect = OpenBranch | WriteBranch | DropBranch | Answer | ProbeHop | CallDiscovery | Defect
+@dataclass(frozen=True, slots=True)
+class WatchFailed:
+    """A call to discovery failed; it is to be logged."""
+
+    word: str
+
+
+Effect = OpenBranch | WriteBranch | DropBranch | Answer | ProbeHop | CallDiscovery | Defect | WatchFailed
--- a/flintfield/memory/reducer.py
+++ b/flintfield/memory/reducer.py
@@ -18,7 +18,7 @@
 from flintfield.memory.messages import (
     Answer, BranchEnded, BranchNoted, BranchUp, CallDiscovery, CallerLeft, Defect, DropBranch, Effect, End,
     Ending, Message, OpenBranch, ProbeEnded, ProbeHop, Reach, RouteCallFailed, RouteNews, StopAsked,
-    Submitted, Verdict, Woke, WriteBranch,
+    Submitted, Verdict, WatchFailed, Woke, WriteBranch,
 )
 from flintfield.memory.state import Branch, BranchDue, DeadlineDue, State, TokenDue, Transaction
 
@@ -142,7 +142,7 @@
             return
         state.names[given.name] = message.rid
         if len(state.transactions) > state.most_held:
-            self._answer(message.rid, Verdict.REFUSED)
+            self._answer(message.rid, Verdict.REFUSED, retry_after_ms=state.limits.max_retry_after_ms)
             return
         state.timers.set(deadline, DeadlineDue(message.rid))
         self._events.append(Request(message.rid, given.cls, deadline, key=given.key, hint_ms=given.cost_ms,
@@ -243,8 +243,9 @@
             self._call_discovery()  # at once: a watch that pauses for 200 ms is a new one
         self._events.append(ServerList(message.mode, tuple(r.entry for r in message.routes)))
 
-    def route_call_failed(self, _: RouteCallFailed) -> None:
+    def route_call_failed(self, message: RouteCallFailed) -> None:
         self.state.watching = False
+        self.effects.append(WatchFailed(message.word))
         self.state.counters["discovery.failed"] += 1
         self._events.append(ServerList(ListMode.FAILED))
 
--- a/flintfield/wire/http1/caller.py
+++ b/flintfield/wire/http1/caller.py
@@ -19,7 +19,7 @@
 BACKLOG = 1024
 MOST_BODY = 65_536
 MOST_UNREAD = 1 << 17  # what a caller may send ahead of its answer
-LINGER_S = 0.5  # how long we let the other side read our last answer before the connection is closed
+LINGER_S = 2.0  # how long we let the other side read our last answer before the connection is closed
 STATUS = {Verdict.SERVED: 200, Verdict.REFUSED: 503, Verdict.FAILED: 500}
 UNITS = {"m": 1.0, "u": 0.001}
 
--- /dev/null
+++ b/tests/peers.py
@@ -0,0 +1,238 @@
+"""The parties round the real program, played by short scripts on loopback sockets."""
+
+from __future__ import annotations
+
+import json
+import os
+import queue
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from http.client import HTTPConnection, HTTPResponse
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).parent.parent
+SOON = 10.0  # nothing here takes that long unless it is broken
+CLASSES = [
+    {"name": "match-list", "aim_ms": 4000, "hard_limit_ms": 8000, "worth": 1, "effect": "free"},
+    {"name": "social-booking", "aim_ms": 4000, "hard_limit_ms": 20000, "worth": 10, "effect": "single_shot"},
+]
+SETTINGS: dict[str, Any] = {
+    "request_classes": CLASSES, "areas": ["a", "b"], "shapes": ["m"], "membership_mode": "subscribe",
+    "family_info": {"tells_start": True, "report_x0": "free slots"}, "replicas_of_me": 1,
+    "limits": {"max_attempts": 6, "may_cancel": True, "probes": True, "conn_idle_ms": 5000,
+               "dial_timeout_ms": 250, "max_retry_after_ms": 2000},
+    "report": {"fields": ["lat_ms", "rif", "q", "x0"], "how": "on_probe"}, "resolution_ms": 2,
+    "rules": {"drain_grace_ms": 400, "ask_within_ms": 2000},
+}
+
+
+class Peer(BaseHTTPRequestHandler):
+    """What next hops and discovery have in common."""
+
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *_: object) -> None:
+        """Say nothing."""
+
+    def reply(self, status: int, body: bytes = b"", **headers: str) -> None:
+        self.send_response(status)
+        for name, value in headers.items():
+            self.send_header(name.replace("_", "-"), value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+class Server(ThreadingHTTPServer):
+    daemon_threads = True
+
+    def __init__(self, handler: type[Peer]) -> None:
+        super().__init__(("127.0.0.1", 0), handler)
+        threading.Thread(target=self.serve_forever, args=(0.02,), daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.server_address[1]}"
+
+    def stop(self) -> None:
+        self.shutdown()
+        self.server_close()
+
+    def handle_error(self, *_: object) -> None:
+        """A connection that the program broke is a test's own business."""
+
+
+class Job:
+    """A request that reached a next hop; the test says what becomes of it."""
+
+    def __init__(self, peer: Peer, body: bytes) -> None:
+        self.peer, self.body, self.target = peer, body, peer.path
+        self.headers = {k.lower(): v for k, v in peer.headers.items()}
+        self.name, self.port = self.headers["req-id"], peer.client_address[1]
+        self.over = threading.Event()
+        self.began = False
+
+    def say(self, state: str, **more: Any) -> None:
+        """Write one line of the job; a final one ends the answer."""
+        self.line(json.dumps({"id": self.name, "from": "s", "state": state, **more}))
+        if state in ("done", "failed", "returned", "lost"):
+            self.peer.wfile.write(b"0\r\n\r\n")
+            self.over.set()
+
+    def line(self, text: str) -> None:
+        if not self.began:
+            self.began = True
+            self.peer.send_response(200)
+            self.peer.send_header("Transfer-Encoding", "chunked")
+            self.peer.end_headers()
+        self.peer.wfile.write(b"%x\r\n%s\n\r\n" % (len(text) + 1, text.encode()))
+
+    def status(self, status: int, **headers: str) -> None:
+        self.peer.reply(status, b"", **headers)
+        self.over.set()
+
+    def cut(self) -> None:
+        """Break the connection."""
+        self.peer.connection.shutdown(socket.SHUT_RDWR)
+        self.peer.close_connection = True
+        self.over.set()
+
+    def start_and_cut(self) -> None:
+        self.say("started")
+        self.cut()
+
+    def dropped(self) -> bool:
+        """Wait until the scheduler closes the connection."""
+        self.peer.connection.settimeout(SOON)
+        try:
+            return not self.peer.connection.recv(1)
+        except ConnectionResetError:
+            return True
+
+
+class Hop:
+    """A next hop; its jobs wait in a queue for the test."""
+
+    def __init__(self, name: str = "s-1") -> None:
+        hop = self
+        self.name = name
+        self.jobs: queue.Queue[Job] = queue.Queue()
+        self.load = b"TEXT lat_ms=5, rif=0, q=0, x0=4"
+        self.probed = threading.Event()
+
+        class Handler(Peer):
+            def do_GET(self) -> None:
+                self.reply(200, hop.load)
+                hop.probed.set()
+
+            def do_POST(self) -> None:
+                job = Job(self, self.rfile.read(int(self.headers["Content-Length"])))
+                hop.jobs.put(job)
+                job.over.wait(SOON)
+
+        self.server = Server(Handler)
+
+    def entry(self, **changes: Any) -> dict[str, Any]:
+        return {"instanceId": self.name, "hostPort": self.server.address, "zone": "a", "machineType": "m",
+                "cell": 0, "lifecycle": "in_service", "weight": 1.0, "startedAtMs": 0, **changes}
+
+    def job(self) -> Job:
+        return self.jobs.get(timeout=SOON)
+
+
+class Directory:
+    """Discovery: a version, the changes of each, and watches that wait for the next."""
+
+    def __init__(self) -> None:
+        directory = self
+        self.calls: queue.Queue[tuple[float, str]] = queue.Queue()
+        self.changed, self.version, self.news = threading.Condition(), 1, list[dict[str, Any]]()
+        self.broken: list[bytes] = []  # answers to give in place of news
+
+        class Handler(Peer):
+            def do_GET(self) -> None:
+                directory.calls.put((time.monotonic(), self.path))
+                if directory.broken:
+                    self.reply(*((503, b"") if (text := directory.broken.pop()) == b"" else (200, text)))
+                    return
+                index = int(self.path.split("index=")[1].split("&")[0])
+                with directory.changed:
+                    directory.changed.wait_for(lambda: directory.version > index, SOON / 2)
+                    news = {"generation": directory.version, "reset": False, "instances": directory.news}
+                self.reply(200, json.dumps(news).encode())
+                self.wfile.flush()
+
+        self.server = Server(Handler)
+
+    def tell(self, *entries: dict[str, Any]) -> None:
+        """Publish a change and wait until the scheduler, having read it, watches for the next."""
+        with self.changed:
+            self.version, self.news = self.version + 1, list(entries)
+            self.changed.notify_all()
+        while f"index={self.version}&" not in self.calls.get(timeout=SOON)[1]:
+            pass
+
+
+class Scheduler:
+    """The real program as a process."""
+
+    def __init__(self, folder: Path, hops: list[Hop], settings: dict[str, Any] | None = None) -> None:
+        self.hops, self.directory = hops, Directory()
+        config = {
+            "name": "n1", "listen": "127.0.0.1:0", "discovery": self.directory.server.address, "seed": "8c1f",
+            "limits": {"memory_mb": 192, "sockets": 1024}, "settings": SETTINGS | (settings or {}),
+            "known": {"generation": 1, "reset": True, "instances": [h.entry() for h in hops]},
+        }
+        self.process = start(folder, config)
+        assert self.process.stdout
+        self.port = json.loads(self.process.stdout.readline())["port"]
+
+    def connect(self) -> HTTPConnection:
+        return HTTPConnection("127.0.0.1", self.port, timeout=SOON)
+
+    def submit(self, cls: str = "match-list", name: str = "", wait: str = "8000m", body: bytes = b"job",
+               on: HTTPConnection | None = None, **headers: str) -> HTTPConnection:
+        """Send a job's request; `getresponse()` of what is returned waits for the answer."""
+        connection = on or self.connect()
+        given = {"Req-Id": name or os.urandom(8).hex(), "Req-Kind": cls, "Req-Deadline": wait}
+        connection.request("POST", f"/{cls}?a=1", body, given | {"Req-Cost": "900"} | headers)
+        return connection
+
+    def get(self, path: str) -> HTTPResponse:
+        connection = self.connect()
+        connection.request("GET", path)
+        return connection.getresponse()
+
+    def counters(self) -> dict[str, int]:
+        counters: dict[str, int] = json.loads(self.get("/counters").read())
+        return counters
+
+    def ask_to_stop(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+
+    def stopped(self) -> tuple[int, list[dict[str, Any]]]:
+        """Wait for the end: the exit code and the log lines since the start."""
+        out, _ = self.process.communicate(timeout=SOON)
+        return self.process.returncode, [json.loads(line) for line in out.splitlines()]
+
+
+def start(folder: Path, config: dict[str, Any]) -> subprocess.Popen[str]:
+    """Start the program with that configuration."""
+    path = folder / "config.json"
+    path.write_text(json.dumps(config))
+    return subprocess.Popen([sys.executable, "-m", "flintfield"], cwd=ROOT, text=True, stdout=subprocess.PIPE,
+                            stderr=subprocess.PIPE, env={**os.environ, "LB_CONFIG": str(path)})
+
+
+def until(true: Any, seconds: float = SOON) -> bool:
+    """Wait for something to come true."""
+    ends = time.monotonic() + seconds
+    while not true() and time.monotonic() < ends:
+        time.sleep(0.01)
+    return bool(true())
--- /dev/null
+++ b/tests/test_memory.py
@@ -0,0 +1,233 @@
+"""The reducer alone: no socket, no clock."""
+
+from __future__ import annotations
+
+import json
+from typing import Any, TypeVar
+
+import pytest
+from hypothesis import given, strategies as st
+
+from flintfield.decision.interface import Entry, ListMode, Outcome, State as Lifecycle
+from flintfield.decision.policy import TICK_MS, Dispatcher
+from flintfield.lifecycle.config import read_settings
+from flintfield.memory.messages import (
+    Answer, BranchEnded, BranchNoted, BranchUp, CallDiscovery, CallerLeft, DropBranch, Effect, End, Ending,
+    Message, OpenBranch, ProbeEnded, Reach, Route, RouteCallFailed, RouteNews, Submission, Submitted, Verdict,
+    Woke, WriteBranch,
+)
+from flintfield.memory.reducer import DEADLINE_MARGIN_MS, outcome_of, reduce
+from flintfield.memory.state import State
+from flintfield.wire.http1.discovery import Reader
+from flintfield.wire.http1.hop import read_load
+from peers import SETTINGS
+
+E = TypeVar("E")
+
+
+class Memory:
+    """A state and the effects that its messages called for."""
+
+    def __init__(self, hops: int = 2, **settings: Any) -> None:
+        self.state = State(Dispatcher(read_settings(SETTINGS | settings)[0], 1), most_held=100)
+        self.now, self.effects = 1000.0, list[Effect]()
+        self.routes = tuple(route(n) for n in range(1, hops + 1))
+        self.take(RouteNews(ListMode.CACHED, 7, self.routes))
+
+    def take(self, message: Message) -> list[Effect]:
+        effects = reduce(self.state, self.now, message)
+        self.effects += effects
+        return effects
+
+    def submit(self, rid: int, cls: int = 0, wait_ms: float = 2000.0) -> list[Effect]:
+        name = ("match-list", "social-booking")[cls]
+        return self.take(Submitted(rid, Submission(f"{rid:x}", b"POST", b"/" + name.encode(), b"", cls, name,
+                                                   wait_ms, cost_ms=900.0)))
+
+    def until(self, at: float) -> None:
+        while (due := self.state.timers.next_at()) is not None and due <= at:
+            self.now = max(self.now, due)
+            self.take(Woke())
+        self.now = at
+
+    def all(self, kind: type[E]) -> list[E]:
+        return [e for e in self.effects if isinstance(e, kind)]
+
+
+def route(n: int, state: Lifecycle = Lifecycle.READY) -> Route:
+    return Route(f"s-{n}", ("127.0.0.1", n), Entry(n, state))
+
+
+def only(effects: list[Effect], kind: type[E]) -> E:
+    (found,) = [e for e in effects if isinstance(e, kind)]
+    return found
+
+
+DONE = Ending(End.DONE, Reach.ANSWERED, b"result")
+
+
+@pytest.mark.parametrize("change", [Lifecycle.DRAINING, Lifecycle.GONE])
+def test_a_dial_that_outlasts_the_news_of_a_drain_writes_nothing(change: Lifecycle) -> None:
+    memory = Memory()
+    branch = only(memory.submit(1, cls=1), OpenBranch)
+    told = branch.address[1]
+    memory.take(RouteNews(ListMode.DELTA, 8, (route(told, change),)))
+    effects = memory.take(BranchUp(1, 0))
+    assert not [e for e in effects if isinstance(e, WriteBranch)]
+    again = only(effects, OpenBranch)  # it never ran, so it goes elsewhere
+    assert again.address[1] == 3 - told
+    assert only(memory.take(BranchUp(1, 1)), WriteBranch).branch == 1
+
+
+@pytest.mark.parametrize(("end", "reach", "outcome"), [
+    (End.DONE, Reach.ANSWERED, Outcome.OK),
+    (End.FAILED, Reach.ANSWERED, Outcome.ERROR),
+    (End.DECLINED, Reach.ANSWERED, Outcome.FULL),
+    (End.LOST, Reach.ANSWERED, Outcome.RESET),
+    (End.BROKEN, Reach.DIALLING, Outcome.CONNECT_FAILED),
+    (End.BROKEN, Reach.WRITING, Outcome.CONNECT_FAILED),
+    (End.BROKEN, Reach.SENT, Outcome.RESET),
+    (End.BROKEN, Reach.ANSWERED, Outcome.RESET),
+])
+def test_how_far_an_attempt_had_come_decides_what_its_end_proves(
+    end: End, reach: Reach, outcome: Outcome
+) -> None:
+    assert outcome_of(Ending(end, reach)) is outcome
+
+
+def test_one_answer_though_word_comes_late_or_twice() -> None:
+    memory = Memory()
+    memory.submit(1)
+    memory.take(BranchUp(1, 0))
+    for message in (BranchEnded(1, 0, DONE), BranchEnded(1, 0, DONE), BranchNoted(1, 0, True), BranchUp(1, 0),
+                    CallerLeft(1)):
+        memory.take(message)
+    assert memory.all(Answer) == [Answer(1, Verdict.SERVED, b"result")]
+    assert not memory.state.transactions and not memory.state.names
+
+
+def test_a_tick_that_raises_is_told_and_is_not_the_last(monkeypatch: pytest.MonkeyPatch) -> None:
+    memory = Memory()
+    ticks: list[float] = []
+
+    def broken(_: Dispatcher) -> None:
+        ticks.append(memory.now)
+        raise RuntimeError("on purpose")
+
+    monkeypatch.setattr(Dispatcher, "_tick", broken)
+    memory.until(memory.now + 5 * TICK_MS)
+    assert len(ticks) >= 4
+    assert memory.state.counters["defects"] == len(ticks)
+
+
+@pytest.mark.parametrize("broken", ["_request", "_timer"])
+def test_a_caller_has_its_answer_in_time_though_decisions_fail(
+    monkeypatch: pytest.MonkeyPatch, broken: str
+) -> None:
+    def fail(*_: object) -> None:
+        raise RuntimeError("on purpose")
+
+    monkeypatch.setattr(Dispatcher, broken, fail)
+    memory = Memory()
+    sent = memory.now
+    memory.submit(1)
+    memory.until(sent + 2000 - DEADLINE_MARGIN_MS + 1)
+    (answer,) = memory.all(Answer)
+    assert answer.verdict in (Verdict.FAILED, Verdict.REFUSED)
+    assert memory.state.counters["defects"] >= 1
+    assert not memory.state.transactions
+
+
+def test_a_branch_is_dropped_before_another_of_its_transaction_opens() -> None:
+    memory = Memory()
+    memory.submit(1)
+    memory.take(BranchUp(1, 0))
+    memory.until(memory.now + 2000)
+    kinds = [type(e) for e in memory.effects if isinstance(e, DropBranch | OpenBranch | Answer)]
+    assert kinds == [OpenBranch, DropBranch, Answer]
+
+
+def test_a_watch_goes_on_at_once_and_one_that_failed_is_made_anew() -> None:
+    memory = Memory()
+    assert [c.generation for c in memory.all(CallDiscovery)] == [7]
+    assert only(memory.take(RouteNews(ListMode.DELTA, 9, ())), CallDiscovery).generation == 9
+    assert not [e for e in memory.take(RouteCallFailed("cut")) if isinstance(e, CallDiscovery)]
+    memory.until(memory.now + 2000)
+    assert [c.generation for c in memory.all(CallDiscovery)] == [7, 9, 9]
+
+
+def test_a_whole_list_takes_away_what_it_does_not_name() -> None:
+    memory = Memory()
+    memory.take(RouteNews(ListMode.FULL, 9, (route(2),)))
+    assert list(memory.state.routes) == [2]
+    assert {only(memory.submit(n), OpenBranch).address[1] for n in (1,)} == {2}
+
+
+class Script:
+    """Plays a next hop and a caller by a list of numbers: whatever comes, one answer a transaction."""
+
+    ENDS = (DONE, Ending(End.FAILED, Reach.ANSWERED), Ending(End.DECLINED, Reach.ANSWERED),
+            Ending(End.LOST, Reach.ANSWERED), Ending(End.BROKEN, Reach.DIALLING),
+            Ending(End.BROKEN, Reach.WRITING), Ending(End.BROKEN, Reach.SENT))
+
+    def __init__(self) -> None:
+        self.memory, self.rid = Memory(3), 0
+
+    def step(self, n: int) -> None:
+        memory, what, which = self.memory, n % 10, n // 10
+        if what < 3:
+            self.rid += 1
+            memory.submit(self.rid, cls=which % 2, wait_ms=50.0 + which * 7)
+        elif what == 3:
+            memory.until(memory.now + which)
+        elif what == 4:
+            state = (Lifecycle.READY, Lifecycle.DRAINING, Lifecycle.GONE)[which % 3]
+            memory.take(RouteNews(ListMode.DELTA, 8, (route(1 + which % 3, state),)))
+        elif what == 5:
+            memory.take(ProbeEnded(1 + which % 3, self.ENDS[which % 7], 1.0))
+        elif opened := memory.all(OpenBranch):
+            branch = opened[which % len(opened)]
+            key = branch.rid, branch.branch
+            memory.take((BranchUp(*key), BranchNoted(*key, which % 2 == 0, 0.5), CallerLeft(branch.rid),
+                         BranchEnded(*key, self.ENDS[which % 7]))[what - 6])
+
+
+@given(st.lists(st.integers(0, 999), max_size=80))
+def test_whatever_comes_each_transaction_has_one_answer_and_no_two_branches_at_once(steps: list[int]) -> None:
+    script = Script()
+    for n in steps:
+        script.step(n)
+        for transaction in script.memory.state.transactions.values():
+            assert sum(not b.ended for b in transaction.branches) <= 1
+    memory = script.memory
+    memory.until(memory.now + 2000)
+    assert sorted(a.rid for a in memory.all(Answer)) == list(range(1, script.rid + 1))
+    assert not memory.state.transactions and memory.state.counters["defects"] == 0
+
+
+# ------------------------------------------------------------------ small readers
+
+
+def test_a_next_hop_has_one_number_wherever_and_whenever_it_is_seen() -> None:
+    line = {"instanceId": "s-5be2a07c", "hostPort": "127.0.0.1:9000", "zone": "b", "machineType": "m",
+            "lifecycle": "in_service", "startedAtMs": 0}
+    reader = Reader(["a", "b"], ["m"])
+    seen = [reader.news({"generation": 1, "reset": True, "instances": [line | more]}).routes[0].entry
+            for more in ({}, {"hostPort": "127.0.0.2:9", "startedAtMs": 1_700_000_000_000.5})]
+    assert seen[0].worker == seen[1].worker == 257_781_209_135_153
+    assert (seen[0].started_ms, seen[1].started_ms, seen[0].zone) == (0.0, 1_700_000_000_000.5, 1)
+
+
+@pytest.mark.parametrize("text", [
+    "TEXT x0=3, q=1.5, rate=9", "x0=3,q=1.5,rif=no", json.dumps({"x0": 3, "q": 1.5, "rate": 9}),
+    json.dumps({"load": {"x0": "3", "q": 1.5, "rate": None}}),
+])
+def test_a_load_report_is_read_in_each_of_its_forms(text: str) -> None:
+    report = read_load(text.encode(), {"x0": "free", "q": "queue", "rif": "inflight"})
+    assert report is not None
+    assert (report.free, report.queue, report.inflight) == (3.0, 1.5, None)
+
+
+@pytest.mark.parametrize("text", ["", "TEXT", "{", "[1]", "x0=nan", "\xff=1"])
+def test_a_report_that_cannot_be_read_is_none(text: str) -> None:
+    assert read_load(text.encode("latin-1"), {"x0": "free"}) is None
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,345 @@
+"""The real program as a process, spoken to as callers, next hops and discovery would."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import socket
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from peers import SETTINGS, SOON, Hop, Job, Scheduler, start, until
+
+Start = Callable[..., Scheduler]
+
+
+@pytest.fixture
+def begin(tmp_path: Path) -> Iterator[Start]:
+    """Start schedulers that end with the test."""
+    started: list[Scheduler] = []
+
+    def make(*hops: Hop, **settings: Any) -> Scheduler:
+        started.append(Scheduler(tmp_path, list(hops), settings))
+        return started[-1]
+
+    yield make
+    for scheduler in started:
+        scheduler.process.kill()
+        scheduler.process.communicate()
+        for server in (scheduler.directory.server, *(h.server for h in scheduler.hops)):
+            server.stop()
+
+
+def ended(response: http.client.HTTPResponse) -> tuple[int, bytes]:
+    return response.status, response.read()
+
+
+# ---------------------------------------------------------------- transactions
+
+
+def test_a_job_goes_to_a_next_hop_unchanged_and_its_result_comes_back(begin: Start) -> None:
+    scheduler = begin(hop := Hop())
+    caller = scheduler.submit("match-list", "aa11", body=b"x" * 60_000)
+    job = hop.job()
+    assert (job.target, job.name, job.body) == ("/match-list?a=1", "aa11", b"x" * 60_000)
+    assert 0 < int(job.headers["req-deadline"].rstrip("m")) <= 8000
+    job.say("started")
+    job.say("running", share=0.5)
+    job.say("done", result="two socials in Mixco")
+    assert ended(caller.getresponse()) == (200, b"two socials in Mixco")
+    scheduler.submit("social-booking", on=caller)  # the caller leg and the next hop's connection both live on
+    again = hop.job()
+    assert again.port == job.port
+    again.say("done", result="seat")
+    assert ended(caller.getresponse()) == (200, b"seat")
+    counters = scheduler.counters()
+    assert counters["requests.taken.match-list"] == counters["answers.served.social-booking"] == 1
+    assert counters["branches.ended.ok"] == 2 and "defects" not in counters
+
+
+NEVER_RAN: dict[str, Callable[[Job], None]] = {
+    "returned": lambda job: job.say("returned"),
+    "503 declined": lambda job: job.status(503, Srv_Declined="1"),
+    "504 declined": lambda job: job.status(504, Srv_Declined="1"),
+}
+MAY_HAVE_RUN: dict[str, Callable[[Job], None]] = {
+    "failed": lambda job: job.say("failed"),
+    "500": lambda job: job.status(500),
+    "503": lambda job: job.status(503),
+    "504": lambda job: job.status(504),
+    "404": lambda job: job.status(404),
+    "lost": lambda job: job.say("lost"),
+    "cut unanswered": Job.cut,
+    "cut after its start": Job.start_and_cut,
+    "a line that is no JSON": lambda job: job.line("]"),
+    "a line without a state": lambda job: job.line(json.dumps({"id": job.name})),
+    "a line of another job": lambda job: job.line('{"id":"00ff","state":"done","result":"not yours"}'),
+}
+
+
+@pytest.mark.parametrize("how", NEVER_RAN | MAY_HAVE_RUN)
+@pytest.mark.parametrize("cls", ["match-list", "social-booking"])
+def test_a_job_that_may_have_run_goes_out_again_only_if_it_may(begin: Start, cls: str, how: str) -> None:
+    scheduler = begin(*(hops := [Hop("s-1"), Hop("s-2")]))
+    caller = scheduler.submit(cls)
+    assert until(lambda: not all(h.jobs.empty() for h in hops))
+    first = next(h for h in hops if not h.jobs.empty())
+    (NEVER_RAN | MAY_HAVE_RUN)[how](first.job())
+    if cls == "social-booking" and how in MAY_HAVE_RUN:
+        assert ended(caller.getresponse())[0] == 500
+        time.sleep(0.1)
+        assert all(h.jobs.empty() for h in hops)
+    else:
+        assert until(lambda: not all(h.jobs.empty() for h in hops))
+        next(h for h in hops if not h.jobs.empty()).job().say("done", result="ok")
+        assert ended(caller.getresponse()) == (200, b"ok")
+    assert "defects" not in scheduler.counters()
+
+
+def test_a_next_hop_that_takes_no_connection_costs_no_job(begin: Start) -> None:
+    dead, alive = Hop("s-1"), Hop("s-2")
+    dead.server.stop()
+    scheduler = begin(dead, alive)
+    for _ in range(4):
+        caller = scheduler.submit("social-booking")
+        alive.job().say("done", result="ok")
+        assert ended(caller.getresponse()) == (200, b"ok")
+
+
+@pytest.mark.parametrize(("cls", "status"), [("match-list", 503), ("social-booking", 500)])
+def test_a_silent_next_hop_holds_no_answer_past_its_deadline(begin: Start, cls: str, status: int) -> None:
+    scheduler = begin(hop := Hop())
+    began = time.monotonic()
+    caller = scheduler.submit(cls, wait="600m")
+    job = hop.job()
+    job.say("started")
+    response = caller.getresponse()
+    assert response.status == status
+    assert time.monotonic() - began < 0.6 + 0.05
+    advice = response.headers["Retry-After"]
+    assert 0 < float(advice) <= 2 if status == 503 else advice is None
+    assert job.dropped()
+
+
+def test_a_caller_that_leaves_ends_its_job(begin: Start) -> None:
+    scheduler = begin(hop := Hop())
+    caller = scheduler.submit()
+    job = hop.job()
+    caller.close()
+    assert job.dropped()
+    assert until(lambda: scheduler.counters().get("requests.left.match-list") == 1)
+
+
+def test_an_id_that_is_still_in_work_is_not_taken_twice(begin: Start) -> None:
+    scheduler = begin(hop := Hop(), Hop("s-2"))
+    first = scheduler.submit("social-booking", "77")
+    until(lambda: any(not h.jobs.empty() for h in scheduler.hops))
+    assert ended(scheduler.submit("social-booking", "77").getresponse())[0] == 500
+    job = next(h for h in scheduler.hops if not h.jobs.empty()).job()
+    job.say("done", result="once")
+    assert ended(first.getresponse()) == (200, b"once")
+    assert all(h.jobs.empty() for h in scheduler.hops) and hop
+
+
+def test_an_idle_connection_is_left_before_the_next_hop_closes_it(begin: Start) -> None:
+    scheduler = begin(hop := Hop(), limits={**SETTINGS["limits"], "conn_idle_ms": 200, "probes": False})
+    ports = []
+    for _ in range(2):
+        caller = scheduler.submit()
+        job = hop.job()
+        ports.append(job.port)
+        job.say("done", result="ok")
+        assert ended(caller.getresponse())[0] == 200
+        time.sleep(0.25)
+    assert ports[0] != ports[1]
+
+
+def test_a_kept_connection_that_the_next_hop_closed_is_not_written_to(begin: Start) -> None:
+    scheduler = begin(hop := Hop(), limits={**SETTINGS["limits"], "probes": False})
+    for _ in range(3):
+        caller = scheduler.submit("social-booking")
+        job = hop.job()
+        job.peer.close_connection = True
+        job.say("done", result="ok")
+        assert ended(caller.getresponse()) == (200, b"ok")
+        time.sleep(0.05)
+
+
+# ------------------------------------------------------------------- bad input
+
+
+GOOD = {"Req-Id": "1f", "Req-Kind": "match-list", "Req-Deadline": "900m"}
+
+
+def without(name: str) -> dict[str, str]:
+    return {k: v for k, v in GOOD.items() if k != name}
+
+
+@pytest.mark.parametrize(("method", "path", "headers", "status"), [
+    ("POST", "/match-list", without("Req-Id"), 400),
+    ("POST", "/match-list", without("Req-Kind"), 400),
+    ("POST", "/match-list", without("Req-Deadline"), 400),
+    ("POST", "/match-list", GOOD | {"Req-Deadline": "900"}, 400),
+    ("POST", "/match-list", GOOD | {"Req-Deadline": "nanm"}, 400),
+    ("POST", "/match-list", GOOD | {"Req-Deadline": "-1m"}, 400),
+    ("POST", "/match-list", GOOD | {"Req-Cost": "much"}, 400),
+    ("POST", "/match-list", GOOD | {"Req-Key": "zz"}, 400),
+    ("POST", "/match-list", GOOD | {"Req-Extra": "slots=x"}, 400),
+    ("POST", "/render", GOOD | {"Req-Kind": "render"}, 400),
+    ("POST", "/social-booking", GOOD, 404),
+    ("GET", "/nothing", {}, 404),
+    ("GET", "/match-list", GOOD, 405),
+    ("POST", "/ready", {}, 405),
+])
+def test_bad_requests_are_told_so_and_harm_nothing(
+    begin: Start, method: str, path: str, headers: dict[str, str], status: int
+) -> None:
+    scheduler = begin(Hop())
+    connection = scheduler.connect()
+    connection.request(method, path, b"" if method == "POST" else None, headers)
+    assert connection.getresponse().status == status
+    assert scheduler.get("/ready").status == 200
+    assert scheduler.counters()[f"requests.bad.{status}"] == 1
+
+
+HEAD = b"POST /match-list HTTP/1.1\r\nHost: x\r\n"
+NEEDED = b"Req-Id: 1f\r\nReq-Kind: match-list\r\nReq-Deadline: 900m\r\n"
+
+
+@pytest.mark.parametrize(("raw", "status"), [
+    (b"\x16\x03\x01\x02\x00 hello\r\n\r\n", 400),
+    (HEAD + b"Content-Length: -4\r\n\r\n", 400),
+    (HEAD + b"X: " + b"y" * 200_000 + b"\r\n\r\n", 400),
+    (b"POST /match-list HTTP/1.1\r\n\r\n", 400),
+    (HEAD + NEEDED + b"Content-Length: 65537\r\n\r\n" + b"z" * 65_537, 413),
+    (HEAD + NEEDED + b"Transfer-Encoding: chunked\r\n\r\n11170\r\n" + b"z" * 0x11170, 413),
+], ids=["no http", "negative length", "long head", "no host", "long body", "long chunk"])
+def test_malformed_http_is_told_so(begin: Start, raw: bytes, status: int) -> None:
+    scheduler = begin(Hop())
+    with socket.create_connection(("127.0.0.1", scheduler.port), SOON) as sock:
+        sock.sendall(raw)
+        assert sock.makefile("rb").readline().split()[1] == b"%d" % status
+    assert scheduler.get("/ready").status == 200
+
+
+def test_a_request_may_come_byte_by_byte_and_wait_for_its_100(begin: Start) -> None:
+    scheduler = begin(hop := Hop())
+    with socket.create_connection(("127.0.0.1", scheduler.port), SOON) as sock:
+        for byte in HEAD + NEEDED + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n":
+            sock.sendall(bytes([byte]))
+        lines = sock.makefile("rb")
+        assert lines.readline().split()[1] == b"100"
+        sock.sendall(b"ok")
+        hop.job().say("done", result="fine")
+        assert lines.readline() == b"\r\n" and lines.readline().split()[1] == b"200"
+
+
+# ------------------------------------------------------------------- route set
+
+
+@pytest.mark.parametrize("lifecycle", ["terminating", "terminated", "a word unheard of"])
+def test_nothing_new_goes_to_a_next_hop_that_drains_or_is_gone(begin: Start, lifecycle: str) -> None:
+    first, second = Hop("s-1"), Hop("s-2")
+    scheduler = begin(first, second)
+    scheduler.directory.tell(first.entry(lifecycle=lifecycle))
+    for _ in range(6):
+        caller = scheduler.submit()
+        second.job().say("done", result="ok")
+        assert ended(caller.getresponse())[0] == 200
+    assert first.jobs.empty()
+
+
+def test_the_next_watch_follows_at_once(begin: Start) -> None:
+    scheduler = begin(hop := Hop())
+    scheduler.directory.calls.get(timeout=SOON)
+    told = time.monotonic()
+    scheduler.directory.tell(hop.entry(weight=2.0))
+    assert time.monotonic() - told < 0.2
+
+
+@pytest.mark.parametrize("answer", [b"", b"{", b"[]", b'{"generation":2,"reset":false,"instances":[{}]}'])
+def test_a_failed_watch_is_made_anew_and_the_old_list_serves_on(begin: Start, answer: bytes) -> None:
+    hop = Hop()
+    scheduler = begin(hop)
+    scheduler.directory.calls.get(timeout=SOON)
+    scheduler.directory.broken.append(answer)
+    with scheduler.directory.changed:  # ends the watch that is out; the next one gets the odd answer
+        scheduler.directory.version += 1
+        scheduler.directory.changed.notify_all()
+    calls = [scheduler.directory.calls.get(timeout=SOON)[1] for _ in range(2)]
+    assert all("index=2&" in call for call in calls)
+    assert scheduler.counters()["discovery.failed"] == 1
+    caller = scheduler.submit()
+    hop.job().say("done", result="ok")
+    assert ended(caller.getresponse())[0] == 200
+
+
+# ---------------------------------------------------------------- start and stop
+
+
+def test_after_sigterm_it_serves_on_settles_all_and_exits_with_0(begin: Start) -> None:
+    scheduler = begin(hop := Hop())
+    idle, running = scheduler.connect(), scheduler.submit()
+    idle.request("GET", "/ready")
+    idle.getresponse().read()
+    job = hop.job()
+    job.say("started")
+    scheduler.ask_to_stop()
+    assert until(lambda: scheduler.get("/ready").status == 503)
+    late = scheduler.submit()  # connections keep coming for a while
+    hop.job().say("done", result="late")
+    response = late.getresponse()
+    assert (response.status, response.read(), response.headers["Connection"]) == (200, b"late", "close")
+    assert idle.sock.recv(1) == b""
+
+    def refused() -> bool:
+        try:
+            scheduler.connect().connect()
+        except ConnectionRefusedError:
+            return True
+        return False
+
+    assert until(refused)
+    job.say("done", result="whole")
+    assert ended(running.getresponse()) == (200, b"whole")
+    code, lines = scheduler.stopped()
+    assert code == 0
+    assert [line["event"] for line in lines] == ["stopping", "stopped"]
+    assert lines[-1]["counters"]["answers.served.match-list"] == 2
+
+
+def test_a_connection_accepted_for_it_at_the_end_is_served(begin: Start) -> None:
+    scheduler = begin(hop := Hop())
+    fresh = scheduler.connect()
+    fresh.connect()
+    scheduler.ask_to_stop()
+    time.sleep(0.45)
+    scheduler.submit(on=fresh)
+    hop.job().say("done", result="still")
+    assert ended(fresh.getresponse()) == (200, b"still")
+    assert scheduler.stopped()[0] == 0
+
+
+@pytest.mark.parametrize(("change", "key"), [
+    ({"discovery": "nowhere"}, "discovery"),
+    ({"listen": 5}, "listen"),
+    ({"seed": "xyz"}, "seed"),
+    ({"known": {"generation": 1}}, "known"),
+    ({"settings": SETTINGS | {"request_classes": []}}, "classes"),
+    ({"settings": SETTINGS | {"limits": {"max_attempts": "six"}}}, "settings.limits.max_attempts"),
+    ({"settings": SETTINGS | {"limits": {"probes": 1}}}, "settings.limits.probes"),
+    ({"settings": SETTINGS | {"rules": []}}, "settings.rules"),
+    ({"settings": SETTINGS | {"request_classes": [{"name": "a", "aim_ms": 1}]}},
+     "settings.request_classes[0].hard_limit_ms"),
+    ({"settings": SETTINGS | {"report": {"fields": [3]}}}, "settings.report.fields[0]"),
+])
+def test_a_faulty_key_is_named_with_exit_code_2(tmp_path: Path, change: dict[str, Any], key: str) -> None:
+    config = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1", "settings": SETTINGS} | change
+    process = start(tmp_path, config)
+    _, errors = process.communicate(timeout=SOON)
+    assert process.returncode == 2
+    assert key + ":" in errors and errors.count("\n") == 1
