Contain failures of single actions, tasks and stalled callers; stop by 0.62 s

Cause: read through for what could end the tick or a wait. An action that raised took those behind it along, among them the next tick; a task that raised would have ended all others; a caller that stalled inside a request kept its leg for ever and would have held up the stop; a leg accepted late could bring a request later than 0.7 s after SIGTERM, which the kill then finds unanswered. Ruled out: dial failures, resets of kept connections, unread load reports.

--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -25,8 +25,10 @@
 
 SWEEP_S = 1.0
 SPARE_SOCKETS = 0.4  # of the descriptors: for next hops, discovery and the program's own
-STOP_ACCEPT_S = 0.55  # after SIGTERM new connections keep coming for up to 0.4 s
-STOP_FRESH_S = 0.3  # then a connection that never brought a request is closed
+STOP_ACCEPT_S = 0.5  # after SIGTERM new connections keep coming for up to 0.4 s
+# Then a connection that never brought a request is closed. Guards against taking a request later than 0.7 s
+# after SIGTERM: the kill that follows would find it unanswered.
+STOP_FRESH_S = 0.12
 STOP_CHECK_S = 0.02
 
 
@@ -58,7 +60,7 @@
         self._callers = Callers(self.tell, pages, config.class_names,
                                 int(config.sockets * (1 - SPARE_SOCKETS)), self._count)
         self._perform: dict[type, Callable[[Any], None]] = {
-            OpenBranch: lambda e: self._hops.open(e, self._tasks),
+            OpenBranch: self._open_branch,
             WriteBranch: self._hops.write,
             DropBranch: self._hops.drop,
             Answer: self._callers.answer,
@@ -70,11 +72,25 @@
 
     def _start(self, task: Callable[[Any], Coroutine[Any, Any, None]]) -> Callable[[Any], None]:
         """Carry an effect out in a task of its own."""
+        async def guarded(effect: Any) -> None:
+            try:
+                await task(effect)
+            except Exception as error:  # guards all other tasks: one that raises would end them
+                self._defect(task.__qualname__, error)
+
         def start(effect: Any) -> None:
-            self._tasks.start_soon(task, effect)
+            self._tasks.start_soon(guarded, effect)
 
         return start
 
+    def _open_branch(self, effect: OpenBranch) -> None:
+        self._hops.open(effect)
+        self._start(self._hops.run)(effect)
+
+    def _defect(self, where: str, error: Exception) -> None:
+        self._count("defects")
+        self._log.exception("defect", where=where, error=repr(error))
+
     def _count(self, name: str) -> None:
         self.state.counters[name] += 1
 
@@ -100,16 +116,14 @@
         try:
             return reduce(self.state, self._clock(), message)
         except Exception as error:  # guards against one odd message ending the program
-            self._count("defects")
-            self._log.exception("defect", where=type(message).__name__, error=repr(error))
+            self._defect(type(message).__name__, error)
             return []
 
     def _carry_out(self, effect: Effect) -> None:
         try:
             self._perform[type(effect)](effect)
         except Exception as error:
-            self._count("defects")
-            self._log.exception("defect", where=type(effect).__name__, error=repr(error))
+            self._defect(type(effect).__name__, error)
 
     # ------------------------------------------------------------- the tasks
 
--- a/flintfield/memory/reducer.py
+++ b/flintfield/memory/reducer.py
@@ -61,7 +61,10 @@
         while self._events:
             event = self._events.popleft()
             for action in self._decide(event):
-                ACTIONS[type(action)](self, action)
+                try:
+                    ACTIONS[type(action)](self, action)
+                except Exception as error:  # guards the actions behind it: among them may be the next tick
+                    self._defect(f"action {type(action).__name__}", repr(error))
 
     def _decide(self, event: Event) -> list[Action]:
         dispatcher = self.state.dispatcher
@@ -98,6 +101,8 @@
         if action.timeout_ms > 0:
             self.state.timers.set(self.now + action.timeout_ms, BranchDue(action.rid, number))
         self.state.counters["branches.opened"] += 1
+        if number == 0 and self.now > transaction.taken:
+            self.state.counters["requests.held"] += 1
         self.effects.append(OpenBranch(action.rid, number, route.address))
 
     def refuse(self, action: Refuse) -> None:
@@ -133,8 +138,9 @@
         state, given = self.state, message.submission
         state.counters[f"requests.taken.{given.class_name}"] += 1
         deadline = self.now + max(0.0, given.wait_ms - DEADLINE_MARGIN_MS)
-        transaction = Transaction(message.rid, given, deadline)
+        transaction = Transaction(message.rid, given, self.now, deadline)
         state.transactions[message.rid] = transaction
+        state.timers.set(deadline, DeadlineDue(message.rid))  # first of all: whatever fails, this answers
         if given.name in state.names:
             # Guards against a second copy of one job: the first one of this id is still in work.
             state.counters["requests.same_id"] += 1
@@ -144,7 +150,6 @@
         if len(state.transactions) > state.most_held:
             self._answer(message.rid, Verdict.REFUSED, retry_after_ms=state.limits.max_retry_after_ms)
             return
-        state.timers.set(deadline, DeadlineDue(message.rid))
         self._events.append(Request(message.rid, given.cls, deadline, key=given.key, hint_ms=given.cost_ms,
                                     slots=given.slots, memory=given.memory, repeat=given.repeat))
 
--- a/flintfield/memory/state.py
+++ b/flintfield/memory/state.py
@@ -27,6 +27,7 @@
 
     rid: int
     submission: Submission
+    taken: float
     deadline: float
     branches: list[Branch] = field(default_factory=list)
     answered: bool = False
--- a/flintfield/wire/http1/caller.py
+++ b/flintfield/wire/http1/caller.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 import json
 import math
 import socket
@@ -19,6 +18,8 @@
 BACKLOG = 1024
 MOST_BODY = 65_536
 MOST_UNREAD = 1 << 17  # what a caller may send ahead of its answer
+READ_S = 20.0  # a request that has begun must be whole by then: guards against callers that stall
+ACCEPT_PAUSE_S = 0.05
 LINGER_S = 2.0  # how long we let the other side read our last answer before the connection is closed
 STATUS = {Verdict.SERVED: 200, Verdict.REFUSED: 503, Verdict.FAILED: 500}
 UNITS = {"m": 1.0, "u": 0.001}
@@ -89,7 +90,7 @@
         """Take connections in until the socket is closed."""
         while listener := self._listener:
             if not self._accept_waiting(listener, tasks):
-                await anyio.sleep(0.05)  # no descriptor is left: one comes free soon
+                await anyio.sleep(ACCEPT_PAUSE_S)  # a descriptor comes free soon
                 continue
             try:
                 await anyio.wait_readable(listener)
@@ -103,11 +104,11 @@
                 sock, _ = listener.accept()
             except BlockingIOError:
                 return True
-            except OSError as error:
-                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOMEM):
-                    self._close_one_idle()
-                    return False
-                continue  # that connection is gone again
+            except ConnectionAbortedError:
+                continue  # it is gone again
+            except OSError:  # no descriptor or no memory is left
+                self._close_one_idle()
+                return False
             if len(self._legs) >= self._most_legs:
                 self._close_one_idle()
             self._count("legs.accepted")
@@ -174,7 +175,7 @@
         path = request.target.split(b"?", 1)[0]
         if path not in (b"/ready", b"/counters"):
             return None
-        if request.method not in (b"GET", b"HEAD"):
+        if request.method != b"GET":
             raise BadRequest(405, "this page is read with GET")
         if path == b"/ready":
             ready = self._pages.ready()
@@ -221,11 +222,17 @@
     h11: h11.Connection = field(default_factory=lambda: h11.Connection(h11.SERVER))
     idle: bool = True  # between two requests, not a byte of the next one read
     served: bool = False
+    bodiless: bool = False  # an answer to HEAD has no body
     answered: anyio.Event = field(default_factory=anyio.Event)
     reply: Reply | None = None
 
     async def read(self) -> _Request | None:
         """The next whole request; None when the caller has ended the connection."""
+        with anyio.move_on_after(math.inf if self.idle else READ_S) as patience:
+            return await self._read(patience)
+        raise BadRequest(408, "the request did not come to its end")
+
+    async def _read(self, patience: anyio.CancelScope) -> _Request | None:
         head: h11.Request | None = None
         body = bytearray()
         while True:
@@ -237,10 +244,13 @@
                 data = await self.stream.receive()
                 if not data and (self.idle or self.stream.closed):
                     return None
+                if patience.deadline == math.inf:
+                    patience.deadline = anyio.current_time() + READ_S
                 self.idle = False
                 self.h11.receive_data(data)
             elif isinstance(event, h11.Request):
                 self.idle, head = False, event
+                self.bodiless = event.method == b"HEAD"
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > MOST_BODY:
@@ -268,9 +278,9 @@
         if close:
             headers.append((b"Connection", b"close"))
         head = h11.Response(status_code=reply.status, headers=headers)
-        parts = (self.h11.send(head), self.h11.send(h11.Data(data=reply.body)),
-                 self.h11.send(h11.EndOfMessage()))
-        data = b"".join(p for p in parts if p)
+        body = b"" if self.bodiless else reply.body
+        parts = (head, h11.Data(data=body), h11.EndOfMessage())
+        data = b"".join(self.h11.send(part) or b"" for part in parts)
         if await self.stream.send(data) < len(data):
             return False
         self.served = True
@@ -305,8 +315,8 @@
     if first != class_name:
         raise BadRequest(404, "the path is not of this class")
     name = _text(headers, b"req-id")
-    if not name:
-        raise BadRequest(400, "Req-Id: missing")
+    if not name or not name.isascii():
+        raise BadRequest(400, "Req-Id: missing or not plain text")
     extras = _extras(_text(headers, b"req-extra"))
     cost_us = _number(headers, b"req-cost")
     return Submission(
--- a/flintfield/wire/http1/hop.py
+++ b/flintfield/wire/http1/hop.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 import anyio
-from anyio.abc import TaskGroup
 
 from flintfield.decision.interface import Report
 from flintfield.memory.messages import (
@@ -43,10 +42,9 @@
 
     # -------------------------------------------------------------- branches
 
-    def open(self, effect: OpenBranch, tasks: TaskGroup) -> None:
-        """Start a branch."""
-        out = self._outs[effect.rid, effect.branch] = _Out()
-        tasks.start_soon(self._run, effect, out)
+    def open(self, effect: OpenBranch) -> None:
+        """Note a branch that `run` is to start, so that it can be dropped before."""
+        self._outs[effect.rid, effect.branch] = _Out()
 
     def write(self, effect: WriteBranch) -> None:
         """Let a branch write that has told `BranchUp`."""
@@ -60,7 +58,10 @@
                 out.connection.stream.close()
             out.scope.cancel()
 
-    async def _run(self, effect: OpenBranch, out: _Out) -> None:
+    async def run(self, effect: OpenBranch) -> None:
+        """Play a branch to its end."""
+        if (out := self._outs.get((effect.rid, effect.branch))) is None:
+            return
         with out.scope:
             try:
                 ending = await self._attempt(effect, out)
