Follow discovery whatever the membership mode; fix the property tests' examples

Cause: settings with membership_mode automatic would have left the real scheduler without news for ever, since on sockets nothing comes unasked. A test pins that a watch on a silent connection fails in time.

--- a/flintfield/lifecycle/config.py
+++ b/flintfield/lifecycle/config.py
@@ -9,7 +9,7 @@
 import json
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from flintfield.decision.interface import (
@@ -211,7 +211,7 @@
         discovery=_address(top, "discovery", environ.get("LB_DISCOVERY")),
         seed=_seed(top),
         sockets=top.part("limits").whole("sockets", 1024),
-        settings=settings,
+        settings=replace(settings, ask_list=True),  # on sockets no news comes unasked
         class_names=tuple(c.text("name") for c in raw_settings.sections("request_classes")),
         zones=raw_settings.texts("areas"),
         kinds=raw_settings.texts("shapes"),
--- a/tests/test_market.py
+++ b/tests/test_market.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 import pytest
-from hypothesis import given, settings as hypothesis_settings, strategies as st
+from hypothesis import given, strategies as st
 
 from helpers import World, only, sent_to, settings
 from flintfield.decision.interface import (
@@ -20,8 +20,6 @@
 from flintfield.decision.records import Worker
 
 ROOT = Path(__file__).parent.parent
-hypothesis_settings.register_profile("same", derandomize=True, deadline=None, max_examples=60)
-hypothesis_settings.load_profile("same")
 
 
 def market(workers: list[tuple[float, float]]) -> tuple[Dispatcher, list[Worker]]:
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import json
+import socket
 from typing import Any, TypeVar
 
+import anyio
 import pytest
 from hypothesis import given, strategies as st
 
@@ -18,7 +20,9 @@
 )
 from flintfield.memory.reducer import DEADLINE_MARGIN_MS, outcome_of, reduce
 from flintfield.memory.state import State
-from flintfield.wire.http1.discovery import Reader
+from flintfield.wire.http1 import discovery
+from flintfield.wire.http1.client import Pool
+from flintfield.wire.http1.discovery import Discovery, Reader
 from flintfield.wire.http1.hop import read_load
 from peers import SETTINGS
 
@@ -225,6 +229,16 @@
 # ------------------------------------------------------------------ small readers
 
 
+def test_a_watch_on_a_silent_connection_fails_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "WAIT_MS", 20)
+    monkeypatch.setattr(discovery, "ANSWER_MS", 20.0)
+    told: list[Message] = []
+    with socket.create_server(("127.0.0.1", 0)) as silent:
+        calls = Discovery(told.append, Pool(lambda: 0.0, 5000, 250), silent.getsockname(), Reader([], []))
+        anyio.run(calls.call, CallDiscovery(7))
+    assert told == [RouteCallFailed("no answer in time")]
+
+
 def test_a_next_hop_has_one_number_wherever_and_whenever_it_is_seen() -> None:
     line = {"instanceId": "s-5be2a07c", "hostPort": "127.0.0.1:9000", "zone": "b", "machineType": "m",
             "lifecycle": "in_service", "startedAtMs": 0}
