--- a/flintfield/lifecycle/log.py
+++ b/flintfield/lifecycle/log.py
@@ -14,6 +14,7 @@
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
             structlog.processors.JSONRenderer(),
         ],
         logger_factory=structlog.PrintLoggerFactory(sys.stdout),
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -13,6 +13,7 @@
 from flintfield.decision.interface import Cancel, Entry, ListMode, Outcome, State as Lifecycle
 from flintfield.decision.policy import TICK_MS, Dispatcher
 from flintfield.lifecycle.config import read_settings
+from flintfield.lifecycle.log import make_log
 from flintfield.memory.messages import (
     Answer, BranchEnded, BranchNoted, BranchUp, CallDiscovery, CallerLeft, DropBranch, Effect, End, Ending,
     Message, OpenBranch, ProbeEnded, Reach, Route, RouteCallFailed, RouteNews, Submission, Submitted, Verdict,
@@ -229,6 +230,17 @@
 # ------------------------------------------------------------------ small readers
 
 
+def test_a_defect_is_one_line_with_its_traceback(capsys: pytest.CaptureFixture[str]) -> None:
+    log = make_log(name="n1")
+    try:
+        raise RuntimeError("on purpose")
+    except RuntimeError as error:
+        log.exception("defect", where="here", error=repr(error))
+    line = json.loads(capsys.readouterr().out)
+    assert (line["event"], line["level"], line["name"]) == ("defect", "error", "n1")
+    assert "Traceback" in line["exception"]
+
+
 def test_a_watch_on_a_silent_connection_fails_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(discovery, "WAIT_MS", 20)
     monkeypatch.setattr(discovery, "ANSWER_MS", 20.0)
