Close idle callers' connections when too many are open, served or not

Cause: room was made only by closing legs that had been served, so connections that never brought a request could use up the descriptors and next hops could not be dialled. Found by reading; a test with 20 descriptors and 40 idle callers pins it: the job in work is served, the callers past the limit are closed. Before: no leg was closed.

--- a/flintfield/wire/http1/caller.py
+++ b/flintfield/wire/http1/caller.py
@@ -131,10 +131,11 @@
                 leg.stream.close()
 
     def _close_one_idle(self) -> None:
-        for leg in self._legs.values():
-            if leg.idle and leg.served and leg.stream.is_quiet():
-                leg.stream.close()
-                return
+        """Guards against callers that open connections until no descriptor is left for next hops."""
+        idle = [leg for leg in self._legs.values() if leg.idle and leg.stream.is_quiet()]
+        if idle:
+            self._count("legs.closed_for_room")
+            max(idle, key=lambda leg: leg.served).stream.close()  # the first that was served, else the oldest
 
     @property
     def open_legs(self) -> int:
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -182,11 +182,11 @@
 class Scheduler:
     """The real program as a process."""
 
-    def __init__(self, folder: Path, hops: list[Hop], settings: dict[str, Any] | None = None) -> None:
+    def __init__(self, folder: Path, hops: list[Hop], settings: dict[str, Any], sockets: int) -> None:
         self.hops, self.directory = hops, Directory()
         config = {
             "name": "n1", "listen": "127.0.0.1:0", "discovery": self.directory.server.address, "seed": "8c1f",
-            "limits": {"memory_mb": 192, "sockets": 1024}, "settings": SETTINGS | (settings or {}),
+            "limits": {"memory_mb": 192, "sockets": sockets}, "settings": SETTINGS | settings,
             "known": {"generation": 1, "reset": True, "instances": [h.entry() for h in hops]},
         }
         self.process = start(folder, config)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -22,8 +22,8 @@
     """Start schedulers that end with the test."""
     started: list[Scheduler] = []
 
-    def make(*hops: Hop, **settings: Any) -> Scheduler:
-        started.append(Scheduler(tmp_path, list(hops), settings))
+    def make(*hops: Hop, sockets: int = 1024, **settings: Any) -> Scheduler:
+        started.append(Scheduler(tmp_path, list(hops), settings, sockets))
         return started[-1]
 
     yield make
@@ -240,6 +240,19 @@
         assert lines.readline() == b"\r\n" and lines.readline().split()[1] == b"200"
 
 
+def test_idle_callers_do_not_use_up_the_descriptors(begin: Start) -> None:
+    scheduler = begin(hop := Hop(), sockets=20)
+    busy = scheduler.submit()
+    job = hop.job()
+    job.say("started")
+    idle = [socket.create_connection(("127.0.0.1", scheduler.port), SOON) for _ in range(40)]
+    assert until(lambda: scheduler.counters().get("legs.closed_for_room", 0) >= 25)
+    job.say("done", result="kept")
+    assert ended(busy.getresponse()) == (200, b"kept")
+    for sock in idle:
+        sock.close()
+
+
 # ------------------------------------------------------------------- route set
 
 
