--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -13,8 +13,8 @@
 from flintfield.decision.policy import Dispatcher
 from flintfield.lifecycle.config import Config
 from flintfield.memory.messages import (
-    Answer, CallDiscovery, Defect, DropBranch, Effect, Message, OpenBranch, ProbeHop, StopAsked, WatchFailed,
-    Woke, WriteBranch,
+    Answer, CallDiscovery, Defect, DiscoveryMoved, DropBranch, Effect, LeaveDiscovery, Message, OpenBranch,
+    ProbeHop, StopAsked, WatchFailed, Woke, WriteBranch,
 )
 from flintfield.memory.reducer import reduce
 from flintfield.memory.state import State
@@ -44,7 +44,7 @@
     def __init__(self, config: Config, log: Any) -> None:
         self._config, self._log = config, log
         self._clock = make_clock()
-        self.state = State(Dispatcher(config.settings, config.seed), config.most_held)
+        self.state = State(Dispatcher(config.settings, config.seed), config.most_held, config.discovery)
         self._inbox: deque[Message] = deque()
         self._taking = False
         self._rearm = anyio.Event()
@@ -55,7 +55,7 @@
         reader = Reader(config.zones, config.kinds)
         self._known = reader.news(config.known, cached=True)
         self._hops = NextHops(self.tell, self._clock, pool, config.report_names)
-        self._discovery = Discovery(self.tell, pool, config.discovery, reader)
+        self._discovery = Discovery(self.tell, pool, reader)
         pages = Pages(lambda: not self.state.stopping, lambda: self.state.counters)
         self._callers = Callers(self.tell, pages, config.class_names,
                                 int(config.sockets * (1 - SPARE_SOCKETS)), self._count)
@@ -65,7 +65,8 @@
             DropBranch: self._hops.drop,
             Answer: self._callers.answer,
             ProbeHop: self._start(self._hops.probe),
-            CallDiscovery: self._start(self._discovery.call),
+            CallDiscovery: self._call_discovery,
+            LeaveDiscovery: self._discovery.leave,
             Defect: lambda e: self._log.error("defect", where=e.where, error=e.error),
             WatchFailed: lambda e: self._log.warning("watch failed", word=e.word),
         }
@@ -87,6 +88,10 @@
         self._hops.open(effect)
         self._start(self._hops.run)(effect)
 
+    def _call_discovery(self, effect: CallDiscovery) -> None:
+        self._discovery.open(effect)
+        self._start(self._discovery.run)(effect)
+
     def _defect(self, where: str, error: Exception) -> None:
         self._count("defects")
         self._log.exception("defect", where=where, error=repr(error))
@@ -146,6 +151,11 @@
             tasks.cancel_scope.cancel()
         self._log.info("stopped", counters=dict(sorted(self.state.counters.items())))
 
+    def reload(self, config: Config) -> None:
+        """Go on with a new configuration: discovery's address. All else counts from the next start."""
+        self._log.info("reloaded", discovery="{}:{}".format(*config.discovery))
+        self.tell(DiscoveryMoved(config.discovery))
+
     async def _keep_time(self) -> None:
         while True:
             due = self.state.timers.next_at()
--- a/flintfield/lifecycle/start.py
+++ b/flintfield/lifecycle/start.py
@@ -40,13 +40,28 @@
     program.listen()
     async with anyio.create_task_group() as tasks:
         # Guards against a signal right after the start, which would kill a program that does not listen yet.
-        await tasks.start(_heed_signals, stop_asked)
+        await tasks.start(_heed_signals, program, stop_asked, log)
         await program.run(stop_asked)
         tasks.cancel_scope.cancel()
 
 
-async def _heed_signals(stop_asked: anyio.Event, *, task_status: TaskStatus[None]) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+async def _heed_signals(
+    program: Program, stop_asked: anyio.Event, log: Any, *, task_status: TaskStatus[None]
+) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         task_status.started()
-        async for _ in signals:
-            stop_asked.set()
+        async for number in signals:
+            if number == signal.SIGHUP:
+                _reload(program, log)
+            else:
+                stop_asked.set()
+
+
+def _reload(program: Program, log: Any) -> None:
+    """Read the configuration again; guards against a faulty file ending a scheduler that serves."""
+    try:
+        config = read_config(os.environ)
+    except ConfigError as error:
+        log.error("reload refused", error=str(error))
+        return
+    program.reload(config)
--- a/flintfield/memory/messages.py
+++ b/flintfield/memory/messages.py
@@ -86,11 +86,12 @@
 
 @dataclass(frozen=True, slots=True)
 class RouteNews:
-    """Discovery's word: the changes since our version, or the whole list."""
+    """Discovery's word: the changes since our version, or the whole list; `call` is the call it answers."""
 
     mode: ListMode
     generation: int
     routes: tuple[Route, ...]
+    call: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +99,14 @@
     """A watch failed, timed out or told nonsense."""
 
     word: str
+    call: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class DiscoveryMoved:
+    """A new configuration names the address of discovery."""
+
+    address: Address
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,8 +170,8 @@
     """The program was told to end."""
 
 
-Message = (RouteNews | RouteCallFailed | Submitted | CallerLeft | BranchUp | BranchNoted | BranchEnded
-           | ProbeEnded | Woke | StopAsked)
+Message = (RouteNews | RouteCallFailed | DiscoveryMoved | Submitted | CallerLeft | BranchUp | BranchNoted
+           | BranchEnded | ProbeEnded | Woke | StopAsked)
 
 
 # ------------------------------------------------------------------ effects
@@ -216,9 +225,18 @@
 
 @dataclass(frozen=True, slots=True)
 class CallDiscovery:
-    """Make one watch call for what is newer than `generation`."""
+    """Make one watch call for what is newer than `generation`, or ask for the whole list if it is None."""
 
-    generation: int
+    call: int
+    address: Address
+    generation: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveDiscovery:
+    """End the call that is out, if any, and close all connections to that address."""
+
+    address: Address
 
 
 @dataclass(frozen=True, slots=True)
@@ -236,4 +254,5 @@
     word: str
 
 
-Effect = OpenBranch | WriteBranch | DropBranch | Answer | ProbeHop | CallDiscovery | Defect | WatchFailed
+Effect = (OpenBranch | WriteBranch | DropBranch | Answer | ProbeHop | CallDiscovery | LeaveDiscovery | Defect
+          | WatchFailed)
--- a/flintfield/memory/reducer.py
+++ b/flintfield/memory/reducer.py
@@ -16,9 +16,9 @@
 )
 from flintfield.decision.policy import TICK, TICK_MS
 from flintfield.memory.messages import (
-    Answer, BranchEnded, BranchNoted, BranchUp, CallDiscovery, CallerLeft, Defect, DropBranch, Effect, End,
-    Ending, Message, OpenBranch, ProbeEnded, ProbeHop, Reach, RouteCallFailed, RouteNews, StopAsked,
-    Submitted, Verdict, WatchFailed, Woke, WriteBranch,
+    Answer, BranchEnded, BranchNoted, BranchUp, CallDiscovery, CallerLeft, Defect, DiscoveryMoved, DropBranch,
+    Effect, End, Ending, LeaveDiscovery, Message, OpenBranch, ProbeEnded, ProbeHop, Reach, RouteCallFailed,
+    RouteNews, StopAsked, Submitted, Verdict, WatchFailed, Woke, WriteBranch,
 )
 from flintfield.memory.state import Branch, BranchDue, DeadlineDue, State, TokenDue, Transaction
 
@@ -235,6 +235,9 @@
 
     def route_news(self, message: RouteNews) -> None:
         state = self.state
+        cached = message.mode is ListMode.CACHED
+        if not cached and self._is_late(message.call):
+            return
         if message.mode is not ListMode.DELTA:
             state.routes.clear()
         for route in message.routes:
@@ -243,20 +246,43 @@
             else:
                 state.routes[route.entry.worker] = route
         state.generation = message.generation
-        if message.mode is not ListMode.CACHED:
+        if not cached:
             state.counters["discovery.lines"] += len(message.routes)
             self._call_discovery()  # at once: a watch that pauses for 200 ms is a new one
         self._events.append(ServerList(message.mode, tuple(r.entry for r in message.routes)))
 
     def route_call_failed(self, message: RouteCallFailed) -> None:
+        if self._is_late(message.call):
+            return
         self.state.watching = False
+        # Guards against a discovery that starts anew and counts from nothing: it has nothing newer than ours.
+        self.state.generation = None
         self.effects.append(WatchFailed(message.word))
         self.state.counters["discovery.failed"] += 1
         self._events.append(ServerList(ListMode.FAILED))
 
+    def discovery_moved(self, message: DiscoveryMoved) -> None:
+        """Leave the old address and ask at the new one at once, for the whole list."""
+        state = self.state
+        if message.address == state.discovery:
+            return
+        state.counters["discovery.moved"] += 1
+        self.effects.append(LeaveDiscovery(state.discovery))
+        state.discovery, state.generation, state.watching = message.address, None, True
+        self._call_discovery()
+
+    def _is_late(self, call: int) -> bool:
+        """Guards against the answer of an address that we have left."""
+        if call == self.state.calls:
+            return False
+        self.state.counters["discovery.late_word"] += 1
+        return True
+
     def _call_discovery(self) -> None:
-        self.state.counters["discovery.calls"] += 1
-        self.effects.append(CallDiscovery(self.state.generation))
+        state = self.state
+        state.calls += 1
+        state.counters["discovery.calls"] += 1
+        self.effects.append(CallDiscovery(state.calls, state.discovery, state.generation))
 
     def woke(self, _: Woke) -> None:
         while (due := self.state.timers.pop_due(self.now)) is not None:
@@ -294,7 +320,7 @@
     RouteNews: _Turn.route_news, RouteCallFailed: _Turn.route_call_failed, Submitted: _Turn.submitted,
     CallerLeft: _Turn.caller_left, BranchUp: _Turn.branch_up, BranchNoted: _Turn.branch_noted,
     BranchEnded: _Turn.branch_ended, ProbeEnded: _Turn.probe_ended, Woke: _Turn.woke,
-    StopAsked: _Turn.stop_asked,
+    StopAsked: _Turn.stop_asked, DiscoveryMoved: _Turn.discovery_moved,
 }
 ACTIONS: dict[type, Callable[[_Turn, Any], None]] = {
     Send: _Turn.send, Refuse: _Turn.refuse, Fail: _Turn.fail, Cancel: _Turn.cancel, Probe: _Turn.probe,
--- a/flintfield/memory/state.py
+++ b/flintfield/memory/state.py
@@ -86,14 +86,15 @@
 class State:
     """The scheduler's memory."""
 
-    def __init__(self, dispatcher: Dispatcher, most_held: int) -> None:
-        self.dispatcher = dispatcher
+    def __init__(self, dispatcher: Dispatcher, most_held: int, discovery: Address) -> None:
+        self.dispatcher, self.discovery = dispatcher, discovery
         self.limits: Limits = dispatcher.settings.limits
         self.most_held = most_held
         self.transactions: dict[int, Transaction] = {}
         self.names: dict[str, int] = {}  # the ids callers gave to the transactions that are not settled
         self.routes: dict[WorkerId, Route] = {}
-        self.generation = 0
+        self.generation: int | None = None  # of the route set; None: the whole list is wanted
+        self.calls = 0  # made to discovery: only the last one's answer counts
         self.watching = False  # a call to discovery is out, or the next one follows
         self.timers = Timers()
         self.counters: Counter[str] = Counter()
--- a/flintfield/wire/http1/client.py
+++ b/flintfield/wire/http1/client.py
@@ -110,6 +110,11 @@
             connection.idle_since = self._clock()
         kept.append(connection)
 
+    def forget(self, address: Address) -> None:
+        """Close what is kept for an address."""
+        for connection in self._idle.pop(address, []):
+            connection.stream.close()
+
     def sweep(self) -> None:
         """Close what has been idle too long or was ended by the other side."""
         now = self._clock()
--- a/flintfield/wire/http1/discovery.py
+++ b/flintfield/wire/http1/discovery.py
@@ -5,14 +5,16 @@
 import hashlib
 import json
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import anyio
 
 from flintfield.decision.interface import Entry, ListMode, State
-from flintfield.memory.messages import Address, CallDiscovery, Message, Route, RouteCallFailed, RouteNews
-from flintfield.wire.http1.client import Pool
+from flintfield.memory.messages import (
+    CallDiscovery, LeaveDiscovery, Message, Route, RouteCallFailed, RouteNews,
+)
+from flintfield.wire.http1.client import Connection, Pool
 
 WAIT_MS = 5_000  # how long a watch may wait for news: short, for a silent connection hides news that long
 ANSWER_MS = 1_500.0  # what a call may take beyond its wait
@@ -62,43 +64,70 @@
     return names.index(name) if name in names else len(names)
 
 
+@dataclass(slots=True)
+class _Call:
+    """The call that is out."""
+
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    connection: Connection | None = None
+
+
 class Discovery:
     """The watch calls to discovery, one at a time on a kept connection."""
 
-    def __init__(self, tell: Callable[[Message], None], pool: Pool, address: Address, reader: Reader) -> None:
-        self._tell, self._pool, self._address, self._reader = tell, pool, address, reader
-
-    async def call(self, effect: CallDiscovery) -> None:
-        """One watch call; its news or its failure is told."""
-        message: Message = RouteCallFailed("no answer in time")
+    def __init__(self, tell: Callable[[Message], None], pool: Pool, reader: Reader) -> None:
+        self._tell, self._pool, self._reader = tell, pool, reader
+        self._outs: dict[int, _Call] = {}
+
+    def open(self, effect: CallDiscovery) -> None:
+        """Note a call that `run` is to make, so that it can be ended before."""
+        self._outs[effect.call] = _Call()
+
+    def leave(self, effect: LeaveDiscovery) -> None:
+        """End the call that is out, without waiting for anything, and let go of that address."""
+        for out in self._outs.values():
+            out.scope.cancel()
+            if out.connection:
+                out.connection.stream.close()
+        self._pool.forget(effect.address)
+
+    async def run(self, effect: CallDiscovery) -> None:
+        """One call; its news or its failure is told."""
+        message: Message = RouteCallFailed("no answer in time", effect.call)
+        out = self._outs[effect.call]
         # Guards against a connection that says nothing any more: such a call must fail, not wait for ever.
-        with anyio.move_on_after((WAIT_MS + ANSWER_MS) / 1000):
+        within = ANSWER_MS + (0 if effect.generation is None else WAIT_MS)
+        out.scope.deadline = anyio.current_time() + within / 1000
+        with out.scope:
             try:
-                message = await self._watch(effect.generation)
+                message = await self._ask(effect, out)
             except Exception as error:  # exceptions stop at the connection
-                message = RouteCallFailed(repr(error))
+                message = RouteCallFailed(repr(error), effect.call)
+        del self._outs[effect.call]
         self._tell(message)
 
-    async def _watch(self, generation: int) -> Message:
-        connection = await self._pool.get(self._address)
+    async def _ask(self, effect: CallDiscovery, out: _Call) -> Message:
+        connection = out.connection = await self._pool.get(effect.address)
         if connection is None:
-            return RouteCallFailed("no connection")
+            return RouteCallFailed("no connection", effect.call)
         whole = False
         try:
-            target = b"/v1/endpoints?index=%d&wait=%d" % (generation, WAIT_MS)
-            data = connection.request(b"GET", target, [], b"")
+            wants = b"" if effect.generation is None else b"?index=%d&wait=%d" % (effect.generation, WAIT_MS)
+            data = connection.request(b"GET", b"/v1/endpoints" + wants, [], b"")
             if await connection.stream.send(data) < len(data):
-                return RouteCallFailed("broke while writing")
+                return RouteCallFailed("broke while writing", effect.call)
             head = await connection.head()
             body = await connection.body() if head else None
             whole = body is not None
         finally:
+            out.connection = None
             if not whole:
                 connection.stream.close()
         self._pool.keep(connection)
         if head is None or body is None or head.status != 200:
-            return RouteCallFailed(f"answered {head.status}" if head else "broke before the answer")
+            word = f"answered {head.status}" if head else "broke before the answer"
+            return RouteCallFailed(word, effect.call)
         try:
-            return self._reader.news(json.loads(body))
+            return replace(self._reader.news(json.loads(body)), call=effect.call)
         except (ListError, ValueError) as error:
-            return RouteCallFailed(str(error))
+            return RouteCallFailed(str(error), effect.call)
--- a/flintfield/wire/http1/stream.py
+++ b/flintfield/wire/http1/stream.py
@@ -13,6 +13,7 @@
 import anyio
 
 CHUNK = 65_536
+_DUMP = bytearray(CHUNK)  # for bytes that nobody reads
 
 
 class Stream:
@@ -48,6 +49,27 @@
                 break
         return b""
 
+    async def receive_by(self, deadline: float) -> bytes | None:
+        """The next bytes, empty at the end; None if by then nothing had come."""
+        with anyio.CancelScope(deadline=deadline):
+            return await self.receive()
+        # Guards against closing on a request that came in time and that a busy loop had no turn to read.
+        try:
+            return self._sock.recv(CHUNK)
+        except BlockingIOError:
+            return None
+        except OSError:
+            return b""
+
+    def throw_away(self) -> int | None:
+        """Drop bytes that have come, uncopied where the kernel can: how many, 0 at the end, None if none."""
+        try:
+            return self._sock.recv_into(_DUMP, CHUNK, socket.MSG_TRUNC)
+        except BlockingIOError:
+            return None
+        except OSError:
+            return 0
+
     async def _wait(self, ready: Callable[[socket.socket], Awaitable[None]]) -> bool:
         try:
             await ready(self._sock)
