Give each job a connection of its own, and send its body only after a 100

Cause: branches went out on kept connections (hop.py, _attempt by Pool.get) that the next hop closes or resets at its next request, or that are silent: the job may have run then and a booking is lost. A probe with Expect: 100-continue had its 100 within 1 ms each time, or the end of the connection. Ruled out: dead next hops (their probes answered), our own descriptors (44 of 384). Now: a branch dials; the body leaves after the 100; a break before that is UNSENT, which proves it never ran and puts the next hop out only if it happens twice without a word between. A probe or watch that fails on a kept connection is made anew on a new one. Kept connections are bounded in all; our own lack of descriptors is no word on the next hop.

--- a/flintfield/decision/interface.py
+++ b/flintfield/decision/interface.py
@@ -37,12 +37,13 @@
     FULL = "full"
     TIMEOUT = "timeout"
     CONNECT_FAILED = "connect_failed"
+    UNSENT = "unsent"  # connected, but it broke or said nothing before the request was whole
     RESET = "reset"
     CANCELLED = "cancelled"
     MOOT = "moot"
 
 
-NEVER_RAN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT})
+NEVER_RAN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.UNSENT, Outcome.MOOT})
 """The outcomes that prove an attempt had no effect."""
 
 
--- a/flintfield/decision/policy.py
+++ b/flintfield/decision/policy.py
@@ -162,7 +162,7 @@
         """Take a worker's word; a report tells what the others hold there."""
         if worker.down or (worker.missed and PROBE_MS * 4 < self.now - worker.word < math.inf):
             worker.born = self.now  # back from silence: most likely a new process, which the list tells later
-        worker.word, worker.missed, worker.down = self.now, False, False
+        worker.word, worker.missed, worker.down, worker.struck = self.now, False, False, False
         if report is None or report.free is report.util is None:
             return
         idle = (1.0 - (report.util or 0.0)) * max(worker.most, 1.0)
@@ -178,7 +178,7 @@
             worker.probing = False
             if event.outcome in (Outcome.OK, Outcome.FULL):
                 self._heard(worker, event.report)
-            else:
+            elif event.outcome is not Outcome.MOOT:
                 worker.missed = True
 
     def _tick(self) -> None:
@@ -445,5 +445,7 @@
             worker.full_until = self.now + 2 * TICK_MS
             worker.others = max(worker.others, worker.most - worker.mine)
             worker.down = worker.missed = event.outcome is Outcome.CONNECT_FAILED
+        elif event.outcome is Outcome.UNSENT:  # one bad connection is no dead worker; two in a row may be
+            worker.down, worker.struck = worker.struck, True
         if event.outcome not in (Outcome.FULL, Outcome.CANCELLED, Outcome.MOOT):
             worker.health = max(0.01, worker.health + LOST * ((event.outcome is Outcome.OK) - worker.health))
--- a/flintfield/decision/records.py
+++ b/flintfield/decision/records.py
@@ -47,6 +47,7 @@
         self.full_until = self.word = self.probe_at = -math.inf
         self.probing = self.missed = False  # a probe is out; one failed since the last word
         self.down = False  # it took no connection since the last word
+        self.struck = False  # a connection to it broke before a request was whole, since the last word
         self.pending: dict[Attempt, None] = {}  # our attempts that have not started, oldest first
         self.sent: deque[tuple[float, float]] = deque()  # (time, cost) of sends while cold
 
--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -24,7 +24,8 @@
 from flintfield.wire.http1.hop import NextHops
 
 SWEEP_S = 1.0
-SPARE_SOCKETS = 0.4  # of the descriptors: for next hops, discovery and the program's own
+LEGS_PART = 0.5  # of the descriptors: for caller legs; clients hold a third of all for requests
+IDLE_PART = 0.1  # of the descriptors: for kept connections; the rest is for branches, probes and our own
 STOP_ACCEPT_S = 0.5  # after SIGTERM new connections keep coming for up to 0.4 s
 # Then a connection that never brought a request is closed. Guards against taking a request later than 0.7 s
 # after SIGTERM: the kill that follows would find it unanswered.
@@ -50,7 +51,8 @@
         self._rearm = anyio.Event()
         self._armed = float("inf")
         self._tasks: TaskGroup
-        pool = Pool(self._clock, config.conn_idle_ms, config.dial_timeout_ms)
+        pool = Pool(self._clock, config.conn_idle_ms, config.dial_timeout_ms,
+                    int(config.sockets * IDLE_PART), lambda: self._callers.make_room())
         self._pool = pool
         reader = Reader(config.zones, config.kinds)
         self._known = reader.news(config.known, cached=True)
@@ -58,7 +60,7 @@
         self._discovery = Discovery(self.tell, pool, reader)
         pages = Pages(lambda: not self.state.stopping, lambda: self.state.counters)
         self._callers = Callers(self.tell, pages, config.class_names,
-                                int(config.sockets * (1 - SPARE_SOCKETS)), self._count)
+                                int(config.sockets * LEGS_PART), self._count)
         self._perform: dict[type, Callable[[Any], None]] = {
             OpenBranch: self._open_branch,
             WriteBranch: self._hops.write,
--- a/flintfield/memory/messages.py
+++ b/flintfield/memory/messages.py
@@ -19,10 +19,11 @@
 class Reach(IntEnum):
     """How far an attempt had come when it ended."""
 
-    DIALLING = 0  # no connection yet
-    WRITING = 1  # connected, but the last byte had not left
-    SENT = 2  # the last byte may have left
-    ANSWERED = 3  # the next hop had answered
+    UNTRIED = 0  # not begun, for want of a descriptor or a port of our own
+    DIALLING = 1  # no connection yet
+    WRITING = 2  # connected, but the last byte had not left
+    SENT = 3  # the last byte may have left
+    ANSWERED = 4  # the next hop had answered
 
 
 class End(Enum):
--- a/flintfield/memory/reducer.py
+++ b/flintfield/memory/reducer.py
@@ -29,10 +29,15 @@
 }
 
 
+# What a broken connection proves: nothing once the last byte may have left, and nothing against the next hop
+# if it was never tried.
+BROKEN = {Reach.UNTRIED: Outcome.MOOT, Reach.DIALLING: Outcome.CONNECT_FAILED, Reach.WRITING: Outcome.UNSENT}
+
+
 def outcome_of(ending: Ending) -> Outcome:
-    """What an ending proves. A broken connection proves nothing once the last byte may have left."""
+    """What an ending proves."""
     if ending.end is End.BROKEN:
-        return Outcome.CONNECT_FAILED if ending.reach < Reach.SENT else Outcome.RESET
+        return BROKEN.get(ending.reach, Outcome.RESET)
     return OUTCOMES[ending.end]
 
 
--- a/flintfield/wire/http1/discovery.py
+++ b/flintfield/wire/http1/discovery.py
@@ -4,17 +4,18 @@
 
 import hashlib
 import json
+import math
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from typing import Any
 
 import anyio
 
 from flintfield.decision.interface import Entry, ListMode, State
 from flintfield.memory.messages import (
-    CallDiscovery, LeaveDiscovery, Message, Route, RouteCallFailed, RouteNews,
+    CallDiscovery, LeaveDiscovery, Message, Reach, Route, RouteCallFailed, RouteNews,
 )
-from flintfield.wire.http1.client import Connection, Pool
+from flintfield.wire.http1.client import Pool
 
 WAIT_MS = 5_000  # how long a watch may wait for news: short, for a silent connection hides news that long
 ANSWER_MS = 1_500.0  # what a call may take beyond its wait
@@ -64,70 +65,47 @@
     return names.index(name) if name in names else len(names)
 
 
-@dataclass(slots=True)
-class _Call:
-    """The call that is out."""
-
-    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
-    connection: Connection | None = None
-
-
 class Discovery:
     """The watch calls to discovery, one at a time on a kept connection."""
 
     def __init__(self, tell: Callable[[Message], None], pool: Pool, reader: Reader) -> None:
         self._tell, self._pool, self._reader = tell, pool, reader
-        self._outs: dict[int, _Call] = {}
+        self._outs: dict[int, anyio.CancelScope] = {}
 
     def open(self, effect: CallDiscovery) -> None:
         """Note a call that `run` is to make, so that it can be ended before."""
-        self._outs[effect.call] = _Call()
+        self._outs[effect.call] = anyio.CancelScope()
 
     def leave(self, effect: LeaveDiscovery) -> None:
         """End the call that is out, without waiting for anything, and let go of that address."""
-        for out in self._outs.values():
-            out.scope.cancel()
-            if out.connection:
-                out.connection.stream.close()
+        for scope in self._outs.values():
+            scope.cancel()
         self._pool.forget(effect.address)
 
     async def run(self, effect: CallDiscovery) -> None:
         """One call; its news or its failure is told."""
         message: Message = RouteCallFailed("no answer in time", effect.call)
-        out = self._outs[effect.call]
+        scope = self._outs[effect.call]
         # Guards against a connection that says nothing any more: such a call must fail, not wait for ever.
         within = ANSWER_MS + (0 if effect.generation is None else WAIT_MS)
-        out.scope.deadline = anyio.current_time() + within / 1000
-        with out.scope:
+        scope.deadline = anyio.current_time() + within / 1000
+        with scope:
             try:
-                message = await self._ask(effect, out)
+                message = await self._ask(effect)
             except Exception as error:  # exceptions stop at the connection
                 message = RouteCallFailed(repr(error), effect.call)
         del self._outs[effect.call]
         self._tell(message)
 
-    async def _ask(self, effect: CallDiscovery, out: _Call) -> Message:
-        connection = out.connection = await self._pool.get(effect.address)
-        if connection is None:
-            return RouteCallFailed("no connection", effect.call)
-        whole = False
-        try:
-            wants = b"" if effect.generation is None else b"?index=%d&wait=%d" % (effect.generation, WAIT_MS)
-            data = connection.request(b"GET", b"/v1/endpoints" + wants, [], b"")
-            if await connection.stream.send(data) < len(data):
-                return RouteCallFailed("broke while writing", effect.call)
-            head = await connection.head()
-            body = await connection.body() if head else None
-            whole = body is not None
-        finally:
-            out.connection = None
-            if not whole:
-                connection.stream.close()
-        self._pool.keep(connection)
-        if head is None or body is None or head.status != 200:
-            word = f"answered {head.status}" if head else "broke before the answer"
+    async def _ask(self, effect: CallDiscovery) -> Message:
+        wants = b"" if effect.generation is None else b"?index=%d&wait=%d" % (effect.generation, WAIT_MS)
+        page = await self._pool.fetch(effect.address, b"/v1/endpoints" + wants, math.inf)
+        if isinstance(page, Reach):
+            word = "broke before the answer" if page is Reach.SENT else "no connection"
             return RouteCallFailed(word, effect.call)
+        if page.head.status != 200:
+            return RouteCallFailed(f"answered {page.head.status}", effect.call)
         try:
-            return replace(self._reader.news(json.loads(body)), call=effect.call)
+            return replace(self._reader.news(json.loads(page.body)), call=effect.call)
         except (ListError, ValueError) as error:
             return RouteCallFailed(str(error), effect.call)
--- a/flintfield/wire/http1/hop.py
+++ b/flintfield/wire/http1/hop.py
@@ -12,13 +12,15 @@
 
 from flintfield.decision.interface import Report
 from flintfield.memory.messages import (
-    BranchEnded, BranchNoted, BranchUp, DropBranch, End, Ending, Message, OpenBranch, ProbeEnded, ProbeHop,
-    Reach, Submission, WriteBranch,
+    Address, BranchEnded, BranchNoted, BranchUp, DropBranch, End, Ending, Message, OpenBranch, ProbeEnded,
+    ProbeHop, Reach, Submission, WriteBranch,
 )
-from flintfield.wire.http1.client import Connection, Head, Pool
+from flintfield.wire.http1.client import Connection, Head, Page, Pool
 
-PROBE_MS = 400.0  # a probe without an answer by then has failed
-TAIL_S = 1.0  # how long the end of a response may lag behind its last line
+PROBE_S = 0.4  # a probe without an answer by then has failed
+PROBE_KEPT_S = 0.15  # on a kept connection, which may have fallen silent: then a new one is tried
+CONTINUE_S = 0.1  # a next hop that is to say 100 and has not by then says nothing on this connection
+TAIL_S = 0.5  # how long the end of a response may lag behind its last line
 MOST_LINE = 1 << 18
 FINAL = {"done": End.DONE, "failed": End.FAILED, "returned": End.DECLINED, "lost": End.LOST}
 
@@ -39,6 +41,7 @@
                  report_names: Mapping[str, str]) -> None:
         self._tell, self._clock, self._pool, self._names = tell, clock, pool, report_names
         self._outs: dict[tuple[int, int], _Out] = {}
+        self._continuing: set[Address] = set()  # those that have said 100 before
 
     # -------------------------------------------------------------- branches
 
@@ -70,44 +73,52 @@
             self._outs.pop((effect.rid, effect.branch), None)
             if ending:
                 self._tell(BranchEnded(effect.rid, effect.branch, ending))
-            with anyio.move_on_after(TAIL_S):
-                await self._keep(out.connection, ending)
-        if out.connection and out.scope.cancelled_caught:
+            with anyio.move_on_after(TAIL_S):  # a close before the end of its answer would be a reset to it
+                if ending and out.connection and ending.reach is Reach.ANSWERED:
+                    await out.connection.body()
+        if out.connection:
             out.connection.stream.close()
 
-    async def _keep(self, connection: Connection | None, ending: Ending | None) -> None:
-        """Read a response to its end, so that its connection serves again; one that broke is closed."""
-        if connection is None:
-            return
-        if ending is None:
-            self._pool.keep(connection, unused=True)
-            return
-        whole = False
-        try:
-            whole = ending.reach is Reach.ANSWERED and await connection.body() is not None
-        finally:
-            if not whole:
-                connection.stream.close()
-        if whole:
-            self._pool.keep(connection)
-
     async def _attempt(self, effect: OpenBranch, out: _Out) -> Ending | None:
-        """One attempt; None if it was not to be written after all."""
-        connection = await self._pool.get(effect.address)
-        if connection is None:
-            return Ending(End.BROKEN, Reach.DIALLING, word="no connection")
+        """One attempt, on a connection of its own; None if it was not to be written after all.
+
+        Guards against a job lost with a kept connection that the next hop has just closed, or that fell
+        silent while it was idle: it may have run then, for all we know.
+        """
+        connection = await self._pool.dial(effect.address)
+        if isinstance(connection, Reach):
+            return Ending(End.BROKEN, connection, word="no connection")
         out.connection = connection
         self._tell(BranchUp(effect.rid, effect.branch))
         if out.order is None:
             return None
-        given = out.order.submission
-        data = connection.request(given.method, given.target, [
+        if not await self._write(out.order, connection):
+            return Ending(End.BROKEN, Reach.WRITING, word="of no use before the request was whole")
+        return await self._job(effect, out.order.submission, connection)
+
+    async def _write(self, order: WriteBranch, connection: Connection) -> bool:
+        """Write a request; whether its last byte may have left.
+
+        The body waits until the next hop has read the head and says so (100). Guards against a job on a
+        connection that is reset or silent: without its body it never ran, and may go elsewhere.
+        """
+        given = order.submission
+        asks = [(b"Expect", b"100-continue")] if given.body else []
+        head, body = connection.request(given.method, given.target, [
             (b"Req-Id", given.name.encode()), (b"Req-Kind", given.class_name.encode()),
-            (b"Req-Deadline", b"%dm" % out.order.wait_ms),
+            (b"Req-Deadline", b"%dm" % order.wait_ms), *asks,
         ], given.body)
-        if await connection.stream.send(data) < len(data):
-            return Ending(End.BROKEN, Reach.WRITING, word="broke while writing")
-        return await self._job(effect, given, connection)
+        if await connection.stream.send(head) < len(head) or (asks and not await self._goes_on(connection)):
+            return False
+        return await connection.stream.send(body) == len(body)
+
+    async def _goes_on(self, connection: Connection) -> bool:
+        with anyio.move_on_after(CONTINUE_S):
+            if goes_on := await connection.goes_on():
+                self._continuing.add(connection.address)
+            return goes_on
+        # One that has never said 100 may not know the word: HTTP then lets the body follow.
+        return connection.address not in self._continuing
 
     async def _job(self, effect: OpenBranch, given: Submission, connection: Connection) -> Ending:
         head = await connection.head()
@@ -152,33 +163,20 @@
 
     async def probe(self, effect: ProbeHop) -> None:
         """Ask once for the load, and tell how it went."""
-        began, connection = self._clock(), None
-        ending = Ending(End.BROKEN, Reach.DIALLING)
-        whole = False
+        began, ending = self._clock(), Ending(End.BROKEN, Reach.SENT, word="no answer in time")
         try:
-            with anyio.move_on_after(PROBE_MS / 1000):
-                connection = await self._pool.get(effect.address)
-                if connection:
-                    ending, whole = await self._ask_load(connection)
+            with anyio.move_on_after(PROBE_S):
+                page = await self._pool.fetch(effect.address, b"/status/load", PROBE_KEPT_S)
+                ending = self._probe_ending(page)
         except Exception as error:  # exceptions stop at the connection
             ending = Ending(End.BROKEN, Reach.SENT, word=repr(error))
-        finally:
-            if connection and not whole:
-                connection.stream.close()
-        if connection and whole:
-            self._pool.keep(connection)
         self._tell(ProbeEnded(effect.worker, ending, self._clock() - began))
 
-    async def _ask_load(self, connection: Connection) -> tuple[Ending, bool]:
-        data = connection.request(b"GET", b"/status/load", [], b"")
-        if await connection.stream.send(data) < len(data):
-            return Ending(End.BROKEN, Reach.WRITING), False
-        head = await connection.head()
-        body = await connection.body() if head else None
-        if head is None or body is None:
-            return Ending(End.BROKEN, Reach.SENT), False
-        end = End.DONE if head.status == 200 else End.DECLINED if head.status == 503 else End.FAILED
-        return Ending(end, Reach.ANSWERED, report=read_load(body, self._names) or self._load(head)), True
+    def _probe_ending(self, page: Page | Reach) -> Ending:
+        if isinstance(page, Reach):
+            return Ending(End.BROKEN, page)
+        end = {200: End.DONE, 503: End.DECLINED}.get(page.head.status, End.FAILED)
+        return Ending(end, Reach.ANSWERED, report=read_load(page.body, self._names) or self._load(page.head))
 
     # --------------------------------------------------------------- reports
 
--- a/flintfield/wire/http1/stream.py
+++ b/flintfield/wire/http1/stream.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -102,30 +103,33 @@
             self._sock.close()
 
 
-async def dial(address: tuple[str, int], timeout_ms: float) -> Stream | None:
-    """Connect within that time, or not at all."""
+OURS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL})
+"""Errors of a dial that are our own lack, and no word on the other side."""
+
+
+async def dial(address: tuple[str, int], timeout_ms: float) -> Stream | int:
+    """Connect within that time; else the error's number."""
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
     try:
         sock = socket.socket(family, socket.SOCK_STREAM)
-    except OSError:
-        return None
-    stream = Stream(sock)
-    connected = False
+    except OSError as error:
+        return error.errno or errno.EMFILE
+    stream, failed = Stream(sock), errno.ETIMEDOUT
     try:
         with anyio.move_on_after(timeout_ms / 1000):
-            connected = await _connect(sock, address)
+            failed = await _connect(sock, address)
     finally:
-        if not connected:
+        if failed:
             stream.close()
-    return stream if connected else None
+    return failed or stream
 
 
-async def _connect(sock: socket.socket, address: tuple[str, int]) -> bool:
+async def _connect(sock: socket.socket, address: tuple[str, int]) -> int:
     try:
         sock.connect(address)
     except BlockingIOError:
         await anyio.wait_writable(sock)
-        return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
-    except OSError:
-        return False
-    return True
+        return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    except OSError as error:
+        return error.errno or errno.ECONNREFUSED
+    return 0
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -5,6 +5,7 @@
 import json
 import os
 import queue
+import resource
 import signal
 import socket
 import subprocess
@@ -124,12 +125,29 @@
         self.name = name
         self.jobs: queue.Queue[Job] = queue.Queue()
         self.load = b"TEXT lat_ms=5, rif=0, q=0, x0=4"
-        self.probed = threading.Event()
+        self.probe_ports: queue.Queue[int] = queue.Queue()
+        self.cut_probes = False
+        self.heads: queue.Queue[str] = queue.Queue()  # what to do with the next heads in place of a 100
 
         class Handler(Peer):
+            def handle_expect_100(self) -> bool:
+                how = "100" if hop.heads.empty() else hop.heads.get()
+                if how == "100":
+                    return super().handle_expect_100()
+                if how == "no word":
+                    return True
+                if how == "silence":
+                    self.connection.settimeout(SOON)
+                    self.connection.recv(1)
+                elif how.isdecimal():
+                    self.reply(int(how))
+                self.close_connection = True
+                return False
+
             def do_GET(self) -> None:
+                self.close_connection = hop.cut_probes
+                hop.probe_ports.put(self.client_address[1])
                 self.reply(200, hop.load)
-                hop.probed.set()
 
             def do_POST(self) -> None:
                 job = Job(self, self.rfile.read(int(self.headers["Content-Length"])))
@@ -186,7 +204,8 @@
 class Scheduler:
     """The real program as a process."""
 
-    def __init__(self, folder: Path, hops: list[Hop], settings: dict[str, Any], sockets: int) -> None:
+    def __init__(self, folder: Path, hops: list[Hop], settings: dict[str, Any], sockets: int,
+                 descriptors: int = 0) -> None:
         self.hops, self.directory, self.folder = hops, Directory(), folder
         self.directory.whole = [h.entry() for h in hops]
         self.config = {
@@ -194,7 +213,7 @@
             "limits": {"memory_mb": 192, "sockets": sockets}, "settings": SETTINGS | settings,
             "known": {"generation": 1, "reset": True, "instances": [h.entry() for h in hops]},
         }
-        self.process = start(folder, self.config)
+        self.process = start(folder, self.config, descriptors)
         assert self.process.stdout
         self.port = json.loads(self.process.stdout.readline())["port"]
 
@@ -233,12 +252,16 @@
         return self.process.returncode, [json.loads(line) for line in out.splitlines()]
 
 
-def start(folder: Path, config: dict[str, Any]) -> subprocess.Popen[str]:
-    """Start the program with that configuration."""
+def start(folder: Path, config: dict[str, Any], descriptors: int = 0) -> subprocess.Popen[str]:
+    """Start the program with that configuration, and with no more descriptors than that if it is given."""
+    def limit() -> None:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+
     path = folder / "config.json"
     path.write_text(json.dumps(config))
     return subprocess.Popen([sys.executable, "-m", "flintfield"], cwd=ROOT, text=True, stdout=subprocess.PIPE,
-                            stderr=subprocess.PIPE, env={**os.environ, "LB_CONFIG": str(path)})
+                            stderr=subprocess.PIPE, env={**os.environ, "LB_CONFIG": str(path)},
+                            preexec_fn=limit if descriptors else None)
 
 
 def until(true: Any, seconds: float = SOON) -> bool:
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -93,7 +93,8 @@
     (End.DECLINED, Reach.ANSWERED, Outcome.FULL),
     (End.LOST, Reach.ANSWERED, Outcome.RESET),
     (End.BROKEN, Reach.DIALLING, Outcome.CONNECT_FAILED),
-    (End.BROKEN, Reach.WRITING, Outcome.CONNECT_FAILED),
+    (End.BROKEN, Reach.UNTRIED, Outcome.MOOT),
+    (End.BROKEN, Reach.WRITING, Outcome.UNSENT),
     (End.BROKEN, Reach.SENT, Outcome.RESET),
     (End.BROKEN, Reach.ANSWERED, Outcome.RESET),
 ])
@@ -264,7 +265,7 @@
     monkeypatch.setattr(discovery, "ANSWER_MS", 20.0)
     told: list[Message] = []
     with socket.create_server(("127.0.0.1", 0)) as silent:
-        calls = Discovery(told.append, Pool(lambda: 0.0, 5000, 250), Reader([], []))
+        calls = Discovery(told.append, Pool(lambda: 0.0, 5000, 250, 9, lambda: None), Reader([], []))
         call = CallDiscovery(4, silent.getsockname(), 7)
 
         async def play() -> None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -23,8 +23,8 @@
     """Start schedulers that end with the test."""
     started: list[Scheduler] = []
 
-    def make(*hops: Hop, sockets: int = 1024, **settings: Any) -> Scheduler:
-        started.append(Scheduler(tmp_path, list(hops), settings, sockets))
+    def make(*hops: Hop, sockets: int = 1024, descriptors: int = 0, **settings: Any) -> Scheduler:
+        started.append(Scheduler(tmp_path, list(hops), settings, sockets, descriptors))
         return started[-1]
 
     yield make
@@ -52,9 +52,9 @@
     job.say("running", share=0.5)
     job.say("done", result="two socials in Mixco")
     assert ended(caller.getresponse()) == (200, b"two socials in Mixco")
-    scheduler.submit("social-booking", on=caller)  # the caller leg and the next hop's connection both live on
+    scheduler.submit("social-booking", on=caller)  # the caller leg lives on; each job has its own connection
     again = hop.job()
-    assert again.port == job.port
+    assert again.port != job.port
     again.say("done", result="seat")
     assert ended(caller.getresponse()) == (200, b"seat")
     counters = scheduler.counters()
@@ -146,28 +146,52 @@
     assert all(h.jobs.empty() for h in scheduler.hops) and hop
 
 
-def test_an_idle_connection_is_left_before_the_next_hop_closes_it(begin: Start) -> None:
-    scheduler = begin(hop := Hop(), limits={**SETTINGS["limits"], "conn_idle_ms": 200, "probes": False})
-    ports = []
-    for _ in range(2):
-        caller = scheduler.submit()
-        job = hop.job()
-        ports.append(job.port)
-        job.say("done", result="ok")
-        assert ended(caller.getresponse())[0] == 200
-        time.sleep(0.25)
-    assert ports[0] != ports[1]
+@pytest.mark.parametrize("how", ["cut", "silence", "500"])
+@pytest.mark.parametrize("cls", ["match-list", "social-booking"])
+def test_a_job_whose_body_was_not_asked_for_goes_out_again(begin: Start, cls: str, how: str) -> None:
+    scheduler = begin(hop := Hop())
+    caller = scheduler.submit(cls)  # from here on it is known to say 100
+    hop.job().say("done", result="first")
+    assert ended(caller.getresponse()) == (200, b"first")
+    hop.heads.put(how)
+    began = time.monotonic()
+    scheduler.submit(cls, on=caller)
+    hop.job().say("done", result="second")
+    assert ended(caller.getresponse()) == (200, b"second") and time.monotonic() - began < 1
+    counters = scheduler.counters()
+    assert counters["branches.ended.unsent"] == 1 and counters["branches.written"] == 3
 
 
-def test_a_kept_connection_that_the_next_hop_closed_is_not_written_to(begin: Start) -> None:
-    scheduler = begin(hop := Hop(), limits={**SETTINGS["limits"], "probes": False})
-    for _ in range(3):
+def test_a_next_hop_that_never_says_100_gets_its_body_all_the_same(begin: Start) -> None:
+    scheduler = begin(hop := Hop())
+    hop.heads.put("no word")
+    caller = scheduler.submit("social-booking", body=b"whole")
+    job = hop.job()
+    assert job.body == b"whole"
+    job.say("done", result="ok")
+    assert ended(caller.getresponse()) == (200, b"ok")
+
+
+@pytest.mark.parametrize("how", ["it is idle too long", "the next hop closes it"])
+def test_a_kept_connection_is_left_in_time(begin: Start, how: str) -> None:
+    idle = 300 if how == "it is idle too long" else 5000
+    hop = Hop()
+    hop.cut_probes = how == "the next hop closes it"
+    scheduler = begin(hop, limits={**SETTINGS["limits"], "conn_idle_ms": idle})
+    assert len({hop.probe_ports.get(timeout=SOON) for _ in range(3)}) == 3
+    assert scheduler.counters()["probes.ended.ok"] >= 2
+
+
+def test_a_lack_of_descriptors_is_not_held_against_a_next_hop(begin: Start) -> None:
+    scheduler = begin(hop := Hop(), descriptors=40)
+    idle = [socket.create_connection(("127.0.0.1", scheduler.port), SOON) for _ in range(60)]
+    for _ in range(5):
         caller = scheduler.submit("social-booking")
-        job = hop.job()
-        job.peer.close_connection = True
-        job.say("done", result="ok")
+        hop.job().say("done", result="ok")
         assert ended(caller.getresponse()) == (200, b"ok")
-        time.sleep(0.05)
+    assert "branches.ended.connect_failed" not in scheduler.counters()
+    for sock in idle:
+        sock.close()
 
 
 # ------------------------------------------------------------------- bad input
