Serve on after SIGTERM for callers who stay, until the kill is near

Cause: at SIGTERM idle legs were closed and each answer closed its leg (program.py, _stop; reducer.py, _answer), so a scheduler was of no use for the 3 s before the kill. Ruled out: a late restart (ready in 0.1 s), lost transactions (none). Now: callers may stay until 0.5 s before the earliest kill; what is taken after SIGTERM must be answered 0.2 s before it, and a request that brings less than half its class's time is refused at once if no next hop can do it. That also ends the 'overdue transaction' defects, which were clients' retries that came with no time left.

--- a/flintfield/decision/policy.py
+++ b/flintfield/decision/policy.py
@@ -31,6 +31,7 @@
 MEMORY = 8  # samples that a mean of costs or paces goes back
 NEAR = 2  # workers that a dispatcher deals with beyond those its jobs fill
 AWAY = 3.0  # how many workers at home stand before one of another zone in our order, where zones are alike
+HASTE = 2.0  # how long a job is thought to take that has little time, in its time at the quickest worker
 TICK = 0  # timer token; requests take 1 and up
 
 
@@ -247,9 +248,21 @@
             theta *= self.settings.over_share_worth
         job = self.jobs[event.rid] = Job(event, self.now, max(cost, 1e-3), theta)
         job.last -= 2 * self.settings.resolution_ms
+        if self._hopeless(job):
+            self._end(job)
+            return
         self._set_timer(max(0.0, job.last - self.now), job)
         self._place(job, self.near)
 
+    def _hopeless(self, job: Job) -> bool:
+        """Whether a job with less than half its class's time left can hardly end before its answer is due.
+
+        Guards against work for nothing: an answer at once lets the client look elsewhere.
+        """
+        left, quickest = job.last - self.now, min((self._pace(w) for w in self.near), default=1.0)
+        short = left < self.settings.classes[job.request.cls].deadline_ms / 2
+        return short and left <= HASTE * quickest * (job.request.hint_ms or 0.0)
+
     def _set_timer(self, wait: float, job: Job) -> None:
         self.next_token = self.next_token % 0xFFFFFFFF + 1
         self.timers[self.next_token] = job.request.rid
--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -16,7 +16,7 @@
     Answer, CallDiscovery, Defect, DiscoveryMoved, DropBranch, Effect, LeaveDiscovery, Message, OpenBranch,
     ProbeHop, StopAsked, WatchFailed, Woke, WriteBranch,
 )
-from flintfield.memory.reducer import reduce
+from flintfield.memory.reducer import LAST_CALL_MS, reduce
 from flintfield.memory.state import State
 from flintfield.wire.http1.caller import Callers, Pages
 from flintfield.wire.http1.client import Pool
@@ -26,10 +26,10 @@
 SWEEP_S = 1.0
 LEGS_PART = 0.5  # of the descriptors: for caller legs; clients hold a third of all for requests
 IDLE_PART = 0.1  # of the descriptors: for kept connections; the rest is for branches, probes and our own
-STOP_ACCEPT_S = 0.5  # after SIGTERM new connections keep coming for up to 0.4 s
-# Then a connection that never brought a request is closed. Guards against taking a request later than 0.7 s
-# after SIGTERM: the kill that follows would find it unanswered.
-STOP_FRESH_S = 0.12
+# After SIGTERM the kill comes no sooner than the longest deadline, counted as 3 s at the most, and 0.7 s.
+KILL_MS, KILL_MORE_MS = 3_000.0, 700.0
+STOP_MARGIN_MS = 200.0  # all is answered so long before the kill
+STOP_ACCEPT_S = 0.62  # after SIGTERM new connections keep coming for up to 0.4 s, then their requests
 STOP_CHECK_S = 0.02
 
 
@@ -177,13 +177,23 @@
             self._pool.sweep()
 
     async def _stop(self, tasks: TaskGroup) -> None:
-        """Stop taking requests in, settle those that were taken, and end."""
+        """Serve on for those who stay, settle all that was taken, and end.
+
+        Guards against a gap: others may be restarted at the same time, so callers are not sent away before
+        the kill is near.
+        """
         self._log.info("stopping", transactions=len(self.state.transactions), legs=self._callers.open_legs)
-        self.tell(StopAsked())
-        self._callers.close_idle(fresh_too=False)
+        longest = max(c.deadline_ms for c in self._config.settings.classes)
+        grace_ms = min(longest, KILL_MS) + KILL_MORE_MS - STOP_MARGIN_MS
+        self.tell(StopAsked(self._clock() + grace_ms))
         await anyio.sleep(STOP_ACCEPT_S)
+        with anyio.move_on_after((grace_ms - LAST_CALL_MS) / 1000 - STOP_ACCEPT_S):
+            while self._busy():
+                await anyio.sleep(STOP_CHECK_S)
         self._callers.stop_listening(tasks)
-        await anyio.sleep(STOP_FRESH_S)
-        while self.state.transactions or self._callers.open_legs:
-            self._callers.close_idle(fresh_too=True)
+        while self._busy():
+            self._callers.close_idle()
             await anyio.sleep(STOP_CHECK_S)
+
+    def _busy(self) -> bool:
+        return bool(self.state.transactions or self._callers.open_legs)
--- a/flintfield/memory/messages.py
+++ b/flintfield/memory/messages.py
@@ -168,7 +168,9 @@
 
 @dataclass(frozen=True, slots=True)
 class StopAsked:
-    """The program was told to end."""
+    """The program was told to end; what is taken from now on must have its answer by then."""
+
+    settle_by: float
 
 
 Message = (RouteNews | RouteCallFailed | DiscoveryMoved | Submitted | CallerLeft | BranchUp | BranchNoted
--- a/flintfield/memory/reducer.py
+++ b/flintfield/memory/reducer.py
@@ -22,6 +22,7 @@
 )
 from flintfield.memory.state import Branch, BranchDue, DeadlineDue, State, TokenDue, Transaction
 
+LAST_CALL_MS = 300.0  # before the end of a program that stops: connections are closed after their answers
 DEADLINE_MARGIN_MS = 10.0  # deadlines count from the caller's send, which we see later; a loop may run late
 
 OUTCOMES = {
@@ -142,7 +143,8 @@
     def submitted(self, message: Submitted) -> None:
         state, given = self.state, message.submission
         state.counters[f"requests.taken.{given.class_name}"] += 1
-        deadline = self.now + max(0.0, given.wait_ms - DEADLINE_MARGIN_MS)
+        # Guards against a kill that finds unanswered what was taken after the program was told to end.
+        deadline = min(self.now + max(0.0, given.wait_ms - DEADLINE_MARGIN_MS), state.settle_by)
         transaction = Transaction(message.rid, given, self.now, deadline)
         state.transactions[message.rid] = transaction
         state.timers.set(deadline, DeadlineDue(message.rid))  # first of all: whatever fails, this answers
@@ -172,7 +174,9 @@
             return
         transaction.answered = True
         self.state.counters[f"answers.{verdict.value}.{transaction.submission.class_name}"] += 1
-        self.effects.append(Answer(rid, verdict, body, retry_after_ms, self.state.stopping))
+        # Callers may keep a connection that serves to the last; one that does not sends them elsewhere.
+        close = self.state.stopping and (verdict is not Verdict.SERVED or self.now >= self.last_call())
+        self.effects.append(Answer(rid, verdict, body, retry_after_ms, close))
         self._forget_settled(transaction)
 
     def _forget_settled(self, transaction: Transaction) -> None:
@@ -317,8 +321,12 @@
             self._answer(rid, Verdict.FAILED)
             self._events.append(Gone(rid))
 
-    def stop_asked(self, _: StopAsked) -> None:
-        self.state.stopping = True
+    def stop_asked(self, message: StopAsked) -> None:
+        self.state.settle_by = message.settle_by
+
+    def last_call(self) -> float:
+        """From then on callers are sent away."""
+        return self.state.settle_by - LAST_CALL_MS
 
 
 HANDLERS: dict[type, Callable[[_Turn, Any], None]] = {
--- a/flintfield/memory/state.py
+++ b/flintfield/memory/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -98,4 +99,9 @@
         self.watching = False  # a call to discovery is out, or the next one follows
         self.timers = Timers()
         self.counters: Counter[str] = Counter()
-        self.stopping = False
+        self.settle_by = math.inf  # when all is to be answered, once the program was told to end
+
+    @property
+    def stopping(self) -> bool:
+        """Whether the program was told to end."""
+        return self.settle_by < math.inf
--- a/flintfield/wire/http1/caller.py
+++ b/flintfield/wire/http1/caller.py
@@ -111,10 +111,10 @@
             self._listener.close()
             self._listener = None
 
-    def close_idle(self, fresh_too: bool) -> None:
-        """Close the legs that are between two requests, and those that never had one only if told so."""
+    def close_idle(self) -> None:
+        """Close the legs that are between two requests, or never had one."""
         for leg in self._legs.values():
-            if leg.idle and (fresh_too or leg.served) and leg.stream.is_quiet():
+            if leg.idle and leg.stream.is_quiet():
                 leg.stream.close()
 
     def make_room(self) -> None:
