Hold on to sent bookings while they can be in time, and place them with a slot to spare

Cause: policy.py _expired judged a job that waits at a worker by the mean pace of all, so bookings were given up 400 to 900 ms after their send though they could still be in time and may not be sent again; _place let them go where half a slot was thought free. Ruled out: silent connections (the head had come), stale reports (under 0.6 s).

--- a/flintfield/decision/policy.py
+++ b/flintfield/decision/policy.py
@@ -31,6 +31,7 @@
 MEMORY = 8  # samples that a mean of costs or paces goes back
 NEAR = 2  # workers that a dispatcher deals with beyond those its jobs fill
 AWAY = 3.0  # how many workers at home stand before one of another zone in our order, where zones are alike
+SPARE = 0.5  # slots that are to be free beside those of a job that may not be sent again
 HASTE = 2.0  # how long a job is thought to take that has little time, in its time at the quickest worker
 TICK = 0  # timer token; requests take 1 and up
 
@@ -296,7 +297,10 @@
     def _expired(self, job: Job) -> bool:
         """A job that can hardly be in time is worth its late part, not to stop those that can; or it ends."""
         cls = self.settings.classes[job.request.cls]
-        useful = cls.aim_ms + (cls.stretch - (self.pace.value or 1.0)) * job.cost
+        out, pace = job.running(), self.pace.value or 1.0
+        if out:  # guards against giving up a booking, which can go nowhere else, while it may be in time
+            pace = 0.0 if cls.effect is Effect.UNSAFE else self._pace(out[0].worker)
+        useful = cls.aim_ms + (cls.stretch - pace) * job.cost
         if job.late or self.now - job.arrived <= max(useful, cls.aim_ms / 2):
             return False
         if cls.late_worth <= 0:
@@ -317,6 +321,9 @@
                 self.held.put(job)
             return False
         self.held.take_out(job)
+        if self.settings.classes[job.request.cls].effect is Effect.UNSAFE:
+            # Guards against a booking in a queue that it may not leave: its first place is its only one.
+            ready = [w for w in ready if self._room(w, job.request.slots + SPARE)] or ready
         worker = self._draw(job, ready)
         attempt = Attempt(worker, self.now, job.request.slots, self.settings.tells_start)
         self.attempts[job.request.rid, len(job.attempts)] = attempt
--- a/tests/test_market.py
+++ b/tests/test_market.py
@@ -6,15 +6,16 @@
 import subprocess
 import sys
 from collections import Counter
+from dataclasses import replace
 from math import log
 from pathlib import Path
 
 import pytest
 from hypothesis import given, strategies as st
 
-from helpers import World, only, sent_to, settings
+from helpers import LIMITS, World, only, sent_to, settings
 from flintfield.decision.interface import (
-    Entry, Fail, Note, Outcome, Probed, Refuse, Report, Request, RequestClass, Send, Settings, Tenant,
+    Effect, Entry, Fail, Note, Outcome, Probed, Refuse, Report, Request, RequestClass, Send, Settings, Tenant,
 )
 from flintfield.decision.policy import RHO, Dispatcher
 from flintfield.decision.records import Worker
@@ -195,7 +196,7 @@
 
 SCRIPT = """
 import sys; sys.path.insert(0, "tests")
-from helpers import World, settings
+from helpers import LIMITS, World, settings
 from flintfield.decision.interface import Entry, Outcome
 worlds = [World(settings(), [Entry(n) for n in range(9)], seed=s) for s in (1, 2)]
 for n in range(40):
@@ -225,3 +226,26 @@
     parts = (ROOT / "README.md").read_text().split("```python\n")[1:]
     code = "\n".join(part.split("```")[0] for part in parts)
     exec(compile(code, "README.md", "exec"), {})
+
+
+@pytest.mark.parametrize(("effect", "ends"), [(Effect.UNSAFE, 1100), (Effect.SAFE, 800)])
+def test_a_sent_job_is_given_up_when_it_can_not_be_in_time_or_a_booking_at_the_very_last(
+    effect: Effect, ends: int
+) -> None:
+    limits = replace(LIMITS, second_copies=False)
+    world = World(settings(effect, tells_start=True, stretch=2.0, limits=limits), [Entry(1)])
+    assert sent_to(world.request(1, hint_ms=300.0)) == [1]
+    assert not [a for a in world.wait(ends - 20) if isinstance(a, Fail | Refuse)]
+    assert len([a for a in world.wait(200) if isinstance(a, Fail | Refuse)]) == 1
+
+
+@pytest.mark.parametrize(("effect", "goes_to"), [(Effect.UNSAFE, {2}), (Effect.SAFE, {1})])
+def test_a_booking_goes_where_a_slot_is_to_spare(effect: Effect, goes_to: set[int]) -> None:
+    met = set()
+    for seed in range(20):
+        entries = [Entry(1, weight=9.0), Entry(2)]
+        world = World(settings(effect, has_weights=True), entries, seed, free=None)
+        for worker, free in ((1, 1), (2, 4), (1, 0)):  # the last word: somebody has its slot at times
+            world.feed(Probed(worker, Outcome.OK, 1.0, Report(free=free)))
+        met.update(sent_to(world.request(1, hint_ms=300.0)))
+    assert met == goes_to
