Shun a next hop for bookings after one ended there in an error

Cause: a next hop's health is one figure for all classes (policy.py, _learn), so one that fails bookings within 20 ms and serves match-lists well kept its share and looked free besides; each scheduler sent it booking after booking. Ruled out: connections (the 'failed' line came), reports, time-outs, caller legs. Now: after an error no job of that class that may not be sent again goes there for 8 s, trebled with each in a row, unless all are shunned. Conclusion: one booking for each faulty next hop and scheduler is the price of knowing.

--- a/flintfield/decision/policy.py
+++ b/flintfield/decision/policy.py
@@ -31,6 +31,7 @@
 MEMORY = 8  # samples that a mean of costs or paces goes back
 NEAR = 2  # workers that a dispatcher deals with beyond those its jobs fill
 AWAY = 3.0  # how many workers at home stand before one of another zone in our order, where zones are alike
+SHUN_MS, LONGEST_SHUN_MS = 8000.0, 30_000.0  # after an error of a class, trebled with each in a row
 SPARE = 0.5  # slots that are to be free beside those of a job that may not be sent again
 HASTE = 2.0  # how long a job is thought to take that has little time, in its time at the quickest worker
 TICK = 0  # timer token; requests take 1 and up
@@ -98,6 +99,7 @@
                 worker = self.workers[entry.worker] = Worker(entry, MEMORY, rank)
             if entry.started_ms > worker.entry.started_ms:  # a new process: what was seen is of the old one
                 worker.born, worker.others, worker.health, worker.full_until = entry.started_ms, 0.0, 1.0, 0.0
+                worker.errors, worker.shunned = {}, {}
             worker.entry = entry
         self.ring = sorted(self.workers.values(), key=lambda w: w.rank)
         self._size_up()
@@ -316,12 +318,16 @@
         """Draw a worker with room for the job; while there is none, or none it can pay, it is held here."""
         ready = [w for w in pool if w.price <= job.theta
                  and self._room(w, job.request.slots) and self._may_send(job, w)]
+        cls = self.settings.classes[job.request.cls]
+        unsafe = cls.effect is Effect.UNSAFE
+        if unsafe and any(not self._shuns(w, job) and not self._silent(w) for w in self.near):
+            ready = [w for w in ready if not self._shuns(w, job)]
         if not ready:
             if not job.running():  # one that waits at a worker is not held as well: thousands may in a jam
                 self.held.put(job)
             return False
         self.held.take_out(job)
-        if self.settings.classes[job.request.cls].effect is Effect.UNSAFE:
+        if unsafe:
             # Guards against a booking in a queue that it may not leave: its first place is its only one.
             ready = [w for w in ready if self._room(w, job.request.slots + SPARE)] or ready
         worker = self._draw(job, ready)
@@ -331,13 +337,17 @@
         worker.mine += attempt.slots
         if self.settings.tells_start:
             worker.pending[attempt] = None
-            if self.settings.classes[job.request.cls].effect is not Effect.UNSAFE:
+            if not unsafe:
                 self._set_timer(START_MS, job)
         if self._warmth(worker) < 1.0:
             worker.sent.append((self.now, job.cost))
         self.actions.append(Send(job.request.rid, worker.entry.worker))
         return True
 
+    def _shuns(self, worker: Worker, job: Job) -> bool:
+        """Guards against booking after booking at a worker that fails them and serves other classes well."""
+        return self.now < worker.shunned.get(job.request.cls, -math.inf)
+
     def _draw(self, job: Job, ready: list[Worker]) -> Worker:
         """Draw from η; jobs of one key draw alike (weighted rendezvous): guards against fetching it anew."""
         eta = self._shares(job.theta, ready)
@@ -455,7 +465,11 @@
         worker.pending.pop(attempt, None)
         if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
             self._heard(worker, event.report)
+        if event.outcome is Outcome.ERROR and job is not None:
+            count = worker.errors[job.request.cls] = worker.errors.get(job.request.cls, 0) + 1
+            worker.shunned[job.request.cls] = self.now + min(SHUN_MS * 3 ** (count - 1), LONGEST_SHUN_MS)
         if event.outcome is Outcome.OK and job is not None:
+            worker.errors.pop(job.request.cls, None)
             ran = event.took_ms if attempt.started is None else self.now - attempt.started
             if job.request.hint_ms is None:
                 self.costs[job.request.cls].add(ran)
--- a/flintfield/decision/records.py
+++ b/flintfield/decision/records.py
@@ -48,6 +48,8 @@
         self.probing = self.missed = False  # a probe is out; one failed since the last word
         self.down = False  # it took no connection since the last word
         self.struck = False  # a connection to it broke before a request was whole, since the last word
+        self.errors: dict[int, int] = {}  # by class: jobs in a row that ended in an error
+        self.shunned: dict[int, float] = {}  # by class: until when none goes there that must not fail
         self.pending: dict[Attempt, None] = {}  # our attempts that have not started, oldest first
         self.sent: deque[tuple[float, float]] = deque()  # (time, cost) of sends while cold
 
--- a/tests/test_market.py
+++ b/tests/test_market.py
@@ -17,7 +17,7 @@
 from flintfield.decision.interface import (
     Effect, Entry, Fail, Note, Outcome, Probed, Refuse, Report, Request, RequestClass, Send, Settings, Tenant,
 )
-from flintfield.decision.policy import RHO, Dispatcher
+from flintfield.decision.policy import RHO, SHUN_MS, Dispatcher
 from flintfield.decision.records import Worker
 
 ROOT = Path(__file__).parent.parent
@@ -249,3 +249,23 @@
             world.feed(Probed(worker, Outcome.OK, 1.0, Report(free=free)))
         met.update(sent_to(world.request(1, hint_ms=300.0)))
     assert met == goes_to
+
+
+@pytest.mark.parametrize("effect", [Effect.UNSAFE, Effect.SAFE])
+def test_a_worker_that_fails_a_class_is_shunned_by_what_may_not_be_repeated(effect: Effect) -> None:
+    world = World(settings(effect, has_weights=True), [Entry(1, weight=9.0), Entry(2)], free=9)
+    rids = iter(range(100))
+
+    def failed(count: int) -> int:
+        """So many jobs, one by one, of which those at worker 1 end in an error."""
+        met = 0
+        for rid in (next(rids) for _ in range(count)):
+            (worker,) = sent_to(world.request(rid, hint_ms=300.0))
+            met += worker == 1
+            world.end(rid, worker, Outcome.ERROR if worker == 1 else Outcome.OK, over=True)
+        return met
+
+    assert failed(10) == 1 if effect is Effect.UNSAFE else failed(10) > 2
+    if effect is Effect.UNSAFE:
+        world.wait(SHUN_MS)  # then it is tried again
+        assert failed(20) == 1
