Read odd lines of a list and odd figures of a report one by one

Cause: one odd line made a whole list unread (discovery.py, news), which is a failed watch; report figures were bounded by nothing (hop.py, make_report), so one huge count of free slots would stay a next hop's largest for ever; a progress share near 0 or over 1 set the pace.

--- a/flintfield/wire/http1/discovery.py
+++ b/flintfield/wire/http1/discovery.py
@@ -5,7 +5,7 @@
 import hashlib
 import json
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -13,7 +13,7 @@
 
 from flintfield.decision.interface import Entry, ListMode, State
 from flintfield.memory.messages import (
-    CallDiscovery, LeaveDiscovery, Message, Reach, Route, RouteCallFailed, RouteNews,
+    Address, CallDiscovery, LeaveDiscovery, Message, Reach, Route, RouteCallFailed, RouteNews,
 )
 from flintfield.wire.http1.client import Pool
 
@@ -42,29 +42,48 @@
         """Read a list or a change of it."""
         try:
             mode = ListMode.CACHED if cached else ListMode.FULL if raw["reset"] else ListMode.DELTA
-            return RouteNews(mode, int(raw["generation"]), tuple(self._route(r) for r in raw["instances"]))
+            routes = [self._route(r) for r in list(raw["instances"])]
+            return RouteNews(mode, int(raw["generation"]), tuple(r for r in routes if r))
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise ListError(f"a list that cannot be read: {error!r}") from error
 
-    def _route(self, raw: Any) -> Route:
-        host, _, port = raw["hostPort"].rpartition(":")
+    def _route(self, raw: Any) -> Route | None:
+        """One line; None if it names nobody. Guards against one odd line that makes the others unheard."""
+        if not isinstance(raw, Mapping) or not isinstance(name := raw.get("instanceId"), str):
+            return None
+        address = _address(raw.get("hostPort"))
+        word = raw.get("lifecycle")
+        # Guards against a word or an address that we do not know: nothing new goes to such a next hop.
+        state = STATES.get(word, State.DRAINING) if isinstance(word, str) else State.DRAINING
+        if address is None and state is State.READY:
+            state = State.DRAINING
         entry = Entry(
-            worker=worker_of(raw["instanceId"]),
-            # Guards against a word we do not know: nothing new goes to such a next hop.
-            state=STATES.get(raw["lifecycle"], State.DRAINING),
+            worker=worker_of(name),
+            state=state,
             zone=_place(self.zones, raw.get("zone")),
-            cell=int(raw.get("cell") or 0),
+            cell=int(_figure(raw.get("cell"), 0.0)),
             kind=_place(self.kinds, raw.get("machineType")),
-            weight=float(raw.get("weight") or 1.0),
-            started_ms=float(raw.get("startedAtMs") or 0.0),
+            weight=_figure(raw.get("weight"), 1.0) or 1.0,
+            started_ms=_figure(raw.get("startedAtMs"), 0.0),
         )
-        return Route(raw["instanceId"], (host, int(port)), entry)
+        return Route(name, address or ("", 0), entry)
 
 
 def _place(names: Sequence[str], name: Any) -> int:
     return names.index(name) if name in names else len(names)
 
 
+def _address(text: Any) -> Address | None:
+    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    return (host.strip("[]"), int(port)) if host and port.isdecimal() and 0 < int(port) < 65_536 else None
+
+
+def _figure(value: Any, usual: float) -> float:
+    """A figure of a list; what is none, or none that can be, counts as the usual one."""
+    plain = isinstance(value, int | float) and not isinstance(value, bool)
+    return float(value) if plain and 0 <= value < 1e15 else usual
+
+
 class Discovery:
     """The watch calls to discovery, one at a time on a kept connection."""
 
--- a/flintfield/wire/http1/hop.py
+++ b/flintfield/wire/http1/hop.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -22,6 +21,8 @@
 CONTINUE_S = 0.1  # a next hop that is to say 100 and has not by then says nothing on this connection
 TAIL_S = 0.5  # how long the end of a response may lag behind its last line
 MOST_LINE = 1 << 18
+LEAST_SHARE = 0.01
+MOST = {"free": 1024.0, "inflight": 65_536.0, "queue": 65_536.0, "util": 64.0, "latency_ms": 3_600_000.0}
 FINAL = {"done": End.DONE, "failed": End.FAILED, "returned": End.DECLINED, "lost": End.LOST}
 
 
@@ -154,6 +155,8 @@
                 return Ending(FINAL[state], Reach.ANSWERED, body.encode(), load, state)
             if state in ("started", "running"):
                 share = float(told.get("share", 0.0))
+                # Guards against a pace taken from a share that cannot be, or is too small to tell one.
+                share = share if LEAST_SHARE <= share <= 1 else 0.0
                 self._tell(BranchNoted(effect.rid, effect.branch, state == "started", share))
         except (ValueError, KeyError, TypeError):
             return Ending(End.BROKEN, Reach.SENT, word="a line that cannot be read")
@@ -207,6 +210,7 @@
             number = float(value)
         except (TypeError, ValueError):
             continue
-        if ours and math.isfinite(number):
-            known[ours] = number
+        # Guards against figures that cannot be: one huge count of free slots would draw all jobs there.
+        if ours and -1 < number <= MOST[ours]:
+            known[ours] = max(0.0, number)  # reports are a little noisy
     return Report(**known) if known else None
