Answer GET /jobs/<Req-Id> from a bounded table, and read the operators' INI file

Seen: staff could only learn what became of a booking by sending it again. Built: memory/jobs.py, told by the reducer (taken, written, progress, branch over, answered); wire/http1/jobs.py words it; lifecycle/operators.py reads the INI file; lifecycle/stderr.py writes from a thread, so that a stderr that nobody reads stalls no job. Checked: a stalling stub node on real sockets, duplicates of an open id, expiry by the time passed in, a table full of live jobs, ten faulty files. An empty table that counted as no table was found by reading before it was committed.

--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -12,9 +12,12 @@
 
 from flintfield.decision.policy import Dispatcher
 from flintfield.lifecycle.config import Config
+from flintfield.lifecycle.operators import Operators
+from flintfield.lifecycle.stderr import ErrorOut
+from flintfield.memory.jobs import Jobs
 from flintfield.memory.messages import (
     Answer, CallDiscovery, Defect, DiscoveryMoved, DropBranch, Effect, LeaveDiscovery, Message, OpenBranch,
-    ProbeHop, StopAsked, WatchFailed, Woke, WriteBranch,
+    ProbeHop, StopAsked, Untracked, WatchFailed, Woke, WriteBranch,
 )
 from flintfield.memory.reducer import LAST_CALL_MS, reduce
 from flintfield.memory.state import State
@@ -22,6 +25,7 @@
 from flintfield.wire.http1.client import Pool
 from flintfield.wire.http1.discovery import Discovery, Reader
 from flintfield.wire.http1.hop import NextHops
+from flintfield.wire.http1.jobs import JobPages
 
 SWEEP_S = 1.0
 LEGS_PART = 0.5  # of the descriptors: for caller legs; clients hold a third of all for requests
@@ -31,6 +35,7 @@
 STOP_MARGIN_MS = 200.0  # all is answered so long before the kill
 STOP_ACCEPT_S = 0.62  # after SIGTERM new connections keep coming for up to 0.4 s, then their requests
 STOP_CHECK_S = 0.02
+FLUSH_S = 0.1  # how long the end waits for what still goes to standard error
 
 
 def make_clock() -> Callable[[], float]:
@@ -42,10 +47,13 @@
 class Program:
     """One real scheduler."""
 
-    def __init__(self, config: Config, log: Any) -> None:
+    def __init__(self, config: Config, operators: Operators, log: Any) -> None:
         self._config, self._log = config, log
         self._clock = make_clock()
-        self.state = State(Dispatcher(config.settings, config.seed), config.most_held, config.discovery)
+        given = operators.jobstatus
+        jobs = Jobs(given.keep_ms, given.max_entries) if given else None
+        self.state = State(Dispatcher(config.settings, config.seed), config.most_held, config.discovery, jobs)
+        self._errors = ErrorOut(self._count)
         self._inbox: deque[Message] = deque()
         self._taking = False
         self._rearm = anyio.Event()
@@ -58,7 +66,8 @@
         self._known = reader.news(config.known, cached=True)
         self._hops = NextHops(self.tell, self._clock, pool, config.report_names)
         self._discovery = Discovery(self.tell, pool, reader)
-        pages = Pages(lambda: not self.state.stopping, lambda: self.state.counters)
+        job_pages = JobPages(config.name, lambda name: jobs.find(self._clock(), name)) if jobs else None
+        pages = Pages(lambda: not self.state.stopping, lambda: self.state.counters, job_pages)
         self._callers = Callers(self.tell, pages, config.class_names,
                                 int(config.sockets * LEGS_PART), self._count)
         self._perform: dict[type, Callable[[Any], None]] = {
@@ -70,6 +79,7 @@
             CallDiscovery: self._call_discovery,
             LeaveDiscovery: self._discovery.leave,
             Defect: lambda e: self._log.error("defect", where=e.where, error=e.error),
+            Untracked: lambda e: self._errors.line("job not tracked: the table is full", id=e.name),
             WatchFailed: lambda e: self._log.warning("watch failed", word=e.word),
         }
 
@@ -151,6 +161,7 @@
             await stop_asked.wait()
             await self._stop(tasks)
             tasks.cancel_scope.cancel()
+        self._errors.flush(FLUSH_S)
         self._log.info("stopped", counters=dict(sorted(self.state.counters.items())))
 
     def reload(self, config: Config) -> None:
--- a/flintfield/lifecycle/start.py
+++ b/flintfield/lifecycle/start.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import argparse
 import os
 import signal
 import sys
+from collections.abc import Sequence
 from typing import Any
 
 import anyio
@@ -12,18 +14,24 @@
 
 from flintfield.lifecycle.config import Config, ConfigError, read_config
 from flintfield.lifecycle.log import make_log
+from flintfield.lifecycle.operators import Operators, OperatorsError, read_operators
 from flintfield.lifecycle.program import Program
 from flintfield.wire.http1.discovery import ListError
 
 BAD_CONFIG = 2
 
 
-def main() -> int:
+def main(arguments: Sequence[str] | None = None) -> int:
     """Run one real scheduler until SIGTERM or SIGINT."""
+    parser = argparse.ArgumentParser(prog="flintfield", description="Run one real scheduler; LB_CONFIG names "
+                                     "the platform's configuration.")
+    parser.add_argument("--ini", metavar="FILE", help="the operators' settings; without it no feature is on")
+    given = parser.parse_args(arguments)
     try:
+        operators = read_operators(given.ini)
         config = read_config(os.environ)
-        anyio.run(_serve, config, make_log(name=config.name))
-    except ConfigError as error:
+        anyio.run(_serve, config, operators, make_log(name=config.name))
+    except (ConfigError, OperatorsError) as error:
         print(f"flintfield: {error}", file=sys.stderr)
         return BAD_CONFIG
     except ListError as error:
@@ -35,8 +43,8 @@
     return 0
 
 
-async def _serve(config: Config, log: Any) -> None:
-    program, stop_asked = Program(config, log), anyio.Event()
+async def _serve(config: Config, operators: Operators, log: Any) -> None:
+    program, stop_asked = Program(config, operators, log), anyio.Event()
     program.listen()
     async with anyio.create_task_group() as tasks:
         # Guards against a signal right after the start, which would kill a program that does not listen yet.
--- a/flintfield/memory/messages.py
+++ b/flintfield/memory/messages.py
@@ -257,5 +257,12 @@
     word: str
 
 
+@dataclass(frozen=True, slots=True)
+class Untracked:
+    """The table of jobs is full of live ones, so this one's state can not be asked for."""
+
+    name: str
+
+
 Effect = (OpenBranch | WriteBranch | DropBranch | Answer | ProbeHop | CallDiscovery | LeaveDiscovery | Defect
-          | WatchFailed)
+          | WatchFailed | Untracked)
--- a/flintfield/memory/reducer.py
+++ b/flintfield/memory/reducer.py
@@ -18,7 +18,7 @@
 from flintfield.memory.messages import (
     Answer, BranchEnded, BranchNoted, BranchUp, CallDiscovery, CallerLeft, Defect, DiscoveryMoved, DropBranch,
     Effect, End, Ending, LeaveDiscovery, Message, OpenBranch, ProbeEnded, ProbeHop, Reach, RouteCallFailed,
-    RouteNews, StopAsked, Submitted, Verdict, WatchFailed, Woke, WriteBranch,
+    RouteNews, StopAsked, Submitted, Untracked, Verdict, WatchFailed, Woke, WriteBranch,
 )
 from flintfield.memory.state import Branch, BranchDue, DeadlineDue, State, TokenDue, Transaction
 
@@ -154,12 +154,23 @@
             self._answer(message.rid, Verdict.FAILED)
             return
         state.names[given.name] = message.rid
+        self._track(transaction)
         if len(state.transactions) > state.most_held:
             self._answer(message.rid, Verdict.REFUSED, retry_after_ms=state.limits.max_retry_after_ms)
             return
         self._events.append(Request(message.rid, given.cls, deadline, key=given.key, hint_ms=given.cost_ms,
                                     slots=given.slots, memory=given.memory, repeat=given.repeat))
 
+    def _track(self, transaction: Transaction) -> None:
+        jobs, given = self.state.jobs, transaction.submission
+        if jobs and not jobs.take(self.now, given.name, given.class_name):
+            self.state.counters["jobs.untracked"] += 1
+            self.effects.append(Untracked(given.name))
+
+    def _owns(self, transaction: Transaction) -> bool:
+        """Whether its id stands for it: not so for a second request of an id that is still in work."""
+        return self.state.names.get(transaction.submission.name) == transaction.rid
+
     def caller_left(self, message: CallerLeft) -> None:
         transaction = self.state.transactions.get(message.rid)
         if transaction is None or transaction.answered:
@@ -173,6 +184,8 @@
         if transaction is None or transaction.answered:
             return
         transaction.answered = True
+        if self.state.jobs and self._owns(transaction):
+            self.state.jobs.end(self.now, transaction.submission.name, verdict.value)
         self.state.counters[f"answers.{verdict.value}.{transaction.submission.class_name}"] += 1
         # Callers may keep a connection that serves to the last; one that does not sends them elsewhere.
         close = self.state.stopping and (verdict is not Verdict.SERVED or self.now >= self.last_call())
@@ -182,7 +195,7 @@
     def _forget_settled(self, transaction: Transaction) -> None:
         if transaction.settled():
             self.state.transactions.pop(transaction.rid, None)
-            if self.state.names.get(transaction.submission.name) == transaction.rid:
+            if self._owns(transaction):
                 del self.state.names[transaction.submission.name]
 
     # ------------------------------------------------------------ branches
@@ -205,11 +218,16 @@
             self._end_branch(transaction, message.branch, Outcome.MOOT)
             return
         self.state.counters["branches.written"] += 1
+        branch.written = True
+        if self.state.jobs:
+            self.state.jobs.run(transaction.submission.name, route.name)
         self.effects.append(WriteBranch(message.rid, message.branch, transaction.submission,
                                         max(1.0, transaction.deadline - self.now)))
 
     def branch_noted(self, message: BranchNoted) -> None:
         if found := self._out(message.rid, message.branch):
+            if self.state.jobs and message.share and not found[0].answered:
+                self.state.jobs.note(found[0].submission.name, message.share)
             self._events.append(Note(message.rid, message.branch, found[1].worker, message.started,
                                      message.share))
 
@@ -225,6 +243,9 @@
                     ending: Ending | None = None) -> None:
         branch = transaction.branches[number]
         branch.ended = True
+        at_work = any(b.written and not b.ended for b in transaction.branches)
+        if self.state.jobs and not transaction.answered and not at_work:
+            self.state.jobs.wait(transaction.submission.name)
         self.state.counters[f"branches.ended.{outcome.value}"] += 1
         report = ending.report if ending else None
         self._events.append(AttemptEnded(transaction.rid, number, branch.worker, outcome,
--- a/flintfield/memory/state.py
+++ b/flintfield/memory/state.py
@@ -9,6 +9,7 @@
 
 from flintfield.decision.interface import Limits, WorkerId
 from flintfield.decision.policy import Dispatcher
+from flintfield.memory.jobs import Jobs
 from flintfield.memory.messages import Address, Route, Submission
 
 
@@ -20,6 +21,7 @@
     address: Address
     opened: float
     ended: bool = False
+    written: bool = False
 
 
 @dataclass(slots=True)
@@ -87,10 +89,12 @@
 class State:
     """The scheduler's memory."""
 
-    def __init__(self, dispatcher: Dispatcher, most_held: int, discovery: Address) -> None:
+    def __init__(self, dispatcher: Dispatcher, most_held: int, discovery: Address,
+                 jobs: Jobs | None = None) -> None:
         self.dispatcher, self.discovery = dispatcher, discovery
         self.limits: Limits = dispatcher.settings.limits
         self.most_held = most_held
+        self.jobs = jobs  # None: what has become of jobs is not kept
         self.transactions: dict[int, Transaction] = {}
         self.names: dict[str, int] = {}  # the ids callers gave to the transactions that are not settled
         self.routes: dict[WorkerId, Route] = {}
--- a/flintfield/wire/http1/caller.py
+++ b/flintfield/wire/http1/caller.py
@@ -12,6 +12,7 @@
 from anyio.abc import TaskGroup
 
 from flintfield.memory.messages import Address, Answer, CallerLeft, Message, Submitted, Verdict
+from flintfield.wire.http1.jobs import JOBS, JobPages
 from flintfield.wire.http1.leg import Leg, Reply
 from flintfield.wire.http1.stream import Stream
 from flintfield.wire.http1.submission import BadRequest, Request, read_submission
@@ -31,6 +32,7 @@
 
     ready: Callable[[], bool]
     counters: Callable[[], Mapping[str, int]]
+    jobs: JobPages | None = None  # None: there are no such pages
 
 
 def reply_of(answer: Answer) -> Reply:
@@ -176,6 +178,8 @@
 
     def _page(self, request: Request) -> Reply | None:
         path = request.target.split(b"?", 1)[0]
+        if self._pages.jobs and path.startswith(JOBS):
+            return self._pages.jobs.page(request.method, path[len(JOBS):])
         if path not in (b"/ready", b"/counters"):
             return None
         if request.method != b"GET":
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,33 @@
-"""Property tests try the same examples at every run."""
+"""What the tests share. Property tests try the same examples at every run."""
 
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
 from hypothesis import settings
 
+from peers import Hop, Scheduler, Start
+
 settings.register_profile("same", derandomize=True, deadline=None, max_examples=60)
 settings.load_profile("same")
+
+
+@pytest.fixture
+def begin(tmp_path: Path) -> Iterator[Start]:
+    """Start schedulers that end with the test."""
+    started: list[Scheduler] = []
+
+    def make(*hops: Hop, sockets: int = 1024, descriptors: int = 0, ini: str = "",
+             **settings: Any) -> Scheduler:
+        started.append(Scheduler(tmp_path, list(hops), settings, sockets, descriptors, ini))
+        return started[-1]
+
+    yield make
+    for scheduler in started:
+        scheduler.process.kill()
+        scheduler.process.communicate()
+        for server in (scheduler.directory.server, *(h.server for h in scheduler.hops)):
+            server.stop()
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -12,6 +12,7 @@
 import sys
 import threading
 import time
+from collections.abc import Callable
 from http.client import HTTPConnection, HTTPResponse
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
@@ -205,7 +206,7 @@
     """The real program as a process."""
 
     def __init__(self, folder: Path, hops: list[Hop], settings: dict[str, Any], sockets: int,
-                 descriptors: int = 0) -> None:
+                 descriptors: int = 0, ini: str = "") -> None:
         self.hops, self.directory, self.folder = hops, Directory(), folder
         self.directory.whole = [h.entry() for h in hops]
         self.config = {
@@ -213,7 +214,7 @@
             "limits": {"memory_mb": 192, "sockets": sockets}, "settings": SETTINGS | settings,
             "known": {"generation": 1, "reset": True, "instances": [h.entry() for h in hops]},
         }
-        self.process = start(folder, self.config, descriptors)
+        self.process = start(folder, self.config, descriptors, ini)
         assert self.process.stdout
         self.port = json.loads(self.process.stdout.readline())["port"]
 
@@ -252,15 +253,18 @@
         return self.process.returncode, [json.loads(line) for line in out.splitlines()]
 
 
-def start(folder: Path, config: dict[str, Any], descriptors: int = 0) -> subprocess.Popen[str]:
-    """Start the program with that configuration, and with no more descriptors than that if it is given."""
+def start(folder: Path, config: dict[str, Any], descriptors: int = 0, ini: str = "") -> subprocess.Popen[str]:
+    """Start the program with that configuration, that operators' file and no more descriptors than that."""
     def limit() -> None:
         resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
 
     path = folder / "config.json"
     path.write_text(json.dumps(config))
-    return subprocess.Popen([sys.executable, "-m", "flintfield"], cwd=ROOT, text=True, stdout=subprocess.PIPE,
-                            stderr=subprocess.PIPE, env={**os.environ, "LB_CONFIG": str(path)},
+    (folder / "flintfield.ini").write_text(ini)
+    named = ["--ini", str(folder / "flintfield.ini")] if ini else []
+    return subprocess.Popen([sys.executable, "-m", "flintfield", *named], cwd=ROOT, text=True,
+                            stdout=subprocess.PIPE, stderr=subprocess.PIPE,
+                            env={**os.environ, "LB_CONFIG": str(path)},
                             preexec_fn=limit if descriptors else None)
 
 
@@ -270,3 +274,12 @@
     while not true() and time.monotonic() < ends:
         time.sleep(0.01)
     return bool(true())
+
+
+Start = Callable[..., Scheduler]
+"""The fixture `begin`: starts a scheduler with these next hops."""
+
+
+def ended(response: HTTPResponse) -> tuple[int, bytes]:
+    """A whole answer."""
+    return response.status, response.read()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import http.client
 import json
 import signal
 import socket
@@ -13,31 +12,7 @@
 
 import pytest
 
-from peers import SETTINGS, SOON, Directory, Hop, Job, Scheduler, start, until
-
-Start = Callable[..., Scheduler]
-
-
-@pytest.fixture
-def begin(tmp_path: Path) -> Iterator[Start]:
-    """Start schedulers that end with the test."""
-    started: list[Scheduler] = []
-
-    def make(*hops: Hop, sockets: int = 1024, descriptors: int = 0, **settings: Any) -> Scheduler:
-        started.append(Scheduler(tmp_path, list(hops), settings, sockets, descriptors))
-        return started[-1]
-
-    yield make
-    for scheduler in started:
-        scheduler.process.kill()
-        scheduler.process.communicate()
-        for server in (scheduler.directory.server, *(h.server for h in scheduler.hops)):
-            server.stop()
-
-
-def ended(response: http.client.HTTPResponse) -> tuple[int, bytes]:
-    return response.status, response.read()
-
+from peers import SETTINGS, SOON, Directory, Hop, Job, Start, ended, start, until
 
 # ---------------------------------------------------------------- transactions
 
