Let in callers by address lists, and believe PROXY headers of trusted fronts

Seen: all who reached the port were served, and behind a front all had its address. Built: wire/http1/access.py between accept and caller leg. The proxy-protocol package parses without its server, so it is used; it takes unassigned families for 'unspecified' and checks TLVs, so those are refused and cut off before it. A header is peeked at and taken to its last byte and no further. Conclusion: off unless its section is there.

--- a/flintfield/lifecycle/operators.py
+++ b/flintfield/lifecycle/operators.py
@@ -10,8 +10,12 @@
 import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from ipaddress import IPv4Network, IPv6Network, ip_network
 from typing import Any
 
+Network = IPv4Network | IPv6Network
+MAPPED = IPv6Network("::ffff:0:0/96")
+
 
 class OperatorsError(Exception):
     """An operators' file that cannot be used; the text is one line that names what is faulty."""
@@ -25,11 +29,21 @@
     max_entries: int = 4_000
 
 
+@dataclass(frozen=True, slots=True)
+class Access:
+    """Ranges of addresses that may connect, that may not, and whose PROXY headers are believed."""
+
+    allow: tuple[Network, ...] = ()
+    deny: tuple[Network, ...] = ()
+    proxy_trusted: tuple[Network, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class Operators:
     """The features that the operators have turned on."""
 
     jobstatus: JobStatus | None = None
+    access: Access | None = None
 
 
 # ------------------------------------------------------------------- values
@@ -54,9 +68,23 @@
     return read
 
 
+def _networks(text: str) -> tuple[Network, ...]:
+    return tuple(_network(part) for part in (p.strip() for p in text.split(",")) if part)
+
+
+def _network(text: str) -> Network:
+    """One range; mapped IPv4 addresses count as IPv4."""
+    network = ip_network(text)
+    if network.version == 6 and network.prefixlen >= MAPPED.prefixlen and network.subnet_of(MAPPED):
+        mapped = network.network_address.ipv4_mapped
+        return ip_network(f"{mapped}/{network.prefixlen - MAPPED.prefixlen}")
+    return network
+
+
 DAY_MS = 86_400_000.0
 SECTIONS: Mapping[str, tuple[Callable[..., Any], Mapping[str, Callable[[str], Any]]]] = {
     "jobstatus": (JobStatus, {"keep_ms": _number(0, 7 * DAY_MS), "max_entries": _whole(1, 1_000_000)}),
+    "access": (Access, {"allow": _networks, "deny": _networks, "proxy_trusted": _networks}),
 }
 
 
--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -5,14 +5,14 @@
 import time
 from collections import deque
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import anyio
 from anyio.abc import TaskGroup
 
 from flintfield.decision.policy import Dispatcher
 from flintfield.lifecycle.config import Config
-from flintfield.lifecycle.operators import Operators
+from flintfield.lifecycle.operators import Access, Operators
 from flintfield.lifecycle.stderr import ErrorOut
 from flintfield.memory.jobs import Jobs
 from flintfield.memory.messages import (
@@ -27,6 +27,9 @@
 from flintfield.wire.http1.hop import NextHops
 from flintfield.wire.http1.jobs import JobPages
 
+if TYPE_CHECKING:
+    from flintfield.wire.http1.access import Gate
+
 SWEEP_S = 1.0
 LEGS_PART = 0.5  # of the descriptors: for caller legs; clients hold a third of all for requests
 IDLE_PART = 0.1  # of the descriptors: for kept connections; the rest is for branches, probes and our own
@@ -69,7 +72,7 @@
         job_pages = JobPages(config.name, lambda name: jobs.find(self._clock(), name)) if jobs else None
         pages = Pages(lambda: not self.state.stopping, lambda: self.state.counters, job_pages)
         self._callers = Callers(self.tell, pages, config.class_names,
-                                int(config.sockets * LEGS_PART), self._count)
+                                int(config.sockets * LEGS_PART), self._count, self._gate(operators.access))
         self._perform: dict[type, Callable[[Any], None]] = {
             OpenBranch: self._open_branch,
             WriteBranch: self._hops.write,
@@ -83,6 +86,13 @@
             WatchFailed: lambda e: self._log.warning("watch failed", word=e.word),
         }
 
+    def _gate(self, access: Access | None) -> Gate | None:
+        if access is None:
+            return None
+        from flintfield.wire.http1.access import Gate  # its parser takes 1 MB: only where it is on
+
+        return Gate(access.allow, access.deny, access.proxy_trusted, self._errors.line, self._count)
+
     def _start(self, task: Callable[[Any], Coroutine[Any, Any, None]]) -> Callable[[Any], None]:
         """Carry an effect out in a task of its own."""
         async def guarded(effect: Any) -> None:
--- a/flintfield/wire/http1/caller.py
+++ b/flintfield/wire/http1/caller.py
@@ -6,6 +6,7 @@
 import socket
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 import anyio
 import h11
@@ -13,10 +14,13 @@
 
 from flintfield.memory.messages import Address, Answer, CallerLeft, Message, Submitted, Verdict
 from flintfield.wire.http1.jobs import JOBS, JobPages
-from flintfield.wire.http1.leg import Leg, Reply
+from flintfield.wire.http1.leg import REQUEST_S, Leg, Reply
 from flintfield.wire.http1.stream import Stream
 from flintfield.wire.http1.submission import BadRequest, Request, read_submission
 
+if TYPE_CHECKING:
+    from flintfield.wire.http1.access import Gate
+
 BACKLOG = 1024
 ACCEPT_PAUSE_S = 0.05
 # Taken in at once before the legs that are there have their turn. Guards against callers that wait behind
@@ -48,8 +52,9 @@
     """All caller legs, and the socket they come from."""
 
     def __init__(self, tell: Callable[[Message], None], pages: Pages, class_names: Sequence[str],
-                 most_legs: int, count: Callable[[str], None]) -> None:
+                 most_legs: int, count: Callable[[str], None], gate: Gate | None = None) -> None:
         self._tell, self._pages, self._count = tell, pages, count
+        self._gate = gate  # None: all connections are taken as they come
         self._classes = {name: i for i, name in enumerate(class_names)}
         self._most_legs = most_legs
         self._legs: dict[int, Leg] = {}  # by the number of the leg, oldest first
@@ -88,7 +93,7 @@
         """Take in a few connections: how many, less than a turn if no more wait; None for lack of room."""
         for taken in range(ACCEPT_TURN):
             try:
-                sock, _ = listener.accept()
+                sock, (peer, *_) = listener.accept()
             except BlockingIOError:
                 return taken
             except ConnectionAbortedError:
@@ -96,12 +101,15 @@
             except OSError:  # no descriptor or no memory is left
                 self.make_room()
                 return None
+            if self._gate and not self._gate.takes(peer):
+                sock.close()
+                continue
             if len(self._legs) >= self._most_legs:
                 self.make_room()
             self._count("legs.accepted")
             self._next_leg += 1
             leg = self._legs[self._next_leg] = Leg(Stream(sock), anyio.current_time())
-            tasks.start_soon(self._serve, self._next_leg, leg)
+            tasks.start_soon(self._serve, self._next_leg, leg, peer)
         return ACCEPT_TURN
 
     def stop_listening(self, tasks: TaskGroup) -> None:
@@ -154,16 +162,24 @@
             leg.reply = reply_of(effect)
             leg.answered.set()
 
-    async def _serve(self, number: int, leg: Leg) -> None:
+    async def _serve(self, number: int, leg: Leg, peer: str) -> None:
         try:
-            while await self._exchange(leg):
-                pass
+            serves_on = self._gate is None or await self._pass_gate(self._gate, leg, peer)
+            while serves_on:
+                serves_on = await self._exchange(leg)
         except Exception as error:  # exceptions stop at the connection
             self._count(f"legs.broken.{type(error).__name__}")
         finally:
             leg.stream.close()
             del self._legs[number]
 
+    async def _pass_gate(self, gate: Gate, leg: Leg, peer: str) -> bool:
+        """Learn who calls, within the time that the first request has; whether the leg may serve."""
+        read = await gate.lets_in(leg.stream, peer, leg.began + REQUEST_S)
+        if read:
+            leg.feed(read)
+        return read is not None
+
     async def _exchange(self, leg: Leg) -> bool:
         """One request and its answer; whether another may follow."""
         try:
--- a/flintfield/wire/http1/leg.py
+++ b/flintfield/wire/http1/leg.py
@@ -84,9 +84,13 @@
             return False
         if kept:
             self.began = anyio.current_time()
+        self.feed(data)
+        return True
+
+    def feed(self, data: bytes) -> None:
+        """Take in bytes of a request."""
         self.idle = False
         self.h11.receive_data(data)
-        return True
 
     async def watch(self) -> None:
         """Look on while an answer is made, until the caller leaves or sends more, which no sound one does."""
--- a/flintfield/wire/http1/stream.py
+++ b/flintfield/wire/http1/stream.py
@@ -39,24 +39,24 @@
                 break
         return sent
 
-    async def receive(self) -> bytes:
+    async def receive(self, most: int = CHUNK, flags: int = 0) -> bytes:
         """The next bytes; none once the other side has ended or the connection broke."""
         while not self.closed:
             try:
-                return self._sock.recv(CHUNK)
+                return self._sock.recv(most, flags)
             except BlockingIOError:
                 await self._wait(anyio.wait_readable)
             except OSError:
                 break
         return b""
 
-    async def receive_by(self, deadline: float) -> bytes | None:
+    async def receive_by(self, deadline: float, most: int = CHUNK, flags: int = 0) -> bytes | None:
         """The next bytes, empty at the end; None if by then nothing had come."""
         with anyio.CancelScope(deadline=deadline):
-            return await self.receive()
+            return await self.receive(most, flags)
         # Guards against closing on a request that came in time and that a busy loop had no turn to read.
         try:
-            return self._sock.recv(CHUNK)
+            return self._sock.recv(most, flags)
         except BlockingIOError:
             return None
         except OSError:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -21,8 +21,8 @@
     started: list[Scheduler] = []
 
     def make(*hops: Hop, sockets: int = 1024, descriptors: int = 0, ini: str = "",
-             **settings: Any) -> Scheduler:
-        started.append(Scheduler(tmp_path, list(hops), settings, sockets, descriptors, ini))
+             listen: str = "127.0.0.1:0", **settings: Any) -> Scheduler:
+        started.append(Scheduler(tmp_path, list(hops), settings, sockets, descriptors, ini, listen))
         return started[-1]
 
     yield make
