Save and restore the decision module's state as JSON, and tap its events and actions

For capture: after the oldest records drop, prices, paces, held jobs and the generator's state decide as much as the list does. decision/checkpoint.py writes them, each object once; the reducer's one tap sees each event with its time and what the module said. Conclusion: nothing uses it yet.

--- /dev/null
+++ b/flintfield/decision/checkpoint.py
@@ -0,0 +1,132 @@
+"""The whole state of a dispatcher as plain JSON values, and back: what it does next is the same.
+
+Jobs, attempts and workers refer to each other. The first mention of one writes it out, later ones name it by
+its number, so that what was one object is one object again. Only the types named here are read back.
+
+In JSON a list begins with its tag: `l` list, `t` tuple, `q` deque, `d` dict (keys and values in turn), `#` an
+object mentioned before, else the type's name and its fields. A text stands for a number that JSON lacks.
+"""
+
+from __future__ import annotations
+
+import base64
+import math
+import random
+import struct
+from collections import deque
+from collections.abc import Sequence
+from enum import Enum
+from typing import Any
+
+from flintfield.decision.interface import Entry, Outcome, Request, Settings, State
+from flintfield.decision.policy import Dispatcher
+from flintfield.decision.records import Account, Attempt, Held, Job, Mean, Worker
+
+OBJECTS: dict[str, type[Any]] = {
+    c.__name__: c for c in (Account, Attempt, Entry, Held, Job, Mean, Request, Worker)
+}
+ENUMS: dict[str, type[Enum]] = {c.__name__: c for c in (Outcome, State)}
+MADE_ANEW = frozenset({"settings", "handlers", "actions"})  # of a dispatcher: what its making gives it
+WORDS = struct.Struct("<625I")  # of the generator's state
+
+
+class TooLarge(Exception):
+    """The state has more values than were allowed."""
+
+
+def save(dispatcher: Dispatcher, most_values: float = math.inf) -> dict[str, Any]:
+    """The state between two events; `TooLarge` as soon as it proves to have more values than that."""
+    writer = _Writer(most_values)
+    state = {name: writer.value(v) for name, v in vars(dispatcher).items() if name not in MADE_ANEW}
+    return {"fields": writer.fields, "state": state}
+
+
+def restore(settings: Settings, saved: dict[str, Any]) -> Dispatcher:
+    """A dispatcher in that state; a ValueError if it can not be read."""
+    dispatcher = Dispatcher(settings, 0)
+    names = set(vars(dispatcher)) - MADE_ANEW
+    try:
+        reader = _Reader(saved["fields"])
+        if names != set(saved["state"]):
+            raise ValueError("a state of another version")
+        for name, value in saved["state"].items():
+            setattr(dispatcher, name, reader.value(value))
+    except (ValueError, KeyError, TypeError, IndexError, AttributeError, struct.error) as error:
+        raise ValueError(f"a state that cannot be read: {error!r}") from error
+    return dispatcher
+
+
+def _fields(thing: type) -> Sequence[str]:
+    return list(getattr(thing, "__slots__", ()))
+
+
+class _Writer:
+    def __init__(self, most_values: float) -> None:
+        self.fields: dict[str, list[str]] = {}  # of each type that was met
+        self._left = most_values
+        self._numbers: dict[int, int] = {}  # of the objects written, by identity
+
+    def value(self, value: Any) -> Any:
+        self._left -= 1
+        if self._left < 0:
+            raise TooLarge
+        if value is None or isinstance(value, bool | int):
+            return value
+        if isinstance(value, float):
+            return value if math.isfinite(value) else str(value)
+        if isinstance(value, dict):
+            return ["d", *(self.value(part) for pair in value.items() for part in pair)]
+        for kind, tag in ((list, "l"), (tuple, "t"), (deque, "q")):
+            if isinstance(value, kind):
+                return [tag, *(self.value(part) for part in value)]
+        if isinstance(value, random.Random):
+            version, words, gauss = value.getstate()
+            return ["random", version, base64.b64encode(WORDS.pack(*words)).decode(), gauss]
+        name = type(value).__name__
+        if ENUMS.get(name) is type(value):
+            return [name, value.value]
+        if OBJECTS.get(name) is not type(value):
+            raise TypeError(f"no way to write a {name}")
+        if id(value) in self._numbers:
+            return ["#", self._numbers[id(value)]]
+        self._numbers[id(value)] = len(self._numbers)
+        fields = self.fields.setdefault(name, list(_fields(type(value)) or vars(value)))
+        return [name, *(self.value(getattr(value, field)) for field in fields)]
+
+
+class _Reader:
+    def __init__(self, fields: dict[str, list[str]]) -> None:
+        self._fields = fields
+        self._objects: list[Any] = []  # in the order in which they were written
+
+    def value(self, value: Any) -> Any:
+        if isinstance(value, str):
+            return float(value)
+        if not isinstance(value, list):
+            return value
+        tag, *rest = value
+        if tag == "#":
+            return self._objects[rest[0]]
+        if tag == "random":
+            return self._random(*rest)
+        if tag in ENUMS:
+            return ENUMS[tag](rest[0])
+        if tag in OBJECTS:
+            return self._object(tag, rest)
+        parts = [self.value(part) for part in rest]
+        if tag == "d":
+            return dict(zip(parts[::2], parts[1::2], strict=True))
+        return {"l": list, "t": tuple, "q": deque}[tag](parts)
+
+    def _object(self, name: str, values: list[Any]) -> Any:
+        kind = OBJECTS[name]
+        made = object.__new__(kind)
+        self._objects.append(made)  # before its parts, which may name it
+        for field, value in zip(self._fields[name], values, strict=True):
+            object.__setattr__(made, field, self.value(value))  # some are frozen
+        return made
+
+    def _random(self, version: int, words: str, gauss: float | None) -> random.Random:
+        made = random.Random()
+        made.setstate((version, WORDS.unpack(base64.b64decode(words)), gauss))
+        return made
--- a/flintfield/memory/reducer.py
+++ b/flintfield/memory/reducer.py
@@ -75,17 +75,29 @@
     def _decide(self, event: Event) -> list[Action]:
         dispatcher = self.state.dispatcher
         try:
-            return dispatcher.handle(self.now, event)
+            actions = dispatcher.handle(self.now, event)
         except Exception as error:
             # Guards against one bad event ending the price tick, or a caller's wait without an answer.
             self._defect(f"decision on {type(event).__name__}", repr(error))
             actions = list(dispatcher.actions)
+            self._show(event)
             if isinstance(event, Timer) and event.token == TICK:
                 actions = [a for a in actions if not (isinstance(a, SetTimer) and a.token == TICK)]
                 actions.append(SetTimer(TICK_MS, TICK))
             if isinstance(event, Request) and not any(isinstance(a, Send) for a in actions):
                 actions.append(Fail(event.rid))
             return actions
+        self._show(event)
+        return actions
+
+    def _show(self, event: Event) -> None:
+        """Let the tap see what the module itself said; guards against a tap that fails: it is let go."""
+        if self.state.tap:
+            try:
+                self.state.tap(self.now, event, self.state.dispatcher.actions)
+            except Exception as error:
+                self.state.tap = None
+                self._defect("tap", repr(error))
 
     def _defect(self, where: str, error: str) -> None:
         self.state.counters["defects"] += 1
--- a/flintfield/memory/state.py
+++ b/flintfield/memory/state.py
@@ -5,9 +5,10 @@
 import heapq
 import math
 from collections import Counter
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
-from flintfield.decision.interface import Limits, WorkerId
+from flintfield.decision.interface import Action, Event, Limits, WorkerId
 from flintfield.decision.policy import Dispatcher
 from flintfield.memory.jobs import Jobs
 from flintfield.memory.messages import Address, Route, Submission
@@ -86,6 +87,10 @@
         return heapq.heappop(self._heap)[2] if self._heap and self._heap[0][0] <= now else None
 
 
+Tap = Callable[[float, Event, Sequence[Action]], None]
+"""Looks on: each event with its time as the decision module got it, and the actions it answered with."""
+
+
 class State:
     """The scheduler's memory."""
 
@@ -95,6 +100,7 @@
         self.limits: Limits = dispatcher.settings.limits
         self.most_held = most_held
         self.jobs = jobs  # None: what has become of jobs is not kept
+        self.tap: Tap | None = None
         self.transactions: dict[int, Transaction] = {}
         self.names: dict[str, int] = {}  # the ids callers gave to the transactions that are not settled
         self.routes: dict[WorkerId, Route] = {}
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -4,13 +4,14 @@
 
 import json
 import socket
+from dataclasses import replace
 from typing import Any, TypeVar
 
 import anyio
 import pytest
 from hypothesis import given, strategies as st
 
-from flintfield.decision.interface import Cancel, Entry, ListMode, Outcome, State as Lifecycle
+from flintfield.decision.interface import Cancel, Entry, ListMode, Outcome, Report, State as Lifecycle
 from flintfield.decision.policy import TICK_MS, Dispatcher
 from flintfield.lifecycle.config import read_settings
 from flintfield.lifecycle.log import make_log
@@ -20,7 +21,7 @@
     StopAsked, Submission, Submitted, Verdict, Woke, WriteBranch,
 )
 from flintfield.memory.reducer import DEADLINE_MARGIN_MS, outcome_of, reduce
-from flintfield.memory.state import State
+from flintfield.memory.state import State, Tap
 from flintfield.wire.http1 import discovery
 from flintfield.wire.http1.client import Pool
 from flintfield.wire.http1.discovery import Discovery, Reader
@@ -33,8 +34,9 @@
 class Memory:
     """A state and the effects that its messages called for."""
 
-    def __init__(self, hops: int = 2, **settings: Any) -> None:
+    def __init__(self, hops: int = 2, tap: Tap | None = None, **settings: Any) -> None:
         self.state = State(Dispatcher(read_settings(SETTINGS | settings)[0], 1), 100, OLD)
+        self.state.tap = tap
         self.now, self.effects = 1000.0, list[Effect]()
         self.routes = tuple(route(n) for n in range(1, hops + 1))
         self.take(RouteNews(ListMode.CACHED, 7, self.routes))
@@ -233,8 +235,8 @@
             Ending(End.LOST, Reach.ANSWERED), Ending(End.BROKEN, Reach.DIALLING),
             Ending(End.BROKEN, Reach.WRITING), Ending(End.BROKEN, Reach.SENT))
 
-    def __init__(self) -> None:
-        self.memory, self.rid = Memory(3), 0
+    def __init__(self, memory: Memory | None = None) -> None:
+        self.memory, self.rid = memory or Memory(3), 0
 
     def step(self, n: int) -> None:
         memory, what, which = self.memory, n % 10, n // 10
@@ -247,7 +249,8 @@
             state = (Lifecycle.READY, Lifecycle.DRAINING, Lifecycle.GONE)[which % 3]
             memory.take(RouteNews(ListMode.DELTA, 8, (route(1 + which % 3, state),), memory.state.calls))
         elif what == 5:
-            memory.take(ProbeEnded(1 + which % 3, self.ENDS[which % 7], 1.0))
+            ending = replace(self.ENDS[which % 7], report=Report(free=which % 5, queue=which % 2))
+            memory.take(ProbeEnded(1 + which % 3, ending, 1.0))
         elif opened := memory.all(OpenBranch):
             branch = opened[which % len(opened)]
             key = branch.rid, branch.branch
