Record what the module was told and decided, copy it on SIGUSR2, and replay it

Seen: a match-list suggestion that went wrong could only be guessed at. Built: capture/ on the reducer's tap: a ring of segments, each behind a header with the module's state, or rotating files written by a thread; flintfield replay, also as a command that build links. The run line names the operators' file, which turns on capture alone.

--- a/flintfield/decision/checkpoint.py
+++ b/flintfield/decision/checkpoint.py
@@ -14,7 +14,6 @@
 import random
 import struct
 from collections import deque
-from collections.abc import Sequence
 from enum import Enum
 from typing import Any
 
@@ -26,6 +25,9 @@
     c.__name__: c for c in (Account, Attempt, Entry, Held, Job, Mean, Request, Worker)
 }
 ENUMS: dict[str, type[Enum]] = {c.__name__: c for c in (Outcome, State)}
+SERIES: dict[type, str] = {list: "l", tuple: "t", deque: "q"}
+MAKERS: dict[str, type[Any]] = {tag: kind for kind, tag in SERIES.items()}
+PLAIN = frozenset({int, bool, type(None)})
 MADE_ANEW = frozenset({"settings", "handlers", "actions"})  # of a dispatcher: what its making gives it
 WORDS = struct.Struct("<625I")  # of the generator's state
 
@@ -56,10 +58,6 @@
     return dispatcher
 
 
-def _fields(thing: type) -> Sequence[str]:
-    return list(getattr(thing, "__slots__", ()))
-
-
 class _Writer:
     def __init__(self, most_values: float) -> None:
         self.fields: dict[str, list[str]] = {}  # of each type that was met
@@ -70,28 +68,31 @@
         self._left -= 1
         if self._left < 0:
             raise TooLarge
-        if value is None or isinstance(value, bool | int):
+        kind = type(value)
+        if kind in PLAIN:
             return value
-        if isinstance(value, float):
-            return value if math.isfinite(value) else str(value)
-        if isinstance(value, dict):
+        if kind is float:
+            return value if -math.inf < value < math.inf else str(value)
+        if kind is dict:
             return ["d", *(self.value(part) for pair in value.items() for part in pair)]
-        for kind, tag in ((list, "l"), (tuple, "t"), (deque, "q")):
-            if isinstance(value, kind):
-                return [tag, *(self.value(part) for part in value)]
-        if isinstance(value, random.Random):
+        if kind in SERIES:
+            return [SERIES[kind], *map(self.value, value)]
+        if kind.__name__ in OBJECTS:
+            return self._object(value, kind.__name__)
+        if kind.__name__ in ENUMS:
+            return [kind.__name__, value.value]
+        if kind is random.Random:
             version, words, gauss = value.getstate()
             return ["random", version, base64.b64encode(WORDS.pack(*words)).decode(), gauss]
-        name = type(value).__name__
-        if ENUMS.get(name) is type(value):
-            return [name, value.value]
-        if OBJECTS.get(name) is not type(value):
-            raise TypeError(f"no way to write a {name}")
+        raise TypeError(f"no way to write a {kind.__name__}")
+
+    def _object(self, value: Any, name: str) -> Any:
         if id(value) in self._numbers:
             return ["#", self._numbers[id(value)]]
         self._numbers[id(value)] = len(self._numbers)
-        fields = self.fields.setdefault(name, list(_fields(type(value)) or vars(value)))
-        return [name, *(self.value(getattr(value, field)) for field in fields)]
+        if name not in self.fields:
+            self.fields[name] = list(getattr(value, "__slots__", None) or vars(value))
+        return [name, *(self.value(getattr(value, field)) for field in self.fields[name])]
 
 
 class _Reader:
@@ -116,7 +117,7 @@
         parts = [self.value(part) for part in rest]
         if tag == "d":
             return dict(zip(parts[::2], parts[1::2], strict=True))
-        return {"l": list, "t": tuple, "q": deque}[tag](parts)
+        return MAKERS[tag](parts)
 
     def _object(self, name: str, values: list[Any]) -> Any:
         kind = OBJECTS[name]
--- a/flintfield/lifecycle/config.py
+++ b/flintfield/lifecycle/config.py
@@ -180,6 +180,7 @@
     seed: int
     sockets: int
     settings: Settings
+    raw_settings: Any  # as they stand in the file
     class_names: tuple[str, ...]
     zones: tuple[str, ...]
     kinds: tuple[str, ...]
@@ -211,7 +212,8 @@
         discovery=_address(top, "discovery", environ.get("LB_DISCOVERY")),
         seed=_seed(top),
         sockets=top.part("limits").whole("sockets", 1024),
-        settings=replace(settings, ask_list=True),  # on sockets no news comes unasked
+        settings=_on_sockets(settings),
+        raw_settings=raw_settings.raw,
         class_names=tuple(c.text("name") for c in raw_settings.sections("request_classes")),
         zones=raw_settings.texts("areas"),
         kinds=raw_settings.texts("shapes"),
@@ -223,6 +225,15 @@
     )
 
 
+def read_real_settings(raw: Any) -> Settings:
+    """The settings as a real scheduler's decisions have them."""
+    return _on_sockets(read_settings(raw)[0])
+
+
+def _on_sockets(settings: Settings) -> Settings:
+    return replace(settings, ask_list=True)  # no news comes unasked
+
+
 def read_address(text: str) -> tuple[str, int]:
     """Split `host:port`; a ValueError tells what is wrong."""
     host, colon, port = text.rpartition(":")
--- a/flintfield/lifecycle/operators.py
+++ b/flintfield/lifecycle/operators.py
@@ -38,12 +38,22 @@
     proxy_trusted: tuple[Network, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class CaptureOn:
+    """How much is recorded: in a ring in memory, or in so many files of that size."""
+
+    ring_kib: int = 512
+    dir: str | None = None
+    files: int = 8
+
+
 @dataclass(frozen=True, slots=True)
 class Operators:
     """The features that the operators have turned on."""
 
     jobstatus: JobStatus | None = None
     access: Access | None = None
+    capture: CaptureOn | None = None
 
 
 # ------------------------------------------------------------------- values
@@ -68,6 +78,12 @@
     return read
 
 
+def _folder(text: str) -> str:
+    if not text:
+        raise ValueError("must name a folder")
+    return text
+
+
 def _networks(text: str) -> tuple[Network, ...]:
     return tuple(_network(part) for part in (p.strip() for p in text.split(",")) if part)
 
@@ -84,6 +100,7 @@
 DAY_MS = 86_400_000.0
 SECTIONS: Mapping[str, tuple[Callable[..., Any], Mapping[str, Callable[[str], Any]]]] = {
     "jobstatus": (JobStatus, {"keep_ms": _number(0, 7 * DAY_MS), "max_entries": _whole(1, 1_000_000)}),
+    "capture": (CaptureOn, {"ring_kib": _whole(4, 1_048_576), "dir": _folder, "files": _whole(1, 9_999)}),
     "access": (Access, {"allow": _networks, "deny": _networks, "proxy_trusted": _networks}),
 }
 
--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -10,9 +10,10 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from flintfield import __version__ as VERSION
 from flintfield.decision.policy import Dispatcher
 from flintfield.lifecycle.config import Config
-from flintfield.lifecycle.operators import Access, Operators
+from flintfield.lifecycle.operators import Access, CaptureOn, Operators
 from flintfield.lifecycle.stderr import ErrorOut
 from flintfield.memory.jobs import Jobs
 from flintfield.memory.messages import (
@@ -28,6 +29,7 @@
 from flintfield.wire.http1.jobs import JobPages
 
 if TYPE_CHECKING:
+    from flintfield.capture.service import Capture
     from flintfield.wire.http1.access import Gate
 
 SWEEP_S = 1.0
@@ -62,6 +64,7 @@
         self._rearm = anyio.Event()
         self._armed = float("inf")
         self._tasks: TaskGroup
+        self.capture = self._capture(operators.capture)
         pool = Pool(self._clock, config.conn_idle_ms, config.dial_timeout_ms,
                     int(config.sockets * IDLE_PART), lambda: self._callers.make_room())
         self._pool = pool
@@ -86,6 +89,15 @@
             WatchFailed: lambda e: self._log.warning("watch failed", word=e.word),
         }
 
+    def _capture(self, given: CaptureOn | None) -> Capture | None:
+        if given is None:
+            return None
+        from flintfield.capture.recorder import Start
+        from flintfield.capture.service import Capture
+
+        told = Start(self._config.name, VERSION, self._config.seed, self._config.raw_settings)
+        return Capture(given, told, self.state, self._errors, self._count)
+
     def _gate(self, access: Access | None) -> Gate | None:
         if access is None:
             return None
@@ -172,6 +184,8 @@
             await self._stop(tasks)
             tasks.cancel_scope.cancel()
         self._errors.flush(FLUSH_S)
+        if self.capture:
+            self.capture.flush()
         self._log.info("stopped", counters=dict(sorted(self.state.counters.items())))
 
     def reload(self, config: Config) -> None:
--- a/flintfield/lifecycle/start.py
+++ b/flintfield/lifecycle/start.py
@@ -22,11 +22,18 @@
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
-    """Run one real scheduler until SIGTERM or SIGINT."""
+    """Run one real scheduler until SIGTERM or SIGINT, or replay a record."""
     parser = argparse.ArgumentParser(prog="flintfield", description="Run one real scheduler; LB_CONFIG names "
                                      "the platform's configuration.")
     parser.add_argument("--ini", metavar="FILE", help="the operators' settings; without it no feature is on")
+    commands = parser.add_subparsers(dest="command", metavar="COMMAND")
+    replay = commands.add_parser("replay", help="decide again what a capture holds, and print what differs")
+    replay.add_argument("file", metavar="FILE", help="a copy of the ring, or a cap-*.jsonl")
     given = parser.parse_args(arguments)
+    if given.command == "replay":
+        from flintfield.capture.replay import run
+
+        return run(given.file)
     try:
         operators = read_operators(given.ini)
         config = read_config(os.environ)
@@ -56,11 +63,16 @@
 async def _heed_signals(
     program: Program, stop_asked: anyio.Event, log: Any, *, task_status: TaskStatus[None]
 ) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+    heeded: list[signal.Signals] = [signal.SIGTERM, signal.SIGINT, signal.SIGHUP]
+    if program.capture:
+        heeded.append(signal.SIGUSR2)
+    with anyio.open_signal_receiver(*heeded) as signals:
         task_status.started()
         async for number in signals:
             if number == signal.SIGHUP:
                 _reload(program, log)
+            elif number == signal.SIGUSR2 and program.capture:
+                program.capture.copy()
             else:
                 stop_asked.set()
 
--- a/flintfield/lifecycle/stderr.py
+++ b/flintfield/lifecycle/stderr.py
@@ -48,6 +48,11 @@
             self._thread = threading.Thread(target=self._run, name="stderr", daemon=True)
             self._thread.start()
 
+    @property
+    def waiting(self) -> int:
+        """How many lines and texts are still to be written."""
+        return len(self._waiting) + self._busy
+
     def flush(self, within_s: float) -> None:
         """Wait until all is written, but no longer than that."""
         with self._changed:
--- a/tests/test_checkpoint.py
+++ b/tests/test_checkpoint.py
@@ -9,9 +9,10 @@
 from hypothesis import given, strategies as st
 
 from flintfield.decision.checkpoint import TooLarge, restore, save
-from flintfield.decision.interface import Action, Entry, Event, Request, Send, Settings
+from flintfield.decision.interface import Action, Entry, Event, Request, Send
 from flintfield.decision.policy import Dispatcher
-from flintfield.lifecycle.config import read_settings
+from flintfield.lifecycle.config import read_real_settings
+from flintfield.memory.state import State
 from helpers import World, settings as world_settings
 from peers import SETTINGS
 from test_memory import Memory, Script
@@ -25,10 +26,14 @@
 Seen = list[tuple[float, Event, list[Action]]]
 
 
+def look_on(state: State, seen: Seen) -> None:
+    state.tap = lambda now, event, actions: seen.append((now, event, list(actions)))
+
+
 def play(steps: list[int], settings: dict[str, Any]) -> Seen:
     """What a decision module was told, and said, while a script of callers and next hops was played."""
     seen = Seen()
-    memory = Memory(3, lambda now, event, actions: seen.append((now, event, list(actions))), **settings)
+    memory = Memory(3, lambda state: look_on(state, seen), **settings)
     script = Script(memory)
     for n in steps:
         script.step(n)
@@ -47,7 +52,7 @@
     settings: dict[str, Any], steps: list[int], part: float
 ) -> None:
     seen = play(steps, settings)
-    given_settings: Settings = read_settings(SETTINGS | settings)[0]
+    given_settings = read_real_settings(SETTINGS | settings)
     first, cut = Dispatcher(given_settings, 1), int(part * len(seen))
     assert feed(first, seen[:cut]) == [actions for _, _, actions in seen[:cut]]
     saved = json.loads(json.dumps(save(first), allow_nan=False))
@@ -95,7 +100,7 @@
 
 def test_the_tap_sees_each_event_with_its_time_and_one_that_fails_is_let_go() -> None:
     seen = Seen()
-    memory = Memory(tap=lambda now, event, actions: seen.append((now, event, list(actions))))
+    memory = Memory(prepare=lambda state: look_on(state, seen))
     memory.submit(1)
     assert [type(a) for _, e, actions in seen if isinstance(e, Request) for a in actions].count(Send) == 1
 
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -4,6 +4,7 @@
 
 import json
 import socket
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any, TypeVar
 
@@ -13,7 +14,7 @@
 
 from flintfield.decision.interface import Cancel, Entry, ListMode, Outcome, Report, State as Lifecycle
 from flintfield.decision.policy import TICK_MS, Dispatcher
-from flintfield.lifecycle.config import read_settings
+from flintfield.lifecycle.config import read_real_settings
 from flintfield.lifecycle.log import make_log
 from flintfield.memory.messages import (
     Answer, BranchEnded, BranchNoted, BranchUp, CallDiscovery, CallerLeft, DiscoveryMoved, DropBranch, Effect,
@@ -21,7 +22,7 @@
     StopAsked, Submission, Submitted, Verdict, Woke, WriteBranch,
 )
 from flintfield.memory.reducer import DEADLINE_MARGIN_MS, outcome_of, reduce
-from flintfield.memory.state import State, Tap
+from flintfield.memory.state import State
 from flintfield.wire.http1 import discovery
 from flintfield.wire.http1.client import Pool
 from flintfield.wire.http1.discovery import Discovery, Reader
@@ -34,9 +35,10 @@
 class Memory:
     """A state and the effects that its messages called for."""
 
-    def __init__(self, hops: int = 2, tap: Tap | None = None, **settings: Any) -> None:
-        self.state = State(Dispatcher(read_settings(SETTINGS | settings)[0], 1), 100, OLD)
-        self.state.tap = tap
+    def __init__(self, hops: int = 2, prepare: Callable[[State], None] = lambda _: None,
+                 **settings: Any) -> None:
+        self.state = State(Dispatcher(read_real_settings(SETTINGS | settings), 1), 100, OLD)
+        prepare(self.state)
         self.now, self.effects = 1000.0, list[Effect]()
         self.routes = tuple(route(n) for n in range(1, hops + 1))
         self.take(RouteNews(ListMode.CACHED, 7, self.routes))
