Let one kind of thread serve both standard error and the capture files

Seen: duplicates named the same thread, queue and flush in files.py and stderr.py. Now lifecycle/background.py holds it; what waits is weighed under its lock, where the event loop and the thread counted it without one.

--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -181,10 +181,10 @@
 
 def test_a_disk_that_hangs_holds_no_more_than_a_file_in_memory(tmp_path: Path) -> None:
     files = Files(tmp_path, 3, 1000, pytest.fail)
-    with files._changed:  # the thread waits as for a disk
+    with files._background._changed:  # the thread waits as for a disk
         files.begin(b"header\n")
         wants = [files.add(b"y" * 99 + b"\n") for _ in range(100)]
-        assert files._held <= 1100 and not any(wants[9:])
+        assert files._background.held <= 1100 and not any(wants[9:])
     files.flush(SOON)
     assert files.add(b"late\n")  # wants a new header: what was left out must not be missed
     put(files, 1)
