--- a/flintfield/lifecycle/operators.py
+++ b/flintfield/lifecycle/operators.py
@@ -9,7 +9,7 @@
 import configparser
 import math
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import MISSING, dataclass, fields
 from ipaddress import IPv4Network, IPv6Network, ip_network
 from typing import Any
 
@@ -47,6 +47,15 @@
     files: int = 8
 
 
+@dataclass(frozen=True, slots=True)
+class StatusPageOn:
+    """The side port, how often its snapshot is made, and how long an error is shown."""
+
+    port: int
+    refresh_ms: float = 1_000.0
+    error_keep_s: float = 300.0
+
+
 @dataclass(frozen=True, slots=True)
 class Operators:
     """The features that the operators have turned on."""
@@ -54,6 +63,7 @@
     jobstatus: JobStatus | None = None
     access: Access | None = None
     capture: CaptureOn | None = None
+    statuspage: StatusPageOn | None = None
 
 
 # ------------------------------------------------------------------- values
@@ -98,9 +108,11 @@
 
 
 DAY_MS = 86_400_000.0
-SECTIONS: Mapping[str, tuple[Callable[..., Any], Mapping[str, Callable[[str], Any]]]] = {
+SECTIONS: Mapping[str, tuple[type[Any], Mapping[str, Callable[[str], Any]]]] = {
     "jobstatus": (JobStatus, {"keep_ms": _number(0, 7 * DAY_MS), "max_entries": _whole(1, 1_000_000)}),
     "capture": (CaptureOn, {"ring_kib": _whole(4, 1_048_576), "dir": _folder, "files": _whole(1, 9_999)}),
+    "statuspage": (StatusPageOn, {"port": _whole(0, 65_535), "refresh_ms": _number(50, DAY_MS),
+                                  "error_keep_s": _number(0, 7 * DAY_MS / 1000)}),
     "access": (Access, {"allow": _networks, "deny": _networks, "proxy_trusted": _networks}),
 }
 
@@ -140,4 +152,7 @@
             given[key] = keys[key](text)
         except ValueError as error:
             raise OperatorsError(f"[{name}] {key}: {' '.join(str(error).split())}") from error
+    for item in fields(make):
+        if item.default is MISSING and item.name not in given:
+            raise OperatorsError(f"[{name}] {item.name}: missing")
     return make(**given)
--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -13,7 +13,7 @@
 from flintfield import __version__ as VERSION
 from flintfield.decision.policy import Dispatcher
 from flintfield.lifecycle.config import Config
-from flintfield.lifecycle.operators import Access, CaptureOn, Operators
+from flintfield.lifecycle.operators import Access, CaptureOn, Operators, OperatorsError, StatusPageOn
 from flintfield.lifecycle.stderr import ErrorOut
 from flintfield.memory.jobs import Jobs
 from flintfield.memory.messages import (
@@ -22,6 +22,7 @@
 )
 from flintfield.memory.reducer import LAST_CALL_MS, reduce
 from flintfield.memory.state import State
+from flintfield.memory.status import take_status
 from flintfield.wire.http1.caller import Callers, Pages
 from flintfield.wire.http1.client import Pool
 from flintfield.wire.http1.discovery import Discovery, Reader
@@ -30,6 +31,7 @@
 
 if TYPE_CHECKING:
     from flintfield.capture.service import Capture
+    from flintfield.wire.http1.status import StatusPage
     from flintfield.wire.http1.access import Gate
 
 SWEEP_S = 1.0
@@ -55,6 +57,7 @@
     def __init__(self, config: Config, operators: Operators, log: Any) -> None:
         self._config, self._log = config, log
         self._clock = make_clock()
+        self._began = self._clock()
         given = operators.jobstatus
         jobs = Jobs(given.keep_ms, given.max_entries) if given else None
         self.state = State(Dispatcher(config.settings, config.seed), config.most_held, config.discovery, jobs)
@@ -65,6 +68,7 @@
         self._armed = float("inf")
         self._tasks: TaskGroup
         self.capture = self._capture(operators.capture)
+        self._status_on, self._status = operators.statuspage, self._status_page(operators.statuspage)
         pool = Pool(self._clock, config.conn_idle_ms, config.dial_timeout_ms,
                     int(config.sockets * IDLE_PART), lambda: self._callers.make_room())
         self._pool = pool
@@ -98,6 +102,13 @@
         told = Start(self._config.name, VERSION, self._config.seed, self._config.raw_settings)
         return Capture(given, told, self.state, self._errors, self._count)
 
+    def _status_page(self, given: StatusPageOn | None) -> StatusPage | None:
+        if given is None:
+            return None
+        from flintfield.wire.http1.status import StatusPage
+
+        return StatusPage(self._config.name, VERSION, self._count)
+
     def _gate(self, access: Access | None) -> Gate | None:
         if access is None:
             return None
@@ -168,7 +179,27 @@
 
     def listen(self) -> None:
         """Take the listening address."""
-        self._port = self._callers.listen(self._config.listen)
+        self._ports = {"port": self._callers.listen(self._config.listen)}
+        if self._status and self._status_on:
+            try:
+                port = self._status.listen((self._config.listen[0], self._status_on.port))
+            except OSError as error:
+                raise OperatorsError(f"[statuspage] port: {error}") from error
+            self._ports["status_port"] = port
+
+    def _show_status(self) -> None:
+        """Make a new snapshot of the status page."""
+        if self._status and self._status_on:
+            self._status.show(take_status(self.state, self._clock(), self._began, self._config.class_names,
+                                          self._status_on.error_keep_s * 1000))
+
+    async def _keep_status(self, every_s: float) -> None:
+        while True:
+            try:
+                self._show_status()
+            except Exception as error:  # guards all other tasks: one that raises would end them
+                self._defect("status page", error)
+            await anyio.sleep(every_s)
 
     async def run(self, stop_asked: anyio.Event) -> None:
         """Serve until asked to stop and all is settled."""
@@ -178,7 +209,10 @@
             tasks.start_soon(self._keep_time)
             tasks.start_soon(self._sweep)
             tasks.start_soon(self._callers.accept_all, tasks)
-            self._log.info("serving", port=self._port, next_hops=len(self.state.routes),
+            if self._status and self._status_on:
+                tasks.start_soon(self._keep_status, self._status_on.refresh_ms / 1000)
+                tasks.start_soon(self._status.accept_all, tasks)
+            self._log.info("serving", **self._ports, next_hops=len(self.state.routes),
                            generation=self.state.generation)
             await stop_asked.wait()
             await self._stop(tasks)
--- a/flintfield/memory/reducer.py
+++ b/flintfield/memory/reducer.py
@@ -12,7 +12,7 @@
 
 from flintfield.decision.interface import (
     Action, AttemptEnded, Cancel, Event, Fail, Gone, ListMode, Note, Outcome, Probe, Probed, Refuse, Request,
-    Send, ServerList, SetTimer, State as Lifecycle, Timer, Watch,
+    Send, ServerList, SetTimer, State as Lifecycle, Timer, Watch, WorkerId,
 )
 from flintfield.decision.policy import TICK, TICK_MS
 from flintfield.memory.messages import (
@@ -30,6 +30,10 @@
 }
 
 
+ERRORS = frozenset({Outcome.ERROR, Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.UNSENT, Outcome.RESET})
+"""The outcomes of branches and probes that tell of a trouble at a next hop; being full is none."""
+
+
 # What a broken connection proves: nothing once the last byte may have left, and nothing against the next hop
 # if it was never tried.
 BROKEN = {Reach.UNTRIED: Outcome.MOOT, Reach.DIALLING: Outcome.CONNECT_FAILED, Reach.WRITING: Outcome.UNSENT}
@@ -259,6 +263,7 @@
         if self.state.jobs and not transaction.answered and not at_work:
             self.state.jobs.wait(transaction.submission.name)
         self.state.counters[f"branches.ended.{outcome.value}"] += 1
+        self._note_error(branch.worker, outcome)
         report = ending.report if ending else None
         self._events.append(AttemptEnded(transaction.rid, number, branch.worker, outcome,
                                          self.now - branch.opened, transaction.answered, report))
@@ -273,8 +278,13 @@
     def probe_ended(self, message: ProbeEnded) -> None:
         outcome = outcome_of(message.ending)
         self.state.counters[f"probes.ended.{outcome.value}"] += 1
+        self._note_error(message.worker, outcome)
         self._events.append(Probed(message.worker, outcome, message.took_ms, message.ending.report))
 
+    def _note_error(self, worker: WorkerId, outcome: Outcome) -> None:
+        if outcome in ERRORS and worker in self.state.routes:
+            self.state.last_errors[worker] = self.now, outcome.value
+
     def route_news(self, message: RouteNews) -> None:
         state = self.state
         cached = message.mode is ListMode.CACHED
@@ -287,6 +297,8 @@
                 state.routes.pop(route.entry.worker, None)
             else:
                 state.routes[route.entry.worker] = route
+        for worker in state.last_errors.keys() - state.routes.keys():
+            del state.last_errors[worker]
         state.generation = message.generation
         if not cached:
             state.counters["discovery.lines"] += len(message.routes)
--- a/flintfield/memory/state.py
+++ b/flintfield/memory/state.py
@@ -104,6 +104,7 @@
         self.transactions: dict[int, Transaction] = {}
         self.names: dict[str, int] = {}  # the ids callers gave to the transactions that are not settled
         self.routes: dict[WorkerId, Route] = {}
+        self.last_errors: dict[WorkerId, tuple[float, str]] = {}  # of next hops in the route set: when, what
         self.generation: int | None = None  # of the route set; None: the whole list is wanted
         self.calls = 0  # made to discovery: only the last one's answer counts
         self.watching = False  # a call to discovery is out, or the next one follows
--- a/flintfield/wire/http1/caller.py
+++ b/flintfield/wire/http1/caller.py
@@ -14,8 +14,8 @@
 
 from flintfield.memory.messages import Address, Answer, CallerLeft, Message, Submitted, Verdict
 from flintfield.wire.http1.jobs import JOBS, JobPages
-from flintfield.wire.http1.leg import REQUEST_S, Leg, Reply
-from flintfield.wire.http1.stream import Stream
+from flintfield.wire.http1.leg import REQUEST_S, Leg, Reply, reply_to_bad
+from flintfield.wire.http1.stream import Stream, open_listener
 from flintfield.wire.http1.submission import BadRequest, Request, read_submission
 
 if TYPE_CHECKING:
@@ -66,14 +66,8 @@
 
     def listen(self, address: Address) -> int:
         """Open the listening socket and tell its port."""
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        listener = socket.socket(family, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind(address)
-        listener.listen(BACKLOG)
-        listener.setblocking(False)
-        self._listener = listener
-        return int(listener.getsockname()[1])
+        self._listener = open_listener(address, BACKLOG)
+        return int(self._listener.getsockname()[1])
 
     async def accept_all(self, tasks: TaskGroup) -> None:
         """Take connections in until the socket is closed."""
@@ -187,9 +181,8 @@
                 return False
             reply = self._page(request) or await self._transaction(leg, request)
         except (BadRequest, h11.RemoteProtocolError) as error:
-            status = error.status if isinstance(error, BadRequest) else error.error_status_hint
-            self._count(f"requests.bad.{status}")
-            reply = Reply(status, f"{error}\n".encode(), (), close=True)
+            reply = reply_to_bad(error)
+            self._count(f"requests.bad.{reply.status}")
         return await leg.write(reply)
 
     def _page(self, request: Request) -> Reply | None:
--- a/flintfield/wire/http1/leg.py
+++ b/flintfield/wire/http1/leg.py
@@ -29,6 +29,12 @@
     close: bool = False
 
 
+def reply_to_bad(error: BadRequest | h11.RemoteProtocolError) -> Reply:
+    """The answer to what can not be read, or asks for what is not there."""
+    status = error.status if isinstance(error, BadRequest) else error.error_status_hint
+    return Reply(status, f"{error}\n".encode(), (), close=True)
+
+
 @dataclass(slots=True)
 class Leg:
     """One connection of a caller."""
@@ -104,10 +110,11 @@
             headers.append((b"Connection", b"close"))
         head = h11.Response(status_code=reply.status, headers=headers)
         body = b"" if self.bodiless else reply.body
-        parts = (head, h11.Data(data=body), h11.EndOfMessage())
-        data = b"".join(self.h11.send(part) or b"" for part in parts)
-        if await self.stream.send(data) < len(data):
-            return False
+        parts = [self.h11.send(p) or b"" for p in (head, h11.Data(data=body), h11.EndOfMessage())]
+        # A long body, of which there is one for many readers, is not copied to stand behind its head.
+        for data in parts if len(body) > MOST_BODY else [b"".join(parts)]:
+            if await self.stream.send(data) < len(data):
+                return False
         self.served = True
         if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
             self.h11.start_next_cycle()
--- a/flintfield/wire/http1/stream.py
+++ b/flintfield/wire/http1/stream.py
@@ -110,6 +110,20 @@
             self._sock.close()
 
 
+def open_listener(address: tuple[str, int], backlog: int) -> socket.socket:
+    """A listening socket; an OSError tells why there is none."""
+    listener = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(address)
+        listener.listen(backlog)
+    except OSError:
+        listener.close()
+        raise
+    listener.setblocking(False)
+    return listener
+
+
 OURS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL})
 """Errors of a dial that are our own lack, and no word on the other side."""
 
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -216,7 +216,8 @@
         }
         self.process = start(folder, self.config, descriptors, ini)
         assert self.process.stdout
-        self.port = json.loads(self.process.stdout.readline())["port"]
+        self.ports = json.loads(self.process.stdout.readline())
+        self.port = self.ports["port"]
 
     def connect(self) -> HTTPConnection:
         return HTTPConnection("127.0.0.1", self.port, timeout=SOON)
