--- a/flintfield/capture/recorder.py
+++ b/flintfield/capture/recorder.py
@@ -21,7 +21,7 @@
 HEADER_PART = 0.75  # of a small ring
 PRUNE_EVERY = 4096  # events: guards against names that are kept for ever while a disk hangs
 VALUE_BYTES = 4  # what a value of the state takes at the least, with its comma
-encode = json.JSONEncoder(separators=(",", ":"), allow_nan=False).encode
+encode = json.JSONEncoder(separators=(",", ":")).encode
 
 
 class Sink(Protocol):
--- a/flintfield/capture/ring.py
+++ b/flintfield/capture/ring.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from itertools import islice
 
 PARTS = (4, 2)  # segments that the ring is cut into, as many as their headers leave room for
 LEAST_PART = 8  # of the ring: what a segment must have for records, else there are fewer segments
@@ -55,5 +56,5 @@
             self.size -= self._segments.popleft().size
 
     def copy(self) -> list[bytes]:
-        """What is kept now: one header, then all records."""
-        return [self._segments[0].header, *(bytes(s.records) for s in self._segments)]
+        """What is kept now: one header, then all records; nothing before the first event."""
+        return [*(s.header for s in islice(self._segments, 1)), *(bytes(s.records) for s in self._segments)]
--- a/flintfield/lifecycle/background.py
+++ b/flintfield/lifecycle/background.py
@@ -27,10 +27,10 @@
             self._waiting.append((weight, item))
             self.held += weight
             self._changed.notify_all()
-        if self._thread is None:
-            # A daemon: guards against a program that can not end because nobody reads or a disk hangs.
-            self._thread = threading.Thread(target=self._run, name=self._name, daemon=True)
-            self._thread.start()
+            if self._thread is None:
+                # A daemon: guards against a program that can not end because nobody reads or a disk hangs.
+                self._thread = threading.Thread(target=self._run, name=self._name, daemon=True)
+                self._thread.start()
 
     def flush(self, within_s: float) -> None:
         """Wait until all is done, but no longer than that."""
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -136,6 +136,13 @@
     assert "lacks state" in replayed(memory.lines())[1][0]
 
 
+def test_a_ring_without_a_record_and_settings_beyond_json_do_no_harm() -> None:
+    assert Ring(30_000).copy() == []
+    memory = Recorded(30_000, odd=float("nan"), other=float("inf"))
+    memory.submit(1)
+    assert memory.state.tap and replayed(memory.lines()) == ([], [])
+
+
 def test_one_event_larger_than_the_ring_leaves_a_header_that_stands_for_it() -> None:
     memory = Recorded(30_000)
     memory.take(RouteNews(ListMode.FULL, 9, tuple(route(n) for n in range(1, 400)), 1))
