Take a PROXY header's TLVs without holding them

Seen by reading: up to 64 KiB of TLVs were held for each connection of a trusted front. Now only the addresses are kept, 232 bytes at the most. Checked: the test with 65 KB of TLVs, whole and split.

--- a/flintfield/wire/http1/access.py
+++ b/flintfield/wire/http1/access.py
@@ -24,6 +24,7 @@
 MOST_V1 = 107  # with its line end
 V2_HEAD = 16
 FAMILIES = {1: 12, 2: 36, 3: 216}  # IPv4, IPv6, Unix: the length of both addresses
+MOST_KEPT = V2_HEAD + max(FAMILIES.values())
 MOST_PROTOCOL = 2  # stream and datagram; what is above is not assigned
 
 
@@ -96,16 +97,17 @@
 
 
 async def _read_header(stream: Stream, deadline: float) -> bytes:
-    """A trusted front's header, whole, and not a byte of what follows it."""
-    header = b""
+    """A trusted front's header, without its TLVs; it is taken whole, and not a byte of what follows it."""
+    header, taken = b"", 0
     while True:
         seen = await stream.receive_by(deadline, flags=socket.MSG_PEEK)
         if not seen:
             raise BadHeader("missing" if not header else "cut short")
         size = _size(header + seen)
-        ours = len(seen) if size is None else min(size - len(header), len(seen))
-        header += await stream.receive_by(deadline, ours) or b""
-        if len(header) == size:
+        data = await stream.receive_by(deadline, len(seen) if size is None else min(size - taken, len(seen)))
+        taken += len(data or b"")
+        header = (header + (data or b""))[:MOST_KEPT]  # long TLVs are taken, and not held
+        if taken == size:
             return header
 
 
