--- a/flintfield/lab/log.py
+++ b/flintfield/lab/log.py
@@ -103,6 +103,7 @@
 
     scheduler: str
     state: Literal["up", "stopping", "ended", "killed"]
+    zone: str = ""
 
 
 class Trouble(Record, frozen=True, tag="trouble"):
@@ -117,12 +118,17 @@
 
 
 class Told(Record, frozen=True, tag="told"):
-    """Discovery's word on a node counts as told to a scheduler from now on (written to it, or deemed so)."""
+    """Discovery's word on a node counts as told to a scheduler (written to it, or deemed so).
+
+    From now on, or since `since`, if that is not None: a change between two calls of one watch counts from
+    when it happened, but only once the next call has come soon enough is it the same watch.
+    """
 
     scheduler: str
     node: str
     state: Literal["ready", "draining", "gone"]
     started_at: float = 0.0  # of the process that is told of; 0: long ago
+    since: float | None = None
 
 
 # ------------------------------------------------------------------ requests
--- a/flintfield/lab/scenario.py
+++ b/flintfield/lab/scenario.py
@@ -52,6 +52,7 @@
     error_rate: Share = 0.0  # of jobs that end in an error
     cancel: Literal["none", "queued", "running"] = "none"  # what stops when an attempt is given up
     connections_per_core: Positive = 700.0  # beyond them a dial is refused
+    crowding: Share = 0.0  # the part of its capacity that a full table of connections takes
 
 
 class Node(Spec):
@@ -170,6 +171,8 @@
     count: Count = 3
     start_spread_ms: Ms = 800.0
     told_count: Count | None = None  # what each is told of their number; None: the truth
+    zones: list[str] = []  # of each; empty: in turn
+    start_at_ms: list[float] = []  # of each, ready by then; empty: drawn within `start_spread_ms`
     cpu_us_per_decision: Ms = 0.0  # virtual time that a message takes in the reducer; 0: none
     settings: dict[str, Any] = {}  # over the platform's settings, by the operators' names
     clock_offset_ms: list[float] = []  # of each scheduler's clock; empty: none
@@ -220,12 +223,28 @@
     for_s: Ms = 0.0
 
 
+class DeployStep(Spec):
+    """At `at_s` nodes are told to drain, and new ones start."""
+
+    at_s: Ms
+    stop: list[int]  # by place in the fleet
+    start: list[Node] = []  # empty: one like each that stops
+
+
+class RollStep(Spec):
+    """At `at_s` schedulers are taken out, to be restarted."""
+
+    at_s: Ms
+    stop: list[int]
+
+
 class Deploy(Trouble, tag="deploy"):
     """Nodes are replaced, a batch at a time: told to drain, ended, started cold under a new name."""
 
     part: Share = 0.9  # of the fleet
     batch: Share = 0.15  # of the fleet at a time
     drain_s: Positive = 4.0
+    steps: list[DeployStep] = []  # empty: drawn
 
 
 class SchedulerRoll(Trouble, tag="scheduler-roll"):
@@ -234,7 +253,9 @@
     part: Share = 0.9
     batch: Share = 0.3
     down_s: Ms = 0.5
+    told_s: Ms = 1.0  # the front sends it nothing new that long before it ends
     graceful: bool = False
+    steps: list[RollStep] = []  # empty: drawn
 
 
 class Crash(Trouble, tag="crash"):
@@ -408,6 +429,13 @@
         raise fail("load", {"level": load_.level, "per_s": load_.per_s}, "either level or per_s")
     if load_.zone_share and len(load_.zone_share) != len(scenario.zones):
         raise fail("load.zone_share", load_.zone_share, f"{len(scenario.zones)} figures, one a zone")
+    for name in ("zones", "start_at_ms", "clock_offset_ms"):
+        each = getattr(scenario.schedulers, name)
+        if each and len(each) != scenario.schedulers.count:
+            raise fail(f"schedulers.{name}", each, f"{scenario.schedulers.count} entries, one a scheduler")
+    for i, zone in enumerate(scenario.schedulers.zones):
+        if zone not in zones:
+            raise fail(f"schedulers.zones[{i}]", zone, f"one of {', '.join(scenario.zones)}")
     if not load_.shape or any(a[0] >= b[0] for a, b in zip(load_.shape, load_.shape[1:], strict=False)):
         raise fail("load.shape", load_.shape, "pairs of second and factor, the seconds rising")
     count = len(fleet.node) or fleet.nodes
@@ -418,6 +446,11 @@
         for place in getattr(trouble, "nodes", []):
             if not 0 <= place < count:
                 raise fail(f"{key}.nodes", place, f"places from 0 to {count - 1}")
+        for j, step in enumerate(getattr(trouble, "steps", [])):
+            places = count if isinstance(trouble, Deploy) else scenario.schedulers.count
+            for place in step.stop:
+                if not 0 <= place < places:
+                    raise fail(f"{key}.steps[{j}].stop", place, f"places from 0 to {places - 1}")
         if isinstance(trouble, FailClass) and trouble.cls not in classes:
             raise fail(f"{key}.cls", trouble.cls, f"one of {', '.join(sorted(classes))}")
         if isinstance(trouble, ZoneCut) and trouble.zone not in zones:
