Let the log tell the worth of wishes that reach nobody, zones and work spent

Fields with defaults on Begin, SchedulerState, Unreached, Done and Broke, and on Verdict the violations' full count by rule (the list itself is bounded) and the yardsticks' goals.

--- a/flintfield/lab/log.py
+++ b/flintfield/lab/log.py
@@ -59,6 +59,7 @@
     goal_window: float = 0.15
     goal_class: float = 0.30
     window_ms: float = 10_000.0
+    cold_slack: float = 0.0  # work (ms of a standard core) beyond the budget that a cold node still bears
 
 
 class NodeUp(Record, frozen=True, tag="node-up"):
@@ -103,6 +104,7 @@
 
     scheduler: str
     state: Literal["up", "stopping", "ended", "killed"]
+    zone: str = ""  # where it stands; told with `up`
 
 
 class Trouble(Record, frozen=True, tag="trouble"):
@@ -146,10 +148,16 @@
 
 
 class Unreached(Record, frozen=True, tag="unreached"):
-    """A client's try found no scheduler (refused, reset before it was whole, no one there)."""
+    """A client's try found no scheduler (refused, reset before it was whole, no one there).
+
+    It carries what `Asked` would have told of the wish, for a wish that never reaches any was asked too.
+    """
 
     request: str
     scheduler: str
+    cls: str = ""
+    work: float = 0.0
+    first_at: float = 0.0
 
 
 class Answered(Record, frozen=True, tag="answered"):
@@ -219,6 +227,7 @@
     branch: int
     node: str
     body: str
+    spent: float | None = None  # work (ms of a standard core) that the node did for it; None: its `cost`
 
 
 class Broke(Record, frozen=True, tag="broke"):
@@ -230,6 +239,7 @@
     node: str
     how: Literal["error", "killed", "cancelled", "expired"]
     started: bool
+    spent: float | None = None  # as in `Done`; None: nothing if it had not started, else its `cost`
 
 
 class LetGo(Record, frozen=True, tag="let-go"):
--- a/flintfield/lab/verdict.py
+++ b/flintfield/lab/verdict.py
@@ -70,6 +70,8 @@
     records: int
     void: str = ""
     share: float | None = None
+    broken: dict[str, int] = {}  # violations by rule, all of them: `violations` holds the first ones only
+    yardsticks: dict[str, float] = {}  # the goal of each yardstick that was played beside this run
 
     @property
     def kept(self) -> bool:
