--- a/flintfield/lab/world/node.py
+++ b/flintfield/lab/world/node.py
@@ -67,6 +67,7 @@
     share: float = 0.0
     body: str = ""  # what the node made
     started: bool = False  # for KILLED and CANCELLED
+    spent: float = 0.0  # work (ms of a standard core times slots) that the attempt got here, at its end
 
 
 @dataclass(frozen=True, slots=True)
@@ -287,7 +288,10 @@
     def _lost(self, key: Key, what: What, now: float) -> Happening:
         if run := self._running.get(key):
             self._save(run, now)
-        return Happening(what, key, started=run is not None)
+        return Happening(what, key, started=run is not None, spent=self._spent(run) if run else 0.0)
+
+    def _spent(self, run: _Run) -> float:
+        return min(run.work, max(0.0, self._v - run.start_v)) * run.errand.slots
 
     # -------------------------------------------------------------------- time
 
@@ -341,9 +345,10 @@
         self._saves.pop(run.errand.request, None)
         self._latency += (now - run.began - self._latency) / LATENCY_MEMORY
         if run.error:
-            happened.append(Happening(What.FAILED, key))
+            happened.append(Happening(What.FAILED, key, spent=self._spent(run)))
         else:
-            happened.append(Happening(What.DONE, key, 1.0, f"{self.machine.name}/{key[0]}/{key[1]}"))
+            body = f"{self.machine.name}/{key[0]}/{key[1]}"
+            happened.append(Happening(What.DONE, key, 1.0, body, spent=self._spent(run)))
         self._start_some(now, happened)
         self._remember(now)
 
