--- a/flintfield/lab/log.py
+++ b/flintfield/lab/log.py
@@ -301,15 +301,17 @@
 
     def encode(self) -> bytes:
         """One JSON object a line, without what differs from run to run (the End record's CPU)."""
-        return b"".join(_encoder.encode(_steady(r)) + b"\n" for r in self.records)
+        return b"".join(encode_line(r) for r in self.records)
 
     def sha256(self) -> str:
         """The run's fingerprint: the same seed gives the same one."""
         return hashlib.sha256(self.encode()).hexdigest()
 
 
-def _steady(record: AnyRecord) -> AnyRecord:
-    return msgspec.structs.replace(record, cpu_ms={}) if isinstance(record, End) else record
+def encode_line(record: AnyRecord) -> bytes:
+    """One record as its line of the log, without what differs from run to run (the End record's CPU)."""
+    steady = msgspec.structs.replace(record, cpu_ms={}) if isinstance(record, End) else record
+    return _encoder.encode(steady) + b"\n"
 
 
 def decode(lines: bytes) -> Log:
