--- a/flintfield/lab/scenario.py
+++ b/flintfield/lab/scenario.py
@@ -366,6 +366,7 @@
     format: Literal[1] = 1
     about: str = ""
     guards: str = ""  # for a regression: the sentence that it guards
+    seed: Annotated[int, Meta(ge=0)] = 1  # played where none is named; a regression's own
     length_s: Positive = 50.0
     tail_s: Positive = 25.0  # at the most; the run ends when all is answered
     zones: Annotated[tuple[str, ...], Meta(min_length=1)] = ("a", "b", "c")
