--- /dev/null
+++ b/flintfield/lab/experiments/pool.py
@@ -0,0 +1,100 @@
+"""Plays many jobs over all cores, in processes that may use another checkout's scheduler.
+
+A worker process is started fresh (`spawn`), gets a job as bytes and gives the verdict back as bytes: what
+it imports below the laboratory is its own. With `build` it takes `flintfield.decision`, `flintfield.memory`
+and all else below from that checkout, and the laboratory from this one: two builds are then compared in the
+same world, by the same judge.
+"""
+
+from __future__ import annotations
+
+import multiprocessing
+import os
+import sys
+from collections.abc import Callable, Iterable, Iterator
+from concurrent.futures import FIRST_COMPLETED, Future, ProcessPoolExecutor, wait
+from pathlib import Path
+
+import msgspec
+
+from flintfield.lab.experiments.runs import Job, run
+from flintfield.lab.scenario import ScenarioError
+from flintfield.lab.verdict import Verdict
+
+AHEAD = 2  # jobs handed out for each process: enough to keep it busy, few enough to stop soon
+OURS = "flintfield.lab"
+
+Play = Callable[[Job], Verdict]
+
+
+def use_build(build: str) -> None:
+    """Take all that is below the laboratory from the checkout at `build` (empty: ours), from now on."""
+    import flintfield
+
+    if not build:
+        return
+    package = str(Path(build) / "flintfield")
+    for name in [n for n in sys.modules if n.startswith("flintfield.")]:
+        if name != OURS and not name.startswith(f"{OURS}."):
+            del sys.modules[name]
+    if package not in flintfield.__path__:
+        flintfield.__path__.insert(0, package)
+
+
+def check_build(build: str) -> None:
+    """A `ScenarioError` if there is no checkout at `build`."""
+    if not (Path(build) / "flintfield" / "decision").is_dir():
+        raise ScenarioError(f"build: found {build!r}, expected the folder of another checkout of flintfield")
+
+
+def _play_bytes(job: bytes) -> bytes:
+    return msgspec.json.encode(run(msgspec.json.decode(job, type=Job)))
+
+
+def cores() -> int:
+    """The cores that this process may use."""
+    return len(os.sched_getaffinity(0)) if hasattr(os, "sched_getaffinity") else os.cpu_count() or 1
+
+
+class Players:
+    """Processes that play jobs; to be closed, as a context manager.
+
+    `processes` 0 takes all cores; no more are started than have something to do. With `play` the jobs are
+    played here instead, one after the other.
+    """
+
+    def __init__(self, processes: int = 0, build: str = "", play: Play | None = None) -> None:
+        self._count, self._build, self._play = processes or cores(), build, play
+        self._pool: ProcessPoolExecutor | None = None
+
+    def __enter__(self) -> Players:
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        if self._pool:
+            self._pool.shutdown(wait=True, cancel_futures=True)
+            self._pool = None
+
+    def play_all(self, jobs: Iterable[Job]) -> Iterator[tuple[Job, Verdict]]:
+        """Play the jobs and give each with its verdict as it ends, in any order.
+
+        Closing the iterator drops the jobs that have not begun.
+        """
+        if self._play:
+            yield from ((job, self._play(job)) for job in jobs)
+            return
+        if self._pool is None:
+            context = multiprocessing.get_context("spawn")
+            self._pool = ProcessPoolExecutor(self._count, context, use_build, (self._build,))
+        given, out = iter(jobs), dict[Future[bytes], Job]()
+        try:
+            while True:
+                while len(out) < AHEAD * self._count and (job := next(given, None)) is not None:
+                    out[self._pool.submit(_play_bytes, msgspec.json.encode(job))] = job
+                if not out:
+                    return
+                for done in wait(out, return_when=FIRST_COMPLETED).done:
+                    yield out.pop(done), msgspec.json.decode(done.result(), type=Verdict)
+        finally:
+            for future in out:
+                future.cancel()
