--- a/flintfield/lab/importing.py
+++ b/flintfield/lab/importing.py
@@ -26,6 +26,7 @@
 US = 1_000.0  # microseconds in a millisecond
 WINDOW_S = 5.0  # of a capture's rate
 LARGEST = 1 << 30  # bytes of a file
+LONGEST = 0.35  # of a class's deadline: the simulator's longest work
 NO_HINT_MS, NO_HINT_CV = 700.0, 1.0  # work of a class whose requests bring no hints
 
 
@@ -253,7 +254,7 @@
 def _class(given: _Class, need: _Need) -> sc.RequestClass:
     return sc.RequestClass(
         name=given.name, share=given.share, work_ms=given.work / US, dist=given.dist, cv=given.cv,
-        attempt_noise=given.attempt_noise, aim_ms=given.aim / US, stretch=need.stretch,
+        most_ms=LONGEST * given.deadline / US, attempt_noise=given.attempt_noise, aim_ms=given.aim / US, stretch=need.stretch,
         deadline_ms=given.deadline / US, worth=given.worth, effect=given.effect, slots=tuple(need.slots),
         priority=need.priority)
 
--- a/flintfield/lab/scenario.py
+++ b/flintfield/lab/scenario.py
@@ -105,6 +105,7 @@
     work_ms: Positive = 700.0  # the mean
     dist: Literal["fixed", "exponential", "lognormal", "pareto"] = "lognormal"
     cv: Ms = 1.0  # of the work
+    most_ms: Ms = 0.0  # works beyond it are cut to it, which lowers mean and cv; 0: none is
     attempt_noise: Ms = 0.15  # relative spread of a job's running time from attempt to attempt
     aim_ms: Ms = 600.0
     stretch: Ms = 2.0  # times the job's own work is added to the aim
--- a/flintfield/lab/world/clients.py
+++ b/flintfield/lab/world/clients.py
@@ -161,7 +161,7 @@
     if scenario.load.per_s is not None:
         return scenario.load.per_s / 1_000.0
     shares = sum(c.share for c in scenario.classes)
-    mean = sum(c.share / shares * c.work_ms * _mean_slots(c) for c in scenario.classes)
+    mean = sum(c.share / shares * mean_work(c) * _mean_slots(c) for c in scenario.classes)
     return (scenario.load.level or 0.0) * capacity / mean
 
 
@@ -234,6 +234,33 @@
         sigma2 = math.log1p(cls.cv ** 2)
         work = generator.lognormal(math.log(cls.work_ms) - sigma2 / 2, math.sqrt(sigma2), count)
     else:
-        alpha = 1.0 + math.sqrt(1.0 + 1.0 / cls.cv ** 2)  # of the Pareto distribution with that cv
+        alpha = _pareto_alpha(cls.cv)
         work = cls.work_ms * (alpha - 1.0) / alpha * (1.0 + generator.pareto(alpha, count))
-    return np.asarray(np.maximum(work, 1.0), dtype=np.float64)
+    return np.asarray(np.clip(work, 1.0, cls.most_ms or None), dtype=np.float64)
+
+
+def mean_work(cls: RequestClass) -> float:
+    """The mean of `draw_work`: E[min(W, c)] of the class's distribution cut at c = `most_ms`."""
+    cut = cls.most_ms / cls.work_ms
+    if cls.dist == "fixed" or cls.cv <= 0 or cut <= 0:
+        return min(cls.work_ms, cls.most_ms or math.inf)
+    if cls.dist == "exponential":
+        return cls.work_ms * (1.0 - math.exp(-cut))
+    if cls.dist == "lognormal":
+        sigma = math.sqrt(math.log1p(cls.cv ** 2))
+        at = math.log(cut) / sigma
+        return cls.work_ms * (_below(at - sigma / 2) + cut * (1.0 - _below(at + sigma / 2)))
+    alpha = _pareto_alpha(cls.cv)
+    least = (alpha - 1.0) / alpha
+    beyond = least ** alpha * cut ** (1.0 - alpha) / (alpha - 1.0) if cut > least else 1.0 - cut
+    return cls.work_ms * (1.0 - beyond)
+
+
+def _below(z: float) -> float:
+    """The standard normal distribution's share below z."""
+    return 0.5 * (1.0 + math.erf(z / math.sqrt(2.0)))
+
+
+def _pareto_alpha(cv: float) -> float:
+    """The exponent of the Pareto distribution with that coefficient of variation."""
+    return 1.0 + math.sqrt(1.0 + 1.0 / cv ** 2)
