--- a/flintfield/lab/virtual/__init__.py
+++ b/flintfield/lab/virtual/__init__.py
@@ -5,6 +5,6 @@
 scheduler's reducer, `loop.py` the calendar.
 """
 
-from flintfield.lab.virtual.engine import Make, play
+from flintfield.lab.virtual.engine import Make, Reducer, play
 
-__all__ = ["Make", "play"]
+__all__ = ["Make", "Reducer", "play"]
--- a/flintfield/lab/virtual/engine.py
+++ b/flintfield/lab/virtual/engine.py
@@ -27,7 +27,8 @@
 )
 from flintfield.lab.world.node import Key, Saves
 from flintfield.lifecycle.config import read_real_settings
-from flintfield.memory.messages import CallDiscovery, End, Message, Route, RouteCallFailed, RouteNews
+from flintfield.memory.messages import CallDiscovery, Effect, End, Message, Route, RouteCallFailed, RouteNews
+from flintfield.memory.reducer import reduce
 from flintfield.memory.state import State
 from flintfield.wire.http1.discovery import WAIT_MS, Reader
 
@@ -38,15 +39,19 @@
 Make = Callable[[Settings, int], Any]
 """Makes what decides for one scheduler: `settings`, `handle(now, event)` and `actions`, as `Dispatcher`."""
 
+Reducer = Callable[[State, float, Message], list[Effect]]
+"""Takes one message in and returns the effects it calls for, as `memory.reducer.reduce`."""
+
 
 def play(scenario: Scenario, seed: int, chooser: str = "flintfield", *, make: Make | None = None,
-         on_record: Callable[[log.AnyRecord], None] | None = None) -> log.Log:
+         on_record: Callable[[log.AnyRecord], None] | None = None, reducer: Reducer = reduce) -> log.Log:
     """Play a scenario to its end and return the event log.
 
     `chooser` names what decides: `flintfield` or one of `choosers.NAMES`; `make` makes something else, to
-    be logged under that name. `on_record` sees each record as it is written.
+    be logged under that name. `on_record` sees each record as it is written; the log that is returned is
+    empty then, so that a long run needs no memory for it. `reducer` stands in for the scheduler's own.
     """
-    return Engine(scenario, seed, chooser, make, on_record).run()
+    return Engine(scenario, seed, chooser, make, on_record, reducer).run()
 
 
 @dataclass(eq=False)
@@ -116,8 +121,9 @@
     """One run."""
 
     def __init__(self, scenario: Scenario, seed: int, chooser: str = "flintfield", make: Make | None = None,
-                 on_record: Callable[[log.AnyRecord], None] | None = None) -> None:
+                 on_record: Callable[[log.AnyRecord], None] | None = None, reducer: Reducer = reduce) -> None:
         self.scenario, self.seed, self.chooser, self._on_record = scenario, seed, chooser, on_record
+        self.reducer = reducer
         self.loop, self.log = Loop(), log.Log()
         self.streams = Streams(seed)
         self.fleet = draw_fleet(scenario, self.streams)
@@ -189,9 +195,10 @@
 
     def write(self, record: log.AnyRecord) -> None:
         """Write one record down."""
-        self.log.records.append(record)
         if self._on_record:
             self._on_record(record)
+        else:
+            self.log.records.append(record)
 
     def _sample(self) -> None:
         now = self.loop.now
--- a/flintfield/lab/virtual/scheduler.py
+++ b/flintfield/lab/virtual/scheduler.py
@@ -23,7 +23,6 @@
     DropBranch, Effect, End, Ending, LeaveDiscovery, Message, OpenBranch, ProbeEnded, ProbeHop, Reach,
     RouteCallFailed, StopAsked, Submission, Submitted, Untracked, Verdict, WatchFailed, Woke, WriteBranch,
 )
-from flintfield.memory.reducer import reduce
 from flintfield.memory.state import State
 from flintfield.wire.http1 import client, discovery, hop
 
@@ -139,7 +138,7 @@
         if due is not None and isinstance(message, Woke):
             now = max(now, due)  # guards against a wake that rounding puts just before its timer
         began = perf_counter()
-        effects = reduce(self.state, now, message)
+        effects = self.engine.reducer(self.state, now, message)
         self.engine.spent_reducing += perf_counter() - began
         for effect in effects:
             self._carry_out(effect)
