--- a/flintfield/lab/choosers.py
+++ b/flintfield/lab/choosers.py
@@ -1,4 +1,5 @@
-"""Yardsticks: plain choosers that decide in the module's place, from a floor (random) to a top (all-seeing).
+"""Yardsticks: plain choosers that decide in the module's place, from a floor (random) to a top
+(all-seeing).
 
 Each takes the module's events and answers with its actions, so the reducer and every engine drive it alike.
 They share one core that keeps the four rules; a chooser only orders the worker nodes that the rules allow.
