--- a/flintfield/lab/experiments/settings.py
+++ b/flintfield/lab/experiments/settings.py
@@ -18,6 +18,11 @@
 Change = tuple[str, Any]
 """A key path and its new value."""
 
+INSTEAD: dict[str, Change] = {
+    "load.level": ("load.per_s", None), "load.per_s": ("load.level", None), "fleet.nodes": ("fleet.node", []),
+}
+"""Keys that stand for the same thing: when one is changed, the other is taken away."""
+
 
 def value_of(text: str) -> Any:
     """The value that a text stands for."""
@@ -52,6 +57,8 @@
     tree = _tree(scenario)
     for path, value in changes:
         _set(tree, path, value)
+        if path in INSTEAD:
+            _set(tree, *INSTEAD[path])
     try:
         made = msgspec.convert(tree, Scenario)
     except msgspec.ValidationError as error:
--- a/tests/test_lab_judge.py
+++ b/tests/test_lab_judge.py
@@ -342,3 +342,13 @@
         story.ask(f"r{i}", 1_000.0 * i, "match")
     verdict = story.end(2_010_000)
     assert verdict.broken == {"answer": 2_000} and len(verdict.violations) == 100
+
+
+def test_a_node_that_may_be_warm_by_now_is_not_counted() -> None:
+    story = cold_story(("s0",))
+    story.add(log.NodeWarmth, 1_050, node="n2", warm_share=0.96)
+    send_cold(story, 1_100, 5_000)
+    send_cold(story, 1_200, 5_000)
+    for rid in ("s0-1100", "s0-1200"):
+        story.answer(rid, 1_300, "failed")
+    assert rules(story.end()) == []
