--- a/flintfield/lab/importing.py
+++ b/flintfield/lab/importing.py
@@ -254,9 +254,9 @@
 def _class(given: _Class, need: _Need) -> sc.RequestClass:
     return sc.RequestClass(
         name=given.name, share=given.share, work_ms=given.work / US, dist=given.dist, cv=given.cv,
-        most_ms=LONGEST * given.deadline / US, attempt_noise=given.attempt_noise, aim_ms=given.aim / US, stretch=need.stretch,
-        deadline_ms=given.deadline / US, worth=given.worth, effect=given.effect, slots=tuple(need.slots),
-        priority=need.priority)
+        most_ms=LONGEST * given.deadline / US, attempt_noise=given.attempt_noise, aim_ms=given.aim / US,
+        stretch=need.stretch, deadline_ms=given.deadline / US, worth=given.worth, effect=given.effect,
+        slots=tuple(need.slots), priority=need.priority)
 
 
 def _discovery(given: _Discovery) -> sc.Discovery:
--- a/flintfield/lab/virtual/engine.py
+++ b/flintfield/lab/virtual/engine.py
@@ -15,7 +15,7 @@
 from time import perf_counter
 from typing import Any, cast
 
-from flintfield.decision.interface import Action, Event, ListMode, Settings
+from flintfield.decision.interface import Action, Event, ListMode, Settings, WorkerId
 from flintfield.decision.policy import Dispatcher
 from flintfield.lab import choosers, log, platform
 from flintfield.lab.scenario import Scenario
@@ -30,7 +30,7 @@
 from flintfield.memory.messages import CallDiscovery, Effect, End, Message, Route, RouteCallFailed, RouteNews
 from flintfield.memory.reducer import reduce
 from flintfield.memory.state import State
-from flintfield.wire.http1.discovery import WAIT_MS, Reader
+from flintfield.wire.http1.discovery import WAIT_MS, Reader, worker_of
 
 LOAD_EVERY_MS, SETTLED_EVERY_MS = 1_000.0, 100.0
 AGAIN_MS = 500.0  # at the most, from a cut's mending until TCP sends what waited
@@ -142,9 +142,13 @@
         self.message_cost_ms = scenario.schedulers.cpu_us_per_decision / 1_000.0
         self.watch_pause_ms = 0.0
         self.marks_retry = scenario.clients.marks_retry
-        self._make: Make = make or choosers.maker(chooser, self._outlook)
+        self._make, self._view = make, choosers.View(self._truth, self._true_work)
+        self._workers: dict[int, Site] = {}  # by the number that decisions know them by
+        if make is None:
+            choosers.maker(chooser, self._view, 0)  # guards against a run that starts with an unknown name
         self._resets, self._resets_draws = 0.0, self.streams.of("resets")
         self._asked: dict[str, Scheduler] = {}
+        self._had_answer: dict[str, None] = {}  # tries; a second answer, which must not be, shows in the log
         self._lives = [0] * scenario.schedulers.count
         self._saves: Saves = {}
         self._held: list[tuple[str, str, Callable[[], None]]] = []  # words that wait for a cut to be mended
@@ -225,7 +229,8 @@
         if (settings := self._settings.get(place)) is None:
             raw = platform.configuration(self.scenario, place, seed=self.seed)
             settings = self._settings[place] = read_real_settings(raw["settings"])
-        inner = self._make(settings, platform.seed_of(self.seed, place, life))
+        make = self._make or choosers.maker(self.chooser, self._view, place)
+        inner = make(settings, platform.seed_of(self.seed, place, life))
         state = State(cast(Dispatcher, _Metered(inner, self)), platform.MOST_HELD, self._discovery_address)
         offsets = self.scenario.schedulers.clock_offset_ms
         scheduler = Scheduler(self, place, name, zone, state, offsets[place] if offsets else 0.0)
@@ -310,7 +315,8 @@
                      retry_after_ms)
 
     def _answered(self, rid: str, verdict: str, body: str, retry_after_ms: float) -> None:
-        if self.clients.waits(rid):
+        if self.clients.waits(rid) or rid in self._had_answer:
+            self._had_answer[rid] = None
             self.write(log.Answered(self.loop.now, rid, cast(Any, verdict), body, retry_after_ms))
             self._client_ended(rid, verdict, retry_after_ms)
 
@@ -399,6 +405,7 @@
                     self.streams.of(f"node/{machine.name}"), self._saves)
         site = self.sites[machine.name] = Site(self, node)
         self.places.append(site)
+        self._workers[worker_of(machine.name)] = site
         return site
 
     def _note_up(self, site: Site) -> None:
@@ -712,12 +719,17 @@
 
     # ------------------------------------------------------------------- the truth
 
-    def _outlook(self, name: str) -> tuple[float, float, float] | None:
-        """What is true of a node now, for the yardstick that sees all: see `Node.outlook`."""
-        site = self.sites.get(name)
+    def _truth(self, worker: WorkerId) -> choosers.Truth | None:
+        """What is true of a node now, for the yardstick that sees all; None if it takes no jobs."""
+        site = self._workers.get(worker)
         if site is None or not site.node.up or site.node.draining or site.silent:
             return None
-        return site.node.outlook(self.loop.now)
+        free, held, speed, budget = site.node.outlook(self.loop.now)
+        return choosers.Truth(free, held, site.node.machine.kind.cores, speed, budget)
+
+    def _true_work(self, place: int, rid: int) -> float:
+        scheduler = self.schedulers[place]
+        return scheduler.legs[rid].wish.work if scheduler else 0.0
 
 
 _DEEDS: dict[Do, Callable[[Engine, Deed], None]] = {
--- a/flintfield/lab/virtual/scheduler.py
+++ b/flintfield/lab/virtual/scheduler.py
@@ -100,6 +100,7 @@
         self.alive, self.listening = True, True
         self.legs: dict[int, Try] = {}  # callers that wait, by transaction
         self._rids: dict[str, int] = {}
+        self._past: dict[int, Try] = {}  # that had their answer
         self._epoch = EPOCH_MS + offset_ms
         self._armed = math.inf
         self._attempts: dict[tuple[int, int], Attempt] = {}
@@ -182,8 +183,10 @@
             self.tell(CallerLeft(number))
 
     def _answer(self, effect: Answer) -> None:
-        if attempt := self.legs.pop(effect.rid, None):
-            del self._rids[attempt.rid]
+        attempt = self.legs.pop(effect.rid, None) or self._past.get(effect.rid)
+        if attempt:
+            self._rids.pop(attempt.rid, None)
+            self._past[effect.rid] = attempt
             verdict = effect.verdict.value
             body = effect.body.decode() if effect.verdict is Verdict.SERVED else ""
             self.engine.to_client(attempt, verdict, body, effect.retry_after_ms)
--- a/flintfield/lab/world/node.py
+++ b/flintfield/lab/world/node.py
@@ -455,11 +455,15 @@
         """How many jobs are in work, and how many wait."""
         return len(self._running), len(self._waiting)
 
-    def outlook(self, now: float) -> tuple[float, float, float]:
-        """The truth, for a yardstick that sees it: work left of all that is here (ms of a standard core times
-        slots), free slots, and work that it does in a ms now."""
-        self._advance(now)
-        left = sum(max(0.0, r.start_v + r.work - self._v) * r.errand.slots for r in self._running.values())
-        left += sum(e.work * e.slots for e in self._waiting.values())
-        capacity = self.machine.capacity * self.warm_share / self._factor
-        return left, self.machine.kind.slots - self._held, capacity if self.up and not self.stalled else 0.0
+    def outlook(self, now: float) -> tuple[int, int, float, float]:
+        """The truth, for a yardstick that sees it: free slots, held slots, the present speed of a core, and
+        the work that it may be sent now before it falls over (inf when warm)."""
+        speed = 0.0 if self.stalled else self.machine.speed * self.warm_share / self._factor
+        budget = math.inf
+        if self.warm_share < 1.0:
+            rules = self.rules
+            sent = sum(work for at, work in self._pressure if at > now - rules.fall_ms)
+            present = self.machine.capacity * self.warm_share
+            budget = rules.fall_multiple * present * rules.fall_ms - sent
+        free = self.machine.kind.slots - self._held - len(self._waiting)
+        return free, self._held, speed, budget
