Open a branch whose transaction ends in the same turn, and let a failed run be void

Fuzzing ended in a KeyError: one wake can send a job and end it at its deadline, so that the effect names a transaction that is gone. The name is now that of the waiting caller. A run that fails is void with the place of the failure, and fuzz keeps its scenario.

--- a/flintfield/lab/cli.py
+++ b/flintfield/lab/cli.py
@@ -313,14 +313,14 @@
                                           go_on=go_on):
                 goals.append(verdict.service.goal)
                 bar.step()
-                if verdict.violations and failed is None:
+                if (verdict.violations or verdict.void) and failed is None:
                     failed = job, verdict
         if failed:
             out.mkdir(parents=True, exist_ok=True)
             file = out / f"{failed[0].scenario.name}.toml"
             file.write_text(scenarios.dump(failed[0].scenario))
             click.echo(f"{file}: {troubles_of(failed[0].scenario)}", err=True)
-            if reduce:
+            if reduce and failed[1].violations:
                 small = _shrink(failed[0], None, players, 300)
                 file = out / f"{failed[0].scenario.name}-small.toml"
                 file.write_text(scenarios.dump(small))
--- a/flintfield/lab/experiments/fuzz.py
+++ b/flintfield/lab/experiments/fuzz.py
@@ -1,4 +1,4 @@
-"""Fuzz: random scenarios within stated ranges, until a rule breaks or the time is up.
+"""Fuzz: random scenarios within stated ranges, until a rule breaks, a run fails or the time is up.
 
 Trial `i` of a seed is drawn from that seed's i-th child stream: it is the same whatever was played before,
 so that `draw(base, ranges, seed, i)` gives a failing scenario again.
--- a/flintfield/lab/experiments/pool.py
+++ b/flintfield/lab/experiments/pool.py
@@ -11,6 +11,7 @@
 import multiprocessing
 import os
 import sys
+import traceback
 from collections.abc import Callable, Iterable, Iterator
 from concurrent.futures import FIRST_COMPLETED, Future, ProcessPoolExecutor, wait
 from pathlib import Path
@@ -19,7 +20,7 @@
 
 from flintfield.lab.experiments.runs import Job, run
 from flintfield.lab.scenario import ScenarioError
-from flintfield.lab.verdict import Verdict
+from flintfield.lab.verdict import Cost, Service, Verdict
 
 AHEAD = 2  # jobs handed out for each process: enough to keep it busy, few enough to stop soon
 OURS = "flintfield.lab"
@@ -47,8 +48,22 @@
         raise ScenarioError(f"build: found {build!r}, expected the folder of another checkout of flintfield")
 
 
-def _play_bytes(job: bytes) -> bytes:
-    return msgspec.json.encode(run(msgspec.json.decode(job, type=Job)))
+def _play_bytes(given: bytes) -> bytes:
+    job = msgspec.json.decode(given, type=Job)
+    try:
+        return msgspec.json.encode(run(job))
+    except Exception as error:
+        # Guards a night's sweep against the one run that an engine cannot play: that one is void.
+        return msgspec.json.encode(failed(job, error))
+
+
+def failed(job: Job, error: Exception) -> Verdict:
+    """The void verdict of a run that ended in an error of the laboratory or the scheduler."""
+    last = traceback.extract_tb(error.__traceback__)[-1]
+    void = f"failed: {error!r} at {Path(last.filename).name}:{last.lineno}"
+    nothing = Service(0.0, 0.0, 0.0, 0.0, 0.0, ())
+    return Verdict(job.scenario.name, job.seed, job.engine, job.chooser, nothing, (), Cost(0, 0, 0, 0), "", 0,
+                   void)
 
 
 def cores() -> int:
--- a/flintfield/lab/virtual/scheduler.py
+++ b/flintfield/lab/virtual/scheduler.py
@@ -195,7 +195,7 @@
 
     def _open(self, effect: OpenBranch) -> None:
         site = self.engine.sites[effect.address[0]]
-        name = self.state.transactions[effect.rid].submission.name
+        name = self.legs[effect.rid].rid  # its transaction may be over by now: one turn can send and end it
         attempt = Attempt(effect.rid, effect.branch, name, site)
         self._attempts[effect.rid, effect.branch] = attempt
         link = Link(site, 0, lambda: self._broke(attempt))
