--- a/flintfield/lab/experiments/pool.py
+++ b/flintfield/lab/experiments/pool.py
@@ -49,7 +49,7 @@
 
 
 def _play_bytes(given: bytes) -> bytes:
-    job = msgspec.json.decode(given, type=Job)
+    job: Job = msgspec.json.decode(given, type=Job)
     try:
         return msgspec.json.encode(run(job))
     except Exception as error:
--- a/flintfield/lab/faults.py
+++ b/flintfield/lab/faults.py
@@ -105,18 +105,18 @@
     return msgspec.structs.replace(changed(scenarios.load(BASE), changes), name=f"plant-{name or 'nothing'}")
 
 
-def play_all(names: Sequence[str], players: Players,
-             on_run: Callable[[], None] = lambda: None) -> list[Planted]:
+def play_all(names: Sequence[str], players: Players, on_run: Callable[[], None] = lambda: None,
+             seeds: Sequence[int] = SEEDS) -> list[Planted]:
     """Play each fault with seed after seed until it is caught; then the program without any on all of
     them."""
     caught, open_ = dict[str, Planted](), list(names)
-    for i, seed in enumerate(SEEDS):
+    for i, seed in enumerate(seeds):
         jobs = [Job(scenario_of(name), seed, plant=name) for name in open_]
         for job, verdict in players.play_all(jobs):
             on_run()
             caught[job.plant] = _planted(FAULTS[job.plant], job, verdict, i + 1)
         open_ = [name for name in open_ if not caught[name].caught]
-    return [caught[name] for name in names] + [_unplanted(names, players, on_run)]
+    return [caught[name] for name in names] + [_unplanted(names, players, on_run, seeds)]
 
 
 def _planted(fault: Fault, job: Job, verdict: Verdict, runs: int) -> Planted:
@@ -125,10 +125,11 @@
     return Planted(fault.name, fault.rule, bool(word) and not others, verdict.broken, runs, job.seed, word)
 
 
-def _unplanted(names: Sequence[str], players: Players, on_run: Callable[[], None]) -> Planted:
+def _unplanted(names: Sequence[str], players: Players, on_run: Callable[[], None],
+               seeds: Sequence[int]) -> Planted:
     """The program as it is, on each of the faults' scenarios and seeds."""
-    tables = {FAULTS[name].scenario: name for name in names}
-    jobs = [Job(scenario_of(name), seed) for name in tables.values() for seed in SEEDS]
+    by_scenario = {msgspec.json.encode(FAULTS[name].scenario): name for name in names}
+    jobs = [Job(scenario_of(name), seed) for name in by_scenario.values() for seed in seeds]
     broken: dict[str, int] = {}
     seed, word = 0, ""
     for job, verdict in players.play_all(jobs):
