Let a cold node be warm when the stated time is over, to the millisecond

Fuzzing pushed a node over 25 ms after its stated warm-up: the look at its warmth each 50 ms had come out at 0.99999 by rounding. Schedulers count on that time; now the last look is at it, and rounding cannot leave it cold.

--- a/flintfield/lab/world/node.py
+++ b/flintfield/lab/world/node.py
@@ -361,8 +361,11 @@
             share = kind.cold_from + (1 - kind.cold_from) * self._work_done / full_use
             stated = rules.cold_from + (1 - rules.cold_from) * age / max(rules.cold_ms, 1.0)
             share = max(share, stated)
+        # Schedulers count on the stated time to the ms: no step, and no rounding, may leave it cold beyond.
+        until = rules.cold_ms if kind.warm_by == "work" else min(kind.cold_ms, rules.cold_ms)
+        share = 1.0 if age >= until - DONE_SLACK else share
         self.warm_share = min(1.0, max(self.warm_share, share))
-        self._warm_at = now + WARM_STEP_MS if self.warm_share < 1.0 else math.inf
+        self._warm_at = min(now + WARM_STEP_MS, self.started_at + until) if self.warm_share < 1.0 else math.inf
         if self.warm_share >= 1.0 or self.warm_share >= self._noted_share + WARMTH_NOTED:
             self._noted_share = self.warm_share
             happened.append(Happening(What.WARMTH, share=self.warm_share))
