--- a/flintfield/lab/faults.py
+++ b/flintfield/lab/faults.py
@@ -55,6 +55,12 @@
 )
 """Nodes die and are back before discovery calls them ready again."""
 
+JAM: tuple[Change, ...] = (
+    ("length_s", 20.0), ("load.per_s", 90.0), ("fleet.nodes", 6),
+    ("trouble", [{"kind": "vanish", "at_s": 5.0, "for_s": 20.0, "part": 0.4}]),
+)
+"""More than the fleet can do, and nodes that take jobs and say nothing more."""
+
 COLD: tuple[Change, ...] = (
     ("length_s", 20.0), ("load.per_s", 60.0), ("fleet.nodes", 12), ("schedulers.count", 8),
     ("trouble", [{"kind": "crash", "at_s": 4.0, "for_s": 4.0, "part": 0.5}]),
@@ -346,7 +352,8 @@
           reducer=_Impatient),
     Fault("forgets", "answer", "one answer in 200 is never given", reducer=_Forgets),
     Fault("answers-late", "answer", "one answer in 100 comes after the deadline", reducer=_Late),
-    Fault("misreads-deadlines", "answer", "deadlines are read ten times too long", reducer=_Generous),
+    Fault("misreads-deadlines", "answer", "deadlines are read ten times too long", reducer=_Generous,
+          scenario=JAM),
     Fault("invents-results", "answer", "some are served what no node made", reducer=_Invents),
     Fault("mixes-results-up", "answer", "some are served another's result", reducer=_Mixes),
     Fault("abandons-at-sigterm", "answer", "jobs are let go at SIGTERM", reducer=_Abandons),
--- a/flintfield/lab/world/node.py
+++ b/flintfield/lab/world/node.py
@@ -365,7 +365,8 @@
         until = rules.cold_ms if kind.warm_by == "work" else min(kind.cold_ms, rules.cold_ms)
         share = 1.0 if age >= until - DONE_SLACK else share
         self.warm_share = min(1.0, max(self.warm_share, share))
-        self._warm_at = min(now + WARM_STEP_MS, self.started_at + until) if self.warm_share < 1.0 else math.inf
+        next_look = min(now + WARM_STEP_MS, self.started_at + until)
+        self._warm_at = next_look if self.warm_share < 1.0 else math.inf
         if self.warm_share >= 1.0 or self.warm_share >= self._noted_share + WARMTH_NOTED:
             self._noted_share = self.warm_share
             happened.append(Happening(What.WARMTH, share=self.warm_share))
