--- a/flintfield/lab/platform.py
+++ b/flintfield/lab/platform.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from flintfield.lab.scenario import Scenario
+from flintfield.lab.scenario import Scenario, merged
 from flintfield.lab.world import Line, Streams
 
 REPORT_FIELDS = ("lat_ms", "rif", "q", "x0")
@@ -86,16 +86,7 @@
         "shapes": [k.name for k in fleet.kinds], "tier": 0, "tiers": ["workers"],
         "weight_kind": fleet.weights, "worth_by": "work" if scenario.load.worth_by_work else "request",
     }
-    return _over(made, given.settings)
-
-
-def _over(base: dict[str, Any], more: dict[str, Any]) -> dict[str, Any]:
-    """The base with other values on top, table by table."""
-    merged = dict(base)
-    for key, value in more.items():
-        below = merged.get(key)
-        merged[key] = _over(below, value) if isinstance(below, dict) and isinstance(value, dict) else value
-    return merged
+    return merged(made, given.settings)
 
 
 def list_line(line: Line, epoch_ms: float, address: str | None = None) -> dict[str, Any]:
--- a/flintfield/lab/scenario.py
+++ b/flintfield/lab/scenario.py
@@ -5,9 +5,11 @@
 `numpy.random.SeedSequence` child of its own, named by the component, so that one node more changes no other's
 draws.
 
-All times are milliseconds unless a key ends in `_s`; work is milliseconds of a standard core (speed 1).
-`load(path)` reads a file, `check(scenario)` says what msgspec's types can not, `library()` names what ships.
-An error is a `ScenarioError` of one line: file, key path, what was found and what was expected.
+All times are milliseconds unless a key ends in `_s`; work is milliseconds of a standard core (speed 1). A
+file may name a shipped scenario under `extends`: then it holds only what differs, table by table; a list
+stands for the whole list. `load(path)` reads a file, `check(scenario)` says what msgspec's types can not,
+`library()` names what ships. An error is a `ScenarioError` of one line: file, key path, what was found and
+what was expected.
 """
 
 from __future__ import annotations
@@ -23,6 +25,8 @@
 Share = Annotated[float, Meta(ge=0, le=1)]
 Positive = Annotated[float, Meta(gt=0)]
 Count = Annotated[int, Meta(ge=1)]
+MOST_EXTENDED = 4
+"""How many files deep `extends` goes: guards against files that extend each other."""
 
 
 class ScenarioError(Exception):
@@ -398,7 +402,8 @@
 def parse(text: str, where: str = "scenario") -> Scenario:
     """Read and check a scenario's text; `where` names it in errors."""
     try:
-        scenario = msgspec.toml.decode(text.encode(), type=Scenario)
+        raw = msgspec.toml.decode(text.encode())
+        scenario = msgspec.convert(_extended(raw, where), Scenario)
     except msgspec.ValidationError as error:
         word, _, at = str(error).partition(" - at `$")
         raise ScenarioError(f"{where}: {at.rstrip('`').lstrip('.') or 'top'}: {word}") from error
@@ -408,6 +413,26 @@
     return scenario
 
 
+def _extended(raw: dict[str, Any], where: str, depth: int = 0) -> dict[str, Any]:
+    """What a file holds, over the shipped scenario that it extends, if any."""
+    if (name := raw.pop("extends", None)) is None:
+        return raw
+    shipped = library()
+    if name not in shipped or depth >= MOST_EXTENDED:
+        raise ScenarioError(f"{where}: extends: found {name!r}, expected one of {', '.join(shipped)}")
+    base = msgspec.toml.decode(shipped[name].read_bytes())
+    return merged(_extended(base, name, depth + 1), raw)
+
+
+def merged(base: dict[str, Any], more: dict[str, Any]) -> dict[str, Any]:
+    """The base with other values on top, table by table."""
+    over = dict(base)
+    for key, value in more.items():
+        below = over.get(key)
+        over[key] = merged(below, value) if isinstance(below, dict) and isinstance(value, dict) else value
+    return over
+
+
 def check(scenario: Scenario, where: str = "scenario") -> None:
     """What the types can not say; a `ScenarioError` names the key."""
     def fail(key: str, found: object, expected: str) -> ScenarioError:
