--- a/flintfield/lab/choosers.py
+++ b/flintfield/lab/choosers.py
@@ -1,5 +1,4 @@
-"""Yardsticks: plain choosers that decide in the module's place, from a floor (random) to a top
-(all-seeing).
+"""Yardsticks: plain choosers that decide in the module's place, from a floor (random) to a top (all-seeing).
 
 Rules. Each takes the module's events and answers with its actions, so the reducer and every engine drive it
 alike. All share one core, `Chooser`, that keeps the four rules: it answers before the deadline, never has two
--- a/flintfield/lab/log.py
+++ b/flintfield/lab/log.py
@@ -1,14 +1,14 @@
 """The event log: all that the judge, the reports and the plots know of a run.
 
 Rules. A log holds what an onlooker with perfect sight would have written down: what clients asked and got,
-what reached worker nodes and what became of it there, what discovery told to whom, what went wrong. It
-holds nothing of a scheduler's insides, so every engine (virtual time, sockets) and every chooser writes the
-same words.
-
-Records stand in order of time; of one instant, in order of cause. Times are milliseconds from the run's
-start on the one true clock. Nodes, schedulers, clients' requests and attempts are named by texts and small
-numbers that are the same in every engine. `encode` gives one line of bytes for each record, alike on every
-machine and under every PYTHONHASHSEED: `Log.sha256` over them is the run's fingerprint.
+what reached worker nodes and what became of it there, what discovery told to whom, what went wrong. It holds
+nothing of a scheduler's insides, so every engine (virtual time, sockets) and every chooser writes the same
+words.
+
+Records stand in order of time; of one instant, in order of cause. Times are milliseconds from the run's start
+on the one true clock. Nodes, schedulers, clients' requests and attempts are named by texts and small numbers
+that are the same in every engine. `encode` gives one line of bytes for each record, alike on every machine
+and under every PYTHONHASHSEED: `Log.sha256` over them is the run's fingerprint.
 """
 
 from __future__ import annotations
@@ -174,8 +174,7 @@
 
 
 class ConnectionLost(Record, frozen=True, tag="connection-lost"):
-    """The connection of an unanswered try ended: by the scheduler, by its death, or by the client
-    itself."""
+    """The connection of an unanswered try ended: by the scheduler, by its death, or by the client itself."""
 
     rid: str
     by: Literal["scheduler", "death", "client", "network"]
@@ -200,8 +199,7 @@
 
 
 class Arrived(Record, frozen=True, tag="arrived"):
-    """The last byte of an attempt reached the node: it may run from here on. `cost` is the work it
-    brings."""
+    """The last byte of an attempt reached the node: it may run from here on. `cost` is the work it brings."""
 
     rid: str
     branch: int
--- a/flintfield/lab/platform.py
+++ b/flintfield/lab/platform.py
@@ -1,7 +1,7 @@
 """What a scheduler is told at its start, in the operators' words, so that every engine tells the same.
 
-`configuration` makes the JSON object that `LB_CONFIG` names for a real process; the virtual engine reads
-the same object with the same reader.
+`configuration` makes the JSON object that `LB_CONFIG` names for a real process; the virtual engine reads the
+same object with the same reader.
 """
 
 from __future__ import annotations
--- a/flintfield/lab/verdict.py
+++ b/flintfield/lab/verdict.py
@@ -57,8 +57,7 @@
 
 
 class Verdict(msgspec.Struct, frozen=True):
-    """The whole verdict; `share` is where the goal stands between a floor and a top, if they were
-    played."""
+    """The whole verdict; `share` is where the goal stands between a floor and a top, if they were played."""
 
     scenario: str
     seed: int
