--- a/flintfield/lab/cli.py
+++ b/flintfield/lab/cli.py
@@ -7,7 +7,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import functools
+import signal
 import sys
 import time
 from collections.abc import Callable, Iterable, Sequence
@@ -56,6 +58,9 @@
 @click.group()
 def lab() -> None:
     """Play scenarios against the scheduler, judge them and report."""
+    # An experiment that is told to end closes its results and its processes as after Ctrl-C.
+    with contextlib.suppress(ValueError):  # not in the main thread: the caller heeds signals
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(128 + signal.SIGTERM))
 
 
 def _print(value: Any) -> None:
--- a/flintfield/lab/experiments/pool.py
+++ b/flintfield/lab/experiments/pool.py
@@ -9,8 +9,10 @@
 from __future__ import annotations
 
 import multiprocessing
+import multiprocessing.connection
 import os
 import sys
+import threading
 import traceback
 from collections.abc import Callable, Iterable, Iterator
 from concurrent.futures import FIRST_COMPLETED, Future, ProcessPoolExecutor, wait
@@ -28,6 +30,20 @@
 Play = Callable[[Job], Verdict]
 
 
+def _begin(build: str) -> None:
+    """A worker process begins."""
+    use_build(build)
+    parent = multiprocessing.parent_process()
+    assert parent is not None
+    threading.Thread(target=_end_with, args=(parent.sentinel,), daemon=True).start()
+
+
+def _end_with(parent: int) -> None:
+    """Guards against workers that outlive a killed experiment: they would wait for jobs for ever."""
+    multiprocessing.connection.wait([parent])
+    os._exit(1)
+
+
 def use_build(build: str) -> None:
     """Take all that is below the laboratory from the checkout at `build` (empty: ours), from now on."""
     import flintfield
@@ -100,7 +116,7 @@
             return
         if self._pool is None:
             context = multiprocessing.get_context("spawn")
-            self._pool = ProcessPoolExecutor(self._count, context, use_build, (self._build,))
+            self._pool = ProcessPoolExecutor(self._count, context, _begin, (self._build,))
         given, out = iter(jobs), dict[Future[bytes], Job]()
         try:
             while True:
