Move settings, the background thread and standard error to a floor below their readers

Capture, replay and the simulator's wire read configuration, the thread and the line writer from lifecycle: three arrows of imports that ran up.

flintfield/base/ holds them now. A fault in the platform's file is told with the file, the key, what was found and what was expected.

--- a/flintfield/lifecycle/config.py
+++ b/flintfield/base/settings.py
@@ -1,15 +1,16 @@
-"""The one place where configuration is read, checked and given defaults.
+"""The platform's settings: read from JSON, checked and given defaults, in this one place.
 
 `read_settings` serves both programs: the real scheduler finds the settings in its configuration, the adapter
-in the simulator's first message. Unknown keys are skipped; a faulty one is named in a `ConfigError`.
+in the simulator's first message. Unknown keys are skipped; a faulty one is named in a `ConfigError`, with
+what was found and what was expected.
 """
 
 from __future__ import annotations
 
-import json
 import math
+import reprlib
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Any
 
 from flintfield.decision.interface import (
@@ -26,12 +27,18 @@
     """A configuration that cannot be used; the text names the faulty key."""
 
 
+def fault(key: str, found: object, expected: str) -> ConfigError:
+    """The error for a value that is none, or none of that kind; what was found is told in short."""
+    told = "nothing" if found is None else reprlib.repr(found)
+    return ConfigError(f"{key}: found {told}, expected {expected}")
+
+
 class Section:
     """A JSON object of the configuration; its getters name the key when a value is wrong."""
 
     def __init__(self, raw: Any, path: str) -> None:
         if not isinstance(raw, Mapping):
-            raise ConfigError(f"{path or 'configuration'}: must be an object")
+            raise fault(path or "configuration", raw, "an object")
         self.raw, self.path = raw, path
 
     def key(self, name: str) -> str:
@@ -47,7 +54,7 @@
     def number(self, name: str, default: float | None = None) -> float:
         value = self._get(name, default)
         if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
-            raise ConfigError(f"{self.key(name)}: must be a number")
+            raise fault(self.key(name), value, "a number")
         return float(value)
 
     def number_at(self, name: str, index: int, default: float) -> float:
@@ -57,25 +64,25 @@
     def whole(self, name: str, default: int) -> int:
         value = self.number(name, default)
         if not value.is_integer():
-            raise ConfigError(f"{self.key(name)}: must be a whole number")
+            raise fault(self.key(name), value, "a whole number")
         return int(value)
 
     def flag(self, name: str) -> bool:
         value = self._get(name, False)
         if not isinstance(value, bool):
-            raise ConfigError(f"{self.key(name)}: must be true or false")
+            raise fault(self.key(name), value, "true or false")
         return value
 
     def text(self, name: str, default: str | None = None) -> str:
         value = self._get(name, default)
         if not isinstance(value, str):
-            raise ConfigError(f"{self.key(name)}: must be a text")
+            raise fault(self.key(name), value, "a text")
         return value
 
     def items(self, name: str) -> list[Any]:
         value = self._get(name, [])
         if not isinstance(value, list):
-            raise ConfigError(f"{self.key(name)}: must be a list")
+            raise fault(self.key(name), value, "a list")
         return value
 
     def sections(self, name: str) -> list[Section]:
@@ -84,13 +91,13 @@
     def texts(self, name: str) -> tuple[str, ...]:
         for i, item in enumerate(self.items(name)):
             if not isinstance(item, str):
-                raise ConfigError(f"{self.key(name)}[{i}]: must be a text")
+                raise fault(f"{self.key(name)}[{i}]", item, "a text")
         return tuple(self.items(name))
 
     def choice(self, name: str, choices: Mapping[str, Any], default: str) -> Any:
         value = self.text(name, default)
         if value not in choices:
-            raise ConfigError(f"{self.key(name)}: must be one of {', '.join(choices)}")
+            raise fault(self.key(name), value, f"one of {', '.join(choices)}")
         return choices[value]
 
 
@@ -167,90 +174,10 @@
     return tuple(names.get(f) for f in report.texts("fields"))
 
 
-# ------------------------------------------------------- the real scheduler
-
-
-@dataclass(frozen=True, slots=True)
-class Config:
-    """All that a real scheduler is told at its start."""
-
-    name: str
-    listen: tuple[str, int]
-    discovery: tuple[str, int]
-    seed: int
-    sockets: int
-    settings: Settings
-    raw_settings: Any  # as they stand in the file
-    class_names: tuple[str, ...]
-    zones: tuple[str, ...]
-    kinds: tuple[str, ...]
-    report_names: dict[str, str]  # a load report's names on the wire, and ours
-    conn_idle_ms: float
-    dial_timeout_ms: float
-    most_held: int
-    known: Any  # the list of next hops as last had, in discovery's form
-
-
-def read_config(environ: Mapping[str, str]) -> Config:
-    """Read the file that LB_CONFIG names; what it lacks is taken from the other variables."""
-    path = environ.get("LB_CONFIG", "")
-    if not path:
-        raise ConfigError("LB_CONFIG: not set")
-    try:
-        with open(path, encoding="utf-8") as file:
-            raw = json.load(file)
-    except (OSError, ValueError) as error:
-        raise ConfigError(f"LB_CONFIG: {path} cannot be read: {error}") from error
-    top = Section(raw, "")
-    raw_settings = top.part("settings")
-    settings, fields = read_settings(raw_settings.raw)
-    limits, report = raw_settings.part("limits"), raw_settings.part("report")
-    wire_names = report.texts("fields")
-    return Config(
-        name=top.text("name", environ.get("LB_NAME", "scheduler")),
-        listen=_address(top, "listen", environ.get("LB_LISTEN")),
-        discovery=_address(top, "discovery", environ.get("LB_DISCOVERY")),
-        seed=_seed(top),
-        sockets=top.part("limits").whole("sockets", 1024),
-        settings=_on_sockets(settings),
-        raw_settings=raw_settings.raw,
-        class_names=tuple(c.text("name") for c in raw_settings.sections("request_classes")),
-        zones=raw_settings.texts("areas"),
-        kinds=raw_settings.texts("shapes"),
-        report_names={wire: ours for wire, ours in zip(wire_names, fields, strict=True) if ours},
-        conn_idle_ms=limits.number("conn_idle_ms", 5_000.0),
-        dial_timeout_ms=limits.number("dial_timeout_ms", 250.0),
-        most_held=limits.whole("most_held", 20_000),
-        known=top.raw.get("known") or {"generation": 0, "reset": True, "instances": []},
-    )
-
-
 def read_real_settings(raw: Any) -> Settings:
     """The settings as a real scheduler's decisions have them."""
-    return _on_sockets(read_settings(raw)[0])
+    return on_sockets(read_settings(raw)[0])
 
 
-def _on_sockets(settings: Settings) -> Settings:
+def on_sockets(settings: Settings) -> Settings:
     return replace(settings, ask_list=True)  # no news comes unasked
-
-
-def read_address(text: str) -> tuple[str, int]:
-    """Split `host:port`; a ValueError tells what is wrong."""
-    host, colon, port = text.rpartition(":")
-    if not (host and colon and port.isdecimal() and 0 <= int(port) < 65536):
-        raise ValueError(f"{text!r} is not host:port")
-    return host.strip("[]"), int(port)
-
-
-def _address(top: Section, name: str, default: str | None) -> tuple[str, int]:
-    try:
-        return read_address(top.text(name, default))
-    except ValueError as error:
-        raise ConfigError(f"{name}: {error}") from error
-
-
-def _seed(top: Section) -> int:
-    try:
-        return int(top.text("seed", "0"), 16)
-    except ValueError as error:
-        raise ConfigError(f"seed: {error}") from error
--- a/flintfield/lifecycle/stderr.py
+++ b/flintfield/base/stderr.py
@@ -11,7 +11,7 @@
 
 import structlog
 
-from flintfield.lifecycle.background import Background
+from flintfield.base.background import Background
 
 STANDARD_ERROR = 2
 MOST_WAITING = 1_000
--- a/flintfield/capture/files.py
+++ b/flintfield/capture/files.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import IO
 
-from flintfield.lifecycle.background import Background
+from flintfield.base.background import Background
 
 NAME = re.compile(r"cap-([0-9]{4,})\.jsonl")
 
--- a/flintfield/capture/replay.py
+++ b/flintfield/capture/replay.py
@@ -8,12 +8,12 @@
 from itertools import zip_longest
 from typing import Any, BinaryIO
 
+from flintfield.base.settings import ConfigError, read_real_settings
 from flintfield.capture.records import Names, decision_records, read_event, read_server, word_of
 from flintfield.capture.recorder import FRESH
 from flintfield.decision.checkpoint import restore
 from flintfield.decision.interface import ListMode, ServerList
 from flintfield.decision.policy import Dispatcher
-from flintfield.lifecycle.config import ConfigError, read_real_settings
 
 MARK = b"-----CAPTURE-----"
 NOTHING = "none"
--- a/flintfield/capture/service.py
+++ b/flintfield/capture/service.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
+from flintfield.base.stderr import ErrorOut
 from flintfield.capture.files import Files
 from flintfield.capture.recorder import Recorder, Start
 from flintfield.capture.replay import MARK
 from flintfield.capture.ring import Ring
 from flintfield.lifecycle.operators import CaptureOn, OperatorsError
-from flintfield.lifecycle.stderr import ErrorOut
 from flintfield.memory.state import State
 
 FLUSH_S = 1.0  # how long the end waits for the disk
--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -11,10 +11,10 @@
 from anyio.abc import TaskGroup
 
 from flintfield import __version__ as VERSION
+from flintfield.base.config import Config
+from flintfield.base.stderr import ErrorOut
 from flintfield.decision.policy import Dispatcher
-from flintfield.lifecycle.config import Config
 from flintfield.lifecycle.operators import Access, CaptureOn, Operators, OperatorsError, StatusPageOn
-from flintfield.lifecycle.stderr import ErrorOut
 from flintfield.memory.jobs import Jobs
 from flintfield.memory.messages import (
     Answer, CallDiscovery, Defect, DiscoveryMoved, DropBranch, Effect, LeaveDiscovery, Message, OpenBranch,
--- a/flintfield/lifecycle/start.py
+++ b/flintfield/lifecycle/start.py
@@ -12,7 +12,8 @@
 import anyio
 from anyio.abc import TaskStatus
 
-from flintfield.lifecycle.config import Config, ConfigError, read_config
+from flintfield.base.config import Config, read_config
+from flintfield.base.settings import ConfigError
 from flintfield.lifecycle.log import make_log
 from flintfield.lifecycle.operators import Operators, OperatorsError, read_operators
 from flintfield.lifecycle.program import Program
--- a/flintfield/wire/simulator/frames.py
+++ b/flintfield/wire/simulator/frames.py
@@ -10,11 +10,11 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
+from flintfield.base import settings as base
 from flintfield.decision.interface import (
     Action, AttemptEnded, Cancel, Entry, Event, Fail, First, Gone, ListMode, Note, Outcome, Probe, Probed,
     Refuse, Report, Request, Send, ServerList, SetTimer, Settings, State, Timer, Watch,
 )
-from flintfield.lifecycle import config
 
 BATCH_HEAD = struct.Struct("<dII")
 REPLY_HEAD = struct.Struct("<II")
@@ -75,8 +75,8 @@
 def read_settings(text: bytes) -> tuple[Settings, tuple[str | None, ...]]:
     """Translate the settings text of the first message."""
     try:
-        return config.read_settings(json.loads(text))
-    except (ValueError, config.ConfigError) as error:
+        return base.read_settings(json.loads(text))
+    except (ValueError, base.ConfigError) as error:
         raise WireError(f"settings cannot be read: {error}") from error
 
 
--- a/tests/test_checkpoint.py
+++ b/tests/test_checkpoint.py
@@ -8,10 +8,10 @@
 import pytest
 from hypothesis import given, strategies as st
 
+from flintfield.base.settings import read_real_settings
 from flintfield.decision.checkpoint import TooLarge, restore, save
 from flintfield.decision.interface import Action, Entry, Event, Request, Send
 from flintfield.decision.policy import Dispatcher
-from flintfield.lifecycle.config import read_real_settings
 from flintfield.memory.state import State
 from helpers import World, settings as world_settings
 from peers import SETTINGS
--- a/tests/test_jobstatus.py
+++ b/tests/test_jobstatus.py
@@ -8,9 +8,9 @@
 
 import pytest
 
+from flintfield.base.settings import read_settings
 from flintfield.decision.interface import ListMode
 from flintfield.decision.policy import Dispatcher
-from flintfield.lifecycle.config import read_settings
 from flintfield.lifecycle.start import main
 from flintfield.memory.jobs import Jobs
 from flintfield.memory.messages import (
