Hand the program a list of units, and let each feature say what it offers

program.py knew every feature by name and operators.py held all their settings: each new feature grew both.

A feature declares its sections and a unit in flintfield/units/; lifecycle has a list of names, imports what the operators' file turns on, and asks all units for the same: effects, messages, pages, ports, signals, tasks, an end. tests/test_floors.py reads all imports and fails on any that runs up. Faults in the operators' file tell the file, [section] key, what was found and what was expected.

The four features behave as before: their tests pass untouched.

--- a/flintfield/capture/service.py
+++ b/flintfield/capture/service.py
@@ -3,19 +3,29 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 from pathlib import Path
 
+from flintfield.base.ini import OperatorsError
 from flintfield.base.stderr import ErrorOut
 from flintfield.capture.files import Files
 from flintfield.capture.recorder import Recorder, Start
 from flintfield.capture.replay import MARK
 from flintfield.capture.ring import Ring
-from flintfield.lifecycle.operators import CaptureOn, OperatorsError
 from flintfield.memory.state import State
 
 FLUSH_S = 1.0  # how long the end waits for the disk
 
 
+@dataclass(frozen=True, slots=True)
+class CaptureOn:
+    """How much is recorded: in a ring in memory, or in so many files of that size."""
+
+    ring_kib: int = 512
+    dir: str | None = None
+    files: int = 8
+
+
 class Capture:
     """Records from now on, into a ring in memory or into files."""
 
@@ -32,7 +42,8 @@
             return Files(Path(folder), count, size,
                          lambda word: self._errors.line("capture failed", dir=folder, error=word))
         except OSError as error:
-            raise OperatorsError(f"[capture] dir: {error}") from error
+            raise OperatorsError(f"[capture] dir: found {folder!r}, "
+                                 f"expected a folder that can be written: {error}") from error
 
     def copy(self) -> None:
         """Send the ring as it is now to standard error, from where it is written off the event loop.
--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -2,37 +2,31 @@
 
 from __future__ import annotations
 
+import signal
 import time
 from collections import deque
-from collections.abc import Callable, Coroutine
-from typing import TYPE_CHECKING, Any
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
+from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup
 
-from flintfield import __version__ as VERSION
 from flintfield.base.config import Config
+from flintfield.base.ini import OperatorsError
 from flintfield.base.stderr import ErrorOut
 from flintfield.decision.policy import Dispatcher
-from flintfield.lifecycle.operators import Access, CaptureOn, Operators, OperatorsError, StatusPageOn
-from flintfield.memory.jobs import Jobs
+from flintfield.lifecycle.operators import Chosen
 from flintfield.memory.messages import (
     Answer, CallDiscovery, Defect, DiscoveryMoved, DropBranch, Effect, LeaveDiscovery, Message, OpenBranch,
-    ProbeHop, StopAsked, Untracked, WatchFailed, Woke, WriteBranch,
+    ProbeHop, StopAsked, WatchFailed, Woke, WriteBranch,
 )
 from flintfield.memory.reducer import LAST_CALL_MS, reduce
 from flintfield.memory.state import State
-from flintfield.memory.status import take_status
-from flintfield.wire.http1.caller import Callers, Pages
+from flintfield.units.interface import Host, SidePage
+from flintfield.wire.http1.caller import Callers, Page, Pages
 from flintfield.wire.http1.client import Pool
 from flintfield.wire.http1.discovery import Discovery, Reader
 from flintfield.wire.http1.hop import NextHops
-from flintfield.wire.http1.jobs import JobPages
-
-if TYPE_CHECKING:
-    from flintfield.capture.service import Capture
-    from flintfield.wire.http1.status import StatusPage
-    from flintfield.wire.http1.access import Gate
 
 SWEEP_S = 1.0
 LEGS_PART = 0.5  # of the descriptors: for caller legs; clients hold a third of all for requests
@@ -42,6 +36,7 @@
 STOP_MARGIN_MS = 200.0  # all is answered so long before the kill
 STOP_ACCEPT_S = 0.62  # after SIGTERM new connections keep coming for up to 0.4 s, then their requests
 STOP_CHECK_S = 0.02
+END_S = 1.0  # how long the end of all units may take
 FLUSH_S = 0.1  # how long the end waits for what still goes to standard error
 
 
@@ -54,21 +49,19 @@
 class Program:
     """One real scheduler."""
 
-    def __init__(self, config: Config, operators: Operators, log: Any) -> None:
+    def __init__(self, config: Config, features: Sequence[Chosen], log: Any) -> None:
         self._config, self._log = config, log
         self._clock = make_clock()
-        self._began = self._clock()
-        given = operators.jobstatus
-        jobs = Jobs(given.keep_ms, given.max_entries) if given else None
-        self.state = State(Dispatcher(config.settings, config.seed), config.most_held, config.discovery, jobs)
+        self.state = State(Dispatcher(config.settings, config.seed), config.most_held, config.discovery)
         self._errors = ErrorOut(self._count)
         self._inbox: deque[Message] = deque()
         self._taking = False
         self._rearm = anyio.Event()
         self._armed = float("inf")
         self._tasks: TaskGroup
-        self.capture = self._capture(operators.capture)
-        self._status_on, self._status = operators.statuspage, self._status_page(operators.statuspage)
+        host = Host(config, self.state, self._clock, self._clock(), self.tell, self._start_beside,
+                    self._errors, log, self._count, self._defect, self._side_pages)
+        self.units = [feature.build(host) for feature in features]
         pool = Pool(self._clock, config.conn_idle_ms, config.dial_timeout_ms,
                     int(config.sockets * IDLE_PART), lambda: self._callers.make_room())
         self._pool = pool
@@ -76,10 +69,10 @@
         self._known = reader.news(config.known, cached=True)
         self._hops = NextHops(self.tell, self._clock, pool, config.report_names)
         self._discovery = Discovery(self.tell, pool, reader)
-        job_pages = JobPages(config.name, lambda name: jobs.find(self._clock(), name)) if jobs else None
-        pages = Pages(lambda: not self.state.stopping, lambda: self.state.counters, job_pages)
+        pages = Pages(lambda: not self.state.stopping, lambda: self.state.counters, self._pages())
+        gate = next((gate for unit in self.units if (gate := unit.gate())), None)
         self._callers = Callers(self.tell, pages, config.class_names,
-                                int(config.sockets * LEGS_PART), self._count, self._gate(operators.access))
+                                int(config.sockets * LEGS_PART), self._count, gate)
         self._perform: dict[type, Callable[[Any], None]] = {
             OpenBranch: self._open_branch,
             WriteBranch: self._hops.write,
@@ -89,32 +82,21 @@
             CallDiscovery: self._call_discovery,
             LeaveDiscovery: self._discovery.leave,
             Defect: lambda e: self._log.error("defect", where=e.where, error=e.error),
-            Untracked: lambda e: self._errors.line("job not tracked: the table is full", id=e.name),
             WatchFailed: lambda e: self._log.warning("watch failed", word=e.word),
         }
+        for unit in self.units:
+            self.state.handlers.update(unit.handlers())
+            self._perform.update(unit.effects())
 
-    def _capture(self, given: CaptureOn | None) -> Capture | None:
-        if given is None:
-            return None
-        from flintfield.capture.recorder import Start
-        from flintfield.capture.service import Capture
-
-        told = Start(self._config.name, VERSION, self._config.seed, self._config.raw_settings)
-        return Capture(given, told, self.state, self._errors, self._count)
-
-    def _status_page(self, given: StatusPageOn | None) -> StatusPage | None:
-        if given is None:
-            return None
-        from flintfield.wire.http1.status import StatusPage
-
-        return StatusPage(self._config.name, VERSION, self._count)
+    def _pages(self) -> dict[bytes, Page]:
+        return {path: page for unit in self.units for path, page in unit.pages().items()}
 
-    def _gate(self, access: Access | None) -> Gate | None:
-        if access is None:
-            return None
-        from flintfield.wire.http1.access import Gate  # its parser takes 1 MB: only where it is on
+    def _side_pages(self) -> dict[bytes, SidePage]:
+        return {path: page for unit in self.units for path, page in unit.side_pages().items()}
 
-        return Gate(access.allow, access.deny, access.proxy_trusted, self._errors.line, self._count)
+    def signals(self) -> dict[signal.Signals, Callable[[], None]]:
+        """The signals that units heed."""
+        return {number: heed for unit in self.units for number, heed in unit.signals().items()}
 
     def _start(self, task: Callable[[Any], Coroutine[Any, Any, None]]) -> Callable[[Any], None]:
         """Carry an effect out in a task of its own."""
@@ -178,28 +160,20 @@
     # ------------------------------------------------------------- the tasks
 
     def listen(self) -> None:
-        """Take the listening address."""
+        """Take the listening address, and the units' own ports."""
         self._ports = {"port": self._callers.listen(self._config.listen)}
-        if self._status and self._status_on:
-            try:
-                port = self._status.listen((self._config.listen[0], self._status_on.port))
-            except OSError as error:
-                raise OperatorsError(f"[statuspage] port: {error}") from error
-            self._ports["status_port"] = port
-
-    def _show_status(self) -> None:
-        """Make a new snapshot of the status page."""
-        if self._status and self._status_on:
-            self._status.show(take_status(self.state, self._clock(), self._began, self._config.class_names,
-                                          self._status_on.error_keep_s * 1000))
-
-    async def _keep_status(self, every_s: float) -> None:
-        while True:
-            try:
-                self._show_status()
-            except Exception as error:  # guards all other tasks: one that raises would end them
-                self._defect("status page", error)
-            await anyio.sleep(every_s)
+        for unit in self.units:
+            self._ports.update(unit.listen())
+
+    async def _guarded(self, task: Callable[[], Awaitable[None]], where: str) -> None:
+        """A unit's task; guards all other tasks: one that raises would end them."""
+        try:
+            await task()
+        except Exception as error:
+            self._defect(where, error)
+
+    def _start_beside(self, task: Callable[[], Awaitable[None]]) -> None:
+        self._tasks.start_soon(self._guarded, task, getattr(task, "__qualname__", repr(task)))
 
     async def run(self, stop_asked: anyio.Event) -> None:
         """Serve until asked to stop and all is settled."""
@@ -209,17 +183,15 @@
             tasks.start_soon(self._keep_time)
             tasks.start_soon(self._sweep)
             tasks.start_soon(self._callers.accept_all, tasks)
-            if self._status and self._status_on:
-                tasks.start_soon(self._keep_status, self._status_on.refresh_ms / 1000)
-                tasks.start_soon(self._status.accept_all, tasks)
+            for unit in self.units:
+                self._start_beside(unit.run)
             self._log.info("serving", **self._ports, next_hops=len(self.state.routes),
                            generation=self.state.generation)
             await stop_asked.wait()
             await self._stop(tasks)
+            await self._end_units()
             tasks.cancel_scope.cancel()
         self._errors.flush(FLUSH_S)
-        if self.capture:
-            self.capture.flush()
         self._log.info("stopped", counters=dict(sorted(self.state.counters.items())))
 
     def reload(self, config: Config) -> None:
@@ -227,6 +199,16 @@
         self._log.info("reloaded", discovery="{}:{}".format(*config.discovery))
         self.tell(DiscoveryMoved(config.discovery))
 
+    def reload_units(self) -> None:
+        """Have the units read their files again; guards against a faulty one ending the program."""
+        for unit in self.units:
+            try:
+                unit.reload()
+            except (OperatorsError, OSError) as error:
+                self._log.error("reload refused", error=str(error))
+            except Exception as error:
+                self._defect("reload", error)
+
     async def _keep_time(self) -> None:
         while True:
             due = self.state.timers.next_at()
@@ -264,5 +246,12 @@
             self._callers.close_idle()
             await anyio.sleep(STOP_CHECK_S)
 
+    async def _end_units(self) -> None:
+        """Let all units end, together; guards against one that stalls: the kill is near."""
+        with anyio.move_on_after(END_S):
+            async with anyio.create_task_group() as ends:
+                for unit in self.units:
+                    ends.start_soon(self._guarded, unit.end, type(unit).__name__)
+
     def _busy(self) -> bool:
         return bool(self.state.transactions or self._callers.open_legs)
--- a/flintfield/lifecycle/start.py
+++ b/flintfield/lifecycle/start.py
@@ -13,9 +13,10 @@
 from anyio.abc import TaskStatus
 
 from flintfield.base.config import Config, read_config
+from flintfield.base.ini import OperatorsError
 from flintfield.base.settings import ConfigError
 from flintfield.lifecycle.log import make_log
-from flintfield.lifecycle.operators import Operators, OperatorsError, read_operators
+from flintfield.lifecycle.operators import chosen, read_operators
 from flintfield.lifecycle.program import Program
 from flintfield.wire.http1.discovery import ListError
 
@@ -39,7 +40,10 @@
         operators = read_operators(given.ini)
         config = read_config(os.environ)
         anyio.run(_serve, config, operators, make_log(name=config.name))
-    except (ConfigError, OperatorsError) as error:
+    except OperatorsError as error:
+        print(f"flintfield: {given.ini}: {error}", file=sys.stderr)
+        return BAD_CONFIG
+    except ConfigError as error:
         print(f"flintfield: {error}", file=sys.stderr)
         return BAD_CONFIG
     except ListError as error:
@@ -51,8 +55,8 @@
     return 0
 
 
-async def _serve(config: Config, operators: Operators, log: Any) -> None:
-    program, stop_asked = Program(config, operators, log), anyio.Event()
+async def _serve(config: Config, operators: Any, log: Any) -> None:
+    program, stop_asked = Program(config, chosen(operators), log), anyio.Event()
     program.listen()
     async with anyio.create_task_group() as tasks:
         # Guards against a signal right after the start, which would kill a program that does not listen yet.
@@ -64,22 +68,21 @@
 async def _heed_signals(
     program: Program, stop_asked: anyio.Event, log: Any, *, task_status: TaskStatus[None]
 ) -> None:
-    heeded: list[signal.Signals] = [signal.SIGTERM, signal.SIGINT, signal.SIGHUP]
-    if program.capture:
-        heeded.append(signal.SIGUSR2)
-    with anyio.open_signal_receiver(*heeded) as signals:
+    units = program.signals()
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP, *units) as signals:
         task_status.started()
         async for number in signals:
             if number == signal.SIGHUP:
                 _reload(program, log)
-            elif number == signal.SIGUSR2 and program.capture:
-                program.capture.copy()
+            elif number in units:
+                units[number]()
             else:
                 stop_asked.set()
 
 
 def _reload(program: Program, log: Any) -> None:
     """Read the configuration again; guards against a faulty file ending a scheduler that serves."""
+    program.reload_units()
     try:
         config = read_config(os.environ)
     except ConfigError as error:
--- a/flintfield/memory/messages.py
+++ b/flintfield/memory/messages.py
@@ -173,8 +173,14 @@
     settle_by: float
 
 
+class UnitMessage:
+    """Of a unit's own kind: the handler that the unit hung on the state takes it in."""
+
+    __slots__ = ()
+
+
 Message = (RouteNews | RouteCallFailed | DiscoveryMoved | Submitted | CallerLeft | BranchUp | BranchNoted
-           | BranchEnded | ProbeEnded | Woke | StopAsked)
+           | BranchEnded | ProbeEnded | Woke | StopAsked | UnitMessage)
 
 
 # ------------------------------------------------------------------ effects
@@ -264,5 +270,11 @@
     name: str
 
 
+class UnitEffect:
+    """Of a unit's own kind: the unit carries it out."""
+
+    __slots__ = ()
+
+
 Effect = (OpenBranch | WriteBranch | DropBranch | Answer | ProbeHop | CallDiscovery | LeaveDiscovery | Defect
-          | WatchFailed | Untracked)
+          | WatchFailed | Untracked | UnitEffect)
--- a/flintfield/memory/reducer.py
+++ b/flintfield/memory/reducer.py
@@ -48,13 +48,16 @@
 
 def reduce(state: State, now: float, message: Message) -> list[Effect]:
     """Take one message in and return the effects it calls for."""
-    turn = _Turn(state, now)
+    turn = Turn(state, now)
     turn.take(message)
     return turn.effects
 
 
-class _Turn:
-    """One run of the reducer: events wait here until the decision module is free for them."""
+class Turn:
+    """One run of the reducer: events wait here until the decision module is free for them.
+
+    A unit's handler reads `state` and `now`, changes what is its own, and adds to `effects`.
+    """
 
     def __init__(self, state: State, now: float) -> None:
         self.state, self.now = state, now
@@ -62,9 +65,15 @@
         self._events: deque[Event] = deque()
 
     def take(self, message: Message) -> None:
-        HANDLERS[type(message)](self, message)
+        """Take the message in, and all that follows from it."""
+        kind = type(message)
+        (HANDLERS.get(kind) or self.state.handlers[kind])(self, message)
         self._run_events()
 
+    def ask(self, event: Event) -> None:
+        """Have the decision module told this event before the turn ends."""
+        self._events.append(event)
+
     # ------------------------------------------------- the decision module
 
     def _run_events(self) -> None:
@@ -374,13 +383,13 @@
         return self.state.settle_by - LAST_CALL_MS
 
 
-HANDLERS: dict[type, Callable[[_Turn, Any], None]] = {
-    RouteNews: _Turn.route_news, RouteCallFailed: _Turn.route_call_failed, Submitted: _Turn.submitted,
-    CallerLeft: _Turn.caller_left, BranchUp: _Turn.branch_up, BranchNoted: _Turn.branch_noted,
-    BranchEnded: _Turn.branch_ended, ProbeEnded: _Turn.probe_ended, Woke: _Turn.woke,
-    StopAsked: _Turn.stop_asked, DiscoveryMoved: _Turn.discovery_moved,
+HANDLERS: dict[type, Callable[[Turn, Any], None]] = {
+    RouteNews: Turn.route_news, RouteCallFailed: Turn.route_call_failed, Submitted: Turn.submitted,
+    CallerLeft: Turn.caller_left, BranchUp: Turn.branch_up, BranchNoted: Turn.branch_noted,
+    BranchEnded: Turn.branch_ended, ProbeEnded: Turn.probe_ended, Woke: Turn.woke,
+    StopAsked: Turn.stop_asked, DiscoveryMoved: Turn.discovery_moved,
 }
-ACTIONS: dict[type, Callable[[_Turn, Any], None]] = {
-    Send: _Turn.send, Refuse: _Turn.refuse, Fail: _Turn.fail, Cancel: _Turn.cancel, Probe: _Turn.probe,
-    SetTimer: _Turn.set_timer, Watch: _Turn.watch,
+ACTIONS: dict[type, Callable[[Turn, Any], None]] = {
+    Send: Turn.send, Refuse: Turn.refuse, Fail: Turn.fail, Cancel: Turn.cancel, Probe: Turn.probe,
+    SetTimer: Turn.set_timer, Watch: Turn.watch,
 }
--- a/flintfield/memory/state.py
+++ b/flintfield/memory/state.py
@@ -7,12 +7,16 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
 
 from flintfield.decision.interface import Action, Event, Limits, WorkerId
 from flintfield.decision.policy import Dispatcher
 from flintfield.memory.jobs import Jobs
 from flintfield.memory.messages import Address, Route, Submission
 
+if TYPE_CHECKING:
+    from flintfield.memory.reducer import Turn
+
 
 @dataclass(slots=True)
 class Branch:
@@ -90,6 +94,9 @@
 Tap = Callable[[float, Event, Sequence[Action]], None]
 """Looks on: each event with its time as the decision module got it, and the actions it answered with."""
 
+Handler = Callable[["Turn", Any], None]
+"""Takes in a unit's own message within a turn of the reducer: no I/O, no clock but `turn.now`."""
+
 
 class State:
     """The scheduler's memory."""
@@ -101,6 +108,7 @@
         self.most_held = most_held
         self.jobs = jobs  # None: what has become of jobs is not kept
         self.tap: Tap | None = None
+        self.handlers: dict[type, Handler] = {}  # of the messages that are units' own
         self.transactions: dict[int, Transaction] = {}
         self.names: dict[str, int] = {}  # the ids callers gave to the transactions that are not settled
         self.routes: dict[WorkerId, Route] = {}
--- a/flintfield/wire/http1/caller.py
+++ b/flintfield/wire/http1/caller.py
@@ -5,22 +5,18 @@
 import json
 import socket
 from collections.abc import Callable, Iterator, Mapping, Sequence
-from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from dataclasses import dataclass, field
+from typing import Protocol
 
 import anyio
 import h11
 from anyio.abc import TaskGroup
 
 from flintfield.memory.messages import Address, Answer, CallerLeft, Message, Submitted, Verdict
-from flintfield.wire.http1.jobs import JOBS, JobPages
 from flintfield.wire.http1.leg import REQUEST_S, Leg, Reply, reply_to_bad
 from flintfield.wire.http1.stream import Stream, open_listener
 from flintfield.wire.http1.submission import BadRequest, Request, read_submission
 
-if TYPE_CHECKING:
-    from flintfield.wire.http1.access import Gate
-
 BACKLOG = 1024
 ACCEPT_PAUSE_S = 0.05
 # Taken in at once before the legs that are there have their turn. Guards against callers that wait behind
@@ -30,13 +26,34 @@
 STATUS = {Verdict.SERVED: 200, Verdict.REFUSED: 503, Verdict.FAILED: 500}
 
 
+Page = Callable[[bytes, bytes], Reply]
+"""Answers a method and what follows the page's path; a `BadRequest` is answered with its status."""
+
+
+class Gate(Protocol):
+    """Says which connections are taken."""
+
+    def takes(self, peer: str) -> bool:
+        """Whether the peer may stay for now; if not it is to be closed unread."""
+
+    async def lets_in(self, stream: Stream, peer: str, deadline: float) -> bytes | None:
+        """What of the request was read meanwhile; None if the connection is to be closed."""
+
+
 @dataclass(frozen=True, slots=True)
 class Pages:
-    """What a GET may read."""
+    """What may be read here; `more` goes by path, and one that ends with `/` stands for all below it."""
 
     ready: Callable[[], bool]
     counters: Callable[[], Mapping[str, int]]
-    jobs: JobPages | None = None  # None: there are no such pages
+    more: Mapping[bytes, Page] = field(default_factory=dict)
+
+    def find(self, path: bytes) -> tuple[Page, bytes] | None:
+        """One of those pages, and what of the path follows its own."""
+        for own, page in self.more.items():
+            if path == own or (own.endswith(b"/") and path.startswith(own)):
+                return page, path[len(own):]
+        return None
 
 
 def reply_of(answer: Answer) -> Reply:
@@ -187,8 +204,8 @@
 
     def _page(self, request: Request) -> Reply | None:
         path = request.target.split(b"?", 1)[0]
-        if self._pages.jobs and path.startswith(JOBS):
-            return self._pages.jobs.page(request.method, path[len(JOBS):])
+        if found := self._pages.find(path):
+            return found[0](request.method, found[1])
         if path not in (b"/ready", b"/counters"):
             return None
         if request.method != b"GET":
--- a/flintfield/wire/http1/status.py
+++ b/flintfield/wire/http1/status.py
@@ -7,7 +7,7 @@
 
 import json
 import socket
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from html import escape
 
 import anyio
@@ -38,9 +38,10 @@
         self._listener: socket.socket
         self._room = anyio.Semaphore(MOST_LEGS)
 
-    def show(self, status: Status) -> None:
-        """Make the pages that are served from now on."""
+    def show(self, status: Status, more: Mapping[bytes, Reply]) -> None:
+        """Make the pages that are served from now on; `more` are others' pages, made beside them."""
         self._pages = {
+            **more,
             b"/": Reply(200, self._html(status).encode(), HTML, close=True),
             b"/status.json": Reply(200, self._json(status).encode(), JSON, close=True),
         }
--- /dev/null
+++ b/tests/test_floors.py
@@ -0,0 +1,98 @@
+"""The floors: a file imports only from its own floor or from below, within functions as at its head."""
+
+from __future__ import annotations
+
+import ast
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from flintfield.lifecycle.units import UNITS, find_feature
+from peers import ROOT
+
+# Bottom to top. A package stands for all below it.
+FLOORS = (
+    ("flintfield", "flintfield.decision"),  # the package's own face is the module
+    ("flintfield.base",),
+    ("flintfield.store",),
+    ("flintfield.memory", "flintfield.queues", "flintfield.membership", "flintfield.planning",
+     "flintfield.forwarding"),
+    ("flintfield.capture", "flintfield.wire"),
+    ("flintfield.units",),
+    ("flintfield.lab", "benchmarks"),
+    ("flintfield.cli", "flintfield.lifecycle", "flintfield.drill", "flintfield.__main__"),
+)
+HEIGHTS = {name: height for height, names in enumerate(FLOORS) for name in names}
+DECISION = "flintfield.decision"
+
+
+def height(module: str) -> int | None:
+    """The floor of a module; None for what is not ours."""
+    parts = module.split(".")
+    if parts[0] not in ("flintfield", "benchmarks"):
+        return None
+    if parts == ["flintfield"]:
+        return 0
+    return HEIGHTS[".".join(parts[:2]) if parts[0] == "flintfield" else parts[0]]
+
+
+def modules() -> Iterator[tuple[str, Path]]:
+    for top in ("flintfield", "benchmarks"):
+        for path in sorted((ROOT / top).rglob("*.py")):
+            parts = path.relative_to(ROOT).with_suffix("").parts
+            yield ".".join(parts[:-1] if parts[-1] == "__init__" else parts), path
+
+
+def imports(module: str, path: Path, text: str | None = None) -> Iterator[tuple[int, str]]:
+    """The line and the name of each module that is imported, wherever in the file that is done."""
+    package = module if path.name == "__init__.py" else module.rpartition(".")[0]
+    for node in ast.walk(ast.parse(text or path.read_text(), str(path))):
+        if isinstance(node, ast.Import):
+            yield from ((node.lineno, alias.name) for alias in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            above = package.split(".")[:len(package.split(".")) - node.level + 1] if node.level else []
+            base = ".".join([*above, *([node.module] if node.module else [])])
+            for alias in node.names:  # `from flintfield import cli` names a module too
+                whole = f"{base}.{alias.name}"
+                is_module = whole in ALL
+                yield node.lineno, whole if is_module else base
+
+
+ALL = {name for name, _ in modules()}
+
+
+def arrows_up(module: str, path: Path, text: str | None = None) -> list[str]:
+    own = height(module)
+    assert own is not None
+    found = []
+    for line, other in imports(module, path, text):
+        top = height(other)
+        if top is not None and top > own:
+            found.append(f"{path.relative_to(ROOT)}:{line} imports {other}, which stands above it")
+        elif module.startswith(DECISION) and top is not None and not other.startswith(DECISION):
+            found.append(f"{path.relative_to(ROOT)}:{line} imports {other}: the module imports nothing else")
+    return found
+
+
+def test_every_module_has_a_floor_and_no_import_runs_up() -> None:
+    assert [arrow for module, path in modules() for arrow in arrows_up(module, path)] == []
+
+
+@pytest.mark.parametrize(("module", "text"), [
+    ("flintfield.memory.x", "from flintfield.wire import http1"),
+    ("flintfield.capture.x", "def f():\n    from flintfield.lifecycle.start import main"),
+    ("flintfield.wire.http1.x", "import flintfield.units.interface"),
+    ("flintfield.store.x", "from flintfield import memory"),
+    ("flintfield.base.x", "from ..lifecycle import start"),
+    ("flintfield.lab.x", "from flintfield.cli import main"),
+    ("flintfield.decision.x", "from flintfield.base.settings import Section"),
+])
+def test_an_import_that_runs_up_is_found(module: str, text: str) -> None:
+    path = ROOT / (module.replace(".", "/") + ".py")
+    assert len(arrows_up(module, path, text)) == 1
+
+
+def test_each_place_in_the_list_of_units_declares_the_section_that_names_it() -> None:
+    for name, place in UNITS.items():
+        assert name in [section.name for section in find_feature(place).sections]
