Give the program a command line: a lazy table of commands, with help, version and completion

Parts to come have commands of their own, and the serving process must not pay for them.

flintfield/cli/ is a click group whose commands are imported when they are asked for; what asks for nothing but a scheduler is read without it. Exit code 2 and one line for bad input, whatever the command.

--- a/flintfield/base/ini.py
+++ b/flintfield/base/ini.py
@@ -12,11 +12,13 @@
 from dataclasses import MISSING, dataclass, fields
 from typing import Any, Generic, TypeVar
 
+from flintfield.base.errors import BadInput
+
 Made = TypeVar("Made")
 MOST_SHOWN = 60  # of a faulty value
 
 
-class OperatorsError(Exception):
+class OperatorsError(BadInput):
     """An operators' file that cannot be used; the text is one line that names what is faulty."""
 
 
--- a/flintfield/base/settings.py
+++ b/flintfield/base/settings.py
@@ -13,6 +13,7 @@
 from dataclasses import replace
 from typing import Any
 
+from flintfield.base.errors import BadInput
 from flintfield.decision.interface import (
     Effect, Group, Limits, Prices, RequestClass, Rules, Settings, Tenant,
 )
@@ -23,7 +24,7 @@
 FREE_SLOTS = "free slots"
 
 
-class ConfigError(Exception):
+class ConfigError(BadInput):
     """A configuration that cannot be used; the text names the faulty key."""
 
 
--- a/flintfield/lifecycle/start.py
+++ b/flintfield/lifecycle/start.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import argparse
 import os
 import signal
 import sys
@@ -21,27 +20,34 @@
 from flintfield.wire.http1.discovery import ListError
 
 BAD_CONFIG = 2
+COMPLETE = "_FLINTFIELD_COMPLETE"  # a shell asks for completions, in place of a command
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
-    """Run one real scheduler until SIGTERM or SIGINT, or replay a record."""
-    parser = argparse.ArgumentParser(prog="flintfield", description="Run one real scheduler; LB_CONFIG names "
-                                     "the platform's configuration.")
-    parser.add_argument("--ini", metavar="FILE", help="the operators' settings; without it no feature is on")
-    commands = parser.add_subparsers(dest="command", metavar="COMMAND")
-    replay = commands.add_parser("replay", help="decide again what a capture holds, and print what differs")
-    replay.add_argument("file", metavar="FILE", help="a copy of the ring, or a cap-*.jsonl")
-    given = parser.parse_args(arguments)
-    if given.command == "replay":
-        from flintfield.capture.replay import run
-
-        return run(given.file)
+    """Run one real scheduler until SIGTERM or SIGINT, or carry out a command; the exit code.
+
+    Guards against the memory that a scheduler at work would hold for commands that it does not use: what asks
+    for nothing but a scheduler is read here, all else by `flintfield.cli`.
+    """
+    given = list(sys.argv[1:] if arguments is None else arguments)
+    match given[1:] if given[:1] == ["run"] else given:
+        case [] if COMPLETE not in os.environ:
+            return serve(None)
+        case ["--ini", file] if not file.startswith("-"):
+            return serve(file)
+    from flintfield.cli.group import run_command
+
+    return run_command(given)
+
+
+def serve(ini: str | None) -> int:
+    """Run one real scheduler with that operators' file; the exit code."""
     try:
-        operators = read_operators(given.ini)
+        operators = read_operators(ini)
         config = read_config(os.environ)
         anyio.run(_serve, config, operators, make_log(name=config.name))
     except OperatorsError as error:
-        print(f"flintfield: {given.ini}: {error}", file=sys.stderr)
+        print(f"flintfield: {ini}: {error}", file=sys.stderr)
         return BAD_CONFIG
     except ConfigError as error:
         print(f"flintfield: {error}", file=sys.stderr)
