--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""What several tests share: stand-ins, worlds and reference models."""
