--- a/flintfield/wire/http1/stream.py
+++ b/flintfield/wire/http1/stream.py
@@ -85,6 +85,20 @@
             return False
         return True
 
+    @property
+    def sock(self) -> socket.socket:
+        """The socket, to be waited for."""
+        return self._sock
+
+    def has_ended(self) -> bool:
+        """Whether the other side has ended or broken it; bytes that wait hide an end behind them."""
+        try:
+            return not self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def is_quiet(self) -> bool:
         """Whether it is open with nothing to read: neither bytes nor an end."""
         try:
