Let what lasts of a job be written before the step that it guards

Nothing survives a restart: a booking that was let out a second before a crash is unknown afterwards.

The reducer has a ledger (memory/ledger.py), off until a store is there: the first byte of a booking waits for the record of where it is let out, its answer 'served' for the record of its end, neither longer than it may. Writing is an effect, its end a message; a disk that fails or stalls is met by a stated, counted behaviour.

--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -17,8 +17,8 @@
 from flintfield.decision.policy import Dispatcher
 from flintfield.lifecycle.operators import Chosen
 from flintfield.memory.messages import (
-    Answer, CallDiscovery, Defect, DiscoveryMoved, DropBranch, Effect, LeaveDiscovery, Message, OpenBranch,
-    ProbeHop, StopAsked, WatchFailed, Woke, WriteBranch,
+    Answer, CallDiscovery, Defect, DiscoveryMoved, DropBranch, Effect, HoldBranch, LeaveDiscovery, Message,
+    OpenBranch, ProbeHop, StopAsked, WatchFailed, Woke, WriteBranch,
 )
 from flintfield.memory.reducer import LAST_CALL_MS, reduce
 from flintfield.memory.state import State
@@ -75,6 +75,7 @@
                                 int(config.sockets * LEGS_PART), self._count, gate)
         self._perform: dict[type, Callable[[Any], None]] = {
             OpenBranch: self._open_branch,
+            HoldBranch: self._hops.hold,
             WriteBranch: self._hops.write,
             DropBranch: self._hops.drop,
             Answer: self._callers.answer,
--- a/flintfield/memory/jobs.py
+++ b/flintfield/memory/jobs.py
@@ -11,7 +11,10 @@
 
 @dataclass(slots=True)
 class JobRecord:
-    """One job; `instance` and `share` only where they are known, `outcome` once it has ended."""
+    """One job; `instance` and `share` only where they are known, `outcome` once it has ended.
+
+    One of an earlier run of the program that did not end there is `interrupted`.
+    """
 
     name: str
     kind: str
@@ -20,6 +23,7 @@
     share: float | None = None
     outcome: str | None = None
     ended: float = 0.0
+    ran: bool = False  # a branch that is over may have run it; while one has it, that is so anyway
 
 
 class Jobs:
@@ -29,6 +33,7 @@
         self._keep_ms, self._most = keep_ms, max_entries
         self._live: dict[str, JobRecord] = {}
         self._ended: OrderedDict[str, JobRecord] = OrderedDict()  # in the order of their ends
+        self.evicted: str | None = None  # whom the job that was taken last has driven out
 
     @property
     def count(self) -> int:
@@ -38,11 +43,12 @@
     def take(self, now: float, name: str, kind: str) -> bool:
         """Note a new job; False if every entry is live and it goes untracked."""
         self._expire(now)
+        self.evicted = None
         self._ended.pop(name, None)  # the id of an ended job stands for the new one now
         if self.count >= self._most:
             if not self._ended:
                 return False
-            self._ended.popitem(last=False)
+            self.evicted, _ = self._ended.popitem(last=False)
         self._live[name] = JobRecord(name, kind)
         return True
 
@@ -68,6 +74,15 @@
             job.state, job.outcome, job.ended = "ended", outcome, now
             self._ended[name] = job
 
+    def restore(self, job: JobRecord) -> None:
+        """Put in a job of an earlier run, before any other; the caller goes by the order of `ended`."""
+        self._ended[job.name] = job
+
+    def doubt(self, name: str) -> None:
+        """A branch that is over may have run it."""
+        if job := self._live.get(name):
+            job.ran = True
+
     def find(self, now: float, name: str) -> JobRecord | None:
         """The job, unless it is not known here or ended too long ago."""
         if job := self._live.get(name):
--- a/flintfield/memory/messages.py
+++ b/flintfield/memory/messages.py
@@ -74,6 +74,20 @@
     repeat: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Lasting:
+    """A job's record as it is to last; `memory/ledger.py` says what it promises."""
+
+    name: str
+    kind: str
+    state: str
+    instance: str | None
+    outcome: str | None
+    ran: bool  # it may have run: it was let out, and nothing proved yet that it did not run
+    sure: bool  # were it not so, `ran` would be set
+    keep_ms: float  # how long it is to be kept from now on
+
+
 class Verdict(Enum):
     """The kinds of final answer."""
 
@@ -173,6 +187,25 @@
     settle_by: float
 
 
+@dataclass(frozen=True, slots=True)
+class Kept:
+    """What a `Keep` asked for is as durable as it was to be."""
+
+    ticket: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeepFailed:
+    """It is not, and will not be; what is there of it is not known."""
+
+    ticket: int
+
+
+@dataclass(frozen=True, slots=True)
+class TryKeep:
+    """It is time to ask whether records can be written again, if they could not."""
+
+
 class UnitMessage:
     """Of a unit's own kind: the handler that the unit hung on the state takes it in."""
 
@@ -180,7 +213,7 @@
 
 
 Message = (RouteNews | RouteCallFailed | DiscoveryMoved | Submitted | CallerLeft | BranchUp | BranchNoted
-           | BranchEnded | ProbeEnded | Woke | StopAsked | UnitMessage)
+           | BranchEnded | ProbeEnded | Woke | StopAsked | Kept | KeepFailed | TryKeep | UnitMessage)
 
 
 # ------------------------------------------------------------------ effects
@@ -195,6 +228,14 @@
     address: Address
 
 
+@dataclass(frozen=True, slots=True)
+class HoldBranch:
+    """Keep the branch's connection, unwritten, until `WriteBranch` or `DropBranch`."""
+
+    rid: int
+    branch: int
+
+
 @dataclass(frozen=True, slots=True)
 class WriteBranch:
     """Write the request on the branch's connection; the next hop has until `deadline`."""
@@ -270,6 +311,20 @@
     name: str
 
 
+@dataclass(frozen=True, slots=True)
+class Keep:
+    """Write these records and delete those of the names, all or nothing; then tell `Kept` or `KeepFailed`.
+
+    A step waits for what is `urgent`: it must be durable when `Kept` is told. With nothing to write, it asks
+    whether anything can be written.
+    """
+
+    ticket: int
+    records: tuple[Lasting, ...]
+    gone: tuple[str, ...]
+    urgent: bool
+
+
 class UnitEffect:
     """Of a unit's own kind: the unit carries it out."""
 
@@ -277,4 +332,4 @@
 
 
 Effect = (OpenBranch | WriteBranch | DropBranch | Answer | ProbeHop | CallDiscovery | LeaveDiscovery | Defect
-          | WatchFailed | Untracked | UnitEffect)
+          | WatchFailed | Untracked | HoldBranch | Keep | UnitEffect)
--- a/flintfield/memory/reducer.py
+++ b/flintfield/memory/reducer.py
@@ -11,16 +11,18 @@
 from typing import Any
 
 from flintfield.decision.interface import (
-    Action, AttemptEnded, Cancel, Event, Fail, Gone, ListMode, Note, Outcome, Probe, Probed, Refuse, Request,
-    Send, ServerList, SetTimer, State as Lifecycle, Timer, Watch, WorkerId,
+    NEVER_RAN, Action, AttemptEnded, Cancel, Event, Fail, Gone, ListMode, Note, Outcome, Probe, Probed,
+    Refuse, Request, Send, ServerList, SetTimer, State as Lifecycle, Timer, Watch, WorkerId,
 )
 from flintfield.decision.policy import TICK, TICK_MS
 from flintfield.memory.messages import (
     Answer, BranchEnded, BranchNoted, BranchUp, CallDiscovery, CallerLeft, Defect, DiscoveryMoved, DropBranch,
-    Effect, End, Ending, LeaveDiscovery, Message, OpenBranch, ProbeEnded, ProbeHop, Reach, RouteCallFailed,
-    RouteNews, StopAsked, Submitted, Untracked, Verdict, WatchFailed, Woke, WriteBranch,
+    Effect, End, Ending, HoldBranch, Keep, KeepFailed, Kept, LeaveDiscovery, Message, OpenBranch, ProbeEnded,
+    ProbeHop, Reach, Route, RouteCallFailed, RouteNews, StopAsked, Submitted, TryKeep, Untracked, Verdict,
+    WatchFailed, Woke, WriteBranch,
 )
-from flintfield.memory.state import Branch, BranchDue, DeadlineDue, State, TokenDue, Transaction
+from flintfield.memory.ledger import AnswerWaits, BranchWaits, Waits
+from flintfield.memory.state import Branch, BranchDue, DeadlineDue, KeepDue, State, TokenDue, Transaction
 
 LAST_CALL_MS = 300.0  # before the end of a program that stops: connections are closed after their answers
 DEADLINE_MARGIN_MS = 10.0  # deadlines count from the caller's send, which we see later; a loop may run late
@@ -178,19 +180,36 @@
             state.counters["requests.same_id"] += 1
             self._answer(message.rid, Verdict.FAILED)
             return
+        ledger = state.ledger
+        if ledger and state.jobs and ledger.forbids(given.class_name, state.jobs.find(self.now, given.name)):
+            # Guards against a second run of a job that an earlier run of the program had let out.
+            state.counters["requests.interrupted_id"] += 1
+            self._answer(message.rid, Verdict.FAILED)
+            return
         state.names[given.name] = message.rid
-        self._track(transaction)
+        tracked = self._track(transaction)
+        if ledger and ledger.refuses(given.class_name, tracked):
+            self._refuse_unkept(message.rid)
+            return
         if len(state.transactions) > state.most_held:
             self._answer(message.rid, Verdict.REFUSED, retry_after_ms=state.limits.max_retry_after_ms)
             return
         self._events.append(Request(message.rid, given.cls, deadline, key=given.key, hint_ms=given.cost_ms,
                                     slots=given.slots, memory=given.memory, repeat=given.repeat))
 
-    def _track(self, transaction: Transaction) -> None:
+    def _track(self, transaction: Transaction) -> bool:
+        """Take the job into the table, where there is one; whether it is there."""
         jobs, given = self.state.jobs, transaction.submission
-        if jobs and not jobs.take(self.now, given.name, given.class_name):
+        if jobs is None:
+            return False
+        if not jobs.take(self.now, given.name, given.class_name):
             self.state.counters["jobs.untracked"] += 1
             self.effects.append(Untracked(given.name))
+            return False
+        if self.state.ledger and jobs.evicted:
+            self.effects += self.state.ledger.forget(jobs.evicted)
+        self._keep(given.name)
+        return True
 
     def _owns(self, transaction: Transaction) -> bool:
         """Whether its id stands for it: not so for a second request of an id that is still in work."""
@@ -209,13 +228,19 @@
         if transaction is None or transaction.answered:
             return
         transaction.answered = True
+        waits = False
         if self.state.jobs and self._owns(transaction):
             self.state.jobs.end(self.now, transaction.submission.name, verdict.value)
+            waits = self._keep_end(transaction, verdict, body)
         self.state.counters[f"answers.{verdict.value}.{transaction.submission.class_name}"] += 1
+        if not waits:
+            self._give(rid, verdict, body, retry_after_ms)
+        self._forget_settled(transaction)
+
+    def _give(self, rid: int, verdict: Verdict, body: bytes = b"", retry_after_ms: float = 0.0) -> None:
         # Callers may keep a connection that serves to the last; one that does not sends them elsewhere.
         close = self.state.stopping and (verdict is not Verdict.SERVED or self.now >= self.last_call())
         self.effects.append(Answer(rid, verdict, body, retry_after_ms, close))
-        self._forget_settled(transaction)
 
     def _forget_settled(self, transaction: Transaction) -> None:
         if transaction.settled():
@@ -237,16 +262,39 @@
         if (found := self._out(message.rid, message.branch)) is None:
             return
         transaction, branch = found
+        if branch.held:
+            return
+        route = self._ready_route(transaction, branch)
+        ledger = self.state.ledger
+        if route and ledger and transaction.submission.class_name in ledger.guarded:
+            self._hold(transaction, message.branch, route.name)
+        else:
+            self._let_out(transaction, message.branch)
+
+    def _ready_route(self, transaction: Transaction, branch: Branch) -> Route | None:
+        """Where the branch may be written now, if it still may.
+
+        Guards against a first byte after the drain's grace: the dial, or a disk, may have outlasted it.
+        """
         route = self.state.routes.get(branch.worker)
-        # Guards against a first byte after the drain's grace: the dial may have outlasted it.
-        if route is None or route.entry.state is not Lifecycle.READY or transaction.answered:
-            self._end_branch(transaction, message.branch, Outcome.MOOT)
+        is_ready = route is not None and route.entry.state is Lifecycle.READY and not transaction.answered
+        return route if is_ready else None
+
+    def _let_out(self, transaction: Transaction, number: int) -> None:
+        branch = transaction.branches[number]
+        route = self._ready_route(transaction, branch)
+        if route is None:
+            if branch.held:
+                self.effects.append(DropBranch(transaction.rid, number))
+            self._end_branch(transaction, number, Outcome.MOOT)
             return
         self.state.counters["branches.written"] += 1
         branch.written = True
         if self.state.jobs:
             self.state.jobs.run(transaction.submission.name, route.name)
-        self.effects.append(WriteBranch(message.rid, message.branch, transaction.submission,
+            if not branch.held:
+                self._keep(transaction.submission.name)
+        self.effects.append(WriteBranch(transaction.rid, number, transaction.submission,
                                         max(1.0, transaction.deadline - self.now)))
 
     def branch_noted(self, message: BranchNoted) -> None:
@@ -269,8 +317,8 @@
         branch = transaction.branches[number]
         branch.ended = True
         at_work = any(b.written and not b.ended for b in transaction.branches)
-        if self.state.jobs and not transaction.answered and not at_work:
-            self.state.jobs.wait(transaction.submission.name)
+        if self.state.jobs and not transaction.answered:
+            self._note_end(transaction, branch, outcome, at_work)
         self.state.counters[f"branches.ended.{outcome.value}"] += 1
         self._note_error(branch.worker, outcome)
         report = ending.report if ending else None
@@ -278,10 +326,105 @@
                                          self.now - branch.opened, transaction.answered, report))
         self._forget_settled(transaction)
 
+    def _note_end(self, transaction: Transaction, branch: Branch, outcome: Outcome, at_work: bool) -> None:
+        jobs, name = self.state.jobs, transaction.submission.name
+        assert jobs is not None
+        never_ran = outcome in NEVER_RAN or not branch.written
+        if not never_ran:
+            jobs.doubt(name)
+        if not at_work:
+            jobs.wait(name)
+            if never_ran and (branch.written or branch.held):
+                self._keep(name)  # takes back that it was let out
+
     def _drop(self, transaction: Transaction, number: int, outcome: Outcome) -> None:
         self.effects.append(DropBranch(transaction.rid, number))
         self._end_branch(transaction, number, outcome)
 
+    # ------------------------------------------------------- what must last
+
+    def _keep(self, name: str) -> None:
+        if self.state.ledger:
+            self.effects += self.state.ledger.keep(self.state, self.now, name)
+
+    def _hold(self, transaction: Transaction, number: int, route: str) -> None:
+        """Have it on disk that the branch is let out, before it is."""
+        ledger = self.state.ledger
+        assert ledger is not None
+        waits = BranchWaits(transaction.rid, number)
+        keeps = ledger.keep(self.state, self.now, transaction.submission.name, waits=waits, out_to=route)
+        if not keeps:
+            self._go_on_unkept(waits)
+            return
+        transaction.branches[number].held = True
+        self.effects.append(HoldBranch(transaction.rid, number))
+        self._await(keeps, ledger.wait_ms)
+
+    def _keep_end(self, transaction: Transaction, verdict: Verdict, body: bytes) -> bool:
+        """Have a job's end on disk; whether its answer waits for that."""
+        ledger, name, kind = self.state.ledger, transaction.submission.name, transaction.submission.class_name
+        if ledger is None or verdict is not Verdict.SERVED or kind not in ledger.guarded:
+            self._keep(name)
+            return False
+        waits = AnswerWaits(transaction.rid, verdict, body)
+        keeps = ledger.keep(self.state, self.now, name, waits=waits)
+        self._await(keeps, min(ledger.wait_ms, transaction.deadline - self.now))
+        return bool(keeps)
+
+    def _await(self, keeps: list[Keep], wait_ms: float) -> None:
+        self.effects += keeps
+        for keep in keeps:
+            self.state.timers.set(self.now + wait_ms, KeepDue(keep.ticket))
+
+    def kept(self, message: Kept) -> None:
+        if ledger := self.state.ledger:
+            waits, keeps = ledger.kept(self.state, self.now, message.ticket)
+            if isinstance(waits, BranchWaits):
+                if transaction := self._held(waits):
+                    self._let_out(transaction, waits.branch)
+            elif waits:
+                self._give(waits.rid, waits.verdict, waits.body)
+            self.effects += keeps
+
+    def keep_failed(self, message: KeepFailed) -> None:
+        if ledger := self.state.ledger:
+            self.state.counters["store.failed"] += 1
+            self._go_on_unkept(ledger.failed(message.ticket))
+
+    def _cut(self, ticket: int) -> None:
+        """Guards against a disk that stalls: no step waits for it longer than it may."""
+        if self.state.ledger and (waits := self.state.ledger.cut(ticket)):
+            self.state.counters["store.waits_cut"] += 1
+            self._go_on_unkept(waits)
+
+    def _held(self, waits: BranchWaits) -> Transaction | None:
+        """Whose branch it is, if it is still out."""
+        transaction = self.state.transactions.get(waits.rid)
+        return transaction if transaction and not transaction.branches[waits.branch].ended else None
+
+    def _go_on_unkept(self, waits: Waits | None) -> None:
+        """A step that waited for its record, or would have, without one."""
+        ledger = self.state.ledger
+        if isinstance(waits, AnswerWaits):
+            self.state.counters["store.ends_unkept"] += 1
+            self._give(waits.rid, waits.verdict, waits.body)
+        elif waits and ledger and (transaction := self._held(waits)):
+            if not ledger.promise:
+                self.state.counters["store.branches_unkept"] += 1
+                self._let_out(transaction, waits.branch)
+                return
+            self._refuse_unkept(waits.rid)
+            self._drop(transaction, waits.branch, Outcome.MOOT)
+
+    def _refuse_unkept(self, rid: int) -> None:
+        """Guards the promise of the records: what can not be recorded is not let out."""
+        self.state.counters["store.refused"] += 1
+        self._answer(rid, Verdict.REFUSED, retry_after_ms=self.state.limits.max_retry_after_ms)
+
+    def try_keep(self, _: TryKeep) -> None:
+        if self.state.ledger:
+            self.effects += self.state.ledger.probe()
+
     # -------------------------------------------- probes, route set, timers
 
     def probe_ended(self, message: ProbeEnded) -> None:
@@ -353,6 +496,8 @@
                 self._events.append(Timer(due.token))
             elif isinstance(due, BranchDue):
                 self._time_out(due.rid, due.branch)
+            elif isinstance(due, KeepDue):
+                self._cut(due.ticket)
             else:
                 self._deadline(due.rid)
             self._run_events()
@@ -360,7 +505,9 @@
     def _time_out(self, rid: int, number: int) -> None:
         transaction = self.state.transactions.get(rid)
         if transaction is not None and not transaction.branches[number].ended:
-            self._drop(transaction, number, Outcome.TIMEOUT)
+            branch = transaction.branches[number]
+            held = branch.held and not branch.written  # our disk's doing: it proves nothing against anyone
+            self._drop(transaction, number, Outcome.MOOT if held else Outcome.TIMEOUT)
 
     def _deadline(self, rid: int) -> None:
         transaction = self.state.transactions.get(rid)
@@ -388,6 +535,7 @@
     CallerLeft: Turn.caller_left, BranchUp: Turn.branch_up, BranchNoted: Turn.branch_noted,
     BranchEnded: Turn.branch_ended, ProbeEnded: Turn.probe_ended, Woke: Turn.woke,
     StopAsked: Turn.stop_asked, DiscoveryMoved: Turn.discovery_moved,
+    Kept: Turn.kept, KeepFailed: Turn.keep_failed, TryKeep: Turn.try_keep,
 }
 ACTIONS: dict[type, Callable[[Turn, Any], None]] = {
     Send: Turn.send, Refuse: Turn.refuse, Fail: Turn.fail, Cancel: Turn.cancel, Probe: Turn.probe,
--- a/flintfield/memory/state.py
+++ b/flintfield/memory/state.py
@@ -12,6 +12,7 @@
 from flintfield.decision.interface import Action, Event, Limits, WorkerId
 from flintfield.decision.policy import Dispatcher
 from flintfield.memory.jobs import Jobs
+from flintfield.memory.ledger import Ledger
 from flintfield.memory.messages import Address, Route, Submission
 
 if TYPE_CHECKING:
@@ -27,6 +28,7 @@
     opened: float
     ended: bool = False
     written: bool = False
+    held: bool = False  # connected, and its first byte waits for a record
 
 
 @dataclass(slots=True)
@@ -67,7 +69,14 @@
     branch: int
 
 
-Due = TokenDue | DeadlineDue | BranchDue
+@dataclass(frozen=True, slots=True, order=True)
+class KeepDue:
+    """What waits for a record has waited long enough."""
+
+    ticket: int
+
+
+Due = TokenDue | DeadlineDue | BranchDue | KeepDue
 
 
 class Timers:
@@ -107,6 +116,7 @@
         self.limits: Limits = dispatcher.settings.limits
         self.most_held = most_held
         self.jobs = jobs  # None: what has become of jobs is not kept
+        self.ledger: Ledger | None = None  # None: nothing lasts
         self.tap: Tap | None = None
         self.handlers: dict[type, Handler] = {}  # of the messages that are units' own
         self.transactions: dict[int, Transaction] = {}
--- a/flintfield/wire/http1/hop.py
+++ b/flintfield/wire/http1/hop.py
@@ -11,8 +11,8 @@
 
 from flintfield.decision.interface import Report
 from flintfield.memory.messages import (
-    Address, BranchEnded, BranchNoted, BranchUp, DropBranch, End, Ending, Message, OpenBranch, ProbeEnded,
-    ProbeHop, Reach, Submission, WriteBranch,
+    Address, BranchEnded, BranchNoted, BranchUp, DropBranch, End, Ending, HoldBranch, Message, OpenBranch,
+    ProbeEnded, ProbeHop, Reach, Submission, WriteBranch,
 )
 from flintfield.wire.http1.client import Connection, Head, Page, Pool
 
@@ -33,6 +33,7 @@
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     connection: Connection | None = None
     order: WriteBranch | None = None
+    held: anyio.Event | None = None  # set when the order has come that it was held for
 
 
 class NextHops:
@@ -50,10 +51,17 @@
         """Note a branch that `run` is to start, so that it can be dropped before."""
         self._outs[effect.rid, effect.branch] = _Out()
 
+    def hold(self, effect: HoldBranch) -> None:
+        """Let a branch that has told `BranchUp` wait for its order."""
+        if out := self._outs.get((effect.rid, effect.branch)):
+            out.held = anyio.Event()
+
     def write(self, effect: WriteBranch) -> None:
         """Let a branch write that has told `BranchUp`."""
         if out := self._outs.get((effect.rid, effect.branch)):
             out.order = effect
+            if out.held:
+                out.held.set()
 
     def drop(self, effect: DropBranch) -> None:
         """Close a branch's connection before anything else is written."""
@@ -91,6 +99,8 @@
             return Ending(End.BROKEN, connection, word="no connection")
         out.connection = connection
         self._tell(BranchUp(effect.rid, effect.branch))
+        if out.held:
+            await out.held.wait()
         if out.order is None:
             return None
         if not await self._write(out.order, connection):
--- a/flintfield/wire/http1/jobs.py
+++ b/flintfield/wire/http1/jobs.py
@@ -31,7 +31,8 @@
         told: dict[str, object] = {"id": name, "state": "unknown"}
         if job:
             told = {"id": name, "kind": job.kind, "state": job.state, "instance": job.instance,
-                    "share": job.share, "outcome": job.outcome}
+                    "share": job.share, "outcome": job.outcome,
+                    "may_have_run": job.ran if job.state == "interrupted" else None}
         told["scheduler"] = self.scheduler
         body = json.dumps({k: v for k, v in told.items() if v is not None}).encode()
         return Reply(200 if job else 404, body, AS_JSON)
