--- a/tests/test_queue_model.py
+++ b/tests/test_queue_model.py
@@ -86,7 +86,7 @@
     @rule()
     def send_to_a_full_disk(self) -> None:
         self.world.fails = True
-        more = {"group": "g", "deduplication": "full"} if self.fifo else {}
+        more: dict[str, Any] = {"group": "g", "deduplication": "full"} if self.fifo else {}
         assert self.world.send("lost", self.name, **more).failed
         self.world.fails = False
 
@@ -207,7 +207,7 @@
         elif what == "lease":
             self.world.lease(self.name, 1)
         elif what == "send" and not kept:
-            more = {"group": "g", "deduplication": "lost"} if self.fifo else {}
+            more: dict[str, Any] = {"group": "g", "deduplication": "lost"} if self.fifo else {}
             self.world.start(ops.Send(self.name, (ops.Outgoing("lost", **more),)))
         elif what == "let out" and running and not self.known[running[0]].let_out:
             self.world.feed(LettingOut(self.name, self.seqs[running[0]]))
