--- a/flintfield/lab/log.py
+++ b/flintfield/lab/log.py
@@ -59,7 +59,6 @@
     goal_window: float = 0.15
     goal_class: float = 0.30
     window_ms: float = 10_000.0
-    cold_slack: float = 0.0  # work (ms of a standard core) beyond the budget that a cold node still bears
 
 
 class NodeUp(Record, frozen=True, tag="node-up"):
