--- /dev/null
+++ b/flintfield/base/stop.py
@@ -0,0 +1,16 @@
+"""The figures of a planned stop, which the platform sets; the laboratory plays stops by the same ones."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+# After SIGTERM the kill comes no sooner than the longest deadline, counted as 3 s at the most, and 0.7 s.
+KILL_MS, KILL_MORE_MS = 3_000.0, 700.0
+STOP_MARGIN_MS = 200.0  # all is answered so long before the kill
+STOP_ACCEPT_S = 0.62  # after SIGTERM new connections keep coming for up to 0.4 s, then their requests
+STOP_CHECK_S = 0.02
+
+
+def kill_after_ms(deadlines_ms: Iterable[float]) -> float:
+    """How long after SIGTERM the kill may come, for classes of these deadlines."""
+    return min(max(deadlines_ms), KILL_MS) + KILL_MORE_MS
--- a/flintfield/lab/virtual/engine.py
+++ b/flintfield/lab/virtual/engine.py
@@ -15,6 +15,7 @@
 from time import perf_counter
 from typing import Any, cast
 
+from flintfield.base.settings import read_real_settings
 from flintfield.decision.interface import Action, Event, ListMode, Settings, WorkerId
 from flintfield.decision.policy import Dispatcher
 from flintfield.lab import choosers, log, platform
@@ -26,7 +27,6 @@
     Reply, Streams, Try, What, Word, draw_clients, draw_fleet, schedule,
 )
 from flintfield.lab.world.node import Key, Saves
-from flintfield.lifecycle.config import read_real_settings
 from flintfield.memory.messages import CallDiscovery, Effect, End, Message, Route, RouteCallFailed, RouteNews
 from flintfield.memory.reducer import reduce
 from flintfield.memory.state import State
--- a/flintfield/lab/virtual/scheduler.py
+++ b/flintfield/lab/virtual/scheduler.py
@@ -13,11 +13,11 @@
 from time import perf_counter
 from typing import TYPE_CHECKING, Any
 
+from flintfield.base.stop import STOP_ACCEPT_S, STOP_CHECK_S, STOP_MARGIN_MS, kill_after_ms
 from flintfield.decision.interface import Report
 from flintfield.lab import log
 from flintfield.lab.virtual.loop import Loop
 from flintfield.lab.world import Errand, Reading, Try
-from flintfield.lifecycle import program
 from flintfield.memory.messages import (
     Address, Answer, BranchEnded, BranchNoted, BranchUp, CallDiscovery, CallerLeft, Defect, DiscoveryMoved,
     DropBranch, Effect, End, Ending, LeaveDiscovery, Message, OpenBranch, ProbeEnded, ProbeHop, Reach,
@@ -33,8 +33,7 @@
 """The run's start on the true clock, in Unix ms: small, so that times keep their fractions."""
 BODY = b"\0" * 64
 PROBE_MS, PROBE_KEPT_MS = hop.PROBE_S * 1_000, hop.PROBE_KEPT_S * 1_000
-CONTINUE_MS, SWEEP_MS = hop.CONTINUE_S * 1_000, program.SWEEP_S * 1_000
-STOP_ACCEPT_MS, STOP_CHECK_MS = program.STOP_ACCEPT_S * 1_000, program.STOP_CHECK_S * 1_000
+CONTINUE_MS, SWEEP_MS = hop.CONTINUE_S * 1_000, 1_000.0
 
 
 @dataclass(slots=True, eq=False)
@@ -435,16 +434,16 @@
 
     def stop(self) -> None:
         """SIGTERM: settle all that was taken, and end."""
-        longest = max(c.deadline_ms for c in self.state.dispatcher.settings.classes)
-        grace_ms = min(longest, program.KILL_MS) + program.KILL_MORE_MS - program.STOP_MARGIN_MS
+        classes = self.state.dispatcher.settings.classes
+        grace_ms = kill_after_ms(c.deadline_ms for c in classes) - STOP_MARGIN_MS
         self.tell(StopAsked(self.clock() + grace_ms))
-        self.loop.at(self.loop.now + STOP_ACCEPT_MS, self._stop_when_settled)
+        self.loop.at(self.loop.now + STOP_ACCEPT_S * 1_000, self._stop_when_settled)
 
     def _stop_when_settled(self) -> None:
         if not self.alive:
             return
         if self.state.transactions:
-            self.loop.at(self.loop.now + STOP_CHECK_MS, self._stop_when_settled)
+            self.loop.at(self.loop.now + STOP_CHECK_S * 1_000, self._stop_when_settled)
         else:
             self.engine.scheduler_ended(self, "ended")
 
--- a/flintfield/lab/world/troubles.py
+++ b/flintfield/lab/world/troubles.py
@@ -11,6 +11,7 @@
 from enum import Enum
 from typing import Any
 
+from flintfield.base.stop import kill_after_ms
 from flintfield.lab.scenario import (
     AnyTrouble, BadClients, Crash, Deploy, DeployStep, DiscoveryGone, DiscoveryMoved, FailClass, FalseFull,
     Node, Resets, RollStep, Scenario, SchedulerRoll, Slow, Stall, Surge, Vanish, WatchPause, ZoneCut,
@@ -19,7 +20,6 @@
 from flintfield.lab.world.streams import Draws, Streams
 
 LINGER_MS = (200.0, 400.0)  # after SIGTERM the front still sends for so long
-KILL_MS, KILL_MORE_MS = 3_000.0, 700.0  # SIGKILL comes after the longest deadline, at most that, and this
 SOON = 0.7  # the part of a deploy's or roll's time within which its steps begin
 
 
@@ -136,14 +136,14 @@
         size = max(1, round(trouble.batch * count))
         batches = [places[i:i + size] for i in range(0, len(places), size)]
         steps = [RollStep(at_s, batch) for at_s, batch in _spaced(trouble, draws, batches)]
-    longest = max(c.deadline_ms for c in plan.scenario.classes)
+    grace_ms = kill_after_ms(c.deadline_ms for c in plan.scenario.classes)
     for step in steps:
         for place in step.stop:
             at = step.at_s * 1_000.0
             if trouble.graceful:
                 plan.add(at, Do.SCHEDULER_TERM, place=place)
                 plan.add(at + draws.uniform(*LINGER_MS), Do.SCHEDULER_OUT, place=place)
-                end = at + min(longest, KILL_MS) + KILL_MORE_MS
+                end = at + grace_ms
             else:
                 plan.add(at, Do.SCHEDULER_OUT, place=place)
                 end = at + trouble.told_s * 1_000.0
--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -14,6 +14,7 @@
 from flintfield.base.config import Config
 from flintfield.base.ini import OperatorsError
 from flintfield.base.stderr import ErrorOut
+from flintfield.base.stop import STOP_ACCEPT_S, STOP_CHECK_S, STOP_MARGIN_MS, kill_after_ms
 from flintfield.decision.policy import Dispatcher
 from flintfield.lifecycle.operators import Chosen
 from flintfield.memory.messages import (
@@ -31,11 +32,6 @@
 SWEEP_S = 1.0
 LEGS_PART = 0.5  # of the descriptors: for caller legs; clients hold a third of all for requests
 IDLE_PART = 0.1  # of the descriptors: for kept connections; the rest is for branches, probes and our own
-# After SIGTERM the kill comes no sooner than the longest deadline, counted as 3 s at the most, and 0.7 s.
-KILL_MS, KILL_MORE_MS = 3_000.0, 700.0
-STOP_MARGIN_MS = 200.0  # all is answered so long before the kill
-STOP_ACCEPT_S = 0.62  # after SIGTERM new connections keep coming for up to 0.4 s, then their requests
-STOP_CHECK_S = 0.02
 END_S = 1.0  # how long the end of all units may take
 FLUSH_S = 0.1  # how long the end waits for what still goes to standard error
 
@@ -235,8 +231,7 @@
         the kill is near.
         """
         self._log.info("stopping", transactions=len(self.state.transactions), legs=self._callers.open_legs)
-        longest = max(c.deadline_ms for c in self._config.settings.classes)
-        grace_ms = min(longest, KILL_MS) + KILL_MORE_MS - STOP_MARGIN_MS
+        grace_ms = kill_after_ms(c.deadline_ms for c in self._config.settings.classes) - STOP_MARGIN_MS
         self.tell(StopAsked(self._clock() + grace_ms))
         await anyio.sleep(STOP_ACCEPT_S)
         with anyio.move_on_after((grace_ms - LAST_CALL_MS) / 1000 - STOP_ACCEPT_S):
