Shrink runs that end in an error, and import scenarios from the command line

Fuzz finds errors of the laboratory and the scheduler as well as broken rules: they shrink alike now. A proposal is played with as many seeds at once as there are processes, and further ones only if none fails. Sockets runs go one at a time.

--- a/flintfield/lab/cli.py
+++ b/flintfield/lab/cli.py
@@ -81,6 +81,11 @@
     return changed(scenarios.load(name), [change_of(c) for c in changes])
 
 
+def _width(engine: str, processes: int) -> int:
+    """Runs at once: one on sockets, where each needs the machine for itself to keep time."""
+    return 1 if engine == "sockets" else processes
+
+
 def _check_chooser(*names: str) -> None:
     from flintfield.lab.choosers import NAMES
 
@@ -117,6 +122,24 @@
         click.echo(f"{file}: {scenario.name}, {scenario.length_s:g} s, {len(scenario.trouble)} troubles")
 
 
+@lab.command("import")
+@click.argument("file", type=click.Path())
+@click.option("--rate", type=click.FloatRange(min=0, min_open=True), default=1.0, show_default=True,
+              help="times the load")
+@click.option("--out", type=click.Path(dir_okay=False, path_type=Path), help="standard output if none")
+@told
+def import_(file: str, rate: float, out: Path | None) -> None:
+    """Make a scenario of a day that the simulator drew, or of a capture."""
+    from flintfield.lab import importing
+
+    text = scenarios.dump(importing.read(file, rate))
+    if out:
+        out.write_text(text)
+        click.echo(f"{out}")
+    else:
+        click.echo(text, nl=False)
+
+
 # ------------------------------------------------------------------- one run
 
 
@@ -223,7 +246,7 @@
     _check_chooser(*choosers)
     plan = Plan(tuple(_load(n, changes) for n in names), tuple(axis_of(a) for a in axes),
                 tuple(seeds_of(seeds)), engine, choosers)
-    with tables.progress() as bar, Players(processes) as players:
+    with tables.progress() as bar, Players(_width(engine, processes)) as players:
         points = play_sweep(plan, out, players, on_start=bar.start, on_line=lambda line: bar.step())
     if as_object:
         _print(points)
@@ -268,7 +291,8 @@
     theirs = [Job(_load(n, [*changes, *base_changes]), s, engine, base_chooser or chooser)
               for n in names for s in wanted]
     found: list[dict[str, Verdict]] = [{}, {}]
-    with tables.progress() as bar, Players(processes, build) as base, Players(processes) as here:
+    width = _width(engine, processes)
+    with tables.progress() as bar, Players(width, build) as base, Players(width) as here:
         bar.start(len(ours) + len(theirs), 0)
         for side, (players, jobs) in enumerate(((base, theirs), (here, ours))):
             for job, verdict in players.play_all(jobs):
@@ -325,7 +349,7 @@
             file = out / f"{failed[0].scenario.name}.toml"
             file.write_text(scenarios.dump(failed[0].scenario))
             click.echo(f"{file}: {troubles_of(failed[0].scenario)}", err=True)
-            if reduce and failed[1].violations:
+            if reduce:
                 small = _shrink(failed[0], None, players, 300)
                 file = out / f"{failed[0].scenario.name}-small.toml"
                 file.write_text(scenarios.dump(small))
@@ -347,14 +371,14 @@
                             on_step=lambda best: bar.say(tables.size_of(best)))
         bar.start(0, 0)
         shrunk = shrinker.run()
-    name = f"{shrunk.violation.rule}-{job.scenario.name}"[:60]
+    name = f"{shrunk.found.what}-{job.scenario.name}"[:60]
     return regression(shrunk, name)
 
 
 @lab.command()
 @click.argument("scenario")
 @click.option("--seed", type=int, help="the scenario's own if none is named")
-@click.option("--rule", type=click.Choice(["answer", "repeat", "drain", "cold"]),
+@click.option("--rule", type=click.Choice(["answer", "repeat", "drain", "cold", "failed"]),
               help="the first that breaks if none")
 @SET
 @click.option("--plant", default="", metavar="FAULT", help="plant a fault in the scheduler")
--- a/flintfield/lab/experiments/pool.py
+++ b/flintfield/lab/experiments/pool.py
@@ -76,7 +76,7 @@
 def failed(job: Job, error: Exception) -> Verdict:
     """The void verdict of a run that ended in an error of the laboratory or the scheduler."""
     last = traceback.extract_tb(error.__traceback__)[-1]
-    void = f"failed: {error!r} at {Path(last.filename).name}:{last.lineno}"
+    void = f"failed with {error!r} at {Path(last.filename).name}:{last.lineno}"
     nothing = Service(0.0, 0.0, 0.0, 0.0, 0.0, ())
     return Verdict(job.scenario.name, job.seed, job.engine, job.chooser, nothing, (), Cost(0, 0, 0, 0), "", 0,
                    void)
@@ -98,6 +98,11 @@
         self._count, self._build, self._play = processes or cores(), build, play
         self._pool: ProcessPoolExecutor | None = None
 
+    @property
+    def width(self) -> int:
+        """How many jobs are played at once."""
+        return 1 if self._play else self._count
+
     def __enter__(self) -> Players:
         return self
 
--- a/flintfield/lab/experiments/shrink.py
+++ b/flintfield/lab/experiments/shrink.py
@@ -21,7 +21,7 @@
 from flintfield.lab.experiments.pool import Players
 from flintfield.lab.experiments.runs import Job
 from flintfield.lab.scenario import Scenario, ScenarioError, check
-from flintfield.lab.verdict import Rule, Verdict, Violation
+from flintfield.lab.verdict import Verdict
 
 replace = msgspec.structs.replace
 SEEDS = 4  # tried for each proposal, the present one first
@@ -29,28 +29,38 @@
 PLAIN = ("network", "front", "discovery", "clients", "rules", "goal")
 
 
+FAILED = "failed"
+"""What breaks when a run ends in an error, beside the rules."""
+
+
+class Break(msgspec.Struct, frozen=True):
+    """What is to break again: a rule, or the run itself; `at` in ms."""
+
+    what: str
+    at: float
+    word: str
+
+
 class Shrunk(msgspec.Struct, frozen=True):
-    """What is left, with the verdict that shows it."""
+    """What is left, with what breaks in it."""
 
     job: Job
-    verdict: Verdict
-    violation: Violation
+    found: Break
     runs: int
 
 
 class Shrinker:
     """Reduces one failing job; `runs` bounds the plays."""
 
-    def __init__(self, job: Job, rule: Rule | None, players: Players, *, runs: int = 400,
+    def __init__(self, job: Job, what: str | None, players: Players, *, runs: int = 400,
                  on_step: Callable[[Shrunk], None] | None = None) -> None:
         self._players, self._left, self._limit, self._on_step = players, runs, runs, on_step
         self._tried: set[str] = set()
-        verdict = next(v for _, v in self._play([job]))
-        found = _first(verdict, rule)
+        found = next(first_break(job, verdict, what) for _, verdict in self._play([job]))
         if found is None:
             raise ScenarioError(f"{job.scenario.name}: seed {job.seed}: found no broken rule"
-                                f"{f' {rule}' if rule else ''}, expected a run that fails")
-        self.best = Shrunk(job, verdict, found, 1)
+                                f"{f' {what}' if what else ''}, expected a run that fails")
+        self.best = Shrunk(job, found, 1)
 
     def _play(self, jobs: Sequence[Job]) -> Iterator[tuple[Job, Verdict]]:
         todo = [j for j in jobs if j.key() not in self._tried][:self._left]
@@ -65,18 +75,20 @@
         except ScenarioError:
             return False
         job = self.best.job
-        seeds = [job.seed + i for i in range(SEEDS)]
-        found: list[tuple[int, Job, Verdict, Violation]] = []
-        for played, verdict in self._play([replace(job, scenario=scenario, seed=s) for s in seeds]):
-            if violation := _first(verdict, self.best.violation.rule):
-                found.append((played.seed, played, verdict, violation))
-        if not found:
-            return False
-        _, played, verdict, violation = min(found, key=lambda f: f[0])
-        self.best = Shrunk(played, verdict, violation, self._limit - self._left)
-        if self._on_step:
-            self._on_step(self.best)
-        return True
+        jobs = [replace(job, scenario=scenario, seed=job.seed + i) for i in range(SEEDS)]
+        width = self._players.width
+        for batch in (jobs[i:i + width] for i in range(0, SEEDS, width)):
+            found: list[tuple[int, Job, Break]] = []
+            for played, verdict in self._play(batch):
+                if again := first_break(played, verdict, self.best.found.what):
+                    found.append((played.seed, played, again))
+            if found:
+                _, played, again = min(found, key=lambda f: f[0])
+                self.best = Shrunk(played, again, self._limit - self._left)
+                if self._on_step:
+                    self._on_step(self.best)
+                return True
+        return False
 
     def run(self) -> Shrunk:
         """Reduce until no pass makes it smaller, or the runs are spent."""
@@ -89,8 +101,11 @@
         return replace(self.best, runs=self._limit - self._left)
 
 
-def _first(verdict: Verdict, rule: Rule | None) -> Violation | None:
-    return next((v for v in verdict.violations if rule in (None, v.rule)), None)
+def first_break(job: Job, verdict: Verdict, what: str | None) -> Break | None:
+    """The first thing that broke (or the first of that kind); None if nothing did."""
+    if verdict.void.startswith(FAILED) and what in (None, FAILED):
+        return Break(FAILED, 1_000.0 * job.scenario.length_s, verdict.void)
+    return next((Break(v.rule, v.at, v.word) for v in verdict.violations if what in (None, v.rule)), None)
 
 
 # ---------------------------------------------------------------- the passes
@@ -118,7 +133,7 @@
 def shorter(best: Shrunk) -> Proposals:
     """End arrivals when the rule broke, or earlier; drop what begins later."""
     scenario = best.job.scenario
-    broke_s = math.ceil(best.violation.at / 1_000.0)
+    broke_s = math.ceil(best.found.at / 1_000.0)
     for length in (broke_s / 4, broke_s / 2, broke_s * 3 / 4, broke_s - 2, broke_s - 1, broke_s):
         if SHORTEST_S <= length <= scenario.length_s - 1:
             length = float(math.ceil(length))
@@ -235,8 +250,9 @@
 
 def regression(shrunk: Shrunk, name: str) -> Scenario:
     """The scenario as a file to keep: with the sentence that it guards and the seed that failed."""
-    scenario, violation = shrunk.job.scenario, shrunk.violation
+    scenario, found = shrunk.job.scenario, shrunk.found
     kinds = ", ".join(kind_of(t) for t in scenario.trouble) or "no trouble"
     return replace(scenario, name=name, seed=shrunk.job.seed,
                    about=f"Shrunk from {scenario.name} in {shrunk.runs} runs; {kinds}.",
-                   guards=f"Rule {violation.rule}: {violation.word}.")
+                   guards=f"The run {found.word}." if found.what == FAILED else
+                   f"Rule {found.what}: {found.word}.")
--- a/tests/test_lab_experiments.py
+++ b/tests/test_lab_experiments.py
@@ -208,6 +208,17 @@
     assert kept.guards == "Rule cold: n0 fell over." and kept.seed == 5
 
 
+def test_a_run_that_ends_in_an_error_is_shrunk_too() -> None:
+    scenario = changed(BASE, [("trouble", [{"kind": "crash", "at_s": 3.0}, {"kind": "deploy", "at_s": 5.0}])])
+
+    def fails(job: Job) -> Verdict:
+        return verdict(void="failed with KeyError(7)" if len(job.scenario.trouble) == 2 else "")
+
+    shrunk = Shrinker(Job(scenario, 1), None, Players(play=fails)).run()
+    assert shrunk.found.what == "failed" and shrunk.job.scenario.fleet.nodes == 1
+    assert regression(shrunk, "failed").guards == "The run failed with KeyError(7)."
+
+
 def test_what_does_not_fail_cannot_be_shrunk() -> None:
     with pytest.raises(ScenarioError, match="expected a run that fails"):
         Shrinker(Job(BASE, 1), None, HERE)
