Play scenarios on sockets against real scheduler processes

Need: virtual time plays the reducer and the decisions; what the program's sockets, process and signals do to a run could not be measured in the repository.

--- /dev/null
+++ b/flintfield/lab/sockets/processes.py
@@ -0,0 +1,133 @@
+"""The schedulers under test as processes: configuration, limits, signals, and what they took of the machine.
+
+Each has a folder of its own with `config.json` and `out.log` (its standard output and error), kept if the
+run's folder is. Limits are the operators': descriptors by RLIMIT_NOFILE; memory is looked at twice a second
+and a scheduler over its limit is killed, as the platform does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import resource
+import signal
+import sys
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from flintfield.lab.sockets.addresses import Address, text
+
+SAMPLE_S = 0.25
+_PAGE = os.sysconf("SC_PAGE_SIZE")
+_TICKS = os.sysconf("SC_CLK_TCK")
+
+PROGRAM = (sys.executable, "-m", "flintfield")
+
+
+@dataclass(slots=True)
+class Usage:
+    """What the processes of one scheduler took; `wait_ms` is time ready to run and without a core."""
+
+    cpu_ms: float = 0.0
+    wait_ms: float = 0.0
+    peak_mb: float = 0.0
+
+
+def read_usage(pid: int) -> tuple[float, float, float] | None:
+    """CPU and run-queue wait in ms, resident memory in MB, of a live process; None where there is no such."""
+    try:
+        stat = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+        memory = int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * _PAGE / 2**20
+        wait = int(Path(f"/proc/{pid}/schedstat").read_text().split()[1]) / 1e6
+    except (OSError, ValueError, IndexError):
+        return None
+    return (int(stat[11]) + int(stat[12])) * 1000.0 / _TICKS, wait, memory
+
+
+class Scheduler:
+    """One scheduler: its name and address stay, its processes come and go."""
+
+    def __init__(self, place: int, name: str, zone: str, address: Address, folder: Path,
+                 program: Sequence[str] = PROGRAM) -> None:
+        self.place, self.name, self.zone, self.address, self.folder = place, name, zone, address, folder
+        self._program = program
+        self.usage = Usage()
+        self.sockets, self.memory_mb = 1024, 192
+        self.stopping = self.killed = False
+        self._process: asyncio.subprocess.Process | None = None
+        self._last = (0.0, 0.0)  # of the present process
+        folder.mkdir(parents=True, exist_ok=True)
+
+    @property
+    def alive(self) -> bool:
+        """Whether its process runs."""
+        return self._process is not None and self._process.returncode is None
+
+    @property
+    def serves(self) -> bool:
+        """Whether its process runs and was not killed."""
+        return self.alive and not self.killed
+
+    def configure(self, config: dict[str, Any]) -> None:
+        """Write its configuration, whole or not at all."""
+        fresh = self.folder / "config.new"
+        fresh.write_text(json.dumps(config))
+        fresh.replace(self.folder / "config.json")
+
+    async def start(self, config: dict[str, Any], ended: Callable[[Scheduler, int], None]) -> None:
+        """Start its process; `ended` is called with the exit code when that is over."""
+        self.stopping = self.killed = False
+        self.configure(config)
+        environ = {**os.environ, "LB_CONFIG": str(self.folder / "config.json"), "LB_NAME": self.name,
+                   "LB_LISTEN": text(self.address), "LB_DISCOVERY": str(config["discovery"])}
+        with (self.folder / "out.log").open("ab") as out:
+            process = await asyncio.create_subprocess_exec(
+                *self._program, stdin=asyncio.subprocess.DEVNULL, stdout=out, stderr=out, env=environ)
+        self._process, self._last = process, (0.0, 0.0)
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (self.sockets, self.sockets))
+        self._waiter = asyncio.get_running_loop().create_task(self._wait(process, ended))
+
+    async def _wait(self, process: asyncio.subprocess.Process,
+                    ended: Callable[[Scheduler, int], None]) -> None:
+        code = await process.wait()
+        if process is self._process:
+            ended(self, code)
+
+    async def gone(self) -> None:
+        """Wait until its process is over."""
+        if self._process:
+            await self._process.wait()
+
+    def signal(self, number: int) -> None:
+        """Send a signal, if it still runs."""
+        if self._process and self._process.returncode is None:
+            self.sample()
+            self.stopping = self.stopping or number == signal.SIGTERM
+            self.killed = self.killed or number == signal.SIGKILL
+            with contextlib.suppress(ProcessLookupError):
+                self._process.send_signal(number)
+
+    def sample(self) -> None:
+        """Note what it has taken so far."""
+        if self._process is None or (now := read_usage(self._process.pid)) is None:
+            return
+        cpu, wait, memory = now
+        self.usage.cpu_ms += max(0.0, cpu - self._last[0])
+        self.usage.wait_ms += max(0.0, wait - self._last[1])
+        self.usage.peak_mb = max(self.usage.peak_mb, memory)
+        self._last = cpu, wait
+
+    def begin_count(self) -> None:
+        """Forget what its start took."""
+        self.sample()
+        self.usage = Usage()
+
+    @property
+    def over_memory(self) -> bool:
+        """Whether it holds more than its limit."""
+        now = read_usage(self._process.pid) if self._process and self.alive else None
+        return now is not None and now[2] > self.memory_mb
--- a/flintfield/lab/sockets/wire.py
+++ b/flintfield/lab/sockets/wire.py
@@ -43,8 +43,8 @@
 class Exchange:
     """One request on a server's connection, and its answer."""
 
-    __slots__ = ("answered", "body", "connection", "expects", "headers", "keeps", "method", "open", "tag",
-                 "target")
+    __slots__ = ("answered", "body", "connection", "expects", "headers", "keeps", "method", "open",
+                 "released", "tag", "target")
 
     def __init__(self, connection: ServerEnd) -> None:
         self.connection = connection
@@ -54,7 +54,8 @@
         self.expects = False  # it asked for a 100 before its body
         self.keeps = True
         self.open = False  # a chunked answer has begun
-        self.answered = False  # its last byte is written
+        self.answered = False  # its last byte is handed over
+        self.released = False  # the scheduler's side of it is over
         self.tag: object = None  # the party's own
 
     def text(self, name: bytes) -> str:
@@ -92,19 +93,29 @@
 
 
 class Party(Protocol):
-    """Who listens: a node's or discovery's side of its connections. `now` is ms on the run's clock."""
+    """Who listens: a node's or discovery's side of its connections.
+
+    `sent` and `let_go` are for the onlooker, who sees past cuts of the network; the others are for the party
+    itself and wait while nothing passes.
+    """
+
+    def sent(self, exchange: Exchange, first_at: float) -> None:
+        """A scheduler has sent a head, whose first byte came at that time."""
+
+    def let_go(self, exchange: Exchange) -> None:
+        """The scheduler's side of a request is over: it has the answer, or ended or lost the connection."""
 
     def connected(self, end: ServerEnd) -> None:
         """A connection was made."""
 
-    def head(self, exchange: Exchange, first_at: float) -> None:
-        """A head is there, its first byte came then; if it `expects`, `go_on` or `reply` is due."""
+    def head(self, exchange: Exchange) -> None:
+        """A head has come; if it `expects`, `go_on` or `reply` is due."""
 
     def whole(self, exchange: Exchange) -> None:
-        """The last byte of a request is there."""
+        """The last byte of a request has come."""
 
     def left(self, end: ServerEnd, exchange: Exchange | None) -> None:
-        """The other side ended the connection or its sending, or it broke, before the answer's end."""
+        """The other side ended the connection or its sending, or it broke; `exchange` had no answer yet."""
 
 
 class Later:
@@ -154,18 +165,16 @@
         self._up, self._down = Pipe(up), Pipe(down)
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
-        self._held: list[bytes] | None = None  # while nothing leaves: what is to
         self._inward, self._outward = Later(clock), Later(clock)
-        self._first_at = 0.0
-        self._size = 0
-        self.exchange: Exchange | None = None
+        self._kept_in: list[Callable[[], None]] | None = None  # while nothing comes in: what is to be told
+        self._kept_out: list[Callable[[], None]] | None = None  # while nothing gets out: what is to
+        self._first_at, self._fresh = 0.0, True
         self._heads: list[tuple[bytes, bytes]] = []
-        self._target = b""
-        self._pieces: list[bytes] = []
+        self._target, self._pieces = b"", list[bytes]()
+        self.exchange: Exchange | None = None
         self.idle_since: float | None = None  # of a connection between two requests
         self.lag_ms = 0.0  # what is written leaves so much later: the way through the network
-        self.gone = False
-        self.ours = False  # we ended it
+        self.over = False  # the other side is gone, or we are
 
     # --------------------------------------------------------- the connection
 
@@ -178,75 +187,117 @@
         if self._up.plain:
             self._take(data)
         else:
-            self._play(self._inward, self._up.feed(self._clock(), data), self._take, self._end_in)
+            self._play(self._inward, self._up.feed(self._clock(), data), self._take, self._end)
 
     def eof_received(self) -> bool:
         if self._up.plain:
-            self._end_in()
+            self._end()
         else:
-            self._play(self._inward, self._up.end(self._clock()), self._take, self._end_in)
-        return True  # our side stays open until we close it: what is on its way may still pass
+            self._play(self._inward, self._up.end(self._clock()), self._take, self._end)
+        return True  # our side stays open until we close it
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._go(told=not self.ours)
-
-    def _end_in(self) -> None:
-        """The other side ends its sending: it gives up what it asked for."""
-        self._go(told=True)
-        if self._transport:
-            self._transport.close()
+        self._end()
 
-    def _go(self, told: bool) -> None:
-        if self.gone:
+    def _end(self) -> None:
+        """The other side is gone or ends its sending: it gives up what it asked for."""
+        if self.over:
             return
-        self.gone = True
+        self.over = True
+        exchange = self._finish()
+        self._tell(partial(self._leave, exchange))
+
+    def _finish(self) -> Exchange | None:
+        """Nothing more is written; the request that has no answer yet."""
         self._inward.clear()
         self._outward.clear()
-        exchange, self.exchange, self._held = self.exchange, None, None
-        if told:
-            self._party.left(self, exchange)
+        self._kept_out = None
+        exchange = self.exchange
+        self._release(exchange)
+        return exchange if exchange and not exchange.answered else None
+
+    def _leave(self, exchange: Exchange | None) -> None:
+        self._party.left(self, exchange)
+        if self._transport:
+            self._transport.close()
+
+    def _release(self, exchange: Exchange | None) -> None:
+        if exchange and not exchange.released:
+            exchange.released = True
+            self._party.let_go(exchange)
 
     def close(self, hard: bool = False) -> None:
         """End it from our side, with a reset if `hard`; the party is not told."""
-        self.ours = True
-        self._go(told=False)
-        if self._transport:
-            if hard:
+        if self._kept_out is not None:
+            self._kept_out.append(partial(self.close, hard))
+        elif not self.over:
+            self.over = True
+            self._kept_in = None
+            self._finish()
+            if self._transport and hard:
                 reset(self._transport)
-            else:
+            elif self._transport:
                 self._transport.close()
 
     # ------------------------------------------------------------ the network
 
     def hold(self, inward: bool, outward: bool) -> None:
         """Let nothing pass in these directions until told otherwise: no bytes, no end."""
-        if self.gone or self._transport is None:
-            return
-        if inward:
-            self._transport.pause_reading()
+        if inward and self._kept_in is None:
+            self._kept_in = []
+        elif not inward and self._kept_in is not None:
+            acts, self._kept_in = self._kept_in, None
+            for act in acts:
+                act()
+        if outward and self._kept_out is None and not self.over:
+            self._kept_out = []
+        elif not outward and self._kept_out is not None:
+            acts, self._kept_out = self._kept_out, None
+            for act in acts:
+                act()
+
+    def _tell(self, act: Callable[[], None]) -> None:
+        if self._kept_in is None:
+            act()
         else:
-            self._transport.resume_reading()
-        if outward:
-            self._held = [] if self._held is None else self._held
-        elif self._held is not None:
-            held, self._held = self._held, None
-            for piece in held:
-                self._out(piece)
+            self._kept_in.append(act)
+
+    def strike(self, fault: AnyFault) -> None:
+        """Let a fault befall the bytes from now on; its place counts from the next one."""
+        if fault.way == "up":
+            self._up = Pipe([fault])
+        else:
+            self._down = Pipe([fault])
 
     def write(self, data: bytes) -> None:
         """Send these bytes, as the network lets them."""
-        if self.gone:
-            return
-        self._outward.at(self._clock() + self.lag_ms, lambda: self._out(data))
+        if not self.over:
+            self._outward.at(self._clock() + self.lag_ms, partial(self._out, data))
+
+    def answered(self, exchange: Exchange) -> None:
+        """The last byte of an answer was handed over."""
+        if not self.over:
+            self._outward.at(self._clock() + self.lag_ms, partial(self._passed, exchange))
 
     def _out(self, data: bytes) -> None:
-        if self._held is not None:
-            self._held.append(data)
+        if self._kept_out is not None:
+            self._kept_out.append(partial(self._out, data))
         elif self._down.plain:
             self._put(data)
         else:
             self._play(self._outward, self._down.feed(self._clock(), data), self._put, self._end_out)
 
+    def _passed(self, exchange: Exchange) -> None:
+        """The last byte of an answer has left."""
+        if self._kept_out is not None:
+            self._kept_out.append(partial(self._passed, exchange))
+            return
+        self._release(exchange)
+        if exchange is self.exchange:
+            self.idle_since = self._clock()
+        if not exchange.keeps:
+            self.close()
+
     def _put(self, data: bytes) -> None:
         if self._transport and not self._transport.is_closing():
             self._transport.write(data)
@@ -264,27 +315,26 @@
                 case Finish(at):
                     later.at(at, ends)
                 case Abort(at):
-                    later.at(at, self._broken)
+                    later.at(at, self.broken)
 
-    def _broken(self) -> None:
+    def broken(self) -> None:
         """The network resets the connection."""
-        self._go(told=True)
-        if self._transport:
-            reset(self._transport)
+        if not self.over:
+            if self._transport:
+                reset(self._transport)
+            self._end()
 
     # ------------------------------------------------------------- the parser
 
     def _take(self, data: bytes) -> None:
-        if self.gone:
+        if self.over:
             return
-        if self.exchange is None and self._size == 0:
-            self._first_at, self.idle_since = self._clock(), None
-        self._size += len(data)
+        if self._fresh:
+            self._first_at, self.idle_since, self._fresh = self._clock(), None, False
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._party.left(self, self.exchange)
-            self.close(hard=True)
+            self.broken()
 
     def on_message_begin(self) -> None:
         self._heads, self._pieces, self._target = [], [], b""
@@ -302,24 +352,17 @@
         exchange.keeps = self._parser.should_keep_alive()
         exchange.expects = exchange.headers.get(b"expect", b"").lower() == b"100-continue"
         self.exchange = exchange
-        self._party.head(exchange, self._first_at)
+        self._party.sent(exchange, self._first_at)
+        self._tell(partial(self._party.head, exchange))
 
     def on_body(self, body: bytes) -> None:
         self._pieces.append(body)
 
     def on_message_complete(self) -> None:
-        self._size = 0
+        self._fresh = True
         if (exchange := self.exchange) is not None and not exchange.answered:
             exchange.body = b"".join(self._pieces)
-            self._party.whole(exchange)
-
-    def answered(self, exchange: Exchange) -> None:
-        """The last byte of an answer is on its way."""
-        if self.exchange is exchange:
-            self.exchange = None
-            self.idle_since = self._clock()
-        if not exchange.keeps:
-            self._outward.at(self._clock() + self.lag_ms, self.close)
+            self._tell(partial(self._party.whole, exchange))
 
 
 # ------------------------------------------------------------------ the client
