--- a/flintfield/lab/virtual/engine.py
+++ b/flintfield/lab/virtual/engine.py
@@ -15,7 +15,7 @@
 from time import perf_counter
 from typing import Any, cast
 
-from flintfield.decision.interface import Action, Event, ListMode, Settings
+from flintfield.decision.interface import Action, Event, ListMode, Settings, WorkerId
 from flintfield.decision.policy import Dispatcher
 from flintfield.lab import choosers, log, platform
 from flintfield.lab.scenario import Scenario
@@ -27,9 +27,10 @@
 )
 from flintfield.lab.world.node import Key, Saves
 from flintfield.lifecycle.config import read_real_settings
-from flintfield.memory.messages import CallDiscovery, End, Message, Route, RouteCallFailed, RouteNews
+from flintfield.memory.messages import CallDiscovery, Effect, End, Message, Route, RouteCallFailed, RouteNews
+from flintfield.memory.reducer import reduce
 from flintfield.memory.state import State
-from flintfield.wire.http1.discovery import WAIT_MS, Reader
+from flintfield.wire.http1.discovery import WAIT_MS, Reader, worker_of
 
 LOAD_EVERY_MS, SETTLED_EVERY_MS = 1_000.0, 100.0
 AGAIN_MS = 500.0  # at the most, from a cut's mending until TCP sends what waited
@@ -38,15 +39,19 @@
 Make = Callable[[Settings, int], Any]
 """Makes what decides for one scheduler: `settings`, `handle(now, event)` and `actions`, as `Dispatcher`."""
 
+Reducer = Callable[[State, float, Message], list[Effect]]
+"""Takes one message in and returns the effects it calls for, as `memory.reducer.reduce`."""
+
 
 def play(scenario: Scenario, seed: int, chooser: str = "flintfield", *, make: Make | None = None,
-         on_record: Callable[[log.AnyRecord], None] | None = None) -> log.Log:
+         on_record: Callable[[log.AnyRecord], None] | None = None, reducer: Reducer = reduce) -> log.Log:
     """Play a scenario to its end and return the event log.
 
     `chooser` names what decides: `flintfield` or one of `choosers.NAMES`; `make` makes something else, to
-    be logged under that name. `on_record` sees each record as it is written.
+    be logged under that name. `on_record` sees each record as it is written; the log that is returned is
+    empty then, so that a long run needs no memory for it. `reducer` stands in for the scheduler's own.
     """
-    return Engine(scenario, seed, chooser, make, on_record).run()
+    return Engine(scenario, seed, chooser, make, on_record, reducer).run()
 
 
 @dataclass(eq=False)
@@ -116,8 +121,9 @@
     """One run."""
 
     def __init__(self, scenario: Scenario, seed: int, chooser: str = "flintfield", make: Make | None = None,
-                 on_record: Callable[[log.AnyRecord], None] | None = None) -> None:
+                 on_record: Callable[[log.AnyRecord], None] | None = None, reducer: Reducer = reduce) -> None:
         self.scenario, self.seed, self.chooser, self._on_record = scenario, seed, chooser, on_record
+        self.reducer = reducer
         self.loop, self.log = Loop(), log.Log()
         self.streams = Streams(seed)
         self.fleet = draw_fleet(scenario, self.streams)
@@ -136,9 +142,13 @@
         self.message_cost_ms = scenario.schedulers.cpu_us_per_decision / 1_000.0
         self.watch_pause_ms = 0.0
         self.marks_retry = scenario.clients.marks_retry
-        self._make: Make = make or choosers.maker(chooser, self._outlook)
+        self._make, self._view = make, choosers.View(self._truth, self._true_work)
+        self._workers: dict[int, Site] = {}  # by the number that decisions know them by
+        if make is None:
+            choosers.maker(chooser, self._view, 0)  # guards against a run that starts with an unknown name
         self._resets, self._resets_draws = 0.0, self.streams.of("resets")
         self._asked: dict[str, Scheduler] = {}
+        self._had_answer: dict[str, None] = {}  # tries; a second answer, which must not be, shows in the log
         self._lives = [0] * scenario.schedulers.count
         self._saves: Saves = {}
         self._held: list[tuple[str, str, Callable[[], None]]] = []  # words that wait for a cut to be mended
@@ -189,9 +199,10 @@
 
     def write(self, record: log.AnyRecord) -> None:
         """Write one record down."""
-        self.log.records.append(record)
         if self._on_record:
             self._on_record(record)
+        else:
+            self.log.records.append(record)
 
     def _sample(self) -> None:
         now = self.loop.now
@@ -218,7 +229,8 @@
         if (settings := self._settings.get(place)) is None:
             raw = platform.configuration(self.scenario, place, seed=self.seed)
             settings = self._settings[place] = read_real_settings(raw["settings"])
-        inner = self._make(settings, platform.seed_of(self.seed, place, life))
+        make = self._make or choosers.maker(self.chooser, self._view, place)
+        inner = make(settings, platform.seed_of(self.seed, place, life))
         state = State(cast(Dispatcher, _Metered(inner, self)), platform.MOST_HELD, self._discovery_address)
         offsets = self.scenario.schedulers.clock_offset_ms
         scheduler = Scheduler(self, place, name, zone, state, offsets[place] if offsets else 0.0)
@@ -303,7 +315,8 @@
                      retry_after_ms)
 
     def _answered(self, rid: str, verdict: str, body: str, retry_after_ms: float) -> None:
-        if self.clients.waits(rid):
+        if self.clients.waits(rid) or rid in self._had_answer:
+            self._had_answer[rid] = None
             self.write(log.Answered(self.loop.now, rid, cast(Any, verdict), body, retry_after_ms))
             self._client_ended(rid, verdict, retry_after_ms)
 
@@ -392,6 +405,7 @@
                     self.streams.of(f"node/{machine.name}"), self._saves)
         site = self.sites[machine.name] = Site(self, node)
         self.places.append(site)
+        self._workers[worker_of(machine.name)] = site
         return site
 
     def _note_up(self, site: Site) -> None:
@@ -705,12 +719,17 @@
 
     # ------------------------------------------------------------------- the truth
 
-    def _outlook(self, name: str) -> tuple[float, float, float] | None:
-        """What is true of a node now, for the yardstick that sees all: see `Node.outlook`."""
-        site = self.sites.get(name)
+    def _truth(self, worker: WorkerId) -> choosers.Truth | None:
+        """What is true of a node now, for the yardstick that sees all; None if it takes no jobs."""
+        site = self._workers.get(worker)
         if site is None or not site.node.up or site.node.draining or site.silent:
             return None
-        return site.node.outlook(self.loop.now)
+        free, held, speed, budget = site.node.outlook(self.loop.now)
+        return choosers.Truth(free, held, site.node.machine.kind.cores, speed, budget)
+
+    def _true_work(self, place: int, rid: int) -> float:
+        scheduler = self.schedulers[place]
+        return scheduler.legs[rid].wish.work if scheduler else 0.0
 
 
 _DEEDS: dict[Do, Callable[[Engine, Deed], None]] = {
--- a/flintfield/lab/virtual/scheduler.py
+++ b/flintfield/lab/virtual/scheduler.py
@@ -23,7 +23,6 @@
     DropBranch, Effect, End, Ending, LeaveDiscovery, Message, OpenBranch, ProbeEnded, ProbeHop, Reach,
     RouteCallFailed, StopAsked, Submission, Submitted, Untracked, Verdict, WatchFailed, Woke, WriteBranch,
 )
-from flintfield.memory.reducer import reduce
 from flintfield.memory.state import State
 from flintfield.wire.http1 import client, discovery, hop
 
@@ -101,6 +100,7 @@
         self.alive, self.listening = True, True
         self.legs: dict[int, Try] = {}  # callers that wait, by transaction
         self._rids: dict[str, int] = {}
+        self._past: dict[int, Try] = {}  # that had their answer
         self._epoch = EPOCH_MS + offset_ms
         self._armed = math.inf
         self._attempts: dict[tuple[int, int], Attempt] = {}
@@ -139,7 +139,7 @@
         if due is not None and isinstance(message, Woke):
             now = max(now, due)  # guards against a wake that rounding puts just before its timer
         began = perf_counter()
-        effects = reduce(self.state, now, message)
+        effects = self.engine.reducer(self.state, now, message)
         self.engine.spent_reducing += perf_counter() - began
         for effect in effects:
             self._carry_out(effect)
@@ -183,8 +183,10 @@
             self.tell(CallerLeft(number))
 
     def _answer(self, effect: Answer) -> None:
-        if attempt := self.legs.pop(effect.rid, None):
-            del self._rids[attempt.rid]
+        attempt = self.legs.pop(effect.rid, None) or self._past.get(effect.rid)
+        if attempt:
+            self._rids.pop(attempt.rid, None)
+            self._past[effect.rid] = attempt
             verdict = effect.verdict.value
             body = effect.body.decode() if effect.verdict is Verdict.SERVED else ""
             self.engine.to_client(attempt, verdict, body, effect.retry_after_ms)
