--- a/flintfield/lab/scenario.py
+++ b/flintfield/lab/scenario.py
@@ -174,6 +174,8 @@
     told_count: Count | None = None  # what each is told of their number; None: the truth
     zones: list[str] = []  # of each; empty: in turn
     start_at_ms: list[float] = []  # of each, ready by then; empty: drawn within `start_spread_ms`
+    memory_mb: Count = 192  # over it a process is killed (engine on sockets)
+    sockets: Count = 1024  # descriptors that a process may hold (engine on sockets)
     cpu_us_per_decision: Ms = 0.0  # virtual time that a message takes in the reducer; 0: none
     settings: dict[str, Any] = {}  # over the platform's settings, by the operators' names
     clock_offset_ms: list[float] = []  # of each scheduler's clock; empty: none
