Name a scheduler that does not start, and hold processes to the scenario's limits

A program that ends at its start is an error with its last line, not a void run; one over its memory is killed and counts as crashed, as on the platform.

--- a/flintfield/lab/sockets/engine.py
+++ b/flintfield/lab/sockets/engine.py
@@ -55,7 +55,8 @@
 
     `program` is the command that starts a scheduler (`python -m flintfield` if None). `folder` keeps the
     schedulers' configurations and output. `ways` puts a fault proxy between each scheduler and each node:
-    from a node's name to what befalls the connections to it.
+    from a node's name to what befalls the connections to it. A `StartError` tells of a program that does not
+    start.
     """
     with tempfile.TemporaryDirectory(prefix="flintfield-lab-") as passing:
         engine = _Engine(scenario, seed, on_record, program or PROGRAM, folder or Path(passing), ways)
@@ -63,6 +64,10 @@
             return runner.run(engine.play())
 
 
+class StartError(Exception):
+    """A scheduler that ended at its start; one line with its name and last words."""
+
+
 class _Engine:
     """One run."""
 
@@ -82,8 +87,9 @@
         self.front = Front(zones, scenario.front.notice_ms, run.streams.of("front"))
         hosts = [run.addresses.host(i, LISTEN) for i in range(count)]
         self.addresses: list[Address] = [(host, free_port(host)) for host in hosts]
-        self.schedulers = [Scheduler(i, names[i], zones[i], self.addresses[i], folder / names[i], program)
-                           for i in range(count)]
+        limits = (scenario.schedulers.memory_mb, scenario.schedulers.sockets)
+        self.schedulers = [Scheduler(i, names[i], zones[i], self.addresses[i], folder / names[i], program,
+                                     limits) for i in range(count)]
         self.lives = [0] * count
         self.clients: Clients = draw_clients(scenario, run.streams, self.fleet.capacity)
         self.clients.slack_ms += SOCKETS_MS
@@ -142,9 +148,11 @@
         await asyncio.gather(*(self._start(i) for i in range(len(self.schedulers))))
         within = BEFORE_MS - 1_000.0
         took = await asyncio.gather(*(self._ready(i, within) for i in range(len(self.schedulers))))
-        late = [s.name for s, ms in zip(self.schedulers, took, strict=True) if ms is None]
+        late = [s for s, ms in zip(self.schedulers, took, strict=True) if ms is None]
+        if ended := [s for s in late if not s.alive]:
+            raise StartError(f"{ended[0].name}: its process ended at its start: {ended[0].last_words()}")
         if late:
-            return f"schedulers that did not become ready: {', '.join(late)}"
+            return f"schedulers that did not become ready: {', '.join(s.name for s in late)}"
         self.start_ms = max(ms for ms in took if ms is not None)
         return ""
 
@@ -245,8 +253,10 @@
     def _sample_schedulers(self) -> None:
         for scheduler in self.schedulers:
             scheduler.sample()
-            if scheduler.alive and scheduler.over_memory:
-                self._kill(scheduler)
+            if scheduler.serves and scheduler.over_memory:
+                word = f"{scheduler.name} held more than {scheduler.memory_mb} MB and was killed"
+                self.run.record(Trouble(self.run.at(), "memory", True, word))
+                scheduler.kill_unasked()
 
     # ---------------------------------------------------------- the schedulers
 
--- a/flintfield/lab/sockets/processes.py
+++ b/flintfield/lab/sockets/processes.py
@@ -52,11 +52,11 @@
     """One scheduler: its name and address stay, its processes come and go."""
 
     def __init__(self, place: int, name: str, zone: str, address: Address, folder: Path,
-                 program: Sequence[str] = PROGRAM) -> None:
+                 program: Sequence[str] = PROGRAM, limits: tuple[int, int] = (192, 1024)) -> None:
         self.place, self.name, self.zone, self.address, self.folder = place, name, zone, address, folder
         self._program = program
         self.usage = Usage()
-        self.sockets, self.memory_mb = 1024, 192
+        self.memory_mb, self.sockets = limits
         self.stopping = self.killed = False
         self._process: asyncio.subprocess.Process | None = None
         self._last = (0.0, 0.0)  # of the present process
@@ -111,6 +111,17 @@
             with contextlib.suppress(ProcessLookupError):
                 self._process.send_signal(number)
 
+    def kill_unasked(self) -> None:
+        """Kill it as the platform kills one over its memory: its end counts as its own."""
+        if self._process:
+            self._process.kill()
+
+    def last_words(self) -> str:
+        """Its exit code and the last line that it wrote."""
+        code = self._process.returncode if self._process else None
+        lines = (self.folder / "out.log").read_text("utf-8", "replace").strip().splitlines() or [""]
+        return f"exit code {code}, {lines[-1][:200]}"
+
     def sample(self) -> None:
         """Note what it has taken so far."""
         if self._process is None or (now := read_usage(self._process.pid)) is None:
