--- a/flintfield/lab/sockets/context.py
+++ b/flintfield/lab/sockets/context.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import heapq
+import itertools
 from collections import Counter
 from collections.abc import Callable
 
+import msgspec
+
 from flintfield.lab.log import AnyRecord, Log
 from flintfield.lab.scenario import Scenario
 from flintfield.lab.sockets.addresses import Addresses
@@ -14,6 +18,35 @@
 from flintfield.lab.world import Network, Streams, Try
 
 MOST_ODD = 20
+HOLD_MS = 300.0
+
+
+class Ledger:
+    """Puts records in order of time.
+
+    Some tell of an instant that is past when they can be written: a head's first byte, a lost connection
+    whose cause shows a moment later. So all are held for a while; one that comes later still takes the time
+    of the last that was written.
+    """
+
+    def __init__(self, write: Callable[[AnyRecord], None]) -> None:
+        self._write = write
+        self._held: list[tuple[float, int, AnyRecord]] = []
+        self._numbers = itertools.count()
+        self._last = 0.0
+        self.count = 0
+
+    def add(self, record: AnyRecord) -> None:
+        """Take a record in."""
+        heapq.heappush(self._held, (record.at, next(self._numbers), record))
+
+    def flush(self, until: float) -> None:
+        """Write what is of that time or before, ms."""
+        while self._held and self._held[0][0] <= until:
+            at, _, record = heapq.heappop(self._held)
+            self._last = max(self._last, at)
+            self.count += 1
+            self._write(record if at == self._last else msgspec.structs.replace(record, at=self._last))
 
 
 class Run:
@@ -23,7 +56,8 @@
                  on_record: Callable[[AnyRecord], None] | None = None,
                  ways: Callable[[str], Choose] | None = None) -> None:
         self.scenario, self.streams = scenario, Streams(seed)
-        self.clock, self.log, self._on_record = Clock(), Log(), on_record
+        self.clock, self.log = Clock(), Log()
+        self.ledger = Ledger(on_record or self.log.add)
         self.addresses = Addresses()
         self.network = Network(scenario.network, self.streams.of("network"))
         self.names, self._zones = names, zones
@@ -51,9 +85,7 @@
 
     def record(self, record: AnyRecord) -> None:
         """Write a record down."""
-        self.log.add(record)
-        if self._on_record:
-            self._on_record(record)
+        self.ledger.add(record)
 
     def next_branch(self, rid: str) -> int:
         """The number of a try's next attempt."""
--- a/flintfield/lab/sockets/engine.py
+++ b/flintfield/lab/sockets/engine.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import signal
 import tempfile
 from collections.abc import Callable, Sequence
@@ -25,7 +26,7 @@
 from flintfield.lab.scenario import Scenario
 from flintfield.lab.sockets.addresses import LISTEN, Address, free_port, text
 from flintfield.lab.sockets.callers import Callers
-from flintfield.lab.sockets.context import Run
+from flintfield.lab.sockets.context import HOLD_MS, Run
 from flintfield.lab.sockets.directory import Directory
 from flintfield.lab.sockets.nodes import SWEEP_MS, NodeFace
 from flintfield.lab.sockets.processes import PROGRAM, SAMPLE_S, Scheduler
@@ -39,6 +40,7 @@
 
 SOCKETS_MS = 50.0  # every time limit is that much longer on sockets: clients listen so long past theirs
 READY_PAUSE_S = 0.02
+FLUSH_S = 0.05
 AGAIN_MS = 500.0  # at the most, from a cut's mending until TCP sends what waited
 LOAD_S = 1.0
 END_S = 2.0  # how long schedulers may take to end after the run
@@ -53,6 +55,8 @@
          ways: Callable[[str], Choose] | None = None) -> Log:
     """Play a scenario on sockets and return its event log.
 
+    `on_record` sees each record in order of time, some tenths of a second late; the log that is returned is
+    empty then.
     `program` is the command that starts a scheduler (`python -m flintfield` if None). `folder` keeps the
     schedulers' configurations and output. `ways` puts a fault proxy between each scheduler and each node:
     from a node's name to what befalls the connections to it. A `StartError` tells of a program that does not
@@ -173,7 +177,8 @@
             scheduler.begin_count()
         self._go(self.punctuality.watch())
         for seconds, act in ((LOAD_S, self._sample_nodes), (SAMPLE_S, self._sample_schedulers),
-                             (SWEEP_MS / 1000, self._sweep)):
+                             (SWEEP_MS / 1000, self._sweep),
+                             (FLUSH_S, lambda: run.ledger.flush(run.clock() - HOLD_MS))):
             self._go(self._every(seconds, act))
 
     async def _until_over(self) -> None:
@@ -187,11 +192,9 @@
         run = self.run
         cpu = {s.name: round(s.usage.cpu_ms, 1) for s in self.schedulers}
         cpu["engine"] = round(self.punctuality.cpu_ms, 1)
-        run.record(End(run.at(), void, cpu, len(run.log)))
-        # Some records tell of an instant before they were written: a head's first byte, a lost connection.
-        last = run.log.records.pop()
-        run.log.records.sort(key=lambda r: r.at)
-        run.log.records.append(last)
+        run.ledger.flush(math.inf)
+        run.record(End(run.at(), void, cpu, run.ledger.count))
+        run.ledger.flush(math.inf)
         return run.log
 
     def _void(self) -> str:
