--- a/flintfield/lab/sockets/planted.py
+++ b/flintfield/lab/sockets/planted.py
@@ -1,7 +1,7 @@
 """The real program with a fault planted: `python -m flintfield.lab.sockets.planted FAULT`.
 
-The faults are those that judge the judge on the virtual engine (`flintfield.lab.faults`); here they sit between
-the real shell and the real reducer, and what they do is seen on sockets alone.
+The faults are those that judge the judge on the virtual engine (`flintfield.lab.faults`); here they sit
+between the real shell and the real reducer, and what they do is seen on sockets alone.
 """
 
 from __future__ import annotations
