--- a/flintfield/lab/sockets/planted.py
+++ b/flintfield/lab/sockets/planted.py
@@ -1,16 +1,20 @@
 """The real program with a fault planted: `python -m flintfield.lab.sockets.planted FAULT`.
 
-The faults are those that judge the judge on the virtual engine (`flintfield.lab.faults`); here they sit
-between the real shell and the real reducer, and what they do is seen on sockets alone.
+The faults are those that judge the judge on the virtual engine (`flintfield.lab.faults`). Here a fault stands
+in for the reducer or the decisions before `python -m flintfield` imports them, so it sits between the real
+shell and the real core, and what it does is seen on sockets alone.
 """
 
 from __future__ import annotations
 
+import runpy
 import sys
-from typing import Any
 
-from flintfield.lab.faults import FAULTS, maker, reducer
-from flintfield.lifecycle import program, start
+from flintfield.decision import policy
+from flintfield.lab.faults import FAULTS, maker, reducer as tampered
+from flintfield.memory import reducer
+
+BAD_FAULT = 2
 
 
 def command(fault: str) -> tuple[str, ...]:
@@ -18,17 +22,17 @@
     return (sys.executable, "-m", __name__, fault)
 
 
-def main(fault: str) -> int:
+def main(fault: str = "") -> None:
     """Run one real scheduler with that fault until SIGTERM or SIGINT."""
     if fault not in FAULTS:
         print(f"planted: found {fault!r}, expected one of {', '.join(FAULTS)}", file=sys.stderr)
-        return start.BAD_CONFIG
-    tampered: dict[str, Any] = {"Dispatcher": maker(fault), "reduce": reducer(fault)}
-    for name, stand_in in tampered.items():
-        if stand_in:
-            setattr(program, name, stand_in)
-    return start.main([])
+        sys.exit(BAD_FAULT)
+    if make := maker(fault):
+        vars(policy)["Dispatcher"] = make
+    vars(reducer)["reduce"] = tampered(fault)
+    sys.argv = ["flintfield"]
+    runpy.run_module("flintfield", run_name="__main__")
 
 
 if __name__ == "__main__":
-    sys.exit(main(*sys.argv[1:2]))
+    main(*sys.argv[1:2])
--- a/flintfield/lab/sockets/processes.py
+++ b/flintfield/lab/sockets/processes.py
@@ -88,7 +88,8 @@
             process = await asyncio.create_subprocess_exec(
                 *self._program, stdin=asyncio.subprocess.DEVNULL, stdout=out, stderr=out, env=environ)
         self._process, self._last = process, (0.0, 0.0)
-        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (self.sockets, self.sockets))
+        with contextlib.suppress(ProcessLookupError):  # it may be over already
+            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (self.sockets, self.sockets))
         self._waiter = asyncio.get_running_loop().create_task(self._wait(process, ended))
 
     async def _wait(self, process: asyncio.subprocess.Process,
