--- a/flintfield/lab/cli.py
+++ b/flintfield/lab/cli.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from flintfield.lab import scenario as scenarios
+from flintfield.lab.experiments.runs import RunError
 from flintfield.lab.judge import LogError
 from flintfield.lab.scenario import Scenario, ScenarioError
 from flintfield.lab.verdict import Verdict
@@ -48,9 +49,9 @@
     def wrapped(*args: Any, **given: Any) -> Any:
         try:
             return command(*args, **given)
-        except (ScenarioError, LogError) as error:
+        except (ScenarioError, LogError, RunError) as error:
             print(f"flintfield lab: {error}", file=sys.stderr)
-            sys.exit(BAD_INPUT)
+            sys.exit(VOID if isinstance(error, RunError) else BAD_INPUT)
 
     return wrapped  # type: ignore[return-value]
 
--- a/flintfield/lab/experiments/runs.py
+++ b/flintfield/lab/experiments/runs.py
@@ -5,7 +5,6 @@
 import hashlib
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from importlib import import_module
 from pathlib import Path
 from typing import Any, Literal, cast
 
@@ -21,6 +20,10 @@
 CLOSE = 0.10  # the least divisor: floor and top nearer than this say little (so does the operators' bench)
 
 
+class RunError(Exception):
+    """A run that could not begin; one line tells why."""
+
+
 class Job(msgspec.Struct, frozen=True):
     """What is played: all that bears on a run's outcome, beside the code."""
 
@@ -36,10 +39,19 @@
 
 
 def play(job: Job, on_record: Callable[[AnyRecord], None]) -> None:
-    """Play the job; each record of its log is handed on as it is written."""
+    """Play the job; each record of its log is handed on as it is written.
+
+    A `RunError` tells of a scheduler that does not start.
+    """
     if job.engine == "sockets":
-        sockets: Any = import_module("flintfield.lab.sockets")
-        sockets.play(job.scenario, job.seed, on_record=on_record)
+        from flintfield.lab import sockets
+        from flintfield.lab.sockets import planted
+
+        program = planted.command(job.plant) if job.plant else None
+        try:
+            sockets.play(job.scenario, job.seed, on_record=on_record, program=program)
+        except sockets.StartError as error:
+            raise RunError(f"{job.scenario.name}: {error}") from error
         return
     from flintfield.lab import virtual
 
