--- a/flintfield/lab/cli.py
+++ b/flintfield/lab/cli.py
@@ -351,7 +351,7 @@
             file.write_text(scenarios.dump(failed[0].scenario))
             click.echo(f"{file}: {troubles_of(failed[0].scenario)}", err=True)
             if reduce:
-                small = _shrink(failed[0], None, players, 300)
+                small = _shrink(failed[0], None, players, 300, seconds)
                 file = out / f"{failed[0].scenario.name}-small.toml"
                 file.write_text(scenarios.dump(small))
     if as_object:
@@ -363,15 +363,19 @@
     _end([failed[1]] if failed else [])
 
 
-def _shrink(job: Job, rule: Any, players: Any, limit: int) -> Scenario:
+def _shrink(job: Job, rule: Any, players: Any, limit: int, seconds: float) -> Scenario:
+    """The smallest scenario that fails, found within so many plays and seconds, or until Ctrl-C or SIGTERM."""
     from flintfield.lab import tables
     from flintfield.lab.experiments.shrink import Shrinker, regression
 
     with tables.progress() as bar:
-        shrinker = Shrinker(job, rule, players, runs=limit,
+        until = time.monotonic() + seconds
+        shrinker = Shrinker(job, rule, players, runs=limit, go_on=lambda: time.monotonic() < until,
                             on_step=lambda best: bar.say(tables.size_of(best)))
         bar.start(0, 0)
-        shrunk = shrinker.run()
+        with contextlib.suppress(KeyboardInterrupt, SystemExit):
+            shrinker.run()
+        shrunk = shrinker.best
     name = f"{shrunk.found.what}-{job.scenario.name}"[:60]
     return regression(shrunk, name)
 
@@ -384,12 +388,13 @@
 @SET
 @click.option("--plant", default="", metavar="FAULT", help="plant a fault in the scheduler")
 @click.option("--runs", "limit", type=int, default=400, show_default=True, help="plays at the most")
+@click.option("--seconds", type=float, default=600.0, show_default=True, help="at the most")
 @click.option("--out", type=click.Path(dir_okay=False, path_type=Path),
               help="the file; standard output if none")
 @PROCESSES
 @told
 def shrink(scenario: str, seed: int | None, rule: Any, changes: tuple[str, ...], plant: str, limit: int,
-           out: Path | None, processes: int) -> None:
+           seconds: float, out: Path | None, processes: int) -> None:
     """Reduce a failing scenario to the fewest troubles, nodes and seconds that still fail."""
     from flintfield.lab.experiments.pool import Players
     from flintfield.lab.experiments.runs import Job
@@ -397,7 +402,7 @@
     played = _load(scenario, changes)
     with Players(processes) as players:
         job = Job(played, played.seed if seed is None else seed, plant=plant)
-        text = scenarios.dump(_shrink(job, rule, players, limit))
+        text = scenarios.dump(_shrink(job, rule, players, limit, seconds))
     if out:
         out.write_text(text)
         click.echo(f"{out}")
--- a/flintfield/lab/experiments/shrink.py
+++ b/flintfield/lab/experiments/shrink.py
@@ -50,11 +50,16 @@
 
 
 class Shrinker:
-    """Reduces one failing job; `runs` bounds the plays."""
+    """Reduces one failing job; `runs` bounds the plays, and `go_on` is asked before each proposal.
+
+    `best` is the smallest that fails so far, whenever the caller stops.
+    """
 
     def __init__(self, job: Job, what: str | None, players: Players, *, runs: int = 400,
+                 go_on: Callable[[], bool] = lambda: True,
                  on_step: Callable[[Shrunk], None] | None = None) -> None:
         self._players, self._left, self._limit, self._on_step = players, runs, runs, on_step
+        self._go_on = go_on
         self._tried: set[str] = set()
         found = next(first_break(job, verdict, what) for _, verdict in self._play([job]))
         if found is None:
@@ -70,6 +75,8 @@
 
     def _take(self, scenario: Scenario) -> bool:
         """Take the smaller scenario on if it still breaks the rule with one of a few seeds."""
+        if not self._go_on():
+            return False
         try:
             check(scenario)
         except ScenarioError:
@@ -91,9 +98,9 @@
         return False
 
     def run(self) -> Shrunk:
-        """Reduce until no pass makes it smaller, or the runs are spent."""
+        """Reduce until no pass makes it smaller, or the runs or the time are spent."""
         changed = True
-        while changed and self._left > 0:
+        while changed and self._left > 0 and self._go_on():
             changed = False
             for each in PASSES:
                 while self._left > 0 and any(self._take(s) for s in each(self.best)):
