--- a/flintfield/lab/cli.py
+++ b/flintfield/lab/cli.py
@@ -364,7 +364,7 @@
 
 
 def _shrink(job: Job, rule: Any, players: Any, limit: int, seconds: float) -> Scenario:
-    """The smallest scenario that fails, found within so many plays and seconds, or until Ctrl-C or SIGTERM."""
+    """The smallest scenario that fails, found within so many plays and seconds, or until Ctrl-C."""
     from flintfield.lab import tables
     from flintfield.lab.experiments.shrink import Shrinker, regression
 
