--- a/flintfield/lab/report/plots.py
+++ b/flintfield/lab/report/plots.py
@@ -92,7 +92,7 @@
     figure, axes = _figure(report, ylabel="worth in time / asked")
     _shade(report, axes)
     worst = report.verdict.service
-    if worst.worst_window < 1:
+    if worst.worst_window < 1 and report.begin.window_ms < report.begin.length_ms:
         left, width = worst.worst_window_at / 1_000, report.begin.window_ms / 1_000
         axes.axvspan(left, left + width, facecolor="none", edgecolor=FAINT, ls=":", lw=1)
         axes.text(left + width / 2, 1.025, f"worst window {worst.worst_window:.3f}", ha="center", color=FAINT,
