--- a/flintfield/cli/group.py
+++ b/flintfield/cli/group.py
@@ -23,6 +23,7 @@
 COMMANDS: Mapping[str, str] = {
     "run": "flintfield.cli.commands:run",
     "replay": "flintfield.cli.commands:replay",
+    "demo": "flintfield.lab.demo:demo",
     "lab": "flintfield.lab.cli:lab",
 }
 """The commands' names, and where each is declared."""
--- a/flintfield/lab/demo.py
+++ b/flintfield/lab/demo.py
@@ -1,17 +1,22 @@
 """`flintfield demo`: a stand-in fleet and real schedulers on this machine, a live table, and a verdict.
 
-Records go to two listeners as they are written: a `Tally`, from which the table is drawn four times a second
-by a thread of rich's, and a `Judge`, whose verdict is shown at the end. Exit codes are the laboratory's.
+The run has a process of its own, for drawing a table takes some 20 ms and the engine has to keep time. Its
+records come here over a pipe, to two listeners: a `Tally`, from which the table is drawn four times a second,
+and a `Judge`, whose verdict is shown at the end. Exit codes are the laboratory's.
 """
 
 from __future__ import annotations
 
+import multiprocessing
 import sys
 import time
 from collections import Counter
+from collections.abc import Iterator
 from dataclasses import dataclass, field
+from multiprocessing.connection import Connection
 
 import click
+import msgspec
 from rich.console import Console, Group, RenderableType
 from rich.live import Live
 from rich.progress_bar import ProgressBar
@@ -24,6 +29,7 @@
     AnyRecord, Answered, Asked, Begin, Broke, ConnectionLost, Done, End, GivenUp, NodeLoad, NodeState, NodeUp,
     NodeWarmth, SchedulerState, Started, Trouble,
 )
+from flintfield.lab.sockets.errors import StartError
 from flintfield.lab.verdict import Verdict
 
 SCENARIO = "demo"
@@ -32,8 +38,10 @@
 LATEST = 4  # happenings shown
 BAR = 12  # characters
 
+_decoder: msgspec.json.Decoder[AnyRecord] = msgspec.json.Decoder(AnyRecord)
 _NODE_STYLES = {"up": "green", "cold": "cyan", "draining": "yellow", "slow": "yellow", "down": "red",
                 "fell": "bold red"}
+_WIDTHS = {"state": 8, "jobs": 6, "done": 4, "latest answer": 13}  # columns that keep still
 _WORDS = {"crash": "a worker node's process dies", "slow": "a worker node runs slower",
           "scheduler-roll": "a scheduler is restarted", "deploy": "worker nodes are replaced"}
 
@@ -81,6 +89,7 @@
         self.schedulers: dict[str, _Scheduler] = {}
         self.classes: dict[str, _Class] = {}
         self.latest: list[str] = []
+        self.cpu_ms: dict[str, float] = {}
         self._begin: Begin | None = None
         self._open: dict[str, Asked] = {}
         self._running: set[tuple[str, int]] = set()
@@ -116,6 +125,8 @@
                 self._scheduler_state(record)
             case Trouble(begins=True):
                 self._say(_WORDS.get(record.name, record.word or f"trouble: {record.name}"))
+            case End():
+                self.cpu_ms = record.cpu_ms
             case _:
                 return
 
@@ -175,7 +186,8 @@
     table = Table(title=title, title_justify="left", title_style="bold", box=None, pad_edge=False,
                   header_style="dim", padding=(0, 2, 0, 0))
     for i, head in enumerate(heads):
-        table.add_column(head, justify="left" if i < left else "right", no_wrap=True)
+        table.add_column(head, justify="left" if i < left else "right", no_wrap=True,
+                         min_width=_WIDTHS.get(head))
     return table
 
 
@@ -222,10 +234,9 @@
     head.add_row(Text("flintfield demo", "bold"), ProgressBar(whole, min(tally.at, whole), width=40),
                  f"{min(tally.at, whole) / 1000:.0f} of {whole / 1000:.0f} s")
     beside = Table.grid(padding=(0, 4))
-    happenings = _table("Happenings", "")
-    for word in tally.latest or ["-"]:
-        happenings.add_row(word)
-    right = Group(_scheduler_table(tally), "", _class_table(tally), "", happenings)
+    latest = [Text(word) for word in tally.latest]
+    right = Group(_scheduler_table(tally), "", _class_table(tally), "", Text("Happenings", "bold italic"),
+                  *latest)
     beside.add_row(_node_table(tally), right)
     return Group(head, "", beside)
 
@@ -233,14 +244,14 @@
 def summary(verdict: Verdict, cpu_ms: dict[str, float]) -> RenderableType:
     """What is said at the end: service, the four rules and the cost."""
     service = verdict.service
-    rules = _table("Rules", "rule", "", left=2)
+    rules = _table("Rules", "rule", "what it asks for", "", left=3)
     said = {"answer": "one final answer to each request, in time, of what a node made",
             "repeat": "nothing run twice that mustn't, never two attempts at once",
             "drain": "nothing new to a draining or gone node", "cold": "no cold node pushed over"}
     for rule in RULES:
         broken = verdict.broken.get(rule, 0)
         word = Text("kept", "green") if not broken else Text(f"broken {broken} times", "bold red")
-        rules.add_row(Text.assemble(f"{rule}  ", (said[rule], "dim")), word)
+        rules.add_row(rule, Text(said[rule], "dim"), word)
     classes = _table("Service", "class", "asked", "in time", "service", "p50", "p99")
     for one in service.classes:
         classes.add_row(one.name, str(one.asked), str(one.in_time), f"{one.service:.3f}",
@@ -254,31 +265,56 @@
 # -------------------------------------------------------------------- the command
 
 
-def play(seed: int, console: Console) -> int:
-    """Play the demo and say how it went; the exit code."""
+def _run(seed: int, out: Connection) -> None:
+    """Play the demo; its records go out as lines, and the text of an error as the last one."""
     from flintfield.lab import scenario, sockets
 
-    tally, judge, ends = Tally(), Judge(), list[End]()
+    def tell(record: AnyRecord) -> None:
+        out.send_bytes(msgspec.json.encode(record))
+
+    try:
+        sockets.play(scenario.load(SCENARIO), seed, on_record=tell)
+    except sockets.StartError as error:
+        out.send_bytes(str(error).encode())
+    out.close()
 
-    def take(record: AnyRecord) -> None:
-        judge.take(record)
-        tally.take(record)
-        if isinstance(record, End):
-            ends.append(record)
 
+def _records(seed: int) -> Iterator[AnyRecord]:
+    """The records of a run in a process of its own; a `StartError` as `sockets.play` raises it."""
+    ours, theirs = multiprocessing.Pipe(duplex=False)
+    process = multiprocessing.get_context("spawn").Process(target=_run, args=(seed, theirs), daemon=False)
+    process.start()
+    theirs.close()
+    try:
+        while True:
+            line = ours.recv_bytes()
+            if not line.startswith(b"{"):
+                raise StartError(line.decode())
+            yield _decoder.decode(line)
+    except EOFError:
+        return
+    finally:
+        process.join()
+
+
+def play(seed: int, console: Console) -> int:
+    """Play the demo and say how it went; the exit code."""
+    tally, judge = Tally(), Judge()
     began = time.monotonic()
     try:
         with Live(get_renderable=lambda: view(tally), console=console, refresh_per_second=REFRESH_PER_S,
-                  transient=False, auto_refresh=console.is_terminal):
-            sockets.play(scenario.load(SCENARIO), seed, on_record=take)
-    except sockets.StartError as error:
+                  auto_refresh=console.is_terminal):
+            for record in _records(seed):
+                judge.take(record)
+                tally.take(record)
+    except StartError as error:
         print(f"flintfield demo: {error}", file=sys.stderr)
         return BAD_INPUT
     verdict = judge.verdict()
     if verdict.void:
         console.print(f"\nThe run says nothing, and is not judged: {verdict.void}.", highlight=False)
         return VOID
-    console.print(summary(verdict, ends[0].cpu_ms), highlight=False)
+    console.print(summary(verdict, tally.cpu_ms), highlight=False)
     word = "All rules kept." if verdict.kept else "A rule broke."
     console.print(f"\n{word} {time.monotonic() - began:.0f} s in all; `flintfield lab run demo --engine "
                   "sockets --out DIR` keeps log and report.", highlight=False)
--- a/flintfield/lab/sockets/__init__.py
+++ b/flintfield/lab/sockets/__init__.py
@@ -6,6 +6,7 @@
 befalls bytes on the way, `proxy.py` does it to any TCP connection.
 """
 
-from flintfield.lab.sockets.engine import StartError, play
+from flintfield.lab.sockets.engine import play
+from flintfield.lab.sockets.errors import StartError
 
 __all__ = ["StartError", "play"]
--- a/flintfield/lab/sockets/engine.py
+++ b/flintfield/lab/sockets/engine.py
@@ -28,6 +28,7 @@
 from flintfield.lab.sockets.callers import Callers
 from flintfield.lab.sockets.context import HOLD_MS, Run
 from flintfield.lab.sockets.directory import Directory
+from flintfield.lab.sockets.errors import StartError
 from flintfield.lab.sockets.nodes import SWEEP_MS, NodeFace
 from flintfield.lab.sockets.processes import PROGRAM, SAMPLE_S, Scheduler
 from flintfield.lab.sockets.proxy import Choose
@@ -68,10 +69,6 @@
             return runner.run(engine.play())
 
 
-class StartError(Exception):
-    """A scheduler that ended at its start; one line with its name and last words."""
-
-
 class _Engine:
     """One run."""
 
--- a/flintfield/lab/sockets/processes.py
+++ b/flintfield/lab/sockets/processes.py
@@ -59,6 +59,7 @@
         self.memory_mb, self.sockets = limits
         self.stopping = self.killed = False
         self._process: asyncio.subprocess.Process | None = None
+        self._waiter: asyncio.Task[None] | None = None
         self._last = (0.0, 0.0)  # of the present process
         folder.mkdir(parents=True, exist_ok=True)
 
@@ -94,14 +95,12 @@
 
     async def _wait(self, process: asyncio.subprocess.Process,
                     ended: Callable[[Scheduler, int], None]) -> None:
-        code = await process.wait()
-        if process is self._process:
-            ended(self, code)
+        ended(self, await process.wait())
 
     async def gone(self) -> None:
-        """Wait until its process is over."""
-        if self._process:
-            await self._process.wait()
+        """Wait until its process is over, and that is told."""
+        if self._waiter:
+            await asyncio.shield(self._waiter)
 
     def signal(self, number: int) -> None:
         """Send a signal, if it still runs."""
