--- a/flintfield/lab/cli.py
+++ b/flintfield/lab/cli.py
@@ -306,6 +306,8 @@
     else:
         tables.show_comparison(comparison)
     if not comparison.pairs:
+        void = next((v.void for side in found for v in side.values() if v.void), "")
+        print(f"flintfield lab: no pair of runs to compare: {void}", file=sys.stderr)
         sys.exit(VOID)
     sys.exit(BROKE if comparison.other_broke or comparison.word == "worse" else KEPT)
 
--- a/flintfield/lab/experiments/compare.py
+++ b/flintfield/lab/experiments/compare.py
@@ -94,4 +94,6 @@
         return "better", f"the goal rose by {goal.difference:.4f} ({goal.low:.4f} to {goal.high:.4f})"
     if goal.high < 0:
         return "worse", f"the goal fell by {-goal.difference:.4f} ({-goal.high:.4f} to {-goal.low:.4f})"
+    if not any((m.low, m.high, m.difference) != (0.0, 0.0, 0.0) for m in measures):
+        return "can't tell", "all runs gave the same service"
     return "can't tell", f"the goal's difference lies between {goal.low:.4f} and {goal.high:.4f}"
--- a/flintfield/lab/experiments/pool.py
+++ b/flintfield/lab/experiments/pool.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import importlib
 import multiprocessing
 import multiprocessing.connection
 import os
@@ -50,12 +51,17 @@
 
     if not build:
         return
-    package = str(Path(build) / "flintfield")
+    ours, theirs = Path(flintfield.__path__[-1]), Path(build) / "flintfield"
     for name in [n for n in sys.modules if n.startswith("flintfield.")]:
         if name != OURS and not name.startswith(f"{OURS}."):
             del sys.modules[name]
-    if package not in flintfield.__path__:
-        flintfield.__path__.insert(0, package)
+    flintfield.__path__.insert(0, str(theirs))
+    # What the laboratory needs and an older checkout has not yet comes from ours.
+    for init in sorted(ours.rglob("__init__.py")):
+        place = init.parent.relative_to(ours)
+        if place.parts and place.parts[0] != "lab" and (theirs / place / "__init__.py").exists():
+            package = importlib.import_module(".".join(("flintfield", *place.parts)))
+            package.__path__.append(str(init.parent))
 
 
 def check_build(build: str) -> None:
