Write out what the decisions have learned, and let a new dispatcher start from it

A restarted scheduler knows no price and no pace: it learns them anew from jobs.

Round trip, restarted workers and seven kinds of damage are tested.

--- a/flintfield/lifecycle/operators.py
+++ b/flintfield/lifecycle/operators.py
@@ -49,9 +49,10 @@
         if place is None:
             raise OperatorsError(f"[{title}]: found an unknown section, expected one of {', '.join(UNITS)}")
         by_place.setdefault(place, {})[title] = keys
-    on = {}
-    for name, place in UNITS.items():
-        if sections := by_place.pop(place, None):
-            feature = find_feature(place)
-            on[name] = Chosen(feature, feature.read(sections))
-    return on
+    features = {place: find_feature(place) for place in by_place}
+    for feature in list(features.values()):
+        for name in feature.needs:
+            features.setdefault(UNITS[name], find_feature(UNITS[name]))
+    firsts = {place: name for name, place in reversed(list(UNITS.items()))}
+    return {firsts[place]: Chosen(feature, feature.read(by_place.get(place, {})))
+            for place, feature in features.items()}
--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -248,11 +248,14 @@
             await anyio.sleep(STOP_CHECK_S)
 
     async def _end_units(self) -> None:
-        """Let all units end, together; guards against one that stalls: the kill is near."""
+        """Let all units end, together, then close; guards against one that stalls: the kill is near."""
         with anyio.move_on_after(END_S):
             async with anyio.create_task_group() as ends:
                 for unit in self.units:
                     ends.start_soon(self._guarded, unit.end, type(unit).__name__)
+        with anyio.move_on_after(END_S):
+            for unit in reversed(self.units):
+                await self._guarded(unit.close, type(unit).__name__)
 
     def _busy(self) -> bool:
         return bool(self.state.transactions or self._callers.open_legs)
--- a/flintfield/memory/jobs.py
+++ b/flintfield/memory/jobs.py
@@ -30,7 +30,7 @@
     """At most `max_entries` jobs: the live ones, and those ended in the last `keep_ms`, oldest first out."""
 
     def __init__(self, keep_ms: float, max_entries: int) -> None:
-        self._keep_ms, self._most = keep_ms, max_entries
+        self.keep_ms, self.most = keep_ms, max_entries
         self._live: dict[str, JobRecord] = {}
         self._ended: OrderedDict[str, JobRecord] = OrderedDict()  # in the order of their ends
         self.evicted: str | None = None  # whom the job that was taken last has driven out
@@ -45,7 +45,7 @@
         self._expire(now)
         self.evicted = None
         self._ended.pop(name, None)  # the id of an ended job stands for the new one now
-        if self.count >= self._most:
+        if self.count >= self.most:
             if not self._ended:
                 return False
             self.evicted, _ = self._ended.popitem(last=False)
@@ -91,7 +91,7 @@
         return None if job is None or self._is_old(now, job) else job
 
     def _is_old(self, now: float, job: JobRecord) -> bool:
-        return now - job.ended >= self._keep_ms
+        return now - job.ended >= self.keep_ms
 
     def _expire(self, now: float) -> None:
         while self._ended and self._is_old(now, next(iter(self._ended.values()))):
--- a/flintfield/units/interface.py
+++ b/flintfield/units/interface.py
@@ -10,14 +10,15 @@
 
 A unit's life: `build` makes it, with its reducer-side state, before the first message. `listen` takes its
 ports: a fault ends the start. `run` is its task. On SIGTERM all that was taken is settled first; then all
-units `end`, together and within `END_S`, while their tasks still run; then the tasks are cancelled.
+units `end`, together and within `END_S`, while their tasks still run, and `close`, each behind those that
+were built after it; then the tasks are cancelled.
 """
 
 from __future__ import annotations
 
 import signal
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
 from flintfield.base.config import Config
@@ -49,6 +50,8 @@
     count: Callable[[str], None]
     defect: Callable[[str, Exception], None]  # tells of what must not happen and was contained
     side_pages: Callable[[], Mapping[bytes, SidePage]]  # those of all units, for whoever has a status port
+    lent: dict[str, Any] = field(default_factory=dict)
+    """What units lend to those built after them, by name."""
 
 
 class Given:
@@ -114,6 +117,9 @@
     async def end(self) -> None:
         """All that was taken is settled: flush, take leave. It is cut off after `END_S`."""
 
+    async def close(self) -> None:
+        """All units have ended: let go of what they were lent. Last built, first closed; cut off likewise."""
+
 
 @dataclass(frozen=True, slots=True)
 class Feature:
@@ -121,6 +127,7 @@
 
     sections: tuple[Section[Any], ...]
     build: Callable[[Host, Given], Unit]
+    needs: tuple[str, ...] = ()  # features that are on wherever this one is, by their names in the list
 
     def read(self, raw: Mapping[str, Mapping[str, str]]) -> Given:
         """Check the feature's sections."""
--- /dev/null
+++ b/tests/test_learned.py
@@ -0,0 +1,59 @@
+"""What a dispatcher has learned, taken over by the next one."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from flintfield.decision.interface import Entry, Outcome, Send, State
+from flintfield.decision.learned import learned, recall
+from flintfield.decision.policy import Dispatcher
+from helpers import World, only, settings
+
+GIVEN = settings()
+
+
+def worked(entries: list[Entry]) -> World:
+    """A world in which worker 1 is quick and worker 2 slow, and both are known as such."""
+    world = World(GIVEN, entries, free=2)
+    for rid in range(1, 60):
+        for send in only(world.request(rid, hint_ms=None), Send):
+            world.wait(20 if send.worker == 1 else 160)
+            world.end(rid, send.worker, Outcome.OK)
+    world.wait(500)
+    return world
+
+
+def entries(**changes: Any) -> list[Entry]:
+    return [Entry(n, State.READY, **changes) for n in (1, 2)]
+
+
+def test_the_next_dispatcher_starts_from_the_last_ones_prices_and_paces() -> None:
+    old = worked(entries()).dispatcher
+    new = World(GIVEN, entries(), free=None).dispatcher
+    found = recall(new, json.loads(json.dumps(learned(old))))
+    assert (found.workers, found.left_out) == (2, 0)
+    assert learned(new) == learned(old)
+    assert new.workers[1].pace.value < new.workers[2].pace.value / 2 and not new.jobs and not new.attempts
+
+
+def test_a_worker_that_started_anew_or_is_not_known_is_left_out() -> None:
+    saved = learned(worked(entries()).dispatcher)
+    new = World(GIVEN, [Entry(1, State.READY, started_ms=5.0)], free=None).dispatcher
+    found = recall(new, saved)
+    assert (found.workers, found.left_out) == (0, 2) and new.workers[1].pace.count == 0
+
+
+@pytest.mark.parametrize("change", [
+    {"form": 9}, {"workers": 3}, {"workers": [[1, 0.0, [1.0], [1.0, 1], [], []]]}, {"costs": []},
+    {"pace": [float("nan"), 1]}, {"in_flight": -1.0}, {"pace": None},
+])
+def test_what_cannot_be_read_changes_nothing(change: dict[str, Any]) -> None:
+    saved = learned(worked(entries()).dispatcher) | change
+    new = Dispatcher(GIVEN, 1)
+    before = learned(new)
+    with pytest.raises(ValueError, match="cannot be read"):
+        recall(new, saved)
+    assert learned(new) == before
--- a/tests/test_units.py
+++ b/tests/test_units.py
@@ -16,11 +16,14 @@
 
 from flintfield.base.config import read_config
 from flintfield.base.ini import FLAG, OperatorsError, Section, whole, word
+from flintfield.lifecycle import operators
 from flintfield.lifecycle.operators import Chosen, chosen, read_operators
 from flintfield.lifecycle.program import Program
+from flintfield.lifecycle.units import UNITS
 from flintfield.memory.messages import UnitEffect, UnitMessage
 from flintfield.memory.reducer import Turn
 from flintfield.units.interface import Feature, Given, Host, Unit
+from flintfield.units.jobstatus import FEATURE as JOBS
 from flintfield.wire.http1.leg import Reply
 from flintfield.wire.http1.stream import dial
 from peers import ROOT, SETTINGS
@@ -39,6 +42,7 @@
 
 LONE = Section("limits", Quota, {"rate": whole(1, 9), "mode": word("soft", "hard"), "loud": FLAG})
 FAMILY = Section("quota", Quota, LONE.keys, family=True)
+NEEDY = Feature((LONE,), lambda host, given: Unit(), needs=("jobstatus",))
 BOTH = Feature((LONE, FAMILY), lambda host, given: Unit())
 
 
@@ -78,6 +82,12 @@
 """
 
 
+def test_what_a_feature_needs_is_on_with_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(operators, "UNITS", {"jobstatus": UNITS["jobstatus"], "limits": f"{__name__}:NEEDY"})
+    on = operators._choose({"limits": {"rate": "1"}})
+    assert {name: one.feature for name, one in on.items()} == {"jobstatus": JOBS, "limits": NEEDY}
+
+
 def test_only_what_is_on_is_imported(tmp_path: Path) -> None:
     (path := tmp_path / "x.ini").write_text("[jobstatus]\n")
     done = subprocess.run([sys.executable, "-c", LIST, path], cwd=ROOT, text=True, capture_output=True,
@@ -141,6 +151,9 @@
         self.seen.append("end")
         await anyio.sleep(60)
 
+    async def close(self) -> None:
+        self.seen.append("close")
+
 
 class Log:
     """Keeps what is logged."""
@@ -203,7 +216,7 @@
 
         took = await _played(program, log, play)
         assert took < 4.7  # settling takes up to 3.5 s, and a unit that stalls is cut off after 1 s
-        assert odd.seen == ["pong", "beside", "signal", "end"]
+        assert odd.seen == ["pong", "beside", "signal", "end", "close"]
 
     anyio.run(main)
     assert ("reload refused", {"error": "[odd] keys: gone"}) in log.lines
