--- a/flintfield/lab/scenario.py
+++ b/flintfield/lab/scenario.py
@@ -5,9 +5,11 @@
 `numpy.random.SeedSequence` child of its own, named by the component, so that one node more changes no other's
 draws.
 
-All times are milliseconds unless a key ends in `_s`; work is milliseconds of a standard core (speed 1).
-`load(path)` reads a file, `check(scenario)` says what msgspec's types can not, `library()` names what ships.
-An error is a `ScenarioError` of one line: file, key path, what was found and what was expected.
+All times are milliseconds unless a key ends in `_s`; work is milliseconds of a standard core (speed 1). A
+file may name a shipped scenario under `extends`: then it holds only what differs, table by table; a list
+stands for the whole list. `load(path)` reads a file, `check(scenario)` says what msgspec's types can not,
+`library()` names what ships. An error is a `ScenarioError` of one line: file, key path, what was found and
+what was expected.
 """
 
 from __future__ import annotations
@@ -23,6 +25,8 @@
 Share = Annotated[float, Meta(ge=0, le=1)]
 Positive = Annotated[float, Meta(gt=0)]
 Count = Annotated[int, Meta(ge=1)]
+MOST_EXTENDED = 4
+"""How many files deep `extends` goes: guards against files that extend each other."""
 
 
 class ScenarioError(Exception):
@@ -52,6 +56,7 @@
     error_rate: Share = 0.0  # of jobs that end in an error
     cancel: Literal["none", "queued", "running"] = "none"  # what stops when an attempt is given up
     connections_per_core: Positive = 700.0  # beyond them a dial is refused
+    crowding: Share = 0.0  # the part of its capacity that a full table of connections takes
 
 
 class Node(Spec):
@@ -104,6 +109,7 @@
     work_ms: Positive = 700.0  # the mean
     dist: Literal["fixed", "exponential", "lognormal", "pareto"] = "lognormal"
     cv: Ms = 1.0  # of the work
+    most_ms: Ms = 0.0  # works beyond it are cut to it, which lowers mean and cv; 0: none is
     attempt_noise: Ms = 0.15  # relative spread of a job's running time from attempt to attempt
     aim_ms: Ms = 600.0
     stretch: Ms = 2.0  # times the job's own work is added to the aim
@@ -170,6 +176,8 @@
     count: Count = 3
     start_spread_ms: Ms = 800.0
     told_count: Count | None = None  # what each is told of their number; None: the truth
+    zones: list[str] = []  # of each; empty: in turn
+    start_at_ms: list[float] = []  # of each, ready by then; empty: drawn within `start_spread_ms`
     cpu_us_per_decision: Ms = 0.0  # virtual time that a message takes in the reducer; 0: none
     settings: dict[str, Any] = {}  # over the platform's settings, by the operators' names
     clock_offset_ms: list[float] = []  # of each scheduler's clock; empty: none
@@ -220,12 +228,28 @@
     for_s: Ms = 0.0
 
 
+class DeployStep(Spec):
+    """At `at_s` nodes are told to drain, and new ones start."""
+
+    at_s: Ms
+    stop: list[int]  # by place in the fleet
+    start: list[Node] = []  # empty: one like each that stops
+
+
+class RollStep(Spec):
+    """At `at_s` schedulers are taken out, to be restarted."""
+
+    at_s: Ms
+    stop: list[int]
+
+
 class Deploy(Trouble, tag="deploy"):
     """Nodes are replaced, a batch at a time: told to drain, ended, started cold under a new name."""
 
     part: Share = 0.9  # of the fleet
     batch: Share = 0.15  # of the fleet at a time
     drain_s: Positive = 4.0
+    steps: list[DeployStep] = []  # empty: drawn
 
 
 class SchedulerRoll(Trouble, tag="scheduler-roll"):
@@ -234,7 +258,9 @@
     part: Share = 0.9
     batch: Share = 0.3
     down_s: Ms = 0.5
+    told_s: Ms = 1.0  # the front sends it nothing new that long before it ends
     graceful: bool = False
+    steps: list[RollStep] = []  # empty: drawn
 
 
 class Crash(Trouble, tag="crash"):
@@ -345,6 +371,7 @@
     format: Literal[1] = 1
     about: str = ""
     guards: str = ""  # for a regression: the sentence that it guards
+    seed: Annotated[int, Meta(ge=0)] = 1  # played where none is named; a regression's own
     length_s: Positive = 50.0
     tail_s: Positive = 25.0  # at the most; the run ends when all is answered
     zones: Annotated[tuple[str, ...], Meta(min_length=1)] = ("a", "b", "c")
@@ -375,7 +402,8 @@
 def parse(text: str, where: str = "scenario") -> Scenario:
     """Read and check a scenario's text; `where` names it in errors."""
     try:
-        scenario = msgspec.toml.decode(text.encode(), type=Scenario)
+        raw = msgspec.toml.decode(text.encode())
+        scenario = msgspec.convert(_extended(raw, where), Scenario)
     except msgspec.ValidationError as error:
         word, _, at = str(error).partition(" - at `$")
         raise ScenarioError(f"{where}: {at.rstrip('`').lstrip('.') or 'top'}: {word}") from error
@@ -385,6 +413,26 @@
     return scenario
 
 
+def _extended(raw: dict[str, Any], where: str, depth: int = 0) -> dict[str, Any]:
+    """What a file holds, over the shipped scenario that it extends, if any."""
+    if (name := raw.pop("extends", None)) is None:
+        return raw
+    shipped = library()
+    if name not in shipped or depth >= MOST_EXTENDED:
+        raise ScenarioError(f"{where}: extends: found {name!r}, expected one of {', '.join(shipped)}")
+    base = msgspec.toml.decode(shipped[name].read_bytes())
+    return merged(_extended(base, name, depth + 1), raw)
+
+
+def merged(base: dict[str, Any], more: dict[str, Any]) -> dict[str, Any]:
+    """The base with other values on top, table by table."""
+    over = dict(base)
+    for key, value in more.items():
+        below = over.get(key)
+        over[key] = merged(below, value) if isinstance(below, dict) and isinstance(value, dict) else value
+    return over
+
+
 def check(scenario: Scenario, where: str = "scenario") -> None:
     """What the types can not say; a `ScenarioError` names the key."""
     def fail(key: str, found: object, expected: str) -> ScenarioError:
@@ -408,6 +456,13 @@
         raise fail("load", {"level": load_.level, "per_s": load_.per_s}, "either level or per_s")
     if load_.zone_share and len(load_.zone_share) != len(scenario.zones):
         raise fail("load.zone_share", load_.zone_share, f"{len(scenario.zones)} figures, one a zone")
+    for name in ("zones", "start_at_ms", "clock_offset_ms"):
+        each = getattr(scenario.schedulers, name)
+        if each and len(each) != scenario.schedulers.count:
+            raise fail(f"schedulers.{name}", each, f"{scenario.schedulers.count} entries, one a scheduler")
+    for i, zone in enumerate(scenario.schedulers.zones):
+        if zone not in zones:
+            raise fail(f"schedulers.zones[{i}]", zone, f"one of {', '.join(scenario.zones)}")
     if not load_.shape or any(a[0] >= b[0] for a, b in zip(load_.shape, load_.shape[1:], strict=False)):
         raise fail("load.shape", load_.shape, "pairs of second and factor, the seconds rising")
     count = len(fleet.node) or fleet.nodes
@@ -418,6 +473,11 @@
         for place in getattr(trouble, "nodes", []):
             if not 0 <= place < count:
                 raise fail(f"{key}.nodes", place, f"places from 0 to {count - 1}")
+        for j, step in enumerate(getattr(trouble, "steps", [])):
+            places = count if isinstance(trouble, Deploy) else scenario.schedulers.count
+            for place in step.stop:
+                if not 0 <= place < places:
+                    raise fail(f"{key}.steps[{j}].stop", place, f"places from 0 to {places - 1}")
         if isinstance(trouble, FailClass) and trouble.cls not in classes:
             raise fail(f"{key}.cls", trouble.cls, f"one of {', '.join(sorted(classes))}")
         if isinstance(trouble, ZoneCut) and trouble.zone not in zones:
