Measure the store beside SQLite and LMDB in one run

Need: the aims are set against SQLite, and what it gives must be seen on the same disk. Change: benchmarks/store_bench.py with durable puts by writers, reads, scans, opening, space and pauses.

--- /dev/null
+++ b/benchmarks/store_bench.py
@@ -0,0 +1,370 @@
+"""The store beside SQLite and LMDB, in one run on one disk.
+
+    python -m benchmarks.store_bench DIR [--puts 4000] [--entries 1000000] [--json FILE]
+
+Keys have 16 bytes, values 100. SQLite: WAL, synchronous=FULL, a table WITHOUT ROWID; LMDB: its defaults,
+which sync at each commit. "by N writers": so many threads, each waiting for its own put to be durable.
+SQLite is measured in two ways: a connection for each thread (as its documents tell), and one connection
+that the threads take turns with, which is faster; the better figure counts. "grouped": what a program could
+build on SQLite, one thread that commits all that waits as one transaction. "tasks": so many asyncio tasks,
+our store's other way in.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import queue
+import random
+import shutil
+import sqlite3
+import tempfile
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import lmdb
+
+from flintfield.store import ALWAYS, NEVER, Batch, Settings, open_store
+from flintfield.store.loop import AsyncStore
+from flintfield.store.trial import WRITERS, by_writers, key, timed
+
+VALUE = bytes(range(100))
+LOAD = 1_000  # entries of one batch while a store is filled
+TURNS = 10  # times that each key is overwritten
+MAP = 4 * 1024 ** 3  # bytes that LMDB may map
+Result = dict[str, Any]
+
+
+def size_of(folder: Path) -> int:
+    """Bytes that the files take on disk (blocks, not lengths)."""
+    return sum(path.stat().st_blocks * 512 for path in folder.iterdir())
+
+
+class Ours:
+    """flintfield.store."""
+
+    name = "store"
+
+    def __init__(self, folder: Path, settings: Settings | None = None) -> None:
+        self.store = open_store(folder, settings)
+
+    def put(self, _: int, number: int) -> None:
+        """One durable put."""
+        self.store.write(Batch().put("bench", key(number), VALUE), ALWAYS)
+
+    def load(self, numbers: range | list[int], value: bytes = VALUE) -> None:
+        """Many puts as one batch, not synced."""
+        batch = Batch()
+        for number in numbers:
+            batch.put("bench", key(number), value)
+        self.store.write(batch, NEVER)
+
+    def get(self, number: int) -> bytes | None:
+        """One read."""
+        return self.store.get("bench", key(number))
+
+    def scan(self) -> int:
+        """Read all in order."""
+        return sum(1 for _ in self.store.scan("bench"))
+
+    def close(self) -> None:
+        """End."""
+        self.store.close()
+
+
+class Sqlite:
+    """SQLite with one connection that threads take turns with, or one for each."""
+
+    name = "sqlite"
+
+    def __init__(self, folder: Path, each: bool = False) -> None:
+        self._path, self._each = folder / "bench.db", each
+        self._lock = threading.Lock()
+        self._local = threading.local()
+        self._connection = self._connect()
+        self._connection.execute("CREATE TABLE IF NOT EXISTS bench (k BLOB PRIMARY KEY, v BLOB) WITHOUT ROWID")
+
+    def _connect(self) -> sqlite3.Connection:
+        made = sqlite3.connect(self._path, timeout=60, isolation_level=None, check_same_thread=False)
+        made.execute("PRAGMA journal_mode=WAL")
+        made.execute("PRAGMA synchronous=FULL")
+        return made
+
+    def put(self, _: int, number: int) -> None:
+        """One durable put."""
+        if not self._each:
+            with self._lock:
+                self._connection.execute("INSERT OR REPLACE INTO bench VALUES (?, ?)", (key(number), VALUE))
+            return
+        if not hasattr(self._local, "connection"):
+            self._local.connection = self._connect()
+        self._local.connection.execute("INSERT OR REPLACE INTO bench VALUES (?, ?)", (key(number), VALUE))
+
+    def load(self, numbers: range | list[int], value: bytes = VALUE) -> None:
+        """Many puts as one transaction."""
+        rows = [(key(number), value) for number in numbers]
+        self._connection.execute("BEGIN")
+        self._connection.executemany("INSERT OR REPLACE INTO bench VALUES (?, ?)", rows)
+        self._connection.execute("COMMIT")
+
+    def get(self, number: int) -> bytes | None:
+        """One read."""
+        found = self._connection.execute("SELECT v FROM bench WHERE k = ?", (key(number),)).fetchone()
+        return found[0] if found else None
+
+    def scan(self) -> int:
+        """Read all in order."""
+        return sum(1 for _ in self._connection.execute("SELECT k, v FROM bench ORDER BY k"))
+
+    def close(self) -> None:
+        """End."""
+        self._connection.close()
+
+
+class Grouped(Sqlite):
+    """SQLite behind a thread that commits all that waits as one transaction."""
+
+    name = "sqlite grouped"
+
+    def __init__(self, folder: Path) -> None:
+        super().__init__(folder)
+        self._waiting: queue.SimpleQueue[tuple[int, threading.Lock] | None] = queue.SimpleQueue()
+        self._thread = threading.Thread(target=self._run)
+        self._thread.start()
+
+    def put(self, _: int, number: int) -> None:
+        """One durable put."""
+        told = threading.Lock()
+        told.acquire()
+        self._waiting.put((number, told))
+        told.acquire()
+
+    def _run(self) -> None:
+        while (first := self._waiting.get()) is not None:
+            some = [first]
+            while not self._waiting.empty():
+                if (one := self._waiting.get()) is not None:
+                    some.append(one)
+            self.load([number for number, _ in some])
+            for _, told in some:
+                told.release()
+
+    def close(self) -> None:
+        """End."""
+        self._waiting.put(None)
+        self._thread.join()
+        super().close()
+
+
+class Lmdb:
+    """LMDB."""
+
+    name = "lmdb"
+
+    def __init__(self, folder: Path) -> None:
+        self._env = lmdb.open(str(folder), map_size=MAP, max_readers=200)
+
+    def put(self, _: int, number: int) -> None:
+        """One durable put."""
+        with self._env.begin(write=True) as transaction:
+            transaction.put(key(number), VALUE)
+
+    def load(self, numbers: range | list[int], value: bytes = VALUE) -> None:
+        """Many puts as one transaction."""
+        with self._env.begin(write=True) as transaction:
+            for number in numbers:
+                transaction.put(key(number), value)
+
+    def get(self, number: int) -> bytes | None:
+        """One read."""
+        with self._env.begin(buffers=False) as transaction:
+            found: bytes | None = transaction.get(key(number))
+            return found
+
+    def scan(self) -> int:
+        """Read all in order."""
+        with self._env.begin() as transaction:
+            return sum(1 for _ in transaction.cursor())
+
+    def close(self) -> None:
+        """End."""
+        self._env.close()
+
+
+Kind = Callable[[Path], Any]
+KINDS: tuple[Kind, ...] = (Ours, Sqlite, Lmdb)
+
+
+@contextmanager
+def place(under: Path) -> Iterator[Path]:
+    """A folder that is removed in the end."""
+    made = Path(tempfile.mkdtemp(prefix="bench-", dir=under))
+    try:
+        yield made
+    finally:
+        shutil.rmtree(made)
+
+
+def durable_puts(under: Path, puts: int) -> Iterator[Result]:
+    """Durable puts a second by writers."""
+    kinds: tuple[tuple[str, Kind], ...] = (
+        ("store", Ours), ("sqlite, one connection", Sqlite), ("sqlite, one each", lambda at: Sqlite(at, True)),
+        ("sqlite, grouped by hand", Grouped), ("lmdb", Lmdb))
+    for writers in WRITERS:
+        for name, kind in kinds:
+            with place(under) as folder:
+                there = kind(folder)
+                count = puts if writers > 1 else puts // 2
+                took = timed(lambda there=there, count=count: by_writers(writers, count, there.put))  # noqa: B023
+                there.close()
+            yield {"what": f"durable puts/s, {writers} writers", "who": name, "figure": round(count / took)}
+        with place(under) as folder:
+            took = asyncio.run(by_tasks(folder, writers, puts))
+            yield {"what": f"durable puts/s, {writers} writers", "who": "store, tasks", "figure": round(puts / took)}
+
+
+async def by_tasks(folder: Path, count: int, puts: int) -> float:
+    """How long so many tasks take."""
+    store = AsyncStore(open_store(folder))
+
+    async def run(writer: int) -> None:
+        for number in range(writer, puts, count):
+            await store.write(Batch().put("bench", key(number), VALUE), ALWAYS)
+
+    begin = time.perf_counter()
+    await asyncio.gather(*(run(writer) for writer in range(count)))
+    took = time.perf_counter() - begin
+    await store.aclose()
+    return took
+
+
+def reads(under: Path, entries: int) -> Iterator[Result]:
+    """Fill, read by chance, scan, open: with so many entries."""
+    numbers = random.Random(1).choices(range(entries), k=50_000)
+    for kind in KINDS:
+        with place(under) as folder:
+            there = kind(folder)
+            took = timed(lambda there=there: [there.load(range(at, min(at + LOAD, entries)))  # type: ignore[misc]
+                                              for at in range(0, entries, LOAD)])
+            yield {"what": f"puts/s in batches of {LOAD}, not synced by us", "who": kind.name,  # type: ignore[attr-defined]
+                   "figure": round(entries / took)}
+            took = timed(lambda there=there: [there.get(number) for number in numbers])  # type: ignore[misc]
+            yield {"what": "reads/s", "who": kind.name, "figure": round(len(numbers) / took)}  # type: ignore[attr-defined]
+            took = timed(there.scan)
+            yield {"what": "scanned entries/s", "who": kind.name, "figure": round(entries / took)}  # type: ignore[attr-defined]
+            there.close()
+            begin = time.perf_counter()
+            there = kind(folder)
+            assert there.get(entries - 1) == VALUE
+            took = time.perf_counter() - begin
+            yield {"what": f"s to open with {entries} entries", "who": kind.name, "figure": round(took, 3)}  # type: ignore[attr-defined]
+            there.close()
+            if kind is Ours:
+                yield from after_a_kill(folder, entries)
+
+
+def after_a_kill(folder: Path, entries: int) -> Iterator[Result]:
+    """Opening without the newest hint, and without any."""
+    newest = max(folder.glob("*.hint"))
+    for what, remove in (("after a kill", [newest]), ("without hints", list(folder.glob("*.hint")))):
+        for path in remove:
+            path.unlink(missing_ok=True)
+        begin = time.perf_counter()
+        there = Ours(folder)
+        took = time.perf_counter() - begin
+        yield {"what": f"s to open with {entries} entries, {what}", "who": "store", "figure": round(took, 3)}
+        there.close()
+
+
+def space(under: Path, entries: int) -> Iterator[Result]:
+    """Bytes on disk for each live byte after every key was overwritten, and the most that there were
+    meanwhile."""
+    live = entries * (16 + len(VALUE))
+    for kind in KINDS:
+        with place(under) as folder:
+            there = kind(folder)
+            most = 0
+            begin = time.perf_counter()
+            for turn in range(TURNS + 1):
+                order = list(range(entries))
+                random.Random(turn).shuffle(order)
+                for at in range(0, entries, LOAD):
+                    there.load(order[at:at + LOAD], bytes([turn]) * len(VALUE))
+                    most = max(most, size_of(folder))
+            took = time.perf_counter() - begin
+            if kind is Ours:
+                settle(there)
+            at_end = size_of(folder)
+            there.close()
+            name = kind.name  # type: ignore[attr-defined]
+            yield {"what": f"bytes on disk for a live byte, {entries} keys overwritten {TURNS} times", "who": name,
+                   "figure": round(at_end / live, 2)}
+            yield {"what": "the same, the most meanwhile", "who": name, "figure": round(most / live, 2)}
+            yield {"what": "puts/s meanwhile", "who": name, "figure": round(entries * (TURNS + 1) / took)}
+
+
+def settle(there: Ours) -> None:
+    """Wait until the chores are done."""
+    before = -1
+    while before != (before := there.store.stats().compactions):
+        time.sleep(1.0)
+
+
+def pauses(under: Path) -> Iterator[Result]:
+    """What waiting callers feel of a compaction: durable puts and reads with it at work and without."""
+    for what, compaction in (("compaction at work", True), ("no compaction", False)):
+        with place(under) as folder:
+            there = Ours(folder, Settings(compaction=compaction, segment_bytes=8 * 1024 * 1024))
+            for _ in range(6):
+                for at in range(0, 100_000, LOAD):
+                    there.load(range(at, at + LOAD))
+            puts, gets, end = [], [], time.perf_counter() + 5
+            while time.perf_counter() < end:
+                puts.append(timed(lambda there=there: there.put(0, 5)))  # type: ignore[misc]
+                gets.append(timed(lambda there=there: there.get(77_777)))  # type: ignore[misc]
+            stats = there.store.stats()
+            there.close()
+            for name, took in (("put", puts), ("read", gets)):
+                took.sort()
+                yield {"what": f"ms of a durable {name}, {what} ({stats.compactions} compactions): p50 p99 most",
+                       "who": "store", "figure": [round(took[at] * 1e3, 3)
+                                                  for at in (len(took) // 2, len(took) * 99 // 100, -1)]}
+            yield {"what": f"ms of the longest slice of a chore, {what}", "who": "store",
+                   "figure": round(stats.longest_chore_ms, 2)}
+
+
+PARTS: dict[str, Callable[[Path, argparse.Namespace], Iterator[Result]]] = {
+    "puts": lambda under, given: durable_puts(under, given.puts),
+    "reads": lambda under, given: reads(under, given.entries),
+    "space": lambda under, given: space(under, given.keys),
+    "pauses": lambda under, given: pauses(under)}
+
+
+def main() -> int:
+    """Measure."""
+    parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
+    parser.add_argument("folder", type=Path)
+    parser.add_argument("--part", choices=PARTS, action="append")
+    parser.add_argument("--puts", type=int, default=4_000)
+    parser.add_argument("--entries", type=int, default=1_000_000)
+    parser.add_argument("--keys", type=int, default=200_000, help="keys that are overwritten")
+    parser.add_argument("--json", type=Path)
+    given = parser.parse_args()
+    found = []
+    for part in given.part or PARTS:
+        for result in PARTS[part](given.folder, given):
+            found.append(result)
+            print(f"{result['what']:70} {result['who']:25} {result['figure']}", flush=True)
+    if given.json:
+        given.json.write_text(json.dumps({"cores": os.cpu_count(), "results": found}, indent=1) + "\n")
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/tests/test_store_model.py
+++ b/tests/test_store_model.py
@@ -7,6 +7,7 @@
 
 import random
 from collections.abc import Iterator
+from dataclasses import replace
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -20,12 +21,16 @@
 from support.store_work import Contents, disk_of, engine_on
 
 KEYS = st.sampled_from([b"a", b"b", b"c", b"d"])
-CHANGES = st.lists(st.tuples(KEYS, st.sampled_from([None, 0, 5, 90, 900])), min_size=1, max_size=3)
+TINY = replace(SMALL, segment_bytes=500, small_bytes=200)  # so that a few batches make a segment
+CHANGES = st.lists(st.tuples(KEYS, st.sampled_from([None, 0, 5, 90, 400])), min_size=1, max_size=3)
 
 
 class StoreMachine(RuleBasedStateMachine):
     """`states[n]` is what the store holds after batch n; a crash may cut back to `durable`, never further."""
 
+    engine: Engine
+    chore: Iterator[None] | None
+
     @initialize(seed=st.integers(0, 1_000))
     def begin(self, seed: int) -> None:
         self.chance = random.Random(seed)
@@ -33,8 +38,7 @@
         self.states: list[Contents] = [{}]
         self.durable = 0
         self.views: list[tuple[Snapshot, Contents]] = []
-        self.chore: Iterator[None] | None = None
-        self.engine: Engine = engine_on(SimDisk(self.chance), clock=self.clock)
+        self.start(SimDisk(self.chance))
 
     @rule(changes=CHANGES, wait=st.booleans())
     def commit(self, changes: list[tuple[bytes, int | None]], wait: bool) -> None:
@@ -117,7 +121,7 @@
         """Open, and forget what was open."""
         self.views.clear()
         self.chore = None
-        self.engine = engine_on(disk, SMALL, self.clock)
+        self.engine = engine_on(disk, TINY, self.clock)
 
     @invariant()
     def holds_the_last_state(self) -> None:
@@ -127,4 +131,4 @@
 
 
 TestStoreMachine = StoreMachine.TestCase
-TestStoreMachine.settings = settings(derandomize=True, deadline=None, max_examples=60, stateful_step_count=40)
+TestStoreMachine.settings = settings(derandomize=True, deadline=None, max_examples=80, stateful_step_count=40)
