--- a/flintfield/lifecycle/units.py
+++ b/flintfield/lifecycle/units.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 from importlib import import_module
 
+from flintfield.base.ini import OperatorsError
 from flintfield.units.interface import Feature
 
 UNITS: Mapping[str, str] = {
@@ -15,13 +16,18 @@
     "access": "flintfield.units.access:FEATURE",
     "capture": "flintfield.units.capture:FEATURE",
     "statuspage": "flintfield.units.statuspage:FEATURE",
+    "store": "flintfield.units.store:FEATURE",
 }
 """In the order in which units are built and asked. Sections of one feature name the same place."""
 
 
 def find_feature(place: str) -> Feature:
-    """Import the feature that is declared there."""
+    """Import the feature that is declared there; an `OperatorsError` if a package it needs is missing."""
     module, _, name = place.partition(":")
-    feature = getattr(import_module(module), name)
+    try:
+        feature = getattr(import_module(module), name)
+    except ModuleNotFoundError as error:
+        raise OperatorsError(f"[{module.rpartition('.')[2]}]: found no package {error.name}, expected what "
+                             f"the requirements files name") from error
     assert isinstance(feature, Feature)
     return feature
