--- a/flintfield/lab/choosers.py
+++ b/flintfield/lab/choosers.py
@@ -45,8 +45,12 @@
 class View:
     """The all-seeing chooser's sight, shared by all schedulers of a run."""
 
-    def __init__(self, truth: Callable[[WorkerId], Truth | None], work: Callable[[int, int], float]) -> None:
-        """`truth` of a node, None if it takes no jobs; `work` of a job, by scheduler and `rid`."""
+    def __init__(self, truth: Callable[[WorkerId, int, int], Truth | None],
+                 work: Callable[[int, int], float]) -> None:
+        """`truth` of a node for a scheduler's place and a class: None if it would not do such a job now.
+
+        `work` of a job, by the place of its scheduler and its `rid`.
+        """
         self.truth, self.work = truth, work
         self._transit: dict[WorkerId, list[tuple[float, float, float]]] = {}  # when, slots, work
 
@@ -283,7 +287,7 @@
         best, best_at = None, float("inf")
         work, slots = self._work(job), job.request.slots
         for entry in ready:
-            truth = self._view.truth(entry.worker)
+            truth = self._view.truth(entry.worker, self._place, job.request.cls)
             if truth is None:
                 continue
             coming, coming_work = self._view.in_transit(self.now, entry.worker)
@@ -299,14 +303,17 @@
 
     def serve_held(self) -> None:
         """The job that earns most for its work first, of those alike the one that is due first."""
-        quickest = max((t.speed for e in self.workers.values() if (t := self._view.truth(e.worker))),
-                       default=1.0)
+        quickest: dict[int, float] = {}
         for job in list(self.held.values()):
-            if self.now + self._work(job) / max(quickest, 1e-9) > self._due(job):
+            if (cls := job.request.cls) not in quickest:
+                truths = [self._view.truth(w, self._place, cls) for w in self.workers]
+                quickest[cls] = max((t.speed for t in truths if t), default=1.0)
+            if self.now + self._work(job) / max(quickest[cls], 1e-9) > self._due(job):
                 self.end(job)  # it can not be in time any more
+        full: set[int] = set()  # classes whose jobs find no node now
         for job in sorted(self.held.values(), key=self._rank):
-            if not self.place(job):
-                break
+            if job.request.cls not in full and not self.place(job):
+                full.add(job.request.cls)
 
     def _rank(self, job: Job) -> tuple[float, float]:
         cls = self.settings.classes[job.request.cls]
--- a/flintfield/lab/virtual/engine.py
+++ b/flintfield/lab/virtual/engine.py
@@ -719,10 +719,15 @@
 
     # ------------------------------------------------------------------- the truth
 
-    def _truth(self, worker: WorkerId) -> choosers.Truth | None:
-        """What is true of a node now, for the yardstick that sees all; None if it takes no jobs."""
+    def _truth(self, worker: WorkerId, place: int, cls: int) -> choosers.Truth | None:
+        """What is true of a node now, for the yardstick that sees all; None if it would not do such a job."""
         site = self._workers.get(worker)
-        if site is None or not site.node.up or site.node.draining or site.silent:
+        if site is None or not site.node.up or site.node.draining or site.silent or site.node.stalled:
+            return None
+        here, there = self.zones[place], site.node.machine.zone
+        if not (self.network.passes(here, there) and self.network.passes(there, here)):
+            return None
+        if site.node.false_full or site.node.fails.get(self.scenario.classes[cls].name):
             return None
         free, held, speed, budget = site.node.outlook(self.loop.now)
         return choosers.Truth(free, held, site.node.machine.kind.cores, speed, budget)
--- a/flintfield/lab/world/node.py
+++ b/flintfield/lab/world/node.py
@@ -462,7 +462,7 @@
     def outlook(self, now: float) -> tuple[int, int, float, float]:
         """The truth, for a yardstick that sees it: free slots, held slots, the present speed of a core, and
         the work that it may be sent now before it falls over (inf when warm)."""
-        speed = 0.0 if self.stalled else self.machine.speed * self.warm_share / self._factor
+        speed = self.machine.speed * self.warm_share / self._factor
         budget = math.inf
         if self.warm_share < 1.0:
             rules = self.rules
