--- a/flintfield/lab/sockets/processes.py
+++ b/flintfield/lab/sockets/processes.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
 import resource
@@ -23,6 +24,8 @@
 
 SAMPLE_S = 0.25
 _PAGE = os.sysconf("SC_PAGE_SIZE")
+_libc = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1
 _TICKS = os.sysconf("SC_CLK_TCK")
 
 PROGRAM = (sys.executable, "-m", "flintfield")
@@ -48,6 +51,14 @@
     return (int(stat[11]) + int(stat[12])) * 1000.0 / _TICKS, wait, memory
 
 
+def die_with_parent() -> None:
+    """In a new process: be killed when the engine ends, however that does.
+
+    Guards against schedulers that outlive an engine that was killed.
+    """
+    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL, 0, 0, 0)
+
+
 class Scheduler:
     """One scheduler: its name and address stay, its processes come and go."""
 
@@ -87,7 +98,8 @@
                    "LB_LISTEN": text(self.address), "LB_DISCOVERY": str(config["discovery"])}
         with (self.folder / "out.log").open("ab") as out:
             process = await asyncio.create_subprocess_exec(
-                *self._program, stdin=asyncio.subprocess.DEVNULL, stdout=out, stderr=out, env=environ)
+                *self._program, stdin=asyncio.subprocess.DEVNULL, stdout=out, stderr=out, env=environ,
+                preexec_fn=die_with_parent)
         self._process, self._last = process, (0.0, 0.0)
         with contextlib.suppress(ProcessLookupError):  # it may be over already
             resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (self.sockets, self.sockets))
