--- a/flintfield/lab/cli.py
+++ b/flintfield/lab/cli.py
@@ -23,6 +23,7 @@
 from flintfield.lab.experiments.runs import RunError
 from flintfield.lab.judge import LogError
 from flintfield.lab.scenario import Scenario, ScenarioError
+from flintfield.lab.sockets.commands import proxy
 from flintfield.lab.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -64,6 +65,9 @@
         signal.signal(signal.SIGTERM, lambda *_: sys.exit(128 + signal.SIGTERM))
 
 
+lab.add_command(proxy)
+
+
 def _print(value: Any) -> None:
     click.echo(msgspec.json.format(msgspec.json.encode(value), indent=1))
 
--- a/tests/test_lab_proxy.py
+++ b/tests/test_lab_proxy.py
@@ -4,6 +4,10 @@
 
 import asyncio
 import random
+import signal
+import socket
+import subprocess
+import sys
 import time
 from collections.abc import Awaitable, Callable, Sequence
 from itertools import pairwise
@@ -11,10 +15,13 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
+from flintfield.base.config import read_address
+from flintfield.cli.group import run_command
 from flintfield.lab.sockets.faults import (
     Abort, AnyFault, CutLine, Delay, FaultError, Finish, Garbage, HalfClose, Pass, Pipe, Reset, Stall, parse,
 )
 from flintfield.lab.sockets.proxy import Proxy, share_of
+from peers import ROOT
 
 TEXT = b'{"state":"started"}\n{"state":"running"}\n{"state":"done"}\n'
 
@@ -170,6 +177,36 @@
     through([Delay(ms=80), Delay(way="up", ms=80)], talk)
 
 
+def test_the_command_stands_before_a_server_and_names_its_address() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        target = f"127.0.0.1:{server.getsockname()[1]}"
+        command = [sys.executable, "-m", "flintfield", "lab", "proxy", target, "--fault",
+                   "garbage,text=zz,way=up"]
+        with subprocess.Popen(command, cwd=ROOT, text=True, stdout=subprocess.PIPE) as process:
+            assert process.stdout
+            address, arrow, told = process.stdout.readline().split()
+            assert (arrow, told) == ("->", target)
+            with socket.create_connection(read_address(address)) as ours:
+                ours.sendall(b"hello")
+                theirs, _ = server.accept()
+                with theirs:
+                    assert theirs.recv(7, socket.MSG_WAITALL) == b"zzhello"
+            process.send_signal(signal.SIGINT)
+        assert process.returncode == 0
+
+
+@pytest.mark.parametrize(("given", "word"), [
+    (["nowhere"], "'nowhere' is not host:port"),
+    (["127.0.0.1:9", "--fault", "rest"], "expected one of delay"),
+    (["127.0.0.1:9", "--listen", "192.0.2.1:1"], "--listen 192.0.2.1:1: "),
+])
+def test_a_faulty_command_ends_with_one_line(given: list[str], word: str,
+                                             capsys: pytest.CaptureFixture[str]) -> None:
+    assert run_command(["lab", "proxy", *given]) == 2
+    told = capsys.readouterr().err
+    assert word in told and told.count("\n") == 1
+
+
 def test_a_share_of_connections_is_hit() -> None:
     choose = share_of(0.3, [Reset(at=1)], random.Random(5))
     assert 20 < sum(bool(choose(n)) for n in range(100)) < 40
