--- /dev/null
+++ b/flintfield/membership/messages.py
@@ -0,0 +1,309 @@
+"""What members say to one another, what the core is told (inputs) and what it asks for (effects): plain
+values.
+
+What goes over the wire is a `msgspec.Struct` written as an array, so that a later version may append fields
+and an older one skips them. Times are milliseconds; an address is host and port, for UDP and TCP alike. A
+`session` is a random number below 2**64 that names one life of one process.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+import msgspec
+
+Address = tuple[str, int]
+
+
+class Status(IntEnum):
+    """What is believed of a member; of one incarnation, the higher word wins."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3  # it said so itself
+
+
+WORDS = {Status.ALIVE: "alive", Status.SUSPECT: "suspect", Status.DEAD: "dead", Status.LEFT: "left"}
+
+
+class Record(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """What a member says of itself. Nobody else changes a field of it."""
+
+    name: str
+    host: str
+    port: int
+    session: int
+    incarnation: int  # raised by its owner alone, to object to what is said of it
+    version: int = 0  # of what follows, within the incarnation
+    keys: tuple[int, ...] = ()  # the ids of the keys that it understands
+    meta: bytes = b""  # at most MOST_META
+    least: int = 1  # the versions of the wire format that it understands
+    most: int = 1
+
+    @property
+    def address(self) -> Address:
+        """Where it listens."""
+        return self.host, self.port
+
+    @property
+    def rank(self) -> tuple[int, int, int]:
+        """Of two records of one name the higher one holds."""
+        return self.incarnation, self.session, self.version
+
+
+# ---------------------------------------------------------------------- updates: what is gossiped
+
+
+class Alive(msgspec.Struct, frozen=True, array_like=True, tag=1, gc=False):
+    """A member is there, with this record."""
+
+    record: Record
+
+
+class Suspect(msgspec.Struct, frozen=True, array_like=True, tag=2, gc=False):
+    """`by` had no answer from this incarnation of a member."""
+
+    name: str
+    incarnation: int
+    by: str
+
+
+class Dead(msgspec.Struct, frozen=True, array_like=True, tag=3, gc=False):
+    """For `by` the suspicion ran out."""
+
+    name: str
+    incarnation: int
+    by: str
+
+
+class Left(msgspec.Struct, frozen=True, array_like=True, tag=4, gc=False):
+    """A member says that it leaves."""
+
+    name: str
+    incarnation: int
+
+
+Update = Alive | Suspect | Dead | Left
+
+
+# ---------------------------------------------------------------------- the probe's words
+
+
+class Ping(msgspec.Struct, frozen=True, array_like=True, tag=5, gc=False):
+    """Answer with an `Ack` of that number."""
+
+    number: int
+
+
+class Ack(msgspec.Struct, frozen=True, array_like=True, tag=6, gc=False):
+    """The answer to a `Ping`, or to an `Ask` whose target has answered."""
+
+    number: int
+
+
+class Ask(msgspec.Struct, frozen=True, array_like=True, tag=7, gc=False):
+    """Probe that member in my place; say `Nack` if it does not answer in time."""
+
+    number: int
+    host: str
+    port: int
+    session: int
+    nack: bool = True
+
+
+class Nack(msgspec.Struct, frozen=True, array_like=True, tag=8, gc=False):
+    """I did as you asked, and the target has not answered so far."""
+
+    number: int
+
+
+class Astray(msgspec.Struct, frozen=True, array_like=True, tag=9, gc=False):
+    """What you sent was meant for another life of mine: we should exchange tables."""
+
+
+Part = Alive | Suspect | Dead | Left | Ping | Ack | Ask | Nack | Astray
+
+
+class Known(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """A line of a whole table: the record, what is believed of which incarnation, and how long it is kept."""
+
+    record: Record
+    incarnation: int
+    status: int
+    keep_ms: float = 0.0  # of one that is gone
+
+    @property
+    def address(self) -> Address:
+        """Where it listens."""
+        return self.record.address
+
+
+# ---------------------------------------------------------------------- sizes
+
+
+def _text(text: str) -> int:
+    size = len(text.encode())
+    return size + (1 if size < 32 else 2)
+
+
+def size_of(part: Part) -> int:
+    """The most bytes that a part takes in a datagram, in MessagePack. Pure arithmetic, for packing."""
+    if isinstance(part, Alive):
+        r = part.record
+        # Array heads and tag 4, two ports and versions 3 + 3, session 9, incarnation and version 9 + 5.
+        return 33 + _text(r.name) + _text(r.host) + 1 + 5 * len(r.keys) + 3 + len(r.meta)
+    if isinstance(part, Suspect | Dead):
+        return 11 + _text(part.name) + _text(part.by)
+    if isinstance(part, Left):
+        return 11 + _text(part.name)
+    if isinstance(part, Ask):
+        return 20 + _text(part.host)
+    return 2 if isinstance(part, Astray) else 7
+
+
+# ---------------------------------------------------------------------- inputs: what the core is told
+
+
+@dataclass(frozen=True, slots=True)
+class Begin:
+    """Start: be a member alone, and look for others."""
+
+
+@dataclass(frozen=True, slots=True)
+class Woke:
+    """The clock reached the first timer."""
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """An authenticated datagram: from where and from whom, for whom, and what it says."""
+
+    source: Address
+    sender: int  # the session that sent it
+    to: int  # the session that it was meant for
+    parts: tuple[Part, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class TableAsked:
+    """Another member sent its table and waits for ours on the connection `token`."""
+
+    token: int
+    table: tuple[Known, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class TableTold:
+    """The answer to an `OpenExchange`."""
+
+    address: Address
+    table: tuple[Known, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ExchangeFailed:
+    """An `OpenExchange` came to nothing."""
+
+    address: Address
+    word: str
+
+
+@dataclass(frozen=True, slots=True)
+class MetaSet:
+    """Our metadata from now on."""
+
+    meta: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class KeysSet:
+    """The ids of the keys that we understand from now on."""
+
+    keys: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SessionSet:
+    """Go on under a new session; the old one is still answered to for a while."""
+
+    session: int
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveAsked:
+    """Tell the others that we leave."""
+
+
+Input = (Begin | Woke | Heard | TableAsked | TableTold | ExchangeFailed | MetaSet | KeysSet | SessionSet
+         | LeaveAsked)
+
+
+# ---------------------------------------------------------------------- effects: what the core asks for
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send one datagram."""
+
+    address: Address
+    to: int  # the session it is meant for
+    parts: tuple[Part, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class OpenExchange:
+    """Connect, hand over this table and tell `TableTold` or `ExchangeFailed`."""
+
+    address: Address
+    table: tuple[Known, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ReplyExchange:
+    """Answer the connection `token` with this table."""
+
+    token: int
+    table: tuple[Known, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """What is believed of a member changed; `before` is None for one that was not known, `after` for one that
+    is forgotten. `reason` is for people."""
+
+    record: Record
+    before: Status | None
+    after: Status | None
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Updated:
+    """A member's record changed, and not what is believed of it."""
+
+    record: Record
+
+
+@dataclass(frozen=True, slots=True)
+class Noted:
+    """Something that operators should know of; `values` in pairs."""
+
+    event: str
+    values: tuple[tuple[str, object], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Renamed:
+    """Our name belongs to another living member; from now on this one is ours."""
+
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class Gone:
+    """Our leave is told: the program may end."""
+
+
+Effect = Send | OpenExchange | ReplyExchange | Changed | Updated | Noted | Renamed | Gone
