--- a/flintfield/memory/state.py
+++ b/flintfield/memory/state.py
@@ -7,12 +7,17 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
 
 from flintfield.decision.interface import Action, Event, Limits, WorkerId
 from flintfield.decision.policy import Dispatcher
 from flintfield.memory.jobs import Jobs
+from flintfield.memory.ledger import Ledger
 from flintfield.memory.messages import Address, Route, Submission
 
+if TYPE_CHECKING:
+    from flintfield.memory.reducer import Turn
+
 
 @dataclass(slots=True)
 class Branch:
@@ -23,6 +28,7 @@
     opened: float
     ended: bool = False
     written: bool = False
+    held: bool = False  # connected, and its first byte waits for a record
 
 
 @dataclass(slots=True)
@@ -63,7 +69,14 @@
     branch: int
 
 
-Due = TokenDue | DeadlineDue | BranchDue
+@dataclass(frozen=True, slots=True, order=True)
+class KeepDue:
+    """What waits for a record has waited long enough."""
+
+    ticket: int
+
+
+Due = TokenDue | DeadlineDue | BranchDue | KeepDue
 
 
 class Timers:
@@ -90,6 +103,9 @@
 Tap = Callable[[float, Event, Sequence[Action]], None]
 """Looks on: each event with its time as the decision module got it, and the actions it answered with."""
 
+Handler = Callable[["Turn", Any], None]
+"""Takes in a unit's own message within a turn of the reducer: no I/O, no clock but `turn.now`."""
+
 
 class State:
     """The scheduler's memory."""
@@ -100,7 +116,9 @@
         self.limits: Limits = dispatcher.settings.limits
         self.most_held = most_held
         self.jobs = jobs  # None: what has become of jobs is not kept
+        self.ledger: Ledger | None = None  # None: nothing lasts
         self.tap: Tap | None = None
+        self.handlers: dict[type, Handler] = {}  # of the messages that are units' own
         self.transactions: dict[int, Transaction] = {}
         self.names: dict[str, int] = {}  # the ids callers gave to the transactions that are not settled
         self.routes: dict[WorkerId, Route] = {}
