--- a/flintfield/lab/membership/world.py
+++ b/flintfield/lab/membership/world.py
@@ -98,7 +98,7 @@
 
     def make(self, name: str, address: Address, seeds: Sequence[Address]) -> State:
         """A new life's state."""
-        record = Record(name, *address, session=self.rng.getrandbits(64), incarnation=1)
+        record = Record(name, *address, session=self.rng.getrandbits(63), incarnation=1)
         return State(self.rules, record, seeds, random.Random(self.rng.getrandbits(64)))
 
     def add(self, name: str, seeds: Sequence[Address] = (), host: str = "") -> Party:
@@ -262,7 +262,7 @@
                     and (source.address, target.address) not in self.cuts)
 
     def _send(self, party: Party, effect: Send) -> None:
-        party.sent_bytes += SEALING // 2 + sum(map(size_of, effect.parts))
+        party.sent_bytes += SEALING + sum(map(size_of, effect.parts))
         party.sent += 1
         target = self.parties.get(effect.address)
         if target is None or not self._reaches(party, target):
--- a/flintfield/membership/judging.py
+++ b/flintfield/membership/judging.py
@@ -212,7 +212,7 @@
     assert namesake is not None
     own.namesake = None
     end = f"~{own.record.session & 0xFFFF:04x}"
-    stem = own.first_name.encode()[:MOST_NAME - len(end)].decode(errors="ignore")
+    stem = own.first_name[:MOST_NAME - len(end)]
     state.table.remove(own.record.name)
     state.gossip.forget(own.record.name)
     own.record = replace(own.record, name=stem + end, incarnation=1, version=0)
--- a/flintfield/membership/meeting.py
+++ b/flintfield/membership/meeting.py
@@ -13,11 +13,11 @@
 from flintfield.membership.messages import (
     Address, Astray, Changed, Gone, Known, Left, OpenExchange, Status, Suspect,
 )
+from flintfield.membership.rules import FORMER_MS
 from flintfield.membership.state import Turn
 from flintfield.membership.table import Entry
 
 ASTRAY_MS = 50.0  # at most one word in so long; guards against answering a flood of old datagrams
-FORMER_MS = 60_000.0  # how long a session that was given up is still answered to
 TRIES_A_TICK = 2.0  # looks at each gone member in one reconnect time, by all members together
 
 
--- a/flintfield/membership/messages.py
+++ b/flintfield/membership/messages.py
@@ -1,19 +1,34 @@
-"""What members say to one another, what the core is told (inputs) and what it asks for (effects): plain
-values.
+"""What members say to one another, what the core is told (inputs) and what it asks for (effects).
 
 What goes over the wire is a `msgspec.Struct` written as an array, so that a later version may append fields
-and an older one skips them. Times are milliseconds; an address is host and port, for UDP and TCP alike. A
-`session` is a random number below 2**64 that names one life of one process.
+and an older one skips them; the limits that stand with a field are checked when it is read. Times are
+milliseconds; an address is host and port, for UDP and TCP alike. A `session` is a random number below 2**63
+that names one life of one process.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 from enum import IntEnum
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
+
+from flintfield.membership.rules import MOST_BODY, MOST_HOST, MOST_KEYS, MOST_META, MOST_NAME
 
 Address = tuple[str, int]
+MOST_NUMBER = 2**63 - 1
+
+Name = Annotated[str, Meta(pattern=f"^[!-~]{{1,{MOST_NAME}}}$")]
+Host = Annotated[str, Meta(pattern=f"^[0-9a-fA-F.:]{{2,{MOST_HOST}}}$")]
+Port = Annotated[int, Meta(ge=1, le=65_535)]
+Session = Annotated[int, Meta(ge=0, le=MOST_NUMBER)]
+Incarnation = Annotated[int, Meta(ge=0, le=2**48)]
+Counter = Annotated[int, Meta(ge=0, le=2**48)]
+KeyId = Annotated[int, Meta(ge=0, le=2**32 - 1)]
+Number = Annotated[int, Meta(ge=0, le=2**32 - 1)]
+Version = Annotated[int, Meta(ge=1, le=255)]
 
 
 class Status(IntEnum):
@@ -31,16 +46,16 @@
 class Record(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """What a member says of itself. Nobody else changes a field of it."""
 
-    name: str
-    host: str
-    port: int
-    session: int
-    incarnation: int  # raised by its owner alone, to object to what is said of it
-    version: int = 0  # of what follows, within the incarnation
-    keys: tuple[int, ...] = ()  # the ids of the keys that it understands
-    meta: bytes = b""  # at most MOST_META
-    least: int = 1  # the versions of the wire format that it understands
-    most: int = 1
+    name: Name
+    host: Host
+    port: Port
+    session: Session
+    incarnation: Incarnation  # raised by its owner alone, to object to what is said of it
+    version: Counter = 0  # of what follows, within the incarnation
+    keys: Annotated[tuple[KeyId, ...], Meta(max_length=MOST_KEYS)] = ()  # the ids of those it understands
+    meta: Annotated[bytes, Meta(max_length=MOST_META)] = b""
+    least: Version = 1  # the versions of the wire format that it understands
+    most: Version = 1
 
     @property
     def address(self) -> Address:
@@ -65,24 +80,24 @@
 class Suspect(msgspec.Struct, frozen=True, array_like=True, tag=2, gc=False):
     """`by` had no answer from this incarnation of a member."""
 
-    name: str
-    incarnation: int
-    by: str
+    name: Name
+    incarnation: Incarnation
+    by: Name
 
 
 class Dead(msgspec.Struct, frozen=True, array_like=True, tag=3, gc=False):
     """For `by` the suspicion ran out."""
 
-    name: str
-    incarnation: int
-    by: str
+    name: Name
+    incarnation: Incarnation
+    by: Name
 
 
 class Left(msgspec.Struct, frozen=True, array_like=True, tag=4, gc=False):
     """A member says that it leaves."""
 
-    name: str
-    incarnation: int
+    name: Name
+    incarnation: Incarnation
 
 
 Update = Alive | Suspect | Dead | Left
@@ -94,45 +109,63 @@
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag=5, gc=False):
     """Answer with an `Ack` of that number."""
 
-    number: int
+    number: Number
 
 
 class Ack(msgspec.Struct, frozen=True, array_like=True, tag=6, gc=False):
     """The answer to a `Ping`, or to an `Ask` whose target has answered."""
 
-    number: int
+    number: Number
 
 
 class Ask(msgspec.Struct, frozen=True, array_like=True, tag=7, gc=False):
     """Probe that member in my place; say `Nack` if it does not answer in time."""
 
-    number: int
-    host: str
-    port: int
-    session: int
+    number: Number
+    host: Host
+    port: Port
+    session: Session
     nack: bool = True
 
 
 class Nack(msgspec.Struct, frozen=True, array_like=True, tag=8, gc=False):
     """I did as you asked, and the target has not answered so far."""
 
-    number: int
+    number: Number
 
 
 class Astray(msgspec.Struct, frozen=True, array_like=True, tag=9, gc=False):
     """What you sent was meant for another life of mine: we should exchange tables."""
 
 
-Part = Alive | Suspect | Dead | Left | Ping | Ack | Ask | Nack | Astray
+# ---------------------------------------------------------------------- questions, beside the protocol
+
+
+class Query(msgspec.Struct, frozen=True, array_like=True, tag=10, gc=False):
+    """A question of this kind to a member's program; the core takes no notice."""
+
+    number: Number
+    kind: Annotated[str, Meta(max_length=16)]
+    body: Annotated[bytes, Meta(max_length=MOST_BODY)]
+
+
+class Told(msgspec.Struct, frozen=True, array_like=True, tag=11, gc=False):
+    """The answer to a `Query`."""
+
+    number: Number
+    body: Annotated[bytes, Meta(max_length=MOST_BODY)]
+
+
+Part = Alive | Suspect | Dead | Left | Ping | Ack | Ask | Nack | Astray | Query | Told
 
 
 class Known(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """A line of a whole table: the record, what is believed of which incarnation, and how long it is kept."""
 
     record: Record
-    incarnation: int
-    status: int
-    keep_ms: float = 0.0  # of one that is gone
+    incarnation: Incarnation
+    status: Annotated[int, Meta(ge=0, le=3)]
+    keep_ms: Annotated[float, Meta(ge=0, le=1e12)] = 0.0  # of one that is gone
 
     @property
     def address(self) -> Address:
@@ -144,7 +177,7 @@
 
 
 def _text(text: str) -> int:
-    size = len(text.encode())
+    size = len(text)  # names and addresses are ASCII
     return size + (1 if size < 32 else 2)
 
 
@@ -160,6 +193,10 @@
         return 11 + _text(part.name)
     if isinstance(part, Ask):
         return 20 + _text(part.host)
+    if isinstance(part, Query):
+        return 10 + _text(part.kind) + len(part.body)
+    if isinstance(part, Told):
+        return 10 + len(part.body)
     return 2 if isinstance(part, Astray) else 7
 
 
--- a/flintfield/membership/rules.py
+++ b/flintfield/membership/rules.py
@@ -10,14 +10,16 @@
 import math
 from dataclasses import dataclass, replace
 
-MOST_NAME = 64  # bytes of a member's name in UTF-8
+MOST_NAME = 64  # characters of a member's name, printable ASCII without spaces
 MOST_META = 512  # bytes of a member's metadata
 MOST_HOST = 45  # bytes of an address as text: the longest form of IPv6
 MOST_KEYS = 4  # keys that a member may hold at a time
+MOST_BODY = 1_024  # bytes of a question to a member's program, or of its answer
 MOST_MEMBERS = 4_096  # entries of the table, the gone ones included: some 1 KiB each at the most
 MOST_RELAYS = 1_024  # probes made for others that are open at a time
+FORMER_MS = 60_000.0  # how long a session that was given up is still answered to
 MOST_DATAGRAM = 1_400  # bytes of UDP payload: within an Ethernet frame also in a tunnel [ML: UDPBufferSize]
-SEALING = 96  # bytes of a datagram that the encryption and the packet's own frame take at the most
+SEALING = 64  # bytes of a datagram that the encryption and the packet's own frame take at the most
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/flintfield/wire/membership/asks.py
@@ -0,0 +1,99 @@
+"""Questions to all members at once, by datagram: who has not answered after a part of the time is asked
+again.
+
+Bounded: few questions at a time, and so many datagrams a second for all of them together. What finds no
+room is not asked, and told as silent.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+import anyio
+
+from flintfield.membership.interface import Answerer
+from flintfield.membership.messages import Address, Query, Record, Told
+from flintfield.membership.rules import MOST_BODY
+from flintfield.wire.membership.rates import Bucket
+
+MOST_OPEN = 32  # questions at a time
+AGAIN_PART = 0.4  # of the time, after which the silent are asked once more
+DATAGRAMS_S, DATAGRAMS_BURST = 2_000.0, 4_000.0
+TURN = 64  # datagrams in a row, before the rest of the program has its turn
+
+Send = Callable[[Address, int, Query | Told], None]
+
+
+@dataclass(slots=True)
+class _Open:
+    """A question that is out."""
+
+    waits: dict[int, Record]  # who has not answered, by session
+    told: dict[str, bytes] = field(default_factory=dict)
+    done: anyio.Event = field(default_factory=anyio.Event)
+
+
+class Asks:
+    """Our questions to others, and our answers to theirs."""
+
+    def __init__(self, send: Send, clock: Callable[[], float], rng: random.Random,
+                 count: Callable[[str], None]) -> None:
+        self._send, self._clock, self._count = send, clock, count
+        self._number = rng.randrange(2**31)
+        self._open: dict[int, _Open] = {}
+        self._bucket = Bucket(DATAGRAMS_S, DATAGRAMS_BURST)
+        self.answerers: dict[str, Answerer] = {}
+
+    async def ask(self, kind: str, body: bytes, within_ms: float, others: Sequence[Record],
+                  is_enough: Callable[[bytes], bool] | None) -> tuple[dict[str, bytes], list[str]]:
+        """What was told, by name, and who was silent; `is_enough` ends the wait before the time is up."""
+        names = [r.name for r in others]
+        if not others:
+            return {}, []
+        if len(self._open) >= MOST_OPEN or not self._bucket.take(self._clock(), len(others)):
+            self._count("asks.no_room")
+            return {}, names
+        self._number = (self._number + 1) & 0xFFFFFFFF
+        query = Query(self._number, kind, body)
+        asked = self._open[query.number] = _Open({r.session: r for r in others})
+        try:
+            with anyio.move_on_after(within_ms / 1000):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._ask, asked, query, within_ms)
+                    await self._wait(asked, is_enough)
+                    tasks.cancel_scope.cancel()
+        finally:
+            del self._open[query.number]
+        return asked.told, [r.name for r in asked.waits.values()]
+
+    async def _ask(self, asked: _Open, query: Query, within_ms: float) -> None:
+        for wait_ms in (within_ms * AGAIN_PART, within_ms):
+            for i, record in enumerate(list(asked.waits.values())):
+                self._send(record.address, record.session, query)
+                if i % TURN == TURN - 1:
+                    await anyio.sleep(0)
+            await anyio.sleep(wait_ms / 1000)
+
+    async def _wait(self, asked: _Open, is_enough: Callable[[bytes], bool] | None) -> None:
+        while asked.waits:
+            await asked.done.wait()
+            asked.done = anyio.Event()
+            if is_enough and any(map(is_enough, asked.told.values())):
+                return
+
+    def heard(self, source: Address, sender: int, part: Query | Told) -> None:
+        """A member asks, or answers."""
+        if isinstance(part, Query):
+            answerer = self.answerers.get(part.kind)
+            answer = answerer(part.body) if answerer else b""
+            if len(answer) > MOST_BODY:
+                self._count("asks.answer_too_long")
+                answer = b""
+            self._send(source, sender, Told(part.number, answer))
+        elif (asked := self._open.get(part.number)) and (record := asked.waits.pop(sender, None)):
+            asked.told[record.name] = part.body
+            asked.done.set()
+
+
--- /dev/null
+++ b/flintfield/wire/membership/group.py
@@ -0,0 +1,148 @@
+"""What the program sees of the group: members as a list and as JSON, news, metadata; and the lines for operators."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import msgspec
+
+from flintfield.membership.interface import Answerer, Load, Member, Members, Meta, Watcher, read_meta
+from flintfield.membership.messages import WORDS, Address, Changed, MetaSet, Noted, Renamed, Status, Updated
+from flintfield.membership.table import Entry
+from flintfield.wire.membership.member import MemberShell, Notice
+from flintfield.wire.membership.rates import Sources
+
+LINES_S, LINES_BURST = 0.2, 12.0  # lines about one member; guards against one that flaps filling the log
+ALL_LINES_S, ALL_LINES_BURST = 20.0, 2_000.0
+SCHEDULER = "scheduler"
+
+
+class Group:
+    """The members, for the rest of the program."""
+
+    def __init__(self, shell: MemberShell, meta: Meta, say: Callable[..., None], count: Callable[[str], None],
+                 clock: Callable[[], float]) -> None:
+        self.shell, self.meta = shell, meta
+        self._say, self._count, self._clock = say, count, clock
+        self._watchers: list[Watcher] = []
+        self._lines = Sources(LINES_S, LINES_BURST, ALL_LINES_S, ALL_LINES_BURST)
+        self._unsaid: Counter[str] = Counter()
+
+    def face(self) -> Members:
+        """The interface for units."""
+        return Members(self.members, self._watchers.append, self.set_more, self.answer, self.shell.ask_all)
+
+    # ------------------------------------------------------------ the list
+
+    def members(self) -> list[Member]:
+        """All that are remembered, ourselves first."""
+        own = self.shell.state.name
+        entries = sorted(self.shell.state.table.entries.items(), key=lambda item: (item[0] != own, item[0]))
+        return [self._member(entry) for _, entry in entries]
+
+    def _member(self, entry: Entry) -> Member:
+        record, now = entry.record, self.shell.state.clock.now
+        return Member(record.name, record.address, record.session, entry.status,
+                      max(0.0, now - entry.since) / 1000, entry.incarnation, entry.reason, entry.changes,
+                      read_meta(record.meta), record.name == self.shell.state.name)
+
+    def schedulers(self) -> int:
+        """How many schedulers are believed to be there, this one included."""
+        return sum(m.status <= Status.SUSPECT and m.meta.role == SCHEDULER for m in self.members())
+
+    def as_json(self, configured: int) -> bytes:
+        """The page of members; `configured` is the count of schedulers that decisions go by."""
+        members = self.members()
+        state = self.shell.state
+        counts = Counter(WORDS[m.status] for m in members)
+        live = sum(m.status <= Status.SUSPECT and m.meta.role == SCHEDULER for m in members)
+        return json.dumps({
+            "name": state.name, "joined": state.meeting.joined, "health": state.health.score,
+            "schedulers": {"live": live, "configured": configured},
+            "counts": {word: counts.get(word, 0) for word in WORDS.values()},
+            "keys": [k.name for k in self.shell.seal.ring.keys],
+            "members": [_told(m, self.shell.state.table.entries[m.name]) for m in members],
+        }, separators=(",", ":")).encode()
+
+    # ------------------------------------------------------------ metadata and questions
+
+    def set_more(self, name: str, value: bytes | None) -> None:
+        """Tell this of ourselves under a name."""
+        more = {k: v for k, v in self.meta.more.items() if k != name}
+        self._set_meta(msgspec.structs.replace(self.meta, more=more if value is None else {**more, name: value}))
+
+    def set_load(self, load: Load) -> None:
+        """Tell this digest of what we have in work."""
+        self._set_meta(msgspec.structs.replace(self.meta, load=load))
+
+    def _set_meta(self, meta: Meta) -> None:
+        data = meta.encode()
+        if meta != self.meta or not self.shell.state.own.record.meta:
+            self.meta = meta
+            self.shell.tell(MetaSet(data))
+
+    def announce(self, changes: Mapping[str, Any]) -> None:
+        """Tell these of our own fields."""
+        self._set_meta(msgspec.structs.replace(self.meta, **changes))
+
+    def answer(self, kind: str, answerer: Answerer) -> None:
+        """Answer questions of this kind."""
+        self.shell.asks.answerers[kind] = answerer
+
+    # ------------------------------------------------------------ news
+
+    def notice(self, effect: Notice) -> None:
+        """A change of a view, or something that operators should know."""
+        match effect:
+            case Changed():
+                self._line(effect)
+                self._tell_watchers(effect.record.name, effect.before, effect.after)
+            case Updated():
+                entry = self.shell.state.table.get(effect.record.name)
+                if entry:
+                    self._tell_watchers(effect.record.name, entry.status, entry.status)
+            case Noted():
+                self._say(effect.event, **dict(effect.values))
+            case Renamed():
+                self._count("renamed_to")
+
+    def _tell_watchers(self, name: str, before: Status | None, after: Status | None) -> None:
+        if not self._watchers or (entry := self.shell.state.table.get(name)) is None:
+            return
+        member = self._member(entry)
+        for watcher in self._watchers:
+            watcher(member, before, after)
+
+    def _line(self, effect: Changed) -> None:
+        if effect.after is None:
+            return
+        name = effect.record.name
+        if not self._lines.admits(name, self._clock()):
+            self._unsaid[name] += 1
+            self._count("lines_unsaid")
+            return
+        unsaid = {"unsaid": said} if (said := self._unsaid.pop(name, 0)) else {}
+        self._say(f"member {WORDS[effect.after]}", member=name, at=_text(effect.record.address),
+                  was=WORDS[effect.before] if effect.before is not None else "unknown", reason=effect.reason,
+                  **unsaid)
+
+
+def _text(address: Address) -> str:
+    host, port = address
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
+def _told(member: Member, entry: Entry) -> dict[str, object]:
+    meta = member.meta
+    return {
+        "name": member.name, "address": _text(member.address), "state": WORDS[member.status],
+        "since_s": round(member.since_s, 1), "reason": member.reason, "incarnation": member.incarnation,
+        "changes": member.changes, "role": meta.role, "zone": meta.zone, "release": meta.release,
+        "http": meta.http, "status": meta.status, "session": f"{member.session:016x}",
+        "keys": [f"{k:08x}" for k in entry.record.keys],
+        "versions": [entry.record.least, entry.record.most],
+        "load": {"jobs": meta.load.jobs, "waiting": meta.load.waiting, "nodes": meta.load.nodes},
+    }
