--- a/flintfield/cli/group.py
+++ b/flintfield/cli/group.py
@@ -23,6 +23,8 @@
 COMMANDS: Mapping[str, str] = {
     "run": "flintfield.cli.commands:run",
     "replay": "flintfield.cli.commands:replay",
+    "members": "flintfield.wire.membership.commands:members",
+    "keys": "flintfield.wire.membership.commands:keys",
 }
 """The commands' names, and where each is declared."""
 
--- a/flintfield/lab/membership/world.py
+++ b/flintfield/lab/membership/world.py
@@ -69,6 +69,7 @@
     side: int = 0  # of a split
     armed: float = float("inf")
     lives: int = 1
+    ahead: float = 0.0  # of its clock, in ms; it may jump
     inbox: deque[Input] = field(default_factory=deque)
     outbox: deque[tuple[Party, Heard]] = field(default_factory=deque)
     left: bool = False
@@ -165,6 +166,12 @@
         """The member says that it leaves, and its process ends."""
         self._step(party, LeaveAsked())
 
+    def jump(self, party: Party, ms: float) -> None:
+        """The member's clock jumps ahead, or back."""
+        party.ahead += ms
+        party.armed = float("inf")
+        self._step(party, Woke())
+
     def set_meta(self, party: Party, meta: bytes) -> None:
         """The member's metadata changes."""
         self._step(party, MetaSet(meta))
@@ -209,7 +216,7 @@
         due = party.state.next_at()
         if due is not None and due < party.armed:
             party.armed = due
-            self.at(max(due, self.now), self._ring, party, party.lives, due)
+            self.at(max(due - party.ahead, self.now), self._ring, party, party.lives, due)
 
     def _ring(self, party: Party, life: int, due: float) -> None:
         if party.lives != life or not party.up or due != party.armed:
@@ -235,7 +242,7 @@
 
     def _step(self, party: Party, message: Input) -> None:
         self.steps += 1
-        for effect in step(party.state, self.now, message):
+        for effect in step(party.state, self.now + party.ahead, message):
             self._carry_out(party, effect)
         self._arm(party)
 
--- a/flintfield/lifecycle/operators.py
+++ b/flintfield/lifecycle/operators.py
@@ -52,6 +52,17 @@
     on = {}
     for name, place in UNITS.items():
         if sections := by_place.pop(place, None):
-            feature = find_feature(place)
+            feature = _find(place, next(iter(sections)))
             on[name] = Chosen(feature, feature.read(sections))
     return on
+
+
+def _find(place: str, title: str) -> Feature:
+    """Guards against a traceback where a feature is turned on whose packages are not installed."""
+    try:
+        return find_feature(place)
+    except ModuleNotFoundError as error:
+        if (error.name or "").startswith("flintfield"):
+            raise
+        raise OperatorsError(f"[{title}]: found no package {error.name}, expected what "
+                             f"requirements-{title.partition('.')[0]}.txt names") from error
--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -58,9 +58,11 @@
         self._taking = False
         self._rearm = anyio.Event()
         self._armed = float("inf")
+        self._ports: dict[str, int] = {}
         self._tasks: TaskGroup
         host = Host(config, self.state, self._clock, self._clock(), self.tell, self._start_beside,
-                    self._errors, log, self._count, self._defect, self._side_pages)
+                    self._errors, log, self._count, self._defect, self._side_pages, lambda: self._ports,
+                    self._offers)
         self.units = [feature.build(host) for feature in features]
         pool = Pool(self._clock, config.conn_idle_ms, config.dial_timeout_ms,
                     int(config.sockets * IDLE_PART), lambda: self._callers.make_room())
@@ -95,6 +97,9 @@
     def _side_pages(self) -> dict[bytes, SidePage]:
         return {path: page for unit in self.units for path, page in unit.side_pages().items()}
 
+    def _offers(self) -> dict[type, object]:
+        return {kind: offer for unit in self.units for kind, offer in unit.offers().items()}
+
     def signals(self) -> dict[signal.Signals, Callable[[], None]]:
         """The signals that units heed."""
         return {number: heed for unit in self.units for number, heed in unit.signals().items()}
--- a/flintfield/lifecycle/units.py
+++ b/flintfield/lifecycle/units.py
@@ -15,6 +15,7 @@
     "access": "flintfield.units.access:FEATURE",
     "capture": "flintfield.units.capture:FEATURE",
     "statuspage": "flintfield.units.statuspage:FEATURE",
+    "membership": "flintfield.units.membership:FEATURE",
 }
 """In the order in which units are built and asked. Sections of one feature name the same place."""
 
--- a/flintfield/membership/meeting.py
+++ b/flintfield/membership/meeting.py
@@ -101,7 +101,7 @@
         if status is not Status.ALIVE and line.record.session == turn.state.own.record.session:
             hear_suspect(turn, Suspect(name, line.incarnation, by))
     elif status is Status.ALIVE:
-        hear_alive(turn, line.record, f"in the table of {by}")
+        hear_alive(turn, line.record, "it came itself" if name == by else f"in the table of {by}")
     elif entry is None and status >= Status.DEAD:
         _bury(turn, line, status, by)
     elif status is Status.LEFT:
--- a/flintfield/membership/state.py
+++ b/flintfield/membership/state.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from flintfield.membership.gossip import Gossip
 from flintfield.membership.messages import (
@@ -20,6 +21,16 @@
 ROUNDING_MS = 1e-3  # guards against a timer that is due in real time and, by a rounding, not in ours
 
 
+class Counts(Protocol):
+    """Counters by name; one that is missing is 0."""
+
+    def __getitem__(self, name: str, /) -> int:
+        """How often."""
+
+    def __setitem__(self, name: str, count: int, /) -> None:
+        """Count."""
+
+
 class Timers:
     """What is to happen when, soonest first; those of one moment ring in the order they were set."""
 
@@ -46,14 +57,16 @@
 
 @dataclass(slots=True)
 class Clock:
-    """Our own time: it stands still while we were stopped, and never falls."""
+    """Our own time: it stands still while we were stopped, and goes on where the clock was set back."""
 
-    slept: float = 0.0  # ms in all in which we were stopped
-    now: float = 0.0
+    slept: float = 0.0  # ms in all in which we were stopped, less those by which the clock was set back
+    now: float = float("-inf")
 
     def advance(self, real: float, due: float | None, stall_ms: float | None) -> float:
         """Move on to the real time; how long we were stopped, as a timer that rings too late proves."""
-        at = max(self.now, real - self.slept)
+        at = real - self.slept
+        if at < self.now:
+            self.slept, at = real - self.now, self.now
         if due is not None and at < due <= at + ROUNDING_MS:
             at = due
         late = at - due if due is not None and stall_ms is not None else 0.0
@@ -139,7 +152,8 @@
 class State:
     """One member's memory."""
 
-    def __init__(self, rules: Rules, record: Record, seeds: Sequence[Address], rng: random.Random) -> None:
+    def __init__(self, rules: Rules, record: Record, seeds: Sequence[Address], rng: random.Random,
+                 counters: Counts | None = None) -> None:
         self.rules, self.rng = rules, rng
         self.own = Own(record, record.name)
         self.table = Table(rng)
@@ -152,7 +166,7 @@
         self.relays: dict[int, Relay] = {}
         self.numbers = rng.randrange(1 << 31)  # of probes; a random start tells lives of one process apart
         self.meeting = Meeting(seeds)
-        self.counters: Counter[str] = Counter()
+        self.counters: Counts = Counter() if counters is None else counters
 
     def next_at(self) -> float | None:
         """The real time at which the core wants to be woken."""
--- a/flintfield/units/interface.py
+++ b/flintfield/units/interface.py
@@ -49,6 +49,14 @@
     count: Callable[[str], None]
     defect: Callable[[str, Exception], None]  # tells of what must not happen and was contained
     side_pages: Callable[[], Mapping[bytes, SidePage]]  # those of all units, for whoever has a status port
+    ports: Callable[[], Mapping[str, int]]  # that are taken, by their names in the `serving` line
+    offers: Callable[[], Mapping[type, object]]  # of all units; see `service`
+
+    def service(self, kind: type[Made]) -> Made | None:
+        """What another unit offers of this type, once all are built; None where that unit is off."""
+        found = self.offers().get(kind)
+        assert found is None or isinstance(found, kind)
+        return found
 
 
 class Given:
@@ -97,6 +105,10 @@
         """Pages of the status port, by path."""
         return {}
 
+    def offers(self) -> Mapping[type, object]:
+        """What other units may use, by its type: see `Host.service`."""
+        return {}
+
     def listen(self) -> Mapping[str, int]:
         """Take its own ports and name them for the `serving` line; an `OperatorsError` ends the start."""
         return {}
--- a/flintfield/units/jobstatus.py
+++ b/flintfield/units/jobstatus.py
@@ -33,7 +33,8 @@
     def __init__(self, host: Host, given: Given) -> None:
         told = given.one(SECTION) or JobStatus()
         self._host = host
-        self._jobs = host.state.jobs = Jobs(told.keep_ms, told.max_entries)
+        jobs = host.state.jobs = Jobs(told.keep_ms, told.max_entries)
+        self._pages = JobPages(host.config.name, lambda name: jobs.find(host.clock(), name))
 
     def effects(self) -> Mapping[type, Callable[[Any], None]]:
         """The word on a job that found no room in the table."""
@@ -41,8 +42,11 @@
 
     def pages(self) -> Mapping[bytes, Page]:
         """`/jobs/<Req-Id>`."""
-        pages = JobPages(self._host.config.name, lambda name: self._jobs.find(self._host.clock(), name))
-        return {JOBS: pages.page}
+        return {JOBS: self._pages.page}
+
+    def offers(self) -> Mapping[type, object]:
+        """The pages, for who can look a job up elsewhere."""
+        return {JobPages: self._pages}
 
 
 FEATURE = Feature((SECTION,), JobStatusUnit)
--- a/flintfield/units/membership.py
+++ b/flintfield/units/membership.py
@@ -11,14 +11,17 @@
 
 from flintfield import __version__ as VERSION
 from flintfield.base.ini import FILE, OperatorsError, Reader, Section, number, whole
-from flintfield.base.settings import ConfigError, read_address
+from flintfield.base.config import read_address
+from flintfield.base.settings import ConfigError
 from flintfield.membership.interface import Load, Members, Meta
 from flintfield.membership.messages import Address
 from flintfield.membership.rules import MOST_NAME, Rules
 from flintfield.units.interface import Feature, Given, Host, SidePage, Unit
+from flintfield.wire.http1.jobs import JobPages
 from flintfield.wire.http1.leg import Reply
 from flintfield.wire.membership.group import Group
 from flintfield.wire.membership.keys import PUBLIC, Key, KeyFileError, make_key, read_keys
+from flintfield.wire.membership.lookup import JobLookup
 from flintfield.wire.membership.member import MemberShell, Setup, boot_ms
 
 PREFIX = "membership."
@@ -73,18 +76,17 @@
 })
 
 
-class _Counters(dict[str, int]):
+class _Counters:
     """The program's counters, under our prefix."""
 
     def __init__(self, host: Host) -> None:
-        super().__init__()
         self._all = host.state.counters
 
-    def __getitem__(self, name: str) -> int:
+    def __getitem__(self, name: str, /) -> int:
         return self._all[PREFIX + name]
 
-    def __setitem__(self, name: str, value: int) -> None:
-        self._all[PREFIX + name] = value
+    def __setitem__(self, name: str, count: int, /) -> None:
+        self._all[PREFIX + name] = count
 
 
 class MembershipUnit(Unit):
@@ -99,13 +101,12 @@
                               f"characters without spaces, for [membership] is on")
         rules = replace(Rules(), probe_ms=told.probe_ms, timeout_ms=told.timeout_ms,
                         suspicion_mult=told.suspicion_mult)
+        zone = dict(enumerate(host.config.zones)).get(host.config.settings.zone, "")
+        meta = Meta(role=told.role, zone=zone, release=VERSION)
         setup = Setup(host.config.name, (self._bind_host(), told.port), told.advertise, told.seeds,
-                      self._read_keys(), rules)
-        counters = _Counters(host)
-        shell = MemberShell(setup, lambda e: self._group.notice(e), counters)
-        zone = host.config.zones[host.config.settings.zone] if host.config.zones else ""
-        self._group = Group(shell, Meta(role=told.role, zone=zone, release=VERSION), host.errors.line,
-                            lambda name: host.count(PREFIX + name), boot_ms)
+                      self._read_keys(), rules, meta.encode())
+        shell = MemberShell(setup, lambda e: self._group.notice(e), _Counters(host))
+        self._group = Group(shell, meta, host.errors.line, lambda name: host.count(PREFIX + name), boot_ms)
         self._shell = shell
 
     def _bind_host(self) -> str:
@@ -151,13 +152,15 @@
         if self._given.keys:
             keys = self._read_keys()
             self._shell.replace_keys(keys)
-            self._host.errors.line("membership keys read", keys=",".join(k.name for k in keys))
+            self._host.errors.line("membership: keys read", keys=",".join(k.name for k in keys))
 
     async def run(self) -> None:
         """Be a member, and tell now and then what is in work here."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._shell.run)
             await anyio.sleep(0)
+            if pages := self._host.service(JobPages):
+                JobLookup(pages, self._group.face()).begin()
             host, ports = self._host.config.listen[0], self._host.ports()
             self._group.announce({"http": f"{host}:{ports['port']}"} | (
                 {"status": f"{host}:{ports['status_port']}"} if "status_port" in ports else {}))
--- a/flintfield/wire/http1/caller.py
+++ b/flintfield/wire/http1/caller.py
@@ -4,7 +4,7 @@
 
 import json
 import socket
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -26,8 +26,8 @@
 STATUS = {Verdict.SERVED: 200, Verdict.REFUSED: 503, Verdict.FAILED: 500}
 
 
-Page = Callable[[bytes, bytes], Reply]
-"""Answers a method and what follows the page's path; a `BadRequest` is answered with its status."""
+Page = Callable[[bytes, bytes], Reply | Awaitable[Reply]]
+"""Answers a method and what follows the page's path, now or later; a `BadRequest` is answered as such."""
 
 
 class Gate(Protocol):
@@ -197,12 +197,14 @@
             if (request := await leg.read()) is None:
                 return False
             reply = self._page(request) or await self._transaction(leg, request)
+            if not isinstance(reply, Reply):
+                reply = await reply
         except (BadRequest, h11.RemoteProtocolError) as error:
             reply = reply_to_bad(error)
             self._count(f"requests.bad.{reply.status}")
         return await leg.write(reply)
 
-    def _page(self, request: Request) -> Reply | None:
+    def _page(self, request: Request) -> Reply | Awaitable[Reply] | None:
         path = request.target.split(b"?", 1)[0]
         if found := self._pages.find(path):
             return found[0](request.method, found[1])
--- a/flintfield/wire/membership/group.py
+++ b/flintfield/wire/membership/group.py
@@ -1,4 +1,4 @@
-"""What the program sees of the group: members as a list and as JSON, news, metadata; and the lines for operators."""
+"""What the program sees of the group: members as a list and as JSON, news, metadata, and operators' lines."""
 
 from __future__ import annotations
 
@@ -72,7 +72,9 @@
     def set_more(self, name: str, value: bytes | None) -> None:
         """Tell this of ourselves under a name."""
         more = {k: v for k, v in self.meta.more.items() if k != name}
-        self._set_meta(msgspec.structs.replace(self.meta, more=more if value is None else {**more, name: value}))
+        if value is not None:
+            more[name] = value
+        self._set_meta(msgspec.structs.replace(self.meta, more=more))
 
     def set_load(self, load: Load) -> None:
         """Tell this digest of what we have in work."""
@@ -80,7 +82,7 @@
 
     def _set_meta(self, meta: Meta) -> None:
         data = meta.encode()
-        if meta != self.meta or not self.shell.state.own.record.meta:
+        if meta != self.meta:
             self.meta = meta
             self.shell.tell(MetaSet(data))
 
@@ -105,7 +107,7 @@
                 if entry:
                     self._tell_watchers(effect.record.name, entry.status, entry.status)
             case Noted():
-                self._say(effect.event, **dict(effect.values))
+                self._say(f"membership: {effect.event}", **dict(effect.values))
             case Renamed():
                 self._count("renamed_to")
 
--- a/flintfield/wire/membership/member.py
+++ b/flintfield/wire/membership/member.py
@@ -25,7 +25,7 @@
     OpenExchange, Part, Query, Record, Renamed, ReplyExchange, Send, SessionSet, Status, TableAsked,
     TableTold, Told, Updated, Woke, )
 from flintfield.membership.rules import MOST_DATAGRAM, MOST_KEYS, Rules
-from flintfield.membership.state import State
+from flintfield.membership.state import Counts, State
 from flintfield.wire.http1.stream import Stream
 from flintfield.wire.membership.asks import Asks
 from flintfield.wire.membership.codec import LEAST, MOST, common_version
@@ -66,17 +66,18 @@
     seeds: Sequence[Address]
     keys: Sequence[Key]
     rules: Rules
+    meta: bytes = b""
 
 
 class MemberShell:
-    """One member on its sockets. `notice` is told what changes; `count` counts."""
+    """One member on its sockets. `notice` is told what changes."""
 
-    def __init__(self, setup: Setup, notice: Callable[[Notice], None], count: Callable[[str], None],
+    def __init__(self, setup: Setup, notice: Callable[[Notice], None], counters: Counts,
                  clock: Callable[[], float] = boot_ms) -> None:
-        self._setup, self._notice, self._count, self._clock = setup, notice, count, clock
+        self._setup, self._notice, self._counters, self._clock = setup, notice, counters, clock
         self._rng = random.Random(secrets.randbits(64))
         self.seal = Seal(Ring(setup.keys), secrets.randbits(63), clock)
-        self.asks = Asks(self._send_one, clock, self._rng, count)
+        self.asks = Asks(self._send_one, clock, self._rng, self._count)
         self.state: State
         self._datagrams: socket.socket
         self._listener: socket.socket
@@ -99,10 +100,13 @@
         host, port = self._listener.getsockname()[:2]
         address = self._setup.advertise or (host, port)
         record = Record(self._setup.name, address[0], address[1] or port, self.seal.session, 1,
-                        keys=self.seal.ring.ids, least=LEAST, most=MOST)
-        self.state = State(self._setup.rules, record, self._setup.seeds, self._rng)
+                        keys=self.seal.ring.ids, meta=self._setup.meta, least=LEAST, most=MOST)
+        self.state = State(self._setup.rules, record, self._setup.seeds, self._rng, self._counters)
         return int(port)
 
+    def _count(self, name: str, by: int = 1) -> None:
+        self._counters[name] += by
+
     async def run(self) -> None:
         """Be a member until cancelled."""
         with self._datagrams, self._listener:
@@ -193,7 +197,7 @@
             self._count(f"unsent.{type(error).__name__}")
             return
         self._count("datagrams.sent")
-        self.state.counters["bytes.sent"] += len(data)
+        self._count("bytes.sent", len(data))
 
     def _key_for(self, session: int) -> tuple[int | None, int | None]:
         """The key and the version in which the member of that session understands us."""
@@ -241,9 +245,9 @@
             self._count(f"dropped.{opened.value}")
             return
         self._count("datagrams.received")
-        self.state.counters["bytes.received"] += len(data)
+        self._count("bytes.received", len(data))
         if opened.skipped:
-            self.state.counters["parts.skipped"] += opened.skipped
+            self._count("parts.skipped", opened.skipped)
         self._hand_on(opened, source)
 
     def _refuses(self, data: bytes, source: Address) -> str | None:
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -206,11 +206,11 @@
     """The real program as a process."""
 
     def __init__(self, folder: Path, hops: list[Hop], settings: dict[str, Any], sockets: int,
-                 descriptors: int = 0, ini: str = "", listen: str = "127.0.0.1:0") -> None:
+                 descriptors: int = 0, ini: str = "", listen: str = "127.0.0.1:0", name: str = "n1") -> None:
         self.hops, self.directory, self.folder = hops, Directory(), folder
         self.directory.whole = [h.entry() for h in hops]
         self.config = {
-            "name": "n1", "listen": listen, "discovery": self.directory.server.address, "seed": "8c1f",
+            "name": name, "listen": listen, "discovery": self.directory.server.address, "seed": "8c1f",
             "limits": {"memory_mb": 192, "sockets": sockets}, "settings": SETTINGS | settings,
             "known": {"generation": 1, "reset": True, "instances": [h.entry() for h in hops]},
         }
--- /dev/null
+++ b/tests/support/group.py
@@ -0,0 +1,104 @@
+"""A group of real schedulers on loopback, each with membership, job status and a status page."""
+
+from __future__ import annotations
+
+import json
+import socket
+import time
+import urllib.request
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+from peers import SOON, Hop, Scheduler, until
+
+FAST = "probe_ms = 200\ntimeout_ms = 100\n"  # the protocol five times as fast as in service
+
+
+def free_ports(count: int) -> list[int]:
+    """Ports that were free for both kinds of sockets a moment ago."""
+    ports: list[int] = []
+    held = []
+    while len(ports) < count:
+        tcp, udp = socket.socket(), socket.socket(type=socket.SOCK_DGRAM)
+        tcp.bind(("127.0.0.1", 0))
+        held += [tcp, udp]
+        try:
+            udp.bind(tcp.getsockname())
+        except OSError:
+            continue
+        ports.append(tcp.getsockname()[1])
+    for sock in held:
+        sock.close()
+    return ports
+
+
+class Instance:
+    """One scheduler of the group; it can be started anew under its name and port."""
+
+    def __init__(self, folder: Path, name: str, port: int, ini: str, hops: Sequence[Hop],
+                 configured: int) -> None:
+        self.name, self.port, self.ini, self.hops, self.configured = name, port, ini, hops, configured
+        self.folder = folder / name
+        self.folder.mkdir()
+        self.scheduler: Scheduler
+        self.begin()
+
+    def begin(self) -> None:
+        self.scheduler = Scheduler(self.folder, list(self.hops), {"replicas_of_me": self.configured}, 1024,
+                                   ini=self.ini, name=self.name)
+
+    @property
+    def status_at(self) -> str:
+        return f"127.0.0.1:{self.scheduler.ports['status_port']}"
+
+    def members(self) -> dict[str, Any]:
+        with urllib.request.urlopen(f"http://{self.status_at}/members", timeout=SOON) as answer:
+            told: dict[str, Any] = json.loads(answer.read())
+        return told
+
+    def view(self) -> dict[str, str]:
+        return {m["name"]: m["state"] for m in self.members()["members"]}
+
+    def job(self, name: str) -> tuple[int, dict[str, Any]]:
+        response = self.scheduler.get(f"/jobs/{name}")
+        return response.status, json.loads(response.read())
+
+    def errors(self) -> str:
+        """What it wrote on standard error; ends it."""
+        self.scheduler.process.kill()
+        return self.scheduler.process.communicate()[1]
+
+    def end(self) -> None:
+        self.scheduler.process.kill()
+        self.scheduler.process.communicate()
+        self.scheduler.directory.server.stop()
+
+
+@contextmanager
+def group(folder: Path, count: int, more: str = FAST, hops: Sequence[Hop] = (), seeds: int = 2,
+          ports: Sequence[int] = ()) -> Iterator[list[Instance]]:
+    """That many instances, the first ones being seeds."""
+    ports = ports or free_ports(count)
+    told = ", ".join(f"127.0.0.1:{p}" for p in ports[:seeds])
+    started: list[Instance] = []
+    try:
+        for number, port in enumerate(ports):
+            ini = (f"[membership]\nport = {port}\nseeds = {told}\n{more}[jobstatus]\n"
+                   f"[statuspage]\nport = 0\nrefresh_ms = 50\n")
+            started.append(Instance(folder, f"n{number}", port, ini, hops, count))
+        yield started
+    finally:
+        for instance in started:
+            instance.end()
+
+
+def all_see(instances: Sequence[Instance], views: dict[str, str], seconds: float = SOON) -> bool:
+    """Whether all of these soon see exactly that."""
+    return until(lambda: all(i.view() == views for i in instances), seconds)
+
+
+def wait_s(seconds: float) -> None:
+    """Let real time pass, where that is what is tested."""
+    time.sleep(seconds)
