--- a/flintfield/lab/membership/world.py
+++ b/flintfield/lab/membership/world.py
@@ -251,8 +251,7 @@
     def _carry_out(self, party: Party, effect: Effect) -> None:
         if isinstance(effect, Send):
             self._send(party, effect)
-            return
-        if isinstance(effect, OpenExchange):
+        elif isinstance(effect, OpenExchange):
             self._open(party, effect)
         elif isinstance(effect, ReplyExchange):
             self._reply(party, effect)
--- a/flintfield/membership/core.py
+++ b/flintfield/membership/core.py
@@ -88,7 +88,7 @@
         case TableTold():
             meeting.take_table(turn, message.table)
         case ExchangeFailed():
-            turn.count("exchanges.failed")
+            meeting.exchange_failed(turn, message.address, message.word)
         case MetaSet():
             meeting.set_meta(turn, message.meta)
         case KeysSet():
--- a/flintfield/membership/meeting.py
+++ b/flintfield/membership/meeting.py
@@ -41,7 +41,8 @@
     wait = min(state.rules.join_most_ms, state.rules.join_ms * 2.0 ** min(meeting.tries, 32))
     wait *= state.rng.uniform(0.5, 1.5)
     if meeting.tries:
-        turn.note("no seed answers", tries=meeting.tries, next_s=round(wait / 1000, 1))
+        turn.note("no seed answers", tries=meeting.tries, next_s=round(wait / 1000, 1),
+                  last=meeting.last_word)
     meeting.tries += 1
     turn.after(wait, "join")
 
@@ -52,6 +53,12 @@
     turn.emit(OpenExchange(address, turn.state.table.lines(turn.state.name, turn.now)))
 
 
+def exchange_failed(turn: Turn, address: Address, word: str) -> None:
+    """Nobody there, or none that understands us."""
+    turn.count("exchanges.failed")
+    turn.state.meeting.last_word = "{}:{}: {}".format(*address, word)
+
+
 def exchange_due(turn: Turn, _: object) -> None:
     """Exchange tables with a random member."""
     state = turn.state
--- a/flintfield/membership/state.py
+++ b/flintfield/membership/state.py
@@ -133,6 +133,7 @@
     tries: int = 0
     next_seed: int = 0
     next_gone: int = 0
+    last_word: str = ""  # why an exchange failed
     last_astray: float = float("-inf")  # when we last told one that it went astray, or heard so
 
 
--- a/flintfield/wire/membership/keys.py
+++ b/flintfield/wire/membership/keys.py
@@ -134,6 +134,6 @@
 
     def cipher(self, key: int, now: float) -> AESGCM | None:
         """What a key opens with; None if we do not understand it."""
-        if self._former and self._former.get(key, now + 1) <= now:
+        if (until := self._former.get(key)) is not None and until <= now:
             del self._former[key], self._ciphers[key]
         return self._ciphers.get(key)
--- a/flintfield/wire/membership/member.py
+++ b/flintfield/wire/membership/member.py
@@ -323,8 +323,8 @@
                 self._count("streams.served")
                 return
             self._count("streams.too_slow")
-        except BadStream:
-            self._count("streams.bad")
+        except BadStream as error:
+            self._count(f"streams.{error.kind}")
         finally:
             self._serving -= 1
             stream.close()
--- a/flintfield/wire/membership/streams.py
+++ b/flintfield/wire/membership/streams.py
@@ -40,7 +40,11 @@
 
 
 class BadStream(Exception):
-    """A stream that broke, or is not what it should be; the text is for people."""
+    """A stream that broke, or is not what it should be; the text is for people, `kind` for the counters."""
+
+    def __init__(self, word: str, kind: str = "bad") -> None:
+        super().__init__(word)
+        self.kind = kind
 
 
 class _Reader:
@@ -159,6 +163,6 @@
     reply = REPLY.pack(MAGIC, 0 if refused else version, refused or key, os.urandom(16))
     await stream.send(reply)
     if refused or key is None:
-        raise BadStream(REFUSALS[refused])
+        raise BadStream(REFUSALS[refused], REFUSALS[refused].replace(" ", "_"))
     reader = _Reader(stream, anyio.current_time() + WHOLE_S)
     return _Channel(seal, stream, reader, key, hashlib.sha256(hello + told + reply).digest())
