Keep tombstones longer than any late word, and take no gossip before the first table

Need: the property test found two ways for a dead member's old word to outlive its tombstone. Change: the tombstone's least time counts the age that the wire lets through; a member that knows nothing yet, or has forgotten all, learns of others by tables only; the model network drops what the wire drops.

--- a/flintfield/lab/membership/world.py
+++ b/flintfield/lab/membership/world.py
@@ -23,7 +23,7 @@
     Address, Begin, Changed, Effect, ExchangeFailed, Gone, Heard, Input, Known, LeaveAsked, MetaSet, Noted,
     OpenExchange, Record, Renamed, ReplyExchange, Send, Status, TableAsked, TableTold, Woke, size_of,
 )
-from flintfield.membership.rules import SEALING, Rules
+from flintfield.membership.rules import MOST_AGE_MS, SEALING, Rules
 from flintfield.membership.state import State
 from flintfield.membership.table import Entry
 
@@ -70,8 +70,8 @@
     armed: float = float("inf")
     lives: int = 1
     ahead: float = 0.0  # of its clock, in ms; it may jump
-    inbox: deque[Input] = field(default_factory=deque)
-    outbox: deque[tuple[Party, Heard]] = field(default_factory=deque)
+    inbox: deque[tuple[float, Input]] = field(default_factory=deque)  # when it was sent, and what
+    outbox: deque[tuple[float, Party, Heard]] = field(default_factory=deque)
     left: bool = False
     sent_bytes: int = 0
     sent: int = 0
@@ -238,7 +238,8 @@
 
     def _empty_inbox(self, party: Party) -> None:
         while party.inbox:
-            self._step(party, party.inbox.popleft())
+            sent, message = party.inbox.popleft()
+            self._deliver(party, message, sent)
 
     def _step(self, party: Party, message: Input) -> None:
         self.steps += 1
@@ -275,11 +276,11 @@
             return
         heard = Heard(party.address, party.state.own.record.session, effect.to, effect.parts)
         if self.now >= party.blocked_until:
-            self._travel(target, heard)
+            self._travel(self.now, target, heard)
         elif len(party.outbox) < INBOX:
-            party.outbox.append((target, heard))
+            party.outbox.append((self.now, target, heard))
 
-    def _travel(self, target: Party, heard: Heard) -> None:
+    def _travel(self, sent: float, target: Party, heard: Heard) -> None:
         network, rng = self.network, self.rng
         for _ in range(2 if network.double and rng.random() < network.double else 1):
             if network.loss and rng.random() < network.loss:
@@ -287,17 +288,17 @@
             delay = network.least_ms + rng.expovariate(1.0) * network.tail_ms
             if network.late and rng.random() < network.late:
                 delay += rng.uniform(0, network.late_ms)
-            self.at(self.now + delay, self._deliver, target, heard)
+            self.at(self.now + delay, self._deliver, target, heard, sent)
 
-    def _deliver(self, target: Party, message: Input) -> None:
+    def _deliver(self, target: Party, message: Input, sent: float) -> None:
         """Hand over what reached the machine: to whatever process has the address by now."""
         if not target.up:
             return
         if self._is_stopped(target) or self.now < target.blocked_until:
             if len(target.inbox) < INBOX or not isinstance(message, Heard):
-                target.inbox.append(message)
-            return
-        self._step(target, message)
+                target.inbox.append((sent, message))
+        elif self.now - sent <= MOST_AGE_MS:
+            self._step(target, message)
 
     # ------------------------------------------------------------ streams
 
@@ -322,12 +323,12 @@
         self._count += 1
         token = self._count
         self._streams[token] = (party, target, life)
-        self.at(self.now + trips, self._deliver, target, TableAsked(token, effect.table))
+        self.at(self.now + trips, self._deliver, target, TableAsked(token, effect.table), self.now)
         self.at(self.now + STREAM_MS, self._end_stream, token)
 
     def _fail(self, party: Party, life: int, address: Address) -> None:
         if party.up and party.lives == life:
-            self._deliver(party, ExchangeFailed(address, "no connection"))
+            self._deliver(party, ExchangeFailed(address, "no connection"), self.now)
 
     def _end_stream(self, token: int) -> None:
         if ended := self._streams.pop(token, None):
@@ -340,7 +341,8 @@
         asker, target, life = stream
         party.sent_bytes += stream_bytes(effect.table)
         if asker.up and asker.lives == life and self._reaches(party, asker):
-            self.at(self.now + self._trip_ms(), self._deliver, asker, TableTold(target.address, effect.table))
+            told = TableTold(target.address, effect.table)
+            self.at(self.now + self._trip_ms(), self._deliver, asker, told, self.now)
         else:
             self._fail(asker, life, target.address)
 
--- a/flintfield/membership/core.py
+++ b/flintfield/membership/core.py
@@ -117,7 +117,7 @@
     turn.after(rules.probe_ms * rng.random(), "period")
     turn.after(rules.exchange_ms * rng.uniform(0.5, 1.0), "exchange")
     turn.after(rules.reconnect_ms * rng.uniform(0.5, 1.0), "reconnect")
-    turn.after(0.0, "join")
+    meeting.begin_to_join(turn)
 
 
 def _woke(turn: Turn) -> None:
@@ -143,7 +143,9 @@
         case Ack():
             probing.hear_ack(turn, part)
         case Alive():
-            judging.hear_alive(turn, part.record)
+            # Guards a member that knows nothing yet, or has just forgotten all, against word of the dead.
+            if turn.state.meeting.joined or turn.state.table.get(part.record.name):
+                judging.hear_alive(turn, part.record)
         case Suspect():
             judging.hear_suspect(turn, part)
         case Dead():
--- a/flintfield/membership/meeting.py
+++ b/flintfield/membership/meeting.py
@@ -24,6 +24,14 @@
 # ---------------------------------------------------------------------- joining
 
 
+def begin_to_join(turn: Turn) -> None:
+    """Look for the group, unless there is nobody to ask: then we are the group."""
+    meeting = turn.state.meeting
+    meeting.joined = all(s == turn.state.own.record.address for s in meeting.seeds)
+    meeting.tries = 0
+    turn.after(0.0, "join")
+
+
 def join_due(turn: Turn, _: object) -> None:
     """Ask some seeds, and try again later unless one answers."""
     state, meeting = turn.state, turn.state.meeting
@@ -155,8 +163,7 @@
     state.probe = None
     meeting = state.meeting
     meeting.seeds = sorted({*meeting.seeds, *addresses})
-    meeting.joined, meeting.tries = False, 0
-    turn.after(0.0, "join")
+    begin_to_join(turn)
 
 
 # ---------------------------------------------------------------------- astray
--- a/flintfield/membership/rules.py
+++ b/flintfield/membership/rules.py
@@ -17,6 +17,7 @@
 MOST_BODY = 1_024  # bytes of a question to a member's program, or of its answer
 MOST_MEMBERS = 4_096  # entries of the table, the gone ones included: some 1 KiB each at the most
 MOST_RELAYS = 1_024  # probes made for others that are open at a time
+MOST_AGE_MS = 30_000.0  # datagrams that were longer on their way than others are dropped by the wire
 FORMER_MS = 60_000.0  # how long a session that was given up is still answered to
 MOST_DATAGRAM = 1_400  # bytes of UDP payload: within an Ethernet frame also in a tunnel [ML: UDPBufferSize]
 SEALING = 64  # bytes of a datagram that the encryption and the packet's own frame take at the most
@@ -124,10 +125,11 @@
         """Longer than any member, however cut off, can go on believing in one that is gone.
 
         A member that hears of nothing finds out by its own probes: in 2n-1 periods at the most [SWIM 4.3],
-        each S+1 times as long in the worst health, and the longest suspicion.
+        each S+1 times as long in the worst health, and the longest suspicion. What it said before that may
+        be on its way for `MOST_AGE_MS` more.
         """
         by_own_probes = (2 * n - 1) * self.probe_ms * (self.worst_health + 1)
-        return max(self.tombstone_ms, by_own_probes + self.suspicion_most_ms(n))
+        return max(self.tombstone_ms, by_own_probes + self.suspicion_most_ms(n) + MOST_AGE_MS)
 
 
 def plain_swim(rules: Rules | None = None) -> Rules:
--- a/flintfield/wire/membership/seal.py
+++ b/flintfield/wire/membership/seal.py
@@ -30,7 +30,7 @@
 from cryptography.exceptions import InvalidTag
 
 from flintfield.membership.messages import Part
-from flintfield.membership.rules import FORMER_MS
+from flintfield.membership.rules import FORMER_MS, MOST_AGE_MS
 from flintfield.wire.membership.codec import LEAST, MOST, BadFormat, read_packet, write_packet
 from flintfield.wire.membership.keys import Ring
 
@@ -38,7 +38,6 @@
 HEAD = struct.Struct(">BBIQI")
 TAG = 16
 WINDOW = 1_024  # counters behind the highest that are still told apart
-MOST_AGE_MS = 30_000.0
 DRIFT = 0.001  # by which two clocks may run apart; quartz keeps 0.0001
 MOST_PEERS = 16_384  # sessions whose counters are remembered: some 300 bytes each
 MOST_COUNTER = 0xFFFFFF00
