Take bookings out of bound queues: the same module, the same rules, one answer each

Need: partner agencies' batches have to be decided beside callers' requests, and no seat be booked twice though a visibility time runs out, a delete comes late, or the program is killed.

--- a/flintfield/cli/group.py
+++ b/flintfield/cli/group.py
@@ -23,6 +23,7 @@
 COMMANDS: Mapping[str, str] = {
     "run": "flintfield.cli.commands:run",
     "replay": "flintfield.cli.commands:replay",
+    "queue": "flintfield.wire.sqs.commands:queue",
     "demo": "flintfield.lab.demo:demo",
     "lab": "flintfield.lab.cli:lab",
     "members": "flintfield.wire.membership.commands:members",
--- a/flintfield/lifecycle/units.py
+++ b/flintfield/lifecycle/units.py
@@ -17,6 +17,8 @@
     "capture": "flintfield.units.capture:FEATURE",
     "statuspage": "flintfield.units.statuspage:FEATURE",
     "store": "flintfield.units.store:FEATURE",
+    "queues": "flintfield.units.queues:FEATURE",
+    "queue": "flintfield.units.queues:FEATURE",
     "membership": "flintfield.units.membership:FEATURE",
 }
 """In the order in which units are built and asked. Sections of one feature name the same place."""
--- a/flintfield/memory/messages.py
+++ b/flintfield/memory/messages.py
@@ -72,6 +72,7 @@
     slots: float = 1.0
     memory: float = 0.0
     repeat: bool = False
+    front: str = ""  # who handed it in, where that is not the main listener: it is asked and answered
 
 
 @dataclass(frozen=True, slots=True)
@@ -206,6 +207,15 @@
     """It is time to ask whether records can be written again, if they could not."""
 
 
+@dataclass(frozen=True, slots=True)
+class FrontAllows:
+    """A front's word on `MayWrite`: whether the branch's first byte may leave."""
+
+    rid: int
+    branch: int
+    allowed: bool
+
+
 class UnitMessage:
     """Of a unit's own kind: the handler that the unit hung on the state takes it in."""
 
@@ -213,7 +223,8 @@
 
 
 Message = (RouteNews | RouteCallFailed | DiscoveryMoved | Submitted | CallerLeft | BranchUp | BranchNoted
-           | BranchEnded | ProbeEnded | Woke | StopAsked | Kept | KeepFailed | TryKeep | UnitMessage)
+           | BranchEnded | ProbeEnded | Woke | StopAsked | Kept | KeepFailed | TryKeep | FrontAllows
+           | UnitMessage)
 
 
 # ------------------------------------------------------------------ effects
@@ -325,6 +336,27 @@
     urgent: bool
 
 
+@dataclass(frozen=True, slots=True)
+class MayWrite:
+    """Ask the front that handed a job in whether its first byte may leave; `FrontAllows` is its word."""
+
+    front: str
+    rid: int
+    branch: int
+
+
+@dataclass(frozen=True, slots=True)
+class FrontAnswer:
+    """Give the front that handed a job in its final answer; `may_have_run`: no outcome proves it did not."""
+
+    front: str
+    rid: int
+    verdict: Verdict
+    body: bytes
+    retry_after_ms: float
+    may_have_run: bool
+
+
 class UnitEffect:
     """Of a unit's own kind: the unit carries it out."""
 
@@ -332,4 +364,4 @@
 
 
 Effect = (OpenBranch | WriteBranch | DropBranch | Answer | ProbeHop | CallDiscovery | LeaveDiscovery | Defect
-          | WatchFailed | Untracked | HoldBranch | Keep | UnitEffect)
+          | WatchFailed | Untracked | HoldBranch | Keep | MayWrite | FrontAnswer | UnitEffect)
--- a/flintfield/memory/reducer.py
+++ b/flintfield/memory/reducer.py
@@ -16,10 +16,10 @@
 )
 from flintfield.decision.policy import TICK, TICK_MS
 from flintfield.memory.messages import (
-    Answer, BranchEnded, BranchNoted, BranchUp, CallDiscovery, CallerLeft, Defect, DiscoveryMoved, DropBranch,
-    Effect, End, Ending, HoldBranch, Keep, KeepFailed, Kept, LeaveDiscovery, Message, OpenBranch, ProbeEnded,
-    ProbeHop, Reach, Route, RouteCallFailed, RouteNews, StopAsked, Submitted, TryKeep, Untracked, Verdict,
-    WatchFailed, Woke, WriteBranch,
+    Answer, BranchEnded, BranchNoted, BranchUp, CallDiscovery, CallerLeft, Defect, DiscoveryMoved,
+    DropBranch, Effect, End, Ending, FrontAllows, FrontAnswer, HoldBranch, Keep, KeepFailed, Kept,
+    LeaveDiscovery, MayWrite, Message, OpenBranch, ProbeEnded, ProbeHop, Reach, Route, RouteCallFailed,
+    RouteNews, StopAsked, Submitted, TryKeep, Untracked, Verdict, WatchFailed, Woke, WriteBranch,
 )
 from flintfield.memory.ledger import AnswerWaits, BranchWaits, Waits
 from flintfield.memory.state import Branch, BranchDue, DeadlineDue, KeepDue, State, TokenDue, Transaction
@@ -239,6 +239,12 @@
 
     def _give(self, rid: int, verdict: Verdict, body: bytes = b"", retry_after_ms: float = 0.0) -> None:
         # Callers may keep a connection that serves to the last; one that does not sends them elsewhere.
+        transaction = self.state.transactions.get(rid)
+        if transaction and transaction.submission.front:
+            ran = any(b.written and not b.never_ran for b in transaction.branches)
+            self.effects.append(FrontAnswer(transaction.submission.front, rid, verdict, body, retry_after_ms,
+                                            ran))
+            return
         close = self.state.stopping and (verdict is not Verdict.SERVED or self.now >= self.last_call())
         self.effects.append(Answer(rid, verdict, body, retry_after_ms, close))
 
@@ -265,11 +271,30 @@
         if branch.held:
             return
         route = self._ready_route(transaction, branch)
+        if route and transaction.submission.front:
+            branch.held = True
+            self.effects += [HoldBranch(transaction.rid, message.branch),
+                             MayWrite(transaction.submission.front, transaction.rid, message.branch)]
+        else:
+            self._let_out_recorded(transaction, message.branch, route)
+
+    def _let_out_recorded(self, transaction: Transaction, number: int, route: Route | None) -> None:
+        """Let a branch out, once that is on disk where it has to be."""
         ledger = self.state.ledger
         if route and ledger and transaction.submission.class_name in ledger.guarded:
-            self._hold(transaction, message.branch, route.name)
+            self._hold(transaction, number, route.name)
         else:
-            self._let_out(transaction, message.branch)
+            self._let_out(transaction, number)
+
+    def front_allows(self, message: FrontAllows) -> None:
+        """The front that handed the job in has noted that it is let out, or can not."""
+        if (found := self._out(message.rid, message.branch)) is None or found[1].written:
+            return
+        if message.allowed:
+            self._let_out_recorded(found[0], message.branch, self._ready_route(*found))
+            return
+        self._refuse_unkept(message.rid)
+        self._drop(found[0], message.branch, Outcome.MOOT)
 
     def _ready_route(self, transaction: Transaction, branch: Branch) -> Route | None:
         """Where the branch may be written now, if it still may.
@@ -315,7 +340,7 @@
     def _end_branch(self, transaction: Transaction, number: int, outcome: Outcome,
                     ending: Ending | None = None) -> None:
         branch = transaction.branches[number]
-        branch.ended = True
+        branch.ended, branch.never_ran = True, outcome in NEVER_RAN
         at_work = any(b.written and not b.ended for b in transaction.branches)
         if self.state.jobs and not transaction.answered:
             self._note_end(transaction, branch, outcome, at_work)
@@ -356,14 +381,17 @@
         if not keeps:
             self._go_on_unkept(waits)
             return
-        transaction.branches[number].held = True
-        self.effects.append(HoldBranch(transaction.rid, number))
+        if not transaction.branches[number].held:
+            transaction.branches[number].held = True
+            self.effects.append(HoldBranch(transaction.rid, number))
         self._await(keeps, ledger.wait_ms)
 
     def _keep_end(self, transaction: Transaction, verdict: Verdict, body: bytes) -> bool:
         """Have a job's end on disk; whether its answer waits for that."""
         ledger, name, kind = self.state.ledger, transaction.submission.name, transaction.submission.class_name
-        if ledger is None or verdict is not Verdict.SERVED or kind not in ledger.guarded:
+        # A front that handed the job in has a record of its own, which its answer rests on.
+        waits_for_none = verdict is not Verdict.SERVED or bool(transaction.submission.front)
+        if ledger is None or waits_for_none or kind not in ledger.guarded:
             self._keep(name)
             return False
         waits = AnswerWaits(transaction.rid, verdict, body)
@@ -535,7 +563,7 @@
     CallerLeft: Turn.caller_left, BranchUp: Turn.branch_up, BranchNoted: Turn.branch_noted,
     BranchEnded: Turn.branch_ended, ProbeEnded: Turn.probe_ended, Woke: Turn.woke,
     StopAsked: Turn.stop_asked, DiscoveryMoved: Turn.discovery_moved,
-    Kept: Turn.kept, KeepFailed: Turn.keep_failed, TryKeep: Turn.try_keep,
+    FrontAllows: Turn.front_allows, Kept: Turn.kept, KeepFailed: Turn.keep_failed, TryKeep: Turn.try_keep,
 }
 ACTIONS: dict[type, Callable[[Turn, Any], None]] = {
     Send: Turn.send, Refuse: Turn.refuse, Fail: Turn.fail, Cancel: Turn.cancel, Probe: Turn.probe,
--- a/flintfield/memory/state.py
+++ b/flintfield/memory/state.py
@@ -28,6 +28,7 @@
     opened: float
     ended: bool = False
     written: bool = False
+    never_ran: bool = False  # its outcome proves it
     held: bool = False  # connected, and its first byte waits for a record
 
 
--- a/flintfield/queues/bound.py
+++ b/flintfield/queues/bound.py
@@ -151,6 +151,7 @@
         later.serve(queue)
         if buried:
             later.serve(buried)
+        later.state.reply_seqs.pop(entry.seq, None)
         later.state.counters[f"bound.{'again' if again else verdict}"] += 1
         later.effects.append(Settled(queue.name, entry.seq, True))
 
@@ -185,8 +186,11 @@
     elif word and word != verdict:
         told["reason"] = word
     text = json.dumps(told, separators=(",", ":"))
-    seq = turn.state.next_seq
-    turn.state.next_seq += 1
+    # An end that is tried again, because nobody knows whether its batch is on disk, has the same reply.
+    seq = turn.state.reply_seqs.get(entry.seq, 0)
+    if not seq:
+        seq = turn.state.reply_seqs[entry.seq] = turn.state.next_seq
+        turn.state.next_seq += 1
     group = (entry.group or queue.name) if home.settings.fifo else ""
     told_by = (("message_id", "String", message_id.encode()), ("outcome", "String", verdict.encode()))
     body = BodyRecord(text, told_by, "flintfield", "", message_id if home.settings.fifo else "")
--- a/flintfield/queues/core.py
+++ b/flintfield/queues/core.py
@@ -142,6 +142,7 @@
         self.reserved: set[str] = set()  # names of queues that the operators' file binds
         self.pending: dict[int, Pending] = {}
         self.moves: OrderedDict[str, MoveTask] = OrderedDict()
+        self.reply_seqs: dict[int, int] = {}  # of ends on their way to the disk, by the message that ends
         self.counters: Counter[str] = Counter()
         self.next_ticket = self.next_queue = self.next_seq = 1
         self.seqs_until = 1  # numbers below it are reserved on disk
