--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -54,9 +54,11 @@
         self._taking = False
         self._rearm = anyio.Event()
         self._armed = float("inf")
+        self._ports: dict[str, int] = {}
         self._tasks: TaskGroup
         host = Host(config, self.state, self._clock, self._clock(), self.tell, self._start_beside,
-                    self._errors, log, self._count, self._defect, self._side_pages)
+                    self._errors, log, self._count, self._defect, self._side_pages, lambda: self._ports,
+                    self._offers)
         self.units = [feature.build(host) for feature in features]
         pool = Pool(self._clock, config.conn_idle_ms, config.dial_timeout_ms,
                     int(config.sockets * IDLE_PART), lambda: self._callers.make_room())
@@ -91,6 +93,9 @@
     def _side_pages(self) -> dict[bytes, SidePage]:
         return {path: page for unit in self.units for path, page in unit.side_pages().items()}
 
+    def _offers(self) -> dict[type, object]:
+        return {kind: offer for unit in self.units for kind, offer in unit.offers().items()}
+
     def signals(self) -> dict[signal.Signals, Callable[[], None]]:
         """The signals that units heed."""
         return {number: heed for unit in self.units for number, heed in unit.signals().items()}
@@ -243,11 +248,14 @@
             await anyio.sleep(STOP_CHECK_S)
 
     async def _end_units(self) -> None:
-        """Let all units end, together; guards against one that stalls: the kill is near."""
+        """Let all units end, together, then close; guards against one that stalls: the kill is near."""
         with anyio.move_on_after(END_S):
             async with anyio.create_task_group() as ends:
                 for unit in self.units:
                     ends.start_soon(self._guarded, unit.end, type(unit).__name__)
+        with anyio.move_on_after(END_S):
+            for unit in reversed(self.units):
+                await self._guarded(unit.close, type(unit).__name__)
 
     def _busy(self) -> bool:
         return bool(self.state.transactions or self._callers.open_legs)
