--- a/flintfield/lab/cli.py
+++ b/flintfield/lab/cli.py
@@ -382,8 +382,8 @@
         with contextlib.suppress(KeyboardInterrupt, SystemExit):
             shrinker.run()
         shrunk = shrinker.best
-    name = f"{shrunk.found.what}-{job.scenario.name}"[:60]
-    return regression(shrunk, name)
+    name, what = job.scenario.name, shrunk.found.what
+    return regression(shrunk, name if name.startswith(what) else f"{what}-{name}"[:60])
 
 
 @lab.command()
