--- a/flintfield/lab/sockets/callers.py
+++ b/flintfield/lab/sockets/callers.py
@@ -115,7 +115,11 @@
             if end.is_quiet():
                 return end
             end.close()
-        return await dial(self._addresses[place], self._run.clock, DIAL_S)
+        try:
+            return await dial(self._addresses[place], self._run.clock, DIAL_S)
+        except OSError as error:  # no descriptor is left: the engine's lack, not the scheduler's
+            self._run.odd(f"the engine could not dial: {error}")
+            return None
 
     def _request(self, attempt: Try) -> bytes:
         wish = attempt.wish
--- a/flintfield/lab/sockets/engine.py
+++ b/flintfield/lab/sockets/engine.py
@@ -13,6 +13,7 @@
 
 import asyncio
 import math
+import resource
 import signal
 import tempfile
 from collections.abc import Callable, Sequence
@@ -41,6 +42,7 @@
 
 SOCKETS_MS = 50.0  # every time limit is that much longer on sockets: clients listen so long past theirs
 READY_PAUSE_S = 0.02
+SPARE_DESCRIPTORS = 2_000  # for jobs and clients
 FLUSH_S = 0.05
 AGAIN_MS = 500.0  # at the most, from a cut's mending until TCP sends what waited
 LOAD_S = 1.0
@@ -108,6 +110,7 @@
 
     async def play(self) -> Log:
         """From the start of the processes to the last record."""
+        self._get_descriptors()
         self._begin_record()
         void = ""
         try:
@@ -126,6 +129,21 @@
         finally:
             await self._clear_away()
 
+    def _get_descriptors(self) -> None:
+        """Raise the limit as far as this run needs it; a `StartError` if that cannot be.
+
+        Each scheduler has a listening socket at each party, held twice, and may keep a connection to it.
+        """
+        schedulers, nodes = len(self.schedulers), len(self.fleet.machines)
+        replaced = sum(d.do is Do.NODE_NEW for d in schedule(self.scenario, self.fleet, self.run.streams))
+        needs = 3 * schedulers * (nodes + replaced + 1) + SPARE_DESCRIPTORS
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if needs > hard != resource.RLIM_INFINITY:
+            raise StartError(f"{schedulers} schedulers and {nodes} nodes take {needs} descriptors, found "
+                             f"{hard} (ulimit -Hn)")
+        if needs > soft != resource.RLIM_INFINITY:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (needs, hard))
+
     def _begin_record(self) -> None:
         scenario, rules = self.scenario, self.scenario.rules
         classes = tuple(Class(c.name, c.worth, c.aim_ms, c.stretch, c.deadline_ms, c.effect)
