--- a/tests/peers.py
+++ b/tests/peers.py
@@ -12,13 +12,14 @@
 import sys
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from http.client import HTTPConnection, HTTPResponse
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from typing import Any
 
 ROOT = Path(__file__).parent.parent
+PROGRAM = ("-m", "flintfield")
 SOON = 10.0  # nothing here takes that long unless it is broken
 CLASSES = [
     {"name": "match-list", "aim_ms": 4000, "hard_limit_ms": 8000, "worth": 1, "effect": "free"},
@@ -206,7 +207,8 @@
     """The real program as a process."""
 
     def __init__(self, folder: Path, hops: list[Hop], settings: dict[str, Any], sockets: int,
-                 descriptors: int = 0, ini: str = "", listen: str = "127.0.0.1:0", name: str = "n1") -> None:
+                 descriptors: int = 0, ini: str = "", listen: str = "127.0.0.1:0", name: str = "n1",
+                 program: Sequence[str] = PROGRAM) -> None:
         self.hops, self.directory, self.folder = hops, Directory(), folder
         self.directory.whole = [h.entry() for h in hops]
         self.config = {
@@ -214,7 +216,7 @@
             "limits": {"memory_mb": 192, "sockets": sockets}, "settings": SETTINGS | settings,
             "known": {"generation": 1, "reset": True, "instances": [h.entry() for h in hops]},
         }
-        self.process = start(folder, self.config, descriptors, ini)
+        self.process = start(folder, self.config, descriptors, ini, program)
         assert self.process.stdout
         self.ports = json.loads(self.process.stdout.readline())
         self.port = self.ports["port"]
@@ -254,7 +256,8 @@
         return self.process.returncode, [json.loads(line) for line in out.splitlines()]
 
 
-def start(folder: Path, config: dict[str, Any], descriptors: int = 0, ini: str = "") -> subprocess.Popen[str]:
+def start(folder: Path, config: dict[str, Any], descriptors: int = 0, ini: str = "",
+          program: Sequence[str] = PROGRAM) -> subprocess.Popen[str]:
     """Start the program with that configuration, that operators' file and no more descriptors than that."""
     def limit() -> None:
         resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
@@ -263,9 +266,9 @@
     path.write_text(json.dumps(config))
     (folder / "flintfield.ini").write_text(ini)
     named = ["--ini", str(folder / "flintfield.ini")] if ini else []
-    return subprocess.Popen([sys.executable, "-m", "flintfield", *named], cwd=ROOT, text=True,
+    return subprocess.Popen([sys.executable, *program, *named], cwd=ROOT, text=True,
                             stdout=subprocess.PIPE, stderr=subprocess.PIPE,
-                            env={**os.environ, "LB_CONFIG": str(path)},
+                            env={**os.environ, "LB_CONFIG": str(path), "PYTHONPATH": str(ROOT)},
                             preexec_fn=limit if descriptors else None)
 
 
--- a/tests/support/group.py
+++ b/tests/support/group.py
@@ -3,16 +3,17 @@
 from __future__ import annotations
 
 import json
+import signal
 import socket
-import time
 import urllib.request
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
-from peers import SOON, Hop, Scheduler, until
+from peers import PROGRAM, SOON, Hop, Scheduler, until
 
+LOSSY = Path(__file__).with_name("lossy.py")
 FAST = "probe_ms = 200\ntimeout_ms = 100\n"  # the protocol five times as fast as in service
 
 
@@ -37,9 +38,10 @@
 class Instance:
     """One scheduler of the group; it can be started anew under its name and port."""
 
-    def __init__(self, folder: Path, name: str, port: int, ini: str, hops: Sequence[Hop],
-                 configured: int) -> None:
-        self.name, self.port, self.ini, self.hops, self.configured = name, port, ini, hops, configured
+    def __init__(self, folder: Path, name: str, ini: str, hops: Sequence[Hop], configured: int,
+                 loss: float) -> None:
+        self.name, self.ini, self.hops, self.configured = name, ini, hops, configured
+        self.program = (str(LOSSY), str(loss)) if loss else PROGRAM
         self.folder = folder / name
         self.folder.mkdir()
         self.scheduler: Scheduler
@@ -47,7 +49,7 @@
 
     def begin(self) -> None:
         self.scheduler = Scheduler(self.folder, list(self.hops), {"replicas_of_me": self.configured}, 1024,
-                                   ini=self.ini, name=self.name)
+                                   ini=self.ini, name=self.name, program=self.program)
 
     @property
     def status_at(self) -> str:
@@ -65,29 +67,32 @@
         response = self.scheduler.get(f"/jobs/{name}")
         return response.status, json.loads(response.read())
 
-    def errors(self) -> str:
-        """What it wrote on standard error; ends it."""
-        self.scheduler.process.kill()
-        return self.scheduler.process.communicate()[1]
+    def finds(self, name: str, told: dict[str, Any]) -> bool:
+        return self.job(name) == (200, told)
+
+    def signal(self, number: signal.Signals) -> None:
+        self.scheduler.process.send_signal(number)
 
-    def end(self) -> None:
+    def end(self) -> str:
+        """Kill it; what it wrote on standard error."""
         self.scheduler.process.kill()
-        self.scheduler.process.communicate()
+        text = self.scheduler.process.communicate()[1]
         self.scheduler.directory.server.stop()
+        return text
 
 
 @contextmanager
 def group(folder: Path, count: int, more: str = FAST, hops: Sequence[Hop] = (), seeds: int = 2,
-          ports: Sequence[int] = ()) -> Iterator[list[Instance]]:
+          loss: float = 0.0) -> Iterator[list[Instance]]:
     """That many instances, the first ones being seeds."""
-    ports = ports or free_ports(count)
+    ports = free_ports(count)
     told = ", ".join(f"127.0.0.1:{p}" for p in ports[:seeds])
     started: list[Instance] = []
     try:
         for number, port in enumerate(ports):
             ini = (f"[membership]\nport = {port}\nseeds = {told}\n{more}[jobstatus]\n"
                    f"[statuspage]\nport = 0\nrefresh_ms = 50\n")
-            started.append(Instance(folder, f"n{number}", port, ini, hops, count))
+            started.append(Instance(folder, f"n{number}", ini, hops, count, loss))
         yield started
     finally:
         for instance in started:
@@ -97,8 +102,3 @@
 def all_see(instances: Sequence[Instance], views: dict[str, str], seconds: float = SOON) -> bool:
     """Whether all of these soon see exactly that."""
     return until(lambda: all(i.view() == views for i in instances), seconds)
-
-
-def wait_s(seconds: float) -> None:
-    """Let real time pass, where that is what is tested."""
-    time.sleep(seconds)
