--- a/flintfield/lab/membership/sweep.py
+++ b/flintfield/lab/membership/sweep.py
@@ -13,8 +13,8 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Iterator
-from dataclasses import dataclass, replace
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 
 import msgspec
 
@@ -31,7 +31,7 @@
 STOPPED = Slow((5_000.0, 20_000.0), (50.0, 500.0))
 MILD = Slow((500.0, 5_000.0), (200.0, 1_000.0), blocked=True)
 KINDS = {"blocked": BLOCKED, "stopped": STOPPED, "mild": MILD}
-PLAYS = {"swim": plain_swim, "lifeguard": lifeguard_alone, "ours": Rules}
+PLAYS: dict[str, Callable[[], Rules]] = {"swim": plain_swim, "lifeguard": lifeguard_alone, "ours": Rules}
 
 
 class Point(msgspec.Struct, frozen=True):
@@ -127,8 +127,3 @@
         for kind in ("stopped", "mild"):
             for play in PLAYS:
                 yield from (Point(100, 0.0, 0.1, kind, play, seed) for seed in range(3 * seeds))
-
-
-def without(rules: Rules, part: str) -> Rules:
-    """The rules less one part, to see what it is worth."""
-    return replace(rules, **{part: False})  # type: ignore[arg-type]
--- a/flintfield/lifecycle/operators.py
+++ b/flintfield/lifecycle/operators.py
@@ -49,12 +49,13 @@
         if place is None:
             raise OperatorsError(f"[{title}]: found an unknown section, expected one of {', '.join(UNITS)}")
         by_place.setdefault(place, {})[title] = keys
-    on = {}
-    for name, place in UNITS.items():
-        if sections := by_place.pop(place, None):
-            feature = _find(place, next(iter(sections)))
-            on[name] = Chosen(feature, feature.read(sections))
-    return on
+    features = {place: _find(place, next(iter(titles))) for place, titles in by_place.items()}
+    for feature in list(features.values()):
+        for name in feature.needs:
+            features.setdefault(UNITS[name], find_feature(UNITS[name]))
+    firsts = {place: name for name, place in reversed(list(UNITS.items()))}
+    return {firsts[place]: Chosen(feature, feature.read(by_place.get(place, {})))
+            for place, feature in features.items()}
 
 
 def _find(place: str, title: str) -> Feature:
--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -14,6 +14,7 @@
 from flintfield.base.config import Config
 from flintfield.base.ini import OperatorsError
 from flintfield.base.stderr import ErrorOut
+from flintfield.base.stop import STOP_ACCEPT_S, STOP_CHECK_S, STOP_MARGIN_MS, kill_after_ms
 from flintfield.decision.policy import Dispatcher
 from flintfield.lifecycle.operators import Chosen
 from flintfield.memory.messages import (
@@ -31,11 +32,6 @@
 SWEEP_S = 1.0
 LEGS_PART = 0.5  # of the descriptors: for caller legs; clients hold a third of all for requests
 IDLE_PART = 0.1  # of the descriptors: for kept connections; the rest is for branches, probes and our own
-# After SIGTERM the kill comes no sooner than the longest deadline, counted as 3 s at the most, and 0.7 s.
-KILL_MS, KILL_MORE_MS = 3_000.0, 700.0
-STOP_MARGIN_MS = 200.0  # all is answered so long before the kill
-STOP_ACCEPT_S = 0.62  # after SIGTERM new connections keep coming for up to 0.4 s, then their requests
-STOP_CHECK_S = 0.02
 END_S = 1.0  # how long the end of all units may take
 FLUSH_S = 0.1  # how long the end waits for what still goes to standard error
 
@@ -61,8 +57,7 @@
         self._ports: dict[str, int] = {}
         self._tasks: TaskGroup
         host = Host(config, self.state, self._clock, self._clock(), self.tell, self._start_beside,
-                    self._errors, log, self._count, self._defect, self._side_pages, lambda: self._ports,
-                    self._offers)
+                    self._errors, log, self._count, self._defect, self._side_pages, lambda: self._ports)
         self.units = [feature.build(host) for feature in features]
         pool = Pool(self._clock, config.conn_idle_ms, config.dial_timeout_ms,
                     int(config.sockets * IDLE_PART), lambda: self._callers.make_room())
@@ -97,9 +92,6 @@
     def _side_pages(self) -> dict[bytes, SidePage]:
         return {path: page for unit in self.units for path, page in unit.side_pages().items()}
 
-    def _offers(self) -> dict[type, object]:
-        return {kind: offer for unit in self.units for kind, offer in unit.offers().items()}
-
     def signals(self) -> dict[signal.Signals, Callable[[], None]]:
         """The signals that units heed."""
         return {number: heed for unit in self.units for number, heed in unit.signals().items()}
@@ -240,8 +232,7 @@
         the kill is near.
         """
         self._log.info("stopping", transactions=len(self.state.transactions), legs=self._callers.open_legs)
-        longest = max(c.deadline_ms for c in self._config.settings.classes)
-        grace_ms = min(longest, KILL_MS) + KILL_MORE_MS - STOP_MARGIN_MS
+        grace_ms = kill_after_ms(c.deadline_ms for c in self._config.settings.classes) - STOP_MARGIN_MS
         self.tell(StopAsked(self._clock() + grace_ms))
         await anyio.sleep(STOP_ACCEPT_S)
         with anyio.move_on_after((grace_ms - LAST_CALL_MS) / 1000 - STOP_ACCEPT_S):
@@ -253,11 +244,14 @@
             await anyio.sleep(STOP_CHECK_S)
 
     async def _end_units(self) -> None:
-        """Let all units end, together; guards against one that stalls: the kill is near."""
+        """Let all units end, together, then close; guards against one that stalls: the kill is near."""
         with anyio.move_on_after(END_S):
             async with anyio.create_task_group() as ends:
                 for unit in self.units:
                     ends.start_soon(self._guarded, unit.end, type(unit).__name__)
+        with anyio.move_on_after(END_S):
+            for unit in reversed(self.units):
+                await self._guarded(unit.close, type(unit).__name__)
 
     def _busy(self) -> bool:
         return bool(self.state.transactions or self._callers.open_legs)
--- a/flintfield/units/jobstatus.py
+++ b/flintfield/units/jobstatus.py
@@ -35,6 +35,7 @@
         self._host = host
         jobs = host.state.jobs = Jobs(told.keep_ms, told.max_entries)
         self._pages = JobPages(host.config.name, lambda name: jobs.find(host.clock(), name))
+        host.lent["job pages"] = self._pages
 
     def effects(self) -> Mapping[type, Callable[[Any], None]]:
         """The word on a job that found no room in the table."""
@@ -44,9 +45,5 @@
         """`/jobs/<Req-Id>`."""
         return {JOBS: self._pages.page}
 
-    def offers(self) -> Mapping[type, object]:
-        """The pages, for who can look a job up elsewhere."""
-        return {JobPages: self._pages}
-
 
 FEATURE = Feature((SECTION,), JobStatusUnit)
