Let a member that died and came back with nothing rise above its former life at once

Need: on sockets a restarted instance stayed dead for the others in half of all cases: of one incarnation the session's number decided whether it took notice of its former life, and that is chance. Change: word of a former life, or of its death, is objected to whenever its incarnation is not below ours.

--- a/flintfield/membership/judging.py
+++ b/flintfield/membership/judging.py
@@ -171,18 +171,29 @@
 def _hear_of_own_name(turn: Turn, record: Record) -> None:
     """Our own words, those of a former life, or those of a living member that has our name."""
     own = turn.state.own
-    if own.leaving or record.rank <= own.record.rank or own.namesake:
+    if own.leaving or own.namesake:
         return
     if record.session == own.record.session or record.session in own.former:
-        object_to(turn, record.incarnation)
+        if record.rank > own.record.rank:
+            object_to(turn, record.incarnation)
     elif record.address == own.record.address:
-        object_to(turn, record.incarnation)  # where we listen nobody else does: it was a former life
-        turn.count("former_lives")
-    else:
+        hear_former_life(turn, record.incarnation)  # where we listen nobody else does
+    elif record.rank > own.record.rank:
         own.namesake = Namesake(record, turn.number())
         _ask_namesake(turn, own.namesake)
 
 
+def hear_former_life(turn: Turn, incarnation: int) -> None:
+    """A life of ours that is over is still believed in, or its death: rise above it.
+
+    Of one incarnation too: which session is the higher number is chance, and the dead need a higher
+    incarnation.
+    """
+    if incarnation >= turn.state.own.record.incarnation:
+        turn.count("former_lives")
+        object_to(turn, incarnation)
+
+
 def _ask_namesake(turn: Turn, namesake: Namesake) -> None:
     turn.send(namesake.record.address, namesake.record.session, Ping(namesake.number))
     turn.after(turn.state.rules.timeout_ms, "namesake", namesake)
@@ -198,8 +209,7 @@
         _ask_namesake(turn, namesake)
         return
     turn.state.own.namesake = None
-    turn.count("former_lives")
-    object_to(turn, namesake.record.incarnation)
+    hear_former_life(turn, namesake.record.incarnation)
 
 
 def give_way(turn: Turn) -> None:
--- a/flintfield/membership/meeting.py
+++ b/flintfield/membership/meeting.py
@@ -9,7 +9,9 @@
 
 from msgspec.structs import replace
 
-from flintfield.membership.judging import hear_alive, hear_left, hear_suspect, set_own_record
+from flintfield.membership.judging import (
+    hear_alive, hear_former_life, hear_left, hear_suspect, set_own_record,
+)
 from flintfield.membership.messages import (
     Address, Astray, Changed, Gone, Known, Left, OpenExchange, Status, Suspect,
 )
@@ -111,10 +113,7 @@
     status, name = Status(line.status), line.record.name
     entry = turn.state.table.get(name)
     if name == turn.state.name:
-        if status <= Status.SUSPECT or line.record.session != turn.state.own.record.session:
-            hear_alive(turn, line.record)
-        if status is not Status.ALIVE and line.record.session == turn.state.own.record.session:
-            hear_suspect(turn, Suspect(name, line.incarnation, by))
+        _take_own_line(turn, line, status, by)
     elif status is Status.ALIVE:
         hear_alive(turn, line.record, "it came itself" if name == by else f"in the table of {by}")
     elif entry is None and status >= Status.DEAD:
@@ -126,6 +125,17 @@
         hear_suspect(turn, Suspect(name, line.incarnation, by))
 
 
+def _take_own_line(turn: Turn, line: Known, status: Status, by: str) -> None:
+    own = turn.state.own.record
+    if line.record.session == own.session:
+        if status is not Status.ALIVE:
+            hear_suspect(turn, Suspect(own.name, line.incarnation, by))
+    elif status >= Status.DEAD and not turn.state.own.leaving:
+        hear_former_life(turn, line.incarnation)
+    else:
+        hear_alive(turn, line.record)
+
+
 def _bury(turn: Turn, line: Known, status: Status, by: str) -> None:
     """Remember one that was gone before we heard of it, for as long as the teller does and no longer."""
     keep_ms = min(line.keep_ms, turn.state.rules.tombstone_keep_ms(turn.state.table.live))
--- a/tests/test_membership_core.py
+++ b/tests/test_membership_core.py
@@ -383,3 +383,13 @@
     assert one.state.probe is not None and one.state.counters["probes.late_word"] == 1
     step(one.state, one.now, Heard(X.address, 99, 1, (Ack(pings[-1].number),)))
     assert one.state.probe is None
+
+
+@pytest.mark.parametrize("seed", range(6))  # the new session is the lower number for some, the higher for others
+def test_one_that_died_and_comes_back_with_nothing_is_taken_in_again(seed: int) -> None:
+    world, parties, _ = settled(4, seed)
+    world.kill(parties[1])
+    world.run(20_000)
+    assert statuses(parties[0])["m1"] is DEAD
+    world.restart(parties[1], [parties[0].address])
+    assert world.run(5_000, lambda: all_alive(parties))
