--- a/flintfield/lab/membership/__main__.py
+++ b/flintfield/lab/membership/__main__.py
@@ -68,5 +68,16 @@
         click.echo(str(path))
 
 
+@main.command()
+@click.argument("file", type=click.Path(path_type=Path, dir_okay=False))
+@click.option("--seed", default=1, show_default=True)
+def views(file: Path, seed: int) -> None:
+    """Play one trouble after the other, and plot what 30 members believe over time into FILE."""
+    from flintfield.lab.membership.views import draw, play
+
+    draw(play(seed), file)
+    click.echo(str(file))
+
+
 if __name__ == "__main__":
     main()
