--- a/tests/test_queue_front.py
+++ b/tests/test_queue_front.py
@@ -147,3 +147,137 @@
     for sock in silent:
         sock.close()
     assert server.counters["queue.closed_for_room"] >= 10
+
+
+# ------------------------------------------------- every operation, as boto3 has it
+
+
+def test_queues_are_made_found_listed_tagged_and_deleted(server: QueueServer) -> None:
+    sqs = server.client()
+    url = sqs.create_queue(QueueName="whole-1", Attributes={"DelaySeconds": "3"}, tags={"a": "b"})["QueueUrl"]
+    assert sqs.create_queue(QueueName="whole-1", Attributes={"DelaySeconds": "3"})["QueueUrl"] == url
+    with pytest.raises(sqs.exceptions.QueueNameExists):
+        sqs.create_queue(QueueName="whole-1", Attributes={"DelaySeconds": "4"})
+    sqs.create_queue(QueueName="whole-2")
+    first = sqs.list_queues(QueueNamePrefix="whole-", MaxResults=1)
+    rest = sqs.list_queues(QueueNamePrefix="whole-", MaxResults=1, NextToken=first["NextToken"])
+    assert [u.rpartition("/")[2] for u in first["QueueUrls"] + rest["QueueUrls"]] == ["whole-1", "whole-2"]
+    sqs.tag_queue(QueueUrl=url, Tags={"c": "d"})
+    sqs.untag_queue(QueueUrl=url, TagKeys=["a"])
+    assert sqs.list_queue_tags(QueueUrl=url)["Tags"] == {"c": "d"}
+    sqs.set_queue_attributes(QueueUrl=url, Attributes={"VisibilityTimeout": "7"})
+    told = sqs.get_queue_attributes(QueueUrl=url, AttributeNames=["VisibilityTimeout", "QueueArn"])
+    assert told["Attributes"] == {"VisibilityTimeout": "7",
+                                  "QueueArn": f"arn:aws:sqs:local:{ACCOUNT}:whole-1"}
+    sqs.delete_queue(QueueUrl=url)
+    with pytest.raises(sqs.exceptions.QueueDoesNotExist):
+        sqs.get_queue_url(QueueName="whole-1")
+    with pytest.raises(sqs.exceptions.QueueDeletedRecently):
+        sqs.create_queue(QueueName="whole-1")
+
+
+def test_a_fifo_queue_keeps_order_and_drops_repeats(server: QueueServer) -> None:
+    sqs = server.client()
+    url = sqs.create_queue(QueueName="order.fifo", Attributes={"FifoQueue": "true"})["QueueUrl"]
+    for body, group, name in (("1", "g", "a"), ("2", "g", "b"), ("2", "g", "b"), ("x", "h", "c")):
+        sqs.send_message(QueueUrl=url, MessageBody=body, MessageGroupId=group, MessageDeduplicationId=name)
+    attempt = {"QueueUrl": url, "MaxNumberOfMessages": 10, "ReceiveRequestAttemptId": "t",
+               "MessageSystemAttributeNames": ["All"]}
+    got = sqs.receive_message(**attempt)["Messages"]
+    assert [m["Body"] for m in got if m["Attributes"]["MessageGroupId"] == "g"] == ["1", "2"]
+    assert len(got) == 3
+    again = sqs.receive_message(**attempt)["Messages"]
+    assert [m["ReceiptHandle"] for m in again] == [m["ReceiptHandle"] for m in got]
+    sqs.delete_message_batch(QueueUrl=url, Entries=[
+        {"Id": str(i), "ReceiptHandle": m["ReceiptHandle"]} for i, m in enumerate(got)])
+    with pytest.raises(ClientError, match="MessageGroupId"):
+        sqs.send_message(QueueUrl=url, MessageBody="x", MessageDeduplicationId="d")
+    with pytest.raises(ClientError, match="ContentBasedDeduplication"):
+        sqs.send_message(QueueUrl=url, MessageBody="x", MessageGroupId="g")
+
+
+def test_visibility_is_changed_alone_and_in_batches(server: QueueServer, url: str) -> None:
+    sqs = server.client()
+    sqs.send_message(QueueUrl=url, MessageBody="x")
+    [message] = sqs.receive_message(QueueUrl=url)["Messages"]
+    handle = message["ReceiptHandle"]
+    sqs.change_message_visibility(QueueUrl=url, ReceiptHandle=handle, VisibilityTimeout=0)
+    with pytest.raises(sqs.exceptions.MessageNotInflight):
+        sqs.change_message_visibility(QueueUrl=url, ReceiptHandle=handle, VisibilityTimeout=5)
+    [message] = sqs.receive_message(QueueUrl=url)["Messages"]
+    result = sqs.change_message_visibility_batch(QueueUrl=url, Entries=[
+        {"Id": "a", "ReceiptHandle": message["ReceiptHandle"], "VisibilityTimeout": 0},
+        {"Id": "b", "ReceiptHandle": "forged", "VisibilityTimeout": 0}])
+    assert [e["Id"] for e in result["Successful"]] == ["a"]
+    assert [(e["Id"], e["Code"]) for e in result["Failed"]] == [("b", "ReceiptHandleIsInvalid")]
+
+
+def test_dead_letters_move_there_and_back(server: QueueServer) -> None:
+    sqs = server.client()
+    dead = sqs.create_queue(QueueName="moves-dead")["QueueUrl"]
+    arn = sqs.get_queue_attributes(QueueUrl=dead, AttributeNames=["QueueArn"])["Attributes"]["QueueArn"]
+    policy = f'{{"deadLetterTargetArn": "{arn}", "maxReceiveCount": "1"}}'
+    url = sqs.create_queue(QueueName="moves", Attributes={"RedrivePolicy": policy})["QueueUrl"]
+    assert sqs.list_dead_letter_source_queues(QueueUrl=dead)["queueUrls"] == [url]
+    sqs.send_message(QueueUrl=url, MessageBody="x")
+    sqs.receive_message(QueueUrl=url, VisibilityTimeout=0)
+    assert "Messages" not in sqs.receive_message(QueueUrl=url)
+    assert sqs.start_message_move_task(SourceArn=arn)["TaskHandle"]
+    time.sleep(0.2)
+    [task] = sqs.list_message_move_tasks(SourceArn=arn)["Results"]
+    assert (task["Status"], task["ApproximateNumberOfMessagesMoved"]) == ("COMPLETED", 1)
+    assert sqs.receive_message(QueueUrl=url)["Messages"][0]["Body"] == "x"
+    with pytest.raises(ClientError, match="Task does not exist"):
+        sqs.cancel_message_move_task(TaskHandle="none")
+
+
+@pytest.mark.parametrize(("call", "given", "code"), [
+    ("send_message", {"MessageBody": "x" * 262_145}, "InvalidParameterValue"),
+    ("send_message", {"MessageBody": "x", "DelaySeconds": 901}, "InvalidParameterValue"),
+    ("send_message", {"MessageBody": "x", "MessageDeduplicationId": "d"}, "InvalidParameterValue"),
+    ("receive_message", {"WaitTimeSeconds": 21}, "InvalidParameterValue"),
+    ("receive_message", {"VisibilityTimeout": 43_201}, "InvalidParameterValue"),
+    ("set_queue_attributes", {"Attributes": {"VisibilityTimeout": "-1"}}, "InvalidAttributeValue"),
+    ("set_queue_attributes", {"Attributes": {"Nonsense": "1"}}, "InvalidAttributeName"),
+    ("set_queue_attributes", {"Attributes": {"KmsMasterKeyId": "k"}}, "InvalidAttributeName"),
+    ("add_permission", {"Label": "l", "AWSAccountIds": ["1"], "Actions": ["*"]},
+     "AWS.SimpleQueueService.UnsupportedOperation"),
+    ("delete_message_batch", {"Entries": []}, "AWS.SimpleQueueService.EmptyBatchRequest"),
+    ("send_message_batch", {"Entries": [{"Id": "a", "MessageBody": "x" * 200_000},
+                                        {"Id": "b", "MessageBody": "x" * 200_000}]},
+     "AWS.SimpleQueueService.BatchRequestTooLong"),
+], ids=lambda value: value if isinstance(value, str) else "")
+def test_errors_are_told_as_published(server: QueueServer, url: str, call: str, given: dict[str, Any],
+                                      code: str) -> None:
+    with pytest.raises(ClientError) as caught:
+        getattr(server.client(), call)(QueueUrl=url, **given)
+    assert caught.value.response["Error"]["Code"] == code
+
+
+def test_one_purge_a_minute(server: QueueServer, url: str) -> None:
+    sqs = server.client()
+    sqs.send_message(QueueUrl=url, MessageBody="x")
+    sqs.purge_queue(QueueUrl=url)
+    assert "Messages" not in sqs.receive_message(QueueUrl=url)
+    with pytest.raises(sqs.exceptions.PurgeQueueInProgress):
+        sqs.purge_queue(QueueUrl=url)
+
+
+def test_the_command_lists_peeks_and_purges(server: QueueServer, url: str) -> None:
+    from click.testing import CliRunner
+
+    from flintfield.wire.sqs.commands import queue
+
+    server.keys = Keys({})
+    name = url.rpartition("/")[2]
+    server.client().send_message(QueueUrl=url, MessageBody="seat 7")
+
+    def run(*arguments: str) -> str:
+        result = CliRunner().invoke(queue, [*arguments, "--url", server.url])
+        assert result.exit_code == 0, result.output
+        return result.output
+
+    assert f'"queue": "{name}"' in run("ls", "--json")
+    assert '"Body": "seat 7"' in run("peek", name) and '"Body": "seat 7"' in run("peek", name)
+    run("purge", name, "--yes")
+    assert run("peek", name) == ""
