--- a/flintfield/cli/group.py
+++ b/flintfield/cli/group.py
@@ -28,6 +28,7 @@
     "lab": "flintfield.lab.cli:lab",
     "members": "flintfield.wire.membership.commands:members",
     "keys": "flintfield.wire.membership.commands:keys",
+    "store": "flintfield.store.command:store",
 }
 """The commands' names, and where each is declared."""
 
