--- a/flintfield/lab/sockets/directory.py
+++ b/flintfield/lab/sockets/directory.py
@@ -137,7 +137,10 @@
         return known
 
     def _entry(self, scheduler: int, line: Line) -> dict[str, Any]:
-        return list_line(line, self.run.clock.epoch_ms, text(self._where(line.machine.name, scheduler)))
+        # A scheduler whose clock is ahead takes a node for older than it is: so it is told an earlier start.
+        offsets = self.run.scenario.schedulers.clock_offset_ms
+        epoch = self.run.clock.epoch_ms - (offsets[scheduler] if offsets else 0.0)
+        return list_line(line, epoch, text(self._where(line.machine.name, scheduler)))
 
     # -------------------------------------------------------- its connections
 
--- a/flintfield/lab/sockets/rude.py
+++ b/flintfield/lab/sockets/rude.py
@@ -16,6 +16,7 @@
 
 MOST_AT_ONCE = 400
 PATIENCE_S = 3.0
+REPEATS = 2  # of what was refused, the first time included
 HUGE = 4 << 20
 PAUSE_S = 0.05
 _JOB = b"Req-Id: rude\r\nReq-Kind: %s\r\nReq-Deadline: 500m\r\n"
@@ -108,6 +109,13 @@
             number += 1
 
     async def _talk(self, address: Address, kind: Callable[[bytes], AsyncIterator[bytes]]) -> None:
+        """Say it, and again at once when it is refused."""
+        for _ in range(REPEATS):
+            if not await self._say(address, kind):
+                break
+
+    async def _say(self, address: Address, kind: Callable[[bytes], AsyncIterator[bytes]]) -> bool:
+        """Say it on a new connection; whether it was refused with an answer."""
         writer: asyncio.StreamWriter | None = None
         try:
             async with asyncio.timeout(PATIENCE_S):
@@ -117,8 +125,10 @@
                     await writer.drain()
                 status = (await reader.readline())[9:12].decode("latin-1")
                 self.answers[status or "none"] += 1
+                return bool(status)
         except (OSError, TimeoutError):
             self.answers["none"] += 1
+            return False
         finally:
             if writer:
                 writer.transport.abort()
