Split membership's shell: datagrams, exchanges, and what keeps time

Need: one class held sockets, rates, streams, time and keys. Change: datagrams.py and exchanges.py stand alone; member.py ties them to the core.

--- a/flintfield/wire/membership/member.py
+++ b/flintfield/wire/membership/member.py
@@ -1,4 +1,4 @@
-"""The shell of the membership core: sockets, time, and effects carried out. It decides nothing.
+"""The shell of the membership core: it keeps time and carries effects out. It decides nothing.
 
 All runs on the program's event loop and none of it on the way of a request: datagrams are read in short
 turns, with a pause where they do not end; tables go in slices; sends that the kernel does not take are
@@ -21,32 +21,21 @@
 from flintfield.membership.core import step
 from flintfield.membership.interface import Answers
 from flintfield.membership.messages import (
-    Address, Begin, Changed, Effect, ExchangeFailed, Gone, Heard, Input, KeysSet, Known, LeaveAsked, Noted,
-    OpenExchange, Part, Query, Record, Renamed, ReplyExchange, Send, SessionSet, Status, TableAsked,
-    TableTold, Told, Updated, Woke, )
-from flintfield.membership.rules import MOST_DATAGRAM, MOST_KEYS, Rules
+    Address, Begin, Changed, Effect, Gone, Heard, Input, KeysSet, LeaveAsked, Noted, OpenExchange, Query,
+    Record, Renamed, ReplyExchange, Send, SessionSet, Status, Told, Updated, Woke,
+)
+from flintfield.membership.rules import MOST_KEYS, Rules
 from flintfield.membership.state import Counts, State
-from flintfield.wire.http1.stream import Stream
 from flintfield.wire.membership.asks import Asks
-from flintfield.wire.membership.codec import LEAST, MOST, common_version
+from flintfield.wire.membership.codec import LEAST, MOST
+from flintfield.wire.membership.datagrams import Datagrams
+from flintfield.wire.membership.exchanges import Exchanges
 from flintfield.wire.membership.keys import Key, Ring
-from flintfield.wire.membership.rates import Sources
-from flintfield.wire.membership.seal import Drop, Opened, Seal, glance
+from flintfield.wire.membership.seal import Opened, Seal
 from flintfield.wire.membership.sockets import open_sockets
-from flintfield.wire.membership.streams import WHOLE_S, BadStream, exchange, serve
-
-TURN = 64  # datagrams read in a row
-FULL_TURNS = 4  # so many in a row without an end, and the reader pauses
-PAUSE_S = 0.005  # then: at most 13,000 datagrams a second are looked at, whatever comes
-MOST_ASKING, MOST_SERVING = 4, 8  # exchanges at a time that we began, and that others did
-SLICE = 128  # lines of a table that the core takes in at once: about a millisecond
-ACCEPT_PAUSE_S = 0.1
+
 LEAVE_S = 0.8
-# Datagrams a second from a session that has proven itself, and at once; from an address of strangers; from
-# all strangers; and streams from an address, and from all.
-MEMBER_RATE = (1_000.0, 2_000.0)
-STRANGER_RATE = (50.0, 200.0, 500.0, 1_000.0)
-STREAM_RATE = (20.0, 50.0, 50.0, 100.0)
+FOREVER_S = 3_600.0
 
 Notice = Changed | Updated | Noted | Renamed
 
@@ -77,27 +66,23 @@
         self._setup, self._notice, self._counters, self._clock = setup, notice, counters, clock
         self._rng = random.Random(secrets.randbits(64))
         self.seal = Seal(Ring(setup.keys), secrets.randbits(63), clock)
+        self.datagrams = Datagrams(self.seal, self._record_of, self._hand_on, self._count, clock)
+        self.exchanges = Exchanges(self.seal, self.tell, self._count, clock)
         self.asks = Asks(self._send_one, clock, self._rng, self._count)
         self.state: State
-        self._datagrams: socket.socket
-        self._listener: socket.socket
+        self._sockets: tuple[socket.socket, socket.socket]
         self._rearm, self._armed = anyio.Event(), float("inf")
         self._inbox: deque[Input] = deque()
         self._taking = False
-        self._replies: dict[int, tuple[Known, ...]] = {}
-        self._token = 0
-        self._asking = self._serving = 0
         self._left = anyio.Event()
         self._tasks: TaskGroup
-        self._members, self._strangers = Sources(*MEMBER_RATE, 1e9, 1e9), Sources(*STRANGER_RATE)
-        self._streams = Sources(*STREAM_RATE)
 
     # ------------------------------------------------------------ start and end
 
     def listen(self) -> int:
         """Take the port for datagrams and streams; an OSError tells why not."""
-        self._datagrams, self._listener = open_sockets(self._setup.bind)
-        host, port = self._listener.getsockname()[:2]
+        self._sockets = open_sockets(self._setup.bind)
+        host, port = self._sockets[1].getsockname()[:2]
         address = self._setup.advertise or (host, port)
         record = Record(self._setup.name, address[0], address[1] or port, self.seal.session, 1,
                         keys=self.seal.ring.ids, meta=self._setup.meta, least=LEAST, most=MOST)
@@ -109,13 +94,15 @@
 
     async def run(self) -> None:
         """Be a member until cancelled."""
-        with self._datagrams, self._listener:
+        datagrams, listener = self._sockets
+        with datagrams, listener:
             async with anyio.create_task_group() as tasks:
                 self._tasks = tasks
+                tasks.start_soon(self.datagrams.read_all, datagrams)
+                await anyio.sleep(0)
                 self.tell(Begin())
                 tasks.start_soon(self._keep_time)
-                tasks.start_soon(self._accept_all)
-                await self._read_all()
+                tasks.start_soon(self.exchanges.accept_all, listener, tasks)
 
     async def leave(self) -> None:
         """Tell the others that we leave; returns once that is out."""
@@ -149,11 +136,11 @@
     def _carry_out(self, effect: Effect) -> None:
         match effect:
             case Send():
-                self._send(effect.address, effect.to, effect.parts)
+                self.datagrams.send(effect.address, effect.to, effect.parts)
             case OpenExchange():
-                self._start_exchange(effect)
+                self.exchanges.start(effect, self._tasks)
             case ReplyExchange():
-                self._replies[effect.token] = effect.table
+                self.exchanges.reply(effect)
             case Gone():
                 self._left.set()
             case _:
@@ -164,7 +151,7 @@
             due = self.state.next_at()
             self._armed = float("inf") if due is None else due
             self._rearm = anyio.Event()
-            wait_s = 3600.0 if due is None else max(0.0, due - self._clock()) / 1000
+            wait_s = FOREVER_S if due is None else max(0.0, due - self._clock()) / 1000
             with anyio.move_on_after(wait_s):
                 await self._rearm.wait()
             if due is not None and self._clock() >= due:
@@ -179,88 +166,14 @@
             self.seal.begin(session)
             self.tell(SessionSet(session))
 
-    # ------------------------------------------------------------ datagrams out
-
-    def _send_one(self, address: Address, to: int, part: Query | Told) -> None:
-        self._send(address, to, (part,))
-
-    def _send(self, address: Address, to: int, parts: tuple[Part, ...]) -> None:
-        key, version = self._key_for(to)
-        if key is None or version is None:
-            self._count("unsent.no_common_key" if key is None else "unsent.no_common_version")
-            return
-        data = self.seal.seal(to, parts, key, version)
-        assert len(data) <= MOST_DATAGRAM, len(data)
-        try:
-            self._datagrams.sendto(data, address)
-        except OSError as error:  # its buffer is full, or there is no way there: as if lost
-            self._count(f"unsent.{type(error).__name__}")
-            return
-        self._count("datagrams.sent")
-        self._count("bytes.sent", len(data))
+    # ------------------------------------------------------------ datagrams
 
-    def _key_for(self, session: int) -> tuple[int | None, int | None]:
-        """The key and the version in which the member of that session understands us."""
-        ring = self.seal.ring
+    def _record_of(self, session: int) -> Record | None:
         entry = self.state.table.of_session(session)
-        if entry is None:
-            peer = self.seal.peers.get(session)
-            known = ring.choose((peer.key,)) if peer else None
-            return known or ring.ids[0], MOST
-        record = entry.record
-        return ring.choose(record.keys), common_version(record.least, record.most)
-
-    # ------------------------------------------------------------ datagrams in
+        return entry.record if entry else None
 
-    async def _read_all(self) -> None:
-        full = 0
-        while True:
-            if self._read_some() < TURN:
-                full = 0
-                await anyio.wait_readable(self._datagrams)
-            elif (full := full + 1) >= FULL_TURNS:
-                full = 0
-                self._count("floods")
-                await anyio.sleep(PAUSE_S)
-            else:
-                await anyio.sleep(0)
-
-    def _read_some(self) -> int:
-        for taken in range(TURN):
-            try:
-                data, source = self._datagrams.recvfrom(MOST_DATAGRAM + 1)
-            except BlockingIOError:
-                return taken
-            except OSError:
-                continue  # word of a datagram of ours that nobody took
-            self._receive(data, (source[0], source[1]))
-        return TURN
-
-    def _receive(self, data: bytes, source: Address) -> None:
-        if (reason := self._refuses(data, source)) is not None:
-            self._count(f"dropped.{reason}")
-            return
-        opened = self.seal.open(data)
-        if isinstance(opened, Drop):
-            self._count(f"dropped.{opened.value}")
-            return
-        self._count("datagrams.received")
-        self._count("bytes.received", len(data))
-        if opened.skipped:
-            self._count("parts.skipped", opened.skipped)
-        self._hand_on(opened, source)
-
-    def _refuses(self, data: bytes, source: Address) -> str | None:
-        """Why a datagram is not worth opening: what it claims to be, and how many came from there."""
-        if len(data) > MOST_DATAGRAM or (claims := glance(data)) is None:
-            return Drop.SHORT.value
-        key, session = claims
-        now = self._clock()
-        if self.seal.ring.cipher(key, now) is None:
-            return Drop.KEY.value
-        if session in self.seal.peers or session in self.state.table.sessions:
-            return None if self._members.admits(session, now, shared=False) else "rate"
-        return None if self._strangers.admits(source[0], now) else "rate"
+    def _send_one(self, address: Address, to: int, part: Query | Told) -> None:
+        self.datagrams.send(address, to, (part,))
 
     def _hand_on(self, opened: Opened, source: Address) -> None:
         """Questions and answers to whom they are for, all else to the core."""
@@ -273,73 +186,6 @@
         if rest:
             self.tell(Heard(source, opened.sender, opened.to, rest))
 
-    # ------------------------------------------------------------ streams
-
-    def _start_exchange(self, effect: OpenExchange) -> None:
-        if self._asking >= MOST_ASKING:
-            self._inbox.append(ExchangeFailed(effect.address, "too many at a time"))
-            return
-        self._asking += 1
-        self._tasks.start_soon(self._exchange, effect)
-
-    async def _exchange(self, effect: OpenExchange) -> None:
-        word = "it took too long"
-        try:
-            with anyio.move_on_after(WHOLE_S):
-                table = await exchange(self.seal, effect.address, effect.table)
-                word = ""
-        except BadStream as error:
-            word = str(error)
-        finally:
-            self._asking -= 1
-        if word:
-            self.tell(ExchangeFailed(effect.address, word))
-            return
-        for part in slices(table):
-            self.tell(TableTold(effect.address, part))
-            await anyio.sleep(0)
-
-    async def _accept_all(self) -> None:
-        while True:
-            try:
-                await anyio.wait_readable(self._listener)
-                sock, source = self._listener.accept()
-            except (BlockingIOError, ConnectionAbortedError):
-                continue
-            except OSError:  # no descriptor or no memory is left
-                await anyio.sleep(ACCEPT_PAUSE_S)
-                continue
-            if self._serving >= MOST_SERVING or not self._streams.admits(source[0], self._clock()):
-                self._count("streams.refused")
-                sock.close()
-                continue
-            self._serving += 1
-            self._tasks.start_soon(self._serve, Stream(sock))
-
-    async def _serve(self, stream: Stream) -> None:
-        try:
-            with anyio.move_on_after(WHOLE_S):
-                await serve(self.seal, stream, self._answer)
-                self._count("streams.served")
-                return
-            self._count("streams.too_slow")
-        except BadStream as error:
-            self._count(f"streams.{error.kind}")
-        finally:
-            self._serving -= 1
-            stream.close()
-
-    async def _answer(self, table: list[Known]) -> Sequence[Known]:
-        """The core's answer to a table, which it takes in slice by slice."""
-        first, *rest = slices(table) or [()]
-        self._token += 1
-        self.tell(TableAsked(self._token, first))
-        answer = self._replies.pop(self._token, ())
-        for part in rest:
-            await anyio.sleep(0)
-            self.tell(TableTold(first[0].address, part))
-        return answer
-
     # ------------------------------------------------------------ questions
 
     async def ask_all(self, kind: str, body: bytes, within_ms: float,
@@ -352,11 +198,3 @@
             gone += entry.status is Status.DEAD
         told, silent = await self.asks.ask(kind, body, within_ms, others, is_enough)
         return Answers(told, len(others), tuple(silent), gone)
-
-
-def slices(table: Sequence[Known]) -> list[tuple[Known, ...]]:
-    """The table in parts that the core takes at once; each begins with the teller's own line."""
-    if not table:
-        return []
-    rest = table[1:]
-    return [(table[0], *rest[i:i + SLICE]) for i in range(0, max(1, len(rest)), SLICE)]
--- a/tests/support/lossy.py
+++ b/tests/support/lossy.py
@@ -7,15 +7,15 @@
 
 from flintfield.lifecycle.start import main
 from flintfield.membership.messages import Address
-from flintfield.wire.membership.member import MemberShell
+from flintfield.wire.membership.datagrams import Datagrams
 
-loss, chance, receive = float(sys.argv[1]), random.Random(1), MemberShell._receive
+loss, chance, receive = float(sys.argv[1]), random.Random(1), Datagrams.receive
 
 
-def lose(shell: MemberShell, data: bytes, source: Address) -> None:
+def lose(datagrams: Datagrams, data: bytes, source: Address) -> None:
     if chance.random() >= loss:
-        receive(shell, data, source)
+        receive(datagrams, data, source)
 
 
-setattr(MemberShell, "_receive", lose)  # noqa: B010
+setattr(Datagrams, "receive", lose)  # noqa: B010
 sys.exit(main(sys.argv[2:]))
--- a/tests/support/shells.py
+++ b/tests/support/shells.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from flintfield.membership.messages import Address, Status
+from flintfield.membership.messages import Address, OpenExchange, Status
 from flintfield.membership.rules import Rules
 from flintfield.wire.membership.keys import Key, make_key
 from flintfield.wire.membership.member import MemberShell, Notice, Setup
@@ -28,16 +28,18 @@
         super().__init__(Setup(name, ("127.0.0.1", 0), None, seeds, keys, rules), self.notices.append,
                          self.counters)
         self.loss, self.cut, self._chance = 0.0, False, random.Random(name)
+        self.receive = self.datagrams.receive
+        self.datagrams.receive = self._maybe_receive  # type: ignore[method-assign]
+        self._begin_exchange = self.exchanges.start
+        self.exchanges.start = self._maybe_exchange  # type: ignore[method-assign]
 
-    def _receive(self, data: bytes, source: Address) -> None:
+    def _maybe_receive(self, data: bytes, source: Address) -> None:
         if not self.cut and self._chance.random() >= self.loss:
-            super()._receive(data, source)
+            self.receive(data, source)
 
-    async def _exchange(self, effect: object) -> None:
-        if self.cut:
-            self._asking -= 1
-        else:
-            await super()._exchange(effect)  # type: ignore[arg-type]
+    def _maybe_exchange(self, effect: OpenExchange, tasks: anyio.abc.TaskGroup) -> None:
+        if not self.cut:
+            self._begin_exchange(effect, tasks)
 
     @property
     def address(self) -> Address:
--- a/tests/test_membership_sockets.py
+++ b/tests/test_membership_sockets.py
@@ -13,7 +13,7 @@
 from msgspec.structs import replace as with_fields
 
 from flintfield.membership.messages import Address, Changed, Noted, Status
-from flintfield.wire.membership import member, seal as sealing, streams
+from flintfield.wire.membership import exchanges, seal as sealing, streams
 from flintfield.wire.membership.keys import Ring, make_key
 from flintfield.wire.membership.rates import Bucket
 from flintfield.wire.membership.seal import Drop
@@ -162,9 +162,9 @@
     taken: list[tuple[bytes, Address]] = []
 
     class Recorder(Shell):
-        def _receive(self, data: bytes, source: Address) -> None:
+        def _maybe_receive(self, data: bytes, source: Address) -> None:
             taken.append((data, source))
-            super()._receive(data, source)
+            super()._maybe_receive(data, source)
 
     async def scene(shells: Shells) -> None:
         recorder = shells.add("m0", kind=Recorder)
@@ -175,7 +175,7 @@
         assert recorder.counters["dropped.replay"] == 0
         again = list(taken)
         for data, source in again:
-            Shell._receive(recorder, data, source)
+            recorder.receive(data, source)
         assert recorder.counters["dropped.replay"] == len(again) > 10
 
     play(scene)
@@ -192,19 +192,18 @@
         def listen(self) -> int:
             port = super().listen()
             self.state.own.record = with_fields(self.state.own.record, most=2)
+            self.datagrams.choose = self.choose  # type: ignore[method-assign]
             return port
 
-        def _key_for(self, session: int) -> tuple[int | None, int | None]:
-            key, version = super()._key_for(session)
-            entry = self.state.table.of_session(session)
-            version = min(2, entry.record.most) if entry else 1
-            spoken.append(version)
-            return key, version
+        def choose(self, session: int) -> tuple[int | None, int | None]:
+            record = self._record_of(session)
+            spoken.append(min(2, record.most) if record else 1)
+            return KEY.id, spoken[-1]
 
-        def _receive(self, data: bytes, source: Address) -> None:
+        def _maybe_receive(self, data: bytes, source: Address) -> None:
             with pytest.MonkeyPatch.context() as patch:
                 patch.setattr(sealing, "MOST", 2)
-                super()._receive(data, source)
+                super()._maybe_receive(data, source)
 
     async def scene(shells: Shells) -> None:
         for n in range(6):
@@ -248,7 +247,7 @@
         await anyio.sleep(0.05)
         assert len(await _talk(shell.address, data)) in (0, streams.REPLY.size)
         assert await soon(lambda: sum(c for n, c in shell.counters.items() if n.startswith("streams.")) == 1)
-        assert shell._serving == 0
+        assert shell.exchanges.serving == 0
 
     play(scene)
 
@@ -292,9 +291,9 @@
     async def scene(shells: Shells) -> None:
         shell = shells.add("m0")
         await anyio.sleep(0.05)
-        held = [await anyio.connect_tcp(*shell.address) for _ in range(member.MOST_SERVING + 3)]
+        held = [await anyio.connect_tcp(*shell.address) for _ in range(exchanges.MOST_SERVING + 3)]
         assert await soon(lambda: shell.counters["streams.refused"] == 3)
-        assert await soon(lambda: shell._serving == 0, 5)  # who says nothing is closed after 2 s
+        assert await soon(lambda: shell.exchanges.serving == 0, 5)  # who says nothing is closed after 2 s
         for stream in held:
             await stream.aclose()
 
