Measure the request path and memory beside a reverse proxy and a forwarder of bytes

What the path costs was known from single runs; steps that are to make it faster need the same figures in turn with yardsticks, for the machine's speed moves by a factor of two within minutes.

benchmarks/path.py and memory.py play callers, nodes and discovery as processes on other cores and read rate, latency, processor time and resident memory of the real program.

--- /dev/null
+++ b/benchmarks/path.py
@@ -0,0 +1,58 @@
+"""The request path: requests a second, latency and processor time through the real program.
+
+Callers with 1, 16, 64 and 200 kept connections send jobs of a safe-to-repeat class through one scheduler on
+one core to ten instant nodes; a reverse proxy and a forwarder of bytes (`yardsticks.py`) are measured in turn
+with it, before the same nodes, in every round.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import Any
+
+from benchmarks.stage import Stage
+from benchmarks.suite import Options, Result, median_of
+
+CONNECTIONS = (1, 16, 64, 200)
+SECONDS = 2.0
+TARGETS = ("program", "aiohttp", "forwarder")
+
+
+def _measure(stage: Stage, options: Options) -> dict[tuple[str, int], list[dict[str, Any]]]:
+    """What the callers saw, by target and connections, a round each."""
+    nodes = stage.nodes(nodes=10, slots=64)
+    targets = {name: stage.scheduler(nodes) if name == "program" else stage.yardstick(name, nodes)
+               for name in TARGETS if options.wants(f"path.{name}")}
+    seen: dict[tuple[str, int], list[dict[str, Any]]] = defaultdict(list)
+    for number in range(options.rounds):
+        for connections in CONNECTIONS:
+            for name, target in targets.items():
+                seen[name, connections].append(stage.call(
+                    target, connections=connections, seconds=SECONDS * options.scale,
+                    warm_up=0.5 * options.scale, seed=options.seed + number))
+    return seen
+
+
+def _results(name: str, connections: int, rounds: list[dict[str, Any]]) -> list[Result]:
+    begin, statuses = f"path.{name}", [r["statuses"] for r in rounds]
+    return [
+        median_of(f"{begin}.rate.{connections}", "requests/s", "higher", [r["rate"] for r in rounds],
+                  statuses=statuses),
+        median_of(f"{begin}.cpu.{connections}", "us/request", "lower", [r["cpu_us"] for r in rounds],
+                  busy=[round(r["busy"], 3) for r in rounds]),
+        *(median_of(f"{begin}.latency.{part}.{connections}", "us", "lower",
+                    [r["latency_us"][part] for r in rounds]) for part in ("p50", "p99")),
+    ]
+
+
+def run(options: Options) -> list[Result]:
+    """All figures of the path, and the program's rate as a part of the reverse proxy's in the same round."""
+    with Stage() as stage:
+        seen = _measure(stage, options)
+    results = [r for (name, connections), rounds in seen.items() for r in _results(name, connections, rounds)]
+    for connections in CONNECTIONS:
+        ours, theirs = seen.get(("program", connections)), seen.get(("aiohttp", connections))
+        if ours and theirs:
+            parts = [a["rate"] / b["rate"] for a, b in zip(ours, theirs, strict=True)]
+            results.append(median_of(f"path.part_of_aiohttp.{connections}", "", "higher", parts))
+    return results
--- /dev/null
+++ b/tests/test_path_bench.py
@@ -0,0 +1,25 @@
+"""The suites of the request path and of memory: their parties really talk, and every figure comes out."""
+
+from __future__ import annotations
+
+import math
+
+from benchmarks import memory, path
+from benchmarks.suite import Options
+
+
+def test_the_path_is_measured_beside_its_yardsticks() -> None:
+    options = Options(rounds=1, scale=0.05, only=("path.program", "path.aiohttp"))
+    results = {r.name: r for r in path.run(options)}
+    for connections in path.CONNECTIONS:
+        rate = results[f"path.program.rate.{connections}"]
+        assert rate.value > 0 and rate.detail["statuses"][0].keys() == {"200"}
+        assert results[f"path.part_of_aiohttp.{connections}"].value > 0
+        assert 0 < results[f"path.program.latency.p50.{connections}"].value < 1e6
+
+
+def test_memory_is_told_for_each_leg_and_transaction() -> None:
+    only = ("memory.rest", "memory.leg", "memory.transaction.out")
+    results = {r.name: r.value for r in memory.run(Options(rounds=1, scale=0.05, only=only))}
+    assert results.keys() == set(only)
+    assert all(math.isfinite(v) and 0 < v < 1e6 for v in results.values())
