Serve caller legs without tasks: a poller wakes them, callers take turns

A leg cost a task for its life and, for each request, a task group, a cancel scope and several waits through anyio of 35 us each; an idle one held 10 KB.

poller.py keeps an epoll set of its own under the event loop's and wakes connections whose ready() does what can be done at once. Leg is a state machine on it. When more legs are ready than a turn takes, callers (by address) take turns, so that one with many connections does not hold up others (RFC 970). On the wire nothing changes.

--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -27,6 +27,7 @@
 from flintfield.wire.http1.client import Pool
 from flintfield.wire.http1.discovery import Discovery, Reader
 from flintfield.wire.http1.hop import NextHops
+from flintfield.wire.http1.poller import Poller
 
 SWEEP_S = 1.0
 LEGS_PART = 0.5  # of the descriptors: for caller legs; clients hold a third of all for requests
@@ -71,8 +72,9 @@
         self._discovery = Discovery(self.tell, pool, reader)
         pages = Pages(lambda: not self.state.stopping, lambda: self.state.counters, self._pages())
         gate = next((gate for unit in self.units if (gate := unit.gate())), None)
+        self._poller = Poller()
         self._callers = Callers(self.tell, pages, config.class_names,
-                                int(config.sockets * LEGS_PART), self._count, gate)
+                                int(config.sockets * LEGS_PART), self._count, self._poller, gate)
         self._perform: dict[type, Callable[[Any], None]] = {
             OpenBranch: self._open_branch,
             WriteBranch: self._hops.write,
@@ -182,6 +184,7 @@
             self.tell(self._known)
             tasks.start_soon(self._keep_time)
             tasks.start_soon(self._sweep)
+            tasks.start_soon(self._poller.run)
             tasks.start_soon(self._callers.accept_all, tasks)
             for unit in self.units:
                 self._start_beside(unit.run)
--- a/flintfield/wire/http1/caller.py
+++ b/flintfield/wire/http1/caller.py
@@ -9,11 +9,11 @@
 from typing import Protocol
 
 import anyio
-import h11
 from anyio.abc import TaskGroup
 
 from flintfield.memory.messages import Address, Answer, CallerLeft, Message, Submitted, Verdict
-from flintfield.wire.http1.leg import REQUEST_S, Leg, Reply, reply_to_bad
+from flintfield.wire.http1.leg import REQUEST_S, Leg, Phase, Reply
+from flintfield.wire.http1.poller import Poller, Waits
 from flintfield.wire.http1.stream import Stream, open_listener
 from flintfield.wire.http1.submission import BadRequest, Request, read_submission
 
@@ -69,14 +69,17 @@
     """All caller legs, and the socket they come from."""
 
     def __init__(self, tell: Callable[[Message], None], pages: Pages, class_names: Sequence[str],
-                 most_legs: int, count: Callable[[str], None], gate: Gate | None = None) -> None:
+                 most_legs: int, count: Callable[[str], None], poller: Poller,
+                 gate: Gate | None = None) -> None:
         self._tell, self._pages, self._count = tell, pages, count
         self._gate = gate  # None: all connections are taken as they come
         self._classes = {name: i for i, name in enumerate(class_names)}
         self._most_legs = most_legs
-        self._legs: dict[int, Leg] = {}  # by the number of the leg, oldest first
+        self._poller = poller
+        self._waits: Waits[Leg] = Waits(poller, REQUEST_S, Leg.time_over)
+        self._legs: dict[Leg, None] = {}  # oldest first
         self._waiting: dict[int, Leg] = {}  # by the transaction whose answer they wait for
-        self._next_leg = self._next_rid = 0
+        self._next_rid = 0
         self._listener: socket.socket | None = None
 
     # ------------------------------------------------------------ the socket
@@ -118,9 +121,12 @@
             if len(self._legs) >= self._most_legs:
                 self.make_room()
             self._count("legs.accepted")
-            self._next_leg += 1
-            leg = self._legs[self._next_leg] = Leg(Stream(sock), anyio.current_time())
-            tasks.start_soon(self._serve, self._next_leg, leg, peer)
+            leg = Leg(Stream(sock), self, self._poller, self._waits, peer)
+            self._legs[leg] = None
+            if self._gate:
+                tasks.start_soon(self._pass_gate, self._gate, leg, peer)
+            else:
+                leg.watch()
         return ACCEPT_TURN
 
     def stop_listening(self, tasks: TaskGroup) -> None:
@@ -134,9 +140,9 @@
 
     def close_idle(self) -> None:
         """Close the legs that are between two requests, or never had one."""
-        for leg in self._legs.values():
+        for leg in list(self._legs):
             if leg.idle and leg.stream.is_quiet():
-                leg.stream.close()
+                leg.close()
 
     def make_room(self) -> None:
         """Close the connection that is missed least: one that says nothing, else one between two requests.
@@ -145,20 +151,20 @@
         """
         if victim := next(self._victims(), None):
             self._count("legs.closed_for_room")
-            victim.stream.close()
+            victim.close()
 
     def _victims(self) -> Iterator[Leg]:
         """The legs that wait for nothing of ours, the best to close first; those alike by age."""
-        settled = anyio.current_time() - YOUNG_S
+        settled = self._poller.loop.time() - YOUNG_S
         kinds: list[list[Leg]] = [[], [], [], []]
-        for leg in self._legs.values():
-            if leg.lingering:
+        for leg in self._legs:
+            if leg.phase is Phase.LINGERING:
                 kinds[1].append(leg)
             elif leg.idle:
                 kinds[2 if leg.served else 0 if leg.began < settled else 3].append(leg)
         # The look at what has come guards against closing on a request that we have not read yet.
         return (leg for kind in kinds for leg in kind
-                if (leg.lingering and not leg.stream.closed) or leg.stream.is_quiet())
+                if leg.phase is Phase.LINGERING or leg.stream.is_quiet())
 
     @property
     def open_legs(self) -> int:
@@ -167,40 +173,48 @@
 
     # -------------------------------------------------------------- the legs
 
+    async def _pass_gate(self, gate: Gate, leg: Leg, peer: str) -> None:
+        """Learn who calls, within the time that the first request has; then the leg may serve."""
+        try:
+            read = await gate.lets_in(leg.stream, peer, leg.began + REQUEST_S)
+            if read is None:
+                leg.close()
+            else:
+                leg.watch(read)
+        except Exception as error:  # exceptions stop at the connection
+            leg.close(error)
+
     def answer(self, effect: Answer) -> None:
         """Hand a final answer to the leg that waits for it."""
         if leg := self._waiting.pop(effect.rid, None):
-            leg.reply = reply_of(effect)
-            leg.answered.set()
+            leg.answer(reply_of(effect))
 
-    async def _serve(self, number: int, leg: Leg, peer: str) -> None:
-        try:
-            serves_on = self._gate is None or await self._pass_gate(self._gate, leg, peer)
-            while serves_on:
-                serves_on = await self._exchange(leg)
-        except Exception as error:  # exceptions stop at the connection
+    def take(self, leg: Leg, request: Request) -> Reply | None:
+        """A leg has a whole request: a page is answered at once, a job opens a transaction."""
+        if reply := self._page(request):
+            return reply
+        submission = read_submission(request, self._classes)
+        self._next_rid += 1
+        leg.ticket = self._next_rid
+        self._waiting[leg.ticket] = leg
+        self._tell(Submitted(leg.ticket, submission))
+        return None
+
+    def leave(self, leg: Leg) -> None:
+        """A caller left, or sent on, before its answer: its job need not go on."""
+        self._tell(CallerLeft(leg.ticket))
+
+    def refuse(self, _: Leg, reply: Reply) -> None:
+        """A request could not be read."""
+        self._count(f"requests.bad.{reply.status}")
+
+    def end(self, leg: Leg, error: Exception | None) -> None:
+        """A leg is closed."""
+        del self._legs[leg]
+        if error:
             self._count(f"legs.broken.{type(error).__name__}")
-        finally:
-            leg.stream.close()
-            del self._legs[number]
-
-    async def _pass_gate(self, gate: Gate, leg: Leg, peer: str) -> bool:
-        """Learn who calls, within the time that the first request has; whether the leg may serve."""
-        read = await gate.lets_in(leg.stream, peer, leg.began + REQUEST_S)
-        if read:
-            leg.feed(read)
-        return read is not None
-
-    async def _exchange(self, leg: Leg) -> bool:
-        """One request and its answer; whether another may follow."""
-        try:
-            if (request := await leg.read()) is None:
-                return False
-            reply = self._page(request) or await self._transaction(leg, request)
-        except (BadRequest, h11.RemoteProtocolError) as error:
-            reply = reply_to_bad(error)
-            self._count(f"requests.bad.{reply.status}")
-        return await leg.write(reply)
+        if self._waiting.get(leg.ticket) is leg:
+            self._tell(CallerLeft(leg.ticket))
 
     def _page(self, request: Request) -> Reply | None:
         path = request.target.split(b"?", 1)[0]
@@ -215,25 +229,3 @@
             return Reply(200 if ready else 503, b"ready\n" if ready else b"not ready\n")
         return Reply(200, json.dumps(self._pages.counters(), sort_keys=True).encode(),
                      ((b"Content-Type", b"application/json"),))
-
-    async def _transaction(self, leg: Leg, request: Request) -> Reply:
-        submission = read_submission(request, self._classes)
-        self._next_rid += 1
-        rid = self._next_rid
-        self._waiting[rid] = leg
-        leg.answered, leg.reply = anyio.Event(), None
-        self._tell(Submitted(rid, submission))
-        if not leg.answered.is_set():
-            async with anyio.create_task_group() as both:
-                both.start_soon(self._watch_leaving, leg, rid)
-                await leg.answered.wait()
-                both.cancel_scope.cancel()
-        if leg.unsound:
-            raise BadRequest(400, "more came before the answer")
-        assert leg.reply is not None
-        return leg.reply
-
-    async def _watch_leaving(self, leg: Leg, rid: int) -> None:
-        """Notice a caller that leaves before its answer: its job need not go on."""
-        await leg.watch()
-        self._tell(CallerLeft(rid))
--- a/flintfield/wire/http1/leg.py
+++ b/flintfield/wire/http1/leg.py
@@ -1,13 +1,32 @@
-"""One connection of a caller: whole requests in, answers out, and no longer than it may take."""
+"""One connection of a caller: whole requests in, answers out, and no longer than it may take.
+
+Rules:
+
+1. A leg carries one request at a time. What comes before its answer is a caller that leaves, or an unsound
+   one.
+2. It waits for nothing: `ready` does what can be done now. What it needs of others it asks of its house.
+3. It holds a parser only while a request that is not whole, or not regular, is in work: an idle leg is small.
+
+    GATE ──▶ READING ── whole request ──▶ WAITING ── answer ──▶ WRITING ── all taken ──▶ READING
+                └─ what can not be read ───────────────────────────▲           └──▶ LINGERING ──▶ CLOSED
+
+GATE lasts until `watch`: others may read first who calls. READING waits for bytes: on a new leg no longer
+than `REQUEST_S` from its start, on a kept one for ever until the first byte, and `REQUEST_S` from there.
+WAITING ends with the house's `answer`. LINGERING throws away what still comes, so that our last answer is
+read before the connection ends.
+"""
 
 from __future__ import annotations
 
-import math
-from dataclasses import dataclass, field
+import asyncio
+from collections.abc import Hashable
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import Protocol
 
-import anyio
 import h11
 
+from flintfield.wire.http1.poller import READ, WRITE, Poller, Waits
 from flintfield.wire.http1.stream import Stream
 from flintfield.wire.http1.submission import MOST_BODY, BadRequest, Request, check_head
 
@@ -35,106 +54,287 @@
     return Reply(status, f"{error}\n".encode(), (), close=True)
 
 
+class House(Protocol):
+    """Whose legs they are."""
+
+    def take(self, leg: Leg, request: Request) -> Reply | None:
+        """A whole request: its answer, or None if `leg.answer` follows; a `BadRequest` is answered too."""
+
+    def leave(self, leg: Leg) -> None:
+        """The caller left, or sent on, before its answer; `leg.answer` may still be called."""
+
+    def refuse(self, leg: Leg, reply: Reply) -> None:
+        """A request that can not be read, or came too late, is answered so."""
+
+    def end(self, leg: Leg, error: Exception | None) -> None:
+        """The leg is closed, by an exception if there is one."""
+
+
+class Phase(IntEnum):
+    """What a leg is doing."""
+
+    GATE = 0
+    READING = 1
+    WAITING = 2
+    WRITING = 3
+    LINGERING = 4
+    CLOSED = 5
+
+
 @dataclass(slots=True)
+class _Coming:
+    """A request that is not whole yet, or not regular: its parser, its head and what there is of its body."""
+
+    parser: h11.Connection
+    head: h11.Request | None = None
+    body: bytearray | None = None
+
+
 class Leg:
     """One connection of a caller."""
 
-    stream: Stream
-    began: float  # when it was taken, or when the first byte of its request came
-    h11: h11.Connection = field(default_factory=lambda: h11.Connection(h11.SERVER))
-    idle: bool = True  # between two requests, not a byte of the next one read
-    served: bool = False
-    bodiless: bool = False  # an answer to HEAD has no body
-    unsound: bool = False  # it sent more than one request at a time
-    lingering: bool = False  # it has had its last answer
-    answered: anyio.Event = field(default_factory=anyio.Event)
-    reply: Reply | None = None
-
-    async def read(self) -> Request | None:
-        """The next whole request; None when the caller has ended the connection, or never began one."""
-        head: h11.Request | None = None
-        body = bytearray()
+    __slots__ = ("_blocked", "_coming", "_descriptor", "_house", "_left", "_poller", "_timer", "_unsound",
+                 "_waits", "began", "caller", "phase", "served", "stream", "ticket")
+
+    def __init__(self, stream: Stream, house: House, poller: Poller, waits: Waits[Leg],
+                 caller: Hashable) -> None:
+        self.stream, self.caller = stream, caller
+        self._house, self._poller, self._waits = house, poller, waits
+        self._descriptor = stream.descriptor
+        self.began = poller.loop.time()  # when it was taken, or when the first byte of its request came
+        self.phase = Phase.GATE
+        self.served = False
+        self.ticket = 0  # the house's own
+        self._coming: _Coming | None = None
+        self._unsound = False  # it sent more than one request at a time
+        self._left: list[memoryview] = []  # what of an answer the kernel has not taken
+        self._blocked = False  # we wait for room to write
+        self._timer: asyncio.TimerHandle | None = None
+        waits.add(self)
+
+    def watch(self, read: bytes = b"") -> None:
+        """Begin; `read` is what was read of the first request before."""
+        if self.phase is not Phase.GATE:
+            return  # it was closed meanwhile
+        self.phase = Phase.READING
+        self._poller.watch(self._descriptor, self)
+        if read:
+            self._feed(read)
+        if self._poller.loop.time() >= self.began + REQUEST_S:
+            self.time_over()
+
+    @property
+    def idle(self) -> bool:
+        """Between two requests, or before the first, and not a byte of the next one read."""
+        return self.phase is Phase.GATE or (self.phase is Phase.READING and self._coming is None)
+
+    # ------------------------------------------------------------ its turns
+
+    def ready(self) -> None:
+        """Do what can be done now."""
+        if self.phase is Phase.READING:
+            self._read()
+        elif self.phase is Phase.WAITING:
+            self._watch_leaving()
+        elif self.phase is Phase.WRITING:
+            self._flush()
+        elif self.phase is Phase.LINGERING:
+            self._throw_away()
+
+    def broke(self, error: Exception) -> None:
+        """An exception stops here."""
+        self.close(error)
+
+    def time_over(self) -> None:
+        """The time for a request is over."""
+        # Guards against closing on a request that came in time and that a busy loop had no turn to read.
+        while self.phase is Phase.READING and self._read():
+            pass
+        if self.phase is not Phase.READING:
+            return
+        if self._coming is None:
+            self.close()
+        else:
+            self._refuse(BadRequest(408, "the request did not come to its end"))
+
+    def close_after(self, seconds: float) -> None:
+        """Close then, whatever it is doing."""
+        self._poller.later(seconds, self.close)
+
+    def close(self, error: Exception | None = None) -> None:
+        """Close now."""
+        if self.phase is Phase.CLOSED:
+            return
+        self.phase, self._coming, self._left = Phase.CLOSED, None, []
+        if self._timer:
+            self._timer.cancel()
+        self._waits.remove(self)
+        self._poller.forget(self._descriptor)
+        self.stream.close()
+        self._house.end(self, error)
+
+    # -------------------------------------------------------------- reading
+
+    def _read(self) -> bool:
+        """Take in what has come; whether there was any."""
+        if (data := self.stream.read_now()) is None:
+            return False
+        if not data and self._coming is None:
+            self.close()
+            return False
+        if self.served and self._coming is None:
+            self.began = self._poller.loop.time()
+        self._feed(data)
+        return bool(data)
+
+    def _feed(self, data: bytes) -> None:
+        if self._coming is None:
+            self._coming = _Coming(h11.Connection(h11.SERVER))
+            if self.served:
+                self._waits.add(self)
+        try:
+            self._coming.parser.receive_data(data)
+            request = self._parse(self._coming)
+        except (BadRequest, h11.RemoteProtocolError) as error:
+            self._refuse(error)
+            return
+        if request:
+            self._take(request)
+
+    def _parse(self, coming: _Coming) -> Request | None:
+        """The request, once it is whole."""
         while True:
-            event = self.h11.next_event()
+            event = coming.parser.next_event()
             if event is h11.NEED_DATA:
-                if not await self._more():
-                    return None
-            elif isinstance(event, h11.Request):
-                head = event
-                self.bodiless = event.method == b"HEAD"
+                if coming.parser.they_are_waiting_for_100_continue:
+                    go_on = coming.parser.send(h11.InformationalResponse(status_code=100, headers=[]))
+                    self.stream.send_now(go_on or b"")
+                return None
+            if isinstance(event, h11.Request):
+                coming.head, coming.body = event, bytearray()
                 check_head(event)
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > MOST_BODY:
+            elif isinstance(event, h11.Data) and coming.body is not None:
+                coming.body += event.data
+                if len(coming.body) > MOST_BODY:
                     raise BadRequest(413, "the body is longer than 64 KiB")
-            elif isinstance(event, h11.EndOfMessage) and head:
+            elif isinstance(event, h11.EndOfMessage) and coming.head and coming.body is not None:
                 # Guards against a length too short: what follows is the rest of a job that is not whole.
-                if self.h11.trailing_data[0]:
+                if coming.parser.trailing_data[0]:
                     raise BadRequest(400, "more came than one request")
-                return Request(head.method, head.target, dict(head.headers), bytes(body))
+                head = coming.head
+                return Request(head.method, head.target, dict(head.headers), bytes(coming.body))
             else:
+                self.close()
                 return None
 
-    async def _more(self) -> bool:
-        """Read on; whether there is anything to go on with."""
-        if self.h11.they_are_waiting_for_100_continue:
-            go_on = self.h11.send(h11.InformationalResponse(status_code=100, headers=[]))
-            await self.stream.send(go_on or b"")
-        kept = self.idle and self.served
-        data = await self.stream.receive_by(math.inf if kept else self.began + REQUEST_S)
-        if data is None:
-            if self.idle:
-                return False
-            raise BadRequest(408, "the request did not come to its end")
-        if not data and (self.idle or self.stream.closed):
-            return False
-        if kept:
-            self.began = anyio.current_time()
-        self.feed(data)
-        return True
-
-    def feed(self, data: bytes) -> None:
-        """Take in bytes of a request."""
-        self.idle = False
-        self.h11.receive_data(data)
-
-    async def watch(self) -> None:
-        """Look on while an answer is made, until the caller leaves or sends more, which no sound one does."""
-        self.unsound = bool(await self.stream.receive())
-
-    async def write(self, reply: Reply) -> bool:
-        """Write an answer; whether the connection may serve on."""
-        close = reply.close or self.h11.their_state not in (h11.DONE, h11.IDLE)
+    def _take(self, request: Request) -> None:
+        self._waits.remove(self)
+        self.phase = Phase.WAITING
+        try:
+            reply = self._house.take(self, request)
+        except BadRequest as error:
+            self._refuse(error)
+            return
+        if reply:
+            self.answer(reply)
+
+    def _watch_leaving(self) -> None:
+        """Notice a caller that leaves before its answer: its job need not go on."""
+        if (data := self.stream.read_now()) is not None:
+            self._unsound = bool(data)
+            self._house.leave(self)
+
+    # -------------------------------------------------------------- writing
+
+    def _refuse(self, error: BadRequest | h11.RemoteProtocolError) -> None:
+        reply = reply_to_bad(error)
+        self._house.refuse(self, reply)
+        self._write(reply)
+
+    def answer(self, reply: Reply) -> None:
+        """Write the answer to the request that waits for it."""
+        if self.phase is not Phase.WAITING:
+            return
+        if self._unsound:
+            self._refuse(BadRequest(400, "more came before the answer"))
+        else:
+            self._write(reply)
+
+    def _write(self, reply: Reply) -> None:
+        self._waits.remove(self)
+        self.phase = Phase.WRITING
+        parser = self._coming.parser if self._coming else h11.Connection(h11.SERVER)
+        bodiless = self._coming is not None and self._coming.head is not None and (
+            self._coming.head.method == b"HEAD")  # an answer to HEAD has no body
         headers = [*reply.headers, (b"Content-Length", b"%d" % len(reply.body))]
-        if close:
+        if reply.close or parser.their_state not in (h11.DONE, h11.IDLE):
             headers.append((b"Connection", b"close"))
         head = h11.Response(status_code=reply.status, headers=headers)
-        body = b"" if self.bodiless else reply.body
-        parts = [self.h11.send(p) or b"" for p in (head, h11.Data(data=body), h11.EndOfMessage())]
+        body = b"" if bodiless else reply.body
+        parts = [parser.send(p) or b"" for p in (head, h11.Data(data=body), h11.EndOfMessage())]
         # A long body, of which there is one for many readers, is not copied to stand behind its head.
-        for data in parts if len(body) > MOST_BODY else [b"".join(parts)]:
-            if await self.stream.send(data) < len(data):
-                return False
+        self._left = [memoryview(p) for p in (parts if len(body) > MOST_BODY else [b"".join(parts)]) if p]
+        if self._coming:
+            self._coming.body = None
+        self._flush()
+
+    def _flush(self) -> None:
+        """Hand over what is left of an answer."""
+        while self._left:
+            sent = self.stream.send_now(self._left[0])
+            if sent is None:
+                self.close()
+                return
+            if sent < len(self._left[0]):
+                self._left[0] = self._left[0][sent:]
+                if not self._blocked:
+                    self._blocked = True
+                    self._poller.change(self._descriptor, WRITE)
+                return
+            del self._left[0]
+        if self._blocked:
+            self._blocked = False
+            self._poller.change(self._descriptor, READ)
+        self._written()
+
+    def _written(self) -> None:
         self.served = True
-        if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
-            self.h11.start_next_cycle()
-            self.idle = True
-            return True
-        await self._linger()
-        return False
-
-    async def _linger(self) -> None:
+        parser = self._coming.parser if self._coming else None
+        self._coming = None
+        if parser and parser.our_state is h11.DONE and parser.their_state is h11.DONE:
+            self.phase = Phase.READING
+        else:
+            self._linger()
+
+    # ------------------------------------------------------------ lingering
+
+    def _linger(self) -> None:
         """Throw away what still comes, unread by any parser, until the caller has had our last answer.
 
         Guards against a reset that overtakes the answer: bytes unread at a close make the kernel send one.
         """
-        self.lingering, self.h11 = True, h11.Connection(h11.SERVER)  # what h11 held is not needed any more
+        self.phase = Phase.LINGERING
         self.stream.end_sending()
-        ends = anyio.current_time() + LINGER_S
-        while anyio.current_time() < ends:
-            thrown = self.stream.throw_away()
-            if thrown:
-                ends = max(ends, self.began + DRAIN_S)
-                await anyio.sleep(DRAIN_PAUSE_S)
-            elif thrown == 0 or not await self.stream.receive_by(ends):
-                return
+        if self.stream.closed:
+            self.close()
+            return
+        self._timer = self._poller.later(LINGER_S, self.close)
+
+    def _throw_away(self) -> None:
+        thrown = self.stream.throw_away()
+        if thrown is None:
+            return
+        if thrown == 0:
+            self.close()
+            return
+        self._poller.change(self._descriptor, 0)
+        self._poller.later(DRAIN_PAUSE_S, self._throw_on)
+        assert self._timer
+        ends = self.began + DRAIN_S
+        if ends > self._timer.when():
+            self._timer.cancel()
+            self._timer = self._poller.loop.call_at(ends, self.close)
+
+    def _throw_on(self) -> None:
+        if self.phase is Phase.LINGERING:
+            self._poller.change(self._descriptor, READ)
--- /dev/null
+++ b/flintfield/wire/http1/poller.py
@@ -0,0 +1,191 @@
+"""Wakes connections that can go on, without a task for any of them.
+
+Rules:
+
+1. Nobody waits here: whoever is watched is an object whose `ready` does what can be done now, and returns. A
+   wake may be for nothing, so `ready` must bear to find neither bytes nor room.
+2. An exception that leaves `ready` stops at its connection: `broke` is told, and nobody else is touched.
+3. Whoever works for a caller names it. One caller's connections, however many, take turns with the others'
+   callers, not with their connections.
+
+Theory of operation. All sockets stand in an epoll set of our own, and its descriptor in the event loop's:
+one reader there, where a waiting task for each socket costs a future, a registration and a pass through the
+loop for each wake (measured: 35 us a wait through anyio, 5 us here). In its turn the poller asks its set,
+without waiting, who is ready. Connections to next hops and listeners go first, for they end work or are
+few. Callers' legs are sorted by caller, and of each caller one leg after the other is woken, in turn with
+the other callers, until a turn's worth is done. Then the event loop has its own turn: timers, tasks, and
+this poller again, which asks anew. The set is level-triggered: who was not woken is ready again in the next
+turn, at no cost but the asking.
+
+Fairness is the plain round robin of J. Nagle, "On Packet Switches With Infinite Storage" (RFC 970, 1985),
+with a request for a packet and a caller's address for a source. Weights and deficits as of later work were
+left out: callers' requests cost us about the same, whatever their size.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import select
+from collections import OrderedDict, deque
+from collections.abc import Callable, Hashable
+from typing import Generic, Protocol, TypeVar
+
+import anyio
+
+READ, WRITE = select.EPOLLIN, select.EPOLLOUT
+TURN = 32  # legs of callers woken before the event loop has its turn; at 0.2 ms each that is 6 ms
+MOST_READY = 8_192  # asked for at once
+
+
+class Watched(Protocol):
+    """What can be watched: something with one socket."""
+
+    @property
+    def caller(self) -> Hashable | None:
+        """The caller that it works for and takes turns with the others; None goes first."""
+
+    def ready(self) -> None:
+        """Something may go on: do what can be done without waiting."""
+
+    def broke(self, error: Exception) -> None:
+        """`ready` raised this: give up."""
+
+
+class Poller:
+    """All sockets of one event loop that are served without tasks; made within the running loop."""
+
+    def __init__(self, turn: int = TURN) -> None:
+        self.loop = asyncio.get_running_loop()
+        self._epoll = select.epoll()
+        self._turn_size = turn
+        self._watched: dict[int, Watched] = {}  # by descriptor
+        self._gone: set[int] = set()  # descriptors let go of in this turn: what is told of them is old
+        self._order: OrderedDict[Hashable, None] = OrderedDict()  # callers, the one longest unserved first
+        self.loop.add_reader(self._epoll.fileno(), self._turn)
+
+    def close(self) -> None:
+        """Watch nobody any more."""
+        self.loop.remove_reader(self._epoll.fileno())
+        self._epoll.close()
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        try:
+            await anyio.sleep_forever()
+        finally:
+            self.close()
+
+    # ------------------------------------------------------------ the watched
+
+    def watch(self, descriptor: int, watched: Watched, events: int = READ) -> None:
+        """Wake `watched` when one of the events has come, until `forget`."""
+        self._epoll.register(descriptor, events)
+        self._watched[descriptor] = watched
+
+    def change(self, descriptor: int, events: int) -> None:
+        """Look for other events; an end or an error is told whatever is asked for."""
+        self._epoll.modify(descriptor, events)
+
+    def forget(self, descriptor: int) -> None:
+        """Let go of a descriptor that is closed next, which takes it out of the set."""
+        if self._watched.pop(descriptor, None) is not None:
+            self._gone.add(descriptor)
+
+    def later(self, seconds: float, call: Callable[[], None]) -> asyncio.TimerHandle:
+        """Call once after that time; for what is rare."""
+        return self.loop.call_later(seconds, call)
+
+    def soon(self, call: Callable[[], None]) -> None:
+        """Call once what runs now has returned."""
+        self.loop.call_soon(call)
+
+    # --------------------------------------------------------------- the turn
+
+    def _turn(self) -> None:
+        self._gone.clear()
+        waiting: dict[Hashable, deque[int]] = {}
+        number = 0
+        for descriptor, _ in self._epoll.poll(0, MOST_READY):
+            if (watched := self._watched.get(descriptor)) is None or descriptor in self._gone:
+                continue
+            if watched.caller is None:
+                self._wake(watched)
+            else:
+                number += 1
+                if (legs := waiting.get(watched.caller)) is None:
+                    waiting[watched.caller] = deque((descriptor,))
+                else:
+                    legs.append(descriptor)
+        if number > self._turn_size:
+            self._take_turns(waiting)
+        elif number:
+            self._order.clear()
+            for legs in waiting.values():
+                for descriptor in legs:
+                    self._wake_leg(descriptor)
+
+    def _take_turns(self, waiting: dict[Hashable, deque[int]]) -> None:
+        """Wake one leg of each caller after the other, as many as a turn has."""
+        # Who was served in the last turn and waits again stands behind those who were not.
+        last = [caller for caller in self._order if caller in waiting]
+        order = deque([*(c for c in waiting if c not in self._order), *last])
+        self._order = OrderedDict.fromkeys(last)
+        for _ in range(self._turn_size):
+            caller = order.popleft()
+            self._wake_leg(waiting[caller].popleft())
+            if waiting[caller]:
+                order.append(caller)
+            self._order[caller] = None
+            self._order.move_to_end(caller)
+
+    def _wake_leg(self, descriptor: int) -> None:
+        watched = self._watched.get(descriptor)
+        if watched is not None and descriptor not in self._gone:
+            self._wake(watched)
+
+    def _wake(self, watched: Watched) -> None:
+        try:
+            watched.ready()
+        except Exception as error:  # exceptions stop at the connection
+            watched.broke(error)
+
+
+Item = TypeVar("Item", bound=Watched)
+
+
+class Waits(Generic[Item]):
+    """Those that all wait equally long: the first to come is the first whose time is over.
+
+    Adding and removing cost an entry of a dictionary; the event loop has one timer for all, however many.
+    """
+
+    def __init__(self, poller: Poller, seconds: float, over: Callable[[Item], None]) -> None:
+        self._loop, self._seconds, self._over = poller.loop, seconds, over
+        self._ends: dict[Item, float] = {}  # on the loop's clock, in order
+        self._armed = False
+
+    def add(self, item: Item) -> None:
+        """Let it wait from now on."""
+        self._ends.pop(item, None)  # it stands last now
+        self._ends[item] = ends = self._loop.time() + self._seconds
+        if not self._armed:
+            self._armed = True
+            self._loop.call_at(ends, self._ring)
+
+    def remove(self, item: Item) -> None:
+        """It waits no longer, if it did."""
+        self._ends.pop(item, None)
+
+    def _ring(self) -> None:
+        now = self._loop.time()
+        while self._ends:
+            item, ends = next(iter(self._ends.items()))
+            if ends > now:
+                self._loop.call_at(ends, self._ring)
+                return
+            del self._ends[item]
+            try:
+                self._over(item)
+            except Exception as error:  # exceptions stop at the connection
+                item.broke(error)
+        self._armed = False
--- a/flintfield/wire/http1/status.py
+++ b/flintfield/wire/http1/status.py
@@ -11,14 +11,14 @@
 from html import escape
 
 import anyio
-import h11
 from anyio.abc import TaskGroup
 
 from flintfield.memory.messages import Address
 from flintfield.memory.status import Server, Status
-from flintfield.wire.http1.leg import Leg, Reply, reply_to_bad
+from flintfield.wire.http1.leg import REQUEST_S, Leg, Reply
+from flintfield.wire.http1.poller import Poller, Waits
 from flintfield.wire.http1.stream import Stream, open_listener
-from flintfield.wire.http1.submission import BadRequest
+from flintfield.wire.http1.submission import BadRequest, Request
 
 MOST_LEGS = 8  # whoever comes beyond them waits in the kernel's queue
 BACKLOG = 16
@@ -71,47 +71,55 @@
 
     async def accept_all(self, tasks: TaskGroup) -> None:
         """Take readers in, while there is room for them, until it is cancelled."""
+        poller = Poller()
+        tasks.start_soon(poller.run)
+        waits: Waits[Leg] = Waits(poller, REQUEST_S, Leg.time_over)
         with self._listener:
             while True:
                 await self._room.acquire()
-                tasks.start_soon(self._serve, await self._accept())
+                sock, peer = await self._accept()
+                leg = Leg(Stream(sock), self, poller, waits, peer)
+                leg.watch()
 
-    async def _accept(self) -> socket.socket:
+    async def _accept(self) -> tuple[socket.socket, str]:
         while True:
             try:
                 await anyio.wait_readable(self._listener)
-                return self._listener.accept()[0]
+                sock, (peer, *_) = self._listener.accept()
+                return sock, peer
             except (BlockingIOError, ConnectionAbortedError):
                 continue  # it is gone again
             except OSError:  # no descriptor or no memory is left
                 await anyio.sleep(ACCEPT_PAUSE_S)
 
-    async def _serve(self, sock: socket.socket) -> None:
+    # --------------------------------------------------------------- its legs
+
+    def take(self, leg: Leg, request: Request) -> Reply:
         """One reader: one request, one page."""
-        leg = Leg(Stream(sock), anyio.current_time())
-        try:
-            if reply := await self._reply(leg):
-                self._count(f"statuspage.answers.{reply.status}")
-                with anyio.move_on_after(WRITE_S):
-                    await leg.write(reply)
-        except Exception as error:  # exceptions stop at the connection
+        page = self._pages.get(request.target.split(b"?", 1)[0])
+        if page is None:
+            raise BadRequest(404, "no such path")
+        if request.method != b"GET":
+            raise BadRequest(405, "this page is read with GET")
+        self._answered(leg, page)
+        return page
+
+    def refuse(self, leg: Leg, reply: Reply) -> None:
+        """A request that can not be read, or asks for what is not there."""
+        self._answered(leg, reply)
+
+    def _answered(self, leg: Leg, reply: Reply) -> None:
+        self._count(f"statuspage.answers.{reply.status}")
+        leg.close_after(WRITE_S)
+
+    def leave(self, leg: Leg) -> None:
+        """No answer is waited for here."""
+
+    def end(self, leg: Leg, error: Exception | None) -> None:
+        """A reader is gone."""
+        if error:
             self._count(f"statuspage.broken.{type(error).__name__}")
-        finally:
-            leg.stream.close()
-            self._room.release()
-
-    async def _reply(self, leg: Leg) -> Reply | None:
-        try:
-            if (request := await leg.read()) is None:
-                return None
-            page = self._pages.get(request.target.split(b"?", 1)[0])
-            if page is None:
-                raise BadRequest(404, "no such path")
-            if request.method != b"GET":
-                raise BadRequest(405, "this page is read with GET")
-            return page
-        except (BadRequest, h11.RemoteProtocolError) as error:
-            return reply_to_bad(error)
+        self._room.release()
 
 
 def _cells(server: Server) -> tuple[str, ...]:
--- a/flintfield/wire/http1/stream.py
+++ b/flintfield/wire/http1/stream.py
@@ -21,12 +21,37 @@
 class Stream:
     """One connection."""
 
+    __slots__ = ("_awaited", "_sock", "closed")
+
     def __init__(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock = sock
+        self._awaited = False  # a task may wait for it
         self.closed = False
 
+    # ------------------------------------------------------------ at once
+
+    def read_now(self, most: int = CHUNK) -> bytes | None:
+        """The bytes that have come, empty after the end or if it broke; None if none have come."""
+        try:
+            return self._sock.recv(most)
+        except BlockingIOError:
+            return None
+        except OSError:
+            return b""
+
+    def send_now(self, data: bytes | memoryview) -> int | None:
+        """How many of the bytes the kernel takes now; None if the connection broke."""
+        try:
+            return self._sock.send(data)
+        except BlockingIOError:
+            return 0
+        except OSError:
+            return None
+
+    # -------------------------------------------------------------- in time
+
     async def send(self, data: bytes) -> int:
         """Hand the bytes to the kernel; fewer than given means that the connection broke."""
         sent = 0
@@ -79,6 +104,7 @@
         return thrown
 
     async def _wait(self, ready: Callable[[socket.socket], Awaitable[None]]) -> bool:
+        self._awaited = True
         try:
             await ready(self._sock)
         except (anyio.ClosedResourceError, OSError, ValueError):
@@ -88,8 +114,14 @@
     @property
     def sock(self) -> socket.socket:
         """The socket, to be waited for."""
+        self._awaited = True
         return self._sock
 
+    @property
+    def descriptor(self) -> int:
+        """The socket's number, to be watched."""
+        return self._sock.fileno()
+
     def has_ended(self) -> bool:
         """Whether the other side has ended or broken it; bytes that wait hide an end behind them."""
         try:
@@ -120,7 +152,8 @@
         """Close now; whoever waits on it is woken."""
         if not self.closed:
             self.closed = True
-            anyio.notify_closing(self._sock)
+            if self._awaited:
+                anyio.notify_closing(self._sock)
             self._sock.close()
 
 
