Serve branches without tasks: a state machine for each, woken by the poller

A branch cost a task, a cancel scope, two time-outs with scopes and a wait through anyio for each step.

branch.py holds one branch as phases from the dial to the tail of the answer; rules and time limits are those of before. The request's head is written as h11 would write it, without h11; h11 reads the answers. lines.py reads a job's lines. On the wire nothing changes.

--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -68,15 +68,16 @@
         self._pool = pool
         reader = Reader(config.zones, config.kinds)
         self._known = reader.news(config.known, cached=True)
-        self._hops = NextHops(self.tell, self._clock, pool, config.report_names)
+        self._poller = Poller()
+        self._hops = NextHops(self.tell, self._clock, pool, config.report_names, self._poller,
+                              config.dial_timeout_ms)
         self._discovery = Discovery(self.tell, pool, reader)
         pages = Pages(lambda: not self.state.stopping, lambda: self.state.counters, self._pages())
         gate = next((gate for unit in self.units if (gate := unit.gate())), None)
-        self._poller = Poller()
         self._callers = Callers(self.tell, pages, config.class_names,
                                 int(config.sockets * LEGS_PART), self._count, self._poller, gate)
         self._perform: dict[type, Callable[[Any], None]] = {
-            OpenBranch: self._open_branch,
+            OpenBranch: self._hops.open,
             WriteBranch: self._hops.write,
             DropBranch: self._hops.drop,
             Answer: self._callers.answer,
@@ -113,10 +114,6 @@
 
         return start
 
-    def _open_branch(self, effect: OpenBranch) -> None:
-        self._hops.open(effect)
-        self._start(self._hops.run)(effect)
-
     def _call_discovery(self, effect: CallDiscovery) -> None:
         self._discovery.open(effect)
         self._start(self._discovery.run)(effect)
--- /dev/null
+++ b/flintfield/wire/http1/branch.py
@@ -0,0 +1,338 @@
+"""One branch on the wire: a connection to a next hop that carries one job. It tells what came back, no more.
+
+Rules:
+
+1. The connection is the branch's own. Guards against a job lost with a kept connection that the next hop has
+   just closed, or that fell silent while it was idle: it may have run then, for all we know.
+2. Nothing is written before the reducer, told that the connection is there, has said so (`write`).
+3. The body waits until the next hop has read the head and says so (100). Guards against a job on a connection
+   that is reset or silent: without its body it never ran, and may go elsewhere.
+4. Each ending says how far the attempt had come (`Reach`), and no further than is sure.
+
+    DIALLING ─▶ UP ─ write ─▶ HEAD ─▶ ASKING ─ 100 ─▶ BODY ─▶ ANSWERING ─ last line ─▶ TAIL ─▶ CLOSED
+                                └───── no body ───────────────────▲
+
+HEAD and BODY last as long as the kernel takes no more. In TAIL the branch has told its ending and reads the
+rest of the answer: a close before its end would be a reset to the next hop. `close` ends every phase at once.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable, Hashable, Mapping
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+import h11
+
+from flintfield.memory.messages import (
+    Address, BranchEnded, BranchNoted, BranchUp, End, Ending, Message, OpenBranch, Reach, Submission,
+    WriteBranch,
+)
+from flintfield.wire.http1.client import MOST_BODY, ROOM_PAUSE_S, Head, Pool
+from flintfield.wire.http1.lines import Lines, read_load
+from flintfield.wire.http1.poller import READ, WRITE, Poller, Waits
+from flintfield.wire.http1.stream import OURS, Stream
+
+CONTINUE_S = 0.1  # a next hop that is to say 100 and has not by then says nothing on this connection
+TAIL_S = 0.5  # how long the end of a response may lag behind its last line
+
+
+class Phase(IntEnum):
+    """What a branch is doing."""
+
+    DIALLING = 0
+    UP = 1
+    HEAD = 2
+    ASKING = 3
+    BODY = 4
+    ANSWERING = 5
+    TAIL = 6
+    CLOSED = 7
+
+
+REACH = {Phase.DIALLING: Reach.DIALLING, Phase.UP: Reach.WRITING, Phase.HEAD: Reach.WRITING,
+         Phase.ASKING: Reach.WRITING, Phase.BODY: Reach.WRITING}
+"""How far an attempt had come that broke in that phase; later ones may have run."""
+
+
+@dataclass(slots=True)
+class Shared:
+    """What all branches have in common."""
+
+    tell: Callable[[Message], None]
+    poller: Poller
+    pool: Pool
+    names: Mapping[str, str]  # a load report's names on the wire, and ours
+    end: Callable[[BranchLeg], None]  # a branch has told its ending, or has none to tell
+    dial_timeout_ms: float
+    continuing: set[Address] = field(default_factory=set)  # those that have said 100 before
+    dials: Waits[BranchLeg] = field(init=False)
+    asks: Waits[BranchLeg] = field(init=False)
+    tails: Waits[BranchLeg] = field(init=False)
+
+    def __post_init__(self) -> None:
+        """The waits that all share."""
+        self.dials = Waits(self.poller, self.dial_timeout_ms / 1000, BranchLeg.time_over)
+        self.asks = Waits(self.poller, CONTINUE_S, BranchLeg.time_over)
+        self.tails = Waits(self.poller, TAIL_S, BranchLeg.time_over)
+
+
+class BranchLeg:
+    """One branch's connection."""
+
+    __slots__ = ("_ends", "_left", "_lines", "_parser", "_shared", "_stream", "_tail", "address", "branch",
+                 "order", "phase", "rid")
+
+    def __init__(self, effect: OpenBranch, shared: Shared) -> None:
+        self.rid, self.branch, self.address = effect.rid, effect.branch, effect.address
+        self._shared = shared
+        self.phase = Phase.DIALLING
+        self.order: WriteBranch | None = None
+        self._ends = shared.poller.loop.time() + shared.dial_timeout_ms / 1000  # for want of a descriptor
+        self._stream: Stream | None = None
+        self._left = memoryview(b"")  # what of the request the kernel has not taken
+        self._parser: h11.Connection | None = None
+        self._lines: Lines | None = None
+        self._tail = 0  # bytes read behind the ending
+
+    @property
+    def caller(self) -> Hashable | None:
+        """It ends work: it goes before the callers' legs."""
+        return None
+
+    # ------------------------------------------------------------ its turns
+
+    def ready(self) -> None:
+        """Do what can be done now."""
+        phase = self.phase
+        if phase is Phase.DIALLING:
+            self._connected()
+        elif phase is Phase.HEAD or phase is Phase.BODY:
+            self._flush()
+            if self.phase is Phase.ANSWERING and self._parser:  # what had come with the 100
+                self._take_events(self._parser)
+        elif phase is not Phase.CLOSED:
+            self._read()
+
+    def broke(self, error: Exception) -> None:
+        """An exception stops here; it may have run for all we know."""
+        if self.phase < Phase.TAIL:
+            self._end(Ending(End.BROKEN, Reach.SENT, word=repr(error)))
+        self.close()
+
+    def time_over(self) -> None:
+        """What it waits for has not come in time."""
+        if self.phase is Phase.DIALLING:
+            self._end(Ending(End.BROKEN, Reach.DIALLING, word="no connection"))
+        elif self.phase is Phase.ASKING and self.address not in self._shared.continuing:
+            self._send_body()  # it may not know the word: HTTP then lets the body follow
+        elif self.phase is Phase.ASKING:
+            self._break("of no use before the request was whole")
+        else:
+            self.close()
+
+    def close(self) -> None:
+        """Close now, before anything else is written."""
+        if self.phase is Phase.CLOSED:
+            return
+        self.phase = Phase.CLOSED
+        shared = self._shared
+        shared.dials.remove(self)
+        shared.asks.remove(self)
+        shared.tails.remove(self)
+        if self._stream:
+            shared.poller.forget(self._stream.descriptor)
+            self._stream.close()
+
+    def _end(self, ending: Ending) -> None:
+        """Tell how it ended, and read on to the end of the answer if there is one."""
+        rest = ending.reach is Reach.ANSWERED
+        if rest:
+            self.phase = Phase.TAIL
+            self._shared.tails.add(self)
+        else:
+            self.close()
+        self._shared.end(self)
+        self._shared.tell(BranchEnded(self.rid, self.branch, ending))
+
+    def _break(self, word: str) -> None:
+        self._end(Ending(End.BROKEN, REACH.get(self.phase, Reach.SENT), word=word))
+
+    # -------------------------------------------------------------- dialling
+
+    def dial(self) -> None:
+        """Begin to connect.
+
+        Guards against blaming the other side for our own lack of descriptors: room is made instead.
+        """
+        if self.phase is Phase.CLOSED:
+            return
+        try:
+            sock = socket.socket(socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET,
+                                 socket.SOCK_STREAM)
+            self._stream = Stream(sock)
+            sock.connect(self.address)
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            if self._stream:
+                self._stream.close()
+                self._stream = None
+            self._not_connected(error.errno)
+            return
+        assert self._stream
+        self._shared.dials.add(self)
+        self._shared.poller.watch(self._stream.descriptor, self, WRITE)
+
+    def _not_connected(self, error: int | None) -> None:
+        if error not in OURS:
+            self._break("no connection")
+        elif self._shared.poller.loop.time() >= self._ends:
+            self._end(Ending(End.BROKEN, Reach.UNTRIED, word="no connection"))
+        else:
+            self._shared.pool.make_room()
+            self._shared.poller.later(ROOM_PAUSE_S, self.dial)
+
+    def _connected(self) -> None:
+        assert self._stream
+        if self._stream.error():
+            self._break("no connection")
+            return
+        self._shared.dials.remove(self)
+        self.phase = Phase.UP
+        self._shared.tell(BranchUp(self.rid, self.branch))
+        if self.phase is not Phase.UP:
+            return  # it was dropped
+        if self.order is None:  # it is not to be written after all
+            self.close()
+            self._shared.end(self)
+            return
+        self._shared.poller.change(self._stream.descriptor, READ)
+        self.phase = Phase.HEAD
+        self._send(self._head(self.order, self.order.submission))
+
+    # --------------------------------------------------------------- writing
+
+    def _head(self, order: WriteBranch, given: Submission) -> bytes:
+        asks = b"Expect: 100-continue\r\n" if given.body else b""
+        return (b"%b %b HTTP/1.1\r\nHost: %b:%d\r\nReq-Id: %b\r\nReq-Kind: %b\r\nReq-Deadline: %dm\r\n%b"
+                b"Content-Length: %d\r\n\r\n" % (
+                    given.method, given.target, self.address[0].encode(), self.address[1],
+                    given.name.encode(), given.class_name.encode(), order.wait_ms, asks, len(given.body)))
+
+    def _send_body(self) -> None:
+        assert self.order
+        self._shared.asks.remove(self)
+        self.phase = Phase.BODY
+        self._send(self.order.submission.body)
+
+    def _send(self, data: bytes) -> None:
+        self._left = memoryview(data)
+        self._flush()
+
+    def _flush(self) -> None:
+        """Hand over what is left of the head or the body, then go on."""
+        assert self._stream and self.order
+        while self._left:
+            sent = self._stream.send_now(self._left)
+            if sent is None:
+                self._break("broke before the request was whole")
+                return
+            self._left = self._left[sent:]
+            if self._left:
+                self._shared.poller.change(self._stream.descriptor, WRITE)
+                return
+        self._shared.poller.change(self._stream.descriptor, READ)
+        if self.phase is Phase.HEAD and self.order.submission.body:
+            self.phase = Phase.ASKING
+            self._shared.asks.add(self)
+        else:
+            self.phase = Phase.ANSWERING
+
+    # --------------------------------------------------------------- reading
+
+    def _read(self) -> None:
+        assert self._stream
+        if (data := self._stream.read_now()) is None:
+            return
+        if self.phase is Phase.TAIL:
+            self._tail += len(data)
+        if self._parser is None:
+            self._parser = _parser_of(self.order)
+        try:
+            self._parser.receive_data(data)
+        except h11.RemoteProtocolError:
+            self._ended()
+            return
+        self._take_events(self._parser)
+
+    def _take_events(self, parser: h11.Connection) -> None:
+        while self.phase not in (Phase.BODY, Phase.CLOSED):
+            try:
+                event = parser.next_event()
+            except h11.RemoteProtocolError:
+                self._ended()
+                return
+            if event is h11.NEED_DATA:
+                return
+            if self.phase is Phase.ASKING:
+                if not (isinstance(event, h11.InformationalResponse) and event.status_code == 100):
+                    self._break("of no use before the request was whole")
+                    return
+                self._shared.continuing.add(self.address)
+                self._send_body()
+            elif isinstance(event, h11.InformationalResponse):
+                continue
+            elif isinstance(event, h11.Response):
+                self._take_head(Head(event.status_code, dict(event.headers)))
+            elif isinstance(event, h11.Data):
+                self._take_piece(bytes(event.data))
+            else:
+                self._ended()
+                return
+
+    def _take_head(self, head: Head) -> None:
+        assert self.order
+        if head.status == 200:
+            self._lines = Lines(self.order.submission.name, self._shared.names)
+            return
+        declined = head.status in (503, 504) and head.headers.get(b"srv-declined") == b"1"
+        load = read_load(head.headers.get(b"srv-load", b""), self._shared.names)
+        end = End.DECLINED if declined else End.FAILED
+        self._end(Ending(end, Reach.ANSWERED, report=load, word=str(head.status)))
+
+    def _take_piece(self, piece: bytes) -> None:
+        if self.phase is Phase.TAIL:
+            if self._tail > MOST_BODY:
+                self.close()
+            return
+        assert self._lines
+        for told in self._lines.take(piece):
+            if isinstance(told, Ending):
+                self._end(told)
+                return
+            self._shared.tell(BranchNoted(self.rid, self.branch, told.started, told.share))
+            if self.phase is Phase.CLOSED:
+                return  # it was dropped
+
+    def _ended(self) -> None:
+        """The answer is over, or broke."""
+        if self.phase is Phase.TAIL:
+            self.close()
+        elif self.phase is Phase.ASKING:
+            self._break("of no use before the request was whole")
+        elif self._lines is None:
+            self._break("ended before an answer")
+        else:
+            self._end(self._lines.last())
+            self.close()
+
+
+def _parser_of(order: WriteBranch | None) -> h11.Connection:
+    """A parser of the answer to a request that was written without it."""
+    parser = h11.Connection(h11.CLIENT)
+    method = order.submission.method if order else b"POST"
+    parser.send(h11.Request(method=method, target=b"/", headers=[(b"Host", b"x"), (b"Content-Length", b"0")]))
+    parser.send(h11.EndOfMessage())
+    return parser
--- a/flintfield/wire/http1/client.py
+++ b/flintfield/wire/http1/client.py
@@ -133,8 +133,7 @@
                 return Reach.DIALLING
             if self._clock() >= ends:
                 return Reach.UNTRIED
-            if not self._close_oldest():
-                self._make_room()
+            self.make_room()
             await anyio.sleep(ROOM_PAUSE_S)
 
     async def fetch(self, address: Address, target: bytes, kept_s: float) -> Page | Reach:
@@ -177,6 +176,11 @@
         if sum(len(kept) for kept in self._idle.values()) > self._most:
             self._close_oldest()
 
+    def make_room(self) -> None:
+        """Have a descriptor come free soon."""
+        if not self._close_oldest():
+            self._make_room()
+
     def _close_oldest(self) -> bool:
         """Close what has been idle the longest; whether there was any."""
         if not (firsts := [kept[0] for kept in self._idle.values() if kept]):
--- a/flintfield/wire/http1/stream.py
+++ b/flintfield/wire/http1/stream.py
@@ -50,6 +50,10 @@
         except OSError:
             return None
 
+    def error(self) -> int:
+        """What became of a connect that is over: 0, or the error's number."""
+        return self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+
     # -------------------------------------------------------------- in time
 
     async def send(self, data: bytes) -> int:
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -26,7 +26,7 @@
 from flintfield.wire.http1 import discovery
 from flintfield.wire.http1.client import Pool
 from flintfield.wire.http1.discovery import Discovery, Reader
-from flintfield.wire.http1.hop import read_load
+from flintfield.wire.http1.lines import read_load
 from peers import SETTINGS
 
 E = TypeVar("E")
