Read the regular request and answer with strict readers, all else with h11 unread

h11 took half of the processor time of a request: two parsers made and some 30 events for each.

regular.py takes a whole POST with its Content-Length, and a 100 Continue with a 200 in whole chunks, where nothing is in doubt; anything else goes to h11 unread, within an answer from the first chunk that is not regular. Answers to regular requests are framed as h11 frames them. tools/fuzz_http1.py holds both against each other. On the wire nothing changes.

--- a/flintfield/wire/http1/branch.py
+++ b/flintfield/wire/http1/branch.py
@@ -23,15 +23,15 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
-import h11
-
 from flintfield.memory.messages import (
     Address, BranchEnded, BranchNoted, BranchUp, End, Ending, Message, OpenBranch, Reach, Submission,
     WriteBranch,
 )
-from flintfield.wire.http1.client import MOST_BODY, ROOM_PAUSE_S, Head, Pool
+from flintfield.wire.http1.answer import AnswerReader, Head, Mark
+from flintfield.wire.http1.client import MOST_BODY, ROOM_PAUSE_S, Pool
 from flintfield.wire.http1.lines import Lines, read_load
 from flintfield.wire.http1.poller import READ, WRITE, Poller, Waits
+from flintfield.wire.http1.regular import AnswerHeads
 from flintfield.wire.http1.stream import OURS, Stream
 
 CONTINUE_S = 0.1  # a next hop that is to say 100 and has not by then says nothing on this connection
@@ -67,6 +67,7 @@
     end: Callable[[BranchLeg], None]  # a branch has told its ending, or has none to tell
     dial_timeout_ms: float
     continuing: set[Address] = field(default_factory=set)  # those that have said 100 before
+    heads: AnswerHeads = field(default_factory=AnswerHeads)
     dials: Waits[BranchLeg] = field(init=False)
     asks: Waits[BranchLeg] = field(init=False)
     tails: Waits[BranchLeg] = field(init=False)
@@ -81,7 +82,7 @@
 class BranchLeg:
     """One branch's connection."""
 
-    __slots__ = ("_ends", "_left", "_lines", "_parser", "_shared", "_stream", "_tail", "address", "branch",
+    __slots__ = ("_answer", "_ends", "_left", "_lines", "_shared", "_stream", "_tail", "address", "branch",
                  "order", "phase", "rid")
 
     def __init__(self, effect: OpenBranch, shared: Shared) -> None:
@@ -92,7 +93,7 @@
         self._ends = shared.poller.loop.time() + shared.dial_timeout_ms / 1000  # for want of a descriptor
         self._stream: Stream | None = None
         self._left = memoryview(b"")  # what of the request the kernel has not taken
-        self._parser: h11.Connection | None = None
+        self._answer = AnswerReader(b"POST", shared.heads)
         self._lines: Lines | None = None
         self._tail = 0  # bytes read behind the ending
 
@@ -110,8 +111,8 @@
             self._connected()
         elif phase is Phase.HEAD or phase is Phase.BODY:
             self._flush()
-            if self.phase is Phase.ANSWERING and self._parser:  # what had come with the 100
-                self._take_events(self._parser)
+            if self.phase is Phase.ANSWERING:
+                self._take_all()  # what had come with the 100
         elif phase is not Phase.CLOSED:
             self._read()
 
@@ -258,37 +259,24 @@
             return
         if self.phase is Phase.TAIL:
             self._tail += len(data)
-        if self._parser is None:
-            self._parser = _parser_of(self.order)
-        try:
-            self._parser.receive_data(data)
-        except h11.RemoteProtocolError:
-            self._ended()
-            return
-        self._take_events(self._parser)
+        self._answer.put(data)
+        self._take_all()
 
-    def _take_events(self, parser: h11.Connection) -> None:
-        while self.phase not in (Phase.BODY, Phase.CLOSED):
-            try:
-                event = parser.next_event()
-            except h11.RemoteProtocolError:
-                self._ended()
-                return
-            if event is h11.NEED_DATA:
-                return
+    def _take_all(self) -> None:
+        """Take all that the answer says so far, but nothing before the body is written."""
+        answer = self._answer
+        while self.phase not in (Phase.BODY, Phase.CLOSED) and (told := answer.next()) is not None:
             if self.phase is Phase.ASKING:
-                if not (isinstance(event, h11.InformationalResponse) and event.status_code == 100):
+                if told is not Mark.GO_ON:
                     self._break("of no use before the request was whole")
                     return
                 self._shared.continuing.add(self.address)
                 self._send_body()
-            elif isinstance(event, h11.InformationalResponse):
-                continue
-            elif isinstance(event, h11.Response):
-                self._take_head(Head(event.status_code, dict(event.headers)))
-            elif isinstance(event, h11.Data):
-                self._take_piece(bytes(event.data))
-            else:
+            elif isinstance(told, Head):
+                self._take_head(told)
+            elif isinstance(told, bytes):
+                self._take_piece(told)
+            elif told is Mark.END or told is Mark.BROKEN:
                 self._ended()
                 return
 
@@ -320,19 +308,8 @@
         """The answer is over, or broke."""
         if self.phase is Phase.TAIL:
             self.close()
-        elif self.phase is Phase.ASKING:
-            self._break("of no use before the request was whole")
         elif self._lines is None:
             self._break("ended before an answer")
         else:
             self._end(self._lines.last())
             self.close()
-
-
-def _parser_of(order: WriteBranch | None) -> h11.Connection:
-    """A parser of the answer to a request that was written without it."""
-    parser = h11.Connection(h11.CLIENT)
-    method = order.submission.method if order else b"POST"
-    parser.send(h11.Request(method=method, target=b"/", headers=[(b"Host", b"x"), (b"Content-Length", b"0")]))
-    parser.send(h11.EndOfMessage())
-    return parser
--- a/flintfield/wire/http1/client.py
+++ b/flintfield/wire/http1/client.py
@@ -9,6 +9,7 @@
 import h11
 
 from flintfield.memory.messages import Address, Reach
+from flintfield.wire.http1.answer import Head
 from flintfield.wire.http1.stream import OURS, Stream, dial
 
 MOST_BODY = 4 << 20  # a whole list or a job's lines; more than this is odd input
@@ -16,14 +17,6 @@
 ROOM_PAUSE_S = 0.02  # between two tries to get a descriptor
 
 
-@dataclass(frozen=True, slots=True)
-class Head:
-    """The head of a response."""
-
-    status: int
-    headers: dict[bytes, bytes]
-
-
 class Connection:
     """A connection on which we are the client."""
 
--- a/flintfield/wire/http1/hop.py
+++ b/flintfield/wire/http1/hop.py
@@ -10,8 +10,9 @@
 from flintfield.memory.messages import (
     DropBranch, End, Ending, Message, OpenBranch, ProbeEnded, ProbeHop, Reach, WriteBranch,
 )
+from flintfield.wire.http1.answer import Head
 from flintfield.wire.http1.branch import BranchLeg, Shared
-from flintfield.wire.http1.client import Head, Page, Pool
+from flintfield.wire.http1.client import Page, Pool
 from flintfield.wire.http1.lines import read_load
 from flintfield.wire.http1.poller import Poller
 
--- a/flintfield/wire/http1/leg.py
+++ b/flintfield/wire/http1/leg.py
@@ -27,6 +27,7 @@
 import h11
 
 from flintfield.wire.http1.poller import READ, WRITE, Poller, Waits
+from flintfield.wire.http1.regular import read_request
 from flintfield.wire.http1.stream import Stream
 from flintfield.wire.http1.submission import MOST_BODY, BadRequest, Request, check_head
 
@@ -81,20 +82,67 @@
     CLOSED = 5
 
 
-@dataclass(slots=True)
-class _Coming:
-    """A request that is not whole yet, or not regular: its parser, its head and what there is of its body."""
+class Ended(Exception):
+    """The caller ended its connection without a request."""
 
-    parser: h11.Connection
-    head: h11.Request | None = None
-    body: bytearray | None = None
+
+class Coming:
+    """A request that is not whole yet, or not regular: h11 reads it."""
+
+    __slots__ = ("_body", "_head", "parser")
+
+    def __init__(self) -> None:
+        self.parser = h11.Connection(h11.SERVER)
+        self._head: h11.Request | None = None
+        self._body = bytearray()
+
+    def take(self, data: bytes) -> Request | None:
+        """The request once it is whole; `BadRequest` or h11's error tells what is wrong with it."""
+        self.parser.receive_data(data)
+        while (event := self.parser.next_event()) is not h11.NEED_DATA:
+            if isinstance(event, h11.Request):
+                self._head = event
+                check_head(event)
+            elif isinstance(event, h11.Data):
+                self._body += event.data
+                if len(self._body) > MOST_BODY:
+                    raise BadRequest(413, "the body is longer than 64 KiB")
+            elif isinstance(event, h11.EndOfMessage) and self._head:
+                # Guards against a length too short: what follows is the rest of a job that is not whole.
+                if self.parser.trailing_data[0]:
+                    raise BadRequest(400, "more came than one request")
+                head, body = self._head, bytes(self._body)
+                self._body.clear()
+                return Request(head.method, head.target, dict(head.headers), body)
+            else:
+                raise Ended
+        return None
+
+    def go_on(self) -> bytes:
+        """What to say to a caller that waits for a 100 before its body; nothing to others."""
+        if not self.parser.they_are_waiting_for_100_continue:
+            return b""
+        return self.parser.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
+
+    @property
+    def bodiless(self) -> bool:
+        """Whether an answer is to have no body."""
+        return self._head is not None and self._head.method == b"HEAD"
+
+
+def frame(reply: Reply) -> bytes:
+    """The bytes of an answer to a regular request, as h11 would write them."""
+    headers = b"".join(b"%b: %b\r\n" % pair for pair in reply.headers)
+    close = b"Connection: close\r\n" if reply.close else b""
+    return b"HTTP/1.1 %d \r\n%bContent-Length: %d\r\n%b\r\n%b" % (
+        reply.status, headers, len(reply.body), close, reply.body)
 
 
 class Leg:
     """One connection of a caller."""
 
-    __slots__ = ("_blocked", "_coming", "_descriptor", "_house", "_left", "_poller", "_timer", "_unsound",
-                 "_waits", "began", "caller", "phase", "served", "stream", "ticket")
+    __slots__ = ("_blocked", "_closes", "_coming", "_descriptor", "_house", "_left", "_poller", "_timer",
+                 "_unsound", "_waits", "began", "caller", "phase", "served", "stream", "ticket")
 
     def __init__(self, stream: Stream, house: House, poller: Poller, waits: Waits[Leg],
                  caller: Hashable) -> None:
@@ -105,7 +153,8 @@
         self.phase = Phase.GATE
         self.served = False
         self.ticket = 0  # the house's own
-        self._coming: _Coming | None = None
+        self._coming: Coming | None = None
+        self._closes = False  # the connection ends with this answer
         self._unsound = False  # it sent more than one request at a time
         self._left: list[memoryview] = []  # what of an answer the kernel has not taken
         self._blocked = False  # we wait for room to write
@@ -188,44 +237,25 @@
         return bool(data)
 
     def _feed(self, data: bytes) -> None:
-        if self._coming is None:
-            self._coming = _Coming(h11.Connection(h11.SERVER))
+        coming = self._coming
+        if coming is None:
+            if request := read_request(data):
+                self._take(request)
+                return
+            coming = self._coming = Coming()
             if self.served:
                 self._waits.add(self)
         try:
-            self._coming.parser.receive_data(data)
-            request = self._parse(self._coming)
+            request = coming.take(data)
+        except Ended:
+            self.close()
         except (BadRequest, h11.RemoteProtocolError) as error:
             self._refuse(error)
-            return
-        if request:
-            self._take(request)
-
-    def _parse(self, coming: _Coming) -> Request | None:
-        """The request, once it is whole."""
-        while True:
-            event = coming.parser.next_event()
-            if event is h11.NEED_DATA:
-                if coming.parser.they_are_waiting_for_100_continue:
-                    go_on = coming.parser.send(h11.InformationalResponse(status_code=100, headers=[]))
-                    self.stream.send_now(go_on or b"")
-                return None
-            if isinstance(event, h11.Request):
-                coming.head, coming.body = event, bytearray()
-                check_head(event)
-            elif isinstance(event, h11.Data) and coming.body is not None:
-                coming.body += event.data
-                if len(coming.body) > MOST_BODY:
-                    raise BadRequest(413, "the body is longer than 64 KiB")
-            elif isinstance(event, h11.EndOfMessage) and coming.head and coming.body is not None:
-                # Guards against a length too short: what follows is the rest of a job that is not whole.
-                if coming.parser.trailing_data[0]:
-                    raise BadRequest(400, "more came than one request")
-                head = coming.head
-                return Request(head.method, head.target, dict(head.headers), bytes(coming.body))
-            else:
-                self.close()
-                return None
+        else:
+            if request:
+                self._take(request)
+            elif go_on := coming.go_on():
+                self.stream.send_now(go_on)
 
     def _take(self, request: Request) -> None:
         self._waits.remove(self)
@@ -263,19 +293,22 @@
     def _write(self, reply: Reply) -> None:
         self._waits.remove(self)
         self.phase = Phase.WRITING
-        parser = self._coming.parser if self._coming else h11.Connection(h11.SERVER)
-        bodiless = self._coming is not None and self._coming.head is not None and (
-            self._coming.head.method == b"HEAD")  # an answer to HEAD has no body
+        if self._coming is None:
+            self._closes = reply.close
+            self._left = [memoryview(frame(reply))]
+            self._flush()
+            return
+        parser = self._coming.parser
         headers = [*reply.headers, (b"Content-Length", b"%d" % len(reply.body))]
         if reply.close or parser.their_state not in (h11.DONE, h11.IDLE):
             headers.append((b"Connection", b"close"))
         head = h11.Response(status_code=reply.status, headers=headers)
-        body = b"" if bodiless else reply.body
+        body = b"" if self._coming.bodiless else reply.body
         parts = [parser.send(p) or b"" for p in (head, h11.Data(data=body), h11.EndOfMessage())]
+        self._closes = not (parser.our_state is h11.DONE and parser.their_state is h11.DONE)
         # A long body, of which there is one for many readers, is not copied to stand behind its head.
         self._left = [memoryview(p) for p in (parts if len(body) > MOST_BODY else [b"".join(parts)]) if p]
-        if self._coming:
-            self._coming.body = None
+        self._coming = None
         self._flush()
 
     def _flush(self) -> None:
@@ -299,12 +332,10 @@
 
     def _written(self) -> None:
         self.served = True
-        parser = self._coming.parser if self._coming else None
-        self._coming = None
-        if parser and parser.our_state is h11.DONE and parser.their_state is h11.DONE:
-            self.phase = Phase.READING
-        else:
+        if self._closes:
             self._linger()
+        else:
+            self.phase = Phase.READING
 
     # ------------------------------------------------------------ lingering
 
--- /dev/null
+++ b/flintfield/wire/http1/regular.py
@@ -0,0 +1,90 @@
+"""Strict readers of the two regular shapes that fill the request path; all else goes to h11 unread.
+
+Rules:
+
+1. A reader here takes a text only if it is whole, of the one shape and beyond doubt. It never says that a
+   text is wrong: that is h11's word.
+2. What it takes it reads as h11 does, to the byte. `tools/fuzz_http1.py` holds both against each other.
+
+The shapes: a caller's `POST`, head and body in one piece, with a Content-Length; and a next hop's `100
+Continue`, then its `200` in chunks. Names of headers are letters and hyphens, one space follows the colon,
+values are printable, and no name comes twice. Headers that change how a message is framed or a connection
+goes on are not regular, but for `Connection: keep-alive`, which says what is so anyway.
+"""
+
+from __future__ import annotations
+
+import re
+
+from flintfield.wire.http1.submission import MOST_BODY, Request
+
+FIELDS = rb"((?:[A-Za-z][A-Za-z-]*: [!-~]+(?: [!-~]+)*\r\n)+)\r\n"
+REQUEST = re.compile(rb"POST (/[!-~]*) HTTP/1\.1\r\n" + FIELDS)
+ANSWER = re.compile(rb"HTTP/1\.1 200 [ -~]*\r\n" + FIELDS)
+CHUNK = re.compile(rb"([0-9a-fA-F]{1,5})\r\n")
+LENGTH = re.compile(rb"0|[1-9][0-9]{0,4}")
+GO_ON = b"HTTP/1.1 100 Continue\r\n\r\n"
+LINE_END, HEAD_END = b"\r\n", b"\r\n\r\n"
+MOST_HEAD = 8_192  # of a regular message
+# Headers by which a message is framed, a connection goes on or ends, or a word is waited for.
+ODD_REQUEST = frozenset((b"transfer-encoding", b"expect", b"upgrade", b"trailer", b"te"))
+ODD_ANSWER = frozenset((b"content-length", b"upgrade", b"trailer"))
+MOST_HEADS = 64  # of answers, known to be regular
+
+
+def _fields(lines: bytes) -> dict[bytes, bytes] | None:
+    """The headers; None if a name comes twice, or if the connection is not to go on as it is."""
+    pairs = [line.split(b": ", 1) for line in lines[:-2].split(LINE_END)]
+    fields = {name.lower(): value for name, value in pairs}
+    if len(fields) != len(pairs) or fields.get(b"connection", b"keep-alive").lower() != b"keep-alive":
+        return None
+    return fields
+
+
+def read_request(data: bytes) -> Request | None:
+    """The request, if the text is one regular one, whole, and nothing more."""
+    match = REQUEST.match(data, 0, MOST_HEAD)
+    if match is None or (headers := _fields(match[2])) is None:
+        return None
+    length, end = headers.get(b"content-length", b""), match.end()
+    if LENGTH.fullmatch(length) is None or len(data) - end != int(length) or int(length) > MOST_BODY:
+        return None
+    if b"host" not in headers or not ODD_REQUEST.isdisjoint(headers):
+        return None
+    return Request(b"POST", match[1], headers, data[end:])
+
+
+class AnswerHeads:
+    """Tells regular heads of answers; one that was seen before is known again without a look."""
+
+    def __init__(self) -> None:
+        self._known: set[bytes] = set()
+
+    def size(self, data: bytes, at: int) -> int:
+        """The length of the regular head of a `200` in chunks that begins there; 0 if there is none."""
+        end = data.find(HEAD_END, at, at + MOST_HEAD) + len(HEAD_END)
+        if end < len(HEAD_END):
+            return 0
+        head = data[at:end]
+        if head not in self._known:
+            match = ANSWER.fullmatch(head)
+            headers = _fields(match[1]) if match else None
+            if (headers is None or headers.get(b"transfer-encoding") != b"chunked"
+                    or not ODD_ANSWER.isdisjoint(headers)):
+                return 0
+            if len(self._known) >= MOST_HEADS:
+                self._known.clear()  # some carry the time of day
+            self._known.add(head)
+        return end - at
+
+
+def read_chunk(data: bytes, at: int) -> tuple[bytes, int] | None:
+    """The whole chunk that begins there, empty for the last, and where it ends; None if it is not regular."""
+    match = CHUNK.match(data, at)
+    if match is None:
+        return None
+    begin = match.end()
+    end = begin + int(match[1], 16)
+    if data[end:end + 2] != LINE_END:
+        return None
+    return data[begin:end], end + 2
--- /dev/null
+++ b/tests/test_regular.py
@@ -0,0 +1,69 @@
+"""The strict readers of regular HTTP/1.1: they take what fills the path, and read all as h11 does."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from flintfield.wire.http1.answer import AnswerReader, Head, Mark
+from flintfield.wire.http1.leg import Coming
+from flintfield.wire.http1.regular import AnswerHeads, read_request
+from tools.fuzz_http1 import fuzz
+
+REQUEST = (b"POST /render?a=1 HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: 9b1f\r\nUser-Agent: a b\r\n"
+           b"Connection: keep-alive\r\nContent-Length: 4\r\n\r\nbody")
+ANSWER = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nA\r\n0123456789\r\n0\r\n\r\n"
+
+
+def test_the_readers_agree_with_h11_on_bent_texts() -> None:
+    counts: Counter[str] = Counter()
+    assert fuzz(2_000, 7, counts) is None
+    assert counts["requests taken"] > 300 and counts["answers read by us to the last"] > 100
+
+
+def test_the_regular_request_is_taken_as_h11_reads_it() -> None:
+    taken = read_request(REQUEST)
+    assert taken and taken.body == b"body" and taken.headers[b"user-agent"] == b"a b"
+    assert taken == Coming().take(REQUEST)
+
+
+@pytest.mark.parametrize(("part", "other"), [
+    (b"Content-Length: 4", b"Content-Length: 3"), (b"Content-Length: 4", b"Content-Length: 5"),
+    (b"Content-Length: 4", b"Content-Length: 04"), (b"Content-Length: 4", b"Content-Length: +4"),
+    (b"User-Agent", b"Content-Length"), (b"User-Agent", b"Transfer-Encoding"), (b"User-Agent", b"Expect"),
+    (b"User-Agent", b"host"), (b"User-Agent:", b"User-Agent :"), (b"a b", b"a\tb"),
+    (b"a b\r\n", b"a\r\n b\r\n"), (b"a b\r\n", b"a b\n"),
+    (b"keep-alive", b"close"), (b"Host: origin.svc\r\n", b""), (b"/1.1", b"/1.0"),
+    (b"POST", b"GET"), (b"POST", b"\r\nPOST"), (b" /render", b" http://x/render"), (b"9b1f", b"9b\xe91f"),
+])
+def test_what_is_not_regular_is_left_to_h11(part: bytes, other: bytes) -> None:
+    assert part in REQUEST and read_request(REQUEST.replace(part, other, 1)) is None
+
+
+def read(pieces: list[bytes], heads: AnswerHeads | None) -> tuple[list[object], bool]:
+    reader, said = AnswerReader(b"POST", heads), list[object]()
+    for piece in pieces:
+        reader.put(piece)
+        while (told := reader.next()) is not None:
+            said.append(told.status if isinstance(told, Head) else told)
+            if told is Mark.END or told is Mark.BROKEN:
+                return said, reader.regular
+    return said, reader.regular
+
+
+def test_a_regular_answer_is_read_without_h11_and_any_other_with_it() -> None:
+    said = [Mark.GO_ON, 200, b"abc", b"0123456789", Mark.END]
+    heads = AnswerHeads()
+    for pieces in ([b"HTTP/1.1 100 Continue\r\n\r\n", ANSWER], [b"HTTP/1.1 100 Continue\r\n\r\n" + ANSWER]):
+        assert read(pieces, heads) == (said, True)
+        assert read(pieces, None) == (said, False)
+    cut = [ANSWER[:61], ANSWER[61:]]  # within the second chunk: h11 reads on from its begin
+    assert ANSWER[:61].endswith(b"A\r\n012") and read(cut, heads)[1] is False
+    assert b"".join(p for p in read(cut, heads)[0] if isinstance(p, bytes)) == b"abc0123456789"
+
+
+@pytest.mark.parametrize("cut", range(1, len(ANSWER)))
+def test_an_answer_that_ends_anywhere_before_its_end_is_broken(cut: int) -> None:
+    ours, theirs = (read([ANSWER[:cut], b""], heads)[0] for heads in (AnswerHeads(), None))
+    assert ours[-1] is theirs[-1] is Mark.BROKEN
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for whoever works on flintfield; nothing here serves."""
