Let jobs that may run again use a connection again

Each job made a connection: a handshake at the next hop, and an eighth of the processor time of a request here.

OpenBranch says whether a branch may take one: the reducer allows it for classes that are safe to repeat. A spare that breaks before the body was asked for has run nothing: the branch dials anew, asks the route set once more, and says nothing against the next hop; a silent one ends the branch as unsent after 100 ms, as a fresh one does. Bookings and jobs without a body have a fresh connection.

--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -24,14 +24,16 @@
 from flintfield.memory.state import State
 from flintfield.units.interface import Host, SidePage
 from flintfield.wire.http1.caller import Callers, Page, Pages
-from flintfield.wire.http1.client import Pool
+from flintfield.wire.http1.client import RETIRE_PART, Pool
 from flintfield.wire.http1.discovery import Discovery, Reader
 from flintfield.wire.http1.hop import NextHops
 from flintfield.wire.http1.poller import Poller
+from flintfield.wire.http1.spares import Spares
 
 SWEEP_S = 1.0
 LEGS_PART = 0.5  # of the descriptors: for caller legs; clients hold a third of all for requests
-IDLE_PART = 0.1  # of the descriptors: for kept connections; the rest is for branches, probes and our own
+# Of the descriptors: for kept connections, half of them jobs'; the rest is for branches, probes and our own.
+IDLE_PART = 0.1
 # After SIGTERM the kill comes no sooner than the longest deadline, counted as 3 s at the most, and 0.7 s.
 KILL_MS, KILL_MORE_MS = 3_000.0, 700.0
 STOP_MARGIN_MS = 200.0  # all is answered so long before the kill
@@ -63,14 +65,16 @@
         host = Host(config, self.state, self._clock, self._clock(), self.tell, self._start_beside,
                     self._errors, log, self._count, self._defect, self._side_pages)
         self.units = [feature.build(host) for feature in features]
-        pool = Pool(self._clock, config.conn_idle_ms, config.dial_timeout_ms,
-                    int(config.sockets * IDLE_PART), lambda: self._callers.make_room())
+        self._poller = Poller()
+        idle = int(config.sockets * IDLE_PART) // 2
+        spares = Spares(self._poller, config.conn_idle_ms * RETIRE_PART / 1000, idle)
+        pool = Pool(self._clock, config.conn_idle_ms, config.dial_timeout_ms, idle,
+                    lambda: spares.close_oldest() or self._callers.make_room())
         self._pool = pool
         reader = Reader(config.zones, config.kinds)
         self._known = reader.news(config.known, cached=True)
-        self._poller = Poller()
-        self._hops = NextHops(self.tell, self._clock, pool, config.report_names, self._poller,
-                              config.dial_timeout_ms)
+        self._hops = NextHops(self.tell, self._clock, pool, config.report_names, self._poller, spares,
+                              self._count, config.dial_timeout_ms)
         self._discovery = Discovery(self.tell, pool, reader)
         pages = Pages(lambda: not self.state.stopping, lambda: self.state.counters, self._pages())
         gate = next((gate for unit in self.units if (gate := unit.gate())), None)
--- a/flintfield/memory/messages.py
+++ b/flintfield/memory/messages.py
@@ -188,11 +188,12 @@
 
 @dataclass(frozen=True, slots=True)
 class OpenBranch:
-    """Get a connection to a next hop, then tell `BranchUp`."""
+    """Get a connection to a next hop, a used one only if it `may_reuse`; then tell `BranchUp`."""
 
     rid: int
     branch: int
     address: Address
+    may_reuse: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/flintfield/memory/reducer.py
+++ b/flintfield/memory/reducer.py
@@ -11,8 +11,9 @@
 from typing import Any
 
 from flintfield.decision.interface import (
-    Action, AttemptEnded, Cancel, Event, Fail, Gone, ListMode, Note, Outcome, Probe, Probed, Refuse, Request,
-    Send, ServerList, SetTimer, State as Lifecycle, Timer, Watch, WorkerId,
+    Action, AttemptEnded, Cancel, Effect as ClassEffect, Event, Fail, Gone, ListMode, Note, Outcome,
+    Probe, Probed, Refuse, Request, Send, ServerList, SetTimer, State as Lifecycle, Timer, Watch,
+    WorkerId,
 )
 from flintfield.decision.policy import TICK, TICK_MS
 from flintfield.memory.messages import (
@@ -134,7 +135,9 @@
         self.state.counters["branches.opened"] += 1
         if number == 0 and self.now > transaction.taken:
             self.state.counters["requests.held"] += 1
-        self.effects.append(OpenBranch(action.rid, number, route.address))
+        # Guards bookings against a connection that broke while it was idle, in whatever way.
+        cls = self.state.dispatcher.settings.classes[transaction.submission.cls]
+        self.effects.append(OpenBranch(action.rid, number, route.address, cls.effect is ClassEffect.SAFE))
 
     def refuse(self, action: Refuse) -> None:
         self._answer(action.rid, Verdict.REFUSED, retry_after_ms=action.retry_after_ms)
--- a/flintfield/wire/http1/answer.py
+++ b/flintfield/wire/http1/answer.py
@@ -53,6 +53,11 @@
         """Whether h11 was not asked so far."""
         return self._parser is None
 
+    @property
+    def clean(self) -> bool:
+        """Whether all was regular and nothing is left: after its end the connection may be used anew."""
+        return self._parser is None and self._at == len(self._data) and not self._ended
+
     def put(self, data: bytes) -> None:
         """Take in what has come; empty: no more comes."""
         if self._parser:
--- a/flintfield/wire/http1/branch.py
+++ b/flintfield/wire/http1/branch.py
@@ -2,15 +2,18 @@
 
 Rules:
 
-1. The connection is the branch's own. Guards against a job lost with a kept connection that the next hop has
-   just closed, or that fell silent while it was idle: it may have run then, for all we know.
+1. A job that must not run twice has a fresh connection. Guards against a job lost with a kept one that the
+   next hop has just closed, or that fell silent while it was idle: it may have run then, for all we know.
+   Others may take a spare (`spares.py`), but only to a next hop that says 100 and with a body that waits for
+   it: a spare that breaks before has lost nothing, and the branch dials anew.
 2. Nothing is written before the reducer, told that the connection is there, has said so (`write`).
 3. The body waits until the next hop has read the head and says so (100). Guards against a job on a connection
    that is reset or silent: without its body it never ran, and may go elsewhere.
 4. Each ending says how far the attempt had come (`Reach`), and no further than is sure.
 
     DIALLING ─▶ UP ─ write ─▶ HEAD ─▶ ASKING ─ 100 ─▶ BODY ─▶ ANSWERING ─ last line ─▶ TAIL ─▶ CLOSED
-                                └───── no body ───────────────────▲
+        ▲                       └───── no body ───────────────────▲
+        └──────── a spare that breaks in HEAD or ASKING
 
 HEAD and BODY last as long as the kernel takes no more. In TAIL the branch has told its ending and reads the
 rest of the answer: a close before its end would be a reset to the next hop. `close` ends every phase at once.
@@ -32,6 +35,7 @@
 from flintfield.wire.http1.lines import Lines, read_load
 from flintfield.wire.http1.poller import READ, WRITE, Poller, Waits
 from flintfield.wire.http1.regular import AnswerHeads
+from flintfield.wire.http1.spares import Spares
 from flintfield.wire.http1.stream import OURS, Stream
 
 CONTINUE_S = 0.1  # a next hop that is to say 100 and has not by then says nothing on this connection
@@ -64,6 +68,8 @@
     poller: Poller
     pool: Pool
     names: Mapping[str, str]  # a load report's names on the wire, and ours
+    spares: Spares
+    count: Callable[[str], None]
     end: Callable[[BranchLeg], None]  # a branch has told its ending, or has none to tell
     dial_timeout_ms: float
     continuing: set[Address] = field(default_factory=set)  # those that have said 100 before
@@ -82,17 +88,19 @@
 class BranchLeg:
     """One branch's connection."""
 
-    __slots__ = ("_answer", "_ends", "_left", "_lines", "_shared", "_stream", "_tail", "address", "branch",
-                 "order", "phase", "rid")
+    __slots__ = ("_answer", "_blocked", "_ends", "_left", "_lines", "_may_reuse", "_reuses", "_shared",
+                 "_stream", "_tail", "address", "branch", "order", "phase", "rid")
 
     def __init__(self, effect: OpenBranch, shared: Shared) -> None:
         self.rid, self.branch, self.address = effect.rid, effect.branch, effect.address
+        self._may_reuse, self._reuses = effect.may_reuse, False
         self._shared = shared
         self.phase = Phase.DIALLING
         self.order: WriteBranch | None = None
         self._ends = shared.poller.loop.time() + shared.dial_timeout_ms / 1000  # for want of a descriptor
         self._stream: Stream | None = None
         self._left = memoryview(b"")  # what of the request the kernel has not taken
+        self._blocked = False  # we wait for room to write
         self._answer = AnswerReader(b"POST", shared.heads)
         self._lines: Lines | None = None
         self._tail = 0  # bytes read behind the ending
@@ -113,7 +121,7 @@
             self._flush()
             if self.phase is Phase.ANSWERING:
                 self._take_all()  # what had come with the 100
-        elif phase is not Phase.CLOSED:
+        elif phase is not Phase.UP and phase is not Phase.CLOSED:
             self._read()
 
     def broke(self, error: Exception) -> None:
@@ -129,6 +137,7 @@
         elif self.phase is Phase.ASKING and self.address not in self._shared.continuing:
             self._send_body()  # it may not know the word: HTTP then lets the body follow
         elif self.phase is Phase.ASKING:
+            self._shared.spares.forget(self.address)
             self._break("of no use before the request was whole")
         else:
             self.close()
@@ -160,7 +169,34 @@
     def _break(self, word: str) -> None:
         self._end(Ending(End.BROKEN, REACH.get(self.phase, Reach.SENT), word=word))
 
-    # -------------------------------------------------------------- dialling
+    # ------------------------------------------------------------ connecting
+
+    def begin(self) -> None:
+        """Take a spare if there is one for this branch; else dial."""
+        shared = self._shared
+        if self._may_reuse and self.address in shared.continuing:
+            self._stream = shared.spares.take(self.address)
+        if self._stream is None:
+            self.dial()
+            return
+        self._reuses = True
+        shared.count("branches.reused")
+        shared.poller.hand(self._stream.descriptor, self)
+        self.phase = Phase.UP
+        shared.poller.soon(self, self._up)  # not now: the reducer is in the turn that asked for this branch
+
+    def _dial_anew(self) -> None:
+        """The spare is of no use, and nothing can have run on it."""
+        assert self._stream
+        self._shared.count("branches.dialled_anew")
+        self._shared.asks.remove(self)
+        self._shared.poller.forget(self._stream.descriptor)
+        self._stream.close()
+        self._shared.spares.forget(self.address)
+        self._stream, self.order, self._reuses, self._blocked = None, None, False, False
+        self._answer = AnswerReader(b"POST", self._shared.heads)
+        self.phase = Phase.DIALLING
+        self.dial()
 
     def dial(self) -> None:
         """Begin to connect.
@@ -193,7 +229,7 @@
             self._end(Ending(End.BROKEN, Reach.UNTRIED, word="no connection"))
         else:
             self._shared.pool.make_room()
-            self._shared.poller.later(ROOM_PAUSE_S, self.dial)
+            self._shared.poller.later(ROOM_PAUSE_S, self, self.dial)
 
     def _connected(self) -> None:
         assert self._stream
@@ -201,17 +237,32 @@
             self._break("no connection")
             return
         self._shared.dials.remove(self)
+        self._shared.poller.change(self._stream.descriptor, READ)
         self.phase = Phase.UP
-        self._shared.tell(BranchUp(self.rid, self.branch))
+        self._up()
+
+    def _up(self) -> None:
+        """There is a connection: ask whether to write."""
         if self.phase is not Phase.UP:
             return  # it was dropped
+        self._shared.tell(BranchUp(self.rid, self.branch))
+        if self.phase is not Phase.UP:
+            return
         if self.order is None:  # it is not to be written after all
-            self.close()
+            self._leave()
             self._shared.end(self)
-            return
-        self._shared.poller.change(self._stream.descriptor, READ)
-        self.phase = Phase.HEAD
-        self._send(self._head(self.order, self.order.submission))
+        elif self._reuses and not self.order.submission.body:
+            self._dial_anew()
+        else:
+            self.phase = Phase.HEAD
+            self._send(self._head(self.order, self.order.submission))
+
+    def _leave(self) -> None:
+        """Let go of a connection on which nothing is out, for another branch to use."""
+        assert self._stream
+        stream, self._stream = self._stream, None
+        self.close()
+        self._shared.spares.put(stream, self.address)
 
     # --------------------------------------------------------------- writing
 
@@ -237,14 +288,21 @@
         assert self._stream and self.order
         while self._left:
             sent = self._stream.send_now(self._left)
+            if sent is None and self._reuses and self.phase is Phase.HEAD:
+                self._dial_anew()
+                return
             if sent is None:
                 self._break("broke before the request was whole")
                 return
             self._left = self._left[sent:]
             if self._left:
-                self._shared.poller.change(self._stream.descriptor, WRITE)
+                if not self._blocked:
+                    self._blocked = True
+                    self._shared.poller.change(self._stream.descriptor, WRITE)
                 return
-        self._shared.poller.change(self._stream.descriptor, READ)
+        if self._blocked:
+            self._blocked = False
+            self._shared.poller.change(self._stream.descriptor, READ)
         if self.phase is Phase.HEAD and self.order.submission.body:
             self.phase = Phase.ASKING
             self._shared.asks.add(self)
@@ -267,6 +325,9 @@
         answer = self._answer
         while self.phase not in (Phase.BODY, Phase.CLOSED) and (told := answer.next()) is not None:
             if self.phase is Phase.ASKING:
+                if told is Mark.BROKEN and self._reuses:
+                    self._dial_anew()
+                    return
                 if told is not Mark.GO_ON:
                     self._break("of no use before the request was whole")
                     return
@@ -277,7 +338,7 @@
             elif isinstance(told, bytes):
                 self._take_piece(told)
             elif told is Mark.END or told is Mark.BROKEN:
-                self._ended()
+                self._ended(told is Mark.END)
                 return
 
     def _take_head(self, head: Head) -> None:
@@ -304,9 +365,11 @@
             if self.phase is Phase.CLOSED:
                 return  # it was dropped
 
-    def _ended(self) -> None:
+    def _ended(self, whole: bool) -> None:
         """The answer is over, or broke."""
-        if self.phase is Phase.TAIL:
+        if self.phase is Phase.TAIL and whole and self._answer.clean:
+            self._leave()
+        elif self.phase is Phase.TAIL:
             self.close()
         elif self._lines is None:
             self._break("ended before an answer")
--- a/flintfield/wire/http1/caller.py
+++ b/flintfield/wire/http1/caller.py
@@ -144,7 +144,7 @@
             if leg.idle and leg.stream.is_quiet():
                 leg.close()
 
-    def make_room(self) -> None:
+    def make_room(self) -> bool:
         """Close the connection that is missed least: one that says nothing, else one between two requests.
 
         Guards against callers that open connections until no descriptor is left for others and for next hops.
@@ -152,6 +152,7 @@
         if victim := next(self._victims(), None):
             self._count("legs.closed_for_room")
             victim.close()
+        return victim is not None
 
     def _victims(self) -> Iterator[Leg]:
         """The legs that wait for nothing of ours, the best to close first; those alike by age."""
--- a/flintfield/wire/http1/client.py
+++ b/flintfield/wire/http1/client.py
@@ -94,7 +94,7 @@
     """Idle connections by address, the last used first; in all no more than `most`."""
 
     def __init__(self, clock: Callable[[], float], conn_idle_ms: float, dial_timeout_ms: float, most: int,
-                 make_room: Callable[[], None]) -> None:
+                 make_room: Callable[[], object]) -> None:
         self._clock, self._dial_timeout_ms = clock, dial_timeout_ms
         # Guards against a request on a connection that the other side is just closing: it would be a reset.
         self._retire_ms = conn_idle_ms * RETIRE_PART
--- a/flintfield/wire/http1/hop.py
+++ b/flintfield/wire/http1/hop.py
@@ -15,6 +15,7 @@
 from flintfield.wire.http1.client import Page, Pool
 from flintfield.wire.http1.lines import read_load
 from flintfield.wire.http1.poller import Poller
+from flintfield.wire.http1.spares import Spares
 
 PROBE_S = 0.4  # a probe without an answer by then has failed
 PROBE_KEPT_S = 0.15  # on a kept connection, which may have fallen silent: then a new one is tried
@@ -24,9 +25,11 @@
     """All branches and probes that are out."""
 
     def __init__(self, tell: Callable[[Message], None], clock: Callable[[], float], pool: Pool,
-                 report_names: Mapping[str, str], poller: Poller, dial_timeout_ms: float) -> None:
+                 report_names: Mapping[str, str], poller: Poller, spares: Spares,
+                 count: Callable[[str], None], dial_timeout_ms: float) -> None:
         self._tell, self._clock, self._pool, self._names = tell, clock, pool, report_names
-        self._shared = Shared(tell, poller, pool, report_names, self._ended, dial_timeout_ms)
+        self._shared = Shared(tell, poller, pool, report_names, spares, count, self._ended,
+                              dial_timeout_ms)
         self._outs: dict[tuple[int, int], BranchLeg] = {}
 
     # -------------------------------------------------------------- branches
@@ -35,7 +38,7 @@
         """Start a branch; it tells `BranchUp` once it has its connection."""
         leg = self._outs[effect.rid, effect.branch] = BranchLeg(effect, self._shared)
         try:
-            leg.dial()
+            leg.begin()
         except Exception as error:  # exceptions stop at the connection
             leg.broke(error)
 
--- a/flintfield/wire/http1/leg.py
+++ b/flintfield/wire/http1/leg.py
@@ -208,7 +208,7 @@
 
     def close_after(self, seconds: float) -> None:
         """Close then, whatever it is doing."""
-        self._poller.later(seconds, self.close)
+        self._poller.later(seconds, self, self.close)
 
     def close(self, error: Exception | None = None) -> None:
         """Close now."""
@@ -349,7 +349,7 @@
         if self.stream.closed:
             self.close()
             return
-        self._timer = self._poller.later(LINGER_S, self.close)
+        self._timer = self._poller.later(LINGER_S, self, self.close)
 
     def _throw_away(self) -> None:
         thrown = self.stream.throw_away()
@@ -359,7 +359,7 @@
             self.close()
             return
         self._poller.change(self._descriptor, 0)
-        self._poller.later(DRAIN_PAUSE_S, self._throw_on)
+        self._poller.later(DRAIN_PAUSE_S, self, self._throw_on)
         assert self._timer
         ends = self.began + DRAIN_S
         if ends > self._timer.when():
--- a/flintfield/wire/http1/poller.py
+++ b/flintfield/wire/http1/poller.py
@@ -86,18 +86,22 @@
         """Look for other events; an end or an error is told whatever is asked for."""
         self._epoll.modify(descriptor, events)
 
+    def hand(self, descriptor: int, watched: Watched) -> None:
+        """Wake somebody else from now on."""
+        self._watched[descriptor] = watched
+
     def forget(self, descriptor: int) -> None:
         """Let go of a descriptor that is closed next, which takes it out of the set."""
         if self._watched.pop(descriptor, None) is not None:
             self._gone.add(descriptor)
 
-    def later(self, seconds: float, call: Callable[[], None]) -> asyncio.TimerHandle:
-        """Call once after that time; for what is rare."""
-        return self.loop.call_later(seconds, call)
+    def later(self, seconds: float, watched: Watched, call: Callable[[], None]) -> asyncio.TimerHandle:
+        """Call once after that time, for what is rare; what is raised is told to `watched`."""
+        return self.loop.call_later(seconds, _guarded, watched, call)
 
-    def soon(self, call: Callable[[], None]) -> None:
-        """Call once what runs now has returned."""
-        self.loop.call_soon(call)
+    def soon(self, watched: Watched, call: Callable[[], None]) -> None:
+        """Call once what runs now has returned; what is raised is told to `watched`."""
+        self.loop.call_soon(_guarded, watched, call)
 
     # --------------------------------------------------------------- the turn
 
@@ -150,6 +154,13 @@
             watched.broke(error)
 
 
+def _guarded(watched: Watched, call: Callable[[], None]) -> None:
+    try:
+        call()
+    except Exception as error:  # exceptions stop at the connection
+        watched.broke(error)
+
+
 Item = TypeVar("Item", bound=Watched)
 
 
