--- a/benchmarks/callers.py
+++ b/benchmarks/callers.py
@@ -18,7 +18,7 @@
 
 import msgspec
 import uvloop
-from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]
+from hdrh.histogram import HdrHistogram
 
 HEAD_END = b"\r\n\r\n"
 LENGTH = b"content-length: "
--- a/flintfield/memory/messages.py
+++ b/flintfield/memory/messages.py
@@ -72,6 +72,21 @@
     slots: float = 1.0
     memory: float = 0.0
     repeat: bool = False
+    front: str = ""  # who handed it in, where that is not the main listener: it is asked and answered
+
+
+@dataclass(frozen=True, slots=True)
+class Lasting:
+    """A job's record as it is to last; `memory/ledger.py` says what it promises."""
+
+    name: str
+    kind: str
+    state: str
+    instance: str | None
+    outcome: str | None
+    ran: bool  # it may have run: it was let out, and nothing proved yet that it did not run
+    sure: bool  # were it not so, `ran` would be set
+    keep_ms: float  # how long it is to be kept from now on
 
 
 class Verdict(Enum):
@@ -173,6 +188,34 @@
     settle_by: float
 
 
+@dataclass(frozen=True, slots=True)
+class Kept:
+    """What a `Keep` asked for is as durable as it was to be."""
+
+    ticket: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeepFailed:
+    """It is not, and will not be; what is there of it is not known."""
+
+    ticket: int
+
+
+@dataclass(frozen=True, slots=True)
+class TryKeep:
+    """It is time to ask whether records can be written again, if they could not."""
+
+
+@dataclass(frozen=True, slots=True)
+class FrontAllows:
+    """A front's word on `MayWrite`: whether the branch's first byte may leave."""
+
+    rid: int
+    branch: int
+    allowed: bool
+
+
 class UnitMessage:
     """Of a unit's own kind: the handler that the unit hung on the state takes it in."""
 
@@ -180,7 +223,8 @@
 
 
 Message = (RouteNews | RouteCallFailed | DiscoveryMoved | Submitted | CallerLeft | BranchUp | BranchNoted
-           | BranchEnded | ProbeEnded | Woke | StopAsked | UnitMessage)
+           | BranchEnded | ProbeEnded | Woke | StopAsked | Kept | KeepFailed | TryKeep | FrontAllows
+           | UnitMessage)
 
 
 # ------------------------------------------------------------------ effects
@@ -196,6 +240,14 @@
     may_reuse: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class HoldBranch:
+    """Keep the branch's connection, unwritten, until `WriteBranch` or `DropBranch`."""
+
+    rid: int
+    branch: int
+
+
 @dataclass(frozen=True, slots=True)
 class WriteBranch:
     """Write the request on the branch's connection; the next hop has until `deadline`."""
@@ -271,6 +323,41 @@
     name: str
 
 
+@dataclass(frozen=True, slots=True)
+class Keep:
+    """Write these records and delete those of the names, all or nothing; then tell `Kept` or `KeepFailed`.
+
+    A step waits for what is `urgent`: it must be durable when `Kept` is told. With nothing to write, it asks
+    whether anything can be written.
+    """
+
+    ticket: int
+    records: tuple[Lasting, ...]
+    gone: tuple[str, ...]
+    urgent: bool
+
+
+@dataclass(frozen=True, slots=True)
+class MayWrite:
+    """Ask the front that handed a job in whether its first byte may leave; `FrontAllows` is its word."""
+
+    front: str
+    rid: int
+    branch: int
+
+
+@dataclass(frozen=True, slots=True)
+class FrontAnswer:
+    """Give the front that handed a job in its final answer; `may_have_run`: no outcome proves it did not."""
+
+    front: str
+    rid: int
+    verdict: Verdict
+    body: bytes
+    retry_after_ms: float
+    may_have_run: bool
+
+
 class UnitEffect:
     """Of a unit's own kind: the unit carries it out."""
 
@@ -278,4 +365,4 @@
 
 
 Effect = (OpenBranch | WriteBranch | DropBranch | Answer | ProbeHop | CallDiscovery | LeaveDiscovery | Defect
-          | WatchFailed | Untracked | UnitEffect)
+          | WatchFailed | Untracked | HoldBranch | Keep | MayWrite | FrontAnswer | UnitEffect)
--- a/flintfield/wire/http1/branch.py
+++ b/flintfield/wire/http1/branch.py
@@ -33,7 +33,7 @@
 from flintfield.wire.http1.answer import AnswerReader, Head, Mark
 from flintfield.wire.http1.client import MOST_BODY, ROOM_PAUSE_S, Pool
 from flintfield.wire.http1.lines import Lines, read_load
-from flintfield.wire.http1.poller import READ, WRITE, Poller, Waits
+from flintfield.wire.http1.poller import NOTHING, READ, WRITE, Poller, Waits
 from flintfield.wire.http1.regular import AnswerHeads
 from flintfield.wire.http1.spares import Spares
 from flintfield.wire.http1.stream import OURS, Stream
@@ -88,8 +88,8 @@
 class BranchLeg:
     """One branch's connection."""
 
-    __slots__ = ("_answer", "_blocked", "_ends", "_left", "_lines", "_may_reuse", "_reuses", "_shared",
-                 "_stream", "_tail", "address", "branch", "order", "phase", "rid")
+    __slots__ = ("_answer", "_blocked", "_ends", "_held", "_left", "_lines", "_may_reuse", "_reuses",
+                 "_shared", "_stream", "_tail", "address", "branch", "order", "phase", "rid")
 
     def __init__(self, effect: OpenBranch, shared: Shared) -> None:
         self.rid, self.branch, self.address = effect.rid, effect.branch, effect.address
@@ -101,6 +101,7 @@
         self._stream: Stream | None = None
         self._left = memoryview(b"")  # what of the request the kernel has not taken
         self._blocked = False  # we wait for room to write
+        self._held = False  # the order to write comes later
         self._answer = AnswerReader(b"POST", shared.heads)
         self._lines: Lines | None = None
         self._tail = 0  # bytes read behind the ending
@@ -121,7 +122,9 @@
             self._flush()
             if self.phase is Phase.ANSWERING:
                 self._take_all()  # what had come with the 100
-        elif phase is not Phase.UP and phase is not Phase.CLOSED:
+        elif phase is Phase.UP:
+            self._broke_unwritten()
+        elif phase is not Phase.CLOSED:
             self._read()
 
     def broke(self, error: Exception) -> None:
@@ -193,7 +196,8 @@
         self._shared.poller.forget(self._stream.descriptor)
         self._stream.close()
         self._shared.spares.forget(self.address)
-        self._stream, self.order, self._reuses, self._blocked = None, None, False, False
+        self._stream, self.order = None, None
+        self._reuses = self._blocked = self._held = False
         self._answer = AnswerReader(b"POST", self._shared.heads)
         self.phase = Phase.DIALLING
         self.dial()
@@ -248,14 +252,39 @@
         self._shared.tell(BranchUp(self.rid, self.branch))
         if self.phase is not Phase.UP:
             return
-        if self.order is None:  # it is not to be written after all
+        if self.order:
+            self._begin_writing(self.order)
+        elif not self._held:  # it is not to be written after all
             self._leave()
             self._shared.end(self)
-        elif self._reuses and not self.order.submission.body:
+
+    def hold(self) -> None:
+        """Wait for `write`: it may come later."""
+        if self.phase is Phase.UP and self._stream:
+            self._held = True
+            self._shared.poller.change(self._stream.descriptor, NOTHING)  # a break is told all the same
+
+    def write(self, order: WriteBranch) -> None:
+        """It may be written."""
+        self.order = order
+        if self._held and self.phase is Phase.UP and self._stream:
+            self._held = False
+            self._shared.poller.change(self._stream.descriptor, READ)
+            self._begin_writing(order)
+
+    def _begin_writing(self, order: WriteBranch) -> None:
+        if self._reuses and not order.submission.body:
             self._dial_anew()
         else:
             self.phase = Phase.HEAD
-            self._send(self._head(self.order, self.order.submission))
+            self._send(self._head(order, order.submission))
+
+    def _broke_unwritten(self) -> None:
+        """Something came before a byte was written; of one that is not held it is told again."""
+        if self._held and self._reuses:
+            self._dial_anew()
+        elif self._held:
+            self._break("broke before the request was whole")
 
     def _leave(self) -> None:
         """Let go of a connection on which nothing is out, for another branch to use."""
--- a/flintfield/wire/http1/caller.py
+++ b/flintfield/wire/http1/caller.py
@@ -4,7 +4,7 @@
 
 import json
 import socket
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -26,8 +26,8 @@
 STATUS = {Verdict.SERVED: 200, Verdict.REFUSED: 503, Verdict.FAILED: 500}
 
 
-Page = Callable[[bytes, bytes], Reply]
-"""Answers a method and what follows the page's path; a `BadRequest` is answered with its status."""
+Page = Callable[[bytes, bytes], Reply | Awaitable[Reply]]
+"""Answers a method and what follows the page's path, now or later; a `BadRequest` is answered as such."""
 
 
 class Gate(Protocol):
@@ -80,6 +80,7 @@
         self._legs: dict[Leg, None] = {}  # oldest first
         self._waiting: dict[int, Leg] = {}  # by the transaction whose answer they wait for
         self._next_rid = 0
+        self._tasks: TaskGroup | None = None  # for what is not served at once
         self._listener: socket.socket | None = None
 
     # ------------------------------------------------------------ the socket
@@ -91,6 +92,7 @@
 
     async def accept_all(self, tasks: TaskGroup) -> None:
         """Take connections in until the socket is closed."""
+        self._tasks = tasks
         while listener := self._listener:
             taken = self._accept_some(listener, tasks)
             if taken == ACCEPT_TURN:
@@ -191,9 +193,14 @@
             leg.answer(reply_of(effect))
 
     def take(self, leg: Leg, request: Request) -> Reply | None:
-        """A leg has a whole request: a page is answered at once, a job opens a transaction."""
-        if reply := self._page(request):
-            return reply
+        """A leg has a whole request: a page is answered, now or later, a job opens a transaction."""
+        leg.ticket = 0
+        if (reply := self._page(request)) is not None:
+            if isinstance(reply, Reply):
+                return reply
+            assert self._tasks
+            self._tasks.start_soon(self._answer_later, leg, reply)
+            return None
         submission = read_submission(request, self._classes)
         self._next_rid += 1
         leg.ticket = self._next_rid
@@ -201,9 +208,18 @@
         self._tell(Submitted(leg.ticket, submission))
         return None
 
+    async def _answer_later(self, leg: Leg, reply: Awaitable[Reply]) -> None:
+        try:
+            leg.answer(await reply)
+        except BadRequest as error:
+            leg.answer_bad(error)
+        except Exception as error:  # exceptions stop at the connection
+            leg.broke(error)
+
     def leave(self, leg: Leg) -> None:
         """A caller left, or sent on, before its answer: its job need not go on."""
-        self._tell(CallerLeft(leg.ticket))
+        if self._waiting.get(leg.ticket) is leg:
+            self._tell(CallerLeft(leg.ticket))
 
     def refuse(self, _: Leg, reply: Reply) -> None:
         """A request could not be read."""
@@ -217,7 +233,7 @@
         if self._waiting.get(leg.ticket) is leg:
             self._tell(CallerLeft(leg.ticket))
 
-    def _page(self, request: Request) -> Reply | None:
+    def _page(self, request: Request) -> Reply | Awaitable[Reply] | None:
         path = request.target.split(b"?", 1)[0]
         if found := self._pages.find(path):
             return found[0](request.method, found[1])
--- a/flintfield/wire/http1/hop.py
+++ b/flintfield/wire/http1/hop.py
@@ -8,7 +8,7 @@
 
 from flintfield.decision.interface import Report
 from flintfield.memory.messages import (
-    DropBranch, End, Ending, Message, OpenBranch, ProbeEnded, ProbeHop, Reach, WriteBranch,
+    DropBranch, End, Ending, HoldBranch, Message, OpenBranch, ProbeEnded, ProbeHop, Reach, WriteBranch,
 )
 from flintfield.wire.http1.answer import Head
 from flintfield.wire.http1.branch import BranchLeg, Shared
@@ -42,10 +42,15 @@
         except Exception as error:  # exceptions stop at the connection
             leg.broke(error)
 
+    def hold(self, effect: HoldBranch) -> None:
+        """Let a branch that has told `BranchUp` wait for its order."""
+        if leg := self._outs.get((effect.rid, effect.branch)):
+            leg.hold()
+
     def write(self, effect: WriteBranch) -> None:
         """Let a branch write that has told `BranchUp`."""
         if leg := self._outs.get((effect.rid, effect.branch)):
-            leg.order = effect
+            leg.write(effect)
 
     def drop(self, effect: DropBranch) -> None:
         """Close a branch's connection before anything else is written."""
--- a/flintfield/wire/http1/leg.py
+++ b/flintfield/wire/http1/leg.py
@@ -26,7 +26,7 @@
 
 import h11
 
-from flintfield.wire.http1.poller import READ, WRITE, Poller, Waits
+from flintfield.wire.http1.poller import NOTHING, READ, WRITE, Poller, Waits
 from flintfield.wire.http1.regular import read_request
 from flintfield.wire.http1.stream import Stream
 from flintfield.wire.http1.submission import MOST_BODY, BadRequest, Request, check_head
@@ -141,7 +141,7 @@
 class Leg:
     """One connection of a caller."""
 
-    __slots__ = ("_blocked", "_closes", "_coming", "_descriptor", "_house", "_left", "_poller", "_timer",
+    __slots__ = ("_closes", "_coming", "_descriptor", "_events", "_house", "_left", "_poller", "_timer",
                  "_unsound", "_waits", "began", "caller", "phase", "served", "stream", "ticket")
 
     def __init__(self, stream: Stream, house: House, poller: Poller, waits: Waits[Leg],
@@ -157,7 +157,7 @@
         self._closes = False  # the connection ends with this answer
         self._unsound = False  # it sent more than one request at a time
         self._left: list[memoryview] = []  # what of an answer the kernel has not taken
-        self._blocked = False  # we wait for room to write
+        self._events = READ  # what the poller looks for
         self._timer: asyncio.TimerHandle | None = None
         waits.add(self)
 
@@ -270,9 +270,18 @@
 
     def _watch_leaving(self) -> None:
         """Notice a caller that leaves before its answer: its job need not go on."""
-        if (data := self.stream.read_now()) is not None:
+        if self._events == NOTHING:
+            self.close()  # it was told before, and now the other side is gone altogether
+        elif (data := self.stream.read_now()) is not None:
             self._unsound = bool(data)
             self._house.leave(self)
+            if self.phase is Phase.WAITING:
+                self._look_for(NOTHING)  # the answer is still to come
+
+    def _look_for(self, events: int) -> None:
+        if events != self._events:
+            self._events = events
+            self._poller.change(self._descriptor, events)
 
     # -------------------------------------------------------------- writing
 
@@ -281,6 +290,11 @@
         self._house.refuse(self, reply)
         self._write(reply)
 
+    def answer_bad(self, error: BadRequest) -> None:
+        """Answer the request that waits with what is wrong with it."""
+        if self.phase is Phase.WAITING:
+            self._refuse(error)
+
     def answer(self, reply: Reply) -> None:
         """Write the answer to the request that waits for it."""
         if self.phase is not Phase.WAITING:
@@ -320,14 +334,10 @@
                 return
             if sent < len(self._left[0]):
                 self._left[0] = self._left[0][sent:]
-                if not self._blocked:
-                    self._blocked = True
-                    self._poller.change(self._descriptor, WRITE)
+                self._look_for(WRITE)
                 return
             del self._left[0]
-        if self._blocked:
-            self._blocked = False
-            self._poller.change(self._descriptor, READ)
+        self._look_for(READ)
         self._written()
 
     def _written(self) -> None:
@@ -358,7 +368,7 @@
         if thrown == 0:
             self.close()
             return
-        self._poller.change(self._descriptor, 0)
+        self._look_for(NOTHING)
         self._poller.later(DRAIN_PAUSE_S, self, self._throw_on)
         assert self._timer
         ends = self.began + DRAIN_S
@@ -368,4 +378,4 @@
 
     def _throw_on(self) -> None:
         if self.phase is Phase.LINGERING:
-            self._poller.change(self._descriptor, READ)
+            self._look_for(READ)
--- a/flintfield/wire/http1/poller.py
+++ b/flintfield/wire/http1/poller.py
@@ -32,7 +32,7 @@
 
 import anyio
 
-READ, WRITE = select.EPOLLIN, select.EPOLLOUT
+READ, WRITE, NOTHING = select.EPOLLIN, select.EPOLLOUT, 0  # an end or an error is told with any of them
 TURN = 32  # legs of callers woken before the event loop has its turn; at 0.2 ms each that is 6 ms
 MOST_READY = 8_192  # asked for at once
 
