--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,4 @@
-"""Measurements and long trials: programs that play the packages, and that nothing imports in service."""
+"""What the scheduler costs: decisions, the request path, memory; and how a run compares with an earlier one.
+
+Nothing of the scheduler imports this package.
+"""
