--- a/flintfield/membership/interface.py
+++ b/flintfield/membership/interface.py
@@ -1,7 +1,7 @@
 """What the rest of the program sees of membership: a list of members, news of changes, metadata, questions.
 
-A unit finds it as `host.service(Members)`: None where membership is off. It is of no use for decisions that
-must be safe in a split: what it tells is what one member believes.
+A unit finds it as `host.lent.get("members")`: None where membership is off. It is of no use for decisions
+that must be safe in a split: what it tells is what one member believes.
 """
 
 from __future__ import annotations
@@ -109,4 +109,4 @@
     """Answer questions of this kind."""
     ask_all: Callable[[str, bytes, float, Callable[[bytes], bool] | None], Awaitable[Answers]]
     """Ask all others that are believed to be there a question of this kind, within so many ms; one that is
-    silent is asked twice. An answer that the last argument calls enough ends the wait."""
+    silent is asked three times. An answer that the last argument calls enough ends the wait."""
