--- a/flintfield/lab/cli.py
+++ b/flintfield/lab/cli.py
@@ -349,7 +349,8 @@
                                           go_on=go_on):
                 goals.append(verdict.service.goal)
                 bar.step()
-                if (verdict.violations or verdict.void) and failed is None:
+                # The first trial that fails, not the first to be done: all before it were handed out too.
+                if (verdict.violations or verdict.void) and (failed is None or job.seed < failed[0].seed):
                     failed = job, verdict
         if failed:
             out.mkdir(parents=True, exist_ok=True)
