Gather the records that nobody waits for, and those of one turn of the loop

Each job cost three commits of the store, and two changes of threads each: a safe job's processor time doubled.

What nobody waits for is held back for up to 50 ms and written as one batch, in order; what is urgent goes once for a turn of the loop. Threads change every 0.5 ms at the latest while the store is on.

--- a/flintfield/memory/ledger.py
+++ b/flintfield/memory/ledger.py
@@ -3,7 +3,7 @@
 Rules:
 
 1. No I/O. What is to be written is an effect (`Keep`) with a ticket; its completion is a message (`Kept`,
-   `KeepFailed`) with the same ticket. All tickets come back, in the order they were given.
+   `KeepFailed`) with the same ticket. All tickets come back, in the order they were given, many at once.
 2. A *guarded* job is of a class that may not be sent again. Two of its steps wait: the first byte of a branch
    waits for the record that says to which next hop it is let out, and the answer `served` waits for the
    record of its end. Nothing else waits for a disk.
@@ -28,6 +28,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from itertools import islice
 from typing import TYPE_CHECKING
@@ -128,20 +129,19 @@
 
     # ------------------------------------------------------ what comes back
 
-    def kept(self, state: State, now: float, ticket: int) -> tuple[Waits | None, list[Keep]]:
-        """A ticket came back well: what waited for it, and what is to be written now that it is up."""
-        found = self._out.pop(ticket, None)
+    def kept(self, tickets: Iterable[int]) -> list[Waits]:
+        """Tickets came back well: what waited for them. `catch_up` is to be asked then."""
         self.up = True
-        return found.waits if found else None, self._catch_up(state, now)
+        back = [found for ticket in tickets if (found := self._out.pop(ticket, None))]
+        return [found.waits for found in back if found.waits]
 
-    def failed(self, ticket: int) -> Waits | None:
-        """A ticket came back in vain: what waited for it."""
-        found = self._out.pop(ticket, None)
+    def failed(self, tickets: Iterable[int]) -> list[Waits]:
+        """Tickets came back in vain: what waited for them."""
         self.up = False
-        if found is None:
-            return None
-        self._miss(found.names)
-        return found.waits
+        back = [found for ticket in tickets if (found := self._out.pop(ticket, None))]
+        for found in back:
+            self._miss(found.names)
+        return [found.waits for found in back if found.waits]
 
     def cut(self, ticket: int) -> Waits | None:
         """What has waited long enough for a ticket that is still out."""
@@ -160,7 +160,7 @@
         self._out[self._last] = _Ticket((), None)
         return [Keep(self._last, (), (), True)]
 
-    def _catch_up(self, state: State, now: float) -> list[Keep]:
+    def catch_up(self, state: State, now: float) -> list[Keep]:
         """Write some of what was missed; the next ticket that comes back calls for more."""
         names = tuple(islice(self._missed, RESYNC))
         if not names:
--- a/flintfield/memory/messages.py
+++ b/flintfield/memory/messages.py
@@ -190,16 +190,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Kept:
-    """What a `Keep` asked for is as durable as it was to be."""
+    """What these tickets asked for is as durable as it was to be."""
 
-    ticket: int
+    tickets: tuple[int, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class KeepFailed:
     """It is not, and will not be; what is there of it is not known."""
 
-    ticket: int
+    tickets: tuple[int, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -326,8 +326,9 @@
 class Keep:
     """Write these records and delete those of the names, all or nothing; then tell `Kept` or `KeepFailed`.
 
-    A step waits for what is `urgent`: it must be durable when `Kept` is told. With nothing to write, it asks
-    whether anything can be written.
+    A step waits for what is `urgent`: it must be durable when `Kept` is told. What is not may be gathered for
+    a while, in order, and goes with the next urgent one at the latest. With nothing to write, it asks whether
+    anything can be written.
     """
 
     ticket: int
--- a/flintfield/memory/reducer.py
+++ b/flintfield/memory/reducer.py
@@ -405,19 +405,20 @@
             self.state.timers.set(self.now + wait_ms, KeepDue(keep.ticket))
 
     def kept(self, message: Kept) -> None:
-        if ledger := self.state.ledger:
-            waits, keeps = ledger.kept(self.state, self.now, message.ticket)
-            if isinstance(waits, BranchWaits):
-                if transaction := self._held(waits):
-                    self._let_out(transaction, waits.branch)
-            elif waits:
+        ledger = self.state.ledger
+        for waits in ledger.kept(message.tickets) if ledger else ():
+            if isinstance(waits, AnswerWaits):
                 self._give(waits.rid, waits.verdict, waits.body)
-            self.effects += keeps
+            elif transaction := self._held(waits):
+                self._let_out(transaction, waits.branch)
+        if ledger:
+            self.effects += ledger.catch_up(self.state, self.now)
 
     def keep_failed(self, message: KeepFailed) -> None:
         if ledger := self.state.ledger:
             self.state.counters["store.failed"] += 1
-            self._go_on_unkept(ledger.failed(message.ticket))
+            for waits in ledger.failed(message.tickets):
+                self._go_on_unkept(waits)
 
     def _cut(self, ticket: int) -> None:
         """Guards against a disk that stalls: no step waits for it longer than it may."""
@@ -430,13 +431,13 @@
         transaction = self.state.transactions.get(waits.rid)
         return transaction if transaction and not transaction.branches[waits.branch].ended else None
 
-    def _go_on_unkept(self, waits: Waits | None) -> None:
+    def _go_on_unkept(self, waits: Waits) -> None:
         """A step that waited for its record, or would have, without one."""
         ledger = self.state.ledger
         if isinstance(waits, AnswerWaits):
             self.state.counters["store.ends_unkept"] += 1
             self._give(waits.rid, waits.verdict, waits.body)
-        elif waits and ledger and (transaction := self._held(waits)):
+        elif ledger and (transaction := self._held(waits)):
             if not ledger.promise:
                 self.state.counters["store.branches_unkept"] += 1
                 self._let_out(transaction, waits.branch)
--- a/flintfield/units/storage.py
+++ b/flintfield/units/storage.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import sys
 import threading
 from collections.abc import Callable
 from contextlib import suppress
@@ -20,6 +21,7 @@
 
 Got = TypeVar("Got")
 WAITING_BYTES = 4 << 20  # a disk that stalls holds no more of ours in memory
+SWITCH_S = 0.0005  # between threads: with Python's 5 ms a commit waits that long for a busy loop, several times
 LOOK_S = 0.01  # between two looks whether a thread is through
 
 
@@ -28,6 +30,7 @@
 
     def __init__(self, folder: str) -> None:
         self._folder, self._settings = folder, Settings(waiting_bytes=WAITING_BYTES)
+        sys.setswitchinterval(SWITCH_S)
         self._opened = open_store(folder, self._settings)
         self._store = AsyncStore(self._opened)
         self.failed = False  # nothing is written any more until it is opened anew
--- a/flintfield/units/store.py
+++ b/flintfield/units/store.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any, TypeVar
@@ -28,6 +29,7 @@
 JOBS, MODULE = "jobs", "module"  # keyspaces
 LEARNED, PROBE = b"learned", b"probe"  # keys in `module`
 BEHIND_MS = 1_000  # how long a record for which nothing waits may stay unsynced
+GATHER_S = 0.05  # how long a record for which nothing waits is held back, to be written with others
 TRY_S = 1.0  # between two tries to write again after a failure
 FORM = 1  # of a record; a later form is skipped and counted
 
@@ -101,6 +103,9 @@
         self._urgent = within_ms(int(told.sync_ms)) if told.sync_ms else ALWAYS
         self._behind = within_ms(BEHIND_MS)
         self._told_down = False
+        self._gathered: list[Keep] = []
+        self._some = anyio.Event()  # something is gathered
+        self._hurried = False  # a step waits for some of it
         jobs = host.state.jobs
         assert jobs is not None  # the feature needs job status
         self._restored = self._restore()
@@ -151,24 +156,45 @@
         return {Recall: self._recall}
 
     def _keep(self, effect: Keep) -> None:
+        self._gathered.append(effect)
+        if effect.urgent and not self._hurried:
+            self._hurried = True  # once for all that this turn of the loop asks for
+            asyncio.get_running_loop().call_soon(self._write)
+        elif len(self._gathered) == 1:
+            self._some.set()
+
+    def _write(self) -> None:
+        """Hand in all that was gathered as one batch: of several records of a job the last counts."""
+        effects, self._gathered = self._gathered, []
+        hurried, self._hurried = self._hurried, False
         at, batch = self._storage.read.clock.now(), Batch()
-        for record in effect.records:
-            _put(batch, record, at)
-        for name in effect.gone:
-            batch.delete(JOBS, name.encode())
-        if not (effect.records or effect.gone):
+        for effect in effects:
+            for record in effect.records:
+                _put(batch, record, at)
+            for name in effect.gone:
+                batch.delete(JOBS, name.encode())
+        if not len(batch):
             batch.put(MODULE, PROBE, b"")
+        tickets = tuple(effect.ticket for effect in effects)
 
         def done(outcome: Outcome) -> None:
             self._note(outcome)
-            well = isinstance(outcome, Committed)
-            self._host.tell(Kept(effect.ticket) if well else KeepFailed(effect.ticket))
+            self._host.tell(Kept(tickets) if isinstance(outcome, Committed) else KeepFailed(tickets))
 
         try:
-            self._storage.submit(batch, self._urgent if effect.urgent else self._behind, done)
+            self._storage.submit(batch, self._urgent if hurried else self._behind, done)
         except StoreError as error:
             done(error)
 
+    async def _gather(self) -> None:
+        """Guards against a commit, and two changes of threads, for each record for which nobody waits."""
+        while True:
+            await self._some.wait()
+            await anyio.sleep(GATHER_S)
+            self._some = anyio.Event()
+            if self._gathered:
+                self._write()
+
     def _note(self, outcome: Outcome) -> None:
         """Tell once that the disk does not take what it is given, and once that it does again."""
         if isinstance(outcome, Committed):
@@ -190,6 +216,7 @@
 
     async def run(self) -> None:
         """Recall what is young, then take snapshots, and try again what failed."""
+        self._host.start(self._gather)
         self._host.log.info("restored", **self._restored)
         self._take_up()
         due = self._given.snapshot_s
@@ -238,6 +265,8 @@
         """Write the last snapshot and all that was submitted, and let the folder go."""
         if self._given.snapshot_s:
             self._save()
+        if self._gathered:
+            self._write()
         await self._storage.close()
 
 
--- a/tests/test_lasting.py
+++ b/tests/test_lasting.py
@@ -70,7 +70,7 @@
             self.there |= {r.name: r for r in keep.records}
             for name in keep.gone:
                 self.there.pop(name, None)
-        return self.take(Kept(keep.ticket) if well else KeepFailed(keep.ticket))
+        return self.take(Kept((keep.ticket,)) if well else KeepFailed((keep.ticket,)))
 
     def settle(self) -> list[Effect]:
         """All tickets come back well."""
