--- a/flintfield/units/membership.py
+++ b/flintfield/units/membership.py
@@ -13,7 +13,7 @@
 from flintfield.base.ini import FILE, OperatorsError, Reader, Section, number, whole
 from flintfield.base.config import read_address
 from flintfield.base.settings import ConfigError
-from flintfield.membership.interface import Load, Members, Meta
+from flintfield.membership.interface import Load, Meta
 from flintfield.membership.messages import Address
 from flintfield.membership.rules import MOST_NAME, Rules
 from flintfield.units.interface import Feature, Given, Host, SidePage, Unit
@@ -108,6 +108,7 @@
         shell = MemberShell(setup, lambda e: self._group.notice(e), _Counters(host))
         self._group = Group(shell, meta, host.errors.line, lambda name: host.count(PREFIX + name), boot_ms)
         self._shell = shell
+        host.lent["members"] = self._group.face()
 
     def _bind_host(self) -> str:
         host = self._host.config.listen[0]
@@ -138,10 +139,6 @@
             raise OperatorsError(f"[membership] port: found {self._given.port}, "
                                  f"expected a port that can be taken: {error}") from error
 
-    def offers(self) -> Mapping[type, object]:
-        """The interface for other units."""
-        return {Members: self._group.face()}
-
     def side_pages(self) -> Mapping[bytes, SidePage]:
         """`/members`."""
         configured = self._host.config.settings.dispatchers
@@ -159,7 +156,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._shell.run)
             await anyio.sleep(0)
-            if pages := self._host.service(JobPages):
+            if isinstance(pages := self._host.lent.get("job pages"), JobPages):
                 JobLookup(pages, self._group.face()).begin()
             host, ports = self._host.config.listen[0], self._host.ports()
             self._group.announce({"http": f"{host}:{ports['port']}"} | (
