Turn on what a needed feature needs, and name the store's folder where it is missing

[queues] without [store] ended in an assertion; needs were followed one step only.

Needs are followed to their end; the start ends with exit code 2 and a line that names [store] dir.

--- a/flintfield/lifecycle/operators.py
+++ b/flintfield/lifecycle/operators.py
@@ -49,10 +49,12 @@
         if place is None:
             raise OperatorsError(f"[{title}]: found an unknown section, expected one of {', '.join(UNITS)}")
         by_place.setdefault(place, {})[title] = keys
-    features = {place: find_feature(place) for place in by_place}
-    for feature in list(features.values()):
-        for name in feature.needs:
-            features.setdefault(UNITS[name], find_feature(UNITS[name]))
+    features: dict[str, Feature] = {}
+    wanted = list(by_place)
+    while wanted:
+        if (place := wanted.pop()) not in features:
+            features[place] = find_feature(place)
+            wanted += [UNITS[name] for name in features[place].needs]
     firsts = {place: name for name, place in reversed(list(UNITS.items()))}
     return {firsts[place]: Chosen(feature, feature.read(by_place.get(place, {})))
             for place, feature in features.items()}
--- a/flintfield/units/storage.py
+++ b/flintfield/units/storage.py
@@ -21,7 +21,8 @@
 
 Got = TypeVar("Got")
 WAITING_BYTES = 4 << 20  # a disk that stalls holds no more of ours in memory
-SWITCH_S = 0.0005  # between threads: with Python's 5 ms a commit waits that long for a busy loop, several times
+# Between threads. A commit waits for a busy loop several times as long; Python's own is 5 ms.
+SWITCH_S = 0.0005
 LOOK_S = 0.01  # between two looks whether a thread is through
 
 
--- a/flintfield/units/store.py
+++ b/flintfield/units/store.py
@@ -92,7 +92,8 @@
 
     def __init__(self, host: Host, given: Given) -> None:
         told = given.one(SECTION)
-        assert told is not None  # it stands alone, and it is on
+        if told is None:  # another feature needs the store
+            raise OperatorsError(f"[store] dir: found nothing, expected {FOLDER.expected}")
         self._host, self._given = host, told
         try:
             self._storage = Storage(told.dir)
--- a/tests/test_units.py
+++ b/tests/test_units.py
@@ -42,7 +42,8 @@
 
 LONE = Section("limits", Quota, {"rate": whole(1, 9), "mode": word("soft", "hard"), "loud": FLAG})
 FAMILY = Section("quota", Quota, LONE.keys, family=True)
-NEEDY = Feature((LONE,), lambda host, given: Unit(), needs=("jobstatus",))
+MIDDLE = Feature((), lambda host, given: Unit(), needs=("jobstatus",))
+NEEDY = Feature((LONE,), lambda host, given: Unit(), needs=("middle",))
 BOTH = Feature((LONE, FAMILY), lambda host, given: Unit())
 
 
@@ -83,9 +84,11 @@
 
 
 def test_what_a_feature_needs_is_on_with_it(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(operators, "UNITS", {"jobstatus": UNITS["jobstatus"], "limits": f"{__name__}:NEEDY"})
+    monkeypatch.setattr(operators, "UNITS", {
+        "jobstatus": UNITS["jobstatus"], "middle": f"{__name__}:MIDDLE", "limits": f"{__name__}:NEEDY"})
     on = operators._choose({"limits": {"rate": "1"}})
-    assert {name: one.feature for name, one in on.items()} == {"jobstatus": JOBS, "limits": NEEDY}
+    assert {name: one.feature for name, one in on.items()} == {
+        "jobstatus": JOBS, "middle": MIDDLE, "limits": NEEDY}
 
 
 def test_only_what_is_on_is_imported(tmp_path: Path) -> None:
