Test a disk that hangs under the real program: no request waits, and neither does the end

Stalls were tested in the reducer alone.

fdatasync is kept from returning: a booking is refused after wait_ms, the next at once, other classes are served, and the program ends.

--- a/tests/test_store_unit.py
+++ b/tests/test_store_unit.py
@@ -3,20 +3,27 @@
 from __future__ import annotations
 
 import json
+import os
 import resource
 import signal
+import threading
 import time
 from collections.abc import Iterator
 from http.client import HTTPConnection
 from pathlib import Path
 from typing import Any
 
+import anyio.to_thread
 import msgspec
 import pytest
 
+from flintfield.base.config import read_config
+from flintfield.lifecycle.operators import chosen, read_operators
+from flintfield.lifecycle.program import Program
 from flintfield.store import ALWAYS, Batch, Settings, open_store
 from flintfield.units.store import FORM, JOBS, Row
 from peers import SOON, start, until
+from support.inside import Log, played
 from support.killed import BOOKING, Site, submit
 
 
@@ -187,3 +194,53 @@
     assert until(lambda: book(site, f"d{time.monotonic_ns():x}") == [200])
     assert until(lambda: again(site, unkept=unkept)["interrupted"] == 0, 1.0)  # what was missed was written
     assert states(site, "a0", "b3", "c1") == ["ended"] * 3
+
+
+class Hanging:
+    """Stands for `fdatasync`, which it keeps from returning while `hangs` is set."""
+
+    def __init__(self) -> None:
+        self.goes_on = threading.Event()
+        self.goes_on.set()
+        self.real = os.fdatasync
+
+    def __call__(self, descriptor: int) -> None:
+        self.goes_on.wait(60.0)
+        self.real(descriptor)
+
+
+def test_a_disk_that_hangs_stalls_no_request_and_not_the_end(
+    site: Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(os, "fdatasync", disk := Hanging())
+    (site.folder / "c.json").write_text(json.dumps(site.config))
+    (site.folder / "x.ini").write_text(ini(site.folder, wait_ms=200))
+    log, seen = Log(), list[tuple[int, float]]()
+
+    async def main() -> float:
+        program = Program(read_config({"LB_CONFIG": str(site.folder / "c.json")}),
+                          chosen(read_operators(str(site.folder / "x.ini"))), log)
+
+        async def book_timed(name: str, kind: str = BOOKING) -> None:
+            began = time.monotonic()
+            status = await anyio.to_thread.run_sync(submit, caller(site), name, kind)
+            seen.append((status, time.monotonic() - began))
+
+        async def play(ports: dict[str, int]) -> None:
+            site.port = ports["port"]
+            await book_timed("a1")
+            disk.goes_on.clear()
+            await book_timed("a2")
+            await book_timed("a3")
+            await book_timed("c1", "match-list")
+            assert program.state.counters["store.waits_cut"] == 1
+
+        try:
+            return await played(program, log, play)
+        finally:
+            disk.goes_on.set()
+
+    took = anyio.run(main)
+    assert [status for status, _ in seen] == [200, 503, 503, 200]
+    assert seen[1][1] < 2.0 and seen[2][1] < 0.15  # the second one does not wait
+    assert took < 6.0  # to settle takes up to 3.5 s, to close is given up after 1 s
--- a/tests/test_units.py
+++ b/tests/test_units.py
@@ -6,7 +6,7 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -27,6 +27,7 @@
 from flintfield.wire.http1.leg import Reply
 from flintfield.wire.http1.stream import dial
 from peers import ROOT, SETTINGS
+from support.inside import Log, played
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,18 +159,6 @@
         self.seen.append("close")
 
 
-class Log:
-    """Keeps what is logged."""
-
-    def __init__(self) -> None:
-        self.lines: list[tuple[str, dict[str, Any]]] = []
-
-    def info(self, event: str, **values: Any) -> None:
-        self.lines.append((event, values))
-
-    error = warning = exception = info
-
-
 async def _get(port: int, path: bytes) -> bytes:
     stream = await dial(("127.0.0.1", port), 1000)
     assert not isinstance(stream, int)
@@ -180,20 +169,6 @@
     return whole.split(b"\r\n\r\n", 1)[1]
 
 
-async def _played(program: Program, log: Log, play: Callable[[dict[str, int]], Awaitable[None]]) -> float:
-    """Run the program round the script; how long its end took."""
-    program.listen()
-    stop = anyio.Event()
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(program.run, stop)
-        while not any(event == "serving" for event, _ in log.lines):
-            await anyio.sleep(0.01)
-        await play(next(v for e, v in log.lines if e == "serving"))
-        stop.set()
-        began = anyio.current_time()
-    return anyio.current_time() - began
-
-
 def test_what_a_unit_offers_is_used_and_what_it_raises_ends_nothing(tmp_path: Path) -> None:
     config = {"name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
               "settings": SETTINGS}
@@ -217,7 +192,7 @@
             program.signals()[signal.SIGUSR1]()
             program.reload_units()
 
-        took = await _played(program, log, play)
+        took = await played(program, log, play)
         assert took < 4.7  # settling takes up to 3.5 s, and a unit that stalls is cut off after 1 s
         assert odd.seen == ["pong", "beside", "signal", "end", "close"]
 
