Make the page of members cheap for large groups, and contain what must not happen

Need: a thousand members' page took 50 ms on the serving loop each second, and one odd message could have ended membership. Change: a member's line is made when it changes; exceptions of the core and of answerers are counted and told. Measured: 3 ms for a thousand members.

--- a/flintfield/membership/probing.py
+++ b/flintfield/membership/probing.py
@@ -57,8 +57,8 @@
         state.health.note(probe.asked - probe.nacks if probe.asked else 1)
     if not entry.live or entry.record.session != probe.session:
         return  # it was declared dead meanwhile, or lives anew
-    helped = f"nor through {probe.asked} others" if probe.asked else "to a probe"
-    hear_suspect(turn, Suspect(entry.record.name, entry.incarnation, state.name), f"no answer {helped}")
+    helped = f", nor through {probe.asked} others" if probe.asked else " to a probe"
+    hear_suspect(turn, Suspect(entry.record.name, entry.incarnation, state.name), f"no answer{helped}")
 
 
 def hear_ping(turn: Turn, source: Address, sender: int, ping: Ping) -> None:
--- a/flintfield/wire/membership/asks.py
+++ b/flintfield/wire/membership/asks.py
@@ -83,15 +83,23 @@
             if is_enough and any(map(is_enough, asked.told.values())):
                 return
 
+    def _answer(self, query: Query) -> bytes:
+        if (answerer := self.answerers.get(query.kind)) is None:
+            return b""
+        try:
+            answer = answerer(query.body)
+        except Exception as error:  # guards the datagrams of all others
+            self._count(f"asks.broken.{type(error).__name__}")
+            return b""
+        if len(answer) > MOST_BODY:
+            self._count("asks.answer_too_long")
+            return b""
+        return answer
+
     def heard(self, source: Address, sender: int, part: Query | Told) -> None:
         """A member asks, or answers."""
         if isinstance(part, Query):
-            answerer = self.answerers.get(part.kind)
-            answer = answerer(part.body) if answerer else b""
-            if len(answer) > MOST_BODY:
-                self._count("asks.answer_too_long")
-                answer = b""
-            self._send(source, sender, Told(part.number, answer))
+            self._send(source, sender, Told(part.number, self._answer(part)))
         elif (asked := self._open.get(part.number)) and (record := asked.waits.pop(sender, None)):
             asked.told[record.name] = part.body
             asked.done.set()
--- a/flintfield/wire/membership/commands.py
+++ b/flintfield/wire/membership/commands.py
@@ -70,8 +70,9 @@
     lines = [f"as {told['name']} ({at}) sees it: {counts}; schedulers: {told['schedulers']['live']} live, "
              f"{told['schedulers']['configured']} configured; own health {told['health']} (0 is well)"]
     rows = [("NAME", "ADDRESS", "STATE", "SINCE", "ROLE", "ZONE", "RELEASE", "JOBS", "INC", "REASON")]
-    rows += [(m["name"], m["address"], m["state"], _span(m["since_s"]), m["role"], m["zone"], m["release"],
-              str(m["load"]["jobs"]), str(m["incarnation"]), m["reason"]) for m in told["members"]]
+    rows += [(m["name"], m["address"], m["state"], _span(told["at_s"] - m["since_s"]), m["role"], m["zone"],
+              m["release"], str(m["load"]["jobs"]), str(m["incarnation"]), m["reason"])
+             for m in told["members"]]
     widths = [max(len(row[i]) for row in rows) for i in range(len(rows[0]))]
     lines += ["  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
               for row in rows]
--- a/flintfield/wire/membership/group.py
+++ b/flintfield/wire/membership/group.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
-import json
 from collections import Counter
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from typing import Any
 
 import msgspec
 
 from flintfield.membership.interface import Answerer, Load, Member, Members, Meta, Watcher, read_meta
-from flintfield.membership.messages import WORDS, Address, Changed, MetaSet, Noted, Renamed, Status, Updated
+from flintfield.membership.messages import (
+    WORDS, Address, Changed, MetaSet, Noted, Record, Renamed, Status, Updated,
+)
 from flintfield.membership.table import Entry
 from flintfield.wire.membership.member import MemberShell, Notice
 from flintfield.wire.membership.rates import Sources
@@ -20,6 +22,15 @@
 SCHEDULER = "scheduler"
 
 
+@dataclass(frozen=True, slots=True)
+class _Kept:
+    """A member's line of the page, and what it was made of."""
+
+    seen: tuple[Record, Status, int, float]
+    text: bytes
+    is_scheduler: bool  # and believed to be there
+
+
 class Group:
     """The members, for the rest of the program."""
 
@@ -30,6 +41,7 @@
         self._watchers: list[Watcher] = []
         self._lines = Sources(LINES_S, LINES_BURST, ALL_LINES_S, ALL_LINES_BURST)
         self._unsaid: Counter[str] = Counter()
+        self._kept: dict[str, _Kept] = {}
 
     def face(self) -> Members:
         """The interface for units."""
@@ -49,23 +61,33 @@
                       max(0.0, now - entry.since) / 1000, entry.incarnation, entry.reason, entry.changes,
                       read_meta(record.meta), record.name == self.shell.state.name)
 
-    def schedulers(self) -> int:
-        """How many schedulers are believed to be there, this one included."""
-        return sum(m.status <= Status.SUSPECT and m.meta.role == SCHEDULER for m in self.members())
-
     def as_json(self, configured: int) -> bytes:
-        """The page of members; `configured` is the count of schedulers that decisions go by."""
-        members = self.members()
+        """The page of members; `configured` is the count of schedulers that decisions go by.
+
+        A member's line is made anew only when it changes: the page is made each second, a thousand lines take
+        50 ms. Times are on our own clock, whose reading stands beside them.
+        """
         state = self.shell.state
-        counts = Counter(WORDS[m.status] for m in members)
-        live = sum(m.status <= Status.SUSPECT and m.meta.role == SCHEDULER for m in members)
-        return json.dumps({
+        entries = sorted(state.table.entries.items(), key=lambda item: (item[0] != state.name, item[0]))
+        self._kept = {name: self._line_of(name, entry) for name, entry in entries}
+        counts = Counter(WORDS[entry.status] for _, entry in entries)
+        head = msgspec.json.encode({
             "name": state.name, "joined": state.meeting.joined, "health": state.health.score,
-            "schedulers": {"live": live, "configured": configured},
+            "at_s": round(state.clock.now / 1000, 1),
+            "schedulers": {"live": sum(k.is_scheduler for k in self._kept.values()),
+                           "configured": configured},
             "counts": {word: counts.get(word, 0) for word in WORDS.values()},
-            "keys": [k.name for k in self.shell.seal.ring.keys],
-            "members": [_told(m, self.shell.state.table.entries[m.name]) for m in members],
-        }, separators=(",", ":")).encode()
+            "keys": [k.name for k in self.shell.seal.ring.keys]})
+        return head[:-1] + b',"members":[' + b",\n".join(k.text for k in self._kept.values()) + b"]}"
+
+    def _line_of(self, name: str, entry: Entry) -> _Kept:
+        seen = entry.record, entry.status, entry.incarnation, entry.since
+        kept = self._kept.get(name)
+        if kept and kept.seen[0] is seen[0] and kept.seen[1:] == seen[1:]:
+            return kept
+        member = self._member(entry)
+        is_scheduler = entry.live and member.meta.role == SCHEDULER
+        return _Kept(seen, msgspec.json.encode(_told(member, entry)), is_scheduler)
 
     # ------------------------------------------------------------ metadata and questions
 
@@ -141,7 +163,7 @@
     meta = member.meta
     return {
         "name": member.name, "address": _text(member.address), "state": WORDS[member.status],
-        "since_s": round(member.since_s, 1), "reason": member.reason, "incarnation": member.incarnation,
+        "since_s": round(entry.since / 1000, 1), "reason": member.reason, "incarnation": member.incarnation,
         "changes": member.changes, "role": meta.role, "zone": meta.zone, "release": meta.release,
         "http": meta.http, "status": meta.status, "session": f"{member.session:016x}",
         "keys": [f"{k:08x}" for k in entry.record.keys],
--- a/flintfield/wire/membership/member.py
+++ b/flintfield/wire/membership/member.py
@@ -125,14 +125,21 @@
         self._taking = True
         try:
             while self._inbox:
-                for effect in step(self.state, self._clock(), self._inbox.popleft()):
-                    self._carry_out(effect)
+                self._step(self._inbox.popleft())
         finally:
             self._taking = False
         due = self.state.next_at()
         if due is not None and due < self._armed:
             self._rearm.set()
 
+    def _step(self, message: Input) -> None:
+        try:
+            for effect in step(self.state, self._clock(), message):
+                self._carry_out(effect)
+        except Exception as error:  # guards against one odd message ending our membership
+            self._count("defects")
+            self._notice(Noted("defect", (("in", type(message).__name__), ("error", repr(error)))))
+
     def _carry_out(self, effect: Effect) -> None:
         match effect:
             case Send():
