--- a/flintfield/lifecycle/operators.py
+++ b/flintfield/lifecycle/operators.py
@@ -49,21 +49,10 @@
         if place is None:
             raise OperatorsError(f"[{title}]: found an unknown section, expected one of {', '.join(UNITS)}")
         by_place.setdefault(place, {})[title] = keys
-    features = {place: _find(place, next(iter(titles))) for place, titles in by_place.items()}
+    features = {place: find_feature(place) for place in by_place}
     for feature in list(features.values()):
         for name in feature.needs:
             features.setdefault(UNITS[name], find_feature(UNITS[name]))
     firsts = {place: name for name, place in reversed(list(UNITS.items()))}
     return {firsts[place]: Chosen(feature, feature.read(by_place.get(place, {})))
             for place, feature in features.items()}
-
-
-def _find(place: str, title: str) -> Feature:
-    """Guards against a traceback where a feature is turned on whose packages are not installed."""
-    try:
-        return find_feature(place)
-    except ModuleNotFoundError as error:
-        if (error.name or "").startswith("flintfield"):
-            raise
-        raise OperatorsError(f"[{title}]: found no package {error.name}, expected what "
-                             f"requirements-{title.partition('.')[0]}.txt names") from error
