Write zeros ahead of the log: a sync within the file's length is the cheaper one

Change: zeros, 1 MiB at once, stand behind the log; recovery takes them for its end and not for a torn tail, and a sealed segment has none.

--- a/flintfield/store/batch.py
+++ b/flintfield/store/batch.py
@@ -122,13 +122,14 @@
 
     `segment_bytes`, `segment_entries`: a segment ends when either is reached; the first bounds what an open
     after a crash reads and what a compaction needs beside, the second the memory that a compaction takes
-    (about 100 bytes an entry). `waiting_bytes`: batches that wait, beyond which callers are told `Busy`.
+    (about 300 bytes an entry). `waiting_bytes`: batches that wait, beyond which callers are told `Busy`.
     `group_bytes`, `group_entries`: one commit at most, and so how long a waiting batch waits behind it; a
     larger batch is a group of its own. `most_entries`: live keys, which bounds the index (about 200 bytes
     each, docs/store.md). `most_past`: old versions kept for snapshots; `most_pinned`: bytes of files kept
     for them. `garbage_share`: compaction works while more than this share of the sealed segments is dead;
-    0.4 keeps the space under 1.67 times the live data. `small_bytes`: an active segment this large is ended
-    early when most of it is dead. `compaction_share`: of the time, that compaction works at most.
+    0.4 keeps the space under 1.67 times the live data. `zero_ahead`: zeros written behind the log, so that
+    a sync need not tell the disk of a longer file; 0 for none. `small_bytes`: an active segment this large
+    is ended early when most of it is dead. `compaction_share`: of the time, that compaction works at most.
     """
 
     segment_bytes: int = 32 * 1024 * 1024
@@ -140,6 +141,7 @@
     most_past: int = 1_000_000
     most_pinned: int = 256 * 1024 * 1024
     garbage_share: float = 0.4
+    zero_ahead: int = 1024 * 1024
     small_bytes: int = 4 * 1024 * 1024
     compaction: bool = True
     compaction_share: float = 0.5
--- a/flintfield/store/engine.py
+++ b/flintfield/store/engine.py
@@ -21,7 +21,7 @@
                                      Refuse, Roll, Rolled, Sync, Synced, Tick, Write, Written)
 from flintfield.store.compaction import Compaction
 from flintfield.store.errors import Failed, StoreFull
-from flintfield.store.format import PUT
+from flintfield.store.format import PUT, SEGMENT_HEAD
 from flintfield.store.fs import File, Folder, Lock, read_at, write_at
 from flintfield.store.index import Index
 from flintfield.store.manifest import LOCK, segment_name
@@ -83,6 +83,7 @@
         files = {segment: self.folder.open(segment_name(segment))
                  for segment in (*(sealed.segment for sealed in manifest.sealed), manifest.active)}
         self.opened = self.opened._replace(rewritten=_make_sure(files[manifest.active], found))
+        self._zeroed = files[manifest.active].size()  # up to here the active segment has bytes
         time = StoreClock(self._clock, found.time)
         index = Index(settings.most_past)
         found.loader.finish(index, time.now())
@@ -199,6 +200,7 @@
         match effect:
             case Write(offset, data):
                 write_at(file, data, offset)
+                self._zero_ahead(file, offset + len(data))
                 self.counters.written += len(data)
                 return Written()
             case Sync():
@@ -208,18 +210,42 @@
             case Cut(offset):
                 file.truncate(offset)
                 file.sync()
+                self._zeroed = offset
                 return CutBack()
 
+    def _zero_ahead(self, file: File, end: int) -> None:
+        """Write zeros behind the log's end, for a sync of bytes that the file has already is the cheaper
+        one."""
+        if end <= self._zeroed:
+            return
+        self._zeroed = end
+        size = min(self.settings.zero_ahead, self.settings.segment_bytes - end)
+        if size > 0:
+            try:
+                write_at(file, bytes(size), end)
+                self._zeroed = end + size
+            except OSError:  # no room: what is left of it is worth more to the log itself
+                file.truncate(end)
+
     def _roll(self, effect: Roll) -> Message:
         try:
-            self.catalog.files[effect.sealed.segment].sync()
+            self._end_active(effect.sealed.length)
         except OSError as error:
             return Broke(str(error), False)  # whatever the reason: what was written may be gone
         new = self.catalog.roll(effect.sealed, self.reading.clock.now())
+        self._zeroed = SEGMENT_HEAD
         self.compaction.without_hint.append(effect.sealed.segment)
         self.counters.rolls += 1
         return Rolled(new.segment, new.chain)
 
+    def _end_active(self, length: int) -> None:
+        """Sync the active segment without the zeros behind it."""
+        file = self.catalog.files[self.log.tally.segment]
+        if self._zeroed > length:
+            file.truncate(length)
+            self._zeroed = length
+        file.sync()
+
     def _publish(self, effect: Publish) -> Answers:
         reading = self.reading
         with reading.lock:
@@ -270,6 +296,7 @@
             if not self.log.failed:
                 self.sync()
                 sealed = self.log.sealed()
+                self._end_active(sealed.length)
                 self.compaction.write_hints(sealed)
                 self.catalog.switch(synced=sealed.length, seq=sealed.most_seq, time=self.reading.clock.now())
         finally:
@@ -289,7 +316,8 @@
     if not found.torn and synced == length:
         return 0
     tail = read_at(file, length - synced, synced)
-    file.truncate(length)
+    if found.torn:
+        file.truncate(length)
     if tail:
         write_at(file, tail, synced)
     file.sync()
--- a/flintfield/store/recover.py
+++ b/flintfield/store/recover.py
@@ -24,7 +24,7 @@
 from flintfield.store.commit import count
 from flintfield.store.errors import Damaged, NotAStore
 from flintfield.store.format import (BATCH, FRAME_HEAD, LOG, MOVED, SEGMENT_HEAD, Entry, Frame, Scan,
-                                     SegmentHead, Stop, decode_segment_head, entries, highest_synced,
+                                     SegmentHead, decode_segment_head, entries, highest_synced,
                                      last_crc, salt_of)
 from flintfield.store.fs import File, Folder, read_at
 from flintfield.store.hints import Hint, decode_hint
@@ -182,9 +182,12 @@
         tally = grow(tally, frame, some)
         synced, time = max(synced, frame.synced), max(time, frame.time)
     stop = scan.stop
-    if stop.offset < synced or (stop.why and _synced_behind(file, stop, salt) > stop.offset):
+    rest = read_at(file, size - stop.offset, stop.offset)
+    # Zeros were written ahead of the log; a torn tail is what is there instead.
+    torn = len(rest.rstrip(b"\0"))
+    if stop.offset < synced or (torn and highest_synced(rest, salt, 0) > stop.offset):
         raise Damaged(name, stop.offset, stop.why or f"the file ends; {synced} bytes of it were durable")
-    return _Active(tally, synced, size - stop.offset, stop.why, time)
+    return _Active(tally, synced, torn, stop.why if torn else "", time)
 
 
 def grow(tally: Sealed, frame: Frame, some: list[Entry]) -> Sealed:
@@ -193,8 +196,3 @@
         tally = count(tally, some)
     seq = max(tally.most_seq, frame.seq)
     return msgspec.structs.replace(tally, length=frame.end, chain=frame.crc, most_seq=seq)
-
-
-def _synced_behind(file: File, stop: Stop, salt: int) -> int:
-    """The highest mark of `synced` that frames behind a broken one claim."""
-    return highest_synced(read_at(file, file.size() - stop.offset, stop.offset), salt, 0)
--- a/flintfield/store/repair.py
+++ b/flintfield/store/repair.py
@@ -192,6 +192,10 @@
         for frame in scan:
             figures = grow(figures, frame, list(entries(frame)) if frame.kind in HOLDING else [])
             frames.append(frame)
+        end = scan.stop.offset
+        if (head.store, head.segment) == (store, segment) and end >= expected and not any(data[end:]):
+            # Zeros written ahead of the log stand behind no sealed segment: with them it is written anew.
+            return _Found(figures, end == len(data), frames, [], [])
         if scan.stop.why or (head.store, head.segment) != (store, segment):
             return self._salvage(figures, data, store, expected)
         return _Found(figures, True, frames, [], self._short(segment, len(data), expected))
@@ -204,6 +208,8 @@
             if piece.frame:
                 found.frames.append(piece.frame)
                 continue
+            if piece.start >= expected and not any(data[piece.start:piece.end]):
+                continue  # zeros written ahead of the log
             there = list(whole_entries(piece.body))
             keys = {_lost_key(*one) for one in there}
             keys |= set(self._hinted(figures.segment, piece.start, piece.end))
--- a/tests/support/store_faults.py
+++ b/tests/support/store_faults.py
@@ -156,8 +156,9 @@
 def tail_not_written_anew(patch: pytest.MonkeyPatch) -> None:
     """After a failed sync the page cache is believed."""
     def wrong(file: Any, found: Any) -> int:
-        file.truncate(found.active.length)
-        file.sync()
+        if found.torn:
+            file.truncate(found.active.length)
+            file.sync()
         return 0
 
     patch.setattr(engine, "_make_sure", wrong)
