--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -60,8 +60,7 @@
         self._ports: dict[str, int] = {}
         self._tasks: TaskGroup
         host = Host(config, self.state, self._clock, self._clock(), self.tell, self._start_beside,
-                    self._errors, log, self._count, self._defect, self._side_pages, lambda: self._ports,
-                    self._offers)
+                    self._errors, log, self._count, self._defect, self._side_pages, lambda: self._ports)
         self.units = [feature.build(host) for feature in features]
         self._poller = Poller()
         idle = int(config.sockets * IDLE_PART) // 2
@@ -100,9 +99,6 @@
     def _side_pages(self) -> dict[bytes, SidePage]:
         return {path: page for unit in self.units for path, page in unit.side_pages().items()}
 
-    def _offers(self) -> dict[type, object]:
-        return {kind: offer for unit in self.units for kind, offer in unit.offers().items()}
-
     def signals(self) -> dict[signal.Signals, Callable[[], None]]:
         """The signals that units heed."""
         return {number: heed for unit in self.units for number, heed in unit.signals().items()}
