--- a/flintfield/lab/sockets/processes.py
+++ b/flintfield/lab/sockets/processes.py
@@ -134,15 +134,17 @@
         lines = (self.folder / "out.log").read_text("utf-8", "replace").strip().splitlines() or [""]
         return f"exit code {code}, {lines[-1][:200]}"
 
-    def sample(self) -> None:
-        """Note what it has taken so far."""
+    def sample(self) -> float:
+        """Note what it has taken so far; how long it waited for a core since the last sample, ms."""
         if self._process is None or (now := read_usage(self._process.pid)) is None:
-            return
+            return 0.0
         cpu, wait, memory = now
+        waited = max(0.0, wait - self._last[1])
         self.usage.cpu_ms += max(0.0, cpu - self._last[0])
-        self.usage.wait_ms += max(0.0, wait - self._last[1])
+        self.usage.wait_ms += waited
         self.usage.peak_mb = max(self.usage.peak_mb, memory)
         self._last = cpu, wait
+        return waited
 
     def begin_count(self) -> None:
         """Forget what its start took."""
--- a/tests/test_lab_sockets.py
+++ b/tests/test_lab_sockets.py
@@ -22,6 +22,7 @@
 from flintfield.lab.sockets import planted
 from flintfield.lab.sockets.context import Ledger
 from flintfield.lab.sockets.listener import Listener
+from flintfield.lab.sockets.timing import Clock, Punctuality
 from flintfield.lab.sockets.wire import Exchange, ServerEnd
 from support import live
 
@@ -197,6 +198,18 @@
     assert [r.at for r in seen] == [3.0, 5.0, 5.0, 9.0] and ledger.count == 4
 
 
+def test_only_a_lateness_of_the_engine_or_of_that_scheduler_excuses_a_broken_rule() -> None:
+    clock = Clock()
+    clock.begin()
+    watch = Punctuality(clock)
+    watch.waited("s01", 0.0, 10.0)
+    assert watch.excuse(0.0, "s01 had not answered") == ""
+    watch.waited("s01", 0.0, 40.0)
+    assert watch.excuse(0.0, "s01 had not answered") == "s01 waited 40 ms for a core"
+    assert watch.excuse(0.0, "s02 had not answered") == ""
+    assert watch.excuse(5_000.0, "s01 had not answered") == ""
+
+
 def test_a_program_that_does_not_start_is_named(tmp_path: Path) -> None:
     broken = (sys.executable, "-c", "import sys; print('no such key'); sys.exit(2)")
     with pytest.raises(sockets.StartError, match=r"s0\d: its process ended .* exit code 2, no such key"):
