Compare the request path with membership and without in turns

Need: on a machine whose other work comes and goes, one run after the other says nothing. Change: two schedulers side by side, asked in turn; the medians of the turns.

--- a/benchmarks/membership_bench.py
+++ b/benchmarks/membership_bench.py
@@ -1,7 +1,7 @@
 """What membership costs an instance: CPU, memory, datagrams, and the request path's latency with it.
 
-`python -m benchmarks.membership_bench MEMBERS [--seconds S] [--rate R]` starts one real scheduler with
-instant stand-in nodes, the other members as shells in a process of their own, and prints one JSON object.
+`python -m benchmarks.membership_bench MEMBERS [--seconds S] [--rate R] [--turns N]` starts a real scheduler
+with instant stand-in nodes, the other members as shells in a process of their own, and prints one JSON object.
 MEMBERS 0 is the program without the section, 1 a group of one.
 """
 
@@ -17,7 +17,10 @@
 import sys
 import tempfile
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
+from statistics import median
 from typing import Any
 
 import anyio
@@ -180,45 +183,83 @@
     return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE")
 
 
-def measure(members: int, seconds: float, rate: float) -> dict[str, object]:
-    """One group: at rest, then under load."""
+@contextmanager
+def schedulers(*groups: int) -> Iterator[list[tuple[int, dict[str, int]]]]:
+    """A real scheduler in a group of each of these sizes (0: without the section): its pid and its ports."""
     ours, theirs = multiprocessing.Pipe()
     others = [multiprocessing.Process(target=serve_nodes, args=(theirs,), daemon=True)]
     others[0].start()
-    port = free_port()
+    nodes, started = ours.recv(), []
     with tempfile.TemporaryDirectory() as folder:
-        process, ports = begin(Path(folder), ours.recv(), members, port)
         try:
-            if members > 1:
-                others.append(multiprocessing.Process(target=be_members, daemon=True,
-                                                      args=(("127.0.0.1", port), members - 1)))
-                others[-1].start()
-                while counters(ports["port"]).get("membership.changes.alive", 0) < members - 1:
-                    time.sleep(0.2)
+            for number, members in enumerate(groups):
+                own, port = Path(folder, str(number)), free_port()
+                own.mkdir()
+                process, ports = begin(own, nodes, members, port)
+                started.append((process, ports))
+                if members > 1:
+                    others.append(multiprocessing.Process(target=be_members, daemon=True,
+                                                          args=(("127.0.0.1", port), members - 1)))
+                    others[-1].start()
+                    while counters(ports["port"]).get("membership.changes.alive", 0) < members - 1:
+                        time.sleep(0.2)
             time.sleep(5)
-            before, cpu = counters(ports["port"]), cpu_s(process.pid)
-            time.sleep(seconds)
-            after, rest = counters(ports["port"]), cpu_s(process.pid) - cpu
-            rss = resident(process.pid)
-            took = asyncio.run(load(ports["port"], rate, seconds))
-            busy = cpu_s(process.pid) - cpu - rest
-            told = {name: round((after.get(name, 0) - before.get(name, 0)) / seconds, 1) for name in after
-                    if name.startswith("membership.") and after[name] != before.get(name, 0)}
-            return {"members": members, "rest_cpu": round(rest / seconds, 4), "rss_mb": round(rss / 2**20, 1),
-                    "load_cpu": round(busy / seconds, 3), "requests": len(took),
-                    "p50_ms": round(took[len(took) // 2], 2), "p99_ms": round(took[len(took) * 99 // 100], 2),
-                    "most_ms": round(took[-1], 2), "a_second": told}
+            yield [(process.pid, ports) for process, ports in started]
         finally:
-            process.kill()
-            process.wait()
+            for process, _ in started:
+                process.kill()
+                process.wait()
             for other in others:
                 other.kill()
 
 
+def percentiles(took: list[float]) -> dict[str, float]:
+    """Of sorted times in ms."""
+    return {"p50_ms": round(took[len(took) // 2], 2), "p99_ms": round(took[len(took) * 99 // 100], 2)}
+
+
+def measure(members: int, seconds: float, rate: float) -> dict[str, object]:
+    """One group: at rest, then under load."""
+    with schedulers(members) as ((pid, ports),):
+        before, cpu = counters(ports["port"]), cpu_s(pid)
+        time.sleep(seconds)
+        after, rest = counters(ports["port"]), cpu_s(pid) - cpu
+        rss = resident(pid)
+        took = asyncio.run(load(ports["port"], rate, seconds))
+        busy = cpu_s(pid) - cpu - rest
+        told = {name: round((after.get(name, 0) - before.get(name, 0)) / seconds, 1) for name in after
+                if name.startswith("membership.") and after[name] != before.get(name, 0)}
+        return {"members": members, "rest_cpu": round(rest / seconds, 4), "rss_mb": round(rss / 2**20, 1),
+                "load_cpu": round(busy / seconds, 3), "requests": len(took), **percentiles(took),
+                "a_second": told}
+
+
+def compare(members: int, turns: int, seconds: float, rate: float) -> dict[str, object]:
+    """Two schedulers side by side, without membership and with it, asked in turn: the medians over turns.
+
+    Guards against a machine whose other work comes and goes.
+    """
+    found: dict[int, list[dict[str, float]]] = {0: [], members: []}
+    with schedulers(0, members) as both:
+        for turn in range(turns):
+            pairs = list(zip((0, members), both, strict=True))
+            for group, (_, ports) in pairs if turn % 2 else pairs[::-1]:
+                found[group].append(percentiles(asyncio.run(load(ports["port"], rate, seconds))))
+    told: dict[str, object] = {"turns": turns, "seconds": seconds, "rate": rate}
+    for group, runs in found.items():
+        for name in ("p50_ms", "p99_ms"):
+            told[f"{'with' if group else 'without'}_{name}"] = round(median(one[name] for one in runs), 2)
+    return told
+
+
 if __name__ == "__main__":
     parser = argparse.ArgumentParser()
     parser.add_argument("members", type=int)
     parser.add_argument("--seconds", type=float, default=10.0)
     parser.add_argument("--rate", type=float, default=200.0)
+    parser.add_argument("--turns", type=int, default=0, help="compare with and without, in so many turns")
     given = parser.parse_args()
-    print(json.dumps(measure(given.members, given.seconds, given.rate)))
+    if given.turns:
+        print(json.dumps(compare(given.members, given.turns, given.seconds, given.rate)))
+    else:
+        print(json.dumps(measure(given.members, given.seconds, given.rate)))
