--- a/benchmarks/membership_bench.py
+++ b/benchmarks/membership_bench.py
@@ -1,8 +1,8 @@
 """What membership costs an instance: CPU, memory, datagrams, and the request path's latency with it.
 
 `python -m benchmarks.membership_bench MEMBERS [--seconds S] [--rate R] [--turns N]` starts a real scheduler
-with instant stand-in nodes, the other members as shells in a process of their own, and prints one JSON object.
-MEMBERS 0 is the program without the section, 1 a group of one.
+with instant stand-in nodes, the other members as shells in a process of their own, and prints one JSON
+object. MEMBERS 0 is the program without the section, 1 a group of one.
 """
 
 from __future__ import annotations
--- a/flintfield/lab/membership/report.py
+++ b/flintfield/lab/membership/report.py
@@ -93,6 +93,7 @@
     import matplotlib
 
     matplotlib.use("Agg")
+    matplotlib.rcParams.update({"svg.fonttype": "none", "svg.hashsalt": "membership"})
     from matplotlib import pyplot
 
     folder.mkdir(parents=True, exist_ok=True)
--- a/flintfield/lab/membership/views.py
+++ b/flintfield/lab/membership/views.py
@@ -76,6 +76,7 @@
     import matplotlib
 
     matplotlib.use("Agg")
+    matplotlib.rcParams.update({"svg.fonttype": "none", "svg.hashsalt": "membership"})
     from matplotlib import pyplot
 
     figure, axis = pyplot.subplots(figsize=(10, 3.8))
