Keep time by one timer of the loop, and let the collector pass over what stays

Each timer that came due cost a task's wake, a cancel scope and an event, up to a thousand times a second; the collector of cycles walked all that the program holds, though its values hold none.

program.py arms one timer for the first that is due, and looks at them once a millisecond at the most. At 'serving' what is there is frozen, and the collector's thresholds are raised. On the wire nothing changes; a timer may ring 1 ms late.

--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import gc
 import signal
 import time
 from collections import deque
@@ -32,6 +34,11 @@
 from flintfield.wire.http1.spares import Spares
 
 SWEEP_S = 1.0
+WAKE_MS = 1.0  # between two looks at the timers: those of thousands of jobs ring together
+# Containers made beyond those let go before the collector looks at the young ones, and how many such looks
+# come before a wider one. Our values hold no cycles: what is to be found is rare, and a look at 10,000 open
+# transactions stalls the loop.
+YOUNG, OLDER, OLD = 10_000, 20, 50
 LEGS_PART = 0.5  # of the descriptors: for caller legs; clients hold a third of all for requests
 # Of the descriptors: for kept connections, half of them jobs'; the rest is for branches, probes and our own.
 IDLE_PART = 0.1
@@ -55,8 +62,8 @@
         self._errors = ErrorOut(self._count)
         self._inbox: deque[Message] = deque()
         self._taking = False
-        self._rearm = anyio.Event()
-        self._armed = float("inf")
+        self._alarm: asyncio.TimerHandle | None = None
+        self._armed = float("inf")  # when the alarm rings
         self._ports: dict[str, int] = {}
         self._tasks: TaskGroup
         host = Host(config, self.state, self._clock, self._clock(), self.tell, self._start_beside,
@@ -143,7 +150,19 @@
             self._taking = False
         due = self.state.timers.next_at()
         if due is not None and due < self._armed:
-            self._rearm.set()
+            self._arm(due)
+
+    def _arm(self, due: float) -> None:
+        """Have the clock wake the reducer then."""
+        if self._alarm:
+            self._alarm.cancel()
+        self._armed = due
+        after_ms = max(WAKE_MS, due - self._clock())
+        self._alarm = self._poller.loop.call_later(after_ms / 1000, self._wake)
+
+    def _wake(self) -> None:
+        self._alarm, self._armed = None, float("inf")
+        self.tell(Woke())
 
     def _reduce(self, message: Message) -> list[Effect]:
         try:
@@ -181,7 +200,6 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             self.tell(self._known)
-            tasks.start_soon(self._keep_time)
             tasks.start_soon(self._sweep)
             tasks.start_soon(self._poller.run)
             tasks.start_soon(self._callers.accept_all, tasks)
@@ -189,6 +207,9 @@
                 self._start_beside(unit.run)
             self._log.info("serving", **self._ports, next_hops=len(self.state.routes),
                            generation=self.state.generation)
+            gc.collect()
+            gc.freeze()  # what is there now stays: no collection need look at it again
+            gc.set_threshold(YOUNG, OLDER, OLD)
             await stop_asked.wait()
             await self._stop(tasks)
             await self._end_units()
@@ -211,19 +232,6 @@
             except Exception as error:
                 self._defect("reload", error)
 
-    async def _keep_time(self) -> None:
-        while True:
-            due = self.state.timers.next_at()
-            self._armed = float("inf") if due is None else due
-            self._rearm = anyio.Event()
-            if due is None:
-                await self._rearm.wait()
-                continue
-            with anyio.move_on_after((due - self._clock()) / 1000):
-                await self._rearm.wait()
-            if self._clock() >= due:
-                self.tell(Woke())
-
     async def _sweep(self) -> None:
         while True:
             await anyio.sleep(SWEEP_S)
