--- a/flintfield/decision/interface.py
+++ b/flintfield/decision/interface.py
@@ -10,6 +10,8 @@
 from enum import Enum
 from typing import Any
 
+from flintfield.decision.values import value
+
 WorkerId = int
 
 
@@ -177,7 +179,7 @@
 # -------------------------------------------------------------------- events
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Report:
     """A worker's own word on its load, late and inexact; None where not told."""
 
@@ -209,7 +211,7 @@
     entries: tuple[Entry, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Request:
     """A client's job; one final answer is owed before `deadline` on the clock."""
 
@@ -224,7 +226,7 @@
     repeat: bool = False
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class First:
     """A streamed answer has begun: the attempt is the client's now."""
 
@@ -233,7 +235,7 @@
     worker: WorkerId
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Note:
     """News of an attempt still out: started, or the share that is done."""
 
@@ -244,7 +246,7 @@
     done: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class AttemptEnded:
     """The one outcome of an attempt; `over` when the request has its answer."""
 
@@ -257,21 +259,21 @@
     report: Report | None = None
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Gone:
     """The client has left; nothing is owed any more."""
 
     rid: int
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Timer:
     """A timer set earlier has run out."""
 
     token: int
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Probed:
     """The result of one probe."""
 
@@ -286,7 +288,7 @@
 # ------------------------------------------------------------------- actions
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Send:
     """Start an attempt; `timeout_ms` 0 lasts until the client gives up."""
 
@@ -295,7 +297,7 @@
     timeout_ms: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Refuse:
     """Final answer: rejected, and a retry is harmless."""
 
@@ -303,14 +305,14 @@
     retry_after_ms: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Fail:
     """Final answer: failed, with no promise about the effect."""
 
     rid: int
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Cancel:
     """Stop waiting for an attempt."""
 
@@ -318,7 +320,7 @@
     attempt: int
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class SetTimer:
     """Ask for a `Timer` event with this token."""
 
@@ -326,14 +328,14 @@
     token: int
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Probe:
     """Ask a worker for its load."""
 
     worker: WorkerId
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Watch:
     """Subscribe to changes of the server list."""
 
--- a/flintfield/memory/messages.py
+++ b/flintfield/memory/messages.py
@@ -5,10 +5,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum, IntEnum
 
 from flintfield.decision.interface import Entry, ListMode, Report, WorkerId
+from flintfield.decision.values import value
 
 Address = tuple[str, int]
 
@@ -36,7 +36,7 @@
     BROKEN = "broken"  # the connection: refused, never up, reset or ended early
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Ending:
     """An error, or a result, as a value: what happened and how far it had come."""
 
@@ -47,7 +47,7 @@
     word: str = ""  # for people
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Route:
     """A line of the route set: a next hop, where it listens and what the decisions are told of it."""
 
@@ -56,7 +56,7 @@
     entry: Entry
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Submission:
     """A caller's request as it came; `target` is path and query."""
 
@@ -75,7 +75,7 @@
     front: str = ""  # who handed it in, where that is not the main listener: it is asked and answered
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Lasting:
     """A job's record as it is to last; `memory/ledger.py` says what it promises."""
 
@@ -100,7 +100,7 @@
 # ----------------------------------------------------------------- messages
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class RouteNews:
     """Discovery's word: the changes since our version, or the whole list; `call` is the call it answers."""
 
@@ -110,7 +110,7 @@
     call: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class RouteCallFailed:
     """A watch failed, timed out or told nonsense."""
 
@@ -118,14 +118,14 @@
     call: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class DiscoveryMoved:
     """A new configuration names the address of discovery."""
 
     address: Address
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Submitted:
     """A caller's request has wholly come in; `rid` was given by the caller leg."""
 
@@ -133,14 +133,14 @@
     submission: Submission
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class CallerLeft:
     """The caller closed its connection before the answer."""
 
     rid: int
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class BranchUp:
     """A branch has its connection; nothing is written before `WriteBranch`."""
 
@@ -148,7 +148,7 @@
     branch: int
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class BranchNoted:
     """A next hop tells that the job started, or the share that is done."""
 
@@ -158,7 +158,7 @@
     share: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class BranchEnded:
     """A branch came to its end on the wire."""
 
@@ -167,7 +167,7 @@
     ending: Ending
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class ProbeEnded:
     """A probe came to its end."""
 
@@ -176,38 +176,38 @@
     took_ms: float
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Woke:
     """The clock reached the first timer."""
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class StopAsked:
     """The program was told to end; what is taken from now on must have its answer by then."""
 
     settle_by: float
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Kept:
     """What a `Keep` asked for is as durable as it was to be."""
 
     ticket: int
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class KeepFailed:
     """It is not, and will not be; what is there of it is not known."""
 
     ticket: int
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class TryKeep:
     """It is time to ask whether records can be written again, if they could not."""
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class FrontAllows:
     """A front's word on `MayWrite`: whether the branch's first byte may leave."""
 
@@ -230,7 +230,7 @@
 # ------------------------------------------------------------------ effects
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class OpenBranch:
     """Get a connection to a next hop, a used one only if it `may_reuse`; then tell `BranchUp`."""
 
@@ -240,7 +240,7 @@
     may_reuse: bool = False
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class HoldBranch:
     """Keep the branch's connection, unwritten, until `WriteBranch` or `DropBranch`."""
 
@@ -248,7 +248,7 @@
     branch: int
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class WriteBranch:
     """Write the request on the branch's connection; the next hop has until `deadline`."""
 
@@ -258,7 +258,7 @@
     wait_ms: float
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class DropBranch:
     """Close the branch's connection now, whatever it is doing."""
 
@@ -266,7 +266,7 @@
     branch: int
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Answer:
     """Give the caller its final answer; `close` ends the caller leg after it."""
 
@@ -277,7 +277,7 @@
     close: bool = False
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class ProbeHop:
     """Ask a next hop for its load."""
 
@@ -285,7 +285,7 @@
     address: Address
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class CallDiscovery:
     """Make one watch call for what is newer than `generation`, or ask for the whole list if it is None."""
 
@@ -294,14 +294,14 @@
     generation: int | None
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class LeaveDiscovery:
     """End the call that is out, if any, and close all connections to that address."""
 
     address: Address
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Defect:
     """Something that must not happen did; it is contained and is to be logged."""
 
@@ -309,21 +309,21 @@
     error: str
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class WatchFailed:
     """A call to discovery failed; it is to be logged."""
 
     word: str
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Untracked:
     """The table of jobs is full of live ones, so this one's state can not be asked for."""
 
     name: str
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Keep:
     """Write these records and delete those of the names, all or nothing; then tell `Kept` or `KeepFailed`.
 
@@ -337,7 +337,7 @@
     urgent: bool
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class MayWrite:
     """Ask the front that handed a job in whether its first byte may leave; `FrontAllows` is its word."""
 
@@ -346,7 +346,7 @@
     branch: int
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class FrontAnswer:
     """Give the front that handed a job in its final answer; `may_have_run`: no outcome proves it did not."""
 
--- a/flintfield/wire/http1/leg.py
+++ b/flintfield/wire/http1/leg.py
@@ -20,12 +20,12 @@
 
 import asyncio
 from collections.abc import Hashable
-from dataclasses import dataclass
 from enum import IntEnum
 from typing import Protocol
 
 import h11
 
+from flintfield.decision.values import value
 from flintfield.wire.http1.poller import NOTHING, READ, WRITE, Poller, Waits
 from flintfield.wire.http1.regular import read_request
 from flintfield.wire.http1.stream import Stream
@@ -39,7 +39,7 @@
 DRAIN_PAUSE_S = 0.004  # between two looks at what is thrown away: other legs have their turn meanwhile
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Reply:
     """An answer's parts, before they are framed."""
 
--- a/flintfield/wire/http1/lines.py
+++ b/flintfield/wire/http1/lines.py
@@ -4,19 +4,20 @@
 
 import json
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
 from typing import Any
 
 from flintfield.decision.interface import Report
+from flintfield.decision.values import value
 from flintfield.memory.messages import End, Ending, Reach
 
 MOST_LINE = 1 << 18
 LEAST_SHARE = 0.01
 MOST = {"free": 1024.0, "inflight": 65_536.0, "queue": 65_536.0, "util": 64.0, "latency_ms": 3_600_000.0}
+_DECODER = json.JSONDecoder()
 FINAL = {"done": End.DONE, "failed": End.FAILED, "returned": End.DECLINED, "lost": End.LOST}
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Note:
     """The job started, or this share of it is done."""
 
@@ -24,6 +25,18 @@
     share: float
 
 
+def read_json(line: bytes) -> Any:
+    """What `json.loads` reads; a plain object in UTF-8 without its detours."""
+    try:
+        text = line.decode()
+        told, end = _DECODER.raw_decode(text)
+        if end == len(text):
+            return told
+    except ValueError:
+        pass
+    return json.loads(line)  # it is odd: say what is wrong, or read it after all
+
+
 class Lines:
     """The lines of one job, put together from the pieces they come in."""
 
@@ -51,7 +64,7 @@
     def _read(self, line: bytes) -> Note | Ending | None:
         """One line; an ending if it is the last, or is odd: then it may have run."""
         try:
-            told = json.loads(line)
+            told = read_json(line)
             if told["id"] != self._name:
                 return Ending(End.BROKEN, Reach.SENT, word="a line of another job")
             state = told["state"]
@@ -89,10 +102,10 @@
 def make_report(values: Any, names: Mapping[str, str]) -> Report | None:
     """Name a report's values in the decisions' words; those that are no number are left out."""
     known: dict[str, float] = {}
-    for name, value in values.items() if isinstance(values, Mapping) else ():
+    for name, figure in values.items() if isinstance(values, Mapping) else ():
         ours = names.get(name)
         try:
-            number = float(value)
+            number = float(figure)
         except (TypeError, ValueError):
             continue
         # Guards against figures that cannot be: one huge count of free slots would draw all jobs there.
--- a/flintfield/wire/http1/submission.py
+++ b/flintfield/wire/http1/submission.py
@@ -4,10 +4,11 @@
 
 import re
 from collections.abc import Mapping
-from dataclasses import dataclass
+from typing import NoReturn
 
 import h11
 
+from flintfield.decision.values import value
 from flintfield.memory.messages import Submission
 
 MOST_BODY = 65_536
@@ -25,7 +26,7 @@
         self.status = status
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Request:
     """A whole request as it was read."""
 
@@ -54,20 +55,12 @@
     headers = request.headers
     first = request.target.split(b"?", 1)[0].strip(b"/").split(b"/", 1)[0].decode("ascii", "replace")
     class_name = _text(headers, b"req-kind")
-    if first not in classes and class_name not in classes and class_name in ("", first):
-        if class_name:
-            raise BadRequest(400, "Req-Kind: unknown class")
-        raise BadRequest(404, "no such path")
-    if request.method != b"POST":
-        raise BadRequest(405, "jobs come by POST")
-    if class_name not in classes:
-        raise BadRequest(400, "Req-Kind: missing or unknown")
-    if first != class_name:
-        raise BadRequest(404, "the path is not of this class")
+    if first != class_name or class_name not in classes or request.method != b"POST":
+        _refuse_class(request.method, first, class_name, classes)
     name = _text(headers, b"req-id")
     if not ID.fullmatch(name):
         raise BadRequest(400, "Req-Id: missing, too long or not plain text")
-    extras = _extras(_text(headers, b"req-extra"))
+    extras = _extras(_text(headers, b"req-extra")) if b"req-extra" in headers else {}
     cost_us = _number(headers, b"req-cost")
     return Submission(
         name=name, method=request.method, target=request.target, body=request.body,
@@ -80,6 +73,19 @@
     )
 
 
+def _refuse_class(method: bytes, first: str, class_name: str, classes: Mapping[str, int]) -> NoReturn:
+    """Say what is wrong with a request that is no job of a class."""
+    if first not in classes and class_name not in classes and class_name in ("", first):
+        if class_name:
+            raise BadRequest(400, "Req-Kind: unknown class")
+        raise BadRequest(404, "no such path")
+    if method != b"POST":
+        raise BadRequest(405, "jobs come by POST")
+    if class_name not in classes:
+        raise BadRequest(400, "Req-Kind: missing or unknown")
+    raise BadRequest(404, "the path is not of this class")
+
+
 def _text(headers: Mapping[bytes, bytes], name: bytes) -> str:
     return headers.get(name, b"").decode("latin-1").strip()
 
@@ -102,9 +108,11 @@
 
 
 def _key(text: str) -> int:
-    if text and not KEY.fullmatch(text):
+    if not text:
+        return 0
+    if not KEY.fullmatch(text):
         raise BadRequest(400, "Req-Key: not hexadecimal")
-    return int(text or "0", 16)
+    return int(text, 16)
 
 
 def _extras(text: str) -> dict[str, float]:
