--- a/flintfield/lab/choosers.py
+++ b/flintfield/lab/choosers.py
@@ -28,6 +28,7 @@
 TICK, TICK_MS = 0, 100.0
 SEEING_TICK_MS = 10.0  # the all-seeing one looks so often for a free slot
 IN_TRANSIT_MS = 20.0  # a job that was sent so long ago has arrived
+MARGIN = 1.2  # the all-seeing one leaves so much for what no one can see: the spread between attempts
 SURE = 0.9  # the part of a cold node's true budget that the all-seeing one uses
 
 
@@ -284,7 +285,7 @@
         return True  # `pick` looks at the true budget
 
     def pick(self, job: Job, ready: list[Entry]) -> Entry | None:
-        best, best_at = None, float("inf")
+        best, best_at = None, (self._due(job) - self.now) / MARGIN  # later than that is likely to be late
         work, slots = self._work(job), job.request.slots
         for entry in ready:
             truth = self._view.truth(entry.worker, self._place, job.request.cls)
@@ -308,7 +309,7 @@
             if (cls := job.request.cls) not in quickest:
                 truths = [self._view.truth(w, self._place, cls) for w in self.workers]
                 quickest[cls] = max((t.speed for t in truths if t), default=1.0)
-            if self.now + self._work(job) / max(quickest[cls], 1e-9) > self._due(job):
+            if self.now + MARGIN * self._work(job) / max(quickest[cls], 1e-9) > self._due(job):
                 self.end(job)  # it can not be in time any more
         full: set[int] = set()  # classes whose jobs find no node now
         for job in sorted(self.held.values(), key=self._rank):
