--- a/flintfield/lab/sockets/processes.py
+++ b/flintfield/lab/sockets/processes.py
@@ -68,7 +68,7 @@
         self._program = program
         self.usage = Usage()
         self.memory_mb, self.sockets = limits
-        self.stopping = self.killed = False
+        self.stopping = self.killed = self._ready = self._to_reload = False
         self._process: asyncio.subprocess.Process | None = None
         self._waiter: asyncio.Task[None] | None = None
         self._last = (0.0, 0.0)  # of the present process
@@ -92,7 +92,7 @@
 
     async def start(self, config: dict[str, Any], ended: Callable[[Scheduler, int], None]) -> None:
         """Start its process; `ended` is called with the exit code when that is over."""
-        self.stopping = self.killed = False
+        self.stopping = self.killed = self._ready = self._to_reload = False
         self.configure(config)
         environ = {**os.environ, "LB_CONFIG": str(self.folder / "config.json"), "LB_NAME": self.name,
                    "LB_LISTEN": text(self.address), "LB_DISCOVERY": str(config["discovery"])}
@@ -123,6 +123,18 @@
             with contextlib.suppress(ProcessLookupError):
                 self._process.send_signal(number)
 
+    def be_ready(self) -> None:
+        """It has said that it is ready."""
+        self._ready = True
+        if self._to_reload:
+            self.reload()
+
+    def reload(self) -> None:
+        """Tell it to read its configuration again, once it is ready: before that SIGHUP would end it."""
+        self._to_reload = not self._ready
+        if self._ready:
+            self.signal(signal.SIGHUP)
+
     def kill_unasked(self) -> None:
         """Kill it as the platform kills one over its memory: its end counts as its own."""
         if self._process:
