--- a/flintfield/lab/cli.py
+++ b/flintfield/lab/cli.py
@@ -310,6 +310,8 @@
     else:
         tables.show_comparison(comparison)
     if not comparison.pairs:
+        void = next((v.void for side in found for v in side.values() if v.void), "")
+        print(f"flintfield lab: no pair of runs to compare: {void}", file=sys.stderr)
         sys.exit(VOID)
     sys.exit(BROKE if comparison.other_broke or comparison.word == "worse" else KEPT)
 
@@ -347,7 +349,8 @@
                                           go_on=go_on):
                 goals.append(verdict.service.goal)
                 bar.step()
-                if (verdict.violations or verdict.void) and failed is None:
+                # The first trial that fails, not the first to be done: all before it were handed out too.
+                if (verdict.violations or verdict.void) and (failed is None or job.seed < failed[0].seed):
                     failed = job, verdict
         if failed:
             out.mkdir(parents=True, exist_ok=True)
@@ -380,8 +383,8 @@
         with contextlib.suppress(KeyboardInterrupt, SystemExit):
             shrinker.run()
         shrunk = shrinker.best
-    name = f"{shrunk.found.what}-{job.scenario.name}"[:60]
-    return regression(shrunk, name)
+    name, what = job.scenario.name, shrunk.found.what
+    return regression(shrunk, name if name.startswith(what) else f"{what}-{name}"[:60])
 
 
 @lab.command()
--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -25,13 +25,16 @@
 from flintfield.memory.state import State
 from flintfield.units.interface import Host, SidePage
 from flintfield.wire.http1.caller import Callers, Page, Pages
-from flintfield.wire.http1.client import Pool
+from flintfield.wire.http1.client import RETIRE_PART, Pool
 from flintfield.wire.http1.discovery import Discovery, Reader
 from flintfield.wire.http1.hop import NextHops
+from flintfield.wire.http1.poller import Poller
+from flintfield.wire.http1.spares import Spares
 
 SWEEP_S = 1.0
 LEGS_PART = 0.5  # of the descriptors: for caller legs; clients hold a third of all for requests
-IDLE_PART = 0.1  # of the descriptors: for kept connections; the rest is for branches, probes and our own
+# Of the descriptors: for kept connections, half of them jobs'; the rest is for branches, probes and our own.
+IDLE_PART = 0.1
 END_S = 1.0  # how long the end of all units may take
 FLUSH_S = 0.1  # how long the end waits for what still goes to standard error
 
@@ -54,23 +57,28 @@
         self._taking = False
         self._rearm = anyio.Event()
         self._armed = float("inf")
+        self._ports: dict[str, int] = {}
         self._tasks: TaskGroup
         host = Host(config, self.state, self._clock, self._clock(), self.tell, self._start_beside,
-                    self._errors, log, self._count, self._defect, self._side_pages)
+                    self._errors, log, self._count, self._defect, self._side_pages, lambda: self._ports)
         self.units = [feature.build(host) for feature in features]
-        pool = Pool(self._clock, config.conn_idle_ms, config.dial_timeout_ms,
-                    int(config.sockets * IDLE_PART), lambda: self._callers.make_room())
+        self._poller = Poller()
+        idle = int(config.sockets * IDLE_PART) // 2
+        spares = Spares(self._poller, config.conn_idle_ms * RETIRE_PART / 1000, idle)
+        pool = Pool(self._clock, config.conn_idle_ms, config.dial_timeout_ms, idle,
+                    lambda: spares.close_oldest() or self._callers.make_room())
         self._pool = pool
         reader = Reader(config.zones, config.kinds)
         self._known = reader.news(config.known, cached=True)
-        self._hops = NextHops(self.tell, self._clock, pool, config.report_names)
+        self._hops = NextHops(self.tell, self._clock, pool, config.report_names, self._poller, spares,
+                              self._count, config.dial_timeout_ms)
         self._discovery = Discovery(self.tell, pool, reader)
         pages = Pages(lambda: not self.state.stopping, lambda: self.state.counters, self._pages())
         gate = next((gate for unit in self.units if (gate := unit.gate())), None)
         self._callers = Callers(self.tell, pages, config.class_names,
-                                int(config.sockets * LEGS_PART), self._count, gate)
+                                int(config.sockets * LEGS_PART), self._count, self._poller, gate)
         self._perform: dict[type, Callable[[Any], None]] = {
-            OpenBranch: self._open_branch,
+            OpenBranch: self._hops.open,
             HoldBranch: self._hops.hold,
             WriteBranch: self._hops.write,
             DropBranch: self._hops.drop,
@@ -108,10 +116,6 @@
 
         return start
 
-    def _open_branch(self, effect: OpenBranch) -> None:
-        self._hops.open(effect)
-        self._start(self._hops.run)(effect)
-
     def _call_discovery(self, effect: CallDiscovery) -> None:
         self._discovery.open(effect)
         self._start(self._discovery.run)(effect)
@@ -179,6 +183,7 @@
             self.tell(self._known)
             tasks.start_soon(self._keep_time)
             tasks.start_soon(self._sweep)
+            tasks.start_soon(self._poller.run)
             tasks.start_soon(self._callers.accept_all, tasks)
             for unit in self.units:
                 self._start_beside(unit.run)
@@ -243,11 +248,14 @@
             await anyio.sleep(STOP_CHECK_S)
 
     async def _end_units(self) -> None:
-        """Let all units end, together; guards against one that stalls: the kill is near."""
+        """Let all units end, together, then close; guards against one that stalls: the kill is near."""
         with anyio.move_on_after(END_S):
             async with anyio.create_task_group() as ends:
                 for unit in self.units:
                     ends.start_soon(self._guarded, unit.end, type(unit).__name__)
+        with anyio.move_on_after(END_S):
+            for unit in reversed(self.units):
+                await self._guarded(unit.close, type(unit).__name__)
 
     def _busy(self) -> bool:
         return bool(self.state.transactions or self._callers.open_legs)
--- a/flintfield/memory/reducer.py
+++ b/flintfield/memory/reducer.py
@@ -11,15 +11,16 @@
 from typing import Any
 
 from flintfield.decision.interface import (
-    NEVER_RAN, Action, AttemptEnded, Cancel, Event, Fail, Gone, ListMode, Note, Outcome, Probe, Probed,
-    Refuse, Request, Send, ServerList, SetTimer, State as Lifecycle, Timer, Watch, WorkerId,
+    NEVER_RAN, Action, AttemptEnded, Cancel, Effect as ClassEffect, Event, Fail, Gone, ListMode, Note,
+    Outcome, Probe, Probed, Refuse, Request, Send, ServerList, SetTimer, State as Lifecycle, Timer, Watch,
+    WorkerId,
 )
 from flintfield.decision.policy import TICK, TICK_MS
 from flintfield.memory.messages import (
-    Answer, BranchEnded, BranchNoted, BranchUp, CallDiscovery, CallerLeft, Defect, DiscoveryMoved, DropBranch,
-    Effect, End, Ending, HoldBranch, Keep, KeepFailed, Kept, LeaveDiscovery, Message, OpenBranch, ProbeEnded,
-    ProbeHop, Reach, Route, RouteCallFailed, RouteNews, StopAsked, Submitted, TryKeep, Untracked, Verdict,
-    WatchFailed, Woke, WriteBranch,
+    Answer, BranchEnded, BranchNoted, BranchUp, CallDiscovery, CallerLeft, Defect, DiscoveryMoved,
+    DropBranch, Effect, End, Ending, FrontAllows, FrontAnswer, HoldBranch, Keep, KeepFailed, Kept,
+    LeaveDiscovery, MayWrite, Message, OpenBranch, ProbeEnded, ProbeHop, Reach, Route, RouteCallFailed,
+    RouteNews, StopAsked, Submitted, TryKeep, Untracked, Verdict, WatchFailed, Woke, WriteBranch,
 )
 from flintfield.memory.ledger import AnswerWaits, BranchWaits, Waits
 from flintfield.memory.state import Branch, BranchDue, DeadlineDue, KeepDue, State, TokenDue, Transaction
@@ -136,7 +137,9 @@
         self.state.counters["branches.opened"] += 1
         if number == 0 and self.now > transaction.taken:
             self.state.counters["requests.held"] += 1
-        self.effects.append(OpenBranch(action.rid, number, route.address))
+        # Guards bookings against a connection that broke while it was idle, in whatever way.
+        cls = self.state.dispatcher.settings.classes[transaction.submission.cls]
+        self.effects.append(OpenBranch(action.rid, number, route.address, cls.effect is ClassEffect.SAFE))
 
     def refuse(self, action: Refuse) -> None:
         self._answer(action.rid, Verdict.REFUSED, retry_after_ms=action.retry_after_ms)
@@ -239,6 +242,12 @@
 
     def _give(self, rid: int, verdict: Verdict, body: bytes = b"", retry_after_ms: float = 0.0) -> None:
         # Callers may keep a connection that serves to the last; one that does not sends them elsewhere.
+        transaction = self.state.transactions.get(rid)
+        if transaction and transaction.submission.front:
+            ran = any(b.written and not b.never_ran for b in transaction.branches)
+            self.effects.append(FrontAnswer(transaction.submission.front, rid, verdict, body, retry_after_ms,
+                                            ran))
+            return
         close = self.state.stopping and (verdict is not Verdict.SERVED or self.now >= self.last_call())
         self.effects.append(Answer(rid, verdict, body, retry_after_ms, close))
 
@@ -265,11 +274,30 @@
         if branch.held:
             return
         route = self._ready_route(transaction, branch)
+        if route and transaction.submission.front:
+            branch.held = True
+            self.effects += [HoldBranch(transaction.rid, message.branch),
+                             MayWrite(transaction.submission.front, transaction.rid, message.branch)]
+        else:
+            self._let_out_recorded(transaction, message.branch, route)
+
+    def _let_out_recorded(self, transaction: Transaction, number: int, route: Route | None) -> None:
+        """Let a branch out, once that is on disk where it has to be."""
         ledger = self.state.ledger
         if route and ledger and transaction.submission.class_name in ledger.guarded:
-            self._hold(transaction, message.branch, route.name)
+            self._hold(transaction, number, route.name)
         else:
-            self._let_out(transaction, message.branch)
+            self._let_out(transaction, number)
+
+    def front_allows(self, message: FrontAllows) -> None:
+        """The front that handed the job in has noted that it is let out, or can not."""
+        if (found := self._out(message.rid, message.branch)) is None or found[1].written:
+            return
+        if message.allowed:
+            self._let_out_recorded(found[0], message.branch, self._ready_route(*found))
+            return
+        self._refuse_unkept(message.rid)
+        self._drop(found[0], message.branch, Outcome.MOOT)
 
     def _ready_route(self, transaction: Transaction, branch: Branch) -> Route | None:
         """Where the branch may be written now, if it still may.
@@ -315,7 +343,7 @@
     def _end_branch(self, transaction: Transaction, number: int, outcome: Outcome,
                     ending: Ending | None = None) -> None:
         branch = transaction.branches[number]
-        branch.ended = True
+        branch.ended, branch.never_ran = True, outcome in NEVER_RAN
         at_work = any(b.written and not b.ended for b in transaction.branches)
         if self.state.jobs and not transaction.answered:
             self._note_end(transaction, branch, outcome, at_work)
@@ -356,14 +384,17 @@
         if not keeps:
             self._go_on_unkept(waits)
             return
-        transaction.branches[number].held = True
-        self.effects.append(HoldBranch(transaction.rid, number))
+        if not transaction.branches[number].held:
+            transaction.branches[number].held = True
+            self.effects.append(HoldBranch(transaction.rid, number))
         self._await(keeps, ledger.wait_ms)
 
     def _keep_end(self, transaction: Transaction, verdict: Verdict, body: bytes) -> bool:
         """Have a job's end on disk; whether its answer waits for that."""
         ledger, name, kind = self.state.ledger, transaction.submission.name, transaction.submission.class_name
-        if ledger is None or verdict is not Verdict.SERVED or kind not in ledger.guarded:
+        # A front that handed the job in has a record of its own, which its answer rests on.
+        waits_for_none = verdict is not Verdict.SERVED or bool(transaction.submission.front)
+        if ledger is None or waits_for_none or kind not in ledger.guarded:
             self._keep(name)
             return False
         waits = AnswerWaits(transaction.rid, verdict, body)
@@ -377,19 +408,20 @@
             self.state.timers.set(self.now + wait_ms, KeepDue(keep.ticket))
 
     def kept(self, message: Kept) -> None:
-        if ledger := self.state.ledger:
-            waits, keeps = ledger.kept(self.state, self.now, message.ticket)
-            if isinstance(waits, BranchWaits):
-                if transaction := self._held(waits):
-                    self._let_out(transaction, waits.branch)
-            elif waits:
+        ledger = self.state.ledger
+        for waits in ledger.kept(message.tickets) if ledger else ():
+            if isinstance(waits, AnswerWaits):
                 self._give(waits.rid, waits.verdict, waits.body)
-            self.effects += keeps
+            elif transaction := self._held(waits):
+                self._let_out(transaction, waits.branch)
+        if ledger:
+            self.effects += ledger.catch_up(self.state, self.now)
 
     def keep_failed(self, message: KeepFailed) -> None:
         if ledger := self.state.ledger:
             self.state.counters["store.failed"] += 1
-            self._go_on_unkept(ledger.failed(message.ticket))
+            for waits in ledger.failed(message.tickets):
+                self._go_on_unkept(waits)
 
     def _cut(self, ticket: int) -> None:
         """Guards against a disk that stalls: no step waits for it longer than it may."""
@@ -402,13 +434,13 @@
         transaction = self.state.transactions.get(waits.rid)
         return transaction if transaction and not transaction.branches[waits.branch].ended else None
 
-    def _go_on_unkept(self, waits: Waits | None) -> None:
+    def _go_on_unkept(self, waits: Waits) -> None:
         """A step that waited for its record, or would have, without one."""
         ledger = self.state.ledger
         if isinstance(waits, AnswerWaits):
             self.state.counters["store.ends_unkept"] += 1
             self._give(waits.rid, waits.verdict, waits.body)
-        elif waits and ledger and (transaction := self._held(waits)):
+        elif ledger and (transaction := self._held(waits)):
             if not ledger.promise:
                 self.state.counters["store.branches_unkept"] += 1
                 self._let_out(transaction, waits.branch)
@@ -535,7 +567,7 @@
     CallerLeft: Turn.caller_left, BranchUp: Turn.branch_up, BranchNoted: Turn.branch_noted,
     BranchEnded: Turn.branch_ended, ProbeEnded: Turn.probe_ended, Woke: Turn.woke,
     StopAsked: Turn.stop_asked, DiscoveryMoved: Turn.discovery_moved,
-    Kept: Turn.kept, KeepFailed: Turn.keep_failed, TryKeep: Turn.try_keep,
+    FrontAllows: Turn.front_allows, Kept: Turn.kept, KeepFailed: Turn.keep_failed, TryKeep: Turn.try_keep,
 }
 ACTIONS: dict[type, Callable[[Turn, Any], None]] = {
     Send: Turn.send, Refuse: Turn.refuse, Fail: Turn.fail, Cancel: Turn.cancel, Probe: Turn.probe,
--- a/flintfield/units/jobstatus.py
+++ b/flintfield/units/jobstatus.py
@@ -33,7 +33,9 @@
     def __init__(self, host: Host, given: Given) -> None:
         told = given.one(SECTION) or JobStatus()
         self._host = host
-        self._jobs = host.state.jobs = Jobs(told.keep_ms, told.max_entries)
+        jobs = host.state.jobs = Jobs(told.keep_ms, told.max_entries)
+        self._pages = JobPages(host.config.name, lambda name: jobs.find(host.clock(), name))
+        host.lent["job pages"] = self._pages
 
     def effects(self) -> Mapping[type, Callable[[Any], None]]:
         """The word on a job that found no room in the table."""
@@ -41,8 +43,7 @@
 
     def pages(self) -> Mapping[bytes, Page]:
         """`/jobs/<Req-Id>`."""
-        pages = JobPages(self._host.config.name, lambda name: self._jobs.find(self._host.clock(), name))
-        return {JOBS: pages.page}
+        return {JOBS: self._pages.page}
 
 
 FEATURE = Feature((SECTION,), JobStatusUnit)
