--- a/flintfield/lab/virtual/scheduler.py
+++ b/flintfield/lab/virtual/scheduler.py
@@ -24,7 +24,7 @@
     RouteCallFailed, StopAsked, Submission, Submitted, Untracked, Verdict, WatchFailed, Woke, WriteBranch,
 )
 from flintfield.memory.state import State
-from flintfield.wire.http1 import client, discovery, hop
+from flintfield.wire.http1 import branch, client, discovery, hop
 
 if TYPE_CHECKING:
     from flintfield.lab.virtual.engine import Engine, Site
@@ -33,7 +33,7 @@
 """The run's start on the true clock, in Unix ms: small, so that times keep their fractions."""
 BODY = b"\0" * 64
 PROBE_MS, PROBE_KEPT_MS = hop.PROBE_S * 1_000, hop.PROBE_KEPT_S * 1_000
-CONTINUE_MS, SWEEP_MS = hop.CONTINUE_S * 1_000, 1_000.0
+CONTINUE_MS, SWEEP_MS = branch.CONTINUE_S * 1_000, 1_000.0
 
 
 @dataclass(slots=True, eq=False)
--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import gc
 import signal
 import time
 from collections import deque
@@ -25,13 +27,21 @@
 from flintfield.memory.state import State
 from flintfield.units.interface import Host, SidePage
 from flintfield.wire.http1.caller import Callers, Page, Pages
-from flintfield.wire.http1.client import Pool
+from flintfield.wire.http1.client import RETIRE_PART, Pool
 from flintfield.wire.http1.discovery import Discovery, Reader
 from flintfield.wire.http1.hop import NextHops
+from flintfield.wire.http1.poller import Poller
+from flintfield.wire.http1.spares import Spares
 
 SWEEP_S = 1.0
+WAKE_MS = 1.0  # between two looks at the timers: those of thousands of jobs ring together
+# Containers made beyond those let go before the collector looks at the young ones, and how many such looks
+# come before a wider one. Our values hold no cycles: what is to be found is rare, and a look at 10,000 open
+# transactions stalls the loop.
+YOUNG, OLDER, OLD = 10_000, 20, 50
 LEGS_PART = 0.5  # of the descriptors: for caller legs; clients hold a third of all for requests
-IDLE_PART = 0.1  # of the descriptors: for kept connections; the rest is for branches, probes and our own
+# Of the descriptors: for kept connections, half of them jobs'; the rest is for branches, probes and our own.
+IDLE_PART = 0.1
 END_S = 1.0  # how long the end of all units may take
 FLUSH_S = 0.1  # how long the end waits for what still goes to standard error
 
@@ -52,26 +62,30 @@
         self._errors = ErrorOut(self._count)
         self._inbox: deque[Message] = deque()
         self._taking = False
-        self._rearm = anyio.Event()
-        self._armed = float("inf")
+        self._alarm: asyncio.TimerHandle | None = None
+        self._armed = float("inf")  # when the alarm rings
         self._ports: dict[str, int] = {}
         self._tasks: TaskGroup
         host = Host(config, self.state, self._clock, self._clock(), self.tell, self._start_beside,
                     self._errors, log, self._count, self._defect, self._side_pages, lambda: self._ports)
         self.units = [feature.build(host) for feature in features]
-        pool = Pool(self._clock, config.conn_idle_ms, config.dial_timeout_ms,
-                    int(config.sockets * IDLE_PART), lambda: self._callers.make_room())
+        self._poller = Poller()
+        idle = int(config.sockets * IDLE_PART) // 2
+        spares = Spares(self._poller, config.conn_idle_ms * RETIRE_PART / 1000, idle)
+        pool = Pool(self._clock, config.conn_idle_ms, config.dial_timeout_ms, idle,
+                    lambda: spares.close_oldest() or self._callers.make_room())
         self._pool = pool
         reader = Reader(config.zones, config.kinds)
         self._known = reader.news(config.known, cached=True)
-        self._hops = NextHops(self.tell, self._clock, pool, config.report_names)
+        self._hops = NextHops(self.tell, self._clock, pool, config.report_names, self._poller, spares,
+                              self._count, config.dial_timeout_ms)
         self._discovery = Discovery(self.tell, pool, reader)
         pages = Pages(lambda: not self.state.stopping, lambda: self.state.counters, self._pages())
         gate = next((gate for unit in self.units if (gate := unit.gate())), None)
         self._callers = Callers(self.tell, pages, config.class_names,
-                                int(config.sockets * LEGS_PART), self._count, gate)
+                                int(config.sockets * LEGS_PART), self._count, self._poller, gate)
         self._perform: dict[type, Callable[[Any], None]] = {
-            OpenBranch: self._open_branch,
+            OpenBranch: self._hops.open,
             HoldBranch: self._hops.hold,
             WriteBranch: self._hops.write,
             DropBranch: self._hops.drop,
@@ -109,10 +123,6 @@
 
         return start
 
-    def _open_branch(self, effect: OpenBranch) -> None:
-        self._hops.open(effect)
-        self._start(self._hops.run)(effect)
-
     def _call_discovery(self, effect: CallDiscovery) -> None:
         self._discovery.open(effect)
         self._start(self._discovery.run)(effect)
@@ -140,7 +150,19 @@
             self._taking = False
         due = self.state.timers.next_at()
         if due is not None and due < self._armed:
-            self._rearm.set()
+            self._arm(due)
+
+    def _arm(self, due: float) -> None:
+        """Have the clock wake the reducer then."""
+        if self._alarm:
+            self._alarm.cancel()
+        self._armed = due
+        after_ms = max(WAKE_MS, due - self._clock())
+        self._alarm = self._poller.loop.call_later(after_ms / 1000, self._wake)
+
+    def _wake(self) -> None:
+        self._alarm, self._armed = None, float("inf")
+        self.tell(Woke())
 
     def _reduce(self, message: Message) -> list[Effect]:
         try:
@@ -178,13 +200,16 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             self.tell(self._known)
-            tasks.start_soon(self._keep_time)
             tasks.start_soon(self._sweep)
+            tasks.start_soon(self._poller.run)
             tasks.start_soon(self._callers.accept_all, tasks)
             for unit in self.units:
                 self._start_beside(unit.run)
             self._log.info("serving", **self._ports, next_hops=len(self.state.routes),
                            generation=self.state.generation)
+            gc.collect()
+            gc.freeze()  # what is there now stays: no collection need look at it again
+            gc.set_threshold(YOUNG, OLDER, OLD)
             await stop_asked.wait()
             await self._stop(tasks)
             await self._end_units()
@@ -207,19 +232,6 @@
             except Exception as error:
                 self._defect("reload", error)
 
-    async def _keep_time(self) -> None:
-        while True:
-            due = self.state.timers.next_at()
-            self._armed = float("inf") if due is None else due
-            self._rearm = anyio.Event()
-            if due is None:
-                await self._rearm.wait()
-                continue
-            with anyio.move_on_after((due - self._clock()) / 1000):
-                await self._rearm.wait()
-            if self._clock() >= due:
-                self.tell(Woke())
-
     async def _sweep(self) -> None:
         while True:
             await anyio.sleep(SWEEP_S)
--- a/flintfield/memory/reducer.py
+++ b/flintfield/memory/reducer.py
@@ -11,8 +11,9 @@
 from typing import Any
 
 from flintfield.decision.interface import (
-    NEVER_RAN, Action, AttemptEnded, Cancel, Event, Fail, Gone, ListMode, Note, Outcome, Probe, Probed,
-    Refuse, Request, Send, ServerList, SetTimer, State as Lifecycle, Timer, Watch, WorkerId,
+    NEVER_RAN, Action, AttemptEnded, Cancel, Effect as ClassEffect, Event, Fail, Gone, ListMode, Note,
+    Outcome, Probe, Probed, Refuse, Request, Send, ServerList, SetTimer, State as Lifecycle, Timer, Watch,
+    WorkerId,
 )
 from flintfield.decision.policy import TICK, TICK_MS
 from flintfield.memory.messages import (
@@ -136,7 +137,9 @@
         self.state.counters["branches.opened"] += 1
         if number == 0 and self.now > transaction.taken:
             self.state.counters["requests.held"] += 1
-        self.effects.append(OpenBranch(action.rid, number, route.address))
+        # Guards bookings against a connection that broke while it was idle, in whatever way.
+        cls = self.state.dispatcher.settings.classes[transaction.submission.cls]
+        self.effects.append(OpenBranch(action.rid, number, route.address, cls.effect is ClassEffect.SAFE))
 
     def refuse(self, action: Refuse) -> None:
         self._answer(action.rid, Verdict.REFUSED, retry_after_ms=action.retry_after_ms)
@@ -405,19 +408,20 @@
             self.state.timers.set(self.now + wait_ms, KeepDue(keep.ticket))
 
     def kept(self, message: Kept) -> None:
-        if ledger := self.state.ledger:
-            waits, keeps = ledger.kept(self.state, self.now, message.ticket)
-            if isinstance(waits, BranchWaits):
-                if transaction := self._held(waits):
-                    self._let_out(transaction, waits.branch)
-            elif waits:
+        ledger = self.state.ledger
+        for waits in ledger.kept(message.tickets) if ledger else ():
+            if isinstance(waits, AnswerWaits):
                 self._give(waits.rid, waits.verdict, waits.body)
-            self.effects += keeps
+            elif transaction := self._held(waits):
+                self._let_out(transaction, waits.branch)
+        if ledger:
+            self.effects += ledger.catch_up(self.state, self.now)
 
     def keep_failed(self, message: KeepFailed) -> None:
         if ledger := self.state.ledger:
             self.state.counters["store.failed"] += 1
-            self._go_on_unkept(ledger.failed(message.ticket))
+            for waits in ledger.failed(message.tickets):
+                self._go_on_unkept(waits)
 
     def _cut(self, ticket: int) -> None:
         """Guards against a disk that stalls: no step waits for it longer than it may."""
@@ -430,13 +434,13 @@
         transaction = self.state.transactions.get(waits.rid)
         return transaction if transaction and not transaction.branches[waits.branch].ended else None
 
-    def _go_on_unkept(self, waits: Waits | None) -> None:
+    def _go_on_unkept(self, waits: Waits) -> None:
         """A step that waited for its record, or would have, without one."""
         ledger = self.state.ledger
         if isinstance(waits, AnswerWaits):
             self.state.counters["store.ends_unkept"] += 1
             self._give(waits.rid, waits.verdict, waits.body)
-        elif waits and ledger and (transaction := self._held(waits)):
+        elif ledger and (transaction := self._held(waits)):
             if not ledger.promise:
                 self.state.counters["store.branches_unkept"] += 1
                 self._let_out(transaction, waits.branch)
--- a/flintfield/wire/http1/client.py
+++ b/flintfield/wire/http1/client.py
@@ -9,6 +9,7 @@
 import h11
 
 from flintfield.memory.messages import Address, Reach
+from flintfield.wire.http1.answer import Head
 from flintfield.wire.http1.stream import OURS, Stream, dial
 
 MOST_BODY = 4 << 20  # a whole list or a job's lines; more than this is odd input
@@ -16,14 +17,6 @@
 ROOM_PAUSE_S = 0.02  # between two tries to get a descriptor
 
 
-@dataclass(frozen=True, slots=True)
-class Head:
-    """The head of a response."""
-
-    status: int
-    headers: dict[bytes, bytes]
-
-
 class Connection:
     """A connection on which we are the client."""
 
@@ -101,7 +94,7 @@
     """Idle connections by address, the last used first; in all no more than `most`."""
 
     def __init__(self, clock: Callable[[], float], conn_idle_ms: float, dial_timeout_ms: float, most: int,
-                 make_room: Callable[[], None]) -> None:
+                 make_room: Callable[[], object]) -> None:
         self._clock, self._dial_timeout_ms = clock, dial_timeout_ms
         # Guards against a request on a connection that the other side is just closing: it would be a reset.
         self._retire_ms = conn_idle_ms * RETIRE_PART
@@ -133,8 +126,7 @@
                 return Reach.DIALLING
             if self._clock() >= ends:
                 return Reach.UNTRIED
-            if not self._close_oldest():
-                self._make_room()
+            self.make_room()
             await anyio.sleep(ROOM_PAUSE_S)
 
     async def fetch(self, address: Address, target: bytes, kept_s: float) -> Page | Reach:
@@ -177,6 +169,11 @@
         if sum(len(kept) for kept in self._idle.values()) > self._most:
             self._close_oldest()
 
+    def make_room(self) -> None:
+        """Have a descriptor come free soon."""
+        if not self._close_oldest():
+            self._make_room()
+
     def _close_oldest(self) -> bool:
         """Close what has been idle the longest; whether there was any."""
         if not (firsts := [kept[0] for kept in self._idle.values() if kept]):
