Add planners and forwarders as pure cores, played in virtual time

Many schedulers each know little of the fleet, probe all of it and share cold budgets too thin to use.

planning/ makes plans of all forwarders' digests (prices, homes, shares by Eq. 7, leases on cold budgets); forwarding/ checks and ages them; decision/planned.py mixes them into today's module by their weight. lab/planners.py plays both over a modelled link. No role, link or command yet: nothing serves with them.

--- a/flintfield/capture/records.py
+++ b/flintfield/capture/records.py
@@ -11,8 +11,8 @@
 from typing import Any
 
 from flintfield.decision.interface import (
-    Action, AttemptEnded, Cancel, Entry, Event, Fail, First, Gone, ListMode, Note, Outcome, Probed, Refuse,
-    Report, Request, Send, ServerList, State, Timer, WorkerId,
+    Action, AttemptEnded, Cancel, Entry, Event, Fail, First, Gone, ListMode, Note, Outcome, PlanNews,
+    Probed, Refuse, Report, Request, Send, ServerList, State, Timer, WorkerId,
 )
 
 Record = dict[str, Any]
@@ -66,6 +66,8 @@
                 "instances": [server_record(e, names) for e in event.entries]}
     if isinstance(event, Probed):
         return {"record": "probe", "instance": names.worker(event.worker), **_ending(event)}
+    if isinstance(event, PlanNews):
+        raise TypeError("plans are not recorded: [role] refuses a forwarder with [capture]")
     told: Record = {"record": "", "Req-Id": names.request(event.rid), "rid": event.rid}
     if isinstance(event, Request):
         given = asdict(event)
--- a/flintfield/decision/interface.py
+++ b/flintfield/decision/interface.py
@@ -281,7 +281,32 @@
     report: Report | None = None
 
 
-Event = ServerList | Request | First | Note | AttemptEnded | Gone | Timer | Probed
+@dataclass(frozen=True, slots=True)
+class PlanRow:
+    """What a plan says of one worker, for this dispatcher."""
+
+    worker: WorkerId
+    share: float  # of our traffic
+    price: float  # in units of the highest worth
+    others: float  # slots that other dispatchers hold there
+    most: float  # most slots that anybody saw free; 0: not known
+    pace: float  # running time for a unit of cost; 0: not measured
+    heard: float  # when anybody had word of it; -inf: never
+    is_home: bool = False  # given to us before all others
+
+
+@dataclass(frozen=True, slots=True)
+class PlanNews:
+    """A plan, for a dispatcher that takes plans; it weighs 1 until `full_until`, then evenly less until
+    `ends`. `leases`: parts of cold workers' budgets that are ours until then, beside our own part."""
+
+    full_until: float
+    ends: float
+    rows: tuple[PlanRow, ...]
+    leases: tuple[tuple[WorkerId, float], ...] = ()
+
+
+Event = ServerList | Request | First | Note | AttemptEnded | Gone | Timer | Probed | PlanNews
 
 # ------------------------------------------------------------------- actions
 
--- /dev/null
+++ b/flintfield/decision/planned.py
@@ -0,0 +1,111 @@
+"""A dispatcher that takes plans: today's module, with what a plan says mixed in by the plan's weight.
+
+Rules. Without a plan in force every decision is the base's own, but for the cold budget, of which only
+OWN_PART is used then (the rest may be leased to others). All that a plan does is scaled by its weight a,
+which falls evenly to 0, so nothing jumps when planners go:
+
+- shares: a job is drawn by the plan's table with the chance a, else by the base's own shares; that is
+  η = a η_plan + (1 - a) η_own for each job, in O(1) beyond finding who has room;
+- whom we deal with: a worker of the plan moves up in our order, to rank x (1 - a);
+- prices, and the slots that others hold: moved toward the plan's figure by a, each time one comes;
+- probes: a worker that anybody had word of counts as probed then, and may be quiet up to PLANNED_QUIET_MS.
+
+What we see ourselves stands above the plan: room, refusals, silence, the list's word that a worker drains,
+and all rules are asked of a worker before any share is.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from flintfield.decision.interface import PlanNews, PlanRow, Settings, WorkerId
+from flintfield.decision.policy import PROBE_MS, TICK_MS, Dispatcher
+from flintfield.decision.records import Job, Worker
+
+OWN_PART = 0.6  # of the cold budget: what is used without a lease; planning/leases.py has its reason
+DEMAND_MS = 2_000.0  # how long the mean of our demand looks back
+PLANNED_QUIET_MS = 2_500.0  # no word from anybody for so long is answered by a probe, under a fresh plan
+
+
+class Planned(Dispatcher):
+    """The decisions of a forwarder."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        super().__init__(settings, seed)
+        self.plan: PlanNews | None = None
+        self.rows: dict[WorkerId, PlanRow] = {}
+        self.leases: dict[WorkerId, float] = {}
+        self.own_ranks: dict[WorkerId, float] = {}
+        self.demand = 0.0  # slots that our jobs hold or wait for, in the mean
+        self.handlers[PlanNews] = self._plan_news
+
+    def seen(self) -> Iterator[tuple[Worker, bool]]:
+        """The workers that we deal with or have jobs at, and whether each is our home by the plan."""
+        for worker in {w.entry.worker: w for w in self.near}.values():
+            row = self.rows.get(worker.entry.worker) if self.weight() > 0.0 else None
+            yield worker, row is not None and row.is_home
+        near = {w.entry.worker for w in self.near}
+        for number, worker in self.workers.items():
+            if worker.mine > 0.0 and number not in near:
+                yield worker, False
+
+    def _tick(self) -> None:
+        super()._tick()
+        waiting = sum(j.request.slots for jobs in self.held.sorts.values() for j in jobs.values())
+        now = waiting + sum(a.slots for a in self.attempts.values())
+        self.demand += TICK_MS / DEMAND_MS * (now - self.demand)
+
+    def weight(self) -> float:
+        """How much the plan counts now, from 1 (fresh) to 0 (none)."""
+        plan = self.plan
+        if plan is None or self.now >= plan.ends:
+            return 0.0
+        return 1.0 if self.now <= plan.full_until else (plan.ends - self.now) / (plan.ends - plan.full_until)
+
+    def _plan_news(self, news: PlanNews) -> None:
+        self.plan, self.rows, self.leases = news, {r.worker: r for r in news.rows}, dict(news.leases)
+        a = self.weight()
+        for row in news.rows:
+            worker = self.workers.get(row.worker)
+            if worker is None or a <= 0.0:
+                continue
+            worker.price = min(self.top_price, worker.price + a * (row.price - worker.price))
+            worker.others += a * (row.others - worker.others)
+            worker.most = max(worker.most, row.most)
+            if not worker.pace.count and row.pace > 0:
+                worker.pace.add(row.pace)
+            if row.most > 0:  # guards against never learning how many slots it has
+                worker.probe_at = max(worker.probe_at, row.heard + a * (PLANNED_QUIET_MS - PROBE_MS))
+        self._size_up()
+
+    def _size_up(self) -> None:
+        a, ranks = self.weight(), self.own_ranks
+        if a > 0.0 or ranks:
+            for worker in self.ring:
+                number = worker.entry.worker
+                own = ranks.get(number, worker.rank)
+                if a > 0.0 and number in self.rows:
+                    ranks[number], worker.rank = own, own * (1.0 - a)
+                elif number in ranks:
+                    worker.rank = ranks.pop(number)
+            self.ring.sort(key=lambda w: w.rank)
+        super()._size_up()
+        if a > 0.0:
+            near = {w.entry.worker for w in self.near}
+            self.near += [w for n in self.rows if n not in near and (w := self.workers.get(n)) is not None]
+            self.sharers = a + (1.0 - a) * self.sharers
+
+    def _draw(self, job: Job, ready: list[Worker]) -> Worker:
+        if not job.request.key and (a := self.weight()) > 0.0 and self.random.random() < a:
+            planned = [w for w in ready if w.entry.worker in self.rows]
+            home = [w for w in planned if self.rows[w.entry.worker].is_home] or planned
+            eta = [self.rows[w.entry.worker].share for w in home]
+            if sum(eta) > 0.0:
+                return self.random.choices(home, eta)[0]
+        return super()._draw(job, ready)
+
+    def _cold_share(self, worker: Worker, budget: float) -> float:
+        own = super()._cold_share(worker, OWN_PART * budget)
+        if self.plan is None or self.now >= self.plan.ends:
+            return own
+        return own + self.leases.get(worker.entry.worker, 0.0) * budget
--- a/flintfield/decision/policy.py
+++ b/flintfield/decision/policy.py
@@ -130,16 +130,21 @@
 
     def _cold_room(self, worker: Worker, cost: float) -> bool:
         """Rule 4: as many share what a cold worker may get as can use their part, in turn by lot."""
-        warmth, rules, n = self._warmth(worker), self.settings.rules, self.settings.dispatchers
+        warmth, rules = self._warmth(worker), self.settings.rules
         if warmth >= 1.0:
             return True
         carries = self.capacity.get(worker.entry.kind, 1.0) * warmth
         budget = COLD_PART * rules.fall_multiple * rules.fall_ms * carries
+        return worker.sent_since(self.now - rules.fall_ms) + cost <= self._cold_share(worker, budget)
+
+    def _cold_share(self, worker: Worker, budget: float) -> float:
+        """Our part of a cold worker's budget for a fall window."""
+        n = self.settings.dispatchers
         users = max(1, min(n, int(budget / max(1.0, *(c.value for c in self.costs)))))
         if worker.turn < 0:
             ours = lot(self.settings.me, wid := worker.entry.worker)
             worker.turn = sum(lot(i, wid) < ours for i in range(n))
-        return worker.turn < users and worker.sent_since(self.now - rules.fall_ms) + cost <= budget / users
+        return budget / users if worker.turn < users else 0.0
 
     def _size_up(self) -> None:
         """Near: the start of our own order of the fleet, with enough usable workers for every class.
--- /dev/null
+++ b/flintfield/forwarding/bridge.py
@@ -0,0 +1,28 @@
+"""Between plans and the decision module: plans as its events, and what it knows as digests."""
+
+from __future__ import annotations
+
+import math
+
+from flintfield.decision.interface import PlanNews, PlanRow
+from flintfield.decision.planned import Planned
+from flintfield.forwarding.core import FRESH_MS, Forwarding
+from flintfield.planning.messages import Digest, Plan, Seen
+
+
+def news_of(now: float, plan: Plan) -> PlanNews:
+    """A plan in force as the module's event; times on the forwarder's clock, `now` when it came."""
+    rows = tuple(PlanRow(r.worker, r.share, r.price, r.others, r.most, r.pace,
+                         plan.answers - r.heard_ms if r.heard_ms >= 0 else -math.inf, r.is_home)
+                 for r in plan.rows)
+    full_until = plan.answers + min(FRESH_MS, plan.valid_ms / 2)
+    return PlanNews(full_until, plan.answers + plan.valid_ms, rows,
+                    tuple((x.worker, x.part) for x in plan.leases))
+
+
+def digest_of(now: float, dispatcher: Planned, forwarding: Forwarding) -> Digest:
+    """What the forwarder tells planners now."""
+    seen = [Seen(w.entry.worker, round(w.mine, 3), w.most, round(w.pace.value, 4) if w.pace.count else 0.0,
+                 round(now - w.word) if w.word > -math.inf else -1.0, is_home)
+            for w, is_home in dispatcher.seen()]
+    return forwarding.digest(now, round(dispatcher.demand, 3), seen)
