Run as forwarder or planner: the link, the role section and flintfield plan

The cores were played in the laboratory alone; operators need processes that follow and make plans.

All forwarders come to follow the same planner.

Without the section nothing of it is imported.

--- a/flintfield/cli/group.py
+++ b/flintfield/cli/group.py
@@ -27,6 +27,7 @@
     "demo": "flintfield.lab.demo:demo",
     "lab": "flintfield.lab.cli:lab",
     "members": "flintfield.wire.membership.commands:members",
+    "plan": "flintfield.wire.link.commands:plan",
     "keys": "flintfield.wire.membership.commands:keys",
     "store": "flintfield.store.command:store",
 }
--- a/flintfield/decision/planned.py
+++ b/flintfield/decision/planned.py
@@ -18,7 +18,7 @@
 
 from collections.abc import Iterator
 
-from flintfield.decision.interface import PlanNews, PlanRow, Settings, WorkerId
+from flintfield.decision.interface import PlanNews, PlanRow, Refuse, Request, Settings, WorkerId
 from flintfield.decision.policy import PROBE_MS, TICK_MS, Dispatcher
 from flintfield.decision.records import Job, Worker
 
@@ -109,3 +109,13 @@
         if self.plan is None or self.now >= self.plan.ends:
             return own
         return own + self.leases.get(worker.entry.worker, 0.0) * budget
+
+
+class NoJobs(Dispatcher):
+    """The decisions of a planner's own process: it knows the list and probes, and takes no job.
+
+    Guards the cold budget, of which a planner has no part of its own to send from.
+    """
+
+    def _request(self, event: Request) -> None:
+        self.actions.append(Refuse(event.rid, self.settings.limits.max_retry_after_ms))
--- a/flintfield/forwarding/core.py
+++ b/flintfield/forwarding/core.py
@@ -6,7 +6,8 @@
 comes from a planner that slept, is as old as it truly is.
 
 Which planner: the one followed, while its plan weighs more than FOLLOW; else the one with the freshest plan,
-of those alike (within a period) one of the lowest place. Bounded: MOST_PLANNERS planners, one plan of each,
+of those alike (within a period) one of the lowest place. One of a lower place is gone over to once its plans
+have been good for SETTLED_MS without a break, so all forwarders come to follow the same one. Bounded: MOST_PLANNERS planners, one plan of each,
 DIGESTS_KEPT times of digests.
 """
 
@@ -24,6 +25,7 @@
 MOST_PLANNERS = 16
 DIGEST_MS = 250.0  # between two digests: held slots change within a job's time, some 0.5 s
 FOLLOW = 0.5  # a planner is followed until its plan weighs less
+SETTLED_MS = 3_000.0
 DIGESTS_KEPT = 64  # so many last digests may be answered
 FRESH_MS = 600.0  # a plan weighs full for so long: two periods and the way
 
@@ -38,6 +40,7 @@
         self.plans: dict[int, Plan] = {}  # the last good one of each place
         self.terms: dict[int, int] = {}
         self.followed: int | None = None
+        self._good_since: dict[int, float] = {}
         self.counts: Counter[str] = Counter()
         self.last_refusal = ""
         self._number = 0
@@ -55,6 +58,9 @@
             self.last_refusal = f"planner {plan.place}: {error}"
             return str(error)
         self.counts["taken"] += 1
+        before = self.plans.get(taken.place)
+        if before is None or self.weight(now, before) < FOLLOW:
+            self._good_since[taken.place] = now
         self.plans[taken.place] = taken
         self.terms[taken.place] = taken.term
         self._choose(now)
@@ -92,6 +98,11 @@
         followed = self.followed
         if followed is None or followed not in self.plans or self.weight(now, self.plans[followed]) < FOLLOW:
             self.followed = min(self.plans, key=rank, default=None)
+        for place in range(self.followed or 0):
+            if place in self.plans and now - self._good_since[place] >= SETTLED_MS and (
+                    self.weight(now, self.plans[place]) >= FOLLOW):
+                self.followed = place
+                break
 
     def in_force(self, now: float) -> tuple[Plan, float] | None:
         """The plan that is followed and its weight; None while there is none that counts."""
--- a/flintfield/lifecycle/units.py
+++ b/flintfield/lifecycle/units.py
@@ -20,6 +20,7 @@
     "queues": "flintfield.units.queues:FEATURE",
     "queue": "flintfield.units.queues:FEATURE",
     "membership": "flintfield.units.membership:FEATURE",
+    "role": "flintfield.units.role:FEATURE",
 }
 """In the order in which units are built and asked. Sections of one feature name the same place."""
 
--- a/flintfield/planning/messages.py
+++ b/flintfield/planning/messages.py
@@ -135,7 +135,7 @@
     """Raise a `NonsenseError` for a whole plan that cannot be right; `part`: the most that one planner may
     lease of a cold worker's budget."""
     _check("place", plan.place, 0, 1_000)
-    _check("term", plan.term, 1)
+    _check("term", plan.term, 1, 1e15)
     _check("number", plan.number, 1)
     _check("answers", plan.answers, -1e15, 1e15)
     _check("valid_ms", plan.valid_ms, 0, LONGEST_VALID_MS)
--- a/flintfield/planning/planner.py
+++ b/flintfield/planning/planner.py
@@ -94,7 +94,11 @@
             return False
         for place, term in digest.terms:
             if place == self.place and term > self.term:
-                self.leases.ended = True
+                # Our clock may stand behind that of an earlier life, as long as we have said nothing.
+                if self.number == 0 and self.is_listening(now):
+                    self.term = term + 1
+                else:
+                    self.leases.ended = True
         self._drop_held(digest.forwarder)
         self.tellers[digest.forwarder] = Teller(digest, now)
         for seen in digest.seen:
