--- a/flintfield/forwarding/core.py
+++ b/flintfield/forwarding/core.py
@@ -5,10 +5,10 @@
 the forwarder's clock: a plan counts from the digest that it answers, so one that was under way for long, or
 comes from a planner that slept, is as old as it truly is.
 
-Which planner: the one followed, while its plan weighs more than FOLLOW; else the one with the freshest plan,
-of those alike (within a period) one of the lowest place. One of a lower place is gone over to once its plans
-have been good for SETTLED_MS without a break, so all forwarders come to follow the same one. Bounded: MOST_PLANNERS planners, one plan of each,
-DIGESTS_KEPT times of digests.
+Which planner: the one followed, while its plan weighs more than FOLLOW; else the one with the freshest
+plan, of those alike (within a period) one of the lowest place. One of a lower place is gone over to once
+its plans have been good for SETTLED_MS without a break, so all forwarders come to follow the same one.
+Bounded: MOST_PLANNERS planners, one plan of each, DIGESTS_KEPT times of digests.
 """
 
 from __future__ import annotations
--- a/tests/test_planners_program.py
+++ b/tests/test_planners_program.py
@@ -1,4 +1,5 @@
-"""Forwarders and planners as real programs on loopback: plans, planners that die, keys, refusals, commands."""
+"""Forwarders and planners as real programs on loopback: plans, planners that die, keys, refusals,
+commands."""
 
 from __future__ import annotations
 
