--- a/benchmarks/suite.py
+++ b/benchmarks/suite.py
@@ -21,7 +21,8 @@
 
     `rounds`: how often each figure is measured; 1 and up. `scale`: the length of a round as a part of the
     usual, above 0; tests pass a small one. `seed`: of whatever a suite draws. `only`: the measurements asked
-    for, as beginnings of the results' names; a suite may leave out what none of them names. Empty: all.
+    for, as results' names or their first parts (`decisions`, `decisions.job`); a suite may leave out what none
+    of them names. Empty: all.
     """
 
     rounds: int = 5
@@ -37,8 +38,8 @@
             raise ValueError(f"scale: found {self.scale}, expected a number above 0")
 
     def wants(self, name: str) -> bool:
-        """Whether a figure of that name, or those whose names begin with it, are asked for."""
-        return not self.only or any(name.startswith(part) or part.startswith(name) for part in self.only)
+        """Whether the figure of that name is asked for."""
+        return not self.only or any(f"{name}.".startswith(f"{part}.") for part in self.only)
 
 
 @dataclass(frozen=True, slots=True)
