--- a/benchmarks/suite.py
+++ b/benchmarks/suite.py
@@ -21,8 +21,8 @@
 
     `rounds`: how often each figure is measured; 1 and up. `scale`: the length of a round as a part of the
     usual, above 0; tests pass a small one. `seed`: of whatever a suite draws. `only`: the measurements asked
-    for, as results' names or their first parts (`decisions`, `decisions.job`); a suite may leave out what none
-    of them names. Empty: all.
+    for, as results' names or their first parts (`decisions`, `decisions.job`); a suite may leave out what
+    none of them names. Empty: all.
     """
 
     rounds: int = 5
