--- a/benchmarks/model.py
+++ b/benchmarks/model.py
@@ -111,7 +111,7 @@
         self._out: dict[tuple[int, int, int], int] = {}  # whose outcome is still to come, and at which node
         self.asked, self.served = [0.0] * len(plan.classes), [0.0] * len(plan.classes)  # work, by class
         self.counts: Counter[str] = Counter()
-        self.jobs = 0  # that came
+        self.jobs, self._last_rid = 0, 0  # that came since the day is judged
         self.tick_ns, self.list_ns, self.event_ns = list[int](), list[int](), list[int]()
         self.judged_from = min(WARM_S, plan.seconds / 4) * 1000.0
         self._arrivals = random.Random(f"arrivals {seed}")
@@ -161,12 +161,13 @@
         work = WORK_MS[cls] * draw.lognormvariate(-0.5 * 0.9 ** 2, 0.9)
         hint = work * draw.lognormvariate(0.0, 0.3)
         key = draw.randint(1, self.plan.keys) if self.plan.keys else 0
-        me, self.jobs = draw.randrange(len(self.dispatchers)), self.jobs + 1
-        self._jobs[me, self.jobs] = cls, work, self.now
+        me, self._last_rid = draw.randrange(len(self.dispatchers)), self._last_rid + 1
+        self._jobs[me, self._last_rid] = cls, work, self.now
         if self.now >= self.judged_from:
+            self.jobs += 1
             self.asked[cls] += work
         deadline = self.now + self.plan.classes[cls].deadline_ms
-        self.tell(me, Request(self.jobs, cls, deadline, key=key, hint_ms=hint))
+        self.tell(me, Request(self._last_rid, cls, deadline, key=key, hint_ms=hint))
 
     # ------------------------------------------------------- the dispatcher's side
 
@@ -178,6 +179,8 @@
         took = perf_counter_ns() - began
         if type(event) is ServerList:
             self.list_ns.append(took)
+        elif now < self.judged_from:
+            pass
         elif type(event) is Timer and event.token == 0:
             self.tick_ns.append(took)
         else:
--- a/flintfield/decision/checkpoint.py
+++ b/flintfield/decision/checkpoint.py
@@ -19,16 +19,18 @@
 
 from flintfield.decision.interface import Entry, Outcome, Request, Settings, State
 from flintfield.decision.policy import Dispatcher
-from flintfield.decision.records import Account, Attempt, Held, Job, Mean, Worker
+from flintfield.decision.records import Account, Accounts, Attempt, Held, Job, Mean, Timers, Worker
 
 OBJECTS: dict[str, type[Any]] = {
-    c.__name__: c for c in (Account, Attempt, Entry, Held, Job, Mean, Request, Worker)
+    c.__name__: c for c in (Account, Accounts, Attempt, Entry, Held, Job, Mean, Request, Timers, Worker)
 }
 ENUMS: dict[str, type[Enum]] = {c.__name__: c for c in (Outcome, State)}
 SERIES: dict[type, str] = {list: "l", tuple: "t", deque: "q"}
 MAKERS: dict[str, type[Any]] = {tag: kind for kind, tag in SERIES.items()}
 PLAIN = frozenset({int, bool, type(None)})
-MADE_ANEW = frozenset({"settings", "handlers", "actions"})  # of a dispatcher: what its making gives it
+MADE_ANEW = frozenset({"settings", "handlers", "actions", "workers"})  # by the making of a dispatcher
+INDEXED = ("checks", "fleet")  # that keep a part and make the rest anew, of what stands before them
+VERSION = 2  # of what a state holds; 1 had no number: it knew no fleet, and its jobs were looked at by a walk
 WORDS = struct.Struct("<625I")  # of the generator's state
 
 
@@ -39,20 +41,27 @@
 def save(dispatcher: Dispatcher, most_values: float = math.inf) -> dict[str, Any]:
     """The state between two events; `TooLarge` as soon as it proves to have more values than that."""
     writer = _Writer(most_values)
-    state = {name: writer.value(v) for name, v in vars(dispatcher).items() if name not in MADE_ANEW}
-    return {"fields": writer.fields, "state": state}
+    state = {name: writer.value(v.kept() if name in INDEXED else v)
+             for name, v in vars(dispatcher).items() if name not in MADE_ANEW}
+    return {"version": VERSION, "fields": writer.fields, "state": state}
 
 
 def restore(settings: Settings, saved: dict[str, Any]) -> Dispatcher:
-    """A dispatcher in that state; a ValueError if it can not be read."""
+    """A dispatcher in that state; a ValueError if it can not be read or is another version's."""
     dispatcher = Dispatcher(settings, 0)
     names = set(vars(dispatcher)) - MADE_ANEW
+    if (version := saved.get("version", 1)) != VERSION:
+        raise ValueError(f"a state of version {version!r}, expected {VERSION}: the program that wrote it can "
+                         "go on from it")
     try:
         reader = _Reader(saved["fields"])
         if names != set(saved["state"]):
-            raise ValueError("a state of another version")
-        for name, value in saved["state"].items():
-            setattr(dispatcher, name, reader.value(value))
+            raise ValueError("not the parts of a dispatcher")
+        parts = {name: reader.value(value) for name, value in saved["state"].items()}
+        for name in names.difference(INDEXED):
+            setattr(dispatcher, name, parts[name])
+        for name in INDEXED:
+            getattr(dispatcher, name).restore(parts[name], dispatcher.now)
     except (ValueError, KeyError, TypeError, IndexError, AttributeError, struct.error) as error:
         raise ValueError(f"a state that cannot be read: {error!r}") from error
     return dispatcher
@@ -91,7 +100,9 @@
             return ["#", self._numbers[id(value)]]
         self._numbers[id(value)] = len(self._numbers)
         if name not in self.fields:
-            self.fields[name] = list(getattr(value, "__slots__", None) or vars(value))
+            derived = getattr(value, "DERIVED", ())
+            fields = getattr(value, "__slots__", None) or vars(value)
+            self.fields[name] = [f for f in fields if f not in derived]
         return [name, *(self.value(getattr(value, field)) for field in self.fields[name])]
 
 
--- a/flintfield/decision/policy.py
+++ b/flintfield/decision/policy.py
@@ -1,29 +1,36 @@
 """Every decision of a dispatcher; its settings, events and actions are in flintfield/decision/interface.py.
 
 A price per worker rises while the demand for its slots is above RHO of capacity; each job draws its worker
-from concave shares that trade speed against price. docs/design.md names the paper's equations.
+from concave shares that trade speed against price. docs/design.md names the paper's equations. What finds and
+counts stands in fleet.py, shares.py, homes.py and agenda.py: nothing here walks the fleet or the open jobs.
 """
 
 from __future__ import annotations
 
 import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
+from flintfield.decision.agenda import Agenda
+from flintfield.decision.fleet import Fleet
 from flintfield.decision.interface import (
-    Action, AttemptEnded, Cancel, Effect, Event, Fail, First, Gone, Group, ListMode, Note,
-    Outcome, Probe, Probed, Refuse, Report, Request, Send, ServerList, SetTimer, Settings, State, Timer,
-    Watch, WorkerId,
+    Action, AttemptEnded, Cancel, Effect, Entry, Event, Fail, First, Gone, Group, ListMode, Note, Outcome,
+    Probe, Probed, Refuse, Report, Request, Send, ServerList, SetTimer, Settings, State, Timer, Watch,
 )
-from flintfield.decision.records import Account, Attempt, Held, Job, Mean, Sort, Worker, lot
+from flintfield.decision.records import FRESH, Accounts, Attempt, Held, Job, Mean, Sort, Timers, Worker, lot
+from flintfield.decision.shares import Goods, Shares, step_down
 
 TICK_MS = 100.0  # a price step; jittered so that dispatchers do not step alike
 RHO = 0.8  # load factor: the part of a worker's slots that is sold without its price rising
 NU = 1.0  # price step for a second of one whole worker's excess demand, in units of the highest worth
 ZETA = 1.0  # mean quality times equal share: larger spreads the shares, smaller favours speed
 PROBE_MS = 500.0  # no word for this long is answered by a probe
+QUIET_PART, LONGEST_QUIET_MS = 16.0, 10_000.0  # silent, it is probed again after such a part of its silence
+PROBES_PER_S, RECALLS_PER_S = 400.0, 100.0  # most probes of workers that speak, and of silent ones
+MOST_PROBES = 200  # at a tick, as when all are new
 LOST = 0.2  # how far a lost, failed or timed-out job lowers a worker's quality, and one served raises it
 COLD_PART = 0.6  # the part of the cold budget that is used; the rest is for jobs heavier than they look
+COLD_STEPS = 32  # in which the room of a cold worker is thought to grow
 START_MS = 40.0  # a job not started by then waits in its worker's queue
 RATE_MS = 30_000.0  # how long the tenants' rates are remembered that tell our part of all traffic
 SHORT_MS = 2000.0  # weight of the prior of an n-th; allowance that may come at once; longest rest
@@ -34,28 +41,37 @@
 SHUN_MS, LONGEST_SHUN_MS = 8000.0, 30_000.0  # after an error of a class, trebled with each in a row
 SPARE = 0.5  # slots that are to be free beside those of a job that may not be sent again
 HASTE = 2.0  # how long a job is thought to take that has little time, in its time at the quickest worker
+AHEAD_MS = 3 * TICK_MS  # so long before a job's answer is due its timer is set
 TICK = 0  # timer token; requests take 1 and up
 
 
+def shares_at(theta: float, lam: float, mean: float, goods: Goods) -> list[float]:
+    """Eq. (7) with U = log(1 + x): η = [θ/(φ+λ) − 1/ζ]⁺ for pairs of φ and ζ, in units of the equal share."""
+    if theta <= 0:
+        return [1.0] * len(goods)
+    unit, least = mean / ZETA, 1e-12 - lam
+    return [eta if (eta := theta / ((phi if phi > least else least) + lam) - unit / zeta) > 0.0 else 0.0
+            for phi, zeta in goods]
+
+
 class Dispatcher:
     """One dispatcher's decisions: `handle(now, event)` returns what to do, in order."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings, self.random = settings, random.Random(seed)
-        self.workers: dict[WorkerId, Worker] = {}
+        self.fleet = Fleet(self._assess, shares_at, (c.kind for c in settings.classes))
+        self.workers = self.fleet.workers
         self.jobs: dict[int, Job] = {}
         self.held = Held()  # jobs that wait here for a free slot
         self.attempts: dict[tuple[int, int], Attempt] = {}
-        self.timers: dict[int, int] = {}
-        self.next_token, self.capacity = TICK, dict[int, float]()
-        self.ring: list[Worker] = []  # all workers in an order of our own
-        self.near: list[Worker] = []  # the first of them, whom we deal with
-        self.sharers = 1.0  # dispatchers that are thought to deal with a worker
-        self.in_flight = 0.0  # slots that our jobs hold in the mean
-        self.costs = [Mean(MEMORY) for _ in settings.classes]
-        self.pace = Mean(MEMORY)
-        prior = SHORT_MS / settings.dispatchers
-        self.accounts = [Account(t.allowance_per_s, prior) for t in settings.tenants]
+        self.timers = Timers()
+        self.checks: Agenda[int] = Agenda()  # when a job is to be looked at
+        self.ticks, self.sharers = 0, 1.0  # sharers: dispatchers that are thought to deal with a worker
+        self.started = 0.0  # slots that our jobs hold that have started
+        self.in_flight = 0.0  # the same in the mean
+        self.costs, self.pace = [Mean(MEMORY) for _ in settings.classes], Mean(MEMORY)
+        allowances = [t.allowance_per_s for t in settings.tenants]
+        self.accounts = Accounts(allowances, settings.dispatchers, SHORT_MS, RATE_MS)
         self.top_worth = max(c.worth for c in settings.classes) or 1.0
         self.top_price = min(c.worth for c in settings.classes) / self.top_worth  # against wind-up
         self.asks = settings.limits.probes and settings.reports  # else silence might never end
@@ -65,17 +81,18 @@
             Probed: self._probed, Timer: self._timer, Gone: self._gone, First: self._first,
         }
         self.now = self.last_tick = -math.inf
-        self.span = SHORT_MS  # the time that the tenants' rates are known over
+        self.passed = 0.0  # between the last two ticks
         self.watching, self.watch_at = False, -math.inf
 
     def handle(self, now: float, event: Event) -> list[Action]:
         """Take one event and return the actions it calls for."""
         self.actions, self.now = [], now
+        self.fleet.advance(now)
         if self.last_tick == -math.inf:
             self.last_tick = now
             self._tick()
         self.handlers[type(event)](event)
-        if self.held.sorts and not isinstance(event, Request | Note):
+        if self.held.sorts and self.fleet.roomy and not isinstance(event, Request | Note):
             self._serve_held()
         return self.actions
 
@@ -85,36 +102,50 @@
             self.watch_at = self.now + self.settings.rules.ask_within_ms / 4 * self.random.uniform(0.2, 1.0)
             return
         self.watching |= event.mode is not ListMode.CACHED
-        if event.mode is not ListMode.DELTA:
-            named = {e.worker for e in event.entries}
-            for gone in [w for w in self.workers if w not in named]:
-                del self.workers[gone]
-        for entry in event.entries:
-            if entry.state is State.GONE:
-                self.workers.pop(entry.worker, None)
-                continue
-            worker = self.workers.get(entry.worker)
-            if worker is None:
-                rank = lot(self.settings.me, entry.worker) * (entry.zone == self.settings.zone or AWAY)
-                worker = self.workers[entry.worker] = Worker(entry, MEMORY, rank)
-            if entry.started_ms > worker.entry.started_ms:  # a new process: what was seen is of the old one
-                worker.born, worker.others, worker.health, worker.full_until = entry.started_ms, 0.0, 1.0, 0.0
-                worker.errors, worker.shunned = {}, {}
-            worker.entry = entry
-        self.ring = sorted(self.workers.values(), key=lambda w: w.rank)
+        fleet, whole = self.fleet, event.mode is not ListMode.DELTA
+        for worker, before in fleet.take_list(event.entries, whole, self._meet):
+            if worker.entry.started_ms > before.started_ms:
+                worker.restart(worker.entry.started_ms, self.now)
+                fleet.ask(worker, self.now)
+            self._rate(worker)
+            fleet.touch(worker, rated=True)
         self._size_up()
 
+    def _meet(self, entry: Entry) -> Worker:
+        """A worker that is listed anew, with its place in our own order of the fleet."""
+        rank = lot(self.settings.me, entry.worker) * (entry.zone == self.settings.zone or AWAY)
+        worker = Worker(entry, MEMORY, rank, self.now)
+        self._rate(worker)
+        return worker
+
     def _silent(self, worker: Worker) -> bool:
         """No word though asked: guards against a vanished worker that keeps its price and draws jobs."""
-        return self.asks and (worker.down or (worker.missed and self.now - worker.word > PROBE_MS))
-
-    def _room(self, worker: Worker, slots: float) -> bool:
-        """Whether a slot is thought free, so that a job sent now would start at once."""
-        oldest = next(iter(worker.pending), None)
-        waits = oldest is not None and oldest.at < self.now - START_MS
-        if waits or self.now < worker.full_until or self._silent(worker):
-            return False
-        return max(1.0, worker.most * self._warmth(worker)) - worker.others - worker.mine >= slots - 0.5
+        return self.asks and (worker.down or (worker.missed and self.now > worker.word + PROBE_MS))
+
+    def _assess(self, worker: Worker) -> tuple[float, bool, bool, bool, float]:
+        """For the fleet: room for jobs that would start at once, is it silent, may it be counted on, may its
+        price step, and when time alone changes one of these."""
+        now, rules, later, rests = self.now, self.settings.rules, math.inf, self.now < worker.full_until
+        silent, ready = self._silent(worker), worker.entry.state is State.READY
+        if worker.missed and self.asks and not silent:
+            later = math.nextafter(worker.word + PROBE_MS, math.inf)
+        if cold := worker.is_cold(rules, now):
+            later = min(later, worker.warmer_at(rules, now, COLD_STEPS))
+        for until in worker.shunned.values():
+            later = until if now < until < later else later
+        if rests:
+            later = min(later, worker.full_until)
+        if worker.pending:
+            waits = next(iter(worker.pending)).at + START_MS
+            if now > waits:  # a job waits in its queue
+                rests = True
+            else:
+                later = min(later, math.nextafter(waits, math.inf))
+        moves = worker.price > 0.0 or self._demand(worker) > RHO
+        if rests or silent or not ready:
+            return -math.inf, silent, ready and not silent and not cold, moves, later
+        most = worker.most * (worker.warmth(rules, now, COLD_STEPS) if cold else 1.0)
+        return max(1.0, most) - worker.others - worker.mine, False, not cold, moves, later
 
     def _demand(self, worker: Worker) -> float:
         """Slot demand u: 1 after 'full' or while no free slot was ever seen."""
@@ -122,18 +153,13 @@
             return 1.0
         return min(1.0, (worker.others + worker.mine) / worker.most)
 
-    def _warmth(self, worker: Worker) -> float:
-        """The part of its capacity that a worker surely has by its age."""
-        rules = self.settings.rules
-        age = (self.now - worker.born) / rules.cold_ms if worker.born > 0 < rules.cold_ms else 1.0
-        return 1.0 - (1.0 - rules.cold_from) * (1.0 - min(1.0, max(0.0, age)))
-
     def _cold_room(self, worker: Worker, cost: float) -> bool:
         """Rule 4: as many share what a cold worker may get as can use their part, in turn by lot."""
-        warmth, rules, n = self._warmth(worker), self.settings.rules, self.settings.dispatchers
-        if warmth >= 1.0:
+        rules, n = self.settings.rules, self.settings.dispatchers
+        if not worker.is_cold(rules, self.now):
             return True
-        carries = self.capacity.get(worker.entry.kind, 1.0) * warmth
+        carries = self.fleet.survey(self._pace).carries.get(worker.entry.kind, 1.0)
+        carries *= worker.warmth(rules, self.now)
         budget = COLD_PART * rules.fall_multiple * rules.fall_ms * carries
         users = max(1, min(n, int(budget / max(1.0, *(c.value for c in self.costs)))))
         if worker.turn < 0:
@@ -142,25 +168,11 @@
         return worker.turn < users and worker.sent_since(self.now - rules.fall_ms) + cost <= budget / users
 
     def _size_up(self) -> None:
-        """Near: the start of our own order of the fleet, with enough usable workers for every class.
-
-        Guards against many dispatchers that each know little of every worker, queue there and probe all.
-        """
-        self.capacity, self.near = {}, []
-        enough = NEAR + round(max(self.in_flight, len(self.workers) / self.settings.dispatchers))
-        lacking = dict.fromkeys((c.kind for c in self.settings.classes), enough)
-        for worker in self.ring:
-            if not lacking:
-                break
-            self.near.append(worker)
-            if worker.most > 0:
-                kind, carries = worker.entry.kind, worker.most / self._pace(worker)
-                self.capacity[kind] = min(carries, self.capacity.get(kind, carries))
-            if self._warmth(worker) < 1.0 or worker.entry.state is not State.READY or self._silent(worker):
-                continue
-            fits = (None, worker.entry.kind)
-            lacking = {k: left for k, n in lacking.items() if (left := n - (k in fits)) > 0}
-        self.sharers = max(1.0, self.settings.dispatchers * len(self.near) / max(1, len(self.workers)))
+        """Deal with so many near workers that every class has enough: guards against many dispatchers that
+        each know little of every worker, queue there and probe all."""
+        fleet, n = self.fleet, self.settings.dispatchers
+        fleet.size_up(NEAR + round(max(self.in_flight, len(fleet.ring) / n)))
+        self.sharers = max(1.0, n * fleet.cut / max(1, len(fleet.ring)))
 
     def _heard(self, worker: Worker, report: Report | None) -> None:
         """Take a worker's word; a report tells what the others hold there."""
@@ -174,7 +186,7 @@
         worker.most = max(worker.most, free)
         # Of a queue our part counts: counted whole by all, it closes every worker to all at once.
         taken = worker.most - free + (report.queue or 0.0) / self.sharers
-        worker.others += 0.3 * (max(0.0, taken - worker.mine_mean) - worker.others)
+        worker.others += 0.3 * (max(0.0, taken - worker.held_mean(self.ticks)) - worker.others)
 
     def _probed(self, event: Probed) -> None:
         worker = self.workers.get(event.worker)
@@ -184,60 +196,59 @@
                 self._heard(worker, event.report)
             elif event.outcome is not Outcome.MOOT:
                 worker.missed = True
+            self.fleet.ask(worker, self._quiet_from(worker))
+            self.fleet.touch(worker)
 
     def _tick(self) -> None:
-        """Step prices, probe the quiet workers, keep the list subscription."""
-        passed, self.last_tick = self.now - self.last_tick, self.now
-        step, kept = NU * min(1.0, passed / 1000.0), math.exp(-passed / RATE_MS)
-        self.span = RATE_MS + (self.span - RATE_MS) * kept
-        for account in self.accounts:
-            account.recent *= kept
+        """Step prices, probe the quiet workers, look after the jobs that wait, keep the list subscription."""
+        self.passed, self.last_tick = self.now - self.last_tick, self.now
+        self.ticks += 1
+        self.accounts.forget(self.passed)
         # Jobs that wait at a worker ask for no more workers.
-        running = sum(a.slots for a in self.attempts.values() if a.started is not None)
-        self.in_flight += 0.1 * (running - self.in_flight)
+        self.in_flight += 0.1 * (self.started - self.in_flight)
         self._size_up()
         self.actions.append(SetTimer(TICK_MS * self.random.uniform(0.8, 1.2), TICK))
-        for worker in self.near:
-            if self.now - worker.word < 3 * PROBE_MS:  # no fresh word: the price is kept
-                price = worker.price - step * (RHO - self._demand(worker))
-                worker.price = min(self.top_price, max(0.0, price))
-            worker.mine_mean += 0.2 * (worker.mine - worker.mine_mean)
-            heard = worker.word if self.settings.reports_in_answers else -math.inf
-            quiet = self.now - max(heard, worker.probe_at) > PROBE_MS and not worker.probing
-            if quiet and self.asks:
-                worker.probing, worker.probe_at = True, self.now - self.random.uniform(0, TICK_MS)
-                self.actions.append(Probe(worker.entry.worker))
+        self.fleet.step_prices(self._prices)
+        for worker in self.fleet.due_for_probe(self._quiet_from, MOST_PROBES) if self.asks else ():
+            worker.probing, worker.probe_at = True, self.now - self.random.uniform(0, TICK_MS)
+            self.actions.append(Probe(worker.entry.worker))
+        self.fleet.drop_unused()
         if self.settings.ask_list and not self.watching and self.now >= self.watch_at:
             self.watch_at = self.now + self.settings.rules.ask_within_ms / 2
             self.actions.append(Watch())
 
-    def _quality(self, worker: Worker) -> float:
-        """ζ: the list weight, else the inverse of running time per cost."""
-        speed = worker.entry.weight if self.settings.has_weights else 1.0 / max(self._pace(worker), 1e-6)
-        return max(speed, 1e-6) * worker.health
+    def _prices(self, workers: list[Worker]) -> list[float]:
+        """φ ← [φ − ν(ρ − u)]⁺, up to the top; without fresh word the price is kept."""
+        step, top = NU * min(1.0, self.passed / 1000.0), self.top_price
+        since = self.now - 3 * self._probe_ms()
+        return [min(top, max(0.0, w.price - step * (RHO - self._demand(w)))) if w.word > since else w.price
+                for w in workers]
+
+    def _probe_ms(self) -> float:
+        """How often a worker that speaks is probed: in wide fleets less often, for all are paid for."""
+        return max(PROBE_MS, self.fleet.cut / PROBES_PER_S * 1000.0)
+
+    def _quiet_from(self, worker: Worker) -> float:
+        """From when on a worker is due for a probe; silent ones more and more seldom, and few in all."""
+        heard = worker.word if self.settings.reports_in_answers else -math.inf
+        wait = self._probe_ms()
+        if self._silent(worker):
+            silence = self.now - max(worker.word, worker.known_at)
+            wait = max(PROBE_MS, min(LONGEST_QUIET_MS, silence / QUIET_PART),
+                       self.fleet.silent / RECALLS_PER_S * 1000.0)
+        return max(heard, worker.probe_at) + wait
+
+    def _rate(self, worker: Worker) -> None:
+        """ζ: the list weight, else the inverse of running time per cost; the fleet is told by the caller."""
+        if self.settings.has_weights:
+            worker.zeta = max(worker.entry.weight, 1e-6) * worker.health
+        elif worker.pace.count:
+            worker.zeta = worker.health / max(self._pace(worker), 1e-6)
 
     def _pace(self, worker: Worker) -> float:
         """Running time for a unit of cost; the unmeasured take the mean."""
         return (worker.pace if worker.pace.count else self.pace).value or 1.0
 
-    def _shares(self, theta: float, ready: list[Worker]) -> list[float]:
-        """Eq. (7) with U = log(1 + x): η = [θ/(φ+λ) − 1/ζ]⁺ and Ση = 1, in units of the equal share."""
-        zeta = [self._quality(w) for w in ready]
-        mean = sum(zeta) / len(zeta)
-        inverse = [mean / (ZETA * z) for z in zeta]
-        pairs, eta = list(zip([w.price for w in ready], inverse, strict=True)), [1.0]
-        alone = [theta / (1 + i) - p for p, i in pairs]  # the λ at which a worker's share is the equal one
-        low, high = max(min(alone), -min(p for p, _ in pairs)), max(alone)
-        for _ in range(30):
-            lam = (low + high) / 2
-            eta = [max(0.0, theta / max(p + lam, 1e-12) - i) for p, i in pairs]
-            excess = sum(eta) - len(ready)
-            if abs(excess) < 0.01:
-                break
-            low, high = (lam, high) if excess > 0 else (low, lam)
-        total = sum(eta)
-        return [e / total for e in eta] if total > 0 else [1 / len(ready)] * len(ready)
-
     def _request(self, event: Request) -> None:
         if not 0 <= event.cls < len(self.settings.classes):
             self.actions.append(Fail(event.rid))
@@ -247,63 +258,73 @@
             mean.add(max(event.hint_ms, 1e-3))
         cost = event.hint_ms or (mean.value if mean.count else cls.aim_ms)
         theta = cls.worth / self.top_worth
-        if self._over_share(event.tenant):
-            theta *= self.settings.over_share_worth
+        theta *= self.settings.over_share_worth if self._over_share(event.tenant) else 1.0
         job = self.jobs[event.rid] = Job(event, self.now, max(cost, 1e-3), theta)
         job.last -= 2 * self.settings.resolution_ms
         if self._hopeless(job):
             self._end(job)
             return
-        self._set_timer(max(0.0, job.last - self.now), job)
-        self._place(job, self.near)
+        self._place(job)
+        self.checks.put(event.rid, self.now)
+        if job.last - self.now <= AHEAD_MS:
+            self._look(job)
 
     def _hopeless(self, job: Job) -> bool:
-        """Whether a job with less than half its class's time left can hardly end before its answer is due.
-
-        Guards against work for nothing: an answer at once lets the client look elsewhere.
-        """
-        left, quickest = job.last - self.now, min((self._pace(w) for w in self.near), default=1.0)
-        short = left < self.settings.classes[job.request.cls].deadline_ms / 2
-        return short and left <= HASTE * quickest * (job.request.hint_ms or 0.0)
+        """Whether a job with less than half its class's time left can hardly end before its answer is due:
+        guards against work for nothing, for an answer at once lets the client look elsewhere."""
+        left, hint = job.last - self.now, job.request.hint_ms or 0.0
+        if left >= self.settings.classes[job.request.cls].deadline_ms / 2:
+            return False
+        return left <= (HASTE * self.fleet.survey(self._pace).quickest * hint if hint else 0.0)
 
-    def _set_timer(self, wait: float, job: Job) -> None:
-        self.next_token = self.next_token % 0xFFFFFFFF + 1
-        self.timers[self.next_token] = job.request.rid
-        self.actions.append(SetTimer(wait, self.next_token))
+    def _look(self, job: Job) -> None:
+        """Can a job that waits still be in time, is its answer due soon? Look again at a later tick: the pace
+        moves, so after half the time that seems left."""
+        waits, at = all(a.started is None for a in job.running()), job.last - AHEAD_MS
+        if job.streaming or (waits and self._expired(job)):
+            return
+        if at <= self.now:
+            at = math.inf
+            if not job.timed:
+                job.timed = True
+                self.actions.append(SetTimer(max(0.0, job.last - self.now), self.timers.set(job)))
+        if waits and (left := job.arrived + self._useful_ms(job) - self.now) > 0:
+            at = min(at, self.now + max(TICK_MS / 2, left / 2))
+        if at < math.inf:
+            self.checks.put(job.request.rid, at)
 
     def _over_share(self, tenant: int) -> bool:
         """Whether a request is beyond its tenant's part here: guards against a surge crowding others out."""
-        if not 0 <= tenant < len(self.accounts):
+        if not 0 <= tenant < len(self.accounts.accounts):
             return False
-        # Our part of all traffic is the median tenant's use of its allowance here, and an n-th at least.
-        use = sorted(a.recent / self.span / max(a.allowance, 1e-9) for a in self.accounts)
-        part = max(1.0 / self.settings.dispatchers, use[(len(use) - 1) // 2])
-        account = self.accounts[tenant]
+        part, account = self.accounts.part(), self.accounts.accounts[tenant]
         account.recent += 1.0
         return not account.take(self.now, account.allowance * part, SHORT_MS, BURST_JOBS)
 
     def _serve_held(self) -> None:
         """Held jobs go by worth for slot time, the newest first: guards against all being late in turn."""
-        roomy = [w for w in self.near if self._room(w, 1.0)]
-        for sort in sorted(self.held.sorts, key=self._density) if roomy else ():
-            for job in self.held.newest_first(sort):
-                if not self._expired(job) and not self._place(job, roomy):
+        for sort in sorted(self.held.sorts, key=self._density):
+            while self.fleet.roomy and (job := self.held.next(sort)) is not None:
+                if not self._expired(job) and not self._place(job):
                     break
 
-    def _density(self, sort: Sort) -> float:
+    def _density(self, sort: Sort) -> tuple[float, bool]:
         """What a held job earns for the slot time it takes, negated so that the best comes first."""
-        cls, theta, slots, _ = sort
+        cls, theta, slots, last = sort
         cost = 1.0 if self.settings.worth_by_work else self.costs[cls].value or 1.0
-        return -theta / max(slots, 1.0) / cost
+        return -theta / max(slots, 1.0) / cost, last != FRESH
+
+    def _useful_ms(self, job: Job) -> float:
+        """For how long after its coming a job that has not started can still be in time."""
+        cls, out, pace = self.settings.classes[job.request.cls], job.running(), self.pace.value or 1.0
+        if out:  # guards against giving up a booking, which can go nowhere else, while it may be in time
+            pace = 0.0 if cls.effect is Effect.UNSAFE else self._pace(out[0].worker)
+        return max(cls.aim_ms + (cls.stretch - pace) * job.cost, cls.aim_ms / 2)
 
     def _expired(self, job: Job) -> bool:
         """A job that can hardly be in time is worth its late part, not to stop those that can; or it ends."""
         cls = self.settings.classes[job.request.cls]
-        out, pace = job.running(), self.pace.value or 1.0
-        if out:  # guards against giving up a booking, which can go nowhere else, while it may be in time
-            pace = 0.0 if cls.effect is Effect.UNSAFE else self._pace(out[0].worker)
-        useful = cls.aim_ms + (cls.stretch - pace) * job.cost
-        if job.late or self.now - job.arrived <= max(useful, cls.aim_ms / 2):
+        if job.late or self.now - job.arrived <= self._useful_ms(job):
             return False
         if cls.late_worth <= 0:
             self._end(job)
@@ -314,66 +335,99 @@
             self.held.put(job)
         return False
 
-    def _place(self, job: Job, pool: Iterable[Worker]) -> bool:
+    def _place(self, job: Job, anywhere: bool = False) -> bool:
         """Draw a worker with room for the job; while there is none, or none it can pay, it is held here."""
-        ready = [w for w in pool if w.price <= job.theta
-                 and self._room(w, job.request.slots) and self._may_send(job, w)]
-        cls = self.settings.classes[job.request.cls]
-        unsafe = cls.effect is Effect.UNSAFE
-        if unsafe and any(not self._shuns(w, job) and not self._silent(w) for w in self.near):
-            ready = [w for w in ready if not self._shuns(w, job)]
-        if not ready:
+        worker = self._draw(job, anywhere) if self._may_go(job) else None
+        if worker is None:
             if not job.running():  # one that waits at a worker is not held as well: thousands may in a jam
-                self.held.put(job)
+                self.held.put(job, (self._bound(job) or ("", -1))[1])
             return False
         self.held.take_out(job)
-        if unsafe:
-            # Guards against a booking in a queue that it may not leave: its first place is its only one.
-            ready = [w for w in ready if self._room(w, job.request.slots + SPARE)] or ready
-        worker = self._draw(job, ready)
-        attempt = Attempt(worker, self.now, job.request.slots, self.settings.tells_start)
-        self.attempts[job.request.rid, len(job.attempts)] = attempt
+        settings, rid, slots = self.settings, job.request.rid, job.request.slots
+        attempt = Attempt(worker, self.now, slots, settings.tells_start)
+        self.attempts[rid, len(job.attempts)] = attempt
         job.attempts.append(attempt)
-        worker.mine += attempt.slots
-        if self.settings.tells_start:
+        worker.hold(slots, self.ticks)
+        if settings.tells_start:
             worker.pending[attempt] = None
-            if not unsafe:
-                self._set_timer(START_MS, job)
-        if self._warmth(worker) < 1.0:
+            cls = settings.classes[job.request.cls]
+            if settings.limits.second_copies and cls.effect is not Effect.UNSAFE:
+                self.actions.append(SetTimer(START_MS, self.timers.set(job)))
+        else:
+            self.started += slots
+        if worker.is_cold(settings.rules, self.now):
             worker.sent.append((self.now, job.cost))
-        self.actions.append(Send(job.request.rid, worker.entry.worker))
+        self.fleet.touch(worker)
+        self.actions.append(Send(rid, worker.entry.worker))
         return True
 
-    def _shuns(self, worker: Worker, job: Job) -> bool:
-        """Guards against booking after booking at a worker that fails them and serves other classes well."""
-        return self.now < worker.shunned.get(job.request.cls, -math.inf)
-
-    def _draw(self, job: Job, ready: list[Worker]) -> Worker:
-        """Draw from η; jobs of one key draw alike (weighted rendezvous): guards against fetching it anew."""
-        eta = self._shares(job.theta, ready)
-        if not job.request.key:
-            return self.random.choices(ready, eta)[0]
-        chance = [lot(job.request.key, w.entry.worker) for w in ready]
-        return max(zip(eta, chance, ready, strict=True), key=lambda t: t[0] / t[1])[2]
-
-    def _may_send(self, job: Job, worker: Worker) -> bool:
-        """Rules 2, 3 and 4: may this job go to that worker now?"""
-        cls, limits = self.settings.classes[job.request.cls], self.settings.limits
-        if (worker.entry.state is not State.READY or cls.kind not in (None, worker.entry.kind)
-                or len(job.attempts) >= limits.max_attempts or not self._cold_room(worker, job.cost)):
+    def _draw(self, job: Job, anywhere: bool) -> Worker | None:
+        """Draw from η over those that may take the job now."""
+        request, fleet = job.request, self.fleet
+        cls, needs, shy = self.settings.classes[request.cls], [request.slots], -1
+        if cls.effect is Effect.UNSAFE:
+            # Guards against a booking in a queue that it may not leave: its first place is its only one.
+            needs.insert(0, request.slots + SPARE)
+            # Guards against booking after booking at a worker that fails them and serves other classes well.
+            shy = request.cls if fleet.willing(request.cls) else -1
+        for need in needs:
+            table = fleet.shares((not anywhere, cls.kind, job.theta, step_down(need), shy),
+                                 max(self.pace.value or 1.0, 1e-6))
+            if table.members:
+                worker = self._pick(job, table, lambda w, floor=need - 0.5: (  # type: ignore[misc]
+                    w.room >= floor and ((w.born <= 0 and not job.attempts) or self._may_send(job, w))))
+                if worker is not None:
+                    return worker
+        return None
+
+    def _pick(self, job: Job, table: Shares, allowed: Callable[[Worker], bool]) -> Worker | None:
+        """One of a table's workers; jobs of one key go alike: guards against fetching it anew."""
+        fleet, bound = self.fleet, self._bound(job)
+        if bound is None or bound[0] != "cell":
+            worker = fleet.home(job.request.key, table, allowed) if job.request.key else None
+            worker, odd = (worker, False) if worker else table.draw(self.random, fleet.at, allowed)
+            if not odd:
+                return worker
+        pool = fleet.group(*bound) if bound else fleet.candidates(table)
+        return table.draw_among(self.random, shares_at, [w for w in pool if table.takes(w) and allowed(w)])
+
+    def _may_go(self, job: Job) -> bool:
+        """Rules 2 and 3 as far as the job alone tells: may it be sent, or sent again, now?"""
+        if not job.attempts:
+            return True
+        cls, limits, past = self.settings.classes[job.request.cls], self.settings.limits, job.maybe_ran()
+        if len(job.attempts) >= limits.max_attempts:
             return False
-        past = job.maybe_ran()
         if not past:
             return True
         if cls.effect is Effect.UNSAFE or (not limits.second_copies and job.running()):
             return False
-        if cls.effect is Effect.SAFE:
-            return True
-        if self.now >= past[0].at + cls.window_ms - self.settings.resolution_ms:
+        until = past[0].at + cls.window_ms - self.settings.resolution_ms
+        return cls.effect is Effect.SAFE or self.now < until
+
+    def _bound(self, job: Job) -> tuple[str, int] | None:
+        """The zone or cell that a keyed job which may have run must not leave."""
+        cls = self.settings.classes[job.request.cls]
+        if not job.attempts or cls.effect is not Effect.KEYED or cls.group is Group.ALL:
+            return None
+        what, past = cls.group.value, job.maybe_ran()
+        return (what, getattr(past[0].worker.entry, what)) if past else None
+
+    def _may_send(self, job: Job, worker: Worker) -> bool:
+        """Rules 3 and 4 as far as the worker tells, for one that is ready and of the needed kind."""
+        if not self._cold_room(worker, job.cost):
+            return False
+        return (bound := self._bound(job)) is None or all(
+            getattr(a.worker.entry, bound[0]) == getattr(worker.entry, bound[0]) for a in job.maybe_ran())
+
+    def _somewhere(self, job: Job) -> bool:
+        """Whether any listed worker may take the job now, be there room or not."""
+        kind, bound = self.settings.classes[job.request.cls].kind, self._bound(job)
+        if not self.fleet.ready(kind):
             return False
-        if cls.group is Group.ZONE:
-            return all(a.worker.entry.zone == worker.entry.zone for a in past)
-        return cls.group is Group.ALL or all(a.worker.entry.cell == worker.entry.cell for a in past)
+        pool = self.fleet.group(*bound) if bound else self.fleet.ring
+        return any(w.entry.state is State.READY and kind in (None, w.entry.kind) and self._may_send(job, w)
+                   for w in pool)
 
     def _end(self, job: Job) -> None:
         """Give the final answer: refused where a retry is sure to be harmless (rule 2), else failed."""
@@ -386,14 +440,15 @@
 
     def _advice(self, job: Job) -> float:
         """When to come back: once the jobs held here and this one have had their turn at our slots."""
-        slots = sum(max(1.0, w.most) for w in self.near if not self._silent(w))
-        ahead = 1 + sum(len(jobs) for jobs in self.held.sorts.values())
-        most = self.settings.limits.max_retry_after_ms
+        ahead, most = 1 + len(self.held), self.settings.limits.max_retry_after_ms
+        slots = self.fleet.survey(self._pace).slots
         return min(most, max(TICK_MS, ahead * job.cost * (self.pace.value or 1.0) / slots)) if slots else most
 
     def _forget(self, job: Job) -> None:
         """Nothing is owed for the job any more: stop what still runs for it."""
         self.jobs.pop(job.request.rid, None)
+        self.checks.drop(job.request.rid)
+        self.timers.drop(job)
         self._call_off(job.running(), job)
 
     def _call_off(self, attempts: list[Attempt], job: Job) -> None:
@@ -404,17 +459,18 @@
     def _timer(self, event: Timer) -> None:
         if event.token == TICK:
             self._tick()
-            for job in list(self.jobs.values()):
-                if not job.streaming and all(a.started is None for a in job.running()):
-                    self._expired(job)
+            for rid in self.checks.take_due(self.now):
+                if rid in self.jobs:
+                    self._look(self.jobs[rid])
             return
-        due = self.jobs.get(self.timers.pop(event.token, -1))
+        due = self.jobs.get(self.timers.ring(event.token))
         if due is None or due.streaming:
             return
+        due.tokens.remove(event.token)
         if self.now >= due.last:  # rule 1: the answer is due
             self._end(due)
         elif due.waits():  # a second place: another worker may be free; the first start calls off the rest
-            self._place(due, self.workers.values())
+            self._place(due, anywhere=True)
 
     def _gone(self, event: Gone) -> None:
         if event.rid in self.jobs:
@@ -431,6 +487,8 @@
         self._heard(worker := attempt.worker, None)
         if event.started and attempt.started is None:
             attempt.started, waited = self.now, self.now - attempt.at
+            self.started += attempt.slots
+            self.checks.put(event.rid, job.last - AHEAD_MS)
             worker.pending.pop(attempt, None)
             self._call_off([a for a in job.running() if a.started is None], job)
             # Where it waited, others queue too: we rest from that worker as long, doubled with each in a row.
@@ -443,6 +501,8 @@
         elif event.done > 0:  # early word of a slow or shared machine: time run ÷ share done
             since = attempt.at if attempt.started is None else attempt.started
             worker.pace.add((self.now - since) / event.done / job.cost)
+            self._rate(worker)
+        self.fleet.touch(worker, rated=event.done > 0)
 
     def _ended(self, event: AttemptEnded) -> None:
         attempt = self.attempts.pop((event.rid, event.attempt), None)
@@ -453,16 +513,20 @@
         if event.over and job is not None:
             self._forget(job)
         elif job is not None and not job.running():
-            if job.maybe_ran() and not any(self._may_send(job, w) for w in self.workers.values()):
+            ran = bool(job.maybe_ran())
+            if not self._may_go(job) or (ran and not self._somewhere(job)):
                 self._end(job)
             else:
-                self._place(job, self.workers.values() if job.maybe_ran() else self.near)
+                self._place(job, anywhere=ran)
+                self.checks.put(event.rid, self.now)
 
     def _learn(self, attempt: Attempt, event: AttemptEnded, job: Job | None) -> None:
         """What an outcome tells of its worker."""
         worker = attempt.worker
-        worker.mine = max(0.0, worker.mine - attempt.slots)
+        worker.hold(-attempt.slots, self.ticks)
         worker.pending.pop(attempt, None)
+        if attempt.started is not None:
+            self.started -= attempt.slots
         if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
             self._heard(worker, event.report)
         if event.outcome is Outcome.ERROR and job is not None:
@@ -483,3 +547,5 @@
             worker.down, worker.struck = worker.struck, True
         if event.outcome not in (Outcome.FULL, Outcome.CANCELLED, Outcome.MOOT):
             worker.health = max(0.01, worker.health + LOST * ((event.outcome is Outcome.OK) - worker.health))
+        self._rate(worker)
+        self.fleet.touch(worker, rated=True)
--- a/flintfield/decision/records.py
+++ b/flintfield/decision/records.py
@@ -5,11 +5,16 @@
 import hashlib
 import math
 from collections import deque
+from collections.abc import Iterable
 
-from flintfield.decision.interface import NEVER_RAN, Entry, Outcome, Request, WorkerId
+from flintfield.decision.interface import NEVER_RAN, Entry, Outcome, Request, Rules, WorkerId
 
 Sort = tuple[int, float, float, int]
-"""Held jobs of one class, worth and size in slots wait alike; those that were sent before wait alone."""
+"""Held jobs of one class, worth and size in slots wait alike; the last part tells those that were sent
+before."""
+
+FRESH, TRIED = -1, -2  # the last part of a sort: never sent; sent, but free to go anywhere
+HELD_PART = 0.2  # of the way that the mean of held slots goes at a tick
 
 
 def lot(key: int, worker: WorkerId) -> float:
@@ -33,17 +38,29 @@
 
 
 class Worker:
-    """What this dispatcher knows of one worker."""
+    """What this dispatcher knows of one worker; who changes a field tells the fleet (`Fleet.touch`)."""
+
+    DERIVED = ("near", "room", "bits", "counted", "avoided")  # made by the fleet, of the rest
+    __slots__ = (
+        "born", "down", "entry", "errors", "full_until", "health", "known_at", "mine", "mine_mean",
+        "mine_tick",
+        "missed", "most", "others", "pace", "pending", "price", "probe_at", "probing", "rank", "rest", "sent",
+        "shunned", "slot", "struck", "turn", "word", "zeta", *DERIVED,
+    )
 
-    def __init__(self, entry: Entry, memory: int, rank: float = 0.0) -> None:
+    def __init__(self, entry: Entry, memory: int, rank: float = 0.0, known_at: float = -math.inf) -> None:
         self.entry, self.born, self.rank = entry, entry.started_ms, rank
+        self.slot = -1  # its place in the fleet's arrays; -1: not listed
         self.turn = -1  # how many dispatchers come before us at this worker while it is cold; -1: not counted
         self.price, self.health = 0.0, 1.0
+        self.zeta = 0.0  # quality; 0: health alone is known, and it takes the mean speed
         self.pace = Mean(memory)  # running time for a unit of cost, the inverse of speed
         self.most = 0.0  # most slots ever seen free
         self.others = 0.0  # slots taken by other dispatchers, smoothed over reports
-        self.mine, self.mine_mean = 0.0, 0.0  # slots our attempts hold, now and in the recent past
+        self.mine = 0.0  # slots our attempts hold
+        self.mine_mean, self.mine_tick = 0.0, 0  # the same in the recent past, as of that tick
         self.rest = 0.0  # how long we leave it alone after a job waited there
+        self.known_at = known_at  # when it was listed, or was told to have started anew
         self.full_until = self.word = self.probe_at = -math.inf
         self.probing = self.missed = False  # a probe is out; one failed since the last word
         self.down = False  # it took no connection since the last word
@@ -52,6 +69,39 @@
         self.shunned: dict[int, float] = {}  # by class: until when none goes there that must not fail
         self.pending: dict[Attempt, None] = {}  # our attempts that have not started, oldest first
         self.sent: deque[tuple[float, float]] = deque()  # (time, cost) of sends while cold
+        self.near, self.room, self.bits = False, -math.inf, 0
+        self.counted: tuple[int, ...] = ()
+        self.avoided: tuple[int, ...] = ()  # the classes shunned now
+
+    def restart(self, started: float, now: float) -> None:
+        """It is a new process: what was seen is of the old one."""
+        self.born, self.others, self.health, self.full_until = started, 0.0, 1.0, 0.0
+        self.errors, self.shunned, self.known_at = {}, {}, now
+
+    def is_cold(self, rules: Rules, now: float) -> bool:
+        """Whether it is too young to have its whole capacity for sure."""
+        return self.born > 0 and now < self.born + rules.cold_ms
+
+    def warmth(self, rules: Rules, now: float, steps: int = 0) -> float:
+        """The part of its capacity that it surely has by its age; with `steps`, as of the last of so many."""
+        if not self.is_cold(rules, now):
+            return 1.0
+        age = max(0.0, (now - self.born) / rules.cold_ms)
+        return 1.0 - (1.0 - rules.cold_from) * (1.0 - (math.floor(age * steps) / steps if steps else age))
+
+    def warmer_at(self, rules: Rules, now: float, steps: int) -> float:
+        """When the next of so many steps of its warming begins."""
+        done = math.floor(max(0.0, (now - self.born) / rules.cold_ms) * steps)
+        return self.born + (done + 1) / steps * rules.cold_ms
+
+    def hold(self, slots: float, tick: int) -> None:
+        """Our attempts hold so many slots more, or fewer, from now on."""
+        self.mine_mean, self.mine_tick = self.held_mean(tick), tick
+        self.mine = max(0.0, self.mine + slots)
+
+    def held_mean(self, tick: int) -> float:
+        """The slots held in the recent past: at each tick the mean went a part of the way to those held."""
+        return self.mine + (self.mine_mean - self.mine) * (1.0 - HELD_PART) ** (tick - self.mine_tick)
 
     def sent_since(self, at: float) -> float:
         """The cost of what was sent while cold since then; older sends are forgotten."""
@@ -77,9 +127,56 @@
         return had_one
 
 
+class Accounts:
+    """The tenants' accounts, and how much of all traffic comes here."""
+
+    def __init__(self, allowances: Iterable[float], dispatchers: int, prior_ms: float,
+                 memory_ms: float) -> None:
+        self.least, self.span, self.memory_ms = 1.0 / dispatchers, prior_ms, memory_ms
+        self.accounts = [Account(a, prior_ms / dispatchers) for a in allowances]
+
+    def forget(self, passed_ms: float) -> None:
+        """So much time has passed: rates are remembered over `span`."""
+        kept = math.exp(-passed_ms / self.memory_ms)
+        self.span = self.memory_ms + (self.span - self.memory_ms) * kept
+        for account in self.accounts:
+            account.recent *= kept
+
+    def part(self) -> float:
+        """Our part of all traffic: the median tenant's use of its allowance here, and an n-th at least."""
+        use = sorted(a.recent / self.span / max(a.allowance, 1e-9) for a in self.accounts)
+        return max(self.least, use[(len(use) - 1) // 2])
+
+
+class Timers:
+    """The tokens of jobs' timers; of a job that is no more, none is kept."""
+
+    def __init__(self) -> None:
+        self.last = 0
+        self.jobs: dict[int, int] = {}
+
+    def set(self, job: Job) -> int:
+        """A new token for a timer of the job."""
+        self.last = self.last % 0xFFFFFFFF + 1
+        self.jobs[self.last] = job.request.rid
+        job.tokens.append(self.last)
+        return self.last
+
+    def ring(self, token: int) -> int:
+        """The job whose timer that was; -1 if it needs it no more."""
+        return self.jobs.pop(token, -1)
+
+    def drop(self, job: Job) -> None:
+        """The job is no more."""
+        for token in job.tokens:
+            self.jobs.pop(token, None)
+
+
 class Attempt:
     """One send: it may have run until an outcome proves that it did not."""
 
+    __slots__ = ("at", "outcome", "slots", "started", "worker")
+
     def __init__(self, worker: Worker, at: float, slots: float, tells_start: bool) -> None:
         self.worker, self.at, self.slots = worker, at, slots
         self.started = None if tells_start else at  # where no start is told it counts as started at once
@@ -89,11 +186,16 @@
 class Job:
     """A request that is still owed its answer."""
 
+    __slots__ = ("arrived", "attempts", "cost", "last", "late", "request", "sort", "streaming", "theta",
+                 "timed", "tokens")
+
     def __init__(self, request: Request, now: float, cost: float, theta: float) -> None:
         self.request, self.arrived, self.cost, self.theta = request, now, cost, theta
         self.last = request.deadline  # when its answer is due
         self.attempts: list[Attempt] = []
-        self.streaming = self.late = False
+        self.streaming = self.late = self.timed = False  # timed: the timer of its last moment is set
+        self.sort: Sort | None = None  # under which it is held
+        self.tokens: list[int] = []  # of its timers that are set
 
     def running(self) -> list[Attempt]:
         """The attempts that are still out."""
@@ -115,22 +217,32 @@
     def __init__(self) -> None:
         self.sorts: dict[Sort, dict[int, Job]] = {}
 
-    def _sort(self, job: Job) -> Sort:
-        request = job.request
-        size = 2.0 ** math.frexp(request.slots)[1]  # to a power of two: a jam of odd sizes makes few sorts
-        return request.cls, job.theta, size, request.rid if job.attempts else -1
-
-    def put(self, job: Job) -> None:
-        """Let the job wait; its sort must not change while it does."""
-        self.sorts.setdefault(self._sort(job), {})[job.request.rid] = job
+    def put(self, job: Job, bound: int = -1) -> None:
+        """Let the job wait, if it does not; `bound` is the zone or cell that it may not leave, or -1."""
+        if job.sort is not None:
+            return
+        size = 2.0 ** math.frexp(job.request.slots)[1]  # a power of two: a jam of odd sizes makes few sorts
+        last = bound if bound >= 0 else TRIED if job.attempts else FRESH
+        job.sort = job.request.cls, job.theta, size, last
+        self.sorts.setdefault(job.sort, {})[job.request.rid] = job
 
     def take_out(self, job: Job) -> None:
         """The job waits no longer, if it did."""
-        jobs = self.sorts.get(sort := self._sort(job), {})
+        if job.sort is None:
+            return
+        jobs = self.sorts[job.sort]
         jobs.pop(job.request.rid, None)
         if not jobs:
-            self.sorts.pop(sort, None)
+            del self.sorts[job.sort]
+        job.sort = None
+
+    def next(self, sort: Sort) -> Job | None:
+        """The job of a sort that is to go first: the newest; of those sent before, the one back the
+        longest."""
+        jobs = self.sorts.get(sort)
+        if not jobs:
+            return None
+        return next(iter(jobs.values())) if sort[3] == TRIED else next(reversed(jobs.values()))
 
-    def newest_first(self, sort: Sort) -> list[Job]:
-        """The jobs of a sort as they stand now."""
-        return list(reversed(self.sorts.get(sort, {}).values()))
+    def __len__(self) -> int:
+        return sum(map(len, self.sorts.values()))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -49,6 +49,13 @@
                 self.timers.append((self.now + action.after_ms, action.token))
         return actions
 
+    def set(self, worker: int, **fields: float) -> None:
+        """Let a worker be known otherwise than by events."""
+        known = self.dispatcher.workers[worker]
+        for name, value in fields.items():
+            setattr(known, name, value)
+        self.dispatcher.fleet.touch(known, rated=True)
+
     def wait(self, ms: float, answer_probes: float | None = 4) -> list[Action]:
         """Let time pass, ringing timers in order; probes are answered with so many free slots."""
         until, done = self.now + ms, []
