--- a/flintfield/decision/policy.py
+++ b/flintfield/decision/policy.py
@@ -17,7 +17,7 @@
     Action, AttemptEnded, Cancel, Effect, Entry, Event, Fail, First, Gone, Group, ListMode, Note, Outcome,
     Probe, Probed, Refuse, Report, Request, Send, ServerList, SetTimer, Settings, State, Timer, Watch,
 )
-from flintfield.decision.records import FRESH, Accounts, Attempt, Held, Job, Mean, Sort, Timers, Worker, lot
+from flintfield.decision.records import Accounts, Attempt, Held, Job, Mean, Sort, Timers, Worker, lot
 from flintfield.decision.shares import Goods, Shares, step_down
 
 TICK_MS = 100.0  # a price step; jittered so that dispatchers do not step alike
@@ -308,11 +308,11 @@
                 if not self._expired(job) and not self._place(job):
                     break
 
-    def _density(self, sort: Sort) -> tuple[float, bool]:
+    def _density(self, sort: Sort) -> float:
         """What a held job earns for the slot time it takes, negated so that the best comes first."""
-        cls, theta, slots, last = sort
+        cls, theta, slots, _ = sort
         cost = 1.0 if self.settings.worth_by_work else self.costs[cls].value or 1.0
-        return -theta / max(slots, 1.0) / cost, last != FRESH
+        return -theta / max(slots, 1.0) / cost
 
     def _useful_ms(self, job: Job) -> float:
         """For how long after its coming a job that has not started can still be in time."""
