--- a/flintfield/decision/fleet.py
+++ b/flintfield/decision/fleet.py
@@ -24,6 +24,7 @@
 import bisect
 import heapq
 import math
+import random
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
@@ -33,7 +34,7 @@
 from flintfield.decision.homes import Homes
 from flintfield.decision.interface import Entry, State, WorkerId
 from flintfield.decision.records import Worker
-from flintfield.decision.shares import Fill, Order, Shares
+from flintfield.decision.shares import Fill, Order, Shares, able, goods_of, size_for, split
 
 Assess = Callable[[Worker], tuple[float, bool, bool, bool, float]]
 """Of a worker: its room in slots (-inf where nothing may be sent), is it silent, may it be counted on for a
@@ -42,6 +43,7 @@
 USABLE, SILENT, ROOMY = 1, 2, 4  # bits of a near worker
 UNUSED_MS = 5_000.0  # a table that was not drawn from for so long is dropped
 MOST_TABLES = 256
+FEW = 40  # workers of which all are looked at for each job: that is exact, and costs no more than a table
 SOME_ROOM = 0.5  # slots from which on a worker counts as roomy
 
 
@@ -67,6 +69,7 @@
         self.tables: dict[Order, Shares] = {}
         self._ranks: list[float] = []  # of the ring, for finding a place in it
         self._slots: list[Worker | None] = []
+        self._size = 1  # of trees that have room for all slots
         self._free: list[int] = []  # slots below the end that are free, smallest first
         self._log: list[int] = []  # slots whose shares may have changed; the first is number `_start`
         self._start = 0
@@ -118,6 +121,7 @@
         worker.slot = heapq.heappop(self._free) if self._free else len(self._slots)
         if worker.slot == len(self._slots):
             self._slots.append(None)
+            self._size = size_for(len(self._slots))
         self._slots[worker.slot] = worker
         self.workers[worker.entry.worker] = worker
         at = bisect.bisect_right(self._ranks, worker.rank)
@@ -163,9 +167,9 @@
             if not self._groups[group]:
                 del self._groups[group]
 
-    def group(self, what: str, number: int) -> Iterable[Worker]:
+    def group(self, group: tuple[str, int]) -> Iterable[Worker]:
         """The workers of a `zone` or a `cell`."""
-        return self._groups.get((what, number), {}).values()
+        return self._groups.get(group, {}).values()
 
     def ready(self, kind: int | None) -> int:
         """How many listed workers of that kind, or of all, are ready."""
@@ -216,7 +220,7 @@
         worker.room = room
         if changes_at < math.inf:
             self._wakes.put(slot, changes_at if changes_at > now else math.nextafter(now, math.inf))
-        else:
+        elif slot in self._wakes.live:
             self._wakes.drop(slot)
         if shuns or worker.avoided:
             avoided = tuple([c for c, until in shuns.items() if now < until])
@@ -231,7 +235,8 @@
         counted = worker.avoided if worker.near and not silent else ()
         if bits != worker.bits or counted != worker.counted:
             self._count(worker, bits, counted)
-        if rated or (room != had and bisect.bisect(self._floors, room) != bisect.bisect(self._floors, had)):
+        if self._floors and (rated or (
+                room != had and bisect.bisect(self._floors, room) != bisect.bisect(self._floors, had))):
             self._note(slot)
 
     def _count(self, worker: Worker, bits: int, shunning: tuple[int, ...]) -> None:
@@ -246,6 +251,8 @@
         worker.bits, worker.counted = bits, shunning
 
     def _note(self, slot: int) -> None:
+        if not self._floors:
+            return  # nobody reads
         self._log.append(slot)
         if len(self._log) > 2 * len(self._slots) + 64:
             self._start += len(self._log)
@@ -274,10 +281,6 @@
         """Whether some near worker that is not silent does not shun that class."""
         return self.cut - self._counts[SILENT] > self._counts["shuns", cls]
 
-    def at(self, slot: int) -> Worker | None:
-        """The worker of a slot."""
-        return self._slots[slot]
-
     def survey(self, pace: Callable[[Worker], float]) -> Survey:
         """A look at all near workers, at most once a price step; `pace` is running time for a unit of
         cost."""
@@ -330,11 +333,42 @@
 
     # -------------------------------------------------------------------- shares
 
-    def shares(self, order: Order, pace: float) -> Shares:
-        """The shares of a sort of job, as of now; `pace` is of workers that were not measured."""
-        near = order[0] or self.cut == len(self.ring)
-        if near is not order[0]:
-            order = (near, *order[1:])
+    def draw(self, order: Order, allowed: Callable[[Worker], bool], generator: random.Random, pace: float,
+             key: int = 0, group: tuple[str, int] | None = None) -> Worker | None:
+        """A worker by its share among those that may take such a job and are allowed; None if there is none.
+
+        Jobs of one `key` go alike as long as shares do. `group`: within that `zone` or `cell` alone, which
+        `allowed` is to know as well. `pace` is of workers that were not measured.
+        """
+        if order[0] is False and self.cut == len(self.ring):
+            order = (True, *order[1:])
+        among = self._groups.get(group, {}).values() if group else None
+        size = len(among) if among is not None else self.cut if order[0] else len(self.ring)
+        pool: Iterable[Worker]
+        if size > FEW:
+            table = self._table(order, pace)
+            worker = self._home(order[0]).find(key, table.tree.weight, allowed) if key else None
+            if worker is not None:
+                return worker
+            worker, cut_short = table.draw(generator, self._slots, allowed)
+            if not cut_short:
+                return worker
+            pool = [table.members[slot] for slot in sorted(table.members)]
+        else:
+            pool = among if among is not None else self.ring[:self.cut] if order[0] else self.ring
+        ready = [w for w in able(order, pool) if allowed(w)]
+        if len(ready) < 2:
+            return ready[0] if ready else None
+        _, eta = split(self._fill, order[2], goods_of(ready, pace))
+        if key:
+            weights = {w.slot: share for w, share in zip(ready, eta, strict=True)}
+            worker = self._home(order[0]).find(key, lambda slot: weights.get(slot, 0.0), allowed)
+            if worker is not None:
+                return worker
+        return generator.choices(ready, eta)[0]
+
+    def _table(self, order: Order, pace: float) -> Shares:
+        """The shares of a sort of job, as of now."""
         table = self.tables.get(order)
         if table is None:
             if len(self.tables) >= MOST_TABLES:
@@ -350,36 +384,28 @@
     def _scope(self, table: Shares) -> list[Worker]:
         return self.near if table.order[0] else self.ring
 
-    def _size(self) -> int:
-        return 1 << max(0, len(self._slots) - 1).bit_length()
-
     def _catch_up(self, table: Shares) -> None:
         """Read on in the log; by a walk if that is shorter."""
         end = self._start + len(self._log)
         unread = end - table.seen
-        if table.seen < self._start or unread > len(self._slots) // 2 + 8 or table.tree.size != self._size():
-            table.walk(self._fill, self._scope(table), self._size())
+        if table.seen < self._start or unread > len(self._slots) // 2 + 8 or table.tree.size != self._size:
+            table.walk(self._fill, self._scope(table), self._size)
         elif unread:
-            for slot in dict.fromkeys(self._log[table.seen - self._start:]) if unread > 1 else self._log[-1:]:
-                table.update(self._fill, slot, self._slots[slot])
+            table.update(self._fill, dict.fromkeys(self._log[table.seen - self._start:]), self._slots)
         table.seen = end
 
-    def home(self, key: int, table: Shares, allowed: Callable[[Worker], bool]) -> Worker | None:
-        """The worker to which the jobs of a key go; None where hardly anyone has room."""
-        near = table.order[0]
+    def _home(self, near: bool) -> Homes:
         homes = self._homes.get(near)
         if homes is None:
-            homes = self._homes[near] = Homes(self._scope(table))
-        return homes.find(key, table.tree, allowed)
-
-    def candidates(self, table: Shares) -> list[Worker]:
-        """All workers that such a job may be sent to, by slot."""
-        return [table.members[slot] for slot in sorted(table.members)]
+            homes = self._homes[near] = Homes(self.near if near else self.ring)
+        return homes
 
     def drop_unused(self) -> None:
         """Forget tables that nobody drew from of late."""
-        for order in [o for o, t in self.tables.items() if self.now - t.used_at > UNUSED_MS]:
-            del self.tables[order]
+        if unused := [o for o, t in self.tables.items() if self.now - t.used_at > UNUSED_MS]:
+            for order in unused:
+                del self.tables[order]
+            self._floors = sorted({t.floor for t in self.tables.values()})
 
     # ---------------------------------------------------------------- checkpoints
 
@@ -404,6 +430,7 @@
             worker.counted = worker.avoided = ()
             self._slots[worker.slot] = worker
             self._group(worker, worker.entry)
+        self._size = size_for(len(self._slots))
         self._free = [slot for slot, worker in enumerate(self._slots) if worker is None]
         for worker in self.ring:
             self.touch(worker)
--- a/flintfield/decision/homes.py
+++ b/flintfield/decision/homes.py
@@ -21,7 +21,6 @@
 from collections.abc import Callable, Iterable
 
 from flintfield.decision.records import Worker
-from flintfield.decision.shares import SumTree
 
 CAP = 4.0  # the greatest weight that is told apart, in units of the equal share
 ROOMY = 2  # cells for each worker, at least
@@ -52,14 +51,15 @@
                 spot += step
             self._cells[spot & self._mask] = worker
 
-    def find(self, key: int, tree: SumTree, allowed: Callable[[Worker], bool]) -> Worker | None:
-        """The key's home among workers of weight; None if the points ran out, as where few have room."""
+    def find(self, key: int, weight: Callable[[int], float],
+             allowed: Callable[[Worker], bool]) -> Worker | None:
+        """The key's home among workers, by the `weight` of a slot; None if the points ran out: few have room."""
         cells, mask, scale = self._cells, self._mask, CAP / (LOW + 1)
         for row in range(ROWS):
             digest = hashlib.shake_128(b"%d %d" % (key, row)).digest(8 * POINTS)
             for point in UNPACK(digest):
                 worker = cells[point & mask]
-                if worker is None or (point >> 32) * scale >= tree.weight(worker.slot):
+                if worker is None or (point >> 32) * scale >= weight(worker.slot):
                     continue
                 if allowed(worker):
                     return worker
--- a/flintfield/decision/policy.py
+++ b/flintfield/decision/policy.py
@@ -18,7 +18,7 @@
     Probe, Probed, Refuse, Report, Request, Send, ServerList, SetTimer, Settings, State, Timer, Watch,
 )
 from flintfield.decision.records import Accounts, Attempt, Held, Job, Mean, Sort, Timers, Worker, lot
-from flintfield.decision.shares import Goods, Shares, step_down
+from flintfield.decision.shares import Goods, step_down
 
 TICK_MS = 100.0  # a price step; jittered so that dispatchers do not step alike
 RHO = 0.8  # load factor: the part of a worker's slots that is sold without its price rising
@@ -125,27 +125,29 @@
     def _assess(self, worker: Worker) -> tuple[float, bool, bool, bool, float]:
         """For the fleet: room for jobs that would start at once, is it silent, may it be counted on, may its
         price step, and when time alone changes one of these."""
-        now, rules, later, rests = self.now, self.settings.rules, math.inf, self.now < worker.full_until
-        silent, ready = self._silent(worker), worker.entry.state is State.READY
-        if worker.missed and self.asks and not silent:
-            later = math.nextafter(worker.word + PROBE_MS, math.inf)
-        if cold := worker.is_cold(rules, now):
-            later = min(later, worker.warmer_at(rules, now, COLD_STEPS))
-        for until in worker.shunned.values():
-            later = until if now < until < later else later
-        if rests:
-            later = min(later, worker.full_until)
+        now, later, most, silent, usable = self.now, math.inf, worker.most, False, True
+        closed = now < worker.full_until
+        if closed:
+            later = worker.full_until
+        if worker.missed or worker.down:
+            silent = self._silent(worker)
+            if worker.missed and self.asks and not silent:
+                later = min(later, math.nextafter(worker.word + PROBE_MS, math.inf))
         if worker.pending:
             waits = next(iter(worker.pending)).at + START_MS
             if now > waits:  # a job waits in its queue
-                rests = True
+                closed = True
             else:
                 later = min(later, math.nextafter(waits, math.inf))
-        moves = worker.price > 0.0 or self._demand(worker) > RHO
-        if rests or silent or not ready:
-            return -math.inf, silent, ready and not silent and not cold, moves, later
-        most = worker.most * (worker.warmth(rules, now, COLD_STEPS) if cold else 1.0)
-        return max(1.0, most) - worker.others - worker.mine, False, not cold, moves, later
+        if worker.born > 0.0 and worker.is_cold(rules := self.settings.rules, now):
+            later, usable = min(later, worker.warmer_at(rules, now, COLD_STEPS)), False
+            most *= worker.warmth(rules, now, COLD_STEPS)
+        for until in worker.shunned.values():
+            later = until if now < until < later else later
+        if silent or worker.entry.state is not State.READY:
+            closed, usable = True, False
+        room = -math.inf if closed else (most if most > 1.0 else 1.0) - worker.others - worker.mine
+        return room, silent, usable, worker.price > 0.0 or self._demand(worker) > RHO, later
 
     def _demand(self, worker: Worker) -> float:
         """Slot demand u: 1 after 'full' or while no free slot was ever seen."""
@@ -362,8 +364,8 @@
         return True
 
     def _draw(self, job: Job, anywhere: bool) -> Worker | None:
-        """Draw from η over those that may take the job now."""
-        request, fleet = job.request, self.fleet
+        """Draw from η over those that may take the job now; jobs of one key go alike: it is fetched once."""
+        request, fleet, bound = job.request, self.fleet, self._bound(job)
         cls, needs, shy = self.settings.classes[request.cls], [request.slots], -1
         if cls.effect is Effect.UNSAFE:
             # Guards against a booking in a queue that it may not leave: its first place is its only one.
@@ -371,25 +373,15 @@
             # Guards against booking after booking at a worker that fails them and serves other classes well.
             shy = request.cls if fleet.willing(request.cls) else -1
         for need in needs:
-            table = fleet.shares((not anywhere, cls.kind, job.theta, step_down(need), shy),
-                                 max(self.pace.value or 1.0, 1e-6))
-            if table.members:
-                worker = self._pick(job, table, lambda w, floor=need - 0.5: (  # type: ignore[misc]
-                    w.room >= floor and ((w.born <= 0 and not job.attempts) or self._may_send(job, w))))
-                if worker is not None:
-                    return worker
-        return None
+            def allowed(worker: Worker, floor: float = need - 0.5) -> bool:
+                return worker.room >= floor and self._may_send(job, worker)
 
-    def _pick(self, job: Job, table: Shares, allowed: Callable[[Worker], bool]) -> Worker | None:
-        """One of a table's workers; jobs of one key go alike: guards against fetching it anew."""
-        fleet, bound = self.fleet, self._bound(job)
-        if bound is None or bound[0] != "cell":
-            worker = fleet.home(job.request.key, table, allowed) if job.request.key else None
-            worker, odd = (worker, False) if worker else table.draw(self.random, fleet.at, allowed)
-            if not odd:
+            order = not anywhere, cls.kind, job.theta, step_down(need), shy
+            pace = max(self.pace.value or 1.0, 1e-6)
+            worker = fleet.draw(order, allowed, self.random, pace, request.key, bound)
+            if worker is not None:
                 return worker
-        pool = fleet.group(*bound) if bound else fleet.candidates(table)
-        return table.draw_among(self.random, shares_at, [w for w in pool if table.takes(w) and allowed(w)])
+        return None
 
     def _may_go(self, job: Job) -> bool:
         """Rules 2 and 3 as far as the job alone tells: may it be sent, or sent again, now?"""
@@ -415,7 +407,7 @@
 
     def _may_send(self, job: Job, worker: Worker) -> bool:
         """Rules 3 and 4 as far as the worker tells, for one that is ready and of the needed kind."""
-        if not self._cold_room(worker, job.cost):
+        if worker.born > 0 and not self._cold_room(worker, job.cost):
             return False
         return (bound := self._bound(job)) is None or all(
             getattr(a.worker.entry, bound[0]) == getattr(worker.entry, bound[0]) for a in job.maybe_ran())
@@ -425,7 +417,7 @@
         kind, bound = self.settings.classes[job.request.cls].kind, self._bound(job)
         if not self.fleet.ready(kind):
             return False
-        pool = self.fleet.group(*bound) if bound else self.fleet.ring
+        pool = self.fleet.group(bound) if bound else self.fleet.ring
         return any(w.entry.state is State.READY and kind in (None, w.entry.kind) and self._may_send(job, w)
                    for w in pool)
 
@@ -490,7 +482,8 @@
             self.started += attempt.slots
             self.checks.put(event.rid, job.last - AHEAD_MS)
             worker.pending.pop(attempt, None)
-            self._call_off([a for a in job.running() if a.started is None], job)
+            if len(job.attempts) > 1:
+                self._call_off([a for a in job.running() if a.started is None], job)
             # Where it waited, others queue too: we rest from that worker as long, doubled with each in a row.
             if waited <= START_MS:
                 worker.rest /= 2
--- a/flintfield/decision/shares.py
+++ b/flintfield/decision/shares.py
@@ -44,15 +44,15 @@
 def split(fill: Fill, theta: float, goods: Goods, hint: float = math.inf) -> tuple[float, list[float]]:
     """λ and the shares, which sum to their number within `EXACT`; `hint` is a λ that may be near.
 
-    The sum falls as λ grows, and 1 / (sum + n) is nearly a line in λ (it is one where all prices are equal
-    and no share is 0): so secants of that, kept in a bracket by halving. Where θ is 0 all shares are equal.
+    Without a hint the first guess is right where all prices are equal and no share is 0. The sum falls as λ
+    grows, and 1 / (sum + n) is nearly a line in λ: so secants of that, kept in a bracket by halving.
     """
     n, mean = len(goods), sum([z for _, z in goods]) / len(goods)
-    if theta <= 0:
-        return 0.0, [1.0] * n
-    pole = -min(goods)[0]  # the sum grows without bound there
-    low, high = pole, math.inf
-    lam = hint if pole < hint < math.inf else pole + theta / 2
+    pole = low = -min(goods)[0]  # the sum grows without bound there
+    high, lam = math.inf, hint
+    if not pole < lam < math.inf:
+        level = sum([p for p, _ in goods]) / n
+        lam = max(theta * n / (n + mean * sum([1 / z for _, z in goods])) - level, pole + theta / 16)
     before: tuple[float, float] | None = None
     for _ in range(MOST_STEPS):
         eta = fill(theta, lam, mean, goods)
@@ -72,12 +72,30 @@
     return lam, eta
 
 
+def able(order: Order, workers: Iterable[Worker]) -> list[Worker]:
+    """Those to which such a job may be sent: they have the room, and the job can pay them."""
+    near, kind, theta, slots, shy = order
+    floor = slots - 0.5
+    return [w for w in workers if w.room >= floor and w.price <= theta and (w.near or not near)
+            and (kind is None or w.entry.kind == kind) and shy not in w.avoided]
+
+
+def goods_of(workers: Iterable[Worker], pace: float) -> list[tuple[float, float]]:
+    """φ and ζ of workers; the unmeasured take the pace given."""
+    return [(w.price, w.zeta or w.health / pace) for w in workers]
+
+
 def step_down(slots: float) -> float:
     """Slots rounded down to one of four steps to each power of two: jobs of odd sizes make few tables."""
     part, power = math.frexp(slots)
     return math.ldexp(math.floor(part * 8) / 8, power)
 
 
+def size_for(positions: int) -> int:
+    """The size of a tree with so many positions."""
+    return 1 << max(0, positions - 1).bit_length()
+
+
 class SumTree:
     """Weights by position, their sum, and the position at which a part of the sum falls."""
 
@@ -144,42 +162,38 @@
         self.seen = -1  # how far we have read in the fleet's log; -1: nothing of it counts
         self.tree = SumTree(1)
 
-    def takes(self, worker: Worker) -> bool:
-        """Whether that worker may be drawn: it has the room and the job can pay it."""
-        near, kind, theta, _, shy = self.order
-        return (worker.room >= self.floor and worker.price <= theta and (worker.near or not near)
-                and (kind is None or worker.entry.kind == kind) and shy not in worker.avoided)
-
     def is_off(self, now: float) -> bool:
         """Whether λ has become wrong."""
         count, solved = len(self.members), self.solved
         return (abs(self.tree.total - count) > OFF * count or abs(count - solved) > MOVED * solved
                 or now - self.solved_at > KEEP_MS)
 
-    def update(self, fill: Fill, slot: int, worker: Worker | None) -> None:
-        """One worker has changed, or has left its place."""
-        if worker is None or not self.takes(worker):
-            if self.members.pop(slot, None) is not None:
-                self.tree.set(slot, 0.0)
-            return
-        self.members[slot] = worker
-        goods = ((worker.price, worker.zeta or worker.health / self.pace),)
-        share = fill(self.order[2], self.lam, self.mean, goods)[0]
-        self.tree.set(slot, share if share > LEAST else LEAST)
+    def update(self, fill: Fill, slots: Iterable[int], by_slot: Sequence[Worker | None]) -> None:
+        """The workers of these slots have changed, or have left them."""
+        members, tree = self.members, self.tree
+        changed = able(self.order, [w for slot in slots if (w := by_slot[slot]) is not None])
+        weights = {w.slot: w for w in changed}
+        for slot in slots:
+            if slot not in weights and members.pop(slot, None) is not None:
+                tree.set(slot, 0.0)
+        members.update(weights)
+        eta = fill(self.order[2], self.lam, self.mean, goods_of(changed, self.pace))
+        for slot, share in zip(weights, eta, strict=True):
+            tree.set(slot, share if share > LEAST else LEAST)
 
     def walk(self, fill: Fill, workers: Iterable[Worker], size: int) -> None:
         """Look at all workers anew, with the λ of old."""
-        self.members = {w.slot: w for w in workers if self.takes(w)}
+        self.members = {w.slot: w for w in able(self.order, workers)}
         self.tree = SumTree(size)
-        goods = [(w.price, w.zeta or w.health / self.pace) for w in self.members.values()]
-        self._load(list(self.members), fill(self.order[2], self.lam, self.mean, goods))
+        eta = fill(self.order[2], self.lam, self.mean, goods_of(self.members.values(), self.pace))
+        self._load(list(self.members), eta)
 
     def solve(self, fill: Fill, now: float, pace: float) -> None:
         """Find λ anew among the members."""
         slots = sorted(self.members)  # so that sums do not depend on who came when
         self.pace, self.solved, self.solved_at = pace, len(slots), now
         if slots:
-            goods = [(w.price, w.zeta or w.health / pace) for w in map(self.members.__getitem__, slots)]
+            goods = goods_of(map(self.members.__getitem__, slots), pace)
             self.mean = sum([z for _, z in goods]) / len(goods)
             self.lam, eta = split(fill, self.order[2], goods, self.lam)
             self._load(slots, eta)
@@ -195,14 +209,7 @@
             weights[slot] = share if share > LEAST else LEAST
         tree.load(weights)
 
-    def draw_among(self, generator: random.Random, fill: Fill, ready: list[Worker]) -> Worker | None:
-        """One of these alone, by the shares among them, which are found anew."""
-        if not ready:
-            return None
-        goods = [(w.price, w.zeta or w.health / self.pace) for w in ready]
-        return generator.choices(ready, split(fill, self.order[2], goods, self.lam)[1])[0]
-
-    def draw(self, generator: random.Random, at: Callable[[int], Worker | None],
+    def draw(self, generator: random.Random, by_slot: Sequence[Worker | None],
              allowed: Callable[[Worker], bool]) -> tuple[Worker | None, bool]:
         """A worker by its share among those allowed, or None; and whether the search was cut short.
 
@@ -215,7 +222,7 @@
                 if left_out and (abs(tree.total - left) > OFF * left or len(left_out) >= MOST_TRIES):
                     return None, True
                 slot = tree.find(generator.random() * tree.total)
-                worker = at(slot)
+                worker = by_slot[slot]
                 if worker is not None and allowed(worker):
                     return worker, False
                 left_out.append((slot, tree.weight(slot)))
