Take a regular request whose body comes in pieces, and hold it once

Callers that write head and body apart, and bodies longer than a segment, went to h11, which held a body of 60 KB twice.

request.py keeps the pieces unread while head and length are regular, and hands all to h11 when anything is not. The poller runs what is to follow a turn at its end. On the wire nothing changes.

--- a/flintfield/wire/http1/branch.py
+++ b/flintfield/wire/http1/branch.py
@@ -88,6 +88,7 @@
 class BranchLeg:
     """One branch's connection."""
 
+    caller: Hashable | None = None  # it ends work: it goes before the callers' legs
     __slots__ = ("_answer", "_blocked", "_ends", "_held", "_left", "_lines", "_may_reuse", "_reuses",
                  "_shared", "_stream", "_tail", "address", "branch", "order", "phase", "rid")
 
@@ -106,11 +107,6 @@
         self._lines: Lines | None = None
         self._tail = 0  # bytes read behind the ending
 
-    @property
-    def caller(self) -> Hashable | None:
-        """It ends work: it goes before the callers' legs."""
-        return None
-
     # ------------------------------------------------------------ its turns
 
     def ready(self) -> None:
--- a/flintfield/wire/http1/leg.py
+++ b/flintfield/wire/http1/leg.py
@@ -28,8 +28,9 @@
 from flintfield.decision.values import value
 from flintfield.wire.http1.poller import NOTHING, READ, WRITE, Poller, Waits
 from flintfield.wire.http1.regular import read_request
+from flintfield.wire.http1.request import Ended, RequestReader
 from flintfield.wire.http1.stream import Stream
-from flintfield.wire.http1.submission import MOST_BODY, BadRequest, Request, check_head
+from flintfield.wire.http1.submission import MOST_BODY, BadRequest, Request
 
 # A request must be whole by then: after the connection was taken, or after its first byte on a kept one.
 # Guards against callers that stall or say nothing: each holds a descriptor and some memory.
@@ -82,54 +83,6 @@
     CLOSED = 5
 
 
-class Ended(Exception):
-    """The caller ended its connection without a request."""
-
-
-class Coming:
-    """A request that is not whole yet, or not regular: h11 reads it."""
-
-    __slots__ = ("_body", "_head", "parser")
-
-    def __init__(self) -> None:
-        self.parser = h11.Connection(h11.SERVER)
-        self._head: h11.Request | None = None
-        self._body = bytearray()
-
-    def take(self, data: bytes) -> Request | None:
-        """The request once it is whole; `BadRequest` or h11's error tells what is wrong with it."""
-        self.parser.receive_data(data)
-        while (event := self.parser.next_event()) is not h11.NEED_DATA:
-            if isinstance(event, h11.Request):
-                self._head = event
-                check_head(event)
-            elif isinstance(event, h11.Data):
-                self._body += event.data
-                if len(self._body) > MOST_BODY:
-                    raise BadRequest(413, "the body is longer than 64 KiB")
-            elif isinstance(event, h11.EndOfMessage) and self._head:
-                # Guards against a length too short: what follows is the rest of a job that is not whole.
-                if self.parser.trailing_data[0]:
-                    raise BadRequest(400, "more came than one request")
-                head, body = self._head, bytes(self._body)
-                self._body.clear()
-                return Request(head.method, head.target, dict(head.headers), body)
-            else:
-                raise Ended
-        return None
-
-    def go_on(self) -> bytes:
-        """What to say to a caller that waits for a 100 before its body; nothing to others."""
-        if not self.parser.they_are_waiting_for_100_continue:
-            return b""
-        return self.parser.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
-
-    @property
-    def bodiless(self) -> bool:
-        """Whether an answer is to have no body."""
-        return self._head is not None and self._head.method == b"HEAD"
-
-
 def frame(reply: Reply) -> bytes:
     """The bytes of an answer to a regular request, as h11 would write them."""
     headers = b"".join(b"%b: %b\r\n" % pair for pair in reply.headers)
@@ -153,7 +106,7 @@
         self.phase = Phase.GATE
         self.served = False
         self.ticket = 0  # the house's own
-        self._coming: Coming | None = None
+        self._coming: RequestReader | None = None
         self._closes = False  # the connection ends with this answer
         self._unsound = False  # it sent more than one request at a time
         self._left: list[memoryview] = []  # what of an answer the kernel has not taken
@@ -242,7 +195,7 @@
             if request := read_request(data):
                 self._take(request)
                 return
-            coming = self._coming = Coming()
+            coming = self._coming = RequestReader()
             if self.served:
                 self._waits.add(self)
         try:
@@ -307,12 +260,13 @@
     def _write(self, reply: Reply) -> None:
         self._waits.remove(self)
         self.phase = Phase.WRITING
-        if self._coming is None:
+        parser = self._coming.parser if self._coming else None
+        if self._coming is None or parser is None:
+            self._coming = None
             self._closes = reply.close
             self._left = [memoryview(frame(reply))]
             self._flush()
             return
-        parser = self._coming.parser
         headers = [*reply.headers, (b"Content-Length", b"%d" % len(reply.body))]
         if reply.close or parser.their_state not in (h11.DONE, h11.IDLE):
             headers.append((b"Connection", b"close"))
--- a/flintfield/wire/http1/poller.py
+++ b/flintfield/wire/http1/poller.py
@@ -61,6 +61,8 @@
         self._watched: dict[int, Watched] = {}  # by descriptor
         self._gone: set[int] = set()  # descriptors let go of in this turn: what is told of them is old
         self._order: OrderedDict[Hashable, None] = OrderedDict()  # callers, the one longest unserved first
+        self._turning = False
+        self._soon: deque[tuple[Watched, Callable[[], None]]] = deque()  # calls for the end of this turn
         self.loop.add_reader(self._epoll.fileno(), self._turn)
 
     def close(self) -> None:
@@ -101,23 +103,33 @@
 
     def soon(self, watched: Watched, call: Callable[[], None]) -> None:
         """Call once what runs now has returned; what is raised is told to `watched`."""
-        self.loop.call_soon(_guarded, watched, call)
+        if self._turning:
+            self._soon.append((watched, call))  # at the end of this turn: sooner than the loop would
+        else:
+            self.loop.call_soon(_guarded, watched, call)
 
     # --------------------------------------------------------------- the turn
 
     def _turn(self) -> None:
+        self._turning = True
         self._gone.clear()
+        self._wake_ready(self._epoll.poll(0, min(MOST_READY, len(self._watched) + 1)))
+        while self._soon:
+            _guarded(*self._soon.popleft())
+        self._turning = False
+
+    def _wake_ready(self, ready: list[tuple[int, int]]) -> None:
         waiting: dict[Hashable, deque[int]] = {}
         number = 0
-        for descriptor, _ in self._epoll.poll(0, MOST_READY):
+        for descriptor, _ in ready:
             if (watched := self._watched.get(descriptor)) is None or descriptor in self._gone:
                 continue
-            if watched.caller is None:
+            if (caller := watched.caller) is None:
                 self._wake(watched)
             else:
                 number += 1
-                if (legs := waiting.get(watched.caller)) is None:
-                    waiting[watched.caller] = deque((descriptor,))
+                if (legs := waiting.get(caller)) is None:
+                    waiting[caller] = deque((descriptor,))
                 else:
                     legs.append(descriptor)
         if number > self._turn_size:
--- a/flintfield/wire/http1/regular.py
+++ b/flintfield/wire/http1/regular.py
@@ -6,7 +6,7 @@
    text is wrong: that is h11's word.
 2. What it takes it reads as h11 does, to the byte. `tools/fuzz_http1.py` holds both against each other.
 
-The shapes: a caller's `POST`, head and body in one piece, with a Content-Length; and a next hop's `100
+The shapes: a caller's `POST`, its head in one piece, with a Content-Length; and a next hop's `100
 Continue`, then its `200` in chunks. Names of headers are letters and hyphens, one space follows the colon,
 values are printable, and no name comes twice. Headers that change how a message is framed or a connection
 goes on are not regular, but for `Connection: keep-alive`, which says what is so anyway.
@@ -16,6 +16,7 @@
 
 import re
 
+from flintfield.decision.values import value
 from flintfield.wire.http1.submission import MOST_BODY, Request
 
 FIELDS = rb"((?:[A-Za-z][A-Za-z-]*: [!-~]+(?: [!-~]+)*\r\n)+)\r\n"
@@ -41,17 +42,35 @@
     return fields
 
 
-def read_request(data: bytes) -> Request | None:
-    """The request, if the text is one regular one, whole, and nothing more."""
+@value
+class Start:
+    """A regular head: its target and headers, its own size, and that of the whole request with its body."""
+
+    target: bytes
+    headers: dict[bytes, bytes]
+    head: int
+    size: int
+
+
+def read_start(data: bytes) -> Start | None:
+    """The regular head that the text begins with, whole, if its body has no byte too many."""
     match = REQUEST.match(data, 0, MOST_HEAD)
     if match is None or (headers := _fields(match[2])) is None:
         return None
     length, end = headers.get(b"content-length", b""), match.end()
-    if LENGTH.fullmatch(length) is None or len(data) - end != int(length) or int(length) > MOST_BODY:
+    if LENGTH.fullmatch(length) is None or len(data) - end > int(length) or int(length) > MOST_BODY:
         return None
     if b"host" not in headers or not ODD_REQUEST.isdisjoint(headers):
         return None
-    return Request(b"POST", match[1], headers, data[end:])
+    return Start(match[1], headers, end, end + int(length))
+
+
+def read_request(data: bytes) -> Request | None:
+    """The request, if the text is one regular one, whole, and nothing more."""
+    start = read_start(data)
+    if start is None or start.size != len(data):
+        return None
+    return Request(b"POST", start.target, start.headers, data[start.head:])
 
 
 class AnswerHeads:
--- a/flintfield/wire/http1/spares.py
+++ b/flintfield/wire/http1/spares.py
@@ -21,16 +21,12 @@
 class Spare:
     """One connection that waits."""
 
+    caller: Hashable | None = None  # it works for nobody
     __slots__ = ("_spares", "address", "stream")
 
     def __init__(self, stream: Stream, address: Address, spares: Spares) -> None:
         self.stream, self.address, self._spares = stream, address, spares
 
-    @property
-    def caller(self) -> Hashable | None:
-        """It works for nobody."""
-        return None
-
     def ready(self) -> None:
         """The next hop ended it, or said what nobody asked for."""
         self._spares.close(self)
