--- a/benchmarks/lasting.py
+++ b/benchmarks/lasting.py
@@ -5,7 +5,7 @@
 Bookings, two steps of which wait for the disk, and jobs of a safe class, for which nothing waits, go through
 one scheduler on one core to ten instant nodes. In turn, in every round: no feature, job status alone, the
 store with each step synced, and the store with steps that wait for the operating system alone. What the disk
-itself takes is measured beside: one write of 100 bytes and its sync, in the same folder, which is in `TMPDIR`.
+itself takes is measured beside: one write of 100 bytes and its sync, in the same folder, within `TMPDIR`.
 """
 
 from __future__ import annotations
