--- a/flintfield/lab/sockets/engine.py
+++ b/flintfield/lab/sockets/engine.py
@@ -222,12 +222,18 @@
         return run.log
 
     def _excuse(self, end: End) -> str:
-        """Why the run is void though it kept time on the whole: a rule broke while the machine was late."""
+        """Why the run is void though it kept time on the whole: rules broke only while the machine was late.
+
+        What is sent twice is sent twice however late it is: there is no excuse for the rule `repeat`.
+        """
         self.judge.take(end)
+        first = ""
         for violation in self.judge.verdict().violations:
-            if word := self.punctuality.excuse(violation.at, violation.word):
-                return f"{word} when a rule broke ({violation.word})"
-        return ""
+            word = "" if violation.rule == "repeat" else self.punctuality.excuse(violation.at, violation.word)
+            if not word:
+                return ""
+            first = first or f"{word} when a rule broke ({violation.word})"
+        return first
 
     def _void(self) -> str:
         """Why the run says nothing, or nothing."""
