--- a/flintfield/cli/group.py
+++ b/flintfield/cli/group.py
@@ -62,8 +62,8 @@
 def _lacking(name: str, error: ModuleNotFoundError) -> click.Command:
     """Stands for a command whose packages are not there, so that `--help` tells of all others."""
     def tell() -> None:
-        raise Lacking(f"{name} needs the package {error.name}: requirements-{name}.txt names what it needs, "
-                      f"if there is one")
+        raise Lacking(f"{name} needs the package {error.name}, which an extra brings: pip install '.[lab]' "
+                      "(pyproject.toml names the others)")
 
     settings = {"ignore_unknown_options": True, "allow_extra_args": True, "help_option_names": []}
     return click.Command(name, callback=tell, context_settings=settings,
--- a/tests/test_lab_sockets.py
+++ b/tests/test_lab_sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import socket
 import sys
 from collections import Counter
@@ -21,7 +22,9 @@
 from flintfield.lab.scenario import Scenario
 from flintfield.lab.sockets import planted
 from flintfield.lab.sockets.context import Ledger
+from flintfield.lab.sockets.faults import AnyFault, CutLine, Garbage, Reset, Stall
 from flintfield.lab.sockets.listener import Listener
+from flintfield.lab.sockets.proxy import Choose, share_of
 from flintfield.lab.sockets.timing import Clock, Punctuality
 from flintfield.lab.sockets.wire import Exchange, ServerEnd
 from support import live
@@ -247,7 +250,14 @@
 
 
 def test_troubles_at_once_break_no_rule_and_every_try_comes_to_an_end(tmp_path: Path) -> None:
-    log, verdict = live.play(small(("load.per_s", 20.0), ("trouble", TROUBLES)), 5, tmp_path)
+    faults: list[AnyFault] = [Reset(at=100), Reset(way="up", at=300), CutLine(line=8), Stall(at=60, ms=300.0),
+                              Garbage(at=90)]
+
+    def way(node: str) -> Choose:
+        """Real proxies stand before the nodes: one connection in ten suffers."""
+        return share_of(0.1, faults, random.Random(node))
+
+    log, verdict = live.play(small(("load.per_s", 20.0), ("trouble", TROUBLES)), 5, tmp_path, ways=way)
     assert verdict.kept, verdict.violations
     assert set(ends_of(log.records)) == {r.rid for r in log if isinstance(r, Asked)}
     down = {r.node for r in log if isinstance(r, NodeState) and r.state == "down"}
