Tell the fleet what was recalled, so that it is drawn by at once

Seen: after a restart the recalled prices and paces stood with the workers, and the indices made of them did not know; room and shares were those of unknown workers until each was touched. Change: recall rates and touches each worker, and sizes up. Measured: a test that fails without it.

--- a/flintfield/decision/learned.py
+++ b/flintfield/decision/learned.py
@@ -59,9 +59,12 @@
         worker.price = min(worker.price, dispatcher.top_price)
         _set_mean(worker.pace, pace)
         worker.errors, worker.shunned = errors, shunned
+        dispatcher._rate(worker)  # what is made of these figures is made anew
+        dispatcher.fleet.touch(worker, True)
     for mean, told in zip([dispatcher.pace, *dispatcher.costs], means, strict=True):
         _set_mean(mean, told)
     dispatcher.in_flight = in_flight
+    dispatcher._size_up()
     return Recalled(found, len(workers) - found)
 
 
--- a/tests/test_learned.py
+++ b/tests/test_learned.py
@@ -39,6 +39,15 @@
     assert new.workers[1].pace.value < new.workers[2].pace.value / 2 and not new.jobs and not new.attempts
 
 
+def test_what_was_recalled_is_drawn_by_at_once() -> None:
+    """Guards against figures that stand with the workers and are unknown to the indices made of them."""
+    new = World(GIVEN, entries(), free=None)
+    recall(new.dispatcher, learned(worked(entries()).dispatcher))
+    quick, slow = new.dispatcher.workers[1], new.dispatcher.workers[2]
+    assert quick.zeta > 2 * slow.zeta > 0 and quick.room > 0
+    assert only(new.request(1), Send)
+
+
 def test_a_worker_that_started_anew_or_is_not_known_is_left_out() -> None:
     saved = learned(worked(entries()).dispatcher)
     new = World(GIVEN, [Entry(1, State.READY, started_ms=5.0)], free=None).dispatcher
