Let callers take turns with all that is done for them, and take connections in by the poller

Branches went before all legs: one caller's flood of 400 connections held up another by its branches' wakes, and a new connection waited for two passes through the loop.

A branch works for the caller that waits for its answer; of one caller's, branches go first, and callers take turns. A turn is 32 wakes. On the wire nothing changes.

--- a/benchmarks/stage.py
+++ b/benchmarks/stage.py
@@ -139,9 +139,9 @@
         finally:
             _end(process)
 
-    def call(self, target: Running, **load: Any) -> dict[str, Any]:
+    def call(self, target: Running, part: float = 0.7, **load: Any) -> dict[str, Any]:
         """Play such a load to its end: what the callers saw, and the target's `cpu_us` for each request."""
-        with self.callers(target, **load) as callers:
+        with self.callers(target, part, **load) as callers:
             return callers.told()
 
 
--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -78,7 +78,7 @@
         reader = Reader(config.zones, config.kinds)
         self._known = reader.news(config.known, cached=True)
         self._hops = NextHops(self.tell, self._clock, pool, config.report_names, self._poller, spares,
-                              self._count, config.dial_timeout_ms)
+                              self._count, lambda rid: self._callers.caller_of(rid), config.dial_timeout_ms)
         self._discovery = Discovery(self.tell, pool, reader)
         pages = Pages(lambda: not self.state.stopping, lambda: self.state.counters, self._pages())
         gate = next((gate for unit in self.units if (gate := unit.gate())), None)
@@ -202,7 +202,7 @@
             self.tell(self._known)
             tasks.start_soon(self._sweep)
             tasks.start_soon(self._poller.run)
-            tasks.start_soon(self._callers.accept_all, tasks)
+            self._callers.start(tasks)
             for unit in self.units:
                 self._start_beside(unit.run)
             self._log.info("serving", **self._ports, next_hops=len(self.state.routes),
@@ -211,7 +211,7 @@
             gc.freeze()  # what is there now stays: no collection need look at it again
             gc.set_threshold(YOUNG, OLDER, OLD)
             await stop_asked.wait()
-            await self._stop(tasks)
+            await self._stop()
             await self._end_units()
             tasks.cancel_scope.cancel()
         self._errors.flush(FLUSH_S)
@@ -237,7 +237,7 @@
             await anyio.sleep(SWEEP_S)
             self._pool.sweep()
 
-    async def _stop(self, tasks: TaskGroup) -> None:
+    async def _stop(self) -> None:
         """Serve on for those who stay, settle all that was taken, and end.
 
         Guards against a gap: others may be restarted at the same time, so callers are not sent away before
@@ -250,7 +250,7 @@
         with anyio.move_on_after((grace_ms - LAST_CALL_MS) / 1000 - STOP_ACCEPT_S):
             while self._busy():
                 await anyio.sleep(STOP_CHECK_S)
-        self._callers.stop_listening(tasks)
+        self._callers.stop_listening()
         while self._busy():
             self._callers.close_idle()
             await anyio.sleep(STOP_CHECK_S)
--- a/flintfield/wire/http1/branch.py
+++ b/flintfield/wire/http1/branch.py
@@ -70,6 +70,7 @@
     names: Mapping[str, str]  # a load report's names on the wire, and ours
     spares: Spares
     count: Callable[[str], None]
+    caller_of: Callable[[int], Hashable | None]  # who waits for a transaction's answer
     end: Callable[[BranchLeg], None]  # a branch has told its ending, or has none to tell
     dial_timeout_ms: float
     continuing: set[Address] = field(default_factory=set)  # those that have said 100 before
@@ -88,11 +89,13 @@
 class BranchLeg:
     """One branch's connection."""
 
-    caller: Hashable | None = None  # it ends work: it goes before the callers' legs
+    urgent = True
     __slots__ = ("_answer", "_blocked", "_ends", "_held", "_left", "_lines", "_may_reuse", "_reuses",
-                 "_shared", "_stream", "_tail", "address", "branch", "order", "phase", "rid")
+                 "_shared", "_stream", "_tail", "address", "branch", "caller", "order", "phase",
+                 "rid")
 
     def __init__(self, effect: OpenBranch, shared: Shared) -> None:
+        self.caller = shared.caller_of(effect.rid)
         self.rid, self.branch, self.address = effect.rid, effect.branch, effect.address
         self._may_reuse, self._reuses = effect.may_reuse, False
         self._shared = shared
--- a/flintfield/wire/http1/caller.py
+++ b/flintfield/wire/http1/caller.py
@@ -4,16 +4,15 @@
 
 import json
 import socket
-from collections.abc import Awaitable, Callable, Iterator, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Hashable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
-import anyio
 from anyio.abc import TaskGroup
 
 from flintfield.memory.messages import Address, Answer, CallerLeft, Message, Submitted, Verdict
 from flintfield.wire.http1.leg import REQUEST_S, Leg, Phase, Reply
-from flintfield.wire.http1.poller import Poller, Waits
+from flintfield.wire.http1.poller import NOTHING, READ, Poller, Waits
 from flintfield.wire.http1.stream import Stream, open_listener
 from flintfield.wire.http1.submission import BadRequest, Request, read_submission
 
@@ -68,6 +67,9 @@
 class Callers:
     """All caller legs, and the socket they come from."""
 
+    caller: Hashable | None = None  # the socket works for no caller yet
+    urgent = False
+
     def __init__(self, tell: Callable[[Message], None], pages: Pages, class_names: Sequence[str],
                  most_legs: int, count: Callable[[str], None], poller: Poller,
                  gate: Gate | None = None) -> None:
@@ -90,22 +92,27 @@
         self._listener = open_listener(address, BACKLOG)
         return int(self._listener.getsockname()[1])
 
-    async def accept_all(self, tasks: TaskGroup) -> None:
-        """Take connections in until the socket is closed."""
+    def start(self, tasks: TaskGroup) -> None:
+        """Take connections in from now on; `tasks` is for what can not be served at once."""
+        assert self._listener
         self._tasks = tasks
-        while listener := self._listener:
-            taken = self._accept_some(listener, tasks)
-            if taken == ACCEPT_TURN:
-                await anyio.sleep(0)
-            elif taken is None:
-                await anyio.sleep(ACCEPT_PAUSE_S)  # a descriptor comes free soon
-            else:
-                try:
-                    await anyio.wait_readable(listener)
-                except (anyio.ClosedResourceError, OSError, ValueError):
-                    return
+        self._poller.watch(self._listener.fileno(), self)
 
-    def _accept_some(self, listener: socket.socket, tasks: TaskGroup) -> int | None:
+    def ready(self) -> None:
+        """Connections wait."""
+        if self._listener and self._accept_some(self._listener) is None:
+            self._poller.change(self._listener.fileno(), NOTHING)
+            self._poller.later(ACCEPT_PAUSE_S, self, self._accept_on)  # a descriptor comes free soon
+
+    def _accept_on(self) -> None:
+        if self._listener:
+            self._poller.change(self._listener.fileno(), READ)
+
+    def broke(self, error: Exception) -> None:
+        """An exception while connections were taken in: the next are taken all the same."""
+        self._count(f"legs.broken.{type(error).__name__}")
+
+    def _accept_some(self, listener: socket.socket) -> int | None:
         """Take in a few connections: how many, less than a turn if no more wait; None for lack of room."""
         for taken in range(ACCEPT_TURN):
             try:
@@ -125,18 +132,18 @@
             self._count("legs.accepted")
             leg = Leg(Stream(sock), self, self._poller, self._waits, peer)
             self._legs[leg] = None
-            if self._gate:
-                tasks.start_soon(self._pass_gate, self._gate, leg, peer)
+            if self._gate and self._tasks:
+                self._tasks.start_soon(self._pass_gate, self._gate, leg, peer)
             else:
                 leg.watch()
         return ACCEPT_TURN
 
-    def stop_listening(self, tasks: TaskGroup) -> None:
+    def stop_listening(self) -> None:
         """Take in what the kernel has accepted for us, then close the socket: those callers count as ours."""
         if self._listener:
-            while self._accept_some(self._listener, tasks) == ACCEPT_TURN:
+            while self._accept_some(self._listener) == ACCEPT_TURN:
                 pass
-            anyio.notify_closing(self._listener)
+            self._poller.forget(self._listener.fileno())
             self._listener.close()
             self._listener = None
 
@@ -192,6 +199,11 @@
         if leg := self._waiting.pop(effect.rid, None):
             leg.answer(reply_of(effect))
 
+    def caller_of(self, rid: int) -> Hashable | None:
+        """Who waits for a transaction's answer; None if nobody does here."""
+        leg = self._waiting.get(rid)
+        return leg.caller if leg else None
+
     def take(self, leg: Leg, request: Request) -> Reply | None:
         """A leg has a whole request: a page is answered, now or later, a job opens a transaction."""
         leg.ticket = 0
--- a/flintfield/wire/http1/leg.py
+++ b/flintfield/wire/http1/leg.py
@@ -94,6 +94,7 @@
 class Leg:
     """One connection of a caller."""
 
+    urgent = False
     __slots__ = ("_closes", "_coming", "_descriptor", "_events", "_house", "_left", "_poller", "_timer",
                  "_unsound", "_waits", "began", "caller", "phase", "served", "stream", "ticket")
 
--- a/flintfield/wire/http1/poller.py
+++ b/flintfield/wire/http1/poller.py
@@ -11,15 +11,15 @@
 Theory of operation. All sockets stand in an epoll set of our own, and its descriptor in the event loop's:
 one reader there, where a waiting task for each socket costs a future, a registration and a pass through the
 loop for each wake (measured: 35 us a wait through anyio, 5 us here). In its turn the poller asks its set,
-without waiting, who is ready. Connections to next hops and listeners go first, for they end work or are
-few. Callers' legs are sorted by caller, and of each caller one leg after the other is woken, in turn with
-the other callers, until a turn's worth is done. Then the event loop has its own turn: timers, tasks, and
-this poller again, which asks anew. The set is level-triggered: who was not woken is ready again in the next
-turn, at no cost but the asking.
+without waiting, who is ready. Listeners and spare connections go first, for they are few. The others, a
+caller's leg and the branches of its jobs, stand under that caller, what ends work before what begins it; one
+after the other is woken, in turn with those of other callers, until a turn's worth is done. Then the event
+loop has its own turn: timers, tasks, and this poller again, which asks anew. The set is level-triggered: who
+was not woken is ready again in the next turn, at no cost but the asking.
 
 Fairness is the plain round robin of J. Nagle, "On Packet Switches With Infinite Storage" (RFC 970, 1985),
-with a request for a packet and a caller's address for a source. Weights and deficits as of later work were
-left out: callers' requests cost us about the same, whatever their size.
+with a wake for a packet and a caller's address for a source. Weights and deficits as of later work were left
+out: wakes cost us about the same, whatever the size of what they bring.
 """
 
 from __future__ import annotations
@@ -33,7 +33,7 @@
 import anyio
 
 READ, WRITE, NOTHING = select.EPOLLIN, select.EPOLLOUT, 0  # an end or an error is told with any of them
-TURN = 32  # legs of callers woken before the event loop has its turn; at 0.2 ms each that is 6 ms
+TURN = 32  # woken for callers before the event loop has its turn; at 0.1 ms each that is 3 ms
 MOST_READY = 8_192  # asked for at once
 
 
@@ -42,7 +42,11 @@
 
     @property
     def caller(self) -> Hashable | None:
-        """The caller that it works for and takes turns with the others; None goes first."""
+        """The caller that it works for, and that takes turns with the others; None goes before all."""
+
+    @property
+    def urgent(self) -> bool:
+        """Whether it ends work that was begun: of one caller's, it goes first."""
 
     def ready(self) -> None:
         """Something may go on: do what can be done without waiting."""
@@ -113,57 +117,56 @@
     def _turn(self) -> None:
         self._turning = True
         self._gone.clear()
-        self._wake_ready(self._epoll.poll(0, min(MOST_READY, len(self._watched) + 1)))
-        while self._soon:
-            _guarded(*self._soon.popleft())
-        self._turning = False
+        try:
+            self._wake_ready(self._epoll.poll(0, min(MOST_READY, len(self._watched) + 1)))
+            while self._soon:
+                _guarded(*self._soon.popleft())
+        finally:
+            self._turning = False
 
     def _wake_ready(self, ready: list[tuple[int, int]]) -> None:
-        waiting: dict[Hashable, deque[int]] = {}
-        number = 0
+        """Wake those who work for nobody, then the others: the urgent first, or caller by caller."""
+        urgent: list[tuple[int, Hashable]] = []
+        others: list[tuple[int, Hashable]] = []
         for descriptor, _ in ready:
             if (watched := self._watched.get(descriptor)) is None or descriptor in self._gone:
                 continue
             if (caller := watched.caller) is None:
-                self._wake(watched)
+                _guarded(watched, watched.ready)
+            elif watched.urgent:
+                urgent.append((descriptor, caller))
             else:
-                number += 1
-                if (legs := waiting.get(caller)) is None:
-                    waiting[caller] = deque((descriptor,))
-                else:
-                    legs.append(descriptor)
-        if number > self._turn_size:
-            self._take_turns(waiting)
-        elif number:
-            self._order.clear()
-            for legs in waiting.values():
-                for descriptor in legs:
-                    self._wake_leg(descriptor)
-
-    def _take_turns(self, waiting: dict[Hashable, deque[int]]) -> None:
-        """Wake one leg of each caller after the other, as many as a turn has."""
+                others.append((descriptor, caller))
+        if len(urgent) + len(others) > self._turn_size:
+            self._take_turns(urgent + others)
+            return
+        self._order.clear()
+        for descriptor, _ in urgent:
+            self._wake(descriptor)
+        for descriptor, _ in others:
+            self._wake(descriptor)
+
+    def _take_turns(self, ready: list[tuple[int, Hashable]]) -> None:
+        """Wake one of each caller after the other, as many as a turn has."""
+        waiting: dict[Hashable, deque[int]] = {}
+        for descriptor, caller in ready:
+            waiting.setdefault(caller, deque()).append(descriptor)
         # Who was served in the last turn and waits again stands behind those who were not.
         last = [caller for caller in self._order if caller in waiting]
         order = deque([*(c for c in waiting if c not in self._order), *last])
         self._order = OrderedDict.fromkeys(last)
         for _ in range(self._turn_size):
             caller = order.popleft()
-            self._wake_leg(waiting[caller].popleft())
+            self._wake(waiting[caller].popleft())
             if waiting[caller]:
                 order.append(caller)
             self._order[caller] = None
             self._order.move_to_end(caller)
 
-    def _wake_leg(self, descriptor: int) -> None:
+    def _wake(self, descriptor: int) -> None:
         watched = self._watched.get(descriptor)
         if watched is not None and descriptor not in self._gone:
-            self._wake(watched)
-
-    def _wake(self, watched: Watched) -> None:
-        try:
-            watched.ready()
-        except Exception as error:  # exceptions stop at the connection
-            watched.broke(error)
+            _guarded(watched, watched.ready)
 
 
 def _guarded(watched: Watched, call: Callable[[], None]) -> None:
--- a/flintfield/wire/http1/spares.py
+++ b/flintfield/wire/http1/spares.py
@@ -22,6 +22,7 @@
     """One connection that waits."""
 
     caller: Hashable | None = None  # it works for nobody
+    urgent = False
     __slots__ = ("_spares", "address", "stream")
 
     def __init__(self, stream: Stream, address: Address, spares: Spares) -> None:
--- a/tests/test_poller.py
+++ b/tests/test_poller.py
@@ -14,6 +14,8 @@
 class End:
     """One end of a pair of sockets, with something to read; it notes when it is woken."""
 
+    urgent = False
+
     def __init__(self, poller: Poller, log: list[str], name: str, caller: str | None = None,
                  does: Callable[[], None] = lambda: None) -> None:
         self.sock, self.other = socket.socketpair()
@@ -78,6 +80,12 @@
         assert len(log) == 43 and log[0] == "hop"
         assert log.index("quiet") < 5 and log.index("other") < 5
         assert [n for n in log if n.startswith("flood")] == [f"flood {n}" for n in range(40)]
+        log.clear()
+        flood[39].urgent = True
+        for end in flood:
+            end.say()
+        await turns(30)
+        assert log[0] == "flood 39" and len(log) == 40
         poller.close()
 
     anyio.run(play)
