--- a/flintfield/planning/planner.py
+++ b/flintfield/planning/planner.py
@@ -79,6 +79,7 @@
         self._stepped = -math.inf
         self._quiet_until = math.inf
         self._claims: dict[int, str] = {}
+        self._own: dict[str, list[int]] = {}  # homes by forwarder
         self._near_free: list[int] = []  # ready workers, the most free first
 
     # ----------------------------------------------------------------- in
@@ -173,8 +174,15 @@
         zone_of = {n: t.digest.zone for n, t in self.tellers.items()}
         zone_at = {w: k.listed.zone for w, k in ready.items()}
         settle_homes(self.homes, slots, demand, zone_of, zone_at, 1 + len(ready) // 50)
+        self.sort_homes()
         self._near_free = sorted(ready, key=lambda w: (ready[w].held - slots[w], w))
 
+    def sort_homes(self) -> None:
+        """Have `homes` by forwarder too, so that a plan costs what it holds; after each change of them."""
+        self._own = {}
+        for worker, name in sorted(self.homes.items()):
+            self._own.setdefault(name, []).append(worker)
+
     # ---------------------------------------------------------------- out
 
     def plan_for(self, now: float, forwarder: str) -> Plan | None:
@@ -182,8 +190,7 @@
         teller = self.tellers.get(forwarder)
         if teller is None or self.is_listening(now) or self.leases.ended or not self.workers:
             return None
-        own = [w for w, name in self.homes.items() if name == forwarder and w in self.workers]
-        own = sorted(own)[:MOST_ROWS - OVERFLOW]
+        own = [w for w in self._own.get(forwarder, ()) if w in self.workers][:MOST_ROWS - OVERFLOW]
         over = self._overflow(forwarder, teller.digest.zone)
         if not own and not over:
             return None
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -79,6 +79,7 @@
             self.up = [u for u in self.up if u[0] != place]
             planner.step(self.clock(place))
             planner.homes[COLD] = force.name  # the hardest: the worker changes hands all the time
+            planner.sort_homes()
             if made := planner.plan_for(self.clock(place), force.name):
                 self.down.append((place, who, made))
         elif deed in ("deliver", "old") and self.down:
