--- a/flintfield/decision/planned.py
+++ b/flintfield/decision/planned.py
@@ -45,9 +45,8 @@
         for worker in self.fleet.near:
             row = self.rows.get(worker.entry.worker) if self.weight() > 0.0 else None
             yield worker, row is not None and row.is_home
-        for worker in self.workers.values():
-            if worker.mine > 0.0 and not worker.near:
-                yield worker, False
+        busy = {a.worker.entry.worker: a.worker for a in self.attempts.values()}
+        yield from ((w, False) for n, w in busy.items() if not w.near and self.workers.get(n) is w)
 
     def _tick(self) -> None:
         super()._tick()
