--- a/flintfield/decision/fleet.py
+++ b/flintfield/decision/fleet.py
@@ -33,14 +33,14 @@
 from flintfield.decision.agenda import Agenda
 from flintfield.decision.homes import Homes
 from flintfield.decision.interface import Entry, State, WorkerId
-from flintfield.decision.records import Worker
+from flintfield.decision.records import FAR, INSIDE, PINNED, Worker
 from flintfield.decision.shares import Fill, Order, Shares, able, goods_of, size_for, split
 
 Assess = Callable[[Worker], tuple[float, bool, bool, bool, float]]
 """Of a worker: its room in slots (-inf where nothing may be sent), is it silent, may it be counted on for a
 class's needs, may its price step, and when one of these changes though nothing is heard."""
 
-USABLE, SILENT, ROOMY = 1, 2, 4  # bits of a near worker
+USABLE, SILENT, ROOMY = 1, 2, 4  # bits of a near worker; one that is only pinned is never counted usable
 UNUSED_MS = 5_000.0  # a table that was not drawn from for so long is dropped
 MOST_TABLES = 256
 FEW = 40  # workers of which all are looked at for each job: that is exact, and costs no more than a table
@@ -66,6 +66,8 @@
         self.workers: dict[WorkerId, Worker] = {}
         self.ring: list[Worker] = []  # all workers by rank
         self.cut = 0  # so many of them are near
+        self.pinned: dict[WorkerId, Worker] = {}  # near though they may stand beyond the cut
+        self._beyond = 0  # so many of the pinned do
         self.tables: dict[Order, Shares] = {}
         self._ranks: list[float] = []  # of the ring, for finding a place in it
         self._slots: list[Worker | None] = []
@@ -88,8 +90,9 @@
 
     @property
     def near(self) -> list[Worker]:
-        """The start of the ring, whom we deal with."""
-        return self.ring[:self.cut]
+        """Whom we deal with: the start of the ring, then the pinned beyond it."""
+        start = self.ring[:self.cut]
+        return start + [w for w in self.pinned.values() if w.near is PINNED] if self._beyond else start
 
     def take_list(self, entries: Iterable[Entry], whole: bool,
                   meet: Callable[[Entry], Worker]) -> Iterator[tuple[Worker, Entry]]:
@@ -124,26 +127,42 @@
             self._size = size_for(len(self._slots))
         self._slots[worker.slot] = worker
         self.workers[worker.entry.worker] = worker
-        at = bisect.bisect_right(self._ranks, worker.rank)
-        self._ranks.insert(at, worker.rank)
-        self.ring.insert(at, worker)
-        worker.near = at < self.cut
-        self.cut += worker.near
+        self._insert(worker)
         self._group(worker, worker.entry)
         self._homes.clear()
         self._unseen.append(worker)
 
+    def _insert(self, worker: Worker) -> None:
+        """Put it into the ring by its rank."""
+        at = bisect.bisect_right(self._ranks, worker.rank)
+        self._ranks.insert(at, worker.rank)
+        self.ring.insert(at, worker)
+        self._set_near(worker, at < self.cut)
+        self.cut += at < self.cut
+
+    def _take_out(self, worker: Worker) -> None:
+        """Take it out of the ring."""
+        at = bisect.bisect_left(self._ranks, worker.rank)
+        while self.ring[at] is not worker:
+            at += 1
+        del self.ring[at], self._ranks[at]
+        self.cut -= at < self.cut
+
+    def _set_near(self, worker: Worker, inside: bool) -> None:
+        """Mark it as standing within the cut or beyond it."""
+        near = INSIDE if inside else PINNED if worker.entry.worker in self.pinned else FAR
+        self._beyond += (near is PINNED) - (worker.near is PINNED)
+        worker.near = near
+
     def _remove(self, number: WorkerId) -> None:
         """Forget a worker that is not listed any more; attempts that are still out may go on naming it."""
         worker = self.workers.pop(number, None)
         if worker is None:
             return
         self._count(worker, 0, ())
-        at = bisect.bisect_left(self._ranks, worker.rank)
-        while self.ring[at] is not worker:
-            at += 1
-        del self.ring[at], self._ranks[at]
-        self.cut -= worker.near
+        self._take_out(worker)
+        self.pinned.pop(number, None)
+        self._set_near(worker, False)
         self._ungroup(worker)
         self._slots[worker.slot] = None
         heapq.heappush(self._free, worker.slot)
@@ -152,7 +171,7 @@
         self._moving.discard(worker.slot)
         self._note(worker.slot)
         self._homes.clear()
-        worker.slot, worker.near = -1, False
+        worker.slot = -1
 
     def _group(self, worker: Worker, entry: Entry) -> None:
         self._fits[entry.kind] += entry.state is State.READY
@@ -175,6 +194,25 @@
         """How many listed workers of that kind, or of all, are ready."""
         return self._fits.total() if kind is None else self._fits[kind]
 
+    def rank(self, worker: Worker, rank: float) -> None:
+        """Give a listed worker another place in our order; `size_up` is to follow."""
+        if rank != worker.rank:
+            self._take_out(worker)
+            worker.rank = rank
+            self._insert(worker)
+            self.touch(worker, True)
+
+    def pin(self, workers: Iterable[Worker]) -> None:
+        """Let these listed workers, and no others, be near wherever they stand."""
+        before, self.pinned = self.pinned, {w.entry.worker: w for w in workers}
+        for number in before.keys() ^ self.pinned.keys():
+            worker = before.get(number) or self.pinned[number]
+            if worker.near is not INSIDE:
+                self._set_near(worker, False)
+                self.touch(worker, True)
+        if before.keys() != self.pinned.keys():
+            self._homes.clear()
+
     def size_up(self, enough: int) -> None:
         """Near: the shortest start of the ring with so many usable workers for each kind that is needed."""
         before, unseen, self._unseen = self.cut, self._unseen, []
@@ -204,9 +242,9 @@
         """Whether all kinds have enough usable workers without the last one."""
         return not self._lacks(enough, (None, last.entry.kind) if last.bits & USABLE else ())
 
-    def _move(self, worker: Worker, near: bool) -> None:
-        worker.near = near
-        self.cut += 1 if near else -1
+    def _move(self, worker: Worker, inside: bool) -> None:
+        self._set_near(worker, inside)
+        self.cut += 1 if inside else -1
         self.touch(worker, True)
 
     # ------------------------------------------------------------------- touches
@@ -227,7 +265,8 @@
             rated, worker.avoided = rated or avoided != worker.avoided, avoided
         bits = 0
         if worker.near:
-            bits = (usable and USABLE) | (silent and SILENT) | (room >= SOME_ROOM and ROOMY)
+            bits = (usable and worker.near is INSIDE and USABLE) | (silent and SILENT)
+            bits |= room >= SOME_ROOM and ROOMY
             if moves:
                 self._moving.add(slot)
             if not worker.probing and slot not in self._asks.live:
@@ -284,7 +323,7 @@
 
     def willing(self, cls: int) -> bool:
         """Whether some near worker that is not silent does not shun that class."""
-        return self.cut - self._counts[SILENT] > self._counts["shuns", cls]
+        return self.cut + self._beyond - self._counts[SILENT] > self._counts["shuns", cls]
 
     def survey(self, pace: Callable[[Worker], float]) -> Survey:
         """A look at all near workers, at most once a price step; `pace` is running time for a unit of
@@ -348,7 +387,7 @@
         if order[0] is False and self.cut == len(self.ring):
             order = (True, *order[1:])
         among = self._groups.get(group, {}).values() if group else None
-        size = len(among) if among is not None else self.cut if order[0] else len(self.ring)
+        size = len(among) if among is not None else self.cut + self._beyond if order[0] else len(self.ring)
         pool: Iterable[Worker]
         if size > FEW:
             table = self._table(order, pace)
@@ -360,7 +399,7 @@
                 return worker
             pool = [table.members[slot] for slot in sorted(table.members)]
         else:
-            pool = among if among is not None else self.ring[:self.cut] if order[0] else self.ring
+            pool = among if among is not None else self.near if order[0] else self.ring
         ready = [w for w in able(order, pool) if allowed(w)]
         if len(ready) < 2:
             return ready[0] if ready else None
@@ -419,11 +458,11 @@
         survey = self._survey and (self._survey.carries, self._survey.quickest, self._survey.slots)
         tables = [(t.order, t.lam, t.mean, t.pace, t.solved, t.solved_at, t.used_at)
                   for t in self.tables.values()]
-        return self.workers, self.ring, self.cut, self._asks.live, survey, tables
+        return self.workers, self.ring, self.cut, self.pinned, self._asks.live, survey, tables
 
     def restore(self, kept: Any, now: float) -> None:
         """Go on from what was kept: everything else is made anew."""
-        workers, self.ring, self.cut, asks, survey, tables = kept
+        workers, self.ring, self.cut, self.pinned, asks, survey, tables = kept
         self.workers.update(workers)
         self.now = now
         self._asks.restore(asks, now)
@@ -431,7 +470,8 @@
         self._ranks = [w.rank for w in self.ring]
         self._slots = [None] * (1 + max((w.slot for w in self.ring), default=-1))
         for n, worker in enumerate(self.ring):
-            worker.near, worker.room, worker.bits = n < self.cut, -math.inf, 0
+            worker.near, worker.room, worker.bits = FAR, -math.inf, 0
+            self._set_near(worker, n < self.cut)
             worker.counted = worker.avoided = ()
             self._slots[worker.slot] = worker
             self._group(worker, worker.entry)
--- a/flintfield/decision/policy.py
+++ b/flintfield/decision/policy.py
@@ -18,7 +18,7 @@
     Probe, Probed, Refuse, Report, Request, Send, ServerList, SetTimer, Settings, State, Timer, Watch,
 )
 from flintfield.decision.records import Accounts, Attempt, Held, Job, Mean, Sort, Timers, Worker, lot
-from flintfield.decision.shares import Goods, step_down
+from flintfield.decision.shares import Goods, Order, step_down
 
 TICK_MS = 100.0  # a price step; jittered so that dispatchers do not step alike
 RHO = 0.8  # load factor: the part of a worker's slots that is sold without its price rising
@@ -38,7 +38,7 @@
 MEMORY = 8  # samples that a mean of costs or paces goes back
 NEAR = 2  # workers that a dispatcher deals with beyond those its jobs fill
 AWAY = 3.0  # how many workers at home stand before one of another zone in our order, where zones are alike
-SHUN_MS, LONGEST_SHUN_MS = 8000.0, 30_000.0  # after an error of a class, trebled with each in a row
+SHUN_MS, LONGEST_SHUN_MS = 20_000.0, 60_000.0  # after an error of a class, trebled with each in a row
 SPARE = 0.5  # slots that are to be free beside those of a job that may not be sent again
 HASTE = 2.0  # how long a job is thought to take that has little time, in its time at the quickest worker
 AHEAD_MS = 3 * TICK_MS  # so long before a job's answer is due its timer is set
@@ -111,8 +111,7 @@
             if worker.entry.started_ms > before.started_ms:
                 worker.restart(worker.entry.started_ms, self.now)
                 fleet.ask(worker, self.now)
-            self._rate(worker)
-            fleet.touch(worker, rated=True)
+            self.refresh(worker)
         self._size_up()
 
     def _meet(self, entry: Entry) -> Worker:
@@ -129,20 +128,16 @@
     def _assess(self, worker: Worker) -> tuple[float, bool, bool, bool, float]:
         """For the fleet: room for jobs that would start at once, is it silent, may it be counted on, may its
         price step, and when time alone changes one of these."""
-        now, later, most, silent, usable = self.now, math.inf, worker.most, False, True
-        closed = now < worker.full_until
-        if closed:
-            later = worker.full_until
+        now, most, silent, usable, closed = self.now, worker.most, False, True, self.now < worker.full_until
+        later = worker.full_until if closed else math.inf
         if worker.missed or worker.down:
             silent = self._silent(worker)
             if worker.missed and self.asks and not silent:
                 later = min(later, math.nextafter(worker.word + PROBE_MS, math.inf))
         if worker.pending:
             waits = next(iter(worker.pending)).at + START_MS
-            if now > waits:  # a job waits in its queue
-                closed = True
-            else:
-                later = min(later, math.nextafter(waits, math.inf))
+            closed = closed or now > waits  # a job waits in its queue
+            later = min(later, math.nextafter(waits, math.inf)) if now <= waits else later
         if worker.born > 0.0 and worker.is_cold(rules := self.settings.rules, now):
             later, usable = min(later, worker.warmer_at(rules, now, COLD_STEPS)), False
             most *= worker.warmth(rules, now, COLD_STEPS)
@@ -161,17 +156,21 @@
 
     def _cold_room(self, worker: Worker, cost: float) -> bool:
         """Rule 4: as many share what a cold worker may get as can use their part, in turn by lot."""
-        rules, n = self.settings.rules, self.settings.dispatchers
+        rules = self.settings.rules
         if not worker.is_cold(rules, self.now):
             return True
         carries = self.fleet.survey(self._pace).carries.get(worker.entry.kind, 1.0)
-        carries *= worker.warmth(rules, self.now)
-        budget = COLD_PART * rules.fall_multiple * rules.fall_ms * carries
+        budget = COLD_PART * rules.fall_multiple * rules.fall_ms * carries * worker.warmth(rules, self.now)
+        return worker.sent_since(self.now - rules.fall_ms) + cost <= self._cold_share(worker, budget)
+
+    def _cold_share(self, worker: Worker, budget: float) -> float:
+        """Our part of a cold worker's budget for a fall window."""
+        n = self.settings.dispatchers
         users = max(1, min(n, int(budget / max(1.0, *(c.value for c in self.costs)))))
         if worker.turn < 0:
             ours = lot(self.settings.me, wid := worker.entry.worker)
             worker.turn = sum(lot(i, wid) < ours for i in range(n))
-        return worker.turn < users and worker.sent_since(self.now - rules.fall_ms) + cost <= budget / users
+        return budget / users if worker.turn < users else 0.0
 
     def _size_up(self) -> None:
         """Deal with so many near workers that every class has enough: guards against many dispatchers that
@@ -244,6 +243,11 @@
                        self.fleet.silent / RECALLS_PER_S * 1000.0)
         return max(heard, worker.probe_at) + wait
 
+    def refresh(self, worker: Worker) -> None:
+        """Its figures are others now, be it by an event or from outside."""
+        self._rate(worker)
+        self.fleet.touch(worker, rated=True)
+
     def _rate(self, worker: Worker) -> None:
         """ζ: the list weight, else the inverse of running time per cost; the fleet is told by the caller."""
         if self.settings.has_weights:
@@ -369,24 +373,26 @@
 
     def _draw(self, job: Job, anywhere: bool) -> Worker | None:
         """Draw from η over those that may take the job now; jobs of one key go alike: it is fetched once."""
-        request, fleet, bound = job.request, self.fleet, self._bound(job)
-        cls, needs, shy = self.settings.classes[request.cls], [request.slots], -1
+        request, needs, shy = job.request, [job.request.slots], -1
+        cls = self.settings.classes[request.cls]
         if cls.effect is Effect.UNSAFE:
             # Guards against a booking in a queue that it may not leave: its first place is its only one.
             needs.insert(0, request.slots + SPARE)
             # Guards against booking after booking at a worker that fails them and serves other classes well.
-            shy = request.cls if fleet.willing(request.cls) else -1
+            shy = request.cls if self.fleet.willing(request.cls) else -1
         for need in needs:
             def allowed(worker: Worker, floor: float = need - 0.5) -> bool:
                 return worker.room >= floor and self._may_send(job, worker)
 
             order = not anywhere, cls.kind, job.theta, step_down(need), shy
-            pace = max(self.pace.value or 1.0, 1e-6)
-            worker = fleet.draw(order, allowed, self.random, pace, request.key, bound)
-            if worker is not None:
+            if (worker := self._pick(job, order, allowed)) is not None:
                 return worker
         return None
 
+    def _pick(self, job: Job, order: Order, allowed: Callable[[Worker], bool]) -> Worker | None:
+        pace = max(self.pace.value or 1.0, 1e-6)
+        return self.fleet.draw(order, allowed, self.random, pace, job.request.key, self._bound(job))
+
     def _may_go(self, job: Job) -> bool:
         """Rules 2 and 3 as far as the job alone tells: may it be sent, or sent again, now?"""
         if not job.attempts:
@@ -544,5 +550,4 @@
             worker.down, worker.struck = worker.struck, True
         if event.outcome not in (Outcome.FULL, Outcome.CANCELLED, Outcome.MOOT):
             worker.health = max(0.01, worker.health + LOST * ((event.outcome is Outcome.OK) - worker.health))
-        self._rate(worker)
-        self.fleet.touch(worker, rated=True)
+        self.refresh(worker)
--- a/flintfield/decision/records.py
+++ b/flintfield/decision/records.py
@@ -13,6 +13,7 @@
 """Held jobs of one class, worth and size in slots wait alike; the last part tells those that were sent
 before."""
 
+FAR, PINNED, INSIDE = range(3)  # whether we deal with a worker: no, by a pin alone, by our own order
 FRESH, TRIED = -1, -2  # the last part of a sort: never sent; sent, but free to go anywhere
 HELD_PART = 0.2  # of the way that the mean of held slots goes at a tick
 
@@ -69,7 +70,7 @@
         self.shunned: dict[int, float] = {}  # by class: until when none goes there that must not fail
         self.pending: dict[Attempt, None] = {}  # our attempts that have not started, oldest first
         self.sent: deque[tuple[float, float]] = deque()  # (time, cost) of sends while cold
-        self.near, self.room, self.bits = False, -math.inf, 0
+        self.near, self.room, self.bits = FAR, -math.inf, 0
         self.counted: tuple[int, ...] = ()
         self.avoided: tuple[int, ...] = ()  # the classes shunned now
 
--- a/flintfield/wire/http1/leg.py
+++ b/flintfield/wire/http1/leg.py
@@ -1,13 +1,33 @@
-"""One connection of a caller: whole requests in, answers out, and no longer than it may take."""
+"""One connection of a caller: whole requests in, answers out, and no longer than it may take.
+
+Rules:
+
+1. A leg carries one request at a time. What comes before its answer is a caller that leaves, or an unsound
+   one.
+2. It waits for nothing: `ready` does what can be done now. What it needs of others it asks of its house.
+3. It holds a parser only while a request that is not whole, or not regular, is in work: an idle leg is small.
+
+    GATE ──▶ READING ── whole request ──▶ WAITING ── answer ──▶ WRITING ── all taken ──▶ READING
+                └─ what can not be read ───────────────────────────▲           └──▶ LINGERING ──▶ CLOSED
+
+GATE lasts until `watch`: others may read first who calls. READING waits for bytes: on a new leg no longer
+than `REQUEST_S` from its start, on a kept one for ever until the first byte, and `REQUEST_S` from there.
+WAITING ends with the house's `answer`. LINGERING throws away what still comes, so that our last answer is
+read before the connection ends.
+"""
 
 from __future__ import annotations
 
-import math
-from dataclasses import dataclass, field
+import asyncio
+from collections.abc import Hashable
+from enum import IntEnum
+from typing import Protocol
 
-import anyio
 import h11
 
+from flintfield.decision.values import value
+from flintfield.wire.http1.poller import NOTHING, READ, WRITE, Poller, Waits
+from flintfield.wire.http1.regular import read_request
 from flintfield.wire.http1.stream import Stream
 from flintfield.wire.http1.submission import MOST_BODY, BadRequest, Request, check_head
 
@@ -19,7 +39,7 @@
 DRAIN_PAUSE_S = 0.004  # between two looks at what is thrown away: other legs have their turn meanwhile
 
 
-@dataclass(frozen=True, slots=True)
+@value
 class Reply:
     """An answer's parts, before they are framed."""
 
@@ -35,106 +55,327 @@
     return Reply(status, f"{error}\n".encode(), (), close=True)
 
 
-@dataclass(slots=True)
-class Leg:
-    """One connection of a caller."""
+class House(Protocol):
+    """Whose legs they are."""
+
+    def take(self, leg: Leg, request: Request) -> Reply | None:
+        """A whole request: its answer, or None if `leg.answer` follows; a `BadRequest` is answered too."""
+
+    def leave(self, leg: Leg) -> None:
+        """The caller left, or sent on, before its answer; `leg.answer` may still be called."""
+
+    def refuse(self, leg: Leg, reply: Reply) -> None:
+        """A request that can not be read, or came too late, is answered so."""
+
+    def end(self, leg: Leg, error: Exception | None) -> None:
+        """The leg is closed, by an exception if there is one."""
+
+
+class Phase(IntEnum):
+    """What a leg is doing."""
+
+    GATE = 0
+    READING = 1
+    WAITING = 2
+    WRITING = 3
+    LINGERING = 4
+    CLOSED = 5
+
+
+class Ended(Exception):
+    """The caller ended its connection without a request."""
 
-    stream: Stream
-    began: float  # when it was taken, or when the first byte of its request came
-    h11: h11.Connection = field(default_factory=lambda: h11.Connection(h11.SERVER))
-    idle: bool = True  # between two requests, not a byte of the next one read
-    served: bool = False
-    bodiless: bool = False  # an answer to HEAD has no body
-    unsound: bool = False  # it sent more than one request at a time
-    lingering: bool = False  # it has had its last answer
-    answered: anyio.Event = field(default_factory=anyio.Event)
-    reply: Reply | None = None
-
-    async def read(self) -> Request | None:
-        """The next whole request; None when the caller has ended the connection, or never began one."""
-        head: h11.Request | None = None
-        body = bytearray()
-        while True:
-            event = self.h11.next_event()
-            if event is h11.NEED_DATA:
-                if not await self._more():
-                    return None
-            elif isinstance(event, h11.Request):
-                head = event
-                self.bodiless = event.method == b"HEAD"
+
+class Coming:
+    """A request that is not whole yet, or not regular: h11 reads it."""
+
+    __slots__ = ("_body", "_head", "parser")
+
+    def __init__(self) -> None:
+        self.parser = h11.Connection(h11.SERVER)
+        self._head: h11.Request | None = None
+        self._body = bytearray()
+
+    def take(self, data: bytes) -> Request | None:
+        """The request once it is whole; `BadRequest` or h11's error tells what is wrong with it."""
+        self.parser.receive_data(data)
+        while (event := self.parser.next_event()) is not h11.NEED_DATA:
+            if isinstance(event, h11.Request):
+                self._head = event
                 check_head(event)
             elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > MOST_BODY:
+                self._body += event.data
+                if len(self._body) > MOST_BODY:
                     raise BadRequest(413, "the body is longer than 64 KiB")
-            elif isinstance(event, h11.EndOfMessage) and head:
+            elif isinstance(event, h11.EndOfMessage) and self._head:
                 # Guards against a length too short: what follows is the rest of a job that is not whole.
-                if self.h11.trailing_data[0]:
+                if self.parser.trailing_data[0]:
                     raise BadRequest(400, "more came than one request")
-                return Request(head.method, head.target, dict(head.headers), bytes(body))
+                head, body = self._head, bytes(self._body)
+                self._body.clear()
+                return Request(head.method, head.target, dict(head.headers), body)
             else:
-                return None
-
-    async def _more(self) -> bool:
-        """Read on; whether there is anything to go on with."""
-        if self.h11.they_are_waiting_for_100_continue:
-            go_on = self.h11.send(h11.InformationalResponse(status_code=100, headers=[]))
-            await self.stream.send(go_on or b"")
-        kept = self.idle and self.served
-        data = await self.stream.receive_by(math.inf if kept else self.began + REQUEST_S)
-        if data is None:
-            if self.idle:
-                return False
-            raise BadRequest(408, "the request did not come to its end")
-        if not data and (self.idle or self.stream.closed):
+                raise Ended
+        return None
+
+    def go_on(self) -> bytes:
+        """What to say to a caller that waits for a 100 before its body; nothing to others."""
+        if not self.parser.they_are_waiting_for_100_continue:
+            return b""
+        return self.parser.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
+
+    @property
+    def bodiless(self) -> bool:
+        """Whether an answer is to have no body."""
+        return self._head is not None and self._head.method == b"HEAD"
+
+
+def frame(reply: Reply) -> bytes:
+    """The bytes of an answer to a regular request, as h11 would write them."""
+    headers = b"".join(b"%b: %b\r\n" % pair for pair in reply.headers)
+    close = b"Connection: close\r\n" if reply.close else b""
+    return b"HTTP/1.1 %d \r\n%bContent-Length: %d\r\n%b\r\n%b" % (
+        reply.status, headers, len(reply.body), close, reply.body)
+
+
+class Leg:
+    """One connection of a caller."""
+
+    __slots__ = ("_closes", "_coming", "_descriptor", "_events", "_house", "_left", "_poller", "_timer",
+                 "_unsound", "_waits", "began", "caller", "phase", "served", "stream", "ticket")
+
+    def __init__(self, stream: Stream, house: House, poller: Poller, waits: Waits[Leg],
+                 caller: Hashable) -> None:
+        self.stream, self.caller = stream, caller
+        self._house, self._poller, self._waits = house, poller, waits
+        self._descriptor = stream.descriptor
+        self.began = poller.loop.time()  # when it was taken, or when the first byte of its request came
+        self.phase = Phase.GATE
+        self.served = False
+        self.ticket = 0  # the house's own
+        self._coming: Coming | None = None
+        self._closes = False  # the connection ends with this answer
+        self._unsound = False  # it sent more than one request at a time
+        self._left: list[memoryview] = []  # what of an answer the kernel has not taken
+        self._events = READ  # what the poller looks for
+        self._timer: asyncio.TimerHandle | None = None
+        waits.add(self)
+
+    def watch(self, read: bytes = b"") -> None:
+        """Begin; `read` is what was read of the first request before."""
+        if self.phase is not Phase.GATE:
+            return  # it was closed meanwhile
+        self.phase = Phase.READING
+        self._poller.watch(self._descriptor, self)
+        if read:
+            self._feed(read)
+        if self._poller.loop.time() >= self.began + REQUEST_S:
+            self.time_over()
+
+    @property
+    def idle(self) -> bool:
+        """Between two requests, or before the first, and not a byte of the next one read."""
+        return self.phase is Phase.GATE or (self.phase is Phase.READING and self._coming is None)
+
+    # ------------------------------------------------------------ its turns
+
+    def ready(self) -> None:
+        """Do what can be done now."""
+        if self.phase is Phase.READING:
+            self._read()
+        elif self.phase is Phase.WAITING:
+            self._watch_leaving()
+        elif self.phase is Phase.WRITING:
+            self._flush()
+        elif self.phase is Phase.LINGERING:
+            self._throw_away()
+
+    def broke(self, error: Exception) -> None:
+        """An exception stops here."""
+        self.close(error)
+
+    def time_over(self) -> None:
+        """The time for a request is over."""
+        # Guards against closing on a request that came in time and that a busy loop had no turn to read.
+        while self.phase is Phase.READING and self._read():
+            pass
+        if self.phase is not Phase.READING:
+            return
+        if self._coming is None:
+            self.close()
+        else:
+            self._refuse(BadRequest(408, "the request did not come to its end"))
+
+    def close_after(self, seconds: float) -> None:
+        """Close then, whatever it is doing."""
+        self._poller.later(seconds, self, self.close)
+
+    def close(self, error: Exception | None = None) -> None:
+        """Close now."""
+        if self.phase is Phase.CLOSED:
+            return
+        self.phase, self._coming, self._left = Phase.CLOSED, None, []
+        if self._timer:
+            self._timer.cancel()
+        self._waits.remove(self)
+        self._poller.forget(self._descriptor)
+        self.stream.close()
+        self._house.end(self, error)
+
+    # -------------------------------------------------------------- reading
+
+    def _read(self) -> bool:
+        """Take in what has come; whether there was any."""
+        if (data := self.stream.read_now()) is None:
+            return False
+        if not data and self._coming is None:
+            self.close()
             return False
-        if kept:
-            self.began = anyio.current_time()
-        self.feed(data)
-        return True
-
-    def feed(self, data: bytes) -> None:
-        """Take in bytes of a request."""
-        self.idle = False
-        self.h11.receive_data(data)
-
-    async def watch(self) -> None:
-        """Look on while an answer is made, until the caller leaves or sends more, which no sound one does."""
-        self.unsound = bool(await self.stream.receive())
-
-    async def write(self, reply: Reply) -> bool:
-        """Write an answer; whether the connection may serve on."""
-        close = reply.close or self.h11.their_state not in (h11.DONE, h11.IDLE)
+        if self.served and self._coming is None:
+            self.began = self._poller.loop.time()
+        self._feed(data)
+        return bool(data)
+
+    def _feed(self, data: bytes) -> None:
+        coming = self._coming
+        if coming is None:
+            if request := read_request(data):
+                self._take(request)
+                return
+            coming = self._coming = Coming()
+            if self.served:
+                self._waits.add(self)
+        try:
+            request = coming.take(data)
+        except Ended:
+            self.close()
+        except (BadRequest, h11.RemoteProtocolError) as error:
+            self._refuse(error)
+        else:
+            if request:
+                self._take(request)
+            elif go_on := coming.go_on():
+                self.stream.send_now(go_on)
+
+    def _take(self, request: Request) -> None:
+        self._waits.remove(self)
+        self.phase = Phase.WAITING
+        try:
+            reply = self._house.take(self, request)
+        except BadRequest as error:
+            self._refuse(error)
+            return
+        if reply:
+            self.answer(reply)
+
+    def _watch_leaving(self) -> None:
+        """Notice a caller that leaves before its answer: its job need not go on."""
+        if self._events == NOTHING:
+            self.close()  # it was told before, and now the other side is gone altogether
+        elif (data := self.stream.read_now()) is not None:
+            self._unsound = bool(data)
+            self._house.leave(self)
+            if self.phase is Phase.WAITING:
+                self._look_for(NOTHING)  # the answer is still to come
+
+    def _look_for(self, events: int) -> None:
+        if events != self._events:
+            self._events = events
+            self._poller.change(self._descriptor, events)
+
+    # -------------------------------------------------------------- writing
+
+    def _refuse(self, error: BadRequest | h11.RemoteProtocolError) -> None:
+        reply = reply_to_bad(error)
+        self._house.refuse(self, reply)
+        self._write(reply)
+
+    def answer_bad(self, error: BadRequest) -> None:
+        """Answer the request that waits with what is wrong with it."""
+        if self.phase is Phase.WAITING:
+            self._refuse(error)
+
+    def answer(self, reply: Reply) -> None:
+        """Write the answer to the request that waits for it."""
+        if self.phase is not Phase.WAITING:
+            return
+        if self._unsound:
+            self._refuse(BadRequest(400, "more came before the answer"))
+        else:
+            self._write(reply)
+
+    def _write(self, reply: Reply) -> None:
+        self._waits.remove(self)
+        self.phase = Phase.WRITING
+        if self._coming is None:
+            self._closes = reply.close
+            self._left = [memoryview(frame(reply))]
+            self._flush()
+            return
+        parser = self._coming.parser
         headers = [*reply.headers, (b"Content-Length", b"%d" % len(reply.body))]
-        if close:
+        if reply.close or parser.their_state not in (h11.DONE, h11.IDLE):
             headers.append((b"Connection", b"close"))
         head = h11.Response(status_code=reply.status, headers=headers)
-        body = b"" if self.bodiless else reply.body
-        parts = [self.h11.send(p) or b"" for p in (head, h11.Data(data=body), h11.EndOfMessage())]
+        body = b"" if self._coming.bodiless else reply.body
+        parts = [parser.send(p) or b"" for p in (head, h11.Data(data=body), h11.EndOfMessage())]
+        self._closes = not (parser.our_state is h11.DONE and parser.their_state is h11.DONE)
         # A long body, of which there is one for many readers, is not copied to stand behind its head.
-        for data in parts if len(body) > MOST_BODY else [b"".join(parts)]:
-            if await self.stream.send(data) < len(data):
-                return False
+        self._left = [memoryview(p) for p in (parts if len(body) > MOST_BODY else [b"".join(parts)]) if p]
+        self._coming = None
+        self._flush()
+
+    def _flush(self) -> None:
+        """Hand over what is left of an answer."""
+        while self._left:
+            sent = self.stream.send_now(self._left[0])
+            if sent is None:
+                self.close()
+                return
+            if sent < len(self._left[0]):
+                self._left[0] = self._left[0][sent:]
+                self._look_for(WRITE)
+                return
+            del self._left[0]
+        self._look_for(READ)
+        self._written()
+
+    def _written(self) -> None:
         self.served = True
-        if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
-            self.h11.start_next_cycle()
-            self.idle = True
-            return True
-        await self._linger()
-        return False
-
-    async def _linger(self) -> None:
+        if self._closes:
+            self._linger()
+        else:
+            self.phase = Phase.READING
+
+    # ------------------------------------------------------------ lingering
+
+    def _linger(self) -> None:
         """Throw away what still comes, unread by any parser, until the caller has had our last answer.
 
         Guards against a reset that overtakes the answer: bytes unread at a close make the kernel send one.
         """
-        self.lingering, self.h11 = True, h11.Connection(h11.SERVER)  # what h11 held is not needed any more
+        self.phase = Phase.LINGERING
         self.stream.end_sending()
-        ends = anyio.current_time() + LINGER_S
-        while anyio.current_time() < ends:
-            thrown = self.stream.throw_away()
-            if thrown:
-                ends = max(ends, self.began + DRAIN_S)
-                await anyio.sleep(DRAIN_PAUSE_S)
-            elif thrown == 0 or not await self.stream.receive_by(ends):
-                return
+        if self.stream.closed:
+            self.close()
+            return
+        self._timer = self._poller.later(LINGER_S, self, self.close)
+
+    def _throw_away(self) -> None:
+        thrown = self.stream.throw_away()
+        if thrown is None:
+            return
+        if thrown == 0:
+            self.close()
+            return
+        self._look_for(NOTHING)
+        self._poller.later(DRAIN_PAUSE_S, self, self._throw_on)
+        assert self._timer
+        ends = self.began + DRAIN_S
+        if ends > self._timer.when():
+            self._timer.cancel()
+            self._timer = self._poller.loop.call_at(ends, self.close)
+
+    def _throw_on(self) -> None:
+        if self.phase is Phase.LINGERING:
+            self._look_for(READ)
--- a/tests/support/__init__.py
+++ b/tests/support/__init__.py
@@ -1,1 +1,1 @@
-"""What tests share: references to compare with, models to play on."""
+"""What several tests share: stand-ins, worlds and reference models."""
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -12,9 +12,9 @@
 import pytest
 from hypothesis import given, strategies as st
 
+from flintfield.base.settings import read_real_settings
 from flintfield.decision.interface import Cancel, Entry, ListMode, Outcome, Report, State as Lifecycle
 from flintfield.decision.policy import TICK_MS, Dispatcher
-from flintfield.lifecycle.config import read_real_settings
 from flintfield.lifecycle.log import make_log
 from flintfield.memory.messages import (
     Answer, BranchEnded, BranchNoted, BranchUp, CallDiscovery, CallerLeft, DiscoveryMoved, DropBranch, Effect,
@@ -26,7 +26,7 @@
 from flintfield.wire.http1 import discovery
 from flintfield.wire.http1.client import Pool
 from flintfield.wire.http1.discovery import Discovery, Reader
-from flintfield.wire.http1.hop import read_load
+from flintfield.wire.http1.lines import read_load
 from peers import SETTINGS
 
 E = TypeVar("E")
