--- a/flintfield/decision/planned.py
+++ b/flintfield/decision/planned.py
@@ -45,9 +45,8 @@
         for worker in self.fleet.near:
             row = self.rows.get(worker.entry.worker) if self.weight() > 0.0 else None
             yield worker, row is not None and row.is_home
-        for worker in self.workers.values():
-            if worker.mine > 0.0 and not worker.near:
-                yield worker, False
+        busy = {a.worker.entry.worker: a.worker for a in self.attempts.values()}
+        yield from ((w, False) for n, w in busy.items() if not w.near and self.workers.get(n) is w)
 
     def _tick(self) -> None:
         super()._tick()
@@ -76,31 +75,29 @@
                 worker.pace.add(row.pace)
             if row.most > 0:  # guards against never learning how many slots it has
                 worker.probe_at = max(worker.probe_at, row.heard + a * (PLANNED_QUIET_MS - PROBE_MS))
-                self.fleet.ask(worker, self._quiet_from(worker))
-            self.refresh(worker)
+            self.fleet.touch(worker, True)
         self._size_up()
 
     def _size_up(self) -> None:
-        a, ranks, fleet = self.weight(), self.own_ranks, self.fleet
-        planned = [w for n in self.rows if (w := self.workers.get(n)) is not None] if a > 0.0 else []
-        for worker in planned:
-            own = ranks.setdefault(worker.entry.worker, worker.rank)
-            fleet.rank(worker, own * (1.0 - a))
-        kept = {w.entry.worker for w in planned}
-        for number in [n for n in ranks if n not in kept]:
-            own = ranks.pop(number)
-            if (left := self.workers.get(number)) is not None:
-                fleet.rank(left, own)
-        fleet.pin(planned)
+        a, ranks = self.weight(), self.own_ranks
+        planned = [n for n in self.rows if n in self.workers] if a > 0.0 else []
+        if planned or ranks:
+            new = {n: ranks.pop(n) for n in list(ranks) if n in self.workers}
+            ranks.clear()
+            for number in planned:
+                ranks[number] = own = new.get(number, self.workers[number].rank)
+                new[number] = own * (1.0 - a)
+            self.fleet.rerank(new)
         super()._size_up()
-        if a > 0.0:
+        if planned:
+            self.fleet.reach(len(planned))
             self.sharers = a + (1.0 - a) * self.sharers
 
     def _pick(self, job: Job, order: Order, allowed: Callable[[Worker], bool]) -> Worker | None:
         if not job.request.key and (a := self.weight()) > 0.0 and self.random.random() < a:
-            planned = [w for n in self.rows if (w := self.workers.get(n)) is not None]
-            ready = [w for w in able(order, planned) if allowed(w)]
-            home = [w for w in ready if self.rows[w.entry.worker].is_home] or ready
+            rows = [w for n in self.rows if (w := self.workers.get(n)) is not None]
+            planned = [w for w in able(order, rows) if allowed(w)]
+            home = [w for w in planned if self.rows[w.entry.worker].is_home] or planned
             eta = [self.rows[w.entry.worker].share for w in home]
             if sum(eta) > 0.0:
                 return self.random.choices(home, eta)[0]
--- a/flintfield/decision/policy.py
+++ b/flintfield/decision/policy.py
@@ -111,7 +111,8 @@
             if worker.entry.started_ms > before.started_ms:
                 worker.restart(worker.entry.started_ms, self.now)
                 fleet.ask(worker, self.now)
-            self.refresh(worker)
+            self._rate(worker)
+            fleet.touch(worker, rated=True)
         self._size_up()
 
     def _meet(self, entry: Entry) -> Worker:
@@ -128,16 +129,19 @@
     def _assess(self, worker: Worker) -> tuple[float, bool, bool, bool, float]:
         """For the fleet: room for jobs that would start at once, is it silent, may it be counted on, may its
         price step, and when time alone changes one of these."""
-        now, most, silent, usable, closed = self.now, worker.most, False, True, self.now < worker.full_until
-        later = worker.full_until if closed else math.inf
+        now, later, most, silent, usable = self.now, math.inf, worker.most, False, True
+        if closed := now < worker.full_until:
+            later = worker.full_until
         if worker.missed or worker.down:
             silent = self._silent(worker)
             if worker.missed and self.asks and not silent:
                 later = min(later, math.nextafter(worker.word + PROBE_MS, math.inf))
         if worker.pending:
             waits = next(iter(worker.pending)).at + START_MS
-            closed = closed or now > waits  # a job waits in its queue
-            later = min(later, math.nextafter(waits, math.inf)) if now <= waits else later
+            if now > waits:  # a job waits in its queue
+                closed = True
+            else:
+                later = min(later, math.nextafter(waits, math.inf))
         if worker.born > 0.0 and worker.is_cold(rules := self.settings.rules, now):
             later, usable = min(later, worker.warmer_at(rules, now, COLD_STEPS)), False
             most *= worker.warmth(rules, now, COLD_STEPS)
@@ -156,11 +160,11 @@
 
     def _cold_room(self, worker: Worker, cost: float) -> bool:
         """Rule 4: as many share what a cold worker may get as can use their part, in turn by lot."""
-        rules = self.settings.rules
-        if not worker.is_cold(rules, self.now):
+        if not worker.is_cold(rules := self.settings.rules, self.now):
             return True
         carries = self.fleet.survey(self._pace).carries.get(worker.entry.kind, 1.0)
-        budget = COLD_PART * rules.fall_multiple * rules.fall_ms * carries * worker.warmth(rules, self.now)
+        carries *= worker.warmth(rules, self.now)
+        budget = COLD_PART * rules.fall_multiple * rules.fall_ms * carries
         return worker.sent_since(self.now - rules.fall_ms) + cost <= self._cold_share(worker, budget)
 
     def _cold_share(self, worker: Worker, budget: float) -> float:
@@ -173,8 +177,7 @@
         return budget / users if worker.turn < users else 0.0
 
     def _size_up(self) -> None:
-        """Deal with so many near workers that every class has enough: guards against many dispatchers that
-        each know little of every worker, queue there and probe all."""
+        """Guards against many dispatchers that each know little of every worker and probe all."""
         fleet, n = self.fleet, self.settings.dispatchers
         fleet.size_up(NEAR + round(max(self.in_flight, len(fleet.ring) / n)))
         self.sharers = max(1.0, n * fleet.cut / max(1, len(fleet.ring)))
@@ -243,11 +246,6 @@
                        self.fleet.silent / RECALLS_PER_S * 1000.0)
         return max(heard, worker.probe_at) + wait
 
-    def refresh(self, worker: Worker) -> None:
-        """Its figures are others now, be it by an event or from outside."""
-        self._rate(worker)
-        self.fleet.touch(worker, rated=True)
-
     def _rate(self, worker: Worker) -> None:
         """ζ: the list weight, else the inverse of running time per cost; the fleet is told by the caller."""
         if self.settings.has_weights:
@@ -373,8 +371,8 @@
 
     def _draw(self, job: Job, anywhere: bool) -> Worker | None:
         """Draw from η over those that may take the job now; jobs of one key go alike: it is fetched once."""
-        request, needs, shy = job.request, [job.request.slots], -1
-        cls = self.settings.classes[request.cls]
+        request, shy = job.request, -1
+        cls, needs = self.settings.classes[request.cls], [request.slots]
         if cls.effect is Effect.UNSAFE:
             # Guards against a booking in a queue that it may not leave: its first place is its only one.
             needs.insert(0, request.slots + SPARE)
@@ -390,6 +388,7 @@
         return None
 
     def _pick(self, job: Job, order: Order, allowed: Callable[[Worker], bool]) -> Worker | None:
+        """One worker by its share among those of that order that are allowed."""
         pace = max(self.pace.value or 1.0, 1e-6)
         return self.fleet.draw(order, allowed, self.random, pace, job.request.key, self._bound(job))
 
@@ -550,4 +549,5 @@
             worker.down, worker.struck = worker.struck, True
         if event.outcome not in (Outcome.FULL, Outcome.CANCELLED, Outcome.MOOT):
             worker.health = max(0.01, worker.health + LOST * ((event.outcome is Outcome.OK) - worker.health))
-        self.refresh(worker)
+        self._rate(worker)
+        self.fleet.touch(worker, rated=True)
