--- a/flintfield/wire/http1/leg.py
+++ b/flintfield/wire/http1/leg.py
@@ -153,8 +153,8 @@
         # Guards against closing on a request that came in time and that a busy loop had no turn to read.
         while self.phase is Phase.READING and self._read():
             pass
-        if self.phase is not Phase.READING:
-            return
+        if self.phase is not Phase.READING or (self.served and self.idle):
+            return  # it came in time after all
         if self._coming is None:
             self.close()
         else:
