Take others' slots from a plan only while it is fresh

With plans 1 or 2 s old service was lower than without any: slots of then stood in place of what is seen now.

--- a/flintfield/decision/planned.py
+++ b/flintfield/decision/planned.py
@@ -7,7 +7,8 @@
 - shares: a job is drawn by the plan's table with the chance a, else by the base's own shares; that is
   η = a η_plan + (1 - a) η_own for each job, in O(1) beyond finding who has room;
 - whom we deal with: a worker of the plan moves up in our order, to rank x (1 - a);
-- prices, and the slots that others hold: moved toward the plan's figure by a, each time one comes;
+- prices: moved toward the plan's by a, each time one comes; the slots that others hold likewise, but only by
+  a plan that is fresh, for they are others a second later;
 - probes: a worker that anybody had word of counts as probed then, and may be quiet up to PLANNED_QUIET_MS.
 
 What we see ourselves stands above the plan: room, refusals, silence, the list's word that a worker drains,
@@ -25,6 +26,7 @@
 
 OWN_PART = 0.6  # of the cold budget: what is used without a lease; planning/leases.py has its reason
 DEMAND_MS = 2_000.0  # how long the mean of our demand looks back
+HINT_MS = 300.0  # held slots are taken over whole so long before a plan is full no more, then less and less
 PLANNED_QUIET_MS = 2_500.0  # no word from anybody for so long is answered by a probe, under a fresh plan
 
 
@@ -64,12 +66,14 @@
     def _plan_news(self, news: PlanNews) -> None:
         self.plan, self.rows, self.leases = news, {r.worker: r for r in news.rows}, dict(news.leases)
         a = self.weight()
+        # Guards against what was held there a second ago in place of what we see now.
+        fresh = min(1.0, max(0.0, (news.full_until - self.now) / HINT_MS))
         for row in news.rows:
             worker = self.workers.get(row.worker)
             if worker is None or a <= 0.0:
                 continue
             worker.price = min(self.top_price, worker.price + a * (row.price - worker.price))
-            worker.others += a * (row.others - worker.others)
+            worker.others += fresh * (row.others - worker.others)
             worker.most = max(worker.most, row.most)
             if not worker.pace.count and row.pace > 0:
                 worker.pace.add(row.pace)
