--- a/flintfield/decision/planned.py
+++ b/flintfield/decision/planned.py
@@ -9,7 +9,8 @@
 - whom we deal with: a worker of the plan moves up in our order, to rank x (1 - a);
 - prices: moved toward the plan's by a, each time one comes; the slots that others hold likewise, but only by
   a plan that is fresh, for they are others a second later;
-- probes: a worker that anybody had word of counts as probed then, and may be quiet up to PLANNED_QUIET_MS.
+- probes: a worker that anybody had word of counts as probed then, and may be quiet up to PLANNED_QUIET_MS,
+  again by a fresh plan alone.
 
 What we see ourselves stands above the plan: room, refusals, silence, the list's word that a worker drains,
 and all rules are asked of a worker before any share is.
@@ -77,8 +78,8 @@
             worker.most = max(worker.most, row.most)
             if not worker.pace.count and row.pace > 0:
                 worker.pace.add(row.pace)
-            if row.most > 0:  # guards against never learning how many slots it has
-                worker.probe_at = max(worker.probe_at, row.heard + a * (PLANNED_QUIET_MS - PROBE_MS))
+            if row.most > 0 < fresh:  # guards against never learning how many slots it has
+                worker.probe_at = max(worker.probe_at, row.heard + fresh * (PLANNED_QUIET_MS - PROBE_MS))
             self.fleet.touch(worker, True)
         self._size_up()
 
