--- a/flintfield/queues/core.py
+++ b/flintfield/queues/core.py
@@ -21,6 +21,7 @@
 from __future__ import annotations
 
 import hashlib
+import heapq
 from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -147,6 +148,7 @@
         self.next_ticket = self.next_queue = self.next_seq = 1
         self.seqs_until = 1  # numbers below it are reserved on disk
         self.polls = 0
+        self.poll_ends: list[tuple[int, int, int]] = []  # heap: until, queue, call; ended polls leave theirs
 
     def arn(self, name: str) -> str:
         """A queue's ARN."""
@@ -167,9 +169,20 @@
         times: list[float] = [t.next for t in self.moves.values() if t.status == "RUNNING" and not t.in_step]
         for queue in self.queues.values():
             times += [at for at in (queue.shelf.next_at(),) if at is not None]
-            times += [poll.until for poll in queue.polls.values()]
+        if (poll := self.first_poll()) is not None:
+            times.append(poll[0])
         return min(times, default=None)
 
+    def first_poll(self) -> tuple[int, int, int] | None:
+        """The poll that ends first: when, in which queue, and its call; O(log n) for each that is over."""
+        while self.poll_ends:
+            until, number, call = self.poll_ends[0]
+            queue = self.numbers.get(number)
+            if queue is not None and call in queue.polls:
+                return until, number, call
+            heapq.heappop(self.poll_ends)
+        return None
+
 
 # --------------------------------------------------------------------- opening
 
@@ -654,6 +667,7 @@
             raise errors.over_limit(f"There are {MOST_POLLS} receives waiting already.")
         self.state.polls += 1
         queue.polls[call] = Poll(call, given, self.now + wait * 1000)
+        heapq.heappush(self.state.poll_ends, (self.now + wait * 1000, queue.number, call))
 
     def _again(self, queue: Queue, call: int, given: ops.Receive) -> bool:
         """The same receive once more within five minutes: the same messages, if nothing came between."""
@@ -996,10 +1010,10 @@
         for queue in list(self.state.queues.values()):
             self._age(queue)
             self.serve(queue)
-            for poll in [p for p in queue.polls.values() if p.until <= self.now]:
-                del queue.polls[poll.call]
-                self.state.polls -= 1
-                self.reply(poll.call, ops.Received())
+        while (first := self.state.first_poll()) is not None and first[0] <= self.now:
+            del self.state.numbers[first[1]].polls[first[2]]
+            self.state.polls -= 1
+            self.reply(first[2], ops.Received())
         for task in list(self.state.moves.values()):
             self._move_some(task)
 
--- a/flintfield/queues/intake.py
+++ b/flintfield/queues/intake.py
@@ -21,7 +21,7 @@
 from dataclasses import dataclass
 
 STEP_MS = 250.0  # several jobs are let out meanwhile at any rate that matters
-CALM_AHEAD = 2.0  # where no caller waits: one that waits for room, and one behind it
+CALM_AHEAD = 1.0  # where no caller waits: one that waits for room; a second one would keep callers waiting
 DEAD_BAND = 0.02  # of the share: jobs are counted, so the parts never meet exactly
 STEP = 0.5  # `ahead` moves by at most two a second
 FADE = 0.9  # of the counts each step: the parts are those of the last 2.5 s
