Take timers off when what they guard has ended

A deadline's timer stayed in the heap until it rang, 20 s for a booking that took one, and woke the program then.

Memory's timers are an agenda: a settled transaction, an ended branch and a record that came back cancel theirs, and dead entries never outnumber the living.

--- a/flintfield/decision/agenda.py
+++ b/flintfield/decision/agenda.py
@@ -62,14 +62,20 @@
         heap = self._heap
         return bool(heap) and heap[0][0] <= now
 
-    def take_due(self, now: float) -> Iterator[K]:
-        """Each key whose time has come, soonest first; it is taken off before it is given."""
-        live = self.live
-        while (heap := self._heap) and heap[0][0] <= now:  # a put between two steps may make the heap anew
+    def pop_due(self, now: float) -> K | None:
+        """Take off the first key whose time has come; None if there is none."""
+        heap, live = self._heap, self.live
+        while heap and heap[0][0] <= now:
             at, _, key = heapq.heappop(heap)
             if live.get(key) == at:
                 del live[key]
-                yield key
+                return key
+        return None
+
+    def take_due(self, now: float) -> Iterator[K]:
+        """Each key whose time has come, soonest first; it is taken off before it is given."""
+        while (key := self.pop_due(now)) is not None:
+            yield key
 
     def _make_anew(self) -> None:
         self._heap = [(at, next(self._numbers), key) for key, at in self.live.items()]
--- a/flintfield/memory/reducer.py
+++ b/flintfield/memory/reducer.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from flintfield.decision.interface import (
@@ -133,6 +133,7 @@
             self._end_branch(transaction, number, Outcome.MOOT)
             return
         if action.timeout_ms > 0:
+            branch.timed = True
             self.state.timers.set(self.now + action.timeout_ms, BranchDue(action.rid, number))
         self.state.counters["branches.opened"] += 1
         if number == 0 and self.now > transaction.taken:
@@ -254,6 +255,7 @@
     def _forget_settled(self, transaction: Transaction) -> None:
         if transaction.settled():
             self.state.transactions.pop(transaction.rid, None)
+            self.state.timers.cancel(DeadlineDue(transaction.rid))
             if self._owns(transaction):
                 del self.state.names[transaction.submission.name]
 
@@ -344,6 +346,8 @@
                     ending: Ending | None = None) -> None:
         branch = transaction.branches[number]
         branch.ended, branch.never_ran = True, outcome in NEVER_RAN
+        if branch.timed:
+            self.state.timers.cancel(BranchDue(transaction.rid, number))
         at_work = any(b.written and not b.ended for b in transaction.branches)
         if self.state.jobs and not transaction.answered:
             self._note_end(transaction, branch, outcome, at_work)
@@ -409,6 +413,7 @@
 
     def kept(self, message: Kept) -> None:
         ledger = self.state.ledger
+        self._no_cut(message.tickets)
         for waits in ledger.kept(message.tickets) if ledger else ():
             if isinstance(waits, AnswerWaits):
                 self._give(waits.rid, waits.verdict, waits.body)
@@ -419,10 +424,15 @@
 
     def keep_failed(self, message: KeepFailed) -> None:
         if ledger := self.state.ledger:
+            self._no_cut(message.tickets)
             self.state.counters["store.failed"] += 1
             for waits in ledger.failed(message.tickets):
                 self._go_on_unkept(waits)
 
+    def _no_cut(self, tickets: Iterable[int]) -> None:
+        for ticket in tickets:
+            self.state.timers.cancel(KeepDue(ticket))
+
     def _cut(self, ticket: int) -> None:
         """Guards against a disk that stalls: no step waits for it longer than it may."""
         if self.state.ledger and (waits := self.state.ledger.cut(ticket)):
--- a/flintfield/memory/state.py
+++ b/flintfield/memory/state.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import heapq
 import math
 from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+from flintfield.decision.agenda import Agenda
 from flintfield.decision.interface import Action, Event, Limits, WorkerId
 from flintfield.decision.policy import Dispatcher
 from flintfield.memory.jobs import Jobs
@@ -29,6 +29,7 @@
     ended: bool = False
     written: bool = False
     never_ran: bool = False  # its outcome proves it
+    timed: bool = False  # it has a time-out of its own
     held: bool = False  # connected, and its first byte waits for a record
 
 
@@ -81,24 +82,29 @@
 
 
 class Timers:
-    """What is to happen when, soonest first."""
+    """What is to happen when, soonest first. A cancelled timer leaves no more than a bounded rest behind."""
 
     def __init__(self) -> None:
-        self._heap: list[tuple[float, int, Due]] = []
-        self._count = 0
+        self._agenda: Agenda[Due] = Agenda()
+
+    def __len__(self) -> int:
+        return len(self._agenda)
 
     def set(self, at: float, due: Due) -> None:
-        """Add a timer; those of one moment ring in the order they were set."""
-        self._count += 1
-        heapq.heappush(self._heap, (at, self._count, due))
+        """Set a timer, anew if it was set; those of one moment ring in the order they were set."""
+        self._agenda.put(due, at)
+
+    def cancel(self, due: Due) -> None:
+        """It need not ring, if it was set."""
+        self._agenda.drop(due)
 
     def next_at(self) -> float | None:
         """When the first one rings."""
-        return self._heap[0][0] if self._heap else None
+        return self._agenda.next_at()
 
     def pop_due(self, now: float) -> Due | None:
         """Take the first one that has come due."""
-        return heapq.heappop(self._heap)[2] if self._heap and self._heap[0][0] <= now else None
+        return self._agenda.pop_due(now)
 
 
 Tap = Callable[[float, Event, Sequence[Action]], None]
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,141 @@
+"""Shares kept up by changes: the split, the tree, the draw, and homes of keys."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable
+
+import pytest
+from hypothesis import given, strategies as st
+
+from flintfield.decision.homes import CAP, Homes
+from flintfield.decision.interface import Entry
+from flintfield.decision.policy import shares_at
+from flintfield.decision.records import Worker
+from flintfield.decision.shares import EXACT, Shares, SumTree, size_for, split, step_down
+
+GOODS = st.lists(st.tuples(st.floats(0.0, 1.0), st.floats(1e-3, 50.0)), min_size=1, max_size=40)
+
+
+@given(GOODS, st.floats(0.01, 1.0), st.one_of(st.none(), st.floats(-2.0, 2.0)))
+def test_a_split_is_found_from_any_hint(goods: list[tuple[float, float]], theta: float,
+                                        hint: float | None) -> None:
+    lam, eta = split(shares_at, theta, goods, float("inf") if hint is None else hint)
+    assert sum(eta) == pytest.approx(len(goods), rel=2 * EXACT)
+    assert min(eta) >= 0.0 and lam > -min(goods)[0]
+
+
+WEIGHTS = st.lists(st.floats(0.0, 9.0), min_size=1, max_size=70)
+
+
+CHANGES = st.lists(st.tuples(st.integers(0, 69), st.floats(0.0, 9.0)), max_size=30)
+
+
+@given(WEIGHTS, CHANGES, st.floats(0, 0.999))
+def test_a_tree_finds_where_a_part_of_the_sum_falls(weights: list[float], changes: list[tuple[int, float]],
+                                                    part: float) -> None:
+    size = size_for(len(weights))
+    loaded, changed = SumTree(size), SumTree(size)
+    for position, weight in changes:
+        changed.set(position % len(weights), weight)
+    for position, weight in enumerate(weights):
+        changed.set(position, weight)
+    loaded.load(weights + [0.0] * (size - len(weights)))
+    assert loaded.total == changed.total == pytest.approx(sum(weights))
+    if loaded.total > 0:
+        at = loaded.find(part * loaded.total)
+        assert at == changed.find(part * changed.total) and weights[at] > 0
+        assert sum(weights[:at]) <= part * loaded.total + 1e-9
+        assert part * loaded.total <= sum(weights[:at + 1]) + 1e-9
+
+
+def workers(count: int) -> list[Worker]:
+    made = [Worker(Entry(n + 1), 8) for n in range(count)]
+    for slot, worker in enumerate(made):
+        worker.slot, worker.near, worker.room, worker.zeta = slot, True, 2.0, 0.5 + slot % 5
+    return made
+
+
+def drawn(shares: Shares, pool: list[Worker], allowed: Callable[[Worker], bool],
+          count: int = 20_000) -> Counter[int]:
+    generator, seen = random.Random(1), Counter[int]()
+    for _ in range(count):
+        worker, _ = shares.draw(generator, pool, allowed)
+        if worker:
+            seen[worker.slot] += 1
+    return seen
+
+
+def test_who_is_not_allowed_is_left_out_and_the_others_keep_their_chances() -> None:
+    pool = workers(100)
+    shares = Shares((True, None, 1.0, 1.0, -1))
+    shares.walk(shares_at, pool, size_for(100))
+    shares.solve(shares_at, 0.0, 1.0)
+    before = shares.tree.total
+    barred = {7, 8}
+    seen = drawn(shares, pool, lambda w: w.slot not in barred)
+    assert not barred & seen.keys() and shares.tree.total == before
+    left = sum(shares.tree.weight(w.slot) for w in pool if w.slot not in barred)
+    far = sum(abs(seen[w.slot] / 20_000 - shares.tree.weight(w.slot) / left)
+              for w in pool if w.slot not in barred) / 2
+    assert far < 0.03  # the noise of so many draws
+
+
+def test_a_draw_that_would_not_fit_is_cut_short_and_told() -> None:
+    pool = workers(100)
+    shares = Shares((True, None, 1.0, 1.0, -1))
+    shares.walk(shares_at, pool, size_for(100))
+    shares.solve(shares_at, 0.0, 1.0)
+    assert shares.draw(random.Random(1), pool, lambda w: False) == (None, True)
+    assert shares.draw(random.Random(1), pool, lambda w: w.zeta < 1) == (None, True)
+
+
+def test_a_worker_comes_and_goes_with_its_room_and_its_price() -> None:
+    pool = workers(50)
+    shares = Shares((True, None, 0.5, 1.0, -1))
+    shares.walk(shares_at, pool, size_for(50))
+    shares.solve(shares_at, 0.0, 1.0)
+    pool[3].room, pool[4].price = 0.4, 0.6
+    shares.update(shares_at, [3, 4], pool)
+    assert len(shares.members) == 48 and shares.tree.weight(3) == shares.tree.weight(4) == 0.0
+    pool[3].room, pool[4].price = 1.0, 0.0
+    shares.update(shares_at, [4, 3], pool)
+    fresh = Shares(shares.order)
+    fresh.lam, fresh.mean, fresh.pace = shares.lam, shares.mean, shares.pace
+    fresh.walk(shares_at, pool, size_for(50))
+    assert [fresh.tree.weight(n) for n in range(50)] == [shares.tree.weight(n) for n in range(50)]
+
+
+def test_jobs_of_odd_sizes_make_few_steps() -> None:
+    steps = {step_down(1.0 + n / 100) for n in range(1_500)}
+    assert len(steps) <= 17 and {1.0, 1.5, 2.0, 3.0, 4.0, 6.0} <= steps
+    assert all(step_down(s) == s for s in steps)
+
+
+def test_keys_go_by_weight_and_only_what_changes_moves() -> None:
+    pool = workers(60)
+    weight = {w.slot: 0.2 + w.slot % 4 for w in pool}
+    homes = Homes(pool)
+    keys = range(1, 30_001)
+
+    def find(changed: dict[int, float]) -> dict[int, int]:
+        given = weight | changed
+        found = {k: homes.find(k, lambda slot: given[slot], lambda w: True) for k in keys}
+        return {k: w.slot for k, w in found.items() if w is not None}
+
+    at = find({})
+    assert len(at) == len(keys)
+    count, total = Counter(at.values()), sum(weight.values())
+    for slot, share in weight.items():
+        assert count[slot] / len(keys) == pytest.approx(share / total, abs=0.004)
+    gone = find({7: 0.0})
+    assert all(gone[k] == home for k, home in at.items() if home != 7) and 7 not in gone.values()
+    more = find({8: 2 * weight[8]})
+    assert weight[8] * 2 <= CAP and all(more[k] in (home, 8) for k, home in at.items())
+    assert Homes(reversed(pool)).find(5, weight.__getitem__, lambda w: True) == pool[at[5]]
+
+
+def test_where_few_have_room_a_key_has_no_home() -> None:
+    pool = workers(500)
+    assert Homes(pool).find(3, lambda slot: 0.0, lambda w: True) is None
