Settle homes at once while a planner only listens

With 1,000 nodes the first forwarder heard of had all homes, and gave them up at 170 a second.

Before its first plan a planner moves up to a quarter of the homes a step, then a fiftieth as before.

--- a/flintfield/planning/planner.py
+++ b/flintfield/planning/planner.py
@@ -161,10 +161,15 @@
         for known in self.workers.values():
             demand = min(1.0, known.held / known.most) if known.most > 0 else RHO
             known.price = step_price(known.price, passed, demand, self._top)
-        self._settle()
+        self._settle(4 if self.is_listening(now) else 50)
 
-    def _settle(self) -> None:
-        for worker, name in self._claims.items():  # claims of plans that others gave stand where ours do not
+    def _settle(self, steps: int) -> None:
+        """One home in so many may change hands: many before the first plan, few once others count on them.
+
+        Guards against the first forwarder that is heard of keeping the fleet for seconds.
+        """
+        # Claims of plans that others gave stand where ours do not.
+        for worker, name in self._claims.items():
             if worker in self.workers and name in self.tellers:
                 self.homes.setdefault(worker, name)
         self._claims.clear()
@@ -173,7 +178,7 @@
         demand = {n: max(FLOOR, t.digest.demand) for n, t in self.tellers.items()}
         zone_of = {n: t.digest.zone for n, t in self.tellers.items()}
         zone_at = {w: k.listed.zone for w, k in ready.items()}
-        settle_homes(self.homes, slots, demand, zone_of, zone_at, 1 + len(ready) // 50)
+        settle_homes(self.homes, slots, demand, zone_of, zone_at, 1 + len(ready) // steps)
         self.sort_homes()
         self._near_free = sorted(ready, key=lambda w: (ready[w].held - slots[w], w))
 
