--- a/flintfield/lab/cli.py
+++ b/flintfield/lab/cli.py
@@ -58,11 +58,13 @@
 
 
 @click.group()
-def lab() -> None:
+@click.pass_context
+def lab(ctx: click.Context) -> None:
     """Play scenarios against the scheduler, judge them and report."""
     # An experiment that is told to end closes its results and its processes as after Ctrl-C.
     with contextlib.suppress(ValueError):  # not in the main thread: the caller heeds signals
-        signal.signal(signal.SIGTERM, lambda *_: sys.exit(128 + signal.SIGTERM))
+        before = signal.signal(signal.SIGTERM, lambda *_: sys.exit(128 + signal.SIGTERM))
+        ctx.call_on_close(lambda: signal.signal(signal.SIGTERM, before))
 
 
 lab.add_command(proxy)
