--- a/flintfield/wire/http1/poller.py
+++ b/flintfield/wire/http1/poller.py
@@ -10,11 +10,11 @@
 
 Theory of operation. All sockets stand in the event loop's own epoll set (`sockets.py`), told in one batch a
 turn: a waiting task for each socket would cost a future, a registration and a pass through the loop for each
-wake (measured: 35 us a wait through anyio, 5 us here). Of a batch, listeners and spare connections go
-first, for they are few. The others, a caller's leg and the branches of its jobs, stand under that caller, what ends work
-before what begins it; one after the other is woken, in turn with those of other callers, until a turn's worth
-is done. Then the event loop has its own turn: timers, tasks, and this poller again, which is told anew. The
-set is level-triggered: who was not woken is ready again in the next turn, at no cost but the asking.
+wake (measured: 35 us a wait through anyio, 5 us here). Of a batch, listeners and spare connections go first,
+for they are few. The others, a caller's leg and the branches of its jobs, stand under that caller, what ends
+work before what begins it; one after the other is woken, in turn with those of other callers, until a turn's
+worth is done. Then the event loop has its own turn: timers, tasks, and this poller again, which is told anew.
+The set is level-triggered: who was not woken is ready again in the next turn, at no cost but the asking.
 
 Fairness is the plain round robin of J. Nagle, "On Packet Switches With Infinite Storage" (RFC 970, 1985),
 with a wake for a packet and a caller's address for a source. Weights and deficits as of later work were left
--- a/flintfield/wire/http1/sockets.py
+++ b/flintfield/wire/http1/sockets.py
@@ -9,9 +9,10 @@
    on in the event loop's same turn.
 
 Theory of operation. asyncio waits in `select` of a `selectors.BaseSelector`; this is one, over
-`select.epoll`. What the loop registers is told to the loop as by `selectors.EpollSelector`. What is registered
-by `watch` costs no key and no handle: its descriptor and events go to its batch, and the batch's owner is
-called once, as a callback of that same turn (`call_soon` from within `select`, which runs on the loop's own thread).
+`select.epoll`. What the loop registers is told to the loop as by `selectors.EpollSelector`. What is
+registered by `watch` costs no key and no handle: its descriptor and events go to its batch, and the batch's
+owner is called once, as a callback of that same turn (`call_soon` from within `select`, which runs on the
+loop's own thread).
 """
 
 from __future__ import annotations
--- a/tests/test_store_unit.py
+++ b/tests/test_store_unit.py
@@ -21,6 +21,7 @@
 from flintfield.lifecycle.operators import chosen, read_operators
 from flintfield.lifecycle.program import Program
 from flintfield.store import ALWAYS, Batch, Settings, open_store
+from flintfield.wire.http1.sockets import LOOP
 from flintfield.units.store import FORM, JOBS, Row
 from peers import SOON, start, until
 from support.inside import Log, played
@@ -240,7 +241,7 @@
         finally:
             disk.goes_on.set()
 
-    took = anyio.run(main)
+    took = anyio.run(main, backend_options=LOOP)
     assert [status for status, _ in seen] == [200, 503, 503, 200]
     assert seen[1][1] < 2.0 and seen[2][1] < 0.15  # the second one does not wait
     assert took < 6.0  # to settle takes up to 3.5 s, to close is given up after 1 s
--- a/tests/test_units.py
+++ b/tests/test_units.py
@@ -22,6 +22,7 @@
 from flintfield.lifecycle.units import UNITS
 from flintfield.memory.messages import UnitEffect, UnitMessage
 from flintfield.memory.reducer import Turn
+from flintfield.wire.http1.sockets import LOOP
 from flintfield.units.interface import Feature, Given, Host, Unit
 from flintfield.units.jobstatus import FEATURE as JOBS
 from flintfield.wire.http1.leg import Reply
@@ -196,7 +197,7 @@
         assert took < 4.7  # settling takes up to 3.5 s, and a unit that stalls is cut off after 1 s
         assert odd.seen == ["pong", "beside", "signal", "end", "close"]
 
-    anyio.run(main)
+    anyio.run(main, backend_options=LOOP)
     assert ("reload refused", {"error": "[odd] keys: gone"}) in log.lines
     assert sum(event == "defect" for event, _ in log.lines) == 2
     assert log.lines[-1][0] == "stopped"
