Answer operators at a second address: figures, worker nodes out by hand, draining

Change: wire/admin over the legs of wire/http1, a unit that `admin` or LB_ADMIN turns on, a book of orders in the reducer (memory/orders.py), figures made of its counters, the ban as an input of the decision module (ByHand, decision/byhand.py) and in the last look before a branch's first byte, a drain that closes what stands idle.

--- a/flintfield/base/config.py
+++ b/flintfield/base/config.py
@@ -18,6 +18,8 @@
     name: str
     listen: tuple[str, int]
     discovery: tuple[str, int]
+    admin: tuple[str, int] | None  # the second address, for operators; None: there is none
+    accept_fd: int | None  # a listening socket that is inherited, in place of `listen`; None: none is
     seed: int
     sockets: int
     settings: Settings
@@ -57,6 +59,8 @@
         name=top.text("name", environ.get("LB_NAME", "scheduler")),
         listen=_address(top, "listen", environ.get("LB_LISTEN")),
         discovery=_address(top, "discovery", environ.get("LB_DISCOVERY")),
+        admin=_admin(top, environ.get("LB_ADMIN") or None),
+        accept_fd=_accept_fd(environ.get("LB_ACCEPT_FD", "")),
         seed=_seed(top),
         sockets=top.part("limits").whole("sockets", 1024),
         settings=on_sockets(settings),
@@ -88,6 +92,19 @@
         raise fault(name, text, "host:port") from error
 
 
+def _admin(top: Section, default: str | None) -> tuple[str, int] | None:
+    """The second address, where the file or the variable names one."""
+    return None if top.raw.get("admin") is default is None else _address(top, "admin", default)
+
+
+def _accept_fd(text: str) -> int | None:
+    if not text:
+        return None
+    if not text.isdecimal() or len(text) > 9:
+        raise ConfigError(f"LB_ACCEPT_FD: found {text!r}, expected the number of a descriptor")
+    return int(text)
+
+
 def _seed(top: Section) -> int:
     text = top.text("seed", "0")
     try:
--- a/flintfield/capture/records.py
+++ b/flintfield/capture/records.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from flintfield.decision.interface import (
-    Action, AttemptEnded, Cancel, Entry, Event, Fail, First, Gone, ListMode, Note, Outcome, PlanNews,
+    Action, AttemptEnded, ByHand, Cancel, Entry, Event, Fail, First, Gone, ListMode, Note, Outcome, PlanNews,
     Probed, Refuse, Report, Request, Send, ServerList, State, Timer, WorkerId,
 )
 
@@ -66,6 +66,9 @@
                 "instances": [server_record(e, names) for e in event.entries]}
     if isinstance(event, Probed):
         return {"record": "probe", "instance": names.worker(event.worker), **_ending(event)}
+    if isinstance(event, ByHand):
+        return {"record": "by_hand", "out": list(event.out), "back": [list(pair) for pair in event.back],
+                "cold_elsewhere": event.cold_elsewhere}
     if isinstance(event, PlanNews):
         raise TypeError("plans are not recorded: [role] refuses a forwarder with [capture]")
     told: Record = {"record": "", "Req-Id": names.request(event.rid), "rid": event.rid}
@@ -160,6 +163,8 @@
         ListMode(told["mode"]), tuple(read_server(r, names) for r in told["instances"])),
     "probe": lambda told, names: Probed(
         _worker(told, names), Outcome(told["outcome"]), told["elapsed_ms"], _report(told)),
+    "by_hand": lambda told, names: ByHand(
+        tuple(told["out"]), tuple((n, at) for n, at in told["back"]), told["cold_elsewhere"]),
     "left": lambda told, names: Gone(_rid(told, names)),
     "progress": lambda told, names: Note(
         _rid(told, names), told["attempt"], _worker(told, names), told["started"], told["share"]),
--- a/flintfield/decision/checkpoint.py
+++ b/flintfield/decision/checkpoint.py
@@ -18,13 +18,14 @@
 from typing import Any
 
 from flintfield.decision.asking import Asking
+from flintfield.decision.byhand import Hands
 from flintfield.decision.interface import Entry, Outcome, Request, Settings, State
 from flintfield.decision.policy import Dispatcher
 from flintfield.decision.records import Account, Accounts, Attempt, Held, Job, Mean, Timers, Worker
 
 OBJECTS: dict[str, type[Any]] = {
     c.__name__: c for c in (
-        Account, Accounts, Asking, Attempt, Entry, Held, Job, Mean, Request, Timers, Worker)
+        Account, Accounts, Asking, Attempt, Entry, Hands, Held, Job, Mean, Request, Timers, Worker)
 }
 ENUMS: dict[str, type[Enum]] = {c.__name__: c for c in (Outcome, State)}
 SERIES: dict[type, str] = {list: "l", tuple: "t", deque: "q"}
@@ -32,9 +33,9 @@
 PLAIN = frozenset({int, bool, type(None)})
 MADE_ANEW = frozenset({"settings", "handlers", "actions", "workers"})  # by the making of a dispatcher
 INDEXED = ("checks", "fleet")  # that keep a part and make the rest anew, of what stands before them
-# Of what a state holds. 2 asked discovery at a fixed pace; 1 had no number: it knew no fleet, and its jobs
-# were looked at by a walk.
-VERSION = 3
+# Of what a state holds. 3 knew nobody out by hand; 2 asked discovery at a fixed pace; 1 had no number: it
+# knew no fleet, and its jobs were looked at by a walk.
+VERSION = 4
 WORDS = struct.Struct("<625I")  # of the generator's state
 
 
--- a/flintfield/decision/fleet.py
+++ b/flintfield/decision/fleet.py
@@ -344,7 +344,7 @@
         """
         for slot in self._asks.take_due(self.now) if most > 0 else ():
             worker = self._slots[slot]
-            if worker is None or not worker.near or worker.probing:
+            if worker is None or not worker.near or worker.probing or worker.barred:
                 continue
             if self.now <= (due := due_from(worker)):
                 self._asks.put(slot, math.nextafter(due, math.inf))
--- a/flintfield/decision/interface.py
+++ b/flintfield/decision/interface.py
@@ -308,7 +308,21 @@
     leases: tuple[tuple[WorkerId, float], ...] = ()
 
 
-Event = ServerList | Request | First | Note | AttemptEnded | Gone | Timer | Probed | PlanNews
+@dataclass(frozen=True, slots=True)
+class ByHand:
+    """All workers that operators have out, and when others were let back (ms); none other is out any more.
+
+    Nothing new goes to one that is out, whatever the list says of it; one that is let back counts as cold
+    from then. `cold_elsewhere`: another process stands in for this dispatcher too, and the whole of our part
+    of cold workers' budgets is its own.
+    """
+
+    out: tuple[WorkerId, ...] = ()
+    back: tuple[tuple[WorkerId, float], ...] = ()
+    cold_elsewhere: bool = False
+
+
+Event = ServerList | Request | First | Note | AttemptEnded | Gone | Timer | Probed | PlanNews | ByHand
 
 # ------------------------------------------------------------------- actions
 
--- a/flintfield/decision/planned.py
+++ b/flintfield/decision/planned.py
@@ -110,7 +110,7 @@
 
     def _cold_share(self, worker: Worker, budget: float) -> float:
         own = super()._cold_share(worker, OWN_PART * budget)
-        if self.plan is None or self.now >= self.plan.ends:
+        if self.plan is None or self.now >= self.plan.ends or self.hands.cold_elsewhere:
             return own
         return own + self.leases.get(worker.entry.worker, 0.0) * budget
 
--- a/flintfield/decision/policy.py
+++ b/flintfield/decision/policy.py
@@ -13,12 +13,15 @@
 
 from flintfield.decision.agenda import Agenda
 from flintfield.decision.asking import Asking
+from flintfield.decision.byhand import Hands
 from flintfield.decision.fleet import Fleet
 from flintfield.decision.interface import (
-    Action, AttemptEnded, Cancel, Effect, Entry, Event, Fail, First, Gone, Group, ListMode, Note, Outcome,
-    Probe, Probed, Refuse, Report, Request, Send, ServerList, SetTimer, Settings, State, Timer, Watch,
+    Action, AttemptEnded, ByHand, Cancel, Effect, Entry, Event, Fail, First, Gone, Group, ListMode, Note,
+    Outcome, Probe, Probed, Refuse, Report, Request, Send, ServerList, SetTimer, Settings, Timer, Watch,
+)
+from flintfield.decision.records import (
+    Accounts, Attempt, Held, Job, Mean, Sort, Timers, Worker, lot, place_of,
 )
-from flintfield.decision.records import Accounts, Attempt, Held, Job, Mean, Sort, Timers, Worker, lot
 from flintfield.decision.shares import Goods, Order, step_down
 
 TICK_MS = 100.0  # a price step; jittered so that dispatchers do not step alike
@@ -72,7 +75,8 @@
         self.in_flight = 0.0  # the same in the mean
         self.costs, self.pace = [Mean(MEMORY) for _ in settings.classes], Mean(MEMORY)
         allowances = [t.allowance_per_s for t in settings.tenants]
-        self.accounts = Accounts(allowances, settings.dispatchers, SHORT_MS, RATE_MS)
+        self.accounts = Accounts(allowances, settings.dispatchers, SHORT_MS, RATE_MS,
+                                 BURST_JOBS)
         self.top_worth = max(c.worth for c in settings.classes) or 1.0
         self.top_price = min(c.worth for c in settings.classes) / self.top_worth  # against wind-up
         self.asks = settings.limits.probes and settings.reports  # else silence might never end
@@ -80,10 +84,11 @@
         self.handlers: dict[type, Callable[..., None]] = {
             ServerList: self._list, Request: self._request, AttemptEnded: self._ended, Note: self._note,
             Probed: self._probed, Timer: self._timer, Gone: self._gone, First: self._first,
+            ByHand: self._by_hand,
         }
         self.now = self.last_tick = self.wake_at = -math.inf
         self.passed = 0.0  # between the last two ticks
-        self.asking = Asking(settings.rules.ask_within_ms)
+        self.asking, self.hands = Asking(settings.rules.ask_within_ms), Hands()
 
     def handle(self, now: float, event: Event) -> list[Action]:
         """Take one event and return the actions it calls for."""
@@ -121,9 +126,19 @@
         rank = lot(self.settings.me, entry.worker) * (entry.zone == self.settings.zone or AWAY)
         worker = Worker(entry, MEMORY, rank, self.now)
         self._rate(worker)
-        return worker
+        return self.hands.meet(worker, self.now)
+
+    def _by_hand(self, event: ByHand) -> None:
+        for worker in self.hands.take(event, self.workers, self.now):
+            self.fleet.ask(worker, self.now)
+            self._rate(worker)
+            self.fleet.touch(worker, rated=True)
+        self._size_up()
+        for job in list(self.jobs.values()) if self.hands.closes_all(self.fleet.ring) else ():
+            if not job.running():  # it waits for nobody
+                self._end(job)
 
-    def _silent(self, worker: Worker) -> bool:
+    def is_silent(self, worker: Worker) -> bool:
         """No word though asked: guards against a vanished worker that keeps its price and draws jobs."""
         return self.asks and (worker.down or (worker.missed and self.now > worker.word + PROBE_MS))
 
@@ -134,7 +149,7 @@
         if closed := now < worker.full_until:
             later = worker.full_until
         if worker.missed or worker.down:
-            silent = self._silent(worker)
+            silent = self.is_silent(worker)
             if worker.missed and self.asks and not silent:
                 later = min(later, math.nextafter(worker.word + PROBE_MS, math.inf))
         if worker.pending:
@@ -148,7 +163,7 @@
             most *= worker.warmth(rules, now, COLD_STEPS)
         for until in worker.shunned.values():
             later = until if now < until < later else later
-        if silent or worker.entry.state is not State.READY:
+        if silent or not worker.open:
             closed, usable = True, False
         room = -math.inf if closed else (most if most > 1.0 else 1.0) - worker.others - worker.mine
         return room, silent, usable, worker.price > 0.0 or self._demand(worker) > RHO, later
@@ -173,9 +188,8 @@
         n = self.settings.dispatchers
         users = max(1, min(n, int(budget / max(1.0, *(c.value for c in self.costs)))))
         if worker.turn < 0:
-            ours = lot(self.settings.me, wid := worker.entry.worker)
-            worker.turn = sum(lot(i, wid) < ours for i in range(n))
-        return budget / users if worker.turn < users else 0.0
+            worker.turn = place_of(self.settings.me, n, worker.entry.worker)
+        return budget / users if worker.turn < users and not self.hands.cold_elsewhere else 0.0
 
     def _size_up(self) -> None:
         """Guards against many dispatchers that each know little of every worker and probe all."""
@@ -188,14 +202,7 @@
         if worker.down or (worker.missed and PROBE_MS * 4 < self.now - worker.word < math.inf):
             worker.born = self.now  # back from silence: most likely a new process, which the list tells later
         worker.word, worker.missed, worker.down, worker.struck = self.now, False, False, False
-        if report is None or report.free is report.util is None:
-            return
-        idle = (1.0 - (report.util or 0.0)) * max(worker.most, 1.0)
-        free = idle if report.free is None else report.free
-        worker.most = max(worker.most, free)
-        # Of a queue our part counts: counted whole by all, it closes every worker to all at once.
-        taken = worker.most - free + (report.queue or 0.0) / self.sharers
-        worker.others += 0.3 * (max(0.0, taken - worker.held_mean(self.ticks)) - worker.others)
+        worker.take_report(report, self.sharers, self.ticks)
 
     def _probed(self, event: Probed) -> None:
         worker = self.workers.get(event.worker)
@@ -240,7 +247,7 @@
         """From when on a worker is due for a probe; silent ones more and more seldom, and few in all."""
         heard = worker.word if self.settings.reports_in_answers else -math.inf
         wait = self._probe_ms()
-        if self._silent(worker):
+        if self.is_silent(worker):
             silence = self.now - max(worker.word, worker.known_at)
             wait = max(PROBE_MS, min(LONGEST_QUIET_MS, silence / QUIET_PART),
                        self.fleet.silent / RECALLS_PER_S * 1000.0)
@@ -266,10 +273,10 @@
             mean.add(max(event.hint_ms, 1e-3))
         cost = event.hint_ms or (mean.value if mean.count else cls.aim_ms)
         theta = cls.worth / self.top_worth
-        theta *= self.settings.over_share_worth if self._over_share(event.tenant) else 1.0
+        theta *= self.settings.over_share_worth if self.accounts.is_over(event.tenant, self.now) else 1.0
         job = self.jobs[event.rid] = Job(event, self.now, max(cost, 1e-3), theta)
         job.last -= 2 * self.settings.resolution_ms
-        if self._hopeless(job):
+        if self.hands.closes_all(self.fleet.ring) or self._hopeless(job):
             self._end(job)
             return
         self._place(job)
@@ -301,14 +308,6 @@
         if at < math.inf:
             self.checks.put(job.request.rid, at)
 
-    def _over_share(self, tenant: int) -> bool:
-        """Whether a request is beyond its tenant's part here: guards against a surge crowding others out."""
-        if not 0 <= tenant < len(self.accounts.accounts):
-            return False
-        part, account = self.accounts.part(), self.accounts.accounts[tenant]
-        account.recent += 1.0
-        return not account.take(self.now, account.allowance * part, SHORT_MS, BURST_JOBS)
-
     def _serve_held(self) -> None:
         """Held jobs go by worth for slot time, the newest first: guards against all being late in turn."""
         for sort in sorted(self.held.sorts, key=self._density):
@@ -427,7 +426,7 @@
         if not self.fleet.ready(kind):
             return False
         pool = self.fleet.group(bound) if bound else self.fleet.ring
-        return any(w.entry.state is State.READY and kind in (None, w.entry.kind) and self._may_send(job, w)
+        return any(w.open and kind in (None, w.entry.kind) and self._may_send(job, w)
                    for w in pool)
 
     def _end(self, job: Job) -> None:
--- a/flintfield/decision/records.py
+++ b/flintfield/decision/records.py
@@ -7,7 +7,9 @@
 from collections import deque
 from collections.abc import Iterable
 
-from flintfield.decision.interface import NEVER_RAN, Entry, Outcome, Request, Rules, WorkerId
+from flintfield.decision.interface import (
+    NEVER_RAN, Entry, Outcome, Report, Request, Rules, State, WorkerId,
+)
 
 Sort = tuple[int, float, float, int]
 """Held jobs of one class, worth and size in slots wait alike; the last part tells those that were sent
@@ -23,6 +25,12 @@
     return -math.log((int.from_bytes(digest, "little") + 1) / 2.0**64 * (1 - 1e-12))
 
 
+def place_of(me: int, dispatchers: int, worker: WorkerId) -> int:
+    """How many of so many dispatchers come before `me` at a worker, by lot."""
+    ours = lot(me, worker)
+    return sum(lot(i, worker) < ours for i in range(dispatchers))
+
+
 class Mean:
     """A running mean that starts as the plain average and then forgets."""
 
@@ -42,14 +50,14 @@
 
     DERIVED = ("near", "room", "bits", "counted", "avoided")  # made by the fleet, of the rest
     __slots__ = (
-        "born", "down", "entry", "errors", "full_until", "health", "known_at", "mine", "mine_mean",
-        "mine_tick",
-        "missed", "most", "others", "pace", "pending", "price", "probe_at", "probing", "rank", "rest", "sent",
-        "shunned", "slot", "struck", "turn", "word", "zeta", *DERIVED,
+        "back", "barred", "born", "down", "entry", "errors", "full_until", "health", "known_at", "mine",
+        "mine_mean", "mine_tick", "missed", "most", "others", "pace", "pending", "price", "probe_at",
+        "probing", "rank", "rest", "sent", "shunned", "slot", "struck", "turn", "word", "zeta", *DERIVED,
     )
 
     def __init__(self, entry: Entry, memory: int, rank: float = 0.0, known_at: float = -math.inf) -> None:
         self.entry, self.born, self.rank = entry, entry.started_ms, rank
+        self.barred, self.back = False, 0.0  # out by hand; when it last came back from that
         self.slot = -1  # its place in the fleet's arrays; -1: not listed
         self.turn = -1  # how many dispatchers come before us at this worker while it is cold; -1: not counted
         self.price, self.health = 0.0, 1.0
@@ -75,9 +83,34 @@
 
     def restart(self, started: float, now: float) -> None:
         """It is a new process: what was seen is of the old one."""
-        self.born, self.others, self.health, self.full_until = started, 0.0, 1.0, 0.0
+        # Guards a worker that came back from a ban: it may have been started anew up to that moment.
+        self.born = max(started, self.back)
+        self.others, self.health, self.full_until = 0.0, 1.0, 0.0
         self.errors, self.shunned, self.known_at = {}, {}, now
 
+    def come_back(self, at: float, now: float) -> None:
+        """It was let back at `at`: it counts as cold from then, and nothing that was seen before as true."""
+        self.barred, self.back = False, at
+        self.restart(at, now)
+        self.rest, self.price, self.word = 0.0, 0.0, -math.inf
+        self.down = self.missed = self.struck = False
+
+    @property
+    def open(self) -> bool:
+        """Whether it may be sent anything new: the list has it ready and nobody has it out by hand."""
+        return not self.barred and self.entry.state is State.READY
+
+    def take_report(self, report: Report | None, sharers: float, tick: int) -> None:
+        """Its own word on its load: what the others hold there; `sharers` dispatchers deal with it."""
+        if report is None or report.free is report.util is None:
+            return
+        idle = (1.0 - (report.util or 0.0)) * max(self.most, 1.0)
+        free = idle if report.free is None else report.free
+        self.most = max(self.most, free)
+        # Of a queue our part counts: counted whole by all, it closes every worker to all at once.
+        taken = self.most - free + (report.queue or 0.0) / sharers
+        self.others += 0.3 * (max(0.0, taken - self.held_mean(tick)) - self.others)
+
     def is_cold(self, rules: Rules, now: float) -> bool:
         """Whether it is too young to have its whole capacity for sure."""
         return self.born > 0 and now < self.born + rules.cold_ms
@@ -131,8 +164,9 @@
     """The tenants' accounts, and how much of all traffic comes here."""
 
     def __init__(self, allowances: Iterable[float], dispatchers: int, prior_ms: float,
-                 memory_ms: float) -> None:
+                 memory_ms: float, burst: int) -> None:
         self.least, self.span, self.memory_ms = 1.0 / dispatchers, prior_ms, memory_ms
+        self.most_ms, self.burst = prior_ms, burst  # of an allowance, what may come at once
         self.accounts = [Account(a, prior_ms / dispatchers) for a in allowances]
 
     def forget(self, passed_ms: float) -> None:
@@ -142,6 +176,14 @@
         for account in self.accounts:
             account.recent *= kept
 
+    def is_over(self, tenant: int, now: float) -> bool:
+        """Whether a request is beyond its tenant's part here: guards against a surge crowding others out."""
+        if not 0 <= tenant < len(self.accounts):
+            return False
+        part, account = self.part(), self.accounts[tenant]
+        account.recent += 1.0
+        return not account.take(now, account.allowance * part, self.most_ms, self.burst)
+
     def part(self) -> float:
         """Our part of all traffic: the median tenant's use of its allowance here, and an n-th at least."""
         use = sorted(a.recent / self.span / max(a.allowance, 1e-9) for a in self.accounts)
--- a/flintfield/lab/planners.py
+++ b/flintfield/lab/planners.py
@@ -29,7 +29,7 @@
 from flintfield.decision.interface import PlanNews
 from flintfield.planning.messages import Digest, Plan
 from flintfield.planning.planner import Listed, Planner
-from flintfield.wire.http1.discovery import worker_of
+from flintfield.memory.messages import worker_of
 
 STEP_MS = 125.0  # between two steps of a planner
 STANDBY_MS = 1_000.0  # so often it answers forwarders that follow another
--- a/flintfield/lab/virtual/sites.py
+++ b/flintfield/lab/virtual/sites.py
@@ -21,7 +21,7 @@
 from flintfield.lab.world import Errand, Happening, Machine, Node, Streams, What
 from flintfield.lab.world.node import Key, Saves
 from flintfield.memory.messages import End
-from flintfield.wire.http1.discovery import worker_of
+from flintfield.memory.messages import worker_of
 
 if TYPE_CHECKING:
     from flintfield.lab.virtual.scheduler import Attempt
--- a/flintfield/lifecycle/operators.py
+++ b/flintfield/lifecycle/operators.py
@@ -11,7 +11,8 @@
 from typing import Any
 
 from flintfield.base.ini import OperatorsError, read_file
-from flintfield.lifecycle.units import UNITS, find_feature
+from flintfield.base.config import Config
+from flintfield.lifecycle.units import CONFIGURED, UNITS, find_feature
 from flintfield.units.interface import Feature, Given, Host, Unit
 
 
@@ -36,9 +37,13 @@
     return Operators(**({} if path is None else _choose(read_file(path))))
 
 
-def chosen(operators: Any) -> Sequence[Chosen]:
-    """The features that are on, in the order of the list."""
-    found = (getattr(operators, item.name) for item in fields(operators))
+def chosen(operators: Any, config: Config | None = None) -> Sequence[Chosen]:
+    """The features that are on, in the order of the lists; `config` turns on some too."""
+    found = [getattr(operators, item.name) for item in fields(operators)]
+    for name, place in CONFIGURED.items() if config else ():
+        if getattr(config, name) is not None:
+            feature = find_feature(place)
+            found.append(Chosen(feature, feature.read({})))
     return [one for one in found if one]
 
 
--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -16,12 +16,12 @@
 from flintfield.base.config import Config
 from flintfield.base.ini import OperatorsError
 from flintfield.base.stderr import ErrorOut
-from flintfield.base.stop import STOP_ACCEPT_S, STOP_CHECK_S, STOP_MARGIN_MS, kill_after_ms
+from flintfield.base.stop import DRAIN_NOTICE_S, STOP_ACCEPT_S, STOP_CHECK_S, STOP_MARGIN_MS, kill_after_ms
 from flintfield.decision.policy import Dispatcher
 from flintfield.lifecycle.operators import Chosen
 from flintfield.memory.messages import (
     Answer, CallDiscovery, Defect, DiscoveryMoved, DropBranch, Effect, HoldBranch, LeaveDiscovery, Message,
-    OpenBranch, ProbeHop, StopAsked, WatchFailed, Woke, WriteBranch,
+    OpenBranch, ProbeHop, SendAway, ShutHops, StopAsked, WatchFailed, Woke, WriteBranch,
 )
 from flintfield.memory.reducer import LAST_CALL_MS, reduce
 from flintfield.memory.state import State
@@ -67,7 +67,8 @@
         self._ports: dict[str, int] = {}
         self._tasks: TaskGroup
         host = Host(config, self.state, self._clock, self._clock(), self.tell, self._start_beside,
-                    self._errors, log, self._count, self._defect, self._side_pages, lambda: self._ports)
+                    self._errors, log, self._count, self._defect, self._side_pages, lambda: self._ports,
+                    asyncio.get_running_loop(), lambda: self._pool.make_room())
         self.units = [feature.build(host) for feature in features]
         self._poller = Poller()
         idle = int(config.sockets * IDLE_PART) // 2
@@ -80,7 +81,7 @@
         self._hops = NextHops(self.tell, self._clock, pool, config.report_names, self._poller, spares,
                               self._count, lambda rid: self._callers.caller_of(rid), config.dial_timeout_ms)
         self._discovery = Discovery(self.tell, pool, reader)
-        pages = Pages(lambda: not self.state.stopping, lambda: self.state.counters, self._pages())
+        pages = Pages(self._ready, lambda: self.state.counters, self._pages())
         gate = next((gate for unit in self.units if (gate := unit.gate())), None)
         self._callers = Callers(self.tell, pages, config.class_names,
                                 int(config.sockets * LEGS_PART), self._count, self._poller, gate)
@@ -93,6 +94,8 @@
             ProbeHop: self._start(self._hops.probe),
             CallDiscovery: self._call_discovery,
             LeaveDiscovery: self._discovery.leave,
+            ShutHops: self._hops.shut,
+            SendAway: self._start(self._send_away),
             Defect: lambda e: self._log.error("defect", where=e.where, error=e.error),
             WatchFailed: lambda e: self._log.warning("watch failed", word=e.word),
         }
@@ -100,6 +103,9 @@
             self.state.handlers.update(unit.handlers())
             self._perform.update(unit.effects())
 
+    def _ready(self) -> bool:
+        return not (self.state.stopping or self.state.drained)
+
     def _pages(self) -> dict[bytes, Page]:
         return {path: page for unit in self.units for path, page in unit.pages().items()}
 
@@ -200,6 +206,8 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             self.tell(self._known)
+            for message in (m for unit in self.units for m in unit.first()):
+                self.tell(message)
             tasks.start_soon(self._sweep)
             tasks.start_soon(self._poller.run)
             self._callers.start(tasks)
@@ -255,6 +263,16 @@
             self._callers.close_idle()
             await anyio.sleep(STOP_CHECK_S)
 
+    async def _send_away(self, _: SendAway) -> None:
+        """Close what callers leave idle, as long as the scheduler is drained.
+
+        Not at once: the front, which has to notice, would send those callers here again.
+        """
+        await anyio.sleep(DRAIN_NOTICE_S)
+        while self.state.drained:
+            self._callers.close_idle(spare_young=True)
+            await anyio.sleep(STOP_CHECK_S)
+
     async def _end_units(self) -> None:
         """Let all units end, together, then close; guards against one that stalls: the kill is near."""
         with anyio.move_on_after(END_S):
--- a/flintfield/lifecycle/start.py
+++ b/flintfield/lifecycle/start.py
@@ -63,7 +63,7 @@
 
 
 async def _serve(config: Config, operators: Any, log: Any) -> None:
-    program, stop_asked = Program(config, chosen(operators), log), anyio.Event()
+    program, stop_asked = Program(config, chosen(operators, config), log), anyio.Event()
     program.listen()
     async with anyio.create_task_group() as tasks:
         # Guards against a signal right after the start, which would kill a program that does not listen yet.
--- a/flintfield/lifecycle/units.py
+++ b/flintfield/lifecycle/units.py
@@ -26,6 +26,12 @@
 """In the order in which units are built and asked. Sections of one feature name the same place."""
 
 
+CONFIGURED: Mapping[str, str] = {
+    "admin": "flintfield.units.operations:FEATURE",
+}
+"""Features that a field of the platform's configuration turns on, where it is set. Built after the others."""
+
+
 def find_feature(place: str) -> Feature:
     """Import the feature that is declared there; an `OperatorsError` if a package it needs is missing."""
     module, _, name = place.partition(":")
--- a/flintfield/memory/messages.py
+++ b/flintfield/memory/messages.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from enum import Enum, IntEnum
 
 from flintfield.decision.interface import Entry, ListMode, Report, WorkerId
@@ -56,6 +57,11 @@
     entry: Entry
 
 
+def worker_of(instance: str) -> int:
+    """A next hop's number: alike at every scheduler and after every restart, for decisions rank by it."""
+    return int.from_bytes(hashlib.blake2b(instance.encode(), digest_size=6).digest(), "little")
+
+
 @value
 class Submission:
     """A caller's request as it came; `target` is path and query."""
@@ -302,6 +308,18 @@
     address: Address
 
 
+@value
+class SendAway:
+    """Close callers' connections as they fall idle, as long as the scheduler is drained."""
+
+
+@value
+class ShutHops:
+    """Keep no connection that carries nothing to these addresses, until the next such word."""
+
+    addresses: frozenset[Address]
+
+
 @value
 class Defect:
     """Something that must not happen did; it is contained and is to be logged."""
@@ -367,4 +385,5 @@
 
 
 Effect = (OpenBranch | WriteBranch | DropBranch | Answer | ProbeHop | CallDiscovery | LeaveDiscovery | Defect
-          | WatchFailed | Untracked | HoldBranch | Keep | MayWrite | FrontAnswer | UnitEffect)
+          | WatchFailed | Untracked | HoldBranch | Keep | MayWrite | FrontAnswer | ShutHops | SendAway
+          | UnitEffect)
--- a/flintfield/memory/reducer.py
+++ b/flintfield/memory/reducer.py
@@ -20,7 +20,7 @@
     Answer, BranchEnded, BranchNoted, BranchUp, CallDiscovery, CallerLeft, Defect, DiscoveryMoved,
     DropBranch, Effect, End, Ending, FrontAllows, FrontAnswer, HoldBranch, Keep, KeepFailed, Kept,
     LeaveDiscovery, MayWrite, Message, OpenBranch, ProbeEnded, ProbeHop, Reach, Route, RouteCallFailed,
-    RouteNews, StopAsked, Submitted, TryKeep, Untracked, Verdict, WatchFailed, Woke, WriteBranch,
+    RouteNews, ShutHops, StopAsked, Submitted, TryKeep, Untracked, Verdict, WatchFailed, Woke, WriteBranch,
 )
 from flintfield.memory.ledger import AnswerWaits, BranchWaits, Waits
 from flintfield.memory.state import Branch, BranchDue, DeadlineDue, KeepDue, State, TokenDue, Transaction
@@ -249,7 +249,8 @@
             self.effects.append(FrontAnswer(transaction.submission.front, rid, verdict, body, retry_after_ms,
                                             ran))
             return
-        close = self.state.stopping and (verdict is not Verdict.SERVED or self.now >= self.last_call())
+        close = self.state.drained or (
+            self.state.stopping and (verdict is not Verdict.SERVED or self.now >= self.last_call()))
         self.effects.append(Answer(rid, verdict, body, retry_after_ms, close))
 
     def _forget_settled(self, transaction: Transaction) -> None:
@@ -307,8 +308,9 @@
         Guards against a first byte after the drain's grace: the dial, or a disk, may have outlasted it.
         """
         route = self.state.routes.get(branch.worker)
-        is_ready = route is not None and route.entry.state is Lifecycle.READY and not transaction.answered
-        return route if is_ready else None
+        if route is None or route.entry.state is not Lifecycle.READY or transaction.answered:
+            return None
+        return None if branch.worker in self.state.barred else route
 
     def _let_out(self, transaction: Transaction, number: int) -> None:
         branch = transaction.branches[number]
@@ -497,6 +499,8 @@
                 state.routes.pop(route.entry.worker, None)
             else:
                 state.routes[route.entry.worker] = route
+        if state.barred:
+            self.shut_barred()
         for worker in state.last_errors.keys() - state.routes.keys():
             del state.last_errors[worker]
         state.generation = message.generation
@@ -506,6 +510,12 @@
             self._call_discovery()  # at once: a watch that pauses for 200 ms is a new one
         self._events.append(ServerList(message.mode, tuple(r.entry for r in message.routes)))
 
+    def shut_barred(self) -> None:
+        """Guards next hops that are out by hand against connections of ours that would wait there."""
+        state = self.state
+        self.effects.append(ShutHops(frozenset(
+            r.address for worker, r in state.routes.items() if worker in state.barred)))
+
     def route_call_failed(self, message: RouteCallFailed) -> None:
         if self._is_late(message.call):
             return
--- a/flintfield/memory/state.py
+++ b/flintfield/memory/state.py
@@ -130,6 +130,8 @@
         self.names: dict[str, int] = {}  # the ids callers gave to the transactions that are not settled
         self.routes: dict[WorkerId, Route] = {}
         self.last_errors: dict[WorkerId, tuple[float, str]] = {}  # of next hops in the route set: when, what
+        self.barred: frozenset[WorkerId] = frozenset()  # next hops that operators have out by hand
+        self.drained = False  # by operators: callers are sent elsewhere
         self.generation: int | None = None  # of the route set; None: the whole list is wanted
         self.calls = 0  # made to discovery: only the last one's answer counts
         self.watching = False  # a call to discovery is out, or the next one follows
--- a/flintfield/units/interface.py
+++ b/flintfield/units/interface.py
@@ -16,8 +16,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import signal
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
@@ -51,6 +52,8 @@
     defect: Callable[[str, Exception], None]  # tells of what must not happen and was contained
     side_pages: Callable[[], Mapping[bytes, SidePage]]  # those of all units, for whoever has a status port
     ports: Callable[[], Mapping[str, int]]  # that are taken, by their names in the `serving` line
+    loop: asyncio.AbstractEventLoop
+    make_room: Callable[[], object]  # has a descriptor come free soon
     lent: dict[str, Any] = field(default_factory=dict)
     """What units lend to those built after them, by name."""
 
@@ -112,6 +115,10 @@
     def reload(self) -> None:
         """SIGHUP came: read files again. An `OperatorsError` or OSError keeps the old ones, and is logged."""
 
+    def first(self) -> Sequence[Message]:
+        """Messages that the reducer is told before any caller is heard, once it has the last list."""
+        return ()
+
     async def run(self) -> None:
         """The unit's task, until it is cancelled."""
 
--- a/flintfield/wire/http1/branch.py
+++ b/flintfield/wire/http1/branch.py
@@ -336,6 +336,7 @@
             self._shared.asks.add(self)
         else:
             self.phase = Phase.ANSWERING
+            self._shared.count("branches.whole")
 
     # --------------------------------------------------------------- reading
 
--- a/flintfield/wire/http1/caller.py
+++ b/flintfield/wire/http1/caller.py
@@ -147,10 +147,15 @@
             self._listener.close()
             self._listener = None
 
-    def close_idle(self) -> None:
-        """Close the legs that are between two requests, or never had one."""
+    def close_idle(self, spare_young: bool = False) -> None:
+        """Close the legs that are between two requests, or never had one.
+
+        `spare_young` leaves out those that were just taken: their first request is on its way.
+        """
+        settled = self._poller.loop.time() - YOUNG_S
         for leg in list(self._legs):
-            if leg.idle and leg.stream.is_quiet():
+            young = spare_young and not leg.served and leg.began > settled
+            if leg.idle and not young and leg.stream.is_quiet():
                 leg.close()
 
     def make_room(self) -> bool:
--- a/flintfield/wire/http1/discovery.py
+++ b/flintfield/wire/http1/discovery.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import json
 import math
 from collections.abc import Callable, Mapping, Sequence
@@ -14,6 +13,7 @@
 from flintfield.decision.interface import Entry, ListMode, State
 from flintfield.memory.messages import (
     Address, CallDiscovery, LeaveDiscovery, Message, Reach, Route, RouteCallFailed, RouteNews,
+    worker_of,
 )
 from flintfield.wire.http1.client import Pool
 
@@ -27,11 +27,6 @@
     """A list that cannot be read."""
 
 
-def worker_of(instance: str) -> int:
-    """A next hop's number: alike at every scheduler and after every restart, for decisions rank by it."""
-    return int.from_bytes(hashlib.blake2b(instance.encode(), digest_size=6).digest(), "little")
-
-
 @dataclass(frozen=True, slots=True)
 class Reader:
     """Reads discovery's lists; zones and machine types are places in the settings' lists."""
--- a/flintfield/wire/http1/hop.py
+++ b/flintfield/wire/http1/hop.py
@@ -8,7 +8,8 @@
 
 from flintfield.decision.interface import Report
 from flintfield.memory.messages import (
-    DropBranch, End, Ending, HoldBranch, Message, OpenBranch, ProbeEnded, ProbeHop, Reach, WriteBranch,
+    DropBranch, End, Ending, HoldBranch, Message, OpenBranch, ProbeEnded, ProbeHop, Reach, ShutHops,
+    WriteBranch,
 )
 from flintfield.wire.http1.answer import Head
 from flintfield.wire.http1.branch import BranchLeg, Shared
@@ -58,6 +59,12 @@
         if leg := self._outs.pop((effect.rid, effect.branch), None):
             leg.close()
 
+    def shut(self, effect: ShutHops) -> None:
+        """Close all connections that wait at these next hops, and keep none."""
+        self._shared.spares.shut(effect.addresses)
+        for address in effect.addresses:
+            self._shared.pool.forget(address)
+
     def _ended(self, leg: BranchLeg) -> None:
         self._outs.pop((leg.rid, leg.branch), None)
 
--- a/flintfield/wire/http1/spares.py
+++ b/flintfield/wire/http1/spares.py
@@ -42,6 +42,7 @@
 
     def __init__(self, poller: Poller, retire_s: float, most: int) -> None:
         self._poller, self._most = poller, most
+        self._shut: frozenset[Address] = frozenset()  # none is kept for these
         self._by_address: dict[Address, list[Spare]] = {}
         self._oldest: OrderedDict[Spare, None] = OrderedDict()
         self._waits: Waits[Spare] = Waits(poller, retire_s, self.close)
@@ -49,8 +50,10 @@
     def put(self, stream: Stream, address: Address) -> None:
         """Keep a connection, which is watched already."""
         spares = self._by_address.setdefault(address, [])
-        if len(spares) >= MOST_EACH or not self._most:
+        if len(spares) >= MOST_EACH or not self._most or address in self._shut:
             self.close(Spare(stream, address, self))
+            if not spares:
+                del self._by_address[address]
             return
         spare = Spare(stream, address, self)
         spares.append(spare)
@@ -86,6 +89,12 @@
         for spare in list(self._by_address.get(address, ())):
             self.close(spare)
 
+    def shut(self, addresses: frozenset[Address]) -> None:
+        """Keep none for these addresses from now on; others that were shut are so no more."""
+        self._shut = addresses
+        for address in addresses:
+            self.forget(address)
+
     def _remove(self, spare: Spare) -> None:
         if self._oldest.pop(spare, self) is self:
             return  # it never stood here
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -81,7 +81,7 @@
     world = World(settings(tenants=tenants, over_share_worth=0.05, dispatchers=90), FLEET, free=30)
     over = []
     for n in range(600):  # three a second of each, six times an n-th
-        over.append(world.dispatcher._over_share(n % 3))
+        over.append(world.dispatcher.accounts.is_over(n % 3, world.dispatcher.now))
         world.wait(111, answer_probes=30)
     assert sum(over[300:]) < 30
 
