Start a process over another on an inherited socket, linked to the one before

Change: LB_ACCEPT_FD names a listening socket that is shared and never shut down; a link of JSON lines over a Unix socket in TMPDIR (handover/core.py the pure core, wire/handover the socket, units/upgrade.py the unit, memory/succession.py the reducer's part) hands over orders, learned figures, sends to cold nodes and open job ids, then tells changes; the cold budgets are the newest process's; on SIGTERM the old one stops taking connections, ends each with its answer and closes what stands idle.

--- a/flintfield/decision/learned.py
+++ b/flintfield/decision/learned.py
@@ -68,6 +68,24 @@
     return Recalled(found, len(workers) - found)
 
 
+def spent(dispatcher: Dispatcher, now: float) -> list[list[Any]]:
+    """What was sent to cold workers within a fall window: pairs of time (ms) and cost, by worker."""
+    since = now - dispatcher.settings.rules.fall_ms
+    return [[w.entry.worker, [list(sent) for sent in w.sent if sent[0] >= since]]
+            for w in dispatcher.workers.values() if w.sent]
+
+
+def take_spent(dispatcher: Dispatcher, raw: Any) -> None:
+    """Let it count as sent by this dispatcher; a ValueError, and nothing taken, if it can not be read."""
+    try:
+        told = [(int(number), [(_figure(at), _figure(cost)) for at, cost in sent]) for number, sent in raw]
+    except (TypeError, ValueError) as error:
+        raise ValueError(f"sends that cannot be read: {error!r}") from error
+    for number, sent in told:
+        if (worker := dispatcher.workers.get(number)) is not None:
+            worker.sent.extendleft(reversed(sent))
+
+
 def _worker(worker: Worker) -> list[Any]:
     return [worker.entry.worker, worker.entry.started_ms, [getattr(worker, name) for name in WORKER],
             _mean(worker.pace), list(worker.errors.items()), list(worker.shunned.items())]
--- a/flintfield/lifecycle/operators.py
+++ b/flintfield/lifecycle/operators.py
@@ -40,8 +40,8 @@
 def chosen(operators: Any, config: Config | None = None) -> Sequence[Chosen]:
     """The features that are on, in the order of the lists; `config` turns on some too."""
     found = [getattr(operators, item.name) for item in fields(operators)]
-    for name, place in CONFIGURED.items() if config else ():
-        if getattr(config, name) is not None:
+    for place, names in CONFIGURED.items() if config else ():
+        if any(getattr(config, name) is not None for name in names):
             feature = find_feature(place)
             found.append(Chosen(feature, feature.read({})))
     return [one for one in found if one]
--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -104,7 +104,9 @@
             self._perform.update(unit.effects())
 
     def _ready(self) -> bool:
-        return not (self.state.stopping or self.state.drained)
+        """To callers all processes of this scheduler are one: what counts is whether the newest serves."""
+        state = self.state
+        return not state.drained and (not state.stopping or state.newer_ready)
 
     def _pages(self) -> dict[bytes, Page]:
         return {path: page for unit in self.units for path, page in unit.pages().items()}
@@ -187,7 +189,10 @@
 
     def listen(self) -> None:
         """Take the listening address, and the units' own ports."""
-        self._ports = {"port": self._callers.listen(self._config.listen)}
+        descriptor = self._config.accept_fd
+        self.state.shared = descriptor is not None
+        self._ports = {"port": self._callers.listen(self._config.listen) if descriptor is None
+                       else self._callers.share(descriptor)}
         for unit in self.units:
             self._ports.update(unit.listen())
 
@@ -210,6 +215,8 @@
                 self.tell(message)
             tasks.start_soon(self._sweep)
             tasks.start_soon(self._poller.run)
+            for unit in self.units:
+                await self._guarded(unit.prepare, type(unit).__name__)
             self._callers.start(tasks)
             for unit in self.units:
                 self._start_beside(unit.run)
@@ -254,6 +261,9 @@
         self._log.info("stopping", transactions=len(self.state.transactions), legs=self._callers.open_legs)
         grace_ms = kill_after_ms(c.deadline_ms for c in self._config.settings.classes) - STOP_MARGIN_MS
         self.tell(StopAsked(self._clock() + grace_ms))
+        if self.state.shared:
+            await self._leave_to_newer()
+            return
         await anyio.sleep(STOP_ACCEPT_S)
         with anyio.move_on_after((grace_ms - LAST_CALL_MS) / 1000 - STOP_ACCEPT_S):
             while self._busy():
@@ -273,6 +283,13 @@
             self._callers.close_idle(spare_young=True)
             await anyio.sleep(STOP_CHECK_S)
 
+    async def _leave_to_newer(self) -> None:
+        """The listening socket is another process's too, or the next one's: what waits there is theirs."""
+        self._callers.let_go()
+        while self._busy():
+            self._callers.close_idle(spare_young=True)
+            await anyio.sleep(STOP_CHECK_S)
+
     async def _end_units(self) -> None:
         """Let all units end, together, then close; guards against one that stalls: the kill is near."""
         with anyio.move_on_after(END_S):
--- a/flintfield/lifecycle/start.py
+++ b/flintfield/lifecycle/start.py
@@ -13,7 +13,7 @@
 
 from flintfield.base.config import Config, read_config
 from flintfield.base.ini import OperatorsError
-from flintfield.base.settings import ConfigError
+from flintfield.base.settings import ConfigError, fault
 from flintfield.lifecycle.log import make_log
 from flintfield.lifecycle.operators import chosen, read_operators
 from flintfield.lifecycle.program import Program
@@ -64,7 +64,12 @@
 
 async def _serve(config: Config, operators: Any, log: Any) -> None:
     program, stop_asked = Program(config, chosen(operators, config), log), anyio.Event()
-    program.listen()
+    try:
+        program.listen()
+    except OSError as error:
+        if config.accept_fd is None:
+            raise
+        raise fault("LB_ACCEPT_FD", config.accept_fd, f"a listening socket: {error}") from error
     async with anyio.create_task_group() as tasks:
         # Guards against a signal right after the start, which would kill a program that does not listen yet.
         await tasks.start(_heed_signals, program, stop_asked, log)
--- a/flintfield/lifecycle/units.py
+++ b/flintfield/lifecycle/units.py
@@ -26,10 +26,11 @@
 """In the order in which units are built and asked. Sections of one feature name the same place."""
 
 
-CONFIGURED: Mapping[str, str] = {
-    "admin": "flintfield.units.operations:FEATURE",
+CONFIGURED: Mapping[str, tuple[str, ...]] = {
+    "flintfield.units.operations:FEATURE": ("admin", "accept_fd"),
+    "flintfield.units.upgrade:FEATURE": ("accept_fd",),
 }
-"""Features that a field of the platform's configuration turns on, where it is set. Built after the others."""
+"""Features that fields of the platform's configuration turn on, where one is set. Built after the others."""
 
 
 def find_feature(place: str) -> Feature:
--- a/flintfield/memory/messages.py
+++ b/flintfield/memory/messages.py
@@ -308,6 +308,20 @@
     address: Address
 
 
+@value
+class JobOpened:
+    """A job of that id is in work here; asked for while other processes of this scheduler are linked."""
+
+    name: str
+
+
+@value
+class JobClosed:
+    """It is settled."""
+
+    name: str
+
+
 @value
 class SendAway:
     """Close callers' connections as they fall idle, as long as the scheduler is drained."""
@@ -386,4 +400,4 @@
 
 Effect = (OpenBranch | WriteBranch | DropBranch | Answer | ProbeHop | CallDiscovery | LeaveDiscovery | Defect
           | WatchFailed | Untracked | HoldBranch | Keep | MayWrite | FrontAnswer | ShutHops | SendAway
-          | UnitEffect)
+          | JobOpened | JobClosed | UnitEffect)
--- a/flintfield/memory/orders.py
+++ b/flintfield/memory/orders.py
@@ -58,6 +58,11 @@
     return changed
 
 
+def plain_words(words: Mapping[str, Word]) -> dict[str, list[Any]]:
+    """Words as `read_words` reads them."""
+    return {subject: [word.at, word.out] for subject, word in words.items()}
+
+
 def prune(book: Book, now: float) -> None:
     """Forget words that let somebody back long ago."""
     for subject in [s for s, w in book.items() if not w.out and w.at < now - KEPT_MS]:
@@ -66,7 +71,7 @@
 
 def write_book(book: Mapping[str, Word]) -> bytes:
     """A book as one line of JSON."""
-    told = {"form": FORM, "orders": {subject: [word.at, word.out] for subject, word in book.items()}}
+    told = {"form": FORM, "orders": plain_words(book)}
     return json.dumps(told, separators=(",", ":")).encode() + b"\n"
 
 
@@ -183,6 +188,10 @@
         for name in names:
             state.counters["orders.offline" if self.book[name].out else "orders.online"] += 1
         state.barred = frozenset(worker_of(s) for s, w in self.book.items() if s and w.out)
-        back = tuple((worker_of(s), w.at) for s, w in self.book.items() if s and not w.out)
-        turn.ask(ByHand(tuple(sorted(state.barred)), back))
+        self.stand(turn)
         turn.shut_barred()
+
+    def stand(self, turn: Turn) -> None:
+        """Have the decision module told who is out, and whose the cold budgets are."""
+        back = tuple((worker_of(s), w.at) for s, w in self.book.items() if s and not w.out)
+        turn.ask(ByHand(tuple(sorted(turn.state.barred)), back, turn.state.newer))
--- a/flintfield/memory/reducer.py
+++ b/flintfield/memory/reducer.py
@@ -19,8 +19,9 @@
 from flintfield.memory.messages import (
     Answer, BranchEnded, BranchNoted, BranchUp, CallDiscovery, CallerLeft, Defect, DiscoveryMoved,
     DropBranch, Effect, End, Ending, FrontAllows, FrontAnswer, HoldBranch, Keep, KeepFailed, Kept,
-    LeaveDiscovery, MayWrite, Message, OpenBranch, ProbeEnded, ProbeHop, Reach, Route, RouteCallFailed,
-    RouteNews, ShutHops, StopAsked, Submitted, TryKeep, Untracked, Verdict, WatchFailed, Woke, WriteBranch,
+    JobClosed, JobOpened, LeaveDiscovery, MayWrite, Message, OpenBranch, ProbeEnded, ProbeHop, Reach, Route,
+    RouteCallFailed, RouteNews, ShutHops, StopAsked, Submitted, TryKeep, Untracked, Verdict, WatchFailed,
+    Woke, WriteBranch,
 )
 from flintfield.memory.ledger import AnswerWaits, BranchWaits, Waits
 from flintfield.memory.state import Branch, BranchDue, DeadlineDue, KeepDue, State, TokenDue, Transaction
@@ -184,6 +185,11 @@
             state.counters["requests.same_id"] += 1
             self._answer(message.rid, Verdict.FAILED)
             return
+        if given.name in state.elsewhere:
+            # Guards against two at once in two processes: another one of this scheduler has it in work.
+            state.counters["requests.open_elsewhere"] += 1
+            self._answer(message.rid, Verdict.FAILED)
+            return
         ledger = state.ledger
         if ledger and state.jobs and ledger.forbids(given.class_name, state.jobs.find(self.now, given.name)):
             # Guards against a second run of a job that an earlier run of the program had let out.
@@ -191,6 +197,8 @@
             self._answer(message.rid, Verdict.FAILED)
             return
         state.names[given.name] = message.rid
+        if state.linked:
+            self.effects.append(JobOpened(given.name))
         tracked = self._track(transaction)
         if ledger and ledger.refuses(given.class_name, tracked):
             self._refuse_unkept(message.rid)
@@ -219,6 +227,15 @@
         """Whether its id stands for it: not so for a second request of an id that is still in work."""
         return self.state.names.get(transaction.submission.name) == transaction.rid
 
+    def give_way(self, rid: int) -> None:
+        """Another process has the same job in work: give up ours, if nothing of it was let out."""
+        transaction = self.state.transactions[rid]
+        if transaction.answered or any(b.written for b in transaction.branches):
+            return
+        self.state.counters["requests.open_elsewhere"] += 1
+        self._answer(rid, Verdict.FAILED)
+        self._events.append(Gone(rid))
+
     def caller_left(self, message: CallerLeft) -> None:
         transaction = self.state.transactions.get(message.rid)
         if transaction is None or transaction.answered:
@@ -249,7 +266,7 @@
             self.effects.append(FrontAnswer(transaction.submission.front, rid, verdict, body, retry_after_ms,
                                             ran))
             return
-        close = self.state.drained or (
+        close = self.state.sends_away or (
             self.state.stopping and (verdict is not Verdict.SERVED or self.now >= self.last_call()))
         self.effects.append(Answer(rid, verdict, body, retry_after_ms, close))
 
@@ -259,6 +276,8 @@
             self.state.timers.cancel(DeadlineDue(transaction.rid))
             if self._owns(transaction):
                 del self.state.names[transaction.submission.name]
+                if self.state.linked:
+                    self.effects.append(JobClosed(transaction.submission.name))
 
     # ------------------------------------------------------------ branches
 
--- a/flintfield/memory/state.py
+++ b/flintfield/memory/state.py
@@ -132,6 +132,11 @@
         self.last_errors: dict[WorkerId, tuple[float, str]] = {}  # of next hops in the route set: when, what
         self.barred: frozenset[WorkerId] = frozenset()  # next hops that operators have out by hand
         self.drained = False  # by operators: callers are sent elsewhere
+        # Of other processes of this scheduler, as one is started over the other:
+        self.shared = False  # the listening socket is theirs too
+        self.linked = False  # some are told of our jobs
+        self.newer = self.newer_ready = False  # one was started after us; it serves
+        self.elsewhere: Counter[str] = Counter()  # ids of jobs that are open there
         self.generation: int | None = None  # of the route set; None: the whole list is wanted
         self.calls = 0  # made to discovery: only the last one's answer counts
         self.watching = False  # a call to discovery is out, or the next one follows
@@ -139,6 +144,11 @@
         self.counters: Counter[str] = Counter()
         self.settle_by = math.inf  # when all is to be answered, once the program was told to end
 
+    @property
+    def sends_away(self) -> bool:
+        """Whether callers' connections end with their answers: others serve them."""
+        return self.drained or (self.shared and self.stopping)
+
     @property
     def stopping(self) -> bool:
         """Whether the program was told to end."""
--- a/flintfield/units/interface.py
+++ b/flintfield/units/interface.py
@@ -119,6 +119,9 @@
         """Messages that the reducer is told before any caller is heard, once it has the last list."""
         return ()
 
+    async def prepare(self) -> None:
+        """What must be done before any caller is heard, bounded in time; one unit after the other."""
+
     async def run(self) -> None:
         """The unit's task, until it is cancelled."""
 
--- a/flintfield/units/operations.py
+++ b/flintfield/units/operations.py
@@ -20,7 +20,7 @@
 from flintfield.memory.figures import write_figures
 from flintfield.memory.messages import Message
 from flintfield.memory.orders import (
-    MOST, Book, OrderAsked, OrderRefused, Orders, OrdersChanged, OrdersHeard, OrderTaken, read_book,
+    MOST, Book, OrderAsked, OrderRefused, Orders, OrdersChanged, OrdersHeard, OrderTaken, Word, read_book,
     write_book,
 )
 from flintfield.memory.state import Handler
@@ -120,23 +120,33 @@
 
     def __init__(self, host: Host, _: Given) -> None:
         self._host, self._serving = host, False
-        self._orders = Orders()
-        self._keeper = Keeper(orders_file(os.environ, host.config.name), lambda: self._orders.book)
+        self.orders = Orders()
+        self._keeper = Keeper(orders_file(os.environ, host.config.name), lambda: self.orders.book)
+        self._told: list[Callable[[Mapping[str, Word]], None]] = []
+        host.lent["operations"] = self
         self._front: Front | None = None
 
     def handlers(self) -> Mapping[type, Handler]:
         """Orders."""
-        return {OrderAsked: self._orders.asked, OrdersHeard: self._orders.heard}
+        return {OrderAsked: self.orders.asked, OrdersHeard: self.orders.heard}
 
     def effects(self) -> Mapping[type, Callable[[Any], None]]:
         """Answers to orders, and the file."""
-        return {OrderTaken: self._taken, OrderRefused: self._refused,
-                OrdersChanged: lambda _: self._keeper.changed()}
+        return {OrderTaken: self._taken, OrderRefused: self._refused, OrdersChanged: self._changed}
+
+    def on_change(self, tell: Callable[[Mapping[str, Word]], None]) -> None:
+        """Have somebody told of each change of the orders, before it is kept."""
+        self._told.append(tell)
+
+    def _changed(self, effect: OrdersChanged) -> None:
+        for tell in self._told:
+            tell(effect.words)
+        self._keeper.changed()
 
     def listen(self) -> Mapping[str, int]:
         """Take the second address; who calls before `run` waits."""
-        address = self._host.config.admin
-        assert address is not None  # that it is set turned the unit on
+        if (address := self._host.config.admin) is None:
+            return {}  # it is on for upgrades, which need the orders
         self._front = Front(Poller(), lambda: self._serving and not self._host.state.stopping, self._figures,
                             lambda *order: self._host.tell(OrderAsked(*order)), self._host.make_room,
                             self._host.count)
@@ -156,12 +166,15 @@
             return ()
         return [OrdersHeard(found)] if found else ()
 
-    async def run(self) -> None:
-        """Take calls."""
-        assert self._front
+    async def prepare(self) -> None:
+        """Take calls from now on: what takes over from another process may take a while."""
         self._keeper.start(self._host.loop.call_soon_threadsafe)
+        if self._front:
+            self._front.start()
+
+    async def run(self) -> None:
+        """This process serves."""
         self._serving = True
-        self._front.start()
 
     def _figures(self) -> bytes:
         return write_figures(self._host.state, self._host.config.class_names)
--- a/flintfield/wire/http1/caller.py
+++ b/flintfield/wire/http1/caller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import socket
 from collections.abc import Awaitable, Callable, Hashable, Iterator, Mapping, Sequence
@@ -92,6 +93,31 @@
         self._listener = open_listener(address, BACKLOG)
         return int(self._listener.getsockname()[1])
 
+    def share(self, descriptor: int) -> int:
+        """Take connections from an inherited listening socket, which is others' too, and tell its port.
+
+        An OSError tells why it is none. Its flags are common to all who have it: that it does not block is
+        the one that is set. Others may take what we were woken for: an accept that finds nothing is normal.
+        """
+        listener = socket.socket(fileno=descriptor)
+        try:
+            if not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+                raise OSError(errno.EINVAL, "it does not listen")
+            listener.setblocking(False)
+            port = int(listener.getsockname()[1])
+        except OSError:
+            listener.detach()
+            raise
+        self._listener = listener
+        return port
+
+    def let_go(self) -> None:
+        """Take no more connections from a socket that others take them from; it stays as it is."""
+        if self._listener:
+            self._poller.stop(self._listener.fileno())
+            self._listener.close()
+            self._listener = None
+
     def start(self, tasks: TaskGroup) -> None:
         """Take connections in from now on; `tasks` is for what can not be served at once."""
         assert self._listener
--- a/flintfield/wire/http1/poller.py
+++ b/flintfield/wire/http1/poller.py
@@ -106,6 +106,12 @@
             self._gone.add(descriptor)
             self._sockets.forget(descriptor)
 
+    def stop(self, descriptor: int) -> None:
+        """Let go of a descriptor whose socket stays open elsewhere, and so would stay in the set."""
+        if self._watched.pop(descriptor, None) is not None:
+            self._gone.add(descriptor)
+            self._sockets.stop(descriptor)
+
     def later(self, seconds: float, watched: Watched, call: Callable[[], None]) -> asyncio.TimerHandle:
         """Call once after that time, for what is rare; what is raised is told to `watched`."""
         return self.loop.call_later(seconds, _guarded, watched, call)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -208,7 +208,7 @@
 
     def __init__(self, folder: Path, hops: list[Hop], settings: dict[str, Any], sockets: int,
                  descriptors: int = 0, ini: str = "", listen: str = "127.0.0.1:0", name: str = "n1",
-                 program: Sequence[str] = PROGRAM) -> None:
+                 program: Sequence[str] = PROGRAM, accepts: int | None = None) -> None:
         self.hops, self.directory, self.folder = hops, Directory(), folder
         self.directory.whole = [h.entry() for h in hops]
         self.config = {
@@ -216,7 +216,7 @@
             "limits": {"memory_mb": 192, "sockets": sockets}, "settings": SETTINGS | settings,
             "known": {"generation": 1, "reset": True, "instances": [h.entry() for h in hops]},
         }
-        self.process = start(folder, self.config, descriptors, ini, program)
+        self.process = start(folder, self.config, descriptors, ini, program, accepts)
         assert self.process.stdout
         self.ports = json.loads(self.process.stdout.readline())
         self.port = self.ports["port"]
@@ -257,8 +257,11 @@
 
 
 def start(folder: Path, config: dict[str, Any], descriptors: int = 0, ini: str = "",
-          program: Sequence[str] = PROGRAM) -> subprocess.Popen[str]:
-    """Start the program with that configuration, that operators' file and no more descriptors than that."""
+          program: Sequence[str] = PROGRAM, accepts: int | None = None) -> subprocess.Popen[str]:
+    """Start the program with that configuration, that operators' file and no more descriptors than that.
+
+    `accepts` is a listening socket's descriptor, which it inherits.
+    """
     def limit() -> None:
         resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
 
@@ -268,7 +271,9 @@
     named = ["--ini", str(folder / "flintfield.ini")] if ini else []
     return subprocess.Popen([sys.executable, *program, *named], cwd=ROOT, text=True,
                             stdout=subprocess.PIPE, stderr=subprocess.PIPE,
-                            env={**os.environ, "LB_CONFIG": str(path), "PYTHONPATH": str(ROOT)},
+                            env={**os.environ, "LB_CONFIG": str(path), "PYTHONPATH": str(ROOT),
+                                 **({} if accepts is None else {"LB_ACCEPT_FD": str(accepts)})},
+                            pass_fds=() if accepts is None else (accepts,),
                             preexec_fn=limit if descriptors else None)
 
 
