Send no job back to where it failed, and bookings not where other classes fail

Ruled out: the ban itself (nothing was sent there), late calls (0), the link. Change: _may_send leaves out workers at which the job failed; two errors in a row of any class keep bookings away for 20 s.

--- a/flintfield/decision/byhand.py
+++ b/flintfield/decision/byhand.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from flintfield.decision.interface import ByHand, WorkerId
-from flintfield.decision.records import Worker
+from flintfield.decision.records import Job, Worker
 
 if TYPE_CHECKING:
     from flintfield.decision.policy import Dispatcher
@@ -46,6 +46,10 @@
         before, worker.barred = worker.barred, False
         return before
 
+    def waiting_for_nobody(self, workers: Iterable[Worker], jobs: Iterable[Job]) -> list[Job]:
+        """The jobs with no attempt out, if all that are listed are out."""
+        return [j for j in jobs if not j.running()] if self.closes_all(workers) else []
+
     def closes_all(self, workers: Iterable[Worker]) -> bool:
         """Whether all that are listed are out, so that a job that waits waits for nobody."""
         return bool(self.out) and all(w.barred for w in workers)
--- a/flintfield/decision/interface.py
+++ b/flintfield/decision/interface.py
@@ -158,6 +158,10 @@
     rules: Rules = field(default_factory=Rules)
     prices: Prices = field(default_factory=Prices)
 
+    def unsafe(self) -> tuple[int, ...]:
+        """The classes whose jobs must never run twice."""
+        return tuple(i for i, c in enumerate(self.classes) if c.effect is Effect.UNSAFE)
+
     def __post_init__(self) -> None:
         """Settings that cannot be right are the caller's error."""
         if not self.classes:
--- a/flintfield/decision/policy.py
+++ b/flintfield/decision/policy.py
@@ -134,9 +134,8 @@
             self._rate(worker)
             self.fleet.touch(worker, rated=True)
         self._size_up()
-        for job in list(self.jobs.values()) if self.hands.closes_all(self.fleet.ring) else ():
-            if not job.running():  # it waits for nobody
-                self._end(job)
+        for job in self.hands.waiting_for_nobody(self.fleet.ring, self.jobs.values()):
+            self._end(job)
 
     def is_silent(self, worker: Worker) -> bool:
         """No word though asked: guards against a vanished worker that keeps its price and draws jobs."""
@@ -185,11 +184,11 @@
 
     def _cold_share(self, worker: Worker, budget: float) -> float:
         """Our part of a cold worker's budget for a fall window."""
-        n = self.settings.dispatchers
+        n, hands = self.settings.dispatchers, self.hands
         users = max(1, min(n, int(budget / max(1.0, *(c.value for c in self.costs)))))
         if worker.turn < 0:
             worker.turn = place_of(self.settings.me, n, worker.entry.worker)
-        return budget / users if worker.turn < users and not self.hands.cold_elsewhere else 0.0
+        return budget / users if worker.turn < users and not hands.cold_elsewhere else 0.0
 
     def _size_up(self) -> None:
         """Guards against many dispatchers that each know little of every worker and probe all."""
@@ -414,8 +413,8 @@
         return (what, getattr(past[0].worker.entry, what)) if past else None
 
     def _may_send(self, job: Job, worker: Worker) -> bool:
-        """Rules 3 and 4 as far as the worker tells, for one that is ready and of the needed kind."""
-        if worker.born > 0 and not self._cold_room(worker, job.cost):
+        """Rules 3 and 4 as far as a ready worker of the needed kind tells; no job goes where it failed."""
+        if job.failed_at(worker) or (worker.born > 0 and not self._cold_room(worker, job.cost)):
             return False
         return (bound := self._bound(job)) is None or all(
             getattr(a.worker.entry, bound[0]) == getattr(worker.entry, bound[0]) for a in job.maybe_ran())
@@ -531,8 +530,10 @@
         if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
             self._heard(worker, event.report)
         if event.outcome is Outcome.ERROR and job is not None:
-            count = worker.errors[job.request.cls] = worker.errors.get(job.request.cls, 0) + 1
-            worker.shunned[job.request.cls] = self.now + min(SHUN_MS * 3 ** (count - 1), LONGEST_SHUN_MS)
+            count = worker.fail(job.request.cls)
+            worker.shun((job.request.cls,), self.now + min(SHUN_MS * 3 ** (count - 1), LONGEST_SHUN_MS))
+            if count > 1:  # guards against a booking lost to learn what the errors of other classes told
+                worker.shun(self.settings.unsafe(), self.now + SHUN_MS)
         if event.outcome is Outcome.OK and job is not None:
             worker.errors.pop(job.request.cls, None)
             ran = event.took_ms if attempt.started is None else self.now - attempt.started
--- a/flintfield/decision/records.py
+++ b/flintfield/decision/records.py
@@ -88,6 +88,16 @@
         self.others, self.health, self.full_until = 0.0, 1.0, 0.0
         self.errors, self.shunned, self.known_at = {}, {}, now
 
+    def fail(self, cls: int) -> int:
+        """A job of that class ended in an error: the how many-th in a row."""
+        self.errors[cls] = self.errors.get(cls, 0) + 1
+        return self.errors[cls]
+
+    def shun(self, classes: Iterable[int], until: float) -> None:
+        """No job of these classes that must not fail goes there, until then or as long as it was to be."""
+        for cls in classes:
+            self.shunned[cls] = max(until, self.shunned.get(cls, until))
+
     def come_back(self, at: float, now: float) -> None:
         """It was let back at `at`: it counts as cold from then, and nothing that was seen before as true."""
         self.barred, self.back = False, at
@@ -247,6 +257,13 @@
         """The attempts that no outcome proves to have had no effect."""
         return [a for a in self.attempts if a.outcome not in NEVER_RAN]
 
+    def failed_at(self, worker: Worker) -> bool:
+        """Whether an attempt at that worker ended in an error.
+
+        Guards against one that fails at once: it always has room, and would use up a job's attempts.
+        """
+        return any(a.worker is worker and a.outcome is Outcome.ERROR for a in self.attempts)
+
     def waits(self) -> bool:
         """Whether attempts are out of which none is known to have started."""
         running = self.running()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from helpers import World, only, sent_to, settings
 from flintfield.decision.interface import (
-    Cancel, Effect, Entry, Fail, Gone, Group, ListMode, Outcome, Refuse, Send, ServerList, State, Watch,
+    Cancel, Effect, Entry, Fail, Gone, Group, ListMode, Outcome, Refuse, RequestClass, Send, ServerList,
+    State, Watch,
 )
 
 TWO_CELLS = [Entry(1, cell=1, zone=1), Entry(2, cell=1, zone=1), Entry(3, cell=2, zone=1), Entry(4, cell=3)]
@@ -135,3 +138,29 @@
     # 500 ms of assumed cost each against 3 x 0.2 of four slots for one second
     assert cold <= 4
     assert cold < warm
+
+
+def test_a_job_does_not_go_back_to_where_it_failed() -> None:
+    """Guards against a worker that fails at once, so always has room, and uses up a job's attempts."""
+    world = World(settings(), [Entry(1), Entry(2)])
+    world.set(2, full_until=world.now + 60.0)
+    assert sent_to(world.request(1)) == [1]
+    assert sent_to(world.end(1, 1, Outcome.ERROR)) == []  # it waits for the other one
+    assert sent_to(world.wait(200)) == [2]
+    answers = world.end(1, 2, Outcome.ERROR, attempt=1)
+    assert only(answers, Refuse) and not sent_to(answers)  # there is nobody else
+
+
+def test_errors_of_one_class_keep_those_away_that_must_not_run_twice() -> None:
+    """Guards against a booking lost at each dispatcher to learn what match lists had shown."""
+    classes = (RequestClass(aim_ms=500, deadline_ms=5_000), RequestClass(
+        aim_ms=500, deadline_ms=5_000, effect=Effect.UNSAFE))
+    world = World(replace(settings(), classes=classes), [Entry(1), Entry(2)])
+    for rid in (1, 2):
+        world.set(2, full_until=world.now + 20.0)
+        assert sent_to(world.request(rid)) == [1]
+        world.end(rid, 1, Outcome.ERROR, over=True)
+        world.wait(30)
+    assert [sent_to(world.request(rid, cls=1)) for rid in range(3, 6)] == [[2]] * 3
+    world.wait(21_000)
+    assert 1 in [w for rid in range(10, 13) for w in sent_to(world.request(rid, cls=1))]
