--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -84,7 +84,7 @@
         pages = Pages(self._ready, lambda: self.state.counters, self._pages())
         gate = next((gate for unit in self.units if (gate := unit.gate())), None)
         self._callers = Callers(self.tell, pages, config.class_names,
-                                int(config.sockets * LEGS_PART), self._count, self._poller, gate)
+                                self._most_legs, self._count, self._poller, gate)
         self._perform: dict[type, Callable[[Any], None]] = {
             OpenBranch: self._hops.open,
             HoldBranch: self._hops.hold,
@@ -103,6 +103,10 @@
             self.state.handlers.update(unit.handlers())
             self._perform.update(unit.effects())
 
+    def _most_legs(self) -> int:
+        """Two processes of one scheduler, while they overlap, hold as many descriptors together as one."""
+        return int(self._config.sockets * LEGS_PART) // (2 if self.state.linked else 1)
+
     def _ready(self) -> bool:
         """To callers all processes of this scheduler are one: what counts is whether the newest serves."""
         state = self.state
--- a/flintfield/wire/http1/caller.py
+++ b/flintfield/wire/http1/caller.py
@@ -72,7 +72,7 @@
     urgent = False
 
     def __init__(self, tell: Callable[[Message], None], pages: Pages, class_names: Sequence[str],
-                 most_legs: int, count: Callable[[str], None], poller: Poller,
+                 most_legs: Callable[[], int], count: Callable[[str], None], poller: Poller,
                  gate: Gate | None = None) -> None:
         self._tell, self._pages, self._count = tell, pages, count
         self._gate = gate  # None: all connections are taken as they come
@@ -153,7 +153,7 @@
             if self._gate and not self._gate.takes(peer):
                 sock.close()
                 continue
-            if len(self._legs) >= self._most_legs:
+            if len(self._legs) >= self._most_legs():
                 self.make_room()
             self._count("legs.accepted")
             leg = Leg(Stream(sock), self, self._poller, self._waits, peer)
--- /dev/null
+++ b/tests/test_pieces.py
@@ -0,0 +1,79 @@
+"""Peers that write in pieces, or leave, at every byte of a request and of an answer."""
+
+from __future__ import annotations
+
+import json
+import socket
+import time
+
+import pytest
+
+from peers import SOON, Hop, Scheduler, Start, ended
+from test_operations import serve
+
+REQUEST = (b"POST /match-list?a=1 HTTP/1.1\r\nHost: a\r\nReq-Id: %s\r\nReq-Kind: match-list\r\n"
+           b"Req-Deadline: 8000m\r\nReq-Cost: 900\r\nContent-Length: 4\r\n\r\nbody")
+
+
+def answer(name: str) -> bytes:
+    lines = [{"id": name, "from": "s", "state": "started"}, {"id": name, "from": "s", "state": "done",
+                                                           "result": "seat"}]
+    texts = [json.dumps(line).encode() for line in lines]
+    chunks = b"".join(b"%x\r\n%s\n\r\n" % (len(text) + 1, text) for text in texts)
+    return b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n"
+
+
+def talk(scheduler: Scheduler) -> socket.socket:
+    sock = socket.create_connection(("127.0.0.1", scheduler.port), timeout=SOON)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
+def test_a_request_is_read_whole_wherever_it_is_cut(begin: Start) -> None:
+    scheduler = begin(hop := Hop())
+    serve(hop)
+    sock = talk(scheduler)  # one connection for all: what is left of one would spoil the next
+    reader = sock.makefile("rb")
+    for at in range(1, len(REQUEST % b"a00")):
+        text = REQUEST % (b"a%02x" % at)
+        sock.sendall(text[:at])
+        time.sleep(0.001)
+        sock.sendall(text[at:])
+        assert reader.readline().startswith(b"HTTP/1.1 200")
+        assert reader.readline() == b"Content-Length: 4\r\n"
+        assert reader.read(6) == b"\r\nseat"
+
+
+def test_a_caller_that_leaves_within_its_request_costs_nothing(begin: Start) -> None:
+    scheduler = begin(hop := Hop())
+    for at in range(0, len(REQUEST) - 1, 7):
+        with talk(scheduler) as sock:
+            sock.sendall((REQUEST % b"left")[:at])
+    serve(hop)
+    assert ended(scheduler.submit().getresponse()) == (200, b"seat")
+    counters = scheduler.counters()
+    assert counters["requests.taken.match-list"] == 1 and "defects" not in counters
+
+
+@pytest.mark.parametrize("leaves", [False, True])
+def test_an_answer_is_read_wherever_it_is_cut_or_ends(begin: Start, leaves: bool) -> None:
+    scheduler = begin(hop := Hop())
+    connection = scheduler.connect()
+    whole = len(answer("0000"))
+    for at in range(1, whole, 11 if leaves else 3):
+        scheduler.submit("social-booking", f"{at:04x}", on=connection)
+        job = hop.job()
+        text = answer(job.name)
+        job.peer.wfile.write(text[:at])
+        time.sleep(0.001)
+        if leaves:
+            job.cut()
+        else:
+            job.peer.wfile.write(text[at:])
+            job.over.set()
+        status, body = ended(connection.getresponse())
+        done = text.index(b"seat") + len(b'seat"}\n\r\n') <= at  # its last line is whole
+        assert (status, body) == ((200, b"seat") if done or not leaves else (500, b"failed\n"))
+    counters = scheduler.counters()
+    assert "defects" not in counters and counters["requests.taken.social-booking"] == len(
+        range(1, whole, 11 if leaves else 3))
