Test orders and the succession in the reducer and the module, and rest a link's listener

Need: a ban between the dial and the first byte, books that merge in any order, ids open elsewhere and cold budgets of two processes were tested only through whole processes. Cause of the other change: with no descriptor left the link's listener, which is level-triggered, would have woken the loop again and again (read in wire/handover/link.py, not seen in service). Change: tests/test_orders.py; the listener rests 50 ms.

--- a/flintfield/wire/handover/link.py
+++ b/flintfield/wire/handover/link.py
@@ -19,11 +19,12 @@
 from pathlib import Path
 
 from flintfield.handover.core import Came, Ended, Heard, Line, Message, Reached
-from flintfield.wire.http1.poller import READ, WRITE, Poller
+from flintfield.wire.http1.poller import NOTHING, READ, WRITE, Poller
 
 MOST_LINE = 4 * 1024 * 1024
 CHUNK = 65_536
 BACKLOG = 8
+ACCEPT_PAUSE_S = 0.05  # after a lack of descriptors
 MOST_LINKS = 8  # processes of one scheduler at once; more are turned away
 
 
@@ -152,7 +153,11 @@
             return
         try:
             sock, _ = self._listener.accept()
-        except OSError:
+        except (BlockingIOError, ConnectionAbortedError):
+            return
+        except OSError:  # no descriptor is left: guards against being woken again and again for it
+            self.poller.change(self._listener.fileno(), NOTHING)
+            self.poller.later(ACCEPT_PAUSE_S, self, self._accept_on)
             return
         if len(self._wires) >= MOST_LINKS:
             sock.close()
@@ -160,6 +165,10 @@
         sock.setblocking(False)
         self.tell(Came(self._add(sock)))
 
+    def _accept_on(self) -> None:
+        if self._listener:
+            self.poller.change(self._listener.fileno(), READ)
+
     def broke(self, error: Exception) -> None:
         """An exception stops here."""
         self._dropped(repr(error))
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,190 @@
+"""Orders by hand in the reducer and in the decision module: no socket, no clock."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from hypothesis import given, strategies as st
+
+from flintfield.decision.byhand import avoided
+from flintfield.decision.checkpoint import restore, save
+from flintfield.decision.interface import ByHand, Entry, ListMode, Outcome, Probe, ServerList
+from flintfield.decision.learned import spent, take_spent
+from flintfield.memory.messages import (
+    Answer, BranchUp, JobClosed, JobOpened, OpenBranch, Route, RouteNews, ShutHops, Verdict, WriteBranch,
+    worker_of,
+)
+from flintfield.memory.orders import (
+    KEPT_MS, SCHEDULER, Book, OrderAsked, OrderRefused, Orders, OrdersHeard, OrderTaken, Word, merge, prune,
+    read_book, write_book,
+)
+from flintfield.memory.state import State
+from flintfield.memory.succession import IdsElsewhere, Stands, Succession
+from helpers import World, only, sent_to, settings
+from test_memory import Memory, only as one
+
+WORDS = st.dictionaries(st.sampled_from(["", "s-1", "s-2"]), st.builds(
+    Word, st.integers(0, 3).map(float), st.booleans()))
+
+
+def listed(*names: str, **changes: Any) -> tuple[Route, ...]:
+    return tuple(Route(n, ("127.0.0.1", 1 + i), replace(Entry(worker_of(n)), **changes))
+                 for i, n in enumerate(names))
+
+
+class Operated(Memory):
+    """A memory that takes orders."""
+
+    def __init__(self, *names: str, **settings: Any) -> None:
+        self.orders = Orders()
+        succession = Succession(self.orders.stand)
+
+        def prepare(state: State) -> None:
+            state.handlers.update({
+                OrderAsked: self.orders.asked, OrdersHeard: self.orders.heard,
+                IdsElsewhere: succession.elsewhere, Stands: succession.stands})
+
+        super().__init__(0, prepare, **settings)
+        self.take(RouteNews(ListMode.CACHED, 7, listed(*names)))
+
+    def order(self, subject: str, out: bool) -> Any:
+        return next(e for e in self.take(OrderAsked(1, subject, out))
+                    if isinstance(e, OrderTaken | OrderRefused))
+
+
+@given(WORDS, WORDS, WORDS)
+def test_books_agree_in_whatever_order_words_come(a: Book, b: Book, c: Book) -> None:
+    books = []
+    for order in ((a, b, c), (c, b, a), (b, a, c, a, b)):
+        book: Book = {}
+        for words in order:
+            merge(book, words)
+        books.append(book)
+    assert books[0] == books[1] == books[2] == read_book(write_book(books[0]))
+
+
+@pytest.mark.parametrize("text", [
+    "", "[]", "7", '{"form":1}', '{"form":1,"orders":[]}', '{"form":1,"orders":{"a":[1]}}',
+    '{"form":1,"orders":{"a":[true,true]}}', '{"form":1,"orders":{"a":[-1,true]}}',
+    '{"form":1,"orders":{"a":["1",true]}}', '{"form":1,"orders":{"a":[NaN,true]}}',
+])
+def test_a_book_that_can_not_be_read_is_a_value_error(text: str) -> None:
+    with pytest.raises(ValueError):
+        read_book(text)
+
+
+def test_words_that_let_back_are_forgotten_in_time_and_those_that_keep_out_never() -> None:
+    book = {"a": Word(0.0, True), "b": Word(0.0, False), "c": Word(KEPT_MS, False)}
+    prune(book, KEPT_MS + 1)
+    assert set(book) == {"a", "c"}
+
+
+def test_an_order_that_comes_between_the_dial_and_the_first_byte_is_heeded() -> None:
+    memory = Operated("s-1", "s-2")
+    port = one(memory.submit(1, cls=1), OpenBranch).address[1]
+    effects = memory.take(OrderAsked(1, f"s-{port}", True))
+    assert one(effects, ShutHops).addresses == {("127.0.0.1", port)}
+    effects = memory.take(BranchUp(1, 0))
+    assert not [e for e in effects if isinstance(e, WriteBranch)]
+    assert one(effects, OpenBranch).address[1] == 3 - port  # it never ran, so it goes elsewhere
+
+
+def test_who_is_known_and_what_an_order_answers() -> None:
+    memory = Operated("s-1")
+    assert memory.order("s-9", True).status == memory.order("s-9", False).status == 404
+    assert memory.order("s-1", False) == OrderTaken(1, False)
+    assert memory.order("s-1", True).changed and not memory.order("s-1", True).changed
+    memory.take(RouteNews(ListMode.FULL, 8, (), memory.state.calls))  # it leaves the list
+    assert memory.order("s-1", False).changed  # and is let back all the same
+    assert memory.order("s-1", True).status == 404
+    assert memory.order(SCHEDULER, True).changed and memory.state.drained
+
+
+def test_a_ban_outlives_a_worker_node_that_is_named_again() -> None:
+    memory = Operated("s-1", "s-2")
+    memory.order("s-1", True)
+    for n, routes in ((8, listed("s-2")), (9, listed("s-1", "s-2", started_ms=900.0))):
+        memory.take(RouteNews(ListMode.FULL, n, routes, memory.state.calls))
+    for rid in range(1, 5):
+        opened = [e for e in memory.submit(rid) if isinstance(e, OpenBranch)]
+        assert all(e.address == ("127.0.0.1", 2) for e in opened)
+    assert avoided(memory.state.dispatcher) == 1
+
+
+def test_with_all_out_jobs_that_wait_and_jobs_that_come_are_refused_at_once() -> None:
+    memory = Operated("s-1")
+    memory.submit(1, cls=1)
+    memory.take(BranchUp(1, 0))
+    memory.submit(2, cls=1)  # waits for room
+    effects = memory.take(OrderAsked(1, "s-1", True)) + memory.submit(3)
+    assert {(e.rid, e.verdict) for e in effects if isinstance(e, Answer)} == {
+        (2, Verdict.REFUSED), (3, Verdict.REFUSED)}
+    assert not memory.state.transactions[1].answered  # its job goes on
+
+
+def test_ids_in_work_elsewhere_are_refused_and_told_while_somebody_listens() -> None:
+    memory = Operated("s-1", "s-2", "s-3")
+    assert not [e for e in memory.submit(1) if isinstance(e, JobOpened)]
+    memory.take(Stands(True, False, False))
+    effects = memory.submit(2, cls=1)
+    assert effects.index(JobOpened("2")) < next(
+        i for i, e in enumerate(effects) if isinstance(e, OpenBranch))
+    memory.take(IdsElsewhere(("3",), (), True))
+    assert one(memory.submit(3), Answer).verdict is Verdict.FAILED
+    effects = memory.take(IdsElsewhere(("2",), (), True))  # an older process has it too: ours gives way
+    assert one(effects, Answer).rid == 2 and JobClosed("2") in memory.effects
+    memory.take(IdsElsewhere((), ("2", "3"), True))
+    assert not memory.state.elsewhere and [e for e in memory.submit(4) if isinstance(e, OpenBranch)]
+
+
+# -------------------------------------------------------------- the decision module
+
+
+def test_a_worker_that_is_let_back_is_cold_from_then_though_the_list_says_earlier() -> None:
+    world = World(settings(), [Entry(1), Entry(2)])
+    world.feed(ByHand((1,)))
+    assert {2} == {w for rid in range(1, 4) for w in sent_to(world.request(rid))}
+    world.wait(500)
+    world.feed(ByHand((), ((1, world.now),)))
+    back, worker = world.now, world.dispatcher.workers[1]
+    assert worker.born == back and worker.is_cold(world.given.rules, world.now)
+    world.feed(ServerList(ListMode.DELTA, (Entry(1, started_ms=back - 300),)))
+    assert worker.born == back
+    world.feed(ServerList(ListMode.DELTA, (Entry(1, started_ms=back + 300),)))
+    assert worker.born == back + 300
+
+
+def test_a_worker_that_is_out_is_not_probed_and_one_that_is_back_at_once() -> None:
+    world = World(replace(settings(), reports_in_answers=False), [Entry(1), Entry(2)])
+    world.feed(ByHand((1,)))
+    assert 1 not in [p.worker for p in only(world.wait(3_000), Probe)]
+    world.feed(ByHand((), ((1, world.now),)))
+    assert 1 in [p.worker for p in only(world.wait(300), Probe)]
+
+
+def test_the_cold_are_the_newer_process_s_alone_and_count_what_the_older_sent() -> None:
+    def world() -> World:
+        return World(settings(), [Entry(1, started_ms=900.0)])
+
+    old = world()
+    assert sent_to(old.request(1, hint_ms=100.0)) == [1]
+    new = world()
+    take_spent(new.dispatcher, spent(old.dispatcher, old.now))
+    assert new.dispatcher.workers[1].sent == old.dispatcher.workers[1].sent
+    old.feed(ByHand(cold_elsewhere=True))
+    assert sent_to(old.request(2, hint_ms=100.0)) == []
+    old.end(1, 1, Outcome.OK, over=True)
+    assert sent_to(old.wait(100)) == []
+    assert sent_to(old.feed(ByHand())) == [1]  # the other one has died
+    for raw in (None, [[1]], [[1, [[1]]]], [["a", []]], [[1, [["x", 1]]]]):
+        with pytest.raises(ValueError):
+            take_spent(new.dispatcher, raw)
+
+
+def test_orders_are_in_a_checkpoint() -> None:
+    world = World(settings(), [Entry(1), Entry(2)])
+    world.feed(ByHand((1,), ((2, 500.0),), True))
+    again = restore(world.given, save(world.dispatcher))
+    assert again.workers[1].barred and again.hands.cold_elsewhere and list(again.hands.out) == [1]
