--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -139,9 +139,6 @@
     assert not memory.state.elsewhere and [e for e in memory.submit(4) if isinstance(e, OpenBranch)]
 
 
-# -------------------------------------------------------------- the decision module
-
-
 def test_a_worker_that_is_let_back_is_cold_from_then_though_the_list_says_earlier() -> None:
     world = World(settings(), [Entry(1), Entry(2)])
     world.feed(ByHand((1,)))
