Keep the last order though writes pile up, and ask for failures of tried jobs alone

Cause, found by reading the whole change again: Keeper.changed leaves a write out where eight wait, and nobody wrote the newest book afterwards; a write that ends after the program raised in its thread; _may_send asked each candidate whether a new job had failed there, which it can not have; a link set its events anew for each line said. Change: the last write that finds none waiting writes again, the end is borne, the question is asked of tried jobs alone, events are set when they change.

--- a/flintfield/decision/policy.py
+++ b/flintfield/decision/policy.py
@@ -75,8 +75,7 @@
         self.in_flight = 0.0  # the same in the mean
         self.costs, self.pace = [Mean(MEMORY) for _ in settings.classes], Mean(MEMORY)
         allowances = [t.allowance_per_s for t in settings.tenants]
-        self.accounts = Accounts(allowances, settings.dispatchers, SHORT_MS, RATE_MS,
-                                 BURST_JOBS)
+        self.accounts = Accounts(allowances, settings.dispatchers, SHORT_MS, RATE_MS, BURST_JOBS)
         self.top_worth = max(c.worth for c in settings.classes) or 1.0
         self.top_price = min(c.worth for c in settings.classes) / self.top_worth  # against wind-up
         self.asks = settings.limits.probes and settings.reports  # else silence might never end
@@ -414,7 +413,8 @@
 
     def _may_send(self, job: Job, worker: Worker) -> bool:
         """Rules 3 and 4 as far as a ready worker of the needed kind tells; no job goes where it failed."""
-        if job.failed_at(worker) or (worker.born > 0 and not self._cold_room(worker, job.cost)):
+        if (job.attempts and job.failed_at(worker)) or not (
+                worker.born <= 0 or self._cold_room(worker, job.cost)):
             return False
         return (bound := self._bound(job)) is None or all(
             getattr(a.worker.entry, bound[0]) == getattr(worker.entry, bound[0]) for a in job.maybe_ran())
--- a/flintfield/units/operations.py
+++ b/flintfield/units/operations.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
@@ -92,10 +93,13 @@
             write_whole(self._path, text)
         except OSError as caught:
             error = caught
-        self._on_loop(self._written, version, error)
+        with contextlib.suppress(RuntimeError):  # the program has ended meanwhile
+            self._on_loop(self._written, version, error)
 
     def _written(self, version: int, error: OSError | None) -> None:
         self._kept, self._error = version if error is None else self._kept, error
+        if error is None and version < self._version and not self._background.held:
+            self._put()  # guards against the last change being left out, where too many writes waited
         self._changed.set()
         self._changed = anyio.Event()
 
--- a/flintfield/wire/handover/link.py
+++ b/flintfield/wire/handover/link.py
@@ -38,6 +38,7 @@
         self.number, self.sock, self._house = number, sock, house
         self._came = bytearray()
         self._left = bytearray()
+        self._blocked = False  # we wait for room to write
         self.closed = False
 
     def ready(self) -> None:
@@ -85,17 +86,16 @@
             self._house.drop(self.number, "it does not read")
 
     def _flush(self) -> None:
-        had = bool(self._left)
         try:
             while self._left and not self.closed:
                 del self._left[:self.sock.send(self._left)]
         except BlockingIOError:
-            self._house.poller.change(self.sock.fileno(), READ | WRITE)
-            return
+            pass
         except OSError:
             self._left.clear()  # the end is told when it is read
-        if had and not self.closed:
-            self._house.poller.change(self.sock.fileno(), READ)
+        if bool(self._left) is not self._blocked and not self.closed:
+            self._blocked = not self._blocked
+            self._house.poller.change(self.sock.fileno(), READ | WRITE if self._blocked else READ)
 
 
 class Links:
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import socket
 import subprocess
@@ -14,6 +15,8 @@
 
 import pytest
 
+from flintfield.memory.orders import Book, Word, read_book
+from flintfield.units.operations import Keeper
 from peers import SOON, Hop, Scheduler, Start, ended, start, until
 
 Begin = Callable[..., Scheduler]
@@ -280,3 +283,17 @@
     job.say("done", result="x")
     assert ended(caller.getresponse()) == (200, b"x")
     assert scheduler.stopped()[0] == 0
+
+
+def test_the_last_change_is_kept_though_too_many_writes_waited(tmp_path: Path) -> None:
+    async def change_while_the_disk_stalls() -> None:
+        book: Book = {}
+        keeper = Keeper(path, lambda: book)
+        keeper.start(asyncio.get_running_loop().call_soon_threadsafe)
+        for n in range(40):  # faster than a file is written: most find that too many wait
+            book[f"s-{n}"] = Word(float(n), True)
+            keeper.changed()
+        assert await keeper.wait() == "" and read_book(path.read_bytes()) == book
+
+    path = tmp_path / "orders"
+    asyncio.run(change_while_the_disk_stalls())
