Let something stand beside a run of the sockets engine

Change: play(..., beside=...) with the face in lab/sockets/beside.py: open, arguments, started, ended, set_off, close, and the engine's deeds (kill, restart, out, up, notice) lent to it. Without it nothing changes.

--- a/flintfield/lab/sockets/engine.py
+++ b/flintfield/lab/sockets/engine.py
@@ -27,6 +27,7 @@
 from flintfield.lab.log import AnyRecord, Begin, Class, End, Log, NodeLoad, SchedulerState, Trouble
 from flintfield.lab.scenario import Scenario
 from flintfield.lab.sockets.addresses import LISTEN, Address, free_port, text
+from flintfield.lab.sockets.beside import Beside, Deeds, Nothing
 from flintfield.lab.sockets.callers import Callers
 from flintfield.lab.sockets.context import HOLD_MS, Run
 from flintfield.lab.sockets.directory import Directory
@@ -56,18 +57,19 @@
 
 def play(scenario: Scenario, seed: int, *, on_record: Callable[[AnyRecord], None] | None = None,
          program: Sequence[str] | None = None, folder: Path | None = None,
-         ways: Callable[[str], Choose] | None = None) -> Log:
+         ways: Callable[[str], Choose] | None = None, beside: Beside | None = None) -> Log:
     """Play a scenario on sockets and return its event log.
 
     `on_record` sees each record in order of time, some tenths of a second late; the log that is returned is
     empty then.
     `program` is the command that starts a scheduler (`python -m flintfield` if None). `folder` keeps the
     schedulers' configurations and output. `ways` puts a fault proxy between each scheduler and each node:
-    from a node's name to what befalls the connections to it. A `StartError` tells of a program that does not
-    start.
+    from a node's name to what befalls the connections to it. `beside` starts and ends with the run. A
+    `StartError` tells of a program that does not start.
     """
     with tempfile.TemporaryDirectory(prefix="flintfield-lab-") as passing:
-        engine = _Engine(scenario, seed, on_record, program or PROGRAM, folder or Path(passing), ways)
+        engine = _Engine(scenario, seed, on_record, program or PROGRAM, folder or Path(passing), ways,
+                         beside or Nothing())
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             return runner.run(engine.play())
 
@@ -76,11 +78,12 @@
     """One run."""
 
     def __init__(self, scenario: Scenario, seed: int, on_record: Callable[[AnyRecord], None] | None,
-                 program: Sequence[str], folder: Path, ways: Callable[[str], Choose] | None) -> None:
+                 program: Sequence[str], folder: Path, ways: Callable[[str], Choose] | None,
+                 beside: Beside) -> None:
         count = scenario.schedulers.count
         names = [platform.scheduler_name(i) for i in range(count)]
         zones = platform.zones_of(scenario)
-        self.scenario, self.seed = scenario, seed
+        self.scenario, self.seed, self.beside = scenario, seed, beside
         self.judge = Judge()  # its findings are looked at for what the machine is to blame for
         self.run = run = Run(scenario, seed, names, zones, on_record, ways)
         run.ledger.also = self._look
@@ -127,6 +130,12 @@
                 self._add(machine)
                 self.directory.discovery.list_now(machine)
                 await self.nodes[machine.name].start(cold=False)
+            await self.beside.open(self.run, self.schedulers, Deeds(
+                lambda place: self._kill(self.schedulers[place]),
+                lambda place: self._go(self._restart(place)),
+                lambda place: self.front.out(self.run.clock(), place),
+                lambda place: self.front.up(self.run.clock(), place),
+                lambda place: self.front.died(self.run.clock(), place)))
             if void := await self._start_all():
                 return self._finish(void)
             self._set_off()
@@ -194,6 +203,7 @@
         self.deeds = self._in_time(schedule(self.scenario, self.fleet, run.streams))
         run.alarms.append(alarm := Alarm(run.clock, self._next_deed, self._do_due))
         alarm.arm()
+        self.beside.set_off()
         self.callers.begin()
         self.punctuality.restart()
         for scheduler in self.schedulers:
@@ -251,6 +261,7 @@
         return ""
 
     async def _clear_away(self) -> None:
+        await self.beside.close()
         self.rude.stop()
         self.callers.stop()
         for alarm in self.run.alarms:
@@ -316,7 +327,8 @@
         config = self._config(place) | {"known": self.directory.started(place)}
         self.lives[place] += 1
         self.run.record(SchedulerState(self.run.at(), scheduler.name, "up", scheduler.zone))
-        await scheduler.start(config, self._ended)
+        await scheduler.start(config, self._ended, self.beside.arguments(place))
+        self.beside.started(place)
 
     async def _ready(self, place: int, within_ms: float) -> float | None:
         """Ask until it is ready; how long that took, None if it did not come to it in that time."""
@@ -344,6 +356,7 @@
         if not scheduler.killed:
             self.run.record(SchedulerState(self.run.at(), scheduler.name, "ended"))
         self.front.died(self.run.clock(), scheduler.place)
+        self.beside.ended(scheduler.place)
 
     def _kill(self, scheduler: Scheduler) -> None:
         if scheduler.alive:
--- a/flintfield/lab/sockets/processes.py
+++ b/flintfield/lab/sockets/processes.py
@@ -79,6 +79,11 @@
         """Whether its process runs."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def pid(self) -> int:
+        """Of its process; 0 before the first start."""
+        return self._process.pid if self._process else 0
+
     @property
     def serves(self) -> bool:
         """Whether its process runs and was not killed."""
@@ -90,7 +95,8 @@
         fresh.write_text(json.dumps(config))
         fresh.replace(self.folder / "config.json")
 
-    async def start(self, config: dict[str, Any], ended: Callable[[Scheduler, int], None]) -> None:
+    async def start(self, config: dict[str, Any], ended: Callable[[Scheduler, int], None],
+                    arguments: Sequence[str] = ()) -> None:
         """Start its process; `ended` is called with the exit code when that is over."""
         self.stopping = self.killed = self._ready = self._to_reload = False
         self.configure(config)
@@ -98,8 +104,8 @@
                    "LB_LISTEN": text(self.address), "LB_DISCOVERY": str(config["discovery"])}
         with (self.folder / "out.log").open("ab") as out:
             process = await asyncio.create_subprocess_exec(
-                *self._program, stdin=asyncio.subprocess.DEVNULL, stdout=out, stderr=out, env=environ,
-                preexec_fn=die_with_parent)
+                *self._program, *arguments, stdin=asyncio.subprocess.DEVNULL, stdout=out, stderr=out,
+                env=environ, preexec_fn=die_with_parent)
         self._process, self._last = process, (0.0, 0.0)
         with contextlib.suppress(ProcessLookupError):  # it may be over already
             resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (self.sockets, self.sockets))
