Play five real processes with a cut and a kill between them, and judge what they claim

Need: what two instances believe while they are cut off from each other was judged nowhere. Change: flintfield/lab/fleet: plans, the net between instances (pure: cut, loss, delay, copies, rate, resets, by pair and way), relays for datagrams and streams, whose a stream is by the kernel's tables, SIGKILL, SIGTERM and SIGSTOP, claims read from the status port, the four rules with what a stopped process is not to blame for, and the first invariants (passing, views, false-death); flintfield lab fleet run|list; the plan cut+kill.

--- a/flintfield/lab/cli.py
+++ b/flintfield/lab/cli.py
@@ -21,6 +21,7 @@
 
 from flintfield.lab import scenario as scenarios
 from flintfield.lab.experiments.runs import RunError
+from flintfield.lab.fleet.commands import fleet
 from flintfield.lab.judge import LogError
 from flintfield.lab.scenario import Scenario, ScenarioError
 from flintfield.lab.sockets.commands import proxy
@@ -68,6 +69,7 @@
 
 
 lab.add_command(proxy)
+lab.add_command(fleet)
 
 
 def _print(value: Any) -> None:
