Share limits by rights that are lent with leases: the core, and its law over drawn histories

Need: limits that hold over all instances together, whoever hears nothing; fixed parts refuse what the fleet could grant. Change: flintfield/sharing (pure): limits and parts, uses, an owner's book, demand, words, and the core that asks, lends in max-min fair shares, offers, recalls and gives back. flintfield/lab/sharing: instances in virtual time with unlike clocks, loss, copies, late words, cuts, stops, restarts, clocks set back, two processes of a place; a ledger that knows true spends; drawn histories; seven planted faults; how much is usable where. Seen on the way: rights moved in 4 s at first, for only an owner's own need recalled them and an ask that brought nothing waited longer and longer; owners now recall above a fair share and offer what comes free.

--- /dev/null
+++ b/flintfield/sharing/words.py
@@ -0,0 +1,110 @@
+"""What instances tell each other of their rights, as MessagePack: small arrays, each with a tag.
+
+A word carries who speaks (its place among how many configured ones) and which life of it; times in it are on
+one clock, whose it is stands beside the field. A field may be appended to any array and a new kind of line
+added: who does not know it skips it (as `wire/membership/codec.py`). What can't be read is None, and counted
+by the caller.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from flintfield.sharing.rules import MOST_PLACES, MOST_RIGHTS
+
+Rights = Annotated[int, Meta(ge=0, le=MOST_RIGHTS)]
+Place = Annotated[int, Meta(ge=0, le=MOST_PLACES)]
+Number = Annotated[int, Meta(ge=0, le=2**62)]
+Clock = Annotated[int, Meta(ge=0, le=2**53)]
+Key = Annotated[int, Meta(ge=0, le=2**32 - 1)]
+
+
+class Ask(msgspec.Struct, frozen=True, array_like=True, tag=1, gc=False):
+    """Lend me so many of your rights. It also tells what is true of the lease that is held (`Book.lower`)."""
+
+    limit: Key
+    asked_at: Clock  # ms of the asker's life
+    want: Rights  # in all, of this owner
+    number: Number = 0  # of the newest lease held from this owner
+    keep: Rights = 0  # what the asker goes on using of it
+    occupied: Rights = 0
+
+
+class Grant(msgspec.Struct, frozen=True, array_like=True, tag=2, gc=False):
+    """A lease, which replaces the one before; with n = 0, none."""
+
+    limit: Key
+    asked_at: Clock  # of the ask that it answers: ms of the asker's life
+    number: Number
+    n: Rights
+    valid_ms: Annotated[int, Meta(ge=0, le=600_000)]  # from `asked_at`, on the asker's clock
+
+
+class Stale(msgspec.Struct, frozen=True, array_like=True, tag=3, gc=False):
+    """There is a newer life of that place."""
+
+    place: Place
+    life: Number
+
+
+class Used(msgspec.Struct, frozen=True, array_like=True, tag=4, gc=False):
+    """The speaker's use of a limit in a window of the wall clock: so many spends since the window began."""
+
+    limit: Key
+    window: Number  # the window's start in Unix ms / its length
+    count: Rights
+
+
+Line = Ask | Grant | Stale | Used
+
+
+class Word(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """One datagram's content."""
+
+    place: Place
+    life: Number
+    places: Place  # that the speaker was configured with
+    to: Number  # the life that it is for, as far as the speaker knows it, else 0
+    lines: list[Line]
+
+
+class _Loose(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    place: Place
+    life: Number
+    places: Place
+    to: Number
+    lines: Annotated[list[msgspec.Raw], Meta(max_length=256)]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_word: msgspec.msgpack.Decoder[Word] = msgspec.msgpack.Decoder(Word)
+_loose: msgspec.msgpack.Decoder[_Loose] = msgspec.msgpack.Decoder(_Loose)
+_line: msgspec.msgpack.Decoder[Line] = msgspec.msgpack.Decoder(Line)
+BROKEN = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+
+
+def write(word: Word) -> bytes:
+    """For a datagram."""
+    return _encoder.encode(word)
+
+
+def read(data: bytes) -> tuple[Word, int] | None:
+    """A word and how many of its lines were skipped; None if it is none."""
+    try:
+        return _word.decode(data), 0
+    except BROKEN:
+        pass
+    try:
+        loose = _loose.decode(data)
+    except BROKEN:
+        return None
+    lines: list[Line] = []
+    for raw in loose.lines:
+        try:
+            lines.append(_line.decode(raw))
+        except BROKEN:
+            continue
+    return Word(loose.place, loose.life, loose.places, loose.to, lines), len(loose.lines) - len(lines)
