Count use over all instances, as an interval that holds the truth

Need: a count that says its interval, with the true total inside, whoever is not heard. Change: sharing/counts.py: counts by limit, window, place and life, merged by the greater; since when a place was not heard is known by echoes of our own stamps, so no clock is compared with another; what the unheard can have spent is bounded by the limit's law. Rounds are paced by bytes a second.

--- a/flintfield/lab/sharing/__main__.py
+++ b/flintfield/lab/sharing/__main__.py
@@ -21,9 +21,10 @@
     with planted(fault) if fault else contextlib.nullcontext():
         for seed in range(first, first + count):
             played = play(seed)
-            told.update(histories=1, passed=played.passed > 0, instants=played.passed, lent=played.lent,
-                        borrowed=played.returned, spent=played.spent, refused=played.refused)
-            if played.passed and not told["seed"]:
+            told.update(histories=1, passed=played.passed > 0, instants=played.passed,
+                        miscounted=played.miscounted, lent=played.lent, borrowed=played.returned,
+                        spent=played.spent, refused=played.refused)
+            if (played.passed or played.miscounted) and not told["seed"]:
                 told["seed"] = seed
     return told
 
@@ -40,7 +41,7 @@
             total.update(told)
             total["seed"] = seed
     print(json.dumps(dict(total) | {"fault": fault, "seconds": round(time.monotonic() - began, 1)}))
-    return 1 if total["passed"] else 0
+    return 1 if total["passed"] or total["miscounted"] else 0
 
 
 if __name__ == "__main__":
--- a/flintfield/lab/sharing/histories.py
+++ b/flintfield/lab/sharing/histories.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import random
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -15,10 +16,13 @@
 from flintfield.lab.sharing.world import Instance, Net, World
 from flintfield.sharing import book, core, limits as limit_file
 from flintfield.sharing.book import Borrower
+from flintfield.sharing.counts import Counts, Source
 from flintfield.sharing.limits import Limit
 from flintfield.sharing.rules import LEASE_MS
 from flintfield.sharing.words import Grant, Line
 
+LOOK_MS = 500.0  # between two looks at all counts
+
 
 @dataclass(frozen=True, slots=True)
 class Played:
@@ -26,6 +30,7 @@
 
     seed: int
     passed: int  # instants at which a limit was passed
+    miscounted: int  # intervals that the truth was not in
     lent: int
     returned: int  # leases whose rights came back to their owner while it lived
     spent: int
@@ -46,9 +51,13 @@
     _demand(world, rng, length)
     for _ in range(rng.choice((0, 1, 2, 3, 5))):
         _fault(world, rng, length)
-    world.run(length)
+    miscounted = 0
+    while world.now < length:
+        world.run(min(length, world.now + LOOK_MS))
+        miscounted += len(world.miscounted())
     counters = world.counters
-    return Played(seed, sum(len(p) for p in world.passed.values()), counters["lent"], counters["borrowed"],
+    passed = sum(len(p) for p in world.passed.values())
+    return Played(seed, passed, miscounted, counters["lent"], counters["borrowed"],
                   sum(ledger.spent for ledger in world.ledgers.values()),
                   sum(world.tried.values()) - sum(world.granted.values()))
 
@@ -117,7 +126,15 @@
     return _GRANTED(state, now, owner, grant)
 
 
-_GRANTED = core._granted
+def _forgets_former_lives(self: Counts, now: float, source: Source, stamp: int, echo_at: float,
+                          total: int) -> None:
+    _HEARD(self, now, source, stamp, echo_at, total)
+    self.born_at = -math.inf
+    for lives in self.told.values():
+        lives[min(lives)].born_at = -math.inf
+
+
+_GRANTED, _HEARD = core._granted, Counts.heard
 FAULTS: dict[str, tuple[object, str, object]] = {
     "lease-twice-as-long": (core, "_granted", _twice_as_long),
     "grant-is-fresh": (core, "_granted", _forgets_spends),
@@ -126,6 +143,7 @@
     "unstretched-clocks": (core, "cool_ms", lambda window: window * 0.9),
     "lowers-too-far": (book.Book, "lower", lambda self, now, borrower, number, keep, occupied: (
         self.accounts.pop(borrower, None), self._sum_up(now))),
+    "forgets-former-lives": (Counts, "heard", _forgets_former_lives),
     "parts-too-large": (limit_file.Limit, "part", lambda self, place, places: -(-self.rights // places)),
 }
 
--- a/flintfield/lab/sharing/world.py
+++ b/flintfield/lab/sharing/world.py
@@ -22,7 +22,9 @@
 from flintfield.sharing.core import (
     Configured, Effect, Heard, Message, Present, Say, Sharing, Ticket, Woke, give_back, step,
 )
+from flintfield.sharing.counts import window_of
 from flintfield.sharing.limits import Limit
+from flintfield.sharing.rules import COUNT_MS
 from flintfield.sharing.words import read, write
 
 MOST_INBOX = 512
@@ -102,6 +104,8 @@
         self.places, self.limits, self.drift = places, tuple(limits), drift
         self.ledgers = {limit.name: Ledger(limit) for limit in limits}
         self.counters: Counter[str] = Counter()
+        self._epoch = 1.7e12 + self.rng.uniform(0, COUNT_MS)  # clocks are set within 5 s of it
+        self.labels: Counter[tuple[str, int]] = Counter()  # true spends by limit and the spender's window
         self.cuts: set[tuple[int, int]] = set()  # from a place to a place
         self.instances: list[Instance] = []  # by place, the one that is meant by it
         self.zombies: list[Instance] = []  # former processes of a place that still run
@@ -113,6 +117,7 @@
             self.instances.append(self._start(place))
             if not is_new:
                 self.instances[-1].state.began -= 600_000.0
+                self.instances[-1].state.tallies.born_at -= 600_000.0
         self.tell_present()
 
     # ------------------------------------------------------------ processes
@@ -120,7 +125,7 @@
     def _start(self, place: int, rate: float | None = None) -> Instance:
         rng = self.rng
         rate = rate if rate is not None else 1.0 + rng.uniform(-self.drift, self.drift)
-        instance = Instance(place, None, rate, rng.uniform(1e6, 2e6))  # type: ignore[arg-type]
+        instance = Instance(place, None, rate, self._epoch + rng.uniform(-5_000, 5_000))  # type: ignore[arg-type]
         life = int(1e9 + self.now * 1000) + rng.randrange(100)
         instance.state = Sharing(place, self.places, life, instance.clock(self.now),
                                  random.Random(rng.random()), self.counters, self.limits)
@@ -265,6 +270,7 @@
         if got is False:
             return
         self.granted[name, instance.place] += 1
+        self.labels[name, window_of(instance.clock(self.now))] += 1
         ledger = self.ledgers[name]
         ledger.spend(self.now)
         if isinstance(got, Ticket):
@@ -294,6 +300,21 @@
 
     # ------------------------------------------------------------ what is seen
 
+    def miscounted(self) -> list[tuple[int, str, int, int, int]]:
+        """Counts whose interval the truth is not in: place, limit, low, truth, high."""
+        found = []
+        for instance in self.instances:
+            if not instance.up or instance.stopped:
+                continue
+            shown, state = instance.clock(self.now), instance.state
+            for limit in self.limits:
+                for window in (window_of(shown), window_of(shown) - 1):
+                    told = state.tallies.total(shown, limit, self.places, window)
+                    truth = self.labels[limit.name, window]
+                    if not told.low <= truth <= (told.high if told.high >= 0 else math.inf):
+                        found.append((instance.place, limit.name, told.low, truth, told.high))
+        return found
+
     @property
     def passed(self) -> dict[str, list[tuple[float, int]]]:
         """The limits that were passed: when, and how many then counted."""
--- a/flintfield/sharing/core.py
+++ b/flintfield/sharing/core.py
@@ -29,6 +29,7 @@
 from typing import Any
 
 from flintfield.sharing.book import Account, Book, Borrower
+from flintfield.sharing.counts import Counts as Tallies, round_ms, window_of
 from flintfield.sharing.demand import Demand
 from flintfield.sharing.limits import Limit
 from flintfield.sharing.rules import (
@@ -36,7 +37,7 @@
     MOST_RIGHTS, MOST_WORD_LINES, OFFER_MS, PEAK_MS, RENEW_MS, TICK_MS, cool_ms, hold_ms,
 )
 from flintfield.sharing.uses import Uses
-from flintfield.sharing.words import Ask, Grant, Line, Stale, Used, Word
+from flintfield.sharing.words import Ask, Grant, Line, Stale, Tally, Used, Word
 
 Counts = MutableMapping[str, int]
 
@@ -166,6 +167,7 @@
         self.told_places: dict[int, int] = {}  # the number of places that each was configured with
         self.ended = False  # our place has a newer life
         self.numbers = 0  # of leases given
+        self.tallies = Tallies(place, now)
         self.due, self.ticked = math.inf, -math.inf
         self._agreed = places  # what our parts go by while a new number of places gets round
         _configure(self, now, Configured(tuple(limits), places))
@@ -192,6 +194,7 @@
             self.due = min(self.due, max(now, self.ticked + TICK_MS / 4))
             return False
         holding.spent += 1
+        self.tallies.spend(now, holding.limit.number)
         if holding.limit.is_pool:
             return Ticket(uses, uses.take(now))
         uses.spend(now)
@@ -331,7 +334,14 @@
                 state.lives[line.place] = line.life
             case Grant():
                 state.counters["not_ours"] += 1
-            case Stale() | Used():
+            case Used():
+                if line.limit not in state.holdings or not state.tallies.merge(
+                        now, speaker, line.limit, line.window, line.count):
+                    state.counters["counts_unread"] += 1
+            case Tally():
+                echo_at = state.began + line.echo if line.echo and line.echo_life == state.life else -math.inf
+                state.tallies.heard(now, speaker, line.stamp, min(now, echo_at), line.total)
+            case Stale():
                 pass
     return effects + _words(state, word.place, answers)
 
@@ -468,10 +478,33 @@
         holding.is_short = False
         is_quiet = is_quiet and not (holding.leases or holding.book.out(now)) and (
             holding.demand.is_quiet(now))
+    if now >= state.tallies.next_at:
+        for place, line in _tally(state, now):
+            lines.setdefault(place, []).append(line)
     state.due = math.inf if is_quiet else now + TICK_MS * state.rng.uniform(0.8, 1.2)
+    state.due = min(state.due, state.tallies.next_at)
     return [say for place, told in lines.items() for say in _words(state, place, told)]
 
 
+def _tally(state: Sharing, now: float) -> list[tuple[int, Line]]:
+    """Tell the one whose turn it is of our counts."""
+    tallies = state.tallies
+    tallies.forget(now)
+    others = max(1, len(state.present))
+    tallies.next_at = now + round_ms(others + 1, len(state.holdings)) / others * state.rng.uniform(0.8, 1.2)
+    shuffled = sorted(state.present)
+    state.rng.shuffle(shuffled)
+    place = tallies.next_place(state.present, shuffled)
+    if place is None:
+        return []
+    life = state.lives.get(place, 0)
+    lines: list[Line] = [Used(limit, window, count) for (limit, window), count in tallies.own.items()
+                         if limit in state.holdings]
+    total = sum(line.count for line in lines if isinstance(line, Used))
+    lines.append(Tally(int(now - state.began), total, tallies.stamp_of((place, life)), life))
+    return [(place, line) for line in lines]
+
+
 def _drop_ended(now: float, holding: Holding) -> None:
     for owner in list(holding.leases):
         lease = holding.leases[owner]
@@ -578,6 +611,12 @@
     return [_say(state, place, lines[i:i + MOST_WORD_LINES]) for i in range(0, len(lines), MOST_WORD_LINES)]
 
 
+def _interval(state: Sharing, now: float, holding: Holding) -> dict[str, Any]:
+    told = state.tallies.total(now, holding.limit, state.places)
+    return {"window": window_of(now), "low": told.low, "high": told.high if told.high >= 0 else None,
+            "oldest_ms": round(min(told.oldest_ms, 1e9), 1), "unheard": list(told.unheard)}
+
+
 def view(state: Sharing, now: float) -> list[dict[str, Any]]:
     """What a page tells of each limit: rights, our part, what is lent and held, spent and refused."""
     told = []
@@ -588,6 +627,7 @@
             "kind": "pool" if limit.is_pool else "rate", "part": holding.part, "floor": holding.floor,
             "usable": state.own_part(now, holding), "lent": holding.book.out(now), "held": holding.held(now),
             "occupied": holding.occupied(now), "spent": holding.spent, "refused": holding.refused,
+            "fleet": _interval(state, now, holding),
             "wanted": holding.demand.need(now, limit.window_ms, holding.occupied(now)),
         })
     return told
--- a/flintfield/sharing/rules.py
+++ b/flintfield/sharing/rules.py
@@ -47,3 +47,8 @@
 def hold_ms(valid_ms: float, window_ms: float) -> float:
     """How long after it was given a lease counts on its owner's clock."""
     return (valid_ms + cool_ms(window_ms)) * DRIFT * DRIFT
+# Counts: the length of a window of the wall clock, the least time of a round in which all are told, and the
+# bytes a second that an instance spends on it at up to 40 instances.
+COUNT_MS = 60_000.0
+COUNT_LEAST_MS = 1_000.0
+COUNT_BYTES_S = 1_200.0
--- a/flintfield/sharing/words.py
+++ b/flintfield/sharing/words.py
@@ -50,6 +50,15 @@
     life: Number
 
 
+class Tally(msgspec.Struct, frozen=True, array_like=True, tag=5, gc=False):
+    """The speaker's counts add up to `total`: who has so much of them has them all as of `stamp`."""
+
+    stamp: Clock  # ms of the speaker's life
+    total: Annotated[int, Meta(ge=0, le=2**62)]  # over the windows that it tells of
+    echo: Clock = 0  # the newest stamp that it heard of the one it speaks to: ms of that one's life
+    echo_life: Number = 0  # which life's
+
+
 class Used(msgspec.Struct, frozen=True, array_like=True, tag=4, gc=False):
     """The speaker's use of a limit in a window of the wall clock: so many spends since the window began."""
 
@@ -58,7 +67,7 @@
     count: Rights
 
 
-Line = Ask | Grant | Stale | Used
+Line = Ask | Grant | Stale | Used | Tally
 
 
 class Word(msgspec.Struct, frozen=True, array_like=True, gc=False):
--- a/tests/test_sharing_core.py
+++ b/tests/test_sharing_core.py
@@ -12,6 +12,7 @@
 from flintfield.lab.sharing.usable import Demand, measure, share_used
 from flintfield.lab.sharing.world import Net, World
 from flintfield.sharing.book import Book
+from flintfield.sharing.counts import Counts
 from flintfield.sharing.core import Configured, Heard, Sharing, Ticket, Woke, give_back, step
 from flintfield.sharing.limits import Limit
 from flintfield.sharing.rules import DRIFT, LEASE_MS, SLICES, hold_ms
@@ -59,15 +60,16 @@
 
 def test_no_drawn_history_passes_a_limit_and_rights_are_lent_in_them() -> None:
     played = [histories.play(seed) for seed in range(150)]  # 6 s
-    assert [p.seed for p in played if p.passed] == []
+    assert [p.seed for p in played if p.passed or p.miscounted] == []
     assert sum(p.lent for p in played) > 1_000 and sum(p.spent for p in played) > 5_000
 
 
 @pytest.mark.parametrize("fault", sorted(histories.FAULTS))
-def test_each_planted_fault_passes_a_limit_in_some_history(fault: str) -> None:
+def test_each_planted_fault_passes_a_limit_or_miscounts_in_some_history(fault: str) -> None:
     first = {"lease-twice-as-long": 340}.get(fault, 0)  # where it shows, to save time
     with histories.planted(fault):
-        assert any(histories.play(seed).passed for seed in range(first, first + 260))
+        played = (histories.play(seed) for seed in range(first, first + 260))
+        assert any(p.passed or p.miscounted for p in played)
 
 
 def test_rights_go_where_the_demand_is_and_each_side_of_a_split_has_its_part() -> None:
@@ -184,6 +186,30 @@
     assert isinstance(state.spend(1e6 + 2_100, "p"), Ticket)  # the others were over at the latest
 
 
+def test_counts_are_exact_in_calm_and_say_who_was_not_heard_in_a_split() -> None:
+    world = World(4, [Limit("l", 40)], 7, is_new=False)
+    for instance in world.instances:
+        instance.state.tallies.born_at -= 1e9
+    Demand(world, lambda: [0, 1, 2, 3])
+    world.run(6_000)
+    told = world.instances[0].state.tallies.total(world.instances[0].clock(world.now), Limit("l", 40), 4)
+    assert told.high - told.low <= 160 and told.unheard == () and told.oldest_ms < 4_000
+    world.cuts = {(3, p) for p in range(3)}
+    world.run(12_000)
+    assert not world.miscounted()
+    told = world.instances[0].state.tallies.total(world.instances[0].clock(world.now), Limit("l", 40), 4)
+    assert told.unheard == (3,) and told.high - told.low >= 240
+
+
+def test_a_round_of_which_a_part_was_lost_does_not_count_as_heard() -> None:
+    counts, limit = Counts(0, -1e9), Limit("l", 5)
+    counts.merge(100.0, (1, 7), limit.number, 0, 3)
+    for total, as_of in ((4, float("-inf")), (3, 50.0), (2, 50.0)):
+        counts.heard(100.0, (1, 7), 20, 50.0, total)
+        assert counts.told[1][7].as_of == as_of
+    assert not counts.merge(100.0, (1, 7), limit.number, 9, 3)  # a window that can't be
+
+
 @settings(max_examples=300)
 @given(st.binary(max_size=120))
 def test_any_bytes_are_a_word_or_none(data: bytes) -> None:
