--- a/flintfield/cli/group.py
+++ b/flintfield/cli/group.py
@@ -28,6 +28,7 @@
     "lab": "flintfield.lab.cli:lab",
     "members": "flintfield.wire.membership.commands:members",
     "plan": "flintfield.wire.link.commands:plan",
+    "budgets": "flintfield.wire.sharing.commands:budgets",
     "keys": "flintfield.wire.membership.commands:keys",
     "store": "flintfield.store.command:store",
 }
--- a/flintfield/lab/fleet/commands.py
+++ b/flintfield/lab/fleet/commands.py
@@ -71,6 +71,8 @@
 
 def summary(outcome: Outcome, seed: int) -> dict[str, Any]:
     """What came of a trial, as plain values: times in ms, bytes of payload."""
+    from flintfield.lab.fleet.judge.limits import usage
+
     history, service = outcome.history, outcome.verdict.service
     carried = history.carried.values()
     return {
@@ -84,6 +86,7 @@
                     "lost": sum(c.lost for c in carried), "bytes": sum(c.bytes_passed for c in carried),
                     "bytes_s_each": round(sum(c.bytes_passed for c in carried) * 1000
                                           / max(1.0, history.end) / max(1, len(history.instances)), 1)},
+        "limits": usage(history),
         "claims": len(history.claims), "length_ms": round(history.end),
         "faults": [{"at": round(f.at, 1), "act": f.act, "kind": f.deed.fault.kind_of(),
                     "number": f.deed.number} for f in history.faults],
@@ -103,6 +106,9 @@
                    f"{one['refused']}, failed {one['failed']}")
     click.echo(f"between instances: {between['datagrams']} datagrams, {between['lost']} lost, "
                f"{between['bytes_s_each']:.0f} bytes/s each")
+    for one in told["limits"]:
+        click.echo(f"limit {one['name']}: {one['rights']}; admitted {one['admitted']}, refused "
+                   f"{one['refused']}; by second {' '.join(map(str, one['by_second']))}")
     if told["void"]:
         click.echo(f"void: {told['void']}")
     for finding in told["findings"]:
--- a/flintfield/lab/fleet/history.py
+++ b/flintfield/lab/fleet/history.py
@@ -13,6 +13,7 @@
 from flintfield.lab.fleet.net import Carried, Pair
 from flintfield.lab.fleet.plan import Bounds, Plan
 from flintfield.lab.fleet.schedule import Act, Deed
+from flintfield.lab.log import Log
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +56,9 @@
     processes: list[ProcessSeen] = field(default_factory=list)
     claims: list[Claim] = field(default_factory=list)
     carried: dict[Pair, Carried] = field(default_factory=dict)
+    log: Log = field(default_factory=Log)  # of the run, once it is over
+    refused_with: dict[str, int] = field(default_factory=dict)  # the status of refusals, by try
+    epoch_ms: float = 0.0  # Unix time of the run's time 0
     unclaimed: int = 0  # streams whose dialler could not be told
     end: float = 0.0
 
--- a/flintfield/lab/fleet/judge/__init__.py
+++ b/flintfield/lab/fleet/judge/__init__.py
@@ -11,14 +11,14 @@
 from dataclasses import dataclass
 
 from flintfield.lab.fleet.history import History
-from flintfield.lab.fleet.judge import passing, rules, views
+from flintfield.lab.fleet.judge import limits, passing, rules, views
 from flintfield.lab.fleet.judge.finding import Finding
 from flintfield.lab.judge import judge
 from flintfield.lab.log import End, Log
 from flintfield.lab.verdict import Verdict
 
 INVARIANTS: dict[str, Callable[[History], Iterable[Finding]]] = {
-    "passing": passing.check, "views": views.check,
+    "passing": passing.check, "views": views.check, "limits": limits.check,
 }
 MOST_KEPT = 20  # findings of one name that are kept whole
 
@@ -46,6 +46,7 @@
     void = end.void if isinstance(end, End) else "the log has no end"
     if void:
         return Outcome(log, history, verdict, [], void)
+    history.log = log
     findings = list(rules.check(verdict, log, history))
     for check in INVARIANTS.values():
         findings += check(history)
--- a/flintfield/lab/fleet/trial.py
+++ b/flintfield/lab/fleet/trial.py
@@ -119,7 +119,9 @@
 
     async def close(self) -> None:
         """Nothing more passes; who is stopped goes on, so that it can end."""
-        self.history.end = self._run.clock()
+        history, run = self.history, self._run
+        history.end, history.epoch_ms = run.clock(), run.clock.epoch_ms
+        history.refused_with = run.refused_with
         for task in list(self._tasks):
             task.cancel()
         if hasattr(self, "relays"):
@@ -201,8 +203,8 @@
     trial = Trial(plan, seed, folder)
     program: Sequence[str] = PROGRAM
     if plan.planted:
-        program = (sys.executable, "-m", "flintfield.lab.fleet.planted", msgspec.json.encode(
-            plan.planted).decode())
+        program = (sys.executable, "-m", "flintfield.lab.fleet.planted",
+                   msgspec.json.encode(plan.planted).decode())
     log = sockets.play(plan.played(), seed, program=program, folder=folder, beside=trial)
     return judge_trial(log, trial.history)
 
--- a/flintfield/lab/sockets/callers.py
+++ b/flintfield/lab/sockets/callers.py
@@ -126,6 +126,8 @@
         wait = max(0.0, wish.deadline_at - self._run.clock())
         headers = [(b"Host", b"origin.svc"), (b"Req-Id", attempt.rid.encode()),
                    (b"Req-Kind", wish.cls.name.encode()), (b"Req-Deadline", b"%.3fm" % wait)]
+        if wish.owner:
+            headers.append((b"Req-Owner", wish.owner.encode()))
         if wish.hint is not None:
             headers.append((b"Req-Cost", b"%d" % (wish.hint * 1000)))
         if wish.slots > 1:
@@ -159,6 +161,7 @@
             how = "served"
         elif response.status in (429, 503):
             how, advice = "refused", _advice(response)
+            self._run.refused_with[rid] = response.status
         body = response.body.decode("utf-8", "replace") if how == "served" else ""
         self._run.record(Answered(at, rid, how, body, advice))
         self.clients.ended(self._run.clock(), rid, how, advice)
--- a/flintfield/lab/sockets/context.py
+++ b/flintfield/lab/sockets/context.py
@@ -67,6 +67,7 @@
         self.names, self._zones = names, zones
         self.ways = ways  # from a node's name to what befalls connections to it, by real proxies on the way
         self.tries: dict[str, Try] = {}
+        self.refused_with: dict[str, int] = {}  # the status of refusals, by try
         self._branches: Counter[str] = Counter()
         self.alarms: list[Alarm] = []
         self.resets, self.reset_share = self.streams.of("sockets/resets"), 0.0
--- a/flintfield/lifecycle/units.py
+++ b/flintfield/lifecycle/units.py
@@ -22,6 +22,8 @@
     "queue": "flintfield.units.queues:FEATURE",
     "membership": "flintfield.units.membership:FEATURE",
     "role": "flintfield.units.role:FEATURE",
+    "sharing": "flintfield.units.sharing:FEATURE",
+    "quota": "flintfield.units.sharing:FEATURE",
 }
 """In the order in which units are built and asked. Sections of one feature name the same place."""
 
--- a/flintfield/membership/interface.py
+++ b/flintfield/membership/interface.py
@@ -21,6 +21,10 @@
 """Answers a question; at once, without waiting, and in at most MOST_BODY bytes."""
 
 
+Hearer = Callable[[str, bytes], None]
+"""Takes a word in: from which member, and what; quick."""
+
+
 class MetaTooLong(ValueError):
     """Metadata that does not fit."""
 
@@ -107,6 +111,11 @@
     """Tell this under `more[name]` (None: no longer); a `MetaTooLong` leaves all as it was."""
     answer: Callable[[str, Answerer], None]
     """Answer questions of this kind."""
+    say: Callable[[str, str, bytes], bool]
+    """Send a member, by name, a word of this kind, in at most MOST_BODY bytes; it may be lost, late or
+    doubled. False where it is not known or not there."""
+    hear: Callable[[str, Hearer], None]
+    """Take words of this kind in."""
     ask_all: Callable[[str, bytes, float, Callable[[bytes], bool] | None], Awaitable[Answers]]
     """Ask all others that are believed to be there a question of this kind, within so many ms; one that is
     silent is asked three times. An answer that the last argument calls enough ends the wait."""
--- a/flintfield/membership/messages.py
+++ b/flintfield/membership/messages.py
@@ -156,7 +156,14 @@
     body: Annotated[bytes, Meta(max_length=MOST_BODY)]
 
 
-Part = Alive | Suspect | Dead | Left | Ping | Ack | Ask | Nack | Astray | Query | Told
+class Said(msgspec.Struct, frozen=True, array_like=True, tag=12, gc=False):
+    """A word of this kind to a member's program, which nobody answers here; the core takes no notice."""
+
+    kind: Annotated[str, Meta(max_length=16)]
+    body: Annotated[bytes, Meta(max_length=MOST_BODY)]
+
+
+Part = Alive | Suspect | Dead | Left | Ping | Ack | Ask | Nack | Astray | Query | Told | Said
 
 
 class Known(msgspec.Struct, frozen=True, array_like=True, gc=False):
@@ -195,8 +202,8 @@
         return 20 + _text(part.host)
     if isinstance(part, Query):
         return 10 + _text(part.kind) + len(part.body)
-    if isinstance(part, Told):
-        return 10 + len(part.body)
+    if isinstance(part, Told | Said):
+        return 10 + len(part.body) + (_text(part.kind) if isinstance(part, Said) else 0)
     return 2 if isinstance(part, Astray) else 7
 
 
--- a/flintfield/memory/messages.py
+++ b/flintfield/memory/messages.py
@@ -78,6 +78,7 @@
     slots: float = 1.0
     memory: float = 0.0
     repeat: bool = False
+    owner: str = ""  # who the caller says the job is for (`Req-Owner`)
     front: str = ""  # who handed it in, where that is not the main listener: it is asked and answered
 
 
@@ -282,6 +283,7 @@
     body: bytes = b""
     retry_after_ms: float = 0.0
     close: bool = False
+    limited: bool = False  # refused for a limit that is the caller's own, not for want of room
 
 
 @value
--- a/flintfield/memory/reducer.py
+++ b/flintfield/memory/reducer.py
@@ -177,6 +177,8 @@
         state.counters[f"requests.taken.{given.class_name}"] += 1
         # Guards against a kill that finds unanswered what was taken after the program was told to end.
         deadline = min(self.now + max(0.0, given.wait_ms - DEADLINE_MARGIN_MS), state.settle_by)
+        if state.admission:
+            deadline = min(deadline, state.admission.latest(self.now, given))
         transaction = Transaction(message.rid, given, self.now, deadline)
         state.transactions[message.rid] = transaction
         state.timers.set(deadline, DeadlineDue(message.rid))  # first of all: whatever fails, this answers
@@ -203,6 +205,10 @@
         if ledger and ledger.refuses(given.class_name, tracked):
             self._refuse_unkept(message.rid)
             return
+        if state.admission and (away := state.admission.admit(self.now, message.rid, given)) is not None:
+            state.counters["requests.limited"] += 1
+            self._answer(message.rid, Verdict.REFUSED, retry_after_ms=away, limited=True)
+            return
         if len(state.transactions) > state.most_held:
             self._answer(message.rid, Verdict.REFUSED, retry_after_ms=state.limits.max_retry_after_ms)
             return
@@ -244,7 +250,8 @@
         self._answer(message.rid, Verdict.FAILED)  # should it only have ended its sending, it still gets one
         self._events.append(Gone(message.rid))
 
-    def _answer(self, rid: int, verdict: Verdict, body: bytes = b"", retry_after_ms: float = 0.0) -> None:
+    def _answer(self, rid: int, verdict: Verdict, body: bytes = b"", retry_after_ms: float = 0.0,
+                limited: bool = False) -> None:
         transaction = self.state.transactions.get(rid)
         if transaction is None or transaction.answered:
             return
@@ -255,10 +262,11 @@
             waits = self._keep_end(transaction, verdict, body)
         self.state.counters[f"answers.{verdict.value}.{transaction.submission.class_name}"] += 1
         if not waits:
-            self._give(rid, verdict, body, retry_after_ms)
+            self._give(rid, verdict, body, retry_after_ms, limited)
         self._forget_settled(transaction)
 
-    def _give(self, rid: int, verdict: Verdict, body: bytes = b"", retry_after_ms: float = 0.0) -> None:
+    def _give(self, rid: int, verdict: Verdict, body: bytes = b"", retry_after_ms: float = 0.0,
+              limited: bool = False) -> None:
         # Callers may keep a connection that serves to the last; one that does not sends them elsewhere.
         transaction = self.state.transactions.get(rid)
         if transaction and transaction.submission.front:
@@ -268,12 +276,14 @@
             return
         close = self.state.sends_away or (
             self.state.stopping and (verdict is not Verdict.SERVED or self.now >= self.last_call()))
-        self.effects.append(Answer(rid, verdict, body, retry_after_ms, close))
+        self.effects.append(Answer(rid, verdict, body, retry_after_ms, close, limited))
 
     def _forget_settled(self, transaction: Transaction) -> None:
         if transaction.settled():
             self.state.transactions.pop(transaction.rid, None)
             self.state.timers.cancel(DeadlineDue(transaction.rid))
+            if self.state.admission:
+                self.state.admission.settled(transaction.rid)
             if self._owns(transaction):
                 del self.state.names[transaction.submission.name]
                 if self.state.linked:
--- a/flintfield/memory/state.py
+++ b/flintfield/memory/state.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 from flintfield.decision.agenda import Agenda
 from flintfield.decision.interface import Action, Event, Limits, WorkerId
@@ -110,6 +110,19 @@
 Tap = Callable[[float, Event, Sequence[Action]], None]
 """Looks on: each event with its time as the decision module got it, and the actions it answered with."""
 
+class Admission(Protocol):
+    """Limits that a job must be within before the decision module hears of it. Pure, as the memory is."""
+
+    def latest(self, now: float, given: Submission) -> float:
+        """By when it must be settled, whatever its caller says; inf: no matter."""
+
+    def admit(self, now: float, rid: int, given: Submission) -> float | None:
+        """None: it is within all limits, and counted. Else for how many ms its caller should stay away."""
+
+    def settled(self, rid: int) -> None:
+        """A transaction is over, taken or not."""
+
+
 Handler = Callable[["Turn", Any], None]
 """Takes in a unit's own message within a turn of the reducer: no I/O, no clock but `turn.now`."""
 
@@ -125,6 +138,7 @@
         self.jobs = jobs  # None: what has become of jobs is not kept
         self.ledger: Ledger | None = None  # None: nothing lasts
         self.tap: Tap | None = None
+        self.admission: Admission | None = None  # None: jobs are within all limits
         self.handlers: dict[type, Handler] = {}  # of the messages that are units' own
         self.transactions: dict[int, Transaction] = {}
         self.names: dict[str, int] = {}  # the ids callers gave to the transactions that are not settled
--- a/flintfield/sharing/core.py
+++ b/flintfield/sharing/core.py
@@ -72,7 +72,12 @@
     places: int
 
 
-Message = Heard | Woke | Present | Configured
+@dataclass(frozen=True, slots=True)
+class Slept:
+    """The machine was suspended, and our clock did not count it: begin as a new life would."""
+
+
+Message = Heard | Woke | Present | Configured | Slept
 
 
 @dataclass(frozen=True, slots=True)
@@ -200,6 +205,10 @@
         uses.spend(now)
         return True
 
+    def has_free(self, now: float, name: str) -> bool:
+        """Whether a right of that limit could be spent now."""
+        return self._free_uses(now, self.by_name[name]) is not None
+
     def _free_uses(self, now: float, holding: Holding) -> Uses | None:
         if self.own_free(now, holding) > 0:
             return holding.uses
@@ -259,9 +268,20 @@
             state.present = places - {state.place}
         case Configured():
             effects += _configure(state, now, message)
+        case Slept():
+            _forget_leases(state, now)
     return effects
 
 
+def _forget_leases(state: Sharing, now: float) -> None:
+    """Nothing is held any more, and what we lent or spent may count for its whole time from now on."""
+    state.counters["slept"] += 1
+    state.tallies.end_life((state.place, state.life))
+    state.began, state.life = now, max(state.life + 1, int(now))
+    for holding in state.holdings.values():
+        holding.leases.clear()
+
+
 def _configure(state: Sharing, now: float, told: Configured) -> list[Effect]:
     """Limits are named, changed or no more. A part that shrinks counts at once; what is lent of it ends."""
     if told.places != state.places:
--- a/flintfield/sharing/counts.py
+++ b/flintfield/sharing/counts.py
@@ -94,6 +94,12 @@
         if sum(counts.get(source, 0) for counts in self.others.values()) >= total:
             told.as_of = max(told.as_of, echo_at)
 
+    def end_life(self, source: Source) -> None:
+        """We go on as another life: what this one spent is known, and told no more."""
+        for key, count in self.own.items():
+            self.others.setdefault(key, {})[source] = count
+        self.own = {}
+
     def stamp_of(self, source: Source) -> int:
         """The newest stamp that was heard of that life; 0: none."""
         told = self.told.get(source[0], {}).get(source[1])
--- a/flintfield/units/membership.py
+++ b/flintfield/units/membership.py
@@ -93,8 +93,7 @@
     """Is a member of the group."""
 
     def __init__(self, host: Host, given: Given) -> None:
-        told = given.one(SECTION)
-        assert told is not None  # it stands alone, and it is on
+        told = given.one(SECTION) or MembershipOn()  # without one it is on for another feature
         self._host, self._given = host, told
         if not re.fullmatch(f"[!-~]{{1,{MOST_NAME}}}", host.config.name):
             raise ConfigError(f"name: found {host.config.name!r}, expected up to {MOST_NAME} printable "
--- a/flintfield/wire/http1/caller.py
+++ b/flintfield/wire/http1/caller.py
@@ -23,6 +23,7 @@
 # hundreds of new connections.
 ACCEPT_TURN = 8
 YOUNG_S = 0.1  # a connection so young may have its first request on the way
+LIMITED = 429
 STATUS = {Verdict.SERVED: 200, Verdict.REFUSED: 503, Verdict.FAILED: 500}
 
 
@@ -62,7 +63,8 @@
         return Reply(200, answer.body, (), answer.close)
     advice = answer.verdict is Verdict.REFUSED and answer.retry_after_ms > 0
     headers = ((b"Retry-After", b"%.3f" % (answer.retry_after_ms / 1000)),) if advice else ()
-    return Reply(STATUS[answer.verdict], answer.verdict.value.encode() + b"\n", headers, answer.close)
+    status = LIMITED if answer.limited else STATUS[answer.verdict]
+    return Reply(status, answer.verdict.value.encode() + b"\n", headers, answer.close)
 
 
 class Callers:
--- a/flintfield/wire/http1/submission.py
+++ b/flintfield/wire/http1/submission.py
@@ -12,6 +12,7 @@
 from flintfield.memory.messages import Submission
 
 MOST_BODY = 65_536
+MOST_OWNER = 64  # characters of an owner's name that count
 UNITS = {"m": 1.0, "u": 0.001}
 NUMBER = re.compile(r"[0-9]{1,18}(\.[0-9]{0,18})?([eE][+-]?[0-9]{1,2})?")
 ID = re.compile(r"[!-~]{1,128}")
@@ -70,6 +71,7 @@
         slots=extras.get("slots") or extras.get("needs") or 1.0,
         memory=extras.get("memory") or extras.get("mem_needed") or 0.0,
         repeat=headers.get(b"req-retry") == b"1",
+        owner=_text(headers, b"req-owner")[:MOST_OWNER] if b"req-owner" in headers else "",
     )
 
 
--- a/flintfield/wire/membership/asks.py
+++ b/flintfield/wire/membership/asks.py
@@ -13,8 +13,8 @@
 
 import anyio
 
-from flintfield.membership.interface import Answerer
-from flintfield.membership.messages import Address, Query, Record, Told
+from flintfield.membership.interface import Answerer, Hearer
+from flintfield.membership.messages import Address, Query, Record, Said, Told
 from flintfield.membership.rules import MOST_BODY
 from flintfield.wire.membership.rates import Bucket
 
@@ -45,6 +45,7 @@
         self._open: dict[int, _Open] = {}
         self._bucket = Bucket(DATAGRAMS_S, DATAGRAMS_BURST)
         self.answerers: dict[str, Answerer] = {}
+        self.hearers: dict[str, Hearer] = {}
 
     async def ask(self, kind: str, body: bytes, within_ms: float, others: Sequence[Record],
                   is_enough: Callable[[bytes], bool] | None) -> tuple[dict[str, bytes], list[str]]:
@@ -104,4 +105,12 @@
             asked.told[record.name] = part.body
             asked.done.set()
 
-
+    def said(self, name: str, part: Said) -> None:
+        """A member has a word for one of our parts."""
+        if (hearer := self.hearers.get(part.kind)) is None:
+            self._count("words.unheard")
+            return
+        try:
+            hearer(name, part.body)
+        except Exception as error:  # guards the datagrams of all others
+            self._count(f"words.broken.{type(error).__name__}")
--- a/flintfield/wire/membership/commands.py
+++ b/flintfield/wire/membership/commands.py
@@ -22,18 +22,20 @@
 NO_ANSWER, NOT_SAFE = 1, 1
 
 
-def _fetch(at: str) -> Any:
+def fetch(at: str, page: str = "/members", section: str = "membership") -> Any:
+    """A page of a status port, as plain values; a `ClickException` tells why there is none."""
     try:
-        with urllib.request.urlopen(f"http://{at}/members", timeout=WITHIN_S) as answer:
+        with urllib.request.urlopen(f"http://{at}{page}", timeout=WITHIN_S) as answer:
             return json.loads(answer.read(MOST_PAGE))
     except urllib.error.HTTPError as error:
-        raise click.ClickException(f"{at}: answers {error.code}: is [membership] on there?") from error
+        raise click.ClickException(f"{at}: answers {error.code}: is [{section}] on there?") from error
     except (OSError, ValueError) as error:
         reason = getattr(error, "reason", error)
         raise click.ClickException(f"{at}: no answer from a status port: {reason}") from error
 
 
-def _address(text: str) -> str:
+def read_status_address(text: str) -> str:
+    """Check what `--at` names; a `BadInput` tells what is wrong with it."""
     from flintfield.base.config import read_address
 
     try:
@@ -53,9 +55,9 @@
 
     The instance needs [membership] and [statuspage]. Exit codes: 0, 1 if it does not answer, 2 for bad input.
     """
-    at = _address(at)
+    at = read_status_address(at)
     while True:
-        told = _fetch(at)
+        told = fetch(at)
         if as_json:
             click.echo(json.dumps(told))
         else:
@@ -156,7 +158,7 @@
         click.echo(f"{file}: others than its owner may read or write it (expected mode 600)")
         code = NOT_SAFE
     if at:
-        there = [m for m in _fetch(_address(at))["members"] if m["state"] in ("alive", "suspect")]
+        there = [m for m in fetch(read_status_address(at))["members"] if m["state"] in ("alive", "suspect")]
         lack = [m["name"] for m in there if ring[0].name not in m["keys"]]
         old = [m["name"] for m in there if set(m["keys"]) - {ring[0].name}]
         if lack:
--- a/flintfield/wire/membership/group.py
+++ b/flintfield/wire/membership/group.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from flintfield.membership.interface import Answerer, Load, Member, Members, Meta, Watcher, read_meta
+from flintfield.membership.interface import Answerer, Hearer, Load, Member, Members, Meta, Watcher, read_meta
 from flintfield.membership.messages import (
     WORDS, Address, Changed, MetaSet, Noted, Record, Renamed, Status, Updated,
 )
@@ -45,7 +45,8 @@
 
     def face(self) -> Members:
         """The interface for units."""
-        return Members(self.members, self._watchers.append, self.set_more, self.answer, self.shell.ask_all)
+        return Members(self.members, self._watchers.append, self.set_more, self.answer, self.shell.say,
+                       self.hear, self.shell.ask_all)
 
     # ------------------------------------------------------------ the list
 
@@ -116,6 +117,10 @@
         """Answer questions of this kind."""
         self.shell.asks.answerers[kind] = answerer
 
+    def hear(self, kind: str, hearer: Hearer) -> None:
+        """Take words of this kind in."""
+        self.shell.asks.hearers[kind] = hearer
+
     # ------------------------------------------------------------ news
 
     def notice(self, effect: Notice) -> None:
--- a/flintfield/wire/membership/member.py
+++ b/flintfield/wire/membership/member.py
@@ -22,9 +22,9 @@
 from flintfield.membership.interface import Answers
 from flintfield.membership.messages import (
     Address, Begin, Changed, Effect, Gone, Heard, Input, KeysSet, LeaveAsked, Noted, OpenExchange, Query,
-    Record, Renamed, ReplyExchange, Send, SessionSet, Status, Told, Updated, Woke,
+    Record, Renamed, ReplyExchange, Said, Send, SessionSet, Status, Told, Updated, Woke,
 )
-from flintfield.membership.rules import MOST_KEYS, Rules
+from flintfield.membership.rules import MOST_BODY, MOST_KEYS, Rules
 from flintfield.membership.state import Counts, State
 from flintfield.wire.membership.asks import Asks
 from flintfield.wire.membership.codec import LEAST, MOST
@@ -184,15 +184,35 @@
 
     def _hand_on(self, opened: Opened, source: Address) -> None:
         """Questions and answers to whom they are for, all else to the core."""
-        ours = [p for p in opened.parts if isinstance(p, Query | Told)]
-        rest = tuple(p for p in opened.parts if not isinstance(p, Query | Told)) if ours else opened.parts
+        ours = [p for p in opened.parts if isinstance(p, Query | Told | Said)]
+        rest = opened.parts
+        if ours:
+            rest = tuple(p for p in opened.parts if not isinstance(p, Query | Told | Said))
         own = self.state.own
         if opened.to == own.record.session or opened.to in own.former:
             for part in ours:
-                self.asks.heard(source, opened.sender, part)
+                if isinstance(part, Said):
+                    self._said(opened.sender, part)
+                else:
+                    self.asks.heard(source, opened.sender, part)
         if rest:
             self.tell(Heard(source, opened.sender, opened.to, rest))
 
+    def _said(self, session: int, part: Said) -> None:
+        """Guards against words under a name that we do not know: their sender is not in our table yet."""
+        if (record := self._record_of(session)) is None:
+            self._count("words.strangers")
+        else:
+            self.asks.said(record.name, part)
+
+    def say(self, name: str, kind: str, body: bytes) -> bool:
+        """Send a member that is believed to be there a word; whether it is."""
+        entry = self.state.table.get(name)
+        if entry is None or not entry.live or len(body) > MOST_BODY:
+            return False
+        self.datagrams.send(entry.record.address, entry.record.session, (Said(kind, body),))
+        return True
+
     # ------------------------------------------------------------ questions
 
     async def ask_all(self, kind: str, body: bytes, within_ms: float,
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -225,11 +225,12 @@
         return HTTPConnection("127.0.0.1", self.port, timeout=SOON)
 
     def submit(self, cls: str = "match-list", name: str = "", wait: str = "8000m", body: bytes = b"job",
-               on: HTTPConnection | None = None, cost: str = "900") -> HTTPConnection:
+               on: HTTPConnection | None = None, cost: str = "900", owner: str = "") -> HTTPConnection:
         """Send a job's request; `getresponse()` of what is returned waits for the answer."""
         connection = on or self.connect()
         given = {"Req-Id": name or os.urandom(8).hex(), "Req-Kind": cls, "Req-Deadline": wait}
-        connection.request("POST", f"/{cls}?a=1", body, given | {"Req-Cost": cost})
+        given |= {"Req-Cost": cost} | ({"Req-Owner": owner} if owner else {})
+        connection.request("POST", f"/{cls}?a=1", body, given)
         return connection
 
     def get(self, path: str) -> HTTPResponse:
--- a/tests/support/group.py
+++ b/tests/support/group.py
@@ -94,7 +94,8 @@
     started: list[Instance] = []
     try:
         for number, port in enumerate(ports):
-            ini = (f"[membership]\nport = {port}\nseeds = {told}\n{more}[jobstatus]\n"
+            own = more.replace("PLACE", str(number))
+            ini = (f"[membership]\nport = {port}\nseeds = {told}\n{own}[jobstatus]\n"
                    f"[statuspage]\nport = 0\nrefresh_ms = 50\n")
             started.append(Instance(folder, f"n{number}", ini, hops, count, loss))
         yield started
