--- a/tests/test_sharing_core.py
+++ b/tests/test_sharing_core.py
@@ -8,7 +8,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from flintfield.lab.sharing import histories
+from flintfield.lab.sharing import exhaustive, histories
 from flintfield.lab.sharing.usable import Demand, measure, share_used
 from flintfield.lab.sharing.world import Net, World
 from flintfield.sharing.book import Book
@@ -72,6 +72,13 @@
         assert any(p.passed or p.miscounted for p in played)
 
 
+def test_no_small_history_passes_a_limit_whatever_the_order() -> None:
+    told = exhaustive.explore(4, processes=2)  # 15 s; by hand 5 steps are 55 s on 8 cores
+    assert told["passed"] == 0 and told["lent at the start"] == 5 and int(str(told["steps"])) > 15_000
+    for fault in ("no-quiet-start", "unstretched-clocks"):
+        assert exhaustive.explore(3, fault, processes=2)["passed"]
+
+
 def test_rights_go_where_the_demand_is_and_each_side_of_a_split_has_its_part() -> None:
     told = measure(5, 1, 100)
     assert told["passed"] == 0 and told["all at one"] >= 0.95 and told["second second"] >= 0.9
