--- a/flintfield/sharing/book.py
+++ b/flintfield/sharing/book.py
@@ -49,11 +49,12 @@
     def __init__(self, window_ms: float, is_pool: bool) -> None:
         self.window_ms, self._is_pool = window_ms, is_pool
         self.accounts: dict[Borrower, Account] = {}
-        self._out, self._next_end = 0, math.inf
+        self._out = 0
+        self.next_end = math.inf  # when the first line ends
 
     def out(self, now: float) -> int:
         """What may be spent by borrowers, at the most."""
-        if now >= self._next_end:
+        if now >= self.next_end:
             self._sum_up(now)
         return self._out
 
@@ -72,7 +73,7 @@
                 continue
             out += account.most
             end = min([end, *(line.until for line in account.lines)])
-        self._out, self._next_end = out, end
+        self._out, self.next_end = out, end
 
     def account(self, borrower: Borrower) -> Account:
         """That borrower's account, opened if there is none."""
--- a/flintfield/sharing/core.py
+++ b/flintfield/sharing/core.py
@@ -141,6 +141,10 @@
     refused: int = 0
     promised: float = -math.inf  # the last time that was told to one that was refused
     is_short: bool = False  # refused since the last tick
+    last: Lease | None = None  # the last that had a free right
+    dry_until: float = -math.inf  # nothing comes free before
+    frees_at: float = math.inf  # as of the last time that nothing was free: when something may be
+    rights_here: int = 0  # and how many rights there were, all spent
     recalled_at: float = -math.inf  # when an owner last took some back: others want them
 
     @property
@@ -210,13 +214,34 @@
         return self._free_uses(now, self.by_name[name]) is not None
 
     def _free_uses(self, now: float, holding: Holding) -> Uses | None:
+        if now < holding.dry_until:
+            return None
         if self.own_free(now, holding) > 0:
             return holding.uses
+        if holding.last is not None and holding.last.free(now) > 0:
+            return holding.last.uses
         for lease in holding.leases.values():
             if lease.free(now) > 0:
+                holding.last = lease
                 return lease.uses
+        self._run_dry(now, holding)
         return None
 
+    def _run_dry(self, now: float, holding: Holding) -> None:
+        """Nothing is free: note until when nothing can come free by time alone: the next refusal is cheap.
+
+        Whatever else frees a right sets `dry_until` back; a pool's rights are given back by their jobs.
+        """
+        window = holding.limit.window_ms
+        ends = [holding.uses.next_end(), holding.book.next_end,
+                *(lease.uses.next_end() for lease in holding.leases.values()),
+                *(at for at in (self.began + cool_ms(window) * DRIFT, self.began + hold_ms(LEASE_MS, window))
+                  if at > now)]
+        holding.frees_at = min(ends)
+        holding.rights_here = self.own_part(now, holding) + holding.held(now)
+        if not holding.limit.is_pool:
+            holding.dry_until = holding.frees_at
+
     def own_free(self, now: float, holding: Holding) -> int:
         """Rights of our own part that may be spent now."""
         return max(0, self.own_part(now, holding) - holding.uses.advance(now) - holding.book.out(now))
@@ -235,10 +260,7 @@
         Each refusal is told a later time: guards against all coming again at once.
         """
         holding = self.by_name[name]
-        ends = [holding.uses.next_end(), *(lease.uses.next_end() for lease in holding.leases.values())]
-        rights = max(1, self.own_part(now, holding) + holding.held(now))
-        begins = self.began + cool_ms(holding.limit.window_ms) * DRIFT
-        first = max(now, begins) if self.own_part(now, holding) == 0 and now < begins else min(ends)
+        first, rights = holding.frees_at, max(1, holding.rights_here)
         if first == math.inf:  # nothing is occupied: rights may come from others within a lease
             first = now + min(holding.limit.window_ms, LEASE_MS)
         step = holding.limit.window_ms / rights
@@ -280,6 +302,7 @@
     state.began, state.life = now, max(state.life + 1, int(now))
     for holding in state.holdings.values():
         holding.leases.clear()
+        holding.last, holding.dry_until = None, -math.inf
 
 
 def _configure(state: Sharing, now: float, told: Configured) -> list[Effect]:
@@ -298,11 +321,12 @@
         elif holding.limit.window_ms != limit.window_ms:  # what is out counts as it did
             holding.uses.occupied_ms = cool_ms(limit.window_ms)
             holding.book.window_ms = limit.window_ms
-        holding.limit = limit
+        holding.limit, holding.dry_until = limit, -math.inf
     for number, holding in list(state.holdings.items()):
         if number not in named:  # it may come back: its book must be known then
             holding.limit = Limit(holding.limit.name, 0, holding.limit.window_ms, holding.limit.is_pool)
             holding.leases.clear()
+            holding.last = None
             if not holding.book.out(now) and not holding.uses.advance(now):
                 del state.holdings[number]
     state.by_name = {h.limit.name: h for n, h in state.holdings.items() if n in named}
@@ -320,6 +344,7 @@
             state._agreed = state.places
         numbers.add(state._agreed)
     for holding in state.holdings.values():
+        holding.dry_until = -math.inf
         holding.part = min(holding.limit.part(state.place, n) for n in numbers)
 
 
@@ -388,6 +413,7 @@
         return []
     book = holding.book
     book.lower(now, borrower, ask.number, ask.keep, ask.occupied)
+    holding.dry_until = -math.inf
     account = book.account(borrower)
     if ask.asked_at <= account.asked_at:
         return []  # late or doubled: answered before
@@ -462,6 +488,7 @@
             return []
         lease = holding.leases[owner] = Lease(0, 0, 0.0, Uses(cool_ms(limit.window_ms)), asked_at)
     lease.number, lease.keep, lease.until = grant.number, grant.n, until
+    holding.dry_until = -math.inf
     state.due = min(state.due, now + TICK_MS)
     if grant.n:
         state.counters["borrowed"] += 1
@@ -529,6 +556,8 @@
     for owner in list(holding.leases):
         lease = holding.leases[owner]
         if now >= lease.until and not lease.uses.advance(now):
+            if holding.last is lease:
+                holding.last = None
             del holding.leases[owner]
 
 
--- a/tests/test_sharing_unit.py
+++ b/tests/test_sharing_unit.py
@@ -7,6 +7,8 @@
 import queue
 import random
 import signal
+import subprocess
+import sys
 import time
 import urllib.request
 from collections import Counter
@@ -23,7 +25,7 @@
 from flintfield.sharing.core import Sharing
 from flintfield.sharing.limits import Limit
 from flintfield.sharing.quota import Quota, Quotas
-from peers import Hop, ended, until
+from peers import ROOT, Hop, ended, until
 from support.fleet import played
 from support.group import group
 from test_fleet_trials import history
@@ -67,6 +69,15 @@
     assert quotas.admit(later[0] + 1, 20, job("north")) is None  # what was told is true
 
 
+def test_without_its_section_nothing_of_it_is_imported(tmp_path: Path) -> None:
+    seen = "import sys, flintfield.lifecycle.start as s; s.main(['--ini', sys.argv[1]]); " \
+           "print([m for m in sys.modules if 'sharing' in m or 'lab' in m.split('.')])"
+    (tmp_path / "ini").write_text("[jobstatus]\n[statuspage]\nport = 0\n")
+    done = subprocess.run([sys.executable, "-c", seen, str(tmp_path / "ini")], cwd=ROOT, text=True,
+                          capture_output=True, timeout=20)
+    assert done.stdout.splitlines()[-1] == "[]"
+
+
 def test_words_for_parts_of_the_program_ride_on_datagrams() -> None:
     packet, skipped = read_packet(write_packet(7, 1, (Said("sharing", b"abc"),)))
     assert packet.parts == [Said("sharing", b"abc")] and not skipped
