--- a/flintfield/lab/fleet/commands.py
+++ b/flintfield/lab/fleet/commands.py
@@ -7,6 +7,7 @@
 
 import sys
 import tempfile
+import time
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -18,6 +19,7 @@
 
 if TYPE_CHECKING:
     from flintfield.lab.fleet.judge import Outcome
+    from flintfield.lab.fleet.plan import Plan
 
 FOUND, VOID = 1, 3
 
@@ -69,6 +71,42 @@
     sys.exit(VOID if outcome.void else FOUND if outcome.findings else 0)
 
 
+@fleet.command()
+@click.argument("plan", metavar="PLAN")
+@click.option("--seed", type=int, default=1, show_default=True, help="the first schedule's")
+@click.option("--minutes", type=click.FloatRange(0, min_open=True), default=10.0, show_default=True)
+@click.option("--out", type=click.Path(dir_okay=False, path_type=Path), default=Path("found.toml"),
+              show_default=True, help="where the plan is written that replays what was found")
+def hunt(plan: str, seed: int, minutes: float, out: Path) -> None:
+    """Play PLAN with faults drawn in the place of its own, until something breaks or the time is up.
+
+    What breaks is shrunk to the fewest faults and instances that still break it. Exit codes: 0 nothing was
+    found, 1 something was, 2 bad input.
+    """
+    from flintfield.lab.fleet import hunt as hunting, plan as plans
+    from flintfield.lab.fleet.trial import play
+
+    try:
+        base = plans.load(plan)
+    except ScenarioError as error:
+        raise BadInput(f"lab fleet: {error}") from error
+    until = time.monotonic() + 60 * minutes
+
+    def played(drawn: Plan) -> set[str]:
+        with tempfile.TemporaryDirectory(prefix="flintfield-fleet-") as passing:
+            return play(drawn, seed, Path(passing)).names
+
+    found = hunting.hunt(base, seed, played, lambda: time.monotonic() < until,
+                         lambda word: click.echo(word, err=True))
+    if found is None:
+        click.echo("nothing found")
+        return
+    out.write_text(plans.write(found.plan))
+    click.echo(f"{', '.join(sorted(found.names))}: {len(found.plan.faults)} faults after {found.played} "
+               f"trials; {out} replays it")
+    sys.exit(FOUND)
+
+
 def summary(outcome: Outcome, seed: int) -> dict[str, Any]:
     """What came of a trial, as plain values: times in ms, bytes of payload."""
     from flintfield.lab.fleet.judge.limits import usage
--- a/tests/test_fleet_trials.py
+++ b/tests/test_fleet_trials.py
@@ -12,7 +12,7 @@
 import pytest
 
 from flintfield.cli.group import run_command
-from flintfield.lab.fleet import plan as plans
+from flintfield.lab.fleet import hunt as hunting, plan as plans
 from flintfield.lab.fleet.history import Claim, FaultSeen, History, ProcessSeen
 from flintfield.lab.fleet.judge import views
 from flintfield.lab.fleet.net import Net
@@ -163,6 +163,27 @@
     assert next(views.check(early)).name == "false-death"
 
 
+def test_a_hunt_draws_the_same_from_a_seed_and_shrinks_what_breaks_to_what_is_needed() -> None:
+    base = plans.load("budgets")
+    drawn = [hunting.draw(base, seed) for seed in range(200)]
+    assert drawn == [hunting.draw(base, seed) for seed in range(200)]
+    for plan in drawn:  # each could have been written, and each smaller one too
+        assert plans.read(plans.write(plan), "p") == plan
+        assert all(plans.read(plans.write(less), "p") == less for less in hunting.smaller(plan))
+        assert all(f.at_s + f.for_s <= 36.0 - base.bounds.heal_s for f in plan.faults)
+    assert {f.kind_of() for p in drawn for f in p.faults} == {
+        "cut", "loss", "delay", "duplicate", "reset", "kill", "term", "stop"}
+
+    def play(plan: plans.Plan) -> set[str]:
+        kinds = {f.kind_of() for f in plan.faults if f.for_s >= 0.4}
+        return {"views"} if {"cut", "stop"} <= kinds else set()
+
+    found = hunting.hunt(base, 0, play, lambda: True)
+    assert found and sorted(f.kind_of() for f in found.plan.faults) == ["cut", "stop"]
+    assert found.plan.played().schedulers.count < 5 and all(f.for_s < 0.9 for f in found.plan.faults)
+    assert hunting.hunt(base, 0, lambda _: set(), iter([True, True, False]).__next__) is None
+
+
 def test_five_real_instances_with_a_cut_and_a_kill_break_no_rule_and_agree_again(tmp_path: Path) -> None:
     outcome = played(plans.load("cut+kill"), 1, tmp_path)  # 18 s
     assert outcome.findings == []
