Set right who alone holds a living member for dead, and mend two faults of the judge

Cause: membership/meeting.py, reconnect_due looks with the chance 2/(n-1) each 10 s, which counts on all members missing the same one; who alone missed the news waits n times as long, or for a table (30 s). The living one probed it meanwhile. Change: who is spoken to by one that it holds for dead tells it so, and a Dead about oneself is answered directly.

--- a/flintfield/lab/fleet/trial.py
+++ b/flintfield/lab/fleet/trial.py
@@ -158,7 +158,7 @@
                 self._deeds.kill(place)
             case Term(), True:
                 self._deeds.out(place)
-                scheduler.signal(signal.SIGTERM)
+                self._deeds.term(place)
             case Stop(), True if scheduler.alive:
                 scheduler.signal(signal.SIGSTOP)
                 self._process(place, "stopped")
--- a/flintfield/lab/judge/answer.py
+++ b/flintfield/lab/judge/answer.py
@@ -44,6 +44,7 @@
         self._held: dict[str, dict[str, Try]] = {}  # by scheduler: the tries that it owes an answer
         self._stopping: dict[str, tuple[float, int]] = {}
         self._ends: dict[str, _End] = {}  # of tries whose scheduler has ended, by rid
+        self._killed: set[str] = set()  # schedulers that are down after a kill
 
     def _broke(self, at: float, word: str, *proof: int) -> None:
         self._findings.broke("answer", at, word, proof)
@@ -120,6 +121,8 @@
         elif record.by == "death":
             if end := self._ends.get(found.rid):
                 self._after_end(found, end, place, record.at)
+            elif found.scheduler in self._killed:  # its kernel took a connection while it died
+                self._settle(found, "released", place, record.at)
         elif record.by == "network" or record.at < found.deadline_at:
             self._settle(found, "left", place, record.at)
 
@@ -145,11 +148,14 @@
         name = record.scheduler
         if record.state == "up":
             self._stopping.pop(name, None)
+            self._killed.discard(name)
         elif record.state == "stopping":
             self._stopping.setdefault(name, (record.at, place))
         else:
             stopping = self._stopping.pop(name, None)
             held = self._held.pop(name, {})
+            if record.state == "killed":
+                self._killed.add(name)
             if record.state == "ended" and stopping is None:
                 self._broke(record.at, f"{name} ended without being told, with {len(held)} tries unanswered",
                             place, *(t.asked for t in held.values()))
--- a/flintfield/lab/sockets/beside.py
+++ b/flintfield/lab/sockets/beside.py
@@ -18,6 +18,7 @@
     """What the engine does to its processes for somebody else; by the scheduler's place."""
 
     kill: Callable[[int], None]  # SIGKILL, written down
+    term: Callable[[int], None]  # SIGTERM, written down
     restart: Callable[[int], None]  # a new process once the last is over; clients return when it is ready
     out: Callable[[int], None]  # the front sends no more clients there, until it is up
     up: Callable[[int], None]  # clients go there again
--- a/flintfield/lab/sockets/engine.py
+++ b/flintfield/lab/sockets/engine.py
@@ -132,6 +132,7 @@
                 await self.nodes[machine.name].start(cold=False)
             await self.beside.open(self.run, self.schedulers, Deeds(
                 lambda place: self._kill(self.schedulers[place]),
+                lambda place: self._term(self.schedulers[place]),
                 lambda place: self._go(self._restart(place)),
                 lambda place: self.front.out(self.run.clock(), place),
                 lambda place: self.front.up(self.run.clock(), place),
@@ -358,6 +359,11 @@
         self.front.died(self.run.clock(), scheduler.place)
         self.beside.ended(scheduler.place)
 
+    def _term(self, scheduler: Scheduler) -> None:
+        if scheduler.alive:
+            self.run.record(SchedulerState(self.run.at(), scheduler.name, "stopping"))
+            scheduler.signal(signal.SIGTERM)
+
     def _kill(self, scheduler: Scheduler) -> None:
         if scheduler.alive:
             self.run.record(SchedulerState(self.run.at(), scheduler.name, "killed"))
@@ -481,10 +487,7 @@
         self.front.out(self.run.clock(), deed.place)
 
     def _scheduler_term(self, deed: Deed) -> None:
-        scheduler = self.schedulers[deed.place]
-        if scheduler.alive:
-            self.run.record(SchedulerState(self.run.at(), scheduler.name, "stopping"))
-            scheduler.signal(signal.SIGTERM)
+        self._term(self.schedulers[deed.place])
 
     def _scheduler_kill(self, deed: Deed) -> None:
         self._kill(self.schedulers[deed.place])
--- a/flintfield/membership/core.py
+++ b/flintfield/membership/core.py
@@ -51,7 +51,8 @@
 from flintfield.membership import judging, meeting, probing
 from flintfield.membership.messages import (
     Ack, Alive, Ask, Astray, Begin, Dead, Effect, ExchangeFailed, Heard, Input, KeysSet, LeaveAsked, Left,
-    MetaSet, Nack, Part, Ping, ReplyExchange, SessionSet, Suspect, TableAsked, TableTold, Woke,
+    MetaSet, Nack, Part, Ping, ReplyExchange, SessionSet, Status, Suspect, TableAsked, TableTold,
+    Woke,
 )
 from flintfield.membership.state import State, Turn
 
@@ -132,6 +133,9 @@
         if not (len(heard.parts) == 1 and isinstance(heard.parts[0], Astray)):
             meeting.went_astray(turn, heard.source, heard.sender)
         return
+    entry = turn.state.table.of_session(heard.sender)
+    if entry is not None and entry.status is Status.DEAD:
+        meeting.tell_of_death(turn, heard.source, entry)
     for part in heard.parts:
         _take(turn, heard, part)
 
@@ -150,6 +154,8 @@
             judging.hear_suspect(turn, part)
         case Dead():
             judging.hear_dead(turn, part)
+            if part.name == turn.state.name and not turn.state.own.leaving:
+                turn.send(heard.source, heard.sender, Alive(turn.state.own.record))  # not by chance alone
         case Left():
             judging.hear_left(turn, part)
         case Ask():
--- a/flintfield/membership/meeting.py
+++ b/flintfield/membership/meeting.py
@@ -13,7 +13,7 @@
     hear_alive, hear_former_life, hear_left, hear_suspect, set_own_record,
 )
 from flintfield.membership.messages import (
-    Address, Astray, Changed, Gone, Known, Left, OpenExchange, Status, Suspect,
+    Address, Astray, Changed, Dead, Gone, Known, Left, OpenExchange, Status, Suspect,
 )
 from flintfield.membership.rules import FORMER_MS
 from flintfield.membership.state import Turn
@@ -93,6 +93,21 @@
         open_exchange(turn, sorted(missed)[meeting.next_gone % len(missed)])
 
 
+def tell_of_death(turn: Turn, source: Address, entry: Entry) -> None:
+    """One that we hold for dead speaks to us: tell it, so that it objects to us.
+
+    Guards against one wrong view that lasts. News of a return are told so many times and no more; who missed
+    all of them is alone with its belief, and the looks that all make together (`reconnect_due`) are rare.
+    """
+    meeting = turn.state.meeting
+    if turn.now - meeting.told_of_death_at < ASTRAY_MS:
+        return
+    meeting.told_of_death_at = turn.now
+    turn.count("dead_spoke")
+    record = entry.record
+    turn.send(source, record.session, Dead(record.name, entry.incarnation, turn.state.name))
+
+
 # ---------------------------------------------------------------------- whole tables
 
 
--- a/tests/test_lab_judge.py
+++ b/tests/test_lab_judge.py
@@ -118,6 +118,17 @@
     assert rules(story.end()) == ["answer"] * broken
 
 
+@pytest.mark.parametrize(("back", "broken"), [(False, []), (True, ["answer"])])
+def test_what_a_killed_scheduler_still_took_is_owed_by_nobody(back: bool, broken: list[str]) -> None:
+    story = Story()
+    story.add(log.SchedulerState, 100, scheduler="s0", state="killed")
+    if back:
+        story.add(log.SchedulerState, 100, scheduler="s0", state="up")
+    story.ask("r", 101)
+    story.add(log.ConnectionLost, 105, rid="r", by="death")
+    assert rules(story.end()) == broken
+
+
 def test_an_answer_on_its_way_when_its_scheduler_ends_counts() -> None:
     story = Story()
     story.add(log.SchedulerState, 50, scheduler="s0", state="stopping")
--- a/tests/test_membership_core.py
+++ b/tests/test_membership_core.py
@@ -238,6 +238,20 @@
     assert parties[1].state.counters["stalls"] >= 1
 
 
+def test_one_that_alone_holds_a_living_member_for_dead_is_set_right_by_it() -> None:
+    took = []
+    for seed in range(10):
+        world, parties, _ = settled(5, seed=seed)
+        world.run(20_000)
+        wrong, name, began = parties[1].state.table, parties[2].state.name, world.now
+        entry = wrong.get(name)
+        assert entry is not None
+        wrong.set_status(entry, DEAD, began, "it missed the news of a return")
+        world.run(60_000, lambda: statuses(parties[1])[name] is ALIVE)  # noqa: B023
+        took.append(world.now - began)
+    assert max(took) < 8_000 and sum(p.state.counters["dead_spoke"] for p in parties) > 0
+
+
 def test_halves_of_a_lasting_split_grow_together_again() -> None:
     rules = replace(RULES, tombstone_ms=60_000.0)
     world, parties, views = settled(10, rules=rules)
