--- a/flintfield/lab/fleet/trial.py
+++ b/flintfield/lab/fleet/trial.py
@@ -13,6 +13,7 @@
 import socket
 import sys
 from collections.abc import Sequence
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -108,8 +109,8 @@
     def set_off(self) -> None:
         """Faults and claims begin."""
         loop = asyncio.get_running_loop()
-        for seen in self.history.processes:  # before time 0: the clock was set
-            object.__setattr__(seen, "at", min(seen.at, 0.0))
+        # Before time 0: the clock was set.
+        self.history.processes = [replace(seen, at=min(seen.at, 0.0)) for seen in self.history.processes]
         for deed in deeds_of(self.plan, self.history.instances, self.history.zones):
             loop.call_later(deed.at / 1000, self._do, deed)
         if "statuspage" in self.plan.sections:
--- a/flintfield/sharing/book.py
+++ b/flintfield/sharing/book.py
@@ -47,7 +47,7 @@
     """What is lent of one part."""
 
     def __init__(self, window_ms: float, is_pool: bool) -> None:
-        self.window_ms, self._is_pool = window_ms, is_pool
+        self.window_ms, self.is_pool = window_ms, is_pool
         self.accounts: dict[Borrower, Account] = {}
         self._out = 0
         self.next_end = math.inf  # when the first line ends
@@ -85,7 +85,7 @@
         if account is None:
             return
         # What is still occupied of a rate ends this long after it was told; a pool's jobs may go on longer.
-        end = math.inf if self._is_pool else now + cool_ms(self.window_ms) * DRIFT * DRIFT
+        end = math.inf if self.is_pool else now + cool_ms(self.window_ms) * DRIFT * DRIFT
         for line in account.lines:
             if line.number < number:
                 line.n, line.until = min(line.n, occupied), min(line.until, end)
--- a/tests/test_sharing_core.py
+++ b/tests/test_sharing_core.py
@@ -174,6 +174,20 @@
     assert not world.passed
 
 
+def test_a_window_that_grows_counts_for_rights_that_are_held_already() -> None:
+    world = World(3, [Limit("l", 30, 500.0)], 4, is_new=False)
+    Demand(world, lambda: [0])
+    world.run(3_000)
+    longer = Limit("l", 30, 2_000.0)
+    for place in range(3):
+        world.configure(place, [longer])
+    world.run(world.now + 2 * hold_ms(LEASE_MS, 2_000.0))
+    ledger = world.ledgers["l"]
+    ledger.limit, ledger.most, ledger.passed = longer, 0, []
+    world.run(world.now + 6_000)
+    assert ledger.most > 10 and not world.passed
+
+
 def test_a_grown_number_of_places_is_kept_to_by_all_before_anybody_has_more() -> None:
     world = World(4, [Limit("l", 12)], 2, is_new=False)
     parts = []
