Move what a job alone tells of rules 2 and 3 out of the policy file

Change: may_go, bound and is_harmless are pure functions of a job and the settings in decision/repeats.py; no decision is another.

--- a/flintfield/decision/policy.py
+++ b/flintfield/decision/policy.py
@@ -16,12 +16,13 @@
 from flintfield.decision.byhand import Hands
 from flintfield.decision.fleet import Fleet
 from flintfield.decision.interface import (
-    Action, AttemptEnded, ByHand, Cancel, Effect, Entry, Event, Fail, First, Gone, Group, ListMode, Note,
+    Action, AttemptEnded, ByHand, Cancel, Effect, Entry, Event, Fail, First, Gone, ListMode, Note,
     Outcome, Probe, Probed, Refuse, Report, Request, Send, ServerList, SetTimer, Settings, Timer, Watch,
 )
 from flintfield.decision.records import (
     Accounts, Attempt, Held, Job, Mean, Sort, Timers, Worker, lot, place_of,
 )
+from flintfield.decision.repeats import bound, is_harmless, may_go
 from flintfield.decision.shares import Goods, Order, step_down
 
 TICK_MS = 100.0  # a price step; jittered so that dispatchers do not step alike
@@ -342,10 +343,10 @@
 
     def _place(self, job: Job, anywhere: bool = False) -> bool:
         """Draw a worker with room for the job; while there is none, or none it can pay, it is held here."""
-        worker = self._draw(job, anywhere) if self._may_go(job) else None
+        worker = self._draw(job, anywhere) if may_go(job, self.settings, self.now) else None
         if worker is None:
             if not job.running():  # one that waits at a worker is not held as well: thousands may in a jam
-                self.held.put(job, (self._bound(job) or ("", -1))[1])
+                self.held.put(job, (bound(job, self.settings) or ("", -1))[1])
             return False
         self.held.take_out(job)
         settings, rid, slots = self.settings, job.request.rid, job.request.slots
@@ -387,52 +388,28 @@
     def _pick(self, job: Job, order: Order, allowed: Callable[[Worker], bool]) -> Worker | None:
         """One worker by its share among those of that order that are allowed."""
         pace = max(self.pace.value or 1.0, 1e-6)
-        return self.fleet.draw(order, allowed, self.random, pace, job.request.key, self._bound(job))
-
-    def _may_go(self, job: Job) -> bool:
-        """Rules 2 and 3 as far as the job alone tells: may it be sent, or sent again, now?"""
-        if not job.attempts:
-            return True
-        cls, limits, past = self.settings.classes[job.request.cls], self.settings.limits, job.maybe_ran()
-        if len(job.attempts) >= limits.max_attempts:
-            return False
-        if not past:
-            return True
-        if cls.effect is Effect.UNSAFE or (not limits.second_copies and job.running()):
-            return False
-        until = past[0].at + cls.window_ms - self.settings.resolution_ms
-        return cls.effect is Effect.SAFE or self.now < until
-
-    def _bound(self, job: Job) -> tuple[str, int] | None:
-        """The zone or cell that a keyed job which may have run must not leave."""
-        cls = self.settings.classes[job.request.cls]
-        if not job.attempts or cls.effect is not Effect.KEYED or cls.group is Group.ALL:
-            return None
-        what, past = cls.group.value, job.maybe_ran()
-        return (what, getattr(past[0].worker.entry, what)) if past else None
+        return self.fleet.draw(order, allowed, self.random, pace, job.request.key, bound(job, self.settings))
 
     def _may_send(self, job: Job, worker: Worker) -> bool:
         """Rules 3 and 4 as far as a ready worker of the needed kind tells; no job goes where it failed."""
         if (job.attempts and job.failed_at(worker)) or not (
                 worker.born <= 0 or self._cold_room(worker, job.cost)):
             return False
-        return (bound := self._bound(job)) is None or all(
-            getattr(a.worker.entry, bound[0]) == getattr(worker.entry, bound[0]) for a in job.maybe_ran())
+        return (place := bound(job, self.settings)) is None or all(
+            getattr(a.worker.entry, place[0]) == getattr(worker.entry, place[0]) for a in job.maybe_ran())
 
     def _somewhere(self, job: Job) -> bool:
         """Whether any listed worker may take the job now, be there room or not."""
-        kind, bound = self.settings.classes[job.request.cls].kind, self._bound(job)
+        kind, place = self.settings.classes[job.request.cls].kind, bound(job, self.settings)
         if not self.fleet.ready(kind):
             return False
-        pool = self.fleet.group(bound) if bound else self.fleet.ring
+        pool = self.fleet.group(place) if place else self.fleet.ring
         return any(w.open and kind in (None, w.entry.kind) and self._may_send(job, w)
                    for w in pool)
 
     def _end(self, job: Job) -> None:
         """Give the final answer: refused where a retry is sure to be harmless (rule 2), else failed."""
-        cls = self.settings.classes[job.request.cls]
-        repeatable = cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
-        refused = repeatable or not job.maybe_ran()
+        refused = is_harmless(job, self.settings)
         self._forget(job)
         rid = job.request.rid
         self.actions.append(Refuse(rid, self._advice(job)) if refused else Fail(rid))
@@ -514,7 +491,7 @@
             self._forget(job)
         elif job is not None and not job.running():
             ran = bool(job.maybe_ran())
-            if not self._may_go(job) or (ran and not self._somewhere(job)):
+            if not may_go(job, self.settings, self.now) or (ran and not self._somewhere(job)):
                 self._end(job)
             else:
                 self._place(job, anywhere=ran)
--- /dev/null
+++ b/flintfield/decision/repeats.py
@@ -0,0 +1,37 @@
+"""Rules 2 and 3 as far as a job alone tells: may it be sent, or sent again, and where must it stay?"""
+
+from __future__ import annotations
+
+from flintfield.decision.interface import Effect, Group, Settings
+from flintfield.decision.records import Job
+
+
+def may_go(job: Job, settings: Settings, now: float) -> bool:
+    """Whether the job may be sent, or sent again, at `now` (ms)."""
+    if not job.attempts:
+        return True
+    cls, limits, past = settings.classes[job.request.cls], settings.limits, job.maybe_ran()
+    if len(job.attempts) >= limits.max_attempts:
+        return False
+    if not past:
+        return True
+    if cls.effect is Effect.UNSAFE or (not limits.second_copies and job.running()):
+        return False
+    until = past[0].at + cls.window_ms - settings.resolution_ms
+    return cls.effect is Effect.SAFE or now < until
+
+
+def bound(job: Job, settings: Settings) -> tuple[str, int] | None:
+    """The zone or cell that a keyed job which may have run must not leave."""
+    cls = settings.classes[job.request.cls]
+    if not job.attempts or cls.effect is not Effect.KEYED or cls.group is Group.ALL:
+        return None
+    what, past = cls.group.value, job.maybe_ran()
+    return (what, getattr(past[0].worker.entry, what)) if past else None
+
+
+def is_harmless(job: Job, settings: Settings) -> bool:
+    """Whether a client's own retry is sure to do no harm now, so that the job may be refused (rule 2)."""
+    cls = settings.classes[job.request.cls]
+    repeatable = cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
+    return repeatable or not job.maybe_ran()
