Count a client's repeat from the beginning of its wish, and queue bookings before refusing them

Seen in the log of tries; ruled out: queues at worker nodes (13 in 100 waited over 100 ms there), running times, the lost nodes (the same without).

Change: decision/admission.py learns how long clients of a class wait and so how old a wish is. Jobs worth more than the least are held oldest first, given up later, and queue at a worker node after half of their useful time.

--- a/flintfield/decision/checkpoint.py
+++ b/flintfield/decision/checkpoint.py
@@ -17,6 +17,7 @@
 from enum import Enum
 from typing import Any
 
+from flintfield.decision.admission import Patience
 from flintfield.decision.asking import Asking
 from flintfield.decision.byhand import Hands
 from flintfield.decision.interface import Entry, Outcome, Request, Settings, State
@@ -25,7 +26,7 @@
 
 OBJECTS: dict[str, type[Any]] = {
     c.__name__: c for c in (
-        Account, Accounts, Asking, Attempt, Entry, Hands, Held, Job, Mean, Request, Timers, Worker)
+        Account, Accounts, Asking, Attempt, Entry, Hands, Held, Job, Mean, Patience, Request, Timers, Worker)
 }
 ENUMS: dict[str, type[Enum]] = {c.__name__: c for c in (Outcome, State)}
 SERIES: dict[type, str] = {list: "l", tuple: "t", deque: "q"}
@@ -33,9 +34,9 @@
 PLAIN = frozenset({int, bool, type(None)})
 MADE_ANEW = frozenset({"settings", "handlers", "actions", "workers"})  # by the making of a dispatcher
 INDEXED = ("checks", "fleet")  # that keep a part and make the rest anew, of what stands before them
-# Of what a state holds. 3 knew nobody out by hand; 2 asked discovery at a fixed pace; 1 had no number: it
-# knew no fleet, and its jobs were looked at by a walk.
-VERSION = 4
+# Of what a state holds. 4 knew no patience; 3 knew nobody out by hand; 2 asked discovery at a fixed pace; 1
+# had no number: it knew no fleet, and its jobs were looked at by a walk.
+VERSION = 5
 WORDS = struct.Struct("<625I")  # of the generator's state
 
 
--- a/flintfield/decision/policy.py
+++ b/flintfield/decision/policy.py
@@ -11,6 +11,7 @@
 import random
 from collections.abc import Callable
 
+from flintfield.decision.admission import PRESSING, SLACK, SPARE_WORTH, Patience, is_hopeless, useful_ms
 from flintfield.decision.agenda import Agenda
 from flintfield.decision.asking import Asking
 from flintfield.decision.byhand import Hands
@@ -45,7 +46,6 @@
 AWAY = 3.0  # how many workers at home stand before one of another zone in our order, where zones are alike
 SHUN_MS, LONGEST_SHUN_MS = 20_000.0, 60_000.0  # after an error of a class, trebled with each in a row
 SPARE = 0.5  # slots that are to be free beside those of a job that may not be sent again
-HASTE = 2.0  # how long a job is thought to take that has little time, in its time at the quickest worker
 AHEAD_MS = 3 * TICK_MS  # so long before a job's answer is due its timer is set
 TICK, WAKE = 0, 0xFFFFFFFF  # timer tokens; requests take those between
 
@@ -89,6 +89,8 @@
         self.now = self.last_tick = self.wake_at = -math.inf
         self.passed = 0.0  # between the last two ticks
         self.asking, self.hands = Asking(settings.rules.ask_within_ms), Hands()
+        self.patience = Patience(c.deadline_ms for c in settings.classes)
+        self.short_at = -math.inf  # when a job was last given up for want of room
 
     def handle(self, now: float, event: Event) -> list[Action]:
         """Take one event and return the actions it calls for."""
@@ -275,28 +277,27 @@
         theta *= self.settings.over_share_worth if self.accounts.is_over(event.tenant, self.now) else 1.0
         job = self.jobs[event.rid] = Job(event, self.now, max(cost, 1e-3), theta)
         job.last -= 2 * self.settings.resolution_ms
-        if self.hands.closes_all(self.fleet.ring) or self._hopeless(job):
+        age = self.patience.age(event.cls, event.deadline - self.now)
+        job.arrived -= 0.0 if self._is_prized(job) else age  # for hints are wrong often: worth a try anew
+        vain = is_hopeless(cls, job.last - self.now, event.hint_ms, self.fleet.survey(self._pace).quickest)
+        if vain or self.hands.closes_all(self.fleet.ring) or (
+                self._is_past(job, 1.0) and not self._take_late(job)):
             self._end(job)
             return
-        self._place(job)
+        if not job.attempts:
+            self._place(job)
         self.checks.put(event.rid, self.now)
         if job.last - self.now <= AHEAD_MS:
             self._look(job)
 
-    def _hopeless(self, job: Job) -> bool:
-        """Whether a job with less than half its class's time left can hardly end before its answer is due:
-        guards against work for nothing, for an answer at once lets the client look elsewhere."""
-        left, hint = job.last - self.now, job.request.hint_ms or 0.0
-        if left >= self.settings.classes[job.request.cls].deadline_ms / 2:
-            return False
-        return left <= (HASTE * self.fleet.survey(self._pace).quickest * hint if hint else 0.0)
-
     def _look(self, job: Job) -> None:
         """Can a job that waits still be in time, is its answer due soon? Look again at a later tick: the pace
         moves, so after half the time that seems left."""
         waits, at = all(a.started is None for a in job.running()), job.last - AHEAD_MS
         if job.streaming or (waits and self._expired(job)):
             return
+        if job.sort is not None and self._presses(job):
+            self._place(job)
         if at <= self.now:
             at = math.inf
             if not job.timed:
@@ -308,31 +309,51 @@
             self.checks.put(job.request.rid, at)
 
     def _serve_held(self) -> None:
-        """Held jobs go by worth for slot time, the newest first: guards against all being late in turn."""
+        """Held jobs go by worth for slot time, the newest of the least first: guards against all being late
+        in turn. Of the prized, which the others stand back for, the oldest."""
         for sort in sorted(self.held.sorts, key=self._density):
-            while self.fleet.roomy and (job := self.held.next(sort)) is not None:
+            while self.fleet.roomy and (job := self.held.next(sort, sort[1] > self.top_price)):
                 if not self._expired(job) and not self._place(job):
                     break
 
     def _density(self, sort: Sort) -> float:
         """What a held job earns for the slot time it takes, negated so that the best comes first."""
-        cls, theta, slots, _ = sort
-        cost = 1.0 if self.settings.worth_by_work else self.costs[cls].value or 1.0
-        return -theta / max(slots, 1.0) / cost
+        cost = 1.0 if self.settings.worth_by_work else self.costs[sort[0]].value or 1.0
+        return -sort[1] / max(sort[2], 1.0) / cost
 
     def _useful_ms(self, job: Job) -> float:
         """For how long after its coming a job that has not started can still be in time."""
         cls, out, pace = self.settings.classes[job.request.cls], job.running(), self.pace.value or 1.0
         if out:  # guards against giving up a booking, which can go nowhere else, while it may be in time
             pace = 0.0 if cls.effect is Effect.UNSAFE else self._pace(out[0].worker)
-        return max(cls.aim_ms + (cls.stretch - pace) * job.cost, cls.aim_ms / 2)
+        return useful_ms(cls, job.cost * (SLACK if self._is_prized(job) else 1.0), pace)
+
+    def _is_prized(self, job: Job) -> bool:
+        """Whether others are to stand back for a job: it is worth more than the least."""
+        return job.theta > self.top_price
+
+    def _is_past(self, job: Job, part: float) -> bool:
+        """Whether that part of the time for which the job's wish is useful is over."""
+        return self.now - job.arrived > part * self._useful_ms(job)
+
+    def _presses(self, job: Job) -> bool:
+        """May a prized job queue? Guards against refusing for want of a free slot one that can be in time."""
+        return not job.attempts and self._is_prized(job) and self._is_past(job, PRESSING)
+
+    def _take_late(self, job: Job) -> bool:
+        """Guards against a repeat in the place of a wish that can be in time: it goes into spare room."""
+        job.late, late_worth = True, self.settings.classes[job.request.cls].late_worth
+        job.theta *= late_worth or SPARE_WORTH
+        spare = self.now > self.short_at + SHORT_MS and self.fleet.roomy >= (1.0 - RHO) * self.fleet.cut
+        return late_worth > 0 or (spare and self._place(job))
 
     def _expired(self, job: Job) -> bool:
         """A job that can hardly be in time is worth its late part, not to stop those that can; or it ends."""
         cls = self.settings.classes[job.request.cls]
-        if job.late or self.now - job.arrived <= self._useful_ms(job):
+        if job.late or not self._is_past(job, 1.0):
             return False
         if cls.late_worth <= 0:
+            self.short_at = self.short_at if job.attempts else self.now
             self._end(job)
             return True
         if not job.attempts:
@@ -376,6 +397,8 @@
             needs.insert(0, request.slots + SPARE)
             # Guards against booking after booking at a worker that fails them and serves other classes well.
             shy = request.cls if self.fleet.willing(request.cls) else -1
+        if self._presses(job):
+            needs.append(max(0.0, request.slots - 1.0))
         for need in needs:
             def allowed(worker: Worker, floor: float = need - 0.5) -> bool:
                 return worker.room >= floor and self._may_send(job, worker)
--- a/flintfield/decision/records.py
+++ b/flintfield/decision/records.py
@@ -295,13 +295,13 @@
             del self.sorts[job.sort]
         job.sort = None
 
-    def next(self, sort: Sort) -> Job | None:
-        """The job of a sort that is to go first: the newest; of those sent before, the one back the
-        longest."""
+    def next(self, sort: Sort, oldest: bool = False) -> Job | None:
+        """The job of a sort that is to go first: the newest, or the oldest; of those sent before, the one
+        back the longest."""
         jobs = self.sorts.get(sort)
         if not jobs:
             return None
-        return next(iter(jobs.values())) if sort[3] == TRIED else next(reversed(jobs.values()))
+        return next(iter(jobs.values())) if oldest or sort[3] == TRIED else next(reversed(jobs.values()))
 
     def __len__(self) -> int:
         return sum(map(len, self.sorts.values()))
--- a/flintfield/lab/scenario.py
+++ b/flintfield/lab/scenario.py
@@ -279,6 +279,20 @@
     nodes: list[int] = []
 
 
+class SiteLoss(Trouble, tag="site-loss"):
+    """All that stands in a zone goes down together and comes back after `for_s`, its worker nodes cold.
+
+    `silent`: machines vanish with open connections, else processes die. `schedulers`: its schedulers die with
+    it. `back`: the share of its worker nodes that comes back. The front sends its clients elsewhere once it
+    notices.
+    """
+
+    zone: str = ""
+    silent: bool = False
+    schedulers: bool = False
+    back: Share = 1.0
+
+
 class Slow(Trouble, tag="slow"):
     """Nodes run `factor` times slower."""
 
@@ -355,7 +369,7 @@
 
 
 AnyTrouble = (
-    Deploy | SchedulerRoll | Crash | Vanish | Slow | Stall | FailClass | FalseFull | DiscoveryGone
+    Deploy | SchedulerRoll | Crash | Vanish | SiteLoss | Slow | Stall | FailClass | FalseFull | DiscoveryGone
     | DiscoveryMoved | WatchPause | ZoneCut | Resets | Surge | BadClients
 )
 
@@ -482,7 +496,7 @@
                     raise fail(f"{key}.steps[{j}].stop", place, f"places from 0 to {places - 1}")
         if isinstance(trouble, FailClass) and trouble.cls not in classes:
             raise fail(f"{key}.cls", trouble.cls, f"one of {', '.join(sorted(classes))}")
-        if isinstance(trouble, ZoneCut) and trouble.zone not in zones:
+        if isinstance(trouble, ZoneCut | SiteLoss) and trouble.zone not in zones:
             raise fail(f"{key}.zone", trouble.zone, f"one of {', '.join(scenario.zones)}")
         if isinstance(trouble, Surge) and trouble.owner and trouble.owner not in owners:
             raise fail(f"{key}.owner", trouble.owner, f"one of {', '.join(sorted(owners)) or 'load.owners'}")
--- a/flintfield/lab/world/troubles.py
+++ b/flintfield/lab/world/troubles.py
@@ -14,7 +14,8 @@
 from flintfield.base.stop import kill_after_ms
 from flintfield.lab.scenario import (
     AnyTrouble, BadClients, Crash, Deploy, DeployStep, DiscoveryGone, DiscoveryMoved, FailClass, FalseFull,
-    Node, Resets, RollStep, Scenario, SchedulerRoll, Slow, Stall, Surge, Vanish, WatchPause, ZoneCut,
+    Node, Resets, RollStep, Scenario, SchedulerRoll, SiteLoss, Slow, Stall, Surge, Vanish, WatchPause,
+    ZoneCut,
 )
 from flintfield.lab.world.fleet import Fleet, Machine, draw_machine, pick
 from flintfield.lab.world.streams import Draws, Streams
@@ -161,6 +162,24 @@
     return plan_it
 
 
+def _site_loss(plan: _Plan, trouble: SiteLoss, draws: Draws, begins: float, ends: float) -> None:
+    places = [m.place for m in plan.machines[:plan.original] if m.zone == trouble.zone]
+    back = set(pick(draws, places, trouble.back)) if trouble.back > 0 else set[int]()
+    down, up = (Do.NODE_VANISH, Do.NODE_RETURN) if trouble.silent else (Do.NODE_CRASH, Do.NODE_BACK)
+    for place in places:
+        plan.add(begins, down, place=place)
+        if place in back:
+            plan.add(ends, up, place=place)
+    if trouble.schedulers:
+        zones = plan.scenario.zones
+        stand = plan.scenario.schedulers.zones or [zones[i % len(zones)]
+                                                   for i in range(plan.scenario.schedulers.count)]
+        for place, zone in enumerate(stand):
+            if zone == trouble.zone:
+                plan.add(begins, Do.SCHEDULER_KILL, place=place)
+                plan.add(ends, Do.SCHEDULER_UP, place=place)
+
+
 def _fail_class(plan: _Plan, trouble: FailClass, draws: Draws, begins: float, ends: float) -> None:
     for place in _hit(plan, trouble, draws):
         plan.add(begins, Do.NODE_FAILS, place=place, figure=trouble.share, word=trouble.cls)
@@ -210,8 +229,9 @@
 
 _PLANS: dict[type, Callable[[_Plan, Any, Draws, float, float], None]] = {
     Deploy: _deploy, SchedulerRoll: _roll, Crash: _pair(Do.NODE_CRASH, Do.NODE_BACK),
-    Vanish: _pair(Do.NODE_VANISH, Do.NODE_RETURN), Slow: _pair(Do.NODE_SLOW, Do.NODE_USUAL),
-    Stall: _pair(Do.NODE_STALL, Do.NODE_GO_ON), FailClass: _fail_class, FalseFull: _false_full,
+    Vanish: _pair(Do.NODE_VANISH, Do.NODE_RETURN), SiteLoss: _site_loss,
+    Slow: _pair(Do.NODE_SLOW, Do.NODE_USUAL), Stall: _pair(Do.NODE_STALL, Do.NODE_GO_ON),
+    FailClass: _fail_class, FalseFull: _false_full,
     DiscoveryGone: _discovery_gone, DiscoveryMoved: _discovery_moved, WatchPause: _watch_pause,
     ZoneCut: _zone_cut, Resets: _resets, Surge: _nothing, BadClients: _bad_clients,
 }
