Share judgements on worker nodes: slots held, failures and what is not reached, by each observer's rows

Change: sharing/evidence.py (rows by observer, told by what the other is known to have, merged by newest), sharing/judging.py (others as a bounded prior, trials by lot, bounds on what is out), decision/heeding.py (an event Hearsay beside the module), [sharing] judgements, GET /judgements, flintfield nodes; the laboratory's [sharing] table and SharedEngine; a fleet trial of ten processes with its invariants and planted faults.

--- a/flintfield/cli/group.py
+++ b/flintfield/cli/group.py
@@ -29,6 +29,7 @@
     "members": "flintfield.wire.membership.commands:members",
     "plan": "flintfield.wire.link.commands:plan",
     "budgets": "flintfield.wire.sharing.commands:budgets",
+    "nodes": "flintfield.wire.sharing.nodes:nodes",
     "keys": "flintfield.wire.membership.commands:keys",
     "store": "flintfield.store.command:store",
 }
--- a/flintfield/decision/interface.py
+++ b/flintfield/decision/interface.py
@@ -326,7 +326,28 @@
     cold_elsewhere: bool = False
 
 
-Event = ServerList | Request | First | Note | AttemptEnded | Gone | Timer | Probed | PlanNews | ByHand
+@dataclass(frozen=True, slots=True)
+class HeardOf:
+    """What other dispatchers say of one worker."""
+
+    worker: WorkerId
+    held: float  # slots that those hold there that are heard, less where they are heard late
+    most: float  # most slots that any of them saw free; 0: none
+    avoid: tuple[int, ...] = ()  # classes whose jobs are likely to fail there
+    unreached: bool = False  # it is not reached by others that stand as we do
+
+
+@dataclass(frozen=True, slots=True)
+class Hearsay:
+    """What is heard anew. `weight`: how much of what all others hold is in it, from 0 (nobody is heard) to
+    1 (all, and now)."""
+
+    weight: float
+    rows: tuple[HeardOf, ...] = ()
+
+
+Event = (Hearsay | ServerList | Request | First | Note | AttemptEnded | Gone | Timer | Probed | PlanNews
+         | ByHand)
 
 # ------------------------------------------------------------------- actions
 
--- a/flintfield/lab/fleet/planted.py
+++ b/flintfield/lab/fleet/planted.py
@@ -1,6 +1,7 @@
-"""The real program with a fault of sharing's core planted: `python -m flintfield.lab.fleet.planted JSON ...`.
+"""The real program with faults of sharing planted: `python -m flintfield.lab.fleet.planted JSON ...`.
 
-JSON is an object from an instance's name, or `all`, to a fault of `flintfield.lab.sharing.histories.FAULTS`.
+JSON is an object from an instance's name, or `all`, to a fault of `flintfield.lab.sharing.histories.FAULTS`
+or `hearsay_faults.FAULTS`, or to several with `+` between them.
 What follows are the program's own arguments. It is for judging the judge of fleet trials.
 """
 
@@ -11,8 +12,10 @@
 import os
 import runpy
 import sys
+from typing import Any, cast
+from unittest import mock
 
-from flintfield.lab.sharing.histories import FAULTS, planted
+from flintfield.lab.sharing import hearsay_faults, histories
 
 BAD_FAULT = 2
 
@@ -20,12 +23,15 @@
 def main(told: str, arguments: list[str]) -> None:
     """Run one real scheduler with its fault until SIGTERM or SIGINT."""
     faults = json.loads(told)
-    fault = faults.get(os.environ.get("LB_NAME", ""), faults.get("all", ""))
-    if fault and fault not in FAULTS:
-        print(f"planted: found {fault!r}, expected one of {', '.join(FAULTS)}", file=sys.stderr)
-        sys.exit(BAD_FAULT)
+    named = faults.get(os.environ.get("LB_NAME", ""), faults.get("all", ""))
+    known = histories.FAULTS | hearsay_faults.FAULTS
     sys.argv = ["flintfield", *arguments]
-    with planted(fault) if fault else contextlib.nullcontext():
+    with contextlib.ExitStack() as stack:
+        for fault in filter(None, named.split("+")):
+            if fault not in known:
+                print(f"planted: found {fault!r}, expected one of {', '.join(known)}", file=sys.stderr)
+                sys.exit(BAD_FAULT)
+            stack.enter_context(mock.patch.object(*cast(Any, known[fault])))
         runpy.run_module("flintfield", run_name="__main__")
 
 
--- a/flintfield/lab/scenario.py
+++ b/flintfield/lab/scenario.py
@@ -185,6 +185,16 @@
     clock_offset_ms: list[float] = []  # of each scheduler's clock; empty: none
 
 
+class Sharing(Spec):
+    """What the schedulers tell each other, by the operators' keys of `[sharing]`, and what befalls it."""
+
+    judgements: bool = False
+    loss: Share = 0.0  # of the words
+    late_ms: Ms = 0.0  # each takes so long more
+    deaf: Share = 0.0  # of the schedulers, the first ones: they hear nothing and are not heard
+    wrong: Annotated[int, Meta(ge=0)] = 0  # schedulers, the last ones, that say the worst of every node
+
+
 class Discovery(Spec):
     """The list service: late, and of fixed capacity for all."""
 
@@ -394,6 +404,7 @@
     network: Network = msgspec.field(default_factory=Network)
     front: Front = msgspec.field(default_factory=Front)
     schedulers: Schedulers = msgspec.field(default_factory=Schedulers)
+    sharing: Sharing = msgspec.field(default_factory=Sharing)
     discovery: Discovery = msgspec.field(default_factory=Discovery)
     clients: Clients = msgspec.field(default_factory=Clients)
     rules: Rules = msgspec.field(default_factory=Rules)
--- a/flintfield/lab/virtual/engine.py
+++ b/flintfield/lab/virtual/engine.py
@@ -48,6 +48,10 @@
     be logged under that name. `on_record` sees each record as it is written; the log that is returned is
     empty then, so that a long run needs no memory for it. `reducer` stands in for the scheduler's own.
     """
+    if scenario.sharing.judgements and chooser == "flintfield" and make is None:
+        from flintfield.lab.judgements import SharedEngine
+
+        return SharedEngine(scenario, seed, on_record, reducer).run()
     return Engine(scenario, seed, chooser, make, on_record, reducer).run()
 
 
--- /dev/null
+++ b/flintfield/sharing/bridge.py
@@ -0,0 +1,44 @@
+"""Between the judgements and the decisions: what one has to say to the other, as a reducer's message."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from flintfield.decision.heeding import Heeding, look_of
+from flintfield.decision.interface import HeardOf, Hearsay
+from flintfield.memory.messages import UnitMessage
+from flintfield.memory.reducer import Turn
+from flintfield.sharing.judging import Judgements, Look
+
+
+@dataclass(frozen=True, slots=True)
+class Hear(UnitMessage):
+    """Something is heard anew of worker nodes."""
+
+    news: Hearsay
+
+
+def take_hearsay(turn: Turn, message: Hear) -> None:
+    """The reducer's handler: the decisions are told."""
+    turn.ask(message.news)
+
+
+def exchange(part: Judgements, dispatcher: Heeding, now: float) -> Hear | None:
+    """Hand over what the decisions saw, and give back what they are to know; None if that is nothing new.
+
+    `now`: ms of our life, the clock of the judgements.
+    """
+    changed, ends = dispatcher.news()
+    for number, cls, failed in ends:
+        if (worker := dispatcher.workers.get(number)) is not None:
+            part.ended(now, number, max(0, int(worker.entry.started_ms)), cls, failed)
+    for worker in changed:
+        held, most, started, unreached = look_of(dispatcher, worker)
+        part.look(now, Look(worker.entry.worker, held, most, started, unreached))
+    if part.listed != len(dispatcher.workers):
+        part.forget(dispatcher.workers)
+    rows, weight = part.step(now), round(part.weight(now), 3)
+    if not rows and abs(weight - dispatcher.weight) < 0.01:
+        return None
+    return Hear(Hearsay(weight, tuple(
+        HeardOf(r.worker, r.held, r.most, r.avoid, r.unreached) for r in rows)))
--- a/flintfield/units/role.py
+++ b/flintfield/units/role.py
@@ -17,6 +17,7 @@
 from flintfield.base.ini import FILE, OperatorsError, Reader, Section, whole, word
 from flintfield.decision.interface import PlanNews, State as Lifecycle
 from flintfield.decision.planned import NoJobs, Planned
+from flintfield.decision.policy import Dispatcher
 from flintfield.forwarding.bridge import digest_of, news_of
 from flintfield.forwarding.core import MOST_PLANNERS, Forwarding
 from flintfield.memory.messages import Address, UnitMessage
@@ -129,6 +130,9 @@
         if host.state.tap is not None:
             raise OperatorsError("[role] role: found forwarder beside [capture], expected one of them: a "
                                  "capture does not hold plans")
+        if type(host.state.dispatcher) is not Dispatcher:
+            raise OperatorsError("[role] role: found forwarder beside [sharing] judgements, expected one of "
+                                 "them: plans tell what others hold")
         settings = host.config.settings
         self._dispatcher = Planned(settings, host.config.seed)
         host.state.dispatcher = self._dispatcher
--- a/flintfield/units/sharing.py
+++ b/flintfield/units/sharing.py
@@ -14,7 +14,7 @@
 import secrets
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import anyio
 import msgspec
@@ -38,6 +38,9 @@
 from flintfield.wire.http1.leg import Reply
 from flintfield.wire.membership.member import boot_ms
 
+if TYPE_CHECKING:
+    from flintfield.units.judging import Judging
+
 PREFIX, KIND = "sharing.", "sharing"
 JSON = ((b"Content-Type", b"application/json"),)
 IDLE_S = 0.05  # between two looks at whether the core is due, while it says that it is not
@@ -64,6 +67,7 @@
     places: int | None = None  # None: `replicas_of_me`
     floor: float = FLOOR
     quotas: str | None = None
+    judgements: bool = False  # on worker nodes are shared too
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +83,7 @@
 
 SECTION = Section("sharing", SharingOn, {
     "place": whole(0, 4_095), "places": whole(1, 4_096), "floor": number(0, 1), "quotas": FILE,
+    "judgements": FLAG,
 })
 QUOTA = Section("quota", QuotaOn, {
     "rights": whole(0, MOST_RIGHTS), "per_s": number(0.05, 86_400), "at_once": FLAG, "owners": NAMES,
@@ -140,6 +145,11 @@
                                [q.limit for q in quotas])
         self.quotas = Quotas(self.sharing, quotas)
         host.state.admission = self.quotas
+        self._judging: Judging | None = None
+        if told.judgements:
+            from flintfield.units.judging import Judging
+
+            self._judging = Judging(host, members, place, places, lambda: self._names)
 
     # ------------------------------------------------------------ settings
 
@@ -196,12 +206,14 @@
 
     def handlers(self) -> Mapping[type, Handler]:
         """The core's messages, within the reducer."""
-        return {Told: lambda turn, told: turn.effects.extend(
+        ours: dict[type, Handler] = {Told: lambda turn, told: turn.effects.extend(
             Asked(effect) for effect in step(self.sharing, turn.now, told.message))}
+        return ours | dict(self._judging.handlers()) if self._judging else ours
 
     def effects(self) -> Mapping[type, Callable[[Any], None]]:
         """What the core asks for."""
-        return {Asked: self._carry_out}
+        ours: dict[type, Callable[[Any], None]] = {Asked: self._carry_out}
+        return ours | dict(self._judging.effects()) if self._judging else ours
 
     def _tell(self, message: Message) -> None:
         self._host.tell(Told(message))
@@ -258,6 +270,12 @@
         self._members.set_meta(KIND, msgspec.msgpack.encode(self.sharing.place))
         self._members.watch(self._watch)
         self._watch()
+        async with anyio.create_task_group() as group:
+            if self._judging:
+                group.start_soon(self._judging.run)
+            await self._keep_time()
+
+    async def _keep_time(self) -> None:
         apart = boot_ms() - anyio.current_time() * 1_000
         while True:
             due, now = self.sharing.next_at(), self._host.clock()
@@ -276,7 +294,9 @@
 
     def side_pages(self) -> Mapping[bytes, SidePage]:
         """`/sharing`."""
-        return {b"/sharing": lambda: Reply(200, json.dumps(self.page()).encode(), JSON, close=True)}
+        ours: dict[bytes, SidePage] = {
+            b"/sharing": lambda: Reply(200, json.dumps(self.page()).encode(), JSON, close=True)}
+        return ours | dict(self._judging.side_pages()) if self._judging else ours
 
     def page(self) -> dict[str, Any]:
         """All that is known here."""
