Bound what is not heard by a limit that was lowered, found by histories that change one

Need: drawn histories never changed a limit, though one fault of that kind had been found by reading.

Cause: Counts.total made the high end of a count of the present limit (_most), and what others that are not heard spent under the former one could be more. Seen: told 82 to 93, truth 96, after 20 rights became 1.

--- a/flintfield/sharing/core.py
+++ b/flintfield/sharing/core.py
@@ -318,7 +318,9 @@
             window = limit.window_ms
             holding = state.holdings[number] = Holding(
                 limit, 0, Uses(cool_ms(window)), Book(window, limit.is_pool))
-        elif holding.limit.window_ms != limit.window_ms:  # what is out counts as it did
+        elif holding.limit != limit:
+            state.tallies.replaced(now, holding.limit)
+        if holding.limit.window_ms != limit.window_ms:  # what is out counts as it did
             for uses in (holding.uses, *(lease.uses for lease in holding.leases.values())):
                 uses.occupied_ms = cool_ms(limit.window_ms)
             holding.book.window_ms = limit.window_ms
@@ -326,6 +328,8 @@
         holding.book.is_pool = limit.is_pool
     for number, holding in list(state.holdings.items()):
         if number not in named:  # it may come back: its book must be known then
+            if holding.limit.rights:
+                state.tallies.replaced(now, holding.limit)
             holding.limit = Limit(holding.limit.name, 0, holding.limit.window_ms, holding.limit.is_pool)
             holding.leases.clear()
             holding.last = None
--- a/flintfield/sharing/counts.py
+++ b/flintfield/sharing/counts.py
@@ -17,12 +17,14 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+from collections.abc import Sequence
+from dataclasses import dataclass, field, replace
 
 from flintfield.sharing.limits import Limit
 from flintfield.sharing.rules import COUNT_BYTES_S, COUNT_LEAST_MS, COUNT_MS, DRIFT, LEASE_MS, hold_ms
 
 KEPT = 1
+MOST_FORMER = 8  # limits that were replaced, of each limit
 LINE_BYTES, WORD_BYTES = 12, 100  # of one count, and of a datagram with its seal
 
 Source = tuple[int, int]
@@ -62,6 +64,7 @@
     own: dict[Key, int] = field(default_factory=dict)
     others: dict[Key, dict[Source, int]] = field(default_factory=dict)
     told: dict[int, dict[int, Told]] = field(default_factory=dict)  # by place and life
+    former: dict[int, list[tuple[float, Limit]]] = field(default_factory=dict)  # until when others may go by
     next_at: float = -math.inf
     _turn: list[int] = field(default_factory=list)
 
@@ -94,6 +97,15 @@
         if sum(counts.get(source, 0) for counts in self.others.values()) >= total:
             told.as_of = max(told.as_of, echo_at)
 
+    def replaced(self, now: float, limit: Limit) -> None:
+        """That limit is another from now on here; others are told of it within a window at the latest."""
+        known = self.former.setdefault(limit.number, [])
+        known.append((now + COUNT_MS, limit))
+        if len(known) > MOST_FORMER:  # two become one to the safe side
+            (over, one), (later, other) = known[:2]
+            known[:2] = [(max(over, later), replace(one, rights=max(one.rights, other.rights),
+                                                    window_ms=min(one.window_ms, other.window_ms)))]
+
     def end_life(self, source: Source) -> None:
         """We go on as another life: what this one spent is known, and told no more."""
         for key, count in self.own.items():
@@ -110,6 +122,10 @@
         least = window_of(now) - KEPT
         self.own = {k: n for k, n in self.own.items() if k[1] >= least}
         self.others = {k: n for k, n in self.others.items() if k[1] >= least}
+        for number, limits in list(self.former.items()):
+            self.former[number] = kept = [f for f in limits if f[0] >= (least - 1) * COUNT_MS]
+            if not kept:
+                del self.former[number]
         for lives in self.told.values():
             for life in [n for n, t in lives.items() if t.over_at < (least - 1) * COUNT_MS]:
                 del lives[life]
@@ -142,18 +158,20 @@
             oldest = min(oldest, newest.as_of)
             if now - newest.heard_at > 2 * round_ms(places, 1):
                 unheard.append(place)
-        more = _most(spans, limit)
+        more = _most(spans, limit, self.former.get(limit.number, ()))
         return Interval(low, -1 if limit.is_pool and more else low + more, now - oldest, tuple(unheard))
 
 
-def _most(spans: list[tuple[float, float]], limit: Limit) -> int:
-    """What can have been spent in the union of these spans by anybody: the law, for each stretch of it."""
+def _most(spans: list[tuple[float, float]], limit: Limit, former: Sequence[tuple[float, Limit]]) -> int:
+    """What can have been spent in the union of these spans by anybody: the law, for each stretch of it, by
+    the greatest limit that anybody may have gone by in it."""
     most, until = 0, -math.inf
     stretch_from = -math.inf
     for since, to in [*sorted(s for s in spans if s[1] > s[0]), (math.inf, math.inf)]:
         if since > until:
             if until > stretch_from:
-                most += limit.rights * math.ceil((until - stretch_from) * DRIFT / limit.window_ms)
+                most += max(one.rights * math.ceil((until - stretch_from) * DRIFT / one.window_ms)
+                            for one in (limit, *(f for over, f in former if over > stretch_from)))
             stretch_from, until = since, to
         until = max(until, to)
     return most
--- a/tests/test_sharing_core.py
+++ b/tests/test_sharing_core.py
@@ -12,7 +12,7 @@
 from flintfield.lab.sharing.usable import Demand, measure, share_used
 from flintfield.lab.sharing.world import Net, World
 from flintfield.sharing.book import Book
-from flintfield.sharing.counts import Counts
+from flintfield.sharing.counts import MOST_FORMER, Counts
 from flintfield.sharing.core import Configured, Heard, Sharing, Ticket, Woke, give_back, step
 from flintfield.sharing.limits import Limit
 from flintfield.sharing.rules import DRIFT, LEASE_MS, SLICES, hold_ms
@@ -188,6 +188,16 @@
     assert ledger.most > 10 and not world.passed
 
 
+def test_a_count_after_a_limit_was_lowered_holds_what_others_spent_under_the_old_one() -> None:
+    played = histories.play(900_416)
+    assert played.miscounted == 0 and played.spent > 100
+    counts = Counts(0, 0.0)
+    for n in range(20):
+        counts.replaced(float(n), Limit("l", 40 if n == 3 else 2))
+    assert len(counts.former[Limit("l", 1).number]) == MOST_FORMER
+    assert counts.total(50_000.0, Limit("l", 1), 2, 0).high >= 40 * 50
+
+
 def test_a_grown_number_of_places_is_kept_to_by_all_before_anybody_has_more() -> None:
     world = World(4, [Limit("l", 12)], 2, is_new=False)
     parts = []
