Let go of shared rows on worker nodes that are not listed any more

Need: with new names at each deploy, rows on former nodes stayed until 8,192 of each instance were held, and then news of new nodes were not taken. Found on reading over; a test plays 30 deploys.

Cause: exchange looked at which nodes are listed only when their number changed, and Others never let go of a row while its teller lived (Others.take).

Change: listed nodes are looked at every 5 s too; our rows on others go at once, theirs once they are more than twice as many as are listed here and 64.

--- a/flintfield/sharing/bridge.py
+++ b/flintfield/sharing/bridge.py
@@ -8,7 +8,7 @@
 from flintfield.decision.interface import HeardOf, Hearsay
 from flintfield.memory.messages import UnitMessage
 from flintfield.memory.reducer import Turn
-from flintfield.sharing.judging import Judgements, Look
+from flintfield.sharing.judging import LOOK_MS, Judgements, Look
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,7 +35,7 @@
     for worker in changed:
         held, most, started, unreached = look_of(dispatcher, worker)
         part.look(now, Look(worker.entry.worker, held, most, started, unreached))
-    if part.listed != len(dispatcher.workers):
+    if part.listed != len(dispatcher.workers) or now > part.forgot_at + LOOK_MS:
         part.forget(dispatcher.workers)
     rows, weight = part.step(now), round(part.weight(now), 3)
     if not rows and abs(weight - dispatcher.weight) < 0.01:
--- a/flintfield/sharing/evidence.py
+++ b/flintfield/sharing/evidence.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from typing import Annotated
 
 import msgspec
@@ -25,6 +25,7 @@
 Place = Annotated[int, Meta(ge=0, le=4_096)]
 UNREACHED = -1  # stands among classes for a node that is not reached
 MOST_CLASSES, MOST_ROWS, MOST_WORKERS = 8, 40, 8_192
+SOME = 64  # rows on nodes that are not listed here are kept beside as many as are listed
 
 
 class Tally(msgspec.Struct, frozen=True, array_like=True, gc=False):
@@ -99,6 +100,11 @@
             del self._rows[next(iter(self._rows))]
         return True
 
+    def prune(self, listed: Collection[int]) -> None:
+        """Rows of worker nodes that are not listed any more are let go."""
+        for worker in [w for w in self._rows if w not in listed]:
+            del self._rows[worker]
+
     def get(self, worker: int) -> Row | None:
         """What we tell of it."""
         found = self._rows.get(worker)
@@ -188,6 +194,21 @@
                 del self.by_worker[worker]
         return list(other.rows) if other else []
 
+    def prune(self, listed: Collection[int]) -> None:
+        """Let go of rows on worker nodes that are not listed here, once they are many: some are of nodes that
+        others were told of before us."""
+        for place, other in self.by_place.items():
+            if len(other.rows) <= 2 * len(listed) + SOME:
+                continue
+            for worker in [w for w in other.rows if w not in listed]:
+                del other.rows[worker]
+                for claims in other.claims.values():
+                    claims.discard(worker)
+                rows = self.by_worker.get(worker, {})
+                rows.pop(place, None)
+                if not rows:
+                    self.by_worker.pop(worker, None)
+
     def of(self, worker: int) -> Iterator[tuple[Other, Row]]:
         """All that others say of a worker node."""
         for place, row in self.by_worker.get(worker, {}).items():
--- a/flintfield/sharing/judging.py
+++ b/flintfield/sharing/judging.py
@@ -39,6 +39,7 @@
 A = 0.05  # of a job: the prior of failing
 TRY, WAIT = 0.55, 0.25  # above it a node is left alone by the one that is drawn to try, and by the others
 MOST_OUT, CREDIBLE, REACHED = 0.25, 0.25, 0.5  # of the listed nodes
+LOOK_MS = 5_000.0  # between two looks at which nodes are listed, while their number stays
 LATEST = 600.0  # seconds back that a decayed count can matter: guards exp against nonsense
 
 
@@ -97,6 +98,7 @@
         self.now = 0.0
         self.draw = draw
         self.listed = 0  # worker nodes
+        self.forgot_at = 0.0  # when it was last looked which are listed
         self.asked: dict[int, float] = {}  # when each other was last told
         self.said: dict[int, int] = {}  # up to what
         self.out: dict[int, dict[int, float]] = {}  # by class: nodes out on hearsay, how sure
@@ -153,8 +155,13 @@
 
     def forget(self, listed: Iterable[int]) -> None:
         """These are listed; nothing is kept of others."""
-        listed = set(listed)
+        listed, self.forgot_at = set(listed), self.now
         self.listed = len(listed)
+        self.own.prune(listed)
+        self.others.prune(listed)
+        for nodes in self.out.values():
+            for worker in [w for w in nodes if w not in listed]:
+                del nodes[worker]
         for worker in [w for w in self._memory if w not in listed]:
             del self._memory[worker]
         for worker in [w for w in self._told if w not in listed]:
--- a/tests/test_judgements.py
+++ b/tests/test_judgements.py
@@ -223,6 +223,25 @@
     assert len(parts[0].others.by_place[1].rows) == 200
 
 
+def test_deploys_in_which_every_name_is_new_leave_nothing_behind() -> None:
+    parts = group(2)
+    now = 0.0
+    for deploy in range(30):
+        nodes = range(1_000 * deploy, 1_000 * deploy + 20)
+        for part in parts:
+            part.step(now)
+            part.forget(nodes)
+        for worker in nodes:
+            parts[1].look(now, Look(worker, 1.0, 3.0, 0, False))
+            parts[1].ended(now, worker, 0, 1, failed=True)
+        talk(parts, now + 60, now + 600)
+        now += 660
+    assert len(parts[0].others.by_place[1].rows) <= 2 * 20 + 64 + 20
+    assert len(parts[0].others.by_worker) <= 2 * 20 + 64 + 20
+    assert len(parts[1].own.after(0)[0]) <= 20 and len(parts[1]._memory) <= 20
+    assert all(w in nodes for those in parts[0].out.values() for w in those)
+
+
 def test_nonsense_is_turned_down() -> None:
     part = group(3)[0]
     good = News(1, 7, 0, 5, 0, 5, 0, 0, 0, [Row(100, 20)])
