Give the sites package its floor

Need: the full test run failed on one test: a module without a floor (test_floors).

Cause: flintfield/sites came without its line there; only the touched tests had been run then.

Change: it stands beside sharing.

Measured: the whole suite before it: 1,462 passed, this one failed (3 min 24 s); now it passes.

--- a/tests/test_floors.py
+++ b/tests/test_floors.py
@@ -17,7 +17,7 @@
     ("flintfield.base",),
     ("flintfield.store",),
     ("flintfield.memory", "flintfield.queues", "flintfield.membership", "flintfield.planning",
-     "flintfield.forwarding", "flintfield.handover", "flintfield.sharing"),
+     "flintfield.forwarding", "flintfield.handover", "flintfield.sharing", "flintfield.sites"),
     ("flintfield.capture", "flintfield.wire"),
     ("flintfield.units",),
     ("flintfield.lab", "benchmarks"),
