Keep hearsay out of captures by name, as plans are, and make the types whole again

Cause: capture/records.py, event_record: the new event Hearsay has no request, and fell through to those that have. It can not be met there, for [sharing] judgements is refused beside [capture].

Change: it is refused by name beside PlanNews.

--- a/flintfield/capture/records.py
+++ b/flintfield/capture/records.py
@@ -11,8 +11,8 @@
 from typing import Any
 
 from flintfield.decision.interface import (
-    Action, AttemptEnded, ByHand, Cancel, Entry, Event, Fail, First, Gone, ListMode, Note, Outcome, PlanNews,
-    Probed, Refuse, Report, Request, Send, ServerList, State, Timer, WorkerId,
+    Action, AttemptEnded, ByHand, Cancel, Entry, Event, Fail, First, Gone, Hearsay, ListMode, Note, Outcome,
+    PlanNews, Probed, Refuse, Report, Request, Send, ServerList, State, Timer, WorkerId,
 )
 
 Record = dict[str, Any]
@@ -69,8 +69,8 @@
     if isinstance(event, ByHand):
         return {"record": "by_hand", "out": list(event.out), "back": [list(pair) for pair in event.back],
                 "cold_elsewhere": event.cold_elsewhere}
-    if isinstance(event, PlanNews):
-        raise TypeError("plans are not recorded: [role] refuses a forwarder with [capture]")
+    if isinstance(event, PlanNews | Hearsay):
+        raise TypeError("plans and hearsay are not recorded: [role] and [sharing] refuse them with [capture]")
     told: Record = {"record": "", "Req-Id": names.request(event.rid), "rid": event.rid}
     if isinstance(event, Request):
         given = asdict(event)
