Look for the caller again in the step that writes a branch's first byte or its body

Need: nothing may be sent on for a client that has gone; the route set was looked at again before a branch's first byte, the client was not. In Poller._wake_ready branches (urgent) are woken before caller legs, so where a close lay in the same batch as the connection, the 100 or the end of the attempt before, BranchLeg.write (wire/http1/branch.py) wrote first and heard of the close after; with a late loop by as much as that was late.

Seen: with the program stopped (SIGSTOP) while a request and its close come, the next hop got the head in 3 of 4 ways of leaving, and after a 100 beside a close the whole job. Ruled out: jobs that wait in the module (caller_left takes them out at once).

Change: Callers.is_waiting asks the caller's connection, has the leg read what came, and the branch ends unwritten (MOOT), also where attempts may not be called off. One recv(MSG_PEEK) a branch, twice with a body.

--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -82,7 +82,8 @@
         reader = Reader(config.zones, config.kinds)
         self._known = reader.news(config.known, cached=True)
         self._hops = NextHops(self.tell, self._clock, pool, config.report_names, self._poller, spares,
-                              self._count, lambda rid: self._callers.caller_of(rid), config.dial_timeout_ms)
+                              self._count, lambda rid: self._callers.caller_of(rid),
+                              lambda rid: self._callers.is_waiting(rid), config.dial_timeout_ms)
         self._discovery = Discovery(self.tell, pool, reader)
         pages = Pages(self._ready, lambda: self.state.counters, self._pages())
         gate = next((gate for unit in self.units if (gate := unit.gate())), None)
--- a/flintfield/wire/http1/branch.py
+++ b/flintfield/wire/http1/branch.py
@@ -71,6 +71,7 @@
     spares: Spares
     count: Callable[[str], None]
     caller_of: Callable[[int], Hashable | None]  # who waits for a transaction's answer
+    is_waiting: Callable[[int], bool]  # whether that caller is still there; if not the reducer is told
     end: Callable[[BranchLeg], None]  # a branch has told its ending, or has none to tell
     dial_timeout_ms: float
     continuing: set[Address] = field(default_factory=set)  # those that have said 100 before
@@ -264,7 +265,9 @@
             self._shared.poller.change(self._stream.descriptor, NOTHING)  # a break is told all the same
 
     def write(self, order: WriteBranch) -> None:
-        """It may be written."""
+        """It may be written, if its caller is still there."""
+        if self._ends_with_caller():
+            return
         self.order = order
         if self._held and self.phase is Phase.UP and self._stream:
             self._held = False
@@ -294,6 +297,20 @@
 
     # --------------------------------------------------------------- writing
 
+    def _ends_with_caller(self) -> bool:
+        """Whether it ends here because its caller has left.
+
+        Guards against an attempt for a caller that left while we waited for the next hop, or while the loop
+        was late: branches are woken before caller legs. The reducer is told of the caller first, and drops
+        this branch where attempts may be called off.
+        """
+        if self._shared.is_waiting(self.rid):
+            return False
+        self._shared.count("branches.caller_left")
+        if self.phase is not Phase.CLOSED:
+            self._end(Ending(End.BROKEN, Reach.UNTRIED, word="the caller has left"))
+        return True
+
     def _head(self, order: WriteBranch, given: Submission) -> bytes:
         asks = b"Expect: 100-continue\r\n" if given.body else b""
         return (b"%b %b HTTP/1.1\r\nHost: %b:%d\r\nReq-Id: %b\r\nReq-Kind: %b\r\nReq-Deadline: %dm\r\n%b"
@@ -304,6 +321,8 @@
     def _send_body(self) -> None:
         assert self.order
         self._shared.asks.remove(self)
+        if self._ends_with_caller():
+            return
         self.phase = Phase.BODY
         self._send(self.order.submission.body)
 
--- a/flintfield/wire/http1/caller.py
+++ b/flintfield/wire/http1/caller.py
@@ -237,6 +237,17 @@
         leg = self._waiting.get(rid)
         return leg.caller if leg else None
 
+    def is_waiting(self, rid: int) -> bool:
+        """Whether its caller still waits, by what its connection says now; one that left is told.
+
+        A transaction that none of our legs waits for is another front's own.
+        """
+        leg = self._waiting.get(rid)
+        if leg is None or leg.stream.is_quiet():
+            return True
+        leg.ready()
+        return False
+
     def take(self, leg: Leg, request: Request) -> Reply | None:
         """A leg has a whole request: a page is answered, now or later, a job opens a transaction."""
         leg.ticket = 0
--- a/flintfield/wire/http1/hop.py
+++ b/flintfield/wire/http1/hop.py
@@ -28,10 +28,10 @@
     def __init__(self, tell: Callable[[Message], None], clock: Callable[[], float], pool: Pool,
                  report_names: Mapping[str, str], poller: Poller, spares: Spares,
                  count: Callable[[str], None], caller_of: Callable[[int], Hashable | None],
-                 dial_timeout_ms: float) -> None:
+                 is_waiting: Callable[[int], bool], dial_timeout_ms: float) -> None:
         self._tell, self._clock, self._pool, self._names = tell, clock, pool, report_names
         self._shared = Shared(tell, poller, pool, report_names, spares, count, caller_of,
-                              self._ended, dial_timeout_ms)
+                              is_waiting, self._ended, dial_timeout_ms)
         self._outs: dict[tuple[int, int], BranchLeg] = {}
 
     # -------------------------------------------------------------- branches
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -130,10 +130,27 @@
         self.probe_ports: queue.Queue[int] = queue.Queue()
         self.cut_probes = False
         self.heads: queue.Queue[str] = queue.Queue()  # what to do with the next heads in place of a 100
+        self.seen: set[str] = set()  # the ids of all heads that came
+        # Of a head that is to "wait": its connection; its 100 may go out; it is out.
+        self.asked: queue.Queue[socket.socket] = queue.Queue()
+        self.go_on, self.went_on = threading.Event(), threading.Event()
 
         class Handler(Peer):
+            def parse_request(self) -> bool:
+                parsed = super().parse_request()
+                if parsed and self.command == "POST":
+                    hop.seen.add(self.headers["Req-Id"])
+                return parsed
+
             def handle_expect_100(self) -> bool:
+                hop.seen.add(self.headers["Req-Id"])
                 how = "100" if hop.heads.empty() else hop.heads.get()
+                if how == "wait":
+                    hop.asked.put(self.connection)
+                    hop.go_on.wait(SOON)
+                    super().handle_expect_100()
+                    hop.went_on.set()
+                    return True
                 if how == "100":
                     return super().handle_expect_100()
                 if how == "no word":
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,132 @@
+"""What crosses on a socket in one instant: the program is stopped, all is laid ready, and it goes on."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import struct
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+import pytest
+
+from peers import SOON, Hop, Scheduler, Start, ended, until
+
+RESET = struct.pack("ii", 1, 0)  # for SO_LINGER: a close resets
+
+
+def request(body: bytes = b"", name: str = "", cls: str = "match-list", wait: str = "8000m") -> bytes:
+    return (b"POST /%b HTTP/1.1\r\nHost: f\r\nReq-Id: %b\r\nReq-Kind: %b\r\nReq-Deadline: %b\r\n"
+            b"Content-Length: %d\r\n\r\n%b" % (cls.encode(), (name or os.urandom(8).hex()).encode(),
+                                               cls.encode(), wait.encode(), len(body), body))
+
+
+def dial(scheduler: Scheduler) -> socket.socket:
+    return socket.create_connection(("127.0.0.1", scheduler.port), SOON)
+
+
+@contextmanager
+def frozen(scheduler: Scheduler) -> Iterator[None]:
+    """The program stands still: what is done meanwhile it finds all at once."""
+    pid = scheduler.process.pid
+    scheduler.process.send_signal(signal.SIGSTOP)
+    os.waitid(os.P_PID, pid, os.WSTOPPED | os.WNOWAIT)
+    yield
+    scheduler.process.send_signal(signal.SIGCONT)
+
+
+def has_bytes(sock: socket.socket) -> bool:
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except BlockingIOError:
+        return False
+
+
+def close(sock: socket.socket) -> None:
+    sock.close()
+
+
+def reset(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    sock.close()
+
+
+def half_close(sock: socket.socket) -> None:
+    sock.shutdown(socket.SHUT_WR)
+
+
+def close_behind_more(sock: socket.socket) -> None:
+    sock.sendall(b"POST /match-list HTTP/1.1\r\nReq-Id: ")
+    sock.close()
+
+
+LEAVES = pytest.mark.parametrize("leave", [close, reset, half_close, close_behind_more])
+
+
+@LEAVES
+@pytest.mark.parametrize("body", [b"", b"job"])
+def test_no_attempt_begins_for_a_caller_that_has_left(
+    begin: Start, leave: Callable[[socket.socket], None], body: bytes
+) -> None:
+    hop = Hop()
+    scheduler = begin(hop)
+    caller = dial(scheduler)
+    with frozen(scheduler):
+        caller.sendall(request(body))
+        leave(caller)
+    told = "requests.bad.400" if leave is close_behind_more else "requests.left.match-list"
+    assert until(lambda: scheduler.counters().get(told))
+    assert not scheduler.counters().get("branches.whole") and hop.jobs.empty() and not hop.seen
+
+
+@LEAVES
+def test_no_further_attempt_begins_for_a_caller_that_has_left(
+    begin: Start, leave: Callable[[socket.socket], None]
+) -> None:
+    hops = Hop("s-1"), Hop("s-2")
+    scheduler = begin(*hops)
+    caller = dial(scheduler)
+    caller.sendall(request())
+    assert until(lambda: not all(h.jobs.empty() for h in hops))
+    first, other = hops if not hops[0].jobs.empty() else hops[::-1]
+    job = first.job()
+    with frozen(scheduler):
+        job.status(503, Srv_Declined="1")
+        leave(caller)
+    assert until(lambda: scheduler.counters().get("requests.left.match-list"))
+    assert scheduler.counters()["branches.opened"] == 2 and other.jobs.empty() and not other.seen
+
+
+def test_a_body_is_not_sent_for_a_caller_that_left_after_the_head(begin: Start) -> None:
+    hop = Hop()
+    scheduler = begin(hop)
+    for went in range(20):  # until it is stopped before it sends the body unasked, which it does after 0.1 s
+        hop.heads.put("wait")
+        hop.go_on.clear()
+        hop.went_on.clear()
+        caller = dial(scheduler)
+        caller.sendall(request(b"job"))
+        asked = hop.asked.get(timeout=SOON)
+        with frozen(scheduler):
+            caught = not has_bytes(asked)
+            caller.close()
+            hop.go_on.set()
+            assert hop.went_on.wait(SOON)
+        assert until(lambda n=went: scheduler.counters().get("requests.left.match-list") == n + 1)
+        if caught:
+            break
+    assert caught and scheduler.counters().get("branches.whole", 0) == went
+    assert [hop.job().body for _ in range(went + 1)].count(b"job") == went
+
+
+def test_others_are_served_after_a_caller_that_left(begin: Start) -> None:
+    hop = Hop()
+    scheduler = begin(hop)
+    caller = dial(scheduler)
+    with frozen(scheduler):
+        caller.sendall(request(b"job"))
+        caller.close()
+    sent = scheduler.submit()
+    hop.job().say("done", result="list")
+    assert ended(sent.getresponse()) == (200, b"list")
