Pass on the idempotency key and tell the module whose job it is

A trial on a scratch copy printed what clients send: where a class is guarded they send Idempotency-Key, by which next hops drop repeats; BranchLeg._head (wire/http1/branch.py) passed on no header but our own, so a repeat would have run twice. Found beside it: Req-Owner was read, but Taking.submitted (memory/taking.py) left the tenant at its default 0, so where settings have tenants all jobs were charged to the first one, which is then always beyond its share. The first customer's site has neither guarded classes nor tenants, so nothing showed there.

Change: the key is passed on as it came with each attempt, refused (400) if given twice, over 1 KiB or with a line end; the tenant is the place of Req-Owner among the settings' parties, -1 for none.

--- a/flintfield/base/config.py
+++ b/flintfield/base/config.py
@@ -25,6 +25,7 @@
     settings: Settings
     raw_settings: Any  # as they stand in the file
     class_names: tuple[str, ...]
+    tenant_names: tuple[str, ...]
     zones: tuple[str, ...]
     kinds: tuple[str, ...]
     report_names: dict[str, str]  # a load report's names on the wire, and ours
@@ -66,6 +67,7 @@
         settings=on_sockets(settings),
         raw_settings=raw_settings.raw,
         class_names=tuple(c.text("name") for c in raw_settings.sections("request_classes")),
+        tenant_names=tuple(t.text("name", "") for t in raw_settings.sections("parties")),
         zones=raw_settings.texts("areas"),
         kinds=raw_settings.texts("shapes"),
         report_names={wire: ours for wire, ours in zip(wire_names, fields, strict=True) if ours},
--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -87,7 +87,7 @@
         self._discovery = Discovery(self.tell, pool, reader)
         pages = Pages(self._ready, lambda: self.state.counters, self._pages())
         gate = next((gate for unit in self.units if (gate := unit.gate())), None)
-        self._callers = Callers(self.tell, pages, config.class_names,
+        self._callers = Callers(self.tell, pages, config.class_names, config.tenant_names,
                                 self._most_legs, self._count, self._poller, gate)
         self._perform: dict[type, Callable[[Any], None]] = {
             OpenBranch: self._hops.open,
--- a/flintfield/memory/taking.py
+++ b/flintfield/memory/taking.py
@@ -53,7 +53,7 @@
         if len(state.transactions) > state.most_held:
             self._answer(message.rid, Verdict.REFUSED, retry_after_ms=state.limits.max_retry_after_ms)
             return
-        self._events.append(Request(message.rid, given.cls, deadline, key=given.key, hint_ms=given.cost_ms,
+        self._events.append(Request(message.rid, given.cls, deadline, given.tenant, given.key, given.cost_ms,
                                     slots=given.slots, memory=given.memory, repeat=given.repeat))
 
     def _track(self, transaction: Transaction) -> bool:
--- a/flintfield/memory/terms.py
+++ b/flintfield/memory/terms.py
@@ -76,6 +76,8 @@
     memory: float = 0.0
     repeat: bool = False
     owner: str = ""  # who the caller says the job is for (`Req-Owner`)
+    tenant: int = -1  # the place of that owner in the settings; -1: it has none
+    idempotency_key: bytes = b""  # by which next hops know the repeats of a request, passed on as it came
     front: str = ""  # who handed it in, where that is not the main listener: it is asked and answered
 
 
--- a/flintfield/units/queues.py
+++ b/flintfield/units/queues.py
@@ -306,7 +306,8 @@
             b"req-kind": binding.class_name.encode(), b"req-id": asked.name.encode()}
         request = Request(b"POST", f"/{binding.class_name}".encode(), headers, asked.body)
         names = {name: i for i, name in enumerate(config.class_names)}
-        return replace(read_submission(request, names), front=FRONT)
+        tenants = {name: i for i, name in enumerate(config.tenant_names)}
+        return replace(read_submission(request, names, tenants), front=FRONT)
 
     def _may_write(self, effect: MayWrite) -> None:
         """A branch is up: what is noted before its first byte may leave."""
--- a/flintfield/wire/http1/branch.py
+++ b/flintfield/wire/http1/branch.py
@@ -312,11 +312,13 @@
         return True
 
     def _head(self, order: WriteBranch, given: Submission) -> bytes:
-        asks = b"Expect: 100-continue\r\n" if given.body else b""
+        more = b"Expect: 100-continue\r\n" if given.body else b""
+        if given.idempotency_key:
+            more += b"Idempotency-Key: %b\r\n" % given.idempotency_key
         return (b"%b %b HTTP/1.1\r\nHost: %b:%d\r\nReq-Id: %b\r\nReq-Kind: %b\r\nReq-Deadline: %dm\r\n%b"
                 b"Content-Length: %d\r\n\r\n" % (
                     given.method, given.target, self.address[0].encode(), self.address[1],
-                    given.name.encode(), given.class_name.encode(), order.wait_ms, asks, len(given.body)))
+                    given.name.encode(), given.class_name.encode(), order.wait_ms, more, len(given.body)))
 
     def _send_body(self) -> None:
         assert self.order
--- a/flintfield/wire/http1/caller.py
+++ b/flintfield/wire/http1/caller.py
@@ -74,11 +74,12 @@
     urgent = False
 
     def __init__(self, tell: Callable[[Message], None], pages: Pages, class_names: Sequence[str],
-                 most_legs: Callable[[], int], count: Callable[[str], None], poller: Poller,
-                 gate: Gate | None = None) -> None:
+                 tenant_names: Sequence[str], most_legs: Callable[[], int], count: Callable[[str], None],
+                 poller: Poller, gate: Gate | None = None) -> None:
         self._tell, self._pages, self._count = tell, pages, count
         self._gate = gate  # None: all connections are taken as they come
         self._classes = {name: i for i, name in enumerate(class_names)}
+        self._tenants = {name: i for i, name in enumerate(tenant_names)}
         self._most_legs = most_legs
         self._poller = poller
         self._waits: Waits[Leg] = Waits(poller, REQUEST_S, Leg.time_over)
@@ -257,7 +258,7 @@
             assert self._tasks
             self._tasks.start_soon(self._answer_later, leg, reply)
             return None
-        submission = read_submission(request, self._classes)
+        submission = read_submission(request, self._classes, self._tenants)
         self._next_rid += 1
         leg.ticket = self._next_rid
         self._waiting[leg.ticket] = leg
--- a/flintfield/wire/http1/submission.py
+++ b/flintfield/wire/http1/submission.py
@@ -16,6 +16,8 @@
 UNITS = {"m": 1.0, "u": 0.001}
 NUMBER = re.compile(r"[0-9]{1,18}(\.[0-9]{0,18})?([eE][+-]?[0-9]{1,2})?")
 ID = re.compile(r"[!-~]{1,128}")
+PASSED_ON = (b"req-", b"idempotency-key")  # how the names of headers begin that tell what the job is
+PASSABLE = re.compile(rb"[ -~\x80-\xff]{0,1024}")  # a header's value that may be passed on as it is
 KEY = re.compile(r"[0-9a-fA-F]{1,16}")
 
 
@@ -45,14 +47,15 @@
     if b"transfer-encoding" in names and (sized or head.http_version < b"1.1"):
         raise BadRequest(400, "Content-Length and Transfer-Encoding: the body's end is in doubt")
     # Guards against a job that we and the next hop read differently, by the first value or by the last.
-    if doubled := next((n for n in names if n.startswith(b"req-") and names.count(n) > 1), b""):
+    if doubled := next((n for n in names if n.startswith(PASSED_ON) and names.count(n) > 1), b""):
         raise BadRequest(400, f"{doubled.decode()}: given twice")
     if sized and int(dict(head.headers)[b"content-length"]) > MOST_BODY:
         raise BadRequest(413, "the body is longer than 64 KiB")
 
 
-def read_submission(request: Request, classes: Mapping[str, int]) -> Submission:
-    """Read a job's request; what is missing or wrong is a `BadRequest`."""
+def read_submission(request: Request, classes: Mapping[str, int], tenants: Mapping[str, int]) -> Submission:
+    """Read a job's request; what is missing or wrong is a `BadRequest`. Classes and tenants have their places
+    in the settings."""
     headers = request.headers
     first = request.target.split(b"?", 1)[0].strip(b"/").split(b"/", 1)[0].decode("ascii", "replace")
     class_name = _text(headers, b"req-kind")
@@ -62,7 +65,7 @@
     if not ID.fullmatch(name):
         raise BadRequest(400, "Req-Id: missing, too long or not plain text")
     extras = _extras(_text(headers, b"req-extra")) if b"req-extra" in headers else {}
-    cost_us = _number(headers, b"req-cost")
+    cost_us, owner = _number(headers, b"req-cost"), _text(headers, b"req-owner")
     return Submission(
         name=name, method=request.method, target=request.target, body=request.body,
         cls=classes[class_name], class_name=class_name, wait_ms=_deadline(_text(headers, b"req-deadline")),
@@ -71,10 +74,20 @@
         slots=extras.get("slots") or extras.get("needs") or 1.0,
         memory=extras.get("memory") or extras.get("mem_needed") or 0.0,
         repeat=headers.get(b"req-retry") == b"1",
-        owner=_text(headers, b"req-owner")[:MOST_OWNER] if b"req-owner" in headers else "",
+        owner=owner[:MOST_OWNER],
+        tenant=tenants.get(owner, -1),
+        idempotency_key=_passed_on(headers, b"idempotency-key"),
     )
 
 
+def _passed_on(headers: Mapping[bytes, bytes], name: bytes) -> bytes:
+    text = headers.get(name, b"")
+    # Guards against a line end that would begin another header: not all that is read here came over HTTP.
+    if not PASSABLE.fullmatch(text):
+        raise BadRequest(400, f"{name.decode()}: too long or not plain text")
+    return text
+
+
 def _refuse_class(method: bytes, first: str, class_name: str, classes: Mapping[str, int]) -> NoReturn:
     """Say what is wrong with a request that is no job of a class."""
     if first not in classes and class_name not in classes and class_name in ("", first):
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -224,12 +224,15 @@
     (HEAD + NEEDED + b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400),
     (HEAD.replace(b"/1.1", b"/1.0") + NEEDED + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400),
     (HEAD + NEEDED + b"Req-Id: 2f\r\nContent-Length: 0\r\n\r\n", 400),
+    (HEAD + NEEDED + b"Idempotency-Key: 1\r\nIdempotency-Key: 2\r\nContent-Length: 0\r\n\r\n", 400),
+    (HEAD + NEEDED + b"Idempotency-Key: " + b"1" * 1025 + b"\r\nContent-Length: 0\r\n\r\n", 400),
     (HEAD + NEEDED + b"Content-Length: 60000000\r\n\r\n", 413),
     (HEAD + NEEDED + b"Content-Length: 2\r\n\r\nokand more", 400),
     (HEAD + NEEDED + b"Content-Length: 9\r\n\r\nshort", 408),
     (b"POST /match", 408),
 ], ids=["no http", "negative length", "long head", "no host", "long body", "long chunk", "two lengths",
-        "chunks in 1.0", "two ids", "long length", "over its length", "under its length", "half a head"])
+        "chunks in 1.0", "two ids", "two idempotency keys", "long idempotency key", "long length",
+        "over its length", "under its length", "half a head"])
 def test_malformed_http_is_told_so(begin: Start, raw: bytes, status: int) -> None:
     scheduler = begin(Hop())
     with socket.create_connection(("127.0.0.1", scheduler.port), SOON) as sock:
