Send nothing by a list that may lack what counts as told: at a start, after hidden news

The log has no failed watch after 2.9 s, but 43 schedulers that were stopped at 10.8 s serve again from 29.38 to 29.47 s, with generation 0; the node was gone since 21.9 to 25.6 s, so it counted as told 6 s later, before those processes began. One of them sent by the list in its configuration 0.1 to 0.2 s after it was ready, while its first call stood in discovery's queue. At fault: a process that asks for lists was ready at once (lifecycle/program.py _ready, only pushed lists waited), its first call was a watch that waits 3 s where there is no news (memory/listing.py _call_discovery), and the module knew no doubt.

Change: Asking.is_sure: a list is in doubt from the start to discovery's first answer, and from when a silent watch's hidden news count to the next answer, each no longer than 5 s (ready within 6 s is wanted; an outage must not end service); Placing._place holds jobs meanwhile, /ready says 503 after a start, the first call is answered at once, and maintenance takes no node out.

Tests changed: test_where_lists_are_asked_for_a_process_serves_at_once asserted just this fault; in its place, for asked and pushed lists, silent and busy discovery, nothing goes out by the old list, and after 5 s without a word it does. Fixtures answer the first call (the stand-in discovery now heeds wait=).

--- a/flintfield/base/settings.py
+++ b/flintfield/base/settings.py
@@ -22,6 +22,8 @@
 GROUPS = {g.value: g for g in Group}
 REPORT_NAMES = {"rif": "inflight", "q": "queue", "busy": "util", "lat_ms": "latency_ms"}
 FREE_SLOTS = "free slots"
+# The platform wants a restarted scheduler ready within 6 s at the least; its start takes up to one of them.
+FIRST_WORD_MS = 5_000.0
 
 
 class ConfigError(BadInput):
@@ -181,4 +183,5 @@
 
 
 def on_sockets(settings: Settings) -> Settings:
-    return replace(settings, ask_list=True, pushed=not settings.ask_list)  # no news comes unasked
+    # No news comes unasked.
+    return replace(settings, ask_list=True, pushed=not settings.ask_list, first_word_ms=FIRST_WORD_MS)
--- a/flintfield/decision/asking.py
+++ b/flintfield/decision/asking.py
@@ -11,6 +11,10 @@
 One that is refused at once made it no work: it is down, or its queue is full; one that nobody answered, not
 even to refuse it, was lost on the way. When discovery is back or reached again, what it has to tell counts a
 fixed time later, whichever call failed; so after such calls two more fit into that time.
+
+A list is in doubt where it may lack what counts as told already: at a start, for what stands in it may be
+long over, and once the time is up after which a silent watch's news count. Nothing goes out by a list in
+doubt. That lasts no longer than `patience_ms`: discovery may be down, and then its list is the best there is.
 """
 
 from __future__ import annotations
@@ -32,9 +36,11 @@
 class Asking:
     """Whether discovery is being watched, and when it is to be asked next; times in ms."""
 
-    def __init__(self, within_ms: float, most_ms: float = math.inf) -> None:
+    def __init__(self, within_ms: float, most_ms: float = math.inf, patience_ms: float = 0.0) -> None:
         self.within_ms = within_ms  # the longest that may pass between two calls
         self.most_ms = most_ms  # the longest wait of all
+        self.patience_ms = patience_ms
+        self.doubted_at, self.trusted_at = math.inf, math.inf  # the list is in doubt from then, and till then
         self.watching = False  # news come by themselves
         self.at = -math.inf
         self.failed = 0  # calls in a row
@@ -44,12 +50,18 @@
         """Whether to ask now; the call then counts as out."""
         if self.watching or now < self.at:
             return False
+        if self.called_at == -math.inf:
+            self.doubted_at, self.trusted_at = now, now + self.patience_ms
         self.at, self.called_at = now + IN_VAIN * self.within_ms, now
         return True
 
+    def is_sure(self, now: float) -> bool:
+        """Whether jobs may go out by the list as it is."""
+        return not self.doubted_at <= now < self.trusted_at
+
     def heard(self, now: float) -> None:
         """An answer came: the next ones follow by themselves."""
-        self.watching, self.failed, self.called_at = True, 0, now
+        self.watching, self.failed, self.called_at, self.doubted_at = True, 0, now, math.inf
 
     def fail(self, now: float, generator: random.Random, due: float | None = None) -> None:
         """A call failed, or the watch ended; `due`: when news that it may have hidden count as told.
@@ -57,6 +69,8 @@
         Until then there is no time to back off: only those whose watch broke ask, and those alone.
         """
         self.watching, self.failed = False, self.failed + 1
+        if due is not None and now < self.doubted_at:
+            self.doubted_at, self.trusted_at = due, due + self.patience_ms
         longest = min(self.most_ms, self.within_ms * min(MOST, FIRST * 2.0 ** (self.failed - 1)))
         if due is not None or now - self.called_at <= AT_ONCE_MS:  # nobody keeps us out by asking as well
             longest = min(longest, (TOLD_MS - CALL_MS) / TRIES)
--- a/flintfield/decision/desk.py
+++ b/flintfield/decision/desk.py
@@ -61,7 +61,8 @@
         self.handlers: dict[type, Callable[..., None]] = {}
         self.now = self.last_tick = self.wake_at = -math.inf
         self.passed = 0.0  # between the last two ticks
-        self.asking = Asking(settings.rules.ask_within_ms, settings.longest_unasked_ms())
+        self.asking = Asking(settings.rules.ask_within_ms, settings.longest_unasked_ms(),
+                             settings.first_word_ms)
         self.hands = Hands()
         self.patience = Patience(c.deadline_ms for c in settings.classes)
         self.short_at = -math.inf  # when a job was last given up for want of room
--- a/flintfield/decision/placing.py
+++ b/flintfield/decision/placing.py
@@ -19,7 +19,7 @@
 
     def _place(self, job: Job, anywhere: bool = False) -> bool:
         """Draw a worker with room for the job; while there is none, or none it can pay, it is held here."""
-        may = not job.attempts or may_go(job, self.settings, self.now)
+        may = self.asking.is_sure(self.now) and (not job.attempts or may_go(job, self.settings, self.now))
         worker = self._draw(job, anywhere) if may else None
         if worker is None:
             if not job.running():  # one that waits at a worker is not held as well: thousands may in a jam
--- a/flintfield/decision/settings.py
+++ b/flintfield/decision/settings.py
@@ -134,6 +134,7 @@
     that proves wrong, as when some are dead, costs evenness alone. `zone` is where it stands.
     `over_share_worth` is the worth of a request beyond its tenant's allowance, as a part of its class's.
     `ask_list`: news of workers come only when asked for; `pushed`: they count as told all the same.
+    `first_word_ms`: for how long nothing goes out by a list that may lack what counts as told (asking.py).
     `has_weights`: the list tells sizes, which then stand for quality. `reports`: workers tell their load when
     probed, and with `reports_in_answers` in each outcome too. `tells_start`: a note comes when a job starts.
     `worth_by_work`: a request is worth its class's worth times its work. `resolution_ms`: the shortest time
@@ -148,6 +149,7 @@
     zone: int = 0
     ask_list: bool = False
     pushed: bool = False
+    first_word_ms: float = 0.0
     has_weights: bool = False
     reports: bool = True
     reports_in_answers: bool = False
--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -35,7 +35,6 @@
 from flintfield.wire.http1.spares import Spares
 
 SWEEP_S = 1.0
-FIRST_WORD_MS = 2_000.0  # from the start: how long the first word of a list that is pushed is waited for
 WAKE_MS = 1.0  # between two looks at the timers: those of thousands of jobs ring together
 # Containers made beyond those let go before the collector looks at the young ones, and how many such looks
 # come before a wider one. Our values hold no cycles: what is to be found is rare, and a look at 10,000 open
@@ -60,7 +59,7 @@
     def __init__(self, config: Config, features: Sequence[Chosen], log: Any) -> None:
         self._config, self._log = config, log
         self._clock = make_clock()
-        self._first_word_by = self._clock() + FIRST_WORD_MS
+        self._first_word_by = self._clock() + config.settings.first_word_ms
         self.state = State(Dispatcher(config.settings, config.seed), config.most_held, config.discovery)
         self._errors = ErrorOut(self._count)
         self._inbox: deque[Message] = deque()
@@ -114,9 +113,8 @@
     def _ready(self) -> bool:
         """To callers all processes of this scheduler are one: what counts is whether the newest serves."""
         state = self.state
-        if not state.told and state.dispatcher.settings.pushed and self._clock() < self._first_word_by:
-            # Guards against a job sent by the old list: where lists are pushed, news count from the first
-            # moment of a process.
+        if not state.told and self._clock() < self._first_word_by:
+            # Guards against jobs that would wait here: none goes out by the list of before (asking.py).
             return False
         return not state.drained and (not state.stopping or state.newer_ready)
 
--- a/flintfield/memory/listing.py
+++ b/flintfield/memory/listing.py
@@ -101,5 +101,7 @@
         state.calls += 1
         state.called_at = self.now
         state.counters["discovery.calls"] += 1
-        # Guards against a second silence: a call that need not wait is known to be silent sooner.
-        self.effects.append(CallDiscovery(state.calls, state.discovery, state.generation, state.due is None))
+        # Guards against a second silence: a call that need not wait is known to be silent sooner. And against
+        # a new process that waits for news where there are none before it trusts its list.
+        waits = state.told and state.due is None
+        self.effects.append(CallDiscovery(state.calls, state.discovery, state.generation, waits))
--- a/flintfield/units/maintenance.py
+++ b/flintfield/units/maintenance.py
@@ -186,7 +186,9 @@
             self._reported = now
             self._carry_out(turn, [barring.report(place) for place in range(self._told.places)])
         if self.executor:
-            self._look_at_works(now, self.executor)
+            # Guards against a node taken out by a list that may lack those that are gone.
+            if turn.state.dispatcher.asking.is_sure(now):
+                self._look_at_works(now, self.executor)
             self._carry_out(turn, self.executor.wake(now))
 
     def _wait_or_serve(self, turn: Turn) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
 
 import pytest
 from hypothesis import HealthCheck, settings
 
-from peers import Hop, Scheduler, Start
+from peers import Directory, Hop, Scheduler, Start
 
 # Guards against a verdict that depends on what else the machine does: how long an example takes is no fault.
 settings.register_profile("same", derandomize=True, deadline=None, max_examples=60,
@@ -23,8 +23,10 @@
     started: list[Scheduler] = []
 
     def make(*hops: Hop, sockets: int = 1024, descriptors: int = 0, ini: str = "",
-             listen: str = "127.0.0.1:0", **settings: Any) -> Scheduler:
-        started.append(Scheduler(tmp_path, list(hops), settings, sockets, descriptors, ini, listen))
+             listen: str = "127.0.0.1:0", prepare: Callable[[Directory], None] | None = None,
+             **settings: Any) -> Scheduler:
+        started.append(Scheduler(tmp_path, list(hops), settings, sockets, descriptors, ini, listen,
+                                 prepare=prepare))
         return started[-1]
 
     yield make
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -212,8 +212,8 @@
                 _, watch, index = self.path.partition("index=")
                 with directory.changed:
                     if watch:
-                        since = int(index.split("&")[0])
-                        directory.changed.wait_for(lambda: directory.version > since, SOON / 2)
+                        since, wait = int(index.split("&")[0]), int(index.partition("wait=")[2] or 0) / 1000
+                        directory.changed.wait_for(lambda: directory.version > since, wait)
                     told = directory.news if watch else directory.whole
                     news = {"generation": directory.version, "reset": not watch, "instances": told}
                 self.reply(200, json.dumps(news, indent=directory.indent).encode())
@@ -239,9 +239,12 @@
 
     def __init__(self, folder: Path, hops: list[Hop], settings: dict[str, Any], sockets: int,
                  descriptors: int = 0, ini: str = "", listen: str = "127.0.0.1:0", name: str = "n1",
-                 program: Sequence[str] = PROGRAM, accepts: int | None = None) -> None:
+                 program: Sequence[str] = PROGRAM, accepts: int | None = None,
+                 prepare: Callable[[Directory], None] | None = None) -> None:
         self.hops, self.directory, self.folder = hops, Directory(), folder
         self.directory.whole = [h.entry() for h in hops]
+        if prepare:
+            prepare(self.directory)
         self.config = {
             "name": name, "listen": listen, "discovery": self.directory.server.address, "seed": "8c1f",
             "limits": {"memory_mb": 192, "sockets": sockets}, "settings": SETTINGS | settings,
@@ -251,6 +254,9 @@
         assert self.process.stdout
         self.ports = json.loads(self.process.stdout.readline())
         self.port = self.ports["port"]
+        if not prepare:  # it has its first answer, which it waits for, and watches for more
+            assert until(lambda: self.directory.calls.qsize() > 1)
+            self.directory.calls.get()
 
     def connect(self) -> HTTPConnection:
         return HTTPConnection("127.0.0.1", self.port, timeout=SOON)
--- a/tests/test_jobstatus.py
+++ b/tests/test_jobstatus.py
@@ -117,6 +117,7 @@
         super().__init__()
         self.state = State(Dispatcher(read_settings(SETTINGS)[0], 1), 100, OLD, Jobs(1000.0, most))
         self.take(RouteNews(ListMode.CACHED, 7, self.routes))
+        self.take(RouteNews(ListMode.DELTA, 7, (), 1))
 
     def seen(self, name: str) -> tuple[object, ...]:
         assert self.state.jobs
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -38,13 +38,15 @@
 class Memory:
     """A state and the effects that its messages called for."""
 
-    def __init__(self, hops: int = 2, prepare: Callable[[State], None] = lambda _: None,
+    def __init__(self, hops: int = 2, prepare: Callable[[State], None] = lambda _: None, told: bool = True,
                  **settings: Any) -> None:
         self.state = State(Dispatcher(read_real_settings(SETTINGS | settings), 1), 100, OLD)
         prepare(self.state)
         self.now, self.effects = 1000.0, list[Effect]()
         self.routes = tuple(route(n) for n in range(1, hops + 1))
         self.take(RouteNews(ListMode.CACHED, 7, self.routes))
+        if told:  # discovery has answered: the list is as it was
+            self.effects = self.take(RouteNews(ListMode.DELTA, 7, (), 1))[:]
 
     def take(self, message: Message) -> list[Effect]:
         effects = reduce(self.state, self.now, message)
@@ -86,7 +88,7 @@
     memory = Memory()
     branch = only(memory.submit(1, cls=1), OpenBranch)
     told = branch.address[1]
-    memory.take(RouteNews(ListMode.DELTA, 8, (route(told, change),), 1))
+    memory.take(RouteNews(ListMode.DELTA, 8, (route(told, change),), memory.state.calls))
     effects = memory.take(BranchUp(1, 0))
     assert not [e for e in effects if isinstance(e, WriteBranch)]
     again = only(effects, OpenBranch)  # it never ran, so it goes elsewhere
@@ -205,18 +207,20 @@
 def test_a_watch_goes_on_at_once_and_one_that_failed_is_made_anew() -> None:
     memory = Memory()
     assert [c.generation for c in memory.all(CallDiscovery)] == [7]
-    assert only(memory.take(RouteNews(ListMode.DELTA, 9, (), 1)), CallDiscovery).generation == 9
-    assert not [e for e in memory.take(RouteCallFailed("cut", 2)) if isinstance(e, CallDiscovery)]
+    news = RouteNews(ListMode.DELTA, 9, (), memory.state.calls)
+    assert only(memory.take(news), CallDiscovery).generation == 9
+    failed = RouteCallFailed("cut", memory.state.calls)
+    assert not [e for e in memory.take(failed) if isinstance(e, CallDiscovery)]
     memory.until(memory.now + 2000)
     assert [c.generation for c in memory.all(CallDiscovery)] == [7, 9, None]  # it may have started anew
 
 
 def test_a_busy_discovery_is_asked_for_changes_alone_and_one_that_counts_anew_for_all() -> None:
     memory = Memory()
-    memory.take(RouteCallFailed("answered 503", 1, busy=True))
+    memory.take(RouteCallFailed("answered 503", memory.state.calls, busy=True))
     memory.until(memory.now + 3000)
     assert [c.generation for c in memory.all(CallDiscovery)] == [7, 7]
-    anew = RouteNews(ListMode.DELTA, 3, (route(9),), 2)
+    anew = RouteNews(ListMode.DELTA, 3, (route(9),), memory.state.calls)
     assert only(memory.take(anew), CallDiscovery).generation is None and 9 not in memory.state.routes
 
 
@@ -237,7 +241,7 @@
 
 def test_a_whole_list_takes_away_what_it_does_not_name() -> None:
     memory = Memory()
-    memory.take(RouteNews(ListMode.FULL, 9, (route(2),), 1))
+    memory.take(RouteNews(ListMode.FULL, 9, (route(2),), memory.state.calls))
     assert list(memory.state.routes) == [2]
     assert {only(memory.submit(n), OpenBranch).address[1] for n in (1,)} == {2}
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -47,6 +47,7 @@
 
         super().__init__(0, prepare, **settings)
         self.take(RouteNews(ListMode.CACHED, 7, listed(*names)))
+        self.take(RouteNews(ListMode.DELTA, 7, (), 1))
 
     def order(self, subject: str, out: bool) -> Any:
         return next(e for e in self.take(OrderAsked(1, subject, out))
--- a/tests/test_telling.py
+++ b/tests/test_telling.py
@@ -6,6 +6,7 @@
 import threading
 import time
 from collections import Counter
+from collections.abc import Callable
 from contextlib import ExitStack, suppress
 from http.client import HTTPConnection, RemoteDisconnected
 from queue import Empty
@@ -13,12 +14,13 @@
 
 import pytest
 
+from flintfield.base.settings import FIRST_WORD_MS
 from flintfield.decision.asking import CALL_MS
 from flintfield.decision.interface import ListMode
-from flintfield.memory.messages import CallDiscovery, DiscoveryMoved, RouteCallFailed, RouteNews
+from flintfield.memory.messages import CallDiscovery, DiscoveryMoved, OpenBranch, RouteCallFailed, RouteNews
 from flintfield.wire.http1.discovery import wait_ms, within_ms
 
-from peers import SOON, Directory, Hop, Start, ended, until
+from peers import CLASSES, SOON, Directory, Hop, Start, ended, until
 from test_memory import NEW, Memory
 
 TOLD_MS = 6_000.0  # after a watch fell silent
@@ -138,21 +140,68 @@
         assert memory.now - began < 400.0
 
 
-def test_where_lists_are_pushed_a_process_serves_when_the_agent_has_spoken(begin: Start) -> None:
-    gone, stays = Hop("s-1"), Hop("s-2")
-    scheduler = begin(gone, stays, membership_mode="automatic")
-    assert scheduler.get("/ready").status == 503  # its watch hangs, and its old list names both
-    scheduler.directory.tell(gone.entry(lifecycle="terminated"))
-    assert until(lambda: scheduler.get("/ready").status == 200, 0.5)
+BOTH = pytest.mark.parametrize("mode", ["automatic", "subscribe"])
+
+
+def silent_once(directory: Directory) -> None:
+    directory.silent = 1
+
 
+def silent(directory: Directory) -> None:
+    directory.silent = 1_000
 
-def test_without_word_of_the_agent_a_process_serves_by_its_old_list(begin: Start) -> None:
-    scheduler = begin(Hop(), membership_mode="automatic")
-    assert until(lambda: scheduler.get("/ready").status == 200, 4.0)
 
+def busy_twice(directory: Directory) -> None:
+    directory.broken = [b"", b""]
 
-def test_where_lists_are_asked_for_a_process_serves_at_once(begin: Start) -> None:
-    assert begin(Hop(), **ASKED).get("/ready").status == 200
+
+@BOTH
+@pytest.mark.parametrize("prepare", [silent_once, busy_twice])
+def test_a_new_process_sends_nothing_by_its_old_list(
+    begin: Start, mode: str, prepare: Callable[[Directory], None]
+) -> None:
+    gone, stays = Hop("s-1"), Hop("s-2")
+    scheduler = begin(gone, stays, prepare=prepare, **(ASKED | {"membership_mode": mode}))
+    sent = [scheduler.submit("social-booking") for _ in range(4)]  # the front has not noticed its restart
+    assert scheduler.get("/ready").status == 503
+    scheduler.directory.publish(gone.entry(lifecycle="terminated"))
+    for _ in sent:
+        stays.job().say("done", result="seat")
+    assert [ended(s.getresponse()) for s in sent] == [(200, b"seat")] * 4
+    assert gone.jobs.empty() and not gone.seen and scheduler.get("/ready").status == 200
+
+
+@BOTH
+def test_without_word_of_discovery_a_process_serves_by_its_old_list(begin: Start, mode: str) -> None:
+    hop = Hop()
+    began = time.monotonic()
+    scheduler = begin(hop, prepare=silent, **(ASKED | {"membership_mode": mode}))
+    assert until(lambda: scheduler.get("/ready").status == 200)
+    assert time.monotonic() - began > FIRST_WORD_MS / 1000
+    sent = scheduler.submit("social-booking")
+    hop.job().say("done", result="seat")
+    assert ended(sent.getresponse()) == (200, b"seat")
+
+
+def test_nothing_goes_by_a_list_whose_hidden_news_count_until_it_is_sure_or_long_in_doubt() -> None:
+    patient = [c | {"aim_ms": 20_000} for c in CLASSES]
+    for answered in (True, False):
+        memory = Memory(request_classes=patient, **ASKED)
+        due = memory.now + TOLD_MS
+        memory.until(memory.now + 3_000.0)
+        memory.take(RouteCallFailed("no answer in time", memory.state.calls, silent=True))
+        memory.until(due - 10.0)
+        assert [e for e in memory.submit(1, 1, 20_000.0) if isinstance(e, OpenBranch)]
+        memory.until(due + 100.0)
+        assert not [e for e in memory.submit(2, 1, 20_000.0) if isinstance(e, OpenBranch)]
+        before = len(memory.all(OpenBranch))
+        if answered:
+            memory.take(RouteNews(ListMode.DELTA, 9, (), memory.state.calls))
+        else:
+            memory.until(due + FIRST_WORD_MS - 200.0)
+            assert len(memory.all(OpenBranch)) == before
+            memory.until(due + FIRST_WORD_MS + 200.0)
+        assert len(memory.all(OpenBranch)) == before + 1
 
 
 def test_an_indented_list_is_read(begin: Start) -> None:
