Rest from a worker where a job was given up unstarted and no report tells of queues

Ruled out: dead nodes, connections, discovery. What is called off runs there all the same, so each of 206 schedulers that sent one more kept the queue as long as it was. Outcomes._learn (decision/outcomes.py) rests a worker whose job waited and started, and learned nothing from one that never started; probes and reports, which tell of queues elsewhere, are off on that site.

Change: such an ending rests the worker as a late start does, doubled in a row, where no report tells of its queue.

The test fails with the old lines (tried).

--- a/flintfield/decision/outcomes.py
+++ b/flintfield/decision/outcomes.py
@@ -4,10 +4,12 @@
 
 from flintfield.decision.interface import AttemptEnded, Note, Outcome
 from flintfield.decision.ending import TICK_MS
+from flintfield.decision.pricing import START_MS
 from flintfield.decision.records import Attempt, Job
 from flintfield.decision.rests import rest_after_wait, shun_after_error
 from flintfield.decision.waiting import AHEAD_MS, Waiting
 
+UNSTARTED = frozenset({Outcome.CANCELLED, Outcome.TIMEOUT})  # what ends an attempt that still waits there
 LOST = 0.2  # how far a lost, failed or timed-out job lowers a worker's quality, and one served raises it
 
 
@@ -33,6 +35,13 @@
             self._rate(worker)
         self.fleet.touch(worker, rated=event.done > 0)
 
+    def _waited_unseen(self, waited: float) -> bool:
+        """Whether a job that did not start waited in a queue that nothing else tells of.
+
+        Guards against a queue of what was called off and runs all the same, kept up by one more now and then.
+        """
+        return self.settings.tells_start and not self.asks and waited > START_MS
+
     def _learn(self, attempt: Attempt, event: AttemptEnded, job: Job | None) -> None:
         """What an outcome tells of its worker."""
         worker = attempt.worker
@@ -40,6 +49,8 @@
         worker.pending.pop(attempt, None)
         if attempt.started is not None:
             self.started -= attempt.slots
+        elif event.outcome in UNSTARTED and self._waited_unseen(waited := self.now - attempt.at):
+            rest_after_wait(worker, waited, self.sharers, self.now, self.random)
         if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
             self._heard(worker, event.report)
         if event.outcome is Outcome.ERROR and job is not None:
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -4,11 +4,12 @@
 
 from dataclasses import replace
 
-from helpers import RULES, World, only, sent_to, settings
+from helpers import LIMITS, RULES, World, only, sent_to, settings
 from flintfield.decision.interface import (
     Cancel, Effect, Entry, Fail, Group, ListMode, Note, Outcome, Probe, Probed, Refuse, Report, RequestClass,
     Send, ServerList, Tenant,
 )
+from flintfield.decision.pricing import START_MS
 
 FLEET = [Entry(n, zone=n % 2, kind=n % 3) for n in range(1, 41)]
 
@@ -141,6 +142,22 @@
     assert not sent_to(world.request(9))
 
 
+def test_a_worker_rests_where_a_job_was_given_up_before_it_started() -> None:
+    """What is called off there may run all the same: others still queue behind it."""
+    given = settings(Effect.UNSAFE, tells_start=True, dispatchers=90, limits=replace(LIMITS, probes=False))
+    world = World(given, [Entry(1)], free=9)
+    rests = []
+    cases = (1, Outcome.CANCELLED, 300), (2, Outcome.TIMEOUT, 100), (3, Outcome.CANCELLED, 20)
+    for rid, outcome, waited in cases:
+        world.now += 10_000
+        world.request(rid)
+        world.now += waited
+        world.end(rid, 1, outcome, over=True)
+        rests.append(world.dispatcher.workers[1].rest)
+        assert bool(sent_to(world.request(10 + rid))) is (waited < START_MS)
+    assert rests == [300.0, 600.0, 600.0]  # a job that was called off at once tells nothing
+
+
 def test_a_cold_worker_is_used_by_some_and_never_pushed_over_by_all() -> None:
     rules = replace(RULES, cold_ms=20_000)
     fleet = [Entry(1, started_ms=900.0), Entry(2)]
