Refuse a keyed job that may have run only while its client's repeat would be dropped

Need, by review of what ends a job: a refusal tells the client that its own retry is harmless. Where workers drop repeats by key that is so only within the class's window after the first attempt that may have run, and the client comes back later than now. is_harmless (decision/repeats.py) asked for the group alone, so a guarded job of group 'all' that was given up after its window was refused, and the retry would have run a second time.

Change: refused only if now and the advice that goes with the refusal lie within the window, else failed.

Test changed: ..._only_where_all_workers_drop_repeats gave up at 5 s with a window of 2 s and wanted a refusal: just this case. In its place four cases: within, beyond, beyond by the advice, and by cell; the second and third fail with the old lines (tried: 2 failed).

--- a/flintfield/decision/ending.py
+++ b/flintfield/decision/ending.py
@@ -15,10 +15,10 @@
 
     def _end(self, job: Job) -> None:
         """Give the final answer: refused where a retry is sure to be harmless (rule 2), else failed."""
-        refused = is_harmless(job, self.settings)
         self._forget(job)
-        rid = job.request.rid
-        self.actions.append(Refuse(rid, self._advice(job)) if refused else Fail(rid))
+        rid, advice = job.request.rid, self._advice(job)
+        refused = is_harmless(job, self.settings, self.now + advice)
+        self.actions.append(Refuse(rid, advice) if refused else Fail(rid))
 
     def _advice(self, job: Job) -> float:
         """When to come back: once the jobs held here and this one have had their turn at our slots."""
--- a/flintfield/decision/repeats.py
+++ b/flintfield/decision/repeats.py
@@ -17,8 +17,13 @@
         return True
     if cls.effect is Effect.UNSAFE or (not limits.second_copies and job.running()):
         return False
-    until = past[0].at + cls.window_ms - settings.resolution_ms
-    return cls.effect is Effect.SAFE or now < until
+    return cls.effect is Effect.SAFE or now < _known_until(job, settings)
+
+
+def _known_until(job: Job, settings: Settings) -> float:
+    """Until when workers know a keyed job that may have run by its key."""
+    window_ms = settings.classes[job.request.cls].window_ms
+    return job.maybe_ran()[0].at + window_ms - settings.resolution_ms
 
 
 def bound(job: Job, settings: Settings) -> tuple[str, int] | None:
@@ -32,8 +37,9 @@
     return (what, getattr(past[0].worker.entry, what)) if past else None
 
 
-def is_harmless(job: Job, settings: Settings) -> bool:
-    """Whether a client's own retry is sure to do no harm now, so that the job may be refused (rule 2)."""
+def is_harmless(job: Job, settings: Settings, back_at: float) -> bool:
+    """Whether a client's own retry is sure to do no harm then, so that the job may be refused (rule 2)."""
     cls = settings.classes[job.request.cls]
-    repeatable = cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
-    return repeatable or not job.maybe_ran()
+    if cls.effect is Effect.SAFE or not job.maybe_ran():
+        return True
+    return cls.effect is Effect.KEYED and cls.group is Group.ALL and back_at < _known_until(job, settings)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -90,12 +90,17 @@
     assert only(actions, Fail) == [Fail(7)]
 
 
-def test_a_keyed_job_that_may_have_run_is_refused_only_where_all_workers_drop_repeats() -> None:
-    for group, kind in ((Group.ALL, Refuse), (Group.CELL, Fail)):
-        world = World(settings(Effect.KEYED, group=group), [Entry(1)])
-        world.request(7)
-        world.wait(5_000)
-        assert [type(a) for _, a in world.log if isinstance(a, Refuse | Fail)] == [kind]
+@pytest.mark.parametrize(("group", "window_ms", "kind"), [
+    (Group.ALL, 9_000, Refuse), (Group.ALL, 2_000, Fail), (Group.ALL, 5_050, Fail),
+    (Group.CELL, 9_000, Fail)])
+def test_a_keyed_job_that_may_have_run_is_refused_only_while_all_workers_drop_repeats(
+    group: Group, window_ms: float, kind: type[Refuse | Fail]
+) -> None:
+    """And will when its client is back: a repeat beyond the window would run."""
+    world = World(settings(Effect.KEYED, group=group, window_ms=window_ms), [Entry(1)])
+    world.request(7)
+    world.wait(5_000)
+    assert [type(a) for _, a in world.log if isinstance(a, Refuse | Fail)] == [kind]
 
 
 def test_attempts_stay_within_the_limit() -> None:
