Give answers to callers a file of their own

Change: Reply, its framing and the answer to what can not be read stand in reply.py; no behaviour changes.

--- a/flintfield/units/interface.py
+++ b/flintfield/units/interface.py
@@ -28,7 +28,7 @@
 from flintfield.memory.messages import Message
 from flintfield.memory.state import Handler, State
 from flintfield.wire.http1.caller import Gate, Page
-from flintfield.wire.http1.leg import Reply
+from flintfield.wire.http1.reply import Reply
 
 Made = TypeVar("Made")
 SidePage = Callable[[], Reply]
--- a/flintfield/units/judging.py
+++ b/flintfield/units/judging.py
@@ -24,7 +24,7 @@
 from flintfield.sharing.evidence import News, Row, read, write
 from flintfield.sharing.judging import Judgements
 from flintfield.units.interface import Host, SidePage
-from flintfield.wire.http1.leg import Reply
+from flintfield.wire.http1.reply import Reply
 
 PREFIX, KIND = "judgements.", "judgements"
 JSON = ((b"Content-Type", b"application/json"),)
--- a/flintfield/units/maintenance.py
+++ b/flintfield/units/maintenance.py
@@ -33,7 +33,7 @@
 from flintfield.membership.messages import Status
 from flintfield.units.counters import Prefixed
 from flintfield.units.interface import Feature, Given, Host, SidePage, Unit
-from flintfield.wire.http1.leg import Reply
+from flintfield.wire.http1.reply import Reply
 
 PREFIX, KIND = "maintenance.", "maintenance"
 JSON = ((b"Content-Type", b"application/json"),)
--- a/flintfield/units/membership.py
+++ b/flintfield/units/membership.py
@@ -19,7 +19,7 @@
 from flintfield.units.counters import Prefixed
 from flintfield.units.interface import Feature, Given, Host, SidePage, Unit
 from flintfield.wire.http1.jobs import JobPages
-from flintfield.wire.http1.leg import Reply
+from flintfield.wire.http1.reply import Reply
 from flintfield.wire.membership.group import Group
 from flintfield.wire.membership.keys import PUBLIC, Key, KeyFileError, make_key, read_keys
 from flintfield.wire.membership.lookup import JobLookup
--- a/flintfield/units/role.py
+++ b/flintfield/units/role.py
@@ -26,7 +26,7 @@
 from flintfield.planning.messages import Digest, Plan
 from flintfield.planning.planner import Listed, Planner
 from flintfield.units.interface import Feature, Given, Host, SidePage, Unit
-from flintfield.wire.http1.leg import Reply
+from flintfield.wire.http1.reply import Reply
 from flintfield.wire.http1.stream import open_listener
 from flintfield.wire.link.forwarder import PlannerLinks
 from flintfield.wire.link.planner import ForwarderLinks
--- a/flintfield/units/sharing.py
+++ b/flintfield/units/sharing.py
@@ -36,7 +36,7 @@
 from flintfield.sharing.words import read, write
 from flintfield.units.counters import Prefixed
 from flintfield.units.interface import Feature, Given, Host, SidePage, Unit
-from flintfield.wire.http1.leg import Reply
+from flintfield.wire.http1.reply import Reply
 from flintfield.wire.membership.member import boot_ms
 
 if TYPE_CHECKING:
--- a/flintfield/wire/admin/front.py
+++ b/flintfield/wire/admin/front.py
@@ -20,7 +20,8 @@
 from urllib.parse import unquote_to_bytes
 
 from flintfield.memory.messages import Address
-from flintfield.wire.http1.leg import REQUEST_S, Leg, Phase, Reply
+from flintfield.wire.http1.leg import REQUEST_S, Leg, Phase
+from flintfield.wire.http1.reply import Reply
 from flintfield.wire.http1.poller import NOTHING, READ, Poller, Waits
 from flintfield.wire.http1.stream import Stream, open_listener
 from flintfield.wire.http1.submission import BadRequest, Request
--- a/flintfield/wire/http1/caller.py
+++ b/flintfield/wire/http1/caller.py
@@ -12,7 +12,8 @@
 from anyio.abc import TaskGroup
 
 from flintfield.memory.messages import Address, Answer, CallerLeft, Message, Submitted, Verdict
-from flintfield.wire.http1.leg import REQUEST_S, Leg, Phase, Reply
+from flintfield.wire.http1.leg import REQUEST_S, Leg, Phase
+from flintfield.wire.http1.reply import Reply
 from flintfield.wire.http1.poller import NOTHING, READ, Poller, Waits
 from flintfield.wire.http1.stream import Stream, open_listener
 from flintfield.wire.http1.submission import BadRequest, Request, read_submission
--- a/flintfield/wire/http1/jobs.py
+++ b/flintfield/wire/http1/jobs.py
@@ -8,7 +8,7 @@
 from urllib.parse import unquote_to_bytes
 
 from flintfield.memory.jobs import JobRecord
-from flintfield.wire.http1.leg import Reply
+from flintfield.wire.http1.reply import Reply
 from flintfield.wire.http1.submission import BadRequest
 
 JOBS = b"/jobs/"
--- a/flintfield/wire/http1/leg.py
+++ b/flintfield/wire/http1/leg.py
@@ -25,9 +25,9 @@
 
 import h11
 
-from flintfield.decision.values import value
 from flintfield.wire.http1.poller import NOTHING, READ, WRITE, Poller, Waits
 from flintfield.wire.http1.regular import read_request
+from flintfield.wire.http1.reply import Reply, frame, reply_to_bad
 from flintfield.wire.http1.request import Ended, RequestReader
 from flintfield.wire.http1.stream import Stream
 from flintfield.wire.http1.submission import MOST_BODY, BadRequest, Request
@@ -40,22 +40,6 @@
 DRAIN_PAUSE_S = 0.004  # between two looks at what is thrown away: other legs have their turn meanwhile
 
 
-@value
-class Reply:
-    """An answer's parts, before they are framed."""
-
-    status: int
-    body: bytes
-    headers: tuple[tuple[bytes, bytes], ...] = ()
-    close: bool = False
-
-
-def reply_to_bad(error: BadRequest | h11.RemoteProtocolError) -> Reply:
-    """The answer to what can not be read, or asks for what is not there."""
-    status = error.status if isinstance(error, BadRequest) else error.error_status_hint
-    return Reply(status, f"{error}\n".encode(), (), close=True)
-
-
 class House(Protocol):
     """Whose legs they are."""
 
@@ -83,14 +67,6 @@
     CLOSED = 5
 
 
-def frame(reply: Reply) -> bytes:
-    """The bytes of an answer to a regular request, as h11 would write them."""
-    headers = b"".join(b"%b: %b\r\n" % pair for pair in reply.headers)
-    close = b"Connection: close\r\n" if reply.close else b""
-    return b"HTTP/1.1 %d \r\n%bContent-Length: %d\r\n%b\r\n%b" % (
-        reply.status, headers, len(reply.body), close, reply.body)
-
-
 class Leg:
     """One connection of a caller."""
 
--- /dev/null
+++ b/flintfield/wire/http1/reply.py
@@ -0,0 +1,32 @@
+"""An answer to a caller as its parts, and the bytes of a regular one."""
+
+from __future__ import annotations
+
+import h11
+
+from flintfield.decision.values import value
+from flintfield.wire.http1.submission import BadRequest
+
+
+@value
+class Reply:
+    """An answer's parts, before they are framed."""
+
+    status: int
+    body: bytes
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+    close: bool = False
+
+
+def reply_to_bad(error: BadRequest | h11.RemoteProtocolError) -> Reply:
+    """The answer to what can not be read, or asks for what is not there."""
+    status = error.status if isinstance(error, BadRequest) else error.error_status_hint
+    return Reply(status, f"{error}\n".encode(), (), close=True)
+
+
+def frame(reply: Reply) -> bytes:
+    """The bytes of an answer to a regular request, as h11 would write them."""
+    headers = b"".join(b"%b: %b\r\n" % pair for pair in reply.headers)
+    close = b"Connection: close\r\n" if reply.close else b""
+    return b"HTTP/1.1 %d \r\n%bContent-Length: %d\r\n%b\r\n%b" % (
+        reply.status, headers, len(reply.body), close, reply.body)
--- a/flintfield/wire/http1/status.py
+++ b/flintfield/wire/http1/status.py
@@ -15,7 +15,8 @@
 
 from flintfield.memory.messages import Address
 from flintfield.memory.status import Server, Status
-from flintfield.wire.http1.leg import REQUEST_S, Leg, Reply
+from flintfield.wire.http1.leg import REQUEST_S, Leg
+from flintfield.wire.http1.reply import Reply
 from flintfield.wire.http1.poller import Poller, Waits
 from flintfield.wire.http1.stream import Stream, open_listener
 from flintfield.wire.http1.submission import BadRequest, Request
--- a/tests/test_units.py
+++ b/tests/test_units.py
@@ -25,7 +25,7 @@
 from flintfield.wire.http1.sockets import LOOP
 from flintfield.units.interface import Feature, Given, Host, Unit
 from flintfield.units.jobstatus import FEATURE as JOBS
-from flintfield.wire.http1.leg import Reply
+from flintfield.wire.http1.reply import Reply
 from flintfield.wire.http1.stream import dial
 from peers import ROOT, SETTINGS
 from support.inside import Log, played
--- a/tools/fuzz_http1.py
+++ b/tools/fuzz_http1.py
@@ -21,7 +21,7 @@
 import h11
 
 from flintfield.wire.http1.answer import AnswerReader, Head, Mark
-from flintfield.wire.http1.leg import Reply, frame
+from flintfield.wire.http1.reply import Reply, frame
 from flintfield.wire.http1.regular import AnswerHeads, read_request
 from flintfield.wire.http1.request import Ended, RequestReader
 from flintfield.wire.http1.submission import BadRequest, Request
