Let a caller's idle connection end by a half-close and a linger

Need, by review of the paths that close a caller leg: an answer's end lingered, an idle end did not. Leg.time_over and Callers.close_idle closed at once after a look that found nothing to read; what came in between was met by a reset, which also takes along what the system had not delivered yet. And LINGERING lasted 2 s whatever was left: at the shutdown's last call 0.5 s are left to the kill, so a caller that did not close held the end up and the process was killed.

Change: Leg.finish shuts the sending side down and throws away unread what still comes, for 2 s, at a shutdown for 0.1 s (Leg.hurry). Not so: Callers.make_room, which needs the descriptor now, and a peer that the gate denied, of whom not a byte may be read; both look first that nothing waits or close unread by intent.

--- a/flintfield/lifecycle/program.py
+++ b/flintfield/lifecycle/program.py
@@ -16,7 +16,9 @@
 from flintfield.base.config import Config
 from flintfield.base.ini import OperatorsError
 from flintfield.base.stderr import ErrorOut
-from flintfield.base.stop import DRAIN_NOTICE_S, STOP_ACCEPT_S, STOP_CHECK_S, STOP_MARGIN_MS, kill_after_ms
+from flintfield.base.stop import (
+    DRAIN_NOTICE_S, STOP_ACCEPT_S, STOP_CHECK_S, STOP_LINGER_S, STOP_MARGIN_MS, kill_after_ms,
+)
 from flintfield.decision.policy import Dispatcher
 from flintfield.lifecycle.operators import Chosen
 from flintfield.memory.messages import (
@@ -281,6 +283,7 @@
         self._callers.stop_listening()
         while self._busy():
             self._callers.close_idle()
+            self._callers.hurry(STOP_LINGER_S)
             await anyio.sleep(STOP_CHECK_S)
 
     async def _send_away(self, _: SendAway) -> None:
@@ -298,6 +301,7 @@
         self._callers.let_go()
         while self._busy():
             self._callers.close_idle(spare_young=True)
+            self._callers.hurry(STOP_LINGER_S)
             await anyio.sleep(STOP_CHECK_S)
 
     async def _end_units(self) -> None:
--- a/flintfield/wire/http1/caller.py
+++ b/flintfield/wire/http1/caller.py
@@ -177,8 +177,13 @@
             self._listener.close()
             self._listener = None
 
+    def hurry(self, seconds: float) -> None:
+        """Let those that were answered for the last time read on no longer than that."""
+        for leg in list(self._legs):
+            leg.hurry(seconds)
+
     def close_idle(self, spare_young: bool = False) -> None:
-        """Close the legs that are between two requests, or never had one.
+        """End the legs that are between two requests, or never had one.
 
         `spare_young` leaves out those that were just taken: their first request is on its way.
         """
@@ -186,7 +191,7 @@
         for leg in list(self._legs):
             young = spare_young and not leg.served and leg.began > settled
             if leg.idle and not young and leg.stream.is_quiet():
-                leg.close()
+                leg.finish()
 
     def make_room(self) -> bool:
         """Close the connection that is missed least: one that says nothing, else one between two requests.
--- a/flintfield/wire/http1/leg.py
+++ b/flintfield/wire/http1/leg.py
@@ -13,7 +13,8 @@
 GATE lasts until `watch`: others may read first who calls. READING waits for bytes: on a new leg no longer
 than `REQUEST_S` from its start, on a kept one for ever until the first byte, and `REQUEST_S` from there.
 WAITING ends with the house's `answer`. LINGERING throws away what still comes, so that our last answer is
-read before the connection ends.
+read before the connection ends; a leg that is let go between two requests lingers as well, for the next one
+may be on its way.
 """
 
 from __future__ import annotations
@@ -132,7 +133,7 @@
         if self.phase is not Phase.READING or (self.served and self.idle):
             return  # it came in time after all
         if self._coming is None:
-            self.close()
+            self.finish()
         else:
             self._refuse(BadRequest(408, "the request did not come to its end"))
 
@@ -140,6 +141,25 @@
         """Close then, whatever it is doing."""
         self._poller.later(seconds, self, self.close)
 
+    def finish(self) -> None:
+        """End an idle connection: what crosses our end is thrown away unread; by that end its caller knows.
+
+        Guards against a close over unread bytes: it resets, and takes along what was not yet delivered.
+        """
+        if self.phase is Phase.GATE:
+            self.close()  # not a byte of it is ours to read
+        else:
+            self._waits.remove(self)
+            self._linger()
+
+    def hurry(self, seconds: float) -> None:
+        """Linger no longer than that, whatever still comes."""
+        if self.phase is Phase.LINGERING and self._timer:
+            self.began = min(self.began, self._poller.loop.time() - DRAIN_S)
+            ends = min(self._timer.when(), self._poller.loop.time() + seconds)
+            self._timer.cancel()
+            self._timer = self._poller.loop.call_at(ends, self.close)
+
     def close(self, error: Exception | None = None) -> None:
         """Close now."""
         if self.phase is Phase.CLOSED:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import struct
+import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
@@ -130,3 +131,56 @@
     sent = scheduler.submit()
     hop.job().say("done", result="list")
     assert ended(sent.getresponse()) == (200, b"list")
+
+
+def ends_of(sock: socket.socket) -> bytes:
+    """All that comes until the other side ends; a reset is an error."""
+    sock.settimeout(SOON)
+    text = b""
+    while piece := sock.recv(65_536):
+        text += piece
+    return text
+
+
+@pytest.mark.parametrize("served", [0, 1])
+def test_a_request_that_crosses_an_idle_connections_end_is_not_reset(begin: Start, served: int) -> None:
+    """Shut down at the last call: what comes after our end is thrown away unread, and nothing is reset."""
+    hop = Hop()
+    scheduler = begin(hop)
+    caller = dial(scheduler)
+    for _ in range(served):
+        caller.sendall(request())
+        hop.job().say("done", result="list")
+        text = b""
+        while not text.endswith(b"list"):
+            text += caller.recv(65_536)
+    scheduler.ask_to_stop()
+    caller.settimeout(SOON)
+    assert caller.recv(1, socket.MSG_PEEK) == b""  # its end: it reads on for a while, and takes no more
+    caller.sendall(request())
+    caller.sendall(b"P")  # would fail after a reset
+    assert ends_of(caller) == b""
+    assert scheduler.stopped()[0] == 0 and hop.jobs.empty()
+
+
+def test_who_says_nothing_in_time_meets_a_clean_end(begin: Start) -> None:
+    scheduler = begin(Hop())
+    caller = dial(scheduler)
+    caller.settimeout(SOON)
+    assert caller.recv(1, socket.MSG_PEEK) == b""
+    caller.sendall(request())
+    caller.sendall(b"P")
+    assert ends_of(caller) == b"" and scheduler.hops[0].jobs.empty()
+    assert not scheduler.counters().get("requests.taken.match-list")
+
+
+def test_who_never_closes_does_not_hold_the_end_up(begin: Start) -> None:
+    scheduler = begin(Hop())
+    callers = [dial(scheduler) for _ in range(3)]
+    for caller in callers:
+        caller.sendall(b"GET /ready HTTP/1.1\r\nHost: f\r\n\r\n")
+        assert b"200" in caller.recv(65_536)
+    began = time.monotonic()
+    scheduler.ask_to_stop()
+    assert scheduler.stopped()[0] == 0 and time.monotonic() - began < 3.7  # the kill comes no sooner
+    assert all(ends_of(caller) == b"" for caller in callers)
