--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,6 +11,8 @@
 
 from peers import Directory, Hop, Scheduler, Start
 
+pytest_plugins = ["support.known_red"]
+
 # Guards against a verdict that depends on what else the machine does: how long an example takes is no fault.
 settings.register_profile("same", derandomize=True, deadline=None, max_examples=60,
                           suppress_health_check=[HealthCheck.too_slow])
