Bind a port before it is told to a program, and lock a run's block of addresses

Cause of the start that a test was made to try twice (tests/support/fleet.py): free_port bound a port, let go of it and told it to a program that binds it up to a second later; meanwhile the kernel may give it to another. And two runs could share a block of hosts: blocks go by process number and count up, so the second run of one worker stood where the first of the next one did, and each drew ports for the same hosts.

Change: Addresses locks its block by a socket that stays bound, and hold() keeps each told port bound, not listening, with SO_REUSEADDR, as the program listens; the kernel gives such a port to nobody else. The same for groups of real processes in tests/support/group.py. played() no longer tries a start again: a StartError fails the test.

--- a/flintfield/lab/fleet/trial.py
+++ b/flintfield/lab/fleet/trial.py
@@ -10,7 +10,6 @@
 import contextlib
 import random
 import signal
-import socket
 import sys
 from collections.abc import Sequence
 from dataclasses import replace
@@ -27,7 +26,7 @@
 from flintfield.lab.fleet.relay import Relays, Seat
 from flintfield.lab.fleet.schedule import Deed, deeds_of
 from flintfield.lab.platform import zones_of
-from flintfield.lab.sockets.addresses import Address, free_port, text
+from flintfield.lab.sockets.addresses import Address, text
 from flintfield.lab.sockets.beside import Deeds
 from flintfield.lab.sockets.context import Run
 from flintfield.lab.sockets.processes import PROGRAM, Scheduler
@@ -65,14 +64,15 @@
         history.carried = self.net.carried
         seats = [self._seat(run, place) for place in range(run.schedulers)]
         self.relays = Relays(self.net, seats, run.clock, self._pids, self._relay_rng)
-        self._status = [(s.own[0], free_port(s.own[0])) for s in seats]
+        self._status = [(s.own[0], run.addresses.hold(s.own[0])) for s in seats]
         self._inis = [self._write_ini(seat, seats, status) for seat, status in zip(
             seats, self._status, strict=True)]
         await self.relays.open()
 
     def _seat(self, run: Run, place: int) -> Seat:
         own, relay = self._schedulers[place].address[0], run.addresses.host(place, RELAY)
-        return Seat(run.names[place], (own, _free_for_both(own)), (relay, _free_for_both(relay)))
+        hold = run.addresses.hold
+        return Seat(run.names[place], (own, hold(own)), (relay, hold(relay)))
 
     def _pids(self) -> dict[str, int]:
         return {s.name: s.pid for s in self._schedulers if s.alive}
@@ -232,12 +232,3 @@
 
 def _written(value: Any) -> str:
     return {True: "on", False: "off"}.get(value, str(value)) if isinstance(value, bool) else str(value)
-
-
-def _free_for_both(host: str) -> int:
-    """A port of that host that is free for TCP and for UDP."""
-    while True:
-        port = free_port(host)
-        with socket.socket(type=socket.SOCK_DGRAM) as probe, contextlib.suppress(OSError):
-            probe.bind((host, port))
-            return port
--- a/flintfield/lab/sockets/engine.py
+++ b/flintfield/lab/sockets/engine.py
@@ -26,7 +26,7 @@
 from flintfield.lab.judge import Judge
 from flintfield.lab.log import AnyRecord, Begin, Class, End, Log, NodeLoad, SchedulerState, Trouble
 from flintfield.lab.scenario import Scenario
-from flintfield.lab.sockets.addresses import LISTEN, Address, free_port, text
+from flintfield.lab.sockets.addresses import LISTEN, Address, text
 from flintfield.lab.sockets.beside import Beside, Deeds, Nothing
 from flintfield.lab.sockets.callers import Callers
 from flintfield.lab.sockets.context import HOLD_MS, Run
@@ -95,7 +95,7 @@
         self.directory = Directory(run, discovery, lambda name, s: self.nodes[name].address(s))
         self.front = Front(zones, scenario.front.notice_ms, run.streams.of("front"))
         hosts = [run.addresses.host(i, LISTEN) for i in range(count)]
-        self.addresses: list[Address] = [(host, free_port(host)) for host in hosts]
+        self.addresses: list[Address] = [(host, run.addresses.hold(host)) for host in hosts]
         limits = (scenario.schedulers.memory_mb, scenario.schedulers.sockets)
         self.schedulers = [Scheduler(i, names[i], zones[i], self.addresses[i], folder / names[i], program,
                                      limits) for i in range(count)]
@@ -279,6 +279,7 @@
                 await asyncio.wait_for(scheduler.gone(), END_S)
             except TimeoutError:
                 continue
+        self.run.addresses.close()
 
     def _go(self, work: Any) -> None:
         task = asyncio.get_running_loop().create_task(work)
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -9,7 +9,6 @@
 from flintfield.lab.fleet.judge import Outcome
 from flintfield.lab.fleet.plan import Plan
 from flintfield.lab.fleet.trial import play
-from flintfield.lab.sockets.errors import StartError
 
 TRIES = 2
 
@@ -18,13 +17,7 @@
     """Play and judge; a void trial is played once more, then the test is skipped with the reason."""
     for number in range(TRIES):
         place = folder / str(number)
-        try:
-            outcome = play(plan, seed, place)
-        except StartError as error:  # a port that was free when it was drawn may be another test's by now
-            if number == TRIES - 1:
-                raise
-            print(f"not started: {error}")
-            continue
+        outcome = play(plan, seed, place)
         if outcome.findings:  # a test that expected none is then told which, and has the log to look into
             place.mkdir(exist_ok=True)
             (place / "log.jsonl").write_bytes(outcome.log.encode())
--- a/tests/support/group.py
+++ b/tests/support/group.py
@@ -8,7 +8,7 @@
 import time
 import urllib.request
 from collections.abc import Iterator, Sequence
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager, suppress
 from pathlib import Path
 from typing import Any
 
@@ -18,22 +18,22 @@
 FAST = "probe_ms = 200\ntimeout_ms = 100\n"  # the protocol five times as fast as in service
 
 
-def free_ports(count: int) -> list[int]:
-    """Ports that were free for both kinds of sockets a moment ago."""
+@contextmanager
+def held_ports(count: int) -> Iterator[list[int]]:
+    """Ports for both kinds of sockets, to be told to programs that take their listener first.
+
+    They stay bound meanwhile: who listens there with SO_REUSEADDR may, and nobody else is given them.
+    """
     ports: list[int] = []
-    held = []
-    while len(ports) < count:
-        tcp, udp = socket.socket(), socket.socket(type=socket.SOCK_DGRAM)
-        tcp.bind(("127.0.0.1", 0))
-        held += [tcp, udp]
-        try:
-            udp.bind(tcp.getsockname())
-        except OSError:
-            continue
-        ports.append(tcp.getsockname()[1])
-    for sock in held:
-        sock.close()
-    return ports
+    with ExitStack() as held:
+        while len(ports) < count:
+            tcp = held.enter_context(socket.socket())
+            tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            tcp.bind(("127.0.0.1", 0))
+            with socket.socket(type=socket.SOCK_DGRAM) as udp, suppress(OSError):
+                udp.bind(tcp.getsockname())
+                ports.append(tcp.getsockname()[1])
+        yield ports
 
 
 class Instance:
@@ -89,19 +89,19 @@
 def group(folder: Path, count: int, more: str = FAST, hops: Sequence[Hop] = (), seeds: int = 2,
           loss: float = 0.0) -> Iterator[list[Instance]]:
     """That many instances, the first ones being seeds."""
-    ports = free_ports(count)
-    told = ", ".join(f"127.0.0.1:{p}" for p in ports[:seeds])
     started: list[Instance] = []
-    try:
-        for number, port in enumerate(ports):
-            own = more.replace("PLACE", str(number))
-            ini = (f"[membership]\nport = {port}\nseeds = {told}\n{own}[jobstatus]\n"
-                   f"[statuspage]\nport = 0\nrefresh_ms = 50\n")
-            started.append(Instance(folder, f"n{number}", ini, hops, count, loss))
-        yield started
-    finally:
-        for instance in started:
-            instance.end()
+    with held_ports(count) as ports:
+        told = ", ".join(f"127.0.0.1:{p}" for p in ports[:seeds])
+        try:
+            for number, port in enumerate(ports):
+                own = more.replace("PLACE", str(number))
+                ini = (f"[membership]\nport = {port}\nseeds = {told}\n{own}[jobstatus]\n"
+                       f"[statuspage]\nport = 0\nrefresh_ms = 50\n")
+                started.append(Instance(folder, f"n{number}", ini, hops, count, loss))
+            yield started
+        finally:
+            for instance in started:
+                instance.end()
 
 
 def all_see(instances: Sequence[Instance], views: dict[str, str], seconds: float = SOON) -> bool:
--- a/tests/test_fleet_trials.py
+++ b/tests/test_fleet_trials.py
@@ -21,7 +21,7 @@
 from flintfield.lab.fleet.relay import Relays, Seat
 from flintfield.lab.fleet.schedule import deeds_of
 from flintfield.lab.scenario import ScenarioError
-from flintfield.lab.sockets.addresses import free_port
+from flintfield.lab.sockets.addresses import Addresses, listen
 from support.fleet import played
 
 AB, BA = frozenset({("a", "b")}), frozenset({("b", "a")})
@@ -64,15 +64,15 @@
 
 def test_a_relay_hands_on_from_the_senders_address_and_a_cut_takes_what_was_under_way() -> None:
     async def talk() -> None:
-        loop = asyncio.get_running_loop()
+        loop, addresses = asyncio.get_running_loop(), Addresses()
         net = Net(random.Random(1))
         own = [socket.socket(type=socket.SOCK_DGRAM) for _ in "ab"]
         for number, sock in enumerate(own):
             sock.bind((f"127.9.{os.getpid() % 250}.{number + 1}", 0))
             sock.setblocking(False)
-        seats = [Seat(n, s.getsockname(), (f"127.9.{os.getpid() % 250}.{i + 11}",
-                                           free_port(f"127.9.{os.getpid() % 250}.{i + 11}")))
-                 for i, (n, s) in enumerate(zip("ab", own, strict=True))]
+        hosts = [f"127.9.{os.getpid() % 250}.{i + 11}" for i in range(2)]
+        seats = [Seat(n, s.getsockname(), (host, addresses.hold(host)))
+                 for n, s, host in zip("ab", own, hosts, strict=True)]
         relays = Relays(net, seats, lambda: loop.time() * 1000, lambda: {"a": os.getpid()}, random.Random(1))
         await relays.open()
         own[0].sendto(b"one", seats[1].relay)
@@ -225,3 +225,21 @@
     cut_off = [c for c in outcome.history.of_page("/members") if c.name == "s03" and 7_000 < c.at < 10_000]
     states = [{m["name"]: m["state"] for m in c.told["members"]}["s00"] for c in cut_off]
     assert states and set(states) & {"suspect", "dead"}
+
+
+def test_a_port_that_is_told_stays_its_runs_own_and_no_two_runs_share_a_block() -> None:
+    """Guards against a program that does not start, for a port that was free when it was drawn."""
+    runs = [Addresses() for _ in range(40)]
+    try:
+        assert len({run.host(0, 1) for run in runs}) == len(runs)
+        host = runs[0].host(0, 1)
+        port = runs[0].hold(host)
+        with listen(host, port), pytest.raises(OSError):  # as the program does; and no second one
+            listen(host, port)
+        with listen(host, port):  # a restart
+            pass
+        with pytest.raises(OSError), socket.socket() as other:
+            other.bind((host, port))  # as the kernel's own choice, without SO_REUSEADDR
+    finally:
+        for run in runs:
+            run.close()
--- a/tests/test_planners_program.py
+++ b/tests/test_planners_program.py
@@ -27,7 +27,7 @@
 from flintfield.wire.link.frames import LinkError, Nonces, be_greeted, decode, greet
 from flintfield.wire.membership.keys import PUBLIC, Ring, make_key
 from peers import ROOT, SOON, Hop, Scheduler, ended, until
-from support.group import free_ports
+from support.group import held_ports
 
 RULES = {"rules": {"drain_grace_ms": 400, "ask_within_ms": 2000, "ramp_time_ms": 6000, "cold_from": 0.4,
                    "tip_multiple": 3.0, "fall_ms": 1000}}
@@ -59,23 +59,25 @@
     stands = [Hop(f"s-{i}") for i in range(hops)]
     for hop in stands:
         answering(hop)
-    listed = ", ".join(f"127.0.0.1:{port}" for port in free_ports(planners))
-    made: list[Scheduler] = []
-
-    def begin(name: str, role: str, count: int, me: int) -> Scheduler:
-        (folder / name).mkdir(exist_ok=True)
-        ini = f"[statuspage]\nport = 0\nrefresh_ms = 100\n[role]\nrole = {role}\nplanners = {listed}\n{keys}"
-        settings = RULES | {"replicas_of_me": count, "me": me}
-        made.append(Scheduler(folder / name, stands, settings, 512, ini=ini, name=name))
-        return made[-1]
-
-    try:
-        plans = [begin(f"p{i}", f"planner\nplace = {i}", forwarders, 0) for i in range(planners)]
-        yield [begin(f"f{i}", "forwarder", forwarders, i) for i in range(forwarders)], plans
-    finally:
-        for instance in made:
-            instance.process.kill()
-            instance.process.communicate()
+    with held_ports(planners) as ports:
+        listed = ", ".join(f"127.0.0.1:{port}" for port in ports)
+        made: list[Scheduler] = []
+
+        def begin(name: str, role: str, count: int, me: int) -> Scheduler:
+            (folder / name).mkdir(exist_ok=True)
+            ini = ("[statuspage]\nport = 0\nrefresh_ms = 100\n"
+                   f"[role]\nrole = {role}\nplanners = {listed}\n{keys}")
+            settings = RULES | {"replicas_of_me": count, "me": me}
+            made.append(Scheduler(folder / name, stands, settings, 512, ini=ini, name=name))
+            return made[-1]
+
+        try:
+            plans = [begin(f"p{i}", f"planner\nplace = {i}", forwarders, 0) for i in range(planners)]
+            yield [begin(f"f{i}", "forwarder", forwarders, i) for i in range(forwarders)], plans
+        finally:
+            for instance in made:
+                instance.process.kill()
+                instance.process.communicate()
 
 
 def served(forwarder: Scheduler) -> bool:
