Give up by the end of a stop what was taken before it and is out nowhere

Ruled out: the legs (closed in time) and units.

Change: StopAsked bounds such transactions too, and tells the module (event Ends), which gives them up its own way, with Retry-After where that is harmless.

Tests for crossings that had none: told to end twice and beside SIGHUP, with discovery down and nothing heard yet, the time told to a further attempt, callers that fill the descriptors beside a busy discovery, half a line from a next hop in the instant in which its client leaves.

--- a/flintfield/capture/records.py
+++ b/flintfield/capture/records.py
@@ -11,8 +11,8 @@
 from typing import Any
 
 from flintfield.decision.interface import (
-    Action, AttemptEnded, ByHand, Cancel, Entry, Event, Fail, First, Gone, Hearsay, ListMode, Note, Outcome,
-    PlanNews, Probed, Refuse, Report, Request, Send, ServerList, State, Timer, WorkerId,
+    Action, AttemptEnded, ByHand, Cancel, Ends, Entry, Event, Fail, First, Gone, Hearsay, ListMode, Note,
+    Outcome, PlanNews, Probed, Refuse, Report, Request, Send, ServerList, State, Timer, WorkerId,
 )
 
 Record = dict[str, Any]
@@ -69,6 +69,8 @@
     if isinstance(event, ByHand):
         return {"record": "by_hand", "out": list(event.out), "back": [list(pair) for pair in event.back],
                 "cold_elsewhere": event.cold_elsewhere}
+    if isinstance(event, Ends):
+        return {"record": "ends", "by": event.by}
     if isinstance(event, PlanNews | Hearsay):
         raise TypeError("plans and hearsay are not recorded: [role] and [sharing] refuse them with [capture]")
     told: Record = {"record": "", "Req-Id": names.request(event.rid), "rid": event.rid}
@@ -165,6 +167,7 @@
         _worker(told, names), Outcome(told["outcome"]), told["elapsed_ms"], _report(told)),
     "by_hand": lambda told, names: ByHand(
         tuple(told["out"]), tuple((n, at) for n, at in told["back"]), told["cold_elsewhere"]),
+    "ends": lambda told, names: Ends(told["by"]),
     "left": lambda told, names: Gone(_rid(told, names)),
     "progress": lambda told, names: Note(
         _rid(told, names), told["attempt"], _worker(told, names), told["started"], told["share"]),
--- a/flintfield/decision/interface.py
+++ b/flintfield/decision/interface.py
@@ -21,6 +21,7 @@
     "ByHand",
     "Cancel",
     "Effect",
+    "Ends",
     "Entry",
     "Event",
     "Fail",
@@ -149,6 +150,13 @@
     rid: int
 
 
+@value
+class Ends:
+    """The dispatcher is to end: what is out nowhere then has its answer by `by` (ms)."""
+
+    by: float
+
+
 @value
 class Timer:
     """A timer set earlier has run out."""
@@ -225,8 +233,8 @@
     rows: tuple[HeardOf, ...] = ()
 
 
-Event = (Hearsay | ServerList | Request | First | Note | AttemptEnded | Gone | Timer | Probed | PlanNews
-         | ByHand)
+Event = (Hearsay | ServerList | Request | First | Note | AttemptEnded | Gone | Ends | Timer | Probed
+         | PlanNews | ByHand)
 
 # ------------------------------------------------------------------- actions
 
--- a/flintfield/decision/policy.py
+++ b/flintfield/decision/policy.py
@@ -11,7 +11,7 @@
 from flintfield.decision.admission import is_hopeless
 from flintfield.decision.ending import TICK_MS
 from flintfield.decision.interface import (
-    Action, AttemptEnded, ByHand, Event, Fail, First, Gone, Note, Probe, Probed, Request, ServerList,
+    Action, AttemptEnded, ByHand, Ends, Event, Fail, First, Gone, Note, Probe, Probed, Request, ServerList,
     SetTimer, Settings, Timer, Watch,
 )
 from flintfield.decision.outcomes import Outcomes
@@ -31,7 +31,7 @@
         self.handlers |= {
             ServerList: self._list, Request: self._request, AttemptEnded: self._ended, Note: self._note,
             Probed: self._probed, Timer: self._timer, Gone: self._gone, First: self._first,
-            ByHand: self._by_hand,
+            ByHand: self._by_hand, Ends: self._ends,
         }
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -137,6 +137,12 @@
         if event.rid in self.jobs:
             self._forget(self.jobs[event.rid])
 
+    def _ends(self, event: Ends) -> None:
+        for job in self.jobs.values():
+            if not job.running():
+                job.last = min(job.last, event.by - 2 * self.settings.resolution_ms)
+                self.checks.put(job.request.rid, self.now)
+
     def _first(self, event: First) -> None:
         if event.rid in self.jobs:
             self.jobs[event.rid].streaming = True
--- a/flintfield/memory/reducer.py
+++ b/flintfield/memory/reducer.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 from flintfield.decision.interface import (
-    Cancel, Effect as ClassEffect, Fail, Gone, Outcome, Probe, Probed, Refuse, Send, SetTimer, Timer, Watch,
+    Cancel, Effect as ClassEffect, Ends, Fail, Gone, Outcome, Probe, Probed, Refuse, Send, SetTimer, Timer,
+    Watch,
 )
 from flintfield.memory.branching import outcome_of
 from flintfield.memory.listing import Listing
@@ -16,7 +17,7 @@
     Message, OpenBranch, ProbeEnded, ProbeHop, RouteCallFailed, RouteNews, StopAsked, Submitted, TryKeep,
     Verdict, Woke,
 )
-from flintfield.memory.state import Branch, BranchDue, KeepDue, State, TokenDue
+from flintfield.memory.state import Branch, BranchDue, DeadlineDue, KeepDue, State, TokenDue
 
 
 def reduce(state: State, now: float, message: Message) -> list[Effect]:
@@ -111,7 +112,14 @@
             self._events.append(Gone(rid))
 
     def stop_asked(self, message: StopAsked) -> None:
-        self.state.settle_by = message.settle_by
+        """Guards against a kill that finds unanswered what was taken before and is out nowhere."""
+        state = self.state
+        state.settle_by = message.settle_by
+        for transaction in state.transactions.values():
+            if not transaction.answered and all(b.ended for b in transaction.branches):
+                transaction.deadline = min(transaction.deadline, message.settle_by)
+                state.timers.set(transaction.deadline, DeadlineDue(transaction.rid))
+        self._events.append(Ends(message.settle_by))
 
 
 Turn.MESSAGES = {
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -184,3 +184,97 @@
     scheduler.ask_to_stop()
     assert scheduler.stopped()[0] == 0 and time.monotonic() - began < 3.7  # the kill comes no sooner
     assert all(ends_of(caller) == b"" for caller in callers)
+
+
+STOPS = pytest.mark.parametrize("signals", [(signal.SIGTERM,) * 2, (signal.SIGTERM, signal.SIGINT),
+                                            (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP)])
+
+
+@STOPS
+def test_who_is_told_to_end_more_than_once_settles_all_and_ends_in_order(
+    begin: Start, signals: tuple[signal.Signals, ...]
+) -> None:
+    hop = Hop()
+    scheduler = begin(hop)
+    sent = scheduler.submit("social-booking")
+    job = hop.job()
+    with frozen(scheduler):  # it finds all of them at once
+        for number in signals:
+            scheduler.process.send_signal(number)
+    job.say("done", result="seat")
+    assert ended(sent.getresponse()) == (200, b"seat")
+    sent.close()
+    assert scheduler.stopped()[0] == 0
+
+
+@pytest.mark.parametrize("told", [True, False])
+def test_told_to_end_with_discovery_down_it_settles_all(begin: Start, told: bool) -> None:
+    """Also one that has just started and heard nothing yet: what it holds is given up with an answer."""
+    hop = Hop()
+    scheduler = begin(hop) if told else begin(hop, prepare=lambda directory: directory.server.stop())
+    sent = scheduler.submit(wait="20000m")
+    job = hop.job() if told else None
+    if told:
+        scheduler.directory.server.stop()
+    began = time.monotonic()
+    scheduler.ask_to_stop()
+    if job:
+        job.say("done", result="list")
+    response = sent.getresponse()
+    assert (response.status, bool(response.headers["Retry-After"])) == ((200, False) if told else (503, True))
+    sent.close()
+    assert scheduler.stopped()[0] == 0 and time.monotonic() - began < 3.7
+
+
+def test_a_further_attempt_is_told_what_is_left_to_the_client(begin: Start) -> None:
+    hops = Hop("s-1"), Hop("s-2")
+    scheduler = begin(*hops)
+    sent = scheduler.submit(wait="6000m")
+    began = time.monotonic()
+    assert until(lambda: not all(h.jobs.empty() for h in hops))
+    first, other = hops if not hops[0].jobs.empty() else hops[::-1]
+    job = first.job()
+    assert until(lambda: time.monotonic() > began + 0.4)
+    waited = (time.monotonic() - began) * 1000
+    job.status(503, Srv_Declined="1")
+    again = other.job()
+    left = float(again.headers["req-deadline"].removesuffix("m"))
+    assert 0 < left <= 6000 - waited < float(job.headers["req-deadline"].removesuffix("m"))
+    again.say("done", result="list")
+    assert ended(sent.getresponse()) == (200, b"list")
+
+
+def test_callers_that_fill_the_descriptors_keep_neither_discovery_nor_jobs_out(begin: Start) -> None:
+    drained, other = Hop("s-1"), Hop("s-2")
+    scheduler = begin(drained, other, sockets=96, descriptors=96)
+    scheduler.directory.broken = [b""] * 3  # it is busy meanwhile
+    scheduler.directory.publish()  # ends the watch that hangs
+    idle = [dial(scheduler) for _ in range(120)]
+    assert until(lambda: not scheduler.directory.broken)
+    scheduler.directory.publish(drained.entry(lifecycle="terminating"))
+    assert until(lambda: scheduler.counters().get("discovery.answers.delta"))
+    assert scheduler.get("/ready").status == 200
+    for _ in range(3):
+        sent = scheduler.submit("social-booking")
+        other.job().say("done", result="seat")
+        assert ended(sent.getresponse()) == (200, b"seat")
+    assert drained.jobs.empty() and scheduler.process.poll() is None
+    for sock in idle:
+        sock.close()
+
+
+def test_a_half_line_in_the_instant_of_the_end_harms_nobody(begin: Start) -> None:
+    """A worker node writes on as its client leaves, and as the next one asks."""
+    hop = Hop()
+    scheduler = begin(hop)
+    caller = dial(scheduler)
+    caller.sendall(request(b"job"))
+    job = hop.job()
+    job.say("started")
+    with frozen(scheduler):
+        job.peer.wfile.write(b"20\r\n{\"id\":")
+        caller.close()
+    assert until(lambda: scheduler.counters().get("requests.left.match-list"))
+    sent = scheduler.submit()
+    hop.job().say("done", result="list")
+    assert ended(sent.getresponse()) == (200, b"list")
