--- a/flintfield/sites/file.py
+++ b/flintfield/sites/file.py
@@ -1,14 +1,14 @@
 """The operators' file of sites, read and checked in one place.
 
-    [class.social-booking]
+    [class.reservation]
     earns = 10.0                     # worth of a unit of work, against the other classes
 
-    [site.mixco]
+    [site.east]
     capacity = 70.0                  # work (ms of a standard core) that its worker nodes do in a ms
     reserve = 0.1                    # the part of it that others' load may never have
-    load = { social-booking = 20.0, match-list = 26.0 }   # work a ms that its clients ask for
-    distance = { zona-diez = 1.0, villa-nueva = 3.0 }     # to others; 1 where not named
-    crossing = { villa-nueva = 10.0 }                     # the most work a ms that it sends there
+    load = { reservation = 20.0, search = 26.0 }   # work a ms that its clients ask for
+    distance = { north = 1.0, south = 3.0 }        # to others; 1 where not named
+    crossing = { south = 10.0 }                    # the most work a ms that it sends there
 
 A fault is a `BadInput` of one line: file, key, what was found and what was expected.
 """
