Force the crossing of a shutdown in one loop with the program, and time its end by its log

By reading: a request had to be sent within 0.1 s of the program's half-close, the time to a further attempt was counted from before the scheduler had read the request, and an end was timed by when the test's own process came to look.

Change: the crossing is played in one event loop with the program, which can not go on in between; the wait is counted from the job's arrival at the next hop; an end is timed by the program's own log lines. No bound is wider.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import signal
 import socket
@@ -9,10 +10,18 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from datetime import datetime
+from pathlib import Path
 
+import anyio
 import pytest
 
-from peers import SOON, Hop, Scheduler, Start, ended, until
+from flintfield.base.config import read_config
+from flintfield.lifecycle.program import Program
+from flintfield.wire.http1.sockets import LOOP
+
+from peers import SETTINGS, SOON, Hop, Scheduler, Start, ended, until
+from support.inside import Log, played
 
 RESET = struct.pack("ii", 1, 0)  # for SO_LINGER: a close resets
 
@@ -133,6 +142,14 @@
     assert ended(sent.getresponse()) == (200, b"list")
 
 
+def took_to_stop(scheduler: Scheduler) -> float:
+    """By its own log: how long the end of a process takes on a busy machine is no matter here."""
+    code, lines = scheduler.stopped()
+    at = {line["event"]: datetime.fromisoformat(line["timestamp"]) for line in lines}
+    assert code == 0
+    return (at["stopped"] - at["stopping"]).total_seconds()
+
+
 def ends_of(sock: socket.socket) -> bytes:
     """All that comes until the other side ends; a reset is an error."""
     sock.settimeout(SOON)
@@ -142,25 +159,44 @@
     return text
 
 
-@pytest.mark.parametrize("served", [0, 1])
-def test_a_request_that_crosses_an_idle_connections_end_is_not_reset(begin: Start, served: int) -> None:
-    """Shut down at the last call: what comes after our end is thrown away unread, and nothing is reset."""
-    hop = Hop()
-    scheduler = begin(hop)
-    caller = dial(scheduler)
-    for _ in range(served):
-        caller.sendall(request())
-        hop.job().say("done", result="list")
-        text = b""
-        while not text.endswith(b"list"):
-            text += caller.recv(65_536)
-    scheduler.ask_to_stop()
-    caller.settimeout(SOON)
-    assert caller.recv(1, socket.MSG_PEEK) == b""  # its end: it reads on for a while, and takes no more
-    caller.sendall(request())
-    caller.sendall(b"P")  # would fail after a reset
-    assert ends_of(caller) == b""
-    assert scheduler.stopped()[0] == 0 and hop.jobs.empty()
+@pytest.mark.parametrize("served", [False, True])
+def test_a_request_that_crosses_an_idle_connections_end_is_not_reset(tmp_path: Path, served: bool) -> None:
+    """In one loop with the program: what is sent as its end comes is sent before it goes on."""
+    config = {"name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS}
+    (path := tmp_path / "config.json").write_text(json.dumps(config))
+    sock, came = socket.socket(), list[bytes]()
+
+    async def cross() -> None:
+        await anyio.wait_readable(sock)
+        came.append(sock.recv(1))
+        sock.send(request())
+        sock.send(b"P")  # fails after a reset
+        await anyio.wait_readable(sock)
+        came.append(sock.recv(1))
+
+    async def main() -> None:
+        async def play(ports: dict[str, int]) -> None:
+            sock.connect(("127.0.0.1", ports["port"]))
+            if served:
+                sock.sendall(b"GET /counters HTTP/1.1\r\nHost: f\r\n\r\n")
+                while not (text := await read_some(sock)).endswith(b"}"):
+                    assert text
+            tasks.start_soon(cross)
+
+        async with anyio.create_task_group() as tasks:
+            await played(Program(read_config({"LB_CONFIG": str(path)}), [], log), log, play)
+
+    log = Log()
+    with sock:
+        anyio.run(main, backend_options=LOOP)
+    assert came == [b"", b""]
+    counters = next(told["counters"] for event, told in log.lines if event == "stopped")
+    assert not counters.get("requests.taken.match-list")
+
+
+async def read_some(sock: socket.socket) -> bytes:
+    await anyio.wait_readable(sock)
+    return sock.recv(65_536)
 
 
 def test_who_says_nothing_in_time_meets_a_clean_end(begin: Start) -> None:
@@ -180,9 +216,8 @@
     for caller in callers:
         caller.sendall(b"GET /ready HTTP/1.1\r\nHost: f\r\n\r\n")
         assert b"200" in caller.recv(65_536)
-    began = time.monotonic()
     scheduler.ask_to_stop()
-    assert scheduler.stopped()[0] == 0 and time.monotonic() - began < 3.7  # the kill comes no sooner
+    assert took_to_stop(scheduler) < 3.7  # the kill comes no sooner
     assert all(ends_of(caller) == b"" for caller in callers)
 
 
@@ -216,22 +251,21 @@
     job = hop.job() if told else None
     if told:
         scheduler.directory.server.stop()
-    began = time.monotonic()
     scheduler.ask_to_stop()
     if job:
         job.say("done", result="list")
     response = sent.getresponse()
     assert (response.status, bool(response.headers["Retry-After"])) == ((200, False) if told else (503, True))
     sent.close()
-    assert scheduler.stopped()[0] == 0 and time.monotonic() - began < 3.7
+    assert took_to_stop(scheduler) < 3.7
 
 
 def test_a_further_attempt_is_told_what_is_left_to_the_client(begin: Start) -> None:
     hops = Hop("s-1"), Hop("s-2")
     scheduler = begin(*hops)
     sent = scheduler.submit(wait="6000m")
-    began = time.monotonic()
     assert until(lambda: not all(h.jobs.empty() for h in hops))
+    began = time.monotonic()  # later than when the scheduler took it
     first, other = hops if not hops[0].jobs.empty() else hops[::-1]
     job = first.job()
     assert until(lambda: time.monotonic() > began + 0.4)
