--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -253,6 +253,7 @@
         serve_one(scheduler, hop, connection)
     scheduler.submit(on=busy)
     job = hop.job()
+    job.say("started")  # one that has not is given up after some 3 s
     assert call(scheduler, "out-of-service")[0] == 200
     assert call(scheduler, "out-of-service") == (200, "in force already\n")
     assert scheduler.get("/ready").status == 503 and call(scheduler, "ready", "GET")[0] == 200
