Assemble the scheduler's program and import the decision module on demand

Cause: importing any part of flintfield imported the whole decision module: 4 MB and 0.1 s in each process. Ruled out: leaving the package's face empty, for users import Dispatcher from it.

--- a/flintfield/__init__.py
+++ b/flintfield/__init__.py
@@ -1,6 +1,20 @@
-"""flintfield: market-based decisions for a dispatcher that pushes jobs to workers."""
+"""flintfield: market-based decisions for a dispatcher that pushes jobs to workers, and the cluster round them."""
 
-from flintfield.decision.policy import Dispatcher
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from flintfield.decision.policy import Dispatcher
 
 __all__ = ["Dispatcher"]
 __version__ = "0.1.0"
+
+
+def __getattr__(name: str) -> object:
+    """Import the decision module when it is asked for: a process of the system that doesn't decide does without."""
+    if name == "Dispatcher":
+        from flintfield.decision.policy import Dispatcher
+
+        return Dispatcher
+    raise AttributeError(f"module 'flintfield' has no attribute {name!r}")
--- /dev/null
+++ b/flintfield/programs/scheduler.py
@@ -0,0 +1,136 @@
+"""The scheduler's program: one process on each machine that clients reach.
+
+It assembles the planes: coordination (a replica where the machine counts for the quorum), the dispatcher where this
+process is elected, the operator's API and the ingress. Run as `python3 -m flintfield.programs.scheduler`; the path
+of its settings file stands in `FLINTFIELD_CONFIG`. Exit codes: 0 after SIGTERM, 2 for faulty settings.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import random
+import signal
+import sys
+
+from flintfield.control.server import ControlServer
+from flintfield.control.view import ConfigurationView
+from flintfield.coordination.node import CoreNode
+from flintfield.coordination.storage import KeyedStore, MemoryStore, open_store
+from flintfield.dispatch.service import DispatchService
+from flintfield.ingress.link import DispatcherLink
+from flintfield.ingress.server import IngressServer
+from flintfield.placement.market import Market
+from flintfield.runtime import logs
+from flintfield.runtime.clock import steady_ms, wall_ms
+from flintfield.runtime.settings import NodeSettings, SettingsError, load, rpc_address
+from flintfield.transport.rpc import Pool, Server
+
+LOG = logging.getLogger("flintfield.scheduler")
+SETTINGS_VARIABLE = "FLINTFIELD_CONFIG"
+EXIT_FAULTY_SETTINGS = 2
+MEGABYTE = 1024 * 1024
+SHUTDOWN_RESERVE_S = 1.0  # of the grace period, kept for closing the store
+
+
+def seed_addresses(settings: NodeSettings) -> tuple[str, ...]:
+    """The RPC listeners of the seeds, which the settings name by their control addresses."""
+    return tuple(rpc_address(seed.rpartition(":")[0], settings) for seed in settings.seeds)
+
+
+def open_replica_store(settings: NodeSettings) -> KeyedStore | None:
+    """The store of a replica; None on a machine that doesn't count for the quorum."""
+    if not settings.counts_for_quorum:
+        return None
+    if settings.data_dir is None:
+        return MemoryStore()
+    return open_store(settings.data_dir, settings.limits.disk_mb * MEGABYTE)
+
+
+class Scheduler:
+    """The parts of one scheduler process, started and stopped in order."""
+
+    def __init__(self, settings: NodeSettings, settings_path: str) -> None:
+        self.settings = settings
+        self._settings_path = settings_path
+        self._stopping = asyncio.Event()
+        generator = random.Random(os.urandom(16))
+        self._store = open_replica_store(settings)
+        self._pool = Pool()
+        self._dispatch = DispatchService(settings=settings, make_placement=lambda: Market(generator.getrandbits(32)),
+                                         steady_ms=steady_ms, rng=generator)
+        self._node = CoreNode(name=settings.node_name, address=rpc_address(settings.ip, settings), zone=settings.zone,
+                              seeds=seed_addresses(settings), first_start=settings.bootstrap,
+                              counts=settings.counts_for_quorum, store=self._store,
+                              tolerance_machines=settings.tolerance.machines, pool=self._pool,
+                              listener=self._dispatch if self._store is not None else None, rng=generator,
+                              steady_ms=steady_ms, wall_ms=wall_ms)
+        self._view = ConfigurationView(self._node, steady_ms)
+        self._view.on_change(self._dispatch.set_configuration)
+        self._rpc = Server({**self._node.handlers(), **self._dispatch.handlers()})
+        self._control = ControlServer(settings, self._node)
+        self._ingress = IngressServer(settings, self._view, DispatcherLink(self._pool, self._node), self._node)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM."""
+        self._watch_signals()
+        ip, _, port = rpc_address(self.settings.ip, self.settings).rpartition(":")
+        await self._rpc.start(ip, int(port))
+        await self._node.start()
+        await self._control.start()
+        await self._ingress.start()
+        logs.event(LOG, "started", replica=self._store is not None)
+        gc.freeze()
+        await self._stopping.wait()
+        await self._stop()
+
+    def _watch_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+
+    def _reload(self) -> None:
+        """Read the settings again; what takes effect in a running process is the list of seeds."""
+        try:
+            settings = load(self._settings_path)
+        except SettingsError as error:
+            logs.event(LOG, "settings_kept", error=str(error))
+            return
+        self._node.set_seeds(seed_addresses(settings))
+
+    async def _stop(self) -> None:
+        """Hand leadership over, answer what was taken in, close."""
+        logs.event(LOG, "stopping")
+        await self._node.resign()
+        grace_s = self.settings.bounds.grace_s - SHUTDOWN_RESERVE_S
+        await self._ingress.drain(grace_s)
+        await self._control.stop()
+        await self._node.stop()
+        await self._rpc.stop()
+        if self._store is not None:
+            await self._store.close()
+        logs.event(LOG, "stopped")
+
+
+async def _serve(settings: NodeSettings, path: str) -> None:
+    await Scheduler(settings, path).run()
+
+
+def main() -> int:
+    """Run one scheduler; returns the exit code."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        settings = load(path)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_FAULTY_SETTINGS
+    logs.configure(settings.node_name, "scheduler")
+    asyncio.run(_serve(settings, path))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
