--- a/flintfield/__init__.py
+++ b/flintfield/__init__.py
@@ -1,4 +1,4 @@
-"""flintfield: market-based decisions for a dispatcher that pushes jobs to workers, and the cluster round them."""
+"""flintfield: market-based decisions for a dispatcher that pushes jobs to workers, and its cluster."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 def __getattr__(name: str) -> object:
-    """Import the decision module when it is asked for: a process of the system that doesn't decide does without."""
+    """Import the decision module when it is asked for: not every process decides."""
     if name == "Dispatcher":
         from flintfield.decision.policy import Dispatcher
 
--- a/flintfield/programs/scheduler.py
+++ b/flintfield/programs/scheduler.py
@@ -1,8 +1,9 @@
 """The scheduler's program: one process on each machine that clients reach.
 
-It assembles the planes: coordination (a replica where the machine counts for the quorum), the dispatcher where this
-process is elected, the operator's API and the ingress. Run as `python3 -m flintfield.programs.scheduler`; the path
-of its settings file stands in `FLINTFIELD_CONFIG`. Exit codes: 0 after SIGTERM, 2 for faulty settings.
+It assembles the planes: coordination (a replica where the machine counts for the quorum), the dispatcher
+where this process is elected, the operator's API and the ingress. Run as
+`python3 -m flintfield.programs.scheduler`; the path of its settings file stands in `FLINTFIELD_CONFIG`.
+Exit codes: 0 after SIGTERM, 2 for faulty settings.
 """
 
 from __future__ import annotations
@@ -59,19 +60,24 @@
         generator = random.Random(os.urandom(16))
         self._store = open_replica_store(settings)
         self._pool = Pool()
-        self._dispatch = DispatchService(settings=settings, make_placement=lambda: Market(generator.getrandbits(32)),
-                                         steady_ms=steady_ms, rng=generator)
-        self._node = CoreNode(name=settings.node_name, address=rpc_address(settings.ip, settings), zone=settings.zone,
-                              seeds=seed_addresses(settings), first_start=settings.bootstrap,
-                              counts=settings.counts_for_quorum, store=self._store,
-                              tolerance_machines=settings.tolerance.machines, pool=self._pool,
-                              listener=self._dispatch if self._store is not None else None, rng=generator,
-                              steady_ms=steady_ms, wall_ms=wall_ms)
+        self._dispatch = DispatchService(
+            settings=settings, make_placement=lambda: Market(generator.getrandbits(32)),
+            steady_ms=steady_ms, rng=generator,
+        )
+        self._node = CoreNode(
+            name=settings.node_name, address=rpc_address(settings.ip, settings), zone=settings.zone,
+            seeds=seed_addresses(settings), first_start=settings.bootstrap,
+            counts=settings.counts_for_quorum, store=self._store,
+            tolerance_machines=settings.tolerance.machines, pool=self._pool,
+            listener=self._dispatch if self._store is not None else None,
+            rng=generator, steady_ms=steady_ms, wall_ms=wall_ms,
+        )
         self._view = ConfigurationView(self._node, steady_ms)
         self._view.on_change(self._dispatch.set_configuration)
         self._rpc = Server({**self._node.handlers(), **self._dispatch.handlers()})
         self._control = ControlServer(settings, self._node)
-        self._ingress = IngressServer(settings, self._view, DispatcherLink(self._pool, self._node), self._node)
+        link = DispatcherLink(self._pool, self._node)
+        self._ingress = IngressServer(settings, self._view, link, self._node)
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
