--- /dev/null
+++ b/flintfield/transport/connection.py
@@ -0,0 +1,317 @@
+"""One TCP connection that carries requests, replies and one-way messages both ways.
+
+Both sides may call and send, and both serve the handlers they were given. Frames that are written within one
+pass of the event loop leave in one system call. Bounds: frames (`MAX_FRAME_BYTES`), bytes that wait to be
+sent, outstanding calls, running handlers; each has a counter.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from flintfield.transport import frames, sockets
+from flintfield.transport.counters import Counters
+from flintfield.transport.errors import Rejected, RpcError, Unanswered, Unreachable
+from flintfield.transport.records import MalformedRecord, decode, encode_into, record
+
+MAX_BUFFERED_BYTES = 4 * 1024 * 1024  # a peer that does not read this is given up; one frame may go above
+MAX_OUTSTANDING_CALLS = 4_096
+MAX_RUNNING_HANDLERS = 1_024
+LOG_INTERVAL_S = 1.0  # at most one line in this time about handlers that raise
+
+logger = logging.getLogger(__name__)
+
+Handler = Callable[[Any, "Connection"], Awaitable[Any] | Any]
+Handlers = Mapping[type, Handler]
+
+_EMPTY_HEADER = bytes(frames.HEADER.size)
+
+
+@record(65_000)
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """Why a request got no reply."""
+
+    text: str
+
+
+class _Call:
+    """A request that waits for its reply; `mark` is the number of receipts when it was sent."""
+
+    __slots__ = ("mark", "waiter")
+
+    def __init__(self, waiter: asyncio.Future[Any], mark: int) -> None:
+        self.waiter = waiter
+        self.mark = mark
+
+
+class Connection(asyncio.Protocol):
+    """A connection; made by `Server` and `connect`, used by one event loop.
+
+    A handler of a request returns the reply message, a handler of a one-way message returns None; either may
+    be a coroutine function, which costs a task. `peer` is the "ip:port" of the other side.
+    """
+
+    def __init__(self, handlers: Handlers, counters: Counters) -> None:
+        self.peer = "?"
+        self.closed = True
+        self.counters = counters
+        self._handlers = handlers
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._reader = frames.FrameReader()
+        self._out = bytearray()
+        self._flush_planned = False
+        self._receiving = False
+        self._receipts = 0
+        self._next_call = 0
+        self._calls: dict[int, _Call] = {}
+        self._running: set[asyncio.Task[None]] = set()
+        self._close_callbacks: list[Callable[[Connection], None]] = []
+        self._told_s = 0.0
+
+    # What its users call.
+
+    async def call(self, message: Any, timeout_s: float) -> Any:
+        """Send a request and wait for its reply; raises `Unreachable`, `Unanswered` or `Rejected`.
+
+        If nothing at all has come in between the sending and the timeout, the connection is aborted, so that
+        a dead peer costs one timeout.
+        """
+        if self.closed:
+            raise Unreachable(f"connection to {self.peer} is closed")
+        if len(self._calls) >= MAX_OUTSTANDING_CALLS:
+            self.counters.refused_calls += 1
+            raise Unreachable(f"{MAX_OUTSTANDING_CALLS} calls to {self.peer} are outstanding")
+        number = self._next_call
+        self._next_call = (number + 1) & 0xFFFFFFFF
+        self._write(frames.REQUEST, number, message)
+        call = _Call(self._loop.create_future(), self._receipts)
+        self._calls[number] = call
+        timer = self._loop.call_later(timeout_s, self._time_out, number)
+        try:
+            return await call.waiter
+        finally:
+            timer.cancel()
+            self._calls.pop(number, None)
+
+    def send(self, message: Any) -> bool:
+        """Send a one-way message; False where the connection is closed or the message too large."""
+        if not self.closed:
+            try:
+                self._write(frames.ONE_WAY, 0, message)
+                return True
+            except RpcError:
+                pass
+        self.counters.dropped_one_way += 1
+        return False
+
+    def close(self) -> None:
+        """Close; what was written before is still sent. Outstanding calls fail as `Unanswered`."""
+        if self.closed or self._transport is None:
+            return
+        self._flush()
+        self._finish("closed by this side")
+        self._transport.close()
+
+    def on_close(self, callback: Callable[[Connection], None]) -> None:
+        """Have `callback(connection)` called once when the connection is closed, by whichever side."""
+        if self.closed:
+            self._loop.call_soon(callback, self)
+        else:
+            self._close_callbacks.append(callback)
+
+    # What the event loop calls.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The socket is connected."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self.closed = False
+        self.peer = sockets.peer_of(transport)
+        sockets.set_options(transport)
+        transport.set_write_buffer_limits(high=MAX_BUFFERED_BYTES)
+        self.counters.opened += 1
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The socket is gone."""
+        self._finish(str(exc) if exc else "closed by the peer")
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes have come in: serve the frames that are whole."""
+        self._receipts += 1
+        self._receiving = True
+        try:
+            for kind, number, body in self._reader.feed(data):
+                self._take(kind, number, body)
+                if self.closed:
+                    return
+        except frames.MalformedFrame as error:
+            self.counters.malformed_frames += 1
+            self._abort(str(error))
+        finally:
+            self._receiving = False
+        self._flush()
+
+    # Incoming frames.
+
+    def _take(self, kind: int, number: int, body: memoryview) -> None:
+        try:
+            message = decode(body)
+        except MalformedRecord as error:
+            self.counters.malformed_records += 1
+            self._refuse(kind, number, f"malformed: {error}")
+            return
+        if kind == frames.REQUEST or kind == frames.ONE_WAY:
+            self._handle(kind, number, message)
+        else:
+            self._settle(kind, number, message)
+
+    def _refuse(self, kind: int, number: int, text: str) -> None:
+        if kind == frames.REQUEST:
+            self._answer(frames.FAILURE, number, Failure(text))
+        elif kind != frames.ONE_WAY:
+            self._settle(frames.FAILURE, number, Failure(text))
+
+    def _settle(self, kind: int, number: int, message: Any) -> None:
+        call = self._calls.pop(number, None)
+        if call is None or call.waiter.done():
+            self.counters.late_replies += 1
+        elif kind == frames.REPLY:
+            call.waiter.set_result(message)
+        else:
+            call.waiter.set_exception(Rejected(getattr(message, "text", "failed")))
+
+    def _handle(self, kind: int, number: int, message: Any) -> None:
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            self.counters.missing_handlers += 1
+            self._refuse(kind, number, f"no handler for {type(message).__name__}")
+            return
+        if len(self._running) >= MAX_RUNNING_HANDLERS:
+            self.counters.overloads += 1
+            self._refuse(kind, number, "overloaded")
+            return
+        try:
+            result = handler(message, self)
+        except Exception as error:
+            self._handler_failed(kind, number, message, error)
+            return
+        if hasattr(result, "__await__"):
+            task = self._loop.create_task(self._finish_handler(kind, number, message, result))
+            self._running.add(task)
+            task.add_done_callback(self._running.discard)
+        elif kind == frames.REQUEST:
+            self._reply(number, message, result)
+
+    async def _finish_handler(self, kind: int, number: int, message: Any, pending: Awaitable[Any]) -> None:
+        try:
+            result = await pending
+        except asyncio.CancelledError:
+            self._refuse(kind, number, "cancelled")
+            raise
+        except Exception as error:
+            self._handler_failed(kind, number, message, error)
+            return
+        if kind == frames.REQUEST:
+            self._reply(number, message, result)
+
+    def _reply(self, number: int, message: Any, result: Any) -> None:
+        try:
+            self._answer(frames.REPLY, number, result)
+        except Exception as error:  # a result that is no message
+            self._handler_failed(frames.REQUEST, number, message, error)
+
+    def _handler_failed(self, kind: int, number: int, message: Any, error: Exception) -> None:
+        self.counters.handler_failures += 1
+        now_s = time.monotonic()
+        if now_s - self._told_s >= LOG_INTERVAL_S:
+            self._told_s = now_s
+            logger.error("handler of %s failed", type(message).__name__, exc_info=error)
+        self._refuse(kind, number, f"handler failed: {type(error).__name__}: {error}")
+
+    # Outgoing frames.
+
+    def _answer(self, kind: int, number: int, message: Any) -> None:
+        if self.closed:
+            return
+        try:
+            self._write(kind, number, message)
+        except Rejected as error:
+            if kind == frames.FAILURE:
+                return
+            self._answer(frames.FAILURE, number, Failure(str(error)))
+        except Unreachable:
+            return  # aborted for its full buffer; the caller sees the connection close
+
+    def _write(self, kind: int, number: int, message: Any) -> None:
+        """Append a frame; raises `Rejected` for one too large, `Unreachable` where too much waits already."""
+        assert self._transport is not None
+        out = self._out
+        start = len(out)
+        if start + self._transport.get_write_buffer_size() > MAX_BUFFERED_BYTES:
+            self.counters.buffer_overflows += 1
+            self._abort("the peer does not read")
+            raise Unreachable(f"{self.peer} does not read")
+        out += _EMPTY_HEADER
+        try:
+            encode_into(message, out)
+        except BaseException:
+            del out[start:]
+            raise
+        length = len(out) - start - frames.LENGTH.size
+        if length > frames.MAX_FRAME_BYTES:
+            del out[start:]
+            self.counters.oversized_messages += 1
+            raise Rejected(f"a message of {length} bytes is above the largest frame")
+        frames.HEADER.pack_into(out, start, length, kind, number)
+        if not self._receiving and not self._flush_planned:
+            self._flush_planned = True
+            self._loop.call_soon(self._flush_soon)
+
+    def _flush_soon(self) -> None:
+        self._flush_planned = False
+        self._flush()
+
+    def _flush(self) -> None:
+        if self._out and not self.closed:
+            out, self._out = self._out, bytearray()
+            assert self._transport is not None
+            self._transport.write(out)
+
+    # Ends.
+
+    def _time_out(self, number: int) -> None:
+        call = self._calls.pop(number, None)
+        if call is None or call.waiter.done():
+            return
+        self.counters.timed_out_calls += 1
+        call.waiter.set_exception(Unanswered(f"{self.peer} did not answer in time"))
+        if call.mark == self._receipts and not self.closed:
+            self.counters.silent_aborts += 1
+            self._abort("the peer is silent")
+
+    def _abort(self, reason: str) -> None:
+        self._finish(reason)
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _finish(self, reason: str) -> None:
+        """The one change from open to closed."""
+        if self.closed:
+            return
+        self.closed = True
+        self.counters.closed += 1
+        self._out = bytearray()
+        calls, self._calls = self._calls, {}
+        for call in calls.values():
+            if not call.waiter.done():
+                call.waiter.set_exception(Unanswered(f"connection to {self.peer}: {reason}"))
+        callbacks, self._close_callbacks = self._close_callbacks, []
+        for callback in callbacks:
+            self._loop.call_soon(callback, self)
--- a/flintfield/transport/records.py
+++ b/flintfield/transport/records.py
@@ -1,8 +1,8 @@
 """Typed messages as `struct` records.
 
 A message is a frozen dataclass that is given a number by `@record(NUMBER)`. Its fields are encoded in their
-order: `int` as a signed 64-bit number, `float` as a double, `bool` as one byte, `str` and `bytes` with a 32-bit
-length in front, an `IntEnum` as one byte, `tuple[T, ...]` with a 32-bit count, `T | None` with one byte that
+order: `int` as a signed 64-bit number, `float` as a double, `bool` as one byte, `str` and `bytes` with a
+32-bit length in front, an `IntEnum` as one byte, `tuple[T, ...]` with a 32-bit count, `T | None` with one byte that
 tells whether a value follows, and a nested dataclass with a 32-bit length in front.
 
 Versions: a field may be added at the end of a dataclass if it has a default. A reader of the release before
@@ -52,13 +52,23 @@
     return register
 
 
-def encode(message: object) -> bytes:
+def encode(message: typing.Any) -> bytes:
     """The bytes of a message: its number, then its fields."""
-    out = bytearray(_KIND.pack(_number_of[type(message)]))
-    _codec(type(message))[0](message, out)
+    out = bytearray()
+    encode_into(message, out)
     return bytes(out)
 
 
+def encode_into(message: typing.Any, out: bytearray) -> None:
+    """Append the bytes of a message; raises `TypeError` for what is no record."""
+    kind: type[typing.Any] = type(message)
+    number = _number_of.get(kind)
+    if number is None:
+        raise TypeError(f"{kind.__name__} is no record")
+    out += _KIND.pack(number)
+    _codec(kind)[0](message, out)
+
+
 def decode(data: bytes | bytearray | memoryview) -> typing.Any:
     """The message in these bytes; raises `MalformedRecord` where there is none."""
     view = memoryview(data)
