--- a/flintfield/placement/__init__.py
+++ b/flintfield/placement/__init__.py
@@ -1,1 +1,1 @@
-"""Which worker a ready task goes to: prices and shares on the decision module, within capacity nobody guards."""
+"""Which worker a ready task goes to: shares on the decision module, within capacity that nobody guards."""
--- a/flintfield/placement/interface.py
+++ b/flintfield/placement/interface.py
@@ -1,4 +1,4 @@
-"""What placement is told and what it answers. It does no I/O, has no clock, and its random numbers are seeded."""
+"""What placement is told and what it answers. It does no I/O, has no clock; its random numbers are seeded."""
 
 from __future__ import annotations
 
@@ -32,9 +32,9 @@
 class Worker:
     """A worker as the dispatcher's record has it; the dispatcher changes it, placement reads it.
 
-    `used` counts every run that may be there: ordered, running, being stopped, or in doubt. `ready` is False while
-    it drains, is silent, or its agent is out of touch. `rack` is its label that names the rack. `held` counts the
-    tasks by `(job, time, step)` that it holds, for anti-affinity.
+    `used` counts every run that may be there: ordered, running, being stopped, or in doubt. `ready` is
+    False while it drains, is silent, or its agent is out of touch. `rack` is its label that names the rack.
+    `held` counts the tasks by `(job, time, step)` that it holds, for anti-affinity.
     """
 
     instance: str
@@ -53,11 +53,12 @@
 class Demand:
     """A task that is ready to start.
 
-    `needs` are the labels asked for (usually none or one); `affinity` names a rack or is ""; `together` is True where all
-    tasks of the step should be on one rack; `siblings` are the racks where other tasks of that step run now.
-    `at_most` is the anti-affinity bound by worker (0: none), for the key `group` = (job, time, step). `avoid` are
-    instances where earlier runs of this task failed, stalled or were lost. `priority` is the queue's number (0 first);
-    `client` names who is served, for the shares (the queue's name). `estimate_ms` is the client's rough guess.
+    `needs` are the labels asked for (usually none or one); `affinity` names a rack or is ""; `together` is
+    True where all tasks of the step should be on one rack; `siblings` are the racks where other tasks of
+    that step run now. `at_most` is the anti-affinity bound by worker (0: none), for the key `group` = (job,
+    time, step). `avoid` are instances where earlier runs of this task failed, stalled or were lost.
+    `priority` is the queue's number (0 first); `client` names who is served, for the shares (the queue's
+    name). `estimate_ms` is the client's rough guess.
     """
 
     task: str
@@ -82,7 +83,7 @@
 
 
 class Placement(Protocol):
-    """The policy. `workers` are all workers by instance, kept by the dispatcher; placement never changes them."""
+    """The policy. `workers` are all workers by instance; the dispatcher alone changes them."""
 
     def note_start(self, demand: Demand, instance: str, now_ms: int) -> None:
         """A run was ordered there."""
