--- a/flintfield/runtime/settings.py
+++ b/flintfield/runtime/settings.py
@@ -92,8 +92,8 @@
 class NodeSettings:
     """All that a process is told; names as in the file, in snake case.
 
-    `seeds` are `control` addresses. `data_dir` is None where the process has no disk. `zones` gives the region
-    of each zone. `app` and `service` are the worker's, on the machine of an agent, and "" elsewhere.
+    `seeds` are `control` addresses. `data_dir` is None where the process has no disk. `zones` gives the
+    region of each zone. `app` and `service` are the worker's, on the machine of an agent, and "" elsewhere.
     """
 
     node_name: str
