--- /dev/null
+++ b/flintfield/coordination/storage/recovery.py
@@ -0,0 +1,122 @@
+"""Reads the ring back: the state after the newest chain of segments that begins with a complete snapshot.
+
+A replay begins at a segment whose header says that a snapshot starts there, and follows the chain through
+the segments that continue it. Its state counts only if the frame that ends the snapshot is met; otherwise
+the snapshot never became durable, and the one before it rules. A chain with a higher sequence number holds
+everything that was acknowledged under lower ones, because nothing is acknowledged on a chain until its
+snapshot is durable, and no file of the older chain is overwritten until then.
+"""
+
+from __future__ import annotations
+
+import os
+import re
+from dataclasses import dataclass
+
+from flintfield.coordination.storage.disk import Disk
+from flintfield.coordination.storage.format import (
+    SEGMENT_HEADER_BYTES,
+    FrameFlag,
+    SegmentFlag,
+    SegmentHeader,
+    decode_frames,
+    decode_segment,
+)
+
+NAME = re.compile(r"ring-(\d{4})")
+
+
+@dataclass(frozen=True, slots=True)
+class FoundFile:
+    """A file of the ring; `header` is None where it holds no segment."""
+
+    number: int
+    size: int
+    header: SegmentHeader | None
+    chain: int
+
+
+@dataclass(frozen=True, slots=True)
+class Recovered:
+    """What was found. `items` is None if no chain is complete; `in_use` numbers the files that hold it."""
+
+    items: dict[bytes, bytes] | None
+    in_use: frozenset[int]
+    files: list[FoundFile]
+    last_sequence: int
+
+
+def file_name(number: int) -> str:
+    """The name of a file of the ring."""
+    return f"ring-{number:04d}"
+
+
+def recover(disk: Disk, directory: str) -> Recovered:
+    """Read the ring in that folder. Raises `OSError` if it can't be read: its content is then unknown."""
+    files = [_look(disk, directory, number) for number in _numbers(disk, directory)]
+    used = [file for file in files if file.header is not None]
+    last_sequence = max((file.header.sequence for file in used if file.header), default=0)
+    starts = [file for file in used if file.header and file.header.flags & SegmentFlag.SNAPSHOT_STARTS]
+    starts.sort(key=lambda file: file.header.sequence if file.header else 0, reverse=True)
+    for start in starts:
+        replayed = _replay(disk, directory, start, used)
+        if replayed is not None:
+            items, in_use = replayed
+            return Recovered(items, frozenset(in_use), files, last_sequence)
+    return Recovered(None, frozenset(), files, last_sequence)
+
+
+def _numbers(disk: Disk, directory: str) -> list[int]:
+    matches = (NAME.fullmatch(name) for name in disk.names(directory))
+    return sorted(int(match.group(1)) for match in matches if match)
+
+
+def _look(disk: Disk, directory: str, number: int) -> FoundFile:
+    file = disk.open(os.path.join(directory, file_name(number)))
+    try:
+        decoded = decode_segment(file.read(0, SEGMENT_HEADER_BYTES))
+        size = file.size()
+    finally:
+        file.close()
+    if decoded is None:
+        return FoundFile(number, size, None, 0)
+    return FoundFile(number, size, *decoded)
+
+
+def _read(disk: Disk, directory: str, found: FoundFile) -> bytes:
+    file = disk.open(os.path.join(directory, file_name(found.number)))
+    try:
+        return file.read(0, found.size)
+    finally:
+        file.close()
+
+
+def _replay(disk: Disk, directory: str, start: FoundFile,
+            used: list[FoundFile]) -> tuple[dict[bytes, bytes], list[int]] | None:
+    """The state of the chain that begins there and its files; None if its snapshot has no end."""
+    items: dict[bytes, bytes] = {}
+    complete = False
+    in_use = []
+    segment: FoundFile | None = start
+    while segment is not None and segment.header is not None:
+        in_use.append(segment.number)
+        chain = segment.chain
+        for frame in decode_frames(_read(disk, directory, segment), segment.header.life, chain):
+            for key, value in frame.entries:
+                if value is None:
+                    items.pop(key, None)
+                else:
+                    items[key] = value
+            complete = complete or bool(frame.flags & FrameFlag.SNAPSHOT_ENDS)
+            chain = frame.chain
+        segment = _successor(segment.header, chain, used)
+    return (items, in_use) if complete else None
+
+
+def _successor(header: SegmentHeader, chain: int, used: list[FoundFile]) -> FoundFile | None:
+    for file in used:
+        candidate = file.header
+        if (candidate is not None and candidate.sequence == header.sequence + 1
+                and candidate.previous_life == header.life and candidate.previous_chain == chain):
+            return file
+    return None
