--- a/flintfield/transport/frames.py
+++ b/flintfield/transport/frames.py
@@ -1,8 +1,8 @@
 """Frames: how a stream of bytes is cut into messages. No I/O.
 
 A frame is a little-endian header (length u32 of everything after the length field, kind u8, correlation id
-u32) and the bytes of one record. A frame above `MAX_FRAME_BYTES`, below the header's size, or of an unknown kind
-leaves no way to find the next one: the stream is given up.
+u32) and the bytes of one record. A frame above `MAX_FRAME_BYTES`, below the header's size, or of an unknown
+kind leaves no way to find the next one: the stream is given up.
 """
 
 from __future__ import annotations
--- a/flintfield/transport/http.py
+++ b/flintfield/transport/http.py
@@ -33,8 +33,8 @@
 class ServerLimits:
     """Bounds of a server; for larger headers or bodies, Tornado closes the connection.
 
-    It tries to answer 400 first, but what is unread resets the connection, so that the client may miss it. Where
-    a 413 is promised, let `max_body_bytes` be above the promised bound and answer it in the callback.
+    It tries to answer 400 first, but what is unread resets the connection, so that the client may miss it.
+    Where a 413 is promised, let `max_body_bytes` be above the promised bound and answer it in the callback.
     `idle_timeout_s` is how long a connection may take until the headers of its next request are there.
     """
 
@@ -92,7 +92,7 @@
 
 
 def start_server(serve: Serve, ip: str, port: int, limits: ServerLimits) -> BoundedServer:
-    """Listen on ip:port (0: any free port, told by `port`); raises `OSError`. Needs the running event loop."""
+    """Listen on ip:port (0: any free port, told by `port`) in the running event loop; raises `OSError`."""
     listener = _listener(ip, port)
     server = BoundedServer(
         serve,
