--- /dev/null
+++ b/flintfield/agent/holds.py
@@ -0,0 +1,164 @@
+"""When to call `/-/hold`, and with what.
+
+One long call is kept under way: the worker answers it as soon as something has ended. A call that does not
+wait is made at once under a new fence, and where the hold would otherwise run out although a later limit is
+granted. Each call is priced as a look at the worker, so calls that bring nothing new are spaced.
+"""
+
+from __future__ import annotations
+
+import enum
+import random
+from dataclasses import dataclass, field
+
+from flintfield.agent.clock import WorkerClock
+from flintfield.agent.events import Answer, AnswerKind, Hold
+
+LONGEST_WAIT_MS = 2_000  # the protocol's own bound
+SHORTEST_WAIT_MS = 100
+ANSWER_TIMEOUT_MS = 1_000  # beyond the time the worker was asked to wait
+ACK_PATIENCE_MS = 250  # ends are durable within tens of ms; until then the worker would repeat them at once
+IDLE_GAP_MS = 500  # after an answer that came early and brought nothing new
+FIRST_BACKOFF_MS = 250
+LONGEST_BACKOFF_MS = 1_000
+LONGEST_MARGIN_MS = 1_500
+MAX_UNDER_WAY = 3  # a long call of the last epoch, one of this epoch, and a prompt one
+
+
+class Purpose(enum.Enum):
+    """Why a call was made."""
+
+    PROBE = "probe"  # is this incarnation there?
+    PROMPT = "prompt"  # under a new fence, after silence, or to extend the hold now
+    LONG = "long"  # waits for an end
+
+
+@dataclass(frozen=True, slots=True)
+class Flight:
+    """A call under way."""
+
+    purpose: Purpose
+    sent_ms: int
+    hold: Hold
+
+
+@dataclass(slots=True)
+class Grant:
+    """What the dispatcher allows: hold until `limit_ms`; `length_ms` is the length of the newest grant."""
+
+    limit_ms: int = 0
+    length_ms: int = 0
+
+    def extend(self, limit_ms: int, length_ms: int) -> None:
+        """A later limit counts; an earlier one is an answer that was overtaken."""
+        if limit_ms > self.limit_ms:
+            self.limit_ms = limit_ms
+            self.length_ms = length_ms
+
+    @property
+    def wait_ms(self) -> int:
+        """How long a long call may wait, so that two renewals may fail before the hold runs out."""
+        if not self.length_ms:
+            return LONGEST_WAIT_MS
+        return max(SHORTEST_WAIT_MS, min(LONGEST_WAIT_MS, self.length_ms // 3))
+
+    @property
+    def margin_ms(self) -> int:
+        """How long before its end a hold is extended at once."""
+        return min(LONGEST_MARGIN_MS, self.length_ms // 3)
+
+
+@dataclass(slots=True)
+class HoldSchedule:
+    """The hold calls of one incarnation."""
+
+    rng: random.Random
+    clock: WorkerClock
+    grant: Grant
+    flights: dict[int, Flight] = field(default_factory=dict)
+    fenced: int = 0  # the highest epoch under which the worker has listed
+    not_before: int = 0
+    acked_by: int = 0  # until then, ends that were reported may still be acknowledged
+    failures: int = 0
+
+    def new_fence(self) -> None:
+        """A higher epoch: what was put off under the last one is due now."""
+        self.not_before = 0
+        self.acked_by = 0
+
+    def probe(self, now: int, fence: int) -> tuple[Purpose, Hold] | None:
+        """The call that finds out whether the incarnation is there."""
+        if self.flights or now < self.not_before:
+            return None
+        return Purpose.PROBE, Hold(fence, 0, None, 0)
+
+    def due(self, now: int, fence: int, last_seen: int, has_ends: bool) -> tuple[Purpose, Hold] | None:
+        """The call to be made now, if any."""
+        if not fence or now < self.not_before or len(self.flights) >= MAX_UNDER_WAY:
+            return None
+        ours = [flight for flight in self.flights.values() if flight.hold.fence == fence]
+        if not ours:
+            if has_ends and now < self.acked_by:
+                return None
+            purpose = Purpose.LONG if self.fenced >= fence and not self.failures else Purpose.PROMPT
+        elif len(ours) == 1 and ours[0].purpose is Purpose.LONG and self._runs_out(now):
+            purpose = Purpose.PROMPT
+        else:
+            return None
+        wait_ms = self.grant.wait_ms if purpose is Purpose.LONG else 0
+        return purpose, Hold(fence, last_seen, self.expiry(now), wait_ms)
+
+    def expiry(self, now: int) -> int | None:
+        """The expiry to send now; None where the grant is over or extends nothing."""
+        expires = self.clock.expiry(self.grant.limit_ms) if now < self.grant.limit_ms else None
+        latest = self.clock.latest_expiry
+        if expires is None or (latest is not None and expires < latest):
+            return None
+        return expires
+
+    def sent(self, now: int, call: int, purpose: Purpose, hold: Hold) -> int:
+        """The call leaves; returns its time-out in ms."""
+        self.flights[call] = Flight(purpose, now, hold)
+        if hold.expires_ms is not None:
+            self.clock.note_sent(hold.expires_ms)
+        return hold.wait_ms + ANSWER_TIMEOUT_MS
+
+    def answered(self, now: int, call: int, answer: Answer, news: bool) -> None:
+        """A call has ended; `news` tells whether its answer changed the listing."""
+        flight = self.flights.pop(call)
+        if answer.kind is AnswerKind.OK:
+            self.failures = 0
+            self.fenced = max(self.fenced, flight.hold.fence)
+            early = flight.purpose is Purpose.LONG and now - flight.sent_ms < flight.hold.wait_ms * 9 // 10
+            if news:
+                self.acked_by = now + ACK_PATIENCE_MS
+            elif early:
+                self.not_before = now + self._jittered(IDLE_GAP_MS)
+            return
+        self.failures += 1
+        backoff = min(LONGEST_BACKOFF_MS, FIRST_BACKOFF_MS << min(self.failures - 1, 4))
+        self.not_before = now + self._jittered(backoff)
+
+    def wake_at(self, now: int, fence: int, probing: bool) -> int | None:
+        """When `due` or `probe` may next have a call, other than by an event."""
+        if self.not_before > now:
+            return self.not_before
+        if probing or not fence:
+            return None
+        times = [self.acked_by] if self.acked_by > now else []
+        end = self.clock.may_end_at()
+        if end is not None and end - self.grant.margin_ms > now:
+            times.append(end - self.grant.margin_ms)
+        return min(times, default=None)
+
+    def _runs_out(self, now: int) -> bool:
+        """Whether the hold may end soon although a later limit is granted."""
+        end = self.clock.may_end_at()
+        latest = self.clock.latest_expiry
+        if end is None or latest is None or now < end - self.grant.margin_ms:
+            return False
+        expires = self.expiry(now)
+        return expires is not None and expires - latest >= SHORTEST_WAIT_MS
+
+    def _jittered(self, length_ms: int) -> int:
+        return int(length_ms * self.rng.uniform(0.8, 1.2))
--- /dev/null
+++ b/flintfield/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Thin executables: read the settings, assemble the parts, start, stop."""
