--- a/flintfield/coordination/storage/opening.py
+++ b/flintfield/coordination/storage/opening.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 
 from flintfield.coordination.storage.disk import Disk, OsDisk
+from flintfield.coordination.storage.interface import StorageError
+from flintfield.coordination.storage.pool import FilePool
 from flintfield.coordination.storage.recovery import recover
 from flintfield.coordination.storage.ring import Ring
 from flintfield.coordination.storage.store import RingStore, Tools
@@ -29,14 +31,17 @@
                draw: Callable[[], int] = draw_life) -> RingStore:
     """Open the store in that folder; its files take at most that many bytes. Blocks: call it before the loop.
 
-    What was found is written anew and synced before this returns, because a process that was killed may
-    have left changes that can be read but aren't on disk. If the disk refuses, the store is returned all
-    the same and goes on trying once the loop runs: `await store.durable(0)` before acting upon `items`; it
-    usually returns at once. Raises `OSError` if the folder can't be read.
+    What was found is written anew and synced before this returns, because a process that was killed may have
+    left changes that can be read but aren't on disk. If the disk refuses, the store is returned all the same and
+    goes on trying once the loop runs: `await store.durable(0)` before acting upon `items`; it usually returns at
+    once. Raises `StorageError` if the folder can't be read.
     """
-    found = recover(disk, directory)
+    try:
+        found = recover(disk, directory)
+    except OSError as error:
+        raise StorageError(f"{directory} can't be read: {error}") from error
     items = found.items if found.items is not None else {}
-    ring = Ring(disk, directory, limit_bytes, found, draw)
+    ring = Ring(FilePool(disk, directory, limit_bytes), found, draw)
     try:
         ring.rebase(items.items())
     except OSError as error:
--- a/flintfield/coordination/storage/recovery.py
+++ b/flintfield/coordination/storage/recovery.py
@@ -35,6 +35,11 @@
     header: SegmentHeader | None
     chain: int
 
+    @property
+    def sequence(self) -> int:
+        """The segment's, or 0."""
+        return self.header.sequence if self.header is not None else 0
+
 
 @dataclass(frozen=True, slots=True)
 class Recovered:
@@ -55,9 +60,9 @@
     """Read the ring in that folder. Raises `OSError` if it can't be read: its content is then unknown."""
     files = [_look(disk, directory, number) for number in _numbers(disk, directory)]
     used = [file for file in files if file.header is not None]
-    last_sequence = max((file.header.sequence for file in used if file.header), default=0)
+    last_sequence = max((file.sequence for file in used), default=0)
     starts = [file for file in used if file.header and file.header.flags & SegmentFlag.SNAPSHOT_STARTS]
-    starts.sort(key=lambda file: file.header.sequence if file.header else 0, reverse=True)
+    starts.sort(key=lambda file: file.sequence, reverse=True)
     for start in starts:
         replayed = _replay(disk, directory, start, used)
         if replayed is not None:
--- a/flintfield/coordination/storage/store.py
+++ b/flintfield/coordination/storage/store.py
@@ -2,10 +2,7 @@
 
 Everything here runs in the event loop's thread; the ring's methods run as jobs of the sync thread, one at a
 time. A round takes whatever is pending as one frame, so a later value of a key replaces an earlier one that
-was not yet written. Compaction is a snapshot in pieces: each frame also carries some items as they are at
-that moment, until all have been written again; then the files before the snapshot's start are free. The
-order "pending changes and pieces in one frame" matters: a piece never shows a value whose own change is not
-in the log.
+was not yet written. If that is more than a frame should hold, and after a failure, the round writes all anew.
 """
 
 from __future__ import annotations
@@ -19,17 +16,16 @@
 from dataclasses import dataclass
 from functools import partial
 
+from flintfield.coordination.storage.compaction import PiecewiseSnapshot, chain_bound
 from flintfield.coordination.storage.format import LARGEST_KEY, FrameFlag, entry_bytes
 from flintfield.coordination.storage.interface import Change, StorageFailed, StorageFull
-from flintfield.coordination.storage.ring import MODEST_RING_BYTES, Ring
+from flintfield.coordination.storage.ring import Ring
 from flintfield.coordination.storage.sync_thread import Runner
+from flintfield.coordination.storage.waiters import Waiters
 
 LIVE_PART_OF_LIMIT = 8  # the content may take 1/8 of the limit: see "Space" in docs/system-storage.md
-CHAIN_PER_LIVE = 2  # compact once the log is this many times the content ...
-PIECE_PART_OF_SEGMENT = 32  # a piece of a snapshot: 32 KiB for files of 1 MiB, 0.3 ms at 120 MB/s
-PIECE_PER_CHANGE = 2  # ... and at least this many times the changes beside it, so that it ends in time
 FIRST_RETRY_S = 0.05  # after a failure; doubled up to the last, each with jitter
-LAST_RETRY_S = 1.0
+LAST_RETRY_S = 0.5
 JITTER = 0.25  # part of the pause by which it varies
 
 logger = logging.getLogger(__name__)
@@ -50,6 +46,7 @@
 
     rounds: int = 0
     failed_rounds: int = 0
+    whole_snapshots: int = 0
     compactions: int = 0
     refused_changes: int = 0
 
@@ -75,7 +72,7 @@
         self._items = items
         self._tools = tools
         self._most_live_bytes = limit_bytes // LIVE_PART_OF_LIMIT
-        self._modest_bytes = min(limit_bytes // 2, MODEST_RING_BYTES)
+        self._limit_bytes = limit_bytes
         self._most_frame_bytes = ring.empty_room // 2  # beside it, one more item always fits
         self._live_bytes = sum(entry_bytes(key, value) for key, value in items.items())
         self._ticket = 0
@@ -83,14 +80,14 @@
         self._pending: dict[bytes, bytes | None] = {}
         self._pending_bytes = 0
         self._whole = ring.broken  # the next round writes everything anew
-        self._snapshot_keys: list[bytes] | None = None  # left to write of the snapshot under way
+        self._snapshot: PiecewiseSnapshot | None = None  # under way
         self._state = State.IDLE
         self._wake_scheduled = False
         self._chores_refused = False
         self._closing = False
         self._started_s = 0.0
         self._retry_s = FIRST_RETRY_S
-        self._waiters: list[tuple[int, asyncio.Future[None]]] = []
+        self._waiters = Waiters()
         self._idle: asyncio.Event = asyncio.Event()
         self._idle.set()
 
@@ -110,10 +107,15 @@
         return self._state
 
     def apply(self, changes: Sequence[Change]) -> int:
-        """Change memory at once; the disk follows. Raises `StorageFull`, and `StorageFailed` once closed."""
+        """Change memory at once; the disk follows. Raises `StorageFull`, and `StorageFailed` once closed.
+
+        Of several changes of one key the last counts. Where nothing changes, the ticket is that of before.
+        """
         if self._state is State.CLOSED:
             raise StorageFailed("closed")
-        merged = dict(changes)
+        merged = {key: value for key, value in dict(changes).items() if self._items.get(key) != value}
+        if not merged:
+            return self._ticket  # what is there already needs no write of its own
         growth = self._growth(merged)
         if growth > 0 and self._live_bytes + growth > self._most_live_bytes:
             self.counters.refused_changes += 1
@@ -131,15 +133,8 @@
 
     def replace(self, changes: Iterable[tuple[bytes, bytes]], keep: Callable[[bytes], bool]) -> int:
         """Drop every key for which `keep` is false, then put these; the unchanged is not written again."""
-        wanted = dict(changes)
-        merged: dict[bytes, bytes | None] = {}
-        for key in self._items:
-            if key not in wanted and not keep(key):
-                merged[key] = None
-        for key, value in wanted.items():
-            if self._items.get(key) != value:
-                merged[key] = value
-        return self.apply(list(merged.items()))
+        dropped: list[Change] = [(key, None) for key in self._items if not keep(key)]
+        return self.apply([*dropped, *changes])
 
     async def durable(self, ticket: int) -> None:
         """Return once everything up to the ticket is on disk. Raises `StorageFailed`."""
@@ -149,8 +144,7 @@
             return
         if self._state is State.CLOSED:
             raise StorageFailed("closed")
-        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._waiters.append((ticket, future))
+        future = self._waiters.add(ticket)
         self._schedule()
         await future
 
@@ -170,7 +164,7 @@
         while self._state is State.WRITING:
             await self._idle.wait()
         self._enter(State.CLOSED)
-        self._fail_waiters(StorageFailed("closed"))
+        self._waiters.fail("closed")
         self.ring.close()
         self._tools.runner.stop()
 
@@ -205,7 +199,7 @@
         self._whole = True
         self._pending = {}
         self._pending_bytes = 0
-        self._snapshot_keys = None
+        self._snapshot = None
 
     def _schedule(self) -> None:
         """Begin a round in the loop's next turn, so that changes made in this one go out together."""
@@ -229,7 +223,7 @@
             job = self._whole_round() if self._whole else self._next_frame()
             self._run(job, partial(self._round_ended, self._ticket))
         elif self.ring.wants_spare() and not self._chores_refused and not self._closing:
-            self._run(self.ring.prepare_spare, self._chore_ended)
+            self._run(self.ring.pool.prepare_spare, self._chore_ended)
 
     def _run(self, job: Callable[[], None], done: Callable[[Exception | None], None]) -> None:
         self._enter(State.WRITING)
@@ -238,50 +232,30 @@
 
     def _whole_round(self) -> Callable[[], None]:
         self._whole = False
+        self.counters.whole_snapshots += 1
         return partial(self.ring.rebase, list(self._items.items()))
 
     def _next_frame(self) -> Callable[[], None]:
         """The pending changes, with a piece of the snapshot if one is under way, as one frame."""
         changes, size = self._pending, self._pending_bytes
         self._pending, self._pending_bytes = {}, 0
-        starts = self._snapshot_keys is None and self.ring.chain_bytes >= self._chain_bound()
+        bound = chain_bound(self._limit_bytes, self._live_bytes)
+        starts = self._snapshot is None and self.ring.chain_bytes >= bound
         if starts:
-            self._snapshot_keys = list(self._items)
+            self._snapshot = PiecewiseSnapshot(self._items, self.ring.pool.segment_bytes)
         flags = FrameFlag.NONE
         entries: list[Change] = list(changes.items())
-        if self._snapshot_keys is not None:
-            piece, piece_bytes = self._next_piece(self._snapshot_keys, changes, size, starts)
+        if self._snapshot is not None:
+            room = self.ring.empty_room if starts else self.ring.room
+            piece, piece_bytes = self._snapshot.take(changes, size, room, self.ring.empty_room)
             entries += piece
             size += piece_bytes
-            if not self._snapshot_keys:
-                self._snapshot_keys = None
+            if self._snapshot.ended:
+                self._snapshot = None
                 flags = FrameFlag.SNAPSHOT_ENDS
+                self.counters.compactions += 1
         return partial(self.ring.append, entries, size, flags, starts)
 
-    def _chain_bound(self) -> int:
-        return max(self._modest_bytes // 2, CHAIN_PER_LIVE * self._live_bytes)
-
-    def _next_piece(self, keys: list[bytes], changes: Mapping[bytes, bytes | None], size: int,
-                    starts: bool) -> tuple[list[Change], int]:
-        """Take the next items of a snapshot off the keys that are left, as many as the frame should carry."""
-        budget = max(self.ring.segment_bytes // PIECE_PART_OF_SEGMENT, PIECE_PER_CHANGE * size)
-        room = self.ring.empty_room if starts else self.ring.room
-        piece: list[Change] = []
-        total = 0
-        while keys:
-            key = keys[-1]
-            value = self._items.get(key)
-            if value is not None and key not in changes:
-                item_bytes = entry_bytes(key, value)
-                if not piece and size + item_bytes > room:
-                    room = self.ring.empty_room  # the frame goes into the next file
-                if piece and (total + item_bytes > budget or size + total + item_bytes > room):
-                    break
-                piece.append((key, value))
-                total += item_bytes
-            keys.pop()
-        return piece, total
-
     def _round_ended(self, ticket: int, error: Exception | None) -> None:
         self.counters.rounds += 1
         if error is not None:
@@ -292,12 +266,7 @@
         self._retry_s = FIRST_RETRY_S
         self._chores_refused = False
         self._durable_ticket = max(self._durable_ticket, ticket)
-        waiting, self._waiters = self._waiters, []
-        for wanted, future in waiting:
-            if wanted > ticket:
-                self._waiters.append((wanted, future))
-            elif not future.done():
-                future.set_result(None)
+        self._waiters.succeed(ticket)
         self._enter(State.IDLE)
         self._begin()
 
@@ -309,7 +278,7 @@
         pause = self._retry_s * self._tools.random.uniform(1 - JITTER, 1 + JITTER)
         self._retry_s = min(LAST_RETRY_S, self._retry_s * 2)
         self._enter(State.RETRY_PAUSE)
-        self._fail_waiters(StorageFailed(str(error)))
+        self._waiters.fail(str(error))
         self._tools.call_later(pause, self._retry)
 
     def _retry(self) -> None:
@@ -324,12 +293,6 @@
         self._enter(State.IDLE)
         self._begin()
 
-    def _fail_waiters(self, error: StorageFailed) -> None:
-        waiting, self._waiters = self._waiters, []
-        for _, future in waiting:
-            if not future.done():
-                future.set_exception(error)
-
     def _enter(self, state: State) -> None:
         """The one place where the state changes."""
         self._state = state
