--- /dev/null
+++ b/flintfield/control/operator.py
@@ -0,0 +1,159 @@
+"""Carrying out the operator's orders on the configuration register.
+
+An order is acknowledged once the register says that it is committed. It is refused only where it can never
+come into force: `change` returned a value without it, or it is invalid whatever it builds on. Everything else
+(no quorum, no answer in time) is left without a clear answer, and the operator repeats the order.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import typing
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from flintfield.control.stored import UnknownFormat, decode_stored
+
+if typing.TYPE_CHECKING:
+    from flintfield.control import orders
+
+_log = logging.getLogger(__name__)
+
+CALL_DEADLINE_S = 1.5  # the operator moves on after a second of silence; what is later helps nobody
+MAX_CALLS = 32  # at once; the operators have at most eight orders under way, and repeat them
+
+
+class RegisterNode(typing.Protocol):
+    """What the orders need of the coordination layer's node."""
+
+    async def read(self) -> bytes | None:
+        """The newest value; raises where no quorum answers."""
+
+    async def change(self, decide: Callable[[bytes | None], bytes | None]) -> bytes | None:
+        """Let `decide` turn the committed value into the next one; raises where the outcome is unknown."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """An HTTP status and a JSON document, as bytes."""
+
+    status: int
+    body: bytes
+
+
+@dataclass(slots=True)
+class OperatorCounters:
+    """What became of the operator's calls."""
+
+    acknowledged: int = 0
+    stale: int = 0
+    invalid: int = 0
+    in_doubt: int = 0
+    overload: int = 0
+
+
+class OperatorService:
+    """Takes orders and reads for one process."""
+
+    def __init__(self, node: RegisterNode, deadline_s: float = CALL_DEADLINE_S) -> None:
+        self.counters = OperatorCounters()
+        self._node = node
+        self._deadline_s = deadline_s
+        self._calls = 0
+
+    async def replace(self, base_version: str | None, body: bytes) -> Answer:
+        """Take a whole configuration."""
+        from flintfield.control import orders
+
+        return await self._order(orders.Kind.REPLACE, base_version, body)
+
+    async def update(self, base_version: str | None, body: bytes) -> Answer:
+        """Take a change of named items."""
+        from flintfield.control import orders
+
+        return await self._order(orders.Kind.UPDATE, base_version, body)
+
+    async def read(self) -> Answer:
+        """The newest configuration, as the operator would have sent it."""
+        try:
+            async with asyncio.timeout(self._deadline_s):
+                value = await self._node.read()
+        except TimeoutError:
+            return self._doubt(504, "no quorum answered in time")
+        except Exception as error:  # whatever failed, the caller may ask again
+            return self._doubt(503, f"the configuration cannot be read now: {error}")
+        if value is None:
+            return _error(404, "there is no configuration yet")
+        try:
+            return Answer(200, decode_stored(value).document)
+        except UnknownFormat as error:
+            return self._doubt(503, f"a later release wrote the configuration: {error}")
+
+    async def _order(self, kind: orders.Kind, base_version: str | None, body: bytes) -> Answer:
+        from flintfield.control import documents, orders
+
+        try:
+            order = orders.read_order(kind, _read_base_version(base_version), body)
+        except documents.InvalidConfiguration as error:
+            self.counters.invalid += 1
+            return _error(400, str(error))
+        if self._calls >= MAX_CALLS:
+            self.counters.overload += 1
+            return _error(503, "too many orders are under way")
+        self._calls += 1
+        try:
+            return await self._commit(order)
+        finally:
+            self._calls -= 1
+
+    async def _commit(self, order: orders.Order) -> Answer:
+        from flintfield.control import orders
+
+        try:
+            async with asyncio.timeout(self._deadline_s):
+                value = await self._node.change(lambda present: orders.judge(order, present).successor)
+            judgement = orders.judge(order, value)
+        except TimeoutError:
+            return self._doubt(504, "no quorum answered in time")
+        except Exception as error:  # the order may have been taken or may yet be: never a refusal
+            return self._doubt(503, f"the order is in doubt: {error}")
+        return self._answer(order, judgement)
+
+    def _answer(self, order: orders.Order, judgement: orders.Judgement) -> Answer:
+        from flintfield.control.orders import Verdict
+
+        match judgement.verdict:
+            case Verdict.TAKEN:
+                self.counters.acknowledged += 1
+                _log.info("order_taken", extra={"version": order.version, "base_version": order.base_version})
+                return Answer(200, b"{}")
+            case Verdict.STALE:
+                self.counters.stale += 1
+                return _error(412, judgement.reason)
+            case Verdict.INVALID:
+                self.counters.invalid += 1
+                return _error(400, judgement.reason)
+            case _:
+                return self._doubt(503, "the register left the order out")
+
+    def _doubt(self, status: int, reason: str) -> Answer:
+        self.counters.in_doubt += 1
+        _log.warning("operator_call_in_doubt", extra={"status": status, "reason": reason})
+        return _error(status, reason)
+
+
+def _read_base_version(text: str | None) -> int:
+    """The header's number; raises `InvalidConfiguration`."""
+    from flintfield.control.documents import InvalidConfiguration
+
+    if text is None:
+        raise InvalidConfiguration("X-Base-Version: is missing")
+    if not (text.isascii() and text.isdigit() and len(text) <= 16):
+        raise InvalidConfiguration("X-Base-Version: is not a whole number")
+    return int(text)
+
+
+def _error(status: int, reason: str) -> Answer:
+    return Answer(status, json.dumps({"error": reason}).encode())
--- /dev/null
+++ b/flintfield/control/server.py
@@ -0,0 +1,100 @@
+"""The operator's API on `listen.control`; every scheduler serves it, with or without a disk."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+from tornado.httputil import HTTPServerRequest
+
+from flintfield.control.operator import Answer, OperatorService, RegisterNode
+from flintfield.runtime.errors import ErrorKind, answer, retry_after_header
+from flintfield.runtime.settings import NodeSettings
+from flintfield.transport.http import BoundedServer, ServerLimits, respond, start_server
+
+_log = logging.getLogger(__name__)
+
+MAX_BODY_BYTES = 4 * 1024 * 1024  # about 10,000 routes
+# Up to here a body that is too large is read, so that the 413 is seen
+READ_BODY_BYTES = MAX_BODY_BYTES + 1024 * 1024
+MAX_CONNECTIONS = 64
+IDLE_TIMEOUT_S = 30.0
+
+Call = Callable[[HTTPServerRequest], Awaitable[Answer]]
+
+
+class ControlServer:
+    """The listener for the operator."""
+
+    def __init__(self, settings: NodeSettings, node: RegisterNode) -> None:
+        self.service = OperatorService(node)
+        self.port = 0
+        self._settings = settings
+        self._server: BoundedServer | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._calls: dict[str, tuple[str, Call]] = {
+            "/-/Config.Replace": ("POST", self._replace),
+            "/-/Config.Update": ("POST", self._update),
+            "/-/Config.Read": ("GET", self._read),
+        }
+
+    async def start(self) -> None:
+        """Listen; raises `OSError`. Without an address in the settings, nothing is served."""
+        address = self._settings.listen.control
+        if address is None:
+            return
+        ip, _, port = address.rpartition(":")
+        limits = ServerLimits(
+            max_body_bytes=READ_BODY_BYTES, max_connections=MAX_CONNECTIONS, idle_timeout_s=IDLE_TIMEOUT_S
+        )
+        self._server = start_server(self._serve, ip, int(port), limits)
+        self.port = self._server.port
+
+    async def stop(self) -> None:
+        """Stop listening, answer the calls under way (each takes at most its deadline), close."""
+        if self._server is None:
+            return
+        self._server.stop()
+        self._server.conn_params.no_keep_alive = True
+        if self._tasks:
+            await asyncio.wait(tuple(self._tasks))
+        await self._server.close_all_connections()
+
+    def _serve(self, request: HTTPServerRequest) -> None:
+        method, call = self._calls.get(request.path, ("", None))
+        if call is None:
+            _refuse(request, ErrorKind.UNKNOWN_PATH)
+        elif request.method != method:
+            _refuse(request, ErrorKind.NOT_ALLOWED, {"Allow": method})
+        elif len(request.body) > MAX_BODY_BYTES:
+            _refuse(request, ErrorKind.TOO_LARGE)
+        else:
+            task = asyncio.get_running_loop().create_task(self._answer(request, call))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, request: HTTPServerRequest, call: Call) -> None:
+        try:
+            reply = await call(request)
+        except Exception:
+            _log.exception("operator_call_failed")
+            _refuse(request, ErrorKind.INTERNAL)  # no clear answer: the operator repeats the order
+            return
+        respond(request, reply.status, reply.body)
+
+    def _replace(self, request: HTTPServerRequest) -> Awaitable[Answer]:
+        return self.service.replace(request.headers.get("X-Base-Version"), request.body)
+
+    def _update(self, request: HTTPServerRequest) -> Awaitable[Answer]:
+        return self.service.update(request.headers.get("X-Base-Version"), request.body)
+
+    def _read(self, request: HTTPServerRequest) -> Awaitable[Answer]:
+        return self.service.read()
+
+
+def _refuse(request: HTTPServerRequest, kind: ErrorKind, headers: dict[str, str] | None = None) -> None:
+    row = answer(kind)
+    retry_after = retry_after_header(row.retry_after_ms) if row.tells_retry_after else ""
+    body = b'{"error":"%s"}' % kind.value.encode()
+    respond(request, row.status, body, retry_after, headers=headers)
--- /dev/null
+++ b/tests/system/test_control_orders.py
@@ -0,0 +1,293 @@
+"""The operator's orders: what is valid, what is taken, and what happens to an order that comes again."""
+
+from __future__ import annotations
+
+import json
+import typing
+import unittest
+
+from hypothesis import given, settings, strategies
+
+from flintfield.control import documents, orders
+from flintfield.control.configuration import Configuration, from_document
+from flintfield.control.orders import Kind, Verdict
+from flintfield.control.stored import (
+    FORMAT, StoredConfiguration, UnknownFormat, decode_configuration, decode_stored,
+)
+from flintfield.transport import records
+
+Document = dict[str, typing.Any]
+
+
+def route(name: str, /, **changes: typing.Any) -> Document:
+    """A valid route with its own prefix."""
+    return {
+        "name": name, "host": "jobs.example", "pathPrefix": f"/{name}/", "routeType": "non_idempotent",
+        "timeoutMs": 3000, "targetLatencyMs": 1000, "priority": 1, "service": "mill", "maxAttempts": 2,
+        "extension": 1.5, **changes,
+    }
+
+
+def service(name: str, /, **changes: typing.Any) -> Document:
+    """A valid service."""
+    return {
+        "name": name, "healthPath": "/health", "maxConnections": 64, "protocol": "h1", "tls": False,
+        "guards": False, **changes,
+    }
+
+
+def whole(version: int, **changes: typing.Any) -> Document:
+    """A valid configuration."""
+    return {
+        "version": version, "routes": [route("a"), route("b")], "services": [service("mill")],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
+                   "idleTimeoutMs": 15000},
+        **changes,
+    }
+
+
+def body_of(document: Document) -> bytes:
+    """Its JSON form."""
+    return json.dumps(document).encode()
+
+
+def replace(base: int, document: Document) -> orders.Order:
+    """An order to replace the whole."""
+    return orders.read_order(Kind.REPLACE, base, body_of(document))
+
+
+def update(base: int, change: Document) -> orders.Order:
+    """An order to change named items."""
+    return orders.read_order(Kind.UPDATE, base, body_of(change))
+
+
+def take(order: orders.Order, value: bytes | None) -> bytes:
+    """The register's value after the order, which must be possible."""
+    judgement = orders.judge(order, value)
+    assert judgement.successor is not None, judgement
+    return judgement.successor
+
+
+def read_back(value: bytes) -> Document:
+    """The document in the register."""
+    document: Document = json.loads(decode_stored(value).document)
+    return document
+
+
+class InvalidOrders(unittest.TestCase):
+    """Orders that are invalid on top of anything; the message names the item."""
+
+    def assert_invalid(self, document: Document, named: str, kind: Kind = Kind.REPLACE) -> None:
+        with self.assertRaises(documents.InvalidConfiguration) as caught:
+            orders.read_order(kind, 0, body_of(document))
+        self.assertIn(named, str(caught.exception))
+
+    def test_cut_short_at_every_byte(self) -> None:
+        body = body_of(whole(1))
+        for end in range(len(body)):
+            with self.assertRaises(documents.InvalidConfiguration):
+                orders.read_order(Kind.REPLACE, 0, body[:end])
+
+    def test_bytes_that_are_no_json_object(self) -> None:
+        for body in (b"", b"[]", b"1", b"null", b'{"a":NaN}', b'{"a":1,"a":2}', b"\xff\xfe", b"[" * 100_000,
+                     b"9" * 10_000):
+            with self.subTest(body[:20]), self.assertRaises(documents.InvalidConfiguration):
+                orders.read_order(Kind.REPLACE, 0, body)
+
+    def test_unknown_service(self) -> None:
+        self.assert_invalid(whole(1, routes=[route("a", service="nobody")]), "'nobody'")
+
+    def test_two_routes_with_the_same_host_and_prefix(self) -> None:
+        twins = [route("a", pathPrefix="/x/"), route("b", pathPrefix="/x/", host="JOBS.example")]
+        self.assert_invalid(whole(1, routes=twins), "/x/")
+
+    def test_names_twice(self) -> None:
+        self.assert_invalid(whole(1, routes=[route("a"), route("a", pathPrefix="/other/")]), "'a'")
+        self.assert_invalid(whole(1, services=[service("mill"), service("mill")]), "'mill'")
+
+    def test_values_of_routes(self) -> None:
+        bad: list[tuple[str, typing.Any]] = [
+            ("timeoutMs", 0), ("timeoutMs", -1), ("timeoutMs", "3000"), ("timeoutMs", 1.5), ("timeoutMs", True),
+            ("timeoutMs", None), ("timeoutMs", 10**30), ("name", ""), ("name", 7), ("host", ""), ("host", None),
+            ("pathPrefix", "a/"), ("pathPrefix", 3), ("service", []), ("priority", -1), ("priority", "0"),
+            ("maxAttempts", 0), ("extension", 0), ("extension", "1"), ("extension", 10**400),
+            ("targetLatencyMs", -1), ("routeType", 4),
+        ]
+        for key, value in bad:
+            with self.subTest(key=key, value=str(value)[:20]):
+                self.assert_invalid(whole(1, routes=[route("a", **{key: value})]), key)
+
+    def test_values_of_services_and_limits(self) -> None:
+        for key, value in (("guards", "no"), ("tls", 0), ("maxConnections", -1), ("name", "")):
+            with self.subTest(key):
+                self.assert_invalid(whole(1, services=[service("mill", **{key: value})]), key)
+        for key in ("maxHeaderBytes", "maxBodyBytes", "headerTimeoutMs", "idleTimeoutMs"):
+            for value in (0, -1, "1", None):
+                with self.subTest(key=key, value=value):
+                    self.assert_invalid(whole(1, limits={key: value}), key)
+
+    def test_missing_and_mistyped_parts(self) -> None:
+        for key in ("version", "routes", "services"):
+            document = whole(1)
+            del document[key]
+            self.assert_invalid(document, key)
+        for key in ("name", "host", "pathPrefix", "timeoutMs", "service"):
+            broken = route("a")
+            del broken[key]
+            self.assert_invalid(whole(1, routes=[broken]), key)
+        self.assert_invalid(whole(1, routes={}), "routes")
+        self.assert_invalid(whole(1, routes=[None]), "routes.0")
+        self.assert_invalid(whole("2"), "version")  # type: ignore[arg-type]
+        self.assert_invalid(whole(0), "version")
+
+    def test_changes(self) -> None:
+        self.assert_invalid({"version": 2, "upsert": {"routes": [route("a", timeoutMs=0)]}}, "timeoutMs", Kind.UPDATE)
+        self.assert_invalid({"version": 2, "remove": {"routes": [1]}}, "remove.routes", Kind.UPDATE)
+        self.assert_invalid({"version": 2, "upsert": []}, "upsert", Kind.UPDATE)
+        self.assert_invalid({"upsert": {}}, "version", Kind.UPDATE)
+        self.assert_invalid({"version": 2, "upsert": {"routes": [route("a"), route("a")]}}, "'a'", Kind.UPDATE)
+        self.assert_invalid(
+            {"version": 2, "upsert": {"routes": [route("a")]}, "remove": {"routes": ["a"]}}, "'a'", Kind.UPDATE)
+
+    @settings(max_examples=300, deadline=None)
+    @given(strategies.recursive(
+        strategies.none() | strategies.booleans() | strategies.integers() | strategies.text(max_size=5)
+        | strategies.floats(allow_nan=False, allow_infinity=False),
+        lambda inner: strategies.lists(inner, max_size=4) | strategies.dictionaries(
+            strategies.sampled_from(["version", "routes", "services", "limits", "upsert", "remove", "name"]), inner),
+        max_leaves=12))
+    def test_any_json_is_an_order_or_invalid(self, content: typing.Any) -> None:
+        for kind in Kind:
+            try:
+                order = orders.read_order(kind, 0, json.dumps(content).encode())
+            except documents.InvalidConfiguration:
+                continue
+            orders.judge(order, None)
+            orders.judge(order, take(replace(0, whole(1)), None))
+
+
+class OrdersInTurn(unittest.TestCase):
+    """Orders on the register's value."""
+
+    def test_first_configuration_is_read_back_as_sent(self) -> None:
+        document = whole(3, note={"kept": [1, 2.0, "ü\ud800"]})
+        document["routes"][0]["unknown"] = 4
+        self.assertEqual(read_back(take(replace(0, document), None)), document)
+
+    def test_repeated_order_was_taken_even_after_others(self) -> None:
+        first = replace(0, whole(3))
+        value = take(first, None)
+        self.assertIs(orders.judge(first, value).verdict, Verdict.TAKEN)
+        for version in range(4, 4 + orders.REMEMBERED_ORDERS - 1):
+            value = take(replace(version - 1, whole(version)), value)
+        self.assertIs(orders.judge(first, value).verdict, Verdict.TAKEN)
+        self.assertEqual(len(decode_stored(value).taken), orders.REMEMBERED_ORDERS)
+
+    def test_same_version_with_other_content_is_stale(self) -> None:
+        value = take(replace(0, whole(3)), None)
+        self.assertIs(orders.judge(replace(0, whole(3, routes=[])), value).verdict, Verdict.STALE)
+
+    def test_same_content_on_another_base_is_another_order(self) -> None:
+        value = take(replace(0, whole(3)), None)
+        self.assertIs(orders.judge(replace(3, whole(3)), value).verdict, Verdict.INVALID)
+
+    def test_one_of_two_on_the_same_base_wins(self) -> None:
+        value = take(replace(0, whole(3)), None)
+        left, right = replace(3, whole(5, routes=[])), update(3, {"version": 6, "remove": {"routes": ["a"]}})
+        after = take(left, value)
+        self.assertIs(orders.judge(right, after).verdict, Verdict.STALE)
+        self.assertIs(orders.judge(left, after).verdict, Verdict.TAKEN)
+
+    def test_version_not_above_the_current_one(self) -> None:
+        value = take(replace(0, whole(3)), None)
+        for version in (1, 2, 3):
+            judgement = orders.judge(update(3, {"version": version}), value)
+            self.assertIs(judgement.verdict, Verdict.INVALID)
+            self.assertIn("version", judgement.reason)
+
+    def test_base_ahead_of_the_current_one(self) -> None:
+        self.assertIs(orders.judge(replace(9, whole(10)), None).verdict, Verdict.STALE)
+
+    def test_update_before_the_first_configuration(self) -> None:
+        self.assertIs(orders.judge(update(0, {"version": 1}), None).verdict, Verdict.INVALID)
+
+    def test_update_merges_by_name_and_keeps_the_rest(self) -> None:
+        value = take(replace(0, whole(3, extra="kept")), None)
+        change = {
+            "version": 8,
+            "upsert": {"routes": [route("b", timeoutMs=500, more=1), route("c", service="loom")],
+                       "services": [service("loom")]},
+            "remove": {"routes": ["a", "never-there"]},
+            "limits": {"maxBodyBytes": 10},
+        }
+        merged = read_back(take(update(3, change), value))
+        self.assertEqual(merged["version"], 8)
+        self.assertEqual(merged["extra"], "kept")
+        self.assertEqual(merged["routes"], [route("b", timeoutMs=500, more=1), route("c", service="loom")])
+        self.assertEqual([item["name"] for item in merged["services"]], ["mill", "loom"])
+        self.assertEqual(merged["limits"], {**whole(1)["limits"], "maxBodyBytes": 10})
+
+    def test_update_that_leaves_an_invalid_whole(self) -> None:
+        value = take(replace(0, whole(3)), None)
+        for change in (
+            {"version": 4, "remove": {"services": ["mill"]}},
+            {"version": 4, "upsert": {"routes": [route("c", pathPrefix="/a/")]}},
+            {"version": 4, "upsert": {"routes": [route("c", service="nobody")]}},
+        ):
+            self.assertIs(orders.judge(update(3, change), value).verdict, Verdict.INVALID)
+
+    def test_record_of_a_later_release_is_not_read(self) -> None:
+        for value in (records.encode(StoredConfiguration(FORMAT + 1, 1, b"{}", ())), b"", b"xx"):
+            with self.assertRaises(UnknownFormat):
+                orders.judge(replace(0, whole(3)), value)
+
+    @settings(max_examples=100, deadline=None)
+    @given(strategies.lists(strategies.tuples(strategies.integers(0, 4), strategies.integers(1, 6)), max_size=12))
+    def test_versions_rise_and_each_base_has_one_successor(self, attempts: list[tuple[int, int]]) -> None:
+        value: bytes | None = None
+        bases: list[int] = []
+        versions = [0]
+        for base, version in attempts:
+            judgement = orders.judge(replace(base, whole(version)), value)
+            if judgement.successor is not None:
+                value = judgement.successor
+                bases.append(base)
+                versions.append(version)
+        self.assertEqual(len(set(bases)), len(bases))
+        self.assertEqual(versions, sorted(set(versions)))
+
+
+class Routes(unittest.TestCase):
+    """The typed form and its index."""
+
+    def configuration(self, *routes: Document) -> Configuration:
+        return from_document(whole(4, routes=list(routes)))
+
+    def test_longest_prefix_wins(self) -> None:
+        found = self.configuration(
+            route("a", pathPrefix="/x/"), route("b", pathPrefix="/x/y/"), route("c", pathPrefix="/"))
+        for path, name in (("/x/1", "a"), ("/x/y/1", "b"), ("/x/y", "a"), ("/z", "c"), ("/x", "c")):
+            best = found.find_route("jobs.example", path)
+            assert best is not None
+            self.assertEqual(best.name, name)
+
+    def test_host_is_told_with_port_and_in_any_case(self) -> None:
+        found = self.configuration(route("a"))
+        for host in ("jobs.example", "JOBS.example:80", " jobs.example"):
+            self.assertIsNotNone(found.find_route(host, "/a/1"))
+        for host in ("", "other.example"):
+            self.assertIsNone(found.find_route(host, "/a/1"))
+        self.assertIsNone(found.find_route("jobs.example", "/b/"))
+
+    def test_decoded_from_the_register(self) -> None:
+        configuration = decode_configuration(take(replace(0, whole(3)), None))
+        self.assertEqual(configuration.version, 3)
+        self.assertEqual(configuration.limits.max_body_bytes, 262144)
+        self.assertFalse(configuration.services["mill"].guards)
+        best = configuration.find_route("jobs.example", "/b/0")
+        assert best is not None
+        self.assertEqual((best.timeout_ms, best.priority, best.max_attempts, best.extension), (3000, 1, 2, 1.5))
+
+
+if __name__ == "__main__":
+    unittest.main()
