--- a/flintfield/agent/link.py
+++ b/flintfield/agent/link.py
@@ -1,8 +1,8 @@
 """Which connection the agent reports over: a state machine without I/O.
 
 One connection is *active*: its dispatcher has answered. While it stays silent after a report, is closed, or
-says that it doesn't act any more, a *trial* is made: look the leader up, connect, report, wait for orders. The
-active connection is kept until the trial is proven by orders of an epoch that is no lower than any seen.
+says that it doesn't act any more, a *trial* is made: look the leader up, connect, report, wait for orders.
+The active connection is kept until the trial is proven by orders of an epoch that is no lower than any seen.
 """
 
 from __future__ import annotations
@@ -137,7 +137,7 @@
         self._trial_until = 0
         self._trial_address = ""
         self._trial_connection: int | None = None
-        self._unanswered_since: int | None = None  # first report on the active connection without orders since
+        self._unanswered_since: int | None = None  # first report without orders since, on the active connection
         self._failures = 0
 
     def step(self, now: int, event: LinkEvent) -> list[LinkEffect]:
--- /dev/null
+++ b/tests/system/support/__init__.py
@@ -0,0 +1,1 @@
+"""What the tests of the system share."""
