Break the circle of eight files round the laboratory's virtual scheduler, and split it

Engine, scheduler, sites, wires, listing, callers, deeds and judgements imported one another for the type checker or inside functions. Parts now know what lies above them by small protocols (interface.py, connections.py); play() stands above the engines.

--- a/benchmarks/planners.py
+++ b/benchmarks/planners.py
@@ -26,7 +26,7 @@
 from flintfield.lab.judge import Judge
 from flintfield.lab.log import AnyRecord, ProbeSeen
 from flintfield.lab.planners import Outage, Setup, Split
-from flintfield.lab.virtual.engine import play
+from flintfield.lab.virtual import play
 
 CHOOSERS = ("flintfield", "planned", "omniscient")
 LENGTH_S = 20.0
--- a/flintfield/lab/virtual/__init__.py
+++ b/flintfield/lab/virtual/__init__.py
@@ -5,6 +5,8 @@
 scheduler's reducer, `loop.py` the calendar.
 """
 
-from flintfield.lab.virtual.engine import Make, Reducer, play
+from flintfield.lab.virtual.engine import Make
+from flintfield.lab.virtual.interface import Reducer
+from flintfield.lab.virtual.play import play
 
 __all__ = ["Make", "Reducer", "play"]
--- a/flintfield/lab/virtual/callers.py
+++ b/flintfield/lab/virtual/callers.py
@@ -4,25 +4,36 @@
 
 import math
 from collections.abc import Callable, Sequence
-from typing import TYPE_CHECKING, Any, cast
+from typing import Any, Protocol, cast
 
 from flintfield.lab import log, platform
 from flintfield.lab.virtual.loop import Loop
 from flintfield.lab.world import Clients, Front, GiveUp, Leave, Network, Try
 
-if TYPE_CHECKING:
-    from flintfield.lab.virtual.scheduler import Scheduler
+
+class Process(Protocol):
+    """A scheduler's process, as its clients see it."""
+
+    name: str
+    alive: bool
+    legs: dict[int, Try]  # callers that wait, by transaction
+
+    def submit(self, attempt: Try, wait_ms: float) -> None:
+        """A caller's request has wholly come in."""
+
+    def caller_left(self, rid: str) -> None:
+        """A caller has closed its connection."""
 
 
 class Callers:
     """All clients, and the front that spreads them."""
 
     def __init__(self, clients: Clients, front: Front, network: Network, loop: Loop,
-                 schedulers: Sequence[Scheduler | None], write: Callable[[log.AnyRecord], None]) -> None:
+                 schedulers: Sequence[Process | None], write: Callable[[log.AnyRecord], None]) -> None:
         self._clients, self._front, self._network, self._loop = clients, front, network, loop
         self._schedulers, self._write = schedulers, write
         self.tries: dict[str, Try] = {}
-        self.asked: dict[str, Scheduler] = {}  # which scheduler a try came to
+        self.asked: dict[str, Process] = {}  # which scheduler a try came to
         self._had_answer: dict[str, None] = {}  # tries; a second answer, which must not be, shows in the log
         self._wake_at = math.inf
 
@@ -91,7 +102,7 @@
             self._write(log.Answered(self._loop.now, rid, cast(Any, verdict), body, retry_after_ms))
             self._ended(rid, verdict, retry_after_ms)
 
-    def lose(self, scheduler: Scheduler) -> None:
+    def lose(self, scheduler: Process) -> None:
         """A scheduler's process is gone, and with it the connections of those who wait there."""
         for attempt in scheduler.legs.values():
             self._loop.at(self._loop.now + self._network.client_way(), self._lost, attempt.rid)
--- a/flintfield/lab/virtual/engine.py
+++ b/flintfield/lab/virtual/engine.py
@@ -3,7 +3,8 @@
 Theory of operation. Everything is an event on one calendar (`Loop`). Parties are the world's pure machines
 and the schedulers; a word from one to another is a call set for when it arrives (`wires.py`). `sites.py`
 holds the machines, `listing.py` discovery, `callers.py` the clients and their front, `scheduler.py` the shell
-round one scheduler's reducer, `deeds.py` what troubles do to all of them.
+round one scheduler's reducer, `deeds.py` what troubles do to all of them. The parts know the engine by the
+protocols of `interface.py` alone.
 """
 
 from __future__ import annotations
@@ -19,6 +20,7 @@
 from flintfield.lab.scenario import Scenario
 from flintfield.lab.virtual.callers import Callers
 from flintfield.lab.virtual.deeds import carry_out
+from flintfield.lab.virtual.interface import Reducer
 from flintfield.lab.virtual.listing import Listing
 from flintfield.lab.virtual.loop import Loop
 from flintfield.lab.virtual.scheduler import Scheduler
@@ -27,7 +29,6 @@
 from flintfield.lab.world import (
     Clients, Discovery, Front, Network, Streams, draw_clients, draw_fleet, schedule,
 )
-from flintfield.memory.messages import Effect, Message
 from flintfield.memory.reducer import reduce
 from flintfield.memory.state import State
 
@@ -36,24 +37,6 @@
 Make = Callable[[Settings, int], Any]
 """Makes what decides for one scheduler: `settings`, `handle(now, event)` and `actions`, as `Dispatcher`."""
 
-Reducer = Callable[[State, float, Message], list[Effect]]
-"""Takes one message in and returns the effects it calls for, as `memory.reducer.reduce`."""
-
-
-def play(scenario: Scenario, seed: int, chooser: str = "flintfield", *, make: Make | None = None,
-         on_record: Callable[[log.AnyRecord], None] | None = None, reducer: Reducer = reduce) -> log.Log:
-    """Play a scenario to its end and return the event log.
-
-    `chooser` names what decides: `flintfield` or one of `choosers.NAMES`; `make` makes something else, to
-    be logged under that name. `on_record` sees each record as it is written; the log that is returned is
-    empty then, so that a long run needs no memory for it. `reducer` stands in for the scheduler's own.
-    """
-    if scenario.sharing.judgements and chooser == "flintfield" and make is None:
-        from flintfield.lab.judgements import SharedEngine
-
-        return SharedEngine(scenario, seed, on_record, reducer).run()
-    return Engine(scenario, seed, chooser, make, on_record, reducer).run()
-
 
 class _Metered:
     """A dispatcher whose time is counted."""
--- a/flintfield/lab/judgements.py
+++ b/flintfield/lab/virtual/judgements.py
@@ -17,7 +17,8 @@
 from flintfield.decision.heeding import Heeding
 from flintfield.lab import log
 from flintfield.lab.scenario import Scenario
-from flintfield.lab.virtual.engine import Engine, Reducer
+from flintfield.lab.virtual.engine import Engine
+from flintfield.lab.virtual.interface import Reducer
 from flintfield.lab.virtual.scheduler import Scheduler
 from flintfield.memory.reducer import reduce
 from flintfield.sharing.bridge import Hear, exchange, take_hearsay
--- a/flintfield/lab/virtual/listing.py
+++ b/flintfield/lab/virtual/listing.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Sequence
+from typing import Protocol
 
 from flintfield.decision.interface import ListMode
 from flintfield.lab import log, platform
@@ -15,13 +15,29 @@
 from flintfield.memory.messages import Address, CallDiscovery, Message, Route, RouteCallFailed, RouteNews
 from flintfield.wire.http1.discovery import Reader, wait_ms
 
-if TYPE_CHECKING:
-    from flintfield.lab.virtual.scheduler import Scheduler
-
 EPOCH_MS = 1e9
 """The run's start on the true clock, in Unix ms: small, so that times keep their fractions."""
 
 
+class Watcher(Protocol):
+    """A scheduler, as discovery sees it."""
+
+    @property
+    def name(self) -> str:
+        """What it is called."""
+
+    @property
+    def zone(self) -> str:
+        """Where it stands."""
+
+
+class Caller(Watcher, Protocol):
+    """Who has calls to discovery out."""
+
+    def call_ended(self, call: int, message: Message) -> None:
+        """A call came to its end; `call` is the caller's number of it."""
+
+
 class Listing:
     """The list service as schedulers reach it; it stands in the first zone."""
 
@@ -34,7 +50,7 @@
         self.pause_ms = 0.0  # that all watches make between two calls
         self._reader = Reader(scenario.zones, [k.name for k in scenario.fleet.kinds])
         self._routes: dict[tuple[str, str, float], Route] = {}
-        self._calls: dict[int, tuple[Scheduler, int]] = {}
+        self._calls: dict[int, tuple[Caller, int]] = {}
         self._next_call = 0
         self._wake_at = math.inf
 
@@ -72,19 +88,19 @@
 
     # ------------------------------------------------------------------ schedulers
 
-    def known_to(self, scheduler: Scheduler) -> RouteNews:
+    def known_to(self, scheduler: Watcher) -> RouteNews:
         """The list that a scheduler has from before its start."""
         version, lines = self._discovery.scheduler_started(self._loop.now, scheduler.name)
         self.reach([scheduler])
         self.rearm()
         return RouteNews(ListMode.CACHED, version, tuple(self._route(line) for line in lines))
 
-    def reach(self, schedulers: list[Scheduler]) -> None:
+    def reach(self, schedulers: Sequence[Watcher]) -> None:
         """Take in whether answers reach these schedulers now."""
         for scheduler in schedulers:
             self._discovery.reach(scheduler.name, self._network.passes(self._zone, scheduler.zone))
 
-    def call(self, scheduler: Scheduler, effect: CallDiscovery, known: bool) -> int:
+    def call(self, scheduler: Caller, effect: CallDiscovery, known: bool) -> int:
         """Carry a call; its number, by which it can be left. `known`: on a kept connection."""
         self._next_call += 1
         number, now = self._next_call, self._loop.now
@@ -99,7 +115,7 @@
             self._wires.carry(scheduler.zone, self._zone, lambda: self._there(number, effect))
         return number
 
-    def leave(self, scheduler: Scheduler, number: int) -> None:
+    def leave(self, scheduler: Caller, number: int) -> None:
         """The scheduler has closed a call's connection."""
         if self._calls.pop(number, None):
             self._wires.carry(scheduler.zone, self._zone, lambda: self._hang_up(number))
--- a/flintfield/lab/virtual/sites.py
+++ b/flintfield/lab/virtual/sites.py
@@ -10,21 +10,18 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from flintfield.lab import log
 from flintfield.lab.choosers import Truth
 from flintfield.lab.scenario import Scenario
+from flintfield.lab.virtual.connections import Attempt, Link
 from flintfield.lab.virtual.listing import Listing
 from flintfield.lab.virtual.loop import Loop
-from flintfield.lab.virtual.wires import Link, Wires
+from flintfield.lab.virtual.wires import Wires
 from flintfield.lab.world import Errand, Happening, Machine, Node, Streams, What
 from flintfield.lab.world.node import Key, Saves
-from flintfield.memory.messages import End
-from flintfield.memory.messages import worker_of
-
-if TYPE_CHECKING:
-    from flintfield.lab.virtual.scheduler import Attempt
+from flintfield.memory.messages import Address, End, worker_of
 
 LOAD_EVERY_MS = 1_000.0
 STANDSTILL = 1_000.0  # the log's factor for a node that stands still
@@ -73,6 +70,11 @@
         if link and later and self.node.up and self.node.stalled and not self.silent:
             self.waiting.append((link.life, later))
 
+    def arrive(self, attempt: Attempt, errand: Errand) -> None:
+        """An attempt's last byte has reached the machine."""
+        self.attempts[errand.key] = attempt
+        self.sites.arrived(self, attempt, errand)
+
     def closed(self, link: Link, attempt: Attempt | None) -> None:
         """The scheduler has closed that connection."""
         if self.node.up and self.node.stalled and not self.silent:
@@ -198,12 +200,15 @@
             site.wake_at = math.inf
             self.happened(site, site.node.wake(self.loop.now))
 
-    def arrive(self, attempt: Attempt, errand: Errand) -> None:
-        """An attempt's last byte has reached its node."""
-        now, site = self.loop.now, attempt.site
+    def link_from(self, zone: str, address: Address) -> Link:
+        """A connection from that zone to the machine of that address, not yet dialled."""
+        return Link(zone, self.by_name[address[0]], lambda: None)
+
+    def arrived(self, site: Site, attempt: Attempt, errand: Errand) -> None:
+        """Write down that an attempt has reached a node, and let the node take it."""
+        now = self.loop.now
         self._write(log.Arrived(now, attempt.name, attempt.number, errand.scheduler, site.name,
                                 errand.work * errand.slots))
-        site.attempts[errand.key] = attempt
         self.happened(site, site.node.arrive(now, errand))
 
     def happened(self, site: Site, happenings: list[Happening]) -> None:
@@ -229,13 +234,13 @@
                 self._write(log.Started(self.loop.now, *happening.key, site.name))
             if not started or self._scenario.fleet.tells_start:
                 self._wires.to_scheduler(
-                    attempt.link, lambda: attempt.scheduler.word(attempt, started, happening.share))
+                    attempt.link, lambda: attempt.owner.word(attempt, started, happening.share))
             return
         del site.attempts[happening.key]
         end = self._ended(site, happening)
         if end is not None and not attempt.over:
             body = happening.body.encode()
-            self._wires.to_scheduler(attempt.link, lambda: attempt.scheduler.last_word(attempt, end, body))
+            self._wires.to_scheduler(attempt.link, lambda: attempt.owner.last_word(attempt, end, body))
 
     def _ended(self, site: Site, happening: Happening) -> End | None:
         """Write an attempt's end down; what the node says of it, None if nothing."""
--- a/flintfield/lab/virtual/wires.py
+++ b/flintfield/lab/virtual/wires.py
@@ -6,39 +6,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from dataclasses import dataclass
-from typing import TYPE_CHECKING
-
 from flintfield.lab.scenario import Fleet
+from flintfield.lab.virtual.connections import NOWHERE, Attempt, Do, Link
 from flintfield.lab.virtual.loop import Loop
 from flintfield.lab.world import Draws, Network
 
-if TYPE_CHECKING:
-    from flintfield.lab.virtual.sites import Site
-
 AGAIN_MS = 500.0  # at the most, from a cut's mending until TCP sends what waited
-NOWHERE, ON_THE_WAY_THERE = -1, 0
-
-Do = Callable[[], None]
-
-
-@dataclass(slots=True, eq=False)
-class Link:
-    """A connection to a worker node's process, as both ends see it."""
-
-    home: str  # the zone that our end stands in
-    site: Site
-    broken: Do  # what a reset does here
-    life: int = 0  # of the process at the other end
-    open: bool = True  # at our end
-    there_at: float = 0.0  # when the last word on it reaches the node
-    here_at: float = 0.0
-
-    def reset(self) -> None:
-        """The other end's reset is here."""
-        if self.open:
-            self.broken()
 
 
 class Wires:
@@ -118,3 +91,9 @@
         else:
             round_trips = self._fleet.handshake_rtts * self._network.usual_round_trip(link.home, site.zone)
             self._loop.at(max(began + round_trips, now + back), up)
+
+    def hang_up(self, link: Link, attempt: Attempt | None = None) -> None:
+        """Close a connection, and with it the attempt that is out on it."""
+        if link.open:
+            link.open = False
+            self.to_node(link, lambda: link.site.closed(link, attempt))
--- a/tests/test_judgements.py
+++ b/tests/test_judgements.py
@@ -17,7 +17,7 @@
 )
 from flintfield.lab import scenario as scenarios, virtual
 from flintfield.lab.judge import judge
-from flintfield.lab.judgements import SharedEngine
+from flintfield.lab.virtual.judgements import SharedEngine
 from flintfield.sharing.evidence import MOST_ROWS, News, Others, Own, Row, Tally, read, write
 from flintfield.sharing.judging import EACH, MOST_OUT, PRIOR, STALE_MS, Judgements, Look
 
--- a/tests/test_lab_planners.py
+++ b/tests/test_lab_planners.py
@@ -18,7 +18,7 @@
 from flintfield.lab.log import Begin, End, Log, ProbeSeen
 from flintfield.lab.planners import Outage, Setup, Split
 from flintfield.lab.scenario import Scenario
-from flintfield.lab.virtual.engine import play
+from flintfield.lab.virtual import play
 
 DEPLOY = {"kind": "deploy", "at_s": 3.0, "for_s": 4.0, "part": 0.5, "batch": 0.25}
 EVENTS = Setup(outages=(Outage(3.0, 5.0, (0, 1, 2)), Outage(5.5, 7.0, (1,), killed=False)),
