--- /dev/null
+++ b/flintfield/jobs/admission.py
@@ -0,0 +1,27 @@
+"""Admission control: refuse early what could not be done in time, or would pass a bound of the tables."""
+
+from __future__ import annotations
+
+from flintfield.jobs.model import Terms
+from flintfield.jobs.state import DispatcherState, ServiceQueue
+
+
+def refusal(state: DispatcherState, terms: Terms, body: bytes) -> str:
+    """Why a new job of these terms is refused, or ""."""
+    bounds = state.bounds
+    if len(state.jobs) >= bounds.max_jobs:
+        return "too many jobs are kept"
+    if state.body_bytes + len(body) > bounds.max_job_bytes:
+        return "too many bytes of jobs are kept"
+    if _backlog_ms(state.service(terms.service), terms.priority) > bounds.backlog_ms:
+        return "too much work waits for this service"
+    return ""
+
+
+def _backlog_ms(queue: ServiceQueue, priority: int) -> float:
+    """How long the service needs for the work that goes before such a job; 0 while no worker is known."""
+    cpu = sum(worker.capacity.cpu for worker in queue.workers.values())
+    gpu = sum(worker.capacity.gpu for worker in queue.workers.values())
+    cpu_work = sum(work for number, work in queue.backlog_cpu.items() if number <= priority)
+    gpu_work = sum(work for number, work in queue.backlog_gpu.items() if number <= priority)
+    return max(cpu_work / cpu if cpu else 0.0, gpu_work / gpu if gpu else 0.0)
--- /dev/null
+++ b/flintfield/jobs/body.py
@@ -0,0 +1,133 @@
+"""Reading and checking the body of a job.
+
+Every malformed body raises `MalformedJob` with the reason, which becomes a 400. The bounds keep one job from
+taking the dispatcher's memory; they lie far above what clients send.
+"""
+
+from __future__ import annotations
+
+import functools
+
+import msgspec
+
+MAX_SPEC_BYTES = 4_000  # as the protocol promises
+MAX_STEPS = 256
+MAX_TASKS = 20_000  # of one occurrence, over all steps
+MAX_REPEAT = 1_000_000
+MAX_LABEL_BYTES = 256
+MAX_AMOUNT = 1 << 40  # of a resource, or of ms: keeps all sums within 64 bits
+MAX_WALL_MS = 1 << 53
+
+
+class MalformedJob(ValueError):
+    """The body is no job; the text says why."""
+
+
+class StepSpec(msgspec.Struct, frozen=True, rename="camel", gc=False):
+    """One step: `count` equal tasks. Units as on the wire: thousandths of a core, MB, ms."""
+
+    count: int = 0
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_ms: int = 0
+    depends_on: tuple[int, ...] = ()
+    checkpoints: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    constraints: str | tuple[str, ...] = ""
+    affinity: str = ""
+    anti_affinity: int = 0
+    speculative: bool = False
+    long_running: bool = False
+
+    @property
+    def needs(self) -> tuple[str, ...]:
+        """The labels that a worker must carry."""
+        if isinstance(self.constraints, str):
+            return (self.constraints,) if self.constraints else ()
+        return self.constraints
+
+
+class JobSpec(msgspec.Struct, frozen=True, rename="camel"):
+    """A job as its client described it; `repeat_count` 0 means once, at once."""
+
+    spec: str = ""
+    steps: tuple[StepSpec, ...] = ()
+    repeat_count: int = 0
+    first_run_ms: int = 0
+    interval_ms: int = 0
+
+    @property
+    def timed(self) -> bool:
+        """Whether the steps run at set times."""
+        return self.repeat_count > 0
+
+    @property
+    def occurrences(self) -> int:
+        """How many times the steps run."""
+        return max(self.repeat_count, 1)
+
+
+def read_job(data: bytes) -> JobSpec:
+    """The job in this body; raises `MalformedJob`."""
+    try:
+        job = _decoder().decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise MalformedJob(str(error)) from error
+    _check_job(job)
+    return job
+
+
+@functools.cache
+def _decoder() -> msgspec.json.Decoder[JobSpec]:
+    return msgspec.json.Decoder(JobSpec)
+
+
+def _check_job(job: JobSpec) -> None:
+    if len(job.spec.encode()) > MAX_SPEC_BYTES:
+        raise MalformedJob(f"`spec` is longer than {MAX_SPEC_BYTES} bytes")
+    if not job.steps:
+        raise MalformedJob("`steps` is empty")
+    if len(job.steps) > MAX_STEPS:
+        raise MalformedJob(f"more than {MAX_STEPS} steps")
+    _check_number("repeatCount", job.repeat_count, MAX_REPEAT)
+    _check_number("firstRunMs", job.first_run_ms, MAX_WALL_MS)
+    _check_number("intervalMs", job.interval_ms, MAX_AMOUNT)
+    for index, step in enumerate(job.steps):
+        _check_step(index, step)
+    if sum(step.count for step in job.steps) > MAX_TASKS:
+        raise MalformedJob(f"more than {MAX_TASKS} tasks")
+
+
+def _check_step(index: int, step: StepSpec) -> None:
+    where = f"step {index}: "
+    if not 1 <= step.count <= MAX_TASKS:
+        raise MalformedJob(f"{where}`count` must be from 1 to {MAX_TASKS}")
+    _check_number(f"{where}cpu", step.cpu, MAX_AMOUNT)
+    _check_number(f"{where}memMb", step.mem_mb, MAX_AMOUNT)
+    _check_number(f"{where}gpu", step.gpu, MAX_AMOUNT)
+    _check_number(f"{where}estimateMs", step.estimate_ms, MAX_AMOUNT)
+    _check_number(f"{where}antiAffinity", step.anti_affinity, MAX_AMOUNT)
+    for earlier in step.depends_on:
+        if not 0 <= earlier < index:
+            raise MalformedJob(f"{where}`dependsOn` names {earlier}, which is no earlier step")
+    if len(set(step.depends_on)) != len(step.depends_on):
+        raise MalformedJob(f"{where}`dependsOn` names a step twice")
+    for label in (*step.needs, step.affinity):
+        if len(label) > MAX_LABEL_BYTES:
+            raise MalformedJob(f"{where}a label is longer than {MAX_LABEL_BYTES}")
+
+
+def _check_number(name: str, value: int, most: int) -> None:
+    if not 0 <= value <= most:
+        raise MalformedJob(f"`{name}` must be from 0 to {most}")
+
+
+def chain_left(steps: tuple[StepSpec, ...]) -> list[int]:
+    """For each step the estimated ms of the longest chain of steps that begins with it, itself included."""
+    left = [step.estimate_ms for step in steps]
+    for index in range(len(steps) - 1, -1, -1):
+        for earlier in steps[index].depends_on:
+            left[earlier] = max(left[earlier], steps[earlier].estimate_ms + left[index])
+    return left
--- /dev/null
+++ b/flintfield/jobs/demands.py
@@ -0,0 +1,35 @@
+"""What placement is asked for, and whether its answer may be followed."""
+
+from __future__ import annotations
+
+from flintfield.jobs.model import Task
+from flintfield.placement.interface import Demand, Worker
+
+
+def demand_of(task: Task, siblings: frozenset[str] = frozenset(), near_only: bool = False) -> Demand:
+    """The demand of a task; `near_only` asks for the label of the rack where its data lies."""
+    step = task.step
+    spec = step.spec
+    job = step.occurrence.job
+    needs = (*spec.needs, spec.affinity) if near_only else spec.needs
+    return Demand(task.name, job.terms.service, job.route, job.terms.priority, step.resources,
+                  spec.estimate_ms, needs, spec.affinity, spec.same_rack, siblings, spec.anti_affinity,
+                  step.group, task.avoid)
+
+
+def may_hold(worker: Worker, demand: Demand) -> bool:
+    """Whether the rules allow this task on that worker now: service, labels, anti-affinity, capacity."""
+    if not worker.ready or worker.service != demand.service:
+        return False
+    if any(label not in worker.labels for label in demand.needs):
+        return False
+    if demand.at_most and worker.held.get(demand.group, 0) >= demand.at_most:
+        return False
+    return has_room(worker, demand)
+
+
+def has_room(worker: Worker, demand: Demand) -> bool:
+    """Whether the capacity that is not in use is enough."""
+    asked, used, capacity = demand.resources, worker.used, worker.capacity
+    return (used.cpu + asked.cpu <= capacity.cpu and used.memory_mb + asked.memory_mb <= capacity.memory_mb
+            and used.gpu + asked.gpu <= capacity.gpu)
--- /dev/null
+++ b/flintfield/jobs/dispatcher.py
@@ -0,0 +1,103 @@
+"""The dispatcher: the state machine that decides on all jobs, fenced by its epoch.
+
+`handle(now_ms, event)` takes in one event and returns what is to be done. It does no I/O, has no clock and is
+given its random numbers. Rules that it keeps:
+
+- What clients are told, what workers may forget and what they are ordered to start is durable first:
+  effects that depend on a change wait for the `Written` of its write.
+- A task has one run at a time (copies of `speculative` steps apart), and a run counts on its worker from
+  its placement until its end is certain.
+- Everything that depends on time alone is released only by what the worker itself stops using by its own
+  clock.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping
+
+from flintfield.jobs import durable
+from flintfield.jobs.bounds import DispatcherBounds
+from flintfield.jobs.ends import Ends
+from flintfield.jobs.events import (
+    AgentLost, CallArrived, Configuration, ConfigurationChanged, Effect, Event, ReportArrived, Tick, Written,
+)
+from flintfield.jobs.gangs import Gangs
+from flintfield.jobs.intake import Intake
+from flintfield.jobs.readiness import Readiness
+from flintfield.jobs.restore import Restore
+from flintfield.jobs.starts import Starts
+from flintfield.jobs.state import Counters, DispatcherState
+from flintfield.jobs.workers import Workers
+from flintfield.placement.interface import Placement
+
+PLACEMENT_TICK_MS = 100
+
+
+class Dispatcher:
+    """Decides on jobs, tasks and runs while its epoch lasts; dropped as a whole when it is over."""
+
+    def __init__(self, epoch: int, now_ms: int, bounds: DispatcherBounds, placement: Placement,
+                 rng: random.Random, configuration: Configuration | None) -> None:
+        self._state = DispatcherState(epoch, now_ms, bounds, placement, rng, configuration)
+        self._readiness = Readiness(self._state)
+        self._ends = Ends(self._state, self._readiness)
+        self._intake = Intake(self._state, self._readiness, self._ends)
+        self._workers = Workers(self._state, self._ends)
+        self._gangs = Gangs(self._state, self._readiness, self._ends)
+        self._starts = Starts(self._state, self._readiness, self._ends, self._gangs)
+        self._placement_ticked_ms = now_ms
+
+    @property
+    def counters(self) -> Counters:
+        """What has been counted so far."""
+        return self._state.counters
+
+    @property
+    def epoch(self) -> int:
+        """The fencing token of its orders."""
+        return self._state.epoch
+
+    def restore(self, items: Mapping[bytes, bytes]) -> None:
+        """Take over what an earlier dispatcher wrote; called once, before the first event."""
+        Restore(self._state, self._readiness).restore(items)
+        if self._state.configuration is not None:
+            self._intake.configure(self._state.configuration)
+
+    def handle(self, now_ms: int, event: Event) -> list[Effect]:
+        """Take in an event; `now_ms` is the steady clock of this process."""
+        self._state.now_ms = now_ms
+        match event:
+            case CallArrived():
+                self._intake.call(event)
+            case ReportArrived():
+                self._workers.report(event.report)
+            case AgentLost():
+                self._workers.lost(event.machine)
+            case ConfigurationChanged():
+                self._intake.configure(event.configuration)
+            case Written():
+                self._state.written(event.write)
+            case Tick():
+                self._tick(event)
+        self._starts.run_passes()
+        return self._state.flush()
+
+    def _tick(self, event: Tick) -> None:
+        state = self._state
+        state.set_wall(event.wall_ms)
+        self._workers.tick()
+        self._readiness.open_due()
+        self._readiness.end_delays()
+        self._forget_ended()
+        if state.now_ms - self._placement_ticked_ms >= PLACEMENT_TICK_MS:
+            self._placement_ticked_ms = state.now_ms
+            state.placement.tick(state.now_ms, state.placeable)
+
+    def _forget_ended(self) -> None:
+        state = self._state
+        while state.ended and state.wall_ms - state.ended[0][0] > state.bounds.keep_ended_ms:
+            _, job = state.ended.popleft()
+            if state.jobs.get(job.id) is job:
+                del state.jobs[job.id]
+                state.put(durable.end_key(job.id), None)
--- /dev/null
+++ b/flintfield/jobs/ends.py
@@ -0,0 +1,202 @@
+"""What follows from the end of a run: for its task, its gang, its step, its occurrence and its job.
+
+An end is written in the same batch as all that follows from it. Orders that follow leave after that batch is
+durable. Only ends `failed` count as attempts, and a run of a gang counts once, however many members failed.
+"""
+
+from __future__ import annotations
+
+from functools import partial
+
+from flintfield.jobs import durable
+from flintfield.jobs.model import Job, JobState, Occurrence, Run, Step, Task, TaskState
+from flintfield.jobs.readiness import Readiness
+from flintfield.jobs.runs import Ending, Runs
+from flintfield.jobs.demands import demand_of
+from flintfield.jobs.state import DispatcherState
+from flintfield.placement.interface import Result
+from flintfield.transport.records import encode
+
+QUICK_END_MS = 3_000  # a lasting task that ran for less backs off
+FIRST_BACKOFF_MS = 50
+MAX_BACKOFF_MS = 2_000
+REFUSAL_BACKOFF_MS = 100  # after an order that was not carried out
+
+_RESULTS = {
+    Ending.DONE: Result.DONE,
+    Ending.FAILED: Result.FAILED,
+    Ending.LOST: Result.LOST,
+    Ending.LAPSED: Result.LOST,
+}
+
+
+class Ends:
+    """Takes in the ends of runs."""
+
+    def __init__(self, state: DispatcherState, readiness: Readiness) -> None:
+        self._state = state
+        self._readiness = readiness
+        self.runs = Runs(state, self.resolve)
+
+    def resolve(self, run: Run, ending: Ending, saved: str) -> None:
+        """The run is over for certain; `saved` is its newest checkpoint or ""."""
+        state = self._state
+        task = run.task
+        state.counters.ends += 1
+        self._tell_placement(run, ending)
+        self.runs.close(run)
+        self.save(task, saved)
+        if ending is Ending.FAILED and run.number not in task.failed:
+            task.failed = (*task.failed, run.number)
+        if ending in (Ending.FAILED, Ending.VANISHED) or run.suspect:
+            task.avoid |= {run.instance}
+        over = task.job.state is not JobState.ACTIVE or task.step.occurrence.finished
+        if over or task.state is TaskState.DONE:
+            state.write_task(task)
+        elif ending is Ending.DONE:
+            self._task_done(task)
+        elif self._out_of_attempts(task.step, task):
+            state.write_task(task)
+            self.finish_job(task.job, JobState.FAILED)
+        elif task.step.spec.gang:
+            state.write_task(task)
+            self._gang_member_over(run, ending)
+        else:
+            self._again(run, ending)
+            state.write_task(task)
+
+    def save(self, task: Task, saved: str) -> None:
+        """A newer checkpoint is known; any member's is good for its gang."""
+        if not saved or not task.step.spec.checkpoints:
+            return
+        for each in task.step.tasks if task.step.spec.gang else (task,):
+            each.checkpoint = saved
+
+    def _tell_placement(self, run: Run, ending: Ending) -> None:
+        state = self._state
+        result = _RESULTS.get(ending, ending.value)
+        if run.suspect and ending is not Ending.DONE:
+            result = Result.STALLED
+        ran_ms = float(state.now_ms - run.seen_ms) if run.seen_ms >= 0 else 0.0
+        state.placement.note_end(demand_of(run.task), run.instance, result, ran_ms, state.now_ms)
+
+    def _out_of_attempts(self, step: Step, task: Task) -> bool:
+        if step.spec.long_running:
+            return False
+        failed = step.failed_runs() if step.spec.gang else len(task.failed)
+        return failed >= max(step.occurrence.job.terms.max_attempts, 1)
+
+    # Once more
+
+    def _again(self, run: Run, ending: Ending) -> None:
+        task = run.task
+        if not task.runs:
+            self._readiness.delay(task, self._backoff(run, ending))
+
+    def _gang_member_over(self, run: Run, ending: Ending) -> None:
+        step = run.task.step
+        left = step.open_runs()
+        for other in left:
+            self.runs.stop(other)
+        if left or any(task.state is not TaskState.PLACED for task in step.tasks):
+            return  # the last one to close goes on from here
+        delay = self._backoff(run, ending)
+        for task in step.tasks:
+            self._readiness.delay(task, delay)
+
+    def _backoff(self, run: Run, ending: Ending) -> int:
+        task = run.task
+        if ending in (Ending.VANISHED, Ending.REFUSED):
+            return REFUSAL_BACKOFF_MS
+        if not task.step.spec.long_running or ending is Ending.UNSENT:
+            return 0
+        ran = self._state.now_ms - run.seen_ms if run.seen_ms >= 0 else 0
+        if ran >= QUICK_END_MS or ending is not Ending.FAILED:
+            task.quick_ends = 0
+            return 0
+        task.quick_ends += 1
+        if task.quick_ends == 1:
+            return 0
+        return min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS << min(task.quick_ends - 2, 10))
+
+    # Done
+
+    def _task_done(self, task: Task) -> None:
+        step = task.step
+        for each in step.tasks if step.spec.gang else (task,):
+            self._one_done(each)
+        others = list(task.runs)
+        if others:
+            self._state.after_write(partial(self._stop_all, others))
+        if step.left == 0:
+            self._step_done(step)
+
+    def _one_done(self, task: Task) -> None:
+        if task.state is TaskState.DONE:
+            return
+        if task.state is TaskState.READY:
+            self._readiness.no_longer_ready(task)
+        task.become_done()
+        task.step.left -= 1
+        self._readiness.count_backlog(task.step, -1)
+        self._state.write_task(task)
+
+    def _stop_all(self, runs: list[Run]) -> None:
+        for run in runs:
+            self.runs.stop(run)
+
+    def _step_done(self, step: Step) -> None:
+        occurrence = step.occurrence
+        occurrence.steps_left -= 1
+        if occurrence.steps_left == 0:
+            self._occurrence_done(occurrence)
+            return
+        for later in occurrence.steps[step.index + 1:]:
+            if step.index in later.spec.depends_on:
+                later.earlier_left -= 1
+                if later.earlier_left == 0:
+                    self._readiness.open_step(later)
+
+    def _occurrence_done(self, occurrence: Occurrence) -> None:
+        job = occurrence.job
+        occurrence.finished = True
+        for step in occurrence.steps:
+            for task in step.tasks:
+                self._state.write_task(task)
+        job.occurrence_done(occurrence.number)
+        if job.spec is not None and job.done_below >= job.spec.occurrences:
+            self.finish_job(job, JobState.COMPLETED)
+            return
+        done = durable.OccurrencesRecord(job.done_below, tuple(sorted(job.done_above)))
+        self._state.put(durable.occurrences_key(job.id), encode(done))
+
+    # Jobs
+
+    def finish_job(self, job: Job, job_state: JobState) -> None:
+        """The job needs no more work: note that, and stop what is left of it once that is durable."""
+        state = self._state
+        was_active = job.state is JobState.ACTIVE
+        left = self._close_occurrences(job)
+        state.body_bytes -= len(job.body)
+        job.end(job_state, state.wall_ms)
+        if was_active:
+            state.pending[job.route] -= 1
+        record = durable.EndRecord(int(job_state), job.ended_wall_ms, job.submitted, job.route)
+        state.put(durable.end_key(job.id), encode(record))
+        state.put(durable.job_key(job.id), None)
+        state.put(durable.occurrences_key(job.id), None)
+        state.remember_ended(job)
+        state.after_write(job.show_end)
+        state.after_write(partial(self._stop_all, left))
+
+    def _close_occurrences(self, job: Job) -> list[Run]:
+        left: list[Run] = []
+        for occurrence in job.open.values():
+            occurrence.finished = True
+            for step in occurrence.steps:
+                self._readiness.drop_step(step)
+                self._readiness.count_backlog(step, -step.left)
+                left += step.open_runs()
+                for task in step.tasks:
+                    self._state.write_task(task)
+        return left
--- /dev/null
+++ b/flintfield/jobs/model.py
@@ -0,0 +1,334 @@
+"""Jobs, occurrences, steps, tasks and runs: their states, and one function for every change of state.
+
+A job has one occurrence, or one for each of its times. An occurrence has the job's steps, a step its
+tasks, a task its runs. A task outlives its runs, and a run outlives its job where it may still hold
+capacity on a worker.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from flintfield.jobs.body import JobSpec, StepSpec, chain_left
+from flintfield.placement.interface import Resources
+
+
+class IllegalChange(RuntimeError):
+    """A change of state that the state machine does not know: a defect of the dispatcher."""
+
+
+class JobState(enum.IntEnum):
+    """Where a job stands. The numbers are part of the durable form."""
+
+    ACCEPTING = 1  # its acceptance is not durable yet
+    ACTIVE = 2
+    COMPLETED = 3
+    FAILED = 4
+    CANCELLED = 5
+
+
+class TaskState(enum.IntEnum):
+    """Where a task stands."""
+
+    WAITING = 1  # for earlier steps
+    READY = 2
+    DELAYED = 3  # backs off before the next run
+    PLACED = 4  # at least one run may be there
+    DONE = 5
+
+
+class RunState(enum.IntEnum):
+    """Where a run stands."""
+
+    PLACING = 1  # the placement is not durable yet; no order has left
+    ORDERED = 2  # the start order may have left
+    INHERITED = 3  # placed by an earlier dispatcher; not seen yet
+    RUNNING = 4  # seen on the worker
+    STOPPING = 5
+    CLOSED = 6  # its end is certain
+
+
+_JOB_CHANGES = {
+    (JobState.ACCEPTING, JobState.ACTIVE),
+    (JobState.ACCEPTING, JobState.CANCELLED),
+    (JobState.ACTIVE, JobState.COMPLETED),
+    (JobState.ACTIVE, JobState.FAILED),
+    (JobState.ACTIVE, JobState.CANCELLED),
+}
+_TASK_CHANGES = {
+    (TaskState.WAITING, TaskState.READY),
+    (TaskState.READY, TaskState.PLACED),
+    (TaskState.READY, TaskState.DONE),
+    (TaskState.DELAYED, TaskState.READY),
+    (TaskState.DELAYED, TaskState.DONE),
+    (TaskState.PLACED, TaskState.READY),
+    (TaskState.PLACED, TaskState.DELAYED),
+    (TaskState.PLACED, TaskState.DONE),
+    (TaskState.WAITING, TaskState.PLACED),  # restored
+    (TaskState.WAITING, TaskState.DONE),  # restored
+}
+_RUN_CHANGES = {
+    (RunState.PLACING, RunState.ORDERED),
+    (RunState.INHERITED, RunState.ORDERED),
+    (RunState.ORDERED, RunState.RUNNING),
+    (RunState.INHERITED, RunState.RUNNING),
+    (RunState.ORDERED, RunState.STOPPING),
+    (RunState.INHERITED, RunState.STOPPING),
+    (RunState.RUNNING, RunState.STOPPING),
+    (RunState.PLACING, RunState.CLOSED),
+    (RunState.ORDERED, RunState.CLOSED),
+    (RunState.INHERITED, RunState.CLOSED),
+    (RunState.RUNNING, RunState.CLOSED),
+    (RunState.STOPPING, RunState.CLOSED),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """What the configuration says of a job's queue."""
+
+    service: str
+    priority: int
+    max_attempts: int
+    extension: float
+    target_latency_ms: int
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    """One start of a task on one worker. Its resources count there until it is `CLOSED`."""
+
+    task: Task
+    number: int
+    instance: str
+    machine: str
+    epoch: int
+    resources: Resources
+    checkpoint: str
+    placed_ms: int
+    state: RunState = RunState.PLACING
+    order: int = 0  # the newest order for it
+    answered_stamp: int | None = None  # agent's stamp from which on a listing shows the order's whole effect
+    stop_answered: bool = False
+    seen_ms: int = -1  # when it was first seen running
+    percent: int = 0
+    percent_at_ms: int = -1  # when the percentage last moved
+    suspect: bool = False  # it was stopped for standing still or being slow
+
+    @property
+    def name(self) -> str:
+        """The task's name on the wire."""
+        return self.task.name
+
+    def order_sent(self, order: int) -> None:
+        """Its start order may leave."""
+        if self.state is not RunState.ORDERED:
+            self._change(RunState.ORDERED)
+        self.order = order
+        self.answered_stamp = None
+
+    def seen_running(self, now_ms: int) -> None:
+        """A listing names it as running."""
+        if self.state in (RunState.ORDERED, RunState.INHERITED):
+            self._change(RunState.RUNNING)
+        if self.seen_ms < 0:
+            self.seen_ms = self.percent_at_ms = now_ms
+
+    def stop_ordered(self, order: int) -> None:
+        """A stop order leaves, perhaps once more."""
+        if self.state is not RunState.STOPPING:
+            self._change(RunState.STOPPING)
+        self.order = order
+        self.answered_stamp = None
+
+    def close(self) -> None:
+        """Nothing of it is left on the worker."""
+        self._change(RunState.CLOSED)
+
+    def _change(self, new: RunState) -> None:
+        if (self.state, new) not in _RUN_CHANGES:
+            raise IllegalChange(f"run {self.name}/{self.number}: {self.state.name} to {new.name}")
+        self.state = new
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """One task of a step of an occurrence."""
+
+    step: Step
+    index: int
+    name: str
+    state: TaskState = TaskState.WAITING
+    last_run: int = 0
+    failed: tuple[int, ...] = ()
+    checkpoint: str = ""
+    runs: list[Run] = field(default_factory=list)
+    avoid: frozenset[str] = frozenset()  # instances where earlier runs failed, stalled or were lost
+    moves: int = 0  # stops that the dispatcher decided, for standing still or for a smaller priority number
+    quick_ends: int = 0  # of a lasting task in a row
+    done_ms: int = -1  # when a listing first showed a run of it although it is done
+    recorded: bool = False  # the store holds its record
+
+    @property
+    def job(self) -> Job:
+        """The job it belongs to."""
+        return self.step.occurrence.job
+
+    def become_ready(self) -> None:
+        """Its turn has come."""
+        self._change(TaskState.READY)
+
+    def become_delayed(self) -> None:
+        """It backs off before its next run."""
+        self._change(TaskState.DELAYED)
+
+    def become_placed(self) -> None:
+        """A run of it may be somewhere."""
+        if self.state is not TaskState.PLACED:
+            self._change(TaskState.PLACED)
+
+    def become_done(self) -> None:
+        """A run of it, or of its gang, has ended `done`."""
+        self._change(TaskState.DONE)
+
+    def _change(self, new: TaskState) -> None:
+        if (self.state, new) not in _TASK_CHANGES:
+            raise IllegalChange(f"task {self.name}: {self.state.name} to {new.name}")
+        self.state = new
+
+
+@dataclass(slots=True, eq=False)
+class Step:
+    """One step of an occurrence. `ready` are the tasks whose turn has come, by index."""
+
+    occurrence: Occurrence
+    index: int
+    spec: StepSpec
+    left: int
+    earlier_left: int
+    rank: float = 0.0
+    tasks: list[Task] = field(default_factory=list)
+    ready: dict[int, Task] = field(default_factory=dict)
+    ready_since_ms: int = -1
+    queued_in: str | None = None  # the service whose queue holds it
+
+    @property
+    def group(self) -> tuple[str, int, int]:
+        """(job, time, step): what anti-affinity counts by."""
+        return (self.occurrence.job.id, self.occurrence.number, self.index)
+
+    @property
+    def resources(self) -> Resources:
+        """What each of its tasks asks for."""
+        return Resources(self.spec.cpu, self.spec.mem_mb, self.spec.gpu)
+
+    def failed_runs(self) -> int:
+        """How many runs of the gang have failed: a run counts once, however many members say so."""
+        return len({number for task in self.tasks for number in task.failed})
+
+    def open_runs(self) -> list[Run]:
+        """Runs of its tasks that may still be there."""
+        return [run for task in self.tasks for run in task.runs]
+
+
+@dataclass(slots=True, eq=False)
+class Occurrence:
+    """One time K of a job (0 where there are no times)."""
+
+    job: Job
+    number: int
+    due_wall_ms: int
+    steps: list[Step] = field(default_factory=list)
+    steps_left: int = 0
+    finished: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """A job, from its submission until it is forgotten."""
+
+    id: str
+    route: str
+    terms: Terms
+    accepted_wall_ms: int
+    body: bytes
+    spec: JobSpec | None  # None once it has ended
+    state: JobState = JobState.ACCEPTING
+    shown: JobState = JobState.ACCEPTING  # as far as it is durable: what clients are told
+    submitted: bool = True
+    started: bool = False
+    chain: list[int] = field(default_factory=list)
+    open: dict[int, Occurrence] = field(default_factory=dict)
+    next_occurrence: int = 0
+    done_below: int = 0
+    done_above: set[int] = field(default_factory=set)
+    ended_wall_ms: int = 0
+    accepted: list[Callable[[], None]] = field(default_factory=list)  # to be called once it is durable
+
+    def __post_init__(self) -> None:
+        if self.spec is not None:
+            self.chain = chain_left(self.spec.steps)
+
+    @property
+    def ended(self) -> bool:
+        """Whether it needs no more work."""
+        return self.state in (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
+
+    def become_active(self) -> None:
+        """Its acceptance is durable."""
+        self._change(JobState.ACTIVE)
+        self.shown = JobState.ACTIVE
+
+    def end(self, state: JobState, wall_ms: int) -> None:
+        """It has ended; clients are told once that is durable (`show_end`)."""
+        self._change(state)
+        self.ended_wall_ms = wall_ms
+        self.open = {}
+        self.spec = None
+        self.body = b""
+
+    def show_end(self) -> None:
+        """Its end is durable."""
+        self.shown = self.state
+
+    def occurrence_done(self, number: int) -> None:
+        """All tasks of that time have ended `done`."""
+        self.open.pop(number, None)
+        self.done_above.add(number)
+        while self.done_below in self.done_above:
+            self.done_above.remove(self.done_below)
+            self.done_below += 1
+
+    def is_done(self, number: int) -> bool:
+        """Whether that time is done."""
+        return number < self.done_below or number in self.done_above
+
+    def _change(self, new: JobState) -> None:
+        if (self.state, new) not in _JOB_CHANGES:
+            raise IllegalChange(f"job {self.id}: {self.state.name} to {new.name}")
+        self.state = new
+
+
+def open_occurrence(job: Job, number: int) -> Occurrence:
+    """The occurrence of an active job, with all its steps and tasks in their first state."""
+    spec = job.spec
+    if spec is None:
+        raise IllegalChange(f"job {job.id} has ended")
+    due = spec.first_run_ms + number * spec.interval_ms if spec.timed else job.accepted_wall_ms
+    occurrence = Occurrence(job, number, due, steps_left=len(spec.steps))
+    for index, step_spec in enumerate(spec.steps):
+        step = Step(occurrence, index, step_spec, step_spec.count, len(step_spec.depends_on))
+        stem = f"{job.id}.{number}.{index}."
+        step.tasks = [Task(step, each, f"{stem}{each}") for each in range(step_spec.count)]
+        occurrence.steps.append(step)
+    job.open[number] = occurrence
+    return occurrence
+
+
+def gang_is_whole(step: Step, number: int) -> bool:
+    """Whether every member of the gang has that run, or the step is done; True for a step that is no gang."""
+    if not step.spec.gang or step.left == 0:
+        return True
+    return all(any(run.number == number for run in task.runs) for task in step.tasks)
--- /dev/null
+++ b/flintfield/jobs/orders.py
@@ -0,0 +1,96 @@
+"""Answers to orders, and the repetition of orders without one."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from flintfield.jobs.messages import OrderResult, Outcome
+from flintfield.jobs.model import Run, RunState
+from flintfield.jobs.runs import Ending, Resolve, Runs
+from flintfield.jobs.state import DispatcherState, PendingOrder, WorkerRecord
+
+REPEAT_MS = 3_000  # an order without an answer is sent again after that
+RETRY_MS = 500  # a stop that was not carried out is sent again after that
+UNWELL_MS = 1_000  # a worker that refused is left alone so long (jitter on top)
+
+_ANSWERED = (Outcome.DONE, Outcome.OLD)
+_NOTHING_DONE = (Outcome.LATE, Outcome.ROOM, Outcome.DRAINING, Outcome.BUSY)
+_UNWELL = (Outcome.BUSY, Outcome.UNKNOWN, Outcome.LATE, Outcome.BAD)
+
+
+class Orders:
+    """What becomes of orders. `gone` is told of incarnations that are there no more."""
+
+    def __init__(self, state: DispatcherState, runs: Runs, resolve: Resolve,
+                 gone: Callable[[WorkerRecord], None]) -> None:
+        self._state = state
+        self._runs = runs
+        self._resolve = resolve
+        self._gone = gone
+
+    def results(self, record: WorkerRecord, results: tuple[OrderResult, ...]) -> None:
+        """Take in what became of orders."""
+        for result in results:
+            pending = record.orders.get(result.order)
+            if pending is not None:
+                self._result(record, pending, result)
+
+    def _result(self, record: WorkerRecord, pending: PendingOrder, result: OrderResult) -> None:
+        if result.outcome is Outcome.GONE:
+            self._gone(record)
+        elif result.outcome is Outcome.FENCE:
+            pending.sent_ms = self._state.now_ms  # a successor acts, or the answer was for a predecessor
+        elif pending.run is None:
+            self._bar_result(record, pending, result)
+        elif result.outcome in _ANSWERED:
+            del record.orders[result.order]
+            pending.run.answered_stamp = result.stamp_ms
+        elif pending.start is not None:
+            self._not_started(record, pending, pending.run, result.outcome)
+        else:
+            self._note_unwell(record, result.outcome)
+            pending.sent_ms = self._state.now_ms - REPEAT_MS + RETRY_MS
+
+    def _bar_result(self, record: WorkerRecord, pending: PendingOrder, result: OrderResult) -> None:
+        """A stop of a run that is in no table: carried out, or to be repeated."""
+        if result.outcome not in _ANSWERED:
+            pending.sent_ms = self._state.now_ms - REPEAT_MS + RETRY_MS
+            return
+        del record.orders[result.order]
+        for key in [key for key, order in record.barred.items() if order == result.order]:
+            del record.barred[key]
+
+    def _not_started(self, record: WorkerRecord, pending: PendingOrder, run: Run, outcome: Outcome) -> None:
+        """Nothing was done; where an earlier try may yet be carried out, the run is barred first."""
+        self._note_unwell(record, outcome)
+        if outcome in _NOTHING_DONE and pending.boot == record.boot and run.state is RunState.ORDERED:
+            self._resolve(run, Ending.REFUSED, "")
+        elif run.state is not RunState.STOPPING:
+            self._runs.order_stop(run, record)
+
+    def _note_unwell(self, record: WorkerRecord, outcome: Outcome) -> None:
+        if outcome in _UNWELL:
+            pause = UNWELL_MS * (1 + self._state.rng.random() / 2)
+            record.unwell_until_ms = self._state.now_ms + int(pause)
+
+    # Repetition
+
+    def repeat_all(self, record: WorkerRecord) -> None:
+        """A new connection, or a new life of the agent: what was sent before may be lost."""
+        record.starts_out, record.stops_out = [], []
+        for pending in record.orders.values():
+            self._send(record, pending)
+
+    def repeat_late(self, record: WorkerRecord) -> None:
+        """Send again what has had no answer for long."""
+        for pending in record.orders.values():
+            if self._state.now_ms - pending.sent_ms >= REPEAT_MS:
+                self._send(record, pending)
+
+    def _send(self, record: WorkerRecord, pending: PendingOrder) -> None:
+        pending.sent_ms = self._state.now_ms
+        if pending.start is not None and pending.start not in record.starts_out:
+            record.starts_out.append(pending.start)
+        if pending.stop is not None and pending.stop not in record.stops_out:
+            record.stops_out.append(pending.stop)
+        self._state.send_to(record)
--- /dev/null
+++ b/flintfield/jobs/readiness.py
@@ -0,0 +1,175 @@
+"""Which tasks' turn has come: occurrences by their times, steps by their dependencies, tasks after a backoff.
+
+Ready tasks wait by step in their service's queue, in the order of a rank that never changes: the latest
+time at which the step may begin if the job is to meet its objective, plus `PRIORITY_GAP_MS` for each
+priority number. So a smaller number goes first, and one that has waited long enough is not passed any
+more.
+"""
+
+from __future__ import annotations
+
+import heapq
+
+from flintfield.jobs.model import Job, JobState, Occurrence, Step, Task, TaskState, Terms, open_occurrence
+from flintfield.jobs.state import DispatcherState
+
+PRIORITY_GAP_MS = 30_000
+MAX_OPEN_OCCURRENCES = 256  # of one job; later times wait until earlier ones are done
+DEFAULT_ESTIMATE_MS = 1_000  # where the client guesses none
+
+
+class Readiness:
+    """What opens occurrences and steps and fills the queues."""
+
+    def __init__(self, state: DispatcherState) -> None:
+        self._state = state
+        self._due: list[tuple[int, int, Job]] = []
+        self._delayed: list[tuple[int, int, Task]] = []
+        self._sequence = 0
+
+    # Occurrences
+
+    def begin(self, job: Job) -> None:
+        """An active job: open what is due, and remember when the rest will be."""
+        if job.spec is None:
+            return
+        if job.spec.timed:
+            self._schedule(job)
+        elif not job.open:
+            self.open(job, 0)
+
+    def open(self, job: Job, number: int) -> Occurrence:
+        """Open one time of the job, and its steps that wait for nothing."""
+        occurrence = open_occurrence(job, number)
+        self.rank(occurrence)
+        self.add_backlog(occurrence)
+        for step in occurrence.steps:
+            if step.earlier_left == 0:
+                self.open_step(step)
+        return occurrence
+
+    def _schedule(self, job: Job) -> None:
+        spec = job.spec
+        if spec is None:
+            return
+        while job.next_occurrence in job.open or job.is_done(job.next_occurrence):
+            job.next_occurrence += 1
+        if job.next_occurrence < spec.occurrences:
+            due = spec.first_run_ms + job.next_occurrence * spec.interval_ms
+            self._sequence += 1
+            heapq.heappush(self._due, (due, self._sequence, job))
+
+    def open_due(self) -> None:
+        """Open the times that have come, by common time, never early."""
+        state = self._state
+        if not state.wall_known:
+            return
+        later: list[tuple[int, int, Job]] = []
+        while self._due and self._due[0][0] <= state.wall_ms:
+            entry = heapq.heappop(self._due)
+            job = entry[2]
+            if job.state is not JobState.ACTIVE:
+                continue
+            if len(job.open) >= MAX_OPEN_OCCURRENCES:
+                later.append(entry)
+                continue
+            self.open(job, job.next_occurrence)
+            self._schedule(job)
+        for entry in later:
+            heapq.heappush(self._due, entry)
+
+    def rank(self, occurrence: Occurrence) -> None:
+        """Compute the ranks of its steps, none of which may be queued."""
+        job = occurrence.job
+        terms = job.terms
+        chain = max(job.chain, default=0)
+        deadline = occurrence.due_wall_ms + terms.extension * chain + terms.target_latency_ms
+        for step in occurrence.steps:
+            step.rank = deadline - job.chain[step.index] + terms.priority * PRIORITY_GAP_MS
+
+    # Steps and tasks
+
+    def open_step(self, step: Step) -> None:
+        """All earlier steps are done."""
+        for task in step.tasks:
+            if task.state is TaskState.WAITING:
+                self.make_ready(task)
+
+    def make_ready(self, task: Task) -> None:
+        """The task may be placed from now on."""
+        task.become_ready()
+        step = task.step
+        if not step.ready:
+            step.ready_since_ms = self._state.now_ms
+        step.ready[task.index] = task
+        queue = self._state.service(step.occurrence.job.terms.service)
+        if step.queued_in is None:
+            queue.add(step)
+        queue.dirty = True
+
+    def delay(self, task: Task, delay_ms: int) -> None:
+        """The task may be placed after that time."""
+        if delay_ms <= 0:
+            self.make_ready(task)
+            return
+        task.become_delayed()
+        self._sequence += 1
+        heapq.heappush(self._delayed, (self._state.now_ms + delay_ms, self._sequence, task))
+
+    def end_delays(self) -> None:
+        """Make ready what has backed off long enough."""
+        while self._delayed and self._delayed[0][0] <= self._state.now_ms:
+            task = heapq.heappop(self._delayed)[2]
+            over = task.job.ended or task.step.occurrence.finished
+            if task.state is TaskState.DELAYED and not over:
+                self.make_ready(task)
+
+    def no_longer_ready(self, task: Task) -> None:
+        """It was placed, or needs no run any more."""
+        step = task.step
+        step.ready.pop(task.index, None)
+        if not step.ready:
+            self.drop_step(step)
+
+    def drop_step(self, step: Step) -> None:
+        """Take the step out of its queue."""
+        step.ready.clear()
+        if step.queued_in is not None:
+            self._state.service(step.queued_in).remove(step)
+
+    # Backlog
+
+    def add_backlog(self, occurrence: Occurrence) -> None:
+        """Count its estimated work at its service."""
+        for step in occurrence.steps:
+            self.count_backlog(step, step.left)
+
+    def count_backlog(self, step: Step, tasks: int) -> None:
+        """Count so many tasks of this step (negative: they are done)."""
+        if step.spec.long_running or not tasks:
+            return
+        terms = step.occurrence.job.terms
+        queue = self._state.service(terms.service)
+        work_ms = tasks * (step.spec.estimate_ms or DEFAULT_ESTIMATE_MS)
+        queue.backlog_cpu[terms.priority] += work_ms * step.spec.cpu
+        queue.backlog_gpu[terms.priority] += work_ms * step.spec.gpu
+
+    # Configuration
+
+    def change_terms(self, job: Job, terms: Terms) -> None:
+        """The configuration says something else of the job's queue."""
+        steps = [step for occurrence in job.open.values() for step in occurrence.steps]
+        queued = [step for step in steps if step.queued_in is not None]
+        for step in queued:
+            self._state.service(step.queued_in or "").remove(step)
+        for step in steps:
+            self.count_backlog(step, -step.left)
+        job.terms = terms
+        for step in steps:
+            self.count_backlog(step, step.left)
+        for occurrence in job.open.values():
+            self.rank(occurrence)
+        queue = self._state.service(terms.service)
+        for step in queued:
+            queue.add(step)
+            queue.dirty = True
--- /dev/null
+++ b/flintfield/jobs/restore.py
@@ -0,0 +1,143 @@
+"""Building the dispatcher's tables from the durable items, after an election."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from flintfield.jobs import durable
+from flintfield.jobs.body import MalformedJob, StepSpec, read_job
+from flintfield.jobs.durable import TaskName, TaskRecord
+from flintfield.jobs.model import (
+    Job, JobState, Occurrence, Run, RunState, Step, Task, TaskState, Terms, open_occurrence,
+)
+from flintfield.jobs.readiness import Readiness
+from flintfield.jobs.state import DispatcherState, WorkerRecord, unknown_worker
+from flintfield.placement.interface import Resources
+from flintfield.transport.records import MalformedRecord, decode
+
+
+class Restore:
+    """Reads the items in the order: jobs, ends, done times, tasks; then makes ready what is."""
+
+    def __init__(self, state: DispatcherState, readiness: Readiness) -> None:
+        self._state = state
+        self._readiness = readiness
+        self.unreadable = 0
+
+    def restore(self, items: Mapping[bytes, bytes]) -> None:
+        """Fill the empty tables."""
+        by_kind: dict[bytes, list[tuple[str, bytes]]] = {}
+        for key, value in items.items():
+            by_kind.setdefault(key[:1], []).append((key[1:].decode("ascii", "replace"), value))
+        for kind, read in ((durable.JOB, self._job), (durable.END, self._end),
+                           (durable.OCCURRENCES, self._occurrences), (durable.TASK, self._task)):
+            for name, value in by_kind.get(kind, ()):
+                try:
+                    read(name, decode(value))
+                except (MalformedRecord, MalformedJob, ValueError):
+                    self.unreadable += 1
+        self._state.ended = type(self._state.ended)(sorted(self._state.ended, key=lambda entry: entry[0]))
+        for job in self._state.jobs.values():
+            self._resume(job)
+
+    def _job(self, job_id: str, record: durable.JobRecord) -> None:
+        spec = read_job(record.body)
+        terms = durable.decode_terms(record.terms)
+        job = Job(job_id, record.route, terms, record.accepted_wall_ms, record.body, spec)
+        job.become_active()
+        self._state.jobs[job_id] = job
+
+    def _end(self, job_id: str, record: durable.EndRecord) -> None:
+        job = Job(job_id, record.route, Terms("", 0, 1, 1.0, 0), 0, b"", None, submitted=record.submitted)
+        job.become_active()
+        job.end(JobState(record.state), record.ended_wall_ms)
+        job.show_end()
+        self._state.jobs[job_id] = job
+        self._state.remember_ended(job)
+
+    def _occurrences(self, job_id: str, record: durable.OccurrencesRecord) -> None:
+        job = self._state.jobs.get(job_id)
+        if job is not None:
+            job.done_below = record.done_below
+            job.done_above = set(record.done_above)
+
+    def _task(self, name: str, record: TaskRecord) -> None:
+        where = durable.parse_task(name)
+        job = self._state.jobs.get(where.job)
+        if job is None:
+            job = Job(where.job, "", Terms("", 0, 1, 1.0, 0), 0, b"", None)  # forgotten, but for its runs
+            job.become_active()
+            job.end(JobState.CANCELLED, 0)
+        task = self._live_task(job, where) or _stub_task(job, where, name)
+        task.recorded = True
+        task.last_run = record.last_run
+        task.failed = record.failed
+        task.checkpoint = record.checkpoint
+        for run in record.runs:
+            self._run(task, run)
+        if record.done:
+            task.become_done()
+            task.step.left -= 1
+        elif task.runs:
+            task.become_placed()
+
+    def _live_task(self, job: Job, where: TaskName) -> Task | None:
+        if job.ended or job.is_done(where.occurrence) or job.spec is None:
+            return None
+        if where.occurrence >= job.spec.occurrences:
+            return None
+        occurrence = job.open.get(where.occurrence) or open_occurrence(job, where.occurrence)
+        return occurrence.steps[where.step].tasks[where.index]
+
+    def _run(self, task: Task, record: durable.RunRecord) -> None:
+        state = self._state
+        room = Resources(record.cpu, record.memory_mb, record.gpu)
+        run = Run(task, record.number, record.instance, record.machine, record.epoch, room, record.checkpoint,
+                  state.now_ms, RunState.INHERITED)
+        task.runs.append(run)
+        if record.instance not in state.workers:
+            worker = unknown_worker(record.instance, record.machine)
+            state.workers[record.instance] = WorkerRecord(worker, False, state.now_ms)
+            state.by_machine[record.machine] = record.instance
+        state.count_run(run)
+
+    def _resume(self, job: Job) -> None:
+        if job.ended:
+            return
+        self._state.body_bytes += len(job.body)
+        self._state.pending[job.route] += 1
+        for occurrence in list(job.open.values()):
+            self._resume_occurrence(occurrence)
+        self._readiness.begin(job)
+
+    def _resume_occurrence(self, occurrence: Occurrence) -> None:
+        readiness = self._readiness
+        done = {step.index for step in occurrence.steps if step.left == 0}
+        occurrence.steps_left -= len(done)
+        readiness.rank(occurrence)
+        readiness.add_backlog(occurrence)
+        for step in occurrence.steps:
+            step.earlier_left = len(set(step.spec.depends_on) - done)
+            if step.earlier_left == 0:
+                self._resume_step(step)
+
+    def _resume_step(self, step: Step) -> None:
+        if step.spec.gang:
+            best = max(task.checkpoint for task in step.tasks)
+            for task in step.tasks:
+                task.checkpoint = best
+            if step.open_runs():
+                for task in step.tasks:
+                    if task.state is TaskState.WAITING:
+                        task.become_placed()  # its run is over; the others are stopped when they are met
+                return
+        self._readiness.open_step(step)
+
+
+def _stub_task(job: Job, where: TaskName, name: str) -> Task:
+    """A task that needs no run any more, for the sake of a run that may still hold capacity."""
+    occurrence = Occurrence(job, where.occurrence, 0, finished=True)
+    step = Step(occurrence, where.step, StepSpec(count=1), 1, 0)
+    task = Task(step, where.index, name)
+    step.tasks.append(task)
+    return task
--- /dev/null
+++ b/flintfield/jobs/runs.py
@@ -0,0 +1,137 @@
+"""Runs: placing, ordering, stopping and closing them.
+
+A placement is durable before its start order leaves, so that a successor knows every run that may exist.
+From the placement until the run is closed its resources count on its worker.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Callable
+from functools import partial
+
+from flintfield.jobs.messages import StartOrder, StopOrder
+from flintfield.jobs.model import Job, JobState, Run, RunState, Task, TaskState, gang_is_whole
+from flintfield.jobs.state import DispatcherState, PendingOrder, WorkerRecord
+from flintfield.placement.interface import Demand, Worker
+
+
+NO_BOOT = -1  # tries of earlier orders for the same run may be open
+
+
+class Ending(enum.Enum):
+    """How a run was resolved."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+    LOST = "lost"  # its worker crashed, or was out of touch until its hold was over for certain
+    VANISHED = "vanished"  # the worker lists it nowhere although it answered the order
+    UNSENT = "unsent"  # its start order never left
+    REFUSED = "refused"  # its start order was answered, and nothing was done
+
+
+Resolve = Callable[[Run, Ending, str], None]
+
+
+class Runs:
+    """What is done to runs. `resolve` is told of runs whose end became certain here."""
+
+    def __init__(self, state: DispatcherState, resolve: Resolve) -> None:
+        self._state = state
+        self._resolve = resolve
+
+    def place(self, task: Task, demand: Demand, worker: Worker, number: int, checkpoint: str) -> Run:
+        """Place a run of a ready task on this worker; its order leaves once that is durable."""
+        state = self._state
+        run = Run(task, number, worker.instance, worker.machine, state.epoch, task.step.resources, checkpoint,
+                  state.now_ms)
+        task.last_run = max(task.last_run, number)
+        task.runs.append(run)
+        task.become_placed()
+        state.count_run(run)
+        state.write_task(task)
+        state.placement.note_start(demand, worker.instance, state.now_ms)
+        state.after_write(partial(self._placed, run))
+        return run
+
+    def _placed(self, run: Run) -> None:
+        if run.state is not RunState.PLACING:
+            return
+        record = self._state.record_of(run)
+        if record is None or not record.worker.ready or not _wanted(run):
+            self._resolve(run, Ending.UNSENT, "")
+            return
+        self._state.counters.starts += 1
+        self.order_start(run, record)
+
+    def order_start(self, run: Run, record: WorkerRecord) -> None:
+        """Send its start order; repeating it is harmless."""
+        state = self._state
+        job = run.task.job
+        text = job.spec.spec if job.spec is not None else ""
+        fresh = run.state is RunState.PLACING
+        boot = record.boot if fresh else NO_BOOT
+        order = StartOrder(state.next_order(), run.name, run.number, text, run.checkpoint)
+        self._forget_order(run, record)
+        run.order_sent(order.order)
+        job.started = True
+        record.orders[order.order] = PendingOrder(run, state.now_ms, boot, start=order)
+        record.starts_out.append(order)
+        state.send_to(record)
+
+    def stop(self, run: Run) -> None:
+        """See to it that the run ends, or never begins. Resolves it at once where its order has not left."""
+        if run.state is RunState.PLACING:
+            self._resolve(run, Ending.UNSENT, "")
+            return
+        if run.state in (RunState.STOPPING, RunState.CLOSED):
+            return
+        record = self._state.record_of(run)
+        if record is not None:
+            self.order_stop(run, record)
+
+    def order_stop(self, run: Run, record: WorkerRecord) -> None:
+        """Send a stop order, perhaps once more."""
+        self._forget_order(run, record)
+        run.stop_ordered(self._send_stop(record, run.name, run.number, run))
+
+    def order_stray_stop(self, record: WorkerRecord, name: str, number: int) -> int:
+        """Stop a run that is in no table, or bar it from starting; returns the order's number."""
+        return self._send_stop(record, name, number, None)
+
+    def _send_stop(self, record: WorkerRecord, name: str, number: int, run: Run | None) -> int:
+        order = StopOrder(self._state.next_order(), name, number)
+        record.orders[order.order] = PendingOrder(run, self._state.now_ms, stop=order)
+        record.stops_out.append(order)
+        self._state.send_to(record)
+        return order.order
+
+    def close(self, run: Run) -> None:
+        """Its end is certain: its resources are free."""
+        record = self._state.record_of(run)
+        if record is not None:
+            self._forget_order(run, record)
+        run.close()
+        self._state.uncount_run(run)
+        run.task.runs.remove(run)
+
+    def _forget_order(self, run: Run, record: WorkerRecord) -> None:
+        pending = record.orders.pop(run.order, None)
+        if pending is None:
+            return
+        if pending.start in record.starts_out:
+            record.starts_out.remove(pending.start)
+        if pending.stop in record.stops_out:
+            record.stops_out.remove(pending.stop)
+
+
+def _wanted(run: Run) -> bool:
+    """Whether the run's order may still leave."""
+    job: Job = run.task.job
+    if job.state is not JobState.ACTIVE or run.task.state is not TaskState.PLACED:
+        return False
+    return gang_is_whole(run.task.step, run.number)
--- /dev/null
+++ b/flintfield/jobs/starts.py
@@ -0,0 +1,143 @@
+"""Placing ready tasks: a pass over a service's queue in the order of rank.
+
+The placement policy chooses; `may_hold` checks its choice against the rules before it is followed. A
+task whose data lies in a rack waits for that rack a bounded time. A task that has waited long although a
+worker has room is placed there even where the policy would rather wait.
+"""
+
+from __future__ import annotations
+
+from flintfield.jobs.demands import demand_of, may_hold
+from flintfield.jobs.gangs import Gangs
+from flintfield.jobs.model import JobState, Step, Task
+from flintfield.jobs.readiness import Readiness
+from flintfield.jobs.ends import Ends
+from flintfield.jobs.state import DispatcherState, ServiceQueue
+from flintfield.placement.interface import Demand, Worker
+
+MAX_STARTS = 256  # in one pass, so that an event stays short
+MAX_MISSES = 48  # demands without room in one pass; the rest wait for the next
+RETRY_PASS_MS = 200  # a queue is tried again after that though nothing seems to have changed
+AFFINITY_SHARE = 0.5  # of what working far away would cost is spent waiting for the rack
+MAX_AFFINITY_WAIT_MS = 2_000
+FORCE_AFTER_MS = 1_500  # after that a worker with room is taken even if the policy would wait
+
+Shape = tuple[object, ...]
+
+
+class Starts:
+    """Makes passes over queues."""
+
+    def __init__(self, state: DispatcherState, readiness: Readiness, ends: Ends, gangs: Gangs) -> None:
+        self._state = state
+        self._readiness = readiness
+        self._ends = ends
+        self._gangs = gangs
+
+    def run_passes(self) -> None:
+        """A pass over each queue that something has changed for."""
+        now = self._state.now_ms
+        for queue in self._state.services.values():
+            if queue.steps and (queue.dirty or now - queue.tried_ms >= RETRY_PASS_MS):
+                self._pass(queue)
+
+    def _pass(self, queue: ServiceQueue) -> None:
+        queue.dirty = False
+        queue.tried_ms = self._state.now_ms
+        try:
+            self._place_steps(queue)
+        finally:
+            self._gangs.give_back(queue)
+
+    def _place_steps(self, queue: ServiceQueue) -> None:
+        without_room: set[Shape] = set()
+        budget = MAX_STARTS
+        for _, _, step in tuple(queue.steps):
+            if budget <= 0 or len(without_room) >= MAX_MISSES:
+                queue.dirty = queue.dirty or budget <= 0
+                return
+            self._gangs.withhold(queue, step)
+            if step.queued_in != queue.name or step.occurrence.job.state is not JobState.ACTIVE:
+                continue
+            shape = _shape(step)
+            if shape in without_room:
+                continue
+            placed = self._gangs.place(queue, step) if step.spec.gang else self._place(queue, step, budget)
+            budget -= placed
+            if step.ready:
+                without_room.add(shape)
+
+    def _place(self, queue: ServiceQueue, step: Step, budget: int) -> int:
+        """Place ready tasks of the step; how many were."""
+        placed = 0
+        for task in tuple(step.ready.values()):
+            if placed >= budget or task.index not in step.ready:
+                return placed
+            chosen = self._choose(queue, task)
+            if chosen is None:
+                if not task.avoid:
+                    return placed  # the others ask for the same
+                continue
+            demand, worker = chosen
+            self._readiness.no_longer_ready(task)
+            self._ends.runs.place(task, demand, worker, task.last_run + 1, task.checkpoint)
+            placed += 1
+        return placed
+
+    def _choose(self, queue: ServiceQueue, task: Task) -> tuple[Demand, Worker] | None:
+        step = task.step
+        waited = self._state.now_ms - step.ready_since_ms
+        siblings = _racks(step, queue) if step.spec.same_rack else frozenset()
+        if step.spec.affinity and waited < self._affinity_wait(step) and self._has_rack(queue, step):
+            return self._ask(queue, demand_of(task, siblings, near_only=True))
+        demand = demand_of(task, siblings)
+        chosen = self._ask(queue, demand)
+        if chosen is None and waited >= FORCE_AFTER_MS:
+            chosen = self._least_used(queue, demand)
+        return chosen
+
+    def _has_rack(self, queue: ServiceQueue, step: Step) -> bool:
+        """Whether a worker in the rack of the step's data could hold such a task if it were empty."""
+        return any(worker.ready and worker.rack == step.spec.affinity and step.resources.fits(worker.capacity)
+                   for worker in queue.workers.values())
+
+    def _affinity_wait(self, step: Step) -> float:
+        cost = step.spec.estimate_ms * (self._state.bounds.far_x - 1)
+        return min(cost * AFFINITY_SHARE, MAX_AFFINITY_WAIT_MS)
+
+    def _ask(self, queue: ServiceQueue, demand: Demand) -> tuple[Demand, Worker] | None:
+        if not any(may_hold(worker, demand) for worker in queue.workers.values()):
+            return None
+        instance = self._state.placement.choose(demand, self._state.placeable, self._state.now_ms)
+        if instance is None:
+            return None
+        worker = queue.workers.get(instance)
+        if worker is None or not may_hold(worker, demand):
+            self._state.counters.bad_placements += 1
+            return None
+        return demand, worker
+
+    def _least_used(self, queue: ServiceQueue, demand: Demand) -> tuple[Demand, Worker] | None:
+        """The fitting worker with the most room, trusted ones first, those that failed this task last."""
+        trusted, now = self._state.placement.trusted, self._state.now_ms
+        fitting = [worker for worker in queue.workers.values() if may_hold(worker, demand)]
+        if not fitting:
+            return None
+        best = min(fitting, key=lambda worker: (
+            worker.instance in demand.avoid, not trusted(worker.instance, now),
+            worker.used.cpu / max(worker.capacity.cpu, 1)))
+        return demand, best
+
+
+def _shape(step: Step) -> Shape:
+    """Two steps of one shape ask for the same, so that one without room stands for the other."""
+    spec = step.spec
+    if spec.anti_affinity or spec.same_rack or spec.gang:
+        return (id(step),)
+    return (spec.cpu, spec.mem_mb, spec.gpu, spec.needs, spec.affinity)
+
+
+def _racks(step: Step, queue: ServiceQueue) -> frozenset[str]:
+    """Racks where tasks of the step run."""
+    found = {queue.workers[run.instance].rack for run in step.open_runs() if run.instance in queue.workers}
+    return frozenset(found)
--- /dev/null
+++ b/flintfield/jobs/state.py
@@ -0,0 +1,293 @@
+"""What the dispatcher's parts share: its tables, the batch of changes to be written, and its effects."""
+
+from __future__ import annotations
+
+import random
+from bisect import bisect_left, insort
+from collections import Counter, OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from flintfield.jobs import durable
+from flintfield.jobs.bounds import DispatcherBounds
+from flintfield.jobs.events import Change, Configuration, Effect, SendOrders, Write
+from flintfield.jobs.messages import AgentOrders, JobAnswer, StartOrder, StopOrder
+from flintfield.jobs.model import Job, Run, Step, Task
+from flintfield.placement.interface import Placement, Resources, Worker
+
+MAX_STARTS_SENT = 64  # in one message, as each may carry 4,000 bytes
+MAX_OUTSTANDING_WRITES = 8  # beyond, changes gather in the next batch
+
+
+@dataclass(slots=True)
+class PendingOrder:
+    """An order that has no answer yet; it is repeated on a new connection and after a while."""
+
+    run: Run | None  # None: the run is in no table
+    sent_ms: int
+    boot: int = 0  # the life of the agent that it was first sent to; a later one does not know of open calls
+    start: StartOrder | None = None
+    stop: StopOrder | None = None
+
+
+@dataclass(slots=True, eq=False)
+class WorkerRecord:
+    """All that the dispatcher knows of one incarnation of a worker."""
+
+    worker: Worker
+    known: bool  # a report has named it; False: known from durable placements only
+    granted_ms: int  # receipt of the newest report that was granted a hold
+    boot: int = 0
+    stamp_ms: int = -1  # of the newest report
+    granted_stamp: int = -1  # of the newest report that was granted a hold
+    listing_stamp: int = -1
+    fence_stamp: int | None = None  # of the first report that showed it fenced by this epoch
+    connected: bool = False
+    draining: bool = False
+    leaves_ms: int = 0  # while it drains: when it may leave, on the dispatcher's clock
+    silent: bool = False
+    unwell_until_ms: int = 0
+    unnamed_boot: int = 0  # a life of the agent that knew of no worker, and since when
+    unnamed_ms: int = 0
+    last_seen: int = 0  # durable
+    taken_in: int = 0  # ends up to here are in the tables
+    runs: dict[tuple[str, int], Run] = field(default_factory=dict)
+    orders: dict[int, PendingOrder] = field(default_factory=dict)
+    barred: dict[tuple[str, int], int] = field(default_factory=dict)  # released runs: their stop orders
+    strays: dict[tuple[str, int], int] = field(default_factory=dict)  # listed, but not in the tables
+    starts_out: list[StartOrder] = field(default_factory=list)
+    stops_out: list[StopOrder] = field(default_factory=list)
+
+    @property
+    def instance(self) -> str:
+        """The worker's id."""
+        return self.worker.instance
+
+
+@dataclass(slots=True, eq=False)
+class ServiceQueue:
+    """The steps of one service that have ready tasks, in the order of their rank."""
+
+    name: str
+    steps: list[tuple[float, int, Step]] = field(default_factory=list)
+    workers: dict[str, Worker] = field(default_factory=dict)
+    dirty: bool = True
+    tried_ms: int = -1
+    backlog_cpu: Counter[int] = field(default_factory=Counter)  # by priority: thousandths of a core x ms
+    backlog_gpu: Counter[int] = field(default_factory=Counter)  # by priority: GPUs x ms
+    reserved: dict[str, Step] = field(default_factory=dict)  # instances kept for a large gang
+    reserved_until_ms: int = 0
+    withheld: list[Worker] = field(default_factory=list)  # of those, out of sight for the rest of a pass
+
+    def add(self, step: Step) -> None:
+        """Take in a step; `rank` must not change while it is here."""
+        insort(self.steps, (step.rank, id(step), step))
+        step.queued_in = self.name
+
+    def remove(self, step: Step) -> None:
+        """Drop a step."""
+        at = bisect_left(self.steps, (step.rank, id(step)))
+        del self.steps[at]
+        step.queued_in = None
+
+
+@dataclass(slots=True)
+class Counters:
+    """What is counted, for the log and the operator."""
+
+    accepted: int = 0
+    refused: int = 0
+    malformed: int = 0
+    starts: int = 0
+    lost_runs: int = 0
+    vanished_runs: int = 0
+    stalled_runs: int = 0
+    preempted_runs: int = 0
+    copies: int = 0
+    strays: int = 0
+    ends: int = 0
+    bad_placements: int = 0
+
+
+def unknown_worker(instance: str, machine: str) -> Worker:
+    """A worker of which only its place is known."""
+    return Worker(instance, machine, "", "", frozenset(), "", Resources(), ready=False)
+
+
+class DispatcherState:
+    """The tables, and what the event in hand has brought about so far."""
+
+    def __init__(self, epoch: int, now_ms: int, bounds: DispatcherBounds, placement: Placement,
+                 rng: random.Random, configuration: Configuration | None) -> None:
+        self.epoch = epoch
+        self.now_ms = now_ms
+        self.elected_ms = now_ms
+        self.bounds = bounds
+        self.placement = placement
+        self.rng = rng
+        self.configuration = configuration
+        self.counters = Counters()
+        self.jobs: dict[str, Job] = {}
+        self.ended: deque[tuple[int, Job]] = deque()  # (common time of the end, job), oldest first
+        self.pending: Counter[str] = Counter()  # by queue: jobs that have not ended
+        self.body_bytes = 0
+        self.workers: dict[str, WorkerRecord] = {}
+        self.placeable: dict[str, Worker] = {}  # named by reports: what placement sees
+        self.by_machine: dict[str, str] = {}
+        self.gone: OrderedDict[str, None] = OrderedDict()
+        self.services: dict[str, ServiceQueue] = {}
+        self._wall_ms: int | None = None
+        self._wall_at_ms = now_ms
+        self._effects: list[Effect] = []
+        self._changes: dict[bytes, bytes | None] = {}
+        self._after: list[Callable[[], None]] = []
+        self._outstanding: OrderedDict[int, list[Callable[[], None]]] = OrderedDict()
+        self._write = 0
+        self._order = 0
+        self._to_send: dict[str, WorkerRecord] = {}
+
+    # Time
+
+    def set_wall(self, wall_ms: int) -> None:
+        """The common time is told."""
+        self._wall_ms = wall_ms
+        self._wall_at_ms = self.now_ms
+
+    @property
+    def wall_known(self) -> bool:
+        """Whether the common time was ever told."""
+        return self._wall_ms is not None
+
+    @property
+    def wall_ms(self) -> int:
+        """The common time now, carried on by the steady clock since it was last told."""
+        return (self._wall_ms or 0) + self.now_ms - self._wall_at_ms
+
+    # Writes
+
+    def put(self, key: bytes, value: bytes | None) -> None:
+        """Change the store with the next write."""
+        self._changes[key] = value
+
+    def after_write(self, action: Callable[[], None]) -> None:
+        """Call this once all changes so far are durable."""
+        self._after.append(action)
+
+    def written(self, write: int) -> None:
+        """That write, and so all before it, is durable."""
+        while self._outstanding and next(iter(self._outstanding)) <= write:
+            _, actions = self._outstanding.popitem(last=False)
+            for action in actions:
+                action()
+
+    def write_task(self, task: Task) -> None:
+        """Note the task's present state, or drop its record where it is needed no more."""
+        occurrence = task.step.occurrence
+        over = occurrence.finished or task.job.ended
+        if over and not task.runs:
+            if task.recorded:
+                self.put(durable.task_key(task.name), None)
+                task.recorded = False
+            return
+        self.put(durable.task_key(task.name), durable.encode_task(task))
+        task.recorded = True
+
+    # Effects
+
+    def emit(self, effect: Effect) -> None:
+        """Have this done."""
+        self._effects.append(effect)
+
+    def flush(self) -> list[Effect]:
+        """All effects of the event in hand."""
+        self._flush_writes()
+        for record in self._to_send.values():
+            self._flush_orders(record)
+        self._to_send = {}
+        effects, self._effects = self._effects, []
+        return effects
+
+    def _flush_writes(self) -> None:
+        while self._after and not self._changes:
+            actions, self._after = self._after, []
+            if self._outstanding:
+                self._outstanding[next(reversed(self._outstanding))].extend(actions)
+                return
+            for action in actions:
+                action()
+        if self._changes and len(self._outstanding) < MAX_OUTSTANDING_WRITES:
+            self._write += 1
+            changes: tuple[Change, ...] = tuple(self._changes.items())
+            self._outstanding[self._write] = self._after
+            self._changes, self._after = {}, []
+            self.emit(Write(self._write, changes))
+
+    # Orders
+
+    def next_order(self) -> int:
+        """A new number for an order."""
+        self._order += 1
+        return self._order
+
+    def send_to(self, record: WorkerRecord) -> None:
+        """Send this worker what is out for it, with the end of this event."""
+        self._to_send[record.instance] = record
+
+    def _flush_orders(self, record: WorkerRecord) -> None:
+        if not record.connected or record.stamp_ms < 0:
+            return  # repeated from `orders` with the next report
+        starts, stops = record.starts_out, record.stops_out
+        record.starts_out, record.stops_out = [], []
+        while True:
+            orders = AgentOrders(self.epoch, record.instance, record.granted_stamp, self.bounds.hold,
+                                 record.last_seen, tuple(starts[:MAX_STARTS_SENT]), tuple(stops))
+            self.emit(SendOrders(record.worker.machine, orders))
+            starts, stops = starts[MAX_STARTS_SENT:], []
+            if not starts:
+                return
+
+    # Tables
+
+    def service(self, name: str) -> ServiceQueue:
+        """The queue of this service; made where there is none yet."""
+        queue = self.services.get(name)
+        if queue is None:
+            queue = self.services[name] = ServiceQueue(name)
+        return queue
+
+    def record_of(self, run: Run) -> WorkerRecord | None:
+        """The worker that holds the run."""
+        return self.workers.get(run.instance)
+
+    def count_run(self, run: Run) -> None:
+        """Count its resources on its worker."""
+        record = self.workers[run.instance]
+        record.runs[run.name, run.number] = run
+        worker = record.worker
+        worker.used = worker.used.plus(run.resources)
+        group = run.task.step.group
+        worker.held[group] = worker.held.get(group, 0) + 1
+
+    def uncount_run(self, run: Run) -> None:
+        """Its resources are free."""
+        record = self.workers.get(run.instance)
+        if record is None or record.runs.pop((run.name, run.number), None) is None:
+            return
+        worker = record.worker
+        worker.used = worker.used.minus(run.resources)
+        group = run.task.step.group
+        held = worker.held.get(group, 0) - 1
+        if held > 0:
+            worker.held[group] = held
+        else:
+            worker.held.pop(group, None)
+        self.service(worker.service).dirty = True
+
+    def answer(self, status: int, body: bytes = b"{}", retry_after_ms: int = 0) -> JobAnswer:
+        """An answer by the configuration in force."""
+        version = self.configuration.version if self.configuration is not None else 0
+        return JobAnswer(status, body, retry_after_ms, version)
+
+    def remember_ended(self, job: Job) -> None:
+        """Keep it for `keep_ended_ms` from its end on."""
+        self.ended.append((job.ended_wall_ms, job))
--- /dev/null
+++ b/flintfield/jobs/workers.py
@@ -0,0 +1,317 @@
+"""Workers as their agents report them: holds, listings, ends, answers to orders, and what is free again.
+
+What is free is listed in docs/system.md. Every report is answered, and a hold granted from its stamp on;
+a worker that answers nothing itself gets no further hold, so that its runs are over at a known time.
+"""
+
+from __future__ import annotations
+
+from flintfield.jobs.ends import Ends
+from flintfield.jobs.events import SendOrders
+from flintfield.jobs.messages import AgentOrders, AgentReport, End, How, Run as ListedRun, WorkerState
+from flintfield.jobs.model import Run, RunState, TaskState, gang_is_whole
+from flintfield.jobs.orders import Orders
+from flintfield.jobs.runs import Ending
+from flintfield.jobs.state import DispatcherState, WorkerRecord, unknown_worker
+from flintfield.placement.interface import Resources
+
+LISTED_AT_ONCE = 500  # a listing with so many ends may leave out more
+REMEMBERED_GONE = 4_096  # incarnations that are gone; a late heartbeat of one must not bring it back
+FORGET_WORKER_MS = 600_000  # a silent worker without runs is forgotten after that
+NAMING_MS = 2_500  # how long an agent that knows of no worker is told which one it had
+DONE_RUN_MS = 1_500  # a run of a task that is done ends by itself within that, or is stopped
+
+_ENDINGS = {
+    How.DONE: Ending.DONE,
+    How.FAILED: Ending.FAILED,
+    How.STOPPED: Ending.STOPPED,
+    How.LAPSED: Ending.LAPSED,
+    How.BROKEN: Ending.BROKEN,
+    How.ALONE: Ending.ALONE,
+}
+
+
+class Workers:
+    """Takes in reports, and the passing of time for workers that send none."""
+
+    def __init__(self, state: DispatcherState, ends: Ends) -> None:
+        self._state = state
+        self._ends = ends
+        self._orders = Orders(state, ends.runs, ends.resolve, self._gone)
+
+    # Reports
+
+    def report(self, report: AgentReport) -> None:
+        """Take in a report and answer it."""
+        state = self._state
+        told = report.worker
+        if told is None or told.instance in state.gone:
+            self._without_worker(report)
+            return
+        record = self._record(report, told)
+        if report.boot == record.boot and report.stamp_ms < record.stamp_ms:
+            return  # passed by a newer one
+        fresh = self._note_life(record, report)
+        self._note_worker(record, told, report)
+        self._orders.results(record, report.results)
+        if fresh:
+            self._orders.repeat_all(record)
+        self._take_in_ends(record, report.finished)
+        self._take_in_listing(record, report)
+        self._take_in_lapse(record, report)
+        self._grant(record, report)
+        self.update_ready(record)
+        state.send_to(record)
+
+    def _without_worker(self, report: AgentReport) -> None:
+        state = self._state
+        instance, last_seen = "", 0
+        record = state.workers.get(state.by_machine.get(report.machine, ""))
+        if record is not None:
+            record.connected = False
+            self.update_ready(record)
+            if self._may_name(record, report):
+                instance, last_seen = record.instance, record.last_seen
+                record.granted_ms, record.granted_stamp = state.now_ms, report.stamp_ms
+        state.emit(SendOrders(report.machine, AgentOrders(
+            state.epoch, instance, report.stamp_ms, state.bounds.hold, last_seen, (), ())))
+
+    def _may_name(self, record: WorkerRecord, report: AgentReport) -> bool:
+        """Whether to tell a new life of the agent which worker it had, so that its hold goes on."""
+        now = self._state.now_ms
+        if report.boot == record.boot or record.barred:
+            return False
+        if record.unnamed_boot != report.boot:
+            record.unnamed_boot, record.unnamed_ms = report.boot, now
+        return now - record.unnamed_ms < NAMING_MS
+
+    def _record(self, report: AgentReport, told: WorkerState) -> WorkerRecord:
+        state = self._state
+        record = state.workers.get(told.instance)
+        if record is None or state.by_machine.get(report.machine) != told.instance:
+            self._drop_earlier(report.machine, told.instance)
+            state.by_machine[report.machine] = told.instance
+        if record is None:
+            record = WorkerRecord(unknown_worker(told.instance, report.machine), False, state.now_ms)
+            state.workers[told.instance] = record
+        return record
+
+    def _drop_earlier(self, machine: str, instance: str) -> None:
+        """Another incarnation is there now, so that all earlier ones run nothing any more."""
+        for record in list(self._state.workers.values()):
+            if record.worker.machine == machine and record.instance != instance:
+                self._gone(record)
+
+    def _note_life(self, record: WorkerRecord, report: AgentReport) -> bool:
+        """Whether this is a new life of the agent, or a new connection, so that orders are to be repeated."""
+        if not record.known or record.boot != report.boot:
+            record.boot = report.boot
+            record.fence_stamp = None
+            record.listing_stamp = -1
+            for run in record.runs.values():
+                if run.answered_stamp is not None:
+                    run.answered_stamp = report.stamp_ms
+            record.connected = False
+        record.known = True
+        record.stamp_ms = report.stamp_ms
+        fresh = not record.connected
+        record.connected = True
+        if record.fence_stamp is None and report.fenced_epoch == self._state.epoch:
+            record.fence_stamp = report.stamp_ms
+        return fresh
+
+    def _note_worker(self, record: WorkerRecord, told: WorkerState, report: AgentReport) -> None:
+        state = self._state
+        worker = record.worker
+        capacity = Resources(told.cpu, told.memory_mb, told.gpu)
+        if worker.service != told.service:
+            state.service(worker.service).workers.pop(worker.instance, None)
+            worker.service = told.service
+        if worker.capacity != capacity:
+            worker.capacity = capacity
+            state.service(worker.service).dirty = True
+        state.service(worker.service).workers[worker.instance] = worker
+        state.placeable[worker.instance] = worker
+        worker.zone = told.zone
+        labels = frozenset(told.labels)
+        if worker.labels != labels:
+            worker.labels = labels
+            worker.rack = rack_of(told.labels)
+        record.draining = told.draining
+        record.leaves_ms = state.now_ms + told.remaining_ms
+        record.silent = report.silent_ms > state.bounds.silent_ms
+
+    # Ends and listings
+
+    def _take_in_ends(self, record: WorkerRecord, finished: tuple[End, ...]) -> None:
+        before = record.taken_in
+        expected = None
+        for end in sorted(finished, key=lambda each: each.number):
+            if expected is not None and end.number > expected:
+                break  # the ones between come with a later report
+            expected = end.number + 1
+            if end.number > record.taken_in:
+                record.taken_in = end.number
+                self._take_in_end(record, end)
+        if record.taken_in > before:
+            number = record.taken_in
+            self._state.after_write(lambda: self._noted(record, number))
+
+    def _take_in_end(self, record: WorkerRecord, end: End) -> None:
+        run = record.runs.get((end.task, end.run))
+        if run is None or run.state is RunState.PLACING:
+            return  # released before, or of a job that is forgotten
+        self._ends.resolve(run, _ENDINGS[end.how], end.saved)
+
+    def _noted(self, record: WorkerRecord, number: int) -> None:
+        record.last_seen = max(record.last_seen, number)
+
+    def _take_in_listing(self, record: WorkerRecord, report: AgentReport) -> None:
+        if report.listing_stamp < 0 or report.listing_stamp <= record.listing_stamp:
+            return
+        record.listing_stamp = report.listing_stamp
+        listed = {(each.task, each.run): each for each in report.running}
+        self._note_strays(record, listed)
+        for key, run in list(record.runs.items()):
+            each = listed.get(key)
+            if each is not None:
+                self._note_running(run, each, report.listing_stamp)
+            elif run.state is not RunState.CLOSED and len(report.finished) < LISTED_AT_ONCE:
+                self._not_listed(record, run, report)
+
+    def _note_running(self, run: Run, listed: ListedRun, stamp: int) -> None:
+        now = self._state.now_ms
+        if run.state is RunState.PLACING:
+            return
+        run.seen_running(now)
+        if run.answered_stamp is None and run.state is RunState.RUNNING:
+            run.answered_stamp = stamp
+        if listed.percent != run.percent:
+            run.percent = listed.percent
+            run.percent_at_ms = now
+        if listed.saved and listed.saved != run.task.checkpoint:
+            self._ends.save(run.task, listed.saved)
+        if run.state is RunState.RUNNING and self._should_stop(run, now):
+            self._ends.runs.stop(run)
+
+    def _should_stop(self, run: Run, now: int) -> bool:
+        task = run.task
+        if task.job.ended or not gang_is_whole(task.step, run.number):
+            return True
+        over = task.step.occurrence.finished or task.state is TaskState.DONE
+        if not over:
+            return False
+        if task.done_ms < 0:
+            task.done_ms = now
+        return now - task.done_ms > DONE_RUN_MS
+
+    def _not_listed(self, record: WorkerRecord, run: Run, report: AgentReport) -> None:
+        """The worker lists the run neither as running nor as ended."""
+        settled = report.listing_stamp - self._state.bounds.settle_ms
+        fenced = report.fenced_epoch == self._state.epoch
+        if fenced and run.answered_stamp is not None and settled >= run.answered_stamp:
+            self._vanished(run)
+        elif run.state is RunState.INHERITED:
+            if fenced and record.fence_stamp is not None and settled >= record.fence_stamp:
+                self._vanished(run)
+            elif run.task.job.ended or not gang_is_whole(run.task.step, run.number):
+                self._ends.runs.stop(run)
+            elif not record.draining and run.task.state is TaskState.PLACED:
+                self._ends.runs.order_start(run, record)
+
+    def _vanished(self, run: Run) -> None:
+        self._state.counters.vanished_runs += 1
+        self._ends.resolve(run, Ending.VANISHED, "")
+
+    def _note_strays(self, record: WorkerRecord, listed: dict[tuple[str, int], ListedRun]) -> None:
+        for key in [key for key in record.strays if key not in listed]:
+            record.orders.pop(record.strays.pop(key), None)
+        for key in listed:
+            if key not in record.runs and key not in record.barred and key not in record.strays:
+                self._state.counters.strays += 1
+                record.strays[key] = self._ends.runs.order_stray_stop(record, *key)
+
+    # Holds
+
+    def _take_in_lapse(self, record: WorkerRecord, report: AgentReport) -> None:
+        """Everything that the agent knew of at its last report is over."""
+        if report.lapsed:
+            for run in list(record.runs.values()):
+                if run.answered_stamp is not None and run.answered_stamp < report.stamp_ms:
+                    self._release(record, run)
+
+    def _grant(self, record: WorkerRecord, report: AgentReport) -> None:
+        if record.silent or record.barred:
+            return
+        record.granted_ms = self._state.now_ms
+        record.granted_stamp = report.stamp_ms
+
+    def _release(self, record: WorkerRecord, run: Run) -> None:
+        """The run is over for certain; should its order still be under way there, it is barred."""
+        if run.state is RunState.CLOSED:
+            return
+        if run.state is not RunState.PLACING:
+            key = (run.name, run.number)
+            record.barred[key] = self._ends.runs.order_stray_stop(record, *key)
+        self._state.counters.lost_runs += 1
+        self._ends.resolve(run, Ending.LOST, "")
+
+    def _gone(self, record: WorkerRecord) -> None:
+        """This incarnation runs nothing any more."""
+        state = self._state
+        state.workers.pop(record.instance, None)
+        state.gone[record.instance] = None
+        if len(state.gone) > REMEMBERED_GONE:
+            state.gone.popitem(last=False)
+        if state.by_machine.get(record.worker.machine) == record.instance:
+            del state.by_machine[record.worker.machine]
+        record.worker.ready = False
+        state.service(record.worker.service).workers.pop(record.instance, None)
+        state.placeable.pop(record.instance, None)
+        for run in list(record.runs.values()):
+            state.counters.lost_runs += 1
+            self._ends.resolve(run, Ending.LOST, "")
+        record.runs.clear()
+        state.placement.forget(record.instance)
+
+    # Readiness and time
+
+    def lost(self, machine: str) -> None:
+        """The connection to the agent has closed."""
+        record = self._state.workers.get(self._state.by_machine.get(machine, ""))
+        if record is None:
+            return
+        record.connected = False
+        record.starts_out, record.stops_out = [], []
+        self.update_ready(record)
+
+    def update_ready(self, record: WorkerRecord) -> None:
+        """Whether tasks may be placed there now."""
+        state = self._state
+        held = state.now_ms < record.granted_ms + state.bounds.hold // 2
+        ready = (record.connected and held and not record.draining and not record.silent
+                 and not record.barred and not record.strays
+                 and state.now_ms >= record.unwell_until_ms)
+        if ready and not record.worker.ready:
+            state.service(record.worker.service).dirty = True
+        record.worker.ready = ready
+
+    def tick(self) -> None:
+        """Release what is over for certain, repeat what has no answer, forget who is long gone."""
+        state = self._state
+        for record in list(state.workers.values()):
+            age = state.now_ms - record.granted_ms
+            if record.runs and age >= state.bounds.empty_after_ms:
+                for run in list(record.runs.values()):
+                    self._release(record, run)
+            if record.connected:
+                self._orders.repeat_late(record)
+            elif not record.runs and age >= FORGET_WORKER_MS:
+                self._gone(record)
+                continue
+            self.update_ready(record)
+
+
+def rack_of(labels: tuple[str, ...]) -> str:
+    """The label that names the rack: its kind comes first, its rack after it."""
+    return labels[1] if len(labels) > 1 else ""
