--- a/flintfield/transport/connection.py
+++ b/flintfield/transport/connection.py
@@ -17,11 +17,12 @@
 from flintfield.transport import frames, sockets
 from flintfield.transport.counters import Counters
 from flintfield.transport.errors import Rejected, RpcError, Unanswered, Unreachable
-from flintfield.transport.records import MalformedRecord, decode, encode_into, record
+from flintfield.transport.records import MalformedRecord, decode, record
 
 MAX_BUFFERED_BYTES = 4 * 1024 * 1024  # a peer that does not read this is given up; one frame may go above
 MAX_OUTSTANDING_CALLS = 4_096
 MAX_RUNNING_HANDLERS = 1_024
+MAX_FAILURE_TEXT = 1_000  # characters
 LOG_INTERVAL_S = 1.0  # at most one line in this time about handlers that raise
 
 logger = logging.getLogger(__name__)
@@ -29,8 +30,6 @@
 Handler = Callable[[Any, "Connection"], Awaitable[Any] | Any]
 Handlers = Mapping[type, Handler]
 
-_EMPTY_HEADER = bytes(frames.HEADER.size)
-
 
 @record(65_000)
 @dataclass(frozen=True, slots=True)
@@ -65,7 +64,7 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._reader = frames.FrameReader()
-        self._out = bytearray()
+        self._writer = frames.FrameWriter()
         self._flush_planned = False
         self._receiving = False
         self._receipts = 0
@@ -233,7 +232,7 @@
         if now_s - self._told_s >= LOG_INTERVAL_S:
             self._told_s = now_s
             logger.error("handler of %s failed", type(message).__name__, exc_info=error)
-        self._refuse(kind, number, f"handler failed: {type(error).__name__}: {error}")
+        self._refuse(kind, number, f"handler failed: {type(error).__name__}: {error}"[:MAX_FAILURE_TEXT])
 
     # Outgoing frames.
 
@@ -242,9 +241,7 @@
             return
         try:
             self._write(kind, number, message)
-        except Rejected as error:
-            if kind == frames.FAILURE:
-                return
+        except Rejected as error:  # too large; the text of a failure is not
             self._answer(frames.FAILURE, number, Failure(str(error)))
         except Unreachable:
             return  # aborted for its full buffer; the caller sees the connection close
@@ -252,24 +249,15 @@
     def _write(self, kind: int, number: int, message: Any) -> None:
         """Append a frame; raises `Rejected` for one too large, `Unreachable` where too much waits already."""
         assert self._transport is not None
-        out = self._out
-        start = len(out)
-        if start + self._transport.get_write_buffer_size() > MAX_BUFFERED_BYTES:
+        if len(self._writer.waiting) + self._transport.get_write_buffer_size() > MAX_BUFFERED_BYTES:
             self.counters.buffer_overflows += 1
             self._abort("the peer does not read")
             raise Unreachable(f"{self.peer} does not read")
-        out += _EMPTY_HEADER
         try:
-            encode_into(message, out)
-        except BaseException:
-            del out[start:]
-            raise
-        length = len(out) - start - frames.LENGTH.size
-        if length > frames.MAX_FRAME_BYTES:
-            del out[start:]
+            self._writer.append(kind, number, message)
+        except frames.OversizedMessage as error:
             self.counters.oversized_messages += 1
-            raise Rejected(f"a message of {length} bytes is above the largest frame")
-        frames.HEADER.pack_into(out, start, length, kind, number)
+            raise Rejected(str(error)) from error
         if not self._receiving and not self._flush_planned:
             self._flush_planned = True
             self._loop.call_soon(self._flush_soon)
@@ -279,10 +267,9 @@
         self._flush()
 
     def _flush(self) -> None:
-        if self._out and not self.closed:
-            out, self._out = self._out, bytearray()
+        if self._writer.waiting and not self.closed:
             assert self._transport is not None
-            self._transport.write(out)
+            self._transport.write(self._writer.take())
 
     # Ends.
 
@@ -307,7 +294,7 @@
             return
         self.closed = True
         self.counters.closed += 1
-        self._out = bytearray()
+        self._writer.take()
         calls, self._calls = self._calls, {}
         for call in calls.values():
             if not call.waiter.done():
--- a/flintfield/transport/frames.py
+++ b/flintfield/transport/frames.py
@@ -10,6 +10,9 @@
 import enum
 import struct
 from collections.abc import Iterator
+from typing import Any
+
+from flintfield.transport.records import encode_into
 
 MAX_FRAME_BYTES = 8 * 1024 * 1024  # a whole state of a replica fits; a peer can't make us hold more
 LENGTH = struct.Struct("<I")
@@ -29,10 +32,46 @@
 REQUEST, REPLY, ONE_WAY, FAILURE = (int(kind) for kind in FrameKind)  # plain numbers are cheaper to compare
 
 
+_EMPTY_HEADER = bytes(HEADER.size)
+
+
 class MalformedFrame(ValueError):
     """The bytes are no frame, or one that is too large."""
 
 
+class OversizedMessage(ValueError):
+    """A message that does not fit into the largest frame."""
+
+
+class FrameWriter:
+    """Collects frames until they are taken to be sent together."""
+
+    __slots__ = ("waiting",)
+
+    def __init__(self) -> None:
+        self.waiting = bytearray()
+
+    def append(self, kind: int, number: int, message: Any) -> None:
+        """Append a frame; raises `OversizedMessage`, or what the codec raises, and leaves nothing behind."""
+        out = self.waiting
+        start = len(out)
+        out += _EMPTY_HEADER
+        try:
+            encode_into(message, out)
+            length = len(out) - start - LENGTH.size
+            if length > MAX_FRAME_BYTES:
+                raise OversizedMessage(f"a message of {length} bytes is above the largest frame")
+        except BaseException:
+            del out[start:]
+            raise
+        HEADER.pack_into(out, start, length, kind, number)
+
+    def take(self) -> bytearray:
+        """All that waits, which waits no more."""
+        out, self.waiting = self.waiting, bytearray()
+        return out
+
+
 class FrameReader:
     """Collects bytes and yields whole frames as (kind, correlation id, record)."""
 
--- a/flintfield/transport/records.py
+++ b/flintfield/transport/records.py
@@ -2,7 +2,7 @@
 
 A message is a frozen dataclass that is given a number by `@record(NUMBER)`. Its fields are encoded in their
 order: `int` as a signed 64-bit number, `float` as a double, `bool` as one byte, `str` and `bytes` with a
-32-bit length in front, an `IntEnum` as one byte, `tuple[T, ...]` with a 32-bit count, `T | None` with one byte
+32-bit length in front, an `IntEnum` as one byte, `tuple[T, ...]` with a 32-bit count, `T | None` with a byte
 that tells whether a value follows, and a nested dataclass with a 32-bit length in front. All little-endian.
 
 Versions: a field may be added at the end of a dataclass if it has a default. A reader of the release before
--- a/flintfield/transport/sockets.py
+++ b/flintfield/transport/sockets.py
@@ -13,6 +13,7 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+HIGHEST_PORT = 65_535
 LISTEN_BACKLOG = 512  # a full queue drops the opening packet, which is sent again only after seconds
 
 
@@ -31,11 +32,16 @@
 
 
 def parse_address(address: str) -> tuple[str, int]:
-    """IP and port of "ip:port"; raises `ValueError`."""
-    ip, separator, port = address.rpartition(":")
-    if not separator or not ip:
+    """IP and port of "ip:port"; raises `ValueError`, also for a host's name: names are never looked up."""
+    ip, _, port = address.rpartition(":")
+    try:
+        socket.inet_pton(socket.AF_INET, ip)
+        number = int(port)
+    except (OSError, ValueError):
+        number = 0
+    if not 1 <= number <= HIGHEST_PORT:
         raise ValueError(f"no address: {address!r}")
-    return ip, int(port)
+    return ip, number
 
 
 def peer_of(transport: asyncio.BaseTransport) -> str:
