Agree on configuration, jobs' store, leader and core set among replicas

Cause: the system has to carry its own configuration and leadership, and replicas whose disk is lost.

First version of the coordination library: CASPaxos register, ordered store with one leader, election with a lease, change of the core set by a register of its own, foundation. Ruled out: a register for each job, and a log (docs/system.md).

--- /dev/null
+++ b/flintfield/coordination/leader.py
@@ -0,0 +1,283 @@
+"""The leader of one epoch: brings its history to the followers, counts what is durable at a majority, and its
+lease.
+
+No I/O and no clock. `outgoing(now)` returns what is to be sent; the shell hands each answer back with
+`answered`, each failure with `failed`. Batches have the numbers (epoch, 1), (epoch, 2), ...; (epoch, 0) is
+the state that the election found. A change of the core set keeps the epoch: `change_core` counts all
+acknowledgements anew, under the new set.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from flintfield.coordination.clocks import median_offset
+from flintfield.coordination.follower import NEVER_MS
+from flintfield.coordination.messages import (
+    Adopt,
+    Alive,
+    Append,
+    Appended,
+    Batch,
+    Change,
+    Heartbeat,
+    Install,
+    Pair,
+    Refused,
+)
+from flintfield.coordination.model import CoreSet, Member, Position, Refusal
+from flintfield.coordination.progress import UNKNOWN, Mode, Progress
+from flintfield.coordination.snapshots import ENTRY_OVERHEAD_BYTES, parts_of
+from flintfield.coordination.timing import (
+    APPEND_TIMEOUT_MS,
+    CALL_TIMEOUT_MS,
+    CHUNK_BYTES,
+    CHUNK_TIMEOUT_MS,
+    HEARTBEAT_MS,
+    INACTIVE_LONGEST_MS,
+    INACTIVE_RETRY_MS,
+    LEASE_MS,
+    TRANSFER_RETRY_MS,
+)
+
+PIPELINE_DEPTH = 4  # appends under way to one follower: a write needn't wait for the round before it
+LOG_BYTES = 2 * 1024 * 1024  # of batches kept for followers that lag; beyond it they are sent the whole state
+
+
+@dataclass(frozen=True, slots=True)
+class Outgoing:
+    """A message for a member; `round` ties the answer to what was in flight, -1 for a heartbeat."""
+
+    member: Member
+    message: Heartbeat | Adopt | Append | Install
+    sent_ms: int
+    timeout_ms: int
+    round: int
+
+
+class Leader:
+    """The state machine. `items` is the newest content, durable or not; it belongs to this object."""
+
+    def __init__(self, core: CoreSet, epoch: int, identity: int, boot: int, base: Position,
+                 items: dict[bytes, bytes]) -> None:
+        self.core = core
+        self.epoch = epoch
+        self.identity = identity
+        self.boot = boot
+        self.base = base
+        self.items = items
+        self.sequence = 0
+        self.committed = UNKNOWN
+        self.deposed = False
+        self.newer: CoreSet | None = None
+        self.sealed = False
+        self.installs = 0
+        self.followers: dict[int, Progress] = {}
+        self._log: deque[tuple[Batch, int]] = deque()
+        self._log_bytes = 0
+        self._transfers = 0
+        self._wall_offset_ms: int | None = None
+        self.change_core(core)
+
+    # What its user does.
+
+    def write(self, changes: Sequence[Pair]) -> int:
+        """Add a batch; returns its sequence, which is durable once `committed` has reached it."""
+        self.sequence += 1
+        batch = Batch(self.sequence, tuple(Change(key, value) for key, value in changes))
+        size = ENTRY_OVERHEAD_BYTES
+        for key, value in changes:
+            size += len(key) + len(value or b"") + ENTRY_OVERHEAD_BYTES
+            if value is None:
+                self.items.pop(key, None)
+            else:
+                self.items[key] = value
+        self._log.append((batch, size))
+        self._log_bytes += size
+        self._trim()
+        return self.sequence
+
+    def lease_until_ms(self) -> int:
+        """The steady time until which no other leader can have been elected."""
+        times = sorted((progress.lease_from_ms for progress in self.followers.values()), reverse=True)
+        return times[self.core.majority - 1] + LEASE_MS
+
+    def wall_offset_ms(self, now_ms: int) -> int | None:
+        """Common time less the steady clock; None before anybody has told a wall clock."""
+        told = [progress.wall_offset_ms for progress in self.followers.values()
+                if progress.wall_offset_ms is not None and now_ms - progress.contact_ms < 10 * HEARTBEAT_MS]
+        self._wall_offset_ms = median_offset(told, self._wall_offset_ms)
+        return self._wall_offset_ms
+
+    def change_core(self, core: CoreSet) -> None:
+        """Go on under this set, whose members say anew what they have."""
+        known = self.followers
+        self.core = core
+        self.sealed = False
+        self.newer = None
+        self.followers = {}
+        for member in core.members:
+            progress = Progress(member)
+            before = known.get(member.identity)
+            if before is not None:
+                progress.contact_ms, progress.wall_offset_ms = before.contact_ms, before.wall_offset_ms
+            self.followers[member.identity] = progress
+
+    # What is to be sent.
+
+    def outgoing(self, now_ms: int) -> list[Outgoing]:
+        """All messages that are due."""
+        out: list[Outgoing] = []
+        for progress in self.followers.values():
+            if now_ms - progress.heartbeat_ms >= HEARTBEAT_MS:
+                progress.heartbeat_ms = now_ms
+                beat = Heartbeat(self.core.version, self.epoch, self.identity, self.boot)
+                out.append(Outgoing(progress.member, beat, now_ms, CALL_TIMEOUT_MS, -1))
+            if now_ms >= progress.retry_at_ms:
+                self._serve(now_ms, progress, out)
+        return out
+
+    def next_due_ms(self) -> int:
+        """When `outgoing` is to be asked again at the latest."""
+        beat_ms = min(progress.heartbeat_ms for progress in self.followers.values()) + HEARTBEAT_MS
+        retries = [progress.retry_at_ms for progress in self.followers.values() if self._is_behind(progress)]
+        return min([beat_ms, *retries])
+
+    def _is_behind(self, progress: Progress) -> bool:
+        """Whether there is something to send that is not under way."""
+        caught_up = progress.mode is Mode.APPEND and progress.sent >= self.sequence
+        return not progress.in_flight and not caught_up
+
+    def _serve(self, now_ms: int, progress: Progress, out: list[Outgoing]) -> None:
+        if progress.mode is Mode.SYNC:
+            if not progress.in_flight:
+                adopt = Adopt(self.core.version, self.epoch, self.identity, self.boot, self.base)
+                self._send(now_ms, progress, adopt, APPEND_TIMEOUT_MS, out)
+        elif progress.mode is Mode.INSTALL:
+            if not progress.in_flight:
+                self._send(now_ms, progress, self._part(progress), CHUNK_TIMEOUT_MS, out)
+        else:
+            while progress.sent < self.sequence and progress.in_flight < PIPELINE_DEPTH:
+                batches = self._batches_after(progress.sent)
+                if not batches:
+                    self._install(progress)
+                    self._serve(now_ms, progress, out)
+                    return
+                append = Append(self.core.version, self.epoch, progress.sent, batches)
+                progress.sent = batches[-1].sequence
+                self._send(now_ms, progress, append, APPEND_TIMEOUT_MS, out)
+
+    @staticmethod
+    def _send(now_ms: int, progress: Progress, message: Adopt | Append | Install, timeout_ms: int,
+              out: list[Outgoing]) -> None:
+        progress.in_flight += 1
+        out.append(Outgoing(progress.member, message, now_ms, timeout_ms, progress.round))
+
+    def _batches_after(self, sequence: int) -> tuple[Batch, ...]:
+        """The log after that sequence, up to a chunk; empty where the log doesn't reach back so far."""
+        if not self._log or self._log[0][0].sequence > sequence + 1:
+            return ()
+        batches: list[Batch] = []
+        size = 0
+        start = sequence + 1 - self._log[0][0].sequence
+        for index in range(start, len(self._log)):
+            batch, batch_size = self._log[index]
+            if batches and size + batch_size > CHUNK_BYTES:
+                break
+            batches.append(batch)
+            size += batch_size
+        return tuple(batches)
+
+    def _install(self, progress: Progress) -> None:
+        self._transfers += 1
+        self.installs += 1
+        parts = parts_of(Change(key, value) for key, value in self.items.items())
+        progress.install(self._transfers, self.sequence, parts)
+
+    def _part(self, progress: Progress) -> Install:
+        index = progress.part
+        last = index == len(progress.parts) - 1
+        return Install(self.core.version, self.epoch, self.identity, self.boot, progress.target,
+                       progress.transfer, index, last, progress.parts[index])
+
+    def _trim(self) -> None:
+        """Drop from the log what all followers have, and beyond the bound the oldest that is committed."""
+        needed = min(progress.acked for progress in self.followers.values())
+        while self._log:
+            sequence = self._log[0][0].sequence
+            if sequence > needed and (sequence > self.committed or self._log_bytes <= LOG_BYTES):
+                return
+            self._log_bytes -= self._log.popleft()[1]
+
+    # What comes back.
+
+    def answered(self, now_ms: int, sent: Outgoing, answer: object) -> None:
+        """A member answered this message."""
+        progress = self.followers.get(sent.member.identity)
+        if progress is None or sent.message.core != self.core.version:
+            return
+        progress.contact_ms = now_ms
+        if isinstance(answer, Refused):
+            self._refused(now_ms, progress, sent, answer)
+            return
+        progress.lease_from_ms = max(progress.lease_from_ms, sent.sent_ms)
+        if isinstance(answer, Alive):
+            progress.wall_offset_ms = answer.wall_ms - (sent.sent_ms + now_ms) // 2
+        elif isinstance(answer, Appended):
+            progress.refusals = 0
+            self._appended(progress, sent, answer)
+
+    def failed(self, now_ms: int, sent: Outgoing) -> None:
+        """No answer came in time, or the connection broke."""
+        progress = self.followers.get(sent.member.identity)
+        if progress is None or sent.message.core != self.core.version or sent.round != progress.round:
+            return
+        progress.give_up_flight()
+        progress.retry_at_ms = now_ms + TRANSFER_RETRY_MS
+
+    def _appended(self, progress: Progress, sent: Outgoing, answer: Appended) -> None:
+        if sent.round == progress.round:
+            progress.in_flight -= 1
+        if answer.position.epoch == self.epoch:
+            if progress.mode is not Mode.APPEND:
+                progress.append_from(answer.position.sequence)
+            progress.acked = max(progress.acked, answer.position.sequence)
+            progress.sent = max(progress.sent, progress.acked)
+            self._count()
+        elif progress.mode is Mode.INSTALL and isinstance(sent.message, Install):
+            if sent.message.transfer == progress.transfer and answer.index == progress.part:
+                progress.part += 1
+
+    def _count(self) -> None:
+        """Raise `committed` to what a majority of the present set has."""
+        acked = sorted((progress.acked for progress in self.followers.values()), reverse=True)
+        self.committed = max(self.committed, acked[self.core.majority - 1])
+        self._trim()
+
+    def _refused(self, now_ms: int, progress: Progress, sent: Outgoing, answer: Refused) -> None:
+        if answer.core is not None and answer.core.version > self.core.version:
+            self.newer = answer.core
+        if answer.kind is Refusal.BALLOT and answer.epoch > self.epoch:
+            self.deposed = True
+        self.sealed = self.sealed or answer.kind is Refusal.SEALED
+        if sent.round == -1 or sent.round != progress.round:
+            return
+        if answer.kind is not Refusal.GAP:
+            progress.give_up_flight()
+            pause_ms = min(INACTIVE_RETRY_MS << min(progress.refusals, 8), INACTIVE_LONGEST_MS)
+            progress.refusals += 1
+            progress.retry_at_ms = now_ms + pause_ms
+        elif progress.mode is Mode.APPEND and answer.position.epoch == self.epoch:
+            progress.append_from(max(progress.acked, answer.position.sequence))
+            self._count()
+        else:
+            again = progress.mode is Mode.INSTALL
+            self._install(progress)
+            progress.retry_at_ms = now_ms + TRANSFER_RETRY_MS if again else now_ms
+
+    def silent_ms(self, now_ms: int, identity: int) -> int:
+        """For how long nothing has come from that member."""
+        progress = self.followers.get(identity)
+        return now_ms - (progress.contact_ms if progress is not None else NEVER_MS)
--- /dev/null
+++ b/flintfield/coordination/messages.py
@@ -0,0 +1,407 @@
+"""What replicas, proposers and leaders say to one another: records 200 to 249.
+
+Every request names the version of the core set under which it is made (`core`), every answer the replica's
+identity.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from flintfield.coordination.model import (
+    NO_BALLOT,
+    NOWHERE,
+    Ballot,
+    CoreSet,
+    Position,
+    Refusal,
+    Register,
+)
+from flintfield.transport.records import record
+
+Pair = tuple[bytes, bytes | None]
+
+
+@record(200)
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The answer of a replica that did nothing. `core` is a decided set newer than the asker's, if one is
+    known; `ballot` and `epoch` are the highest promised, `position` where its ordered store stands."""
+
+    kind: Refusal
+    replica: int
+    core: CoreSet | None = None
+    ballot: Ballot = NO_BALLOT
+    epoch: int = 0
+    position: Position = NOWHERE
+
+
+# The registers (CASPaxos).
+
+
+@record(201)
+@dataclass(frozen=True, slots=True)
+class Prepare:
+    """Promise to take nothing below this ballot, and tell what was accepted."""
+
+    core: int
+    register: Register
+    ballot: Ballot
+
+
+@record(202)
+@dataclass(frozen=True, slots=True)
+class Promised:
+    """The promise for `ballot`, with the accepted ballot (`NO_BALLOT`: none) and its value."""
+
+    replica: int
+    ballot: Ballot
+    accepted: Ballot
+    value: bytes | None
+
+
+@record(203)
+@dataclass(frozen=True, slots=True)
+class Accept:
+    """Accept this value."""
+
+    core: int
+    register: Register
+    ballot: Ballot
+    value: bytes | None
+
+
+@record(204)
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The value of `ballot` is durable here."""
+
+    replica: int
+    ballot: Ballot
+
+
+@record(205)
+@dataclass(frozen=True, slots=True)
+class Committed:
+    """One-way: the configuration of this ballot was accepted by a majority."""
+
+    ballot: Ballot
+    value: bytes | None
+
+
+# The ordered store.
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """A key and its new value; None deletes it."""
+
+    key: bytes
+    value: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class Batch:
+    """Changes that take effect together, at one number of an epoch's sequence."""
+
+    sequence: int
+    changes: tuple[Change, ...]
+
+
+@record(210)
+@dataclass(frozen=True, slots=True)
+class PrepareEpoch:
+    """Promise to obey nobody of a lower epoch. `boot` tells the candidate's lives apart.
+
+    A `probe` only asks whether the promise would be given, and changes nothing.
+    """
+
+    core: int
+    epoch: int
+    candidate: int
+    boot: int
+    probe: bool
+
+
+@record(211)
+@dataclass(frozen=True, slots=True)
+class EpochPromised:
+    """The promise for `epoch` (or the probe's yes), the highest epoch promised, and where the store
+    stands."""
+
+    replica: int
+    epoch: int
+    promised: int
+    position: Position
+    probe: bool
+
+
+@record(212)
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """The leader of `epoch` lives. Needs no disk."""
+
+    core: int
+    epoch: int
+    leader: int
+    boot: int
+
+
+@record(213)
+@dataclass(frozen=True, slots=True)
+class Alive:
+    """The answer to a heartbeat: the replica's wall clock, and where its store stands, durable or not."""
+
+    replica: int
+    epoch: int
+    wall_ms: int
+    position: Position
+
+
+@record(214)
+@dataclass(frozen=True, slots=True)
+class Adopt:
+    """Take the store as it is at `base` for the start (sequence 0) of `epoch`."""
+
+    core: int
+    epoch: int
+    leader: int
+    boot: int
+    base: Position
+
+
+@record(215)
+@dataclass(frozen=True, slots=True)
+class Append:
+    """Take these batches, which follow `after` in the sequence of `epoch`."""
+
+    core: int
+    epoch: int
+    after: int
+    batches: tuple[Batch, ...]
+
+
+@record(216)
+@dataclass(frozen=True, slots=True)
+class Install:
+    """A part of the whole store as of `sequence` of `epoch`; the parts of one `transfer` come in order of
+    `index`."""
+
+    core: int
+    epoch: int
+    leader: int
+    boot: int
+    sequence: int
+    transfer: int
+    index: int
+    last: bool
+    changes: tuple[Change, ...]
+
+
+@record(217)
+@dataclass(frozen=True, slots=True)
+class Appended:
+    """The store is durable up to `position`. After a part of an installation that was not the last,
+    `position` is the old one and `index` the part's."""
+
+    replica: int
+    epoch: int
+    position: Position
+    wall_ms: int
+    index: int = -1
+
+
+@record(218)
+@dataclass(frozen=True, slots=True)
+class Resign:
+    """The leader of `epoch` has stopped acting; `successor` may campaign at once, the others a little
+    later."""
+
+    core: int
+    epoch: int
+    successor: int
+
+
+@record(219)
+@dataclass(frozen=True, slots=True)
+class Resigned:
+    """The resignation is noted."""
+
+    replica: int
+
+
+# Whole states: for a new member, and for a candidate whose own store is behind.
+
+
+@record(220)
+@dataclass(frozen=True, slots=True)
+class AskState:
+    """What does the replica hold? With `transfer` other than 0, a snapshot is kept to be fetched under that
+    number."""
+
+    transfer: int
+
+
+@record(221)
+@dataclass(frozen=True, slots=True)
+class StateTold:
+    """`core` is the set that the replica is active in (None: none). `sealed`: it takes nothing more in it,
+    because it has accepted a successor or knows of a decided one, durably. The register's value comes with
+    it, the ordered store is fetched in parts."""
+
+    replica: int
+    core: CoreSet | None
+    sealed: bool
+    promised: int
+    position: Position
+    accepted: Ballot
+    value: bytes | None
+
+
+@record(222)
+@dataclass(frozen=True, slots=True)
+class AskPart:
+    """The part `index` of a snapshot."""
+
+    transfer: int
+    index: int
+
+
+@record(223)
+@dataclass(frozen=True, slots=True)
+class PartTold:
+    """A part of a snapshot; `found` is False where the snapshot is gone."""
+
+    found: bool
+    last: bool
+    changes: tuple[Change, ...]
+
+
+# Knowledge of the core: membership, leader, configuration.
+
+
+@dataclass(frozen=True, slots=True)
+class LeaderTold:
+    """A leader, and how long ago it was heard of."""
+
+    epoch: int
+    name: str
+    address: str
+    heard_ago_ms: int
+
+
+@record(230)
+@dataclass(frozen=True, slots=True)
+class Poll:
+    """Tell what is newer than this; wait up to `hold_ms` for it. `address` is the asker's RPC address."""
+
+    core: int
+    epoch: int
+    accepted: Ballot
+    hold_ms: int
+    address: str
+
+
+@record(231)
+@dataclass(frozen=True, slots=True)
+class PollTold:
+    """What the replica knew when it answered, `held_ms` after the poll came in.
+
+    `active` is the version of the set it is active in and unsealed (0: none); only then `accepted` counts,
+    and `value` is told where `accepted` is not the asker's. `committed` is the highest ballot that is known
+    to be committed, with `committed_value` where it is newer than the asker's. `core` is told where the
+    asker's is older.
+    """
+
+    replica: int
+    held_ms: int
+    active: int
+    accepted: Ballot
+    value: bytes | None
+    committed: Ballot
+    committed_value: bytes | None
+    core: CoreSet | None
+    leader: LeaderTold | None
+
+
+@record(232)
+@dataclass(frozen=True, slots=True)
+class WhereIsLeader:
+    """Asked by agents of any scheduler."""
+
+
+@record(233)
+@dataclass(frozen=True, slots=True)
+class LeaderAnswer:
+    """The newest leader known, the addresses of the core's members and of some schedulers."""
+
+    leader: LeaderTold | None
+    core: tuple[str, ...]
+    schedulers: tuple[str, ...]
+
+
+@record(234)
+@dataclass(frozen=True, slots=True)
+class SetDecided:
+    """One-way: this core set is agreed."""
+
+    core: CoreSet
+
+
+@record(240)
+@dataclass(frozen=True, slots=True)
+class Announce:
+    """A scheduler introduces itself. `identity` is 0 without a replica; `founding`: it takes part in the
+    foundation."""
+
+    name: str
+    address: str
+    zone: str
+    identity: int
+    founding: bool
+    core: int
+
+
+@record(241)
+@dataclass(frozen=True, slots=True)
+class AnnounceNoted:
+    """The newest set known here, if it is newer than the announcer's, and the leader's RPC address or "".
+    `founder`: this process gathers the members of the first set."""
+
+    core: CoreSet | None
+    leader: str
+    founder: bool = False
+
+
+@record(242)
+@dataclass(frozen=True, slots=True)
+class Found:
+    """Adopt this first core set, for good; doubled and late ones are harmless."""
+
+    core: CoreSet
+
+
+@record(243)
+@dataclass(frozen=True, slots=True)
+class FoundAnswer:
+    """The replica that was asked, and the first set that it has adopted durably (None: it can't take part).
+    Where `core` is told, the foundation is over."""
+
+    replica: int
+    adopted: CoreSet | None
+    core: CoreSet | None = None
+
+
+@record(244)
+@dataclass(frozen=True, slots=True)
+class AskIdentity:
+    """Who is at this address?"""
+
+
+@record(245)
+@dataclass(frozen=True, slots=True)
+class IdentityTold:
+    """The process at this address: name and identity (0: no replica)."""
+
+    name: str
+    identity: int
--- /dev/null
+++ b/flintfield/coordination/node.py
@@ -0,0 +1,197 @@
+"""The public face of coordination for schedulers: one `CoreNode` per process."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any
+
+from flintfield.coordination.messages import (
+    Announce,
+    AskIdentity,
+    Committed,
+    IdentityTold,
+    LeaderAnswer,
+    Poll,
+    Refused,
+    SetDecided,
+    WhereIsLeader,
+)
+from flintfield.coordination.model import (
+    Clock, CoreSet, Deposed, LeaderView, Member, NoQuorum, Refusal,
+)
+from flintfield.coordination.replica import HANDLED
+from flintfield.coordination.shell.changes import CoreChanges
+from flintfield.coordination.shell.elections import Elections, LeaderListener
+from flintfield.coordination.shell.fetch import Fetcher
+from flintfield.coordination.shell.host import ReplicaHost
+from flintfield.coordination.shell.knowledge import Knowledge
+from flintfield.coordination.shell.leading import Leadership
+from flintfield.coordination.shell.meeting import Meeting
+from flintfield.coordination.shell.newest import Newest
+from flintfield.coordination.shell.peers import Peers
+from flintfield.coordination.shell.polls import PollDesk, Watcher
+from flintfield.coordination.shell.register import Proposer, RegisterClient
+from flintfield.coordination.storage.interface import KeyedStore
+from flintfield.transport.rpc import Connection, Handlers, Pool
+
+__all__ = ["CoreNode", "CoreSet", "Deposed", "LeaderListener", "LeaderView", "Leadership", "NoQuorum"]
+
+
+class CoreNode:
+    """A process of the system as coordination sees it: a replica, or a client that knows the core and the
+    leader.
+
+    `store` is None, or `counts` False, for a client. `seeds` and `address` are RPC addresses "ip:port".
+    `first_start` is true once in the life of the whole system. Times are milliseconds of `steady_ms` and
+    `wall_ms`.
+    """
+
+    def __init__(
+        self, *, name: str, address: str, zone: str, seeds: Sequence[str], first_start: bool, counts: bool,
+        store: KeyedStore | None, tolerance_machines: int, pool: Pool, listener: LeaderListener | None,
+        rng: random.Random, steady_ms: Clock, wall_ms: Clock,
+    ) -> None:
+        self._name = name
+        self._knowledge = Knowledge(steady_ms, tuple(seeds), address)
+        self._newest = Newest()
+        self._host: ReplicaHost | None = None
+        if counts and store is not None:
+            self._host = ReplicaHost(store, first_start, self._knowledge, rng, steady_ms, wall_ms)
+        self._peers = Peers(pool, self._host)
+        proposer = Proposer(self._peers, rng)
+        self._register = RegisterClient(self._peers, proposer, self._knowledge, steady_ms,
+                                        self._newest.committed)
+        self._desk = PollDesk(self._host, self._knowledge, self._newest, steady_ms)
+        self._peers.own_polls = self._desk.answer
+        self._watcher = Watcher(self._peers, self._knowledge, self._newest, self._register, rng, steady_ms,
+                                address)
+        self._elections: Elections | None = None
+        self._changes: CoreChanges | None = None
+        if self._host is not None:
+            self._add_replica_parts(self._host, proposer, listener, rng, steady_ms, wall_ms)
+        own = Member(name, address, zone, 0)
+        self._meeting = Meeting(own, first_start, 2 * tolerance_machines + 1, self._host, self._peers,
+                                self._knowledge, self._changes, rng, steady_ms,
+                                lambda: self._watcher.confirmed_ms)
+        self._tasks: list[asyncio.Task[Any]] = []
+
+    def _add_replica_parts(self, host: ReplicaHost, proposer: Proposer, listener: LeaderListener | None,
+                           rng: random.Random, steady_ms: Clock, wall_ms: Clock) -> None:
+        fetcher = Fetcher(self._peers, rng)
+        self._elections = Elections(host, self._peers, self._knowledge, fetcher, listener, rng, steady_ms,
+                                    wall_ms)
+        self._changes = CoreChanges(host, self._peers, proposer, self._knowledge, fetcher, self._elections,
+                                    rng, steady_ms)
+        self._register.on_sealed = self._changes.push
+        self._elections.on_sealed = self._changes.push
+        self._elections.prepare_leadership = self._wire
+
+    def _wire(self, leadership: Leadership) -> None:
+        assert self._changes is not None
+        leadership.on_sealed = self._changes.push
+        leadership.on_newer = self._knowledge.note_core
+
+    # What the process asks.
+
+    @property
+    def leader(self) -> LeaderView | None:
+        """The newest leader known, with the steady time at which it was last heard of."""
+        self._note_own_leadership()
+        return self._knowledge.leader
+
+    @property
+    def core(self) -> CoreSet | None:
+        """The newest core set known."""
+        return self._knowledge.core
+
+    def known(self) -> tuple[bytes | None, int] | None:
+        """The newest committed configuration known here, and the steady time as of which it is surely the
+        newest."""
+        return self._newest.known()
+
+    def on_change(self, callback: Callable[[bytes], None]) -> None:
+        """Have `callback(value)` called whenever a newer committed configuration becomes known here."""
+        self._newest.callbacks.append(callback)
+
+    async def read(self) -> bytes | None:
+        """The newest committed configuration (linearizable); raises `NoQuorum`."""
+        return await self._watcher.read()
+
+    async def change(self, decide: Callable[[bytes | None], bytes | None]) -> bytes | None:
+        """Change the configuration; returns the value that is committed in the end.
+
+        `decide` gets the committed value and returns the new one, or None to leave it; it may be called
+        several times. Raises `NoQuorum`: the change may be in force, or come into force later. If a value is
+        returned, no earlier attempt of this call can come into force any more.
+        """
+        return await self._register.change(decide)
+
+    def set_seeds(self, seeds: Sequence[str]) -> None:
+        """The settings name other seeds now."""
+        self._knowledge.seeds = tuple(seeds)
+
+    # Its life.
+
+    async def start(self) -> None:
+        """Start the work in the background; returns at once, also where the disk is slow."""
+        loop = asyncio.get_running_loop()
+        self._tasks.append(loop.create_task(self._watcher.run()))
+        self._tasks.append(loop.create_task(self._meeting.run()))
+        if self._host is not None:
+            self._tasks.append(loop.create_task(self._run_replica(self._host)))
+
+    async def _run_replica(self, host: ReplicaHost) -> None:
+        assert self._elections is not None and self._changes is not None
+        await host.start()
+        await asyncio.gather(self._elections.run(), self._changes.run())
+
+    async def resign(self) -> None:
+        """Hand leadership over at once, and stand for no more elections. The replica stays."""
+        if self._elections is not None:
+            await self._elections.resign()
+
+    async def stop(self) -> None:
+        """Stop all work; calls that are under way are cancelled."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._peers.stop()
+
+    # What others ask.
+
+    def handlers(self) -> Handlers:
+        """The handlers for the process's RPC server."""
+        handlers: dict[type, Callable[[Any, Connection], Any]] = {
+            kind: self._replica_request for kind in HANDLED}
+        handlers[Poll] = lambda poll, _: self._answer_poll(poll)
+        handlers[Announce] = lambda message, _: self._meeting.announced(message)
+        handlers[SetDecided] = lambda message, _: self._knowledge.note_core(message.core)
+        handlers[Committed] = lambda message, _: self._newest.committed(message.ballot, message.value)
+        handlers[AskIdentity] = lambda _, __: self._identity()
+        handlers[WhereIsLeader] = lambda _, __: self._where_is_leader()
+        return handlers
+
+    def _replica_request(self, message: Any, _: Connection) -> Coroutine[Any, Any, Any] | Refused:
+        if self._host is None:
+            return Refused(Refusal.INACTIVE, 0, self._knowledge.core)
+        return self._host.handle(message)
+
+    def _answer_poll(self, poll: Poll) -> Coroutine[Any, Any, Any]:
+        self._note_own_leadership()
+        return self._desk.answer(poll)
+
+    def _identity(self) -> IdentityTold:
+        return IdentityTold(self._name, self._host.identity if self._host is not None else 0)
+
+    def _where_is_leader(self) -> LeaderAnswer:
+        self._note_own_leadership()
+        knowledge = self._knowledge
+        members = knowledge.core.members if knowledge.core is not None else ()
+        return LeaderAnswer(knowledge.leader_told(), tuple(member.address for member in members),
+                            knowledge.schedulers())
+
+    def _note_own_leadership(self) -> None:
+        if self._elections is not None:
+            self._elections.note_own_lease()
--- /dev/null
+++ b/flintfield/coordination/replica.py
@@ -0,0 +1,278 @@
+"""A replica: the acceptors of two registers and the follower of the ordered store, under one core set.
+
+`Replica.step(now_ms, message)` is the whole state machine; it has no I/O and no clock. It is made anew from
+the stored records at each start, which is all that survives. Rules that hold across the parts:
+
+- A replica serves only the core set that it is active in, and only while it has accepted no successor of it
+  (sealed) and knows of no newer set.
+- It becomes active in a set by `activate`, with a whole state that contains everything committed in the set
+  before.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import replace
+from typing import Any
+
+from flintfield.coordination import acceptor
+from flintfield.coordination.follower import Follower
+from flintfield.coordination.messages import (
+    Accept,
+    Accepted,
+    Adopt,
+    Alive,
+    Append,
+    Appended,
+    AskPart,
+    AskState,
+    EpochPromised,
+    Found,
+    FoundAnswer,
+    Heartbeat,
+    Install,
+    Pair,
+    Prepare,
+    PrepareEpoch,
+    Promised,
+    Refused,
+    Resign,
+    Resigned,
+    StateTold,
+)
+from flintfield.coordination.model import NO_BALLOT, CoreSet, Refusal, Register
+from flintfield.coordination.snapshots import Snapshots
+from flintfield.coordination.step import Step
+from flintfield.coordination.stored import (
+    ACTIVE_KEY,
+    CONFIGURATION_KEY,
+    FOUNDING_KEY,
+    IDENTITY_KEY,
+    KNOWN_KEY,
+    ORDER_KEY,
+    SUCCESSOR_KEY,
+    StoredAcceptor,
+    StoredIdentity,
+    StoredOrder,
+)
+from flintfield.coordination.timing import PROMISE_GUARD_MS
+from flintfield.coordination.transfer import WholeState
+from flintfield.transport.records import decode, encode
+
+HANDLED = (Prepare, Accept, PrepareEpoch, Heartbeat, Adopt, Append, Install, Resign, AskState, AskPart, Found)
+"""The kinds of message that a replica takes."""
+
+_REGISTER_KEYS = {Register.CONFIGURATION: CONFIGURATION_KEY, Register.SUCCESSOR: SUCCESSOR_KEY}
+
+
+def format_store(identity: int, founding: bool) -> list[Pair]:
+    """The first records of a store that was found empty; they must be durable before the replica is made."""
+    return [(IDENTITY_KEY, encode(StoredIdentity(identity, founding)))]
+
+
+class Replica:
+    """The state machine. `stored` is the live view of the store's items, which the shell keeps in step."""
+
+    def __init__(self, stored: Mapping[bytes, bytes], now_ms: int, wall_ms: Callable[[], int]) -> None:
+        own: StoredIdentity = decode(stored[IDENTITY_KEY])
+        self.identity = own.identity
+        self.founding = own.founding
+        self.active: CoreSet | None = _load(stored, ACTIVE_KEY)
+        self.newest: CoreSet | None = _load(stored, KNOWN_KEY) or self.active
+        self.adopted: CoreSet | None = _load(stored, FOUNDING_KEY)
+        order = _load(stored, ORDER_KEY) or StoredOrder()
+        guard = now_ms + PROMISE_GUARD_MS if order.holder or order.promised else now_ms
+        self.follower = Follower(order, guard)
+        self._registers: dict[Register, StoredAcceptor] = {
+            name: _load(stored, key) or StoredAcceptor() for name, key in _REGISTER_KEYS.items()}
+        self._wall_ms = wall_ms
+        self.snapshots = Snapshots(stored)
+        self._handlers: dict[type, Callable[[int, Any], Step]] = {
+            Prepare: self._prepare, Accept: self._accept, PrepareEpoch: self._prepare_epoch,
+            Heartbeat: self._heartbeat, Adopt: self._adopt, Append: self._append, Install: self._install,
+            Resign: self._resign, AskState: self._ask_state, AskPart: self._ask_part, Found: self._found,
+        }
+
+    @property
+    def configuration(self) -> StoredAcceptor:
+        """The acceptor of the configuration register."""
+        return self._registers[Register.CONFIGURATION]
+
+    @property
+    def sealed(self) -> bool:
+        """Whether a successor of the active set was accepted here."""
+        return self._registers[Register.SUCCESSOR].accepted != NO_BALLOT
+
+    @property
+    def serving(self) -> CoreSet | None:
+        """The set for which it takes requests, or None."""
+        if self.active is None or self.sealed:
+            return None
+        if self.newest is not None and self.newest.version > self.active.version:
+            return None
+        return self.active
+
+    def step(self, now_ms: int, message: object) -> Step:
+        """Take one message in."""
+        return self._handlers[type(message)](now_ms, message)
+
+    # Whether a request is for this replica as it stands.
+
+    def _refusal(self, version: int) -> Refusal | None:
+        if self.active is None or version > self.active.version:
+            return Refusal.INACTIVE
+        if version < self.active.version or (self.serving is None and not self.sealed):
+            return Refusal.OLD_SET
+        return Refusal.SEALED if self.sealed else None
+
+    def _refused(self, kind: Refusal, asked: int, changes: list[Pair] | None = None,
+                 register: Register = Register.CONFIGURATION) -> Step:
+        newer = self.newest if self.newest is not None and self.newest.version > asked else None
+        order = self.follower.order
+        ballot = self._registers[register].promised
+        reply = Refused(kind, self.identity, newer, ballot, order.promised, order.position)
+        return Step(reply, changes or [])
+
+    # The registers.
+
+    def _prepare(self, now_ms: int, request: Prepare) -> Step:
+        refusal = self._refusal(request.core)
+        if refusal is not None and not self._settles_successor(refusal, request):
+            return self._refused(refusal, request.core)
+        state = acceptor.prepare(self._registers[request.register], request.ballot)
+        if state is None:
+            return self._refused(Refusal.BALLOT, request.core, register=request.register)
+        changes = self._put(request.register, state)
+        return Step(Promised(self.identity, request.ballot, state.accepted, state.value), changes)
+
+    def _accept(self, now_ms: int, request: Accept) -> Step:
+        refusal = self._refusal(request.core)
+        if refusal is not None and not self._settles_successor(refusal, request):
+            return self._refused(refusal, request.core)
+        state = acceptor.accept(self._registers[request.register], request.ballot, request.value)
+        if state is None:
+            return self._refused(Refusal.BALLOT, request.core, register=request.register)
+        changes = self._put(request.register, state)
+        return Step(Accepted(self.identity, request.ballot), changes)
+
+    @staticmethod
+    def _settles_successor(refusal: Refusal, request: Prepare | Accept) -> bool:
+        """A sealed replica still takes part in agreeing on the successor."""
+        return refusal is Refusal.SEALED and request.register is Register.SUCCESSOR
+
+    def _put(self, register: Register, state: StoredAcceptor) -> list[Pair]:
+        if state == self._registers[register]:
+            return []
+        self._registers[register] = state
+        return [(_REGISTER_KEYS[register], encode(state))]
+
+    # The ordered store.
+
+    def _prepare_epoch(self, now_ms: int, request: PrepareEpoch) -> Step:
+        refusal = self._refusal(request.core)
+        if refusal is not None:
+            return self._refused(refusal, request.core)
+        answer, changes = self.follower.prepare(now_ms, request)
+        if isinstance(answer, EpochPromised):
+            return Step(replace(answer, replica=self.identity), changes)
+        return self._refused(answer, request.core)
+
+    def _heartbeat(self, now_ms: int, request: Heartbeat) -> Step:
+        refusal = self._refusal(request.core)
+        if refusal is not None:
+            return self._refused(refusal, request.core)
+        refusal, changes = self.follower.hear(now_ms, request.epoch, request.leader, request.boot)
+        if refusal is not None:
+            return self._refused(refusal, request.core)
+        reply = Alive(self.identity, request.epoch, self._wall_ms(), self.follower.order.position)
+        return Step(reply, changes, at_once=not changes)
+
+    def _append(self, now_ms: int, request: Append) -> Step:
+        refusal = self._refusal(request.core)
+        if refusal is not None:
+            return self._refused(refusal, request.core)
+        refusal, changes = self.follower.append(now_ms, request)
+        return self._appended(request.core, request.epoch, refusal, changes)
+
+    def _adopt(self, now_ms: int, request: Adopt) -> Step:
+        refusal = self._refusal(request.core)
+        if refusal is not None:
+            return self._refused(refusal, request.core)
+        refusal, changes = self.follower.adopt(now_ms, request)
+        return self._appended(request.core, request.epoch, refusal, changes)
+
+    def _install(self, now_ms: int, request: Install) -> Step:
+        refusal = self._refusal(request.core)
+        if refusal is not None:
+            return self._refused(refusal, request.core)
+        refusal, changes, replacement = self.follower.install(now_ms, request)
+        step = self._appended(request.core, request.epoch, refusal, changes, request.index)
+        return replace(step, replacement=replacement)
+
+    def _appended(self, core: int, epoch: int, refusal: Refusal | None, changes: list[Pair],
+                  index: int = -1) -> Step:
+        if refusal is not None:
+            return self._refused(refusal, core, changes)
+        reply = Appended(self.identity, epoch, self.follower.order.position, self._wall_ms(), index)
+        return Step(reply, changes)
+
+    def _resign(self, now_ms: int, request: Resign) -> Step:
+        refusal = self._refusal(request.core)
+        if refusal is not None:
+            return self._refused(refusal, request.core)
+        if request.epoch >= self.follower.order.promised:
+            self.follower.release()
+        return Step(Resigned(self.identity), at_once=True)
+
+    # Whole states.
+
+    def _ask_state(self, now_ms: int, request: AskState) -> Step:
+        if request.transfer:
+            self.snapshots.take(now_ms, request.transfer)
+        order, register = self.follower.order, self.configuration
+        stopped = self.active is not None and self.serving is None
+        return Step(StateTold(self.identity, self.active, stopped, order.promised, order.position,
+                              register.accepted, register.value))
+
+    def _ask_part(self, now_ms: int, request: AskPart) -> Step:
+        return Step(self.snapshots.part(now_ms, request), at_once=True)
+
+    # Core sets.
+
+    def learn(self, core: CoreSet) -> list[Pair]:
+        """A decided core set is known; returns what is to be stored."""
+        if self.newest is not None and core.version <= self.newest.version:
+            return []
+        self.newest = core
+        return [(KNOWN_KEY, encode(core))]
+
+    def activate(self, now_ms: int, core: CoreSet, state: WholeState) -> Step:
+        """Be active in `core` with that state, which `transfer` has gathered. Nothing to do if it is so
+        already."""
+        if self.active is not None and self.active.version >= core.version:
+            return Step(None)
+        order = StoredOrder(promised=state.promised, position=state.position)
+        self.active = core
+        self.follower = Follower(order, now_ms + PROMISE_GUARD_MS if state.promised else now_ms)
+        register = StoredAcceptor(accepted=state.accepted, value=state.value)
+        self._registers = {Register.CONFIGURATION: register, Register.SUCCESSOR: StoredAcceptor()}
+        changes: list[Pair] = [
+            *self.learn(core), (ACTIVE_KEY, encode(core)), (ORDER_KEY, encode(order)),
+            (CONFIGURATION_KEY, encode(register)), (SUCCESSOR_KEY, None), (FOUNDING_KEY, None),
+        ]
+        return Step(None, changes, state.items)
+
+    def _found(self, now_ms: int, request: Found) -> Step:
+        """Adopt a first set, once and for all."""
+        member = request.core.member(self.identity)
+        if self.newest is not None:
+            return Step(FoundAnswer(self.identity, self.adopted, self.newest))
+        if self.adopted is None and member is not None and self.founding:
+            self.adopted = request.core
+            return Step(FoundAnswer(self.identity, self.adopted), [(FOUNDING_KEY, encode(request.core))])
+        return Step(FoundAnswer(self.identity, self.adopted))
+
+
+def _load(stored: Mapping[bytes, bytes], key: bytes) -> Any:
+    raw = stored.get(key)
+    return None if raw is None else decode(raw)
--- /dev/null
+++ b/flintfield/coordination/shell/__init__.py
@@ -0,0 +1,1 @@
+"""The asyncio shell of coordination: reads messages, keeps time, carries the state machines' effects out."""
--- /dev/null
+++ b/flintfield/coordination/stored.py
@@ -0,0 +1,50 @@
+"""What a replica keeps in its store: records 281 to 299, and the keys under which they stand."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from flintfield.coordination.model import NO_BALLOT, NOWHERE, Ballot, Position
+from flintfield.transport.records import record
+
+IDENTITY_KEY = b"c/identity"
+FOUNDING_KEY = b"c/founding"
+ACTIVE_KEY = b"c/active"
+KNOWN_KEY = b"c/known"
+CONFIGURATION_KEY = b"c/configuration"
+SUCCESSOR_KEY = b"c/successor"
+ORDER_KEY = b"c/order"
+ITEM_PREFIX = b"s/"
+
+
+@record(281)
+@dataclass(frozen=True, slots=True)
+class StoredIdentity:
+    """Drawn when the store was formatted. `founding`: it was formatted at the very first start of the
+    system."""
+
+    identity: int
+    founding: bool
+
+
+@record(282)
+@dataclass(frozen=True, slots=True)
+class StoredAcceptor:
+    """One register's acceptor."""
+
+    promised: Ballot = NO_BALLOT
+    accepted: Ballot = NO_BALLOT
+    value: bytes | None = None
+
+
+@record(283)
+@dataclass(frozen=True, slots=True)
+class StoredOrder:
+    """The ordered store's follower: highest epoch promised and to whom; where the items stand; the identity
+    of the leader whose lease this replica may have acknowledged last (0: unknown)."""
+
+    promised: int = 0
+    candidate: int = 0
+    boot: int = 0
+    position: Position = NOWHERE
+    holder: int = 0
