--- a/flintfield/coordination/storage/opening.py
+++ b/flintfield/coordination/storage/opening.py
@@ -32,8 +32,8 @@
     """Open the store in that folder; its files take at most that many bytes. Blocks: call it before the loop.
 
     What was found is written anew and synced before this returns, because a process that was killed may have
-    left changes that can be read but aren't on disk. If the disk refuses, the store is returned all the same and
-    goes on trying once the loop runs: `await store.durable(0)` before acting upon `items`; it usually returns at
+    left changes that can be read but are not on disk. If the disk refuses, the store is returned nevertheless
+    and tries on once the loop runs: `await store.durable(0)` before acting upon `items`; it mostly returns at
     once. Raises `StorageError` if the folder can't be read.
     """
     try:
