--- a/flintfield/runtime/settings_file.py
+++ b/flintfield/runtime/settings_file.py
@@ -142,18 +142,20 @@
 def _section(kind: type, checks: dict[type, Any]) -> Any:
     """The check of a table whose keys are the fields of a dataclass, in camel case or as they are."""
 
-    def build(value: dict[str, Any]) -> Any:
-        return kind(**value)
-
-    def spell(table: Any) -> Any:
-        if not isinstance(table, dict):
-            return trafaret.DataError(error="a table", value=table)
-        known = {_camel(name): name for name in names}
-        return {known.get(key, key): value for key, value in table.items()}
-
-    names = {item.name: checks[type(item.default)] for item in dataclasses.fields(kind)}
-    keys = {trafaret.Key(name, optional=True): check for name, check in names.items()}
-    return trafaret.Call(spell) & trafaret.Dict(keys, ignore_extra="*") & build
+    def build(values: dict[str, Any]) -> Any:
+        return kind(**values)
+
+    keys = {}
+    for field in dataclasses.fields(kind):
+        for spelling in {_camel(field.name), field.name}:
+            keys[_optional(spelling, field.name)] = checks[type(field.default)]
+    return _expect("a table", _table) & trafaret.Dict(keys, ignore_extra="*") & build
+
+
+def _table(value: Any) -> Any:
+    if not isinstance(value, dict):
+        raise TypeError
+    return value
 
 
 def _required(key: str, name: str) -> Any:
--- a/flintfield/transport/pool.py
+++ b/flintfield/transport/pool.py
@@ -115,6 +115,9 @@
         (attempt,) = done
         if attempt.cancelled():
             raise Unreachable(f"{address}: the pool is closed")
+        error = attempt.exception()
+        if error is not None:  # shared by all who wait: each caller gets an exception of its own
+            raise Unreachable(str(error)) from error
         return attempt.result()
 
     def _attempting(self, address: str) -> _Peer:
