--- a/flintfield/queues/bound.py
+++ b/flintfield/queues/bound.py
@@ -25,20 +25,22 @@
 
 import msgspec
 
-from flintfield.queues.core import Queue, State, Turn, drops_of, nothing
 from flintfield.queues.digests import attributes_of
+from flintfield.queues.limits import SEEN_MS
 from flintfield.queues.messages import (
     Binding, BoundMessage, Drop, Effect, Job, Lease, Leased, LettingOut, MayLetOut, Put, Settle, Settled,
     Verdict,
 )
+from flintfield.queues.receiving import ready, received_state, serve_polls
 from flintfield.queues.records import (
     MESSAGE, SEEN, STATE, BodyRecord, SeenRecord, StateRecord, encode, read_body, seen_key,
 )
 from flintfield.queues.shelf import Entry
+from flintfield.queues.state import Queue, State
+from flintfield.queues.turn import Turn, Values, drops_of, no_follow_up
 
 MAY_HAVE_RUN = "may-have-run"
 MOST_TRIES = 100  # of a queue without a redrive policy
-SEEN_MS = 300_000
 
 
 def step(state: State, now: float, bindings: Mapping[str, Binding], message: BoundMessage) -> list[Effect]:
@@ -59,17 +61,17 @@
 
 
 def _lease(turn: Turn, queue: Queue, most: int) -> None:
-    entries = turn.ready(queue, most)
+    entries = ready(turn, queue, most)
     if not entries:
         return
     puts: list[Put] = []
     before = [e.state for e in entries]
     for entry in entries:
-        entry.state = turn.taken(queue, entry, "scheduler", turn.now)
+        entry.state = received_state(turn, queue, entry, "scheduler", turn.now)
         queue.shelf.hide(entry, turn.now)
         puts.append((STATE, entry.key, encode(entry.state)))
 
-    def done(later: Turn, values: tuple[bytes | None, ...]) -> None:
+    def done(later: Turn, values: Values) -> None:
         jobs = [_job(later, queue, e, v) for e, v in zip(entries, values, strict=True) if v is not None]
         later.effects.append(Leased(queue.name, tuple(jobs)))
 
@@ -80,8 +82,7 @@
         later.effects.append(Leased(queue.name, ()))
 
     # Lazy: a lease that a crash forgets is a message that is still there, and nothing of it was let out.
-    turn.write(puts, (), nothing, undo, lazy=True, fetch=tuple((MESSAGE, e.key) for e in entries),
-               done_with=done)
+    turn.write_and_fetch(puts, tuple((MESSAGE, e.key) for e in entries), done, undo, lazy=True)
 
 
 def _job(turn: Turn, queue: Queue, entry: Entry, value: bytes) -> Job:
@@ -144,13 +145,13 @@
             queue.shelf.remove(entry, later.now)
             if buried:
                 entry.state = state
-                later.put_in(buried, entry)
+                later.enqueue(buried, entry)
         for home, answer in replies:
-            later.put_in(home, answer)
-            later.serve(home)
-        later.serve(queue)
+            later.enqueue(home, answer)
+            serve_polls(later, home)
+        serve_polls(later, queue)
         if buried:
-            later.serve(buried)
+            serve_polls(later, buried)
         later.state.reply_seqs.pop(entry.seq, None)
         later.state.counters[f"bound.{'again' if again else verdict}"] += 1
         later.effects.append(Settled(queue.name, entry.seq, True))
@@ -189,8 +190,7 @@
     # An end that is tried again, because nobody knows whether its batch is on disk, has the same reply.
     seq = turn.state.reply_seqs.get(entry.seq, 0)
     if not seq:
-        seq = turn.state.reply_seqs[entry.seq] = turn.state.next_seq
-        turn.state.next_seq += 1
+        seq = turn.state.reply_seqs[entry.seq] = turn.next_sequence()
     group = (entry.group or queue.name) if home.settings.fifo else ""
     told_by = (("message_id", "String", message_id.encode()), ("outcome", "String", verdict.encode()))
     body = BodyRecord(text, told_by, "flintfield", "", message_id if home.settings.fifo else "")
@@ -199,7 +199,7 @@
     if home.settings.fifo:
         puts.append((SEEN, seen_key(home.number, group if home.settings.group_scope else "", message_id),
                      encode(SeenRecord(seq, turn.now + SEEN_MS))))
-    if reserve := turn.reserve():
+    if reserve := turn.reserve_sequences():
         puts.append(reserve)
     return (home, answer), puts
 
@@ -236,4 +236,4 @@
     assert entry.state
     entry.state = msgspec.structs.replace(entry.state, holder="", let_out=False, visible=turn.now)
     queue.shelf.release(entry, turn.now)
-    turn.write([(STATE, entry.key, encode(entry.state))], (), nothing, lambda *_: None, lazy=True)
+    turn.write([(STATE, entry.key, encode(entry.state))], (), no_follow_up, lambda *_: None, lazy=True)
