Let a send fail after its id expired, and a receive end after a purge

A batch that failed more than five minutes after it was sent removed a deduplication id that had expired, or the mark of a newer send of the same id. A receive whose client left, or whose write failed, after its message had been purged put that message back on the shelf: every later receive of a standard queue raised KeyError until a restart.

Both are six tests now, red before.

--- a/flintfield/queues/receiving.py
+++ b/flintfield/queues/receiving.py
@@ -162,7 +162,8 @@
 
     def give_back(turn: Turn) -> None:
         for entry, old, new in zip(entries, before, after, strict=True):
-            if new and entry.state is new:  # nobody else has had it since
+            is_here = queue.shelf.entries.get(entry.seq) is entry  # it may have been purged or have expired
+            if new and entry.state is new and is_here:  # nobody else has had it since
                 _give_back(turn, queue, entry, new, old.receives if old else 0)
 
     def done(turn: Turn, values: Values) -> None:
--- a/flintfield/queues/sending.py
+++ b/flintfield/queues/sending.py
@@ -119,7 +119,7 @@
 
     def undo(turn: Turn, word: str) -> None:
         for new in fresh:
-            if new.seen:
+            if new.seen and queue.seen.get(new.name) is new.seen:  # else it expired while the batch waited
                 del queue.seen[new.name]
             batch.settle(new.place, turn, errors.unavailable(word))
             _tell_followers(turn, new.seen, errors.unavailable(word))
--- a/tests/test_queue_core.py
+++ b/tests/test_queue_core.py
@@ -78,6 +78,27 @@
     assert len(world.receive()) == 1
 
 
+@pytest.mark.parametrize("name", ["q", "f.fifo"])
+@pytest.mark.parametrize("ends", ["the client goes", "the disk is full"])
+def test_a_receive_that_ends_after_a_purge_gives_nothing_back(world: QueueWorld, name: str, ends: str) -> None:
+    world.make("f.fifo", **FIFO, ContentBasedDeduplication="true")
+    group = "g" if name == "f.fifo" else ""
+    world.send("a", name, group=group)
+    world.holds = True
+    call = world.start(ops.Receive(name))
+    world.start(ops.Purge(name))
+    if ends == "the client goes":
+        world.feed(Abandoned(call))
+    else:
+        world.fails = True
+        world.flush(1)
+        world.fails = False
+    world.flush()
+    world.holds = False
+    world.send("b", name, group=group)
+    assert [m.body for m in world.receive(name, most=10)] == ["b"]
+
+
 def test_bad_entries_of_a_batch_fail_alone(world: QueueWorld) -> None:
     result = world.ask(ops.Send("q", (ops.Outgoing("good", "1"), ops.Outgoing("bad\x00", "2"),
                                       ops.Outgoing("late", "3", delay_s=901))))
@@ -208,6 +229,27 @@
     assert [world.replies[c].failed[0][1].status for c in calls] == [503, 503]
 
 
+@pytest.mark.parametrize("is_sent_again", [False, True])
+def test_a_send_may_fail_after_its_deduplication_id_has_expired(
+        world: QueueWorld, is_sent_again: bool) -> None:
+    world.make("f.fifo", **FIFO)
+    send = ops.Send("f.fifo", (ops.Outgoing("a", group="g", deduplication="d"),))
+    world.holds, world.fails = True, True
+    first = world.start(send)
+    world.wait(301)  # an id counts for five minutes
+    world.send("b", "f.fifo", group="g", deduplication="other")  # expires what counts no more
+    again = world.start(send) if is_sent_again else None
+    world.flush(1)
+    assert world.replies[first].failed[0][1].status == 503
+    world.fails = False
+    world.flush()
+    if again is not None:
+        assert len(world.replies[again].done) == 1
+        repeated = world.start(send)
+        world.flush()
+        assert world.replies[repeated].done[0].message_id == world.replies[again].done[0].message_id
+
+
 def test_a_group_goes_out_in_order_and_rests_while_one_of_it_is_in_flight(world: QueueWorld) -> None:
     world.make("f.fifo", **FIFO, ContentBasedDeduplication="true")
     for body in ("1", "2", "3"):
