--- a/tests/test_queue_core.py
+++ b/tests/test_queue_core.py
@@ -80,7 +80,8 @@
 
 @pytest.mark.parametrize("name", ["q", "f.fifo"])
 @pytest.mark.parametrize("ends", ["the client goes", "the disk is full"])
-def test_a_receive_that_ends_after_a_purge_gives_nothing_back(world: QueueWorld, name: str, ends: str) -> None:
+def test_a_receive_that_ends_after_a_purge_gives_nothing_back(
+        world: QueueWorld, name: str, ends: str) -> None:
     world.make("f.fifo", **FIFO, ContentBasedDeduplication="true")
     group = "g" if name == "f.fifo" else ""
     world.send("a", name, group=group)
