--- a/flintfield/agent/clock.py
+++ b/flintfield/agent/clock.py
@@ -24,13 +24,22 @@
 
     def read(self, clock_ms: int, received_ms: int, sent_ms: int | None) -> None:
         """Take in a reading; `sent_ms` is when the call left that brought it (None for a heartbeat)."""
-        offset = clock_ms - SLOWEST_RATE * received_ms
+        offset = self.offset_of(clock_ms, received_ms)
         if self._offset is None or offset > self._offset:
             self._offset = offset
         if sent_ms is not None:
             ceiling = clock_ms - sent_ms
             self._ceiling = ceiling if self._ceiling is None else min(self._ceiling, ceiling)
 
+    @staticmethod
+    def offset_of(clock_ms: int, received_ms: int) -> float:
+        """The bound that one reading gives."""
+        return clock_ms - SLOWEST_RATE * received_ms
+
+    def behind(self, offset: float) -> float:
+        """How many ms a reading with this bound was late at least, by the best reading known."""
+        return 0.0 if self._offset is None else self._offset - offset
+
     def expiry(self, limit_ms: int) -> int | None:
         """The latest time on the worker's clock that comes no later than our `limit_ms`; None if unknown."""
         if self._offset is None:
--- a/flintfield/agent/dispatcher_link.py
+++ b/flintfield/agent/dispatcher_link.py
@@ -10,7 +10,7 @@
 from flintfield.jobs.messages import AgentOrders, AgentReport, NotDispatcher
 from flintfield.transport.rpc import Connection, Counters, Handlers, Unreachable, connect
 
-LOOK_UP_TIMEOUT_S = 1.0
+LOOK_UP_TIMEOUT_S = 2.5  # the directory gives up by itself before
 
 
 class Leader(Protocol):
--- a/flintfield/agent/holds.py
+++ b/flintfield/agent/holds.py
@@ -13,6 +13,7 @@
 
 from flintfield.agent.clock import WorkerClock
 from flintfield.agent.events import Answer, AnswerKind, Hold
+from flintfield.agent.listing import Listing
 
 LONGEST_WAIT_MS = 2_000  # the protocol's own bound
 SHORTEST_WAIT_MS = 100
@@ -22,7 +23,8 @@
 FIRST_BACKOFF_MS = 250
 LONGEST_BACKOFF_MS = 1_000
 LONGEST_MARGIN_MS = 1_500
-MAX_UNDER_WAY = 3  # a long call of the last epoch, one of this epoch, and a prompt one
+MAX_UNDER_WAY = 5  # a long and a prompt call of this epoch, and long ones of the last three
+LISTING_DELAY_MS = 2  # stamps are whole ms: a listing counts as later than an answer only beyond the next one
 
 
 class Purpose(enum.Enum):
@@ -80,33 +82,44 @@
     not_before: int = 0
     acked_by: int = 0  # until then, ends that were reported may still be acknowledged
     failures: int = 0
+    wanted_from: int = 0  # a listing asked for from this time on is wanted
 
     def new_fence(self) -> None:
         """A higher epoch: what was put off under the last one is due now."""
         self.not_before = 0
         self.acked_by = 0
 
-    def probe(self, now: int, fence: int) -> tuple[Purpose, Hold] | None:
+    def want_listing(self, now: int) -> None:
+        """A listing that is asked for later than now is wanted soon."""
+        self.wanted_from = now + LISTING_DELAY_MS
+
+    @property
+    def prompt_calls(self) -> int:
+        """How many calls are under way that don't wait for an end."""
+        return sum(1 for flight in self.flights.values() if flight.purpose is not Purpose.LONG)
+
+    def probe(self, now: int, fence: int) -> Hold | None:
         """The call that finds out whether the incarnation is there."""
         if self.flights or now < self.not_before:
             return None
-        return Purpose.PROBE, Hold(fence, 0, None, 0)
+        return Hold(fence, 0, None, 0)
 
-    def due(self, now: int, fence: int, last_seen: int, has_ends: bool) -> tuple[Purpose, Hold] | None:
+    def due(self, now: int, fence: int, listing: Listing) -> tuple[Purpose, Hold] | None:
         """The call to be made now, if any."""
         if not fence or now < self.not_before or len(self.flights) >= MAX_UNDER_WAY:
             return None
         ours = [flight for flight in self.flights.values() if flight.hold.fence == fence]
-        if not ours:
-            if has_ends and now < self.acked_by:
+        prompt = self._wants_listing(now, listing.stamp_ms)
+        if ours:
+            prompt = prompt or self._runs_out(now)
+            if not prompt or len(ours) > 1 or ours[0].purpose is not Purpose.LONG:
                 return None
-            purpose = Purpose.LONG if self.fenced >= fence and not self.failures else Purpose.PROMPT
-        elif len(ours) == 1 and ours[0].purpose is Purpose.LONG and self._runs_out(now):
-            purpose = Purpose.PROMPT
-        else:
+        elif self.fenced < fence or self.failures:
+            prompt = True
+        elif listing.has_ends and now < self.acked_by and not prompt:
             return None
-        wait_ms = self.grant.wait_ms if purpose is Purpose.LONG else 0
-        return purpose, Hold(fence, last_seen, self.expiry(now), wait_ms)
+        purpose, wait_ms = (Purpose.PROMPT, 0) if prompt else (Purpose.LONG, self.grant.wait_ms)
+        return purpose, Hold(fence, listing.last_seen, self.expiry(now), wait_ms)
 
     def expiry(self, now: int) -> int | None:
         """The expiry to send now; None where the grant is over or extends nothing."""
@@ -145,12 +158,16 @@
             return self.not_before
         if probing or not fence:
             return None
-        times = [self.acked_by] if self.acked_by > now else []
+        times = [time for time in (self.acked_by, self.wanted_from) if time > now]
         end = self.clock.may_end_at()
         if end is not None and end - self.grant.margin_ms > now:
             times.append(end - self.grant.margin_ms)
         return min(times, default=None)
 
+    def _wants_listing(self, now: int, listing_stamp: int) -> bool:
+        """Whether a listing is wanted that is later than the newest one, and may be asked for now."""
+        return listing_stamp < self.wanted_from <= now
+
     def _runs_out(self, now: int) -> bool:
         """Whether the hold may end soon although a later limit is granted."""
         end = self.clock.may_end_at()
--- a/flintfield/agent/incarnation.py
+++ b/flintfield/agent/incarnation.py
@@ -4,7 +4,7 @@
 
 import enum
 import random
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from flintfield.agent.clock import WorkerClock
 from flintfield.agent.events import (
@@ -12,6 +12,7 @@
     AnswerKind,
     CallWorker,
     Heartbeat,
+    Hold,
     RunStart,
     RunStop,
     WorkerRequest,
@@ -19,10 +20,12 @@
 from flintfield.agent.holds import Flight, Grant, HoldSchedule, Purpose
 from flintfield.agent.listing import Listing
 from flintfield.agent.orders import MIN_HOLD_LEFT_MS, Order, OrderBook
-from flintfield.jobs.messages import Outcome, StartOrder, WorkerState
+from flintfield.jobs.messages import AgentOrders, Outcome, StartOrder, StopOrder, WorkerState
 
 CONFIRMING_BEATS_MS = 300  # two heartbeats this far apart confirm an incarnation that does not answer
 FAREWELL_MS = 2_000  # how long a deregistered worker is still reported if its last ends are not acknowledged
+LATE_BEAT_MS = 500  # a later heartbeat comes no sooner, except at the beginning of draining
+ENDED_MS = 5_000  # a deregistered worker is called no more: it ends in the next seconds
 
 
 class Standing(enum.Enum):
@@ -34,6 +37,14 @@
     REPLACED = "replaced"  # another one has answered in its place: it runs nothing any more
 
 
+@dataclass(frozen=True, slots=True)
+class Planned:
+    """A request that is due, and what it is due for."""
+
+    cause: Order | Purpose
+    request: WorkerRequest
+
+
 class Incarnation:
     """A worker's incarnation: its words, clock, lists, holds and orders."""
 
@@ -50,6 +61,8 @@
         self.last_answer_ms: int | None = None
         self._inherited_until = inherited_until  # until then, grants of the agent's last life may hold
         self._seq = -1
+        self._beats = 0
+        self._beat_offset: float | None = None  # of the clock that the newest heartbeat told
         self._first_beat_ms: int | None = None
         self._left_ms = 0
 
@@ -58,8 +71,10 @@
         if beat.seq <= self._seq:
             return False
         self._seq = beat.seq
+        self._beats += 1
         if beat.clock_ms is not None:
             self.clock.read(beat.clock_ms, now, None)
+            self._beat_offset = self.clock.offset_of(beat.clock_ms, now)
         news = self.state is None or self.state.draining != beat.state.draining
         self.state = beat.state
         if self._first_beat_ms is None:
@@ -81,11 +96,28 @@
             self._left_ms = now
             self.book.refuse_starts(now, Outcome.DRAINING)
 
+    def new_epoch(self) -> None:
+        """Another dispatcher acts."""
+        self.book.new_epoch()
+        self.holds.new_fence()
+
+    def take_orders(self, now: int, orders: AgentOrders, refusal: Outcome | None) -> None:
+        """Take in orders of the present epoch; with a `refusal`, starts are not taken now."""
+        self.listing.forget(orders.last_seen)
+        for stop in orders.stops:
+            self.book.take_stop(now, stop)
+        # The agent's last life may have sent what is repeated now.
+        in_doubt = self._inherited_until is not None and now < self._inherited_until
+        for start in orders.starts:
+            self.book.take_start(now, start, refusal or self.refusal(now), in_doubt)
+        if self.standing is Standing.REPLACED:
+            self.book.gone(now)
+
     def refusal(self, now: int) -> Outcome | None:
         """Why no start may be sent at this moment, if so."""
         if self.standing is Standing.REPLACED:
             return Outcome.GONE
-        if self.state is None:
+        if self.state is None or not self._beats_are_timely():
             return Outcome.BUSY
         if self.state.draining or self.standing is Standing.DEREGISTERED:
             return Outcome.DRAINING
@@ -95,25 +127,40 @@
             return Outcome.BUSY
         return None
 
-    def next_request(self, now: int, fence: int) -> tuple[Order | Purpose, WorkerRequest] | None:
+    def next_request(self, now: int, fence: int) -> Planned | None:
         """What is to be sent to the worker now, if anything."""
-        if self.standing is Standing.REPLACED:
+        if not self._answers(now):
             return None
         if self.standing is Standing.UNCONFIRMED:
-            return self.holds.probe(now, fence)
+            hold = self.holds.probe(now, fence)
+            return Planned(Purpose.PROBE, hold) if hold is not None else None
         order = self.book.due(now, lambda: self.refusal(now)) if fence else None
         if order is not None:
-            return order, self._request(order, fence)
-        return self.holds.due(now, fence, self.listing.last_seen, self.listing.has_ends)
+            return Planned(order, self._request(order, fence))
+        due = self.holds.due(now, fence, self.listing)
+        return Planned(*due) if due is not None else None
+
+    def last_hold(self, now: int, fence: int) -> Planned | None:
+        """Before this process ends: hold the worker for as long as is granted."""
+        expires_ms = self.holds.expiry(now)
+        if expires_ms is None or not self._answers(now):
+            return None
+        return Planned(Purpose.PROMPT, Hold(fence, self.listing.last_seen, expires_ms, 0))
+
+    @property
+    def calls_to_finish(self) -> int:
+        """How many calls are under way other than those that wait for an end."""
+        return self.book.calling + self.holds.prompt_calls
 
-    def sent(self, now: int, call: int, cause: Order | Purpose, request: WorkerRequest) -> CallWorker:
+    def sent(self, now: int, call: int, planned: Planned) -> CallWorker:
         """The request leaves under this call number."""
+        cause, request = planned.cause, planned.request
         if isinstance(cause, Order):
             timeout_ms = self.book.sent(now, cause, call)
             if isinstance(request, RunStart):
                 self.clock.note_sent(request.expires_ms)
         else:
-            assert not isinstance(request, RunStart | RunStop)
+            assert isinstance(request, Hold)
             timeout_ms = self.holds.sent(now, call, cause, request)
         return CallWorker(call, self.instance, self.address, timeout_ms, request)
 
@@ -126,10 +173,12 @@
         elif answer.kind not in (AnswerKind.NONE, AnswerKind.NOT_SENT, AnswerKind.UNHEALTHY):
             self.last_answer_ms = now
         flight = self.holds.flights.get(call)
-        if flight is None:
-            self.book.answered(now, call, answer)
-            return bool(self.book.results) or self.standing is Standing.REPLACED
-        return self._hold_answered(now, call, flight, answer)
+        if flight is not None:
+            return self._hold_answered(now, call, flight, answer)
+        order = self.book.answered(now, call, answer)
+        if order is not None and answer.kind is AnswerKind.OK and self._is_in_question(order):
+            self.holds.want_listing(now)
+        return bool(self.book.results)
 
     def lapsed(self, now: int) -> bool:
         """Whether everything held there is over for certain, and no answer has come since."""
@@ -154,15 +203,17 @@
 
     def wake_at(self, now: int, fence: int) -> int | None:
         """When something may be due here, other than by an event."""
-        if self.standing is Standing.REPLACED:
+        if not self._answers(now):
             return None
         probing = self.standing is Standing.UNCONFIRMED
-        times = [self.holds.wake_at(now, fence, probing), None if probing else self.book.wake_at(now)]
+        times = [self.holds.wake_at(now, fence, probing)]
+        if not probing:
+            times.append(self.book.wake_at(now))
         return min((time for time in times if time is not None), default=None)
 
     def _hold_answered(self, now: int, call: int, flight: Flight, answer: Answer) -> bool:
         news = False
-        if answer.kind is AnswerKind.OK and (flight.hold.fence or flight.purpose is not Purpose.PROBE):
+        if answer.kind is AnswerKind.OK:
             news = self.listing.take(flight.sent_ms, answer.running, answer.finished)
         fenced = self.holds.fenced
         self.holds.answered(now, call, answer, news)
@@ -174,6 +225,24 @@
             return True
         return news or self.holds.fenced != fenced
 
+    def _answers(self, now: int) -> bool:
+        """Whether calls to it make sense."""
+        if self.standing is Standing.DEREGISTERED:
+            return now - self._left_ms < ENDED_MS
+        return self.standing is not Standing.REPLACED
+
+    def _beats_are_timely(self) -> bool:
+        """False after a single heartbeat that came late: the last life may have seen a later one that told of
+        draining."""
+        if self._beats != 1 or self._beat_offset is None:
+            return self._beats > 0
+        return self.clock.behind(self._beat_offset) <= LATE_BEAT_MS
+
+    def _is_in_question(self, order: Order) -> bool:
+        """Whether only a later listing tells what the order did: a stop of a run that is not listed."""
+        wanted = order.wanted
+        return isinstance(wanted, StopOrder) and not self.listing.shows(wanted.task, wanted.run)
+
     def _request(self, order: Order, fence: int) -> RunStart | RunStop:
         wanted = order.wanted
         if isinstance(wanted, StartOrder):
--- a/flintfield/agent/link.py
+++ b/flintfield/agent/link.py
@@ -13,7 +13,7 @@
 
 SILENCE_MS = 700  # after a report; the dispatcher answers each within a few ms
 CONNECT_TIMEOUT_MS = 500
-LOOK_UP_TIMEOUT_MS = 1_500  # a shell that gives no result by then is asked again
+LOOK_UP_TIMEOUT_MS = 3_000  # a shell that gives no result by then is asked again
 FIRST_BACKOFF_MS = 40
 LONGEST_BACKOFF_MS = 300  # the agent's share of a takeover
 
@@ -137,7 +137,7 @@
         self._trial_until = 0
         self._trial_address = ""
         self._trial_connection: int | None = None
-        self._unanswered_since: int | None = None  # first report without orders since, on the active connection
+        self._unanswered_since: int | None = None  # first report on the active connection not yet answered
         self._failures = 0
 
     def step(self, now: int, event: LinkEvent) -> list[LinkEffect]:
--- a/flintfield/agent/listing.py
+++ b/flintfield/agent/listing.py
@@ -45,6 +45,10 @@
         """The ends that are not yet forgotten, by number."""
         return tuple(self._ends[number] for number in sorted(self._ends))
 
+    def shows(self, task: str, run: int) -> bool:
+        """Whether the run is listed as running."""
+        return any(known.task == task and known.run == run for known in self.running)
+
     @property
     def has_ends(self) -> bool:
         """Whether ends wait to become durable."""
--- a/flintfield/agent/orders.py
+++ b/flintfield/agent/orders.py
@@ -104,11 +104,15 @@
         self._calls.clear()
         self._outcomes.entries.clear()
 
-    def take_start(self, now: int, start: StartOrder, refusal: Outcome | None) -> None:
-        """Take in a start; `refusal` is the outcome where the worker takes no starts now."""
+    def take_start(self, now: int, start: StartOrder, refusal: Outcome | None,
+                   in_doubt: bool = False) -> None:
+        """Take in a start; `refusal` is the outcome where the worker takes no starts now.
+
+        `in_doubt` tells that an earlier life of this process may have sent it.
+        """
         if self._repeated(now, start.order, final=True):
             return
-        order = Order(start, in_doubt=start.order in self._outcomes.entries)
+        order = Order(start, in_doubt=in_doubt or start.order in self._outcomes.entries)
         self._orders[start.order] = order
         stopped = self._stopped.entries.get(start.task, 0)
         if refusal is not None:
@@ -170,11 +174,11 @@
         self._set_phase(order, Phase.CALLING)
         return ATTEMPT_TIMEOUTS_MS[min(order.unanswered, len(ATTEMPT_TIMEOUTS_MS) - 1)]
 
-    def answered(self, now: int, call: int, answer: Answer) -> None:
-        """A call has ended. Calls that are not known here (of an earlier epoch) are ignored."""
+    def answered(self, now: int, call: int, answer: Answer) -> Order | None:
+        """A call has ended; returns its order, or None for a call that doesn't count any more."""
         order = self._calls.pop(call, None)
         if order is None or order.phase is not Phase.CALLING:
-            return
+            return None
         kind = answer.kind
         if kind is AnswerKind.NONE:
             order.in_doubt = True
@@ -188,6 +192,7 @@
             self._again(now, order, REFUSED_PAUSE_MS, order.refused < BUSY_ATTEMPTS, Outcome.BUSY)
         else:
             self._resolve(now, order, _OUTCOME_OF[kind])
+        return order
 
     @property
     def calling(self) -> int:
--- a/flintfield/agent/reports.py
+++ b/flintfield/agent/reports.py
@@ -1,10 +1,14 @@
-"""When the agent reports: at once (gathered for a few ms) on news, else in a jittered period."""
+"""When the agent reports, and what: at once (gathered for a few ms) on news, else in a jittered period."""
 
 from __future__ import annotations
 
 import random
 
-PERIOD_MS = 500  # half of the dispatcher's shortest patience with an agent
+from flintfield.agent.incarnation import Incarnation
+from flintfield.agent.listing import NEVER
+from flintfield.jobs.messages import AgentReport, OrderResult
+
+PERIOD_MS = 500  # well below the dispatcher's patience with an agent
 GATHER_MS = 4  # ends and answers of one moment go out together
 
 
@@ -31,3 +35,27 @@
         """A report leaves."""
         self._urgent = False
         self._due_ms = now + int(PERIOD_MS * self._rng.uniform(0.85, 1.1))
+
+
+def make_report(now: int, machine: str, boot: int, start_ms: int, present: Incarnation | None,
+                results: tuple[OrderResult, ...]) -> AgentReport:
+    """What is known of the worker now; `wall_ms` is left for the shell to fill in."""
+    state = present.reported_state(now) if present is not None else None
+    if present is None or state is None:
+        lapsed = present is not None and present.lapsed(now)
+        return AgentReport(machine, boot, now, 0, None, 0, NEVER, (), (), results, now - start_ms, lapsed)
+    answered_ms = present.last_answer_ms if present.last_answer_ms is not None else start_ms
+    return AgentReport(
+        machine=machine,
+        boot=boot,
+        stamp_ms=now,
+        wall_ms=0,
+        worker=state,
+        fenced_epoch=present.holds.fenced,
+        listing_stamp=present.listing.stamp_ms,
+        running=present.listing.running,
+        finished=present.listing.finished(),
+        results=results,
+        silent_ms=now - answered_ms,
+        lapsed=present.lapsed(now),
+    )
--- a/flintfield/agent/service.py
+++ b/flintfield/agent/service.py
@@ -65,11 +65,11 @@
         self.deliver(Stopping())
         try:
             async with asyncio.timeout(STOP_PATIENCE_S):
-                while self.core.orders_under_way:
+                while self.core.calls_to_finish:
                     self._settled.clear()
                     await self._settled.wait()
         except TimeoutError:
-            logs.event(LOG, "orders_left_unanswered", calls=self.core.orders_under_way)
+            logs.event(LOG, "orders_left_unanswered", calls=self.core.calls_to_finish)
         if self._timer is not None:
             self._timer.cancel()
         self._carry_out(self.core.final_report(self._steady_ms()))
@@ -79,6 +79,7 @@
         await self.registry.stop()
         self._client.close()
         logs.event(LOG, "counters", **dataclasses.asdict(self.core.counters),
+                   **dataclasses.asdict(self.core.incarnations.counters),
                    **dataclasses.asdict(self.registry.counters))
 
     def deliver(self, event: Event) -> None:
--- a/flintfield/programs/agent.py
+++ b/flintfield/programs/agent.py
@@ -44,7 +44,8 @@
         self._rng = random.Random(os.urandom(16))
         self._pool = Pool()
         self._stopping = asyncio.Event()
-        self._agent = AgentService(settings, self._directory(settings), self._rng)
+        self._directory = Directory(seed_addresses(settings), self._pool, self._rng)
+        self._agent = AgentService(settings, self._directory, self._rng)
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
@@ -60,9 +61,6 @@
         await self._agent.stop()
         logs.event(LOG, "stopped")
 
-    def _directory(self, settings: NodeSettings) -> Directory:
-        return Directory(seed_addresses(settings), self._pool, self._rng)
-
     def _reload(self) -> None:
         """Read the settings again; what takes effect in a running process is the list of seeds."""
         try:
@@ -70,7 +68,7 @@
         except SettingsError as error:
             logs.event(LOG, "settings_kept", error=str(error))
             return
-        self._agent.link.directory = self._directory(settings)
+        self._directory.set_seeds(seed_addresses(settings))
         logs.event(LOG, "seeds", count=len(settings.seeds))
 
 
