Ask for a listing once an answer has settled, for what the dispatcher waits for

Cause: the dispatcher frees a run only by a listing asked for some time after an answer or a takeover; the next long call may be 2 s away. Ruled out: shorter long calls, because each is priced as a look at the worker.

--- a/flintfield/agent/core.py
+++ b/flintfield/agent/core.py
@@ -27,7 +27,7 @@
     WorkerAnswered,
 )
 from flintfield.agent.incarnation import Incarnation, Planned
-from flintfield.agent.incarnations import Incarnations
+from flintfield.agent.incarnations import AgentLimits, Incarnations
 from flintfield.agent.reports import ReportSchedule, make_report
 from flintfield.jobs.messages import AgentOrders, AgentReport, OrderResult, Outcome
 
@@ -46,16 +46,16 @@
 class Agent:
     """The whole state of the node agent."""
 
-    def __init__(self, machine: str, boot: int, start_ms: int, hold_max_ms: int, app: str,
+    def __init__(self, machine: str, boot: int, start_ms: int, limits: AgentLimits, app: str,
                  rng: random.Random) -> None:
         self.machine = machine
         self.boot = boot
         self.epoch = 0
-        self.incarnations = Incarnations(start_ms, hold_max_ms, app, rng)
+        self.incarnations = Incarnations(limits, start_ms, app, rng)
         self.counters = Counters()
         self.stopping = False
         self._start_ms = start_ms
-        self._hold_max_ms = hold_max_ms
+        self._limits = limits
         self._calls: dict[int, tuple[Incarnation, int]] = {}  # with the time at which each was sent
         self._last_call = 0
         self._reports = ReportSchedule(rng)
@@ -138,7 +138,7 @@
         if not self._start_ms <= orders.echo_stamp <= now:
             self.counters.refused_grants += 1
             return
-        limit_ms = min(orders.echo_stamp + orders.hold_ms, now + self._hold_max_ms)
+        limit_ms = min(orders.echo_stamp + orders.hold_ms, now + self._limits.hold_max_ms)
         incarnation.grant.extend(limit_ms, orders.hold_ms)
 
     def _take_answer(self, now: int, call: int, answer: Answer, effects: list[Effect]) -> None:
--- a/flintfield/agent/holds.py
+++ b/flintfield/agent/holds.py
@@ -24,7 +24,8 @@
 LONGEST_BACKOFF_MS = 1_000
 LONGEST_MARGIN_MS = 1_500
 MAX_UNDER_WAY = 5  # a long and a prompt call of this epoch, and long ones of the last three
-LISTING_DELAY_MS = 2  # stamps are whole ms: a listing counts as later than an answer only beyond the next one
+SPACING_MS = 250  # between two listings that are wanted for themselves
+MAX_WANTED = 8
 
 
 class Purpose(enum.Enum):
@@ -82,7 +83,8 @@
     not_before: int = 0
     acked_by: int = 0  # until then, ends that were reported may still be acknowledged
     failures: int = 0
-    wanted_from: int = 0  # a listing asked for from this time on is wanted
+    settle_ms: int = 0  # how long after an answer a listing has to be asked for to show its whole effect
+    wanted: list[int] = field(default_factory=list)  # a listing asked for at each of these times, or later
 
     def new_fence(self) -> None:
         """A higher epoch: what was put off under the last one is due now."""
@@ -90,8 +92,12 @@
         self.acked_by = 0
 
     def want_listing(self, now: int) -> None:
-        """A listing that is asked for later than now is wanted soon."""
-        self.wanted_from = now + LISTING_DELAY_MS
+        """The dispatcher waits for a listing that shows the whole effect of what was answered now."""
+        at = now + self.settle_ms
+        if len(self.wanted) >= MAX_WANTED or (len(self.wanted) > 1 and at - self.wanted[-2] < SPACING_MS):
+            self.wanted[-1] = at  # the one before stays, so that the next is not put off for ever
+        else:
+            self.wanted.append(at)
 
     @property
     def prompt_calls(self) -> int:
@@ -109,7 +115,7 @@
         if not fence or now < self.not_before or len(self.flights) >= MAX_UNDER_WAY:
             return None
         ours = [flight for flight in self.flights.values() if flight.hold.fence == fence]
-        prompt = self._wants_listing(now, listing.stamp_ms)
+        prompt = bool(self.wanted) and self.wanted[0] <= now
         if ours:
             prompt = prompt or self._runs_out(now)
             if not prompt or len(ours) > 1 or ours[0].purpose is not Purpose.LONG:
@@ -141,7 +147,10 @@
         flight = self.flights.pop(call)
         if answer.kind is AnswerKind.OK:
             self.failures = 0
-            self.fenced = max(self.fenced, flight.hold.fence)
+            self.wanted = [at for at in self.wanted if at > flight.sent_ms]
+            if flight.hold.fence > self.fenced:
+                self.fenced = flight.hold.fence
+                self.want_listing(now)  # for runs whose orders the last dispatcher may not have sent
             early = flight.purpose is Purpose.LONG and now - flight.sent_ms < flight.hold.wait_ms * 9 // 10
             if news:
                 self.acked_by = now + ACK_PATIENCE_MS
@@ -158,16 +167,12 @@
             return self.not_before
         if probing or not fence:
             return None
-        times = [time for time in (self.acked_by, self.wanted_from) if time > now]
+        times = [time for time in (self.acked_by, *self.wanted) if time > now]
         end = self.clock.may_end_at()
         if end is not None and end - self.grant.margin_ms > now:
             times.append(end - self.grant.margin_ms)
         return min(times, default=None)
 
-    def _wants_listing(self, now: int, listing_stamp: int) -> bool:
-        """Whether a listing is wanted that is later than the newest one, and may be asked for now."""
-        return listing_stamp < self.wanted_from <= now
-
     def _runs_out(self, now: int) -> bool:
         """Whether the hold may end soon although a later limit is granted."""
         end = self.clock.may_end_at()
--- a/flintfield/agent/incarnation.py
+++ b/flintfield/agent/incarnation.py
@@ -48,7 +48,8 @@
 class Incarnation:
     """A worker's incarnation: its words, clock, lists, holds and orders."""
 
-    def __init__(self, instance: str, address: str, rng: random.Random, inherited_until: int | None) -> None:
+    def __init__(self, instance: str, address: str, rng: random.Random, settle_ms: int,
+                 inherited_until: int | None) -> None:
         self.instance = instance
         self.address = address
         self.standing = Standing.UNCONFIRMED
@@ -56,7 +57,7 @@
         self.clock = WorkerClock()
         self.grant = Grant()
         self.listing = Listing()
-        self.holds = HoldSchedule(rng, self.clock, self.grant)
+        self.holds = HoldSchedule(rng, self.clock, self.grant, settle_ms=settle_ms)
         self.book = OrderBook()
         self.last_answer_ms: int | None = None
         self._inherited_until = inherited_until  # until then, grants of the agent's last life may hold
--- a/flintfield/agent/service.py
+++ b/flintfield/agent/service.py
@@ -22,6 +22,7 @@
     Tick,
     WorkerAnswered,
 )
+from flintfield.agent.incarnations import AgentLimits
 from flintfield.agent.link import Link
 from flintfield.agent.registry import Registry
 from flintfield.agent.worker_client import WorkerClient
@@ -39,8 +40,8 @@
     def __init__(self, settings: NodeSettings, directory: LeaderDirectory, rng: random.Random,
                  steady_ms: Callable[[], int] = clock.steady_ms,
                  wall_ms: Callable[[], int] = clock.wall_ms) -> None:
-        self.core = Agent(settings.node_name, rng.getrandbits(62), steady_ms(), settings.bounds.hold_max_ms,
-                          settings.app, rng)
+        limits = AgentLimits(settings.bounds.hold_max_ms, settings.bounds.stop_ms)
+        self.core = Agent(settings.node_name, rng.getrandbits(62), steady_ms(), limits, settings.app, rng)
         self.registry = Registry(self.deliver)
         self.link = DispatcherLink(Link(rng), directory, steady_ms, self._take_orders, self._link_opened)
         self._settings = settings
--- a/tests/system/test_agent_world.py
+++ b/tests/system/test_agent_world.py
@@ -22,6 +22,7 @@
     WorkerAnswered,
 )
 from flintfield.agent.heartbeats import read_heartbeat
+from flintfield.agent.incarnations import AgentLimits
 from flintfield.jobs.messages import AgentOrders, AgentReport, OrderResult, Outcome, StartOrder, StopOrder
 
 from .support.worker_model import Bounds, WorkerModel
@@ -162,7 +163,8 @@
 
     def _new_agent(self) -> Agent:
         self.life += 1
-        return Agent("side-1", self.life, self.now, HOLD_MAX_MS, "10.0.0.9:80", random.Random(self.life))
+        limits = AgentLimits(HOLD_MAX_MS, STOP_MS)
+        return Agent("side-1", self.life, self.now, limits, "10.0.0.9:80", random.Random(self.life))
 
     def deliver(self, event: Event, life: int | None = None) -> None:
         """Let the agent take in an event now, or when it thaws."""
