--- a/flintfield/jobs/dispatcher.py
+++ b/flintfield/jobs/dispatcher.py
@@ -18,12 +18,15 @@
 
 from flintfield.jobs import durable
 from flintfield.jobs.bounds import DispatcherBounds
+from flintfield.jobs.copies import Copies
 from flintfield.jobs.ends import Ends
 from flintfield.jobs.events import (
     AgentLost, CallArrived, Configuration, ConfigurationChanged, Effect, Event, ReportArrived, Tick, Written,
 )
 from flintfield.jobs.gangs import Gangs
 from flintfield.jobs.intake import Intake
+from flintfield.jobs.moves import Moves
+from flintfield.jobs.preemption import Preemption
 from flintfield.jobs.readiness import Readiness
 from flintfield.jobs.restore import Restore
 from flintfield.jobs.starts import Starts
@@ -43,9 +46,11 @@
         self._readiness = Readiness(self._state)
         self._ends = Ends(self._state, self._readiness)
         self._intake = Intake(self._state, self._readiness, self._ends)
-        self._workers = Workers(self._state, self._ends)
+        self._workers = Workers(self._state, self._ends, Moves(self._state, self._ends))
+        self._copies = Copies(self._state, self._ends)
         self._gangs = Gangs(self._state, self._readiness, self._ends)
-        self._starts = Starts(self._state, self._readiness, self._ends, self._gangs)
+        preemption = Preemption(self._state, self._ends)
+        self._starts = Starts(self._state, self._readiness, self._ends, self._gangs, preemption)
         self._placement_ticked_ms = now_ms
 
     @property
@@ -89,6 +94,7 @@
         self._workers.tick()
         self._readiness.open_due()
         self._readiness.end_delays()
+        self._copies.tick()
         self._forget_ended()
         if state.now_ms - self._placement_ticked_ms >= PLACEMENT_TICK_MS:
             self._placement_ticked_ms = state.now_ms
--- a/flintfield/jobs/ends.py
+++ b/flintfield/jobs/ends.py
@@ -86,6 +86,13 @@
         failed = step.failed_runs() if step.spec.gang else len(task.failed)
         return failed >= max(step.occurrence.job.terms.max_attempts, 1)
 
+    def fail_if_exhausted(self, task: Task) -> bool:
+        """Fail the job of a ready task that has no attempt left, as after a change of the configuration."""
+        if not task.failed or not self._out_of_attempts(task.step, task):
+            return False
+        self.finish_job(task.job, JobState.FAILED)
+        return True
+
     # Once more
 
     def _again(self, run: Run, ending: Ending) -> None:
--- a/flintfield/jobs/gangs.py
+++ b/flintfield/jobs/gangs.py
@@ -7,17 +7,22 @@
 
 from __future__ import annotations
 
-from flintfield.jobs.demands import demand_of, may_hold
+from flintfield.jobs.demands import demand_of, has_room, may_hold
 from flintfield.jobs.ends import Ends
-from flintfield.jobs.model import Step, TaskState
+from flintfield.jobs.estimates import left_ms
+from flintfield.jobs.model import Run, Step, TaskState
 from flintfield.jobs.readiness import Readiness
 from flintfield.jobs.state import DispatcherState, ServiceQueue
 from flintfield.placement.interface import Demand, Resources, Worker
 
 RESERVE_AFTER_MS = 1_500
-RESERVATION_MS = 6_000
-REST_MS = 6_000  # between two reservations of one service
-MAX_RESERVED_SHARE = 0.5  # of a service's workers
+RESERVE_ALL_AFTER_MS = 4_000  # from then on it may have more than its share, for a short time
+RESERVATION_MS = 2_500  # a task that waits for 3 s beside idle workers counts as lost
+LONGEST_RESERVATION_MS = 8_000  # within its share: the rest of the service goes on
+REST_MS = 3_000  # between two reservations of one service
+RESERVED_SHARE = 0.5  # of a service's workers
+RETRY_MS = 300
+NEVER_MS = 1e9
 
 
 class Gangs:
@@ -32,12 +37,13 @@
         """Place all members, or none; how many were."""
         if any(task.state is not TaskState.READY for task in step.tasks):
             return 0
+        if any(self._ends.fail_if_exhausted(task) for task in step.tasks if task.failed):
+            return 0
         demands = [demand_of(task) for task in step.tasks]
         chosen = self._choose(queue, demands)
         if chosen is None:
-            self._reserve(queue, step, demands[0])
             return 0
-        self._end_reservation(queue, step)
+        self.end_reservation(queue, step)
         self._place_all(step, demands, chosen)
         return len(step.tasks)
 
@@ -83,33 +89,60 @@
             worker.ready = True
         queue.withheld = []
 
-    def _reserve(self, queue: ServiceQueue, step: Step, demand: Demand) -> None:
+    def reserve(self, queue: ServiceQueue, step: Step) -> None:
+        """Keep workers for a step that has waited, be it a gang or a task larger than what becomes free."""
         now = self._state.now_ms
         waited = now - step.ready_since_ms
         if queue.reserved or waited < RESERVE_AFTER_MS or now < queue.reserved_until_ms + REST_MS:
             return
-        wanted = self._enough_workers(queue, step, demand)
+        if now < queue.reserve_tried_ms + RETRY_MS:
+            return
+        queue.reserve_tried_ms = now
+        most = len(queue.workers) if waited >= RESERVE_ALL_AFTER_MS else len(queue.workers) * RESERVED_SHARE
+        wanted, free_in_ms = self._enough_workers(queue, step, max(most, 1))
         if wanted:
             queue.reserved = {worker.instance: step for worker in wanted}
-            queue.reserved_until_ms = now + RESERVATION_MS
-
-    def _enough_workers(self, queue: ServiceQueue, step: Step, demand: Demand) -> list[Worker]:
-        """The least used workers that could hold the whole gang if they were empty; none if too many."""
-        able = [worker for worker in queue.workers.values() if _could_hold(worker, demand)]
-        able.sort(key=lambda worker: worker.used.cpu / max(worker.capacity.cpu, 1))
+            few = len(wanted) <= len(queue.workers) * RESERVED_SHARE
+            longest = LONGEST_RESERVATION_MS if few else RESERVATION_MS
+            queue.reserved_until_ms = now + int(min(max(RESERVATION_MS, free_in_ms * 1.5), longest))
+
+    def _enough_workers(self, queue: ServiceQueue, step: Step, most: float) -> tuple[list[Worker], float]:
+        """The workers that are free soonest for the whole step, and in how many ms; none if too many."""
+        demand = demand_of(next(iter(step.ready.values())))
+        able = [(self._free_in_ms(worker, demand), worker.instance, worker)
+                for worker in queue.workers.values() if _could_hold(worker, demand)]
         taken: list[Worker] = []
-        members = len(step.tasks)
-        for worker in able:
-            if members <= 0:
-                return taken
+        members = len(step.tasks) if step.spec.gang else 1
+        for free_in_ms, _, worker in sorted(able, key=lambda each: each[:2]):
             taken.append(worker)
             members -= _members(worker.capacity, demand)
-            if len(taken) > max(1, len(queue.workers) * MAX_RESERVED_SHARE):
-                return []
-        return taken if members <= 0 else []
-
-    def _end_reservation(self, queue: ServiceQueue, step: Step) -> None:
-        if step in queue.reserved.values():
+            if len(taken) > most:
+                break
+            if members <= 0:
+                return taken, free_in_ms
+        return [], 0.0
+
+    def _free_in_ms(self, worker: Worker, demand: Demand) -> float:
+        """When it is likely to have room for one such task more."""
+        if has_room(worker, demand):
+            return 0.0
+        there = self._state.workers[worker.instance].runs.values()
+        runs = sorted(((self._left_ms(run), run.resources) for run in there), key=lambda each: each[0])
+        free = worker.capacity.minus(worker.used)
+        for left, resources in runs:
+            free = free.plus(resources)
+            if demand.resources.fits(free):
+                return left
+        return NEVER_MS
+
+    def _left_ms(self, run: Run) -> float:
+        if run.task.step.spec.long_running:
+            return NEVER_MS
+        return left_ms(run, self._state.now_ms, self._state.paces.usual(run.task.job.route))
+
+    def end_reservation(self, queue: ServiceQueue, step: Step) -> None:
+        """The step has been placed."""
+        if queue.reserved and step in queue.reserved.values():
             queue.reserved.clear()
             queue.reserved_until_ms = self._state.now_ms
 
--- a/flintfield/jobs/model.py
+++ b/flintfield/jobs/model.py
@@ -114,6 +114,7 @@
     stop_answered: bool = False
     seen_ms: int = -1  # when it was first seen running
     percent: int = 0
+    first_percent: int = 0  # when it was first seen
     percent_at_ms: int = -1  # when the percentage last moved
     suspect: bool = False  # it was stopped for standing still or being slow
 
@@ -166,7 +167,8 @@
     checkpoint: str = ""
     runs: list[Run] = field(default_factory=list)
     avoid: frozenset[str] = frozenset()  # instances where earlier runs failed, stalled or were lost
-    moves: int = 0  # stops that the dispatcher decided, for standing still or for a smaller priority number
+    moves: int = 0  # stops for standing still or being slow
+    preempted: int = 0  # stops for a smaller priority number
     quick_ends: int = 0  # of a lasting task in a row
     done_ms: int = -1  # when a listing first showed a run of it although it is done
     recorded: bool = False  # the store holds its record
@@ -209,9 +211,11 @@
     left: int
     earlier_left: int
     rank: float = 0.0
+    serial: int = 0  # tells steps of the same rank apart: the one that was ranked first goes first
     tasks: list[Task] = field(default_factory=list)
     ready: dict[int, Task] = field(default_factory=dict)
     ready_since_ms: int = -1
+    preempted_ms: int = -1_000_000  # when runs were last stopped for it
     queued_in: str | None = None  # the service whose queue holds it
 
     @property
--- /dev/null
+++ b/flintfield/jobs/moves.py
@@ -0,0 +1,121 @@
+"""Stopping a run in order to place its task elsewhere: stalled runs, slow workers, workers that leave.
+
+A stop keeps the newest checkpoint. All such stops are bounded by task and by time, so that a bad day on which
+everything stands still does not become one on which everything is moved.
+"""
+
+from __future__ import annotations
+
+from flintfield.jobs.demands import demand_of, may_hold
+from flintfield.jobs.ends import Ends
+from flintfield.jobs.estimates import SLOW_STEP, estimate_ms, left_ms, pace_of, towards
+from flintfield.jobs.model import Run, RunState, TaskState
+from flintfield.jobs.state import DispatcherState, WorkerRecord
+
+MAX_MOVES = 3  # of one task
+STALL_MS = 1_500  # a percentage that stands still for less says nothing
+STALL_SHARE = 0.3  # of the estimate
+FRESH_PROGRESS_MS = 2_500  # elsewhere in the service, so that the fault is not ours
+SLOW_WORKER = 2.5  # times as slow as usual
+SLOW_RUN = 2.0
+MOVE_COST_MS = 600  # stop, placement, start, restore
+WORTH_SHARE = 0.6  # a move must save the rest of this share of the time that is left
+MOVES_A_SECOND = 4.0
+MOVES_AT_ONCE = 8.0
+LEAVE_MARGIN_MS = 500  # before a worker may leave: time for a stop and its end
+LAST_STOP_MS = 1_200
+
+
+class Moves:
+    """Watches runs and draining workers."""
+
+    def __init__(self, state: DispatcherState, ends: Ends) -> None:
+        self._state = state
+        self._ends = ends
+        self._allowance = MOVES_AT_ONCE
+        self._allowed_at_ms = state.now_ms
+
+    # Stalls and slow workers
+
+    def check(self, record: WorkerRecord, run: Run) -> None:
+        """A listing shows the run; move it if it stands still or is far too slow where it is."""
+        if run.task.step.spec.long_running or run.state is not RunState.RUNNING:
+            return
+        self._learn(record, run)
+        if self._stalled(record, run) or self._too_slow(record, run):
+            self._move(run)
+
+    def _learn(self, record: WorkerRecord, run: Run) -> None:
+        pace = pace_of(run, self._state.now_ms)
+        if pace is None or run.percent_at_ms != self._state.now_ms:
+            return
+        paces = self._state.paces
+        route = run.task.job.route
+        record.slowness = towards(record.slowness, paces.usual(route) / pace, SLOW_STEP)
+        paces.note(route, pace)
+
+    def _stalled(self, record: WorkerRecord, run: Run) -> bool:
+        now = self._state.now_ms
+        limit = max(STALL_MS, STALL_SHARE * estimate_ms(run))
+        if run.task.step.spec.gang and run.percent == 0:
+            limit = max(limit, self._state.bounds.gang_ms)
+        if now - run.percent_at_ms < limit:
+            return False
+        progress = self._state.service(record.worker.service).progress
+        return any(now - at <= FRESH_PROGRESS_MS for name, at in progress.items() if name != record.instance)
+
+    def _too_slow(self, record: WorkerRecord, run: Run) -> bool:
+        if record.slowness < SLOW_WORKER:
+            return False
+        now = self._state.now_ms
+        usual = self._state.paces.usual(run.task.job.route)
+        pace = pace_of(run, now)
+        if pace is None or usual / pace < SLOW_RUN:
+            return False
+        stay = left_ms(run, now, usual)
+        todo = (100 - run.percent) / 100 if run.task.step.spec.checkpoints else 1.0
+        elsewhere = todo * estimate_ms(run) / usual + MOVE_COST_MS
+        return elsewhere < WORTH_SHARE * stay and self._has_room_elsewhere(run)
+
+    def _move(self, run: Run) -> None:
+        if run.task.moves >= MAX_MOVES or not self._allow():
+            return
+        run.task.moves += 1
+        run.suspect = True
+        self._state.counters.stalled_runs += 1
+        self._ends.runs.stop(run)
+
+    def _allow(self) -> bool:
+        now = self._state.now_ms
+        gained = (now - self._allowed_at_ms) / 1_000 * MOVES_A_SECOND
+        self._allowance = min(MOVES_AT_ONCE, self._allowance + gained)
+        self._allowed_at_ms = now
+        if self._allowance < 1:
+            return False
+        self._allowance -= 1
+        return True
+
+    def _has_room_elsewhere(self, run: Run) -> bool:
+        demand = demand_of(run.task)
+        workers = self._state.service(demand.service).workers
+        return any(name != run.instance and name not in demand.avoid and may_hold(worker, demand)
+                   for name, worker in workers.items())
+
+    # Workers that leave
+
+    def evacuate(self, record: WorkerRecord) -> None:
+        """Stop what can't end before the draining worker may leave, as soon as it is better off elsewhere."""
+        now = self._state.now_ms
+        time_left = record.leaves_ms - now
+        for run in list(record.runs.values()):
+            task = run.task
+            if run.state not in (RunState.RUNNING, RunState.ORDERED) or task.state is not TaskState.PLACED:
+                continue
+            spec = task.step.spec
+            usual = self._state.paces.usual(task.job.route)
+            ends_in_time = not spec.long_running and left_ms(run, now, usual) + LEAVE_MARGIN_MS < time_left
+            if ends_in_time:
+                continue
+            last_chance = spec.checkpoints and time_left < LAST_STOP_MS
+            if last_chance or self._has_room_elsewhere(run):
+                self._ends.runs.stop(run)
--- /dev/null
+++ b/flintfield/jobs/preemption.py
@@ -0,0 +1,135 @@
+"""Preemption: a ready step of a smaller priority number may have runs of larger numbers stopped.
+
+Only where it would otherwise begin too late for its objective, only as many as it needs, the cheapest first:
+runs that keep a checkpoint or last anyway, then the youngest. A task is preempted a bounded number of times.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from flintfield.jobs.demands import demand_of
+from flintfield.jobs.ends import Ends
+from flintfield.jobs.model import Run, RunState, Step, TaskState
+from flintfield.jobs.readiness import PRIORITY_GAP_MS
+from flintfield.jobs.state import DispatcherState, ServiceQueue
+from flintfield.placement.interface import Demand, Resources, Worker
+
+EARLY_MS = 400  # before the latest start that meets the objective
+AGAIN_MS = 1_000  # between two preemptions for one step
+MAX_PREEMPTED = 2  # times for one task
+MAX_MEMBERS = 8  # that a step that is no gang makes room for at once
+MAX_LOST_MS = 2_500  # of work that is not saved, by one victim
+GPU_CORES = 8  # a GPU counts as that many cores
+
+
+@dataclass(slots=True)
+class Room:
+    """A worker's room if some of its runs were stopped; those, and what they would lose (core-ms)."""
+
+    worker: Worker
+    free: Resources
+    held: int
+    victims: list[Run]
+
+
+class Preemption:
+    """Makes room."""
+
+    def __init__(self, state: DispatcherState, ends: Ends) -> None:
+        self._state = state
+        self._ends = ends
+
+    def make_room(self, queue: ServiceQueue, step: Step) -> None:
+        """Stop what may be stopped for this step, if it is late and that gives it room."""
+        state = self._state
+        priority = step.occurrence.job.terms.priority
+        latest_wall_ms = step.rank - priority * PRIORITY_GAP_MS
+        if state.wall_ms + EARLY_MS < latest_wall_ms or state.now_ms - step.preempted_ms < AGAIN_MS:
+            return
+        demand = demand_of(next(iter(step.ready.values())))
+        victims = self._victims(queue, step, demand)
+        if not victims:
+            return
+        step.preempted_ms = state.now_ms
+        for run in victims:
+            run.task.preempted += 1
+            state.counters.preempted_runs += 1
+            self._ends.runs.stop(run)
+
+    def _victims(self, queue: ServiceQueue, step: Step, demand: Demand) -> list[Run]:
+        rooms = [self._room(worker, demand) for worker in queue.workers.values() if _suits(worker, demand)]
+        gang = step.spec.gang
+        members = len(step.ready) if gang else min(len(step.ready), MAX_MEMBERS)
+        victims: list[Run] = []
+        for _ in range(members):
+            best = self._cheapest(rooms, demand, step)
+            if best is None:
+                return [] if gang else victims
+            room, more = best
+            for run in more:
+                room.free = room.free.plus(run.resources)
+            room.victims += more
+            victims += more
+            room.free = room.free.minus(demand.resources)
+            room.held += 1
+        return victims
+
+    def _room(self, worker: Worker, demand: Demand) -> Room:
+        """What is free, and what will be in a moment: runs that are being stopped are nearly gone."""
+        free = worker.capacity.minus(worker.used)
+        for run in self._state.workers[worker.instance].runs.values():
+            if run.state is RunState.STOPPING:
+                free = free.plus(run.resources)
+        return Room(worker, free, worker.held.get(demand.group, 0), [])
+
+    def _cheapest(self, rooms: list[Room], demand: Demand, step: Step) -> tuple[Room, list[Run]] | None:
+        best: tuple[float, Room, list[Run]] | None = None
+        for room in rooms:
+            if demand.at_most and room.held >= demand.at_most:
+                continue
+            found = self._enough(room, demand, step)
+            if found is None:
+                continue
+            loss = sum(self._loss(run) for run in found)
+            if best is None or loss < best[0]:
+                best = (loss, room, found)
+        return None if best is None else (best[1], best[2])
+
+    def _enough(self, room: Room, demand: Demand, step: Step) -> list[Run] | None:
+        """The cheapest runs there whose end gives room for one such task; None where there are not enough."""
+        free = room.free
+        taken: list[Run] = []
+        if demand.resources.fits(free):
+            return taken
+        runs = self._state.workers[room.worker.instance].runs.values()
+        able = [run for run in runs if run not in room.victims and self._may_stop(run, step)]
+        for run in sorted(able, key=self._loss):
+            taken.append(run)
+            free = free.plus(run.resources)
+            if demand.resources.fits(free):
+                return taken
+        return None
+
+    def _may_stop(self, run: Run, step: Step) -> bool:
+        task = run.task
+        if task.step.rank <= step.rank:
+            return False  # it would take the room again
+        priority = step.occurrence.job.terms.priority
+        if run.state not in (RunState.RUNNING, RunState.ORDERED) or task.state is not TaskState.PLACED:
+            return False
+        if task.job.terms.priority <= priority or task.preempted >= MAX_PREEMPTED or task.step.spec.gang:
+            return False
+        return self._saves(run) or self._state.now_ms - run.placed_ms <= MAX_LOST_MS
+
+    def _saves(self, run: Run) -> bool:
+        return run.task.step.spec.checkpoints or run.task.step.spec.long_running
+
+    def _loss(self, run: Run) -> float:
+        ran_ms = 0 if self._saves(run) else self._state.now_ms - run.placed_ms
+        return float(ran_ms + 100) * (run.resources.cpu + run.resources.gpu * GPU_CORES * 1_000)
+
+
+def _suits(worker: Worker, demand: Demand) -> bool:
+    return (worker.ready and all(label in worker.labels for label in demand.needs)
+            and demand.resources.fits(worker.capacity))
--- a/flintfield/jobs/readiness.py
+++ b/flintfield/jobs/readiness.py
@@ -85,6 +85,8 @@
         chain = max(job.chain, default=0)
         deadline = occurrence.due_wall_ms + terms.extension * chain + terms.target_latency_ms
         for step in occurrence.steps:
+            self._sequence += 1
+            step.serial = self._sequence
             step.rank = deadline - job.chain[step.index] + terms.priority * PRIORITY_GAP_MS
 
     # Steps and tasks
--- a/flintfield/jobs/restore.py
+++ b/flintfield/jobs/restore.py
@@ -80,6 +80,8 @@
             task.step.left -= 1
         elif task.runs:
             task.become_placed()
+            if task.step.spec.speculative and not task.step.spec.gang:
+                self._state.speculative[task] = None
 
     def _live_task(self, job: Job, where: TaskName) -> Task | None:
         if job.ended or job.is_done(where.occurrence) or job.spec is None:
--- a/flintfield/jobs/runs.py
+++ b/flintfield/jobs/runs.py
@@ -53,6 +53,8 @@
         task.runs.append(run)
         task.become_placed()
         state.count_run(run)
+        if task.step.spec.speculative and not task.step.spec.gang:
+            state.speculative[task] = None
         state.write_task(task)
         state.placement.note_start(demand, worker.instance, state.now_ms)
         state.after_write(partial(self._placed, run))
--- a/flintfield/jobs/starts.py
+++ b/flintfield/jobs/starts.py
@@ -12,6 +12,7 @@
 from flintfield.jobs.model import JobState, Step, Task
 from flintfield.jobs.readiness import Readiness
 from flintfield.jobs.ends import Ends
+from flintfield.jobs.preemption import Preemption
 from flintfield.jobs.state import DispatcherState, ServiceQueue
 from flintfield.placement.interface import Demand, Worker
 
@@ -28,11 +29,13 @@
 class Starts:
     """Makes passes over queues."""
 
-    def __init__(self, state: DispatcherState, readiness: Readiness, ends: Ends, gangs: Gangs) -> None:
+    def __init__(self, state: DispatcherState, readiness: Readiness, ends: Ends, gangs: Gangs,
+                 preemption: Preemption) -> None:
         self._state = state
         self._readiness = readiness
         self._ends = ends
         self._gangs = gangs
+        self._preemption = preemption
 
     def run_passes(self) -> None:
         """A pass over each queue that something has changed for."""
@@ -66,12 +69,14 @@
             budget -= placed
             if step.ready:
                 without_room.add(shape)
+                self._gangs.reserve(queue, step)
+                self._preemption.make_room(queue, step)
 
     def _place(self, queue: ServiceQueue, step: Step, budget: int) -> int:
         """Place ready tasks of the step; how many were."""
         placed = 0
         for task in tuple(step.ready.values()):
-            if placed >= budget or task.index not in step.ready:
+            if placed >= budget or task.index not in step.ready or self._ends.fail_if_exhausted(task):
                 return placed
             chosen = self._choose(queue, task)
             if chosen is None:
@@ -80,6 +85,7 @@
                 continue
             demand, worker = chosen
             self._readiness.no_longer_ready(task)
+            self._gangs.end_reservation(queue, step)
             self._ends.runs.place(task, demand, worker, task.last_run + 1, task.checkpoint)
             placed += 1
         return placed
--- a/flintfield/jobs/state.py
+++ b/flintfield/jobs/state.py
@@ -10,6 +10,7 @@
 
 from flintfield.jobs import durable
 from flintfield.jobs.bounds import DispatcherBounds
+from flintfield.jobs.estimates import Paces
 from flintfield.jobs.events import Change, Configuration, Effect, SendOrders, Write
 from flintfield.jobs.messages import AgentOrders, JobAnswer, StartOrder, StopOrder
 from flintfield.jobs.model import Job, Run, Step, Task
@@ -45,6 +46,8 @@
     connected: bool = False
     draining: bool = False
     leaves_ms: int = 0  # while it drains: when it may leave, on the dispatcher's clock
+    remaining_ms: int = 0  # as it last told
+    slowness: float = 1.0  # times as slow as is usual
     silent: bool = False
     unwell_until_ms: int = 0
     unnamed_boot: int = 0  # a life of the agent that knew of no worker, and since when
@@ -77,16 +80,18 @@
     backlog_gpu: Counter[int] = field(default_factory=Counter)  # by priority: GPUs x ms
     reserved: dict[str, Step] = field(default_factory=dict)  # instances kept for a large gang
     reserved_until_ms: int = 0
+    reserve_tried_ms: int = 0
+    progress: dict[str, int] = field(default_factory=dict)  # by instance: when a run there last made progress
     withheld: list[Worker] = field(default_factory=list)  # of those, out of sight for the rest of a pass
 
     def add(self, step: Step) -> None:
         """Take in a step; `rank` must not change while it is here."""
-        insort(self.steps, (step.rank, id(step), step))
+        insort(self.steps, (step.rank, step.serial, step))
         step.queued_in = self.name
 
     def remove(self, step: Step) -> None:
         """Drop a step."""
-        at = bisect_left(self.steps, (step.rank, id(step)))
+        at = bisect_left(self.steps, (step.rank, step.serial))
         del self.steps[at]
         step.queued_in = None
 
@@ -136,6 +141,8 @@
         self.by_machine: dict[str, str] = {}
         self.gone: OrderedDict[str, None] = OrderedDict()
         self.services: dict[str, ServiceQueue] = {}
+        self.paces = Paces()
+        self.speculative: dict[Task, None] = {}  # placed tasks that may get a copy
         self._wall_ms: int | None = None
         self._wall_at_ms = now_ms
         self._effects: list[Effect] = []
--- a/flintfield/jobs/workers.py
+++ b/flintfield/jobs/workers.py
@@ -10,6 +10,7 @@
 from flintfield.jobs.events import SendOrders
 from flintfield.jobs.messages import AgentOrders, AgentReport, End, How, Run as ListedRun, WorkerState
 from flintfield.jobs.model import Run, RunState, TaskState, gang_is_whole
+from flintfield.jobs.moves import Moves
 from flintfield.jobs.orders import Orders
 from flintfield.jobs.runs import Ending
 from flintfield.jobs.state import DispatcherState, WorkerRecord, unknown_worker
@@ -19,6 +20,7 @@
 REMEMBERED_GONE = 4_096  # incarnations that are gone; a late heartbeat of one must not bring it back
 FORGET_WORKER_MS = 600_000  # a silent worker without runs is forgotten after that
 NAMING_MS = 2_500  # how long an agent that knows of no worker is told which one it had
+PERIOD_MS = 150  # between two looks at all workers
 DONE_RUN_MS = 1_500  # a run of a task that is done ends by itself within that, or is stopped
 
 _ENDINGS = {
@@ -34,9 +36,11 @@
 class Workers:
     """Takes in reports, and the passing of time for workers that send none."""
 
-    def __init__(self, state: DispatcherState, ends: Ends) -> None:
+    def __init__(self, state: DispatcherState, ends: Ends, moves: Moves) -> None:
         self._state = state
         self._ends = ends
+        self._moves = moves
+        self._looked_ms = state.now_ms
         self._orders = Orders(state, ends.runs, ends.resolve, self._gone)
 
     # Reports
@@ -137,8 +141,10 @@
         if worker.labels != labels:
             worker.labels = labels
             worker.rack = rack_of(told.labels)
+        if told.draining and (not record.draining or told.remaining_ms != record.remaining_ms):
+            record.leaves_ms = state.now_ms + told.remaining_ms
         record.draining = told.draining
-        record.leaves_ms = state.now_ms + told.remaining_ms
+        record.remaining_ms = told.remaining_ms
         record.silent = report.silent_ms > state.bounds.silent_ms
 
     # Ends and listings
@@ -175,24 +181,29 @@
         for key, run in list(record.runs.items()):
             each = listed.get(key)
             if each is not None:
-                self._note_running(run, each, report.listing_stamp)
+                self._note_running(record, run, each, report.listing_stamp)
             elif run.state is not RunState.CLOSED and len(report.finished) < LISTED_AT_ONCE:
                 self._not_listed(record, run, report)
 
-    def _note_running(self, run: Run, listed: ListedRun, stamp: int) -> None:
+    def _note_running(self, record: WorkerRecord, run: Run, listed: ListedRun, stamp: int) -> None:
         now = self._state.now_ms
         if run.state is RunState.PLACING:
             return
+        if run.seen_ms < 0:
+            run.percent = run.first_percent = listed.percent
         run.seen_running(now)
         if run.answered_stamp is None and run.state is RunState.RUNNING:
             run.answered_stamp = stamp
         if listed.percent != run.percent:
             run.percent = listed.percent
             run.percent_at_ms = now
+            self._state.service(record.worker.service).progress[record.instance] = now
         if listed.saved and listed.saved != run.task.checkpoint:
             self._ends.save(run.task, listed.saved)
         if run.state is RunState.RUNNING and self._should_stop(run, now):
             self._ends.runs.stop(run)
+        else:
+            self._moves.check(record, run)
 
     def _should_stop(self, run: Run, now: int) -> bool:
         task = run.task
@@ -268,6 +279,7 @@
         record.worker.ready = False
         state.service(record.worker.service).workers.pop(record.instance, None)
         state.placeable.pop(record.instance, None)
+        state.service(record.worker.service).progress.pop(record.instance, None)
         for run in list(record.runs.values()):
             state.counters.lost_runs += 1
             self._ends.resolve(run, Ending.LOST, "")
@@ -299,6 +311,9 @@
     def tick(self) -> None:
         """Release what is over for certain, repeat what has no answer, forget who is long gone."""
         state = self._state
+        if state.now_ms - self._looked_ms < PERIOD_MS:
+            return
+        self._looked_ms = state.now_ms
         for record in list(state.workers.values()):
             age = state.now_ms - record.granted_ms
             if record.runs and age >= state.bounds.empty_after_ms:
@@ -306,6 +321,8 @@
                     self._release(record, run)
             if record.connected:
                 self._orders.repeat_late(record)
+                if record.draining and record.runs:
+                    self._moves.evacuate(record)
             elif not record.runs and age >= FORGET_WORKER_MS:
                 self._gone(record)
                 continue
--- /dev/null
+++ b/tests/system/jobs_worker.py
@@ -0,0 +1,155 @@
+"""Model workers whose gangs stretch over workers, and what they saw."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from .support.worker_model import Capacity, ModelRun, RunPlan, WorkerModel
+from .support.worker_model import RunState as ModelState
+
+if TYPE_CHECKING:
+    from .jobs_fleet import Fleet
+
+
+@dataclass
+class Seen:
+    """A run as its worker saw it, in world time."""
+
+    task: str
+    run: int
+    worker: WorldWorker
+    checkpoint: str
+    spec: str
+    start: float
+    end: float | None = None
+    how: str = ""
+    number: int = 0
+    noted: bool = False  # `lastSeen` reached it, and the hold had not lapsed in between
+    draining_since: float | None = None
+    late: bool = False  # the order was carried out seconds after it was sent
+
+
+class WorldWorker(WorkerModel):
+    """A model worker with its own clock, whose gangs stretch over workers."""
+
+    def __init__(self, world: Fleet, machine: str, instance: str, capacity: Capacity, rate: float) -> None:
+        self.world = world
+        self.machine = machine
+        self.rate = rate
+        self.born = world.now
+        self.dead = False
+        self.draining_since: float | None = None
+        self.open: dict[str, Seen] = {}
+        self.ended: list[Seen] = []
+        self.serving_late = False
+        self.factor = 1.0  # what is started takes so many times as long
+        self.hampered: dict[str, tuple[int, int, float]] = {}  # by task: since when, ms done by then, factor
+        super().__init__(instance, 0, world.worker_bounds, capacity, plan=world.plan)
+
+    def clock(self) -> int:
+        """Its clock now."""
+        return int((self.world.now - self.born) * self.rate)
+
+    def to_world(self, clock: int) -> float:
+        """World time of its clock."""
+        return self.born + clock / self.rate
+
+    def catch_up(self) -> None:
+        """Bring it to the present."""
+        if not self.dead:
+            self.advance(self.clock())
+
+    def crash(self) -> None:
+        """Its runs are over."""
+        self.catch_up()
+        self.dead = True
+        for seen in self.open.values():
+            seen.end, seen.how = self.world.now, "crash"
+        self.open.clear()
+        super().crash()
+
+    def hold(self, now: int, fields: dict[str, object]) -> tuple[int, dict[str, object]]:
+        """Note which ends the system has taken note of."""
+        status, answer = super().hold(now, fields)
+        if status == 200:
+            for seen in self.ended:
+                if seen.number <= self.last_seen and seen.number not in self.world.unnoted[self]:
+                    seen.noted = True
+        return status, answer
+
+    def advance(self, now: int) -> None:
+        """Ends that are not noted when the hold lapses never count as noted, whether anything runs or not."""
+        lapses = self.expires_ms
+        super().advance(now)
+        if lapses <= now:
+            over = self.to_world(lapses)
+            late = {seen.number for seen in self.ended if not seen.noted and (seen.end or 0) <= over}
+            self.world.unnoted[self].update(late)
+
+    def _begin(self, task: str, run: int, plan: RunPlan, saved: str) -> None:
+        seen = Seen(task, run, self, saved, self.spec_in_hand, self.to_world(self.now),
+                    draining_since=self.draining_since, late=self.serving_late)
+        self.world.seen.append(seen)
+        self.open[task] = seen
+        self._begin_run(task, run, plan, saved)
+
+    def start(self, now: int, fields: dict[str, object]) -> tuple[int, dict[str, object]]:
+        """Remember the spec for the judge."""
+        self.spec_in_hand = str(fields.get("spec"))
+        return super().start(now, fields)
+
+    def _begin_run(self, task: str, run: int, plan: RunPlan, saved: str) -> None:
+        begun = ModelRun(task, run, plan, self.now, saved)
+        self.runs[task] = begun
+        if plan.gang <= 1:
+            self._work(begun)
+            return
+        begun.state = ModelState.WAITING
+        members = self.world.gang(begun.gang_key)
+        if len(members) >= plan.gang:
+            for worker, member in members:
+                worker.catch_up()
+                if member.state is ModelState.WAITING:
+                    worker._work(member)
+
+    def _work(self, run: ModelRun) -> None:
+        super()._work(run)
+        self.hampered.pop(run.task, None)
+        if self.factor == 1.0 or run.ends_at is None:
+            return
+        done_ms = int(run.saved, 16) if run.saved else 0
+        begin = self.now + (self.bounds.restore_ms if run.saved else 0)
+        self.hampered[run.task] = (begin, done_ms, self.factor)
+        run.ends_at = begin + int((run.plan.work_ms - done_ms) * self.factor)
+
+    def _work_from(self, run: ModelRun) -> None:
+        """Let the base class count the work that was done by now."""
+        if run.task in self.hampered:
+            begin, done_ms, factor = self.hampered[run.task]
+            run.work_from = self.now - done_ms - int(max(0, self.now - begin) / factor)
+
+    def _percent(self, run: ModelRun) -> int:
+        self._work_from(run)
+        return super()._percent(run)
+
+    def _saved_now(self, run: ModelRun) -> str:
+        self._work_from(run)
+        return super()._saved_now(run)
+
+    def _end(self, run: ModelRun, how: str) -> None:
+        if run.task not in self.runs:
+            return  # broken by another member of its gang in the same moment
+        plan = run.plan
+        before = self._last_number
+        others = self.world.gang(run.gang_key) if plan.gang > 1 else []
+        gang, run.plan = run.plan, RunPlan(plan.work_ms, plan.how, plan.checkpoints, 1)
+        super()._end(run, how)
+        run.plan = gang
+        seen = self.open.pop(run.task)
+        seen.end, seen.how, seen.number = self.to_world(self.now), how, before + 1
+        self.ended.append(seen)
+        if how not in ("done", "alone"):
+            for worker, member in others:
+                if member is not run and member.task in worker.runs:
+                    worker._end(member, "broken")
--- /dev/null
+++ b/tests/system/test_jobs_moves.py
@@ -0,0 +1,190 @@
+"""Stalled, slow and leaving workers, copies, preemption and reservations, in virtual time."""
+
+from __future__ import annotations
+
+import unittest
+from functools import partial
+
+from flintfield.jobs.messages import Method
+
+from .jobs_judge import Judge
+from .jobs_world import ConfigurationModel, RouteModel, Steps, World, job_id, simple
+
+
+class Moves(unittest.TestCase):
+    """What the dispatcher stops in order to place it elsewhere."""
+
+    def setUp(self) -> None:
+        self.world = World(machines=3)
+        self.world.elect()
+        self.world.run(1_500)
+
+    def tearDown(self) -> None:
+        self.assertEqual(Judge(self.world).check(), [])
+
+    def test_a_run_that_stands_still_while_others_do_not_is_placed_elsewhere(self) -> None:
+        self.world.machines["m0"].worker.factor = 1_000.0
+        steps: Steps = [{"count": 9, "cpu": 1_000, "memMb": 100, "estimateMs": 2_000}]
+        self.world.submit(job_id(1), steps, simple(2_000))
+        self.world.run(9_000)
+        self.assertEqual(self.world.state_of(job_id(1)), "completed")
+        stalled = [seen for seen in self.world.seen if seen.how == "stopped"]
+        self.assertTrue(stalled)
+        self.assertEqual({seen.worker.machine for seen in stalled}, {"m0"})
+
+    def test_nothing_is_moved_while_everything_stands_still(self) -> None:
+        for machine in self.world.machines.values():
+            machine.worker.factor = 1_000.0
+        steps: Steps = [{"count": 9, "cpu": 1_000, "memMb": 100, "estimateMs": 2_000}]
+        self.world.submit(job_id(1), steps, simple(2_000))
+        self.world.run(9_000)
+        self.assertEqual({seen.how for seen in self.world.seen}, {""})
+
+    def test_a_checkpoint_is_brought_along(self) -> None:
+        steps: Steps = [{"count": 1, "cpu": 4_000, "memMb": 100, "estimateMs": 6_000, "checkpoints": True}]
+        self.world.submit(job_id(2), steps, simple(6_000, checkpoints=True))
+        self.world.run(2_500)
+        machine = next(each for each in self.world.machines.values() if each.worker.runs)
+        self.world.drain_worker(machine)
+        self.world.run(8_000)
+        self.assertEqual(self.world.state_of(job_id(2)), "completed")
+        first, second = self.world.runs_of(f"{job_id(2)}.0.0.0")
+        self.assertEqual((first.how, first.run, second.run), ("stopped", 1, 2))
+        self.assertGreater(int(second.checkpoint, 16), 1_500)
+
+    def test_a_lasting_task_moves_away_from_a_worker_that_leaves(self) -> None:
+        steps: Steps = [{"count": 1, "cpu": 1_000, "memMb": 100, "longRunning": True}]
+        self.world.submit(job_id(3), steps, simple(0))
+        self.world.run(1_000)
+        machine = next(each for each in self.world.machines.values() if each.worker.runs)
+        self.world.drain_worker(machine)
+        self.world.run(2_500)
+        first, second = self.world.runs_of(f"{job_id(3)}.0.0.0")
+        self.assertLess(second.start - (first.end or 0), 600)
+        self.assertNotEqual(first.worker, second.worker)
+
+    def test_a_task_that_ends_in_time_stays_on_a_worker_that_leaves(self) -> None:
+        steps: Steps = [{"count": 1, "cpu": 1_000, "memMb": 100, "estimateMs": 1_500}]
+        self.world.submit(job_id(4), steps, simple(1_500))
+        self.world.run(500)
+        machine = next(each for each in self.world.machines.values() if each.worker.runs)
+        self.world.drain_worker(machine)
+        self.world.run(3_000)
+        self.assertEqual([seen.how for seen in self.world.seen], ["done"])
+
+    def test_a_late_task_of_a_speculative_step_gets_a_copy_and_the_first_end_counts(self) -> None:
+        for machine in self.world.machines.values():
+            machine.worker.factor = 20.0
+        steps: Steps = [{"count": 1, "cpu": 1_000, "memMb": 100, "estimateMs": 800, "speculative": True}]
+        self.world.submit(job_id(5), steps, simple(800))
+        self.world.run(400)
+        for machine in self.world.machines.values():
+            machine.worker.factor = 1.0
+        self.world.run(5_000)
+        self.assertEqual(self.world.state_of(job_id(5)), "completed")
+        self.assertEqual(sorted(seen.how for seen in self.world.seen), ["done", "stopped"])
+
+
+class Urgency(unittest.TestCase):
+    """Priorities and room."""
+
+    def setUp(self) -> None:
+        self.world = World(machines=2)
+        routes = (RouteModel("r-a", "/a/", priority=2),
+                  RouteModel("r-u", "/u/", priority=0, target_latency_ms=100))
+        self.world.configuration = ConfigurationModel(1, routes)
+        self.world.elect()
+        self.world.run(1_500)
+
+    def tearDown(self) -> None:
+        self.assertEqual(Judge(self.world).check(), [])
+
+    def test_an_urgent_task_preempts_one_that_saves_its_work(self) -> None:
+        steps: Steps = [{"count": 2, "cpu": 4_000, "memMb": 100, "estimateMs": 20_000, "checkpoints": True}]
+        self.world.submit(job_id(1), steps, simple(20_000, checkpoints=True))
+        self.world.run(5_000)
+        urgent: Steps = [{"count": 1, "cpu": 4_000, "memMb": 100, "estimateMs": 500}]
+        self.world.submit(job_id(2), urgent, simple(500), route="/u/")
+        self.world.run(2_500)
+        self.assertEqual(self.world.state_of(job_id(2)), "completed")
+        self.assertIn("stopped", {seen.how for seen in self.world.runs_of(f"{job_id(1)}.0.0.0")
+                                  + self.world.runs_of(f"{job_id(1)}.0.0.1")})
+        self.world.run(30_000)
+        self.assertEqual(self.world.state_of(job_id(1)), "completed")
+
+    def test_work_that_is_not_saved_is_not_stopped(self) -> None:
+        steps: Steps = [{"count": 2, "cpu": 4_000, "memMb": 100, "estimateMs": 8_000}]
+        self.world.submit(job_id(1), steps, simple(8_000))
+        self.world.run(5_000)
+        urgent: Steps = [{"count": 1, "cpu": 4_000, "memMb": 100, "estimateMs": 500}]
+        self.world.submit(job_id(2), urgent, simple(500), route="/u/")
+        self.world.run(20_000)
+        self.assertEqual({seen.how for seen in self.world.seen}, {"done"})
+
+    def test_a_large_gang_is_given_room_among_small_tasks(self) -> None:
+        for number in range(1, 40):
+            small: Steps = [{"count": 4, "cpu": 1_000, "memMb": 100, "estimateMs": 700}]
+            self.world.after(number * 350, partial(self.world.submit, job_id(number), small, simple(700)))
+        self.world.run(3_000)
+        gang: Steps = [{"count": 2, "cpu": 4_000, "memMb": 100, "estimateMs": 700, "gang": True}]
+        self.world.submit(job_id(99), gang, simple(700, gang=2))
+        self.world.run(9_000)
+        self.assertEqual(self.world.state_of(job_id(99)), "completed")
+
+
+class Places(unittest.TestCase):
+    """Where tasks may run."""
+
+    def setUp(self) -> None:
+        self.world = World(machines=3)
+        self.world.elect()
+        self.world.run(1_500)
+
+    def tearDown(self) -> None:
+        self.assertEqual(Judge(self.world).check(), [])
+
+    def test_a_label_is_kept_to(self) -> None:
+        steps: Steps = [{"count": 6, "cpu": 1_000, "estimateMs": 300, "constraints": "rack-m1"}]
+        self.world.submit(job_id(1), steps, simple(300))
+        self.world.run(3_000)
+        self.assertEqual(self.world.state_of(job_id(1)), "completed")
+        self.assertEqual({seen.worker.machine for seen in self.world.seen}, {"m1"})
+
+    def test_a_label_that_nobody_carries_is_waited_for(self) -> None:
+        self.world.submit(job_id(1), [{"count": 1, "cpu": 1_000, "constraints": "z"}], simple())
+        self.world.run(6_000)
+        self.assertEqual(self.world.seen, [])
+        self.assertEqual(self.world.state_of(job_id(1)), "queued")
+
+    def test_one_worker_holds_at_most_so_many_tasks_of_a_step(self) -> None:
+        steps: Steps = [{"count": 7, "cpu": 500, "estimateMs": 900, "antiAffinity": 1}]
+        self.world.submit(job_id(1), steps, simple(900))
+        self.world.run(1_000)
+        self.assertEqual(sorted(len(each.worker.runs) for each in self.world.machines.values()), [1, 1, 1])
+        self.world.run(5_000)
+        self.assertEqual(self.world.state_of(job_id(1)), "completed")
+
+    def test_work_waits_a_little_for_the_rack_of_its_data_and_no_longer(self) -> None:
+        steps: Steps = [{"count": 8, "cpu": 1_000, "estimateMs": 2_000, "affinity": "rack-m2"}]
+        self.world.submit(job_id(1), steps, simple(2_000))
+        self.world.run(300)
+        self.assertEqual({seen.worker.machine for seen in self.world.seen}, {"m2"})
+        self.world.run(2_000)
+        self.assertEqual(len(self.world.seen), 8)
+
+    def test_a_queue_that_is_sent_to_another_service_has_its_next_runs_there(self) -> None:
+        self.world.submit(job_id(1), [{"count": 1, "cpu": 1_000, "constraints": "z"}], simple())
+        self.world.run(500)
+        self.world.configure(ConfigurationModel(2, (RouteModel(service="other"),)))
+        self.world.run(500)
+        self.assertEqual(self.world.ask(Method.COUNT, "").body, b'{"pending":1}')
+        self.world.submit(job_id(2), [{"count": 1, "cpu": 1_000}], simple())
+        self.world.run(2_000)
+        self.assertEqual(self.world.seen, [])
+        self.world.configure(ConfigurationModel(3, (RouteModel(),)))
+        self.world.run(2_000)
+        self.assertEqual(self.world.state_of(job_id(2)), "completed")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/system/test_jobs_world.py
+++ b/tests/system/test_jobs_world.py
@@ -5,7 +5,8 @@
 import unittest
 
 from flintfield.jobs.messages import Method
-from tests.system.jobs_world import Judge, World, job_id, simple
+from .jobs_judge import Judge
+from .jobs_world import WALL_0, Steps, World, job_id, simple
 
 
 class CalmDay(unittest.TestCase):
@@ -20,7 +21,7 @@
         self.assertEqual(Judge(self.world).check(), [])
 
     def test_steps_run_in_their_order_until_the_job_is_completed(self) -> None:
-        steps = [{"count": 4, "cpu": 500, "memMb": 100, "estimateMs": 500},
+        steps: Steps = [{"count": 4, "cpu": 500, "memMb": 100, "estimateMs": 500},
                  {"count": 3, "cpu": 1_000, "memMb": 100, "estimateMs": 500, "dependsOn": [0]}]
         self.world.submit(job_id(1), steps, simple())
         self.world.run(300)
@@ -31,14 +32,14 @@
         self.assertEqual(len(self.world.seen), 7)
 
     def test_a_gang_starts_together_and_ends_together(self) -> None:
-        steps = [{"count": 5, "cpu": 2_000, "memMb": 100, "estimateMs": 800, "gang": True}]
+        steps: Steps = [{"count": 5, "cpu": 2_000, "memMb": 100, "estimateMs": 800, "gang": True}]
         self.world.submit(job_id(2), steps, simple(800, gang=5))
         self.world.run(3_000)
         self.assertEqual(self.world.state_of(job_id(2)), "completed")
         self.assertEqual({seen.how for seen in self.world.seen}, {"done"})
 
     def test_lasting_tasks_are_started_again_until_the_job_is_cancelled(self) -> None:
-        steps = [{"count": 2, "cpu": 1_000, "memMb": 100, "longRunning": True}]
+        steps: Steps = [{"count": 2, "cpu": 1_000, "memMb": 100, "longRunning": True}]
         self.world.submit(job_id(3), steps, simple(700, how="failed"))
         self.world.run(5_000)
         self.assertGreater(len(self.world.seen), 6)
@@ -48,14 +49,13 @@
         self.assertFalse(any(seen.end is None for seen in self.world.seen))
 
     def test_a_task_that_fails_max_attempts_times_fails_its_job(self) -> None:
-        steps = [{"count": 2, "cpu": 1_000, "memMb": 100, "estimateMs": 300}]
+        steps: Steps = [{"count": 2, "cpu": 1_000, "memMb": 100, "estimateMs": 300}]
         self.world.submit(job_id(4), steps, simple(300, how="failed"))
         self.world.run(6_000)
         self.assertEqual(self.world.state_of(job_id(4)), "failed")
 
     def test_a_timed_job_runs_at_its_times(self) -> None:
-        from tests.system.jobs_world import WALL_0
-        steps = [{"count": 1, "cpu": 1_000, "memMb": 100, "estimateMs": 300}]
+        steps: Steps = [{"count": 1, "cpu": 1_000, "memMb": 100, "estimateMs": 300}]
         first = WALL_0 + self.world.steady + 1_000
         self.world.submit(job_id(5), steps, simple(300), repeatCount=3, firstRunMs=first, intervalMs=700)
         self.world.run(800)
