--- a/flintfield/programs/scheduler.py
+++ b/flintfield/programs/scheduler.py
@@ -16,6 +16,7 @@
 import signal
 import sys
 
+from flintfield.control.configuration import Configuration
 from flintfield.control.server import ControlServer
 from flintfield.control.view import ConfigurationView
 from flintfield.coordination.node import CoreNode
@@ -23,15 +24,16 @@
 from flintfield.dispatch.service import DispatchService
 from flintfield.ingress.link import DispatcherLink
 from flintfield.ingress.server import IngressServer
+from flintfield.jobs.bounds import DispatcherBounds
 from flintfield.placement.market import Market
 from flintfield.runtime import logs
 from flintfield.runtime.clock import steady_ms, wall_ms
-from flintfield.runtime.settings import NodeSettings, SettingsError, load, rpc_address
+from flintfield.runtime.settings import (
+    EXIT_CODE, NodeSettings, SettingsError, load, path_from_environment, rpc_address,
+)
 from flintfield.transport.rpc import Pool, Server
 
 LOG = logging.getLogger("flintfield.scheduler")
-SETTINGS_VARIABLE = "FLINTFIELD_CONFIG"
-EXIT_FAULTY_SETTINGS = 2
 MEGABYTE = 1024 * 1024
 SHUTDOWN_RESERVE_S = 1.0  # of the grace period, kept for closing the store
 
@@ -50,6 +52,15 @@
     return open_store(settings.data_dir, settings.limits.disk_mb * MEGABYTE)
 
 
+def dispatcher_bounds(settings: NodeSettings) -> DispatcherBounds:
+    """The bounds of the dispatcher, as this deployment sets them."""
+    bounds = settings.bounds
+    return DispatcherBounds(
+        hold_max_ms=bounds.hold_max_ms, stop_ms=bounds.stop_ms, gang_ms=bounds.gang_ms,
+        early_ms=bounds.early_ms, status_s=round(bounds.status_s), far_x=bounds.far_x,
+    )
+
+
 class Scheduler:
     """The parts of one scheduler process, started and stopped in order."""
 
@@ -61,8 +72,8 @@
         self._store = open_replica_store(settings)
         self._pool = Pool()
         self._dispatch = DispatchService(
-            settings=settings, make_placement=lambda: Market(generator.getrandbits(32)),
-            steady_ms=steady_ms, rng=generator,
+            bounds=dispatcher_bounds(settings), configuration=self._current_configuration,
+            make_placement=Market, steady_ms=steady_ms, rng=generator, leader_address=self._leader_address,
         )
         self._node = CoreNode(
             name=settings.node_name, address=rpc_address(settings.ip, settings), zone=settings.zone,
@@ -79,6 +90,13 @@
         link = DispatcherLink(self._pool, self._node)
         self._ingress = IngressServer(settings, self._view, link, self._node)
 
+    def _current_configuration(self) -> Configuration | None:
+        return self._view.current
+
+    def _leader_address(self) -> str:
+        leader = self._node.leader
+        return leader.address if leader is not None else ""
+
     async def run(self) -> None:
         """Serve until SIGTERM."""
         self._watch_signals()
@@ -88,6 +106,7 @@
         await self._control.start()
         await self._ingress.start()
         logs.event(LOG, "started", replica=self._store is not None)
+        gc.collect()
         gc.freeze()
         await self._stopping.wait()
         await self._stop()
@@ -127,12 +146,12 @@
 
 def main() -> int:
     """Run one scheduler; returns the exit code."""
-    path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
+        path = path_from_environment()
         settings = load(path)
     except SettingsError as error:
         print(error, file=sys.stderr)
-        return EXIT_FAULTY_SETTINGS
+        return EXIT_CODE
     logs.configure(settings.node_name, "scheduler")
     asyncio.run(_serve(settings, path))
     return 0
