--- a/tests/system/test_storage_disk.py
+++ b/tests/system/test_storage_disk.py
@@ -136,6 +136,7 @@
             for write in writes:
                 for part in survive(write):
                     put(inode.durable, part)
+            self._disk.changed()
             raise OSError(errno.EIO, "the sync failed")
         for write in writes:
             put(inode.durable, write)
--- a/tests/system/test_storage_recovery.py
+++ b/tests/system/test_storage_recovery.py
@@ -6,16 +6,24 @@
 import itertools
 import random
 import unittest
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import suppress
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from flintfield.coordination.storage import Change, StorageFull
+from flintfield.coordination.storage.format import (
+    FrameFlag,
+    SegmentFlag,
+    SegmentHeader,
+    decode_frames,
+    encode_frame,
+    encode_segment,
+)
 from flintfield.coordination.storage.recovery import recover
 from flintfield.coordination.storage.store import RingStore
-from .test_storage_disk import PowerCut, SimulatedDisk, Survival, Write, first_bytes
+from .test_storage_disk import PowerCut, SimulatedDisk, Survival, Write, first_bytes, kept, lost
 from .test_storage_steps import FOLDER, SMALL_LIMIT, History, Stepped
 
 MOST_SUBSETS = 6  # unsynced writes of which every subset is tried
@@ -127,6 +135,86 @@
         self.assertGreater(self.store.ring.pool.counters.written_bytes, 2 * stepped.disk.total_bytes())
 
 
+class FailedAttemptsTest(unittest.IsolatedAsyncioTestCase):
+    """While the disk fails again and again, what was acknowledged stays where it is."""
+
+    async def fail_often(self, fail: Callable[[SimulatedDisk], None]) -> None:
+        stepped = Stepped(SimulatedDisk())
+        store = stepped.open()
+        acknowledged: list[dict[bytes, bytes]] = []
+        for at in range(20):
+            store.apply([(b"key%d" % at, b"v" * 30)])
+            await stepped.settle()
+        acknowledged.append(dict(store.items))
+        self.assertEqual(store.durable_ticket, 20)
+
+        def lose_power() -> None:
+            for survive in (lost, kept):
+                items = recover(stepped.disk.after_power_loss(survive), FOLDER).items
+                self.assertIsNotNone(items)
+                self.assertLessEqual(acknowledged[0].items(), (items or {}).items())
+
+        stepped.disk.on_change = lose_power
+        for at in range(40):
+            fail(stepped.disk)
+            store.apply([(b"more%d" % at, b"w" * 10)])
+            await stepped.settle()
+            self.assertEqual(store.durable_ticket, 20)
+            stepped.fire()
+            await asyncio.sleep(0)
+
+    async def test_syncs_fail(self) -> None:
+        def fail(disk: SimulatedDisk) -> None:
+            disk.failing_syncs = 1
+
+        await self.fail_often(fail)
+
+    async def test_writes_are_refused(self) -> None:
+        def fail(disk: SimulatedDisk) -> None:
+            disk.refuses_writes = True
+
+        await self.fail_often(fail)
+
+
+class DamageTest(unittest.IsolatedAsyncioTestCase):
+    """Nothing beyond a record that can't be read is taken, however valid it looks by itself."""
+
+    async def test_a_segment_is_not_the_successor_of_one_that_ends_early(self) -> None:
+        stepped = Stepped(SimulatedDisk())
+        store = stepped.open()
+        states: list[dict[bytes, bytes]] = [{}]
+        for at in range(20):
+            store.apply([(b"key%d" % at, b"v" * 30)])
+            states.append(dict(store.items))
+            await stepped.settle()
+        for name, inode in stepped.disk.inodes.items():
+            for place in range(0, len(inode.cache), 7):
+                damaged = stepped.disk.after_kill()
+                damaged.inodes[name].cache[place] ^= 0x10
+                items = recover(damaged, FOLDER).items
+                self.assertTrue(items is None or items in states)
+
+    def test_a_frame_of_another_life_ends_the_segment(self) -> None:
+        header, chain = encode_segment(SegmentHeader(1, 5, 0, 0, SegmentFlag.SNAPSHOT_STARTS))
+        frame, _ = encode_frame([(b"a", b"1")], FrameFlag.NONE, 5, chain)
+        stale, _ = encode_frame([(b"a", b"1")], FrameFlag.NONE, 6, chain)
+        self.assertEqual(len(list(decode_frames(header + frame, 5, chain))), 1)
+        self.assertEqual(len(list(decode_frames(header + stale, 5, chain))), 0)
+
+    def test_a_log_that_failed_takes_no_more_frames(self) -> None:
+        disk = SimulatedDisk()
+        ring = Stepped(disk).open().ring
+        disk.failing_syncs = 1
+        with self.assertRaises(OSError):
+            ring.append([(b"a", b"1")], 10, FrameFlag.NONE, False)
+        with self.assertRaises(OSError):
+            ring.append([(b"a", b"1")], 10, FrameFlag.NONE, False)
+        ring.rebase([(b"a", b"1")])
+        ring.append([(b"b", b"1")], 10, FrameFlag.NONE, False)
+        items = recover(disk.after_power_loss(lost), FOLDER).items
+        self.assertEqual(items, {b"a": b"1", b"b": b"1"})
+
+
 KEYS = st.sampled_from([b"a", b"b", b"c", b"d" * 9, b"e" * 20])
 VALUES = st.one_of(st.none(), st.binary(max_size=40))
 GROUPS = st.lists(st.tuples(KEYS, VALUES), min_size=1, max_size=6)
--- a/tests/system/test_storage_steps.py
+++ b/tests/system/test_storage_steps.py
@@ -46,6 +46,8 @@
         error: Exception | None = None
         try:
             job()
+        except AssertionError:
+            raise  # the test's own, from within the simulated disk
         except Exception as raised:
             error = raised
         self._waiting = None
