Judge a stall from the start of the run, and look at progress less often

A listing may be asked for seconds before it is told, so the first sight of a run came too late to tell that it stands still.

--- a/flintfield/dispatch/service.py
+++ b/flintfield/dispatch/service.py
@@ -131,7 +131,12 @@
     def set_configuration(self, configuration: Configuration) -> None:
         """A newer configuration is in force here."""
         if self._term is not None:
-            self._feed(self._term, ConfigurationChanged(configuration))
+            self._follow(self._term, configuration)
+
+    def _follow(self, term: _Term, configuration: Configuration | None) -> None:
+        """See to it that the state machine goes by this configuration, or by a newer one."""
+        if configuration is not None and configuration.version > term.dispatcher.configuration_version:
+            self._feed(term, ConfigurationChanged(configuration))
 
     def _tick(self, term: _Term) -> None:
         if term.over:
@@ -150,6 +155,7 @@
         version = ours.version if ours is not None else 0
         if request.version > version or len(term.calls) >= MAX_CALLS:
             return JobAnswer(503, b'{"error":"no_configuration"}', BEHIND_RETRY_MS, version)
+        self._follow(term, ours)
         self._next_call += 1
         number = self._next_call
         call = term.calls[number] = _Call(request.method)
--- a/flintfield/jobs/dispatcher.py
+++ b/flintfield/jobs/dispatcher.py
@@ -58,6 +58,12 @@
         """What has been counted so far."""
         return self._state.counters
 
+    @property
+    def configuration_version(self) -> int:
+        """The version of the configuration in force here; 0: none yet."""
+        configuration = self._state.configuration
+        return configuration.version if configuration is not None else 0
+
     @property
     def epoch(self) -> int:
         """The fencing token of its orders."""
--- a/flintfield/jobs/ends.py
+++ b/flintfield/jobs/ends.py
@@ -77,7 +77,7 @@
         result = _RESULTS.get(ending, ending.value)
         if run.suspect and ending is not Ending.DONE:
             result = Result.STALLED
-        ran_ms = float(state.now_ms - run.seen_ms) if run.seen_ms >= 0 else 0.0
+        ran_ms = float(state.now_ms - run.started_ms) if run.started_ms >= 0 else 0.0
         state.placement.note_end(demand_of(run.task), run.instance, result, ran_ms, state.now_ms)
 
     def _out_of_attempts(self, step: Step, task: Task) -> bool:
@@ -117,7 +117,7 @@
             return REFUSAL_BACKOFF_MS
         if not task.step.spec.long_running or ending is Ending.UNSENT:
             return 0
-        ran = self._state.now_ms - run.seen_ms if run.seen_ms >= 0 else 0
+        ran = self._state.now_ms - run.started_ms if run.started_ms >= 0 else 0
         if ran >= QUICK_END_MS or ending is not Ending.FAILED:
             task.quick_ends = 0
             return 0
--- a/flintfield/jobs/estimates.py
+++ b/flintfield/jobs/estimates.py
@@ -59,5 +59,5 @@
     pace = pace_of(run, now_ms) or usual_pace
     if run.percent:
         return (100 - run.percent) / 100 * estimate_ms(run) / pace
-    ran_ms = now_ms - run.seen_ms if run.seen_ms >= 0 else 0
+    ran_ms = now_ms - run.started_ms if run.started_ms >= 0 else 0
     return max(0.0, estimate_ms(run) / pace - ran_ms)
--- a/flintfield/jobs/model.py
+++ b/flintfield/jobs/model.py
@@ -112,6 +112,7 @@
     order: int = 0  # the newest order for it
     answered_stamp: int | None = None  # agent's stamp from which on a listing shows the order's whole effect
     stop_answered: bool = False
+    started_ms: int = -1  # when its start was answered, or it was first seen running
     seen_ms: int = -1  # when it was first seen running
     percent: int = 0
     first_percent: int = 0  # when it was first seen
@@ -130,12 +131,24 @@
         self.order = order
         self.answered_stamp = None
 
-    def seen_running(self, now_ms: int) -> None:
+    def order_answered(self, stamp_ms: int, now_ms: int) -> None:
+        """Its newest order was carried out; listings asked for from that stamp of the agent on show it."""
+        self.answered_stamp = stamp_ms
+        if self.started_ms < 0:
+            self.started_ms = self.percent_at_ms = now_ms
+
+    def seen_running(self, now_ms: int, percent: int) -> None:
         """A listing names it as running."""
         if self.state in (RunState.ORDERED, RunState.INHERITED):
             self._change(RunState.RUNNING)
+        if self.started_ms < 0:
+            self.started_ms = now_ms
         if self.seen_ms < 0:
-            self.seen_ms = self.percent_at_ms = now_ms
+            self.seen_ms = now_ms
+            self.first_percent = percent
+        if percent != self.percent or self.percent_at_ms < 0:
+            self.percent = percent
+            self.percent_at_ms = now_ms
 
     def stop_ordered(self, order: int) -> None:
         """A stop order leaves, perhaps once more."""
--- a/flintfield/jobs/moves.py
+++ b/flintfield/jobs/moves.py
@@ -15,7 +15,7 @@
 MAX_MOVES = 3  # of one task
 STALL_MS = 1_500  # a percentage that stands still for less says nothing
 STALL_SHARE = 0.3  # of the estimate
-FRESH_PROGRESS_MS = 2_500  # elsewhere in the service, so that the fault is not ours
+FRESH_PROGRESS_MS = 6_000  # elsewhere in the service, so that the fault is not ours
 SLOW_WORKER = 2.5  # times as slow as usual
 SLOW_RUN = 2.0
 MOVE_COST_MS = 600  # stop, placement, start, restore
@@ -62,7 +62,9 @@
         if now - run.percent_at_ms < limit:
             return False
         progress = self._state.service(record.worker.service).progress
-        return any(now - at <= FRESH_PROGRESS_MS for name, at in progress.items() if name != record.instance)
+        stood_ms = run.percent_at_ms + STALL_MS // 2
+        return any(at >= stood_ms and now - at <= FRESH_PROGRESS_MS
+                   for name, at in progress.items() if name != record.instance)
 
     def _too_slow(self, record: WorkerRecord, run: Run) -> bool:
         if record.slowness < SLOW_WORKER:
--- a/flintfield/jobs/orders.py
+++ b/flintfield/jobs/orders.py
@@ -44,7 +44,7 @@
             self._bar_result(record, pending, result)
         elif result.outcome in _ANSWERED:
             del record.orders[result.order]
-            pending.run.answered_stamp = result.stamp_ms
+            pending.run.order_answered(result.stamp_ms, self._state.now_ms)
         elif pending.start is not None:
             self._not_started(record, pending, pending.run, result.outcome)
         else:
--- a/flintfield/jobs/starts.py
+++ b/flintfield/jobs/starts.py
@@ -19,6 +19,7 @@
 MAX_STARTS = 256  # in one pass, so that an event stays short
 MAX_MISSES = 48  # demands without room in one pass; the rest wait for the next
 RETRY_PASS_MS = 200  # a queue is tried again after that though nothing seems to have changed
+REST_BY_MISS_MS = 1  # a pass over many demands without room is dear: it is made less often
 AFFINITY_SHARE = 0.5  # of what working far away would cost is spent waiting for the rack
 MAX_AFFINITY_WAIT_MS = 2_000
 FORCE_AFTER_MS = 1_500  # after that a worker with room is taken even if the policy would wait
@@ -41,7 +42,9 @@
         """A pass over each queue that something has changed for."""
         now = self._state.now_ms
         for queue in self._state.services.values():
-            if queue.steps and (queue.dirty or now - queue.tried_ms >= RETRY_PASS_MS):
+            if not queue.steps or now < queue.rest_until_ms:
+                continue
+            if queue.dirty or now - queue.tried_ms >= RETRY_PASS_MS:
                 self._pass(queue)
 
     def _pass(self, queue: ServiceQueue) -> None:
@@ -58,7 +61,7 @@
         for _, _, step in tuple(queue.steps):
             if budget <= 0 or len(without_room) >= MAX_MISSES:
                 queue.dirty = queue.dirty or budget <= 0
-                return
+                break
             self._gangs.withhold(queue, step)
             if step.queued_in != queue.name or step.occurrence.job.state is not JobState.ACTIVE:
                 continue
@@ -71,6 +74,7 @@
                 without_room.add(shape)
                 self._gangs.reserve(queue, step)
                 self._preemption.make_room(queue, step)
+        queue.rest_until_ms = self._state.now_ms + len(without_room) * REST_BY_MISS_MS
 
     def _place(self, queue: ServiceQueue, step: Step, budget: int) -> int:
         """Place ready tasks of the step; how many were."""
--- a/flintfield/jobs/state.py
+++ b/flintfield/jobs/state.py
@@ -42,6 +42,7 @@
     stamp_ms: int = -1  # of the newest report
     granted_stamp: int = -1  # of the newest report that was granted a hold
     listing_stamp: int = -1
+    examined_ms: int = -1_000  # when the progress of its runs was last looked at
     fence_stamp: int | None = None  # of the first report that showed it fenced by this epoch
     connected: bool = False
     draining: bool = False
@@ -76,6 +77,7 @@
     workers: dict[str, Worker] = field(default_factory=dict)
     dirty: bool = True
     tried_ms: int = -1
+    rest_until_ms: int = 0  # no pass before that
     backlog_cpu: Counter[int] = field(default_factory=Counter)  # by priority: thousandths of a core x ms
     backlog_gpu: Counter[int] = field(default_factory=Counter)  # by priority: GPUs x ms
     reserved: dict[str, Step] = field(default_factory=dict)  # instances kept for a large gang
--- a/flintfield/jobs/workers.py
+++ b/flintfield/jobs/workers.py
@@ -20,6 +20,7 @@
 REMEMBERED_GONE = 4_096  # incarnations that are gone; a late heartbeat of one must not bring it back
 FORGET_WORKER_MS = 600_000  # a silent worker without runs is forgotten after that
 NAMING_MS = 2_500  # how long an agent that knows of no worker is told which one it had
+EXAMINE_MS = 300  # progress is looked at no more often
 PERIOD_MS = 150  # between two looks at all workers
 DONE_RUN_MS = 1_500  # a run of a task that is done ends by itself within that, or is stopped
 
@@ -167,6 +168,8 @@
         run = record.runs.get((end.task, end.run))
         if run is None or run.state is RunState.PLACING:
             return  # released before, or of a job that is forgotten
+        if end.how is How.DONE:
+            self._state.service(record.worker.service).progress[record.instance] = self._state.now_ms
         self._ends.resolve(run, _ENDINGS[end.how], end.saved)
 
     def _noted(self, record: WorkerRecord, number: int) -> None:
@@ -178,10 +181,14 @@
         record.listing_stamp = report.listing_stamp
         listed = {(each.task, each.run): each for each in report.running}
         self._note_strays(record, listed)
+        every_run = self._state.now_ms - record.examined_ms >= EXAMINE_MS
+        if every_run:
+            record.examined_ms = self._state.now_ms
         for key, run in list(record.runs.items()):
             each = listed.get(key)
             if each is not None:
-                self._note_running(record, run, each, report.listing_stamp)
+                if every_run or run.state is not RunState.RUNNING:
+                    self._note_running(record, run, each, report.listing_stamp)
             elif run.state is not RunState.CLOSED and len(report.finished) < LISTED_AT_ONCE:
                 self._not_listed(record, run, report)
 
@@ -189,14 +196,11 @@
         now = self._state.now_ms
         if run.state is RunState.PLACING:
             return
-        if run.seen_ms < 0:
-            run.percent = run.first_percent = listed.percent
-        run.seen_running(now)
+        before = run.percent
+        run.seen_running(now, listed.percent)
         if run.answered_stamp is None and run.state is RunState.RUNNING:
             run.answered_stamp = stamp
-        if listed.percent != run.percent:
-            run.percent = listed.percent
-            run.percent_at_ms = now
+        if listed.percent > before:
             self._state.service(record.worker.service).progress[record.instance] = now
         if listed.saved and listed.saved != run.task.checkpoint:
             self._ends.save(run.task, listed.saved)
