--- a/benchmarks/system_storage.py
+++ b/benchmarks/system_storage.py
@@ -20,6 +20,7 @@
 
 from flintfield.coordination.storage import DiskFile, OsDisk, open_store
 from flintfield.coordination.storage.disk import OsFile
+from flintfield.coordination.storage.recovery import recover
 from flintfield.coordination.storage.store import RingStore
 
 LIMIT_BYTES = 128 << 20
@@ -109,10 +110,18 @@
     print(f"first open: {first_ms:.1f} ms, {store.ring.pool.total_bytes / 1e6:.1f} MB of files")
     await fill(store)
     await store.close()
+    del store  # its items would count twice
     before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    began = time.process_time()
+    found = recover(OsDisk(), directory)
+    read_ms = (time.process_time() - began) * 1000
+    del found
+    processor = time.process_time()
     store, again_ms = timed(lambda: open_store(directory, LIMIT_BYTES, SlowDisk()))
+    open_processor_ms = (time.process_time() - processor) * 1000
     peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-    print(f"open with {len(store.items)} records of 10 MB: {again_ms:.0f} ms with the snapshot it writes; "
+    print(f"open with {len(store.items)} records of 10 MB: {again_ms:.0f} ms, "
+          f"with {read_ms:.0f} ms of processor to read and {open_processor_ms:.0f} for all; "
           f"files {store.ring.pool.total_bytes / 1e6:.1f} MB; peak memory {before / 1024:.0f}, "
           f"then {peak / 1024:.0f} MB")
     await store.close()
