--- a/flintfield/jobs/admission.py
+++ b/flintfield/jobs/admission.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from flintfield.jobs.model import Terms
-from flintfield.jobs.state import DispatcherState, ServiceQueue
+from flintfield.jobs.queues import ServiceQueue
+from flintfield.jobs.state import DispatcherState
 
 
 def refusal(state: DispatcherState, terms: Terms, body: bytes) -> str:
--- a/flintfield/jobs/copies.py
+++ b/flintfield/jobs/copies.py
@@ -11,8 +11,9 @@
 from flintfield.jobs.demands import demand_of, may_hold
 from flintfield.jobs.ends import Ends
 from flintfield.jobs.estimates import estimate_ms
-from flintfield.jobs.model import JobState, RunState, Task, TaskState
+from flintfield.jobs.model import Task
 from flintfield.jobs.state import DispatcherState
+from flintfield.jobs.states import JobState, RunState, TaskState
 
 LATE_SHARE = 1.6  # times the expected time
 LEAST_LATE_MS = 600
--- a/flintfield/jobs/durable.py
+++ b/flintfield/jobs/durable.py
@@ -15,7 +15,8 @@
 
 from dataclasses import dataclass
 
-from flintfield.jobs.model import Run, Task, TaskState, Terms
+from flintfield.jobs.model import Run, Task, Terms
+from flintfield.jobs.states import TaskState
 from flintfield.transport.records import encode, record
 
 JOB, END, OCCURRENCES, TASK = b"j", b"e", b"k", b"t"
--- a/flintfield/jobs/ends.py
+++ b/flintfield/jobs/ends.py
@@ -9,11 +9,12 @@
 from functools import partial
 
 from flintfield.jobs import durable
-from flintfield.jobs.model import Job, JobState, Occurrence, Run, Step, Task, TaskState
+from flintfield.jobs.model import Job, Occurrence, Run, Step, Task
 from flintfield.jobs.readiness import Readiness
 from flintfield.jobs.runs import Ending, Runs
 from flintfield.jobs.demands import demand_of
 from flintfield.jobs.state import DispatcherState
+from flintfield.jobs.states import JobState, TaskState
 from flintfield.placement.interface import Result
 from flintfield.transport.records import encode
 
--- a/flintfield/jobs/gangs.py
+++ b/flintfield/jobs/gangs.py
@@ -10,9 +10,11 @@
 from flintfield.jobs.demands import demand_of, has_room, may_hold
 from flintfield.jobs.ends import Ends
 from flintfield.jobs.estimates import left_ms
-from flintfield.jobs.model import Run, Step, TaskState
+from flintfield.jobs.model import Run, Step
 from flintfield.jobs.readiness import Readiness
-from flintfield.jobs.state import DispatcherState, ServiceQueue
+from flintfield.jobs.queues import ServiceQueue
+from flintfield.jobs.state import DispatcherState
+from flintfield.jobs.states import TaskState
 from flintfield.placement.interface import Demand, Resources, Worker
 
 RESERVE_AFTER_MS = 1_500
--- a/flintfield/jobs/intake.py
+++ b/flintfield/jobs/intake.py
@@ -17,9 +17,10 @@
 from flintfield.jobs.ends import Ends
 from flintfield.jobs.events import Answer, CallArrived, Configuration, Route
 from flintfield.jobs.messages import JobCall, Method
-from flintfield.jobs.model import Job, JobState, Terms
+from flintfield.jobs.model import Job, Terms
 from flintfield.jobs.readiness import Readiness
 from flintfield.jobs.state import DispatcherState
+from flintfield.jobs.states import JobState
 from flintfield.transport.records import encode
 
 _ID = re.compile(r"[0-9a-fA-F]{16}")
--- /dev/null
+++ b/flintfield/jobs/listings.py
@@ -0,0 +1,140 @@
+"""What a worker lists: the ends of runs, the runs that go on, and what is missing from both lists.
+
+Ends are written before `last_seen` moves past them. A run that is in neither list has vanished if its order
+was answered early enough before the listing was asked for, or is of an older epoch than the one the worker is
+fenced by; both counted with the time that a stop may take.
+"""
+
+from __future__ import annotations
+
+from flintfield.jobs.ends import Ends
+from flintfield.jobs.messages import AgentReport, End, How, Run as ListedRun
+from flintfield.jobs.model import Run, gang_is_whole
+from flintfield.jobs.moves import Moves
+from flintfield.jobs.runs import Ending
+from flintfield.jobs.state import DispatcherState
+from flintfield.jobs.states import RunState, TaskState
+from flintfield.jobs.worker_record import WorkerRecord
+
+LISTED_AT_ONCE = 500  # a listing with so many ends may leave out more
+EXAMINE_MS = 300  # progress is looked at no more often
+DONE_RUN_MS = 1_500  # a run of a task that is done ends by itself within that, or is stopped
+
+_ENDINGS = {
+    How.DONE: Ending.DONE,
+    How.FAILED: Ending.FAILED,
+    How.STOPPED: Ending.STOPPED,
+    How.LAPSED: Ending.LAPSED,
+    How.BROKEN: Ending.BROKEN,
+    How.ALONE: Ending.ALONE,
+}
+
+
+class Listings:
+    """Takes in the lists of a report."""
+
+    def __init__(self, state: DispatcherState, ends: Ends, moves: Moves) -> None:
+        self._state = state
+        self._ends = ends
+        self._moves = moves
+
+    def take_in(self, record: WorkerRecord, report: AgentReport) -> None:
+        """Take in both lists: the ends first, as a run that has ended is listed as running no more."""
+        self._take_in_ends(record, report.finished)
+        self._take_in_listing(record, report)
+
+    def _take_in_ends(self, record: WorkerRecord, finished: tuple[End, ...]) -> None:
+        before = record.taken_in
+        expected = None
+        for end in sorted(finished, key=lambda each: each.number):
+            if expected is not None and end.number > expected:
+                break  # the ones between come with a later report
+            expected = end.number + 1
+            if end.number > record.taken_in:
+                record.taken_in = end.number
+                self._take_in_end(record, end)
+        if record.taken_in > before:
+            number = record.taken_in
+            self._state.after_write(lambda: self._noted(record, number))
+
+    def _take_in_end(self, record: WorkerRecord, end: End) -> None:
+        run = record.runs.get((end.task, end.run))
+        if run is None or run.state is RunState.PLACING:
+            return  # released before, or of a job that is forgotten
+        if end.how is How.DONE:
+            self._state.service(record.worker.service).progress[record.instance] = self._state.now_ms
+        self._ends.resolve(run, _ENDINGS[end.how], end.saved)
+
+    def _noted(self, record: WorkerRecord, number: int) -> None:
+        record.last_seen = max(record.last_seen, number)
+
+    def _take_in_listing(self, record: WorkerRecord, report: AgentReport) -> None:
+        if report.listing_stamp < 0 or report.listing_stamp <= record.listing_stamp:
+            return
+        record.listing_stamp = report.listing_stamp
+        listed = {(each.task, each.run): each for each in report.running}
+        self._note_strays(record, listed)
+        every_run = self._state.now_ms - record.examined_ms >= EXAMINE_MS
+        if every_run:
+            record.examined_ms = self._state.now_ms
+        for key, run in list(record.runs.items()):
+            each = listed.get(key)
+            if each is not None:
+                if every_run or run.state is not RunState.RUNNING:
+                    self._note_running(record, run, each, report.listing_stamp)
+            elif run.state is not RunState.CLOSED and len(report.finished) < LISTED_AT_ONCE:
+                self._not_listed(record, run, report)
+
+    def _note_running(self, record: WorkerRecord, run: Run, listed: ListedRun, stamp: int) -> None:
+        now = self._state.now_ms
+        if run.state is RunState.PLACING:
+            return
+        before = run.percent
+        run.seen_running(now, listed.percent)
+        if run.answered_stamp is None and run.state is RunState.RUNNING:
+            run.answered_stamp = stamp
+        if listed.percent > before:
+            self._state.service(record.worker.service).progress[record.instance] = now
+        if listed.saved and listed.saved != run.task.checkpoint:
+            self._ends.save(run.task, listed.saved)
+        if run.state is RunState.RUNNING and self._should_stop(run, now):
+            self._ends.runs.stop(run)
+        else:
+            self._moves.check(record, run)
+
+    def _should_stop(self, run: Run, now: int) -> bool:
+        task = run.task
+        if task.job.ended or not gang_is_whole(task.step, run.number):
+            return True
+        over = task.step.occurrence.finished or task.state is TaskState.DONE
+        if not over:
+            return False
+        if task.done_ms < 0:
+            task.done_ms = now
+        return now - task.done_ms > DONE_RUN_MS
+
+    def _not_listed(self, record: WorkerRecord, run: Run, report: AgentReport) -> None:
+        """The worker lists the run neither as running nor as ended."""
+        settled = report.listing_stamp - self._state.bounds.settle_ms
+        fenced = report.fenced_epoch == self._state.epoch
+        if fenced and run.answered_stamp is not None and settled >= run.answered_stamp:
+            self._vanished(run)
+        elif run.state is RunState.INHERITED:
+            if fenced and record.fence_stamp is not None and settled >= record.fence_stamp:
+                self._vanished(run)
+            elif run.task.job.ended or not gang_is_whole(run.task.step, run.number):
+                self._ends.runs.stop(run)
+            elif not record.draining and run.task.state is TaskState.PLACED:
+                self._ends.runs.order_start(run, record)
+
+    def _vanished(self, run: Run) -> None:
+        self._state.counters.vanished_runs += 1
+        self._ends.resolve(run, Ending.VANISHED, "")
+
+    def _note_strays(self, record: WorkerRecord, listed: dict[tuple[str, int], ListedRun]) -> None:
+        for key in [key for key in record.strays if key not in listed]:
+            record.orders.pop(record.strays.pop(key), None)
+        for key in listed:
+            if key not in record.runs and key not in record.barred and key not in record.strays:
+                self._state.counters.strays += 1
+                record.strays[key] = self._ends.runs.order_stray_stop(record, *key)
--- a/flintfield/jobs/model.py
+++ b/flintfield/jobs/model.py
@@ -7,84 +7,16 @@
 
 from __future__ import annotations
 
-import enum
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from flintfield.jobs.body import JobSpec, StepSpec, chain_left
+from flintfield.jobs.states import (
+    JOB_CHANGES, RUN_CHANGES, TASK_CHANGES, IllegalChange, JobState, RunState, TaskState,
+)
 from flintfield.placement.interface import Resources
 
 
-class IllegalChange(RuntimeError):
-    """A change of state that the state machine does not know: a defect of the dispatcher."""
-
-
-class JobState(enum.IntEnum):
-    """Where a job stands. The numbers are part of the durable form."""
-
-    ACCEPTING = 1  # its acceptance is not durable yet
-    ACTIVE = 2
-    COMPLETED = 3
-    FAILED = 4
-    CANCELLED = 5
-
-
-class TaskState(enum.IntEnum):
-    """Where a task stands."""
-
-    WAITING = 1  # for earlier steps
-    READY = 2
-    DELAYED = 3  # backs off before the next run
-    PLACED = 4  # at least one run may be there
-    DONE = 5
-
-
-class RunState(enum.IntEnum):
-    """Where a run stands."""
-
-    PLACING = 1  # the placement is not durable yet; no order has left
-    ORDERED = 2  # the start order may have left
-    INHERITED = 3  # placed by an earlier dispatcher; not seen yet
-    RUNNING = 4  # seen on the worker
-    STOPPING = 5
-    CLOSED = 6  # its end is certain
-
-
-_JOB_CHANGES = {
-    (JobState.ACCEPTING, JobState.ACTIVE),
-    (JobState.ACCEPTING, JobState.CANCELLED),
-    (JobState.ACTIVE, JobState.COMPLETED),
-    (JobState.ACTIVE, JobState.FAILED),
-    (JobState.ACTIVE, JobState.CANCELLED),
-}
-_TASK_CHANGES = {
-    (TaskState.WAITING, TaskState.READY),
-    (TaskState.READY, TaskState.PLACED),
-    (TaskState.READY, TaskState.DONE),
-    (TaskState.DELAYED, TaskState.READY),
-    (TaskState.DELAYED, TaskState.DONE),
-    (TaskState.PLACED, TaskState.READY),
-    (TaskState.PLACED, TaskState.DELAYED),
-    (TaskState.PLACED, TaskState.DONE),
-    (TaskState.WAITING, TaskState.PLACED),  # restored
-    (TaskState.WAITING, TaskState.DONE),  # restored
-}
-_RUN_CHANGES = {
-    (RunState.PLACING, RunState.ORDERED),
-    (RunState.INHERITED, RunState.ORDERED),
-    (RunState.ORDERED, RunState.RUNNING),
-    (RunState.INHERITED, RunState.RUNNING),
-    (RunState.ORDERED, RunState.STOPPING),
-    (RunState.INHERITED, RunState.STOPPING),
-    (RunState.RUNNING, RunState.STOPPING),
-    (RunState.PLACING, RunState.CLOSED),
-    (RunState.ORDERED, RunState.CLOSED),
-    (RunState.INHERITED, RunState.CLOSED),
-    (RunState.RUNNING, RunState.CLOSED),
-    (RunState.STOPPING, RunState.CLOSED),
-}
-
-
 @dataclass(frozen=True, slots=True)
 class Terms:
     """What the configuration says of a job's queue."""
@@ -162,7 +94,7 @@
         self._change(RunState.CLOSED)
 
     def _change(self, new: RunState) -> None:
-        if (self.state, new) not in _RUN_CHANGES:
+        if (self.state, new) not in RUN_CHANGES:
             raise IllegalChange(f"run {self.name}/{self.number}: {self.state.name} to {new.name}")
         self.state = new
 
@@ -209,7 +141,7 @@
         self._change(TaskState.DONE)
 
     def _change(self, new: TaskState) -> None:
-        if (self.state, new) not in _TASK_CHANGES:
+        if (self.state, new) not in TASK_CHANGES:
             raise IllegalChange(f"task {self.name}: {self.state.name} to {new.name}")
         self.state = new
 
@@ -323,7 +255,7 @@
         return number < self.done_below or number in self.done_above
 
     def _change(self, new: JobState) -> None:
-        if (self.state, new) not in _JOB_CHANGES:
+        if (self.state, new) not in JOB_CHANGES:
             raise IllegalChange(f"job {self.id}: {self.state.name} to {new.name}")
         self.state = new
 
--- a/flintfield/jobs/moves.py
+++ b/flintfield/jobs/moves.py
@@ -9,8 +9,10 @@
 from flintfield.jobs.demands import demand_of, may_hold
 from flintfield.jobs.ends import Ends
 from flintfield.jobs.estimates import SLOW_STEP, estimate_ms, left_ms, pace_of, towards
-from flintfield.jobs.model import Run, RunState, TaskState
-from flintfield.jobs.state import DispatcherState, WorkerRecord
+from flintfield.jobs.model import Run
+from flintfield.jobs.state import DispatcherState
+from flintfield.jobs.states import RunState, TaskState
+from flintfield.jobs.worker_record import WorkerRecord
 
 MAX_MOVES = 3  # of one task
 STALL_MS = 1_500  # a percentage that stands still for less says nothing
--- a/flintfield/jobs/orders.py
+++ b/flintfield/jobs/orders.py
@@ -5,9 +5,11 @@
 from collections.abc import Callable
 
 from flintfield.jobs.messages import OrderResult, Outcome
-from flintfield.jobs.model import Run, RunState
+from flintfield.jobs.model import Run
 from flintfield.jobs.runs import Ending, Resolve, Runs
-from flintfield.jobs.state import DispatcherState, PendingOrder, WorkerRecord
+from flintfield.jobs.state import DispatcherState
+from flintfield.jobs.states import RunState
+from flintfield.jobs.worker_record import PendingOrder, WorkerRecord
 
 REPEAT_MS = 3_000  # an order without an answer is sent again after that
 RETRY_MS = 500  # a stop that was not carried out is sent again after that
--- a/flintfield/jobs/preemption.py
+++ b/flintfield/jobs/preemption.py
@@ -10,9 +10,11 @@
 
 from flintfield.jobs.demands import demand_of
 from flintfield.jobs.ends import Ends
-from flintfield.jobs.model import Run, RunState, Step, TaskState
+from flintfield.jobs.model import Run, Step
 from flintfield.jobs.readiness import PRIORITY_GAP_MS
-from flintfield.jobs.state import DispatcherState, ServiceQueue
+from flintfield.jobs.queues import ServiceQueue
+from flintfield.jobs.state import DispatcherState
+from flintfield.jobs.states import RunState, TaskState
 from flintfield.placement.interface import Demand, Resources, Worker
 
 EARLY_MS = 400  # before the latest start that meets the objective
--- /dev/null
+++ b/flintfield/jobs/queues.py
@@ -0,0 +1,40 @@
+"""The queue of a service: its steps with ready tasks, its workers, its backlog."""
+
+from __future__ import annotations
+
+from bisect import bisect_left, insort
+from collections import Counter
+from dataclasses import dataclass, field
+
+from flintfield.jobs.model import Step
+from flintfield.placement.interface import Worker
+
+
+@dataclass(slots=True, eq=False)
+class ServiceQueue:
+    """The steps of one service that have ready tasks, in the order of their rank."""
+
+    name: str
+    steps: list[tuple[float, int, Step]] = field(default_factory=list)
+    workers: dict[str, Worker] = field(default_factory=dict)
+    dirty: bool = True
+    tried_ms: int = -1
+    rest_until_ms: int = 0  # no pass before that
+    backlog_cpu: Counter[int] = field(default_factory=Counter)  # by priority: thousandths of a core x ms
+    backlog_gpu: Counter[int] = field(default_factory=Counter)  # by priority: GPUs x ms
+    reserved: dict[str, Step] = field(default_factory=dict)  # instances kept for a large gang
+    reserved_until_ms: int = 0
+    reserve_tried_ms: int = 0
+    progress: dict[str, int] = field(default_factory=dict)  # by instance: when a run there last made progress
+    withheld: list[Worker] = field(default_factory=list)  # of those, out of sight for the rest of a pass
+
+    def add(self, step: Step) -> None:
+        """Take in a step; `rank` must not change while it is here."""
+        insort(self.steps, (step.rank, step.serial, step))
+        step.queued_in = self.name
+
+    def remove(self, step: Step) -> None:
+        """Drop a step."""
+        at = bisect_left(self.steps, (step.rank, step.serial))
+        del self.steps[at]
+        step.queued_in = None
--- a/flintfield/jobs/readiness.py
+++ b/flintfield/jobs/readiness.py
@@ -10,8 +10,9 @@
 
 import heapq
 
-from flintfield.jobs.model import Job, JobState, Occurrence, Step, Task, TaskState, Terms, open_occurrence
+from flintfield.jobs.model import Job, Occurrence, Step, Task, Terms, open_occurrence
 from flintfield.jobs.state import DispatcherState
+from flintfield.jobs.states import JobState, TaskState
 
 PRIORITY_GAP_MS = 30_000
 MAX_OPEN_OCCURRENCES = 256  # of one job; later times wait until earlier ones are done
--- a/flintfield/jobs/restore.py
+++ b/flintfield/jobs/restore.py
@@ -7,11 +7,11 @@
 from flintfield.jobs import durable
 from flintfield.jobs.body import MalformedJob, StepSpec, read_job
 from flintfield.jobs.durable import TaskName, TaskRecord
-from flintfield.jobs.model import (
-    Job, JobState, Occurrence, Run, RunState, Step, Task, TaskState, Terms, open_occurrence,
-)
+from flintfield.jobs.model import Job, Occurrence, Run, Step, Task, Terms, open_occurrence
 from flintfield.jobs.readiness import Readiness
-from flintfield.jobs.state import DispatcherState, WorkerRecord, unknown_worker
+from flintfield.jobs.state import DispatcherState
+from flintfield.jobs.states import JobState, RunState, TaskState
+from flintfield.jobs.worker_record import WorkerRecord, unknown_worker
 from flintfield.placement.interface import Resources
 from flintfield.transport.records import MalformedRecord, decode
 
--- a/flintfield/jobs/runs.py
+++ b/flintfield/jobs/runs.py
@@ -11,8 +11,10 @@
 from functools import partial
 
 from flintfield.jobs.messages import StartOrder, StopOrder
-from flintfield.jobs.model import Job, JobState, Run, RunState, Task, TaskState, gang_is_whole
-from flintfield.jobs.state import DispatcherState, PendingOrder, WorkerRecord
+from flintfield.jobs.model import Job, Run, Task, gang_is_whole
+from flintfield.jobs.state import DispatcherState
+from flintfield.jobs.states import JobState, RunState, TaskState
+from flintfield.jobs.worker_record import PendingOrder, WorkerRecord
 from flintfield.placement.interface import Demand, Worker
 
 
--- a/flintfield/jobs/starts.py
+++ b/flintfield/jobs/starts.py
@@ -9,11 +9,13 @@
 
 from flintfield.jobs.demands import demand_of, may_hold
 from flintfield.jobs.gangs import Gangs
-from flintfield.jobs.model import JobState, Step, Task
+from flintfield.jobs.model import Step, Task
 from flintfield.jobs.readiness import Readiness
 from flintfield.jobs.ends import Ends
 from flintfield.jobs.preemption import Preemption
-from flintfield.jobs.state import DispatcherState, ServiceQueue
+from flintfield.jobs.queues import ServiceQueue
+from flintfield.jobs.state import DispatcherState
+from flintfield.jobs.states import JobState
 from flintfield.placement.interface import Demand, Worker
 
 MAX_STARTS = 256  # in one pass, so that an event stays short
--- a/flintfield/jobs/state.py
+++ b/flintfield/jobs/state.py
@@ -3,101 +3,24 @@
 from __future__ import annotations
 
 import random
-from bisect import bisect_left, insort
 from collections import Counter, OrderedDict, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from flintfield.jobs import durable
 from flintfield.jobs.bounds import DispatcherBounds
 from flintfield.jobs.estimates import Paces
 from flintfield.jobs.events import Change, Configuration, Effect, SendOrders, Write
-from flintfield.jobs.messages import AgentOrders, JobAnswer, StartOrder, StopOrder
-from flintfield.jobs.model import Job, Run, Step, Task
-from flintfield.placement.interface import Placement, Resources, Worker
+from flintfield.jobs.messages import AgentOrders, JobAnswer
+from flintfield.jobs.model import Job, Run, Task
+from flintfield.jobs.queues import ServiceQueue
+from flintfield.jobs.worker_record import WorkerRecord
+from flintfield.placement.interface import Placement, Worker
 
 MAX_STARTS_SENT = 64  # in one message, as each may carry 4,000 bytes
 MAX_OUTSTANDING_WRITES = 8  # beyond, changes gather in the next batch
 
 
-@dataclass(slots=True)
-class PendingOrder:
-    """An order that has no answer yet; it is repeated on a new connection and after a while."""
-
-    run: Run | None  # None: the run is in no table
-    sent_ms: int
-    boot: int = 0  # the life of the agent that it was first sent to; a later one does not know of open calls
-    start: StartOrder | None = None
-    stop: StopOrder | None = None
-
-
-@dataclass(slots=True, eq=False)
-class WorkerRecord:
-    """All that the dispatcher knows of one incarnation of a worker."""
-
-    worker: Worker
-    known: bool  # a report has named it; False: known from durable placements only
-    granted_ms: int  # receipt of the newest report that was granted a hold
-    boot: int = 0
-    stamp_ms: int = -1  # of the newest report
-    granted_stamp: int = -1  # of the newest report that was granted a hold
-    listing_stamp: int = -1
-    examined_ms: int = -1_000  # when the progress of its runs was last looked at
-    fence_stamp: int | None = None  # of the first report that showed it fenced by this epoch
-    connected: bool = False
-    draining: bool = False
-    leaves_ms: int = 0  # while it drains: when it may leave, on the dispatcher's clock
-    remaining_ms: int = 0  # as it last told
-    slowness: float = 1.0  # times as slow as is usual
-    silent: bool = False
-    unwell_until_ms: int = 0
-    unnamed_boot: int = 0  # a life of the agent that knew of no worker, and since when
-    unnamed_ms: int = 0
-    last_seen: int = 0  # durable
-    taken_in: int = 0  # ends up to here are in the tables
-    runs: dict[tuple[str, int], Run] = field(default_factory=dict)
-    orders: dict[int, PendingOrder] = field(default_factory=dict)
-    barred: dict[tuple[str, int], int] = field(default_factory=dict)  # released runs: their stop orders
-    strays: dict[tuple[str, int], int] = field(default_factory=dict)  # listed, but not in the tables
-    starts_out: list[StartOrder] = field(default_factory=list)
-    stops_out: list[StopOrder] = field(default_factory=list)
-
-    @property
-    def instance(self) -> str:
-        """The worker's id."""
-        return self.worker.instance
-
-
-@dataclass(slots=True, eq=False)
-class ServiceQueue:
-    """The steps of one service that have ready tasks, in the order of their rank."""
-
-    name: str
-    steps: list[tuple[float, int, Step]] = field(default_factory=list)
-    workers: dict[str, Worker] = field(default_factory=dict)
-    dirty: bool = True
-    tried_ms: int = -1
-    rest_until_ms: int = 0  # no pass before that
-    backlog_cpu: Counter[int] = field(default_factory=Counter)  # by priority: thousandths of a core x ms
-    backlog_gpu: Counter[int] = field(default_factory=Counter)  # by priority: GPUs x ms
-    reserved: dict[str, Step] = field(default_factory=dict)  # instances kept for a large gang
-    reserved_until_ms: int = 0
-    reserve_tried_ms: int = 0
-    progress: dict[str, int] = field(default_factory=dict)  # by instance: when a run there last made progress
-    withheld: list[Worker] = field(default_factory=list)  # of those, out of sight for the rest of a pass
-
-    def add(self, step: Step) -> None:
-        """Take in a step; `rank` must not change while it is here."""
-        insort(self.steps, (step.rank, step.serial, step))
-        step.queued_in = self.name
-
-    def remove(self, step: Step) -> None:
-        """Drop a step."""
-        at = bisect_left(self.steps, (step.rank, step.serial))
-        del self.steps[at]
-        step.queued_in = None
-
-
 @dataclass(slots=True)
 class Counters:
     """What is counted, for the log and the operator."""
@@ -116,11 +39,6 @@
     bad_placements: int = 0
 
 
-def unknown_worker(instance: str, machine: str) -> Worker:
-    """A worker of which only its place is known."""
-    return Worker(instance, machine, "", "", frozenset(), "", Resources(), ready=False)
-
-
 class DispatcherState:
     """The tables, and what the event in hand has brought about so far."""
 
--- a/tests/system/jobs_world.py
+++ b/tests/system/jobs_world.py
@@ -18,7 +18,7 @@
 from flintfield.jobs.events import (
     Answer, CallArrived, Configuration, ConfigurationChanged, Event, SendOrders, Tick, Write, Written,
 )
-from flintfield.jobs.messages import JobAnswer, JobCall, Method
+from flintfield.jobs.messages import AgentReport, JobAnswer, JobCall, Method, WorkerState
 from flintfield.placement.interface import Placement
 from flintfield.placement.market import Market
 
@@ -215,3 +215,9 @@
            gang: int = 1) -> Callable[[str], RunPlan]:
     """All tasks alike."""
     return lambda task: RunPlan(work_ms, how, checkpoints, gang)
+
+
+def report(stamp: int = 10) -> AgentReport:
+    """A report of an idle worker."""
+    worker = WorkerState("i-1", "svc", "a", "z", False, 4_000, 8_000, 0, ("a", "r"), 0, 8, 0)
+    return AgentReport("m-1", 7, stamp, 0, worker, 3, stamp - 1, (), (), (), 0, False)
--- /dev/null
+++ b/tests/system/test_dispatch_service.py
@@ -0,0 +1,194 @@
+"""The dispatcher's shell: who is answered what, and that nothing leaves without a confirmed leadership."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import unittest
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from typing import Any
+
+from flintfield.dispatch.service import DispatchService
+from flintfield.jobs.bounds import DispatcherBounds
+from flintfield.jobs.events import Change
+from flintfield.jobs.messages import (
+    AgentOrders, AgentReport, JobAnswer, JobCall, Method, NotDispatcher,
+)
+from flintfield.placement.market import Market
+
+from .jobs_world import HOST, WALL_0, ConfigurationModel, job_id, report
+
+BODY = json.dumps({"spec": "s", "steps": [{"count": 1, "cpu": 100, "estimateMs": 100}]}).encode()
+
+
+class FakeLeadership:
+    """A leadership whose writes become durable when the test says so."""
+
+    def __init__(self, epoch: int = 3, items: Mapping[bytes, bytes] | None = None) -> None:
+        self.epoch = epoch
+        self.items: Mapping[bytes, bytes] = items or {}
+        self.sure = True
+        self.written: list[tuple[Sequence[Change], asyncio.Future[None]]] = []
+
+    async def write(self, changes: Sequence[Change]) -> None:
+        """Wait for the test."""
+        durable: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.written.append((changes, durable))
+        await durable
+
+    def confirmed(self) -> bool:
+        """As the test says."""
+        return self.sure
+
+    def wall_ms(self) -> int:
+        """Common time."""
+        return WALL_0
+
+
+class FakeConnection:
+    """An agent's connection."""
+
+    def __init__(self) -> None:
+        self.closed = False
+        self.sent: list[Any] = []
+        self.callbacks: list[Callable[[Any], None]] = []
+
+    def send(self, message: object) -> bool:
+        """Keep it."""
+        self.sent.append(message)
+        return True
+
+    def on_close(self, callback: Callable[[Any], None]) -> None:
+        """Keep it."""
+        self.callbacks.append(callback)
+
+
+class Service(unittest.IsolatedAsyncioTestCase):
+    """One process."""
+
+    def setUp(self) -> None:
+        self.now = 1_000
+        self.configuration: ConfigurationModel | None = ConfigurationModel(version=4)
+        self.service = DispatchService(DispatcherBounds(), lambda: self.configuration, Market,
+                                       lambda: self.now, random.Random(1), lambda: "10.0.0.9:7660")
+        self.leadership = FakeLeadership()
+        self.connection = FakeConnection()
+
+    def tearDown(self) -> None:
+        self.service.deposed()
+
+    def call(self, method: Method, path: str, body: bytes = b"", version: int = 0) -> Any:
+        """What the handler returns."""
+        handler = self.service.handlers()[JobCall]
+        return handler(JobCall(method, HOST, path, body, version), self.connection)
+
+    async def submit(self) -> Awaitable[Any]:
+        """A submission whose write is under way."""
+        waiting = self.call(Method.SUBMIT, "/a/" + job_id(1), BODY)
+        self.assertIsInstance(waiting, asyncio.Future)
+        await asyncio.sleep(0)
+        self.assertEqual(len(self.leadership.written), 1)
+        return waiting  # type: ignore[no-any-return]
+
+    async def test_a_process_that_does_not_lead_names_who_may(self) -> None:
+        self.assertEqual(self.call(Method.COUNT, "/a/"), NotDispatcher(0, "10.0.0.9:7660"))
+
+    async def test_a_leader_that_is_not_confirmed_answers_nothing(self) -> None:
+        self.service.elected(self.leadership)
+        self.leadership.sure = False
+        self.assertEqual(self.call(Method.COUNT, "/a/"), NotDispatcher(3, "10.0.0.9:7660"))
+
+    async def test_a_job_is_accepted_once_it_is_durable(self) -> None:
+        self.service.elected(self.leadership)
+        waiting = await self.submit()
+        self.leadership.written[0][1].set_result(None)
+        answer = await waiting
+        self.assertEqual((answer.status, answer.version), (200, 4))
+
+    async def test_a_submission_is_in_doubt_when_the_confirmation_is_gone_by_its_answer(self) -> None:
+        self.service.elected(self.leadership)
+        waiting = await self.submit()
+        self.leadership.sure = False
+        self.leadership.written[0][1].set_result(None)
+        self.assertEqual((await waiting).status, 504)
+
+    async def test_a_submission_is_in_doubt_when_the_term_ends(self) -> None:
+        self.service.elected(self.leadership)
+        waiting = await self.submit()
+        self.service.deposed()
+        self.assertEqual((await waiting).status, 504)
+        self.assertEqual(self.call(Method.COUNT, "/a/"), NotDispatcher(3, "10.0.0.9:7660"))
+
+    async def test_a_write_that_is_not_taken_ends_the_term(self) -> None:
+        self.service.elected(self.leadership)
+        waiting = await self.submit()
+        self.leadership.written[0][1].set_exception(RuntimeError("deposed"))
+        self.assertEqual((await waiting).status, 504)
+        self.assertFalse(self.service.leads)
+
+    async def test_the_next_term_knows_the_job(self) -> None:
+        self.service.elected(self.leadership)
+        waiting = await self.submit()
+        items = {key: value for key, value in self.leadership.written[0][0] if value is not None}
+        self.service.deposed()
+        await waiting
+        self.service.elected(FakeLeadership(4, items))
+        answer = self.call(Method.STATUS, "/a/" + job_id(1))
+        self.assertEqual((answer.status, answer.body), (200, b'{"state":"queued"}'))
+
+    async def test_a_caller_that_has_seen_a_newer_configuration_comes_back(self) -> None:
+        self.service.elected(self.leadership)
+        answer = self.call(Method.COUNT, "/a/", version=5)
+        self.assertIsInstance(answer, JobAnswer)
+        self.assertEqual((answer.status, answer.retry_after_ms), (503, 200))
+
+    async def test_without_a_configuration_nothing_is_refused_for_good(self) -> None:
+        self.configuration = None
+        self.service.elected(self.leadership)
+        self.assertEqual(self.call(Method.SUBMIT, "/a/" + job_id(1), BODY).status, 503)
+        self.assertEqual(self.call(Method.COUNT, "/a/").status, 503)
+
+    async def test_a_newer_configuration_holds_for_the_next_call_even_if_nobody_told_of_it(self) -> None:
+        self.service.elected(self.leadership)
+        self.configuration = ConfigurationModel(5, ())
+        self.assertEqual(self.call(Method.COUNT, "/a/").status, 404)
+
+    async def test_a_report_is_answered_by_a_grant_from_its_stamp(self) -> None:
+        self.service.elected(self.leadership)
+        self.service.handlers()[AgentReport](report(10), self.connection)
+        (orders,) = self.connection.sent
+        self.assertIsInstance(orders, AgentOrders)
+        self.assertEqual((orders.epoch, orders.instance), (3, "i-1"))
+        self.assertEqual((orders.echo_stamp, orders.hold_ms), (10, 5_000))
+
+    async def test_no_grant_leaves_without_a_confirmed_leadership(self) -> None:
+        self.service.elected(self.leadership)
+        self.leadership.sure = False
+        self.service.handlers()[AgentReport](report(10), self.connection)
+        self.assertEqual(self.connection.sent, [NotDispatcher(3, "10.0.0.9:7660")])
+
+    async def test_agents_are_told_when_the_term_ends(self) -> None:
+        self.service.elected(self.leadership)
+        self.service.handlers()[AgentReport](report(10), self.connection)
+        self.service.deposed()
+        self.assertEqual(self.connection.sent[-1], NotDispatcher(3, "10.0.0.9:7660"))
+
+    async def test_writes_begin_in_order_and_a_start_order_follows_its_placement(self) -> None:
+        self.service.elected(self.leadership)
+        self.service.handlers()[AgentReport](report(10), self.connection)
+        waiting = await self.submit()
+        self.leadership.written[0][1].set_result(None)
+        await waiting
+        await asyncio.sleep(0)
+        self.assertEqual(len(self.leadership.written), 2)  # the placement
+        self.assertEqual([orders.starts for orders in self.connection.sent], [()])
+        self.leadership.written[1][1].set_result(None)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        (start,) = self.connection.sent[-1].starts
+        self.assertEqual((start.task, start.run, start.spec), (f"{job_id(1)}.0.0.0", 1, "s"))
+
+
+if __name__ == "__main__":
+    unittest.main()
