--- a/flintfield/coordination/storage/store.py
+++ b/flintfield/coordination/storage/store.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass
 from functools import partial
 
+from flintfield.coordination.storage.backoff import Backoff
 from flintfield.coordination.storage.compaction import PiecewiseSnapshot, chain_bound
 from flintfield.coordination.storage.format import LARGEST_KEY, FrameFlag, entry_bytes
 from flintfield.coordination.storage.interface import Change, StorageFailed, StorageFull
@@ -24,9 +25,6 @@
 from flintfield.coordination.storage.waiters import Waiters
 
 LIVE_PART_OF_LIMIT = 8  # the content may take 1/8 of the limit: see "Space" in docs/system-storage.md
-FIRST_RETRY_S = 0.05  # after a failure; doubled up to the last, each with jitter
-LAST_RETRY_S = 0.5
-JITTER = 0.25  # part of the pause by which it varies
 
 logger = logging.getLogger(__name__)
 
@@ -86,9 +84,9 @@
         self._chores_refused = False
         self._closing = False
         self._started_s = 0.0
-        self._retry_s = FIRST_RETRY_S
+        self._backoff = Backoff(tools.random)
         self._waiters = Waiters()
-        self._idle: asyncio.Event = asyncio.Event()
+        self._idle = asyncio.Event()
         self._idle.set()
 
     @property
@@ -103,7 +101,7 @@
 
     @property
     def state(self) -> State:
-        """What it is doing."""
+        """What it is doing with its disk."""
         return self._state
 
     def apply(self, changes: Sequence[Change]) -> int:
@@ -155,7 +153,7 @@
         return max(0.0, now_ms - self._started_s * 1000.0)
 
     async def close(self) -> None:
-        """Write what is pending, once, and close the files."""
+        """Write what is pending, once, and close the files; takes as long as the disk does."""
         if self._closing:
             return
         self._closing = True
@@ -261,9 +259,9 @@
         if error is not None:
             self._round_failed(error)
             return
-        if self._retry_s != FIRST_RETRY_S:
+        if self._backoff.failing:
             logger.warning("storage: writes succeed again")
-        self._retry_s = FIRST_RETRY_S
+        self._backoff.succeeded()
         self._chores_refused = False
         self._durable_ticket = max(self._durable_ticket, ticket)
         self._waiters.succeed(ticket)
@@ -275,11 +273,9 @@
         self.counters.failed_rounds += 1
         logger.warning("storage: a write or sync failed: %s", error)
         self._write_whole()
-        pause = self._retry_s * self._tools.random.uniform(1 - JITTER, 1 + JITTER)
-        self._retry_s = min(LAST_RETRY_S, self._retry_s * 2)
         self._enter(State.RETRY_PAUSE)
         self._waiters.fail(str(error))
-        self._tools.call_later(pause, self._retry)
+        self._tools.call_later(self._backoff.failed(), self._retry)
 
     def _retry(self) -> None:
         if self._state is State.RETRY_PAUSE:
--- a/tests/system/test_storage.py
+++ b/tests/system/test_storage.py
@@ -17,8 +17,9 @@
     StorageFull,
     open_store,
 )
+from flintfield.coordination.storage.backoff import JITTER, LAST_RETRY_S
 from flintfield.coordination.storage.recovery import recover
-from flintfield.coordination.storage.store import LAST_RETRY_S, State
+from flintfield.coordination.storage.store import State
 
 from .test_storage_disk import PowerCut, SimulatedDisk, SimulatedFile, lost
 from .test_storage_steps import FOLDER, SMALL_LIMIT, Stepped
@@ -172,7 +173,7 @@
             self.store.apply([(b"b", b"%d" % len(self.stepped.pauses))])
             self.stepped.fire()
             await turn()
-        self.assertLessEqual(max(self.stepped.pauses), LAST_RETRY_S * 1.25)
+        self.assertLessEqual(max(self.stepped.pauses), LAST_RETRY_S * (1 + JITTER))
         self.assertGreater(self.stepped.pauses[3], self.stepped.pauses[0])
         self.disk.refuses_writes = False
         await self.stepped.settle()
