--- a/flintfield/lab/sharing/histories.py
+++ b/flintfield/lab/sharing/histories.py
@@ -14,7 +14,7 @@
 from unittest import mock
 
 from flintfield.lab.sharing.world import Instance, Net, World
-from flintfield.sharing import book, core, limits as limit_file
+from flintfield.sharing import book, borrowing, core, holding as holdings, limits as limit_file
 from flintfield.sharing.book import Borrower
 from flintfield.sharing.counts import Counts, Source
 from flintfield.sharing.limits import Limit
@@ -179,13 +179,13 @@
         lives[min(lives)].born_at = -math.inf
 
 
-_GRANTED, _HEARD = core._granted, Counts.heard
+_GRANTED, _HEARD = borrowing.granted, Counts.heard
 FAULTS: dict[str, tuple[object, str, object]] = {
-    "lease-twice-as-long": (core, "_granted", _twice_as_long),
-    "grant-is-fresh": (core, "_granted", _forgets_spends),
+    "lease-twice-as-long": (borrowing, "granted", _twice_as_long),
+    "grant-is-fresh": (borrowing, "granted", _forgets_spends),
     "no-quiet-start": (core.Sharing, "own_part", lambda self, now, holding: holding.part),
     "short-hold": (book, "hold_ms", lambda valid, window: valid / 2),
-    "unstretched-clocks": (core, "cool_ms", lambda window: window * 0.9),
+    "unstretched-clocks": (holdings, "cool_ms", lambda window: window * 0.9),
     "lowers-too-far": (book.Book, "lower", lambda self, now, borrower, number, keep, occupied: (
         self.accounts.pop(borrower, None), self._sum_up(now))),
     "forgets-former-lives": (Counts, "heard", _forgets_former_lives),
