--- a/flintfield/placement/candidates.py
+++ b/flintfield/placement/candidates.py
@@ -12,7 +12,7 @@
 import random
 from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from flintfield.placement.health import HealthTable
 from flintfield.placement.index import ENOUGH, WALK_ALL, WorkerIndex, from_random_place
@@ -22,19 +22,21 @@
 
 PROBE_MOST_ESTIMATE = 1.5  # times the service's mean estimate: a probing run should tell soon
 ESTIMATE_STEP = 0.05  # by which that mean follows a demand
-GANG_CANDIDATES = 64  # workers of a large service among which a gang is placed
+GANG_CANDIDATES = 24  # workers of a large service among which a gang is placed
 MOST_REFUSED = 256  # shapes of demand that found no room in this instant; beyond, they are looked for again
 
 Shape = tuple[str, tuple[str, ...], Resources]
 
 
 @dataclass(slots=True)
-class Candidate:
-    """A worker that could take the task; `zeta` is its speed for this task (1.0: the mean, near)."""
+class Candidates:
+    """Workers that could take the task; at the same place price φ and speed ζ for it (1.0: the mean)."""
 
-    worker: Worker
-    price: float
-    zeta: float
+    workers: list[Worker] = field(default_factory=list)
+    goods: list[tuple[float, float]] = field(default_factory=list)
+
+    def __bool__(self) -> bool:
+        return bool(self.workers)
 
 
 class CandidateFinder:
@@ -57,13 +59,13 @@
         """Room may have become free."""
         self._refused.clear()
 
-    def find(self, demand: Demand, workers: dict[str, Worker], now_ms: int) -> list[Candidate]:
+    def find(self, demand: Demand, workers: dict[str, Worker], now_ms: int) -> Candidates:
         """Trusted workers that could take it now, but for those where it has failed."""
         group = self._index.group(demand)
         if len(group) <= WALK_ALL:
             return self._filter(demand, group, workers, len(group), demand.avoid)
         if self._is_refused(demand, now_ms):
-            return []
+            return Candidates()
         walk: Iterable[str] = from_random_place(group, self._generator)
         if demand.affinity:
             walk = _near_first(self._index.rack_members(demand.service, demand.affinity), walk)
@@ -73,7 +75,7 @@
         return found
 
     def find_for_gang(self, demand: Demand, workers: dict[str, Worker],
-                      avoid: frozenset[str]) -> list[Candidate]:
+                      avoid: frozenset[str]) -> Candidates:
         """Trusted workers that could take at least one such member, except those."""
         group = self._index.group(demand)
         if len(group) <= WALK_ALL:
@@ -81,10 +83,10 @@
         walk = self._rack_by_rack(demand, group, workers)
         return self._filter(demand, walk, workers, GANG_CANDIDATES, avoid)
 
-    def last_resort(self, demand: Demand, workers: dict[str, Worker]) -> list[Candidate]:
-        """Also workers where it has failed and those out of trust."""
-        group = self._index.group(demand)
-        return self._filter(demand, group, workers, ENOUGH, frozenset(), trusted_only=False)
+    def last_resort(self, demand: Demand, workers: dict[str, Worker]) -> Candidates:
+        """Workers where it has failed and those out of trust, if they could take it."""
+        left_out = sorted(demand.avoid | self._health.untrusted(demand.service))
+        return self._filter(demand, left_out, workers, ENOUGH, frozenset(), trusted_only=False)
 
     def probe(self, demand: Demand, workers: dict[str, Worker], now_ms: int) -> str | None:
         """A worker out of trust whose back-off is over, if this task may be its probing run."""
@@ -96,20 +98,20 @@
             return None
         due = self._health.due_for_probe(demand.service, now_ms)
         found = self._filter(demand, due, workers, 1, frozenset(), trusted_only=False)
-        return found[0].worker.instance if found else None
+        return found.workers[0].instance if found else None
 
     def sample(self, service: str, workers: dict[str, Worker]) -> list[tuple[float, float]]:
         """Price and ζ of the ready, trusted workers of a service, or of enough of them."""
         group: Iterable[str] = self._index.members(service)
         if len(self._index.members(service)) > WALK_ALL:
             group = from_random_place(self._index.members(service), self._generator)
-        untrusted, price, zeta = self._health.untrusted(service), self._prices.price, self._speeds.zeta
+        untrusted, prices, zeta = self._health.untrusted(service), self._prices.prices, self._speeds.zeta
         goods = []
         for instance in group:
             worker = workers.get(instance)
             if worker is not None and worker.ready and instance not in untrusted:
-                goods.append((price(instance), zeta.get(instance, 1.0)))
-                if len(goods) >= WALK_ALL:
+                goods.append((prices.get(instance, 0.0), zeta.get(instance, 1.0)))
+                if len(goods) >= ENOUGH:
                     break
         return goods
 
@@ -132,18 +134,20 @@
         return 1.0
 
     def _filter(self, demand: Demand, group: Iterable[str], workers: dict[str, Worker], enough: int,
-                avoid: frozenset[str], trusted_only: bool = True) -> list[Candidate]:
+                avoid: frozenset[str], trusted_only: bool = True) -> Candidates:
         """The hot path: one look at each worker, without a call for those that drop out."""
         needs, service, wants = demand.needs, demand.service, demand.resources
         cpu, memory_mb, gpu = wants.cpu, wants.memory_mb, wants.gpu
         at_most, key = demand.at_most, demand.group
         far = bool(demand.affinity) or (demand.together and bool(demand.siblings))
         untrusted = self._health.untrusted(service) if trusted_only else _NOBODY
-        price, zetas = self._prices.price, self._speeds.zeta
-        found: list[Candidate] = []
+        prices, zetas = self._prices.prices, self._speeds.zeta
+        found = Candidates()
+        fitting, goods = found.workers, found.goods
         for instance in group:
             worker = workers.get(instance)
-            if worker is None or not worker.ready or instance in untrusted or instance in avoid:
+            if (worker is None or not worker.ready or worker.service != service or instance in untrusted
+                    or instance in avoid):
                 continue
             capacity, used = worker.capacity, worker.used
             if (used.cpu + cpu > capacity.cpu or used.gpu + gpu > capacity.gpu
@@ -156,8 +160,9 @@
             zeta = zetas.get(instance, 1.0)
             if far:
                 zeta /= self.far_factor(demand, worker)
-            found.append(Candidate(worker, price(instance), zeta))
-            if len(found) >= enough:
+            fitting.append(worker)
+            goods.append((prices.get(instance, 0.0), zeta))
+            if len(fitting) >= enough:
                 break
         return found
 
--- a/flintfield/placement/health.py
+++ b/flintfield/placement/health.py
@@ -110,8 +110,9 @@
         job = self._job(task)
         doubtful = failed_elsewhere or (bool(job.failed_on) and not job.succeeded)
         rate = max(self._learn_rate(service, 1.0), SUSPECT_TASK_RATE if doubtful else 0.0)
+        told_before = instance in job.failed_on and not job.succeeded  # a wide poison job says nothing new
+        step = 0.0 if told_before else max(0.0, math.log(SICK_FAILS / rate))
         job.failed_on.add(instance)
-        step = max(0.0, math.log(SICK_FAILS / rate))
         standing = self._standing(instance, service)
         standing.odds += step
         if standing.trust is Trust.PROBING and standing.probe == task:
--- a/flintfield/placement/index.py
+++ b/flintfield/placement/index.py
@@ -8,13 +8,15 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from collections.abc import Iterator
 
 from flintfield.placement.interface import Demand, Worker
 
-WALK_ALL = 96
-ENOUGH = 32
+WALK_ALL = 32
+ENOUGH = 24
+LOOK_AT = 512  # at the most, of a group in which hardly anybody has room: each look begins at another place
 
 _NOBODY: list[str] = []
 
@@ -63,9 +65,8 @@
 
 
 def from_random_place(group: list[str], generator: random.Random) -> Iterator[str]:
-    """The whole group, once, from a random place onwards."""
+    """The group from a random place onwards, each worker once, `LOOK_AT` at the most."""
     start = int(generator.random() * len(group))
-    for at in range(start, len(group)):
-        yield group[at]
-    for at in range(start):
-        yield group[at]
+    end = start + min(LOOK_AT, len(group))
+    yield from itertools.islice(group, start, end)
+    yield from itertools.islice(group, 0, max(0, end - len(group)))
--- a/flintfield/placement/market.py
+++ b/flintfield/placement/market.py
@@ -9,12 +9,13 @@
 
 from __future__ import annotations
 
+import bisect
 import itertools
 import math
 import random
 from collections.abc import Sequence
 
-from flintfield.placement.candidates import Candidate, CandidateFinder
+from flintfield.placement.candidates import CandidateFinder, Candidates
 from flintfield.placement.gangs import Option, place_gang, place_on_one_rack
 from flintfield.placement.health import HealthTable
 from flintfield.placement.index import WorkerIndex
@@ -28,12 +29,14 @@
 
 FAR_X = 1.5  # how many times as long work takes away from its data or its step
 NEAR_SHARE = 0.9  # workers with at least this part of the drawn share are as good as the drawn one
+MOST_COMPARED = 6  # workers of nearly the same share that are compared for stranding
 SLOW = 3.0  # a worker so many times as slow as the mean is worth a wait for another
 WAIT_PART = 0.5  # of a task's estimate, that it waits for one
 OVERDUE_WEIGHT = 0.5  # of a completion
 BAD_END_SLOWNESS = 2.0  # a run that failed, stalled or was lost counts as one that took twice as long
 LOST_WEIGHT = 0.5
-WORKERS_A_TICK = 256  # whose prices are stepped in one tick; more take turns
+INDEX_TICKS = 10  # ticks after which the index is built anew, for labels that have changed
+WORKERS_A_TICK = 64  # whose prices are stepped in one tick; more take turns
 
 
 class Market:
@@ -52,6 +55,7 @@
         self._finder = CandidateFinder(self._index, self.prices, self.speeds, self.health, self._generator,
                                        far_x)
         self._workers: dict[str, Worker] = {}
+        self._ticks = 0
         self._turn = 0
 
     def note_start(self, demand: Demand, instance: str, now_ms: int) -> None:
@@ -91,11 +95,13 @@
 
     def tick(self, now_ms: int, workers: dict[str, Worker]) -> None:
         """Step the prices; called about every 100 ms."""
-        self._workers = workers
-        self._index.build(workers)
+        self._ticks += 1
+        if self._ticks % INDEX_TICKS == 0:
+            self._index.invalidate()
+            for instance in self.prices.gone(workers):
+                self.forget(instance)
+        self._refresh_index(workers)
         self._finder.changed()
-        for instance in self.prices.gone(workers):
-            self.forget(instance)
         for run in self._runs.overdue(now_ms):
             slowness = (now_ms - run.started_ms) / run.expected_ms
             self.speeds.note_slowness(run.instance, slowness, OVERDUE_WEIGHT, now_ms)
@@ -112,12 +118,12 @@
         candidates = self._finder.find(demand, workers, now_ms)
         if not candidates:
             return self._last_resort(demand, workers, now_ms)
-        chosen = self._draw(demand, candidates, workers, now_ms)
-        if chosen.zeta * SLOW < 1.0:
+        at = self._draw(demand, candidates, workers, now_ms)
+        if candidates.goods[at][1] * SLOW < 1.0:
             limit_ms = WAIT_PART * demand.estimate_ms
             if self._waiting.may_wait(demand.task, limit_ms, now_ms):
                 return None
-        return chosen.worker.instance
+        return candidates.workers[at].instance
 
     def choose_gang(self, demands: Sequence[Demand], workers: dict[str, Worker],
                     now_ms: int) -> list[str] | None:
@@ -137,35 +143,31 @@
         """False while the worker is in quarantine for failing or stalling."""
         return self.health.trusted(instance)
 
-    def _shares_of(self, demand: Demand, candidates: list[Candidate], workers: dict[str, Worker],
+    def _shares_of(self, demand: Demand, candidates: Candidates, workers: dict[str, Worker],
                    now_ms: int) -> list[float]:
         """η of each candidate for the client that is served."""
         key = demand.client, demand.service, demand.priority
         if self._shares.needs_solving(key, now_ms):
             self._shares.solve(key, self._finder.sample(demand.service, workers), now_ms)
-        return self._shares.shares(key, [(candidate.price, candidate.zeta) for candidate in candidates])
+        return self._shares.shares(key, candidates.goods)
 
-    def _draw(self, demand: Demand, candidates: list[Candidate], workers: dict[str, Worker],
-              now_ms: int) -> Candidate:
-        """One candidate by the shares; of those nearly as good, the one whose room is stranded least."""
-        if len(candidates) == 1:
-            return candidates[0]
+    def _draw(self, demand: Demand, candidates: Candidates, workers: dict[str, Worker], now_ms: int) -> int:
+        """The place of a candidate, drawn by shares; of some nearly as good, that of least stranding."""
+        if len(candidates.workers) == 1:
+            return 0
         shares = self._shares_of(demand, candidates, workers, now_ms)
-        left = self._generator.random() * sum(shares)
-        drawn = len(shares) - 1
-        for at, share in enumerate(shares):
-            left -= share
-            if left < 0.0:
-                drawn = at
-                break
-        least = shares[drawn] * NEAR_SHARE
-        most = shares[drawn] / NEAR_SHARE
-        best, best_stranding = candidates[drawn], math.inf
-        for candidate, share in zip(candidates, shares, strict=True):
-            if least <= share <= most:
-                stranding = added_stranding(candidate.worker, demand.resources)
+        sums = list(itertools.accumulate(shares))
+        drawn = min(bisect.bisect(sums, self._generator.random() * sums[-1]), len(shares) - 1)
+        least, most = shares[drawn] * NEAR_SHARE, shares[drawn] / NEAR_SHARE
+        best, best_stranding, compared = drawn, math.inf, 0
+        for at in itertools.chain(range(drawn, len(shares)), range(drawn)):
+            if least <= shares[at] <= most:
+                stranding = added_stranding(candidates.workers[at], demand.resources)
                 if stranding < best_stranding:
-                    best, best_stranding = candidate, stranding
+                    best, best_stranding = at, stranding
+                compared += 1
+                if compared >= MOST_COMPARED:
+                    break
         return best
 
     def _last_resort(self, demand: Demand, workers: dict[str, Worker], now_ms: int) -> str | None:
@@ -176,16 +178,17 @@
         limit_ms = LONGEST_MS if self._finder.has_other_place(demand, workers) else 0
         if self._waiting.may_wait(demand.task, limit_ms, now_ms):
             return None
-        trusted = [candidate for candidate in candidates if self.health.trusted(candidate.worker.instance)]
-        return self._draw(demand, trusted or candidates, workers, now_ms).worker.instance
+        for worker in candidates.workers:
+            if self.health.trusted(worker.instance):
+                return worker.instance
+        return candidates.workers[self._draw(demand, candidates, workers, now_ms)].instance
 
-    def _place_gang(self, demands: Sequence[Demand], candidates: list[Candidate], workers: dict[str, Worker],
+    def _place_gang(self, demands: Sequence[Demand], candidates: Candidates, workers: dict[str, Worker],
                     now_ms: int) -> list[str] | None:
         if not candidates:
             return None
         shares = self._shares_of(demands[0], candidates, workers, now_ms)
-        options = [Option(candidate.worker, share)
-                   for candidate, share in zip(candidates, shares, strict=True)]
+        options = list(map(Option, candidates.workers, shares))
         if any(demand.together for demand in demands):
             placed = place_on_one_rack(demands, options)
             if placed is not None:
--- a/flintfield/placement/packing.py
+++ b/flintfield/placement/packing.py
@@ -12,17 +12,22 @@
 
 def stranded(capacity: Resources, used_cpu: int, used_memory_mb: int, used_gpu: int) -> float:
     """Free parts of capacity in excess of the scarcest resource's, summed (0.0: in balance)."""
-    cpu = (capacity.cpu - used_cpu) / capacity.cpu if capacity.cpu > 0 else 0.0
-    memory = (capacity.memory_mb - used_memory_mb) / capacity.memory_mb if capacity.memory_mb > 0 else cpu
-    if capacity.gpu <= 0:
-        return cpu + memory - 2.0 * min(cpu, memory)
-    gpu = (capacity.gpu - used_gpu) / capacity.gpu
-    return cpu + memory + gpu - 3.0 * min(cpu, memory, gpu)
+    least = cpu = 1.0 - used_cpu / capacity.cpu if capacity.cpu else 0.0
+    total, kinds = cpu, 1
+    if capacity.memory_mb:
+        memory = 1.0 - used_memory_mb / capacity.memory_mb
+        total, kinds = total + memory, 2
+        least = memory if memory < least else least
+    if capacity.gpu:
+        gpu = 1.0 - used_gpu / capacity.gpu
+        total, kinds = total + gpu, kinds + 1
+        least = gpu if gpu < least else least
+    return total - kinds * least
 
 
 def added_stranding(worker: Worker, demand: Resources) -> float:
     """What the placement adds to the stranded room there (below 0: it brings the room into balance)."""
     used, capacity = worker.used, worker.capacity
-    after = used.plus(demand)
-    return (stranded(capacity, after.cpu, after.memory_mb, after.gpu)
-            - stranded(capacity, used.cpu, used.memory_mb, used.gpu))
+    cpu, memory_mb, gpu = used.cpu, used.memory_mb, used.gpu
+    after = stranded(capacity, cpu + demand.cpu, memory_mb + demand.memory_mb, gpu + demand.gpu)
+    return after - stranded(capacity, cpu, memory_mb, gpu)
--- a/flintfield/placement/prices.py
+++ b/flintfield/placement/prices.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from flintfield.placement.interface import Resources, Worker
 
 RHO = 0.8  # the part of a worker that is sold without its price rising (as in the program in service)
@@ -16,66 +18,78 @@
 LONGEST_STEP_S = 1.0  # after a pause (freeze, takeover) one step counts as no more
 
 
+@dataclass(slots=True)
+class _Entry:
+    """What is known of one worker; `load` is u for the `used` and `capacity` that were last looked at."""
+
+    stepped_ms: int
+    used: Resources | None = None
+    capacity: Resources | None = None
+    load: float = 1.0
+    largest_cpu: int = 0
+    largest_memory_mb: int = 0
+    largest_gpu: int = 0
+
+
 class PriceTable:
-    """A price for each worker, and the largest free room seen on it."""
+    """A price for each worker, by the largest free room seen on it."""
 
     def __init__(self) -> None:
-        self._prices: dict[str, float] = {}
-        self._largest: dict[str, Resources] = {}
-        self._stepped_ms: dict[str, int] = {}
+        self.prices: dict[str, float] = {}  # φ by worker; whoever is missing has 0.0
+        self._entries: dict[str, _Entry] = {}
 
     def price(self, instance: str) -> float:
         """φ of a worker; 0.0 for one that was never priced."""
-        return self._prices.get(instance, 0.0)
-
-    def load(self, worker: Worker) -> float:
-        """u of a worker, 0.0 to 1.0, by its scarcest resource; 1.0 while no free room has been seen."""
-        free = worker.capacity.minus(worker.used)
-        largest = _largest(self._largest.get(worker.instance), free)
-        self._largest[worker.instance] = largest
-        loads = [1.0 - left / most for left, most in _pairs(free, largest, worker.capacity) if most > 0]
-        if len(loads) < _kinds(worker.capacity) or not loads:
-            return 1.0  # of some resource no free room has been seen
-        return min(1.0, max(0.0, *loads))
+        return self.prices.get(instance, 0.0)
+
+    def load(self, instance: str) -> float:
+        """u of a worker at its last step, 0.0 to 1.0; 1.0 for one never seen."""
+        entry = self._entries.get(instance)
+        return entry.load if entry is not None else 1.0
 
     def step(self, worker: Worker, now_ms: int) -> None:
         """Step one price by the time since its last step; a worker that is not in touch keeps its price."""
-        instance = worker.instance
-        before_ms = self._stepped_ms.get(instance, now_ms)
-        self._stepped_ms[instance] = now_ms
+        entry = self._entries.get(worker.instance)
+        if entry is None:
+            entry = self._entries[worker.instance] = _Entry(now_ms)
+        seconds = min(LONGEST_STEP_S, max(0, now_ms - entry.stepped_ms) / 1000.0)
+        entry.stepped_ms = now_ms
         if not worker.ready:
             return
-        seconds = min(LONGEST_STEP_S, max(0, now_ms - before_ms) / 1000.0)
-        stepped = self.price(instance) - NU_PER_S * seconds * (RHO - self.load(worker))
-        self._prices[instance] = min(TOP_PRICE, max(0.0, stepped))
+        if entry.used is not worker.used or entry.capacity is not worker.capacity:
+            _look(entry, worker)
+        price = self.prices.get(worker.instance, 0.0)
+        if price > 0.0 or entry.load > RHO:
+            stepped = price - NU_PER_S * seconds * (RHO - entry.load)
+            self.prices[worker.instance] = min(TOP_PRICE, max(0.0, stepped))
 
     def forget(self, instance: str) -> None:
         """The worker is gone."""
-        self._prices.pop(instance, None)
-        self._largest.pop(instance, None)
-        self._stepped_ms.pop(instance, None)
+        self.prices.pop(instance, None)
+        self._entries.pop(instance, None)
 
     def gone(self, workers: dict[str, Worker]) -> list[str]:
         """Workers that are known here and no longer in the table."""
-        return [instance for instance in self._stepped_ms if instance not in workers]
-
-
-def _largest(before: Resources | None, free: Resources) -> Resources:
-    if before is None:
-        return free
-    if free.fits(before):
-        return before
-    return Resources(max(before.cpu, free.cpu), max(before.memory_mb, free.memory_mb),
-                     max(before.gpu, free.gpu))
-
-
-def _pairs(free: Resources, largest: Resources, capacity: Resources) -> list[tuple[int, int]]:
-    """Free and largest free of each resource that the worker has."""
-    pairs = [(free.cpu, largest.cpu, capacity.cpu), (free.memory_mb, largest.memory_mb, capacity.memory_mb),
-             (free.gpu, largest.gpu, capacity.gpu)]
-    return [(left, most) for left, most, whole in pairs if whole > 0]
-
-
-def _kinds(capacity: Resources) -> int:
-    """How many resources the worker has."""
-    return sum(1 for whole in (capacity.cpu, capacity.memory_mb, capacity.gpu) if whole > 0)
+        return [instance for instance in self._entries if instance not in workers]
+
+
+def _look(entry: _Entry, worker: Worker) -> None:
+    """Take in the room that the record leaves on the worker: the largest, and u by the scarcest resource."""
+    used, capacity = worker.used, worker.capacity
+    entry.used, entry.capacity = used, capacity
+    cpu, gpu = capacity.cpu - used.cpu, capacity.gpu - used.gpu
+    memory_mb = capacity.memory_mb - used.memory_mb
+    entry.largest_cpu = max(entry.largest_cpu, cpu)
+    entry.largest_memory_mb = max(entry.largest_memory_mb, memory_mb)
+    entry.largest_gpu = max(entry.largest_gpu, gpu)
+    loads = [_load(cpu, entry.largest_cpu)]
+    if capacity.memory_mb > 0:
+        loads.append(_load(memory_mb, entry.largest_memory_mb))
+    if capacity.gpu > 0:
+        loads.append(_load(gpu, entry.largest_gpu))
+    entry.load = min(1.0, max(loads))
+
+
+def _load(free: int, largest: int) -> float:
+    """1 − free / largest free seen; 1.0 while none has been seen."""
+    return 1.0 - free / largest if largest > 0 else 1.0
--- a/flintfield/placement/shares.py
+++ b/flintfield/placement/shares.py
@@ -16,7 +16,7 @@
 from flintfield.decision.shares import Goods, split
 
 FAVOUR = 10.0  # how much speed counts against price: 1 as in the program in service, which spreads wide
-KEEP_MS = 200
+KEEP_MS = 500  # λ may be so old; φ and ζ in a share are always those of now
 MOST_CLIENTS = 1_024  # the eldest is dropped
 
 
