Ask two schedulers that name each other with pauses, and bound what bodies hold

Cause: a property test of the link found a circle: one process hints at another that does not act, and both were asked without a pause. Ruled out: following each hint once only (a new dispatcher may need several). Change: an address is asked again only after a pause; bodies held at a time are bounded (32 MB); an answered exchange is no longer listed, so that closing idle connections cannot hit the next request.

--- a/flintfield/control/server.py
+++ b/flintfield/control/server.py
@@ -20,6 +20,7 @@
 READ_BODY_BYTES = MAX_BODY_BYTES + 1024 * 1024
 MAX_CONNECTIONS = 64
 IDLE_TIMEOUT_S = 30.0
+STOP_S = 0.5  # of the grace period, which the ingress has used already
 
 Call = Callable[[HTTPServerRequest], Awaitable[Answer]]
 
@@ -52,13 +53,15 @@
         self.port = self._server.port
 
     async def stop(self) -> None:
-        """Stop listening, answer the calls under way (each takes at most its deadline), close."""
+        """Stop listening, answer the calls under way if that is soon, close."""
         if self._server is None:
             return
         self._server.stop()
         self._server.conn_params.no_keep_alive = True
         if self._tasks:
-            await asyncio.wait(tuple(self._tasks))
+            await asyncio.wait(tuple(self._tasks), timeout=STOP_S)
+        for task in tuple(self._tasks):
+            task.cancel()  # no clear answer: the operator repeats the order
         await self._server.close_all_connections()
 
     def _serve(self, request: HTTPServerRequest) -> None:
@@ -96,5 +99,5 @@
 def _refuse(request: HTTPServerRequest, kind: ErrorKind, headers: dict[str, str] | None = None) -> None:
     row = answer(kind)
     retry_after = retry_after_header(row.retry_after_ms) if row.tells_retry_after else ""
-    body = b'{"error":"%s"}' % kind.value.encode()
+    body = b'{"error":"%s"}' % kind.value.encode() if request.method != "HEAD" else b""
     respond(request, row.status, body, retry_after, headers=headers)
--- a/flintfield/ingress/calls.py
+++ b/flintfield/ingress/calls.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from flintfield.control.configuration import Configuration, Route
-from flintfield.ingress.listener import Reply, Request, error_reply
+from flintfield.ingress.messages import Reply, Request, error_reply
 from flintfield.jobs.messages import Method
 from flintfield.runtime.errors import ErrorKind
 
--- a/flintfield/ingress/link.py
+++ b/flintfield/ingress/link.py
@@ -121,11 +121,13 @@
         """The dispatcher's answer, or why there is none."""
         sent = False
         pause_ms = float(RETRY_PAUSE_MS)
+        asked: set[str] = set()  # since the last pause: two that name each other are not asked in a circle
         while (left_ms := self._left_ms(request, sent)) > 0:
             address = self._address()
             if address is None:
                 await self._pause(RETRY_PAUSE_MS, left_ms)
                 continue
+            asked.add(address)
             outcome = await self._attempt(address, request)
             if isinstance(outcome, JobAnswer):
                 if not self._is_outdated(request, outcome):
@@ -135,7 +137,8 @@
             else:
                 sent = sent or outcome is not _Setback.UNREACHABLE
                 self._forget_hint(address)
-            if self._address() == address:
+            if self._address() in asked:
+                asked.clear()
                 await self._pause(pause_ms, self._left_ms(request, sent))
                 pause_ms = min(1.5 * pause_ms, LONGEST_PAUSE_MS)
         return Failure.IN_DOUBT if sent else Failure.NOT_SENT
--- a/flintfield/ingress/listener.py
+++ b/flintfield/ingress/listener.py
@@ -8,19 +8,17 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import typing
 import weakref
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
-from http import HTTPStatus
 
 from tornado import httputil
 from tornado.http1connection import HTTP1Connection
-from tornado.iostream import StreamClosedError
 
-from flintfield.runtime.errors import ErrorKind, answer, retry_after_header
-from flintfield.transport.http import JSON_TYPE, BoundedServer, Serve, ServerLimits, start_server
+from flintfield.ingress.exchange import Exchange
+from flintfield.ingress.messages import ListenerCounters, ListenerLimits, Reply, Request, error_reply
+from flintfield.runtime.errors import ErrorKind
+from flintfield.transport.http import BoundedServer, Serve, ServerLimits, start_server
 
 HARD_HEADER_BYTES = 65_536  # above it the connection is closed without an answer; up to it, a 431 says why
 # A refused body is read (and dropped) up to here, so that the client sees the 413
@@ -28,60 +26,6 @@
 HARD_BODY_FACTOR = 4  # the same, by the configured bound, where that is higher
 _MS_IN_S = 1_000
 
-
-@dataclass(frozen=True, slots=True)
-class Request:
-    """A whole request. `path` has no query; `arrived_ms` is the steady time at which its headers were read.
-    """
-
-    method: str
-    path: str
-    headers: httputil.HTTPHeaders
-    body: bytes
-    arrived_ms: int
-
-
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """A status, a JSON body, and further headers."""
-
-    status: int
-    body: bytes = b""
-    headers: tuple[tuple[str, str], ...] = ()
-
-
-def error_reply(kind: ErrorKind, reason: str, headers: tuple[tuple[str, str], ...] = ()) -> Reply:
-    """The answer to this kind of error."""
-    row = answer(kind)
-    if row.tells_retry_after:
-        headers = (*headers, ("Retry-After", retry_after_header(row.retry_after_ms)))
-    return Reply(row.status, json.dumps({"error": kind.value, "reason": reason}).encode(), headers)
-
-
-@dataclass(frozen=True, slots=True)
-class ListenerLimits:
-    """Bounds of one listener: bytes by request, connections, requests being served, and times in ms."""
-
-    header_bytes: int
-    body_bytes: int
-    connections: int
-    requests: int
-    idle_timeout_ms: int
-    body_timeout_ms: int
-
-
-@dataclass(slots=True)
-class ListenerCounters:
-    """What came in, and what was turned away."""
-
-    requests: int = 0
-    headers_too_large: int = 0
-    bodies_too_large: int = 0
-    overload: int = 0
-    clients_left: int = 0
-    failures: int = 0
-
-
 Handler = Callable[[Request], Awaitable[Reply]]
 
 
@@ -93,10 +37,11 @@
     ) -> None:
         self.counters = ListenerCounters()
         self.draining = False
+        self.held_bytes = 0  # of all bodies that are being read or served
         self.limits = limits
         self.steady_ms = steady_ms
         self._handler = handler
-        self._exchanges: weakref.WeakSet[_Exchange] = weakref.WeakSet()  # as long as Tornado reads or waits
+        self._exchanges: weakref.WeakSet[Exchange] = weakref.WeakSet()  # as long as Tornado reads or waits
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: BoundedServer | None = None
 
@@ -151,9 +96,13 @@
 
     async def answered(self, timeout_s: float) -> bool:
         """Wait until every request is answered; False where time ran out."""
-        if self._tasks:
-            await asyncio.wait(tuple(self._tasks), timeout=timeout_s)
-        return not self._tasks
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self._tasks:
+                    await asyncio.wait(tuple(self._tasks))
+        except TimeoutError:
+            return False
+        return True
 
     async def close(self) -> None:
         """End everything, answered or not."""
@@ -168,23 +117,31 @@
         self, server_conn: object, request_conn: httputil.HTTPConnection
     ) -> httputil.HTTPMessageDelegate:
         """Tornado is about to read a request from this connection."""
-        exchange = _Exchange(self, typing.cast(HTTP1Connection, request_conn))
+        exchange = Exchange(self, typing.cast(HTTP1Connection, request_conn))
         self._exchanges.add(exchange)
         return exchange
 
-    def serve(self, exchange: _Exchange, request: Request) -> None:
+    def serve(self, exchange: Exchange, request: Request) -> None:
         """Have a whole request answered."""
         self.counters.requests += 1
-        if len(self._tasks) >= self.limits().requests:
+        if len(self._tasks) >= exchange.limits.requests:
             self.counters.overload += 1
             exchange.answer(error_reply(ErrorKind.OVERLOADED, "too many requests are under way"))
             return
         task = asyncio.get_running_loop().create_task(self._serve(exchange, request))
         exchange.on_client_left(task)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(lambda _: self._served(exchange, task))
+
+    def over(self, exchange: Exchange) -> None:
+        """The exchange was answered; its connection may have the next one already."""
+        self._exchanges.discard(exchange)
 
-    async def _serve(self, exchange: _Exchange, request: Request) -> None:
+    def _served(self, exchange: Exchange, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        exchange.release()
+
+    async def _serve(self, exchange: Exchange, request: Request) -> None:
         try:
             reply = await self._handler(request)
         except Exception:
@@ -192,114 +149,3 @@
             exchange.answer(error_reply(ErrorKind.INTERNAL, "a fault of this program"))
             raise
         exchange.answer(reply)
-
-
-class _Exchange(httputil.HTTPMessageDelegate):
-    """One request on a connection and its answer."""
-
-    def __init__(self, listener: Listener, connection: HTTP1Connection) -> None:
-        self.connection = connection
-        self.idle = True  # no request has been read, or it was answered
-        self._listener = listener
-        self._start_line: httputil.RequestStartLine | None = None
-        self._headers = httputil.HTTPHeaders()
-        self._body = bytearray()
-        self._arrived_ms = 0
-        self._refusal: Reply | None = None
-
-    def headers_received(
-        self,
-        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
-        headers: httputil.HTTPHeaders,
-    ) -> None:
-        """The headers are there; a body may follow."""
-        self.idle = False
-        self._arrived_ms = self._listener.steady_ms()
-        self._start_line = typing.cast(httputil.RequestStartLine, start_line)
-        self._headers = headers
-        limits = self._listener.limits()
-        if _size_of(self._start_line, headers) > limits.header_bytes:
-            self._listener.counters.headers_too_large += 1
-            reason = f"the headers are above {limits.header_bytes} bytes"
-            self._refusal = Reply(431, json.dumps({"error": "too_large", "reason": reason}).encode())
-        elif _announced_bytes(headers) > limits.body_bytes:
-            self._refuse_body(limits)
-
-    def data_received(self, chunk: bytes) -> None:
-        """A part of the body; what belongs to a refused request is dropped."""
-        if self._refusal is not None:
-            return
-        limits = self._listener.limits()
-        if len(self._body) + len(chunk) > limits.body_bytes:
-            self._refuse_body(limits)
-            return
-        self._body += chunk
-
-    def finish(self) -> None:
-        """The request is whole."""
-        if self._refusal is not None:
-            self.answer(self._refusal)
-            return
-        assert self._start_line is not None
-        path = self._start_line.path.partition("?")[0]
-        body = bytes(self._body)
-        self._body.clear()
-        request = Request(self._start_line.method, path, self._headers, body, self._arrived_ms)
-        self._listener.serve(self, request)
-
-    def on_connection_close(self) -> None:
-        """The connection ended before the request was whole."""
-        self._body.clear()
-
-    def on_client_left(self, task: asyncio.Task[None]) -> None:
-        """Stop waiting for the answer once the client has closed the connection."""
-
-        def left() -> None:
-            self._listener.counters.clients_left += 1
-            task.cancel()
-
-        self.connection.set_close_callback(left)
-
-    def answer(self, reply: Reply) -> None:
-        """Write the answer; a client that has left gets nothing."""
-        self.connection.set_close_callback(None)
-        headers = httputil.HTTPHeaders({"Content-Type": JSON_TYPE, "Content-Length": str(len(reply.body))})
-        for name, value in reply.headers:
-            headers.add(name, value)
-        ends = self._listener.draining
-        if ends:
-            headers["Connection"] = "close"
-        try:
-            start_line = httputil.ResponseStartLine("", reply.status, _reason_phrase(reply.status))
-            written = self.connection.write_headers(start_line, headers, reply.body)
-            self.connection.finish()
-        except (StreamClosedError, httputil.HTTPOutputError, AttributeError):
-            self._listener.counters.clients_left += 1
-            return
-        finally:
-            self.idle = True
-        if ends:
-            written.add_done_callback(lambda _: self.connection.close())
-
-    def _refuse_body(self, limits: ListenerLimits) -> None:
-        self._listener.counters.bodies_too_large += 1
-        self._body.clear()
-        self._refusal = error_reply(ErrorKind.TOO_LARGE, f"the body is above {limits.body_bytes} bytes")
-
-
-def _size_of(start_line: httputil.RequestStartLine, headers: httputil.HTTPHeaders) -> int:
-    """Bytes of the request line and the headers, with colons, blanks and ends of lines."""
-    lines = sum(len(name) + len(value) + 4 for name, value in headers.get_all())
-    return len(start_line.method) + len(start_line.path) + len(start_line.version) + 4 + lines
-
-
-def _announced_bytes(headers: httputil.HTTPHeaders) -> int:
-    text = headers.get("Content-Length", "0")
-    return int(text) if text.isascii() and text.isdigit() and len(text) <= 16 else 0
-
-
-def _reason_phrase(status: int) -> str:
-    try:
-        return HTTPStatus(status).phrase
-    except ValueError:
-        return "Unknown"
--- a/flintfield/ingress/server.py
+++ b/flintfield/ingress/server.py
@@ -19,7 +19,8 @@
 from flintfield.ingress.calls import ClientCall, read_call
 from flintfield.ingress.link import DispatcherLink, Failure, LeaderSource
 from flintfield.ingress.link import Request as LinkRequest
-from flintfield.ingress.listener import Listener, ListenerLimits, Reply, Request, error_reply
+from flintfield.ingress.listener import HARD_BODY_BYTES, HARD_HEADER_BYTES, Listener
+from flintfield.ingress.messages import ListenerLimits, Reply, Request, error_reply
 from flintfield.ingress.readiness import Contact, is_ready
 from flintfield.jobs.messages import JobAnswer, Method
 from flintfield.runtime import logs
@@ -48,8 +49,9 @@
     longest_unsent_ms: int = 800
     # Of configApplyMs: what another process may need to answer by the version
     confirmation_margin_ms: int = 600
-    connections: int = 1_500
+    connections: int = 1_500  # or half of the descriptors, if that is less
     outstanding: int = 512
+    held_bytes: int = 32 * 1024 * 1024  # of bodies; a tenth of the memory of the known sites' machines
     body_timeout_ms: int = 10_000
 
 
@@ -139,6 +141,7 @@
         self.listener.close_idle()
         await asyncio.sleep(listen_s - idle_s)
         self.listener.stop_listening()
+        self.listener.close_idle()  # those that came meanwhile
         answered = await self.listener.answered(0.9 * grace_s - listen_s)
         logs.event(_log, "ingress_drained", answered=answered)
         await self.listener.close()
@@ -177,11 +180,13 @@
     def _limits(self) -> ListenerLimits:
         configuration = self._view.current
         limits = configuration.limits if configuration is not None else Limits()
+        confirmed = configuration is not None and self._is_confirmed()
         return ListenerLimits(
-            header_bytes=limits.max_header_bytes,
-            body_bytes=limits.max_body_bytes,
-            connections=self._tuning.connections,
+            header_bytes=limits.max_header_bytes if confirmed else HARD_HEADER_BYTES,
+            body_bytes=limits.max_body_bytes if confirmed else HARD_BODY_BYTES,
+            connections=min(self._tuning.connections, self._settings.limits.max_fds // 2),
             requests=self._tuning.outstanding,
+            held_bytes=self._tuning.held_bytes,
             idle_timeout_ms=max(limits.idle_timeout_ms, limits.header_timeout_ms),
             body_timeout_ms=self._tuning.body_timeout_ms,
         )
