--- a/flintfield/agent/core.py
+++ b/flintfield/agent/core.py
@@ -27,7 +27,8 @@
     WorkerAnswered,
 )
 from flintfield.agent.incarnation import Incarnation, Planned
-from flintfield.agent.incarnations import AgentLimits, Incarnations
+from flintfield.agent.incarnations import Incarnations
+from flintfield.agent.limits import AgentLimits
 from flintfield.agent.reports import ReportSchedule, make_report
 from flintfield.jobs.messages import AgentOrders, AgentReport, OrderResult, Outcome
 
--- a/flintfield/agent/incarnation.py
+++ b/flintfield/agent/incarnation.py
@@ -18,6 +18,7 @@
     WorkerRequest,
 )
 from flintfield.agent.holds import Flight, Grant, HoldSchedule, Purpose
+from flintfield.agent.limits import AgentLimits
 from flintfield.agent.listing import Listing
 from flintfield.agent.orders import MIN_HOLD_LEFT_MS, Order, OrderBook
 from flintfield.jobs.messages import AgentOrders, Outcome, StartOrder, StopOrder, WorkerState
@@ -48,7 +49,7 @@
 class Incarnation:
     """A worker's incarnation: its words, clock, lists, holds and orders."""
 
-    def __init__(self, instance: str, address: str, rng: random.Random, settle_ms: int,
+    def __init__(self, instance: str, address: str, rng: random.Random, limits: AgentLimits,
                  inherited_until: int | None) -> None:
         self.instance = instance
         self.address = address
@@ -57,10 +58,12 @@
         self.clock = WorkerClock()
         self.grant = Grant()
         self.listing = Listing()
-        self.holds = HoldSchedule(rng, self.clock, self.grant, settle_ms=settle_ms)
+        self.holds = HoldSchedule(rng, self.clock, self.grant, settle_ms=limits.settle_ms)
         self.book = OrderBook()
         self.last_answer_ms: int | None = None
+        self._limits = limits
         self._inherited_until = inherited_until  # until then, grants of the agent's last life may hold
+        self._first_echo: int | None = None  # of the orders that came first
         self._seq = -1
         self._beats = 0
         self._beat_offset: float | None = None  # of the clock that the newest heartbeat told
@@ -107,8 +110,7 @@
         self.listing.forget(orders.last_seen)
         for stop in orders.stops:
             self.book.take_stop(now, stop)
-        # The agent's last life may have sent what is repeated now.
-        in_doubt = self._inherited_until is not None and now < self._inherited_until
+        in_doubt = self._may_be_repeated(orders)
         for start in orders.starts:
             self.book.take_start(now, start, refusal or self.refusal(now), in_doubt)
         if self.standing is Standing.REPLACED:
@@ -226,6 +228,15 @@
             return True
         return news or self.holds.fenced != fenced
 
+    def _may_be_repeated(self, orders: AgentOrders) -> bool:
+        """Whether the agent's last life may have sent these starts: the dispatcher repeats them once it has
+        heard from the new life, and no later than their hold can last."""
+        if self._inherited_until is None:
+            return False
+        if self._first_echo is None:
+            self._first_echo = orders.echo_stamp
+        return orders.echo_stamp - self._first_echo < self._limits.longest_hold_ms
+
     def _answers(self, now: int) -> bool:
         """Whether calls to it make sense."""
         if self.standing is Standing.DEREGISTERED:
--- a/flintfield/agent/incarnations.py
+++ b/flintfield/agent/incarnations.py
@@ -14,30 +14,10 @@
 
 from flintfield.agent.events import Heartbeat
 from flintfield.agent.incarnation import Incarnation, Standing
+from flintfield.agent.limits import AgentLimits
 from flintfield.jobs.messages import OrderResult
 
 MAX_PAST = 64  # incarnations known to be gone; late heartbeats come from the newest of them
-SLOWEST_FACTOR = 1.03  # 1 / 0.98, rounded up
-HOLD_SLACK_MS = 200
-SETTLE_SLACK_MS = 130  # above the dispatcher's own slack of 100 ms, which it counts from the report after
-
-
-@dataclass(frozen=True, slots=True)
-class AgentLimits:
-    """The bounds of the deployment that bind an agent, in ms."""
-
-    hold_max_ms: int = 10_000
-    stop_ms: int = 200
-
-    @property
-    def longest_hold_ms(self) -> int:
-        """How long a hold may last that an earlier life of this process has sent."""
-        return int(self.hold_max_ms * SLOWEST_FACTOR) + HOLD_SLACK_MS
-
-    @property
-    def settle_ms(self) -> int:
-        """How long after an answer a listing has to be asked for to show its whole effect: a stop is over."""
-        return int(self.stop_ms * SLOWEST_FACTOR) + SETTLE_SLACK_MS
 
 
 @dataclass(slots=True)
@@ -59,7 +39,7 @@
         self.results: list[OrderResult] = []
         self._app = app
         self._inherited_until = start_ms + limits.longest_hold_ms
-        self._settle_ms = limits.settle_ms
+        self._limits = limits
         self._rng = rng
         self._past: deque[str] = deque(maxlen=MAX_PAST)
 
@@ -131,6 +111,6 @@
     def _new_candidate(self, instance: str, address: str) -> Incarnation:
         """The last one named is the candidate; one that it displaces is named again by its next heartbeat."""
         inherited_until = self._inherited_until if self.present is None else None
-        self.candidate = Incarnation(instance, self._app or address, self._rng, self._settle_ms,
+        self.candidate = Incarnation(instance, self._app or address, self._rng, self._limits,
                                      inherited_until)
         return self.candidate
--- a/flintfield/agent/link.py
+++ b/flintfield/agent/link.py
@@ -213,7 +213,7 @@
         if connection == self._trial_connection:
             if self.active is not None:
                 effects.append(Close(self.active))
-            self.active, self._trial_connection = connection, None
+            self.active, self._trial_connection, self._trial_address = connection, None, ""
         elif connection == self.active:
             self._abandon_trial(effects)
         else:
--- a/flintfield/agent/registry.py
+++ b/flintfield/agent/registry.py
@@ -16,7 +16,8 @@
 HEARTBEAT_PATH = "/-/Instances.Heartbeat/"
 DEREGISTER_PATH = "/-/Instances.Deregister/"
 MAX_BODY_BYTES = 64 * 1024  # a heartbeat has some 300 bytes
-LIMITS = ServerLimits(max_header_bytes=8 * 1024, max_body_bytes=MAX_BODY_BYTES, max_connections=32)
+READ_BYTES = 256 * 1024  # what is read of a body, so that its refusal arrives and says why; beyond: cut off
+LIMITS = ServerLimits(max_header_bytes=8 * 1024, max_body_bytes=READ_BYTES, max_connections=16)
 
 
 @dataclass(slots=True)
@@ -49,7 +50,9 @@
 
     def _serve(self, request: HTTPServerRequest) -> None:
         path = request.path or ""
-        if path.startswith(HEARTBEAT_PATH):
+        if len(request.body) > MAX_BODY_BYTES:
+            self._refuse(request, 413, f"a body of {len(request.body)} bytes, above {MAX_BODY_BYTES}")
+        elif path.startswith(HEARTBEAT_PATH):
             self._heartbeat(request, urllib.parse.unquote(path[len(HEARTBEAT_PATH):]))
         elif path.startswith(DEREGISTER_PATH):
             self._deregister(request, urllib.parse.unquote(path[len(DEREGISTER_PATH):]))
--- a/flintfield/agent/service.py
+++ b/flintfield/agent/service.py
@@ -22,7 +22,7 @@
     Tick,
     WorkerAnswered,
 )
-from flintfield.agent.incarnations import AgentLimits
+from flintfield.agent.limits import AgentLimits
 from flintfield.agent.link import Link
 from flintfield.agent.registry import Registry
 from flintfield.agent.worker_client import WorkerClient
--- a/tests/system/support/agent_play.py
+++ b/tests/system/support/agent_play.py
@@ -20,7 +20,7 @@
     WorkerAnswered,
     WorkerRequest,
 )
-from flintfield.agent.incarnations import AgentLimits
+from flintfield.agent.limits import AgentLimits
 from flintfield.jobs.messages import (
     AgentOrders,
     AgentReport,
--- a/tests/system/test_agent_holds.py
+++ b/tests/system/test_agent_holds.py
@@ -6,7 +6,7 @@
 import unittest
 
 from flintfield.agent.events import AnswerKind, CallWorker, Hold, RunStart, RunStop
-from flintfield.agent.incarnations import AgentLimits
+from flintfield.agent.limits import AgentLimits
 from flintfield.jobs.messages import End, How, StartOrder, StopOrder
 
 from .support.agent_play import CLOCK_AHEAD_MS, HOLD_MAX_MS, HOLD_MS, START_MS, TASK, Play
--- a/tests/system/test_agent_incarnations.py
+++ b/tests/system/test_agent_incarnations.py
@@ -5,7 +5,7 @@
 import unittest
 
 from flintfield.agent.events import AnswerKind, Deregistered, Heartbeat, Hold, RunStart, RunStop
-from flintfield.agent.incarnations import AgentLimits
+from flintfield.agent.limits import AgentLimits
 from flintfield.jobs.messages import End, How, Outcome, StartOrder, StopOrder
 
 from .support.agent_play import HOLD_MAX_MS, START_MS, TASK, Play, worker_state
--- a/tests/system/test_agent_orders.py
+++ b/tests/system/test_agent_orders.py
@@ -5,7 +5,7 @@
 import unittest
 
 from flintfield.agent.events import AnswerKind, Hold, RunStart, RunStop, Stopping, Tick
-from flintfield.agent.incarnations import AgentLimits
+from flintfield.agent.limits import AgentLimits
 from flintfield.agent.orders import MAX_CALLS, MAX_UNRESOLVED
 from flintfield.jobs.messages import Outcome, StartOrder, StopOrder
 
--- a/tests/system/test_agent_sockets.py
+++ b/tests/system/test_agent_sockets.py
@@ -90,6 +90,10 @@
         """Wait until the worker has answered under this dispatcher's epoch."""
         await self.until(lambda: self.reports and self.newest.fenced_epoch == self.epoch)
 
+    async def until_ended(self, task: str) -> None:
+        """Wait until the end of its first run is reported."""
+        await self.until(lambda: (task, 1) in self.ends)
+
     def order(self) -> None:
         """Send what is wanted now."""
         for agent in tuple(self.agents):
@@ -181,6 +185,74 @@
             and self.dispatcher.newest.worker.instance == "i-2")
         self.assertEqual((), self.dispatcher.newest.running)
 
+    async def test_an_order_that_the_worker_carries_out_late(self) -> None:
+        await self.worker.heartbeat()
+        await self.dispatcher.until_fenced()
+        self.worker.trouble.late_orders = 1
+        self.worker.trouble.late_ms = 100
+        self.dispatcher.wanted.starts.append(StartOrder(1, TASK, 1, "work_ms=0", ""))
+        self.dispatcher.order()
+        await self.dispatcher.until(lambda: 1 in self.dispatcher.outcomes)
+        self.assertEqual(Outcome.DONE, self.dispatcher.outcomes[1])
+        self.assertEqual([(TASK, 1)], [(task, run) for _, task, run in self.worker.model.log.starts])
+        self.dispatcher.wanted.stops.append(StopOrder(2, TASK, 1))
+        self.dispatcher.order()
+        await self.dispatcher.until(lambda: (TASK, 1) in self.dispatcher.ends)
+        self.assertEqual("STOPPED", self.dispatcher.ends[TASK, 1])
+
+    async def test_an_unhealthy_worker_refuses_and_recovers(self) -> None:
+        await self.worker.heartbeat()
+        await self.dispatcher.until_fenced()
+        self.worker.trouble.unhealthy_status = 503
+        self.dispatcher.wanted.starts.append(StartOrder(1, TASK, 1, "work_ms=0", ""))
+        self.dispatcher.order()
+        await self.dispatcher.until(lambda: 1 in self.dispatcher.outcomes)
+        # The first incarnation that this life sees: an earlier life may have sent the start.
+        self.assertEqual(Outcome.UNKNOWN, self.dispatcher.outcomes[1])
+        self.assertEqual([], self.worker.model.log.starts)
+        self.worker.trouble.unhealthy_status = 0
+        stamp = self.dispatcher.newest.listing_stamp
+        await self.dispatcher.until(lambda: self.dispatcher.newest.listing_stamp > stamp)
+
+    async def test_a_worker_that_refuses_connections(self) -> None:
+        await self.worker.heartbeat()
+        await self.dispatcher.until_fenced()
+        await self.worker.stop()
+        self.dispatcher.wanted.stops.append(StopOrder(1, TASK, 1))
+        self.dispatcher.order()
+        await self.dispatcher.until(lambda: 1 in self.dispatcher.outcomes)
+        self.assertEqual(Outcome.BUSY, self.dispatcher.outcomes[1])
+
+    async def test_connections_to_the_worker_are_kept(self) -> None:
+        await self.worker.heartbeat()
+        await self.dispatcher.until_fenced()
+        for number in range(1, 31):
+            task = f"{number:016x}.0.0.0"
+            self.dispatcher.wanted.starts.append(StartOrder(number, task, 1, "work_ms=1", ""))
+            self.dispatcher.order()
+            await self.dispatcher.until_ended(task)
+        self.assertLessEqual(len(self.worker.peers), 3)
+        self.assertGreater(len(self.worker.calls), 60)
+
+    async def test_heartbeats_are_acknowledged_while_the_worker_is_dark_and_nobody_leads(self) -> None:
+        self.dispatcher.silent = True
+        self.directory.found = None
+        self.worker.trouble.dark = True
+        for _ in range(3):
+            self.assertEqual(200, await self.worker.heartbeat())
+        self.assertEqual(200, await self.worker.deregister())
+
+    async def test_a_stop_of_the_process_waits_for_answers_and_reports_them(self) -> None:
+        await self.worker.heartbeat()
+        await self.dispatcher.until_fenced()
+        self.dispatcher.wanted.starts.append(StartOrder(1, TASK, 1, "work_ms=0", ""))
+        self.dispatcher.order()
+        while not self.worker.model.log.starts:
+            await asyncio.sleep(0)
+        await self.agent.stop()
+        await self.dispatcher.until(lambda: 1 in self.dispatcher.outcomes)
+        self.assertEqual(Outcome.DONE, self.dispatcher.outcomes[1])
+
 
 if __name__ == "__main__":
     unittest.main()
