--- a/flintfield/ingress/server.py
+++ b/flintfield/ingress/server.py
@@ -17,6 +17,7 @@
 
 from flintfield.control.configuration import Configuration, Limits, Route
 from flintfield.ingress.calls import ClientCall, read_call
+from flintfield.ingress.draining import plan_drain
 from flintfield.ingress.link import DispatcherLink, Failure, LeaderSource
 from flintfield.ingress.link import Request as LinkRequest
 from flintfield.ingress.listener import HARD_BODY_BYTES, HARD_HEADER_BYTES, Listener
@@ -32,7 +33,6 @@
 _log = logging.getLogger(__name__)
 
 MAX_READY_CONNECTIONS = 64  # only the platform asks
-PLATFORM_POLL_MS = 1_000  # the platform asks so often, and two misses take a scheduler out
 _RETRY_STATUSES = (429, 503)
 _LEAST_RETRY_AFTER_MS = 1_000
 
@@ -135,14 +135,13 @@
         """Leave: refuse to be ready, answer what was read, close what is idle, stop; within `grace_s`."""
         self.listener.drain()
         logs.event(_log, "ingress_draining", serving=self.listener.serving)
-        idle_s = min(1.5 * PLATFORM_POLL_MS / 1_000, 0.3 * grace_s)
-        listen_s = min(2.5 * PLATFORM_POLL_MS / 1_000, 0.5 * grace_s)
-        await asyncio.sleep(idle_s)
+        plan = plan_drain(grace_s)
+        await asyncio.sleep(plan.close_idle_s)
         self.listener.close_idle()
-        await asyncio.sleep(listen_s - idle_s)
+        await asyncio.sleep(plan.stop_listening_s - plan.close_idle_s)
         self.listener.stop_listening()
         self.listener.close_idle()  # those that came meanwhile
-        answered = await self.listener.answered(0.9 * grace_s - listen_s)
+        answered = await self.listener.answered(plan.end_s - plan.stop_listening_s)
         logs.event(_log, "ingress_drained", answered=answered)
         await self.listener.close()
         if self._ready_server is not None:
--- a/tests/system/test_ingress_link.py
+++ b/tests/system/test_ingress_link.py
@@ -1,4 +1,4 @@
-"""Passing calls on to the dispatcher, in virtual time: whom it asks, for how long, what it says of failures."""
+"""Passing calls on to the dispatcher, in virtual time: whom it asks, how long, what it says of failures."""
 
 from __future__ import annotations
 
