Take up a configuration that is committed but not confirmed yet

Cause: the coordination node calls back with the value before known() has its first confirmation; the view asked known() and told its listeners nothing until somebody read it. Ruled out: polling known(). Change: the view decodes the value it is called back with; test.

--- a/flintfield/control/view.py
+++ b/flintfield/control/view.py
@@ -25,8 +25,8 @@
     def known(self) -> tuple[bytes | None, int] | None:
         """The newest committed value known here, and the steady ms as of which it is surely the newest."""
 
-    def on_change(self, callback: Callable[..., None]) -> None:
-        """Call back when what is known changes."""
+    def on_change(self, callback: Callable[[bytes], None]) -> None:
+        """Call back with each newer committed value, be it confirmed to be the newest or not."""
 
 
 class ConfigurationView:
@@ -39,7 +39,7 @@
         self._current: Configuration | None = None
         self._readable = True  # False while the newest value has a form of a later release
         self._listeners: list[Callable[[Configuration], None]] = []
-        node.on_change(self._register_changed)
+        node.on_change(self._take)
 
     @property
     def current(self) -> Configuration | None:
@@ -61,19 +61,19 @@
             raise RuntimeError("too many listeners to the configuration")
         self._listeners.append(callback)
 
-    def _register_changed(self, *_: object) -> None:
-        self._refresh()
-
     def _refresh(self) -> None:
         known = self._node.known()
-        if known is None or known[0] is None or known[0] is self._value:
-            return
-        value = known[0]
-        if value == self._value:
-            self._value = value
+        if known is not None and known[0] is not None:
+            self._take(known[0])
+
+    def _take(self, value: bytes) -> None:
+        """Decode a value unless it was the last one."""
+        if value is self._value:
             return
+        unchanged = value == self._value
         self._value = value
-        self._decode(value)
+        if not unchanged:
+            self._decode(value)
 
     def _decode(self, value: bytes) -> None:
         try:
--- a/tests/system/test_control_server.py
+++ b/tests/system/test_control_server.py
@@ -219,18 +219,19 @@
 
     def __init__(self) -> None:
         self.state: tuple[bytes | None, int] | None = None
-        self.callbacks: list[Callable[..., None]] = []
+        self.callbacks: list[Callable[[bytes], None]] = []
 
     def known(self) -> tuple[bytes | None, int] | None:
         return self.state
 
-    def on_change(self, callback: Callable[..., None]) -> None:
+    def on_change(self, callback: Callable[[bytes], None]) -> None:
         self.callbacks.append(callback)
 
-    def learn(self, value: bytes | None, as_of_ms: int) -> None:
-        self.state = (value, as_of_ms)
-        for callback in self.callbacks:
-            callback()
+    def learn(self, value: bytes | None, as_of_ms: int | None) -> None:
+        self.state = (value, as_of_ms) if as_of_ms is not None else None
+        for callback in self.callbacks if value is not None else ():
+            assert value is not None
+            callback(value)
 
 
 def stored(version: int) -> bytes:
@@ -275,6 +276,11 @@
         self.assertEqual(self.version(), 5)
         self.assertEqual(self.seen, [5])
 
+    def test_value_that_is_not_confirmed_yet_is_taken_up(self) -> None:
+        self.known.learn(stored(2), None)
+        self.assertEqual((self.version(), self.seen), (2, [2]))
+        self.assertIsNone(self.view.confirmed_ms_ago())
+
     def test_without_a_callback_it_is_read_all_the_same(self) -> None:
         self.known.state = (stored(3), 1_000)
         self.assertEqual(self.version(), 3)
