--- a/flintfield/ingress/listener.py
+++ b/flintfield/ingress/listener.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import typing
 import weakref
 from collections.abc import Awaitable, Callable
@@ -20,6 +21,8 @@
 from flintfield.runtime.errors import ErrorKind
 from flintfield.transport.http import BoundedServer, Serve, ServerLimits, start_server
 
+_log = logging.getLogger(__name__)
+
 HARD_HEADER_BYTES = 65_536  # above it the connection is closed without an answer; up to it, a 431 says why
 # A refused body is read (and dropped) up to here, so that the client sees the 413
 HARD_BODY_BYTES = 1024 * 1024
@@ -146,6 +149,7 @@
             reply = await self._handler(request)
         except Exception:
             self.counters.failures += 1
+            _log.exception("client_call_failed")
             exchange.answer(error_reply(ErrorKind.INTERNAL, "a fault of this program"))
-            raise
+            return
         exchange.answer(reply)
