--- a/flintfield/control/server.py
+++ b/flintfield/control/server.py
@@ -15,7 +15,7 @@
 
 _log = logging.getLogger(__name__)
 
-MAX_BODY_BYTES = 4 * 1024 * 1024  # about 10,000 routes
+MAX_BODY_BYTES = 4 * 1024 * 1024  # about 19,000 routes of the printed form
 # Up to here a body that is too large is read, so that the 413 is seen
 READ_BODY_BYTES = MAX_BODY_BYTES + 1024 * 1024
 MAX_CONNECTIONS = 64
