--- /dev/null
+++ b/flintfield/console/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's command line; the programs never import it."""
--- /dev/null
+++ b/flintfield/programs/console.py
@@ -0,0 +1,26 @@
+"""The operator's command line: `python3 -m flintfield.programs.console COMMAND`.
+
+Where cleo is not installed, the libraries that the build line of `deploy/system.toml` put under `target/deps`
+are used. Exit codes: see `flintfield/console/exit_codes.py`.
+"""
+
+from __future__ import annotations
+
+import importlib.util
+import sys
+from pathlib import Path
+
+DEPENDENCIES = Path(__file__).resolve().parents[2] / "target" / "deps"
+
+
+def main() -> int:
+    """Run the command that the arguments name; returns the exit code."""
+    if importlib.util.find_spec("cleo") is None:
+        sys.path.append(str(DEPENDENCIES))
+    from flintfield.console.application import build
+
+    return build().run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
