Let a recorder be told of what happens to jobs

Cause: the history of a job (where its runs ran, how they ended, who decided) can't be read from the tables.

Change: DispatcherState.record tells a recorder, if there is one, of six happenings at their changes of state; a job's notes hang on the job and end with it. DispatchService makes the recorder of each term and shows its state machine.

Ruled out: a callback at every change of state of every task and run: five times the calls, for nothing that an operator asks for.

--- a/flintfield/dispatch/service.py
+++ b/flintfield/dispatch/service.py
@@ -22,6 +22,7 @@
     AgentLost, Answer, CallArrived, Configuration, ConfigurationChanged, Event, ReportArrived, SendOrders,
     Tick, Write, Written,
 )
+from flintfield.jobs.recorder import Recorder
 from flintfield.jobs.messages import AgentReport, JobAnswer, JobCall, Method, NotDispatcher
 
 TICK_MS = 50
@@ -71,18 +72,21 @@
     """Serves `JobCall` and `AgentReport`; a `LeaderListener` of the coordination library.
 
     `configuration` gives the newest configuration, `make_placement` a policy from a seed, `steady_ms` the
-    steady clock, `leader_address` where the process that leads may be reached ("" if unknown).
+    steady clock, `leader_address` where the process that leads may be reached ("" if unknown),
+    `make_recorder` what notes the history of jobs in one term (None: nobody does).
     """
 
     def __init__(self, bounds: DispatcherBounds, configuration: ConfigurationSource,
                  make_placement: MakePlacement, steady_ms: Callable[[], int], rng: random.Random,
-                 leader_address: Callable[[], str] = lambda: "") -> None:
+                 leader_address: Callable[[], str] = lambda: "",
+                 make_recorder: Callable[[], Recorder] | None = None) -> None:
         self._bounds = bounds
         self._configuration = configuration
         self._make_placement = make_placement
         self._steady_ms = steady_ms
         self._rng = rng
         self._leader_address = leader_address
+        self._make_recorder = make_recorder
         self._term: _Term | None = None
         self._last_epoch = 0
         self._next_call = 0
@@ -97,6 +101,11 @@
         term = self._term
         return term is not None and term.leadership.confirmed()
 
+    @property
+    def dispatcher(self) -> Dispatcher | None:
+        """The state machine while this process leads, confirmed; to be looked at and not to be changed."""
+        return self._term.dispatcher if self._term is not None and self.leads else None
+
     # Terms
 
     def elected(self, leadership: Leadership) -> None:
@@ -106,6 +115,8 @@
         placement = self._make_placement(self._rng.getrandbits(31))
         dispatcher = Dispatcher(leadership.epoch, now_ms, self._bounds, placement, self._rng,
                                 self._configuration())
+        if self._make_recorder is not None:
+            dispatcher.state.recorder = self._make_recorder()
         dispatcher.restore(leadership.items)
         term = self._term = _Term(leadership, dispatcher)
         self._last_epoch = leadership.epoch
--- a/flintfield/jobs/dispatcher.py
+++ b/flintfield/jobs/dispatcher.py
@@ -58,6 +58,11 @@
         """What has been counted so far."""
         return self._state.counters
 
+    @property
+    def state(self) -> DispatcherState:
+        """Its tables, to be looked at and not to be changed."""
+        return self._state
+
     @property
     def configuration_version(self) -> int:
         """The version of the configuration in force here; 0: none yet."""
--- a/flintfield/jobs/ends.py
+++ b/flintfield/jobs/ends.py
@@ -11,6 +11,7 @@
 from flintfield.jobs import durable
 from flintfield.jobs.model import Job, Occurrence, Run, Step, Task
 from flintfield.jobs.readiness import Readiness
+from flintfield.jobs.recorder import Happening
 from flintfield.jobs.runs import Ending, Runs
 from flintfield.jobs.demands import demand_of
 from flintfield.jobs.state import DispatcherState
@@ -44,6 +45,7 @@
         state = self._state
         task = run.task
         state.counters.ends += 1
+        state.record(task.job, Happening.RUN_ENDED, run, ending.value)
         self._tell_placement(run, ending)
         self.runs.close(run)
         self.save(task, saved)
@@ -187,6 +189,7 @@
         left = self._close_occurrences(job)
         state.body_bytes -= len(job.body)
         job.end(job_state, state.wall_ms)
+        state.record(job, Happening.JOB_ENDED, detail=job_state.name.lower())
         if was_active:
             state.pending[job.route] -= 1
         record = durable.EndRecord(int(job_state), job.ended_wall_ms, job.submitted, job.route)
--- a/flintfield/jobs/intake.py
+++ b/flintfield/jobs/intake.py
@@ -19,6 +19,7 @@
 from flintfield.jobs.messages import JobCall, Method
 from flintfield.jobs.model import Job, Terms
 from flintfield.jobs.readiness import Readiness
+from flintfield.jobs.recorder import Happening
 from flintfield.jobs.state import DispatcherState
 from flintfield.jobs.states import JobState
 from flintfield.transport.records import encode
@@ -128,6 +129,7 @@
         self._answer(call, 200)
         if job.state is JobState.ACCEPTING:
             job.become_active()
+            self._state.record(job, Happening.ACCEPTED)
             self._state.pending[job.route] += 1
             self._readiness.begin(job)
 
--- a/flintfield/jobs/model.py
+++ b/flintfield/jobs/model.py
@@ -215,6 +215,7 @@
     done_above: set[int] = field(default_factory=set)
     ended_wall_ms: int = 0
     accepted: list[Callable[[], None]] = field(default_factory=list)  # to be called once it is durable
+    history: object | None = None  # the recorder's notes on it, which end with the job
 
     def __post_init__(self) -> None:
         if self.spec is not None:
--- a/flintfield/jobs/restore.py
+++ b/flintfield/jobs/restore.py
@@ -9,6 +9,7 @@
 from flintfield.jobs.durable import TaskName, TaskRecord
 from flintfield.jobs.model import Job, Occurrence, Run, Step, Task, Terms, open_occurrence
 from flintfield.jobs.readiness import Readiness
+from flintfield.jobs.recorder import Happening
 from flintfield.jobs.state import DispatcherState
 from flintfield.jobs.states import JobState, RunState, TaskState
 from flintfield.jobs.worker_record import WorkerRecord, unknown_worker
@@ -102,6 +103,7 @@
             state.workers[record.instance] = WorkerRecord(worker, False, state.now_ms)
             state.by_machine[record.machine] = record.instance
         state.count_run(run)
+        state.record(task.job, Happening.INHERITED, run)
 
     def _resume(self, job: Job) -> None:
         if job.ended:
--- a/flintfield/jobs/runs.py
+++ b/flintfield/jobs/runs.py
@@ -12,6 +12,7 @@
 
 from flintfield.jobs.messages import StartOrder, StopOrder
 from flintfield.jobs.model import Job, Run, Task, gang_is_whole
+from flintfield.jobs.recorder import Happening
 from flintfield.jobs.state import DispatcherState
 from flintfield.jobs.states import JobState, RunState, TaskState
 from flintfield.jobs.worker_record import PendingOrder, WorkerRecord
@@ -55,6 +56,7 @@
         task.runs.append(run)
         task.become_placed()
         state.count_run(run)
+        state.record(task.job, Happening.PLACED, run)
         if task.step.spec.speculative and not task.step.spec.gang:
             state.speculative[task] = None
         state.write_task(task)
@@ -96,6 +98,7 @@
             return
         record = self._state.record_of(run)
         if record is not None:
+            self._state.record(run.task.job, Happening.STOPPING, run)
             self.order_stop(run, record)
 
     def order_stop(self, run: Run, record: WorkerRecord) -> None:
--- a/flintfield/jobs/state.py
+++ b/flintfield/jobs/state.py
@@ -13,6 +13,7 @@
 from flintfield.jobs.events import Change, Configuration, Effect, SendOrders, Write
 from flintfield.jobs.messages import AgentOrders, JobAnswer
 from flintfield.jobs.model import Job, Run, Task
+from flintfield.jobs.recorder import Happening, Recorder
 from flintfield.jobs.queues import ServiceQueue
 from flintfield.jobs.worker_record import WorkerRecord
 from flintfield.placement.interface import Placement, Worker
@@ -52,6 +53,7 @@
         self.rng = rng
         self.configuration = configuration
         self.counters = Counters()
+        self.recorder: Recorder | None = None
         self.jobs: dict[str, Job] = {}
         self.ended: deque[tuple[int, Job]] = deque()  # (common time of the end, job), oldest first
         self.pending: Counter[str] = Counter()  # by queue: jobs that have not ended
@@ -119,6 +121,11 @@
         self.put(durable.task_key(task.name), durable.encode_task(task))
         task.recorded = True
 
+    def record(self, job: Job, happening: Happening, run: Run | None = None, detail: str = "") -> None:
+        """Tell the recorder, if there is one."""
+        if self.recorder is not None:
+            self.recorder.note(self.wall_ms, job, happening, run, detail)
+
     # Effects
 
     def emit(self, effect: Effect) -> None:
