Give the operator's console a layer: above the planes, below the programs

flintfield.console came into the work tree without a layer, and tests/test_layers.py failed with a KeyError.

--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -19,14 +19,13 @@
     ("flintfield.store",),
     ("flintfield.coordination",),
     ("flintfield.jobs", "flintfield.placement"),
-    ("flintfield.memory", "flintfield.queues",
-    "flintfield.membership", "flintfield.planning",
+    ("flintfield.memory", "flintfield.queues", "flintfield.membership", "flintfield.planning",
      "flintfield.forwarding", "flintfield.handover", "flintfield.sharing", "flintfield.sites",
      "flintfield.escrow", "flintfield.maintenance"),
     ("flintfield.capture", "flintfield.wire",
      "flintfield.dispatch", "flintfield.agent", "flintfield.ingress", "flintfield.control"),  # the planes
     ("flintfield.units",),
-    ("flintfield.lab", "flintfield.simulation", "benchmarks"),
+    ("flintfield.lab", "flintfield.simulation", "flintfield.console", "benchmarks"),
     ("flintfield.cli", "flintfield.lifecycle", "flintfield.drill", "flintfield.__main__",
      "flintfield.programs"),
 )
@@ -115,12 +114,13 @@
 # Without circles and without a file above MOST_LINES: a package that once is, stays so.
 MENDED = (
     "flintfield.decision", "flintfield.base", "flintfield.transport", "flintfield.jobs",
-    "flintfield.placement", "flintfield.memory", "flintfield.queues",
-    "flintfield.membership", "flintfield.planning",
+    "flintfield.placement", "flintfield.memory", "flintfield.queues", "flintfield.membership",
+    "flintfield.planning",
     "flintfield.forwarding", "flintfield.handover", "flintfield.sharing", "flintfield.sites",
     "flintfield.escrow", "flintfield.maintenance", "flintfield.capture", "flintfield.dispatch",
-    "flintfield.agent", "flintfield.ingress", "flintfield.control", "flintfield.programs", "flintfield.cli",
-    "flintfield.lab.experiments", "flintfield.lab.fleet", "flintfield.lab.interleavings",
+    "flintfield.agent", "flintfield.ingress", "flintfield.control", "flintfield.console",
+    "flintfield.programs",
+    "flintfield.cli", "flintfield.lab.experiments", "flintfield.lab.fleet", "flintfield.lab.interleavings",
     "flintfield.lab.judge", "flintfield.lab.maintenance", "flintfield.lab.report",
     "flintfield.lab.scenario", "flintfield.lab.virtual",
 )
