Number orders above the epoch, so that answers to a predecessor's orders are nobody's

Cause: an agent that has not heard the new dispatcher yet may report results of its predecessor's orders, whose small numbers are used again.

--- a/flintfield/jobs/state.py
+++ b/flintfield/jobs/state.py
@@ -18,6 +18,7 @@
 from flintfield.jobs.worker_record import WorkerRecord
 from flintfield.placement.interface import Placement, Worker
 
+ORDER_BITS = 32  # of an order's number, below its epoch: answers to a predecessor's orders are nobody's
 MAX_STARTS_SENT = 64  # in one message, as each may carry 4,000 bytes
 MAX_OUTSTANDING_WRITES = 8  # beyond, changes gather in the next batch
 
@@ -72,7 +73,7 @@
         self._after: list[Callable[[], None]] = []
         self._outstanding: OrderedDict[int, list[Callable[[], None]]] = OrderedDict()
         self._write = 0
-        self._order = 0
+        self._order = epoch << ORDER_BITS
         self._to_send: dict[str, WorkerRecord] = {}
 
     # Time
--- a/tests/system/test_jobs_faults.py
+++ b/tests/system/test_jobs_faults.py
@@ -33,6 +33,7 @@
     def __init__(self, seed: int) -> None:
         self.rng = random.Random(seed)
         self.world = World(seed=seed, machines=self.rng.randint(2, 4))
+        self.world.write_ms = self.rng.choice([8.0, 8.0, 250.0])
         self.world.elect()
         self.number = 0
 
