Answer questions on processes, workers, jobs and a job's history over RPC

Cause: nobody could see what a running process knows: the core, the counters, why a task waits, where a run ran.

Change: flintfield/observe answers four questions (records 300 to 307) on every scheduler's RPC listener; the dispatcher tells workers, jobs and one job with its newest 32 events, which hang on the job. The layers' table names the new package.

--- a/flintfield/programs/scheduler.py
+++ b/flintfield/programs/scheduler.py
@@ -21,10 +21,15 @@
 from flintfield.control.view import ConfigurationView
 from flintfield.coordination.node import CoreNode
 from flintfield.coordination.storage import KeyedStore, MemoryStore, open_store
+from flintfield.coordination.storage.store import RingStore
 from flintfield.dispatch.service import DispatchService
 from flintfield.ingress.link import DispatcherLink
 from flintfield.ingress.server import IngressServer
+from flintfield.observe.history import HistoryCounters, JobHistory
+from flintfield.observe.process import Identity, ProcessObserver
+from flintfield.observe.service import ObserveService
 from flintfield.jobs.bounds import DispatcherBounds
+from flintfield.jobs.state import Counters
 from flintfield.placement.market import Market
 from flintfield.runtime import logs
 from flintfield.runtime.clock import steady_ms, wall_ms
@@ -74,6 +79,7 @@
         self._dispatch = DispatchService(
             bounds=dispatcher_bounds(settings), configuration=self._current_configuration,
             make_placement=Market, steady_ms=steady_ms, rng=generator, leader_address=self._leader_address,
+            make_recorder=JobHistory,
         )
         self._node = CoreNode(
             name=settings.node_name, address=rpc_address(settings.ip, settings), zone=settings.zone,
@@ -85,10 +91,46 @@
         )
         self._view = ConfigurationView(self._node, steady_ms)
         self._view.on_change(self._dispatch.set_configuration)
-        self._rpc = Server({**self._node.handlers(), **self._dispatch.handlers()})
+        observer = self._observer()
+        observing = ObserveService(observer, self._dispatch, self._node)
+        self._rpc = Server({**self._node.handlers(), **self._dispatch.handlers(), **observing.handlers()})
         self._control = ControlServer(settings, self._node)
         link = DispatcherLink(self._pool, self._node)
         self._ingress = IngressServer(settings, self._view, link, self._node)
+        self._watch_parts(observer, link)
+
+    def _observer(self) -> ProcessObserver:
+        settings = self.settings
+        identity = Identity(settings.node_name, settings.role, settings.zone,
+                            rpc_address(settings.ip, settings))
+        return ProcessObserver(identity, self._node, self._view, self._store,
+                               settings.limits.disk_mb * MEGABYTE, steady_ms, wall_ms)
+
+    def _watch_parts(self, observer: ProcessObserver, link: DispatcherLink) -> None:
+        """Have the process's status tell the counters of its parts."""
+        observer.ready = self._ingress.ready
+        observer.leads = lambda: self._dispatch.leads
+        observer.watch("rpc_server", lambda: self._rpc.counters)
+        observer.watch("rpc_pool", lambda: self._pool.counters)
+        observer.watch("ingress", lambda: self._ingress.counters)
+        observer.watch("ingress_listener", lambda: self._ingress.listener.counters)
+        observer.watch("dispatcher_link", lambda: link.counters)
+        observer.watch("operator", lambda: self._control.service.counters)
+        observer.watch("dispatcher", self._dispatcher_counters)
+        observer.watch("history", self._history_counters)
+        if isinstance(self._store, RingStore):
+            ring_store = self._store
+            observer.watch("store", lambda: ring_store.counters)
+            observer.watch("disk", lambda: ring_store.ring.pool.counters)
+
+    def _dispatcher_counters(self) -> Counters | None:
+        dispatcher = self._dispatch.dispatcher
+        return dispatcher.counters if dispatcher is not None else None
+
+    def _history_counters(self) -> HistoryCounters | None:
+        dispatcher = self._dispatch.dispatcher
+        recorder = dispatcher.state.recorder if dispatcher is not None else None
+        return recorder.counters if isinstance(recorder, JobHistory) else None
 
     def _current_configuration(self) -> Configuration | None:
         return self._view.current
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -23,7 +23,8 @@
      "flintfield.forwarding", "flintfield.handover", "flintfield.sharing", "flintfield.sites",
      "flintfield.escrow", "flintfield.maintenance"),
     ("flintfield.capture", "flintfield.wire",
-     "flintfield.dispatch", "flintfield.agent", "flintfield.ingress", "flintfield.control"),  # the planes
+     "flintfield.dispatch", "flintfield.agent", "flintfield.ingress", "flintfield.control",
+     "flintfield.observe"),  # the planes
     ("flintfield.units",),
     ("flintfield.lab", "flintfield.simulation", "flintfield.console", "benchmarks"),
     ("flintfield.cli", "flintfield.lifecycle", "flintfield.drill", "flintfield.__main__",
@@ -119,6 +120,7 @@
     "flintfield.forwarding", "flintfield.handover", "flintfield.sharing", "flintfield.sites",
     "flintfield.escrow", "flintfield.maintenance", "flintfield.capture", "flintfield.dispatch",
     "flintfield.agent", "flintfield.ingress", "flintfield.control", "flintfield.console",
+    "flintfield.observe",
     "flintfield.programs",
     "flintfield.cli", "flintfield.lab.experiments", "flintfield.lab.fleet", "flintfield.lab.interleavings",
     "flintfield.lab.judge", "flintfield.lab.maintenance", "flintfield.lab.report",
