Never tell a start that was sent once as not done

Ruled out: the stop order (no such run was stopped), the fence and the hold (same epoch, same incarnation). Change: a start is in doubt from its first call on; the dispatcher then stops the run before it places anew.

--- a/flintfield/agent/orders.py
+++ b/flintfield/agent/orders.py
@@ -1,7 +1,9 @@
 """The orders for one incarnation of a worker: what is to be sent, and what became of it.
 
-Each order goes through `Phase`; `_set_phase` is the only place that changes it. A call without an answer
-leaves the order *in doubt*: the worker may carry it out later. An order in doubt never gets an outcome that
+Each order goes through `Phase`; `_set_phase` is the only place that changes it. A start is *in doubt* as soon
+as it was sent: the worker may carry it out later although no answer comes, and the HTTP client repeats a call
+by itself when a kept connection closes, so that even a refusal may be the answer to the repetition only. An
+order in doubt never gets an outcome that
 says that nothing was done. The outcome of a start is final for its order id; a stop that got no answer is
 tried again each time the dispatcher repeats it. Calls for one task leave in the order in which they were
 ordered, except that a stop does not wait for the answer to a start that it supersedes.
@@ -183,6 +185,8 @@
     def sent(self, now: int, order: Order, call: int) -> int:
         """The order leaves under this call number; returns its time-out in ms."""
         order.call, order.called_ms = call, now
+        if order.is_start:
+            order.in_doubt = True  # the HTTP client repeats by itself what a closing connection left unanswered
         self._calls[call] = order
         self._set_phase(order, Phase.CALLING)
         return ATTEMPT_TIMEOUTS_MS[min(order.unanswered, len(ATTEMPT_TIMEOUTS_MS) - 1)]
