--- a/flintfield/agent/orders.py
+++ b/flintfield/agent/orders.py
@@ -186,7 +186,7 @@
         """The order leaves under this call number; returns its time-out in ms."""
         order.call, order.called_ms = call, now
         if order.is_start:
-            order.in_doubt = True  # the HTTP client repeats by itself what a closing connection left unanswered
+            order.in_doubt = True  # the HTTP client repeats by itself what a closed connection left open
         self._calls[call] = order
         self._set_phase(order, Phase.CALLING)
         return ATTEMPT_TIMEOUTS_MS[min(order.unanswered, len(ATTEMPT_TIMEOUTS_MS) - 1)]
--- a/tests/system/test_agent_orders.py
+++ b/tests/system/test_agent_orders.py
@@ -87,7 +87,7 @@
                 self.assertEqual({1: Outcome.UNKNOWN}, play.outcomes())
 
     def test_a_start_that_was_sent_once_is_never_told_as_not_done(self) -> None:
-        """The HTTP client repeats a call by itself when a kept connection closes; the first may yet be done."""
+        """The HTTP client repeats a call when a kept connection closes; the first may be done yet."""
         for kind in (AnswerKind.LATE, AnswerKind.ROOM, AnswerKind.UNHEALTHY, AnswerKind.NOT_SENT):
             with self.subTest(kind.name):
                 play = Play()
