--- /dev/null
+++ b/flintfield/simulation/cluster.py
@@ -0,0 +1,248 @@
+"""The processes of a history on their machines, and the faults that befall them."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from functools import partial
+
+from flintfield.agent.events import Event, Heartbeat
+from flintfield.simulation.agent import AgentProcess
+from flintfield.simulation.disk import Platter
+from flintfield.simulation.faults import Fault, FaultKind
+from flintfield.simulation.fleet import Fleet
+from flintfield.simulation.plans import Bounds
+from flintfield.simulation.record import Record, Trouble
+from flintfield.simulation.scenario import Scenario
+from flintfield.simulation.scheduler import Core, SchedulerProcess
+from flintfield.simulation.world import Machine, World
+from flintfield.simulation.worker import PlanOf
+
+RPC_PORT = 7_000
+START_SPREAD_MS = 300.0
+RESTART_MS = 250.0
+GRACE_MS = 1_500.0
+SETTLE_MS = 1_500.0  # of trouble after a fault is over: reconnecting, a takeover
+FOREVER_MS = 1e12
+
+
+class Cluster:
+    """Schedulers, agents and workers."""
+
+    def __init__(self, world: World, record: Record, scenario: Scenario, bounds: Bounds,
+                 plan_of: PlanOf) -> None:
+        self.world = world
+        self.record = record
+        self.scenario = scenario
+        self.bounds = bounds
+        self._rng: random.Random = world.draw()
+        self.fleet = Fleet(world, record, bounds, plan_of, world.draw())
+        names = scenario.schedulers
+        for number, name in enumerate(names):
+            world.add_machine(name, f"10.0.0.{number}:{RPC_PORT}")
+        seeds = tuple(world.machines[name].address for name in names[:3])
+        tolerance = (scenario.replicas - 1) // 2
+        record.core = frozenset(names[:scenario.replicas])
+        self._core = Core(seeds, record.core, scenario.diskless, tolerance, bounds)
+        for number, name in enumerate(scenario.agents):
+            world.add_machine(name, f"10.0.1.{number}:{RPC_PORT}")
+        self._apply: dict[FaultKind, Callable[[Fault], None]] = {
+            FaultKind.KILL_SCHEDULER: lambda fault: self._kill(fault.target, fault.length_ms, power=False),
+            FaultKind.POWER: lambda fault: self._kill(fault.target, fault.length_ms, power=True),
+            FaultKind.STOP_SCHEDULER: self._stop_scheduler,
+            FaultKind.WIPE: self._wipe,
+            FaultKind.KILL_CORE: lambda fault: self._kill_core(fault, power=False),
+            FaultKind.POWER_CORE: lambda fault: self._kill_core(fault, power=True),
+            FaultKind.FREEZE: self._freeze,
+            FaultKind.CUT: lambda fault: self._cut(fault, both=True),
+            FaultKind.CUT_ONE_WAY: lambda fault: self._cut(fault, both=False),
+            FaultKind.ISOLATE: self._isolate,
+            FaultKind.LOSSY: self._lossy,
+            FaultKind.DISK_STALL: self._disk,
+            FaultKind.DISK_FAIL: self._disk,
+            FaultKind.DISK_FULL: self._disk,
+            FaultKind.WALL_STEP: self._wall_step,
+            FaultKind.KILL_AGENT: lambda fault: self._kill(fault.target, fault.length_ms, power=False),
+            FaultKind.STOP_AGENT: self._stop_agent,
+            FaultKind.CRASH_WORKER: lambda fault: self.fleet.crash(self.fleet.spots[fault.target]),
+            FaultKind.DRAIN_WORKER: lambda fault: self.fleet.drain(self.fleet.spots[fault.target]),
+            FaultKind.DARK_WORKER: self._worker,
+            FaultKind.UNHEALTHY_WORKER: self._worker,
+            FaultKind.LATE_ORDERS: self._worker,
+            FaultKind.LOST_ANSWERS: self._worker,
+            FaultKind.LATE_BEATS: self._worker,
+        }
+
+    def start(self) -> None:
+        """The very first start of everything, in any order; faults and workers follow."""
+        for name in [*self.scenario.schedulers, *self.scenario.agents]:
+            self.world.after(self._rng.uniform(0, START_SPREAD_MS), partial(self._start, name))
+        for name, kind in zip(self.scenario.agents, self.scenario.workers, strict=True):
+            self.fleet.add(name, kind, self._heartbeat_to(name))
+        for fault in self.scenario.faults:
+            self.world.at(fault.at_ms, partial(self.apply, fault))
+
+    def _start(self, name: str) -> None:
+        machine = self.world.machines[name]
+        if machine.process is not None:
+            return
+        self.world.note(f"{name} starts")
+        if name in self.scenario.schedulers:
+            SchedulerProcess(self.world, machine, self._core, first_start=machine.lives == 0)
+        else:
+            AgentProcess(self.world, machine, self.fleet, self._core.seeds, self.bounds)
+
+    def _heartbeat_to(self, name: str) -> Callable[[Event], bool]:
+        machine = self.world.machines[name]
+
+        def deliver(event: Event) -> bool:
+            process = machine.process
+            if not isinstance(process, AgentProcess):
+                return False
+            process.loop.call_soon(process.deliver, event)
+            return not isinstance(event, Heartbeat) or self.world.now_ms >= machine.frozen_until_ms
+
+        return deliver
+
+    def scheduler(self, name: str) -> SchedulerProcess | None:
+        """The living process there, if it listens."""
+        process = self.world.machines[name].process
+        if isinstance(process, SchedulerProcess) and process.handlers is not None:
+            return process
+        return None
+
+    # Faults.
+
+    def apply(self, fault: Fault) -> None:
+        """Let it happen now."""
+        self.world.note(f"fault: {fault.kind.value} {fault.target} {fault.other} for {fault.length_ms} ms")
+        self._apply[fault.kind](fault)
+
+    def _troubled(self, machine: str, length_ms: float) -> None:
+        """Note a span of trouble; "" stands for all machines."""
+        now = self.world.now_ms
+        trouble = Trouble(machine, now, now + length_ms + SETTLE_MS)
+        self.record.troubles.append(trouble)
+        if machine in self.record.core or machine == "":
+            self.record.core_troubles.append(trouble)
+
+    def _kill(self, name: str, length_ms: float, power: bool) -> None:
+        machine = self.world.machines[name]
+        self._troubled(name, length_ms)
+        if machine.process is not None:
+            machine.process.kill(power)
+        self.world.after(max(RESTART_MS, length_ms), lambda: self._start(name))
+
+    def _kill_core(self, fault: Fault, power: bool) -> None:
+        for name in self.scenario.schedulers:
+            self._kill(name, fault.length_ms, power)
+
+    def _wipe(self, fault: Fault) -> None:
+        self._kill(fault.target, fault.length_ms, power=True)
+        self.world.machines[fault.target].platter = Platter()
+
+    def _stop_scheduler(self, fault: Fault) -> None:
+        process = self.scheduler(fault.target)
+        self._troubled(fault.target, GRACE_MS + fault.length_ms)
+        if process is not None:
+            process.stop(GRACE_MS)
+            self.world.after(GRACE_MS + RESTART_MS, lambda: self._start(fault.target))
+
+    def _stop_agent(self, fault: Fault) -> None:
+        process = self.world.machines[fault.target].process
+        self._troubled(fault.target, GRACE_MS + fault.length_ms)
+        if isinstance(process, AgentProcess):
+            process.stop()
+            self.world.after(GRACE_MS + RESTART_MS, lambda: self._start(fault.target))
+
+    def _freeze(self, fault: Fault) -> None:
+        self._troubled(fault.target, fault.length_ms)
+        self.world.machines[fault.target].frozen_until_ms = self.world.now_ms + fault.length_ms
+
+    def _cut(self, fault: Fault, both: bool) -> None:
+        pairs = [(fault.target, fault.other)]
+        if both:
+            pairs.append((fault.other, fault.target))
+        self._troubled(fault.target, fault.length_ms)
+        self._troubled(fault.other, fault.length_ms)
+        self._cut_pairs(pairs, fault.length_ms)
+
+    def _isolate(self, fault: Fault) -> None:
+        others = [name for name in self.world.machines if name != fault.target]
+        self._troubled(fault.target, fault.length_ms)
+        pairs = [(fault.target, name) for name in others] + [(name, fault.target) for name in others]
+        self._cut_pairs(pairs, fault.length_ms)
+
+    def _cut_pairs(self, pairs: list[tuple[str, str]], length_ms: float) -> None:
+        weather = self.world.network.weather
+        for pair in pairs:
+            weather.cut(*pair)
+
+        def join() -> None:
+            for pair in pairs:
+                weather.join(*pair)
+
+        self.world.after(length_ms, join)
+
+    def _lossy(self, fault: Fault) -> None:
+        self._troubled("", fault.length_ms)
+        weather = self.world.network.weather
+        weather.lost, weather.late, weather.doubled = fault.amount / 2, fault.amount / 2, fault.amount / 4
+
+        def end() -> None:
+            weather.lost = weather.late = weather.doubled = 0.0
+
+        self.world.after(fault.length_ms, end)
+
+    def _disk(self, fault: Fault) -> None:
+        platter = self.world.machines[fault.target].platter
+        until_ms = self.world.now_ms + fault.length_ms
+        self._troubled(fault.target, fault.length_ms)
+        if fault.kind is FaultKind.DISK_STALL:
+            platter.stalled_until_ms = until_ms
+        elif fault.kind is FaultKind.DISK_FAIL:
+            platter.failing_until_ms = until_ms
+        else:
+            platter.full_until_ms = until_ms
+
+    def _wall_step(self, fault: Fault) -> None:
+        machine: Machine = self.world.machines[fault.target]
+        step_ms = int(fault.amount)
+        machine.clock.wall_error_ms += step_ms
+        self.record.wall_jumps = True
+        self._troubled(fault.target, fault.length_ms)
+
+        def back() -> None:
+            machine.clock.wall_error_ms -= step_ms
+
+        self.world.after(fault.length_ms, back)
+
+    def _worker(self, fault: Fault) -> None:
+        spot = self.fleet.spots[fault.target]
+        self._troubled(fault.target, fault.length_ms)
+        match fault.kind:
+            case FaultKind.DARK_WORKER:
+                spot.dark = True
+            case FaultKind.UNHEALTHY_WORKER:
+                spot.unhealthy = True
+            case FaultKind.LATE_ORDERS:
+                spot.late_share = fault.amount
+            case FaultKind.LOST_ANSWERS:
+                spot.lost_share = fault.amount
+            case FaultKind.LATE_BEATS:
+                spot.late_beats = fault.amount
+        self.world.after(fault.length_ms, lambda: self._worker_well(fault))
+
+    def _worker_well(self, fault: Fault) -> None:
+        spot = self.fleet.spots[fault.target]
+        match fault.kind:
+            case FaultKind.DARK_WORKER:
+                spot.dark = False
+            case FaultKind.UNHEALTHY_WORKER:
+                spot.unhealthy = False
+            case FaultKind.LATE_ORDERS:
+                spot.late_share = 0.0
+            case FaultKind.LOST_ANSWERS:
+                spot.lost_share = 0.0
+            case FaultKind.LATE_BEATS:
+                spot.late_beats = 0.0
--- /dev/null
+++ b/flintfield/simulation/judge/case.py
@@ -0,0 +1,79 @@
+"""What the judges of single rules share: the record by task and job, and who was in touch when."""
+
+from __future__ import annotations
+
+from flintfield.simulation.plans import Bounds, Plan
+from flintfield.simulation.record import CallSeen, JobAsked, Record, RunSeen
+from flintfield.simulation.scenario import Scenario
+
+NEVER_MS = float("inf")
+
+
+class Case:
+    """One record, indexed."""
+
+    def __init__(self, record: Record, bounds: Bounds, scenario: Scenario) -> None:
+        self.record = record
+        self.bounds = bounds
+        self.scenario = scenario
+        self.by_task: dict[str, list[RunSeen]] = {}
+        for seen in record.runs:
+            self.by_task.setdefault(seen.task, []).append(seen)
+        self.calls: dict[str, list[CallSeen]] = {}
+        for call in record.calls:
+            self.calls.setdefault(call.job, []).append(call)
+        self.cancels = {job: cancelled for job in record.jobs
+                        if (cancelled := self._cancel_acked(job)) is not None}
+        self._plans = {script.job.id: script.plans for script in scenario.jobs}
+
+    def job_of(self, task: str) -> JobAsked:
+        """The job of a task."""
+        return self.record.jobs[task.partition(".")[0]]
+
+    def plan_of(self, task: str) -> Plan:
+        """What a task does."""
+        job, _, step, _ = task.split(".")
+        return self._plans[job][int(step)]
+
+    def accepted_ms(self, job: str) -> float | None:
+        """When its acceptance was first told."""
+        return min((call.answered_ms for call in self.calls.get(job, ())
+                    if call.method == "POST" and 200 <= call.status < 300), default=None)
+
+    def cancel_sent_ms(self, job: str) -> float | None:
+        """When somebody first asked to cancel it."""
+        return min((call.sent_ms for call in self.calls.get(job, ()) if call.method == "DELETE"),
+                   default=None)
+
+    def _cancel_acked(self, job: str) -> float | None:
+        return min((call.answered_ms for call in self.calls.get(job, ())
+                    if call.method == "DELETE" and 200 <= call.status < 300), default=None)
+
+    def done_ms(self, task: str) -> float:
+        """When a run of the task first ended `done`; a member's end stands for its whole gang."""
+        plan = self.plan_of(task)
+        names = [task]
+        if plan.gang > 1:
+            stem = task.rpartition(".")[0]
+            names = [f"{stem}.{index}" for index in range(plan.gang)]
+        return min((seen.end_ms for name in names for seen in self.by_task.get(name, ())
+                    if seen.how == "done" and seen.end_ms is not None), default=NEVER_MS)
+
+    def tasks_of_step(self, job: JobAsked, number: int, step: int) -> list[str]:
+        """The names of a step's tasks of one time."""
+        return [f"{job.id}.{number}.{step}.{index}" for index in range(job.steps[step]["count"])]
+
+    def in_touch(self, machine: str, time_ms: float) -> bool:
+        """Whether the machine and the core had no trouble in the `contactMs` before."""
+        since_ms = time_ms - self.bounds.contact_ms
+        for trouble in self.record.troubles:
+            concerns = trouble.machine in (machine, "") or trouble.machine in self.record.core
+            if concerns and trouble.begin_ms <= time_ms and trouble.end_ms >= since_ms:
+                return False
+        return True
+
+    def calm(self, from_ms: float, until_ms: float) -> bool:
+        """Whether there was no trouble anywhere in this span, nor in the `contactMs` before."""
+        from_ms -= self.bounds.contact_ms
+        return not any(trouble.begin_ms <= until_ms and trouble.end_ms >= from_ms
+                       for trouble in self.record.troubles)
--- /dev/null
+++ b/flintfield/simulation/network.py
@@ -0,0 +1,315 @@
+"""A network in virtual time that delays, loses, doubles, reorders and cuts.
+
+Calls (`SimulatedPool`) travel as single messages, so that they pass each other, come late or twice: more
+than TCP would do, as every protocol must bear it. Connections (`SimulatedConnection`) keep their order, as
+TCP does: a cut holds their bytes up, and ends them when it lasts.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import inspect
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from flintfield.transport.records import decode, encode
+from flintfield.transport.rpc import Handlers, Rejected, RpcError, Unanswered, Unreachable
+
+if TYPE_CHECKING:
+    from flintfield.simulation.process import Process
+    from flintfield.simulation.world import World
+
+LATE_MS = (50.0, 4_000.0)
+HELD_BY_CUT = 0.5  # of the messages that meet a cut come after it; the others are lost
+RETRANSMIT_MS = (200.0, 900.0)  # what a lost packet costs a connection
+LOOK_AGAIN_MS = 60.0  # a connection whose bytes a cut holds up looks whether it is over
+USER_TIMEOUT_MS = 2_500.0  # bytes that are not acknowledged for so long end a connection
+RESET_MS = 2.0
+
+Reply = Callable[[Any], None]
+
+
+@dataclass
+class Weather:
+    """How the links behave: chances, delays in ms, and which pairs of machines nothing passes between."""
+
+    delay_ms: tuple[float, float] = (0.4, 2.5)
+    lost: float = 0.0
+    doubled: float = 0.0
+    late: float = 0.0
+    cuts: dict[tuple[str, str], int] = field(default_factory=dict)  # directed pairs, and cuts that hold there
+
+    def is_cut(self, source: str, target: str) -> bool:
+        """Whether nothing passes from the one machine to the other."""
+        return (source, target) in self.cuts
+
+    def cut(self, source: str, target: str) -> None:
+        """Let nothing pass; undone by as many calls of `join`."""
+        self.cuts[source, target] = self.cuts.get((source, target), 0) + 1
+
+    def join(self, source: str, target: str) -> None:
+        """End one cut."""
+        left = self.cuts.get((source, target), 0) - 1
+        if left > 0:
+            self.cuts[source, target] = left
+        else:
+            self.cuts.pop((source, target), None)
+
+
+class Network:
+    """Carries messages between machines; `weather` may be changed at any time."""
+
+    def __init__(self, world: World, rng: random.Random) -> None:
+        self._world = world
+        self._rng = rng
+        self.weather = Weather()
+        self.carried = 0
+
+    def delays_ms(self, source: str, target: str) -> list[float]:
+        """After which times the copies of a message arrive; none: it is lost."""
+        weather, rng = self.weather, self._rng
+        if weather.is_cut(source, target):
+            return [rng.uniform(500, 6_000)] if rng.random() < HELD_BY_CUT else []
+        if weather.lost and rng.random() < weather.lost:
+            return []
+        delays = [rng.uniform(*weather.delay_ms)]
+        if weather.late and rng.random() < weather.late:
+            delays = [rng.uniform(*LATE_MS)]
+        if weather.doubled and rng.random() < weather.doubled:
+            delays.append(rng.uniform(*LATE_MS))
+        return delays
+
+    def stream_delay_ms(self) -> float:
+        """The delay of a piece of a connection's bytes on a path that is open."""
+        weather, rng = self.weather, self._rng
+        delay_ms = rng.uniform(*weather.delay_ms)
+        if rng.random() < weather.lost + weather.late:
+            delay_ms += rng.uniform(*RETRANSMIT_MS)
+        return delay_ms
+
+    def after(self, delay_ms: float, action: Callable[[], None]) -> None:
+        """Have something happen."""
+        self._world.after(delay_ms, action)
+
+    def now_ms(self) -> float:
+        """True time."""
+        return self._world.now_ms
+
+    # Calls.
+
+    def request(self, source: Process, address: str, data: bytes, reply: Reply | None) -> None:
+        """Carry a request or one-way message; `reply` gets bytes or an error, in the source's loop."""
+        self.carried += 1
+        target = self._world.machine_at(address)
+        for delay_ms in self.delays_ms(source.machine.name, target):
+            self._world.after(delay_ms, lambda: self._arrive(source, address, data, reply))
+
+    def _arrive(self, source: Process, address: str, data: bytes, reply: Reply | None) -> None:
+        name = self._world.machine_at(address)
+        if self.weather.is_cut(source.machine.name, name):
+            return
+        target = self._world.process_at(address)
+        if target is None or target.handlers is None:
+            if self._world.has_power(address):
+                self._back(name, source, Unreachable(f"{address} refuses"), reply)
+            return
+        target.loop.call_soon(self._handle, target, source, data, reply)
+
+    def _handle(self, target: Process, source: Process, data: bytes, reply: Reply | None) -> None:
+        message = decode(data)
+        handler = target.handlers.get(type(message)) if target.handlers is not None else None
+        name = target.machine.name
+        if handler is None:
+            self._back(name, source, Rejected("no handler"), reply)
+            return
+        result: Any = handler(message, None)  # type: ignore[arg-type]  # calls don't look at their connection
+        if inspect.isawaitable(result):
+            target.loop.create_task(self._finish(name, source, result, reply))
+        elif reply is not None:
+            self._back(name, source, encode(result), reply)
+
+    async def _finish(self, name: str, source: Process, result: Any, reply: Reply | None) -> None:
+        answer = await result
+        if reply is not None:
+            self._back(name, source, encode(answer), reply)
+
+    def _back(self, name: str, source: Process, answer: Any, reply: Reply | None) -> None:
+        if reply is None:
+            return
+        for delay_ms in self.delays_ms(name, source.machine.name):
+            self._world.after(delay_ms, lambda: self._return(name, source, answer, reply))
+
+    def _return(self, name: str, source: Process, answer: Any, reply: Reply) -> None:
+        if source.alive and not self.weather.is_cut(name, source.machine.name):
+            source.loop.call_soon(reply, answer)
+
+    # Connections.
+
+    async def connect(self, source: Process, address: str, handlers: Handlers,
+                      timeout_s: float) -> SimulatedConnection:
+        """Open a connection; raises `Unreachable`."""
+        loop = asyncio.get_running_loop()
+        waiter: asyncio.Future[SimulatedConnection] = loop.create_future()
+        self._world.after(self.stream_delay_ms(), lambda: self._open(source, address, handlers, waiter))
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await waiter
+        except TimeoutError as error:
+            raise Unreachable(f"{address}: timed out") from error
+
+    def _open(self, source: Process, address: str, handlers: Handlers,
+              waiter: asyncio.Future[SimulatedConnection]) -> None:
+        name = self._world.machine_at(address)
+        own = source.machine.name
+        if not source.alive or self.weather.is_cut(own, name) or self.weather.is_cut(name, own):
+            return
+        target = self._world.process_at(address)
+        if target is None or target.handlers is None:
+            if self._world.has_power(address):
+                error = Unreachable(f"{address} refuses")
+                source.loop.call_soon(_fail, waiter, error)
+            return
+        near = SimulatedConnection(self, source, handlers)
+        far = SimulatedConnection(self, target, target.handlers)
+        near.other, far.other = far, near
+
+        def hand_over() -> None:
+            if waiter.done():
+                near.close()
+            else:
+                waiter.set_result(near)
+
+        source.loop.call_soon(hand_over)
+
+
+def _fail(waiter: asyncio.Future[SimulatedConnection], error: RpcError) -> None:
+    if not waiter.done():
+        waiter.set_exception(error)
+
+
+class SimulatedConnection:
+    """One end of a connection: the part of `transport.connection.Connection` that one-way traffic needs."""
+
+    def __init__(self, network: Network, process: Process, handlers: Handlers) -> None:
+        self.closed = False
+        self.other: SimulatedConnection | None = None
+        self._network = network
+        self._process = process
+        self._handlers = handlers
+        self._callbacks: list[Callable[[Any], None]] = []
+        self._free_ms = 0.0  # when the bytes sent last arrive
+        process.connections.append(self)
+
+    def send(self, message: Any) -> bool:
+        """Send a one-way message; False where the connection is closed."""
+        if self.closed:
+            return False
+        self._network.carried += 1
+        data = encode(message)
+        now = self._network.now_ms()
+        self._free_ms = max(now + self._network.stream_delay_ms(), self._free_ms + 0.001)
+        self._carry(data, now, self._free_ms - now)
+        return True
+
+    def on_close(self, callback: Callable[[Any], None]) -> None:
+        """Have `callback(connection)` called when the connection is closed."""
+        if self.closed:
+            self._process.loop.call_soon(callback, self)
+        else:
+            self._callbacks.append(callback)
+
+    def close(self) -> None:
+        """Close; what was sent before still arrives, as far as nothing holds it up."""
+        delay_ms = max(RESET_MS, self._free_ms - self._network.now_ms() + 0.001)
+        self.end()
+        self.reset_other(delay_ms)
+
+    def end(self) -> None:
+        """The one change from open to closed, at this end."""
+        if self.closed:
+            return
+        self.closed = True
+        if self in self._process.connections:
+            self._process.connections.remove(self)
+        callbacks, self._callbacks = self._callbacks, []
+        for callback in callbacks:
+            self._process.loop.call_soon(callback, self)
+
+    def reset_other(self, delay_ms: float) -> None:
+        """Let the other end hear that this one is gone."""
+        other = self.other
+        assert other is not None
+        weather = self._network.weather
+
+        def arrive() -> None:
+            if not other._process.alive:
+                return
+            if weather.is_cut(self._process.machine.name, other._process.machine.name):
+                self._network.after(LOOK_AGAIN_MS, arrive)
+            else:
+                other.end()
+
+        self._network.after(delay_ms, arrive)
+
+    def _carry(self, data: bytes, sent_ms: float, delay_ms: float) -> None:
+        self._network.after(delay_ms, lambda: self._arrive(data, sent_ms))
+
+    def _arrive(self, data: bytes, sent_ms: float) -> None:
+        other = self.other
+        assert other is not None
+        if other.closed or not other._process.alive:
+            return
+        if self._network.weather.is_cut(self._process.machine.name, other._process.machine.name):
+            if self._network.now_ms() - sent_ms > USER_TIMEOUT_MS:
+                self.end()
+                self.reset_other(RESET_MS)
+            elif not self.closed:  # bytes that a cut holds up are lost if their sender resets the connection
+                self._carry(data, sent_ms, LOOK_AGAIN_MS)
+            return
+        other._process.loop.call_soon(other._take, data)
+
+    def _take(self, data: bytes) -> None:
+        if self.closed:
+            return
+        message = decode(data)
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(message, self)  # type: ignore[arg-type]  # one-way handlers send and watch the end only
+
+
+class SimulatedPool:
+    """The part of `transport.rpc.Pool` that schedulers and agents use."""
+
+    def __init__(self, network: Network, process: Process) -> None:
+        self._network = network
+        self._process = process
+
+    async def call(self, address: str, message: Any, timeout_s: float) -> Any:
+        """Send a request, wait for the answer; raises `RpcError`."""
+        loop = asyncio.get_running_loop()
+        waiter: asyncio.Future[Any] = loop.create_future()
+
+        def settle(answer: Any) -> None:
+            if waiter.done():
+                return
+            if isinstance(answer, RpcError):
+                waiter.set_exception(answer)
+            else:
+                waiter.set_result(answer)
+
+        timer = loop.call_later(timeout_s, settle, Unanswered(f"{address}: no answer in time"))
+        self._network.request(self._process, address, encode(message), settle)
+        try:
+            answer = await waiter
+        finally:
+            timer.cancel()
+        return decode(answer)
+
+    def send(self, address: str, message: Any) -> None:
+        """Send a one-way message."""
+        self._network.request(self._process, address, encode(message), None)
+
+    async def close(self) -> None:
+        """Nothing to close."""
--- /dev/null
+++ b/flintfield/simulation/operator.py
@@ -0,0 +1,210 @@
+"""The operator: changes of the configuration, some of them at once on top of one version, some invalid."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from flintfield.control.operator import Answer
+from flintfield.simulation.cluster import Cluster
+from flintfield.simulation.process import Process
+from flintfield.simulation.record import Document, OrderSeen
+from flintfield.simulation.scenario import HOST, MAX_ATTEMPTS, QUEUES, SERVICES, ChangeScript
+from flintfield.simulation.scheduler import SchedulerProcess
+
+FIRST_MS = 300
+SILENCE_MS = 1_000
+TRIES = 20
+BACKOFF_MS = (80.0, 500.0)
+FINAL = (200, 400, 409, 412, 413, 422)  # end an order's call
+
+
+def route(name: str, prefix: str, service: str, priority: int) -> Document:
+    """An item of the configuration."""
+    return {"name": name, "host": HOST, "pathPrefix": prefix, "routeType": "non_idempotent",
+            "timeoutMs": 3_000, "targetLatencyMs": 1_000, "priority": priority, "service": service,
+            "maxAttempts": MAX_ATTEMPTS, "extension": 2.0}
+
+
+def first_document(version: int) -> Document:
+    """The configuration that everything begins with."""
+    routes = [route(f"q{number}", *queue) for number, queue in enumerate(QUEUES)]
+    return {"version": version, "routes": routes, "services": [{"name": name} for name in SERVICES],
+            "limits": {"maxBodyBytes": 262_144}}
+
+
+class Operator(Process):
+    """One operator, or two that do not know of each other."""
+
+    def __init__(self, cluster: Cluster, on_path: Callable[[str], None]) -> None:
+        super().__init__(cluster.world, cluster.world.add_machine("operator", "10.0.2.1:1"))
+        self._cluster = cluster
+        self._record = cluster.record
+        self._rng: random.Random = cluster.world.draw()
+        self._on_path = on_path
+        self._newest: Document | None = None
+        self._highest = 0
+        self._number = 0
+        self._paths = 0
+        self._under_way = 0
+
+    def begin(self, scripts: tuple[ChangeScript, ...]) -> None:
+        """Start."""
+        self.later(FIRST_MS, lambda: self._spawn(self._first()))
+        for script in scripts:
+            self.later(script.at_ms, partial(self._spawn_change, script))
+
+    @property
+    def idle(self) -> bool:
+        """Whether no order is under way."""
+        return self._under_way == 0
+
+    def _spawn_change(self, script: ChangeScript) -> None:
+        self._spawn(self._change(script))
+
+    def finish(self) -> None:
+        """Read the configuration back until it comes."""
+        self._spawn(self._read_at_last())
+
+    def _spawn(self, work: Any) -> None:
+        self.loop.create_task(work)
+
+    async def _first(self) -> None:
+        document = first_document(self._version())
+        await self._send(self._order(0, document, document, True), True)
+
+    def _version(self) -> int:
+        self._highest += self._rng.randint(1, 3)
+        return self._highest
+
+    def _order(self, base: int, sent: Document, result: Document, valid: bool) -> tuple[OrderSeen, bytes]:
+        self._number += 1
+        order = OrderSeen(f"order {self._number}", sent["version"], base, valid, result, self.world.now_ms)
+        self._record.orders.append(order)
+        return order, json.dumps(sent).encode()
+
+    async def _change(self, script: ChangeScript) -> None:
+        present = self._newest
+        if present is None:
+            return
+        self._under_way += 1
+        await self._change_from(present, script)
+        self._under_way -= 1
+
+    async def _change_from(self, present: Document, script: ChangeScript) -> None:
+        work = []
+        same_version = self._rng.random() < 0.5
+        version = self._version()
+        for _ in range(script.orders):
+            version = version if same_version else self._version()
+            work.append(self._send(self._compose(present, version, script), script.whole))
+        results = await asyncio.gather(*work)
+        taken = len(results) == 1 and results[0].acked_ms is not None
+        if script.repeats and taken and not self._others(results[0]):
+            await self._again(results[0], script.whole)
+        if all(order.acked_ms is None for order in results):
+            await self._learn()
+
+    def _others(self, order: OrderSeen) -> bool:
+        """Whether another order was under way since this one was sent, or is."""
+        acked = order.acked_ms or 0.0
+        return any(other is not order and (other.sent_ms >= order.sent_ms or not other.tries
+                   or other.tries[-1][1] >= acked or other.acked_ms is None) for other in self._record.orders)
+
+    def _compose(self, present: Document, version: int, script: ChangeScript) -> tuple[OrderSeen, bytes]:
+        self._paths += 1
+        prefix = f"/x{self._paths}/"
+        added = route(f"x{self._paths}", prefix, SERVICES[0], 3)
+        old = [item["name"] for item in present["routes"] if item["name"].startswith("x")]
+        removed = [self._rng.choice(old)] if old and self._rng.random() < 0.6 else []
+        if script.invalid:
+            added = {**added, "timeoutMs": 0} if self._rng.random() < 0.5 else {**added, "service": "nobody"}
+        routes = [item for item in present["routes"] if item["name"] not in removed] + [added]
+        result = {**present, "version": version, "routes": routes}
+        sent: Document = result
+        if not script.whole:
+            sent = {"version": version, "upsert": {"routes": [added]}, "remove": {"routes": removed}}
+        self._on_path(prefix)
+        return self._order(present["version"], sent, result, not script.invalid)
+
+    async def _send(self, made: tuple[OrderSeen, bytes], whole: bool) -> OrderSeen:
+        order, body = made
+        for _ in range(TRIES):
+            status = await self._try(order, body, whole)
+            if status in FINAL:
+                break
+            await asyncio.sleep(self._rng.uniform(*BACKOFF_MS) / 1_000)
+        if order.acked_ms is not None and (self._newest is None or self._newest["version"] < order.version):
+            self._newest = order.document
+        return order
+
+    async def _again(self, order: OrderSeen, whole: bool) -> None:
+        """Send an order that was acknowledged once more."""
+        sent: Document = order.document
+        if not whole:
+            return
+        await self._try(order, json.dumps(sent).encode(), whole)
+
+    async def _try(self, order: OrderSeen, body: bytes, whole: bool) -> int:
+        name = self._rng.choice(self._cluster.scenario.schedulers)
+        sent_ms = self.world.now_ms
+        answer = await self._exchange(
+            name, lambda process, answered: process.order(whole, order.base, body, answered))
+        status = answer.status if answer is not None else 0
+        order.tries.append((sent_ms, self.world.now_ms, status))
+        what = f"{order.name} (version {order.version} on {order.base})"
+        self.world.note(f"operator: {what} at {name}: {status}")
+        return status
+
+    async def _learn(self) -> None:
+        document = await self._read()
+        if document is not None and (self._newest is None or document["version"] > self._newest["version"]):
+            self._newest = document
+
+    async def _read(self) -> Document | None:
+        name = self._rng.choice(self._cluster.scenario.schedulers)
+        answer = await self._exchange(name, lambda process, answered: process.read(answered))
+        if answer is None or answer.status != 200:
+            return None
+        document: Document = json.loads(answer.body)
+        return document
+
+    async def _read_at_last(self) -> None:
+        for _ in range(TRIES):
+            document = await self._read()
+            if document is not None:
+                self._record.last_read = document
+                return
+            await asyncio.sleep(self._rng.uniform(*BACKOFF_MS) / 1_000)
+
+    async def _exchange(self, name: str,
+                        hand: Callable[[SchedulerProcess, Callable[[Answer], None]], None]) -> Answer | None:
+        waiter: asyncio.Future[Answer | None] = self.loop.create_future()
+        network = self.world.network
+
+        def settle(answer: Answer | None) -> None:
+            if not waiter.done():
+                waiter.set_result(answer)
+
+        def answered(answer: Answer) -> None:
+            for delay_ms in network.delays_ms(name, self.machine.name)[:1]:
+                self.world.after(delay_ms, lambda: self.post(settle, answer))
+
+        def arrive() -> None:
+            process = self._cluster.scheduler(name)
+            if process is not None:
+                process.loop.call_soon(hand, process, answered)
+            elif self.world.machines[name].powered:
+                self.loop.call_soon(settle, None)
+
+        for delay_ms in network.delays_ms(self.machine.name, name)[:1]:
+            self.world.after(delay_ms, arrive)
+        timer = self.loop.call_later(SILENCE_MS / 1_000, settle, None)
+        try:
+            return await waiter
+        finally:
+            timer.cancel()
--- /dev/null
+++ b/flintfield/simulation/scenario.py
@@ -0,0 +1,150 @@
+"""What a history is made of, drawn from its seed: machines, jobs, changes of the configuration, faults."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from dataclasses import dataclass
+from typing import Any
+
+from flintfield.simulation import faults
+from flintfield.simulation.faults import Fault
+from flintfield.simulation.plans import Capacity, Kind, Plan
+from flintfield.simulation.record import JobAsked
+
+HOST = "q.example"
+SERVICES = ("svc-a", "svc-b")
+QUEUES = (("/a/", "svc-a", 0), ("/b/", "svc-b", 1), ("/c/", "svc-a", 2))  # prefix, service, priority
+MAX_ATTEMPTS = 2
+RACKS = ("r1", "r2")
+JOBS_FROM_MS, JOBS_UNTIL_MS = 2_600, 9_000
+FAULTS_FROM_MS, FAULTS_UNTIL_MS = 2_500, 10_500
+
+
+@dataclass(frozen=True, slots=True)
+class JobScript:
+    """A job, and what its client does: when it hands it in, cancels it, sends it twice."""
+
+    job: JobAsked
+    plans: tuple[Plan, ...]
+    submit_ms: int
+    cancel_ms: int | None
+    sends_twice: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeScript:
+    """What the operator does at a time: `orders` changes on one version at once; some may be invalid."""
+
+    at_ms: int
+    orders: int
+    whole: bool
+    invalid: bool
+    repeats: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """All that is decided before a history begins."""
+
+    seed: int
+    replicas: int
+    clients: int  # schedulers that don't count for the quorum
+    diskless: bool
+    workers: tuple[Kind, ...]
+    jobs: tuple[JobScript, ...]
+    changes: tuple[ChangeScript, ...]
+    faults: tuple[Fault, ...]
+    calm: bool
+
+    def with_faults(self, kept: tuple[Fault, ...]) -> Scenario:
+        """The same with these faults only."""
+        return dataclasses.replace(self, faults=kept)
+
+    @property
+    def schedulers(self) -> list[str]:
+        """Their names; the replicas come first."""
+        return [f"s{number}" for number in range(self.replicas + self.clients)]
+
+    @property
+    def agents(self) -> list[str]:
+        """Their names."""
+        return [f"a{number}" for number in range(len(self.workers))]
+
+
+def draw(seed: int) -> Scenario:
+    """The scenario of a seed."""
+    rng = random.Random(f"scenario {seed}")
+    replicas = rng.choice((3, 3, 3, 4))
+    diskless = rng.random() < 0.1
+    workers = tuple(_worker(rng, number) for number in range(rng.randint(3, 4)))
+    scenario = Scenario(
+        seed, replicas, rng.choice((0, 0, 1)), diskless, workers,
+        tuple(_job(rng, seed, number) for number in range(rng.randint(6, 12))),
+        tuple(_change(rng, number) for number in range(rng.randint(1, 4))), (), rng.random() < 0.05)
+    if scenario.calm:
+        return scenario
+    drawn = faults.draw(rng, scenario.schedulers[:replicas], scenario.schedulers, scenario.agents,
+                        diskless, FAULTS_FROM_MS, FAULTS_UNTIL_MS)
+    return scenario.with_faults(drawn)
+
+
+def _worker(rng: random.Random, number: int) -> Kind:
+    service = SERVICES[1] if number == 1 else SERVICES[0]
+    cpu = rng.choice((2_000, 4_000))
+    labels = (rng.choice(("a", "b")), RACKS[number % 2])
+    return Kind(service, labels, Capacity(cpu, 4_096, 1), rng.random() < 0.2)
+
+
+def _job(rng: random.Random, seed: int, number: int) -> JobScript:
+    job_id = f"{seed & 0xFFFFFFFF:08x}{number:08x}"
+    prefix, _, _ = rng.choice(QUEUES)
+    steps: list[dict[str, Any]] = []
+    plans: list[Plan] = []
+    for index in range(rng.choice((1, 1, 2))):
+        step, plan = _step(rng, f"{job_id}.?.{index}", prefix)
+        if index and not plans[0].lasts and rng.random() < 0.8:
+            step["dependsOn"] = [0]
+        steps.append(step)
+        plans.append(plan)
+    body: dict[str, Any] = {"spec": f"spec {job_id}", "steps": steps}
+    if rng.random() < 0.15 and not any(plan.lasts for plan in plans):
+        body |= {"repeatCount": rng.randint(2, 3), "intervalMs": rng.choice((900, 1_500)), "firstRunMs": 0}
+    lasts = any(plan.lasts for plan in plans)
+    submit_ms = rng.randint(JOBS_FROM_MS, JOBS_UNTIL_MS)
+    cancel_ms = submit_ms + rng.randint(100, 4_000) if lasts or rng.random() < 0.2 else None
+    asked = JobAsked(job_id, prefix, prefix, body, MAX_ATTEMPTS)
+    return JobScript(asked, tuple(plans), submit_ms, cancel_ms, rng.random() < 0.3)
+
+
+def _step(rng: random.Random, name: str, prefix: str) -> tuple[dict[str, Any], Plan]:
+    count = rng.choice((1, 2, 3))
+    cpu = rng.choice((500, 1_000, 1_500))
+    work_ms = rng.choice((150, 400, 900, 2_000))
+    step: dict[str, Any] = {"count": count, "cpu": cpu, "memMb": 64, "estimateMs": work_ms}
+    fails = rng.choice((0, 0, 0, 0, 0, 1, 1, -1))
+    checkpoints = rng.random() < 0.3
+    gang = 1
+    lasts = False
+    draw_kind = rng.random()
+    if draw_kind < 0.2 and count > 1 and prefix != "/b/":
+        step["gang"], gang = True, count
+        cpu = step["cpu"] = min(cpu, 1_000)  # all members fit on any two workers at once
+    elif draw_kind < 0.3:
+        step["longRunning"], lasts = True, True
+        work_ms, checkpoints = 700, False
+    elif draw_kind < 0.4 and fails == 0:
+        step["speculative"] = True
+    elif draw_kind < 0.5:
+        step["antiAffinity"] = 2
+    elif draw_kind < 0.6 and prefix != "/b/":
+        step["affinity"] = rng.choice(RACKS)
+    if checkpoints:
+        step["checkpoints"] = True
+    return step, Plan(work_ms, cpu, 64, 0, fails, checkpoints, gang, lasts, name)
+
+
+def _change(rng: random.Random, number: int) -> ChangeScript:
+    at_ms = rng.randint(3_000, 9_500)
+    return ChangeScript(at_ms, rng.choice((1, 1, 2)), rng.random() < 0.4, rng.random() < 0.2,
+                        rng.random() < 0.4)
--- /dev/null
+++ b/flintfield/simulation/worker.py
@@ -0,0 +1,339 @@
+"""A stand-in worker that follows the users' protocol; judged by what it saw.
+
+It keeps its own steady clock, up to 2 % slow, and lets its world wake it when something happens by itself.
+What an order does is decided when it is carried out, however late that is.
+"""
+
+from __future__ import annotations
+
+import enum
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from flintfield.agent.events import Answer, AnswerKind, Hold, RunStart, RunStop
+from flintfield.jobs.messages import End, How, Run
+from flintfield.simulation.plans import Bounds, Kind, Plan
+from flintfield.simulation.record import Record, RunSeen
+from flintfield.simulation.world import World
+
+MOST_ENDS_TOLD = 500
+PlanOf = Callable[[str], Plan]
+
+
+class Phase(enum.Enum):
+    """Where a run stands."""
+
+    WAITING = "waiting"  # for the others of its gang
+    WORKING = "working"
+    STOPPING = "stopping"
+
+
+@dataclass(slots=True, eq=False)
+class Held:
+    """A run that the worker holds; its times are the worker's clock."""
+
+    seen: RunSeen
+    plan: Plan
+    begun: float
+    saved: str
+    phase: Phase = Phase.WORKING
+    work_from: float = 0.0  # when its work began, less what its checkpoint saved
+    ends_at: float | None = None
+    stop_at: float = 0.0
+
+    @property
+    def gang(self) -> tuple[str, int]:
+        """What the members of one run of a gang have in common."""
+        return self.seen.task.rpartition(".")[0], self.seen.run
+
+
+class Gangs:
+    """Which members of gangs are present, over all workers."""
+
+    def __init__(self) -> None:
+        self._members: dict[tuple[str, int], list[tuple[StandInWorker, Held]]] = {}
+
+    def present(self, key: tuple[str, int]) -> list[tuple[StandInWorker, Held]]:
+        """All that are held now."""
+        return list(self._members.get(key, ()))
+
+    def add(self, worker: StandInWorker, held: Held) -> None:
+        """A member has begun."""
+        self._members.setdefault(held.gang, []).append((worker, held))
+
+    def remove(self, held: Held) -> None:
+        """A member is over."""
+        members = self._members.get(held.gang, [])
+        self._members[held.gang] = [each for each in members if each[1] is not held]
+
+
+class StandInWorker:
+    """One incarnation."""
+
+    def __init__(self, world: World, record: Record, machine: str, instance: str, kind: Kind, bounds: Bounds,
+                 plan_of: PlanOf, gangs: Gangs, rng: random.Random) -> None:
+        self.world = world
+        self.machine = machine
+        self.instance = instance
+        self.kind = kind
+        self.dead = False
+        self.draining = False
+        self.drain_acked_ms: float | None = None
+        self.waiters: list[Callable[[], None]] = []  # long calls that wait for an end
+        self._record = record
+        self._bounds = bounds
+        self._plan_of = plan_of
+        self._gangs = gangs
+        self._rate = rng.uniform(0.98, 1.0)
+        self._born_ms = world.now_ms
+        self._runs: dict[tuple[str, int], Held] = {}
+        self._barred: dict[str, int] = {}  # the highest run stopped or ended, by task
+        self._fence = 0
+        self._expires = 0.0
+        self._last_seen = 0
+        self._ends: dict[int, tuple[End, RunSeen]] = {}
+        self._unnoted: set[int] = set()  # ends that the hold's lapse came before
+        self._numbers = 0
+        self._armed: float | None = None
+
+    @property
+    def clock_ms(self) -> float:
+        """Its steady clock."""
+        return (self.world.now_ms - self._born_ms) * self._rate
+
+    # The calls.
+
+    def start(self, order: RunStart, late: bool) -> Answer:
+        """`/-/run-start`, carried out now."""
+        if not self._take_fence(order.fence):
+            return self._answer(AnswerKind.FENCE)
+        self._extend(order.expires_ms)
+        if (order.task, order.run) in self._runs:
+            return self._answer(AnswerKind.OK)
+        if order.run <= self._barred.get(order.task, 0):
+            return self._answer(AnswerKind.OLD)
+        if self._expires <= self.clock_ms:
+            return self._answer(AnswerKind.LATE)
+        plan = self._plan_of(order.task)
+        if self.kind.guards and self._overfull(plan):
+            return self._answer(AnswerKind.ROOM)
+        self._begin(order, plan, late)
+        return self._answer(AnswerKind.OK)
+
+    def stop(self, order: RunStop) -> Answer:
+        """`/-/run-stop`."""
+        if not self._take_fence(order.fence):
+            return self._answer(AnswerKind.FENCE)
+        self._barred[order.task] = max(order.run, self._barred.get(order.task, 0))
+        for held in self._runs.values():
+            meant = held.seen.task == order.task and held.seen.run <= order.run
+            if meant and held.phase is not Phase.STOPPING:
+                self._save(held)
+                held.phase = Phase.STOPPING
+                held.stop_at = self.clock_ms + self._bounds.stop_ms * 0.9
+        self._arm()
+        return self._answer(AnswerKind.OK)
+
+    def hold(self, order: Hold) -> Answer | None:
+        """The first part of `/-/hold`; None: it was taken, and `lists` is told when its wait is over."""
+        if not self._take_fence(order.fence):
+            return self._answer(AnswerKind.FENCE)
+        if order.expires_ms is not None:
+            self._extend(order.expires_ms)
+        self._last_seen = max(self._last_seen, order.last_seen)
+        for number in [number for number in self._ends if number <= self._last_seen]:
+            _, seen = self._ends.pop(number)
+            seen.noted = number not in self._unnoted
+        return None
+
+    def lists(self) -> Answer:
+        """Both lists."""
+        running = tuple(Run(held.seen.task, held.seen.run, self._save_regularly(held), self._percent(held))
+                        for held in self._runs.values())
+        ends = tuple(end for end, _ in list(self._ends.values())[:MOST_ENDS_TOLD])
+        return Answer(AnswerKind.OK, int(self.clock_ms), running, ends)
+
+    @property
+    def has_ends(self) -> bool:
+        """Whether there is an end to tell."""
+        return bool(self._ends)
+
+    def crash(self) -> None:
+        """Everything is gone without a word."""
+        self.dead = True
+        for held in list(self._runs.values()):
+            held.seen.end_ms, held.seen.how = self.world.now_ms, "crash"
+            self._gangs.remove(held)
+        self._runs.clear()
+
+    # Time.
+
+    def _arm(self) -> None:
+        due = self._next()
+        if due is None or (self._armed is not None and self._armed <= due):
+            return
+        self._armed = due
+        self.world.at(self._born_ms + due / self._rate + 0.01, self._wake)
+
+    def _wake(self) -> None:
+        self._armed = None
+        if self.dead:
+            return
+        now = self.clock_ms
+        if self._expires <= now:
+            self._lapse()
+        for held in list(self._runs.values()):
+            due = self._due(held)
+            if due is not None and due <= now and self._runs.get((held.seen.task, held.seen.run)) is held:
+                self._happen(held)
+        self._arm()
+
+    def _next(self) -> float | None:
+        times = [due for held in self._runs.values() if (due := self._due(held)) is not None]
+        if self._runs or (self._ends and self._expires > self.clock_ms):
+            times.append(self._expires)
+        return min(times, default=None)
+
+    def _due(self, held: Held) -> float | None:
+        if held.phase is Phase.STOPPING:
+            return held.stop_at
+        if held.phase is Phase.WAITING:
+            return held.begun + self._bounds.gang_ms
+        return held.ends_at
+
+    def _lapse(self) -> None:
+        self._unnoted.update(self._ends)
+        for held in list(self._runs.values()):
+            self._end(held, How.LAPSED)
+
+    def _happen(self, held: Held) -> None:
+        if held.phase is Phase.STOPPING:
+            self._end(held, How.STOPPED)
+        elif held.phase is Phase.WAITING:
+            self._end(held, How.ALONE)
+        else:
+            plan = held.plan
+            failed = plan.fails < 0 or held.seen.run <= plan.fails
+            self._end(held, How.FAILED if failed else How.DONE)
+
+    # Runs.
+
+    def _begin(self, order: RunStart, plan: Plan, late: bool) -> None:
+        over = self._overfull(plan)
+        step = order.task.rpartition(".")[0]
+        same = {held.seen.task for held in self._runs.values() if held.seen.task.rpartition(".")[0] == step}
+        seen = RunSeen(order.task, order.run, self.machine, self.instance, self.kind.service,
+                       self.kind.labels, order.spec, order.checkpoint, self.world.now_ms, over, late,
+                       self.drain_acked_ms, len(same | {order.task}))
+        self._record.runs.append(seen)
+        held = Held(seen, plan, self.clock_ms, order.checkpoint)
+        self._runs[order.task, order.run] = held
+        self.world.note(f"worker {self.instance}: run {order.run} of {order.task} begins"
+                        f"{' (late order)' if late else ''}")
+        if plan.gang <= 1:
+            self._work(held)
+            return
+        held.phase = Phase.WAITING
+        self._gangs.add(self, held)
+        members = self._gangs.present(held.gang)
+        if len(members) >= plan.gang:
+            for worker, member in members:
+                if member.phase is Phase.WAITING:
+                    worker._work(member)
+        self._arm()
+
+    def _work(self, held: Held) -> None:
+        held.phase = Phase.WORKING
+        saved_ms = int(held.saved[:8], 16) if held.saved else 0
+        restore_ms = self._bounds.restore_ms if held.saved else 0
+        held.work_from = self.clock_ms + restore_ms - saved_ms
+        held.ends_at = held.work_from + held.plan.work_ms
+        if held.plan.lasts and held.plan.fails == 0:
+            held.ends_at = None
+        self._arm()
+
+    def _end(self, held: Held, how: How) -> None:
+        seen = held.seen
+        del self._runs[seen.task, seen.run]
+        self._barred[seen.task] = max(seen.run, self._barred.get(seen.task, 0))
+        self._numbers += 1
+        seen.end_ms, seen.how, seen.number = self.world.now_ms, how.name.lower(), self._numbers
+        saved = "" if how is How.DONE else held.saved
+        self._ends[self._numbers] = (End(self._numbers, seen.task, seen.run, how, saved), seen)
+        if how is How.LAPSED:
+            self._unnoted.add(self._numbers)
+        self.world.note(f"worker {self.instance}: run {seen.run} of {seen.task} {seen.how}")
+        if held.plan.gang > 1:
+            self._gangs.remove(held)
+            if how not in (How.DONE, How.ALONE):
+                self._break(held)
+            elif how is How.DONE:
+                for worker, member in self._gangs.present(held.gang):
+                    if (member.seen.task, member.seen.run) in worker._runs:
+                        worker._end(member, How.DONE)
+        waiters, self.waiters = self.waiters, []
+        for waiter in waiters:
+            self.world.after(0.0, waiter)
+        self._arm()
+
+    def _break(self, held: Held) -> None:
+        for worker, member in self._gangs.present(held.gang):
+            if (member.seen.task, member.seen.run) in worker._runs:
+                worker._save(member)
+                worker._end(member, How.BROKEN)
+
+    def _save(self, held: Held) -> None:
+        if held.plan.checkpoints and held.phase is Phase.WORKING:
+            self._keep(held, self.clock_ms - held.work_from)
+
+    def _save_regularly(self, held: Held) -> str:
+        if held.plan.checkpoints and held.phase is Phase.WORKING:
+            period = self._bounds.save_ms
+            worked = (self.clock_ms - held.work_from) // period * period
+            if worked > 0:
+                self._keep(held, worked)
+        return held.saved
+
+    def _keep(self, held: Held, worked_ms: float) -> None:
+        text = f"{max(0, int(worked_ms)):08x}{hash_of(held.plan.group):08x}"
+        if held.saved[:8] < text[:8]:
+            held.saved = text
+            self._record.saved.setdefault(held.plan.group, set()).add(text)
+
+    def _percent(self, held: Held) -> int:
+        if held.phase is Phase.WAITING or held.plan.work_ms <= 0:
+            return 0
+        return int(min(99.0, max(0.0, 100 * (self.clock_ms - held.work_from) / held.plan.work_ms)))
+
+    def _overfull(self, plan: Plan) -> bool:
+        plans = [held.plan for held in self._runs.values()] + [plan]
+        capacity = self.kind.capacity
+        return (sum(each.cpu for each in plans) > capacity.cpu
+                or sum(each.memory_mb for each in plans) > capacity.memory_mb
+                or sum(each.gpu for each in plans) > capacity.gpu)
+
+    # Parts of the calls.
+
+    def _take_fence(self, token: int) -> bool:
+        if token < self._fence:
+            return False
+        self._fence = token
+        return True
+
+    def _extend(self, expires_ms: float) -> None:
+        if self._expires <= self.clock_ms:
+            self._lapse()  # what happened at this very moment
+        self._expires = max(self._expires, min(expires_ms, self.clock_ms + self._bounds.hold_max_ms))
+        self._arm()
+
+    def _answer(self, kind: AnswerKind) -> Answer:
+        return Answer(kind, int(self.clock_ms))
+
+
+def hash_of(text: str) -> int:
+    """A number from a text, the same in every process."""
+    number = 0
+    for character in text.encode():
+        number = (number * 131 + character) & 0xFFFFFFFF
+    return number
