Place gangs by room alone after 1.5 s; take an end in beyond a missing one

A run whose end is listed, but not taken in because a number is missing before it, could have been taken for vanished.

--- a/flintfield/jobs/gangs.py
+++ b/flintfield/jobs/gangs.py
@@ -17,6 +17,7 @@
 from flintfield.jobs.states import TaskState
 from flintfield.placement.interface import Demand, Resources, Worker
 
+FORCE_AFTER_MS = 1_500  # after that workers with room are taken even if the policy would wait
 RESERVE_AFTER_MS = 1_500
 RESERVE_ALL_AFTER_MS = 4_000  # from then on it may have more than its share, for a short time
 RESERVATION_MS = 2_500  # a task that waits for 3 s beside idle workers counts as lost
@@ -25,6 +26,7 @@
 RESERVED_SHARE = 0.5  # of a service's workers
 RETRY_MS = 300
 NEVER_MS = 1e9
+MANY = 1 << 20  # members that ask for nothing
 
 
 class Gangs:
@@ -43,6 +45,8 @@
             return 0
         demands = [demand_of(task) for task in step.tasks]
         chosen = self._choose(queue, demands)
+        if chosen is None and self._state.now_ms - step.ready_since_ms >= FORCE_AFTER_MS:
+            chosen = self._first_fit(queue, demands)
         if chosen is None:
             return 0
         self.end_reservation(queue, step)
@@ -61,6 +65,20 @@
             return None
         return chosen
 
+    def _first_fit(self, queue: ServiceQueue, demands: list[Demand]) -> list[Worker] | None:
+        """Workers with room for all members, trusted ones first, whatever the policy thinks of them."""
+        demand, now = demands[0], self._state.now_ms  # all members ask for the same
+        avoid = frozenset().union(*(each.avoid for each in demands))
+        able = [worker for worker in queue.workers.values() if may_hold(worker, demand)]
+        able.sort(key=lambda worker: (worker.instance in avoid,
+                                      not self._state.placement.trusted(worker.instance, now)))
+        chosen: list[Worker] = []
+        for worker in able:
+            free = worker.capacity.minus(worker.used)
+            places = _members(free, demand, worker.held.get(demand.group, 0))
+            chosen += [worker] * min(places, len(demands) - len(chosen))
+        return chosen if len(chosen) == len(demands) and _may_hold_all(demands, chosen) else None
+
     def _place_all(self, step: Step, demands: list[Demand], chosen: list[Worker]) -> None:
         number = max(task.last_run for task in step.tasks) + 1
         checkpoint = step.tasks[0].checkpoint
@@ -155,12 +173,12 @@
             and demand.resources.fits(worker.capacity))
 
 
-def _members(capacity: Resources, demand: Demand) -> int:
-    """How many members an empty worker holds."""
+def _members(room: Resources, demand: Demand, held: int = 0) -> int:
+    """How many members that room holds, on a worker that holds so many tasks of the step already."""
     asked = demand.resources
-    pairs = ((capacity.cpu, asked.cpu), (capacity.memory_mb, asked.memory_mb), (capacity.gpu, asked.gpu))
-    fits = min((room // each for room, each in pairs if each), default=1)
-    return min(fits, demand.at_most) if demand.at_most else fits
+    pairs = ((room.cpu, asked.cpu), (room.memory_mb, asked.memory_mb), (room.gpu, asked.gpu))
+    fits = min((there // each for there, each in pairs if each), default=MANY)
+    return min(fits, demand.at_most - held) if demand.at_most else fits
 
 
 def _may_hold_all(demands: list[Demand], chosen: list[Worker]) -> bool:
--- a/flintfield/jobs/listings.py
+++ b/flintfield/jobs/listings.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 from flintfield.jobs.ends import Ends
 from flintfield.jobs.messages import AgentReport, End, How, Run as ListedRun
 from flintfield.jobs.model import Run, gang_is_whole
@@ -44,18 +46,16 @@
         self._take_in_listing(record, report)
 
     def _take_in_ends(self, record: WorkerRecord, finished: tuple[End, ...]) -> None:
-        before = record.taken_in
-        expected = None
+        """Take in every end that is told; `last_seen` follows only up to the first one that is missing."""
+        whole_up_to = None
         for end in sorted(finished, key=lambda each: each.number):
-            if expected is not None and end.number > expected:
-                break  # the ones between come with a later report
-            expected = end.number + 1
             if end.number > record.taken_in:
-                record.taken_in = end.number
                 self._take_in_end(record, end)
-        if record.taken_in > before:
-            number = record.taken_in
-            self._state.after_write(lambda: self._noted(record, number))
+            if whole_up_to is None or end.number == whole_up_to + 1:
+                whole_up_to = end.number
+        if whole_up_to is not None and whole_up_to > record.taken_in:
+            record.taken_in = whole_up_to
+            self._state.after_write(partial(self._noted, record, whole_up_to))
 
     def _take_in_end(self, record: WorkerRecord, end: End) -> None:
         run = record.runs.get((end.task, end.run))
@@ -73,6 +73,7 @@
             return
         record.listing_stamp = report.listing_stamp
         listed = {(each.task, each.run): each for each in report.running}
+        ended = {(each.task, each.run) for each in report.finished}
         self._note_strays(record, listed)
         every_run = self._state.now_ms - record.examined_ms >= EXAMINE_MS
         if every_run:
@@ -82,7 +83,9 @@
             if each is not None:
                 if every_run or run.state is not RunState.RUNNING:
                     self._note_running(record, run, each, report.listing_stamp)
-            elif run.state is not RunState.CLOSED and len(report.finished) < LISTED_AT_ONCE:
+            elif run.state is RunState.CLOSED or key in ended:
+                continue
+            elif len(report.finished) < LISTED_AT_ONCE:
                 self._not_listed(record, run, report)
 
     def _note_running(self, record: WorkerRecord, run: Run, listed: ListedRun, stamp: int) -> None:
--- a/flintfield/jobs/starts.py
+++ b/flintfield/jobs/starts.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from flintfield.jobs.demands import demand_of, may_hold
-from flintfield.jobs.gangs import Gangs
+from flintfield.jobs.gangs import FORCE_AFTER_MS, Gangs
 from flintfield.jobs.model import Step, Task
 from flintfield.jobs.readiness import Readiness
 from flintfield.jobs.ends import Ends
@@ -24,7 +24,6 @@
 REST_BY_MISS_MS = 1  # a pass over many demands without room is dear: it is made less often
 AFFINITY_SHARE = 0.5  # of what working far away would cost is spent waiting for the rack
 MAX_AFFINITY_WAIT_MS = 2_000
-FORCE_AFTER_MS = 1_500  # after that a worker with room is taken even if the policy would wait
 
 Shape = tuple[object, ...]
 
@@ -59,24 +58,41 @@
 
     def _place_steps(self, queue: ServiceQueue) -> None:
         without_room: set[Shape] = set()
+        held_back: set[Shape] = set()  # there is room, but the policy would rather wait
         budget = MAX_STARTS
         for _, _, step in tuple(queue.steps):
-            if budget <= 0 or len(without_room) >= MAX_MISSES:
+            if budget <= 0 or len(without_room) + len(held_back) >= MAX_MISSES:
                 queue.dirty = queue.dirty or budget <= 0
                 break
             self._gangs.withhold(queue, step)
             if step.queued_in != queue.name or step.occurrence.job.state is not JobState.ACTIVE:
                 continue
             shape = _shape(step)
-            if shape in without_room:
+            if shape in without_room or (shape in held_back and not self._overdue(step)):
                 continue
             placed = self._gangs.place(queue, step) if step.spec.gang else self._place(queue, step, budget)
             budget -= placed
-            if step.ready:
-                without_room.add(shape)
-                self._gangs.reserve(queue, step)
-                self._preemption.make_room(queue, step)
-        queue.rest_until_ms = self._state.now_ms + len(without_room) * REST_BY_MISS_MS
+            if not step.ready:
+                continue
+            if self._has_room(queue, step):
+                held_back.add(shape)
+                continue
+            without_room.add(shape)
+            self._gangs.reserve(queue, step)
+            self._preemption.make_room(queue, step)
+        misses = len(without_room) + len(held_back)
+        queue.rest_until_ms = self._state.now_ms + misses * REST_BY_MISS_MS
+
+    def _overdue(self, step: Step) -> bool:
+        """Whether it has waited so long that room counts for more than the policy."""
+        return self._state.now_ms - step.ready_since_ms >= FORCE_AFTER_MS
+
+    def _has_room(self, queue: ServiceQueue, step: Step) -> bool:
+        """Whether a worker could take one of its tasks; a gang may need more."""
+        if step.spec.gang:
+            return False
+        demand = demand_of(next(iter(step.ready.values())))
+        return any(may_hold(worker, demand) for worker in queue.workers.values())
 
     def _place(self, queue: ServiceQueue, step: Step, budget: int) -> int:
         """Place ready tasks of the step; how many were."""
@@ -98,13 +114,13 @@
 
     def _choose(self, queue: ServiceQueue, task: Task) -> tuple[Demand, Worker] | None:
         step = task.step
-        waited = self._state.now_ms - step.ready_since_ms
         siblings = _racks(step, queue) if step.spec.same_rack else frozenset()
+        waited = self._state.now_ms - step.ready_since_ms
         if step.spec.affinity and waited < self._affinity_wait(step) and self._has_rack(queue, step):
             return self._ask(queue, demand_of(task, siblings, near_only=True))
         demand = demand_of(task, siblings)
         chosen = self._ask(queue, demand)
-        if chosen is None and waited >= FORCE_AFTER_MS:
+        if chosen is None and self._overdue(step):
             chosen = self._least_used(queue, demand)
         return chosen
 
--- a/tests/system/jobs_fleet.py
+++ b/tests/system/jobs_fleet.py
@@ -12,12 +12,13 @@
 
 from flintfield.agent import events as agent_events
 from flintfield.agent.core import Agent
-from flintfield.agent.incarnations import AgentLimits
+from flintfield.agent.limits import AgentLimits
 from flintfield.jobs.events import AgentLost, Event, ReportArrived
 from flintfield.jobs.messages import AgentOrders, AgentReport, End, How, Run, WorkerState
 
 from .jobs_worker import Seen, WorldWorker
-from .support.worker_model import Bounds, Capacity, ModelRun, RunPlan
+from .support.worker_model import ModelRun
+from .support.worker_plan import Bounds, Capacity, RunPlan
 
 JITTER_MS = 3
 
@@ -196,6 +197,8 @@
         worker.catch_up()
         if machine.agent is not None and not worker.dead and not machine.worker_cut:
             machine.beat_seq += 1
+            if worker.draining_since is not None and worker.drain_acknowledged is None:
+                worker.drain_acknowledged = self.now
             capacity = worker.capacity
             state = WorkerState(worker.instance, self.service, "app", "z", worker.draining_since is not None,
                                 capacity.cpu, capacity.memory_mb, capacity.gpu, ("a", f"rack-{machine.name}"),
--- a/tests/system/jobs_judge.py
+++ b/tests/system/jobs_judge.py
@@ -14,7 +14,7 @@
 
 MAX_ATTEMPTS = 2  # of the world's routes
 CANCEL_MS = 3_000
-DRAIN_MS = 2_600  # with the time for the acknowledgement
+DRAIN_MS = 2_000
 
 
 @dataclass
--- a/tests/system/jobs_worker.py
+++ b/tests/system/jobs_worker.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from .support.worker_model import Capacity, ModelRun, RunPlan, WorkerModel
+from .support.worker_model import ModelRun, WorkerModel
 from .support.worker_model import RunState as ModelState
+from .support.worker_plan import Capacity, RunPlan
 
 if TYPE_CHECKING:
     from .jobs_fleet import Fleet
@@ -26,7 +27,7 @@
     how: str = ""
     number: int = 0
     noted: bool = False  # `lastSeen` reached it, and the hold had not lapsed in between
-    draining_since: float | None = None
+    draining_since: float | None = None  # as an agent has acknowledged it
     late: bool = False  # the order was carried out seconds after it was sent
 
 
@@ -40,6 +41,7 @@
         self.born = world.now
         self.dead = False
         self.draining_since: float | None = None
+        self.drain_acknowledged: float | None = None
         self.open: dict[str, Seen] = {}
         self.ended: list[Seen] = []
         self.serving_late = False
@@ -89,7 +91,7 @@
 
     def _begin(self, task: str, run: int, plan: RunPlan, saved: str) -> None:
         seen = Seen(task, run, self, saved, self.spec_in_hand, self.to_world(self.now),
-                    draining_since=self.draining_since, late=self.serving_late)
+                    draining_since=self.drain_acknowledged, late=self.serving_late)
         self.world.seen.append(seen)
         self.open[task] = seen
         self._begin_run(task, run, plan, saved)
--- a/tests/system/jobs_world.py
+++ b/tests/system/jobs_world.py
@@ -24,7 +24,7 @@
 
 from .jobs_fleet import JITTER_MS, Fleet
 from .jobs_worker import Seen
-from .support.worker_model import RunPlan
+from .support.worker_plan import RunPlan
 
 WALL_0 = 1_700_000_000_000
 HOST = "q.example"
--- a/tests/system/test_jobs_faults.py
+++ b/tests/system/test_jobs_faults.py
@@ -15,7 +15,7 @@
 from .jobs_judge import Judge
 from .jobs_fleet import Machine
 from .jobs_world import WALL_0, World, job_id
-from .support.worker_model import RunPlan
+from .support.worker_plan import RunPlan
 
 TROUBLE_MS = 20_000
 JOBS = 14
--- /dev/null
+++ b/tests/system/test_jobs_listings.py
@@ -0,0 +1,204 @@
+"""What a report's two lists mean, one report at a time."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from dataclasses import replace
+
+from flintfield.jobs.bounds import DispatcherBounds
+from flintfield.jobs.dispatcher import Dispatcher
+from flintfield.jobs.events import (
+    AgentLost, CallArrived, Effect, Event, ReportArrived, SendOrders, Tick, Write, Written,
+)
+from flintfield.jobs.messages import (
+    AgentReport, End, How, JobCall, Method, OrderResult, Outcome, Run, StartOrder, StopOrder,
+)
+from flintfield.placement.market import Market
+
+from .jobs_world import HOST, WALL_0, ConfigurationModel, job_id, report
+from .test_jobs_intake import body
+
+TASK = f"{job_id(1)}.0.0.0"
+EPOCH = 3
+
+
+class Listings(unittest.TestCase):
+    """One worker, one task."""
+
+    def setUp(self) -> None:
+        self.now = 1_000
+        self.items: dict[bytes, bytes] = {}
+        self.elect(EPOCH)
+        self.send(report(10))
+        step = {"count": 1, "cpu": 1_000, "estimateMs": 500}
+        self.handle(CallArrived(1, JobCall(Method.SUBMIT, HOST, "/a/" + job_id(1), body(step), 0)))
+
+    def elect(self, epoch: int) -> None:
+        """A dispatcher that takes over what is durable."""
+        self.starts: list[StartOrder] = []
+        self.stops: list[StopOrder] = []
+        self.last_seen = 0
+        self.granted = 0
+        self.dispatcher = Dispatcher(epoch, self.now, DispatcherBounds(), Market(1), random.Random(1),
+                                     ConfigurationModel())
+        self.dispatcher.restore(dict(self.items))
+        self.handle(Tick(WALL_0))
+
+    def handle(self, event: Event) -> None:
+        """Take in an event, and make all writes durable."""
+        waiting: list[Effect] = self.dispatcher.handle(self.now, event)
+        while waiting:
+            effect = waiting.pop(0)
+            if isinstance(effect, SendOrders):
+                self.starts += effect.orders.starts
+                self.stops += effect.orders.stops
+                self.last_seen = effect.orders.last_seen
+                self.granted = effect.orders.echo_stamp
+            elif isinstance(effect, Write):
+                for key, value in effect.changes:
+                    if value is None:
+                        self.items.pop(key, None)
+                    else:
+                        self.items[key] = value
+                waiting += self.dispatcher.handle(self.now, Written(effect.write))
+
+    def send(self, told: AgentReport, **changes: object) -> None:
+        """A report comes in."""
+        self.now = max(self.now, 990 + told.stamp_ms)
+        self.handle(ReportArrived(replace(told, **changes)))  # type: ignore[arg-type]
+
+    def answered(self, outcome: Outcome, stamp: int, order: int | None = None) -> tuple[OrderResult, ...]:
+        """What became of the newest start, or of this order."""
+        return (OrderResult(order or self.starts[-1].order, outcome, stamp),)
+
+    def started(self) -> list[int]:
+        """The runs that were ordered."""
+        return [start.run for start in self.starts]
+
+    def test_a_run_is_ordered_after_its_placement(self) -> None:
+        self.assertEqual(self.started(), [1])
+
+    def test_an_end_is_done_with_once_written(self) -> None:
+        self.send(report(100), results=self.answered(Outcome.DONE, 90))
+        self.send(report(900), finished=(End(1, TASK, 1, How.DONE, ""),))
+        self.send(report(1_000))
+        self.assertEqual(self.last_seen, 1)
+        self.assertEqual(self.started(), [1])
+
+    def test_a_run_that_no_listing_names_has_vanished_only_after_the_time_of_a_stop(self) -> None:
+        self.send(report(100), results=self.answered(Outcome.DONE, 90))
+        self.send(report(300), listing_stamp=290)
+        self.assertEqual(self.started(), [1])
+        self.send(report(500), listing_stamp=400)
+        self.handle(Tick(WALL_0))
+        self.now += 150
+        self.handle(Tick(WALL_0))
+        self.assertEqual(self.started(), [1, 2])
+
+    def test_a_listing_under_an_older_fence_proves_nothing(self) -> None:
+        self.send(report(100), results=self.answered(Outcome.DONE, 90))
+        self.send(report(900), fenced_epoch=EPOCH - 1)
+        self.assertEqual(self.started(), [1])
+
+    def test_an_order_without_an_answer_may_still_be_carried_out(self) -> None:
+        self.send(report(3_000))
+        self.now += 1_000
+        self.handle(Tick(WALL_0))
+        self.assertEqual({(start.run, start.order) for start in self.starts}, {(1, self.starts[0].order)})
+
+    def test_an_order_in_doubt_is_barred_before_the_task_is_placed_again(self) -> None:
+        self.send(report(100), results=self.answered(Outcome.UNKNOWN, 90))
+        self.assertEqual([(stop.task, stop.run) for stop in self.stops], [(TASK, 1)])
+        self.send(report(1_000))
+        self.assertEqual(self.started(), [1])
+        self.send(report(1_100), results=self.answered(Outcome.DONE, 1_090, self.stops[-1].order))
+        self.assertEqual(self.started(), [1])
+        for stamp in range(1_500, 4_100, 200):
+            self.send(report(stamp))
+            self.handle(Tick(WALL_0))
+        self.assertEqual(self.started(), [1, 2])
+
+    def test_a_refusal_in_one_life_of_the_agent_frees_the_run_at_once(self) -> None:
+        self.send(report(100), results=self.answered(Outcome.ROOM, 90))
+        self.assertEqual(self.stops, [])
+        self.now += 200
+        self.handle(Tick(WALL_0))
+        self.assertEqual(self.started(), [1, 2])
+
+    def test_a_refusal_after_a_restart_of_the_agent_does_not(self) -> None:
+        self.handle(AgentLost("m-1"))
+        self.send(report(100), boot=8)
+        self.assertEqual(self.started(), [1, 1])
+        self.send(report(200), boot=8, results=self.answered(Outcome.ROOM, 190))
+        self.assertEqual([stop.run for stop in self.stops], [1])
+
+    def test_another_incarnation_frees_all_runs_of_the_one_before(self) -> None:
+        told = report(100)
+        assert told.worker is not None
+        self.send(told, worker=replace(told.worker, instance="i-2"), listing_stamp=-1)
+        self.now += 300
+        self.handle(Tick(WALL_0))
+        self.assertEqual(self.started(), [1, 2])
+        self.send(report(200))  # a late word of the one that is gone
+        self.assertEqual(self.started(), [1, 2])
+
+    def test_a_silent_worker_is_empty_once_its_hold_is_over_for_certain(self) -> None:
+        self.send(report(100), results=self.answered(Outcome.DONE, 90))
+        self.handle(AgentLost("m-1"))
+        self.now += 5_350
+        self.handle(Tick(WALL_0))
+        self.send(report(self.now - 990), running=(Run(TASK, 1, "", 50),))
+        self.assertEqual(self.stops, [])
+        self.handle(AgentLost("m-1"))
+        self.now += 5_450
+        self.handle(Tick(WALL_0))
+        granted = self.granted
+        self.send(report(self.now - 990))
+        self.assertEqual([stop.run for stop in self.stops], [1])
+        self.assertEqual(self.granted, granted)
+        self.assertEqual(self.started(), [1])
+        self.send(report(self.now - 980), results=self.answered(Outcome.DONE, self.now - 985,
+                                                                self.stops[-1].order))
+        self.assertEqual(self.granted, self.now - 990)
+        self.assertEqual(self.started(), [1, 2])
+
+    def test_an_end_beyond_a_missing_one_counts_but_last_seen_waits(self) -> None:
+        self.send(report(100), results=self.answered(Outcome.DONE, 90))
+        ends = (End(4, "x.0.0.0", 1, How.DONE, ""), End(9, TASK, 1, How.DONE, ""))
+        self.send(report(900), finished=ends)
+        self.send(report(1_300), finished=ends)
+        self.assertEqual(self.last_seen, 4)
+        self.assertEqual(self.started(), [1])
+
+    def test_a_run_that_nobody_knows_is_stopped_and_no_task_placed_beside_it(self) -> None:
+        self.send(report(100), results=self.answered(Outcome.DONE, 90))
+        self.send(report(700), running=(Run(TASK, 1, "", 1), Run(f"{job_id(7)}.0.0.0", 3, "", 1)))
+        self.assertEqual([(stop.task, stop.run) for stop in self.stops], [(f"{job_id(7)}.0.0.0", 3)])
+
+    def test_a_successor_goes_on_with_a_run_that_is_listed(self) -> None:
+        self.elect(EPOCH + 1)
+        self.send(report(700), running=(Run(TASK, 1, "", 1),))
+        self.assertEqual(self.starts, [])
+        self.send(report(1_200), fenced_epoch=EPOCH + 1, finished=(End(1, TASK, 1, How.DONE, ""),))
+        self.send(report(1_300), fenced_epoch=EPOCH + 1)
+        self.assertEqual(self.last_seen, 1)
+
+    def test_a_successor_orders_a_run_again_that_is_not_listed(self) -> None:
+        self.elect(EPOCH + 1)
+        self.send(report(700))
+        self.assertEqual(self.started(), [1])
+
+    def test_answers_to_a_predecessor_s_orders_mean_nothing_to_its_successor(self) -> None:
+        before = self.starts[-1].order
+        self.elect(EPOCH + 1)
+        self.send(report(700))
+        self.assertNotEqual(self.starts[-1].order, before)
+        self.send(report(710), results=(OrderResult(before, Outcome.ROOM, 705),))
+        self.now += 300
+        self.handle(Tick(WALL_0))
+        self.assertEqual(self.started(), [1])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/system/test_jobs_moves.py
+++ b/tests/system/test_jobs_moves.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import unittest
+from collections.abc import Sequence
 from functools import partial
 
 from flintfield.jobs.messages import Method
+from flintfield.placement.interface import Demand, Worker
+from flintfield.placement.market import Market
 
 from .jobs_judge import Judge
 from .jobs_world import ConfigurationModel, RouteModel, Steps, World, job_id, simple
@@ -186,5 +189,34 @@
         self.assertEqual(self.world.state_of(job_id(2)), "completed")
 
 
+class NeverNow(Market):
+    """A policy that would always rather wait."""
+
+    def choose(self, demand: Demand, workers: dict[str, Worker], now_ms: int) -> str | None:
+        """Never."""
+        return None
+
+    def choose_gang(self, demands: Sequence[Demand], workers: dict[str, Worker],
+                    now_ms: int) -> list[str] | None:
+        """Never."""
+        return None
+
+
+class FreeRoom(unittest.TestCase):
+    """A task whose turn has come does not wait for 3 s beside free room, whatever the policy thinks."""
+
+    def test_tasks_and_gangs_are_placed_by_room_alone_after_a_while(self) -> None:
+        world = World(machines=2, placement=NeverNow)
+        world.elect()
+        world.run(1_500)
+        world.submit(job_id(1), [{"count": 2, "cpu": 500, "estimateMs": 300}], simple(300))
+        world.submit(job_id(2), [{"count": 3, "cpu": 2_000, "estimateMs": 300, "gang": True}],
+                     simple(300, gang=3))
+        world.submit(job_id(3), [{"count": 2, "cpu": 500, "estimateMs": 300}], simple(300))
+        world.run(2_900)
+        self.assertEqual(len(world.seen), 7)
+        self.assertEqual(Judge(world).check(), [])
+
+
 if __name__ == "__main__":
     unittest.main()
