--- a/flintfield/coordination/directory.py
+++ b/flintfield/coordination/directory.py
@@ -16,6 +16,8 @@
 ROUND_PAUSE_S = (0.05, 0.15)
 SEARCH_BUDGET_S = 2.0  # of one call; then the caller is told that nobody knows
 ADDRESSES_KEPT = 32
+FRESH_MS = 1_000  # a leader that was heard of since is named at once
+STALE_MS = 10_000  # one that wasn't is named if nobody knows better
 FAILED_FOR_MS = 1_000  # a leader that was reported is not named again for so long, unless with a newer epoch
 
 
@@ -54,15 +56,17 @@
         while True:
             for pair in self._pairs():
                 await asyncio.gather(*(self._ask(address) for address in pair))
-                if self._usable():
+                if self._usable(FRESH_MS):
                     return self._view
+            if self._usable(STALE_MS):
+                return self._view
             if time.monotonic() >= deadline_s:
                 return None
             await asyncio.sleep(self._rng.uniform(*ROUND_PAUSE_S))
 
-    def _usable(self) -> bool:
+    def _usable(self, oldest_ms: int) -> bool:
         view = self._view
-        if view is None:
+        if view is None or _steady_ms() - view.heard_ms > oldest_ms:
             return False
         failed_ms = self._failed.get(view.address)
         if failed_ms is None or _steady_ms() - failed_ms >= FAILED_FOR_MS:
--- a/flintfield/coordination/model.py
+++ b/flintfield/coordination/model.py
@@ -8,7 +8,6 @@
 
 from flintfield.transport.records import record
 
-
 Clock = Callable[[], int]
 """A clock that is handed in; milliseconds."""
 
--- a/flintfield/coordination/node.py
+++ b/flintfield/coordination/node.py
@@ -19,7 +19,13 @@
     WhereIsLeader,
 )
 from flintfield.coordination.model import (
-    Clock, CoreSet, Deposed, LeaderView, Member, NoQuorum, Refusal,
+    Clock,
+    CoreSet,
+    Deposed,
+    LeaderView,
+    Member,
+    NoQuorum,
+    Refusal,
 )
 from flintfield.coordination.replica import HANDLED
 from flintfield.coordination.shell.changes import CoreChanges
--- a/flintfield/coordination/shell/changes.py
+++ b/flintfield/coordination/shell/changes.py
@@ -213,7 +213,7 @@
         names = [member.name for member in decided.members]
         LOG.info("core_changed", extra={"core": decided.version, "members": names})
         self._knowledge.note_core(decided)
-        for address in {member.address for member in (*core.members, *decided.members)}:
+        for address in dict.fromkeys(member.address for member in (*core.members, *decided.members)):
             self._peers.tell(address, SetDecided(decided))
 
 
--- a/flintfield/coordination/shell/host.py
+++ b/flintfield/coordination/shell/host.py
@@ -34,6 +34,7 @@
         self._steady_ms = steady_ms
         self._wall_ms = wall_ms
         self._ticket = 0
+        self._promise_ticket = 0  # of the newest change of promises or of the lease's holder
         self.replica: Replica | None = None
         self.since_ms = 0  # when it started or became active in its set
         self.resigned_ms: int | None = None  # when the leader told that it stops
@@ -73,8 +74,10 @@
         step = replica.step(self._steady_ms(), message)
         if not self._carry_out(step):
             return Refused(Refusal.BROKEN, replica.identity)
+        if step.changes and not isinstance(message, Append):
+            self._promise_ticket = self._ticket
         self._observe(message, step.reply)
-        if not step.at_once and not await self.settled():
+        if not await self._durable(self._promise_ticket if step.at_once else self._ticket):
             return Refused(Refusal.BROKEN, replica.identity)
         return step.reply
 
@@ -105,8 +108,11 @@
 
     async def settled(self) -> bool:
         """Wait until all that was applied is durable; False where the store fails."""
+        return await self._durable(self._ticket)
+
+    async def _durable(self, ticket: int) -> bool:
         try:
-            await self._store.durable(self._ticket)
+            await self._store.durable(ticket)
         except StorageFailed:
             self.refusals += 1
             return False
--- a/flintfield/coordination/shell/meeting.py
+++ b/flintfield/coordination/shell/meeting.py
@@ -21,6 +21,8 @@
 CONTENT_MS = 1_000  # between two looks of a process that knows the core and is in touch with it
 LOST_MS = 2_000  # without a majority's answers for so long, the seeds are asked as well
 LEADER_FRESH_MS = 600
+PATIENT_MS = 5_000  # a candidate that has waited for so long announces itself more rarely
+PATIENT_ANNOUNCE_MS = 450
 ADOPTED_PUSH_MS = 500  # a member pushes the set that it has adopted if nothing is decided by then
 
 
@@ -149,9 +151,11 @@
         targets = self._some_contacts() if lost else self._core_contacts(core)
         message = self._announcement()
         leaders = await asyncio.gather(*(self._announce(address, message) for address in targets))
-        for address in set(leaders) - {"", self._own.address, *targets}:
-            await self._announce(address, message)
-        return ANNOUNCE_MS if stranger else ANNOUNCE_MS * 2
+        for address in dict.fromkeys(leaders):
+            if address not in ("", self._own.address, *targets):
+                await self._announce(address, message)
+        waiting = self._steady_ms() - self._started_ms >= PATIENT_MS
+        return PATIENT_ANNOUNCE_MS if waiting else ANNOUNCE_MS
 
     def _core_contacts(self, core: CoreSet) -> list[str]:
         """The leader if it lives, else all members: to one of them the candidate may tell that the leader is
@@ -220,7 +224,7 @@
     def _founded(self, first: CoreSet) -> None:
         LOG.info("founded", extra={"members": [member.name for member in first.members]})
         self._knowledge.note_core(first)
-        members = {member.address for member in first.members}
-        for address in members | set(self._knowledge.schedulers()):
+        members = [member.address for member in first.members]
+        for address in dict.fromkeys((*members, *self._knowledge.schedulers())):
             self._peers.tell(address, SetDecided(first))
 
--- a/flintfield/coordination/step.py
+++ b/flintfield/coordination/step.py
@@ -15,7 +15,8 @@
     The shell applies `changes` before it hands the next message in, and atomically with them, where it isn't
     None, `replacement`, which takes the place of all items of the ordered store. It sends `reply` once the
     store is durable up to here; also without changes of its own, because the reply may tell of earlier ones.
-    `at_once` marks a reply that tells nothing durable.
+    `at_once` marks a reply that tells nothing of registers or items: before it, only promises, and who holds
+    the lease, must be durable.
     """
 
     reply: object
