--- /dev/null
+++ b/flintfield/console/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands, one module each."""
--- a/flintfield/console/local/command.py
+++ b/flintfield/console/local/command.py
@@ -27,6 +27,7 @@
         option("kill-leader", None, "Kill the dispatcher's process in the middle", flag=True),
         option("rounds", None, "How many jobs of each kind", flag=False, default="1"),
         option("timeout", None, "Seconds that the jobs may take", flag=False, default="60"),
+        option("stay", None, "Let the cluster run on afterwards, until Ctrl-C", flag=True),
         option("folder", None, "Keep settings, logs and data here (else a temporary folder)", flag=False),
     ]
 
@@ -34,7 +35,7 @@
         """Exit code 0 where all jobs ended as they must, 1 otherwise, 2 for unusable options."""
         try:
             options = Options(int(self.option("rounds")), bool(self.option("kill-leader")),
-                              float(self.option("timeout")))
+                              float(self.option("timeout")), bool(self.option("stay")))
         except ValueError as error:
             self.line_error(f"local: {error}")
             return FAULTY
--- a/flintfield/console/local/play.py
+++ b/flintfield/console/local/play.py
@@ -5,6 +5,7 @@
 import random
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from functools import partial
 from http import HTTPStatus
@@ -73,6 +74,7 @@
     rounds: int = 1
     kill_leader: bool = False
     timeout_s: float = 60.0
+    stay: bool = False  # run on after the verdict, until interrupted
 
 
 class Play:
@@ -110,6 +112,8 @@
             self._configure()
             self._submit()
             self._follow()
+            if self._options.stay:
+                self._stay()
         except CallFailed as error:
             raise PlayFailed(str(error)) from error
         finally:
@@ -174,6 +178,15 @@
             time.sleep(PERIOD_S)
         self._note(f"not done after {self._options.timeout_s:.0f} s")
 
+    def _stay(self) -> None:
+        """Let the cluster run on until the user interrupts it."""
+        seeds = ",".join(self._rpc)
+        self._note(f"the cluster stays; ask it with --at {seeds}; Ctrl-C ends it")
+        with suppress(KeyboardInterrupt):
+            while True:
+                self._check_processes()
+                time.sleep(PERIOD_S)
+
     def _look_at_jobs(self) -> None:
         """Ask for all open jobs, as far as anybody answers."""
         try:
--- a/flintfield/console/local/processes.py
+++ b/flintfield/console/local/processes.py
@@ -11,13 +11,14 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from flintfield.console.local.machines import SERVICE, Machine, Role, settings_text
+from flintfield.console.local.machines import HEARTBEAT_MS, SERVICE, Machine, Role, settings_text
 from flintfield.runtime.settings import VARIABLE
 
 ROOT = Path(__file__).resolve().parents[3]
 WORKER_MODULE = "tests.system.support.worker"  # the stand-in worker that the tests use too
 END_S = 8.0  # for all processes together, before they are killed
 POLL_S = 0.02
+KIND = "local-kind"  # a worker's first label; the second names its rack
 RACKS = ("r1", "r2")  # of the workers in turn
 SPECIAL_LABEL = "ssd"  # of every second worker
 
@@ -61,7 +62,8 @@
         if machine.role is not Role.AGENT:
             raise ValueError(f"{machine.name} has no worker")
         arguments = [WORKER_MODULE, "--app", machine.app, "--agent", machine.control, "--service", SERVICE,
-                     "--zone", machine.zone, "--heartbeat-ms", "500", "--label", RACKS[index % len(RACKS)]]
+                     "--zone", machine.zone, "--heartbeat-ms", str(HEARTBEAT_MS),
+                     "--label", KIND, "--label", RACKS[index % len(RACKS)]]
         if index % 2:
             arguments += ["--label", SPECIAL_LABEL]
         self._begin(f"worker-{index + 1}", tuple(arguments), {})
--- a/flintfield/programs/console.py
+++ b/flintfield/programs/console.py
@@ -17,9 +17,16 @@
     """Run the command that the arguments name; returns the exit code."""
     if importlib.util.find_spec("cleo") is None:
         sys.path.append(str(DEPENDENCIES))
+    from cleo.exceptions import CleoError
+
     from flintfield.console.application import build
+    from flintfield.console.exit_codes import FAULTY
 
-    return build().run()
+    try:
+        return build().run()
+    except CleoError as error:
+        print(error, file=sys.stderr)
+        return FAULTY
 
 
 if __name__ == "__main__":
