--- a/tests/system/test_console_live.py
+++ b/tests/system/test_console_live.py
@@ -9,14 +9,28 @@
 import sys
 import tempfile
 import unittest
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, ClassVar
 
+from cleo.testers.command_tester import CommandTester
+
+from flintfield.console.application import build
+
 ROOT = Path(__file__).resolve().parents[2]
 CONSOLE = (sys.executable, "-m", "flintfield.programs.console")
 PATIENCE_S = 60.0
 
 
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What a command told: exit code, standard output, standard error."""
+
+    code: int
+    output: str
+    error: str
+
+
 class LiveCommands(unittest.TestCase):
     """One cluster for all checks, which change nothing in it; one test, so that it is started once."""
 
@@ -52,16 +66,21 @@
         assert cls.cluster.stdout is not None
         cls.cluster.stdout.close()
 
-    def ask(self, *arguments: str) -> subprocess.CompletedProcess[str]:
-        """Run a command to its end."""
-        return subprocess.run((*CONSOLE, *arguments, "--at", self.seeds), cwd=ROOT, capture_output=True,
-                              text=True, timeout=PATIENCE_S, check=False)
+    def run_command(self, name: str, arguments: str) -> Told:
+        """Run a command to its end, in this process: starting one costs more than asking."""
+        tester = CommandTester(build().find(name))
+        code = tester.execute(arguments)
+        return Told(code, tester.io.fetch_output(), tester.io.fetch_error())
+
+    def ask(self, name: str, arguments: str = "") -> Told:
+        """Run a command that asks the cluster."""
+        return self.run_command(name, f"{arguments} --at {self.seeds}")
 
-    def fields(self, *arguments: str) -> Any:
+    def fields(self, name: str, arguments: str = "") -> Any:
         """What a command tells programs."""
-        result = self.ask(*arguments, "--json")
-        self.assertEqual(result.returncode, 0, result.stdout + result.stderr)
-        return json.loads(result.stdout)
+        told = self.ask(name, f"{arguments} --json")
+        self.assertEqual(told.code, 0, told.output + told.error)
+        return json.loads(told.output)
 
     def job(self, kind: str) -> str:
         """The id of the job of that kind."""
@@ -89,7 +108,7 @@
         self.assertEqual(told["faults"], [])
         self.assertEqual(len(told["survey"]["core"]["members"]), 3)
         self.assertEqual(len(told["survey"]["processes"]), 4)
-        text = self.ask("members").stdout
+        text = self.ask("members").output
         for number in range(1, 5):
             self.assertIn(f"scheduler-{number}", text)
         self.assertIn("majority 2", text)
@@ -100,14 +119,14 @@
         for worker in told["workers"]:
             self.assertEqual((worker["condition"], worker["trusted"], worker["cpu"]), ("ready", True, 16_000))
         self.assertEqual({worker["rack"] for worker in told["workers"]}, {"r1", "r2"})
-        self.assertIn("16000", self.ask("workers").stdout)
+        self.assertIn("16000", self.ask("workers").output)
 
     def check_jobs(self) -> None:
-        told = self.fields("jobs", "--queue", "local-queue")
+        told = self.fields("jobs", "--queue local-queue")
         self.assertEqual((told["total"], len(told["jobs"])), (13, 13))
-        self.assertEqual(len(self.fields("jobs", "--limit", "5")["jobs"]), 5)
+        self.assertEqual(len(self.fields("jobs", "--limit 5")["jobs"]), 5)
         self.assertEqual(self.fields("jobs", "--open")["jobs"], [])
-        self.assertIn("13 of 13 jobs", self.ask("jobs").stdout)
+        self.assertIn("13 of 13 jobs", self.ask("jobs").output)
 
     def check_a_job_and_its_history(self) -> None:
         told = self.fields("job", self.job("tasks"))
@@ -115,17 +134,17 @@
         happenings = [event["happening"] for event in told["events"]]
         self.assertEqual((happenings[0], happenings[-1]), ("accepted", "job ended"))
         self.assertEqual((happenings.count("placed"), happenings.count("run ended")), (6, 6))
-        text = self.ask("job", self.job("failing")).stdout
+        text = self.ask("job", self.job("failing")).output
         self.assertEqual(len(re.findall(r"run ended .* failed", text)), 3)
 
     def check_an_unknown_job_ends_with_1(self) -> None:
-        self.assertEqual(self.ask("job", "0" * 16).returncode, 1)
+        self.assertEqual(self.ask("job", "0" * 16).code, 1)
 
     def check_configuration(self) -> None:
         told = self.fields("configuration")
         self.assertEqual({process["version"] for process in told["processes"]}, {1})
         self.assertEqual(len(told["processes"]), 4)
-        self.assertIn("newest version: 1", self.ask("configuration").stdout)
+        self.assertIn("newest version: 1", self.ask("configuration").output)
 
     def check_counters(self) -> None:
         told = self.fields("counters")
@@ -134,16 +153,14 @@
 
     def check_a_settings_file_leads_to_the_cluster(self) -> None:
         path = Path(self.folder.name) / "settings" / "agent-1.toml"
-        result = subprocess.run((*CONSOLE, "members", "--settings", str(path)), cwd=ROOT, capture_output=True,
-                                text=True, timeout=PATIENCE_S, check=False)
-        self.assertEqual(result.returncode, 0, result.stderr)
+        told = self.run_command("members", f"--settings {path}")
+        self.assertEqual(told.code, 0, told.error)
 
     def check_a_disk_is_shown(self) -> None:
         path = Path(self.folder.name) / "data" / "scheduler-1"
-        result = subprocess.run((*CONSOLE, "store", "show", str(path)), cwd=ROOT, capture_output=True,
-                                text=True, timeout=PATIENCE_S, check=False)
-        self.assertEqual(result.returncode, 0, result.stderr)
-        self.assertIn("set 1: scheduler-1", result.stdout)
+        told = self.run_command("store show", str(path))
+        self.assertEqual(told.code, 0, told.error)
+        self.assertIn("set 1: scheduler-1", told.output)
 
 
 if __name__ == "__main__":
