--- /dev/null
+++ b/benchmarks/system_dispatch_load.py
@@ -0,0 +1,374 @@
+"""The dispatcher under a hollow load: what one process would spend on the fleet of the two-year size.
+
+    python -m benchmarks.system_dispatch_load [--workers 350 700 1400] [--seconds 10]
+
+The real state machine, the real market and the real codecs; workers and agents are hollow (plain objects),
+writes are durable after 8 ms. Time is virtual, with one exception: while the dispatcher handles an event,
+virtual time goes on by the processor time that this took, so that work queues up for it as it would in a
+process. Load grows with the fleet: at 1,400 workers 160 starts a second, 8,500 running tasks, gangs up to
+128, one job in 5 urgent.
+
+Not counted: sockets and the event loop, the followers, records on disk (`system_replication_load`).
+"""
+
+from __future__ import annotations
+
+import argparse
+import heapq
+import json
+import os
+import random
+import resource
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any
+
+from benchmarks.system_hollow_fleet import HollowWorker, hollow_workers
+from flintfield.jobs.bounds import DispatcherBounds
+from flintfield.jobs.dispatcher import Dispatcher
+from flintfield.jobs.events import Answer, CallArrived, Event, ReportArrived, SendOrders, Tick, Write, Written
+from flintfield.jobs.messages import AgentOrders, JobCall, Method
+from flintfield.placement.market import Market
+from flintfield.transport.frames import HEADER
+from flintfield.transport.records import decode, encode
+
+FULL_WORKERS = 1_400
+FULL_STARTS_PER_S = 160.0
+FULL_RUNNING = 8_500
+TEAMS = 190
+URGENT_SHARE = 0.2  # of the jobs: far more than there will be, so that the quantiles have samples
+GANG_SHARE = 0.02  # of the jobs
+GANG_SIZES = (4, 8, 16, 32, 64, 128)
+TASKS_MEAN = 4  # of a job that is no gang
+URGENT_BOUND_MS = 1_200.0
+TASK_CPU, TASK_MEMORY_MB = 1_000, 2_048
+WRITE_MS = 8.0  # until a write is durable at a majority
+LINK_MS = 1.0  # one way between agent and dispatcher
+TICK_MS = 50.0
+FILL_MS = 8_000.0  # the fleet is filled within that, and then left alone for as long
+BACKLOG_MS = 600_000  # the default bound of 40 s counts running work whole and refuses this load
+HOST = "queue.example"
+WALL_0_MS = 1_700_000_000_000
+NS_IN_MS = 1_000_000
+MIB = 1 << 20
+
+
+@dataclass(frozen=True, slots=True)
+class TeamRoute:
+    """A team's queue."""
+
+    name: str
+    path_prefix: str
+    service: str
+    priority: int
+    max_attempts: int = 3
+    extension: float = 2.0
+    target_latency_ms: int = 2_000
+
+
+class Teams:
+    """A configuration with a queue for each team, and one for its urgent work."""
+
+    version = 1
+
+    def __init__(self, services: int) -> None:
+        routes = []
+        for team in range(TEAMS):
+            service = f"service-{team % services}"
+            routes.append(TeamRoute(f"team-{team}", f"/team-{team}/", service, 2))
+            routes.append(TeamRoute(f"team-{team}-urgent", f"/urgent-{team}/", service, 0,
+                                    target_latency_ms=300))
+        self.routes = tuple(routes)
+        self._by_prefix = {route.path_prefix: route for route in routes}
+
+    def find_route(self, _host: str, path: str) -> TeamRoute | None:
+        """By the first part of the path."""
+        return self._by_prefix.get(f"/{path.split('/', 2)[1]}/")
+
+
+@dataclass(slots=True)
+class Meter:
+    """What was counted in the window of measurement."""
+
+    spent_ns: Counter[str] = field(default_factory=Counter)
+    handled: Counter[str] = field(default_factory=Counter)
+    bytes_in: int = 0
+    bytes_out: int = 0
+    messages_out: int = 0
+    starts: int = 0
+    written: Counter[str] = field(default_factory=Counter)
+    writes: int = 0
+    urgent_ms: list[float] = field(default_factory=list)
+    other_ms: list[float] = field(default_factory=list)
+    late_ms: list[float] = field(default_factory=list)  # how long events waited for the dispatcher
+
+    def add(self, what: str, spent_ns: int) -> None:
+        """Count one event."""
+        self.spent_ns[what] += spent_ns
+        self.handled[what] += 1
+
+
+class HollowCluster:
+    """Dispatcher, fleet and clients in virtual time."""
+
+    def __init__(self, workers: int, services: int, backlog_ms: int = BACKLOG_MS, seed: int = 1) -> None:
+        self.rng = random.Random(seed)
+        self.share = workers / FULL_WORKERS
+        self.now_ms = 0.0
+        self.busy_until_ms = 0.0
+        self.meter = Meter()
+        self.fleet = {worker.machine: worker for worker in hollow_workers(workers, services, seed)}
+        self.content: dict[bytes, bytes] = {}
+        self.takes_ms: dict[str, float] = {}
+        self.submitted_ms: dict[str, tuple[float, bool]] = {}
+        self.submitted_tasks = 0
+        self.refused = 0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = 0
+        self._calls = 0
+        bounds = DispatcherBounds(backlog_ms=backlog_ms)
+        self.dispatcher = Dispatcher(1, 0, bounds, Market(seed), random.Random(seed), Teams(services))
+        for worker in self.fleet.values():
+            self._at(self.rng.uniform(0, 500), partial(self._report_due, worker))
+        self._at(0, self._tick)
+
+    # Time
+
+    def _at(self, at_ms: float, action: Callable[[], None]) -> None:
+        self._sequence += 1
+        heapq.heappush(self._events, (at_ms, self._sequence, action))
+
+    def run(self, for_ms: float) -> None:
+        """Let that much virtual time pass."""
+        until = self.now_ms + for_ms
+        while self._events and self._events[0][0] <= until:
+            self.now_ms, _, action = heapq.heappop(self._events)
+            action()
+        self.now_ms = until
+
+    # The dispatcher's process
+
+    def _arrive(self, what: str, event: Event | None, data: bytes = b"") -> None:
+        """Handle an event once the dispatcher is free; `data` is an encoded report that is to be decoded."""
+        if self.busy_until_ms > self.now_ms:
+            self._at(self.busy_until_ms, partial(self._handle, what, event, data, self.now_ms))
+        else:
+            self._handle(what, event, data, self.now_ms)
+
+    def _handle(self, what: str, event: Event | None, data: bytes, came_ms: float) -> None:
+        if self.busy_until_ms > self.now_ms:
+            self._at(self.busy_until_ms, partial(self._handle, what, event, data, came_ms))
+            return
+        began = time.thread_time_ns()
+        if event is None:
+            event = ReportArrived(decode(data))
+            decoded = time.thread_time_ns()
+            self.meter.add("decode a report", decoded - began)
+        else:
+            decoded = began
+        effects = self.dispatcher.handle(int(self.now_ms), event)
+        handled = time.thread_time_ns()
+        self.meter.add(what, handled - decoded)
+        sent = [(each, encode(each.orders)) for each in effects if isinstance(each, SendOrders)]
+        ended = time.thread_time_ns()
+        if sent:
+            self.meter.add("encode orders", ended - handled)
+            self.meter.handled["encode orders"] += len(sent) - 1
+        self.meter.late_ms.append(self.now_ms - came_ms)
+        self.busy_until_ms = self.now_ms + (ended - began) / NS_IN_MS
+        for order, encoded in sent:
+            self._send(order, encoded)
+        for effect in effects:
+            if isinstance(effect, Write):
+                self._write(effect)
+            elif isinstance(effect, Answer) and effect.answer.status != 200:
+                self.refused += 1
+
+    def _send(self, effect: SendOrders, encoded: bytes) -> None:
+        self.meter.bytes_out += len(encoded) + HEADER.size
+        self.meter.messages_out += 1
+        worker = self.fleet[effect.machine]
+        self._at(self.busy_until_ms + LINK_MS, partial(self._orders, worker, effect.orders))
+
+    def _write(self, effect: Write) -> None:
+        self.meter.writes += 1
+        for key, value in effect.changes:
+            self.meter.written[chr(key[0])] += len(key) + len(value or b"")
+            if value is None:
+                self.content.pop(key, None)
+            else:
+                self.content[key] = value
+        done = Written(effect.write)
+        self._at(self.busy_until_ms + WRITE_MS, partial(self._arrive, "take note of a write", done))
+
+    def _tick(self) -> None:
+        self._arrive("tick", Tick(WALL_0_MS + int(self.now_ms)))
+        self._at(self.now_ms + TICK_MS * self.rng.uniform(0.9, 1.1), self._tick)
+
+    # The fleet
+
+    def _report_due(self, worker: HollowWorker) -> None:
+        if worker.report_due_ms > self.now_ms:
+            return  # another timer stands for it
+        data = encode(worker.report(self.now_ms))
+        self.meter.bytes_in += len(data) + HEADER.size
+        self._at(self.now_ms + LINK_MS, partial(self._arrive, "report", None, data))
+        self._at(worker.report_due_ms, partial(self._report_due, worker))
+
+    def _orders(self, worker: HollowWorker, orders: AgentOrders) -> None:
+        due_ms = worker.report_due_ms
+        worker.take(self.now_ms, orders)
+        for start in orders.starts:
+            fresh = start.task not in worker.runs
+            run = worker.start(self.now_ms, start, self._work_ms(start.task))
+            if fresh:
+                self._note_start(start.task)
+                self._at(run.ends_ms, partial(self._end, worker, start.task, run.number))
+        if worker.report_due_ms < due_ms:
+            self._at(worker.report_due_ms, partial(self._report_due, worker))
+
+    def _end(self, worker: HollowWorker, task: str, number: int) -> None:
+        run = worker.runs.get(task)
+        if run is None or run.number != number:
+            return
+        due_ms = worker.report_due_ms
+        worker.end(self.now_ms, task)
+        if worker.report_due_ms < due_ms:
+            self._at(worker.report_due_ms, partial(self._report_due, worker))
+
+    def _note_start(self, task: str) -> None:
+        self.meter.starts += 1
+        job = task.partition(".")[0]
+        submitted = self.submitted_ms.pop(job, None)
+        if submitted is not None:
+            waited_ms = self.now_ms - submitted[0]
+            (self.meter.urgent_ms if submitted[1] else self.meter.other_ms).append(waited_ms)
+
+    def _work_ms(self, task: str) -> float:
+        return self.takes_ms[task.partition(".")[0]]
+
+    # Clients
+
+    def submit(self, urgent: bool, gang: int = 0) -> None:
+        """Hand a job in: its tasks take an exponential time, so that `FULL_RUNNING` run at the full rate."""
+        self._calls += 1
+        job = f"{self._calls:016x}"
+        count = gang or min(1 + int(self.rng.expovariate(1 / (TASKS_MEAN - 0.5))), 40)
+        takes_ms = max(200.0, self.rng.expovariate(1.0) * FULL_RUNNING / FULL_STARTS_PER_S * 1_000)
+        step: dict[str, Any] = {"count": count, "cpu": TASK_CPU, "memMb": TASK_MEMORY_MB,
+                                "estimateMs": int(takes_ms)}
+        if gang:
+            step["gang"] = True
+        self.takes_ms[job] = takes_ms
+        self.submitted_ms[job] = (self.now_ms, urgent)
+        self.submitted_tasks += count
+        path = f"/{'urgent' if urgent else 'team'}-{self.rng.randrange(TEAMS)}/{job}"
+        body = json.dumps({"spec": "s" * 64, "steps": [step]}).encode()
+        self._arrive("take a job in", CallArrived(self._calls, JobCall(Method.SUBMIT, HOST, path, body, 1)))
+
+    def arrivals(self, tasks_per_s: float, for_ms: float) -> None:
+        """Jobs arrive at random with so many tasks a second, for that long from now."""
+        at_ms = self.now_ms
+        due_tasks = tasks_per_s * for_ms / 1_000
+        planned = 0.0
+        while planned < due_tasks:
+            gang = self.rng.choice(GANG_SIZES) if self.rng.random() < GANG_SHARE else 0
+            urgent = not gang and self.rng.random() < URGENT_SHARE
+            planned += gang or TASKS_MEAN
+            at_ms = self.now_ms + min(planned / due_tasks, 1.0) * for_ms * self.rng.uniform(0.98, 1.0)
+            self._at(at_ms, partial(self.submit, urgent, gang))
+
+    def fill(self) -> None:
+        """Bring the running tasks to their number."""
+        self.run(1_000)
+        self.arrivals(FULL_RUNNING * self.share / FILL_MS * 1_000, FILL_MS)
+        self.run(FILL_MS)
+        self.arrivals(FULL_STARTS_PER_S * self.share, FILL_MS)
+        self.run(FILL_MS)
+
+    def measure(self, for_ms: float) -> Meter:
+        """Count over that time at the full rate."""
+        self.meter = Meter()
+        self.arrivals(FULL_STARTS_PER_S * self.share, for_ms)
+        self.run(for_ms)
+        return self.meter
+
+    @property
+    def running(self) -> int:
+        """Runs on all workers."""
+        return sum(len(worker.runs) for worker in self.fleet.values())
+
+
+def quantile(values: list[float], share: float) -> float:
+    """The value below which that share lies; 0 for none."""
+    ordered = sorted(values)
+    return ordered[min(int(share * len(ordered)), len(ordered) - 1)] if ordered else 0.0
+
+
+def print_window(cluster: HollowCluster, meter: Meter, seconds: float) -> None:
+    """The figures of a window."""
+    print(f"\n{len(cluster.fleet)} workers, {cluster.running} tasks running, "
+          f"{meter.starts / seconds:.0f} starts a second; load of the machine {os.getloadavg()[0]:.1f}")
+    print_processor(meter, seconds)
+    print_traffic(meter, seconds)
+    print_waits(cluster, meter)
+    kept = sum(len(key) + len(value) for key, value in cluster.content.items())
+    peak_mib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1_024
+    print(f"  kept in the store: {len(cluster.content)} records, {kept / 1_000:.0f} KB; "
+          f"peak of the process with its fleet {peak_mib:.0f} MiB; {cluster.dispatcher.counters}")
+
+
+def print_processor(meter: Meter, seconds: float) -> None:
+    """Where the processor time goes."""
+    total_ns = sum(meter.spent_ns.values())
+    print(f"  processor: {total_ns / seconds / 1e7:.1f} % of a core, "
+          f"{total_ns / max(meter.starts, 1) / 1e6:.2f} ms for each start; "
+          f"events waited {quantile(meter.late_ms, 0.5):.1f} ms (median), "
+          f"{quantile(meter.late_ms, 0.99):.0f} (99 %), {max(meter.late_ms):.0f} (most)")
+    for what, spent in sorted(meter.spent_ns.items(), key=lambda item: -item[1]):
+        count = meter.handled[what]
+        print(f"    {what:<22}{count / seconds:8.0f} /s {spent / count / 1_000:8.0f} µs "
+              f"{spent / seconds / 1e7:6.1f} %")
+
+
+def print_traffic(meter: Meter, seconds: float) -> None:
+    """Messages and bytes."""
+    written = sum(meter.written.values()) / max(meter.starts, 1)
+    print(f"  records written: {written:.0f} bytes for each start ({dict(meter.written)}), "
+          f"{meter.writes / seconds:.0f} writes a second")
+    print(f"  in {meter.handled['report'] / seconds:.0f} messages/s, "
+          f"{meter.bytes_in / seconds / 1_000:.0f} KB/s; "
+          f"out {meter.messages_out / seconds:.0f} messages/s, {meter.bytes_out / seconds / 1_000:.0f} KB/s")
+
+
+def print_waits(cluster: HollowCluster, meter: Meter) -> None:
+    """From the submission to the first start at a worker."""
+    above = sum(wait_ms > URGENT_BOUND_MS for wait_ms in meter.urgent_ms)
+    print(f"  first start: urgent p50 {quantile(meter.urgent_ms, 0.5):.0f}, "
+          f"p99 {quantile(meter.urgent_ms, 0.99):.0f} ms, "
+          f"{above} of {len(meter.urgent_ms)} above {URGENT_BOUND_MS:.0f}; "
+          f"others p50 {quantile(meter.other_ms, 0.5):.0f}, p99 {quantile(meter.other_ms, 0.99):.0f} ms; "
+          f"not started {len(cluster.submitted_ms) - cluster.refused}, refused {cluster.refused}")
+
+
+def main() -> None:
+    """Measure each size and print."""
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0] if __doc__ else "")
+    parser.add_argument("--workers", type=int, nargs="+", default=[350, 700, 1_400])
+    parser.add_argument("--services", type=int, default=8)
+    parser.add_argument("--backlog-ms", type=int, default=BACKLOG_MS,
+                        help="bound of admission; the dispatcher's own default is 40000")
+    parser.add_argument("--seconds", type=float, default=10.0, help="of virtual time in the window")
+    options = parser.parse_args()
+    for workers in options.workers:
+        cluster = HollowCluster(workers, options.services, options.backlog_ms)
+        cluster.fill()
+        meter = cluster.measure(options.seconds * 1_000)
+        print_window(cluster, meter, options.seconds)
+
+
+if __name__ == "__main__":
+    main()
