Ask for the acknowledgement of ends, gather ends, start one run at a time

Cause: the dispatcher answers a report before its ends are durable, so the acknowledgement came with the next report up to 500 ms later; the long call was made after 250 ms without it, came back at once with what was known, and then paused for 500 ms, so that later ends were told late. Change: a report follows 40 ms after one whose ends wait; an acknowledgement ends the pause; after an end the next long call waits 150 ms (with jitter) and gathers; one fresh start at a time, stops go beside it.

--- a/flintfield/agent/core.py
+++ b/flintfield/agent/core.py
@@ -186,6 +186,8 @@
         if now < self._reports.due_ms:
             return
         self._reports.sent(now)
+        if present is not None and present.awaits_acknowledgement(now):
+            self._reports.ask_soon(now)
         effects.append(SendReport(self._make_report(now)))
 
     def _make_report(self, now: int) -> AgentReport:
--- a/flintfield/agent/holds.py
+++ b/flintfield/agent/holds.py
@@ -2,7 +2,8 @@
 
 One long call is kept under way: the worker answers it as soon as something has ended. A call that does not
 wait is made at once under a new fence, and where the hold would otherwise run out although a later limit is
-granted. Each call is priced as a look at the worker, so calls that bring nothing new are spaced.
+granted. Each call is priced as a look at the worker, so calls that bring nothing new are spaced, and after an
+end the next long call waits a little, so that one answer brings the ends of one moment.
 """
 
 from __future__ import annotations
@@ -18,7 +19,8 @@
 LONGEST_WAIT_MS = 2_000  # the protocol's own bound
 SHORTEST_WAIT_MS = 100
 ANSWER_TIMEOUT_MS = 1_000  # beyond the time the worker was asked to wait
-ACK_PATIENCE_MS = 250  # ends are durable within tens of ms; until then the worker would repeat them at once
+ACK_PATIENCE_MS = 500  # ends are durable within tens of ms; until then the worker would repeat them at once
+GATHER_MS = 150  # after an end: more ends in this time are late by half of it and cost no call of their own
 IDLE_GAP_MS = 500  # after an answer that came early and brought nothing new
 FIRST_BACKOFF_MS = 250
 LONGEST_BACKOFF_MS = 1_000
@@ -82,6 +84,7 @@
     fenced: int = 0  # the highest epoch under which the worker has listed
     not_before: int = 0
     acked_by: int = 0  # until then, ends that were reported may still be acknowledged
+    gather_until: int = 0  # until then, the worker gathers ends and no long call is made
     failures: int = 0
     settle_ms: int = 0  # how long after an answer a listing has to be asked for to show its whole effect
     wanted: list[int] = field(default_factory=list)  # a listing asked for at each of these times, or later
@@ -90,6 +93,16 @@
         """A higher epoch: what was put off under the last one is due now."""
         self.not_before = 0
         self.acked_by = 0
+        self.gather_until = 0
+
+    def acknowledged(self) -> None:
+        """Ends are durable: the worker repeats them no more, so that a long call waits again."""
+        if not self.failures:
+            self.not_before = 0
+
+    def awaits_acknowledgement(self, now: int, listing: Listing) -> bool:
+        """Whether the next long call waits until ends are durable."""
+        return listing.has_ends and now < self.acked_by
 
     def want_listing(self, now: int) -> None:
         """The dispatcher waits for a listing that shows the whole effect of what was answered now."""
@@ -122,7 +135,7 @@
                 return None
         elif self.fenced < fence or self.failures:
             prompt = True
-        elif listing.has_ends and now < self.acked_by and not prompt:
+        elif not prompt and (now < self.gather_until or self.awaits_acknowledgement(now, listing)):
             return None
         purpose, wait_ms = (Purpose.PROMPT, 0) if prompt else (Purpose.LONG, self.grant.wait_ms)
         return purpose, Hold(fence, listing.last_seen, self.expiry(now), wait_ms)
@@ -154,6 +167,8 @@
             early = flight.purpose is Purpose.LONG and now - flight.sent_ms < flight.hold.wait_ms * 9 // 10
             if news:
                 self.acked_by = now + ACK_PATIENCE_MS
+                if flight.purpose is Purpose.LONG:
+                    self.gather_until = now + self._jittered(GATHER_MS)
             elif early:
                 self.not_before = now + self._jittered(IDLE_GAP_MS)
             return
@@ -167,7 +182,7 @@
             return self.not_before
         if probing or not fence:
             return None
-        times = [time for time in (self.acked_by, *self.wanted) if time > now]
+        times = [time for time in (self.acked_by, self.gather_until, *self.wanted) if time > now]
         end = self.clock.may_end_at()
         if end is not None and end - self.grant.margin_ms > now:
             times.append(end - self.grant.margin_ms)
--- a/flintfield/agent/incarnation.py
+++ b/flintfield/agent/incarnation.py
@@ -107,7 +107,8 @@
 
     def take_orders(self, now: int, orders: AgentOrders, refusal: Outcome | None) -> None:
         """Take in orders of the present epoch; with a `refusal`, starts are not taken now."""
-        self.listing.forget(orders.last_seen)
+        if self.listing.forget(orders.last_seen):
+            self.holds.acknowledged()
         for stop in orders.stops:
             self.book.take_stop(now, stop)
         in_doubt = self._may_be_repeated(orders)
@@ -155,6 +156,10 @@
         """How many calls are under way other than those that wait for an end."""
         return self.book.calling + self.holds.prompt_calls
 
+    def awaits_acknowledgement(self, now: int) -> bool:
+        """Whether the next long call waits until the dispatcher says that ends are durable."""
+        return self.holds.awaits_acknowledgement(now, self.listing)
+
     def sent(self, now: int, call: int, planned: Planned) -> CallWorker:
         """The request leaves under this call number."""
         cause, request = planned.cause, planned.request
--- a/flintfield/agent/listing.py
+++ b/flintfield/agent/listing.py
@@ -34,12 +34,13 @@
         self.running = tuple(run for run in self.running if (run.task, run.run) not in ended)
         return new_ends or first or not before <= self._runs()
 
-    def forget(self, last_seen: int) -> None:
-        """Ends up to this number are durable."""
+    def forget(self, last_seen: int) -> bool:
+        """Ends up to this number are durable; True where that was not known."""
         if last_seen <= self.last_seen:
-            return
+            return False
         self.last_seen = last_seen
         self._ends = {number: end for number, end in self._ends.items() if number > last_seen}
+        return True
 
     def finished(self) -> tuple[End, ...]:
         """The ends that are not yet forgotten, by number."""
--- a/flintfield/agent/orders.py
+++ b/flintfield/agent/orders.py
@@ -25,7 +25,8 @@
 REFUSED_PAUSE_MS = 200
 MAX_CALLS = 8  # calls under way at once; each may hang for seconds
 MAX_FRESH_CALLS = 3  # calls that are expected to be answered soon: more would only open more connections
-FRESH_MS = 100
+MAX_FRESH_STARTS = 1  # of them; a sound worker answers in 1 or 2 ms, and a new connection is priced
+FRESH_MS = 30
 MIN_HOLD_LEFT_MS = 300  # a run that would be killed sooner is not worth its start
 MAX_UNRESOLVED = 512
 MAX_REMEMBERED = 4_096
@@ -166,14 +167,17 @@
 
     def due(self, now: int, may_start: Callable[[], Outcome | None]) -> Order | None:
         """The next order to be sent now; `may_start` tells the refusal of a start at this moment, if any."""
-        if not self._has_room(now):
+        if not self._has_room(now, for_start=False):
             return None
+        starts_wait = not self._has_room(now, for_start=True)
         blocked: set[str] = set()
         for order in list(self._orders.values()):
             task = order.wanted.task
             if task in blocked:
                 continue
-            if order.phase is Phase.QUEUED and order.not_before <= now:
+            if order.is_start and order.phase is Phase.QUEUED and starts_wait:
+                blocked.add(task)
+            elif order.phase is Phase.QUEUED and order.not_before <= now:
                 refusal = may_start() if order.is_start else None
                 if refusal is None:
                     return order
@@ -225,14 +229,17 @@
         """When `due` may next have something that it has not now, other than by an event."""
         waits = [order.not_before for order in self._orders.values()
                  if order.phase is Phase.QUEUED and order.not_before > now]
-        if len(waits) < len(self._orders) and not self._has_room(now) and len(self._calls) < MAX_CALLS:
+        held_back = len(self._calls) < MAX_CALLS and not self._has_room(now, for_start=True)
+        if len(waits) < len(self._orders) and held_back:
             waits.extend(order.called_ms + FRESH_MS for order in self._calls.values()
                          if order.called_ms + FRESH_MS > now)
         return min(waits, default=None)
 
-    def _has_room(self, now: int) -> bool:
-        fresh = sum(1 for order in self._calls.values() if now - order.called_ms < FRESH_MS)
-        return fresh < MAX_FRESH_CALLS and len(self._calls) < MAX_CALLS
+    def _has_room(self, now: int, for_start: bool) -> bool:
+        fresh = [order for order in self._calls.values() if now - order.called_ms < FRESH_MS]
+        if for_start and sum(1 for order in fresh if order.is_start) >= MAX_FRESH_STARTS:
+            return False
+        return len(fresh) < MAX_FRESH_CALLS and len(self._calls) < MAX_CALLS
 
     def _repeated(self, now: int, order: int, final: bool) -> bool:
         if order in self._orders:
--- a/flintfield/agent/reports.py
+++ b/flintfield/agent/reports.py
@@ -10,6 +10,7 @@
 
 PERIOD_MS = 500  # well below the dispatcher's patience with an agent
 GATHER_MS = 4  # ends and answers of one moment go out together
+ACK_CHECK_MS = 40  # ends become durable after the answer to their report: the answer to the next tells it
 LEISURE_MS = 100  # for what the dispatcher has reckoned with, such as a start that succeeded
 
 
@@ -36,6 +37,10 @@
         """Something changed that nothing waits for."""
         self._due_ms = min(self._due_ms, now + LEISURE_MS)
 
+    def ask_soon(self, now: int) -> None:
+        """The answer to the next report is waited for: it tells which ends are durable."""
+        self._due_ms = min(self._due_ms, now + ACK_CHECK_MS)
+
     def sent(self, now: int) -> None:
         """A report leaves."""
         self._urgent = False
--- a/tests/system/test_agent_holds.py
+++ b/tests/system/test_agent_holds.py
@@ -9,7 +9,9 @@
 from flintfield.agent.limits import AgentLimits
 from flintfield.jobs.messages import End, How, StartOrder, StopOrder
 
-from .support.agent_play import CLOCK_AHEAD_MS, HOLD_MAX_MS, HOLD_MS, START_MS, TASK, Play
+from .support.agent_play import CLOCK_AHEAD_MS, HOLD_MAX_MS, HOLD_MS, OTHER_TASK, START_MS, TASK, Play
+
+LONGEST_GATHERING_MS = 240  # the jitter counted: ends come late by half of it at the most, on average
 
 
 class HoldCalls(unittest.TestCase):
@@ -47,9 +49,70 @@
         self.assertEqual((1,), tuple(end.number for end in self.play.reports[-1].finished))
         self.assertEqual([], self.play.pending(Hold), "the worker would repeat the end at once")
         self.play.order(last_seen=1)
+        self.play.pass_time(LONGEST_GATHERING_MS)
+        _, hold = self.long_call()
+        self.assertEqual(1, hold.last_seen)
+
+    def test_ends_of_one_moment_cost_one_call(self) -> None:
+        calls, begun = 0, self.play.now
+        ended: list[int] = []  # by number, from 1: the time of each end
+        while self.play.now < begun + 4_000:
+            if self.play.now - begun in range(1_000, 1_100, 20):  # five ends within 80 ms
+                ended.append(self.play.now)
+            for call in self.play.pending(Hold):
+                assert isinstance(call.request, Hold)
+                fresh = range(call.request.last_seen + 1, len(ended) + 1)
+                if fresh:
+                    calls += 1
+                    finished = tuple(End(number, TASK, number, How.DONE, "") for number in fresh)
+                    self.play.answer(call, finished=finished)
+                elif self.play.now - begun >= 1_000 + call.request.wait_ms:
+                    self.assertEqual(len(ended), call.request.last_seen)
+            self.play.pass_time(4)
+            if self.play.reports and self.play.reports[-1].finished:
+                self.play.order(last_seen=self.play.reports[-1].finished[-1].number)
+        self.assertEqual(2, calls, "the first end, and the four in the time after it")
+
+    def test_no_end_is_gathered_for_long(self) -> None:
+        call, _ = self.long_call()
+        self.play.answer(call, finished=(End(1, TASK, 1, How.DONE, ""),))
+        answered = self.play.now
+        while not self.play.pending(Hold):
+            self.play.pass_time(1)
+            self.play.order(last_seen=1)
+        self.assertLessEqual(self.play.now - answered, LONGEST_GATHERING_MS)
+
+    def test_a_late_acknowledgement_ends_the_pause_after_a_call_that_brought_nothing(self) -> None:
+        end = (End(1, TASK, 1, How.DONE, ""),)
+        call, _ = self.long_call()
+        self.play.answer(call, finished=end)
+        while not self.play.pending(Hold):
+            self.play.pass_time(10)
+        self.play.answer(self.play.only(Hold), finished=end)
+        self.play.pass_time(10)
+        self.assertEqual([], self.play.pending(Hold), "the worker repeats the end at once")
+        self.play.order(last_seen=1)
         _, hold = self.long_call()
         self.assertEqual(1, hold.last_seen)
 
+    def test_a_higher_epoch_is_told_while_ends_are_gathered(self) -> None:
+        call, _ = self.long_call()
+        self.play.answer(call, finished=(End(1, TASK, 1, How.DONE, ""),))
+        self.play.order(epoch=4)
+        _, hold = self.long_call()
+        self.assertEqual((4, 0), (hold.fence, hold.wait_ms))
+
+    def test_a_wanted_listing_is_asked_for_while_ends_are_gathered(self) -> None:
+        first, _ = self.long_call()
+        self.play.order(StopOrder(1, TASK, 1))
+        self.play.answer(self.play.only(RunStop))
+        due = self.play.now + AgentLimits(HOLD_MAX_MS, 200).settle_ms
+        self.play.pass_time(due - self.play.now - 10)
+        self.play.answer(first, finished=(End(1, OTHER_TASK, 1, How.DONE, ""),))
+        self.play.pass_time(11)
+        _, hold = self.long_call()
+        self.assertEqual(0, hold.wait_ms)
+
     def test_ends_that_nobody_acknowledges_do_not_make_it_spin(self) -> None:
         calls = 0
         end = self.play.now + 10_000
@@ -152,6 +215,25 @@
         self.assertLessEqual(max(gaps), 551)
         self.assertGreaterEqual(min(gaps), 424)
 
+    def test_the_acknowledgement_of_an_end_is_asked_for_soon(self) -> None:
+        play = Play()
+        play.ready()
+        play.answer(play.only(Hold), finished=(End(1, TASK, 1, How.DONE, ""),))
+        play.pass_time(50)
+        self.assertEqual(2, len(play.reports), "the end, and the question whether it is durable")
+        play.order(last_seen=1)
+        play.pass_time(50)
+        play.reports.clear()
+        play.pass_time(2_000)
+        self.assertLessEqual(len(play.reports), 5)
+
+    def test_ends_that_nobody_acknowledges_are_asked_about_for_half_a_second(self) -> None:
+        play = Play()
+        play.ready()
+        play.answer(play.only(Hold), finished=(End(1, TASK, 1, How.DONE, ""),))
+        play.pass_time(10_000)
+        self.assertLessEqual(len(play.reports), 13 + 24)
+
     def test_a_refused_start_is_reported_at_once_and_a_good_one_soon(self) -> None:
         for kind, at_most_ms in ((AnswerKind.ROOM, 5), (AnswerKind.OK, 101)):
             with self.subTest(kind.name):
