--- a/flintfield/simulation/agent.py
+++ b/flintfield/simulation/agent.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 from functools import partial
-from typing import TYPE_CHECKING, Any, cast
+from typing import Any, cast
 
 from flintfield.agent.core import Agent
 from flintfield.agent import link as protocol
@@ -21,15 +21,13 @@
 from flintfield.coordination.directory import Directory
 from flintfield.jobs.messages import AgentOrders, NotDispatcher
 from flintfield.simulation.fleet import Fleet, Spot
+from flintfield.simulation.loop import Handle
 from flintfield.simulation.network import SimulatedPool
 from flintfield.simulation.plans import Bounds
 from flintfield.simulation.process import Process
 from flintfield.simulation.world import Machine, World
 from flintfield.transport.rpc import Connection, Handlers, Unreachable
 
-if TYPE_CHECKING:
-    import asyncio
-
 GRACE_MS = 1_000.0  # after SIGTERM
 
 
@@ -66,7 +64,7 @@
         self._link = _Link(protocol.Link(self.rng), directory, self.steady_ms, self._take_orders,
                            lambda: self.deliver(LinkOpened()))
         self._link.process = self
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer: Handle | None = None
         self._timer_at = 0
         self.loop.call_soon(self._start)
 
--- a/flintfield/simulation/campaign.py
+++ b/flintfield/simulation/campaign.py
@@ -49,8 +49,8 @@
     def __str__(self) -> str:
         pace = 60 * self.histories / self.seconds if self.seconds else 0.0
         rules = ", ".join(f"{rule} in {count}" for rule, count in sorted(self.rules.items())) or "none"
-        return (f"{self.histories} histories in {self.seconds:.0f} s ({pace:.0f} a minute), {self.runs} runs, "
-                f"{self.events} events; rules broken: {rules}")
+        pace_told = f"{self.histories} histories in {self.seconds:.0f} s ({pace:.0f} a minute)"
+        return f"{pace_told}, {self.runs} runs, {self.events} events; rules broken: {rules}"
 
 
 def play_one(seed: int, fault: str = "") -> Result:
--- a/flintfield/simulation/clients.py
+++ b/flintfield/simulation/clients.py
@@ -11,6 +11,7 @@
 from flintfield.ingress.messages import Reply
 from flintfield.simulation.clock import WALL_START_MS
 from flintfield.simulation.cluster import Cluster
+from flintfield.simulation.faults import Trigger
 from flintfield.simulation.process import Process
 from flintfield.simulation.record import CallSeen, Record
 from flintfield.simulation.scenario import HOST, JobScript
@@ -140,6 +141,8 @@
         state = str(fields.get("state", ""))
         seen = CallSeen(method, job, path, name, life, sent_ms, self.world.now_ms, status, state)
         self._record.calls.append(seen)
+        if method in ("POST", "DELETE") and 200 <= status < 300:
+            self._cluster.signal(Trigger.ACK)
         if job:
             self.world.note(f"client: {method} {job} at {name}: {status} {state}")
         return status, fields
--- a/flintfield/simulation/cluster.py
+++ b/flintfield/simulation/cluster.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 from collections.abc import Callable
 from functools import partial
@@ -9,7 +10,7 @@
 from flintfield.agent.events import Event, Heartbeat
 from flintfield.simulation.agent import AgentProcess
 from flintfield.simulation.disk import Platter
-from flintfield.simulation.faults import Fault, FaultKind
+from flintfield.simulation.faults import LEADER, Fault, FaultKind, Trigger
 from flintfield.simulation.fleet import Fleet
 from flintfield.simulation.plans import Bounds
 from flintfield.simulation.record import Record, Trouble
@@ -21,6 +22,7 @@
 RPC_PORT = 7_000
 START_SPREAD_MS = 300.0
 RESTART_MS = 250.0
+STRIKE_MS = (0.0, 4.0)  # from what a fault waits for to the fault
 GRACE_MS = 1_500.0
 SETTLE_MS = 1_500.0  # of trouble after a fault is over: reconnecting, a takeover
 FOREVER_MS = 1e12
@@ -36,13 +38,14 @@
         self.scenario = scenario
         self.bounds = bounds
         self._rng: random.Random = world.draw()
-        self.fleet = Fleet(world, record, bounds, plan_of, world.draw())
+        self.fleet = Fleet(world, record, bounds, plan_of, self.signal, world.draw())
         names = scenario.schedulers
         for number, name in enumerate(names):
             world.add_machine(name, f"10.0.0.{number}:{RPC_PORT}")
         seeds = tuple(world.machines[name].address for name in names[:3])
         tolerance = (scenario.replicas - 1) // 2
         record.core = frozenset(names[:scenario.replicas])
+        self._armed: list[Fault] = []
         self._core = Core(seeds, record.core, scenario.diskless, tolerance, bounds)
         for number, name in enumerate(scenario.agents):
             world.add_machine(name, f"10.0.1.{number}:{RPC_PORT}")
@@ -51,12 +54,13 @@
             FaultKind.POWER: lambda fault: self._kill(fault.target, fault.length_ms, power=True),
             FaultKind.STOP_SCHEDULER: self._stop_scheduler,
             FaultKind.WIPE: self._wipe,
+            FaultKind.WIPE_AND_POWER: self._wipe_and_power,
             FaultKind.KILL_CORE: lambda fault: self._kill_core(fault, power=False),
             FaultKind.POWER_CORE: lambda fault: self._kill_core(fault, power=True),
             FaultKind.FREEZE: self._freeze,
             FaultKind.CUT: lambda fault: self._cut(fault, both=True),
             FaultKind.CUT_ONE_WAY: lambda fault: self._cut(fault, both=False),
-            FaultKind.ISOLATE: self._isolate,
+            FaultKind.SPLIT: self._split,
             FaultKind.LOSSY: self._lossy,
             FaultKind.DISK_STALL: self._disk,
             FaultKind.DISK_FAIL: self._disk,
@@ -80,7 +84,7 @@
         for name, kind in zip(self.scenario.agents, self.scenario.workers, strict=True):
             self.fleet.add(name, kind, self._heartbeat_to(name))
         for fault in self.scenario.faults:
-            self.world.at(fault.at_ms, partial(self.apply, fault))
+            self.world.at(fault.at_ms, partial(self._arm, fault))
 
     def _start(self, name: str) -> None:
         machine = self.world.machines[name]
@@ -113,11 +117,34 @@
 
     # Faults.
 
+    def _arm(self, fault: Fault) -> None:
+        if fault.trigger is Trigger.NONE:
+            self.apply(fault)
+        else:
+            self._armed.append(fault)
+
+    def signal(self, trigger: Trigger) -> None:
+        """Something was seen that a fault may wait for: it strikes within a few ms."""
+        struck = [fault for fault in self._armed if fault.trigger is trigger]
+        for fault in struck[:1]:
+            self._armed.remove(fault)
+            self.world.after(self._rng.uniform(*STRIKE_MS), partial(self.apply, fault))
+
     def apply(self, fault: Fault) -> None:
         """Let it happen now."""
+        if fault.target == LEADER:
+            fault = dataclasses.replace(fault, target=self._leader())
         self.world.note(f"fault: {fault.kind.value} {fault.target} {fault.other} for {fault.length_ms} ms")
         self._apply[fault.kind](fault)
 
+    def _leader(self) -> str:
+        """Who leads now, or one of those who may."""
+        for name in self.scenario.schedulers:
+            process = self.scheduler(name)
+            if process is not None and process.dispatch.leads:
+                return name
+        return self._rng.choice(sorted(self.record.core))
+
     def _troubled(self, machine: str, length_ms: float) -> None:
         """Note a span of trouble; "" stands for all machines."""
         now = self.world.now_ms
@@ -141,6 +168,11 @@
         self._kill(fault.target, fault.length_ms, power=True)
         self.world.machines[fault.target].platter = Platter()
 
+    def _wipe_and_power(self, fault: Fault) -> None:
+        for name in sorted(self.record.core - {fault.target}):
+            self._kill(name, fault.length_ms, power=True)
+        self._wipe(fault)
+
     def _stop_scheduler(self, fault: Fault) -> None:
         process = self.scheduler(fault.target)
         self._troubled(fault.target, GRACE_MS + fault.length_ms)
@@ -167,10 +199,13 @@
         self._troubled(fault.other, fault.length_ms)
         self._cut_pairs(pairs, fault.length_ms)
 
-    def _isolate(self, fault: Fault) -> None:
-        others = [name for name in self.world.machines if name != fault.target]
-        self._troubled(fault.target, fault.length_ms)
-        pairs = [(fault.target, name) for name in others] + [(name, fault.target) for name in others]
+    def _split(self, fault: Fault) -> None:
+        """Cut the target, and the machines named beside it, from all others; clients reach both sides."""
+        side = {fault.target, *filter(None, fault.other.split(","))}
+        names = [*self.scenario.schedulers, *self.scenario.agents]
+        pairs = [(one, other) for one in names for other in names if (one in side) != (other in side)]
+        for name in sorted(side):
+            self._troubled(name, fault.length_ms)
         self._cut_pairs(pairs, fault.length_ms)
 
     def _cut_pairs(self, pairs: list[tuple[str, str]], length_ms: float) -> None:
--- a/flintfield/simulation/fleet.py
+++ b/flintfield/simulation/fleet.py
@@ -14,7 +14,7 @@
 from flintfield.jobs.messages import WorkerState
 from flintfield.simulation.plans import Bounds, Kind
 from flintfield.simulation.record import Record
-from flintfield.simulation.worker import Gangs, PlanOf, StandInWorker
+from flintfield.simulation.worker import Gangs, PlanOf, Signal, StandInWorker
 from flintfield.simulation.world import World
 
 CALL_MS = (0.2, 1.5)
@@ -46,13 +46,14 @@
 class Fleet:
     """All spots."""
 
-    def __init__(self, world: World, record: Record, bounds: Bounds, plan_of: PlanOf,
+    def __init__(self, world: World, record: Record, bounds: Bounds, plan_of: PlanOf, signal: Signal,
                  rng: random.Random) -> None:
         self.spots: dict[str, Spot] = {}
         self._world = world
         self._record = record
         self._bounds = bounds
         self._plan_of = plan_of
+        self._signal = signal
         self._rng = rng
         self._gangs = Gangs()
         self._incarnations = 0
@@ -75,7 +76,7 @@
         name = f"i-{self._incarnations:02d}"
         self._world.note(f"worker {name} starts on {machine}")
         return StandInWorker(self._world, self._record, machine, name, kind, self._bounds, self._plan_of,
-                             self._gangs, random.Random(self._rng.getrandbits(64)))
+                             self._gangs, self._signal, random.Random(self._rng.getrandbits(64)))
 
     # Ends and beginnings.
 
--- a/flintfield/simulation/judge/configuration.py
+++ b/flintfield/simulation/judge/configuration.py
@@ -106,7 +106,8 @@
         before = [version for answered_ms, version in shown.get(process, ())
                   if answered_ms + case.bounds.rollback_slack_ms < call.sent_ms]
         if before and max(possible) < max(before):
-            broken.append(f"CONFIG {call.path} at {call.scheduler}: {call.status} at {call.answered_ms:.0f}, as "
-                          f"only {max(possible)} or older allows; {max(before)} was shown before")
+            seen = f"{call.path} at {call.scheduler}: {call.status} at {call.answered_ms:.0f}"
+            bound = f"only version {max(possible)} or older allows; {max(before)} was shown before"
+            broken.append(f"CONFIG {seen}, as {bound}")
         shown.setdefault(process, []).append((call.answered_ms, min(possible)))
     return broken
--- a/flintfield/simulation/loop.py
+++ b/flintfield/simulation/loop.py
@@ -23,17 +23,38 @@
     """A process does not come to rest within one instant."""
 
 
+class Handle:  # what asyncio.Handle is for its users
+    """A callback that waits for its turn; cheaper than `asyncio.Handle`, as contexts are not kept."""
+
+    __slots__ = ("arguments", "callback")
+
+    def __init__(self, callback: Callable[..., object], arguments: tuple[Any, ...]) -> None:
+        self.callback: Callable[..., object] | None = callback
+        self.arguments = arguments
+
+    def cancel(self) -> None:
+        """Don't call it."""
+        self.callback = None
+        self.arguments = ()
+
+    def cancelled(self) -> bool:
+        """Whether it was cancelled."""
+        return self.callback is None
+
+
 class ProcessLoop(asyncio.AbstractEventLoop):  # the part of it that shells without sockets use
     """A loop whose clock is `now_s`, in seconds of the process's own steady clock.
 
-    `on_work` is called when work is handed in from outside of the loop.
+    Work that is handed in from outside is told: `on_ready()` if it is to be done at once, `on_timer(when)`.
     """
 
-    def __init__(self, now_s: Callable[[], float], on_work: Callable[[], None]) -> None:
+    def __init__(self, now_s: Callable[[], float], on_ready: Callable[[], None],
+                 on_timer: Callable[[float], None]) -> None:
         self._now_s = now_s
-        self._on_work = on_work
-        self._ready: deque[asyncio.Handle] = deque()
-        self._timers: list[tuple[float, int, asyncio.TimerHandle]] = []
+        self._on_ready = on_ready
+        self._on_timer = on_timer
+        self._ready: deque[Handle] = deque()
+        self._timers: list[tuple[float, int, Handle]] = []
         self._count = 0
         self._running = False
         self.failures: list[dict[str, Any]] = []
@@ -44,34 +65,28 @@
         return self._now_s()
 
     def call_soon(self, callback: Callable[..., object], *args: Any,  # type: ignore[override]
-                  context: contextvars.Context | None = None) -> asyncio.Handle:
+                  context: contextvars.Context | None = None) -> Handle:
         """Run it at the next turn."""
-        handle = asyncio.Handle(callback, args, self, context)
+        handle = Handle(callback, args)
         self._ready.append(handle)
-        self._tell()
+        if not self._running and not self.dead:
+            self._on_ready()
         return handle
 
     def call_later(self, delay: float, callback: Callable[..., object],  # type: ignore[override]
-                   *args: Any,
-                   context: contextvars.Context | None = None) -> asyncio.TimerHandle:
+                   *args: Any, context: contextvars.Context | None = None) -> Handle:
         """Run it after a time."""
-        return self.call_at(self._now_s() + delay, callback, *args, context=context)
+        return self.call_at(self._now_s() + delay, callback, *args)
 
     def call_at(self, when: float, callback: Callable[..., object], *args: Any,  # type: ignore[override]
-                context: contextvars.Context | None = None) -> asyncio.TimerHandle:
+                context: contextvars.Context | None = None) -> Handle:
         """Run it at a time."""
-        handle = asyncio.TimerHandle(when, callback, args, self, context)
+        handle = Handle(callback, args)
         self._count += 1
         heapq.heappush(self._timers, (when, self._count, handle))
-        self._tell()
-        return handle
-
-    def _tell(self) -> None:
         if not self._running and not self.dead:
-            self._on_work()
-
-    def _timer_handle_cancelled(self, handle: asyncio.TimerHandle) -> None:
-        return
+            self._on_timer(when)
+        return handle
 
     def create_future(self) -> asyncio.Future[Any]:
         """A future of this loop."""
@@ -98,31 +113,37 @@
         if not self.dead:
             self.failures.append(context)
 
-    def next_s(self) -> float | None:
-        """When it has something to run, by its own clock; None: never."""
-        while self._timers and self._timers[0][2].cancelled():
-            heapq.heappop(self._timers)
-        if self._ready:
-            return self._now_s()
-        return self._timers[0][0] if self._timers else None
+    def next_timer_s(self) -> float | None:
+        """When its next timer is due, by its own clock; None: there is none."""
+        timers = self._timers
+        while timers and timers[0][2].callback is None:
+            heapq.heappop(timers)
+        return timers[0][0] if timers else None
 
     def run_due(self) -> None:
         """Run all that is due."""
         until_s = self._now_s() + ROUNDING_S
-        while self._timers and self._timers[0][0] <= until_s:
-            timer = heapq.heappop(self._timers)[2]
-            if not timer.cancelled():
-                self._ready.append(timer)
+        timers, ready = self._timers, self._ready
+        while timers and timers[0][0] <= until_s:
+            ready.append(heapq.heappop(timers)[2])
         self._running = True
         events._set_running_loop(self)
         try:
-            for _ in range(MOST_CALLBACKS):
-                if not self._ready or self.dead:
-                    return
-                handle = self._ready.popleft()
-                if not handle.cancelled():
-                    handle._run()
-            raise EndlessLoop("a loop does not come to rest")
+            self._run_ready()
         finally:
             self._running = False
             events._set_running_loop(None)
+
+    def _run_ready(self) -> None:
+        ready = self._ready
+        for _ in range(MOST_CALLBACKS):
+            if not ready or self.dead:
+                return
+            handle = ready.popleft()
+            if handle.callback is None:
+                continue
+            try:
+                handle.callback(*handle.arguments)
+            except Exception as error:
+                self.call_exception_handler({"message": f"in {handle.callback!r}", "exception": error})
+        raise EndlessLoop("a loop does not come to rest")
--- a/flintfield/simulation/operator.py
+++ b/flintfield/simulation/operator.py
@@ -11,6 +11,7 @@
 
 from flintfield.control.operator import Answer
 from flintfield.simulation.cluster import Cluster
+from flintfield.simulation.faults import Trigger
 from flintfield.simulation.process import Process
 from flintfield.simulation.record import Document, OrderSeen
 from flintfield.simulation.scenario import HOST, MAX_ATTEMPTS, QUEUES, SERVICES, ChangeScript
@@ -156,6 +157,8 @@
             name, lambda process, answered: process.order(whole, order.base, body, answered))
         status = answer.status if answer is not None else 0
         order.tries.append((sent_ms, self.world.now_ms, status))
+        if status == 200:
+            self._cluster.signal(Trigger.ACK)
         what = f"{order.name} (version {order.version} on {order.base})"
         self.world.note(f"operator: {what} at {name}: {status}")
         return status
--- a/flintfield/simulation/planted.py
+++ b/flintfield/simulation/planted.py
@@ -1,14 +1,14 @@
 """Faults planted on purpose: each takes one safeguard out of the program, by name.
 
-The simulator is worth as much as it finds of them. A fault is a list of attributes that are replaced while it is
-planted; nothing of it is in the program itself.
+The simulator is worth as much as it finds of them. A fault is a list of attributes that are replaced while it
+is planted; nothing of it is in the program itself.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 from unittest import mock
 
@@ -23,6 +23,7 @@
 from flintfield.coordination.replica import Replica
 from flintfield.coordination.shell.host import ReplicaHost
 from flintfield.coordination.shell.leading import Leadership
+from flintfield.coordination.step import Step
 from flintfield.coordination.storage.interface import KeyedStore
 from flintfield.coordination.stored import ACTIVE_KEY, IDENTITY_KEY, KNOWN_KEY
 from flintfield.dispatch import service
@@ -51,7 +52,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PlantedFault:
-    """A fault: what it does, its patches (made anew for each planting), the rules it may break."""
+    """A fault: what it does, and its patches, which are made anew for each planting."""
 
     about: str
     patches: Callable[[], list[Patch]]
@@ -99,14 +100,19 @@
     return [Patch(ReplicaHost, "start", restore_and_start), Patch(ReplicaHost, "activate", activate_and_keep)]
 
 
-def _promise_lower_epochs() -> list[Patch]:
+def _obey_lower_epochs() -> list[Patch]:
     def prepare(self: Follower, now_ms: int, request: PrepareEpoch) -> Any:
         if self.leased(now_ms, request.candidate):
             return original(self, now_ms, request)
         return self._yes(request), []
 
+    def hear(self: Follower, now_ms: int, epoch: int, leader: int, boot: int) -> Any:
+        self.heard_ms = now_ms
+        order = replace(self.order, promised=epoch, candidate=leader, boot=boot, holder=leader)
+        return None, [self._order_pair(order)]
+
     original = Follower.prepare
-    return [Patch(Follower, "prepare", prepare)]
+    return [Patch(Follower, "prepare", prepare), Patch(Follower, "hear", hear)]
 
 
 def _forget_position_at_election() -> list[Patch]:
@@ -125,7 +131,14 @@
 
 
 def _skip_sealing() -> list[Patch]:
-    return [Patch(Replica, "sealed", property(lambda self: False))]
+    ask_state = Replica._ask_state
+
+    def told(self: Replica, now_ms: int, request: Any) -> Step:
+        step = ask_state(self, now_ms, request)
+        reply: Any = step.reply
+        return replace(step, reply=replace(reply, sealed=True))
+
+    return [Patch(Replica, "sealed", property(lambda self: False)), Patch(Replica, "_ask_state", told)]
 
 
 def _accept_below_promise() -> list[Patch]:
@@ -151,14 +164,15 @@
 # The dispatcher.
 
 def _place_before_durable() -> list[Patch]:
-    class Hasty(DispatcherState):
-        def after_write(self, action: Callable[[], None]) -> None:
-            if getattr(action, "func", None) is not None and action.func.__name__ == "_placed":  # type: ignore[attr-defined]
-                action()
-            else:
-                super().after_write(action)
+    after_write = DispatcherState.after_write
 
-    return [Patch(DispatcherState, "after_write", Hasty.after_write)]
+    def hasty(self: DispatcherState, action: Callable[[], None]) -> None:
+        if getattr(getattr(action, "func", None), "__name__", "") == "_placed":
+            action()
+        else:
+            after_write(self, action)
+
+    return [Patch(DispatcherState, "after_write", hasty)]
 
 
 def _accept_before_durable() -> list[Patch]:
@@ -191,10 +205,8 @@
 
 def _one_epoch_for_all() -> list[Patch]:
     """The fencing token never rises, so late orders of an earlier dispatcher are not fenced off."""
-    make = service.Dispatcher
-
     def made(epoch: int, *arguments: Any) -> Dispatcher:
-        return make(1, *arguments)
+        return Dispatcher(1, *arguments)
 
     return [Patch(service, "Dispatcher", made)]
 
@@ -326,12 +338,12 @@
                                             _acknowledge_before_sync),
     "vote-after-wipe": PlantedFault("a replica keeps its identity and set over the loss of its disk",
                                     _vote_after_wipe),
-    "promise-lower-epochs": PlantedFault("replicas promise any epoch and remember none", _promise_lower_epochs),
+    "obey-lower-epochs": PlantedFault("replicas promise and obey any epoch", _obey_lower_epochs),
     "forget-position-at-election": PlantedFault("a new leader begins with its own state",
                                                 _forget_position_at_election),
     "act-without-lease": PlantedFault("a leader acts until somebody tells it that it is deposed",
                                       _act_without_lease),
-    "skip-sealing": PlantedFault("replicas go on serving a set whose successor was accepted", _skip_sealing),
+    "skip-sealing": PlantedFault("replicas hand their state on while they still take writes", _skip_sealing),
     "accept-below-promise": PlantedFault("registers accept ballots below a promise", _accept_below_promise),
     "commit-at-one-replica": PlantedFault("a change counts as committed at the first replica",
                                           _commit_at_one_replica),
--- a/flintfield/simulation/process.py
+++ b/flintfield/simulation/process.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from flintfield.simulation.loop import ProcessLoop
@@ -28,7 +29,7 @@
         self.connections: list[SimulatedConnection] = []
         self.rng: random.Random = world.draw()
         self.loop = ProcessLoop(  # type: ignore[abstract]  # without sockets, signals and threads
-            lambda: machine.clock.steady_ms(world.now_ms) / 1_000, self._arm)
+            lambda: machine.clock.steady_ms(world.now_ms) / 1_000, self._on_ready, self._on_timer)
         self._armed_ms: float | None = None
         machine.process = self
         machine.lives += 1
@@ -67,26 +68,39 @@
         if self.alive:
             self.loop.call_soon(callback, *arguments)
 
-    def _arm(self) -> None:
-        """See to it that the loop is run when it next has something to do."""
-        next_s = self.loop.next_s()
-        if next_s is None or not self.alive:
-            return
+    def _on_ready(self) -> None:
+        """The loop has something to do at once."""
+        machine, now_ms = self.machine, self.world.now_ms
+        due_ms = machine.frozen_until_ms
+        if due_ms < now_ms:
+            due_ms = now_ms
+        armed_ms = self._armed_ms
+        if armed_ms is None or due_ms < armed_ms:
+            self._armed_ms = due_ms
+            self.world.at(due_ms, partial(self._run, due_ms))
+
+    def _on_timer(self, when_s: float) -> None:
+        """The loop has something to do at this time of its own clock."""
         now_ms = self.world.now_ms
-        due_ms = self.machine.clock.true_ms(next_s * 1_000)
+        due_ms = self.machine.clock.true_ms(when_s * 1_000)
+        armed_ms = self._armed_ms
+        if armed_ms is not None and armed_ms <= due_ms:
+            return
         if due_ms > now_ms + 0.001:
             due_ms += self.rng.random() * LATE_TIMER_MS
         due_ms = max(now_ms, due_ms, self.machine.frozen_until_ms)
-        if self._armed_ms is not None and self._armed_ms <= due_ms:
-            return
-        self._armed_ms = due_ms
-        self.world.at(due_ms, lambda: self._run(due_ms))
+        if armed_ms is None or due_ms < armed_ms:
+            self._armed_ms = due_ms
+            self.world.at(due_ms, partial(self._run, due_ms))
 
     def _run(self, armed_ms: float) -> None:
-        if self._armed_ms == armed_ms:
-            self._armed_ms = None
-        if not self.alive:
+        if self._armed_ms != armed_ms or not self.alive:
+            return  # overtaken by an earlier one
+        self._armed_ms = None
+        if self.world.now_ms < self.machine.frozen_until_ms:
+            self._on_ready()  # frozen since
             return
-        if self.world.now_ms >= self.machine.frozen_until_ms:
-            self.loop.run_due()
-        self._arm()
+        self.loop.run_due()
+        next_s = self.loop.next_timer_s()
+        if next_s is not None and self.alive:
+            self._on_timer(next_s)
--- a/flintfield/simulation/scenario.py
+++ b/flintfield/simulation/scenario.py
@@ -7,10 +7,11 @@
 from dataclasses import dataclass
 from typing import Any
 
-from flintfield.simulation import faults
+from flintfield.simulation import themes
 from flintfield.simulation.faults import Fault
 from flintfield.simulation.plans import Capacity, Kind, Plan
 from flintfield.simulation.record import JobAsked
+from flintfield.simulation.themes import Place, Theme
 
 HOST = "q.example"
 SERVICES = ("svc-a", "svc-b")
@@ -18,7 +19,6 @@
 MAX_ATTEMPTS = 2
 RACKS = ("r1", "r2")
 JOBS_FROM_MS, JOBS_UNTIL_MS = 2_600, 9_000
-FAULTS_FROM_MS, FAULTS_UNTIL_MS = 2_500, 10_500
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +55,7 @@
     jobs: tuple[JobScript, ...]
     changes: tuple[ChangeScript, ...]
     faults: tuple[Fault, ...]
-    calm: bool
+    theme: Theme
 
     def with_faults(self, kept: tuple[Fault, ...]) -> Scenario:
         """The same with these faults only."""
@@ -75,18 +75,21 @@
 def draw(seed: int) -> Scenario:
     """The scenario of a seed."""
     rng = random.Random(f"scenario {seed}")
+    theme = themes.draw_theme(rng)
     replicas = rng.choice((3, 3, 3, 4))
-    diskless = rng.random() < 0.1
+    diskless = rng.random() < 0.07
     workers = tuple(_worker(rng, number) for number in range(rng.randint(3, 4)))
     scenario = Scenario(
         seed, replicas, rng.choice((0, 0, 1)), diskless, workers,
-        tuple(_job(rng, seed, number) for number in range(rng.randint(6, 12))),
-        tuple(_change(rng, number) for number in range(rng.randint(1, 4))), (), rng.random() < 0.05)
-    if scenario.calm:
-        return scenario
-    drawn = faults.draw(rng, scenario.schedulers[:replicas], scenario.schedulers, scenario.agents,
-                        diskless, FAULTS_FROM_MS, FAULTS_UNTIL_MS)
-    return scenario.with_faults(drawn)
+        tuple(_job(rng, seed, number, theme) for number in range(rng.randint(6, 12))),
+        tuple(_change(rng, theme) for _ in range(rng.randint(*_changes(theme)))), (), theme)
+    place = Place(scenario.schedulers[:replicas], scenario.schedulers, scenario.agents, diskless)
+    return scenario.with_faults(themes.draw_faults(rng, theme, place))
+
+
+def _changes(theme: Theme) -> tuple[int, int]:
+    """The least and the greatest number of changes of the configuration."""
+    return (6, 14) if theme in (Theme.REGISTER, Theme.CORE) else (1, 4)
 
 
 def _worker(rng: random.Random, number: int) -> Kind:
@@ -96,13 +99,13 @@
     return Kind(service, labels, Capacity(cpu, 4_096, 1), rng.random() < 0.2)
 
 
-def _job(rng: random.Random, seed: int, number: int) -> JobScript:
+def _job(rng: random.Random, seed: int, number: int, theme: Theme) -> JobScript:
     job_id = f"{seed & 0xFFFFFFFF:08x}{number:08x}"
     prefix, _, _ = rng.choice(QUEUES)
     steps: list[dict[str, Any]] = []
     plans: list[Plan] = []
     for index in range(rng.choice((1, 1, 2))):
-        step, plan = _step(rng, f"{job_id}.?.{index}", prefix)
+        step, plan = _step(rng, f"{job_id}.?.{index}", prefix, theme)
         if index and not plans[0].lasts and rng.random() < 0.8:
             step["dependsOn"] = [0]
         steps.append(step)
@@ -117,10 +120,10 @@
     return JobScript(asked, tuple(plans), submit_ms, cancel_ms, rng.random() < 0.3)
 
 
-def _step(rng: random.Random, name: str, prefix: str) -> tuple[dict[str, Any], Plan]:
+def _step(rng: random.Random, name: str, prefix: str, theme: Theme) -> tuple[dict[str, Any], Plan]:
     count = rng.choice((1, 2, 3))
     cpu = rng.choice((500, 1_000, 1_500))
-    work_ms = rng.choice((150, 400, 900, 2_000))
+    work_ms = rng.choice((150, 900, 4_000, 7_000) if theme.long_jobs else (150, 400, 900, 2_000))
     step: dict[str, Any] = {"count": count, "cpu": cpu, "memMb": 64, "estimateMs": work_ms}
     fails = rng.choice((0, 0, 0, 0, 0, 1, 1, -1))
     checkpoints = rng.random() < 0.3
@@ -144,7 +147,8 @@
     return step, Plan(work_ms, cpu, 64, 0, fails, checkpoints, gang, lasts, name)
 
 
-def _change(rng: random.Random, number: int) -> ChangeScript:
+def _change(rng: random.Random, theme: Theme) -> ChangeScript:
     at_ms = rng.randint(3_000, 9_500)
-    return ChangeScript(at_ms, rng.choice((1, 1, 2)), rng.random() < 0.4, rng.random() < 0.2,
+    orders = rng.choice((1, 2, 3)) if theme is Theme.REGISTER else rng.choice((1, 1, 2))
+    return ChangeScript(at_ms, orders, rng.random() < 0.4, rng.random() < 0.2,
                         rng.random() < 0.4)
--- a/flintfield/simulation/worker.py
+++ b/flintfield/simulation/worker.py
@@ -13,12 +13,14 @@
 
 from flintfield.agent.events import Answer, AnswerKind, Hold, RunStart, RunStop
 from flintfield.jobs.messages import End, How, Run
+from flintfield.simulation.faults import Trigger
 from flintfield.simulation.plans import Bounds, Kind, Plan
 from flintfield.simulation.record import Record, RunSeen
 from flintfield.simulation.world import World
 
 MOST_ENDS_TOLD = 500
 PlanOf = Callable[[str], Plan]
+Signal = Callable[[Trigger], None]
 
 
 class Phase(enum.Enum):
@@ -72,7 +74,7 @@
     """One incarnation."""
 
     def __init__(self, world: World, record: Record, machine: str, instance: str, kind: Kind, bounds: Bounds,
-                 plan_of: PlanOf, gangs: Gangs, rng: random.Random) -> None:
+                 plan_of: PlanOf, gangs: Gangs, signal: Signal, rng: random.Random) -> None:
         self.world = world
         self.machine = machine
         self.instance = instance
@@ -85,6 +87,7 @@
         self._bounds = bounds
         self._plan_of = plan_of
         self._gangs = gangs
+        self._signal = signal
         self._rate = rng.uniform(0.98, 1.0)
         self._born_ms = world.now_ms
         self._runs: dict[tuple[str, int], Held] = {}
@@ -145,6 +148,7 @@
         for number in [number for number in self._ends if number <= self._last_seen]:
             _, seen = self._ends.pop(number)
             seen.noted = number not in self._unnoted
+            self._signal(Trigger.NOTED)
         return None
 
     def lists(self) -> Answer:
@@ -229,6 +233,7 @@
         self._record.runs.append(seen)
         held = Held(seen, plan, self.clock_ms, order.checkpoint)
         self._runs[order.task, order.run] = held
+        self._signal(Trigger.START)
         self.world.note(f"worker {self.instance}: run {order.run} of {order.task} begins"
                         f"{' (late order)' if late else ''}")
         if plan.gang <= 1:
@@ -255,7 +260,8 @@
 
     def _end(self, held: Held, how: How) -> None:
         seen = held.seen
-        del self._runs[seen.task, seen.run]
+        if self._runs.pop((seen.task, seen.run), None) is None:
+            return  # it went with another member of its gang in the same moment
         self._barred[seen.task] = max(seen.run, self._barred.get(seen.task, 0))
         self._numbers += 1
         seen.end_ms, seen.how, seen.number = self.world.now_ms, how.name.lower(), self._numbers
