--- /dev/null
+++ b/flintfield/coordination/contacts.py
@@ -0,0 +1,135 @@
+"""What processes say to find the core and to keep up with it: records 230 to 249."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from flintfield.coordination.model import Ballot, CoreSet
+from flintfield.transport.records import record
+
+
+@dataclass(frozen=True, slots=True)
+class LeaderTold:
+    """A leader, and how long ago it was heard of."""
+
+    epoch: int
+    name: str
+    address: str
+    heard_ago_ms: int
+
+
+@record(230)
+@dataclass(frozen=True, slots=True)
+class Poll:
+    """Tell what is newer than this; wait up to `hold_ms` for it. `address` is the asker's RPC address."""
+
+    core: int
+    epoch: int
+    accepted: Ballot
+    hold_ms: int
+    address: str
+
+
+@record(231)
+@dataclass(frozen=True, slots=True)
+class PollTold:
+    """What the replica knew when it answered, `held_ms` after the poll came in.
+
+    `active` is the version of the set it is active in and unsealed (0: none); only then `accepted` counts,
+    and `value` is told where `accepted` is not the asker's. `committed` is the highest ballot that is known
+    to be committed, with `committed_value` where it is newer than the asker's. `core` is told where the
+    asker's is older.
+    """
+
+    replica: int
+    held_ms: int
+    active: int
+    accepted: Ballot
+    value: bytes | None
+    committed: Ballot
+    committed_value: bytes | None
+    core: CoreSet | None
+    leader: LeaderTold | None
+
+
+@record(232)
+@dataclass(frozen=True, slots=True)
+class WhereIsLeader:
+    """Asked by agents of any scheduler."""
+
+
+@record(233)
+@dataclass(frozen=True, slots=True)
+class LeaderAnswer:
+    """The newest leader known, the addresses of the core's members and of some schedulers."""
+
+    leader: LeaderTold | None
+    core: tuple[str, ...]
+    schedulers: tuple[str, ...]
+
+
+@record(234)
+@dataclass(frozen=True, slots=True)
+class SetDecided:
+    """One-way: this core set is agreed."""
+
+    core: CoreSet
+
+
+@record(240)
+@dataclass(frozen=True, slots=True)
+class Announce:
+    """A scheduler introduces itself. `identity` is 0 without a replica; `founding`: it takes part in the
+    foundation."""
+
+    name: str
+    address: str
+    zone: str
+    identity: int
+    founding: bool
+    core: int
+
+
+@record(241)
+@dataclass(frozen=True, slots=True)
+class AnnounceNoted:
+    """The newest set known here, if it is newer than the announcer's, and the leader's RPC address or "".
+    `founder`: this process gathers the members of the first set."""
+
+    core: CoreSet | None
+    leader: str
+    founder: bool = False
+
+
+@record(242)
+@dataclass(frozen=True, slots=True)
+class Found:
+    """Adopt this first core set, for good; doubled and late ones are harmless."""
+
+    core: CoreSet
+
+
+@record(243)
+@dataclass(frozen=True, slots=True)
+class FoundAnswer:
+    """The replica that was asked, and the first set that it has adopted durably (None: it can't take part).
+    Where `core` is told, the foundation is over."""
+
+    replica: int
+    adopted: CoreSet | None
+    core: CoreSet | None = None
+
+
+@record(244)
+@dataclass(frozen=True, slots=True)
+class AskIdentity:
+    """Who is at this address?"""
+
+
+@record(245)
+@dataclass(frozen=True, slots=True)
+class IdentityTold:
+    """The process at this address: name and identity (0: no replica)."""
+
+    name: str
+    identity: int
--- a/flintfield/coordination/directory.py
+++ b/flintfield/coordination/directory.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Sequence
 
-from flintfield.coordination.messages import LeaderAnswer, WhereIsLeader
+from flintfield.coordination.contacts import LeaderAnswer, WhereIsLeader
 from flintfield.coordination.model import LeaderView
 from flintfield.transport.rpc import Pool, RpcError
 
--- a/flintfield/coordination/node.py
+++ b/flintfield/coordination/node.py
@@ -7,17 +7,16 @@
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
-from flintfield.coordination.messages import (
+from flintfield.coordination.contacts import (
     Announce,
     AskIdentity,
-    Committed,
     IdentityTold,
     LeaderAnswer,
     Poll,
-    Refused,
     SetDecided,
     WhereIsLeader,
 )
+from flintfield.coordination.messages import Committed, Refused
 from flintfield.coordination.model import (
     Clock,
     CoreSet,
--- a/flintfield/coordination/replica.py
+++ b/flintfield/coordination/replica.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 from flintfield.coordination import acceptor
+from flintfield.coordination.contacts import Found, FoundAnswer
 from flintfield.coordination.follower import Follower
 from flintfield.coordination.messages import (
     Accept,
@@ -27,8 +28,6 @@
     AskPart,
     AskState,
     EpochPromised,
-    Found,
-    FoundAnswer,
     Heartbeat,
     Install,
     Pair,
--- a/flintfield/coordination/shell/changes.py
+++ b/flintfield/coordination/shell/changes.py
@@ -8,7 +8,7 @@
 from contextlib import suppress
 
 from flintfield.coordination.attempt import Phase
-from flintfield.coordination.messages import AskIdentity, IdentityTold, SetDecided
+from flintfield.coordination.contacts import AskIdentity, IdentityTold, SetDecided
 from flintfield.coordination.model import Clock, CoreSet, Member, Register
 from flintfield.coordination.reconfiguration import successor
 from flintfield.coordination.shell.elections import Elections
--- a/flintfield/coordination/shell/knowledge.py
+++ b/flintfield/coordination/shell/knowledge.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-from flintfield.coordination.messages import LeaderTold
+from flintfield.coordination.contacts import LeaderTold
 from flintfield.coordination.model import CoreSet, LeaderView
 from flintfield.coordination.timing import SCHEDULER_FORGOTTEN_MS, SCHEDULERS_KEPT
 
--- a/flintfield/coordination/shell/meeting.py
+++ b/flintfield/coordination/shell/meeting.py
@@ -7,8 +7,8 @@
 import random
 from collections.abc import Callable
 
+from flintfield.coordination.contacts import Announce, AnnounceNoted, Found, FoundAnswer, SetDecided
 from flintfield.coordination.foundation import Gathering
-from flintfield.coordination.messages import Announce, AnnounceNoted, Found, FoundAnswer, SetDecided
 from flintfield.coordination.model import Clock, CoreSet, Member
 from flintfield.coordination.shell.changes import CoreChanges
 from flintfield.coordination.shell.host import ReplicaHost
--- a/flintfield/coordination/shell/peers.py
+++ b/flintfield/coordination/shell/peers.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from typing import Any
 
-from flintfield.coordination.messages import Poll, PollTold
+from flintfield.coordination.contacts import Poll, PollTold
 from flintfield.coordination.model import Member
 from flintfield.coordination.shell.host import ReplicaHost
 from flintfield.transport.rpc import Pool, RpcError, Unanswered
--- a/flintfield/coordination/shell/polls.py
+++ b/flintfield/coordination/shell/polls.py
@@ -12,7 +12,7 @@
 from collections import Counter
 from collections.abc import Callable
 
-from flintfield.coordination.messages import Poll, PollTold
+from flintfield.coordination.contacts import Poll, PollTold
 from flintfield.coordination.model import NO_BALLOT, Ballot, CoreSet, Member, NoQuorum
 from flintfield.coordination.shell.host import ReplicaHost
 from flintfield.coordination.shell.knowledge import Knowledge
