--- a/benchmarks/system_dispatch_load.py
+++ b/benchmarks/system_dispatch_load.py
@@ -14,13 +14,14 @@
 from __future__ import annotations
 
 import argparse
+import gc
 import heapq
 import json
 import os
 import random
 import resource
 import time
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
@@ -114,7 +115,8 @@
 class HollowCluster:
     """Dispatcher, fleet and clients in virtual time."""
 
-    def __init__(self, workers: int, services: int, backlog_ms: int = BACKLOG_MS, seed: int = 1) -> None:
+    def __init__(self, workers: int, services: int, backlog_ms: int = BACKLOG_MS, list_every: int = 1,
+                 seed: int = 1) -> None:
         self.rng = random.Random(seed)
         self.share = workers / FULL_WORKERS
         self.now_ms = 0.0
@@ -129,9 +131,11 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = 0
         self._calls = 0
+        self._waiting: deque[tuple[str, Event | None, bytes, float]] = deque()  # grows while it is too slow
         bounds = DispatcherBounds(backlog_ms=backlog_ms)
         self.dispatcher = Dispatcher(1, 0, bounds, Market(seed), random.Random(seed), Teams(services))
         for worker in self.fleet.values():
+            worker.list_every = list_every
             self._at(self.rng.uniform(0, 500), partial(self._report_due, worker))
         self._at(0, self._tick)
 
@@ -152,16 +156,19 @@
     # The dispatcher's process
 
     def _arrive(self, what: str, event: Event | None, data: bytes = b"") -> None:
-        """Handle an event once the dispatcher is free; `data` is an encoded report that is to be decoded."""
-        if self.busy_until_ms > self.now_ms:
-            self._at(self.busy_until_ms, partial(self._handle, what, event, data, self.now_ms))
-        else:
-            self._handle(what, event, data, self.now_ms)
+        """An event comes; `data` is an encoded report that is to be decoded."""
+        self._waiting.append((what, event, data, self.now_ms))
+        if len(self._waiting) == 1:
+            self._at(max(self.now_ms, self.busy_until_ms), self._serve)
+
+    def _serve(self) -> None:
+        """Handle the event that has waited longest; the next one after the time that this takes."""
+        self._handle(*self._waiting[0])
+        self._waiting.popleft()
+        if self._waiting:
+            self._at(self.busy_until_ms, self._serve)
 
     def _handle(self, what: str, event: Event | None, data: bytes, came_ms: float) -> None:
-        if self.busy_until_ms > self.now_ms:
-            self._at(self.busy_until_ms, partial(self._handle, what, event, data, came_ms))
-            return
         began = time.thread_time_ns()
         if event is None:
             event = ReportArrived(decode(data))
@@ -296,6 +303,11 @@
         self.run(for_ms)
         return self.meter
 
+    @property
+    def waiting(self) -> int:
+        """Events that wait for the dispatcher."""
+        return len(self._waiting)
+
     @property
     def running(self) -> int:
         """Runs on all workers."""
@@ -362,12 +374,19 @@
     parser.add_argument("--backlog-ms", type=int, default=BACKLOG_MS,
                         help="bound of admission; the dispatcher's own default is 40000")
     parser.add_argument("--seconds", type=float, default=10.0, help="of virtual time in the window")
+    parser.add_argument("--list-every", type=int, default=1,
+                        help="what lists in every Nth report alone would bring; agents don't do that")
+    parser.add_argument("--no-collector", action="store_true",
+                        help="without Python's cyclic garbage collector, to tell what it costs")
     options = parser.parse_args()
+    if options.no_collector:
+        gc.disable()
     for workers in options.workers:
-        cluster = HollowCluster(workers, options.services, options.backlog_ms)
+        cluster = HollowCluster(workers, options.services, options.backlog_ms, options.list_every)
         cluster.fill()
         meter = cluster.measure(options.seconds * 1_000)
         print_window(cluster, meter, options.seconds)
+        print(f"  events that wait for the dispatcher at the end: {cluster.waiting}", flush=True)
 
 
 if __name__ == "__main__":
--- a/benchmarks/system_hollow_fleet.py
+++ b/benchmarks/system_hollow_fleet.py
@@ -52,6 +52,9 @@
     last_number: int = 0
     epoch: int = 0
     report_due_ms: float = 0.0
+    list_every: int = 1  # so many reports for each that carries the list of runs; agents list in all
+    reports: int = 0
+    listing_stamp: int = -1
 
     def take(self, now_ms: float, orders: AgentOrders) -> None:
         """Take note of what may be forgotten, and of the epoch."""
@@ -84,10 +87,14 @@
         """What its agent sends now."""
         self.report_due_ms = now_ms + PERIOD_MS * self.rng.uniform(0.85, 1.1)
         results, self.results = tuple(self.results), []
-        running = tuple(run.listed(now_ms) for run in self.runs.values())
+        running: tuple[Run, ...] = ()
+        if self.reports % self.list_every == 0:
+            running = tuple(run.listed(now_ms) for run in self.runs.values())
+            self.listing_stamp = int(now_ms) - 1
+        self.reports += 1
         state = WorkerState(self.instance, self.service, f"10.0.0.1:{len(self.machine)}", self.zone, False,
                             WORKER_CPU, WORKER_MEMORY_MB, 0, ("a", self.rack), 0, 8, 0)
-        return AgentReport(self.machine, 1, int(now_ms), 0, state, self.epoch, int(now_ms) - 1, running,
+        return AgentReport(self.machine, 1, int(now_ms), 0, state, self.epoch, self.listing_stamp, running,
                            tuple(self.ends), results, 0, False)
 
 
