Don't take a gang's member that waits at 100 % for one that stands still

Cause: the members of a gang end together. On the grown site fast workers are through seconds before slow ones and stand at 100 % meanwhile; after 3.6 s they were stopped as stalled, and with them the whole gang.

Ruled out: work lost by takeovers (no run lapsed that had worked); preemption (it stopped none).

Change: a member at 100 % is not judged while another member of the same run is below. The models' workers now end a gang as a whole and list who is through at 100 %, as the users' workers do; the new test fails without the change.

--- a/flintfield/jobs/moves.py
+++ b/flintfield/jobs/moves.py
@@ -15,6 +15,7 @@
 from flintfield.jobs.worker_record import WorkerRecord
 
 MAX_MOVES = 3  # of one task
+THROUGH = 100  # percent
 STALL_MS = 1_500  # a percentage that stands still for less says nothing
 STALL_SHARE = 0.3  # of the estimate
 FRESH_PROGRESS_MS = 6_000  # elsewhere in the service, so that the fault is not ours
@@ -57,6 +58,8 @@
         paces.note(route, pace)
 
     def _stalled(self, record: WorkerRecord, run: Run) -> bool:
+        if _waits_for_its_gang(run):
+            return False
         now = self._state.now_ms
         limit = max(STALL_MS, STALL_SHARE * estimate_ms(run))
         if run.task.step.spec.gang and run.percent == 0:
@@ -123,3 +126,10 @@
             last_chance = spec.checkpoints and time_left < LAST_STOP_MS
             if last_chance or self._has_room_elsewhere(run):
                 self._ends.runs.stop(run)
+
+
+def _waits_for_its_gang(run: Run) -> bool:
+    """Whether it is through and others aren't: a gang ends as a whole, so the first ones stand at the end."""
+    if not run.task.step.spec.gang or run.percent < THROUGH:
+        return False
+    return any(other.percent < THROUGH for other in run.task.step.open_runs() if other.number == run.number)
--- a/tests/system/jobs_worker.py
+++ b/tests/system/jobs_worker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -114,6 +115,15 @@
                 worker.catch_up()
                 if member.state is ModelState.WAITING:
                     worker._work(member)
+            self._end_together(members)
+
+    @staticmethod
+    def _end_together(members: list[tuple[WorldWorker, ModelRun]]) -> None:
+        """A gang ends as a whole: who is through before stays listed, at 100 %."""
+        ends = [worker.to_world(member.ends_at) for worker, member in members if member.ends_at is not None]
+        for worker, member in members:
+            if member.ends_at is not None:
+                member.ends_at = math.ceil((max(ends) - worker.born) * worker.rate)
 
     def _work(self, run: ModelRun) -> None:
         super()._work(run)
@@ -133,6 +143,9 @@
 
     def _percent(self, run: ModelRun) -> int:
         self._work_from(run)
+        waits = run.plan.gang > 1 and run.state is ModelState.WORKING and run.plan.work_ms > 0
+        if waits and self.now - run.work_from >= run.plan.work_ms:
+            return 100
         return super()._percent(run)
 
     def _saved_now(self, run: ModelRun) -> str:
--- a/tests/system/test_jobs_moves.py
+++ b/tests/system/test_jobs_moves.py
@@ -35,6 +35,15 @@
         self.assertTrue(stalled)
         self.assertEqual({seen.worker.machine for seen in stalled}, {"m0"})
 
+    def test_a_member_that_waits_for_slower_ones_of_its_gang_does_not_stand_still(self) -> None:
+        self.world.machines["m0"].worker.factor = 2.0
+        steps: Steps = [{"count": 3, "cpu": 4_000, "memMb": 100, "estimateMs": 9_000, "gang": True}]
+        self.world.submit(job_id(1), steps, simple(9_000, gang=3))
+        self.world.run(25_000)
+        self.assertEqual(self.world.state_of(job_id(1)), "completed")
+        self.assertEqual({seen.how for seen in self.world.seen}, {"done"})
+        self.assertEqual({seen.run for seen in self.world.seen}, {1})
+
     def test_nothing_is_moved_while_everything_stands_still(self) -> None:
         for machine in self.world.machines.values():
             machine.worker.factor = 1_000.0
