Let a core that was founded too small grow to the size it needs

Cause: with replicas up 3.9 s apart the founder set up a core of 2 and the third never joined; the next loss of a machine stopped the cluster (seen on a local cluster: 503 for 20 s). Ruled out: waiting longer at the foundation, for a machine may be down for good. Change: the founded size is at least 2 x tolerance + 1, so that candidates are added up to it.

--- a/flintfield/coordination/foundation.py
+++ b/flintfield/coordination/foundation.py
@@ -45,4 +45,5 @@
         if patient and len(self._members) < self._needed:
             return None
         members = ordered(list(self._members.values()))
-        return CoreSet(1, members, len(members))
+        # Founded too small, it is to grow once the others have come.
+        return CoreSet(1, members, max(len(members), self._needed))
