--- a/benchmarks/system_agent_bytes.py
+++ b/benchmarks/system_agent_bytes.py
@@ -18,8 +18,9 @@
 from collections.abc import Callable
 from functools import partial
 
-from benchmarks.system_dispatch_load import BACKLOG_MS, HOST, TASK_CPU, TASK_MEMORY_MB, WALL_0_MS, Teams
+from benchmarks.system_dispatch_load import BACKLOG_MS, HOST, TASK_CPU, TASK_MEMORY_MB, WALL_0_MS
 from benchmarks.system_hollow_fleet import HollowRun, HollowWorker, hollow_workers
+from benchmarks.system_hollow_teams import Teams
 from flintfield.jobs.bounds import DispatcherBounds
 from flintfield.jobs.dispatcher import Dispatcher
 from flintfield.jobs.events import CallArrived, ReportArrived, SendOrders, Tick, Write, Written
