--- a/flintfield/jobs/bounds.py
+++ b/flintfield/jobs/bounds.py
@@ -19,7 +19,7 @@
     status_s: int = 120  # the state of a job is kept at least this long after its end
     far_x: float = 1.5  # work away from its data, or on several racks, takes this many times as long
     hold_ms: int = 0  # 0: min(hold_max_ms - 500, 5000)
-    silent_ms: int = 4_000  # a worker silent for longer gets no further hold (its longest call waits 2,000)
+    silent_ms: int = 2_500  # a worker silent for longer gets no further hold; sound ones answer within 2,200
     max_jobs: int = 20_000  # jobs kept, ended ones included; beyond: 429
     max_job_bytes: int = 48 << 20  # bodies kept; beyond: 429
     backlog_ms: int = 40_000  # estimated work of a service that may wait; beyond: 429
--- a/tests/system/test_jobs_moves.py
+++ b/tests/system/test_jobs_moves.py
@@ -144,6 +144,39 @@
         self.assertEqual(self.world.state_of(job_id(99)), "completed")
 
 
+class Silence(unittest.TestCase):
+    """Workers that answer nothing any more while their agents live on."""
+
+    def test_the_tasks_of_a_worker_that_vanishes_are_elsewhere_within_eight_seconds(self) -> None:
+        for seed in range(1, 7):
+            with self.subTest(seed=seed):
+                world = World(seed=seed, machines=4, hold_max_ms=10_000)
+                world.elect()
+                world.run(1_500)
+                steps: Steps = [{"count": 8, "cpu": 1_000, "memMb": 100, "estimateMs": 20_000}]
+                world.submit(job_id(1), steps, simple(20_000))
+                world.run(3_000 + seed * 37)
+                self.assertEqual(len(world.seen), 8)
+                silent = next(seen.worker for seen in world.seen)
+                world.machines[silent.machine].worker_cut = True
+                there = sum(seen.worker is silent for seen in world.seen)
+                world.run(7_900)
+                self.assertEqual(len(world.seen), 8 + there)
+                self.assertEqual(Judge(world).check(), [])
+
+    def test_a_sound_worker_that_has_no_ends_to_tell_is_always_ready(self) -> None:
+        world = World(machines=3, hold_max_ms=10_000)
+        world.elect()
+        world.run(1_500)
+        steps: Steps = [{"count": 3, "cpu": 1_000, "memMb": 100, "estimateMs": 20_000}]
+        world.submit(job_id(1), steps, simple(20_000))
+        for _ in range(400):
+            world.run(25)
+            assert world.dispatcher is not None
+            records = world.dispatcher.state.workers.values()
+            self.assertTrue(all(record.worker.ready for record in records))
+
+
 class Places(unittest.TestCase):
     """Where tasks may run."""
 
