--- a/flintfield/agent/holds.py
+++ b/flintfield/agent/holds.py
@@ -21,6 +21,7 @@
 ANSWER_TIMEOUT_MS = 1_000  # beyond the time the worker was asked to wait
 ACK_PATIENCE_MS = 500  # ends are durable within tens of ms; until then the worker would repeat them at once
 GATHER_MS = 300  # after an end: more ends in this time are late by half of it and cost no call of their own
+BUSY_GATHER_MS = 30  # where starts follow an end at once: tasks wait for the room that an end makes
 IDLE_GAP_MS = 500  # after an answer that came early and brought nothing new
 FIRST_BACKOFF_MS = 250
 LONGEST_BACKOFF_MS = 1_000
@@ -84,6 +85,7 @@
     fenced: int = 0  # the highest epoch under which the worker has listed
     not_before: int = 0
     acked_by: int = 0  # until then, ends that were reported may still be acknowledged
+    gather_from: int = 0  # when the last answer came that brought ends
     gather_until: int = 0  # until then, the worker gathers ends and no long call is made
     failures: int = 0
     settle_ms: int = 0  # how long after an answer a listing has to be asked for to show its whole effect
@@ -95,6 +97,10 @@
         self.acked_by = 0
         self.gather_until = 0
 
+    def room_is_wanted(self) -> None:
+        """A start has been ordered: while ends are gathered, that shows that tasks wait for room."""
+        self.gather_until = min(self.gather_until, self.gather_from + BUSY_GATHER_MS)
+
     def acknowledged(self) -> None:
         """Ends are durable: the worker repeats them no more, so that a long call waits again."""
         if not self.failures:
@@ -168,6 +174,7 @@
             if news:
                 self.acked_by = now + ACK_PATIENCE_MS
                 if flight.purpose is Purpose.LONG:
+                    self.gather_from = now
                     self.gather_until = now + self._jittered(GATHER_MS)
             elif early:
                 self.not_before = now + self._jittered(IDLE_GAP_MS)
--- a/flintfield/agent/incarnation.py
+++ b/flintfield/agent/incarnation.py
@@ -111,6 +111,8 @@
             self.holds.acknowledged()
         for stop in orders.stops:
             self.book.take_stop(now, stop)
+        if orders.starts:
+            self.holds.room_is_wanted()
         in_doubt = self._may_be_repeated(orders)
         for start in orders.starts:
             self.book.take_start(now, start, refusal or self.refusal(now), in_doubt)
--- a/tests/system/test_agent_holds.py
+++ b/tests/system/test_agent_holds.py
@@ -12,6 +12,7 @@
 from .support.agent_play import CLOCK_AHEAD_MS, HOLD_MAX_MS, HOLD_MS, OTHER_TASK, START_MS, TASK, Play
 
 LONGEST_GATHERING_MS = 400  # the jitter counted: the ends in this time come late by half of it on average
+LONGEST_BUSY_GATHERING_MS = 32  # where a start follows an end
 
 
 class HoldCalls(unittest.TestCase):
@@ -108,6 +109,24 @@
         _, hold = self.long_call()
         self.assertEqual(1, hold.last_seen)
 
+    def test_ends_are_gathered_for_less_long_while_tasks_wait_for_room(self) -> None:
+        call, _ = self.long_call()
+        self.play.answer(call, finished=(End(1, TASK, 1, How.DONE, ""),))
+        answered = self.play.now
+        self.play.pass_time(20)
+        self.play.order(StartOrder(1, OTHER_TASK, 1, "", ""), last_seen=1)
+        while not self.play.pending(Hold):
+            self.play.pass_time(1)
+        self.assertLessEqual(self.play.now - answered, LONGEST_BUSY_GATHERING_MS)
+
+    def test_a_start_that_follows_no_end_changes_nothing(self) -> None:
+        self.play.order(StartOrder(1, OTHER_TASK, 1, "", ""))
+        call, _ = self.long_call()
+        self.play.answer(call, finished=(End(1, TASK, 1, How.DONE, ""),))
+        self.play.order(last_seen=1)
+        self.play.pass_time(LONGEST_BUSY_GATHERING_MS)
+        self.assertEqual([], self.play.pending(Hold))
+
     def test_a_higher_epoch_is_told_while_ends_are_gathered(self) -> None:
         call, _ = self.long_call()
         self.play.answer(call, finished=(End(1, TASK, 1, How.DONE, ""),))
