--- a/flintfield/jobs/messages.py
+++ b/flintfield/jobs/messages.py
@@ -28,8 +28,9 @@
 class JobCall:
     """A client's call, as the scheduler that took it read it.
 
-    `path` is the whole path; the dispatcher finds the queue by host and longest prefix. `version` is the newest
-    version of the configuration whose effect this scheduler has shown: the dispatcher answers by no older one.
+    `path` is the whole path; the dispatcher finds the queue by host and longest prefix. `version` is the
+    newest version of the configuration whose effect this scheduler has shown: the dispatcher answers by no
+    older one.
     """
 
     method: Method
@@ -142,11 +143,12 @@
     """What an agent knows of the worker beside it.
 
     `machine` names the agent's machine, `boot` this life of its process. `worker` is None until a heartbeat
-    came, and after the worker deregistered. `fenced_epoch` is the highest epoch that this incarnation of the worker
-    answered to. `listing_stamp` is when the call was sent whose answer brought `running` and `finished`
-    (-1: none yet in this life, or of another incarnation). `finished` holds all ends that are not yet forgotten.
-    `silent_ms` is how long ago the worker last answered a call. `lapsed` tells that everything held there is
-    over for certain: the longest hold that was ever granted has run out by the slowest clock allowed.
+    came, and after the worker deregistered. `fenced_epoch` is the highest epoch that this incarnation of
+    the worker answered to. `listing_stamp` is when the call was sent whose answer brought `running` and
+    `finished` (-1: none yet in this life, or of another incarnation). `finished` holds all ends that are
+    not yet forgotten. `silent_ms` is how long ago the worker last answered a call. `lapsed` tells that
+    everything held there is over for certain: the longest hold that was ever granted has run out by the
+    slowest clock allowed.
     """
 
     machine: str
@@ -188,9 +190,9 @@
 class AgentOrders:
     """What the dispatcher of `epoch` wants done at the incarnation `instance`.
 
-    `echo_stamp` is the stamp of the newest report that the dispatcher has taken in; the worker may be held until
-    `hold_ms` after it by the agent's clock, and no longer. Ends up to `last_seen` are durable and may be forgotten.
-    The agent obeys the highest epoch that it has seen and ignores all lower ones.
+    `echo_stamp` is the stamp of the newest report that the dispatcher has taken in; the worker may be held
+    until `hold_ms` after it by the agent's clock, and no longer. Ends up to `last_seen` are durable and may
+    be forgotten. The agent obeys the highest epoch that it has seen and ignores all lower ones.
     """
 
     epoch: int
--- a/flintfield/jobs/model.py
+++ b/flintfield/jobs/model.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -162,6 +163,7 @@
     ready_since_ms: int = -1
     preempted_ms: int = -1_000_000  # when runs were last stopped for it
     queued_in: str | None = None  # the service whose queue holds it
+    members: Counter[int] = field(default_factory=Counter)  # open runs by number; a gang's share theirs
 
     @property
     def group(self) -> tuple[str, int, int]:
@@ -177,6 +179,18 @@
         """How many runs of the gang have failed: a run counts once, however many members say so."""
         return len({number for task in self.tasks for number in task.failed})
 
+    def run_opened(self, run: Run) -> None:
+        """A run of one of its tasks may be somewhere from now on."""
+        run.task.runs.append(run)
+        self.members[run.number] += 1
+
+    def run_closed(self, run: Run) -> None:
+        """The run is over for certain."""
+        run.task.runs.remove(run)
+        self.members[run.number] -= 1
+        if not self.members[run.number]:
+            del self.members[run.number]
+
     def open_runs(self) -> list[Run]:
         """Runs of its tasks that may still be there."""
         return [run for task in self.tasks for run in task.runs]
@@ -281,4 +295,4 @@
     """Whether every member of the gang has that run, or the step is done; True for a step that is no gang."""
     if not step.spec.gang or step.left == 0:
         return True
-    return all(any(run.number == number for run in task.runs) for task in step.tasks)
+    return step.members[number] == len(step.tasks)
--- a/flintfield/jobs/restore.py
+++ b/flintfield/jobs/restore.py
@@ -97,7 +97,7 @@
         room = Resources(record.cpu, record.memory_mb, record.gpu)
         run = Run(task, record.number, record.instance, record.machine, record.epoch, room, record.checkpoint,
                   state.now_ms, RunState.INHERITED)
-        task.runs.append(run)
+        task.step.run_opened(run)
         if record.instance not in state.workers:
             worker = unknown_worker(record.instance, record.machine)
             state.workers[record.instance] = WorkerRecord(worker, False, state.now_ms)
--- a/flintfield/jobs/runs.py
+++ b/flintfield/jobs/runs.py
@@ -53,7 +53,7 @@
         run = Run(task, number, worker.instance, worker.machine, state.epoch, task.step.resources, checkpoint,
                   state.now_ms)
         task.last_run = max(task.last_run, number)
-        task.runs.append(run)
+        task.step.run_opened(run)
         task.become_placed()
         state.count_run(run)
         state.record(task.job, Happening.PLACED, run)
@@ -124,7 +124,7 @@
             self._forget_order(run, record)
         run.close()
         self._state.uncount_run(run)
-        run.task.runs.remove(run)
+        run.task.step.run_closed(run)
 
     def _forget_order(self, run: Run, record: WorkerRecord) -> None:
         pending = record.orders.pop(run.order, None)
