--- a/flintfield/jobs/messages.py
+++ b/flintfield/jobs/messages.py
@@ -43,7 +43,7 @@
 @record(101)
 @dataclass(frozen=True, slots=True)
 class JobAnswer:
-    """The answer to a `JobCall`: an HTTP status, a JSON body, and after how many ms to come back (0: not told).
+    """The answer to a `JobCall`: an HTTP status, a JSON body, and when to come back in ms (0: not told).
 
     `version` is the version of the configuration by which it was answered.
     """
