--- a/flintfield/simulation/__main__.py
+++ b/flintfield/simulation/__main__.py
@@ -16,7 +16,9 @@
 from flintfield.simulation import planted
 from flintfield.simulation.campaign import campaign
 from flintfield.simulation.history import Outcome, play
+from flintfield.simulation.scenario import draw
 from flintfield.simulation.shrink import shrink
+from flintfield.simulation.themes import Theme
 
 SHOWN = 5  # failing seeds whose broken rules are printed
 
@@ -29,10 +31,11 @@
             print(f"{name}: {fault.about}")
         return 0
     name = arguments.planted or ""
+    theme = Theme(arguments.theme) if arguments.theme else None
     if arguments.replay is not None:
         with planted.planted(name):
-            return _replay(arguments.replay, arguments.shrink, arguments.quiet)
-    return _campaign(arguments.seed, arguments.histories, arguments.jobs, name)
+            return _replay(arguments.replay, theme, arguments.shrink, arguments.quiet)
+    return _campaign(arguments.seed, arguments.histories, arguments.jobs, name, theme)
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -46,11 +49,12 @@
     parser.add_argument("--quiet", action="store_true", help="print no trace")
     parser.add_argument("--planted", nargs="?", const="", metavar="NAME",
                         help="with this fault planted; without a name: list them")
+    parser.add_argument("--theme", choices=[theme.value for theme in Theme], help="of this theme only")
     return parser
 
 
-def _replay(seed: int, wants_less: bool, quiet: bool) -> int:
-    outcome = play(seed)
+def _replay(seed: int, theme: Theme | None, wants_less: bool, quiet: bool) -> int:
+    outcome = play(seed, draw(seed, theme))
     if wants_less and outcome.broken:
         outcome = shrink(outcome, lambda text: print(f"shrinking: {text}", file=sys.stderr))
     _print(outcome, quiet)
@@ -68,8 +72,8 @@
     print(f"{len(outcome.broken)} broken, {len(outcome.record.runs)} runs, {outcome.events} events")
 
 
-def _campaign(first: int, histories: int, jobs: int, name: str) -> int:
-    tally = campaign(range(first, first + histories), jobs, name)
+def _campaign(first: int, histories: int, jobs: int, name: str, theme: Theme | None) -> int:
+    tally = campaign(range(first, first + histories), jobs, name, theme)
     for result in tally.failing[:SHOWN]:
         print(f"seed {result.seed}:")
         for line in result.broken[:SHOWN]:
@@ -77,6 +81,7 @@
     if tally.failing:
         seed = tally.failing[0].seed
         extra = f" --planted {name}" if name else ""
+        extra += f" --theme {theme.value}" if theme is not None else ""
         print(f"replay: python -m flintfield.simulation --replay {seed} --shrink{extra}")
     print(tally)
     return 1 if tally.failing else 0
--- a/flintfield/simulation/campaign.py
+++ b/flintfield/simulation/campaign.py
@@ -12,6 +12,8 @@
 
 from flintfield.simulation import planted
 from flintfield.simulation.history import play
+from flintfield.simulation.scenario import draw
+from flintfield.simulation.themes import Theme
 
 CHUNK = 4  # histories handed to a process at a time
 
@@ -53,19 +55,19 @@
         return f"{pace_told}, {self.runs} runs, {self.events} events; rules broken: {rules}"
 
 
-def play_one(seed: int, fault: str = "") -> Result:
+def play_one(seed: int, fault: str = "", theme: Theme | None = None) -> Result:
     """One history; an exception of the simulator itself is told as `EXCEPTION`."""
     try:
         with planted.planted(fault):
-            outcome = play(seed)
+            outcome = play(seed, draw(seed, theme))
     except Exception:
         return Result(seed, (f"EXCEPTION {traceback.format_exc()}",))
     return Result(seed, tuple(outcome.broken), len(outcome.record.runs), outcome.events)
 
 
-def results(seeds: range, jobs: int, fault: str = "") -> Iterator[Result]:
+def results(seeds: range, jobs: int, fault: str = "", theme: Theme | None = None) -> Iterator[Result]:
     """Play these seeds; results come in any order where there is more than one process."""
-    work = partial(play_one, fault=fault)
+    work = partial(play_one, fault=fault, theme=theme)
     if jobs <= 1:
         yield from map(work, seeds)
         return
@@ -73,11 +75,11 @@
         yield from pool.imap_unordered(work, seeds, chunksize=CHUNK)
 
 
-def campaign(seeds: range, jobs: int, fault: str = "") -> Tally:
+def campaign(seeds: range, jobs: int, fault: str = "", theme: Theme | None = None) -> Tally:
     """Play them all."""
     tally = Tally()
     began_s = time.monotonic()
-    for result in results(seeds, jobs, fault):
+    for result in results(seeds, jobs, fault, theme):
         tally.add(result)
     tally.seconds = time.monotonic() - began_s
     tally.failing.sort(key=lambda result: result.seed)
--- a/flintfield/simulation/disk.py
+++ b/flintfield/simulation/disk.py
@@ -14,6 +14,7 @@
 
 Content = dict[bytes, bytes]
 SYNC_MS = (1.0, 9.0)
+ALL_GONE = 0.5  # share of the losses of power that no write outlives that was not synced
 
 
 class Platter:
@@ -29,8 +30,9 @@
         self.full_until_ms = 0.0  # writes are refused
 
     def lose_power(self, rng: random.Random) -> None:
-        """Writes that were not synced are kept up to some point."""
-        self._cut(rng.randint(self.synced, len(self.writes)))
+        """Writes that were not synced are all gone, or kept up to some point."""
+        kept = self.synced if rng.random() < ALL_GONE else rng.randint(self.synced, len(self.writes))
+        self._cut(kept)
 
     def end_process(self) -> None:
         """A killed process leaves what it wrote: the machine goes on to write it out."""
--- /dev/null
+++ b/flintfield/simulation/explore/register.py
@@ -0,0 +1,277 @@
+"""The configuration register while its replicas change, as a small world.
+
+Three replicas, a fourth that takes the place of the third (which goes on living), two processes that each
+append their name to the register, and one that has the core set changed. Requests may arrive in any order,
+however late, or never. An answer that is lost needs no step of its own: a process that does not count it
+does nothing that it may not do later as well. Each committed value must contain all that were committed
+before.
+"""
+
+from __future__ import annotations
+
+import copy
+import itertools
+from collections.abc import Hashable, Iterator
+from dataclasses import dataclass, replace
+from functools import lru_cache
+from typing import Any
+
+from flintfield.coordination.attempt import Attempt, Phase
+from flintfield.coordination.messages import AskState
+from flintfield.coordination.model import Ballot, CoreSet, Member, Register, ordered
+from flintfield.coordination.replica import Replica, format_store
+from flintfield.coordination.transfer import EMPTY, WholeState, choose
+from flintfield.transport.records import decode, encode
+
+Stored = tuple[tuple[bytes, bytes], ...]
+REPLICAS = 4
+MOST_TRIES = 2  # of each process
+
+
+def _member(index: int) -> Member:
+    return Member(f"m{index}", f"10.0.0.{index}:7000", "z", index + 1)
+
+
+FIRST = CoreSet(1, ordered([_member(0), _member(1), _member(2)]), 3, ())
+SECOND = CoreSet(2, ordered([_member(0), _member(1), _member(3)]), 3, FIRST.members)
+
+
+def _replica(stored: Stored) -> Replica:
+    return Replica(dict(stored), 0, lambda: 0)
+
+
+def _changed(stored: Stored, changes: Any) -> Stored:
+    items = dict(stored)
+    for key, value in changes:
+        if value is None:
+            items.pop(key, None)
+        else:
+            items[key] = value
+    return tuple(sorted(items.items()))
+
+
+@lru_cache(maxsize=200_000)
+def step(stored: Stored, message: Any) -> tuple[Stored, Any]:
+    """What a replica with these records stores and answers."""
+    done = _replica(stored).step(0, message)
+    return _changed(stored, done.changes), done.reply
+
+
+@lru_cache(maxsize=10_000)
+def _activated(stored: Stored, core: CoreSet, state: WholeState) -> Stored:
+    return _changed(stored, _replica(stored).activate(0, core, state).changes)
+
+
+@lru_cache(maxsize=10_000)
+def _learned(stored: Stored, core: CoreSet) -> Stored:
+    return _changed(stored, _replica(stored).learn(core))
+
+
+@dataclass(frozen=True)
+class Proposer:
+    """A process that tries to change a register; `attempt` is never changed in place."""
+
+    name: str
+    register: Register
+    core: CoreSet
+    counter: int
+    tries: int
+    attempt: Attempt
+    done: bool = False
+
+    def again(self, newest: CoreSet) -> Proposer:
+        """The next try."""
+        core = self.attempt.newer or self.core
+        core = newest if newest.version > core.version and self.register is Register.CONFIGURATION else core
+        counter = max(self.counter, self.attempt.highest.counter) + 1
+        ballot = Ballot(core.version, counter, ord(self.name[0]))
+        return replace(self, core=core, counter=counter, tries=self.tries + 1,
+                       attempt=Attempt(core, self.register, ballot))
+
+    def decide(self, value: bytes | None) -> bytes | None:
+        """The next value."""
+        if self.register is Register.SUCCESSOR:
+            return encode(SECOND) if value is None else value
+        name = self.name.encode()
+        return value if value is not None and name in value else (value or b"") + name
+
+    def key(self) -> Hashable:
+        """All that its future depends on."""
+        attempt = self.attempt
+        return (self.core.version, self.counter, self.tries, self.done, attempt.phase, attempt.ballot,
+                attempt.accepted, attempt.current, attempt.highest, attempt.newer is not None,
+                frozenset(attempt._agreed), frozenset(attempt._against))
+
+
+def _first_try(name: str, register: Register) -> Proposer:
+    ballot = Ballot(1, 1, ord(name[0]))
+    return Proposer(name, register, FIRST, 1, 1, Attempt(FIRST, register, ballot))
+
+
+@dataclass(frozen=True)
+class RegisterWorld:
+    """A state. `requests` are under way or late: (proposer, replica, message)."""
+
+    replicas: tuple[Stored, ...]
+    proposers: tuple[Proposer, ...]
+    requests: frozenset[tuple[int, int, Any]]
+    committed: tuple[bytes, ...] = ()
+    decided: bool = False
+
+    def actions(self) -> list[str]:
+        """What may happen next."""
+        names = [f"deliver {index}" for index, request in enumerate(self._requests())
+                 if self._matters(request)]
+        for index, proposer in enumerate(self.proposers):
+            if not proposer.done and proposer.tries < MOST_TRIES:
+                names.append(f"again {index}")
+        if self.decided:
+            names += [f"learn {index}" for index in range(REPLICAS) if self._may_learn(index)]
+            names += [f"join {index} {number}" for index in (0, 1, 3)
+                      for number in range(len(self._sources(index)))]
+        return names
+
+    def after(self, action: str) -> RegisterWorld:
+        """The state that this leads to."""
+        kind, *numbers = action.split()
+        first, *rest = map(int, numbers)
+        if kind == "deliver":
+            return self._deliver(first)
+        if kind == "again":
+            newest = SECOND if self.decided else FIRST
+            return self._send(replace(self, proposers=_put(self.proposers, first,
+                                                           self.proposers[first].again(newest))), first)
+        if kind == "learn":
+            stored = _learned(self.replicas[first], SECOND)
+        else:
+            stored = _activated(self.replicas[first], SECOND, self._sources(first)[rest[0]])
+        return replace(self, replicas=_put(self.replicas, first, stored))
+
+    def key(self) -> Hashable:
+        """All that the future depends on."""
+        return (self.replicas, tuple(proposer.key() for proposer in self.proposers), self.requests,
+                frozenset(self.committed), self.decided)
+
+    def broken(self) -> str:
+        """Committed values must be prefixes of one another."""
+        for one, other in itertools.combinations(sorted(set(self.committed), key=len), 2):
+            if not other.startswith(one):
+                return f"committed {one!r} and {other!r}"
+        return self._forgotten()
+
+    def _forgotten(self) -> str:
+        """Every majority of a set that is active has the newest committed value among what it has accepted."""
+        newest = max(self.committed, key=len, default=b"")
+        for core in (FIRST, SECOND):
+            states = [_replica(self.replicas[member.identity - 1]) for member in core.members]
+            active = [state for state in states if state.serving == core]
+            for few in itertools.combinations(active, core.majority):
+                best = max(few, key=lambda state: state.configuration.accepted).configuration.value or b""
+                if newest and not best.startswith(newest):
+                    return f"a majority of set {core.version} knows {best!r}, committed was {newest!r}"
+        return ""
+
+    # Messages.
+
+    def _requests(self) -> list[tuple[int, int, Any]]:
+        return sorted(self.requests, key=repr)
+
+    def _send(self, world: RegisterWorld, index: int) -> RegisterWorld:
+        proposer = world.proposers[index]
+        message = proposer.attempt.prepare
+        return replace(world, requests=world.requests | _to_members(index, proposer.core, message))
+
+    def _matters(self, request: tuple[int, int, Any]) -> bool:
+        """Whether it changes anything; if not, it may as well never arrive."""
+        index, replica, message = request
+        proposer = self.proposers[index]
+        if message.ballot == proposer.attempt.ballot and not proposer.done:
+            return True
+        return step(self.replicas[replica], message)[0] != self.replicas[replica]
+
+    def _deliver(self, number: int) -> RegisterWorld:
+        request = self._requests()[number]
+        index, replica, message = request
+        stored, reply = step(self.replicas[replica], message)
+        world = replace(self, requests=self.requests - {request},
+                        replicas=_put(self.replicas, replica, stored))
+        return world._answered(index, message, reply)
+
+    def _answered(self, index: int, message: Any, reply: Any) -> RegisterWorld:
+        proposer = self.proposers[index]
+        if message.ballot != proposer.attempt.ballot or proposer.done:
+            return self
+        attempt = copy.copy(proposer.attempt)
+        attempt._agreed, attempt._against = set(attempt._agreed), set(attempt._against)
+        phase = attempt.take(reply)
+        requests = self.requests
+        if phase is Phase.PREPARED:
+            accept = attempt.propose(proposer.decide(attempt.current))
+            requests |= _to_members(index, proposer.core, accept)
+            proposer = replace(proposer, attempt=attempt)
+            attempt.__dict__["proposed"] = accept.value
+        proposer = replace(proposer, attempt=attempt, done=phase is Phase.COMMITTED)
+        world = replace(self, proposers=_put(self.proposers, index, proposer), requests=requests)
+        return world._commit(proposer) if proposer.done else world
+
+    def _commit(self, proposer: Proposer) -> RegisterWorld:
+        value: bytes = proposer.attempt.__dict__["proposed"]
+        if proposer.register is Register.CONFIGURATION:
+            return replace(self, committed=(*self.committed, value))
+        assert decode(value) == SECOND
+        return replace(self, decided=True)
+
+    # The change of the set.
+
+    def _may_learn(self, index: int) -> bool:
+        newest = _replica(self.replicas[index]).newest
+        return newest is None or newest.version < SECOND.version
+
+    def _sources(self, index: int) -> list[WholeState]:
+        """The states with which that replica may become active: from any sufficient few that it reaches."""
+        own = _replica(self.replicas[index])
+        if own.newest is None or own.newest.version < 2:
+            return []
+        if own.active is not None and own.active.version == 2:
+            return []
+        found: dict[WholeState, None] = {}
+        for told in self._told():
+            choice = choose(SECOND, told)
+            if choice is not None:
+                found[choice.state] = None
+        return list(found)
+
+    def _told(self) -> Iterator[dict[int, Any]]:
+        answers = {index + 1: step(self.replicas[index], AskState(0))[1] for index in range(REPLICAS)}
+        for size in (1, 2):
+            for few in itertools.combinations(answers, size):
+                yield {identity: answers[identity] for identity in few}
+
+
+def _to_members(index: int, core: CoreSet, message: Any) -> frozenset[tuple[int, int, Any]]:
+    return frozenset((index, member.identity - 1, message) for member in core.members)
+
+
+def _put(values: tuple[Any, ...], index: int, value: Any) -> tuple[Any, ...]:
+    return (*values[:index], value, *values[index + 1:])
+
+
+def register_world(appenders: int = 1, prepared: bool = False) -> RegisterWorld:
+    """The state that everything begins with: set 1 is active, and all have sent their first requests.
+
+    With `prepared`, replicas 0 and 1 have promised to all of them already.
+    """
+    stored = []
+    for index in range(REPLICAS):
+        formatted = _changed((), format_store(index + 1, True))
+        stored.append(_activated(formatted, FIRST, EMPTY) if index < 3 else formatted)
+    proposers = [_first_try("ab"[number], Register.CONFIGURATION) for number in range(appenders)]
+    proposers.append(_first_try("successor", Register.SUCCESSOR))
+    world = RegisterWorld(tuple(stored), tuple(proposers), frozenset())
+    for index in range(len(proposers)):
+        world = world._send(world, index)
+    if prepared:
+        early = [request for request in world._requests() if request[1] in (0, 1)]
+        for request in early:
+            world = world._deliver(world._requests().index(request))
+    return world
--- a/flintfield/simulation/scenario.py
+++ b/flintfield/simulation/scenario.py
@@ -72,10 +72,12 @@
         return [f"a{number}" for number in range(len(self.workers))]
 
 
-def draw(seed: int) -> Scenario:
-    """The scenario of a seed."""
+def draw(seed: int, wanted: Theme | None = None) -> Scenario:
+    """The scenario of a seed; of this theme, if one is wanted."""
     rng = random.Random(f"scenario {seed}")
     theme = themes.draw_theme(rng)
+    if wanted is not None:
+        theme = wanted
     replicas = rng.choice((3, 3, 3, 4))
     diskless = rng.random() < 0.07
     workers = tuple(_worker(rng, number) for number in range(rng.randint(3, 4)))
--- a/flintfield/simulation/themes.py
+++ b/flintfield/simulation/themes.py
@@ -201,6 +201,9 @@
         kind = rng.choice((_K.POWER_CORE, _K.POWER_CORE, _K.KILL_CORE, _K.POWER, _K.KILL_SCHEDULER))
         trigger = rng.choice((Trigger.ACK, Trigger.START, Trigger.NOTED))
         drawn.append(Fault(kind, at_ms, LEADER, "", rng.randint(250, 900), trigger=trigger))
+        if rng.random() < 0.4:  # what is said before it is durable is said long before
+            stall_ms = rng.randint(200, 1_500)
+            drawn += [Fault(_K.DISK_STALL, at_ms, name, "", stall_ms) for name in place.replicas]
         at_ms += rng.randint(2_500, 4_500)
     drawn += [_of_worker(rng, place) for _ in range(rng.randint(0, 3))]
     return drawn
--- a/flintfield/simulation/worker.py
+++ b/flintfield/simulation/worker.py
@@ -163,6 +163,16 @@
         """Whether there is an end to tell."""
         return bool(self._ends)
 
+    @property
+    def holds_runs(self) -> bool:
+        """Whether anything runs there."""
+        return bool(self._runs)
+
+    def finish_runs(self) -> None:
+        """Let all that runs end `done` now."""
+        for held in list(self._runs.values()):
+            self._end(held, How.DONE)
+
     def crash(self) -> None:
         """Everything is gone without a word."""
         self.dead = True
