Send each call to a worker at most once, and tell how it ended

Cause: Tornado's fetch raises libcurl's errors even with raise_error=False, so the branch that looked at code 599 was never reached and each time-out, reset, close and half answer was told as NOT_SENT. On a kept connection that ended after the whole request was read, libcurl sent the POST again by itself.

A start is in doubt once a call for it ended without an answer, no longer from its sending: refusals of a call that left once say that nothing was done. Time-outs of unanswered tries 350, 350, 700 ms (were never reached before: silence was resolved after 900 ms, now after 1,400). Planted fault broken-is-not-sent.

--- a/flintfield/agent/orders.py
+++ b/flintfield/agent/orders.py
@@ -1,12 +1,11 @@
 """The orders for one incarnation of a worker: what is to be sent, and what became of it.
 
-Each order goes through `Phase`; `_set_phase` is the only place that changes it. A start is *in doubt* as soon
-as it was sent: the worker may carry it out later although no answer comes, and the HTTP client repeats a call
-by itself when a kept connection closes, so that even a refusal may be the answer to the repetition only. An
-order in doubt never gets an outcome that
-says that nothing was done. The outcome of a start is final for its order id; a stop that got no answer is
-tried again each time the dispatcher repeats it. Calls for one task leave in the order in which they were
-ordered, except that a stop does not wait for the answer to a start that it supersedes.
+Each order goes through `Phase`; `_set_phase` is the only place that changes it. A start is *in doubt* once a
+call for it ended without an answer (`AnswerKind.NONE`): the worker may have carried it out, or may yet. A
+call leaves at most once (`transport.single_send`), so a refusal of the only call made says that nothing was
+done; an order in doubt never gets such an outcome. The outcome of a start is final for its order id; a stop
+that got no answer is tried again each time the dispatcher repeats it. Calls for one task leave in the order
+in which they were ordered, except that a stop does not wait for the answer to a start that it supersedes.
 """
 
 from __future__ import annotations
@@ -19,7 +18,7 @@
 from flintfield.agent.events import Answer, AnswerKind
 from flintfield.jobs.messages import OrderResult, Outcome, StartOrder, StopOrder
 
-ATTEMPT_TIMEOUTS_MS = (350, 700, 2_000)  # a sound worker answers in a few ms; the sum stays under a takeover
+ATTEMPT_TIMEOUTS_MS = (350, 350, 700)  # a sound worker answers in a few ms; the sum stays under a takeover
 BUSY_ATTEMPTS = 2  # an unhealthy worker is asked once more, then the dispatcher may place the task elsewhere
 BUSY_PAUSE_MS = 150
 REFUSED_PAUSE_MS = 200
@@ -189,8 +188,6 @@
     def sent(self, now: int, order: Order, call: int) -> int:
         """The order leaves under this call number; returns its time-out in ms."""
         order.call, order.called_ms = call, now
-        if order.is_start:
-            order.in_doubt = True  # the HTTP client repeats by itself what a closed connection left open
         self._calls[call] = order
         self._set_phase(order, Phase.CALLING)
         return ATTEMPT_TIMEOUTS_MS[min(order.unanswered, len(ATTEMPT_TIMEOUTS_MS) - 1)]
--- a/flintfield/simulation/planted/__init__.py
+++ b/flintfield/simulation/planted/__init__.py
@@ -83,4 +83,6 @@
         agent.start_while_draining, Theme.MIXED, 60),
     "doubt-is-forgotten": PlantedFault("an unanswered try is told as not carried out",
         agent.doubt_is_forgotten, Theme.TAKEOVER, 20),
+    "broken-is-not-sent": PlantedFault("a call that broke off is told as not sent",
+        agent.broken_is_not_sent, Theme.TAKEOVER, 200),
 }
--- a/flintfield/simulation/planted/agent.py
+++ b/flintfield/simulation/planted/agent.py
@@ -5,8 +5,9 @@
 from typing import Any
 
 from flintfield.agent.core import Agent
+from flintfield.agent.events import Answer, AnswerKind
 from flintfield.agent.incarnation import Incarnation
-from flintfield.agent.orders import OrderBook
+from flintfield.agent.orders import Order, OrderBook
 from flintfield.jobs.messages import AgentOrders, Outcome
 from flintfield.jobs.worker_record import WorkerRecord
 from flintfield.jobs.workers import Workers
@@ -50,3 +51,15 @@
         resolve(self, now, order, Outcome.BUSY if outcome is Outcome.UNKNOWN else outcome)
 
     return [Patch(orders.OrderBook, "_resolve", forget)]
+
+
+def broken_is_not_sent() -> list[Patch]:
+    """A call that ended without an answer is told as not sent, as libcurl's errors once were."""
+    answered = OrderBook.answered
+
+    def forget(self: OrderBook, now: int, call: int, answer: Answer) -> Order | None:
+        if answer.kind is AnswerKind.NONE:
+            answer = Answer(AnswerKind.NOT_SENT)
+        return answered(self, now, call, answer)
+
+    return [Patch(OrderBook, "answered", forget)]
--- a/flintfield/transport/http.py
+++ b/flintfield/transport/http.py
@@ -155,15 +155,8 @@
     No proxies (whatever the environment says), no redirects, no signals, IPv4, no compression. The timeouts
     are defaults; a call may name its own `request_timeout`. Tornado's client wakes once a second by itself.
     """
-    import pycurl  # type: ignore[import-untyped]
     from tornado.curl_httpclient import CurlAsyncHTTPClient
 
-    def prepare(curl: pycurl.Curl) -> None:
-        curl.setopt(pycurl.TCP_NODELAY, 1)
-        curl.setopt(pycurl.NOSIGNAL, 1)
-        curl.setopt(pycurl.PROXY, "")
-        curl.setopt(pycurl.NOPROXY, "*")
-
     return CurlAsyncHTTPClient(
         force_instance=True,
         max_clients=max_clients,
@@ -173,7 +166,17 @@
             "connect_timeout": connect_timeout_s,
             "decompress_response": False,
             "follow_redirects": False,
-            "prepare_curl_callback": prepare,
+            "prepare_curl_callback": set_common_options,
             "request_timeout": request_timeout_s,
         },
     )
+
+
+def set_common_options(curl: Any) -> None:
+    """The options of every call: no proxies, no signals, no delay of small packets."""
+    import pycurl  # type: ignore[import-untyped]
+
+    curl.setopt(pycurl.TCP_NODELAY, 1)
+    curl.setopt(pycurl.NOSIGNAL, 1)
+    curl.setopt(pycurl.PROXY, "")
+    curl.setopt(pycurl.NOPROXY, "*")
