Never refuse an order that may have been taken; hand a leaving replica's place over

Cause (orders): the register's value keeps the digests of the newest 64 orders; a repeat of an older one was refused with 412, which an operator takes as final. Cause (planned leaving): a member that is replaced was exchanged only after 1.5 s of silence, so the core missed it from its end on.

Orders form a chain, so what lies whole below the oldest one remembered is FORGOTTEN (503, in doubt); what begins below and ends above was never taken and is refused.

--- a/flintfield/control/operator.py
+++ b/flintfield/control/operator.py
@@ -135,6 +135,8 @@
             case Verdict.INVALID:
                 self.counters.invalid += 1
                 return _error(400, judgement.reason)
+            case Verdict.FORGOTTEN:
+                return self._doubt(503, judgement.reason)
             case _:
                 return self._doubt(503, "the register left the order out")
 
--- a/flintfield/control/stored.py
+++ b/flintfield/control/stored.py
@@ -26,20 +26,34 @@
 @records.record(120)
 @dataclass(frozen=True, slots=True)
 class StoredConfiguration:
-    """A JSON document (packed or not), its version, and the digests of the newest orders that were taken
-    (oldest first)."""
+    """A JSON document (packed or not), its version, and the newest orders that were taken, oldest first: the
+    digest of each and the version that it was based on.
+
+    Former releases kept no base versions; those that there are belong to the last of the digests.
+    """
 
     format: int
     version: int
     document: bytes
     taken: tuple[bytes, ...]
+    taken_bases: tuple[int, ...] = ()
+
+    @property
+    def remembered_from(self) -> int:
+        """The version since which every order that was taken is in `taken`."""
+        return self.taken_bases[0] if self.taken_bases else self.version
+
+
+NOTHING_STORED = StoredConfiguration(FORMAT, 0, b"", ())
+"""The record of a register that holds no value yet."""
 
 
-def encode_stored(version: int, document: bytes, taken: tuple[bytes, ...]) -> bytes:
+def encode_stored(version: int, document: bytes, taken: tuple[bytes, ...],
+                  taken_bases: tuple[int, ...]) -> bytes:
     """The value of the register for this JSON document."""
     packed = zlib.compress(document, PACK_LEVEL)
     shorter = packed if len(packed) < len(document) else document
-    return records.encode(StoredConfiguration(FORMAT, version, shorter, taken))
+    return records.encode(StoredConfiguration(FORMAT, version, shorter, taken, taken_bases))
 
 
 def decode_stored(value: bytes) -> StoredConfiguration:
--- a/flintfield/coordination/contacts.py
+++ b/flintfield/coordination/contacts.py
@@ -80,7 +80,7 @@
 @dataclass(frozen=True, slots=True)
 class Announce:
     """A scheduler introduces itself. `identity` is 0 without a replica; `founding`: it takes part in the
-    foundation."""
+    foundation; `leaving`: its process is about to end and its place may be taken at once."""
 
     name: str
     address: str
@@ -88,6 +88,7 @@
     identity: int
     founding: bool
     core: int
+    leaving: bool = False
 
 
 @record(241)
--- a/flintfield/coordination/node.py
+++ b/flintfield/coordination/node.py
@@ -27,13 +27,13 @@
     Refusal,
 )
 from flintfield.coordination.replica import HANDLED
+from flintfield.coordination.shell.announcing import Announcer
 from flintfield.coordination.shell.changes import CoreChanges
 from flintfield.coordination.shell.elections import Elections, LeaderListener
 from flintfield.coordination.shell.fetch import Fetcher
 from flintfield.coordination.shell.host import ReplicaHost
 from flintfield.coordination.shell.knowledge import Knowledge
 from flintfield.coordination.shell.leading import Leadership
-from flintfield.coordination.shell.meeting import Meeting
 from flintfield.coordination.shell.newest import Newest
 from flintfield.coordination.shell.peers import Peers
 from flintfield.coordination.shell.polls import PollDesk, Watcher
@@ -41,6 +41,8 @@
 from flintfield.coordination.storage.interface import KeyedStore
 from flintfield.transport.rpc import Connection, Handlers, Pool
 
+SPARED_RETRY_S = 0.1
+
 __all__ = ["CoreNode", "CoreSet", "Deposed", "LeaderListener", "LeaderView", "Leadership", "NoQuorum"]
 
 
@@ -77,9 +79,9 @@
         if self._host is not None:
             self._add_replica_parts(self._host, proposer, listener, rng, steady_ms, wall_ms)
         own = Member(name, address, zone, 0)
-        self._meeting = Meeting(own, first_start, 2 * tolerance_machines + 1, self._host, self._peers,
-                                self._knowledge, self._changes, rng, steady_ms,
-                                lambda: self._watcher.confirmed_ms)
+        self._announcer = Announcer(own, first_start, 2 * tolerance_machines + 1, self._host, self._peers,
+                                    self._knowledge, self._changes, rng, steady_ms,
+                                    lambda: self._watcher.confirmed_ms)
         self._tasks: list[asyncio.Task[Any]] = []
 
     def _add_replica_parts(self, host: ReplicaHost, proposer: Proposer, listener: LeaderListener | None,
@@ -143,7 +145,7 @@
         """Start the work in the background; returns at once, also where the disk is slow."""
         loop = asyncio.get_running_loop()
         self._tasks.append(loop.create_task(self._watcher.run()))
-        self._tasks.append(loop.create_task(self._meeting.run()))
+        self._tasks.append(loop.create_task(self._announcer.run()))
         if self._host is not None:
             self._tasks.append(loop.create_task(self._run_replica(self._host)))
 
@@ -153,10 +155,26 @@
         await asyncio.gather(self._elections.run(), self._changes.run())
 
     async def resign(self) -> None:
-        """Hand leadership over at once, and stand for no more elections. The replica stays."""
+        """Hand leadership over at once, and stand for no more elections. The replica stays.
+
+        From now on the process says that it leaves, so that a waiting candidate takes its place at once.
+        """
+        self._announcer.leave()
         if self._elections is not None:
             await self._elections.resign()
 
+    async def spared(self, timeout_s: float) -> bool:
+        """Wait until the core goes on without this replica; False where time ran out."""
+        if self._changes is None:
+            return True
+        try:
+            async with asyncio.timeout(timeout_s):
+                while not await self._changes.can_be_spared():
+                    await asyncio.sleep(SPARED_RETRY_S)
+        except TimeoutError:
+            return False
+        return True
+
     async def stop(self) -> None:
         """Stop all work; calls that are under way are cancelled."""
         for task in self._tasks:
@@ -171,7 +189,7 @@
         handlers: dict[type, Callable[[Any, Connection], Any]] = {
             kind: self._replica_request for kind in HANDLED}
         handlers[Poll] = lambda poll, _: self._answer_poll(poll)
-        handlers[Announce] = lambda message, _: self._meeting.announced(message)
+        handlers[Announce] = lambda message, _: self._announcer.announced(message)
         handlers[SetDecided] = lambda message, _: self._knowledge.note_core(message.core)
         handlers[Committed] = lambda message, _: self._newest.committed(message.ballot, message.value)
         handlers[AskIdentity] = lambda _, __: self._identity()
--- a/flintfield/coordination/reconfiguration.py
+++ b/flintfield/coordination/reconfiguration.py
@@ -2,26 +2,27 @@
 
 A candidate is a replica that is no member and has announced itself within the last moments. One with the name
 or the address of a member takes that member's place at once, because it proves that the member's disk (or
-machine) is gone. One with a new name takes the place of the member that has been silent for longest, if that
-is long enough, and is added where the set is smaller than it was founded. Members are never dropped without a
-candidate: a smaller set would bear no more losses.
+machine) is gone. One with a new name takes the place of a member that is leaving, else of the one that has
+been silent for longest, if that is long enough, and is added where the set is smaller than it was founded.
+Members are never dropped without a candidate: a smaller set would bear no more losses.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from flintfield.coordination.model import CoreSet, Member, ordered
 from flintfield.coordination.timing import UNREACHABLE_MS
 
 
 def successor(core: CoreSet, candidates: Iterable[Member], silent_ms: Callable[[int], int],
-              leader: int) -> CoreSet | None:
+              leader: int, leaving: Collection[int] = ()) -> CoreSet | None:
     """The next set, or None where the present one stays. `silent_ms(identity)` tells for how long a member
-    has been out of the leader's reach; `leader` is the leader's own identity, which keeps its place."""
+    has been out of the leader's reach; `leader` is the leader's own identity, which keeps its place;
+    `leaving` are identities of members that are about to end."""
     members = list(core.members)
     for candidate in sorted(candidates, key=lambda member: (member.name, member.identity)):
-        members = _with(candidate, members, core, silent_ms, leader)
+        members = _with(candidate, members, core, silent_ms, leader, leaving)
     chosen = ordered(members)
     if chosen == core.members:
         return None
@@ -29,8 +30,8 @@
 
 
 def _with(candidate: Member, members: list[Member], core: CoreSet, silent_ms: Callable[[int], int],
-          leader: int) -> list[Member]:
-    if candidate in members:
+          leader: int, leaving: Collection[int]) -> list[Member]:
+    if candidate in members or candidate.identity in leaving:
         return members
     before = {member.identity for member in core.members}
     replaced = [member for member in members
@@ -39,9 +40,10 @@
     if any(member.identity == leader for member in replaced):
         return members  # a stranger under this process's own name or address is a fault of its settings
     if not replaced and len(members) >= core.founded_size:
-        silent = [member for member in members if member.identity in before and member.identity != leader
-                  and silent_ms(member.identity) >= UNREACHABLE_MS]
-        if not silent:
+        others = [member for member in members if member.identity in before and member.identity != leader]
+        ending = [member for member in others if member.identity in leaving]
+        silent = [member for member in others if silent_ms(member.identity) >= UNREACHABLE_MS]
+        if not ending and not silent:
             return members
-        replaced = [max(silent, key=lambda member: silent_ms(member.identity))]
+        replaced = ending[:1] or [max(silent, key=lambda member: silent_ms(member.identity))]
     return [*(member for member in members if member not in replaced), candidate]
--- a/flintfield/coordination/shell/changes.py
+++ b/flintfield/coordination/shell/changes.py
@@ -8,8 +8,8 @@
 from contextlib import suppress
 
 from flintfield.coordination.attempt import Phase
-from flintfield.coordination.contacts import AskIdentity, IdentityTold, SetDecided
-from flintfield.coordination.model import Clock, CoreSet, Member, Register
+from flintfield.coordination.contacts import AskIdentity, IdentityTold, Poll, SetDecided
+from flintfield.coordination.model import NO_BALLOT, Clock, CoreSet, Member, Register
 from flintfield.coordination.reconfiguration import successor
 from flintfield.coordination.shell.elections import Elections
 from flintfield.coordination.shell.fetch import Fetcher
@@ -46,6 +46,7 @@
         self._rng = rng
         self._steady_ms = steady_ms
         self._candidates: dict[int, tuple[Member, int]] = {}
+        self._leaving: dict[int, int] = {}  # by identity: when it last said so
         self._wake = asyncio.Event()
         self._sealed_since_ms: int | None = None
         self._push = False
@@ -65,6 +66,15 @@
         if self._elections.leadership is not None:
             self._wake.set()
 
+    def note_leaving(self, identity: int) -> None:
+        """A member has said that its process is about to end."""
+        core = self._knowledge.core
+        if core is None or core.member(identity) is None:
+            return
+        self._leaving[identity] = self._steady_ms()
+        if self._elections.leadership is not None:
+            self._wake.set()
+
     def _takes_holders_place(self, candidate: Member) -> bool:
         replica = self._host.replica
         if replica is None or replica.active is None:
@@ -159,9 +169,7 @@
     async def _reconfigure(self) -> None:
         leadership = self._elections.leadership
         now_ms = self._steady_ms()
-        self._candidates = {
-            identity: (member, seen_ms) for identity, (member, seen_ms) in self._candidates.items()
-            if now_ms - seen_ms <= CANDIDATE_FORGOTTEN_MS}
+        self._forget(now_ms)
         if leadership is None or not leadership.confirmed() or not self._candidates:
             return
         leader = leadership.leader
@@ -173,12 +181,35 @@
         if wanted is not None and not leadership.over:
             await self._decide(leader.core, wanted)
 
+    def _forget(self, now_ms: int) -> None:
+        """Drop candidates and leavers that are not heard of any more."""
+        self._candidates = {
+            identity: (member, seen_ms) for identity, (member, seen_ms) in self._candidates.items()
+            if now_ms - seen_ms <= CANDIDATE_FORGOTTEN_MS}
+        self._leaving = {
+            identity: seen_ms for identity, seen_ms in self._leaving.items()
+            if now_ms - seen_ms <= CANDIDATE_FORGOTTEN_MS}
+
     def _next_set(self, core: CoreSet, candidates: list[Member]) -> CoreSet | None:
         leadership = self._elections.leadership
         if leadership is None:
             return None
         leader, now_ms = leadership.leader, self._steady_ms()
-        return successor(core, candidates, lambda member: leader.silent_ms(now_ms, member), leader.identity)
+        return successor(core, candidates, lambda member: leader.silent_ms(now_ms, member), leader.identity,
+                         self._leaving)
+
+    async def can_be_spared(self) -> bool:
+        """Whether the core goes on without this replica: it is no member, or the others are a majority that
+        is active in the newest set."""
+        replica, core = self._host.replica, self._knowledge.core
+        if replica is None or core is None or core.member(replica.identity) is None:
+            return True
+        question = Poll(core.version, 0, NO_BALLOT, 0, "")
+        others = [member for member in core.members if member.identity != replica.identity]
+        told = await asyncio.gather(
+            *(self._peers.poll(member, question, CALL_TIMEOUT_MS) for member in others))
+        active = sum(answer is not None and answer.active >= core.version for answer in told)
+        return active >= core.majority
 
     async def _is_there(self, member: Member) -> bool:
         """Ask back: an announcement may be late, and of a life that is over."""
--- a/flintfield/programs/scheduler.py
+++ b/flintfield/programs/scheduler.py
@@ -40,6 +40,7 @@
 
 LOG = logging.getLogger("flintfield.scheduler")
 MEGABYTE = 1024 * 1024
+MS_PER_S = 1_000
 SHUTDOWN_RESERVE_S = 1.0  # of the grace period, kept for closing the store
 
 
@@ -169,17 +170,21 @@
         self._node.set_seeds(seed_addresses(settings))
 
     async def _stop(self) -> None:
-        """Hand leadership over, answer what was taken in, close."""
+        """Hand leadership over, answer what was taken in, wait until the core can spare this replica, close.
+        """
         logs.event(LOG, "stopping")
-        await self._node.resign()
+        started_ms = steady_ms()
         grace_s = self.settings.bounds.grace_s - SHUTDOWN_RESERVE_S
+        await self._node.resign()
         await self._ingress.drain(grace_s)
+        left_s = grace_s - (steady_ms() - started_ms) / MS_PER_S
+        spared = await self._node.spared(max(0.0, left_s))
         await self._control.stop()
         await self._node.stop()
         await self._rpc.stop()
         if self._store is not None:
             await self._store.close()
-        logs.event(LOG, "stopped")
+        logs.event(LOG, "stopped", spared=spared)
 
 
 async def _serve(settings: NodeSettings, path: str) -> None:
--- a/tests/system/test_control_orders.py
+++ b/tests/system/test_control_orders.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import hashlib
 import json
 import typing
 import unittest
+import unittest.mock
 import zlib
 
 from hypothesis import given, settings, strategies
@@ -189,6 +191,76 @@
         self.assertIs(orders.judge(first, value).verdict, Verdict.TAKEN)
         self.assertEqual(len(decode_stored(value).taken), orders.REMEMBERED_ORDERS)
 
+    def test_an_order_that_was_taken_is_never_refused_however_long_ago(self) -> None:
+        history = 2 * orders.REMEMBERED_ORDERS + 50
+        value: bytes | None = None
+        taken = []
+        for version in range(1, history + 1):
+            taken.append(replace(version - 1, whole(version)))
+            value = take(taken[-1], value)
+        verdicts = [orders.judge(order, value).verdict for order in taken]
+        forgotten = history - orders.REMEMBERED_ORDERS
+        self.assertEqual([Verdict.FORGOTTEN] * forgotten, verdicts[:forgotten])
+        self.assertEqual([Verdict.TAKEN] * orders.REMEMBERED_ORDERS, verdicts[forgotten:])
+
+    def test_what_surely_was_never_taken_is_refused_after_a_long_history(self) -> None:
+        value: bytes | None = None
+        for version in range(2, 4 * orders.REMEMBERED_ORDERS + 1, 2):
+            value = take(replace(version - 2, whole(version)), value)
+        start = decode_stored(value or b"").remembered_from
+        within = replace(start + 2, whole(start + 4, note="another"))
+        across = replace(start - 2, whole(start + 1))
+        ahead = replace(10**6, whole(10**6 + 1))
+        for order in (within, across, ahead):
+            self.assertIs(orders.judge(order, value).verdict, Verdict.STALE)
+
+    def test_the_record_does_not_grow_with_the_history(self) -> None:
+        value: bytes | None = None
+        sizes = []
+        for version in range(1, 4 * orders.REMEMBERED_ORDERS):
+            value = take(replace(version - 1, whole(version)), value)
+            sizes.append(len(value))
+        self.assertLessEqual(sizes[-1], sizes[orders.REMEMBERED_ORDERS] + 16)
+
+    @settings(max_examples=60, deadline=None)
+    @given(strategies.data())
+    def test_no_answer_to_a_repeated_order_contradicts_what_became_of_it(
+            self, data: strategies.DataObject) -> None:
+        """Orders of several operators in any order, each sent again at any later time."""
+        value: bytes | None = None
+        version = 0
+        taken: list[orders.Order] = []
+        refused: list[orders.Order] = []
+        with unittest.mock.patch.object(orders, "REMEMBERED_ORDERS", 4):
+            for number in range(data.draw(strategies.integers(1, 14))):
+                base = data.draw(strategies.integers(max(0, version - 6), version))
+                order = replace(base, whole(base + data.draw(strategies.integers(1, 3)), note=number % 3))
+                judgement = orders.judge(order, value)
+                if judgement.successor is not None:
+                    value, version = judgement.successor, order.version
+                    taken.append(order)
+                elif judgement.verdict in (Verdict.STALE, Verdict.INVALID):
+                    refused.append(order)
+                for earlier in taken:
+                    self.assertIn(orders.judge(earlier, value).verdict, (Verdict.TAKEN, Verdict.FORGOTTEN))
+                for earlier in refused:
+                    self.assertNotIn(orders.judge(earlier, value).verdict, (Verdict.TAKEN, Verdict.POSSIBLE))
+
+    def test_two_operators_with_the_same_order_are_both_acknowledged(self) -> None:
+        first, second = (replace(0, whole(3)) for _ in range(2))
+        self.assertIs(orders.judge(second, take(first, None)).verdict, Verdict.TAKEN)
+
+    def test_a_record_of_a_release_without_base_versions(self) -> None:
+        """Its digests are known again; what it may have forgotten is not refused."""
+        full = [hashlib.sha256(bytes([number])).digest() for number in range(3)]
+        former = records.encode(StoredConfiguration(2, 9, body_of(whole(9)), tuple(full)))
+        self.assertIs(orders.judge(replace(3, whole(5)), former).verdict, Verdict.FORGOTTEN)
+        after = take(replace(9, whole(12)), former)
+        self.assertIs(orders.judge(replace(3, whole(5)), after).verdict, Verdict.FORGOTTEN)
+        self.assertIs(orders.judge(replace(9, whole(11)), after).verdict, Verdict.STALE)
+        known = orders.Order(Kind.REPLACE, 3, whole(5), full[1][:orders.DIGEST_BYTES])
+        self.assertIs(orders.judge(known, after).verdict, Verdict.TAKEN)
+
     def test_same_version_with_other_content_is_stale(self) -> None:
         value = take(replace(0, whole(3)), None)
         self.assertIs(orders.judge(replace(0, whole(3, routes=[])), value).verdict, Verdict.STALE)
