Prove what a machine that is cut off may still say; name modules by the field's terms

Cause: no test held the age of a confirmed configuration against what had been acknowledged elsewhere, and cuts were only part of random storms.

Renamed and split: shell/polls.py into poll_responder.py and watcher.py; PollTold, StateTold, PartTold, IdentityTold, LeaderTold into PollAnswer, StateAnswer, PartAnswer, IdentityAnswer, KnownLeader. Circles removed: runtime logs and log_lines, settings and settings_file, simulation held and worker.

--- a/flintfield/console/checks.py
+++ b/flintfield/console/checks.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 from flintfield.control.documents import Document, InvalidConfiguration, check_whole, parse
-from flintfield.runtime.settings import NodeSettings, SettingsError, load
+from flintfield.runtime.settings import NodeSettings, SettingsError
+from flintfield.runtime.settings_file import load
 
 MOST_SHOWN = 60  # characters of a value that was found
 NEEDED = {"frontend": ("front", "ready"), "control_plane": ("control",), "side": ("control",)}
--- a/flintfield/console/rpc_client.py
+++ b/flintfield/console/rpc_client.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
-from flintfield.coordination.messages import LeaderAnswer, LeaderTold, WhereIsLeader
+from flintfield.coordination.messages import LeaderAnswer, KnownLeader, WhereIsLeader
 from flintfield.coordination.model import CoreSet
 from flintfield.jobs.messages import NotDispatcher
 from flintfield.observe.messages import ProcessStatus
@@ -36,7 +36,7 @@
 class Survey:
     """What all processes that could be found say; None for those that did not answer."""
 
-    leader: LeaderTold | None
+    leader: KnownLeader | None
     core: CoreSet | None
     processes: dict[str, ProcessStatus | None]
 
@@ -114,7 +114,7 @@
 
 # For the local cluster.
 
-def find_leader(addresses: Sequence[str]) -> LeaderTold | None:
+def find_leader(addresses: Sequence[str]) -> KnownLeader | None:
     """The newest leader that the first process to answer knows of; raises `NobodyAnswers`."""
     return _where_is_leader(addresses).leader
 
--- a/flintfield/console/targets.py
+++ b/flintfield/console/targets.py
@@ -4,7 +4,8 @@
 
 import os
 
-from flintfield.runtime.settings import VARIABLE, NodeSettings, load, rpc_address
+from flintfield.runtime.settings import VARIABLE, NodeSettings, rpc_address
+from flintfield.runtime.settings_file import load
 from flintfield.transport.sockets import parse_address
 
 
--- a/flintfield/coordination/contacts.py
+++ b/flintfield/coordination/contacts.py
@@ -9,7 +9,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LeaderTold:
+class KnownLeader:
     """A leader, and how long ago it was heard of."""
 
     epoch: int
@@ -32,7 +32,7 @@
 
 @record(231)
 @dataclass(frozen=True, slots=True)
-class PollTold:
+class PollAnswer:
     """What the replica knew when it answered, `held_ms` after the poll came in.
 
     `active` is the version of the set it is active in and unsealed (0: none); only then `accepted` counts,
@@ -49,7 +49,7 @@
     committed: Ballot
     committed_value: bytes | None
     core: CoreSet | None
-    leader: LeaderTold | None
+    leader: KnownLeader | None
 
 
 @record(232)
@@ -63,7 +63,7 @@
 class LeaderAnswer:
     """The newest leader known, the addresses of the core's members and of some schedulers."""
 
-    leader: LeaderTold | None
+    leader: KnownLeader | None
     core: tuple[str, ...]
     schedulers: tuple[str, ...]
 
@@ -129,7 +129,7 @@
 
 @record(245)
 @dataclass(frozen=True, slots=True)
-class IdentityTold:
+class IdentityAnswer:
     """The process at this address: name and identity (0: no replica)."""
 
     name: str
--- a/flintfield/coordination/messages.py
+++ b/flintfield/coordination/messages.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from flintfield.coordination.contacts import LeaderAnswer as LeaderAnswer  # the console's part of them
-from flintfield.coordination.contacts import LeaderTold as LeaderTold
+from flintfield.coordination.contacts import KnownLeader as KnownLeader
 from flintfield.coordination.contacts import WhereIsLeader as WhereIsLeader
 from flintfield.coordination.model import (
     NO_BALLOT,
@@ -247,7 +247,7 @@
 
 @record(221)
 @dataclass(frozen=True, slots=True)
-class StateTold:
+class StateAnswer:
     """`core` is the set that the replica is active in (None: none). `sealed`: it takes nothing more in it,
     because it has accepted a successor or knows of a decided one, durably. The register's value comes with
     it, the ordered store is fetched in parts."""
@@ -272,7 +272,7 @@
 
 @record(223)
 @dataclass(frozen=True, slots=True)
-class PartTold:
+class PartAnswer:
     """A part of a snapshot; `found` is False where the snapshot is gone."""
 
     found: bool
--- a/flintfield/coordination/node.py
+++ b/flintfield/coordination/node.py
@@ -10,7 +10,7 @@
 from flintfield.coordination.contacts import (
     Announce,
     AskIdentity,
-    IdentityTold,
+    IdentityAnswer,
     LeaderAnswer,
     Poll,
     SetDecided,
@@ -36,7 +36,8 @@
 from flintfield.coordination.shell.leading import Leadership
 from flintfield.coordination.shell.newest import Newest
 from flintfield.coordination.shell.peers import Peers
-from flintfield.coordination.shell.polls import PollDesk, Watcher
+from flintfield.coordination.shell.poll_responder import PollResponder
+from flintfield.coordination.shell.watcher import Watcher
 from flintfield.coordination.shell.register import Proposer, RegisterClient
 from flintfield.coordination.storage.interface import KeyedStore
 from flintfield.transport.rpc import Connection, Handlers, Pool
@@ -70,8 +71,8 @@
         proposer = Proposer(self._peers, rng)
         self._register = RegisterClient(self._peers, proposer, self._knowledge, steady_ms,
                                         self._newest.committed)
-        self._desk = PollDesk(self._host, self._knowledge, self._newest, steady_ms)
-        self._peers.own_polls = self._desk.answer
+        self._poll_responder = PollResponder(self._host, self._knowledge, self._newest, steady_ms)
+        self._peers.own_polls = self._poll_responder.answer
         self._watcher = Watcher(self._peers, self._knowledge, self._newest, self._register, rng, steady_ms,
                                 address)
         self._elections: Elections | None = None
@@ -203,16 +204,16 @@
 
     def _answer_poll(self, poll: Poll) -> Coroutine[Any, Any, Any]:
         self._note_own_leadership()
-        return self._desk.answer(poll)
+        return self._poll_responder.answer(poll)
 
-    def _identity(self) -> IdentityTold:
-        return IdentityTold(self._name, self._host.identity if self._host is not None else 0)
+    def _identity(self) -> IdentityAnswer:
+        return IdentityAnswer(self._name, self._host.identity if self._host is not None else 0)
 
     def _where_is_leader(self) -> LeaderAnswer:
         self._note_own_leadership()
         knowledge = self._knowledge
         members = knowledge.core.members if knowledge.core is not None else ()
-        return LeaderAnswer(knowledge.leader_told(), tuple(member.address for member in members),
+        return LeaderAnswer(knowledge.known_leader(), tuple(member.address for member in members),
                             knowledge.schedulers())
 
     def _note_own_leadership(self) -> None:
--- a/flintfield/coordination/replica.py
+++ b/flintfield/coordination/replica.py
@@ -37,7 +37,7 @@
     Refused,
     Resign,
     Resigned,
-    StateTold,
+    StateAnswer,
 )
 from flintfield.coordination.model import NO_BALLOT, CoreSet, Refusal, Register
 from flintfield.coordination.snapshots import Snapshots
@@ -230,7 +230,7 @@
             self.snapshots.take(now_ms, request.transfer)
         order, register = self.follower.order, self.configuration
         stopped = self.active is not None and self.serving is None
-        return Step(StateTold(self.identity, self.active, stopped, order.promised, order.position,
+        return Step(StateAnswer(self.identity, self.active, stopped, order.promised, order.position,
                               register.accepted, register.value))
 
     def _ask_part(self, now_ms: int, request: AskPart) -> Step:
--- a/flintfield/coordination/shell/changes.py
+++ b/flintfield/coordination/shell/changes.py
@@ -8,7 +8,7 @@
 from contextlib import suppress
 
 from flintfield.coordination.attempt import Phase
-from flintfield.coordination.contacts import AskIdentity, IdentityTold, Poll, SetDecided
+from flintfield.coordination.contacts import AskIdentity, IdentityAnswer, Poll, SetDecided
 from flintfield.coordination.model import NO_BALLOT, Clock, CoreSet, Member, Register
 from flintfield.coordination.reconfiguration import successor
 from flintfield.coordination.shell.elections import Elections
@@ -217,7 +217,7 @@
             answer = await self._peers.ask(member.address, AskIdentity(), CALL_TIMEOUT_MS)
         except RpcError:
             return False
-        return isinstance(answer, IdentityTold) and answer.identity == member.identity
+        return isinstance(answer, IdentityAnswer) and answer.identity == member.identity
 
     async def _decide(self, core: CoreSet, wanted: CoreSet | None) -> None:
         """Agree on the successor of `core`: one that was accepted before, else `wanted`, else none.
--- a/flintfield/coordination/shell/fetch.py
+++ b/flintfield/coordination/shell/fetch.py
@@ -6,7 +6,7 @@
 import random
 from dataclasses import replace
 
-from flintfield.coordination.messages import AskPart, AskState, PartTold, StateTold
+from flintfield.coordination.messages import AskPart, AskState, PartAnswer, StateAnswer
 from flintfield.coordination.model import CoreSet, Member, Position
 from flintfield.coordination.shell.peers import Peers
 from flintfield.coordination.stored import ITEM_PREFIX
@@ -30,7 +30,7 @@
         transfer = self._rng.getrandbits(TRANSFER_BITS) | 1
         try:
             told = await self._peers.call(source, AskState(transfer), CHUNK_TIMEOUT_MS)
-            if not isinstance(told, StateTold) or told.position != position:
+            if not isinstance(told, StateAnswer) or told.position != position:
                 return None
             return await self._parts(source, transfer)
         except RpcError:
@@ -40,7 +40,7 @@
         items: dict[bytes, bytes] = {}
         for index in range(MOST_PARTS):
             part = await self._peers.call(source, AskPart(transfer, index), CHUNK_TIMEOUT_MS)
-            if not isinstance(part, PartTold) or not part.found:
+            if not isinstance(part, PartAnswer) or not part.found:
                 return None
             for change in part.changes:
                 if change.value is not None:
@@ -54,10 +54,10 @@
         if target.version == 1:
             return EMPTY
         members = {member.identity: member for member in (*target.previous, *target.members)}
-        told: dict[int, StateTold] = {}
+        told: dict[int, StateAnswer] = {}
 
         def take(member: Member, answer: object) -> bool:
-            if isinstance(answer, StateTold):
+            if isinstance(answer, StateAnswer):
                 told[member.identity] = answer
             return choose(target, told) is not None
 
@@ -70,12 +70,13 @@
         except RpcError:
             return None
 
-    async def _fetch(self, target: CoreSet, source: Member, told: dict[int, StateTold]) -> WholeState | None:
+    async def _fetch(self, target: CoreSet, source: Member,
+                     told: dict[int, StateAnswer]) -> WholeState | None:
         """The chosen state with its items. The source may have moved on since: what it tells with the
         snapshot counts."""
         transfer = self._rng.getrandbits(TRANSFER_BITS) | 1
         answer = await self._peers.call(source, AskState(transfer), CHUNK_TIMEOUT_MS)
-        if not isinstance(answer, StateTold):
+        if not isinstance(answer, StateAnswer):
             return None
         told[source.identity] = answer
         choice = choose(target, told)
--- a/flintfield/coordination/shell/knowledge.py
+++ b/flintfield/coordination/shell/knowledge.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-from flintfield.coordination.contacts import LeaderTold
+from flintfield.coordination.contacts import KnownLeader
 from flintfield.coordination.model import CoreSet, LeaderView
 from flintfield.coordination.timing import SCHEDULER_FORGOTTEN_MS, SCHEDULERS_KEPT
 
@@ -49,17 +49,17 @@
             for callback in tuple(self.on_leader):
                 callback(self.leader)
 
-    def note_told(self, told: LeaderTold | None) -> None:
+    def note_known_leader(self, told: KnownLeader | None) -> None:
         """Somebody else's word on the leader; the way here makes it a little older than it says."""
         if told is not None:
             self.note_leader(told.epoch, told.name, told.address, self._steady_ms() - told.heard_ago_ms)
 
-    def leader_told(self) -> LeaderTold | None:
+    def known_leader(self) -> KnownLeader | None:
         """The newest leader, for others."""
         view = self.leader
         if view is None:
             return None
-        return LeaderTold(view.epoch, view.name, view.address, max(0, self._steady_ms() - view.heard_ms))
+        return KnownLeader(view.epoch, view.name, view.address, max(0, self._steady_ms() - view.heard_ms))
 
     def note_scheduler(self, address: str) -> None:
         """A scheduler showed itself. The table is bounded: the one longest unseen goes first."""
--- a/flintfield/coordination/shell/peers.py
+++ b/flintfield/coordination/shell/peers.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from typing import Any
 
-from flintfield.coordination.contacts import Poll, PollTold
+from flintfield.coordination.contacts import Poll, PollAnswer
 from flintfield.coordination.model import Member
 from flintfield.coordination.shell.host import ReplicaHost
 from flintfield.transport.rpc import Pool, RpcError, Unanswered
@@ -20,7 +20,7 @@
     def __init__(self, pool: Pool, host: ReplicaHost | None) -> None:
         self._pool = pool
         self._host = host
-        self.own_polls: Callable[[Poll], Awaitable[PollTold]] | None = None
+        self.own_polls: Callable[[Poll], Awaitable[PollAnswer]] | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
 
     async def call(self, member: Member, message: Any, timeout_ms: int) -> Any:
@@ -39,7 +39,7 @@
         except TimeoutError as error:
             raise Unanswered("the own replica waits for its disk") from error
 
-    async def poll(self, member: Member, poll: Poll, timeout_ms: int) -> PollTold | None:
+    async def poll(self, member: Member, poll: Poll, timeout_ms: int) -> PollAnswer | None:
         """The member's answer to a poll, or None."""
         own = self._host is not None and member.identity == self._host.identity
         try:
@@ -48,7 +48,7 @@
             answer = await self._pool.call(member.address, poll, timeout_ms / MS_PER_S)
         except RpcError:
             return None
-        return answer if isinstance(answer, PollTold) else None
+        return answer if isinstance(answer, PollAnswer) else None
 
     async def ask(self, address: str, message: Any, timeout_ms: int) -> Any:
         """The answer of whoever is at that address; raises `RpcError`."""
--- a/flintfield/coordination/shell/polls.py
+++ b/flintfield/coordination/shell/watcher.py
@@ -1,8 +1,7 @@
 """Long polls: how every scheduler keeps up with the configuration, the core set and the leader.
 
-The desk (at each replica) holds a poll until there is news. The watcher (at every scheduler) keeps polls at a
-majority; their agreement on one accepted ballot confirms the configuration as of the sending, plus the time
-that the replicas held the polls, since they read their state when they answered.
+The watcher keeps polls at a majority; their agreement on one accepted ballot confirms the configuration as of
+the sending, plus the time that the replicas held the polls, since they read their state when they answered.
 """
 
 from __future__ import annotations
@@ -12,9 +11,8 @@
 from collections import Counter
 from collections.abc import Callable
 
-from flintfield.coordination.contacts import Poll, PollTold
-from flintfield.coordination.model import NO_BALLOT, Ballot, CoreSet, Member, NoQuorum
-from flintfield.coordination.shell.host import ReplicaHost
+from flintfield.coordination.contacts import Poll, PollAnswer
+from flintfield.coordination.model import Ballot, CoreSet, Member, NoQuorum
 from flintfield.coordination.shell.knowledge import Knowledge
 from flintfield.coordination.shell.newest import Newest
 from flintfield.coordination.shell.peers import MS_PER_S, Peers
@@ -27,69 +25,6 @@
     UNSETTLED_MS,
 )
 
-MOST_HELD_MS = 1_000  # whatever a poll asks for
-
-
-class PollDesk:
-    """Answers polls from what this process knows."""
-
-    def __init__(self, host: ReplicaHost | None, knowledge: Knowledge, newest: Newest,
-                 steady_ms: Callable[[], int]) -> None:
-        self._host = host
-        self._knowledge = knowledge
-        self._newest = newest
-        self._steady_ms = steady_ms
-        self._news: asyncio.Future[None] | None = None
-        knowledge.on_core.append(lambda _: self.wake())
-        knowledge.on_leader.append(lambda _: self.wake())
-        newest.on_commit.append(self.wake)
-
-    def wake(self) -> None:
-        """Something has changed: look at the held polls again."""
-        news, self._news = self._news, None
-        if news is not None and not news.done():
-            news.set_result(None)
-
-    async def answer(self, poll: Poll) -> PollTold:
-        """Answer at once where there is news, else after the time that the poll may be held."""
-        self._knowledge.note_scheduler(poll.address)
-        came_ms = self._steady_ms()
-        until_ms = came_ms + min(poll.hold_ms, MOST_HELD_MS)
-        while not self._has_news(poll):
-            left_ms = until_ms - self._steady_ms()
-            if left_ms <= 0:
-                break
-            if self._news is None:
-                self._news = asyncio.get_running_loop().create_future()
-            await asyncio.wait((self._news,), timeout=left_ms / MS_PER_S)
-        told = self._told(poll, came_ms)
-        if told.active and self._host is not None and not await self._host.settled():
-            return PollTold(told.replica, 0, 0, NO_BALLOT, None, NO_BALLOT, None, told.core, told.leader)
-        return told
-
-    def _has_news(self, poll: Poll) -> bool:
-        knowledge = self._knowledge
-        core, leader = knowledge.core, knowledge.leader
-        newer_core = core is not None and core.version > poll.core
-        newer_leader = leader is not None and leader.epoch > poll.epoch
-        return newer_core or newer_leader or self._newest.ballot > poll.accepted
-
-    def _told(self, poll: Poll, came_ms: int) -> PollTold:
-        knowledge = self._knowledge
-        core = knowledge.core if knowledge.core is not None and knowledge.core.version > poll.core else None
-        active, accepted, value, replica = 0, NO_BALLOT, None, 0
-        if self._host is not None and self._host.replica is not None:
-            state = self._host.replica
-            replica = state.identity
-            serving = state.serving
-            active = serving.version if serving is not None else 0
-            accepted = state.configuration.accepted
-            value = state.configuration.value if accepted != poll.accepted else None
-        newest = self._newest
-        committed_value = newest.value if newest.ballot > poll.accepted else None
-        return PollTold(replica, self._steady_ms() - came_ms, active, accepted, value, newest.ballot,
-                        committed_value, core, knowledge.leader_told())
-
 
 class Round:
     """The answers to polls that were sent to the members of one set. No I/O."""
@@ -97,9 +32,9 @@
     def __init__(self, core: CoreSet, known: Ballot) -> None:
         self.core = core
         self.known = known
-        self.told: dict[int, tuple[PollTold, int]] = {}
+        self.told: dict[int, tuple[PollAnswer, int]] = {}
 
-    def take(self, member: Member, told: PollTold, sent_ms: int) -> bool:
+    def take(self, member: Member, told: PollAnswer, sent_ms: int) -> bool:
         """Count an answer; True once a majority has answered."""
         if told.active == self.core.version and told.replica == member.identity:
             self.told[member.identity] = (told, sent_ms)
@@ -246,7 +181,7 @@
         if told is None:
             return
         self._knowledge.note_core(told.core)
-        self._knowledge.note_told(told.leader)
+        self._knowledge.note_known_leader(told.leader)
         if told.committed > round_.known:
             self._newest.committed(told.committed, told.committed_value)
         if round_.take(member, told, sent_ms):
--- a/flintfield/coordination/snapshots.py
+++ b/flintfield/coordination/snapshots.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable, Mapping
 
-from flintfield.coordination.messages import AskPart, Change, PartTold
+from flintfield.coordination.messages import AskPart, Change, PartAnswer
 from flintfield.coordination.stored import ITEM_PREFIX
 from flintfield.coordination.timing import CHUNK_BYTES, STAGED_TRANSFER_MS
 
@@ -46,13 +46,13 @@
                  if key.startswith(ITEM_PREFIX))
         self._parts[transfer] = (now_ms, parts_of(items))
 
-    def part(self, now_ms: int, request: AskPart) -> PartTold:
+    def part(self, now_ms: int, request: AskPart) -> PartAnswer:
         """One part of a snapshot."""
         _, parts = self._parts.get(request.transfer, (0, []))
         if not 0 <= request.index < len(parts):
-            return PartTold(False, True, ())
+            return PartAnswer(False, True, ())
         self._parts[request.transfer] = (now_ms, parts)
-        return PartTold(True, request.index == len(parts) - 1, parts[request.index])
+        return PartAnswer(True, request.index == len(parts) - 1, parts[request.index])
 
     def expire(self, now_ms: int) -> None:
         """Drop the snapshots that nobody has fetched from for a while."""
--- a/flintfield/coordination/transfer.py
+++ b/flintfield/coordination/transfer.py
@@ -17,7 +17,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
-from flintfield.coordination.messages import StateTold
+from flintfield.coordination.messages import StateAnswer
 from flintfield.coordination.model import NO_BALLOT, NOWHERE, Ballot, CoreSet, Position
 
 
@@ -44,7 +44,7 @@
     state: WholeState
 
 
-def choose(target: CoreSet, told: Mapping[int, StateTold]) -> Choice | None:
+def choose(target: CoreSet, told: Mapping[int, StateAnswer]) -> Choice | None:
     """The sufficient state among these answers, by identity; None while they don't suffice."""
     active = [answer for answer in told.values()
               if answer.core is not None and answer.core.version == target.version]
@@ -59,7 +59,7 @@
     return _best(sealed)
 
 
-def _best(answers: list[StateTold]) -> Choice:
+def _best(answers: list[StateAnswer]) -> Choice:
     store = max(answers, key=lambda answer: answer.position)
     register = max(answers, key=lambda answer: answer.accepted)
     promised = max(answer.promised for answer in answers)
--- a/flintfield/observe/messages.py
+++ b/flintfield/observe/messages.py
@@ -9,7 +9,7 @@
 import enum
 from dataclasses import dataclass
 
-from flintfield.coordination.messages import LeaderTold
+from flintfield.coordination.messages import KnownLeader
 from flintfield.coordination.model import CoreSet
 from flintfield.jobs.recorder import Happening
 from flintfield.jobs.states import RunState, TaskState
@@ -80,7 +80,7 @@
     peak_memory_kb: int
     ready: bool
     leads: bool
-    leader: LeaderTold | None
+    leader: KnownLeader | None
     core: CoreSet | None
     configuration_version: int
     configuration_since_ms: int
--- a/flintfield/observe/status.py
+++ b/flintfield/observe/status.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator
 
 from flintfield import __version__ as RELEASE
-from flintfield.coordination.messages import LeaderTold
+from flintfield.coordination.messages import KnownLeader
 from flintfield.coordination.storage.format import entry_bytes
 from flintfield.coordination.storage.store import LIVE_PART_OF_LIMIT, RingStore
 from flintfield.observe.messages import Counter, ProcessStatus, ReplicaStatus, StoreStatus
@@ -33,11 +33,11 @@
     )
 
 
-def _leader(observer: ProcessObserver) -> LeaderTold | None:
+def _leader(observer: ProcessObserver) -> KnownLeader | None:
     view = observer.core.leader
     if view is None:
         return None
-    return LeaderTold(view.epoch, view.name, view.address, max(0, observer.steady_ms() - view.heard_ms))
+    return KnownLeader(view.epoch, view.name, view.address, max(0, observer.steady_ms() - view.heard_ms))
 
 
 def _replica(observer: ProcessObserver) -> ReplicaStatus | None:
--- a/flintfield/programs/agent.py
+++ b/flintfield/programs/agent.py
@@ -22,7 +22,6 @@
     EXIT_CODE,
     NodeSettings,
     SettingsError,
-    load,
     path_from_environment,
     rpc_address,
 )
@@ -63,6 +62,8 @@
 
     def _reload(self) -> None:
         """Read the settings again; what takes effect in a running process is the list of seeds."""
+        from flintfield.runtime.settings_file import load
+
         try:
             settings = load(self._path)
         except SettingsError as error:
@@ -78,6 +79,8 @@
 
 def main() -> int:
     """Run one agent; returns the exit code."""
+    from flintfield.runtime.settings_file import load
+
     try:
         path = path_from_environment()
         settings = load(path)
--- a/flintfield/programs/scheduler.py
+++ b/flintfield/programs/scheduler.py
@@ -34,7 +34,7 @@
 from flintfield.runtime import logs
 from flintfield.runtime.clock import steady_ms, wall_ms
 from flintfield.runtime.settings import (
-    EXIT_CODE, NodeSettings, SettingsError, load, path_from_environment, rpc_address,
+    EXIT_CODE, NodeSettings, SettingsError, path_from_environment, rpc_address,
 )
 from flintfield.transport.rpc import Pool, Server
 
@@ -162,6 +162,8 @@
 
     def _reload(self) -> None:
         """Read the settings again; what takes effect in a running process is the list of seeds."""
+        from flintfield.runtime.settings_file import load
+
         try:
             settings = load(self._settings_path)
         except SettingsError as error:
@@ -193,6 +195,8 @@
 
 def main() -> int:
     """Run one scheduler; returns the exit code."""
+    from flintfield.runtime.settings_file import load
+
     try:
         path = path_from_environment()
         settings = load(path)
--- a/flintfield/runtime/log_lines.py
+++ b/flintfield/runtime/log_lines.py
@@ -7,8 +7,7 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
-from flintfield.runtime.logs import MAX_TEXT
-
+MAX_TEXT = 2_000  # characters of a text field or a traceback
 _FORMAT = "%(created)f%(levelname)s%(name)s%(message)s"
 _NAMES = {"created": "time", "levelname": "level", "name": "logger", "message": "event"}
 
--- a/flintfield/runtime/logs.py
+++ b/flintfield/runtime/logs.py
@@ -14,7 +14,6 @@
 BURST = 10
 LINES_PER_S = 1.0
 MAX_NAMES = 256
-MAX_TEXT = 2_000  # characters of a text field or a traceback
 OTHER = "(other)"
 
 
--- a/flintfield/runtime/settings.py
+++ b/flintfield/runtime/settings.py
@@ -120,16 +120,6 @@
     contracts: tuple[str, ...] = ()
 
 
-def load(path: str) -> NodeSettings:
-    """Read and check the file; raises `SettingsError`.
-
-    The checks are made with trafaret, which is imported here: 1.6 MB and 20 ms of processor time, once.
-    """
-    from flintfield.runtime import settings_file
-
-    return settings_file.read(path)
-
-
 def path_from_environment(environment: Mapping[str, str] = os.environ) -> str:
     """The path in `FLINTFIELD_CONFIG`; raises `SettingsError` where it is not set."""
     path = environment.get(VARIABLE, "")
--- a/flintfield/runtime/settings_file.py
+++ b/flintfield/runtime/settings_file.py
@@ -1,6 +1,6 @@
 """The form of the settings file: which keys it has and what each may be, checked with trafaret.
 
-Imported by `settings.load` alone, so that a program pays for trafaret only when it reads its settings.
+Apart from `settings`, so that only a process that reads a file pays for trafaret (1.6 MB, 20 ms).
 """
 
 from __future__ import annotations
@@ -22,8 +22,8 @@
 Check = Callable[[Any], Any]
 
 
-def read(path: str) -> NodeSettings:
-    """The settings in that file; raises `SettingsError`."""
+def load(path: str) -> NodeSettings:
+    """Read and check the settings in that file; raises `SettingsError`."""
     try:
         with open(path, "rb") as file:
             content = tomllib.load(file)
--- a/flintfield/simulation/fleet.py
+++ b/flintfield/simulation/fleet.py
@@ -30,7 +30,7 @@
         self._plan_of = plan_of
         self._signal = signal
         self._rng = rng
-        self._gangs = Gangs()
+        self._gangs: Gangs[StandInWorker] = Gangs()
         self._incarnations = 0
         self.calls = WorkerCalls(world, random.Random(rng.getrandbits(64)))
 
--- a/flintfield/simulation/held.py
+++ b/flintfield/simulation/held.py
@@ -4,13 +4,12 @@
 
 import enum
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import Generic, TypeVar
 
 from flintfield.simulation.plans import Plan
 from flintfield.simulation.record import RunSeen
 
-if TYPE_CHECKING:
-    from flintfield.simulation.worker import StandInWorker
+Owner = TypeVar("Owner")  # the worker that holds a run
 
 
 class Phase(enum.Enum):
@@ -40,17 +39,17 @@
         return self.seen.task.rpartition(".")[0], self.seen.run
 
 
-class Gangs:
+class Gangs(Generic[Owner]):
     """Which members of gangs are present, over all workers."""
 
     def __init__(self) -> None:
-        self._members: dict[tuple[str, int], list[tuple[StandInWorker, Held]]] = {}
+        self._members: dict[tuple[str, int], list[tuple[Owner, Held]]] = {}
 
-    def present(self, key: tuple[str, int]) -> list[tuple[StandInWorker, Held]]:
+    def present(self, key: tuple[str, int]) -> list[tuple[Owner, Held]]:
         """All that are held now."""
         return list(self._members.get(key, ()))
 
-    def add(self, worker: StandInWorker, held: Held) -> None:
+    def add(self, worker: Owner, held: Held) -> None:
         """A member has begun."""
         self._members.setdefault(held.gang, []).append((worker, held))
 
--- a/flintfield/simulation/worker.py
+++ b/flintfield/simulation/worker.py
@@ -26,7 +26,7 @@
     """One incarnation."""
 
     def __init__(self, world: World, record: Record, machine: str, instance: str, kind: Kind, bounds: Bounds,
-                 plan_of: PlanOf, gangs: Gangs, signal: Signal, rng: random.Random) -> None:
+                 plan_of: PlanOf, gangs: Gangs[StandInWorker], signal: Signal, rng: random.Random) -> None:
         self.world = world
         self.machine = machine
         self.instance = instance
--- a/tests/system/coordination_world.py
+++ b/tests/system/coordination_world.py
@@ -3,11 +3,12 @@
 All randomness comes from one seed. `World.run_for(ms)` plays on; `kill`, `wipe`, `freeze`, `cut` and the
 weather are the faults. The judge checks at every event: one leader for each epoch, never two confirmed
 leases, no acknowledged write missing at an election, batches whole, the register linearizable, one core set
-for each version.
+for each version, no configuration confirmed as of a time without what was acknowledged before.
 """
 
 from __future__ import annotations
 
+import bisect
 import heapq
 import math
 import random
@@ -61,6 +62,7 @@
         self.handlers: Any = None
         self.leadership: Leadership | None = None
         self.values: list[bytes] = []
+        self.confirmed_count = 0  # of the acknowledged changes, for the judge
         rng = random.Random(world.rng.getrandbits(64))
         store: Any = None
         if machine.counts:
@@ -113,6 +115,8 @@
         self.elections: list[tuple[int, int, str]] = []
         self.longest: tuple[str, ...] = ()  # the register's history, as far as it was read
         self.required: set[str] = set()  # changes that were acknowledged
+        self.acknowledged_ms: list[int] = []  # when each of them was, in their order
+        self.acknowledged: list[str] = []
 
     def elected(self, process: Process, leadership: Leadership) -> None:
         """A leader begins: its epoch is its own, and all that was acknowledged is there."""
@@ -142,10 +146,31 @@
             core = process.node.core
             if core is not None and self.sets.setdefault(core.version, core) != core:
                 raise Violation(f"two sets of version {core.version}")
+            self._check_confirmation(process)
             if process.loop.failures:
                 failure = process.loop.failures[0]
                 raise Violation(f"{process.machine.name}: {failure}") from failure.get("exception")
 
+    def acknowledge(self, name: str) -> None:
+        """A change was acknowledged to whoever wished it."""
+        if name not in self.required:
+            self.required.add(name)
+            self.acknowledged.append(name)
+            self.acknowledged_ms.append(self.world.now_ms)
+
+    def _check_confirmation(self, process: Process) -> None:
+        """What a process takes for confirmed as of a time has all that was acknowledged before it."""
+        known = process.node.known()
+        if known is None:
+            return
+        value, as_of_ms = known
+        count = bisect.bisect_left(self.acknowledged_ms, as_of_ms)
+        if count and process.confirmed_count != count:
+            missing = set(self.acknowledged[:count]) - set((value or b"").decode().split())
+            if missing:
+                raise Violation(f"{process.machine.name} confirms as of {as_of_ms} without {missing}")
+            process.confirmed_count = count
+
     def committed(self, value: bytes | None) -> tuple[str, ...]:
         """A committed value of the register: all of them are prefixes of one history."""
         history = tuple((value or b"").decode().split())
@@ -352,7 +377,7 @@
             return
         if process.alive:
             self.judge.read(value, required | {name})
-            self.judge.required.add(name)
+            self.judge.acknowledge(name)
 
     def read(self, process: Process) -> None:
         """A process reads the register."""
--- a/tests/system/test_console_files.py
+++ b/tests/system/test_console_files.py
@@ -22,7 +22,7 @@
 from flintfield.console.output import as_json, duration, moment, table
 from flintfield.console.targets import NoTargets, targets
 from flintfield.observe.messages import WaitReason, WorkerCondition
-from flintfield.runtime.settings import load
+from flintfield.runtime.settings_file import load
 
 ROOT = Path(__file__).resolve().parents[2]
 KEYS = st.sampled_from(["version", "routes", "services", "name", "limits"])
--- a/tests/system/test_coordination_exhaustive.py
+++ b/tests/system/test_coordination_exhaustive.py
@@ -31,7 +31,7 @@
     Install,
     Pair,
     Refused,
-    StateTold,
+    StateAnswer,
 )
 from flintfield.coordination.model import Ballot, CoreSet, Member, Position, Register
 from flintfield.coordination.replica import Replica, format_store
@@ -230,10 +230,10 @@
             return
         for size in (1, 2):
             for sources in combinations(range(len(MEMBERS)), size):
-                told: dict[int, StateTold] = {}
+                told: dict[int, StateAnswer] = {}
                 for source in sources:
                     _, reply = deliver(state.stores[source], AskState(0))
-                    assert isinstance(reply, StateTold)
+                    assert isinstance(reply, StateAnswer)
                     told[reply.replica] = reply
                 choice = choose(SECOND, told)
                 if choice is not None:
--- a/tests/system/test_runtime_basics.py
+++ b/tests/system/test_runtime_basics.py
@@ -11,6 +11,7 @@
 
 from flintfield.runtime import clock, logs
 from flintfield.runtime.errors import ANSWERS, ErrorKind, answer, retry_after_header
+from flintfield.runtime.log_lines import MAX_TEXT
 
 
 class RateLimits(unittest.TestCase):
@@ -90,14 +91,14 @@
         self.assertEqual(lines[1]["event"], "peer 1 is gone")
 
     def test_long_texts_and_tracebacks_are_cut(self) -> None:
-        logs.event(self.logger, "long", text="x" * 3 * logs.MAX_TEXT)
+        logs.event(self.logger, "long", text="x" * 3 * MAX_TEXT)
         try:
-            raise ValueError("y" * 3 * logs.MAX_TEXT)
+            raise ValueError("y" * 3 * MAX_TEXT)
         except ValueError as error:
             self.logger.error("failed", exc_info=error)
         long, failed = self.lines()
-        self.assertEqual(long["text"], "x" * logs.MAX_TEXT + "...")
-        self.assertLess(len(failed["exc_info"]), logs.MAX_TEXT + 10)
+        self.assertEqual(long["text"], "x" * MAX_TEXT + "...")
+        self.assertLess(len(failed["exc_info"]), MAX_TEXT + 10)
 
     def test_configuring_again_replaces_the_handler(self) -> None:
         with contextlib.redirect_stderr(self.written):
--- a/tests/system/test_runtime_settings.py
+++ b/tests/system/test_runtime_settings.py
@@ -8,7 +8,8 @@
 
 from flintfield.runtime import settings
 from flintfield.runtime.settings import (Bounds, Limits, Listen, NodeSettings, SettingsError, Tolerance,
-                                         agent_rpc_address, load, path_from_environment, rpc_address)
+                                         agent_rpc_address, path_from_environment, rpc_address)
+from flintfield.runtime.settings_file import load
 
 LEAST = """
 nodeName = "node-1"
