Explore two changes of the core set with a lost disk; a leaver stays until its place is taken

Cause: the explorer of the new small world found, two steps in, that a leaver that ends while its successor stands by but is no member yet leaves no majority if another disk is lost then. The program waited for a majority of the others only.

Change: the answer to a leaver's announcement tells whether a candidate is there for its place; the leaver stays until it is no member any more, or its grace period is over. simulation/explore/core_changes.py: three or four replicas, a planned replacement, one disk lost at any moment, elections, unfinished proposals, as the program's state machines; safety (no committed item missing in a majority) and no dead end.

--- a/flintfield/coordination/contacts.py
+++ b/flintfield/coordination/contacts.py
@@ -95,11 +95,13 @@
 @dataclass(frozen=True, slots=True)
 class AnnounceNoted:
     """The newest set known here, if it is newer than the announcer's, and the leader's RPC address or "".
-    `founder`: this process gathers the members of the first set."""
+    `founder`: this process gathers the members of the first set. `stay`: the announcer is leaving, and a
+    candidate is there that is to take its place first."""
 
     core: CoreSet | None
     leader: str
     founder: bool = False
+    stay: bool = False
 
 
 @record(242)
--- a/flintfield/coordination/node.py
+++ b/flintfield/coordination/node.py
@@ -165,12 +165,13 @@
             await self._elections.resign()
 
     async def spared(self, timeout_s: float) -> bool:
-        """Wait until the core goes on without this replica; False where time ran out."""
+        """Wait until the core goes on without this replica, and a candidate that is there has taken its
+        place; False where time ran out."""
         if self._changes is None:
             return True
         try:
             async with asyncio.timeout(timeout_s):
-                while not await self._changes.can_be_spared():
+                while self._announcer.place_is_wanted or not await self._changes.can_be_spared():
                     await asyncio.sleep(SPARED_RETRY_S)
         except TimeoutError:
             return False
--- a/flintfield/coordination/shell/announcing.py
+++ b/flintfield/coordination/shell/announcing.py
@@ -22,6 +22,7 @@
 LEADER_FRESH_MS = 600
 PATIENT_MS = 5_000  # a candidate that has waited for so long announces itself more rarely
 PATIENT_ANNOUNCE_MS = 450
+STAY_MS = 1_000  # how long the leader's word counts that a candidate is there
 
 
 class Announcer:
@@ -45,6 +46,8 @@
         self._founder = Founder(first_start, needed, host, peers, knowledge, self._member, steady_ms)
         self._started_ms = steady_ms()
         self._leaving = False
+        self._leaving_noted = False  # somebody has answered to that
+        self._stay_told_ms: int | None = None  # when the leader last said that a candidate is there
         self._next_contact = 0
         self._wake = asyncio.Event()
 
@@ -55,21 +58,21 @@
         self._knowledge.note_scheduler(message.address)
         member = Member(message.name, message.address, message.zone, message.identity)
         core = self._knowledge.core
-        if message.identity:
-            self._note_replica(member, message, core)
+        stay = False
+        if message.identity and message.leaving:
+            stay = self._changes is not None and self._changes.note_leaving(member.identity)
+        elif message.identity:
+            self._note_replica(member, message.founding, core)
         newer = core if core is not None and core.version > message.core else None
         leader = self._knowledge.leader
-        return AnnounceNoted(newer, leader.address if leader is not None else "", self._founder.gathers)
+        address = leader.address if leader is not None else ""
+        return AnnounceNoted(newer, address, self._founder.gathers, stay)
 
-    def _note_replica(self, member: Member, message: Announce, core: CoreSet | None) -> None:
+    def _note_replica(self, member: Member, founding: bool, core: CoreSet | None) -> None:
         if core is None:
-            if message.founding:
+            if founding:
                 self._founder.note(member)
-        elif self._changes is None:
-            return
-        elif message.leaving:
-            self._changes.note_leaving(member.identity)
-        elif member not in core.members:
+        elif member not in core.members and self._changes is not None:
             self._changes.note_candidate(member)
 
     # The loop.
@@ -79,6 +82,16 @@
         self._leaving = True
         self._wake.set()
 
+    @property
+    def place_is_wanted(self) -> bool:
+        """Whether this process leaves as a member whose place a candidate is about to take."""
+        core = self._knowledge.core
+        if core is None or not self._is_leaver(core):
+            return False
+        if not self._leaving_noted:
+            return True  # nobody can have told yet
+        return self._stay_told_ms is not None and self._steady_ms() - self._stay_told_ms <= STAY_MS
+
     async def run(self) -> None:
         """Announce and found on and on; cancelled at the end."""
         while True:
@@ -130,6 +143,9 @@
             return ""
         self._knowledge.note_scheduler(address)
         self._knowledge.note_core(noted.core)
+        self._leaving_noted = self._leaving_noted or message.leaving
+        if noted.stay:
+            self._stay_told_ms = self._steady_ms()
         if address in self._knowledge.seeds[:1]:
             self._founder.first_seed_founds = noted.founder  # one that was started anew founds no more
         return noted.leader
--- a/flintfield/coordination/shell/changes.py
+++ b/flintfield/coordination/shell/changes.py
@@ -66,14 +66,18 @@
         if self._elections.leadership is not None:
             self._wake.set()
 
-    def note_leaving(self, identity: int) -> None:
-        """A member has said that its process is about to end."""
+    def note_leaving(self, identity: int) -> bool:
+        """A member has said that its process is about to end; True where a candidate is to take its place
+        first."""
         core = self._knowledge.core
         if core is None or core.member(identity) is None:
-            return
+            return False
         self._leaving[identity] = self._steady_ms()
-        if self._elections.leadership is not None:
-            self._wake.set()
+        if self._elections.leadership is None:
+            return False
+        self._wake.set()
+        self._forget(self._steady_ms())
+        return any(member not in core.members for member, _ in self._candidates.values())
 
     def _takes_holders_place(self, candidate: Member) -> bool:
         replica = self._host.replica
--- a/flintfield/simulation/explore/__main__.py
+++ b/flintfield/simulation/explore/__main__.py
@@ -8,6 +8,7 @@
 import argparse
 import sys
 
+from flintfield.simulation.explore.core_changes import Limits, core_world
 from flintfield.simulation.explore.explorer import SmallWorld, explore
 from flintfield.simulation.explore.register import register_world
 from flintfield.simulation.explore.takeover import Budget, TakeoverWorld
@@ -20,6 +21,9 @@
     world: SmallWorld
     if arguments.world == "register":
         world = register_world(arguments.appenders, arguments.prepared)
+    elif arguments.world == "core":
+        world = core_world(Limits(arguments.size, arguments.elections, arguments.writes, arguments.wipes,
+                                  arguments.unfinished))
     else:
         world = TakeoverWorld(Budget(arguments.takeovers, arguments.restarts, arguments.leaps,
                                      arguments.unanswered, arguments.ends, arguments.slow, arguments.waits))
@@ -32,12 +36,16 @@
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(prog="python -m flintfield.simulation.explore", description=__doc__,
                                      formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("world", choices=["register", "takeover"])
+    parser.add_argument("world", choices=["register", "takeover", "core"])
     parser.add_argument("--depth", type=int, default=30)
     parser.add_argument("--states", type=int, default=500_000, help="stop after so many")
     parser.add_argument("--planted", default="", metavar="NAME", help="with this fault planted")
     parser.add_argument("--appenders", type=int, default=1, help="register: processes that append")
     parser.add_argument("--prepared", action="store_true", help="register: begin with promises of a majority")
+    limits = Limits()
+    for name in ("size", "elections", "writes", "wipes", "unfinished"):
+        parser.add_argument(f"--{name}", type=int, default=getattr(limits, name),
+                            help="core: members, and at most so many")
     budget = Budget()
     for name in ("takeovers", "restarts", "leaps", "unanswered", "ends", "slow", "waits"):
         parser.add_argument(f"--{name}", type=int, default=getattr(budget, name),
--- /dev/null
+++ b/flintfield/simulation/explore/core_changes.py
@@ -0,0 +1,379 @@
+"""Changes of the core set, lost disks, leavers and elections, as a small world.
+
+A core of three or four replicas keeps items under a leader. One member is to be replaced as planned: it hands
+over and ends. One disk may be lost at any moment, also in the midst of that; the machine comes back as
+another replica. Leaders end at any moment, with a write at one replica only or at a majority. The replicas
+are the program's state machines; what a process does in one go (an attempt of a proposer, an election, a
+write) is one action here, at every sufficient few of the replicas or at a single one.
+
+What must hold: every committed item is in the highest store of each majority that serves a set (safety), and
+the replicas that are left are enough to go on (`_stuck`), whichever single disk was lost.
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Hashable, Iterable, Iterator
+from dataclasses import dataclass, replace
+from functools import lru_cache
+from typing import Any
+
+from flintfield.coordination.messages import (
+    Accept, Accepted, Appended, AskState, Change, EpochPromised, Install, Pair, Prepare, PrepareEpoch,
+    Promised,
+)
+from flintfield.coordination.model import NO_BALLOT, Ballot, CoreSet, Member, Position, Register, ordered
+from flintfield.coordination.replica import Replica, format_store
+from flintfield.coordination.stored import ITEM_PREFIX
+from flintfield.coordination.transfer import EMPTY, WholeState, choose
+from flintfield.transport.records import decode, encode
+
+Stored = tuple[tuple[bytes, bytes], ...]
+Few = tuple[int, ...]
+LATER_MS = 100_000  # after all guards: what time allows is allowed
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """How much may happen."""
+
+    size: int = 3
+    elections: int = 2  # after the first
+    writes: int = 2
+    wipes: int = 1
+    unfinished: int = 1  # proposals of a successor that reach one replica only
+
+
+@dataclass(frozen=True, slots=True)
+class Term:
+    """A leader that was elected: its epoch, how far it has written, all its items."""
+
+    epoch: int
+    sequence: int
+    items: frozenset[bytes]
+
+
+def _member(slot: int) -> Member:
+    return Member(f"m{slot}", f"10.0.0.{slot}:7000", "z", slot + 1)
+
+
+def _replica(stored: Stored) -> Replica:
+    return Replica(dict(stored), 0, lambda: 0)
+
+
+def _after(stored: Stored, changes: Iterable[Pair], replacement: Any = None) -> Stored:
+    items = dict(stored)
+    if replacement is not None:
+        items = {key: value for key, value in items.items() if not key.startswith(ITEM_PREFIX)}
+        items.update(replacement)
+    for key, value in changes:
+        if value is None:
+            items.pop(key, None)
+        else:
+            items[key] = value
+    return tuple(sorted(items.items()))
+
+
+@lru_cache(maxsize=400_000)
+def _step(stored: Stored, message: Any) -> tuple[Stored, Any]:
+    """What a replica with these records stores and answers."""
+    done = _replica(stored).step(LATER_MS, message)
+    return _after(stored, done.changes, done.replacement), done.reply
+
+
+@lru_cache(maxsize=400_000)
+def _serving(stored: Stored) -> int:
+    """The version of the set that it serves; 0: none."""
+    serving = _replica(stored).serving
+    return serving.version if serving is not None else 0
+
+
+@lru_cache(maxsize=400_000)
+def _position(stored: Stored) -> Position:
+    return _replica(stored).follower.order.position
+
+
+def forget_steps() -> None:
+    """Drop what was remembered of the replicas' steps: another fault is planted now."""
+    for remembered in (_step, _serving, _position):
+        remembered.cache_clear()
+
+
+def _items(stored: Stored) -> frozenset[bytes]:
+    return frozenset(key[len(ITEM_PREFIX):] for key, _ in stored if key.startswith(ITEM_PREFIX))
+
+
+@dataclass(frozen=True)
+class CoreWorld:
+    """A state. Slots: the first members, the planned newcomer, the new life of the one that lost its disk.
+
+    An empty entry in `replicas` is a slot without a process.
+    """
+
+    limits: Limits
+    replicas: tuple[Stored, ...]
+    sets: tuple[CoreSet, ...]  # those decided, oldest first
+    term: Term
+    committed: frozenset[bytes] = frozenset()
+    elections: int = 0
+    writes: int = 0
+    wiped: int = -1  # the slot whose disk was lost
+    left: bool = False  # the leaver has ended
+    unfinished: int = 0
+    ballots: int = 0
+
+    # What may happen.
+
+    def actions(self) -> list[str]:
+        """What may happen next."""
+        names: list[str] = []
+        for version in {core.version for core in self.sets}:
+            for few in self._majorities(version):
+                if self.elections < self.limits.elections:
+                    names.append(f"elect {version} {_told(few)}")
+                if self.writes < self.limits.writes:
+                    names.append(f"write {version} {_told(few)}")
+            for slot in self._servers(version):
+                if self.writes < self.limits.writes:
+                    names.append(f"write {version} {slot}")
+        names += self._changes_of_the_set()
+        names += [f"join {slot} {number}" for slot in self._joiners()
+                  for number in range(len(self._sources(slot)))]
+        names += [f"learn {slot}" for slot in self._alive() if self._may_learn(slot)]
+        if self.wiped < 0 and self.limits.wipes:
+            names += [f"wipe {slot}" for slot in self._alive() if slot != self._leaver]
+        if not self.left and self.replicas[self._leaver] and self.may_leave():
+            names.append("leave")
+        return names
+
+    def after(self, action: str) -> CoreWorld:
+        """The state that this leads to."""
+        kind, *words = action.split()
+        numbers = [[int(number) for number in word.split(",")] for word in words]
+        match kind:
+            case "elect":
+                return self._elect(numbers[0][0], tuple(numbers[1]))
+            case "write":
+                return self._write(numbers[0][0], tuple(numbers[1]))
+            case "propose":
+                return self._propose(numbers[0][0], tuple(numbers[1]), tuple(numbers[2]))
+            case "join":
+                return self._join(numbers[0][0], numbers[1][0])
+            case "learn":
+                return self._learn(numbers[0][0])
+            case "wipe":
+                return self._wipe(numbers[0][0])
+            case _:
+                return self._put({self._leaver: ()}, left=True)
+
+    def key(self) -> Hashable:
+        """All that the future depends on."""
+        return (self.replicas, self.sets, self.term, self.committed, self.elections, self.writes, self.wiped,
+                self.left, self.unfinished)
+
+    def broken(self) -> str:
+        """What must not be, or ""."""
+        return self._lost() or self._stuck()
+
+    # What must hold.
+
+    def _lost(self) -> str:
+        for core in self.sets:
+            for few in self._majorities(core.version):
+                best = max((self.replicas[slot] for slot in few), key=_position)
+                missing = self.committed - _items(best)
+                if missing:
+                    return f"a majority {few} of set {core.version} lacks {sorted(missing)}"
+        return ""
+
+    def _stuck(self) -> str:
+        """Whether the newest set can't come to serve any more although one disk at most was lost."""
+        newest = self.sets[-1]
+        if len(self._servers(newest.version)) >= newest.majority:
+            return ""
+        members = [slot for slot in self._alive() if newest.member(slot + 1) is not None]
+        if len(members) < newest.majority:
+            return f"set {newest.version} has {members} left, which is no majority"
+        stopped = self
+        for slot in self._alive():
+            stopped = stopped._learn(slot)
+        told = {slot + 1: _step(stopped.replicas[slot], AskState(0))[1] for slot in stopped._alive()}
+        if newest.version > 1 and choose(newest, told) is None:
+            return f"no state is sufficient for set {newest.version}"
+        return ""
+
+    # Slots.
+
+    @property
+    def _leaver(self) -> int:
+        return self.limits.size - 1
+
+    def _alive(self) -> list[int]:
+        return [slot for slot, stored in enumerate(self.replicas) if stored]
+
+    def _set(self, version: int) -> CoreSet:
+        return self.sets[version - 1]
+
+    def _servers(self, version: int) -> list[int]:
+        core = self._set(version)
+        return [slot for slot in self._alive()
+                if core.member(slot + 1) is not None and _serving(self.replicas[slot]) == version]
+
+    def _majorities(self, version: int) -> Iterator[Few]:
+        return itertools.combinations(self._servers(version), self._set(version).majority)
+
+    def may_leave(self) -> bool:
+        """As `CoreNode.spared`: its place is taken, and a majority serves the newest set without it."""
+        newest = self.sets[-1]
+        if newest.member(self._leaver + 1) is not None:
+            return False
+        return len(self._servers(newest.version)) >= newest.majority
+
+    # The leader.
+
+    def _elect(self, version: int, few: Few) -> CoreWorld:
+        """A campaign that a majority follows: promises, the highest state, its installation."""
+        epoch = self.term.epoch + 1
+        candidate = few[0] + 1
+        world = replace(self, elections=self.elections + 1)
+        for slot in few:
+            world, reply = world._ask(slot, PrepareEpoch(version, epoch, candidate, epoch, False))
+            if not isinstance(reply, EpochPromised):
+                return world
+        best = max((world.replicas[slot] for slot in few), key=_position)
+        world = replace(world, term=Term(epoch, 0, _items(best)))
+        return world._install(version, few)[0]
+
+    def _write(self, version: int, few: Few) -> CoreWorld:
+        """The leader adds an item; it is committed if a majority of the set has it."""
+        item = b"%d" % self.writes
+        term = replace(self.term, sequence=self.term.sequence + 1, items=self.term.items | {item})
+        world, acknowledged = replace(self, term=term, writes=self.writes + 1)._install(version, few)
+        if acknowledged < self._set(version).majority:
+            return world
+        return replace(world, committed=world.committed | term.items)
+
+    def _install(self, version: int, few: Few) -> tuple[CoreWorld, int]:
+        """Bring the leader's items to these replicas; tells how many have them."""
+        term = self.term
+        changes = tuple(Change(item, b"") for item in sorted(term.items))
+        install = Install(version, term.epoch, few[0] + 1, term.epoch, term.sequence, 1, 0, True, changes)
+        world, acknowledged = self, 0
+        for slot in few:
+            world, reply = world._ask(slot, install)
+            has_all = isinstance(reply, Appended) and reply.position >= Position(term.epoch, term.sequence)
+            acknowledged += has_all
+        return world, acknowledged
+
+    # The core set.
+
+    def _changes_of_the_set(self) -> Iterator[str]:
+        newest = self.sets[-1]
+        agreeing = [slot for slot in self._alive() if self._takes_part(slot, newest)]
+        for number in range(len(self._successors())):
+            for few in itertools.combinations(agreeing, newest.majority):
+                yield f"propose {number} {_told(few)} {_told(few)}"
+                if self.unfinished < self.limits.unfinished:
+                    yield f"propose {number} {_told(few)} {few[0]}"
+
+    def _takes_part(self, slot: int, core: CoreSet) -> bool:
+        replica = _replica(self.replicas[slot])
+        return replica.active == core and core.member(slot + 1) is not None
+
+    def _successors(self) -> list[CoreSet]:
+        """The sets that a leader may wish for: the leaver gives its place, or the lost replica does."""
+        newest = self.sets[-1]
+        size = self.limits.size
+        wishes = [(self._leaver, size)]
+        if self.wiped >= 0:
+            wishes.append((self.wiped, size + 1))
+        return [_replaced(newest, old, new) for old, new in wishes
+                if newest.member(old + 1) is not None and newest.member(new + 1) is None]
+
+    def _propose(self, number: int, asked: Few, accepting: Few) -> CoreWorld:
+        """An attempt on the register of the successor: prepared at `asked`, accepted at `accepting`."""
+        newest = self.sets[-1]
+        ballot = Ballot(newest.version, self.ballots + 1, 1)
+        world = replace(self, ballots=self.ballots + 1, unfinished=self.unfinished + (accepting != asked))
+        highest, value = NO_BALLOT, encode(self._successors()[number])
+        for slot in asked:
+            world, reply = world._ask(slot, Prepare(newest.version, Register.SUCCESSOR, ballot))
+            assert isinstance(reply, Promised)
+            if reply.accepted > highest and reply.value is not None:
+                highest, value = reply.accepted, reply.value
+        accepted = 0
+        for slot in accepting:
+            world, reply = world._ask(slot, Accept(newest.version, Register.SUCCESSOR, ballot, value))
+            accepted += isinstance(reply, Accepted)
+        if accepted < newest.majority:
+            return world
+        return replace(world, sets=(*world.sets, decode(value)))
+
+    def _may_learn(self, slot: int) -> bool:
+        known = _replica(self.replicas[slot]).newest
+        return known is not None and known.version < self.sets[-1].version
+
+    def _learn(self, slot: int) -> CoreWorld:
+        changes = _replica(self.replicas[slot]).learn(self.sets[-1])
+        return self._put({slot: _after(self.replicas[slot], changes)})
+
+    def _joiners(self) -> list[int]:
+        newest = self.sets[-1]
+        return [slot for slot in self._alive()
+                if newest.member(slot + 1) is not None and _replica(self.replicas[slot]).active != newest]
+
+    def _sources(self, slot: int) -> list[tuple[int, WholeState]]:
+        """The states with which that replica may become active: from any sufficient few."""
+        newest = self.sets[-1]
+        answers = {each + 1: _step(self.replicas[each], AskState(0))[1] for each in self._alive()}
+        found: dict[tuple[int, Any], tuple[int, WholeState]] = {}
+        for size in (1, len(newest.previous) // 2 + 1):
+            for few in itertools.combinations(sorted(answers), size):
+                choice = choose(newest, {identity: answers[identity] for identity in few})
+                if choice is not None:
+                    found[choice.source, choice.state] = (choice.source - 1, choice.state)
+        return [found[key] for key in sorted(found, key=repr)]
+
+    def _join(self, slot: int, number: int) -> CoreWorld:
+        source, state = self._sources(slot)[number]
+        items = [pair for pair in self.replicas[source] if pair[0].startswith(ITEM_PREFIX)]
+        state = replace(state, items=items)
+        done = _replica(self.replicas[slot]).activate(LATER_MS, self.sets[-1], state)
+        return self._put({slot: _after(self.replicas[slot], done.changes, done.replacement)})
+
+    def _wipe(self, slot: int) -> CoreWorld:
+        """The disk is lost; the machine comes back as another replica."""
+        reborn = self.limits.size + 1
+        return self._put({slot: (), reborn: _after((), format_store(reborn + 1, False))}, wiped=slot)
+
+    # Messages.
+
+    def _ask(self, slot: int, message: Any) -> tuple[CoreWorld, Any]:
+        stored, reply = _step(self.replicas[slot], message)
+        return self._put({slot: stored}), reply
+
+    def _put(self, stored: dict[int, Stored], **changes: Any) -> CoreWorld:
+        replicas = tuple(stored.get(slot, before) for slot, before in enumerate(self.replicas))
+        return replace(self, replicas=replicas, **changes)
+
+
+def _told(few: Few) -> str:
+    return ",".join(map(str, few))
+
+
+def _replaced(core: CoreSet, old: int, new: int) -> CoreSet:
+    members = [member for member in core.members if member.identity != old + 1]
+    return CoreSet(core.version + 1, ordered([*members, _member(new)]), core.founded_size, core.members)
+
+
+def core_world(limits: Limits) -> CoreWorld:
+    """The state that everything begins with: set 1 serves under its first leader, the newcomer is there."""
+    first = CoreSet(1, ordered([_member(slot) for slot in range(limits.size)]), limits.size, ())
+    replicas: list[Stored] = []
+    for slot in range(limits.size + 1):
+        formatted = _after((), format_store(slot + 1, slot < limits.size))
+        activated = _replica(formatted).activate(0, first, EMPTY) if slot < limits.size else None
+        replicas.append(_after(formatted, activated.changes) if activated is not None else formatted)
+    world = CoreWorld(limits, (*replicas, ()), (first,), Term(0, 0, frozenset()))
+    elected = world._elect(1, tuple(range(first.majority)))
+    return replace(elected, elections=0)
--- a/tests/system/test_coordination_repair.py
+++ b/tests/system/test_coordination_repair.py
@@ -74,6 +74,10 @@
         self.assertEqual([1, 4, 8, 9], [each.identity for each in chosen.members])
 
 
+async def _do_nothing(_: CoreChanges) -> None:
+    """In place of a leader's changes of the core set."""
+
+
 class WaitingForTheCore(unittest.TestCase):
     """A leaver stays while the core can't spare it."""
 
@@ -114,6 +118,27 @@
         self.assertTrue(self.world.run_for(2_500, partial(bool, self.done)))
         self.assertEqual([True], self.done)
 
+    def test_it_stays_while_a_candidate_is_there_that_is_to_take_its_place(self) -> None:
+        """Without the leader's word it would end, and the core would miss it for a while."""
+        leader = self.world.leader()
+        assert leader is not None and leader.node._changes is not None
+        newcomer = Machine(len(self.world.machines), True, False)
+        newcomer.first_start = False
+        self.world.machines.append(newcomer)
+        self.world.start(newcomer)
+        self.world.run_for(1_000)
+        with mock.patch.object(CoreChanges, "_reconfigure", _do_nothing):
+            leaver = self._others()[0].process
+            assert leaver is not None
+            self._leave(leaver)
+            self.world.run_for(2_000)
+            self.assertEqual([], self.done)
+        self.assertTrue(self.world.run_for(1_500, partial(bool, self.done)))
+        self.assertEqual([True], self.done)
+        core = leader.node.core
+        assert core is not None
+        self.assertIn(newcomer.name, [each.name for each in core.members])
+
     def test_it_ends_when_its_time_is_up(self) -> None:
         gone, leaver = self._others()
         self.world.kill(gone, None, power=True)
--- a/tests/system/test_simulation_planted.py
+++ b/tests/system/test_simulation_planted.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import unittest
+from unittest import mock
 
 import pytest
 
-from flintfield.simulation.explore import register
+from flintfield.simulation.explore import core_changes, register
 from flintfield.simulation.explore.explorer import Explored, explore
 from flintfield.simulation.explore.takeover import Budget, TakeoverWorld
 from flintfield.simulation.history import play
@@ -54,9 +55,11 @@
     """Every order of events, to a depth."""
 
     def setUp(self) -> None:
+        core_changes.forget_steps()
         register.step.cache_clear()
 
     def tearDown(self) -> None:
+        core_changes.forget_steps()
         register.step.cache_clear()
 
     def _register(self, depth: int, prepared: bool = False) -> Explored:
@@ -77,6 +80,33 @@
         with planted("skip-sealing"):
             self.assertIn("committed", self._register(8, prepared=True).broken)
 
+    def test_two_changes_of_the_set_and_a_lost_disk_lose_nothing(self) -> None:
+        limits = core_changes.Limits(3, elections=0, writes=1, unfinished=0)
+        explored = explore(core_changes.core_world(limits), 7)
+        self.assertEqual("", explored.broken)
+        self.assertGreater(explored.states, 4_000)
+
+    @pytest.mark.slow
+    def test_two_changes_of_the_set_a_lost_disk_and_a_new_leader_lose_nothing(self) -> None:
+        for size, elections in ((3, 1), (4, 0)):
+            with self.subTest(size):
+                limits = core_changes.Limits(size, elections, writes=1, unfinished=0)
+                explored = explore(core_changes.core_world(limits), 40, most_states=3_000_000)
+                self.assertEqual("", explored.broken)
+                self.assertTrue(explored.complete)
+
+    def test_a_state_that_is_taken_while_the_old_set_still_serves_loses_an_item(self) -> None:
+        limits = core_changes.Limits(3, elections=0, writes=1, unfinished=0)
+        with planted("skip-sealing"):
+            explored = explore(core_changes.core_world(limits), 5)
+        self.assertIn("lacks", explored.broken)
+
+    def test_a_leaver_that_ends_before_its_place_is_taken_leaves_no_majority(self) -> None:
+        limits = core_changes.Limits(3, elections=0, writes=0, unfinished=0)
+        with mock.patch.object(core_changes.CoreWorld, "may_leave", lambda self: True):
+            explored = explore(core_changes.core_world(limits), 3)
+        self.assertIn("no majority", explored.broken)
+
     def test_a_commit_at_a_single_replica_is_found(self) -> None:
         with planted("commit-at-one-replica"):
             self.assertIn("committed", self._register(5, prepared=True).broken)
