Share attempts on the register among the wishes of a process; keep no log above the state

Cause: a simulated history of 2,000 changes stood still after the first lost disk: each order ran its own ballots, so that a backlog of 50 orders at 4 processes passed each other's ballots; 281 of 2,000 changes came through, 1 a second, and it never recovered. The leader's log for lagging followers was bounded by 2 MiB whatever the size of the state: after 1,000 missed changes a replica with 86 kB was sent 595 kB.

Ruled out: longer pauses alone (the budget of 3 s runs out); sending changes to the leader (the register has none, by design). Weighed pauses in trials of 4, 9 and 17 processes: half an attempt at least, doubled three times.

Change: RegisterClient gathers the wishes of its process; one attempt proposes the value after all of them, and a wish may join until the value is proposed (argued in the module). The leader's log is bounded by the state's size.

--- a/flintfield/coordination/leader.py
+++ b/flintfield/coordination/leader.py
@@ -43,7 +43,9 @@
 )
 
 PIPELINE_DEPTH = 4  # appends under way to one follower: a write needn't wait for the round before it
-LOG_BYTES = 2 * 1024 * 1024  # of batches kept for followers that lag; beyond it they are sent the whole state
+# Of batches kept for followers that lag; beyond it, or beyond the size of the whole state, they are sent that
+LOG_BYTES = 2 * 1024 * 1024
+LEAST_LOG_BYTES = 64 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +79,7 @@
         self.followers: dict[int, Progress] = {}
         self._log: deque[tuple[Batch, int]] = deque()
         self._log_bytes = 0
+        self._item_bytes = sum(len(key) + len(value) for key, value in items.items())
         self._transfers = 0
         self._wall_offset_ms: int | None = None
         self.change_core(core)
@@ -90,15 +93,20 @@
         size = ENTRY_OVERHEAD_BYTES
         for key, value in changes:
             size += len(key) + len(value or b"") + ENTRY_OVERHEAD_BYTES
-            if value is None:
-                self.items.pop(key, None)
-            else:
-                self.items[key] = value
+            self._put(key, value)
         self._log.append((batch, size))
         self._log_bytes += size
         self._trim()
         return self.sequence
 
+    def _put(self, key: bytes, value: bytes | None) -> None:
+        before = self.items.pop(key, None)
+        if before is not None:
+            self._item_bytes -= len(key) + len(before)
+        if value is not None:
+            self.items[key] = value
+            self._item_bytes += len(key) + len(value)
+
     def lease_until_ms(self) -> int:
         """The steady time until which no other leader can have been elected."""
         times = sorted((progress.lease_from_ms for progress in self.followers.values()), reverse=True)
@@ -205,9 +213,10 @@
     def _trim(self) -> None:
         """Drop from the log what all followers have, and beyond the bound the oldest that is committed."""
         needed = min(progress.acked for progress in self.followers.values())
+        bound = min(LOG_BYTES, max(LEAST_LOG_BYTES, self._item_bytes))
         while self._log:
             sequence = self._log[0][0].sequence
-            if sequence > needed and (sequence > self.committed or self._log_bytes <= LOG_BYTES):
+            if sequence > needed and (sequence > self.committed or self._log_bytes <= bound):
                 return
             self._log_bytes -= self._log.popleft()[1]
 
--- a/flintfield/coordination/shell/register.py
+++ b/flintfield/coordination/shell/register.py
@@ -1,11 +1,18 @@
 """The configuration register's client: changes and linearizable reads by CASPaxos, under whatever set is
-newest."""
+newest.
+
+The wishes of one process share attempts: proposers that pass each other's ballots get nothing done, and the
+more there are, the less. A wish may join an attempt until its value is proposed. That is as good as if the
+attempt had begun later: if it is committed, a majority accepted its ballot after the wish had joined, so no
+change with a higher ballot was committed before, and those with a lower one were seen.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from flintfield.coordination.attempt import Attempt, Phase
 from flintfield.coordination.messages import Committed
@@ -15,11 +22,28 @@
 from flintfield.coordination.timing import CALL_TIMEOUT_MS, CHANGE_BUDGET_MS, CONTENTION_MS, READ_BUDGET_MS
 
 PROPOSER_BITS = 62
+LEAST_PAUSE = 0.5  # of the time that an attempt takes
 LONGEST_PAUSE_DOUBLINGS = 3
+LONGEST_PAUSE_MS = 800
+ATTEMPT_SMOOTHING = 0.2  # weight of the newest attempt in the estimate of how long one takes
 
 Decide = Callable[[bytes | None], bytes | None]
 
 
+@dataclass(slots=True, eq=False)
+class _Wish:
+    """A change or read that waits; `deadline_ms` is steady time."""
+
+    decide: Decide
+    deadline_ms: int
+    result: asyncio.Future[bytes | None]
+
+    @property
+    def open(self) -> bool:
+        """Whether its caller still waits."""
+        return not self.result.done()
+
+
 class Proposer:
     """Draws ballots that this process never uses twice, and runs attempts."""
 
@@ -50,10 +74,16 @@
         self._counter = max(self._counter, attempt.highest.counter)
         return attempt, value
 
-    async def pause(self, failures: int) -> None:
-        """Wait a random time after a lost ballot, so that of two proposers one gets through."""
-        longest_ms = CONTENTION_MS * 2 ** min(failures, LONGEST_PAUSE_DOUBLINGS)
-        await asyncio.sleep(self._rng.uniform(0.3, 1.0) * longest_ms / MS_PER_S)
+    async def pause(self, failures: int, attempt_ms: float = CONTENTION_MS) -> None:
+        """Wait a random time after a lost ballot, so that of several proposers one gets through.
+
+        It lasts for half of an attempt at least, so that whoever won may finish, and grows with the failures
+        in a row.
+        """
+        unit_ms = max(attempt_ms, CONTENTION_MS)
+        spread = 2 ** min(failures, LONGEST_PAUSE_DOUBLINGS)
+        pause_ms = unit_ms * self._rng.uniform(LEAST_PAUSE, LEAST_PAUSE + spread)
+        await asyncio.sleep(min(pause_ms, LONGEST_PAUSE_MS) / MS_PER_S)
 
 
 class RegisterClient:
@@ -68,29 +98,80 @@
         self._on_commit = on_commit
         self.on_sealed: Callable[[], None] = lambda: None
         self.lost_ballots = 0
+        self.attempts = 0
+        self._wishes: list[_Wish] = []
+        self._runs = False
+        self._attempt_ms = float(CONTENTION_MS)
 
     async def change(self, decide: Decide, budget_ms: int = CHANGE_BUDGET_MS) -> bytes | None:
         """Change the value as `decide` says (None: leave it); returns what is committed in the end.
 
         The value is accepted by a majority anew even where it stays, so that nothing proposed earlier with a
-        lower ballot can still come into force. Raises `NoQuorum`.
+        lower ballot can still come into force. Raises `NoQuorum`, and what `decide` raises.
         """
         deadline_ms = self._steady_ms() + budget_ms
+        await self._core(deadline_ms)
+        wish = _Wish(decide, deadline_ms, asyncio.get_running_loop().create_future())
+        self._wishes.append(wish)
+        if not self._runs:
+            self._runs = True
+            self._peers.start(self._run())
+        return await wish.result
+
+    async def _run(self) -> None:
+        """Make attempts until no wish is left."""
         failures = 0
-        while True:
-            core = await self._core(deadline_ms)
-            attempt, value = await self._proposer.attempt(core, Register.CONFIGURATION, decide)
-            if attempt.phase is Phase.COMMITTED:
-                self._committed(attempt, value)
-                return value
-            self.lost_ballots += 1
-            failures += 1
+        try:
+            while self._drop_late():
+                if await self._attempt():
+                    failures = 0
+                    continue
+                failures += 1
+                self.lost_ballots += 1
+                if self._drop_late():
+                    await self._proposer.pause(failures, self._attempt_ms)
+        finally:
+            self._runs = False
+            self._fail(self._wishes, "the process ends")
+
+    def _drop_late(self) -> bool:
+        """Give up the wishes whose time is over; True where others are left."""
+        now_ms = self._steady_ms()
+        self._fail([wish for wish in self._wishes if now_ms >= wish.deadline_ms],
+                   "no majority of the core took the ballot")
+        self._wishes = [wish for wish in self._wishes if wish.open]
+        return bool(self._wishes)
+
+    @staticmethod
+    def _fail(wishes: list[_Wish], reason: str) -> None:
+        for wish in wishes:
+            if wish.open:
+                wish.result.set_exception(NoQuorum(reason))
+
+    async def _attempt(self) -> bool:
+        """One attempt for all wishes that are there when its value is proposed; True if it is committed."""
+        core = self._knowledge.core
+        assert core is not None
+        joined: list[_Wish] = []
+
+        def decide_all(value: bytes | None) -> bytes | None:
+            joined.extend(self._wishes)
+            return _decide_in_turn(joined, value)
+
+        started_ms = self._steady_ms()
+        self.attempts += 1
+        attempt, value = await self._proposer.attempt(core, Register.CONFIGURATION, decide_all)
+        if attempt.phase is not Phase.COMMITTED:
             self._knowledge.note_core(attempt.newer)
             if attempt.sealed and attempt.newer is None:
                 self.on_sealed()
-            if self._steady_ms() >= deadline_ms:
-                raise NoQuorum("no majority of the core took the ballot")
-            await self._proposer.pause(failures)
+            return False
+        self._attempt_ms += ATTEMPT_SMOOTHING * (self._steady_ms() - started_ms - self._attempt_ms)
+        self._committed(attempt, value)
+        for wish in joined:
+            if wish.open:
+                wish.result.set_result(value)
+        return True
 
     async def settle(self) -> bytes | None:
         """A read that leaves a majority with one accepted ballot; raises `NoQuorum`."""
@@ -107,3 +188,21 @@
         self._on_commit(attempt.ballot, value)
         for member in attempt.core.members:
             self._peers.tell(member.address, Committed(attempt.ballot, value))
+
+
+def _decide_in_turn(wishes: list[_Wish], value: bytes | None) -> bytes | None:
+    """The value after all wishes, each on top of those before it; None where it stays.
+
+    One that raises is told so and changes nothing.
+    """
+    present = value
+    for wish in wishes:
+        if not wish.open:
+            continue
+        try:
+            wanted = wish.decide(present)
+        except Exception as error:
+            wish.result.set_exception(error)
+            continue
+        present = present if wanted is None else wanted
+    return None if present == value else present
--- a/tests/system/coordination_network.py
+++ b/tests/system/coordination_network.py
@@ -6,6 +6,7 @@
 import asyncio
 import inspect
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
@@ -44,6 +45,7 @@
         self._rng = rng
         self.weather = Weather()
         self.carried = 0
+        self.bytes_to: Counter[str] = Counter()  # by the receiver's address
 
     def delays_ms(self, source: str, target: str) -> list[int]:
         """After which times the copies of a message arrive; none: it is lost."""
@@ -65,6 +67,7 @@
         """Carry a request or one-way message; `reply` is called in the source's loop with an answer or an
         error."""
         self.carried += 1
+        self.bytes_to[address] += len(data)
         for delay_ms in self.delays_ms(source.address, address):
             self._world.after(delay_ms, lambda: self._arrive(source, address, data, reply))
 
@@ -99,6 +102,7 @@
     def _back(self, address: str, source: Process, answer: Any, reply: Reply | None) -> None:
         if reply is None:
             return
+        self.bytes_to[source.address] += len(answer) if isinstance(answer, bytes) else 0
         for delay_ms in self.delays_ms(address, source.address):
             self._world.after(delay_ms, lambda: self._return(address, source, answer, reply))
 
