Take the network and its connections out of the simulator's circle of imports

Cause: connections, network, process and world imported each other's types. The network and its connections name what they need as protocols; Weather has a module of its own. What is left: process and world name each other (types only).

--- a/flintfield/simulation/connections.py
+++ b/flintfield/simulation/connections.py
@@ -3,24 +3,56 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
+from flintfield.simulation.loop import ProcessLoop
+from flintfield.simulation.weather import Weather
 from flintfield.transport.records import decode, encode
 from flintfield.transport.rpc import Handlers
 
-if TYPE_CHECKING:
-    from flintfield.simulation.network import Network
-    from flintfield.simulation.process import Process
-
 LOOK_AGAIN_MS = 60.0  # a connection whose bytes a cut holds up looks whether it is over
 USER_TIMEOUT_MS = 2_500.0  # bytes that are not acknowledged for so long end a connection
 RESET_MS = 2.0
 
 
+class Named(Protocol):
+    """A machine."""
+
+    name: str
+
+
+class Endpoint(Protocol):
+    """A process as its connections see it."""
+
+    alive: bool
+    loop: ProcessLoop
+    connections: list[SimulatedConnection]
+
+    @property
+    def machine(self) -> Named:
+        """Where it lives."""
+
+
+class Carrier(Protocol):
+    """What a connection needs of the network."""
+
+    weather: Weather
+    carried: int
+
+    def now_ms(self) -> float:
+        """True time."""
+
+    def after(self, delay_ms: float, action: Callable[[], None]) -> None:
+        """Have something happen."""
+
+    def stream_delay_ms(self) -> float:
+        """The delay of a piece of bytes on a path that is open."""
+
+
 class SimulatedConnection:
     """One end of a connection: the part of `transport.connection.Connection` that one-way traffic needs."""
 
-    def __init__(self, network: Network, process: Process, handlers: Handlers) -> None:
+    def __init__(self, network: Carrier, process: Endpoint, handlers: Handlers) -> None:
         self.closed = False
         self.other: SimulatedConnection | None = None
         self._network = network
--- a/flintfield/simulation/network.py
+++ b/flintfield/simulation/network.py
@@ -11,17 +11,13 @@
 import inspect
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
-from flintfield.simulation.connections import SimulatedConnection
+from flintfield.simulation.connections import Endpoint, SimulatedConnection
+from flintfield.simulation.weather import Weather
 from flintfield.transport.records import decode, encode
 from flintfield.transport.rpc import Handlers, Rejected, RpcError, Unanswered, Unreachable
 
-if TYPE_CHECKING:
-    from flintfield.simulation.process import Process
-    from flintfield.simulation.world import World
-
 LATE_MS = (50.0, 4_000.0)
 HELD_BY_CUT = 0.5  # of the messages that meet a cut come after it; the others are lost
 RETRANSMIT_MS = (200.0, 900.0)  # what a lost packet costs a connection
@@ -29,37 +25,34 @@
 Reply = Callable[[Any], None]
 
 
-@dataclass
-class Weather:
-    """How the links behave: chances, delays in ms, and which pairs of machines nothing passes between."""
+class Peer(Endpoint, Protocol):
+    """A process as the network sees it; `handlers` is None while it doesn't listen."""
+
+    handlers: Handlers | None
+
+
+class Surroundings(Protocol):
+    """What the network needs of the world: time, and who is at an address."""
 
-    delay_ms: tuple[float, float] = (0.4, 2.5)
-    lost: float = 0.0
-    doubled: float = 0.0
-    late: float = 0.0
-    cuts: dict[tuple[str, str], int] = field(default_factory=dict)  # directed pairs, and cuts that hold there
+    now_ms: float
+
+    def after(self, delay_ms: float, action: Callable[[], None]) -> None:
+        """Have something happen."""
 
-    def is_cut(self, source: str, target: str) -> bool:
-        """Whether nothing passes from the one machine to the other."""
-        return (source, target) in self.cuts
+    def machine_at(self, address: str) -> str:
+        """The name of the machine with this address."""
 
-    def cut(self, source: str, target: str) -> None:
-        """Let nothing pass; undone by as many calls of `join`."""
-        self.cuts[source, target] = self.cuts.get((source, target), 0) + 1
+    def process_at(self, address: str) -> Peer | None:
+        """The living process there."""
 
-    def join(self, source: str, target: str) -> None:
-        """End one cut."""
-        left = self.cuts.get((source, target), 0) - 1
-        if left > 0:
-            self.cuts[source, target] = left
-        else:
-            self.cuts.pop((source, target), None)
+    def has_power(self, address: str) -> bool:
+        """Whether somebody there would refuse a connection."""
 
 
 class Network:
     """Carries messages between machines; `weather` may be changed at any time."""
 
-    def __init__(self, world: World, rng: random.Random) -> None:
+    def __init__(self, world: Surroundings, rng: random.Random) -> None:
         self._world = world
         self._rng = rng
         self.weather = Weather()
@@ -97,14 +90,14 @@
 
     # Calls.
 
-    def request(self, source: Process, address: str, data: bytes, reply: Reply | None) -> None:
+    def request(self, source: Peer, address: str, data: bytes, reply: Reply | None) -> None:
         """Carry a request or one-way message; `reply` gets bytes or an error, in the source's loop."""
         self.carried += 1
         target = self._world.machine_at(address)
         for delay_ms in self.delays_ms(source.machine.name, target):
             self._world.after(delay_ms, lambda: self._arrive(source, address, data, reply))
 
-    def _arrive(self, source: Process, address: str, data: bytes, reply: Reply | None) -> None:
+    def _arrive(self, source: Peer, address: str, data: bytes, reply: Reply | None) -> None:
         name = self._world.machine_at(address)
         if self.weather.is_cut(source.machine.name, name):
             return
@@ -115,7 +108,7 @@
             return
         target.loop.call_soon(self._handle, target, source, data, reply)
 
-    def _handle(self, target: Process, source: Process, data: bytes, reply: Reply | None) -> None:
+    def _handle(self, target: Peer, source: Peer, data: bytes, reply: Reply | None) -> None:
         message = decode(data)
         handler = target.handlers.get(type(message)) if target.handlers is not None else None
         name = target.machine.name
@@ -128,24 +121,24 @@
         elif reply is not None:
             self._back(name, source, encode(result), reply)
 
-    async def _finish(self, name: str, source: Process, result: Any, reply: Reply | None) -> None:
+    async def _finish(self, name: str, source: Peer, result: Any, reply: Reply | None) -> None:
         answer = await result
         if reply is not None:
             self._back(name, source, encode(answer), reply)
 
-    def _back(self, name: str, source: Process, answer: Any, reply: Reply | None) -> None:
+    def _back(self, name: str, source: Peer, answer: Any, reply: Reply | None) -> None:
         if reply is None:
             return
         for delay_ms in self.delays_ms(name, source.machine.name):
             self._world.after(delay_ms, lambda: self._return(name, source, answer, reply))
 
-    def _return(self, name: str, source: Process, answer: Any, reply: Reply) -> None:
+    def _return(self, name: str, source: Peer, answer: Any, reply: Reply) -> None:
         if source.alive and not self.weather.is_cut(name, source.machine.name):
             source.loop.call_soon(reply, answer)
 
     # Connections.
 
-    async def connect(self, source: Process, address: str, handlers: Handlers,
+    async def connect(self, source: Peer, address: str, handlers: Handlers,
                       timeout_s: float) -> SimulatedConnection:
         """Open a connection; raises `Unreachable`."""
         loop = asyncio.get_running_loop()
@@ -157,7 +150,7 @@
         except TimeoutError as error:
             raise Unreachable(f"{address}: timed out") from error
 
-    def _open(self, source: Process, address: str, handlers: Handlers,
+    def _open(self, source: Peer, address: str, handlers: Handlers,
               waiter: asyncio.Future[SimulatedConnection]) -> None:
         name = self._world.machine_at(address)
         own = source.machine.name
@@ -190,7 +183,7 @@
 class SimulatedPool:
     """The part of `transport.rpc.Pool` that schedulers and agents use."""
 
-    def __init__(self, network: Network, process: Process) -> None:
+    def __init__(self, network: Network, process: Peer) -> None:
         self._network = network
         self._process = process
 
--- a/flintfield/simulation/process.py
+++ b/flintfield/simulation/process.py
@@ -7,11 +7,11 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
+from flintfield.simulation.connections import SimulatedConnection
 from flintfield.simulation.loop import ProcessLoop
 from flintfield.transport.rpc import Handlers
 
 if TYPE_CHECKING:
-    from flintfield.simulation.connections import SimulatedConnection
     from flintfield.simulation.world import Machine, World
 
 LATE_TIMER_MS = 1.0  # timers fire a little late
--- a/tests/system/test_simulation.py
+++ b/tests/system/test_simulation.py
@@ -14,7 +14,7 @@
 from flintfield.simulation.history import play
 from flintfield.simulation.judge import check
 from flintfield.simulation.loop import EndlessLoop, ProcessLoop
-from flintfield.simulation.network import Weather
+from flintfield.simulation.weather import Weather
 from flintfield.simulation.plans import Bounds
 from flintfield.simulation.planted import FAULTS, planted
 from flintfield.simulation.process import Process
