--- a/tests/system/support/scripted_peer.py
+++ b/tests/system/support/scripted_peer.py
@@ -72,7 +72,7 @@
         if self._script and self._script[0] is Deed.RESET_UNREAD:
             self._script.pop(0)
             await reader.readexactly(1)
-            _reset(writer)
+            reset(writer)
             return False
         self.requests.append(await _read_request(reader))
         deed = self._script.pop(0) if self._script else Deed.ANSWER
@@ -90,7 +90,7 @@
                 await reader.read()  # until the caller gives up
                 return False
             case Deed.RESET:
-                _reset(writer)
+                reset(writer)
                 return False
             case Deed.HALF:
                 writer.write(whole_answer()[:-len(ANSWER_BODY) // 2])
@@ -111,7 +111,8 @@
     return head + await reader.readexactly(length)
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Close so that the other side sees a reset."""
     sock: socket.socket = writer.get_extra_info("socket")
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO)
     writer.transport.abort()
