Read the change once more: share the scripted peer, test readiness in cuts; bodies that were missing

Cause: the scripted RPC peer repeated the start, stop and serve of the HTTP one; the test on readiness in a cut compared two constants and played no cut; a continuation line and an import stood askew after a rename.

Change: ScriptedRpcPeer extends ScriptedPeer; the cut off process is asked for its readiness in four ways of cutting for leader, follower and a scheduler without a disk: not ready within 2.5 s, ready again within 2.5 s of the healing. The lines are straight. Measured: the 18 tests of call ends and of the contract and 7 of cuts pass.

--- a/flintfield/console/rpc_client.py
+++ b/flintfield/console/rpc_client.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
-from flintfield.coordination.messages import LeaderAnswer, KnownLeader, WhereIsLeader
+from flintfield.coordination.messages import KnownLeader, LeaderAnswer, WhereIsLeader
 from flintfield.coordination.model import CoreSet
 from flintfield.jobs.messages import NotDispatcher
 from flintfield.observe.messages import ProcessStatus
--- a/flintfield/coordination/replica.py
+++ b/flintfield/coordination/replica.py
@@ -231,7 +231,7 @@
         order, register = self.follower.order, self.configuration
         stopped = self.active is not None and self.serving is None
         return Step(StateAnswer(self.identity, self.active, stopped, order.promised, order.position,
-                              register.accepted, register.value))
+                                register.accepted, register.value))
 
     def _ask_part(self, now_ms: int, request: AskPart) -> Step:
         return Step(self.snapshots.part(now_ms, request), at_once=True)
--- a/tests/system/test_coordination_cuts.py
+++ b/tests/system/test_coordination_cuts.py
@@ -16,7 +16,7 @@
 from flintfield.coordination.model import Ballot, NoQuorum
 from flintfield.coordination.shell.watcher import Round
 from flintfield.coordination.timing import POLL_HOLD_MS, POLL_JITTER_MS
-from flintfield.ingress.readiness import HEARD_WITHIN_MS
+from flintfield.ingress.readiness import HEARD_WITHIN_MS, Contact, is_ready
 from flintfield.ingress.server import IngressSettings
 
 from .coordination_world import Machine, Process, Violation, World
@@ -26,6 +26,7 @@
 STEP_MS = 100
 SILENT_AFTER_MS = ANSWERS_WITHIN_MS + POLL_HOLD_MS + POLL_JITTER_MS + STEP_MS
 """Polls that were held when the cut began may still be answered."""
+NOT_READY_AFTER_MS = SILENT_AFTER_MS - ANSWERS_WITHIN_MS + HEARD_WITHIN_MS
 CHANGE_BUDGET_MS = 3_400  # longest life of a change without a quorum, a call under way included
 BACK_MS = 2_500  # after the healing: confirmed again, a member again
 LENGTHS_MS = (1_000, 5_000, 20_000, 60_000)
@@ -70,6 +71,7 @@
         self.machine: Machine = self.process.machine
         self.ends = Ends()
         self.silent_after_ms: int | None = None
+        self.not_ready_after_ms: int | None = None
 
     def _process(self, victim: Victim) -> Process:
         leader = self.world.leader()
@@ -91,6 +93,8 @@
                 self._change_elsewhere()
             if not self.answers() and self.silent_after_ms is None:
                 self.silent_after_ms = self.world.now_ms - start_ms
+            if not self.ready() and self.not_ready_after_ms is None:
+                self.not_ready_after_ms = self.world.now_ms - start_ms
         self.world.heal()
 
     def _change_elsewhere(self) -> None:
@@ -133,6 +137,11 @@
         """Whether the victim would answer clients by its version."""
         return self.age_ms() <= ANSWERS_WITHIN_MS
 
+    def ready(self) -> bool:
+        """Whether the victim would call itself ready; it hears no dispatcher."""
+        return is_ready(Contact(draining=False, dispatcher_known=True, core_heard_ms_ago=self.age_ms(),
+                                dispatcher_heard_ms_ago=None))
+
 
 CUTS_OFF = [(way, victim) for way in (Way.BOTH, Way.DEAF, Way.MUTE, Way.CORE) for victim in Victim]
 
@@ -170,8 +179,14 @@
         self.assertIsNone(cut.silent_after_ms)
         self.assertEqual(Ends(confirmed=1), cut.ends)
 
-    def test_it_is_not_ready_before_its_version_may_no_longer_be_answered_by_for_long(self) -> None:
-        self.assertLessEqual(HEARD_WITHIN_MS, CONFIG_APPLY_MS)
+    def test_it_calls_itself_not_ready_soon_and_ready_again_after_the_cut(self) -> None:
+        for number, (way, victim) in enumerate(CUTS_OFF):
+            with self.subTest(way.value, victim=victim.value):
+                cut = Cut(200 + number, way, victim)
+                cut.play(LENGTHS_MS[1])
+                assert cut.not_ready_after_ms is not None
+                self.assertLessEqual(cut.not_ready_after_ms, NOT_READY_AFTER_MS)
+                self.assertTrue(cut.world.run_for(BACK_MS, cut.ready))
 
     def _assert_back(self, cut: Cut) -> None:
         world = cut.world
--- a/tests/system/test_transport_call_ends.py
+++ b/tests/system/test_transport_call_ends.py
@@ -5,7 +5,6 @@
 import asyncio
 import socket
 import unittest
-from collections.abc import Sequence
 
 from flintfield.transport.errors import RpcError, Unanswered, Unreachable
 from flintfield.transport.frames import LENGTH, REPLY, FrameReader, FrameWriter
@@ -13,58 +12,28 @@
 from flintfield.transport.records import decode
 from flintfield.transport.rpc import Pool
 
-from .support.scripted_peer import IP, Deed, reset
+from .support.scripted_peer import IP, Deed, ScriptedPeer, reset
 
 LONG_S = 30.0  # for calls that end by themselves, also on a busy machine
 SHORT_S = 0.3  # for calls whose silence is waited out
 ANSWER = IdentityAnswer("scripted", 7)
 
 
-class ScriptedRpcPeer:
-    """Reads whole frames and ends each request as its script says; answers those beyond it."""
-
-    def __init__(self, script: Sequence[Deed]) -> None:
-        self.requests = 0
-        self.connections = 0
-        self._script = list(script)
-        self._server: asyncio.Server | None = None
-        self._writers: list[asyncio.StreamWriter] = []
-
-    async def start(self) -> str:
-        """Listen; returns the address."""
-        self._server = await asyncio.start_server(self._serve, IP, 0)
-        return f"{IP}:{self._server.sockets[0].getsockname()[1]}"
-
-    async def stop(self) -> None:
-        """Close everything."""
-        assert self._server is not None
-        self._server.close()
-        for writer in self._writers:
-            writer.close()
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.connections += 1
-        self._writers.append(writer)
-        try:
-            while await self._exchange(reader, writer):
-                pass
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
-        finally:
-            writer.close()
+class ScriptedRpcPeer(ScriptedPeer):
+    """As its base, for frames: reads whole ones and ends each request as its script says."""
 
     async def _exchange(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
         head = await reader.readexactly(LENGTH.size)
         body = await reader.readexactly(LENGTH.unpack(head)[0])
         ((_, number, content),) = FrameReader().feed(head + body)
         assert isinstance(decode(content), AskIdentity)
-        self.requests += 1
+        self.requests.append(bytes(content))
         deed = self._script.pop(0) if self._script else Deed.ANSWER
-        return await self._do(deed, number, reader, writer)
+        return await self._answer(deed, number, reader, writer)
 
     @staticmethod
-    async def _do(deed: Deed, number: int, reader: asyncio.StreamReader,
-                  writer: asyncio.StreamWriter) -> bool:
+    async def _answer(deed: Deed, number: int, reader: asyncio.StreamReader,
+                      writer: asyncio.StreamWriter) -> bool:
         frames = FrameWriter()
         frames.append(REPLY, number, ANSWER)
         reply = bytes(frames.take())
@@ -118,7 +87,7 @@
                         self.assertEqual(ANSWER, await self.end(address))
                     timeout_s = SHORT_S if deed is Deed.SILENCE else LONG_S
                     self.assertIs(Unanswered, await self.end(address, timeout_s))
-                    self.assertEqual(2 if reused else 1, peer.requests)
+                    self.assertEqual(2 if reused else 1, len(peer.requests))
                     self.assertEqual(1, peer.connections)
 
     async def test_a_refused_connection_was_not_sent_anything(self) -> None:
@@ -130,13 +99,13 @@
         peer, address = await self.peer(Deed.TWO_ANSWERS)
         self.assertEqual([ANSWER, ANSWER], [await self.end(address) for _ in range(2)])
         self.assertEqual(1, self.pool.counters.late_replies)
-        self.assertEqual((2, 1), (peer.requests, peer.connections))
+        self.assertEqual((2, 1), (len(peer.requests), peer.connections))
 
     async def test_after_silence_the_next_call_has_a_connection_of_its_own(self) -> None:
         peer, address = await self.peer(Deed.SILENCE)
         self.assertIs(Unanswered, await self.end(address, SHORT_S))
         self.assertEqual(ANSWER, await self.end(address))
-        self.assertEqual((2, 2), (peer.requests, peer.connections))
+        self.assertEqual((2, 2), (len(peer.requests), peer.connections))
 
 
 if __name__ == "__main__":
