Membership: ask who speaks to us and is unknown for its table at once

News of a member is sent on 4 times by each member of a small group, two gossip ticks; a member that others do not know yet in that time, or that has not joined and so drops Alive, misses all of it. Then only the exchange of tables (30 s) tells it, although the other one probes it all the while. Change: a datagram for our present session from one that is not in the table opens an exchange with its sender, once a probe period at the most; counter unknown_spoke.

--- a/flintfield/membership/core.py
+++ b/flintfield/membership/core.py
@@ -18,7 +18,8 @@
 3. Gossip (`gossip`). Updates ride on all datagrams and, while there are any, on some of their own. Each is
    sent on about 4 log10 n times by each member, which reaches all with high probability [SWIM 4.1].
 4. Tables (`meeting`). Now and then two members compare all they know over a stream; so does who joins, and
-   who looks for members and seeds that are gone. That mends what gossip missed, and splits of any length.
+   who looks for members and seeds that are gone. That mends what gossip missed, and splits of any length. A
+   member that speaks to us and is not in our table is asked for its table at once.
 
 What differs from the models, and why.
 
@@ -145,6 +146,8 @@
             meeting.tell_of_death(turn, heard.source, entry)
     for part in heard.parts:
         _take(turn, heard, part)
+    if entry is None and turn.state.table.of_session(heard.sender) is None:
+        meeting.hear_unknown_member(turn, heard.source)
 
 
 def _take(turn: Turn, heard: Heard, part: Part) -> None:
--- a/flintfield/membership/meeting.py
+++ b/flintfield/membership/meeting.py
@@ -212,6 +212,23 @@
         open_exchange(turn, source)
 
 
+def hear_unknown_member(turn: Turn, source: Address) -> None:
+    """One that is not in our table speaks to us: exchange tables with it, once a probe period at the most.
+
+    Members that join at the same time can miss one another: the news of each is sent on a few times and no
+    more, and may all have gone out before we were known, or come while we had not joined. Without this, only
+    the periodic exchange (`Rules.exchange_ms`) would tell us.
+    """
+    state, meeting = turn.state, turn.state.meeting
+    if not meeting.joined or state.own.leaving:
+        return
+    if turn.now - meeting.unknown_asked_at < state.rules.probe_ms:
+        return
+    meeting.unknown_asked_at = turn.now
+    turn.count("unknown_spoke")
+    open_exchange(turn, source)
+
+
 # ---------------------------------------------------------------------- ourselves
 
 
--- a/flintfield/membership/state.py
+++ b/flintfield/membership/state.py
@@ -151,6 +151,7 @@
     next_gone: int = 0
     last_word: str = ""  # why an exchange failed
     last_astray: float = float("-inf")  # when we last told one that it went astray, or heard so
+    unknown_asked_at: float = float("-inf")  # when we last asked a member that we did not know for its table
     told_of_death_at: float = float("-inf")  # when we last told one that we hold it for dead
 
 
--- a/tests/test_membership_core.py
+++ b/tests/test_membership_core.py
@@ -133,6 +133,32 @@
     assert one.status() is not ALIVE
 
 
+def test_who_speaks_and_is_unknown_is_asked_for_its_table_once_a_period() -> None:
+    one = Alone()
+
+    def asked() -> list[Address]:
+        effects = step(one.state, one.now, Heard(X.address, 99, one.state.own.record.session, (Ping(1),)))
+        return [e.address for e in effects if isinstance(e, OpenExchange)]
+
+    assert asked() == [X.address]
+    assert asked() == []
+    one.wait(RULES.probe_ms)
+    assert asked() == [X.address]
+    one.wait(RULES.probe_ms)
+    one.hear(Alive(X))
+    assert asked() == []
+
+
+def test_a_member_that_missed_all_news_of_another_hears_of_it_by_its_first_probe() -> None:
+    world = World(1, RULES)
+    parties = world.settled(5)
+    one, other = parties[2], parties[4]
+    one.state.table.remove(other.name)
+    world.run(5 * RULES.probe_ms)  # the other's round of probes comes to everybody within four periods
+    assert (entry := one.state.table.get(other.name)) is not None
+    assert entry.status is ALIVE
+
+
 def test_a_tombstone_ends_and_its_age_goes_along_with_tables() -> None:
     one = Alone()
     keep = RULES.tombstone_keep_ms(1)
