Jobs: admission counts what a job's records take, within the room of the replicas' stores

Cause: the dispatcher took up to 48 MiB of bodies, whatever the disk; a replica's store holds 1/8 of its disk (16 MiB of 128 MB) and raises StorageFull beyond. Appends are in order, so a batch that no follower can store would hold up every later write, ends and cancels among them, for good. It takes a service without workers (its backlog is not estimated then), or large specs. Ruled out: letting shrinking writes pass (order), a larger part of the disk (compaction needs it). Change: a job counts as its body, 256 bytes and 360 bytes a task (two runs) until it has ended; admission refuses with 429 and Retry-After beyond 3/4 of the store's content (1/16 of the memory without a disk). restore() counts alike.

--- a/flintfield/coordination/storage/store.py
+++ b/flintfield/coordination/storage/store.py
@@ -29,6 +29,11 @@
 logger = logging.getLogger(__name__)
 
 
+def content_bound(limit_bytes: int) -> int:
+    """The largest content in bytes of a store whose files may take this many; beyond: `StorageFull`."""
+    return limit_bytes // LIVE_PART_OF_LIMIT
+
+
 class State(enum.Enum):
     """What the store is doing with its disk."""
 
@@ -69,7 +74,7 @@
         self.ring = ring
         self._items = items
         self._tools = tools
-        self._most_live_bytes = limit_bytes // LIVE_PART_OF_LIMIT
+        self._most_live_bytes = content_bound(limit_bytes)
         self._limit_bytes = limit_bytes
         self._most_frame_bytes = ring.empty_room // 2  # beside it, one more item always fits
         self._live_bytes = sum(entry_bytes(key, value) for key, value in items.items())
--- a/flintfield/jobs/admission.py
+++ b/flintfield/jobs/admission.py
@@ -7,12 +7,12 @@
 from flintfield.jobs.state import DispatcherState
 
 
-def refusal(state: DispatcherState, terms: Terms, body: bytes) -> str:
-    """Why a new job of these terms is refused, or ""."""
+def refusal(state: DispatcherState, terms: Terms, kept_bytes: int) -> str:
+    """Why a new job of these terms, which may take so many bytes in the store, is refused; or ""."""
     bounds = state.bounds
     if len(state.jobs) >= bounds.max_jobs:
         return "too many jobs are kept"
-    if state.body_bytes + len(body) > bounds.max_job_bytes:
+    if state.kept_bytes + kept_bytes > bounds.max_kept_bytes:
         return "too many bytes of jobs are kept"
     if _backlog_ms(state.service(terms.service), terms.priority) > bounds.backlog_ms:
         return "too much work waits for this service"
--- a/flintfield/jobs/body.py
+++ b/flintfield/jobs/body.py
@@ -63,6 +63,11 @@
         """Whether the steps run at set times."""
         return self.repeat_count > 0
 
+    @property
+    def tasks(self) -> int:
+        """How many tasks one occurrence has."""
+        return sum(step.count for step in self.steps)
+
     @property
     def occurrences(self) -> int:
         """How many times the steps run."""
@@ -96,7 +101,7 @@
     _check_number("intervalMs", job.interval_ms, MAX_AMOUNT)
     for index, step in enumerate(job.steps):
         _check_step(index, step)
-    if sum(step.count for step in job.steps) > MAX_TASKS:
+    if job.tasks > MAX_TASKS:
         raise MalformedJob(f"more than {MAX_TASKS} tasks")
 
 
--- a/flintfield/jobs/bounds.py
+++ b/flintfield/jobs/bounds.py
@@ -21,7 +21,7 @@
     hold_ms: int = 0  # 0: min(hold_max_ms - 500, 5000)
     silent_ms: int = 2_500  # a worker silent for longer gets no further hold; sound ones answer within 2,200
     max_jobs: int = 20_000  # jobs kept, ended ones included; beyond: 429
-    max_job_bytes: int = 48 << 20  # bodies kept; beyond: 429
+    max_kept_bytes: int = 12 << 20  # what jobs may take in the replicas' stores; beyond: 429
     backlog_ms: int = 40_000  # estimated work of a service that may wait; beyond: 429
     refused_retry_ms: int = 1_000  # Retry-After of a 429
     unready_retry_ms: int = 200  # Retry-After of a 503
--- a/flintfield/jobs/durable.py
+++ b/flintfield/jobs/durable.py
@@ -21,6 +21,11 @@
 
 JOB, END, OCCURRENCES, TASK = b"j", b"e", b"k", b"t"
 
+# What records take beside the body, with their keys: measured for the longest usual names, rounded up.
+JOB_RECORDS_BYTES = 256  # `JobRecord` without its body, `EndRecord` and `OccurrencesRecord`
+TASK_RECORD_BYTES = 360  # `TaskRecord` with two runs: one that is there, one whose end is not certain
+OPEN_OCCURRENCES = 2  # of a timed job: one that runs late, beside the next
+
 
 @dataclass(frozen=True, slots=True)
 class TermsRecord:
@@ -90,6 +95,12 @@
     runs: tuple[RunRecord, ...]
 
 
+def most_bytes(body: bytes, tasks: int, timed: bool) -> int:
+    """What a job may take in the store while it is active, all of its tasks placed (bytes)."""
+    occurrences = OPEN_OCCURRENCES if timed else 1
+    return len(body) + JOB_RECORDS_BYTES + tasks * occurrences * TASK_RECORD_BYTES
+
+
 def job_key(job: str) -> bytes:
     """Key of the accepted job."""
     return JOB + job.encode()
--- a/flintfield/jobs/ends.py
+++ b/flintfield/jobs/ends.py
@@ -187,7 +187,7 @@
         state = self._state
         was_active = job.state is JobState.ACTIVE
         left = self._close_occurrences(job)
-        state.body_bytes -= len(job.body)
+        state.kept_bytes -= job.kept_bytes
         job.end(job_state, state.wall_ms)
         state.record(job, Happening.JOB_ENDED, detail=job_state.name.lower())
         if was_active:
--- a/flintfield/jobs/intake.py
+++ b/flintfield/jobs/intake.py
@@ -112,15 +112,16 @@
             self._answer(call, 400, _reason(str(error)))
             return
         terms = terms_of(route)
-        reason = refusal(state, terms, body)
+        kept_bytes = durable.most_bytes(body, spec.tasks, spec.timed)
+        reason = refusal(state, terms, kept_bytes)
         if reason:
             state.counters.refused += 1
             self._answer(call, 429, _reason(reason), state.bounds.refused_retry_ms)
             return
         state.counters.accepted += 1
-        job = Job(job_id, route.name, terms, state.wall_ms, body, spec)
+        job = Job(job_id, route.name, terms, state.wall_ms, body, spec, kept_bytes=kept_bytes)
         state.jobs[job_id] = job
-        state.body_bytes += len(body)
+        state.kept_bytes += kept_bytes
         record = durable.JobRecord(route.name, durable.encode_terms(terms), job.accepted_wall_ms, body)
         state.put(durable.job_key(job_id), encode(record))
         state.after_write(partial(self._accepted, call, job))
--- a/flintfield/jobs/model.py
+++ b/flintfield/jobs/model.py
@@ -221,6 +221,7 @@
     state: JobState = JobState.ACCEPTING
     shown: JobState = JobState.ACCEPTING  # as far as it is durable: what clients are told
     submitted: bool = True
+    kept_bytes: int = 0  # what it may take in the store until it has ended
     started: bool = False
     chain: list[int] = field(default_factory=list)
     open: dict[int, Occurrence] = field(default_factory=dict)
--- a/flintfield/jobs/restore.py
+++ b/flintfield/jobs/restore.py
@@ -44,7 +44,9 @@
     def _job(self, job_id: str, record: durable.JobRecord) -> None:
         spec = read_job(record.body)
         terms = durable.decode_terms(record.terms)
-        job = Job(job_id, record.route, terms, record.accepted_wall_ms, record.body, spec)
+        kept_bytes = durable.most_bytes(record.body, spec.tasks, spec.timed)
+        job = Job(job_id, record.route, terms, record.accepted_wall_ms, record.body, spec,
+                  kept_bytes=kept_bytes)
         job.become_active()
         self._state.jobs[job_id] = job
 
@@ -108,7 +110,7 @@
     def _resume(self, job: Job) -> None:
         if job.ended:
             return
-        self._state.body_bytes += len(job.body)
+        self._state.kept_bytes += job.kept_bytes
         self._state.pending[job.route] += 1
         for occurrence in list(job.open.values()):
             self._resume_occurrence(occurrence)
--- a/flintfield/jobs/state.py
+++ b/flintfield/jobs/state.py
@@ -58,7 +58,7 @@
         self.jobs: dict[str, Job] = {}
         self.ended: deque[tuple[int, Job]] = deque()  # (common time of the end, job), oldest first
         self.pending: Counter[str] = Counter()  # by queue: jobs that have not ended
-        self.body_bytes = 0
+        self.kept_bytes = 0  # what the jobs that have not ended may take in the store
         self.workers: dict[str, WorkerRecord] = {}
         self.placeable: dict[str, Worker] = {}  # named by reports: what placement sees
         self.by_machine: dict[str, str] = {}
--- a/flintfield/observe/status.py
+++ b/flintfield/observe/status.py
@@ -9,7 +9,7 @@
 from flintfield import __version__ as RELEASE
 from flintfield.coordination.messages import KnownLeader
 from flintfield.coordination.storage.format import entry_bytes
-from flintfield.coordination.storage.store import LIVE_PART_OF_LIMIT, RingStore
+from flintfield.coordination.storage.store import RingStore, content_bound
 from flintfield.observe.messages import Counter, ProcessStatus, ReplicaStatus, StoreStatus
 from flintfield.observe.process import UNKNOWN, ProcessObserver
 from flintfield.observe.replica_store import replica_status
@@ -55,7 +55,7 @@
         return None
     live_bytes = sum(entry_bytes(key, value) for key, value in store.items.items())
     return StoreStatus(store.state.name.lower(), len(store.items), live_bytes,
-                       observer.store_limit_bytes // LIVE_PART_OF_LIMIT, store.ring.chain_bytes,
+                       content_bound(observer.store_limit_bytes), store.ring.chain_bytes,
                        round(store.stalled_ms(observer.steady_ms())))
 
 
--- a/flintfield/programs/scheduler.py
+++ b/flintfield/programs/scheduler.py
@@ -21,7 +21,7 @@
 from flintfield.control.view import ConfigurationView
 from flintfield.coordination.node import CoreNode
 from flintfield.coordination.storage import KeyedStore, MemoryStore, open_store
-from flintfield.coordination.storage.store import RingStore
+from flintfield.coordination.storage.store import RingStore, content_bound
 from flintfield.dispatch.service import DispatchService
 from flintfield.ingress.link import DispatcherLink
 from flintfield.ingress.server import IngressServer
@@ -41,6 +41,8 @@
 LOG = logging.getLogger("flintfield.scheduler")
 MEGABYTE = 1024 * 1024
 MS_PER_S = 1_000
+JOBS_PART_OF_STORE = 3 / 4  # the rest is for ended jobs, the configuration and the records of the core
+JOBS_PART_OF_MEMORY = 1 / 16  # of a replica without a disk, whose content is held in memory alone
 SHUTDOWN_RESERVE_S = 1.0  # of the grace period, kept for closing the store
 
 
@@ -58,12 +60,21 @@
     return open_store(settings.data_dir, settings.limits.disk_mb * MEGABYTE)
 
 
+def most_kept_bytes(settings: NodeSettings) -> int:
+    """What jobs may take in the stores of the replicas, which are taken to be alike (bytes)."""
+    limits = settings.limits
+    if settings.data_dir is None:
+        return round(limits.memory_mb * MEGABYTE * JOBS_PART_OF_MEMORY)
+    return round(content_bound(limits.disk_mb * MEGABYTE) * JOBS_PART_OF_STORE)
+
+
 def dispatcher_bounds(settings: NodeSettings) -> DispatcherBounds:
     """The bounds of the dispatcher, as this deployment sets them."""
     bounds = settings.bounds
     return DispatcherBounds(
         hold_max_ms=bounds.hold_max_ms, stop_ms=bounds.stop_ms, gang_ms=bounds.gang_ms,
         early_ms=bounds.early_ms, status_s=round(bounds.status_s), far_x=bounds.far_x,
+        max_kept_bytes=most_kept_bytes(settings),
     )
 
 
--- /dev/null
+++ b/tests/system/test_jobs_long_history.py
@@ -0,0 +1,150 @@
+"""Many jobs in one history: what is kept in the store stays bounded, and a store near its bound recovers."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from dataclasses import replace
+from unittest import mock
+
+from flintfield.coordination.storage.format import entry_bytes
+from flintfield.coordination.storage.store import content_bound
+from flintfield.jobs import durable
+from flintfield.jobs.messages import JobAnswer, Method
+from flintfield.programs.scheduler import MEGABYTE, dispatcher_bounds
+from flintfield.runtime.settings import Limits, NodeSettings
+
+from .jobs_world import World, job_id, simple
+
+JOBS = 20_000
+JOBS_AT_ONCE = 20
+BATCH_MS = 500.0  # 40 jobs a second
+TAKEOVER_EVERY = 2_500  # jobs
+STATUS_S = 10
+MOST_STORE_BYTES = 400_000  # of 1,200 ended jobs and some tens of active ones
+SPEC_BYTES = 2_000
+TASKS = 12  # of a job
+MOST_JOBS = 1_000
+
+
+def stored_bytes(world: World) -> int:
+    """What the dispatcher's records take in a replica's store."""
+    return sum(entry_bytes(key, value) for key, value in world.store.items())
+
+
+class TwentyThousandJobs(unittest.TestCase):
+    """With changes of the dispatcher in between."""
+
+    def test_the_store_stays_bounded_and_every_job_is_done_once(self) -> None:
+        world = World(seed=5, machines=4, cpu=16_000)
+        world.bounds = replace(world.bounds, status_s=STATUS_S)
+        world.elect()
+        world.run(2_000)
+        largest = 0
+        for first in range(0, JOBS, JOBS_AT_ONCE):
+            if first and first % TAKEOVER_EVERY == 0:
+                world.fail_dispatcher()
+                world.elect()
+            for number in range(first, first + JOBS_AT_ONCE):
+                world.submit(job_id(number), [{"count": 1, "cpu": 500, "memMb": 10, "estimateMs": 200}],
+                             simple(200))
+            world.run(BATCH_MS)
+            largest = max(largest, stored_bytes(world))
+        world.run(5_000)
+        accepted = {told.job for told in world.told
+                    if told.method is Method.SUBMIT and told.answer.status == 200}
+        done = {seen.task.partition(".")[0] for seen in world.seen if seen.how == "done"}
+        self.assertGreater(len(accepted), JOBS * 98 // 100)
+        self.assertEqual(set(), accepted - done)
+        self.assertLess(largest, MOST_STORE_BYTES)
+        world.run(STATUS_S * 1_500 + 1_000)
+        self.assertEqual(0, stored_bytes(world))
+
+
+class NearTheBound(unittest.TestCase):
+    """Work comes while there is no worker, until the store has no room for more."""
+
+    def setUp(self) -> None:
+        self.bound = content_bound(1 * MEGABYTE)
+        self.world = World(seed=6, machines=0)
+        self.world.bounds = replace(self.world.bounds, max_kept_bytes=self.bound * 3 // 4)
+        self.world.elect()
+        self.world.run(2_000)
+
+    def fill(self, first: int = 0) -> int:
+        """Hand jobs in until one is refused; returns how many were accepted."""
+        for number in range(first, first + MOST_JOBS):
+            answer = self.hand_in(job_id(number))
+            if answer.status != 200:
+                self.assertEqual((429, 1_000), (answer.status, answer.retry_after_ms))
+                return number - first
+        raise AssertionError("nothing was refused")
+
+    def hand_in(self, job: str) -> JobAnswer:
+        """Submit a job of some tasks."""
+        steps = [{"count": TASKS, "cpu": 100, "memMb": 10, "estimateMs": 500}]
+        body = json.dumps({"spec": "s" * SPEC_BYTES, "steps": steps}).encode()
+        self.world.plans.setdefault(job, simple(500))
+        return self.world.ask(Method.SUBMIT, job, body=body)
+
+    def test_jobs_are_refused_in_time_and_what_was_accepted_is_done_within_the_bound(self) -> None:
+        accepted = self.fill()
+        self.assertGreater(accepted, 10)
+        largest = stored_bytes(self.world)
+        for name in ("m0", "m1", "m2"):
+            self.world.add_machine(name, 16_000)
+        for _ in range(300):
+            self.world.run(100)
+            largest = max(largest, stored_bytes(self.world))
+        for number in range(accepted):
+            self.assertEqual("completed", self.world.state_of(job_id(number)))
+        self.assertLess(largest, self.bound)
+        for machine in self.world.machines.values():
+            machine.cut = True
+        self.world.run(20_000)
+        self.assertEqual(accepted, self.fill(accepted))
+
+    def test_a_new_dispatcher_counts_the_same(self) -> None:
+        self.fill()
+        assert self.world.dispatcher is not None
+        counted = self.world.dispatcher.state.kept_bytes
+        self.world.fail_dispatcher()
+        self.world.elect()
+        assert self.world.dispatcher is not None
+        self.assertEqual(counted, self.world.dispatcher.state.kept_bytes)
+
+    def test_without_tasks_in_the_count_the_store_would_be_full(self) -> None:
+        """The line of defence: the records of tasks that are yet to be placed have their room beforehand."""
+        with mock.patch.object(durable, "most_bytes", lambda body, tasks, timed: len(body)):
+            self.fill()
+        for name in ("m0", "m1", "m2"):
+            self.world.add_machine(name, 16_000)
+        largest = 0
+        for _ in range(100):
+            self.world.run(100)
+            largest = max(largest, stored_bytes(self.world))
+        self.assertGreater(largest, self.bound)
+
+
+def node_settings(data_dir: str | None, limits: Limits) -> NodeSettings:
+    """The settings of a replica's process."""
+    return NodeSettings("frontend-a-1", "scheduler", "10.1.0.1", "a", (7_000, 7_015), data_dir=data_dir,
+                        limits=limits)
+
+
+class TheBoundOfADeployment(unittest.TestCase):
+    """What the settings of a process say."""
+
+    def test_it_leaves_room_in_the_replicas_store(self) -> None:
+        for disk_mb in (32, 128, 192):
+            settings = node_settings("/data", Limits(disk_mb=disk_mb))
+            bounds = dispatcher_bounds(settings)
+            self.assertLess(bounds.max_kept_bytes, content_bound(disk_mb * MEGABYTE))
+
+    def test_without_a_disk_it_is_a_part_of_the_memory(self) -> None:
+        settings = node_settings(None, Limits(memory_mb=320))
+        self.assertEqual(20 * MEGABYTE, dispatcher_bounds(settings).max_kept_bytes)
+
+
+if __name__ == "__main__":
+    unittest.main()
