Repair times: full and slow disks apart from stalled ones, of another replica and of the newcomer

Cause: docs/system-faults.md said that full and slow disks were not measured apart; what was called a slow disk stalled. Change: five kinds of disk trouble in tests/system/coordination_repair.py; bounds for each in test_coordination_repair.py (the same 3.6 s as the stalled one had; 4 s are promised).

--- a/tests/system/coordination_repair.py
+++ b/tests/system/coordination_repair.py
@@ -16,11 +16,13 @@
 from dataclasses import dataclass
 from functools import partial
 
+from .coordination_disk import Platter
 from .coordination_world import RESTART_MS, Machine, World
 
 NEWCOMER_MS = 1_000  # from a loss for good until an empty machine starts at another address
 GRACE_MS = 4_500  # from SIGTERM until the process ends
 DISK_TROUBLE_MS = 2_000
+SLOW_SYNC_MS = (120, 270)  # 30 times as long as usual
 LONGEST_MS = 20_000
 SETTLING_MS = 1_000
 WRITES = 40
@@ -37,7 +39,11 @@
     NEW_NAME = "new name, new address"
     PLANNED = "planned: newcomer first, then SIGTERM"
     RESTARTED_IN_TRANSFER = "wiped, restarted in the midst of its transfer"
-    SLOW_DISK = "wiped, while another's disk stalls"
+    STALLED_DISK = "wiped, while another's disk stalls"
+    SLOW_DISK = "wiped, while another's disk is slow"
+    FULL_DISK = "wiped, while another's disk is full"
+    OWN_DISK_SLOW = "wiped, its new disk slow"
+    OWN_DISK_FULL = "wiped, its new disk full at first"
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,14 +116,42 @@
             world.wipe(victim)
             world.run_for(RESTART_MS + world.rng.randint(20, 400))
             world.kill(victim)
-        case Repair.SLOW_DISK:
-            other = world.rng.choice([machine for machine in others if machine is not victim])
-            other.platter.stalled_until_ms = world.now_ms + DISK_TROUBLE_MS
-            world.wipe(victim)
+        case _:
+            _trouble_a_disk(world, repair, victim, others)
     world.run_for(1)
     return lost_ms
 
 
+def _trouble_a_disk(world: World, repair: Repair, victim: Machine, others: list[Machine]) -> None:
+    """A disk is lost, and one disk has trouble from then on."""
+    world.wipe(victim)
+    other = world.rng.choice([machine for machine in others if machine is not victim])
+    match repair:
+        case Repair.STALLED_DISK:
+            other.platter.stalled_until_ms = world.now_ms + DISK_TROUBLE_MS
+        case Repair.SLOW_DISK:
+            _slow_down(world, other.platter)
+        case Repair.FULL_DISK:
+            _fill(world, other.platter)
+        case Repair.OWN_DISK_SLOW:
+            _slow_down(world, victim.platter)
+        case Repair.OWN_DISK_FULL:
+            _fill(world, victim.platter)
+
+
+def _slow_down(world: World, platter: Platter) -> None:
+    """Syncs take 30 times as long for a while."""
+    usual_ms = platter.sync_ms
+    platter.sync_ms = SLOW_SYNC_MS
+    world.after(DISK_TROUBLE_MS, partial(setattr, platter, "sync_ms", usual_ms))
+
+
+def _fill(world: World, platter: Platter) -> None:
+    """Nothing becomes durable for a while."""
+    platter.failing = True
+    world.after(DISK_TROUBLE_MS, partial(setattr, platter, "failing", False))
+
+
 def _replace_as_planned(world: World, victim: Machine) -> int:
     """A newcomer stands beside it, SIGTERM comes, the process ends after its grace period."""
     _newcomer(world)
--- a/tests/system/test_coordination_repair.py
+++ b/tests/system/test_coordination_repair.py
@@ -21,7 +21,11 @@
     Repair.NEW_NAME: 2_600,
     Repair.PLANNED: 10,
     Repair.RESTARTED_IN_TRANSFER: 1_800,
+    Repair.STALLED_DISK: 3_600,
     Repair.SLOW_DISK: 3_600,
+    Repair.FULL_DISK: 3_600,
+    Repair.OWN_DISK_SLOW: 3_600,
+    Repair.OWN_DISK_FULL: 3_600,
 }
 
 
