--- a/flintfield/simulation/process.py
+++ b/flintfield/simulation/process.py
@@ -5,15 +5,13 @@
 import random
 from collections.abc import Callable
 from functools import partial
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from flintfield.simulation.connections import SimulatedConnection
 from flintfield.simulation.loop import ProcessLoop
+from flintfield.simulation.world import Machine, World
 from flintfield.transport.rpc import Handlers
 
-if TYPE_CHECKING:
-    from flintfield.simulation.world import Machine, World
-
 LATE_TIMER_MS = 1.0  # timers fire a little late
 HANG_MS = (1_000.0, 2_500.0)  # until the peers of a machine without power give its connections up
 
--- a/flintfield/simulation/world.py
+++ b/flintfield/simulation/world.py
@@ -5,14 +5,11 @@
 import heapq
 import random
 from collections.abc import Callable, Iterator
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from flintfield.simulation.clock import MachineClock
 from flintfield.simulation.disk import Platter
-from flintfield.simulation.network import Network
-
-if TYPE_CHECKING:
-    from flintfield.simulation.process import Process
+from flintfield.simulation.network import Network, Peer
 
 MOST_EVENTS = 3_000_000  # of one history; more is a storm
 
@@ -21,6 +18,16 @@
     """A history has more events than any sound one."""
 
 
+class MachineProcess(Peer, Protocol):
+    """A life of a process as its machine sees it."""
+
+    def kill(self, power: bool) -> None:
+        """End it without a word; `power` tells whether the whole machine has lost power."""
+
+    def later(self, delay_ms: float, action: Callable[[], None]) -> None:
+        """Have something happen in this life."""
+
+
 class Machine:
     """An address with clocks and a disk; lives of one process come and go on it."""
 
@@ -29,7 +36,7 @@
         self.address = address
         self.clock = clock
         self.platter = Platter()
-        self.process: Process | None = None
+        self.process: MachineProcess | None = None
         self.powered = True
         self.lives = 0
         self.frozen_until_ms = 0.0
@@ -41,7 +48,7 @@
     def __init__(self, rng: random.Random) -> None:
         self.now_ms = 0.0
         self.machines: dict[str, Machine] = {}
-        self.graveyard: list[Process] = []  # kept to the end, so that no garbage is collected on the way
+        self.graveyard: list[MachineProcess] = []  # kept to the end, so that no garbage is collected on the way
         self.trace: list[tuple[float, str]] = []
         self.network = Network(self, random.Random(rng.getrandbits(64)))
         self.events = 0
@@ -66,7 +73,7 @@
         machine = self._by_address.get(address)
         return machine.name if machine is not None else address
 
-    def process_at(self, address: str) -> Process | None:
+    def process_at(self, address: str) -> MachineProcess | None:
         """The living process there."""
         machine = self._by_address.get(address)
         return machine.process if machine is not None else None
@@ -76,7 +83,7 @@
         machine = self._by_address.get(address)
         return machine is not None and machine.powered
 
-    def processes(self) -> Iterator[Process]:
+    def processes(self) -> Iterator[MachineProcess]:
         """All living processes."""
         return (machine.process for machine in self.machines.values() if machine.process is not None)
 
