--- a/flintfield/simulation/world.py
+++ b/flintfield/simulation/world.py
@@ -48,7 +48,7 @@
     def __init__(self, rng: random.Random) -> None:
         self.now_ms = 0.0
         self.machines: dict[str, Machine] = {}
-        self.graveyard: list[MachineProcess] = []  # kept to the end, so that no garbage is collected on the way
+        self.graveyard: list[MachineProcess] = []  # kept to the end: no garbage is collected on the way
         self.trace: list[tuple[float, str]] = []
         self.network = Network(self, random.Random(rng.getrandbits(64)))
         self.events = 0
