--- a/benchmarks/callers.py
+++ b/benchmarks/callers.py
@@ -65,10 +65,19 @@
         load = self.load
         if load.page:
             return b"GET %b HTTP/1.1\r\nHost: origin.svc\r\n\r\n" % load.page.encode()
-        return (b"POST /%b HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: %016x\r\nReq-Kind: %b\r\n"
-                b"Req-Deadline: %dm\r\nReq-Cost: %d\r\nContent-Length: %d\r\n\r\n%b" % (
-                    load.cls.encode(), self.random.getrandbits(64), load.cls.encode(), load.wait_ms,
-                    load.cost_us, load.body, self.body))
+        return (
+            b"POST /%b HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: %016x\r\nReq-Kind: %b\r\n"
+            b"Req-Deadline: %dm\r\nReq-Cost: %d\r\nContent-Length: %d\r\n\r\n%b"
+            % (
+                load.cls.encode(),
+                self.random.getrandbits(64),
+                load.cls.encode(),
+                load.wait_ms,
+                load.cost_us,
+                load.body,
+                self.body,
+            )
+        )
 
     def note(self, status: int, seconds: float) -> None:
         """Count an answer."""
@@ -82,7 +91,9 @@
         for seconds in self.latencies:
             histogram.record_value(max(1, round(seconds * 1e6)))
         return {
-            "requests": len(self.latencies), "seconds": passed, "rate": len(self.latencies) / passed,
+            "requests": len(self.latencies),
+            "seconds": passed,
+            "rate": len(self.latencies) / passed,
             "statuses": {str(k): n for k, n in sorted(self.statuses.items())},
             "latency_us": {f"p{p}": histogram.get_value_at_percentile(p) for p in (50, 90, 99, 99.9)}
             | {"max": histogram.get_max_value()},
@@ -115,7 +126,7 @@
         at = head.lower().find(LENGTH)
         if at < 0 and not body.endswith(LAST_CHUNK):  # a node's own answer, passed on
             return
-        if at >= 0 and len(body) < int(head[at + len(LENGTH):].split(b"\r", 1)[0]):
+        if at >= 0 and len(body) < int(head[at + len(LENGTH) :].split(b"\r", 1)[0]):
             return
         self.buffer = b""
         self.tally.note(int(head[9:12]), time.perf_counter() - self.sent)
--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -14,8 +14,21 @@
 from benchmarks.model import CLASSES, RULES, Model, Plan, Trouble
 from benchmarks.suite import Options, Result, median_of
 from flintfield.decision.interface import (
-    AttemptEnded, Entry, ListMode, Note, Outcome, Probe, Probed, Report, Request, Send, ServerList, Settings,
-    SetTimer, State, Timer,
+    AttemptEnded,
+    Entry,
+    ListMode,
+    Note,
+    Outcome,
+    Probe,
+    Probed,
+    Report,
+    Request,
+    Send,
+    ServerList,
+    Settings,
+    SetTimer,
+    State,
+    Timer,
 )
 from flintfield.decision.policy import Dispatcher
 
@@ -52,10 +65,17 @@
     ticks = [statistics.median(d.tick_ns) / 1000.0 for d in days]
     worst = max(max(d.event_ns) for d in days) / 1000.0
     return [
-        median_of(f"decisions.job.{size}", "µs", "lower", [d.cost_us() for d in days],
-                  jobs=sum(d.jobs for d in days), worst_event_us=worst),
-        median_of(f"decisions.tick.{size}", "µs", "lower", ticks,
-                  most=max(max(d.tick_ns) for d in days) / 1000.0),
+        median_of(
+            f"decisions.job.{size}",
+            "µs",
+            "lower",
+            [d.cost_us() for d in days],
+            jobs=sum(d.jobs for d in days),
+            worst_event_us=worst,
+        ),
+        median_of(
+            f"decisions.tick.{size}", "µs", "lower", ticks, most=max(max(d.tick_ns) for d in days) / 1000.0
+        ),
     ]
 
 
@@ -70,8 +90,9 @@
         self.now, self.rid, self.took_us = 1_000.0, 0, 0.0
         self.entries = tuple(Entry(n) for n in range(1, nodes + 1))
         self.dispatcher = Dispatcher(self.settings, seed)
-        self.probed = [a.worker for a in self.tell(ServerList(ListMode.CACHED, self.entries))
-                       if isinstance(a, Probe)]
+        self.probed = [
+            a.worker for a in self.tell(ServerList(ListMode.CACHED, self.entries)) if isinstance(a, Probe)
+        ]
         for entry in self.entries if free is not None else ():
             self.tell(Probed(entry.worker, Outcome.OK, 1.0, Report(free=free, queue=0.0)))
 
@@ -163,7 +184,10 @@
 
 
 MOMENTS: tuple[tuple[str, str, Callable[[int, float], float]], ...] = (
-    ("decisions.list.whole", "ms", _whole_list), ("decisions.list.changes", "ms", _changes),
-    ("decisions.restart", "ms", _restart), ("decisions.idle", "ms/s", _idle),
-    ("decisions.free_slot", "µs", _free_slot), ("decisions.half_silent", "ms", _half_silent),
+    ("decisions.list.whole", "ms", _whole_list),
+    ("decisions.list.changes", "ms", _changes),
+    ("decisions.restart", "ms", _restart),
+    ("decisions.idle", "ms/s", _idle),
+    ("decisions.free_slot", "µs", _free_slot),
+    ("decisions.half_silent", "ms", _half_silent),
 )
--- a/benchmarks/lasting.py
+++ b/benchmarks/lasting.py
@@ -24,8 +24,12 @@
 CONNECTIONS = (1, 16)
 SECONDS = 2.0
 SYNCS = 200
-INIS = {"off": "", "jobstatus": "[jobstatus]\n", "synced": "[store]\ndir = {0}/synced\n",
-        "unsynced": "[store]\ndir = {0}/unsynced\nsync_ms = 100\n"}
+INIS = {
+    "off": "",
+    "jobstatus": "[jobstatus]\n",
+    "synced": "[store]\ndir = {0}/synced\n",
+    "unsynced": "[store]\ndir = {0}/unsynced\nsync_ms = 100\n",
+}
 
 
 def _sync_us(folder: Path) -> float:
@@ -52,25 +56,39 @@
             for cls in ("social-booking", "match-list"):
                 for connections in CONNECTIONS:
                     for name, target in targets.items():
-                        seen[cls, name, connections].append(stage.call(
-                            target, cls=cls, connections=connections, seconds=SECONDS * options.scale,
-                            warm_up=0.5 * options.scale, seed=options.seed + number))
+                        seen[cls, name, connections].append(
+                            stage.call(
+                                target,
+                                cls=cls,
+                                connections=connections,
+                                seconds=SECONDS * options.scale,
+                                warm_up=0.5 * options.scale,
+                                seed=options.seed + number,
+                            )
+                        )
     results = [median_of("lasting.sync", "us", "lower", syncs)]
     for (cls, name, connections), rounds in seen.items():
         end = f"{cls}.{name}.{connections}"
         results += [
-            median_of(f"lasting.rate.{end}", "requests/s", "higher", [r["rate"] for r in rounds],
-                      statuses=[r["statuses"] for r in rounds]),
+            median_of(
+                f"lasting.rate.{end}",
+                "requests/s",
+                "higher",
+                [r["rate"] for r in rounds],
+                statuses=[r["statuses"] for r in rounds],
+            ),
             median_of(f"lasting.cpu.{end}", "us/request", "lower", [r["cpu_us"] for r in rounds]),
-            *(median_of(f"lasting.{part}.{end}", "us", "lower", [r["latency_us"][part] for r in rounds])
-              for part in ("p50", "p99")),
+            *(
+                median_of(f"lasting.{part}.{end}", "us", "lower", [r["latency_us"][part] for r in rounds])
+                for part in ("p50", "p99")
+            ),
         ]
     return results
 
 
 def main() -> None:
     """Print all figures, and those of each round behind them."""
-    rounds, scale = (*sys.argv[1:], *("5", "1.0")[len(sys.argv) - 1:])
+    rounds, scale = (*sys.argv[1:], *("5", "1.0")[len(sys.argv) - 1 :])
     for result in run(Options(rounds=int(rounds), scale=float(scale))):
         seen = " ".join(f"{figure:.0f}" for figure in result.detail["rounds"])
         print(f"{result.name:<42} {result.value:>9.0f} {result.unit:<12} {seen}")
--- a/benchmarks/membership_bench.py
+++ b/benchmarks/membership_bench.py
@@ -60,8 +60,11 @@
         elif not body:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         else:
-            name = next(line.split(b":")[1].strip() for line in head.split(b"\r\n")
-                        if line.lower().startswith(b"req-id")).decode()
+            name = next(
+                line.split(b":")[1].strip()
+                for line in head.split(b"\r\n")
+                if line.lower().startswith(b"req-id")
+            ).decode()
             line = json.dumps({"id": name, "from": "s", "state": "done", "result": "ok"}).encode() + b"\n"
             self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(line), line))
             self.held = b""
@@ -69,6 +72,7 @@
 
 def serve_nodes(port: Any) -> None:
     """Two nodes in one process; tells their ports."""
+
     async def run() -> None:
         loop = asyncio.get_running_loop()
         servers = [await loop.create_server(Node, "127.0.0.1", 0) for _ in range(2)]
@@ -80,6 +84,7 @@
 
 def be_members(first: Address, count: int) -> None:
     """That many members in one process, which join through the scheduler's."""
+
     async def run() -> None:
         async with anyio.create_task_group() as tasks:
             meta = Meta(role="scheduler", zone="a", release="0.1.0", http="127.0.0.1:65000").encode()
@@ -113,22 +118,50 @@
 
 def begin(folder: Path, nodes: list[int], members: int, port: int) -> Started:
     """The real program, and its ports."""
-    listed = [{"instanceId": f"s-{p}", "hostPort": f"127.0.0.1:{p}", "zone": "a", "machineType": "m",
-               "cell": 0, "lifecycle": "in_service", "weight": 1.0, "startedAtMs": 0} for p in nodes]
-    settings = {"request_classes": [CLASS], "areas": ["a"], "shapes": ["m"], "membership_mode": "subscribe",
-                "family_info": {"tells_start": True, "report_x0": "free slots"}, "replicas_of_me": 1,
-                "limits": {"max_attempts": 6, "probes": True, "conn_idle_ms": 5000, "dial_timeout_ms": 250},
-                "report": {"fields": ["lat_ms", "rif", "q", "x0"], "how": "on_probe"}, "resolution_ms": 2,
-                "rules": {"drain_grace_ms": 400, "ask_within_ms": 2000}}
-    config = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
-              "settings": settings, "limits": {"sockets": 1024},
-              "known": {"generation": 1, "reset": True, "instances": listed}}
+    listed = [
+        {
+            "instanceId": f"s-{p}",
+            "hostPort": f"127.0.0.1:{p}",
+            "zone": "a",
+            "machineType": "m",
+            "cell": 0,
+            "lifecycle": "in_service",
+            "weight": 1.0,
+            "startedAtMs": 0,
+        }
+        for p in nodes
+    ]
+    settings = {
+        "request_classes": [CLASS],
+        "areas": ["a"],
+        "shapes": ["m"],
+        "membership_mode": "subscribe",
+        "family_info": {"tells_start": True, "report_x0": "free slots"},
+        "replicas_of_me": 1,
+        "limits": {"max_attempts": 6, "probes": True, "conn_idle_ms": 5000, "dial_timeout_ms": 250},
+        "report": {"fields": ["lat_ms", "rif", "q", "x0"], "how": "on_probe"},
+        "resolution_ms": 2,
+        "rules": {"drain_grace_ms": 400, "ask_within_ms": 2000},
+    }
+    config = {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "seed": "1",
+        "settings": settings,
+        "limits": {"sockets": 1024},
+        "known": {"generation": 1, "reset": True, "instances": listed},
+    }
     (folder / "config.json").write_text(json.dumps(config))
     section = f"[membership]\nport = {port}\n" if members else ""
     (folder / "ini").write_text(f"{section}[jobstatus]\n[statuspage]\nport = 0\n")
-    process = subprocess.Popen([sys.executable, "-m", "flintfield", "--ini", str(folder / "ini")], text=True,
-                               stdout=subprocess.PIPE, stderr=subprocess.DEVNULL,
-                               env={**os.environ, "LB_CONFIG": str(folder / "config.json")})
+    process = subprocess.Popen(
+        [sys.executable, "-m", "flintfield", "--ini", str(folder / "ini")],
+        text=True,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+        env={**os.environ, "LB_CONFIG": str(folder / "config.json")},
+    )
     assert process.stdout
     return process, json.loads(process.stdout.readline())
 
@@ -143,9 +176,11 @@
         for turn in range(int(seconds * rate / CONNECTIONS)):
             due = began + turn * CONNECTIONS / rate
             await asyncio.sleep(max(0.0, due - time.perf_counter()))
-            writer.write(b"POST /match-list HTTP/1.1\r\nHost: a\r\nReq-Id: %d-%d\r\n" % (number, turn)
-                         + b"Req-Kind: match-list\r\nReq-Deadline: 8000m\r\nReq-Cost: 900\r\n"
-                         + b"Content-Length: 3\r\n\r\njob")
+            writer.write(
+                b"POST /match-list HTTP/1.1\r\nHost: a\r\nReq-Id: %d-%d\r\n" % (number, turn)
+                + b"Req-Kind: match-list\r\nReq-Deadline: 8000m\r\nReq-Cost: 900\r\n"
+                + b"Content-Length: 3\r\n\r\njob"
+            )
             head = await reader.readuntil(b"\r\n\r\n")
             assert head.startswith(b"HTTP/1.1 200"), head
             length = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
@@ -198,8 +233,11 @@
                 process, ports = begin(own, nodes, members, port)
                 started.append((process, ports))
                 if members > 1:
-                    others.append(multiprocessing.Process(target=be_members, daemon=True,
-                                                          args=(("127.0.0.1", port), members - 1)))
+                    others.append(
+                        multiprocessing.Process(
+                            target=be_members, daemon=True, args=(("127.0.0.1", port), members - 1)
+                        )
+                    )
                     others[-1].start()
                     while counters(ports["port"]).get("membership.changes.alive", 0) < members - 1:
                         time.sleep(0.2)
@@ -227,11 +265,20 @@
         rss = resident(pid)
         took = asyncio.run(load(ports["port"], rate, seconds))
         busy = cpu_s(pid) - cpu - rest
-        told = {name: round((after.get(name, 0) - before.get(name, 0)) / seconds, 1) for name in after
-                if name.startswith("membership.") and after[name] != before.get(name, 0)}
-        return {"members": members, "rest_cpu": round(rest / seconds, 4), "rss_mb": round(rss / 2**20, 1),
-                "load_cpu": round(busy / seconds, 3), "requests": len(took), **percentiles(took),
-                "a_second": told}
+        told = {
+            name: round((after.get(name, 0) - before.get(name, 0)) / seconds, 1)
+            for name in after
+            if name.startswith("membership.") and after[name] != before.get(name, 0)
+        }
+        return {
+            "members": members,
+            "rest_cpu": round(rest / seconds, 4),
+            "rss_mb": round(rss / 2**20, 1),
+            "load_cpu": round(busy / seconds, 3),
+            "requests": len(took),
+            **percentiles(took),
+            "a_second": told,
+        }
 
 
 def compare(members: int, turns: int, seconds: float, rate: float) -> dict[str, object]:
--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -65,8 +65,11 @@
     time.sleep(SETTLE_S)
     cpu, seconds = program.cpu_s, IDLE_S * options.scale
     time.sleep(seconds)
-    return {"memory.wide.ready": ready * 1000, "memory.wide.rest": program.resident_kib,
-            "memory.wide.idle_cpu": (program.cpu_s - cpu) / seconds * 100}
+    return {
+        "memory.wide.ready": ready * 1000,
+        "memory.wide.rest": program.resident_kib,
+        "memory.wide.idle_cpu": (program.cpu_s - cpu) / seconds * 100,
+    }
 
 
 def _grown(stage: Stage, options: Options, many: int, **parts: Any) -> tuple[Running, int, int]:
@@ -125,8 +128,12 @@
     "memory.small.most": ("KiB", "lower"),
 }
 PARTS: dict[str, Callable[[Stage, Options], dict[str, float]]] = {
-    "memory.rest": rest, "memory.wide": wide, "memory.leg": legs, "memory.transaction.out": out,
-    "memory.transaction.held": held, "memory.small": small,
+    "memory.rest": rest,
+    "memory.wide": wide,
+    "memory.leg": legs,
+    "memory.transaction.out": out,
+    "memory.transaction.held": held,
+    "memory.small": small,
 }
 
 
--- a/benchmarks/model.py
+++ b/benchmarks/model.py
@@ -22,8 +22,28 @@
 from typing import Any
 
 from flintfield.decision.interface import (
-    AttemptEnded, Cancel, Effect, Entry, Fail, Limits, ListMode, Note, Outcome, Probe, Probed, Refuse, Report,
-    Request, RequestClass, Rules, Send, ServerList, SetTimer, Settings, State, Timer,
+    AttemptEnded,
+    Cancel,
+    Effect,
+    Entry,
+    Fail,
+    Limits,
+    ListMode,
+    Note,
+    Outcome,
+    Probe,
+    Probed,
+    Refuse,
+    Report,
+    Request,
+    RequestClass,
+    Rules,
+    Send,
+    ServerList,
+    SetTimer,
+    Settings,
+    State,
+    Timer,
 )
 from flintfield.decision.policy import Dispatcher
 
@@ -40,8 +60,14 @@
 )
 PORTIONS = (0.7, 0.3)  # of the jobs, by class
 WORK_MS = (700.0, 1_400.0)  # mean running time at speed 1, by class
-RULES = Rules(answer_slack_ms=20.0, drain_grace_ms=400.0, cold_from=0.35, cold_ms=8_000.0, fall_multiple=3.0,
-              fall_ms=1_000.0)
+RULES = Rules(
+    answer_slack_ms=20.0,
+    drain_grace_ms=400.0,
+    cold_from=0.35,
+    cold_ms=8_000.0,
+    fall_multiple=3.0,
+    fall_ms=1_000.0,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,8 +99,15 @@
 
     def settings(self, me: int) -> Settings:
         """What dispatcher `me` is told."""
-        return Settings(self.classes, me=me, dispatchers=self.dispatchers, tells_start=self.tells_start,
-                        worth_by_work=True, limits=self.limits, rules=RULES)
+        return Settings(
+            self.classes,
+            me=me,
+            dispatchers=self.dispatchers,
+            tells_start=self.tells_start,
+            worth_by_work=True,
+            limits=self.limits,
+            rules=RULES,
+        )
 
 
 class Node:
@@ -102,8 +135,10 @@
     def __init__(self, plan: Plan, seed: int, make: Callable[[Settings, int], Any] = Dispatcher) -> None:
         self.plan, self.now, self._count = plan, 0.0, 0
         nature, self._noise = random.Random(f"nature {seed}"), random.Random(f"noise {seed}")
-        self.nodes = {n: Node(n, plan.slots, nature.choice((0.8, 1.2, 2.0)) * nature.uniform(0.85, 1.15))
-                      for n in range(1, plan.nodes + 1)}
+        self.nodes = {
+            n: Node(n, plan.slots, nature.choice((0.8, 1.2, 2.0)) * nature.uniform(0.85, 1.15))
+            for n in range(1, plan.nodes + 1)
+        }
         self.dispatchers = [make(plan.settings(me), seed * 1000 + me) for me in range(plan.dispatchers)]
         self._moments: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self._jobs: dict[tuple[int, int], tuple[int, float, float]] = {}  # owed: (class, work, came)
@@ -158,7 +193,7 @@
             return
         self.at(self.now + draw.expovariate(self.rate), self._arrive)
         cls = 0 if draw.random() < PORTIONS[0] else min(1, len(self.plan.classes) - 1)
-        work = WORK_MS[cls] * draw.lognormvariate(-0.5 * 0.9 ** 2, 0.9)
+        work = WORK_MS[cls] * draw.lognormvariate(-0.5 * 0.9**2, 0.9)
         hint = work * draw.lognormvariate(0.0, 0.3)
         key = draw.randint(1, self.plan.keys) if self.plan.keys else 0
         me, self._last_rid = draw.randrange(len(self.dispatchers)), self._last_rid + 1
@@ -311,8 +346,9 @@
     def service(self) -> float:
         """Worth of what was in time over the worth that was asked for, half of it the worse class's own."""
         worth = [c.worth for c in self.plan.classes]
-        whole = (sum(w * s for w, s in zip(worth, self.served, strict=True))
-                 / sum(w * a for w, a in zip(worth, self.asked, strict=True)))
+        whole = sum(w * s for w, s in zip(worth, self.served, strict=True)) / sum(
+            w * a for w, a in zip(worth, self.asked, strict=True)
+        )
         worst = min(s / a for s, a in zip(self.served, self.asked, strict=True) if a)
         return (whole + worst) / 2
 
@@ -322,6 +358,10 @@
 
 
 ACTIONS: dict[type, Callable[[Model, int, Any], None]] = {
-    SetTimer: Model._timer, Probe: Model._probe, Refuse: Model._refuse, Fail: Model._refuse,
-    Send: Model._send, Cancel: Model._cancel,
+    SetTimer: Model._timer,
+    Probe: Model._probe,
+    Refuse: Model._refuse,
+    Fail: Model._refuse,
+    Send: Model._send,
+    Cancel: Model._cancel,
 }
--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -26,15 +26,24 @@
 def _measure(stage: Stage, options: Options) -> dict[tuple[str, int], list[dict[str, Any]]]:
     """What the callers saw, by target and connections, a round each."""
     nodes = stage.nodes(nodes=10, slots=64)
-    targets = {name: stage.scheduler(nodes) if name == "program" else stage.yardstick(name, nodes)
-               for name in TARGETS if options.wants(f"path.{name}")}
+    targets = {
+        name: stage.scheduler(nodes) if name == "program" else stage.yardstick(name, nodes)
+        for name in TARGETS
+        if options.wants(f"path.{name}")
+    }
     seen: dict[tuple[str, int], list[dict[str, Any]]] = defaultdict(list)
     for number in range(options.rounds):
         for connections in CONNECTIONS:
             for name, target in targets.items():
-                seen[name, connections].append(stage.call(
-                    target, connections=connections, seconds=SECONDS * options.scale,
-                    warm_up=0.5 * options.scale, seed=options.seed + number))
+                seen[name, connections].append(
+                    stage.call(
+                        target,
+                        connections=connections,
+                        seconds=SECONDS * options.scale,
+                        warm_up=0.5 * options.scale,
+                        seed=options.seed + number,
+                    )
+                )
     return seen
 
 
@@ -44,8 +53,17 @@
     limits = SETTINGS["limits"] | {"most_held": MOST_HELD}
     target = stage.scheduler(nodes, limits=limits)
     with stage.callers(target, connections=MOST_HELD, seconds=LONG_S, wait_ms=LONG_S * 1000):
-        rounds = [stage.call(target, connections=64, seconds=SECONDS * options.scale, part=0.85,
-                             warm_up=0.5 * options.scale, seed=2 + n) for n in range(options.rounds)]
+        rounds = [
+            stage.call(
+                target,
+                connections=64,
+                seconds=SECONDS * options.scale,
+                part=0.85,
+                warm_up=0.5 * options.scale,
+                seed=2 + n,
+            )
+            for n in range(options.rounds)
+        ]
     return _results("refused", 64, rounds)
 
 
@@ -56,22 +74,43 @@
     flood, quiet = [], []
     for _ in range(options.rounds):
         with stage.callers(target, connections=FLOOD, seconds=seconds + 1, source="127.0.0.2") as many:
-            quiet.append(stage.call(target, part=0.85, seconds=seconds, warm_up=0.2, source="127.0.0.3",
-                                    seed=2))
+            quiet.append(
+                stage.call(target, part=0.85, seconds=seconds, warm_up=0.2, source="127.0.0.3", seed=2)
+            )
             flood.append(many.told())
-    return [median_of(f"path.fair.{who}.{part}", "us", "lower", [r["latency_us"][part] for r in rounds])
-            for who, rounds in (("flood", flood), ("quiet", quiet)) for part in ("p50", "p99")]
+    return [
+        median_of(f"path.fair.{who}.{part}", "us", "lower", [r["latency_us"][part] for r in rounds])
+        for who, rounds in (("flood", flood), ("quiet", quiet))
+        for part in ("p50", "p99")
+    ]
 
 
 def _results(name: str, connections: int, rounds: list[dict[str, Any]]) -> list[Result]:
     begin, statuses = f"path.{name}", [r["statuses"] for r in rounds]
     return [
-        median_of(f"{begin}.rate.{connections}", "requests/s", "higher", [r["rate"] for r in rounds],
-                  statuses=statuses),
-        median_of(f"{begin}.cpu.{connections}", "us/request", "lower", [r["cpu_us"] for r in rounds],
-                  busy=[round(r["busy"], 3) for r in rounds]),
-        *(median_of(f"{begin}.latency.{part}.{connections}", "us", "lower",
-                    [r["latency_us"][part] for r in rounds]) for part in ("p50", "p99")),
+        median_of(
+            f"{begin}.rate.{connections}",
+            "requests/s",
+            "higher",
+            [r["rate"] for r in rounds],
+            statuses=statuses,
+        ),
+        median_of(
+            f"{begin}.cpu.{connections}",
+            "us/request",
+            "lower",
+            [r["cpu_us"] for r in rounds],
+            busy=[round(r["busy"], 3) for r in rounds],
+        ),
+        *(
+            median_of(
+                f"{begin}.latency.{part}.{connections}",
+                "us",
+                "lower",
+                [r["latency_us"][part] for r in rounds],
+            )
+            for part in ("p50", "p99")
+        ),
     ]
 
 
--- a/benchmarks/placement_cost.py
+++ b/benchmarks/placement_cost.py
@@ -1,6 +1,6 @@
 """What a decision and a tick cost, by the size of the fleet.
 
-    python -m benchmarks.placement_cost
+python -m benchmarks.placement_cost
 """
 
 from __future__ import annotations
@@ -43,13 +43,17 @@
         market.choose(demand, workers, now_ms)
         chosen.append(time.perf_counter() - began)
         if at % 10 == 0:
-            gang = [Demand(f"g{at}.0.0.{member}", "service", "queue0", 0, TASK, 2_000, together=True)
-                    for member in range(4)]
+            gang = [
+                Demand(f"g{at}.0.0.{member}", "service", "queue0", 0, TASK, 2_000, together=True)
+                for member in range(4)
+            ]
             began = time.perf_counter()
             market.choose_gang(gang, workers, now_ms)
             gangs.append(time.perf_counter() - began)
-    parts = [f"{1e6 * statistics.median(found):7.1f} {1e6 * sorted(found)[int(0.99 * len(found))]:7.1f}"
-             for found in (chosen, gangs, ticks)]
+    parts = [
+        f"{1e6 * statistics.median(found):7.1f} {1e6 * sorted(found)[int(0.99 * len(found))]:7.1f}"
+        for found in (chosen, gangs, ticks)
+    ]
     return f"{count:6d} {load:5.2f}   " + "   ".join(parts)
 
 
--- a/benchmarks/placement_model.py
+++ b/benchmarks/placement_model.py
@@ -198,8 +198,11 @@
             kinds = [kind for kind in KINDS if kind.service == service]
             work = [kind.rate * kind.steps * kind.width * kind.work_ms for kind in kinds]
             cpu = sum(part * kind.cpu for part, kind in zip(work, kinds, strict=True)) / cores
-            gpu = sum(part * statistics.mean(kind.gpus)
-                      for part, kind in zip(work, kinds, strict=True)) / gpus if gpus else 0.0
+            gpu = (
+                sum(part * statistics.mean(kind.gpus) for part, kind in zip(work, kinds, strict=True)) / gpus
+                if gpus
+                else 0.0
+            )
             rates.append(load / max(cpu, gpu))
         self._parts = {"gpu": rates[0], "cpu": rates[1]}
         return sum(kind.rate * self._parts[kind.service] for kind in KINDS)
@@ -214,25 +217,47 @@
         near = own.choice(racks) if own.random() < kind.near else ""
         self.figures.jobs += 1
         base_ms, error = around(own, kind.work_ms, 0.5), math.exp(own.gauss(0.0, kind.estimate_error))
-        job = Job(kind, f"j{self.figures.jobs}", self.now_ms, widths, base_ms, near, own.random() < kind.gang,
-                  own.choice(kind.gpus), error, own)
+        job = Job(
+            kind,
+            f"j{self.figures.jobs}",
+            self.now_ms,
+            widths,
+            base_ms,
+            near,
+            own.random() < kind.gang,
+            own.choice(kind.gpus),
+            error,
+            own,
+        )
         self._begin_step(job)
 
     def _begin_step(self, job: Job) -> None:
         kind, width = job.kind, job.widths[job.step]
         resources = Resources(kind.cpu, kind.memory_mb, job.gpu)
         works = [around(job.random, job.base_ms, 0.2) for _ in range(width)]
-        demands = [Demand(f"{job.name}.0.{job.step}.{at}", kind.service, kind.name, kind.priority, resources,
-                          int(works[at] * job.error), affinity=job.rack, together=job.gang,
-                          group=(job.name, 0, job.step)) for at in range(width)]
+        demands = [
+            Demand(
+                f"{job.name}.0.{job.step}.{at}",
+                kind.service,
+                kind.name,
+                kind.priority,
+                resources,
+                int(works[at] * job.error),
+                affinity=job.rack,
+                together=job.gang,
+                group=(job.name, 0, job.step),
+            )
+            for at in range(width)
+        ]
         job.chain_ms += max(works)
         if job.gang and width > 1:
             job.left = 1
             self.waiting.append(Task(job, demands, max(works), self.now_ms))
         else:
             job.left = width
-            self.waiting += [Task(job, [demand], work, self.now_ms)
-                             for demand, work in zip(demands, works, strict=True)]
+            self.waiting += [
+                Task(job, [demand], work, self.now_ms) for demand, work in zip(demands, works, strict=True)
+            ]
 
     def _dispatch(self) -> None:
         self.waiting.sort(key=lambda task: (task.job.kind.priority, task.ready_ms))
@@ -277,8 +302,10 @@
         run.since_ms = self.now_ms
         run.version += 1
         sick = self.sick.intersection(run.places)
-        run.rate = min(self.speed[place] / (SLOW_X if self.trouble == "slow" and place in sick else 1.0)
-                       for place in run.places)
+        run.rate = min(
+            self.speed[place] / (SLOW_X if self.trouble == "slow" and place in sick else 1.0)
+            for place in run.places
+        )
         ends_in, run.ends = run.left_ms / run.rate, Result.DONE
         if sick and self.trouble == "fail":
             ends_in, run.ends = FAIL_MS, Result.FAILED
@@ -357,10 +384,12 @@
         in_time = sum(run.in_time for run in runs) / max(1, sum(run.jobs for run in runs))
         cost = statistics.median([value for run in runs for value in run.choose_us])
         failed = sum(run.failed for run in runs)
-        yield (f"{workers:5d} {load:5.2f} {trouble:6s} {name:13s} {statistics.mean(task_ms):8.0f} "
-               f"{percentile(task_ms, 0.95):8.0f} {statistics.mean(ratios):7.2f} "
-               f"{percentile(ratios, 0.95):7.2f} "
-               f"{100 * in_time:7.1f} {failed:6d} {cost:7.1f}")
+        yield (
+            f"{workers:5d} {load:5.2f} {trouble:6s} {name:13s} {statistics.mean(task_ms):8.0f} "
+            f"{percentile(task_ms, 0.95):8.0f} {statistics.mean(ratios):7.2f} "
+            f"{percentile(ratios, 0.95):7.2f} "
+            f"{100 * in_time:7.1f} {failed:6d} {cost:7.1f}"
+        )
 
 
 def main() -> None:
--- a/benchmarks/placement_policies.py
+++ b/benchmarks/placement_policies.py
@@ -35,12 +35,16 @@
         placed = self.choose_gang([demand], workers, now_ms)
         return placed[0] if placed is not None else None
 
-    def choose_gang(self, demands: Sequence[Demand], workers: dict[str, Worker],
-                    now_ms: int) -> list[str] | None:
+    def choose_gang(
+        self, demands: Sequence[Demand], workers: dict[str, Worker], now_ms: int
+    ) -> list[str] | None:
         """All members in order, wherever their racks are."""
         first = demands[0]
-        options = [Option(worker, -self._order(worker)) for worker in workers.values()
-                   if worker.ready and worker.service == first.service]
+        options = [
+            Option(worker, -self._order(worker))
+            for worker in workers.values()
+            if worker.ready and worker.service == first.service
+        ]
         sound = [option for option in options if option.worker.instance not in first.avoid]
         return place_gang(demands, sound) or place_gang(demands, options)
 
--- a/benchmarks/planners.py
+++ b/benchmarks/planners.py
@@ -40,8 +40,10 @@
     "nodes-die": ({"trouble": [{"kind": "crash", "at_s": 8.0, "for_s": 4.0, "part": 0.25}]}, Setup()),
     "killed": ({}, Setup(outages=(Outage(8.0, 60.0, ALL),))),
     "never": ({}, Setup(outages=(Outage(0.0, 60.0, ALL),))),
-    "never-deploy": ({"trouble": [{"kind": "deploy", "at_s": 6.0, "for_s": 10.0, "part": 0.5}]},
-                     Setup(outages=(Outage(0.0, 60.0, ALL),))),
+    "never-deploy": (
+        {"trouble": [{"kind": "deploy", "at_s": 6.0, "for_s": 10.0, "part": 0.5}]},
+        Setup(outages=(Outage(0.0, 60.0, ALL),)),
+    ),
     "restarted": ({}, Setup(outages=(Outage(8.0, 11.0, ALL),))),
     "sleeping": ({}, Setup(outages=(Outage(6.0, 14.0, (0,), killed=False),))),
     "split": ({}, Setup(splits=(Split(6.0, 60.0, (0,)),))),
@@ -55,9 +57,17 @@
 
 def make_scenario(case: str, forwarders: int, nodes: int, level: float) -> scenarios.Scenario:
     """The fleet of `nodes-200`, so large, with the case's troubles."""
-    raw = {"extends": "nodes-200", "name": f"planners-{case}", "about": "A run of benchmarks/planners.py.",
-           "length_s": LENGTH_S, "load": {"level": level}, "schedulers": {"count": forwarders},
-           "fleet": {"nodes": nodes}, "discovery": {"lines_per_s": 20_000.0}, "trouble": []}
+    raw = {
+        "extends": "nodes-200",
+        "name": f"planners-{case}",
+        "about": "A run of benchmarks/planners.py.",
+        "length_s": LENGTH_S,
+        "load": {"level": level},
+        "schedulers": {"count": forwarders},
+        "fleet": {"nodes": nodes},
+        "discovery": {"lines_per_s": 20_000.0},
+        "trouble": [],
+    }
     return scenarios.parse(msgspec.toml.encode(scenarios.merged(raw, CASES[case][0])).decode(), case)
 
 
@@ -77,10 +87,19 @@
     else:
         play(scenario, seed, chooser, on_record=take)
     verdict = judge.verdict()
-    return {"case": case, "chooser": chooser, "seed": seed,
-            "fleet": [forwarders, nodes, level], "goal": verdict.service.goal,
-            "whole": verdict.service.whole, "worst_window": verdict.service.worst_window, "probes": probes,
-            "broken": dict(verdict.broken), "cpu_s": process_time() - began, "cost": cost}
+    return {
+        "case": case,
+        "chooser": chooser,
+        "seed": seed,
+        "fleet": [forwarders, nodes, level],
+        "goal": verdict.service.goal,
+        "whole": verdict.service.whole,
+        "worst_window": verdict.service.worst_window,
+        "probes": probes,
+        "broken": dict(verdict.broken),
+        "cpu_s": process_time() - began,
+        "cost": cost,
+    }
 
 
 def mean_and_width(values: list[float]) -> tuple[float, float]:
@@ -92,11 +111,16 @@
 
 def table(runs: list[dict[str, Any]], names: list[str]) -> str:
     """The runs as a table in Markdown."""
-    lines = ["| case | chooser | seeds | goal | against today's | whole | probes | rules broken |",
-             "| --- | --- | --- | --- | --- | --- | --- | --- |"]
+    lines = [
+        "| case | chooser | seeds | goal | against today's | whole | probes | rules broken |",
+        "| --- | --- | --- | --- | --- | --- | --- | --- |",
+    ]
     for case in names:
-        today = {r["seed"]: r["goal"] for r in runs
-                 if CASES[r["case"]][0] == CASES[case][0] and r["chooser"] == CHOOSERS[0]}
+        today = {
+            r["seed"]: r["goal"]
+            for r in runs
+            if CASES[r["case"]][0] == CASES[case][0] and r["chooser"] == CHOOSERS[0]
+        }
         for chooser in CHOOSERS:
             own = [r for r in runs if r["case"] == case and r["chooser"] == chooser]
             if not own:
@@ -105,14 +129,16 @@
             gain = "{:+.4f} ± {:.4f}".format(*mean_and_width(pairs)) if pairs else "-"
             broken = sum(sum(r["broken"].values()) for r in own)
             means = [statistics.mean(r[key] for r in own) for key in ("goal", "whole", "probes")]
-            lines.append(f"| {case} | {chooser} | {len(own)} | {means[0]:.4f} | {gain} | {means[1]:.4f} "
-                         f"| {means[2]:.0f} | {broken} |")
+            lines.append(
+                f"| {case} | {chooser} | {len(own)} | {means[0]:.4f} | {gain} | {means[1]:.4f} "
+                f"| {means[2]:.0f} | {broken} |"
+            )
     return "\n".join(lines)
 
 
 def is_first(case: str, names: list[str]) -> bool:
     """Whether no earlier case plays the same scenario: the other choosers are played there."""
-    return CASES[case][0] not in [CASES[name][0] for name in names[:names.index(case)]]
+    return CASES[case][0] not in [CASES[name][0] for name in names[: names.index(case)]]
 
 
 def main() -> None:
@@ -131,8 +157,13 @@
     runs = [json.loads(line) for line in out.read_text().splitlines()] if out and out.exists() else []
     runs = [r for r in runs if tuple(r["fleet"]) == fleet]
     known = {(r["case"], r["chooser"], r["seed"]) for r in runs}
-    jobs = [(case, chooser, seed) for seed in range(1, given.seeds + 1) for case in names
-            for chooser in given.chooser or CHOOSERS if chooser == "planned" or is_first(case, names)]
+    jobs = [
+        (case, chooser, seed)
+        for seed in range(1, given.seeds + 1)
+        for case in names
+        for chooser in given.chooser or CHOOSERS
+        if chooser == "planned" or is_first(case, names)
+    ]
     with ProcessPoolExecutor(2) as pool:
         for made in [pool.submit(run, *job, *fleet) for job in jobs if job not in known]:
             runs.append(made.result())
--- a/benchmarks/play_days.py
+++ b/benchmarks/play_days.py
@@ -117,8 +117,11 @@
 
 
 def _parser() -> argparse.ArgumentParser:
-    parser = argparse.ArgumentParser(prog="python -m benchmarks.play_days", description=__doc__,
-                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        prog="python -m benchmarks.play_days",
+        description=__doc__,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
     parser.add_argument("--bench", required=True, help="path of the users' bench")
     parser.add_argument("--site", required=True, help="path of a site file")
     parser.add_argument("--why", required=True, help="a line for the journal, under 120 characters")
--- a/benchmarks/queue_bench.py
+++ b/benchmarks/queue_bench.py
@@ -32,7 +32,14 @@
 from flintfield.queues import core
 from flintfield.queues.attributes import Settings
 from flintfield.queues.records import (
-    MESSAGE, META, NUMBER, QUEUE, BodyRecord, QueueRecord, encode, message_key,
+    MESSAGE,
+    META,
+    NUMBER,
+    QUEUE,
+    BodyRecord,
+    QueueRecord,
+    encode,
+    message_key,
 )
 from flintfield.store import NEVER, Batch, Settings as StoreSettings, open_store
 from flintfield.units.queues import SECRET, SPACES
@@ -43,10 +50,20 @@
 LOAD = 5_000  # messages of one batch while a store is filled
 Result = dict[str, Any]
 SETTINGS = {
-    "request_classes": [{"name": "social-booking", "aim_ms": 4000, "hard_limit_ms": 20000, "worth": 10,
-                         "effect": "single_shot"}],
-    "areas": ["a"], "shapes": ["m"], "membership_mode": "subscribe",
-    "limits": {"probes": True, "may_cancel": True}, "report": {"fields": ["x0"], "how": "on_probe"},
+    "request_classes": [
+        {
+            "name": "social-booking",
+            "aim_ms": 4000,
+            "hard_limit_ms": 20000,
+            "worth": 10,
+            "effect": "single_shot",
+        }
+    ],
+    "areas": ["a"],
+    "shapes": ["m"],
+    "membership_mode": "subscribe",
+    "limits": {"probes": True, "may_cancel": True},
+    "report": {"fields": ["x0"], "how": "on_probe"},
 }
 
 
@@ -54,8 +71,14 @@
     """The real program on core 0, with its queues on a store."""
 
     def __init__(self, folder: Path, keys: dict[str, str] | None = None, sockets: int = 1_024) -> None:
-        config = {"name": "bench", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "1",
-                  "limits": {"sockets": sockets}, "settings": SETTINGS}
+        config = {
+            "name": "bench",
+            "listen": "127.0.0.1:0",
+            "discovery": "127.0.0.1:9",
+            "seed": "1",
+            "limits": {"sockets": sockets},
+            "settings": SETTINGS,
+        }
         (folder / "config.json").write_text(json.dumps(config))
         ini = f"[store]\ndir = {folder}/store\n[queues]\nport = 0\nconnections = {sockets}\n"
         if keys:
@@ -71,8 +94,14 @@
 
         command = [sys.executable, "-m", "flintfield", "--ini", str(folder / "flintfield.ini")]
         self.process = subprocess.Popen(
-            command, cwd=ROOT, text=True, stdout=subprocess.PIPE, stderr=subprocess.PIPE, preexec_fn=limit,
-            env={**os.environ, "LB_CONFIG": str(folder / "config.json")})
+            command,
+            cwd=ROOT,
+            text=True,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            preexec_fn=limit,
+            env={**os.environ, "LB_CONFIG": str(folder / "config.json")},
+        )
         self.look = psutil.Process(self.process.pid)
         self.port = self.wait_for("serving")["queue_port"]
         self.opened = self.wait_for("queues open")
@@ -163,8 +192,9 @@
     out.put((took, done))
 
 
-def throughput(where: str, seconds: float, batch: int, clients: int,
-               signed: bool = False) -> Iterator[Result]:
+def throughput(
+    where: str, seconds: float, batch: int, clients: int, signed: bool = False
+) -> Iterator[Result]:
     """Messages a second that were sent, received and deleted, each durable."""
     with folder_in(where) as folder:
         program = Program(folder, {"AKIDBENCH": "secret"} if signed else None)
@@ -173,8 +203,10 @@
         context = multiprocessing.get_context("spawn")
         out: Any = context.Queue()
         go = context.Event()
-        players = [context.Process(target=_client, args=(program.url, batch, seconds, keys, go, out))
-                   for _ in range(clients)]
+        players = [
+            context.Process(target=_client, args=(program.url, batch, seconds, keys, go, out))
+            for _ in range(clients)
+        ]
         for player in players:
             player.start()
         for _ in players:
@@ -191,10 +223,13 @@
                 for ms in took[name]:
                     histogram.record_value(int(ms * 1000))
             count = sum(done[name] for _, done in results)
-            yield {"what": f"{name}, batches of {batch}, {clients} clients{', signed' if signed else ''}",
-                   "per_s": round(count / seconds), "p50_ms": histogram.get_value_at_percentile(50) / 1000,
-                   "p99_ms": histogram.get_value_at_percentile(99) / 1000,
-                   "core": round(cpu / passed, 2)}
+            yield {
+                "what": f"{name}, batches of {batch}, {clients} clients{', signed' if signed else ''}",
+                "per_s": round(count / seconds),
+                "p50_ms": histogram.get_value_at_percentile(50) / 1000,
+                "p99_ms": histogram.get_value_at_percentile(99) / 1000,
+                "core": round(cpu / passed, 2),
+            }
         program.stop()
 
 
@@ -235,12 +270,16 @@
         [message] = api.call("ReceiveMessage", QueueUrl=api.url("long"))["Messages"]
         assert message["Body"] == BODY
         yield {"what": f"open a queue of {count} messages", "s": round(program.open_s, 2)}
-        yield {"what": f"memory of a waiting message, {count} of them",
-               "bytes": round((program.rss() - base) / count)}
+        yield {
+            "what": f"memory of a waiting message, {count} of them",
+            "bytes": round((program.rss() - base) / count),
+        }
         program.stop()
         program = Program(folder)
-        yield {"what": f"open it once more, after an orderly stop, {count} messages",
-               "s": round(program.open_s, 2)}
+        yield {
+            "what": f"open it once more, after an orderly stop, {count} messages",
+            "s": round(program.open_s, 2),
+        }
         program.stop()
 
 
@@ -257,8 +296,10 @@
     async def poll(name: str) -> asyncio.StreamReader:
         reader, writer = await asyncio.open_connection("127.0.0.1", program.port)
         body = json.dumps({"QueueUrl": f"/000000000000/{name}", "WaitTimeSeconds": 20}).encode()
-        writer.write(b"POST / HTTP/1.1\r\nHost: x\r\nX-Amz-Target: AmazonSQS.ReceiveMessage\r\n"
-                     b"Content-Length: %d\r\n\r\n%s" % (len(body), body))
+        writer.write(
+            b"POST / HTTP/1.1\r\nHost: x\r\nX-Amz-Target: AmazonSQS.ReceiveMessage\r\n"
+            b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+        )
         kept.append(writer)
         return reader
 
@@ -285,8 +326,12 @@
     with folder_in(where) as folder:
         program = Program(folder, sockets=count + 200)
         took, cpu, each = asyncio.run(_polls(program, count))
-        yield {"what": f"{count} long polls: a message to its own poll", "ms": round(took, 2),
-               "bytes_each": each, "cpu_s": round(cpu, 2)}
+        yield {
+            "what": f"{count} long polls: a message to its own poll",
+            "ms": round(took, 2),
+            "bytes_each": each,
+            "cpu_s": round(cpu, 2),
+        }
         program.stop()
 
 
--- a/benchmarks/queue_mixed.py
+++ b/benchmarks/queue_mixed.py
@@ -29,17 +29,39 @@
 MEAN_MS = 250.0
 AIM_MS, STRETCH, DEADLINE_MS = 600.0, 2.0, 8_000.0
 CLASSES = [
-    {"name": "match-list", "aim_ms": AIM_MS, "aim_stretch": STRETCH, "hard_limit_ms": DEADLINE_MS, "worth": 1,
-     "effect": "free"},
-    {"name": "social-booking", "aim_ms": 400, "aim_stretch": STRETCH, "hard_limit_ms": 20_000, "worth": 10,
-     "effect": "single_shot"},
+    {
+        "name": "match-list",
+        "aim_ms": AIM_MS,
+        "aim_stretch": STRETCH,
+        "hard_limit_ms": DEADLINE_MS,
+        "worth": 1,
+        "effect": "free",
+    },
+    {
+        "name": "social-booking",
+        "aim_ms": 400,
+        "aim_stretch": STRETCH,
+        "hard_limit_ms": 20_000,
+        "worth": 10,
+        "effect": "single_shot",
+    },
 ]
 SETTINGS = {
-    "request_classes": CLASSES, "areas": ["a"], "shapes": ["m"], "membership_mode": "subscribe",
+    "request_classes": CLASSES,
+    "areas": ["a"],
+    "shapes": ["m"],
+    "membership_mode": "subscribe",
     "family_info": {"tells_start": True, "report_x0": "free slots", "class_stretch": [STRETCH, STRETCH]},
-    "limits": {"max_attempts": 6, "may_cancel": True, "probes": True, "conn_idle_ms": 5000,
-               "dial_timeout_ms": 250, "max_retry_after_ms": 2000},
-    "report": {"fields": ["lat_ms", "rif", "q", "x0"], "how": "on_probe"}, "resolution_ms": 2,
+    "limits": {
+        "max_attempts": 6,
+        "may_cancel": True,
+        "probes": True,
+        "conn_idle_ms": 5000,
+        "dial_timeout_ms": 250,
+        "max_retry_after_ms": 2000,
+    },
+    "report": {"fields": ["lat_ms", "rif", "q", "x0"], "how": "on_probe"},
+    "resolution_ms": 2,
 }
 
 
@@ -58,7 +80,10 @@
                 headers = {k.lower(): v.strip() for k, _, v in (line.partition(":") for line in lines[1:])}
                 if lines[0].startswith("GET"):
                     load = b"TEXT lat_ms=250, rif=%d, q=%d, x0=%d" % (
-                        SLOTS - self.free + len(self.waiting), len(self.waiting), self.free)
+                        SLOTS - self.free + len(self.waiting),
+                        len(self.waiting),
+                        self.free,
+                    )
                     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(load), load))
                     continue
                 if headers.get("expect"):
@@ -118,20 +143,45 @@
         nodes = [Node() for _ in range(NODES)]
         servers = [await asyncio.start_server(n.serve, "127.0.0.1", 0) for n in nodes]
         ports = [s.sockets[0].getsockname()[1] for s in servers]
-        known = {"generation": 1, "reset": True, "instances": [
-            {"instanceId": f"s-{i}", "hostPort": f"127.0.0.1:{port}", "zone": "a", "machineType": "m",
-             "cell": 0, "lifecycle": "in_service", "weight": 1.0, "startedAtMs": 0}
-            for i, port in enumerate(ports)]}
+        known = {
+            "generation": 1,
+            "reset": True,
+            "instances": [
+                {
+                    "instanceId": f"s-{i}",
+                    "hostPort": f"127.0.0.1:{port}",
+                    "zone": "a",
+                    "machineType": "m",
+                    "cell": 0,
+                    "lifecycle": "in_service",
+                    "weight": 1.0,
+                    "startedAtMs": 0,
+                }
+                for i, port in enumerate(ports)
+            ],
+        }
         directory = await asyncio.start_server(self.discovery, "127.0.0.1", 0)
         where = directory.sockets[0].getsockname()[1]
-        config = {"name": "mixed", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{where}", "seed": "1",
-                  "limits": {"sockets": 1024}, "settings": SETTINGS, "known": known}
+        config = {
+            "name": "mixed",
+            "listen": "127.0.0.1:0",
+            "discovery": f"127.0.0.1:{where}",
+            "seed": "1",
+            "limits": {"sockets": 1024},
+            "settings": SETTINGS,
+            "known": known,
+        }
         (self.folder / "config.json").write_text(json.dumps(config))
         (self.folder / "f.ini").write_text(
-            f"[store]\ndir = {self.folder}/store\n[queues]\nport = 0\n[queue.social-booking]\n")
+            f"[store]\ndir = {self.folder}/store\n[queues]\nport = 0\n[queue.social-booking]\n"
+        )
         process = subprocess.Popen(
-            [sys.executable, "-m", "flintfield", "--ini", str(self.folder / "f.ini")], cwd=ROOT, text=True,
-            stdout=subprocess.PIPE, env={**os.environ, "LB_CONFIG": str(self.folder / "config.json")})
+            [sys.executable, "-m", "flintfield", "--ini", str(self.folder / "f.ini")],
+            cwd=ROOT,
+            text=True,
+            stdout=subprocess.PIPE,
+            env={**os.environ, "LB_CONFIG": str(self.folder / "config.json")},
+        )
         assert process.stdout
         told = json.loads(await asyncio.to_thread(process.stdout.readline))
         await asyncio.to_thread(process.stdout.readline)  # what was restored, or that the queues are open
@@ -152,10 +202,14 @@
         await asyncio.to_thread(process.communicate)
         for server in (*servers, directory):
             server.close()
-        return {"queue": self.queued, "calls": len(self.calls),
-                "service": round(self.in_time / self.asked, 4),
-                "bookings_answered": replies, "bookings_per_s": round(replies / passed, 1),
-                "node_use": round(sum(n.ran for n in nodes) * MEAN_MS / (NODES * SLOTS * passed * 1000), 2)}
+        return {
+            "queue": self.queued,
+            "calls": len(self.calls),
+            "service": round(self.in_time / self.asked, 4),
+            "bookings_answered": replies,
+            "bookings_per_s": round(replies / passed, 1),
+            "node_use": round(sum(n.ran for n in nodes) * MEAN_MS / (NODES * SLOTS * passed * 1000), 2),
+        }
 
     async def discovery(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Nothing ever changes."""
@@ -174,9 +228,11 @@
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             body = b"%.1f" % work_ms
-            writer.write(b"POST /match-list HTTP/1.1\r\nHost: x\r\nReq-Id: %s\r\nReq-Kind: match-list\r\n"
-                         b"Req-Deadline: %dm\r\nReq-Cost: %d\r\nContent-Length: %d\r\n\r\n%s" % (
-                             os.urandom(8).hex().encode(), DEADLINE_MS, work_ms * 1000, len(body), body))
+            writer.write(
+                b"POST /match-list HTTP/1.1\r\nHost: x\r\nReq-Id: %s\r\nReq-Kind: match-list\r\n"
+                b"Req-Deadline: %dm\r\nReq-Cost: %d\r\nContent-Length: %d\r\n\r\n%s"
+                % (os.urandom(8).hex().encode(), DEADLINE_MS, work_ms * 1000, len(body), body)
+            )
             status = await reader.readline()
             writer.close()
         except ConnectionError:
@@ -192,10 +248,20 @@
         def fill(count: int) -> None:
             for _ in range(count):
                 works = [max(20.0, drawn.expovariate(1 / MEAN_MS)) for _ in range(10)]
-                api.call("SendMessageBatch", QueueUrl=queue, Entries=[
-                    {"Id": str(i), "MessageBody": f"{work:.1f}", "MessageAttributes": {
-                        "Req-Cost": {"DataType": "Number", "StringValue": str(int(work * 1000))}}}
-                    for i, work in enumerate(works)])
+                api.call(
+                    "SendMessageBatch",
+                    QueueUrl=queue,
+                    Entries=[
+                        {
+                            "Id": str(i),
+                            "MessageBody": f"{work:.1f}",
+                            "MessageAttributes": {
+                                "Req-Cost": {"DataType": "Number", "StringValue": str(int(work * 1000))}
+                            },
+                        }
+                        for i, work in enumerate(works)
+                    ],
+                )
 
         await asyncio.to_thread(fill, 30)
         while True:
--- a/benchmarks/runner.py
+++ b/benchmarks/runner.py
@@ -44,9 +44,13 @@
 
 def as_json(results: Iterable[Result], options: Options) -> dict[str, Any]:
     """The results with what they were measured on."""
-    return {"version": VERSION, "python": platform.python_version(),
-            "machine": f"{platform.machine()}, {os.cpu_count()} cores",
-            "options": asdict(options), "results": [asdict(r) for r in results]}
+    return {
+        "version": VERSION,
+        "python": platform.python_version(),
+        "machine": f"{platform.machine()}, {os.cpu_count()} cores",
+        "options": asdict(options),
+        "results": [asdict(r) for r in results],
+    }
 
 
 def read_results(path: Path) -> list[Result]:
--- a/benchmarks/stage.py
+++ b/benchmarks/stage.py
@@ -25,11 +25,22 @@
     {"name": "social-booking", "aim_ms": 4000, "hard_limit_ms": 20000, "worth": 10, "effect": "single_shot"},
 ]
 SETTINGS: dict[str, Any] = {
-    "request_classes": CLASSES, "areas": ["a", "b"], "shapes": ["m"], "membership_mode": "subscribe",
-    "family_info": {"tells_start": True, "report_x0": "free slots"}, "replicas_of_me": 1,
-    "limits": {"max_attempts": 6, "may_cancel": True, "probes": True, "conn_idle_ms": 5000,
-               "dial_timeout_ms": 250, "max_retry_after_ms": 2000},
-    "report": {"fields": ["lat_ms", "rif", "q", "x0"], "how": "on_probe"}, "resolution_ms": 2,
+    "request_classes": CLASSES,
+    "areas": ["a", "b"],
+    "shapes": ["m"],
+    "membership_mode": "subscribe",
+    "family_info": {"tells_start": True, "report_x0": "free slots"},
+    "replicas_of_me": 1,
+    "limits": {
+        "max_attempts": 6,
+        "may_cancel": True,
+        "probes": True,
+        "conn_idle_ms": 5000,
+        "dial_timeout_ms": 250,
+        "max_retry_after_ms": 2000,
+    },
+    "report": {"fields": ["lat_ms", "rif", "q", "x0"], "how": "on_probe"},
+    "resolution_ms": 2,
     "rules": {"drain_grace_ms": 400, "ask_within_ms": 2000},
 }
 
@@ -86,8 +97,9 @@
         """End what was started, last first."""
         self._stack.close()
 
-    def start(self, command: Sequence[str], part: float, environ: dict[str, str] | None = None,
-              descriptors: int = 0) -> Running:
+    def start(
+        self, command: Sequence[str], part: float, environ: dict[str, str] | None = None, descriptors: int = 0
+    ) -> Running:
         """Start a Python module on a core of its own and read its first line; 0 descriptors: as ours."""
         cores = _core(part)
 
@@ -97,8 +109,14 @@
                 resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
 
         process = subprocess.Popen(
-            [sys.executable, "-m", *command], cwd=ROOT, text=True, stdin=subprocess.PIPE,
-            stdout=subprocess.PIPE, env={**os.environ, **(environ or {})}, preexec_fn=limit)
+            [sys.executable, "-m", *command],
+            cwd=ROOT,
+            text=True,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            env={**os.environ, **(environ or {})},
+            preexec_fn=limit,
+        )
         self._stack.callback(_end, process)
         running = Running(process)
         running.told = json.loads(_line(process))
@@ -108,20 +126,26 @@
         """Worker nodes and discovery; `parts` as in `standins.Parts`."""
         return self.start(["benchmarks.standins", json.dumps(parts)], 0.35)
 
-    def scheduler(self, behind: Running, sockets: int = 20_000, descriptors: int = 0, ini: str = "",
-                  **settings: Any) -> Running:
+    def scheduler(
+        self, behind: Running, sockets: int = 20_000, descriptors: int = 0, ini: str = "", **settings: Any
+    ) -> Running:
         """The program, listing the nodes that are behind it; `settings` go over those of `SETTINGS`."""
         folder = Path(self._stack.enter_context(tempfile.TemporaryDirectory()))
         config = {
-            "name": "n1", "listen": "127.0.0.1:0", "discovery": behind.told["discovery"], "seed": "8c1f",
-            "limits": {"sockets": sockets}, "settings": SETTINGS | settings,
+            "name": "n1",
+            "listen": "127.0.0.1:0",
+            "discovery": behind.told["discovery"],
+            "seed": "8c1f",
+            "limits": {"sockets": sockets},
+            "settings": SETTINGS | settings,
             "known": {"generation": 1, "reset": True, "instances": behind.told["entries"]},
         }
         (folder / "config.json").write_text(json.dumps(config))
         (folder / "flintfield.ini").write_text(ini)
         named = ["--ini", str(folder / "flintfield.ini")] if ini else []
-        return self.start(["flintfield", *named], 0.0, {"LB_CONFIG": str(folder / "config.json")},
-                          descriptors)
+        return self.start(
+            ["flintfield", *named], 0.0, {"LB_CONFIG": str(folder / "config.json")}, descriptors
+        )
 
     def yardstick(self, which: str, behind: Running) -> Running:
         """One of `benchmarks/yardsticks.py` before the nodes."""
@@ -132,8 +156,12 @@
         """Callers of a target; `load` as in `callers.Load`."""
         given = {"address": f"127.0.0.1:{target.told['port']}"} | load
         process = subprocess.Popen(
-            [sys.executable, "-m", "benchmarks.callers", json.dumps(given)], cwd=ROOT, text=True,
-            stdout=subprocess.PIPE, preexec_fn=lambda: os.sched_setaffinity(0, _core(part)))
+            [sys.executable, "-m", "benchmarks.callers", json.dumps(given)],
+            cwd=ROOT,
+            text=True,
+            stdout=subprocess.PIPE,
+            preexec_fn=lambda: os.sched_setaffinity(0, _core(part)),
+        )
         try:
             yield Callers(process, target)
         finally:
--- a/benchmarks/standins.py
+++ b/benchmarks/standins.py
@@ -95,7 +95,7 @@
                     self.transport.write(GO_ON)
             if len(self.buffer) < self.request.length:
                 return
-            self.buffer = self.buffer[self.request.length:]
+            self.buffer = self.buffer[self.request.length :]
             request, self.request = self.request, None
             self.whole(request)
 
@@ -110,8 +110,9 @@
 
 def _read(head: bytes) -> Request:
     length, name = LENGTH.search(head), IDENTITY.search(head)
-    return Request(head, name[1] if name else b"", int(length[1]) if length else 0,
-                   EXPECT.search(head) is not None)
+    return Request(
+        head, name[1] if name else b"", int(length[1]) if length else 0, EXPECT.search(head) is not None
+    )
 
 
 class Node(Connection):
@@ -167,8 +168,19 @@
 
 async def _serve(parts: Parts) -> None:
     nodes = [await _listen(lambda: Node(parts.how, parts.slots), _address(i)) for i in range(parts.nodes)]
-    entries = [{"instanceId": f"s-{i:08x}", "hostPort": node, "zone": "a", "machineType": "m", "cell": 0,
-                "lifecycle": "in_service", "weight": 1.0, "startedAtMs": 0} for i, node in enumerate(nodes)]
+    entries = [
+        {
+            "instanceId": f"s-{i:08x}",
+            "hostPort": node,
+            "zone": "a",
+            "machineType": "m",
+            "cell": 0,
+            "lifecycle": "in_service",
+            "weight": 1.0,
+            "startedAtMs": 0,
+        }
+        for i, node in enumerate(nodes)
+    ]
     discovery = await _listen(lambda: Directory(entries), "127.0.0.1")
     print(json.dumps({"discovery": discovery, "nodes": nodes, "entries": entries}), flush=True)
     loop, over = asyncio.get_running_loop(), asyncio.Event()
--- a/benchmarks/store_bench.py
+++ b/benchmarks/store_bench.py
@@ -40,7 +40,7 @@
 LOAD = 1_000  # entries of one batch while a store is filled
 ROUNDS = 7  # of durable puts
 TURNS = 10  # times that each key is overwritten
-MAP = 4 * 1024 ** 3  # bytes that LMDB may map
+MAP = 4 * 1024**3  # bytes that LMDB may map
 
 
 class Result(NamedTuple):
@@ -103,7 +103,8 @@
         self._local = threading.local()
         self._connection = self._connect()
         self._connection.execute(
-            "CREATE TABLE IF NOT EXISTS bench (k BLOB PRIMARY KEY, v BLOB) WITHOUT ROWID")
+            "CREATE TABLE IF NOT EXISTS bench (k BLOB PRIMARY KEY, v BLOB) WITHOUT ROWID"
+        )
 
     def _connect(self) -> sqlite3.Connection:
         made = sqlite3.connect(self._path, timeout=60, isolation_level=None, check_same_thread=False)
@@ -229,9 +230,12 @@
     """Durable puts a second by writers: the median of rounds in which all take turns, for others use the
     machine."""
     kinds: dict[str, Callable[[Path], Ours | Sqlite | Lmdb]] = {
-        "store": Ours, "sqlite, one connection": Sqlite,
+        "store": Ours,
+        "sqlite, one connection": Sqlite,
         "sqlite, one each": lambda folder: Sqlite(folder, each=True),
-        "sqlite, grouped by hand": Grouped, "lmdb": Lmdb}
+        "sqlite, grouped by hand": Grouped,
+        "lmdb": Lmdb,
+    }
     for writers in WRITERS:
         found: dict[str, list[float]] = {}
         for _ in range(ROUNDS):
@@ -243,8 +247,11 @@
             with place(under) as folder:
                 found.setdefault("store, tasks", []).append(asyncio.run(by_tasks(folder, writers, puts)))
         for name, took in found.items():
-            yield Result(f"durable puts/s, {writers} writers: median, least, most of {ROUNDS}", name,
-                         [round(puts / one) for one in (statistics.median(took), max(took), min(took))])
+            yield Result(
+                f"durable puts/s, {writers} writers: median, least, most of {ROUNDS}",
+                name,
+                [round(puts / one) for one in (statistics.median(took), max(took), min(took))],
+            )
 
 
 async def by_tasks(folder: Path, count: int, puts: int) -> float:
@@ -316,7 +323,7 @@
                 order = list(range(entries))
                 random.Random(turn).shuffle(order)
                 for at in range(0, entries, LOAD):
-                    there.load(order[at:at + LOAD], bytes([turn]) * len(VALUE))
+                    there.load(order[at : at + LOAD], bytes([turn]) * len(VALUE))
                     most = max(most, size_of(folder))
             took = time.perf_counter() - begin
             if isinstance(there, Ours):
@@ -357,15 +364,19 @@
                 took.sort()
                 figures = [round(took[at] * 1e3, 3) for at in (len(took) // 2, len(took) * 99 // 100, -1)]
                 yield Result(f"ms of a durable {name}, {what}: p50 p99 most", "store", figures)
-            yield Result(f"ms of a chore's longest slice, {stats.compactions} compactions", "store",
-                         round(stats.longest_chore_ms, 2))
+            yield Result(
+                f"ms of a chore's longest slice, {stats.compactions} compactions",
+                "store",
+                round(stats.longest_chore_ms, 2),
+            )
 
 
 PARTS: dict[str, Callable[[Path, argparse.Namespace], Iterator[Result]]] = {
     "puts": lambda under, given: durable_puts(under, given.puts),
     "reads": lambda under, given: reads(under, given.entries),
     "space": lambda under, given: space(under, given.keys),
-    "pauses": lambda under, given: pauses(under)}
+    "pauses": lambda under, given: pauses(under),
+}
 
 
 def main() -> int:
--- a/benchmarks/store_crash.py
+++ b/benchmarks/store_crash.py
@@ -20,16 +20,34 @@
 from dataclasses import dataclass, field
 from functools import partial
 
-from flintfield.store.batch import (ALWAYS, NEVER, Batch, Committed, Durability, Outcome, Pending, Settings,
-                                    within_ms)
+from flintfield.store.batch import (
+    ALWAYS,
+    NEVER,
+    Batch,
+    Committed,
+    Durability,
+    Outcome,
+    Pending,
+    Settings,
+    within_ms,
+)
 from flintfield.store.engine import Engine
 from flintfield.store.errors import Failed, SnapshotTooOld, StoreError
 from flintfield.store.reading import Snapshot
 from flintfield.store.simdisk import SimDisk
 
-SMALL = Settings(segment_bytes=3_000, segment_entries=60, group_bytes=2_000, group_entries=20,
-                 most_entries=1_000, most_past=200, most_pinned=20_000, small_bytes=1_200, zero_ahead=700,
-                 garbage_share=0.3)
+SMALL = Settings(
+    segment_bytes=3_000,
+    segment_entries=60,
+    group_bytes=2_000,
+    group_entries=20,
+    most_entries=1_000,
+    most_past=200,
+    most_pinned=20_000,
+    small_bytes=1_200,
+    zero_ahead=700,
+    garbage_share=0.3,
+)
 SPACES = ("jobs", "queue")
 MOST_CHORES = 200
 KEYS = 12  # of each keyspace: few, so that they are written over and deleted often
@@ -94,7 +112,7 @@
 
     def cut_to(self, seq: int) -> None:
         """A recovery found the state after `seq`: it is durable from now on."""
-        del self.states[seq + 1:]
+        del self.states[seq + 1 :]
         self.durable = self.told = seq
 
 
@@ -147,9 +165,11 @@
         self.points += 1
         files = disk.files()
         if depth:
+
             def again(now: SimDisk) -> None:
                 if self.cuts.random() < 0.2:
                     self.examine(now.after_cut(self.cuts), depth - 1)
+
             disk.hook = again
         try:
             engine = self.start(disk)
@@ -172,8 +192,10 @@
         if found != expected:
             wrong = sorted(at for at in expected.keys() | found.keys() if expected.get(at) != found.get(at))
             at = wrong[0]
-            raise Wrong(f"after batch {seq}: {len(wrong)} keys differ, the first {at}: "
-                        f"{found.get(at)!r} found, {expected.get(at)!r} expected")
+            raise Wrong(
+                f"after batch {seq}: {len(wrong)} keys differ, the first {at}: "
+                f"{found.get(at)!r} found, {expected.get(at)!r} expected"
+            )
         for space in SPACES:
             keys = sorted(key for name, key in expected if name == space)
             if list(engine.reading.keys(space)) != keys:
@@ -221,16 +243,27 @@
     def step(self) -> None:
         """One random piece of work."""
         work: Sequence[tuple[int, Callable[[], None]]] = (
-            (40, self.commit), (25, self.work), (8, self.tick), (3, self.jump), (2, self.close),
-            (2, self.kill), (2, self.cut), (2, self.fail_sync), (3, self.fill), (6, self.hold),
-            (4, self.let_go), (3, self.check))
+            (40, self.commit),
+            (25, self.work),
+            (8, self.tick),
+            (3, self.jump),
+            (2, self.close),
+            (2, self.kill),
+            (2, self.cut),
+            (2, self.fail_sync),
+            (3, self.fill),
+            (6, self.hold),
+            (4, self.let_go),
+            (3, self.check),
+        )
         chosen = self.chance.choices([do for _, do in work], [weight for weight, _ in work])[0]
         self.trace.append(chosen.__name__)
         try:
             chosen()
         except (Wrong, StoreError, OSError) as error:
-            raise Wrong(f"seed {self.seed}, step {len(self.trace)} {chosen.__name__}: "
-                        f"{type(error).__name__}: {error}") from error
+            raise Wrong(
+                f"seed {self.seed}, step {len(self.trace)} {chosen.__name__}: {type(error).__name__}: {error}"
+            ) from error
 
     def batch(self) -> Batch:
         """A few changes."""
@@ -258,12 +291,14 @@
                 self.model.tell(outcome.seq, durability.wait)
             elif not isinstance(outcome, Failed):  # refused: those behind it move up
                 left.remove(batch)
-                del self.model.states[max(first, self.model.told + 1):]
-                for other in left[len(self.model.states) - first:]:
+                del self.model.states[max(first, self.model.told + 1) :]
+                for other in left[len(self.model.states) - first :]:
                     self.model.offer(other, now)
 
-        offered = [Pending(batch.operations, batch.size, kind, partial(told, batch, kind))
-                   for batch, kind in zip(left, kinds, strict=True)]
+        offered = [
+            Pending(batch.operations, batch.size, kind, partial(told, batch, kind))
+            for batch, kind in zip(left, kinds, strict=True)
+        ]
         for batch in left:
             self.model.offer(batch, now)
         self.engine.commit(offered, deliver)
--- a/benchmarks/system_agent_bytes.py
+++ b/benchmarks/system_agent_bytes.py
@@ -64,9 +64,11 @@
     order = StartOrder(1 << 32, f"{1:016x}.0.0.1", 1, SPEC, "")
     starting = AgentOrders(1, "i-00000000", 123_456, 5_000, 7, (order,), ())
     quiet_bytes, starting_bytes = (len(encode(each)) + HEADER.size for each in (quiet, starting))
-    print(f"orders: {quiet_bytes} bytes without a start, {starting_bytes - quiet_bytes} more for each start; "
-          f"encode {least_us(lambda: encode(quiet)):.1f} µs, "
-          f"encode and decode {least_us(lambda: decode(encode(quiet))):.1f}")
+    print(
+        f"orders: {quiet_bytes} bytes without a start, {starting_bytes - quiet_bytes} more for each start; "
+        f"encode {least_us(lambda: encode(quiet)):.1f} µs, "
+        f"encode and decode {least_us(lambda: decode(encode(quiet))):.1f}"
+    )
     print("tasks  saved  report bytes  KB/s both ways  encode µs  decode µs  agent: % of a core to encode")
     for runs in RUNNING:
         for saved in ("", SAVED):
@@ -75,16 +77,19 @@
             both_ways = (len(data) + HEADER.size + quiet_bytes) * REPORTS_PER_S / 1_000
             encode_us = least_us(partial(encode, report))
             decode_us = least_us(partial(decode, data))
-            print(f"{runs:5d} {len(saved):6d} {len(data) + HEADER.size:13d} {both_ways:15.2f} "
-                  f"{encode_us:10.1f} {decode_us:10.1f} {encode_us * REPORTS_PER_S / 1e4:12.3f}")
+            print(
+                f"{runs:5d} {len(saved):6d} {len(data) + HEADER.size:13d} {both_ways:15.2f} "
+                f"{encode_us:10.1f} {decode_us:10.1f} {encode_us * REPORTS_PER_S / 1e4:12.3f}"
+            )
 
 
 class Filled:
     """A dispatcher that is given jobs and workers without time passing."""
 
     def __init__(self, workers: int) -> None:
-        self.dispatcher = Dispatcher(1, 0, DispatcherBounds(backlog_ms=BACKLOG_MS * 1_000), Market(1),
-                                     random.Random(1), Teams(1))
+        self.dispatcher = Dispatcher(
+            1, 0, DispatcherBounds(backlog_ms=BACKLOG_MS * 1_000), Market(1), random.Random(1), Teams(1)
+        )
         self.calls = 0
         self.fleet = {worker.machine: worker for worker in hollow_workers(workers, 1, 1)}
         self.feed(0, Tick(WALL_0_MS))
@@ -171,8 +176,10 @@
     runs_few, one = traced_bytes(lambda: with_runs(SMALL, SMALL))
     runs_many, other = traced_bytes(lambda: with_runs(SMALL, LARGE))
     run = (runs_many - runs_few) / (other.running - one.running) - job
-    print(f"  {run:.0f} bytes more for each run (with the hollow worker's own part of it); "
-          f"{one.running} and {other.running} runs")
+    print(
+        f"  {run:.0f} bytes more for each run (with the hollow worker's own part of it); "
+        f"{one.running} and {other.running} runs"
+    )
     tracemalloc.stop()
 
 
--- a/benchmarks/system_dispatch_load.py
+++ b/benchmarks/system_dispatch_load.py
@@ -58,8 +58,9 @@
 class HollowCluster:
     """Dispatcher, fleet and clients in virtual time."""
 
-    def __init__(self, workers: int, services: int, backlog_ms: int = BACKLOG_MS, list_every: int = 1,
-                 seed: int = 1) -> None:
+    def __init__(
+        self, workers: int, services: int, backlog_ms: int = BACKLOG_MS, list_every: int = 1, seed: int = 1
+    ) -> None:
         self.rng = random.Random(seed)
         self.share = workers / FULL_WORKERS
         self.now_ms = 0.0
@@ -208,8 +209,12 @@
         job = f"{self._calls:016x}"
         count = gang or min(1 + int(self.rng.expovariate(1 / (TASKS_MEAN - 0.5))), 40)
         takes_ms = max(200.0, self.rng.expovariate(1.0) * FULL_RUNNING / FULL_STARTS_PER_S * 1_000)
-        step: dict[str, Any] = {"count": count, "cpu": TASK_CPU, "memMb": TASK_MEMORY_MB,
-                                "estimateMs": int(takes_ms)}
+        step: dict[str, Any] = {
+            "count": count,
+            "cpu": TASK_CPU,
+            "memMb": TASK_MEMORY_MB,
+            "estimateMs": int(takes_ms),
+        }
         if gang:
             step["gang"] = True
         self.takes_ms[job] = takes_ms
@@ -277,13 +282,24 @@
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0] if __doc__ else "")
     parser.add_argument("--workers", type=int, nargs="+", default=[350, 700, 1_400])
     parser.add_argument("--services", type=int, default=8)
-    parser.add_argument("--backlog-ms", type=int, default=BACKLOG_MS,
-                        help="bound of admission; the dispatcher's own default is 40000")
+    parser.add_argument(
+        "--backlog-ms",
+        type=int,
+        default=BACKLOG_MS,
+        help="bound of admission; the dispatcher's own default is 40000",
+    )
     parser.add_argument("--seconds", type=float, default=10.0, help="of virtual time in the window")
-    parser.add_argument("--list-every", type=int, default=1,
-                        help="what lists in every Nth report alone would bring; agents don't do that")
-    parser.add_argument("--no-collector", action="store_true",
-                        help="without Python's cyclic garbage collector, to tell what it costs")
+    parser.add_argument(
+        "--list-every",
+        type=int,
+        default=1,
+        help="what lists in every Nth report alone would bring; agents don't do that",
+    )
+    parser.add_argument(
+        "--no-collector",
+        action="store_true",
+        help="without Python's cyclic garbage collector, to tell what it costs",
+    )
     options = parser.parse_args()
     if options.no_collector:
         gc.disable()
--- a/benchmarks/system_hollow_fleet.py
+++ b/benchmarks/system_hollow_fleet.py
@@ -11,7 +11,15 @@
 
 from flintfield.agent.reports import GATHER_MS, LEISURE_MS, PERIOD_MS
 from flintfield.jobs.messages import (
-    AgentOrders, AgentReport, End, How, OrderResult, Outcome, Run, StartOrder, WorkerState,
+    AgentOrders,
+    AgentReport,
+    End,
+    How,
+    OrderResult,
+    Outcome,
+    Run,
+    StartOrder,
+    WorkerState,
 )
 
 WORKER_CPU = 8_000  # thousandths of a core
@@ -92,10 +100,34 @@
             running = tuple(run.listed(now_ms) for run in self.runs.values())
             self.listing_stamp = int(now_ms) - 1
         self.reports += 1
-        state = WorkerState(self.instance, self.service, f"10.0.0.1:{len(self.machine)}", self.zone, False,
-                            WORKER_CPU, WORKER_MEMORY_MB, 0, ("a", self.rack), 0, 8, 0)
-        return AgentReport(self.machine, 1, int(now_ms), 0, state, self.epoch, self.listing_stamp, running,
-                           tuple(self.ends), results, 0, False)
+        state = WorkerState(
+            self.instance,
+            self.service,
+            f"10.0.0.1:{len(self.machine)}",
+            self.zone,
+            False,
+            WORKER_CPU,
+            WORKER_MEMORY_MB,
+            0,
+            ("a", self.rack),
+            0,
+            8,
+            0,
+        )
+        return AgentReport(
+            self.machine,
+            1,
+            int(now_ms),
+            0,
+            state,
+            self.epoch,
+            self.listing_stamp,
+            running,
+            tuple(self.ends),
+            results,
+            0,
+            False,
+        )
 
 
 def hollow_workers(count: int, services: int, seed: int) -> list[HollowWorker]:
@@ -104,7 +136,14 @@
     workers = []
     for index in range(count):
         rack = f"rack-{index // RACK_WORKERS}"
-        workers.append(HollowWorker(
-            f"worker-{index:04d}", f"i-{rng.getrandbits(32):08x}", f"service-{index % services}",
-            f"zone-{index % ZONES}", rack, random.Random(rng.getrandbits(32))))
+        workers.append(
+            HollowWorker(
+                f"worker-{index:04d}",
+                f"i-{rng.getrandbits(32):08x}",
+                f"service-{index % services}",
+                f"zone-{index % ZONES}",
+                rack,
+                random.Random(rng.getrandbits(32)),
+            )
+        )
     return workers
--- a/benchmarks/system_hollow_teams.py
+++ b/benchmarks/system_hollow_teams.py
@@ -30,8 +30,9 @@
         for team in range(TEAMS):
             service = f"service-{team % services}"
             routes.append(TeamRoute(f"team-{team}", f"/team-{team}/", service, 2))
-            routes.append(TeamRoute(f"team-{team}-urgent", f"/urgent-{team}/", service, 0,
-                                    target_latency_ms=300))
+            routes.append(
+                TeamRoute(f"team-{team}-urgent", f"/urgent-{team}/", service, 0, target_latency_ms=300)
+            )
         self.routes = tuple(routes)
         self._by_prefix = {route.path_prefix: route for route in routes}
 
--- a/benchmarks/system_load_meter.py
+++ b/benchmarks/system_load_meter.py
@@ -44,15 +44,19 @@
     @property
     def workers(self) -> int:
         """How many there are."""
+
     @property
     def running(self) -> int:
         """Runs on all of them."""
+
     @property
     def unstarted(self) -> int:
         """Jobs that were taken in and not started yet."""
+
     @property
     def content(self) -> Mapping[bytes, bytes]:
         """The ordered store."""
+
     @property
     def counters(self) -> Counters:
         """The dispatcher's own."""
@@ -66,45 +70,59 @@
 
 def print_window(cluster: MeasuredCluster, meter: Meter, seconds: float) -> None:
     """The figures of a window."""
-    print(f"\n{cluster.workers} workers, {cluster.running} tasks running, "
-          f"{meter.starts / seconds:.0f} starts a second; load of the machine {os.getloadavg()[0]:.1f}")
+    print(
+        f"\n{cluster.workers} workers, {cluster.running} tasks running, "
+        f"{meter.starts / seconds:.0f} starts a second; load of the machine {os.getloadavg()[0]:.1f}"
+    )
     print_processor(meter, seconds)
     print_traffic(meter, seconds)
     print_waits(cluster, meter)
     kept = sum(len(key) + len(value) for key, value in cluster.content.items())
     peak_mib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1_024
-    print(f"  kept in the store: {len(cluster.content)} records, {kept / 1_000:.0f} KB; "
-          f"peak of the process with its fleet {peak_mib:.0f} MiB; {cluster.counters}")
+    print(
+        f"  kept in the store: {len(cluster.content)} records, {kept / 1_000:.0f} KB; "
+        f"peak of the process with its fleet {peak_mib:.0f} MiB; {cluster.counters}"
+    )
 
 
 def print_processor(meter: Meter, seconds: float) -> None:
     """Where the processor time goes."""
     total_ns = sum(meter.spent_ns.values())
-    print(f"  processor: {total_ns / seconds / 1e7:.1f} % of a core, "
-          f"{total_ns / max(meter.starts, 1) / 1e6:.2f} ms for each start; "
-          f"events waited {quantile(meter.late_ms, 0.5):.1f} ms (median), "
-          f"{quantile(meter.late_ms, 0.99):.0f} (99 %), {max(meter.late_ms):.0f} (most)")
+    print(
+        f"  processor: {total_ns / seconds / 1e7:.1f} % of a core, "
+        f"{total_ns / max(meter.starts, 1) / 1e6:.2f} ms for each start; "
+        f"events waited {quantile(meter.late_ms, 0.5):.1f} ms (median), "
+        f"{quantile(meter.late_ms, 0.99):.0f} (99 %), {max(meter.late_ms):.0f} (most)"
+    )
     for what, spent in sorted(meter.spent_ns.items(), key=lambda item: -item[1]):
         count = meter.handled[what]
-        print(f"    {what:<22}{count / seconds:8.0f} /s {spent / count / 1_000:8.0f} µs "
-              f"{spent / seconds / 1e7:6.1f} %")
+        print(
+            f"    {what:<22}{count / seconds:8.0f} /s {spent / count / 1_000:8.0f} µs "
+            f"{spent / seconds / 1e7:6.1f} %"
+        )
 
 
 def print_traffic(meter: Meter, seconds: float) -> None:
     """Messages and bytes."""
     written = sum(meter.written.values()) / max(meter.starts, 1)
-    print(f"  records written: {written:.0f} bytes for each start ({dict(meter.written)}), "
-          f"{meter.writes / seconds:.0f} writes a second")
-    print(f"  in {meter.handled['report'] / seconds:.0f} messages/s, "
-          f"{meter.bytes_in / seconds / 1_000:.0f} KB/s; "
-          f"out {meter.messages_out / seconds:.0f} messages/s, {meter.bytes_out / seconds / 1_000:.0f} KB/s")
+    print(
+        f"  records written: {written:.0f} bytes for each start ({dict(meter.written)}), "
+        f"{meter.writes / seconds:.0f} writes a second"
+    )
+    print(
+        f"  in {meter.handled['report'] / seconds:.0f} messages/s, "
+        f"{meter.bytes_in / seconds / 1_000:.0f} KB/s; "
+        f"out {meter.messages_out / seconds:.0f} messages/s, {meter.bytes_out / seconds / 1_000:.0f} KB/s"
+    )
 
 
 def print_waits(cluster: MeasuredCluster, meter: Meter) -> None:
     """From the submission to the first start at a worker."""
     above = sum(wait_ms > URGENT_BOUND_MS for wait_ms in meter.urgent_ms)
-    print(f"  first start: urgent p50 {quantile(meter.urgent_ms, 0.5):.0f}, "
-          f"p99 {quantile(meter.urgent_ms, 0.99):.0f} ms, "
-          f"{above} of {len(meter.urgent_ms)} above {URGENT_BOUND_MS:.0f}; "
-          f"others p50 {quantile(meter.other_ms, 0.5):.0f}, p99 {quantile(meter.other_ms, 0.99):.0f} ms; "
-          f"not started {cluster.unstarted}, refused {cluster.refused}")
+    print(
+        f"  first start: urgent p50 {quantile(meter.urgent_ms, 0.5):.0f}, "
+        f"p99 {quantile(meter.urgent_ms, 0.99):.0f} ms, "
+        f"{above} of {len(meter.urgent_ms)} above {URGENT_BOUND_MS:.0f}; "
+        f"others p50 {quantile(meter.other_ms, 0.5):.0f}, p99 {quantile(meter.other_ms, 0.99):.0f} ms; "
+        f"not started {cluster.unstarted}, refused {cluster.refused}"
+    )
--- a/benchmarks/system_replication_load.py
+++ b/benchmarks/system_replication_load.py
@@ -174,24 +174,30 @@
     parser.add_argument("--rounds", type=int, default=400)
     options = parser.parse_args()
     print(f"load of the machine {os.getloadavg()[0]:.1f}")
-    print("replicas  changes   leader µs a batch / a change   follower µs a batch / a change   "
-          "leader sends bytes a change")
+    print(
+        "replicas  changes   leader µs a batch / a change   follower µs a batch / a change   "
+        "leader sends bytes a change"
+    )
     for replicas in REPLICAS:
         for changes in BATCHES:
             costs = measure_batches(replicas, changes, options.rounds)
             own = costs.own_ns / NS_IN_US / options.rounds
             follower = costs.replicas_ns / NS_IN_US / options.rounds / replicas
             sent = costs.sent_bytes / options.rounds / changes
-            print(f"{replicas:8d} {changes:8d}   {own:12.0f} / {own / changes:6.1f}   "
-                  f"{follower:18.0f} / {follower / changes:6.1f}   {sent:12.0f}")
+            print(
+                f"{replicas:8d} {changes:8d}   {own:12.0f} / {own / changes:6.1f}   "
+                f"{follower:18.0f} / {follower / changes:6.1f}   {sent:12.0f}"
+            )
     print("replicas  document   proposer µs a change   replica µs   proposer sends, gets bytes a change")
     rounds = max(options.rounds // 10, 10)
     for replicas in REPLICAS:
         for size in DOCUMENTS_BYTES:
             costs = measure_documents(replicas, size, rounds)
-            print(f"{replicas:8d} {size:9d}   {costs.own_ns / NS_IN_US / rounds:12.0f}   "
-                  f"{costs.replicas_ns / NS_IN_US / rounds / replicas:12.0f}   "
-                  f"{costs.sent_bytes / rounds:12.0f}, {costs.got_bytes / rounds:.0f}")
+            print(
+                f"{replicas:8d} {size:9d}   {costs.own_ns / NS_IN_US / rounds:12.0f}   "
+                f"{costs.replicas_ns / NS_IN_US / rounds / replicas:12.0f}   "
+                f"{costs.sent_bytes / rounds:12.0f}, {costs.got_bytes / rounds:.0f}"
+            )
 
 
 if __name__ == "__main__":
--- a/benchmarks/system_storage.py
+++ b/benchmarks/system_storage.py
@@ -81,11 +81,13 @@
     written = store.ring.pool.counters.written_bytes - written
     rounds = store.counters.rounds - rounds
     await store.close()
-    print(f"{callers:5d} callers: {done / took:8.0f} commits/s, {done / rounds:6.1f} a sync, longest "
-          f"{longest * 1000:5.1f} ms, {processor / done * 1e6:6.1f} µs of processor and "
-          f"{written / done:6.1f} bytes a commit of {RECORD_BYTES} bytes; "
-          f"{processor / rounds * 1e6:.0f} µs a round, {store.counters.compactions} compactions, "
-          f"{store.ring.pool.total_bytes / 1e6:.1f} MB of files")
+    print(
+        f"{callers:5d} callers: {done / took:8.0f} commits/s, {done / rounds:6.1f} a sync, longest "
+        f"{longest * 1000:5.1f} ms, {processor / done * 1e6:6.1f} µs of processor and "
+        f"{written / done:6.1f} bytes a commit of {RECORD_BYTES} bytes; "
+        f"{processor / rounds * 1e6:.0f} µs a round, {store.counters.compactions} compactions, "
+        f"{store.ring.pool.total_bytes / 1e6:.1f} MB of files"
+    )
 
 
 async def fill(store: RingStore) -> int:
@@ -120,10 +122,12 @@
     store, again_ms = timed(lambda: open_store(directory, LIMIT_BYTES, SlowDisk()))
     open_processor_ms = (time.process_time() - processor) * 1000
     peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-    print(f"open with {len(store.items)} records of 10 MB: {again_ms:.0f} ms, "
-          f"with {read_ms:.0f} ms of processor to read and {open_processor_ms:.0f} for all; "
-          f"files {store.ring.pool.total_bytes / 1e6:.1f} MB; peak memory {before / 1024:.0f}, "
-          f"then {peak / 1024:.0f} MB")
+    print(
+        f"open with {len(store.items)} records of 10 MB: {again_ms:.0f} ms, "
+        f"with {read_ms:.0f} ms of processor to read and {open_processor_ms:.0f} for all; "
+        f"files {store.ring.pool.total_bytes / 1e6:.1f} MB; peak memory {before / 1024:.0f}, "
+        f"then {peak / 1024:.0f} MB"
+    )
     await store.close()
 
 
--- a/benchmarks/system_worker_calls.py
+++ b/benchmarks/system_worker_calls.py
@@ -40,7 +40,7 @@
         except asyncio.IncompleteReadError:
             return
         lines = head.lower().split(b"\r\n")
-        length = next((int(line[len(LENGTH):]) for line in lines if line.startswith(LENGTH)), 0)
+        length = next((int(line[len(LENGTH) :]) for line in lines if line.startswith(LENGTH)), 0)
         await reader.readexactly(length)
         writer.write(ANSWER)
 
@@ -76,15 +76,18 @@
         with_gate.append(await _us_a_call(address, calls))
         with mock.patch.object(single_send._SendGate, "prepare", _prepare_without_gate):
             without.append(await _us_a_call(address, calls))
-    print(f"with the gate {statistics.median(with_gate):.0f} us a call ({min(with_gate):.0f} to "
-          f"{max(with_gate):.0f}), without {statistics.median(without):.0f} ({min(without):.0f} to "
-          f"{max(without):.0f}), {rounds} rounds of {calls} calls each")
+    print(
+        f"with the gate {statistics.median(with_gate):.0f} us a call ({min(with_gate):.0f} to "
+        f"{max(with_gate):.0f}), without {statistics.median(without):.0f} ({min(without):.0f} to "
+        f"{max(without):.0f}), {rounds} rounds of {calls} calls each"
+    )
 
 
 def main() -> None:
     """Measure and print."""
-    parser = argparse.ArgumentParser(description=__doc__,
-                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--calls", type=int, default=4_000, help="of a round")
     parser.add_argument("--rounds", type=int, default=7, help="of each kind")
     given = parser.parse_args()
--- a/benchmarks/transport_rpc.py
+++ b/benchmarks/transport_rpc.py
@@ -88,10 +88,14 @@
     address = f"127.0.0.1:{await server.start('127.0.0.1', 0)}"
     pool = Pool()
     await _measure("call and reply, one at a time", lambda: _one_at_a_time(pool, address), rounds)
-    await _measure(f"call and reply, {IN_FLIGHT} in flight",
-                   lambda: _many_in_flight(pool, address, CALL), rounds)
-    await _measure(f"the same, handler is a coroutine, {IN_FLIGHT} in flight",
-                   lambda: _many_in_flight(pool, address, Slow(1)), rounds)
+    await _measure(
+        f"call and reply, {IN_FLIGHT} in flight", lambda: _many_in_flight(pool, address, CALL), rounds
+    )
+    await _measure(
+        f"the same, handler is a coroutine, {IN_FLIGHT} in flight",
+        lambda: _many_in_flight(pool, address, Slow(1)),
+        rounds,
+    )
     await _measure("one-way message", lambda: _one_way(pool, address), rounds)
     await pool.close()
     await server.stop()
--- a/benchmarks/yardsticks.py
+++ b/benchmarks/yardsticks.py
@@ -26,6 +26,7 @@
 async def proxy(nodes: Sequence[str]) -> None:
     """The reverse proxy."""
     async with ClientSession(connector=TCPConnector(limit=0), auto_decompress=False) as session:
+
         async def handle(request: web.BaseRequest) -> web.Response:
             url, body = f"http://{random.choice(nodes)}{request.path_qs}", await request.read()
             headers = {k: v for k, v in request.headers.items() if k.startswith("Req-")}
--- a/flintfield/agent/answers.py
+++ b/flintfield/agent/answers.py
@@ -25,8 +25,13 @@
     match request:
         case RunStart():
             path = "/-/run-start"
-            fields = {"task": request.task, "runId": request.run, "spec": request.spec,
-                      "expiresMs": request.expires_ms, "fenceToken": request.fence}
+            fields = {
+                "task": request.task,
+                "runId": request.run,
+                "spec": request.spec,
+                "expiresMs": request.expires_ms,
+                "fenceToken": request.fence,
+            }
             if request.checkpoint:
                 fields["checkpointed"] = request.checkpoint
         case RunStop():
--- a/flintfield/agent/core.py
+++ b/flintfield/agent/core.py
@@ -47,8 +47,9 @@
 class Agent:
     """The whole state of the node agent."""
 
-    def __init__(self, machine: str, boot: int, start_ms: int, limits: AgentLimits, app: str,
-                 rng: random.Random) -> None:
+    def __init__(
+        self, machine: str, boot: int, start_ms: int, limits: AgentLimits, app: str, rng: random.Random
+    ) -> None:
         self.machine = machine
         self.boot = boot
         self.epoch = 0
@@ -164,8 +165,9 @@
             while self._send(now, incarnation, incarnation.next_request(now, self.epoch), effects):
                 pass
 
-    def _send(self, now: int, incarnation: Incarnation, planned: Planned | None,
-              effects: list[Effect]) -> bool:
+    def _send(
+        self, now: int, incarnation: Incarnation, planned: Planned | None, effects: list[Effect]
+    ) -> bool:
         if planned is None:
             return False
         self._last_call += 1
--- a/flintfield/agent/dispatcher_link.py
+++ b/flintfield/agent/dispatcher_link.py
@@ -38,8 +38,14 @@
 class DispatcherLink:
     """The agent's connections to dispatchers: at most the active one and one on trial."""
 
-    def __init__(self, machine: protocol.Link, directory: LeaderDirectory, steady_ms: Callable[[], int],
-                 on_orders: Callable[[AgentOrders], None], on_open: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        machine: protocol.Link,
+        directory: LeaderDirectory,
+        steady_ms: Callable[[], int],
+        on_orders: Callable[[AgentOrders], None],
+        on_open: Callable[[], None],
+    ) -> None:
         self.directory = directory
         self.counters = Counters()
         self._machine = machine
--- a/flintfield/agent/incarnation.py
+++ b/flintfield/agent/incarnation.py
@@ -49,8 +49,14 @@
 class Incarnation:
     """A worker's incarnation: its words, clock, lists, holds and orders."""
 
-    def __init__(self, instance: str, address: str, rng: random.Random, limits: AgentLimits,
-                 inherited_until: int | None) -> None:
+    def __init__(
+        self,
+        instance: str,
+        address: str,
+        rng: random.Random,
+        limits: AgentLimits,
+        inherited_until: int | None,
+    ) -> None:
         self.instance = instance
         self.address = address
         self.standing = Standing.UNCONFIRMED
--- a/flintfield/agent/incarnations.py
+++ b/flintfield/agent/incarnations.py
@@ -111,6 +111,5 @@
     def _new_candidate(self, instance: str, address: str) -> Incarnation:
         """The last one named is the candidate; one that it displaces is named again by its next heartbeat."""
         inherited_until = self._inherited_until if self.present is None else None
-        self.candidate = Incarnation(instance, self._app or address, self._rng, self._limits,
-                                     inherited_until)
+        self.candidate = Incarnation(instance, self._app or address, self._rng, self._limits, inherited_until)
         return self.candidate
--- a/flintfield/agent/orders.py
+++ b/flintfield/agent/orders.py
@@ -119,8 +119,9 @@
         self._calls.clear()
         self._outcomes.entries.clear()
 
-    def take_start(self, now: int, start: StartOrder, refusal: Outcome | None,
-                   in_doubt: bool = False) -> None:
+    def take_start(
+        self, now: int, start: StartOrder, refusal: Outcome | None, in_doubt: bool = False
+    ) -> None:
         """Take in a start; `refusal` is the outcome where the worker takes no starts now.
 
         `in_doubt` tells that an earlier life of this process may have sent it.
@@ -224,12 +225,18 @@
 
     def wake_at(self, now: int) -> int | None:
         """When `due` may next have something that it has not now, other than by an event."""
-        waits = [order.not_before for order in self._orders.values()
-                 if order.phase is Phase.QUEUED and order.not_before > now]
+        waits = [
+            order.not_before
+            for order in self._orders.values()
+            if order.phase is Phase.QUEUED and order.not_before > now
+        ]
         held_back = len(self._calls) < MAX_CALLS and not self._has_room(now, for_start=True)
         if len(waits) < len(self._orders) and held_back:
-            waits.extend(order.called_ms + FRESH_MS for order in self._calls.values()
-                         if order.called_ms + FRESH_MS > now)
+            waits.extend(
+                order.called_ms + FRESH_MS
+                for order in self._calls.values()
+                if order.called_ms + FRESH_MS > now
+            )
         return min(waits, default=None)
 
     def _has_room(self, now: int, for_start: bool) -> bool:
--- a/flintfield/agent/registry.py
+++ b/flintfield/agent/registry.py
@@ -53,9 +53,9 @@
         if len(request.body) > MAX_BODY_BYTES:
             self._refuse(request, 413, f"a body of {len(request.body)} bytes, above {MAX_BODY_BYTES}")
         elif path.startswith(HEARTBEAT_PATH):
-            self._heartbeat(request, urllib.parse.unquote(path[len(HEARTBEAT_PATH):]))
+            self._heartbeat(request, urllib.parse.unquote(path[len(HEARTBEAT_PATH) :]))
         elif path.startswith(DEREGISTER_PATH):
-            self._deregister(request, urllib.parse.unquote(path[len(DEREGISTER_PATH):]))
+            self._deregister(request, urllib.parse.unquote(path[len(DEREGISTER_PATH) :]))
         else:
             self._refuse(request, 404, "no such path")
 
--- a/flintfield/agent/reports.py
+++ b/flintfield/agent/reports.py
@@ -47,8 +47,14 @@
         self._due_ms = now + int(PERIOD_MS * self._rng.uniform(0.85, 1.1))
 
 
-def make_report(now: int, machine: str, boot: int, start_ms: int, present: Incarnation | None,
-                results: tuple[OrderResult, ...]) -> AgentReport:
+def make_report(
+    now: int,
+    machine: str,
+    boot: int,
+    start_ms: int,
+    present: Incarnation | None,
+    results: tuple[OrderResult, ...],
+) -> AgentReport:
     """What is known of the worker now; `wall_ms` is left for the shell to fill in."""
     state = present.reported_state(now) if present is not None else None
     if present is None or state is None:
--- a/flintfield/agent/service.py
+++ b/flintfield/agent/service.py
@@ -37,9 +37,14 @@
 class AgentService:
     """One agent: registry, worker client, dispatcher link, and the core between them."""
 
-    def __init__(self, settings: NodeSettings, directory: LeaderDirectory, rng: random.Random,
-                 steady_ms: Callable[[], int] = clock.steady_ms,
-                 wall_ms: Callable[[], int] = clock.wall_ms) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        directory: LeaderDirectory,
+        rng: random.Random,
+        steady_ms: Callable[[], int] = clock.steady_ms,
+        wall_ms: Callable[[], int] = clock.wall_ms,
+    ) -> None:
         limits = AgentLimits(settings.bounds.hold_max_ms, settings.bounds.stop_ms)
         self.core = Agent(settings.node_name, rng.getrandbits(62), steady_ms(), limits, settings.app, rng)
         self.registry = Registry(self.deliver)
@@ -79,9 +84,13 @@
         for task in tuple(self._calls):
             task.cancel()
         await self.registry.stop()
-        logs.event(LOG, "counters", **dataclasses.asdict(self.core.counters),
-                   **dataclasses.asdict(self.core.incarnations.counters),
-                   **dataclasses.asdict(self.registry.counters))
+        logs.event(
+            LOG,
+            "counters",
+            **dataclasses.asdict(self.core.counters),
+            **dataclasses.asdict(self.core.incarnations.counters),
+            **dataclasses.asdict(self.registry.counters),
+        )
 
     def deliver(self, event: Event) -> None:
         """Take in an event now."""
--- a/flintfield/agent/worker_client.py
+++ b/flintfield/agent/worker_client.py
@@ -25,7 +25,8 @@
         path, body = encode_request(call.request)
         headers = {"Content-Type": JSON_TYPE, "X-Expected-Instance": call.instance}
         result = await self._client.post(
-            f"http://{call.address}{path}", body, headers, call.timeout_ms / 1_000)
+            f"http://{call.address}{path}", body, headers, call.timeout_ms / 1_000
+        )
         if result.end is CallEnd.NOT_SENT:
             return Answer(AnswerKind.NOT_SENT)
         if result.end is CallEnd.IN_DOUBT:
--- a/flintfield/console/application.py
+++ b/flintfield/console/application.py
@@ -18,8 +18,17 @@
 from flintfield.console.local.command import LocalCommand
 
 COMMANDS: tuple[type[Command], ...] = (
-    LocalCommand, StartCommand, CheckSettingsCommand, CheckConfigurationCommand, MembersCommand,
-    WorkersCommand, JobsCommand, JobCommand, ConfigurationCommand, CountersCommand, StoreShowCommand,
+    LocalCommand,
+    StartCommand,
+    CheckSettingsCommand,
+    CheckConfigurationCommand,
+    MembersCommand,
+    WorkersCommand,
+    JobsCommand,
+    JobCommand,
+    ConfigurationCommand,
+    CountersCommand,
+    StoreShowCommand,
     StoreRepairCommand,
 )
 
--- a/flintfield/console/commands/base.py
+++ b/flintfield/console/commands/base.py
@@ -25,9 +25,11 @@
     """The options of a command that asks running processes."""
     return [
         option("at", None, "RPC addresses of schedulers to ask first (ip:port,ip:port)", flag=False),
-        option("settings", None, "Settings file whose seeds are asked (default: $FLINTFIELD_CONFIG)",
-               flag=False),
-        json_option(), *more,
+        option(
+            "settings", None, "Settings file whose seeds are asked (default: $FLINTFIELD_CONFIG)", flag=False
+        ),
+        json_option(),
+        *more,
     ]
 
 
--- a/flintfield/console/commands/configuration.py
+++ b/flintfield/console/commands/configuration.py
@@ -38,11 +38,20 @@
 
 def _cells(status: ProcessStatus) -> tuple[object, ...]:
     age = duration(status.confirmed_ms_ago)
-    return (status.name, status.configuration_version, moment(status.configuration_since_ms),
-            age if age == "unknown" else f"{age} ago", str(_accepted(status)))
+    return (
+        status.name,
+        status.configuration_version,
+        moment(status.configuration_since_ms),
+        age if age == "unknown" else f"{age} ago",
+        str(_accepted(status)),
+    )
 
 
 def _fields(status: ProcessStatus) -> dict[str, object]:
-    return {"name": status.name, "version": status.configuration_version,
-            "since_wall_ms": status.configuration_since_ms, "confirmed_ms_ago": status.confirmed_ms_ago,
-            "accepted_on_disk": _accepted(status)}
+    return {
+        "name": status.name,
+        "version": status.configuration_version,
+        "since_wall_ms": status.configuration_since_ms,
+        "confirmed_ms_ago": status.confirmed_ms_ago,
+        "accepted_on_disk": _accepted(status),
+    }
--- a/flintfield/console/commands/job.py
+++ b/flintfield/console/commands/job.py
@@ -48,14 +48,18 @@
         if detail.job is None:
             self.show(detail, f"job {self.argument('id')} is not known in epoch {detail.epoch}")
             return VERDICT_BAD
-        self.show(detail, "\n".join([*_head(detail, detail.job), *_tasks(detail), *_runs(detail),
-                                     *_events(detail)]))
+        self.show(
+            detail, "\n".join([*_head(detail, detail.job), *_tasks(detail), *_runs(detail), *_events(detail)])
+        )
         return OK
 
 
 def _head(detail: JobDetail, job: JobRow) -> list[str]:
-    lines = [f"job {job.id}: {job.state}", f"queue {job.queue}, service {job.service}, priority "
-             f"{job.priority}", f"accepted {moment(job.accepted_wall_ms) or 'at an unknown time'}"]
+    lines = [
+        f"job {job.id}: {job.state}",
+        f"queue {job.queue}, service {job.service}, priority {job.priority}",
+        f"accepted {moment(job.accepted_wall_ms) or 'at an unknown time'}",
+    ]
     if job.ended_wall_ms:
         lines.append(f"ended {moment(job.ended_wall_ms)}")
     if job.times > 1:
@@ -71,8 +75,13 @@
 def _tasks(detail: JobDetail) -> list[str]:
     if not detail.tasks:
         return []
-    return ["", table(("time", "step", "tasks", "state", "why"), [
-        (row.time, row.step, row.tasks, _task_state(row), WHY[row.reason]) for row in detail.tasks])]
+    return [
+        "",
+        table(
+            ("time", "step", "tasks", "state", "why"),
+            [(row.time, row.step, row.tasks, _task_state(row), WHY[row.reason]) for row in detail.tasks],
+        ),
+    ]
 
 
 def _task_state(row: TasksRow) -> str:
@@ -82,20 +91,50 @@
 def _runs(detail: JobDetail) -> list[str]:
     if not detail.runs:
         return []
-    return ["", table(RUN_TITLES, [
-        (run.task, run.run, run.instance, run.machine, word(run.state), run.epoch,
-         f"{duration(run.placed_ms_ago)} ago",
-         f"{duration(run.started_ms_ago)} ago" if run.started_ms_ago >= 0 else "", run.percent)
-        for run in detail.runs])]
+    return [
+        "",
+        table(
+            RUN_TITLES,
+            [
+                (
+                    run.task,
+                    run.run,
+                    run.instance,
+                    run.machine,
+                    word(run.state),
+                    run.epoch,
+                    f"{duration(run.placed_ms_ago)} ago",
+                    f"{duration(run.started_ms_ago)} ago" if run.started_ms_ago >= 0 else "",
+                    run.percent,
+                )
+                for run in detail.runs
+            ],
+        ),
+    ]
 
 
 def _events(detail: JobDetail) -> list[str]:
     lines = [""]
     if detail.earlier_events:
         lines.append(f"({detail.earlier_events} earlier events are not kept)")
-    return [*lines, table(("when (UTC)", "what", "task", "run", "worker", "how", "epoch"), [
-        (moment(event.wall_ms) or "at the takeover", word(event.happening), _task_name(event),
-         event.run or "", event.instance, event.detail, event.epoch) for event in detail.events])]
+    return [
+        *lines,
+        table(
+            ("when (UTC)", "what", "task", "run", "worker", "how", "epoch"),
+            [
+                (
+                    moment(event.wall_ms) or "at the takeover",
+                    word(event.happening),
+                    _task_name(event),
+                    event.run or "",
+                    event.instance,
+                    event.detail,
+                    event.epoch,
+                )
+                for event in detail.events
+            ],
+        ),
+    ]
 
 
 def _task_name(event: EventRow) -> str:
--- a/flintfield/console/commands/jobs.py
+++ b/flintfield/console/commands/jobs.py
@@ -14,8 +14,17 @@
 from flintfield.observe.messages import JobRow, Jobs
 from flintfield.observe.questions import PAGE_ROWS, AskJobs
 
-TITLES = ("job", "queue", "service", "priority", "state", "accepted (UTC)", "ended (UTC)", "tasks done",
-          "times done")
+TITLES = (
+    "job",
+    "queue",
+    "service",
+    "priority",
+    "state",
+    "accepted (UTC)",
+    "ended (UTC)",
+    "tasks done",
+    "times done",
+)
 
 
 class JobsCommand(ObservingCommand):
@@ -46,8 +55,17 @@
 
 
 def _cells(row: JobRow) -> tuple[object, ...]:
-    return (row.id, row.queue, row.service, row.priority, row.state, moment(row.accepted_wall_ms),
-            moment(row.ended_wall_ms), _part(row.tasks_done, row.tasks), _part(row.times_done, row.times))
+    return (
+        row.id,
+        row.queue,
+        row.service,
+        row.priority,
+        row.state,
+        moment(row.accepted_wall_ms),
+        moment(row.ended_wall_ms),
+        _part(row.tasks_done, row.tasks),
+        _part(row.times_done, row.times),
+    )
 
 
 def _part(done: int, of: int) -> str:
--- a/flintfield/console/commands/members.py
+++ b/flintfield/console/commands/members.py
@@ -12,8 +12,21 @@
 from flintfield.coordination.model import CoreSet, Member
 from flintfield.observe.messages import ProcessStatus
 
-TITLES = ("name", "address", "zone", "role", "replica", "epoch", "at", "configuration", "as of", "ready",
-          "release", "up", "peak kB")
+TITLES = (
+    "name",
+    "address",
+    "zone",
+    "role",
+    "replica",
+    "epoch",
+    "at",
+    "configuration",
+    "as of",
+    "ready",
+    "release",
+    "up",
+    "peak kB",
+)
 
 
 class MembersCommand(ObservingCommand):
@@ -27,8 +40,12 @@
         """Ask everybody."""
         found = asyncio.run(survey(addresses))
         faults = faults_of(found)
-        lines = [_core_line(found.core), _leader_line(found), "",
-                 table(TITLES, [_row(found, address) for address in found.processes])]
+        lines = [
+            _core_line(found.core),
+            _leader_line(found),
+            "",
+            table(TITLES, [_row(found, address) for address in found.processes]),
+        ]
         lines += [f"! {fault}" for fault in faults]
         self.show({"survey": found, "faults": faults}, "\n".join(lines))
         return VERDICT_BAD if faults else OK
@@ -70,8 +87,10 @@
     leader = found.leader
     if leader is None:
         return "leader: unknown"
-    return (f"leader: {leader.name} at {leader.address}, epoch {leader.epoch}, "
-            f"heard of {duration(leader.heard_ago_ms)} ago")
+    return (
+        f"leader: {leader.name} at {leader.address}, epoch {leader.epoch}, "
+        f"heard of {duration(leader.heard_ago_ms)} ago"
+    )
 
 
 def _row(found: Survey, address: str) -> tuple[object, ...]:
@@ -79,12 +98,24 @@
     if status is None:
         return (_name_at(found.core, address), address, "", "no answer", *[""] * (len(TITLES) - 4))
     replica = status.replica
-    epoch, place = ("", "") if replica is None else (str(replica.promised_epoch),
-                                                     f"{replica.epoch}.{replica.sequence}")
-    return (status.name, address, status.zone, "leader" if status.leads else "",
-            _standing(found.core, status), epoch, place, status.configuration_version,
-            duration(status.confirmed_ms_ago), "yes" if status.ready else "no", status.release,
-            duration(status.uptime_ms), status.peak_memory_kb)
+    epoch, place = (
+        ("", "") if replica is None else (str(replica.promised_epoch), f"{replica.epoch}.{replica.sequence}")
+    )
+    return (
+        status.name,
+        address,
+        status.zone,
+        "leader" if status.leads else "",
+        _standing(found.core, status),
+        epoch,
+        place,
+        status.configuration_version,
+        duration(status.confirmed_ms_ago),
+        "yes" if status.ready else "no",
+        status.release,
+        duration(status.uptime_ms),
+        status.peak_memory_kb,
+    )
 
 
 def _name_at(core: CoreSet | None, address: str) -> str:
--- a/flintfield/console/commands/start.py
+++ b/flintfield/console/commands/start.py
@@ -21,7 +21,8 @@
     description = "Run a scheduler or an agent in this process"
     arguments = [argument("program", "scheduler or agent")]  # noqa: RUF012 (cleo's way)
     options = [  # noqa: RUF012
-        option("settings", None, f"Settings file (default: ${VARIABLE})", flag=False)]
+        option("settings", None, f"Settings file (default: ${VARIABLE})", flag=False)
+    ]
 
     def handle(self) -> int:
         """Returns only for what can't be started."""
--- a/flintfield/console/commands/store.py
+++ b/flintfield/console/commands/store.py
@@ -91,15 +91,31 @@
         if cut.following:
             self.line(f"lost with them: what stands in {', '.join(cut.following)}")
         if cut.frames == 1 and not cut.following:
-            self.line("it is the newest write: one that a loss of power tore, which nobody was told of, "
-                      "or the newest one of all")
+            self.line(
+                "it is the newest write: one that a loss of power tore, which nobody was told of, "
+                "or the newest one of all"
+            )
 
 
 def _ring_lines(found: Inspection) -> list[str]:
-    lines = [f"{found.directory}: {found.files} files, {found.total_bytes} bytes; {found.damage.value}",
-             "", table(SEGMENT_TITLES, [
-                 (segment.name, segment.sequence, segment.frames, segment.end, segment.damaged_frames,
-                  segment.damaged_bytes) for segment in found.segments])]
+    lines = [
+        f"{found.directory}: {found.files} files, {found.total_bytes} bytes; {found.damage.value}",
+        "",
+        table(
+            SEGMENT_TITLES,
+            [
+                (
+                    segment.name,
+                    segment.sequence,
+                    segment.frames,
+                    segment.end,
+                    segment.damaged_frames,
+                    segment.damaged_bytes,
+                )
+                for segment in found.segments
+            ],
+        ),
+    ]
     if found.following:
         lines.append(f"behind the damage: {', '.join(found.following)}")
     if found.newer:
@@ -135,6 +151,14 @@
 
 
 def _fields(found: Inspection, status: ReplicaStatus | None) -> dict[str, object]:
-    return {"directory": found.directory, "files": found.files, "total_bytes": found.total_bytes,
-            "damage": found.damage, "segments": found.segments, "following": found.following,
-            "newer": found.newer, "replica": status, "records": len(found.items or {})}
+    return {
+        "directory": found.directory,
+        "files": found.files,
+        "total_bytes": found.total_bytes,
+        "damage": found.damage,
+        "segments": found.segments,
+        "following": found.following,
+        "newer": found.newer,
+        "replica": status,
+        "records": len(found.items or {}),
+    }
--- a/flintfield/console/commands/workers.py
+++ b/flintfield/console/commands/workers.py
@@ -12,8 +12,23 @@
 from flintfield.observe.messages import WorkerRow, Workers
 from flintfield.observe.questions import AskWorkers
 
-TITLES = ("machine", "worker", "service", "zone", "labels", "state", "trusted", "cpu", "memory MB", "GPUs",
-          "runs", "price", "speed", "load", "report")
+TITLES = (
+    "machine",
+    "worker",
+    "service",
+    "zone",
+    "labels",
+    "state",
+    "trusted",
+    "cpu",
+    "memory MB",
+    "GPUs",
+    "runs",
+    "price",
+    "speed",
+    "load",
+    "report",
+)
 MOST_ROWS = 10_000
 
 
@@ -41,7 +56,20 @@
     state = word(row.condition)
     if row.leaves_in_ms >= 0:
         state += f", leaves in {duration(row.leaves_in_ms)}"
-    return (row.machine, row.instance, row.service, row.zone, ",".join(row.labels), state,
-            "yes" if row.trusted else "no", f"{row.used_cpu}/{row.cpu}",
-            f"{row.used_memory_mb}/{row.memory_mb}", f"{row.used_gpu}/{row.gpu}", row.runs,
-            f"{row.price:.3f}", f"{row.speed:.2f}", f"{row.load:.2f}", duration(row.report_ms_ago))
+    return (
+        row.machine,
+        row.instance,
+        row.service,
+        row.zone,
+        ",".join(row.labels),
+        state,
+        "yes" if row.trusted else "no",
+        f"{row.used_cpu}/{row.cpu}",
+        f"{row.used_memory_mb}/{row.memory_mb}",
+        f"{row.used_gpu}/{row.gpu}",
+        row.runs,
+        f"{row.price:.3f}",
+        f"{row.speed:.2f}",
+        f"{row.load:.2f}",
+        duration(row.report_ms_ago),
+    )
--- a/flintfield/console/disk/chain.py
+++ b/flintfield/console/disk/chain.py
@@ -16,7 +16,11 @@
 from dataclasses import dataclass
 
 from flintfield.coordination.storage.format import (
-    FRAME_HEADER_BYTES, SEGMENT_HEADER_BYTES, SegmentHeader, decode_frames, decode_segment,
+    FRAME_HEADER_BYTES,
+    SEGMENT_HEADER_BYTES,
+    SegmentHeader,
+    decode_frames,
+    decode_segment,
 )
 from flintfield.coordination.storage.recovery import NAME, file_name, recover
 
@@ -119,16 +123,21 @@
     if in_use:
         last = headers[in_use[-1]]
         following = _following(headers, last)
-        newer = tuple(file_name(number) for number, header in sorted(headers.items())
-                      if header.sequence > last.sequence and file_name(number) not in following)
+        newer = tuple(
+            file_name(number)
+            for number, header in sorted(headers.items())
+            if header.sequence > last.sequence and file_name(number) not in following
+        )
     total_bytes = sum(file.size for file in found.files)
     damage = _damage(found.items is not None, len(headers), segments, following)
-    return Inspection(directory, len(found.files), total_bytes, found.items, segments, following, newer,
-                      damage)
+    return Inspection(
+        directory, len(found.files), total_bytes, found.items, segments, following, newer, damage
+    )
 
 
-def _damage(complete: bool, used_files: int, segments: tuple[Segment, ...],
-            following: tuple[str, ...]) -> Damage:
+def _damage(
+    complete: bool, used_files: int, segments: tuple[Segment, ...], following: tuple[str, ...]
+) -> Damage:
     if not complete:
         return Damage.NO_CHAIN if used_files else Damage.NONE
     damaged = sum(segment.damaged_frames for segment in segments)
--- a/flintfield/console/disk/repair.py
+++ b/flintfield/console/disk/repair.py
@@ -34,11 +34,15 @@
     if found.damage is Damage.NONE:
         return None
     if found.damage is Damage.NO_CHAIN:
-        raise Refused("no complete chain is left: nothing can be kept. Empty the folder; the process then "
-                      "joins as a new replica")
+        raise Refused(
+            "no complete chain is left: nothing can be kept. Empty the folder; the process then "
+            "joins as a new replica"
+        )
     if found.damage is Damage.LOST_RECORDS and not force:
-        raise Refused("records that were durable are lost: cutting them lets this replica break promises. "
-                      "Empty the folder, and the process joins as a new replica; or give --force")
+        raise Refused(
+            "records that were durable are lost: cutting them lets this replica break promises. "
+            "Empty the folder, and the process joins as a new replica; or give --force"
+        )
     segment = _damaged(found)
     length = segment.damaged_bytes
     copy = f"{segment.name}.cut-{segment.end}"
@@ -52,7 +56,7 @@
 
 def carry_out(directory: str, cut: Cut) -> None:
     """Keep a copy of what is cut, durably, then write zeros over it; raises `OSError`."""
-    data = read_file(directory, number_of(cut.name))[cut.offset:cut.offset + cut.length]
+    data = read_file(directory, number_of(cut.name))[cut.offset : cut.offset + cut.length]
     _write(os.path.join(directory, cut.copy), 0, data, os.O_CREAT | os.O_EXCL)
     _write(os.path.join(directory, cut.name), cut.offset, bytes(len(data)), 0)
     _sync_folder(directory)
--- a/flintfield/console/local/calls.py
+++ b/flintfield/console/local/calls.py
@@ -36,8 +36,14 @@
         self._next = 0
         self.repeats = 0
 
-    def call(self, method: str, path: str, fields: dict[str, Any] | None = None,
-             headers: dict[str, str] | None = None, within_s: float = 20.0) -> Reply:
+    def call(
+        self,
+        method: str,
+        path: str,
+        fields: dict[str, Any] | None = None,
+        headers: dict[str, str] | None = None,
+        within_s: float = 20.0,
+    ) -> Reply:
         """Make the call until it is answered; raises `CallFailed`."""
         deadline_s = time.monotonic() + within_s
         body = json.dumps(fields).encode() if fields is not None else b""
--- a/flintfield/console/local/command.py
+++ b/flintfield/console/local/command.py
@@ -34,8 +34,12 @@
     def handle(self) -> int:
         """Exit code 0 where all jobs ended as they must, 1 otherwise, 2 for unusable options."""
         try:
-            options = Options(int(self.option("rounds")), bool(self.option("kill-leader")),
-                              float(self.option("timeout")), bool(self.option("stay")))
+            options = Options(
+                int(self.option("rounds")),
+                bool(self.option("kill-leader")),
+                float(self.option("timeout")),
+                bool(self.option("stay")),
+            )
         except ValueError as error:
             self.line_error(f"local: {error}")
             return FAULTY
--- a/flintfield/console/local/machines.py
+++ b/flintfield/console/local/machines.py
@@ -85,11 +85,20 @@
     """All machines, replicas first."""
     machines = []
     for index in range(REPLICAS + FRONTENDS):
-        machines.append(Machine(f"scheduler-{index + 1}", Role.SCHEDULER, FIRST_SCHEDULER + index, port,
-                                ZONES[index % len(ZONES)], replica=index < REPLICAS))
+        machines.append(
+            Machine(
+                f"scheduler-{index + 1}",
+                Role.SCHEDULER,
+                FIRST_SCHEDULER + index,
+                port,
+                ZONES[index % len(ZONES)],
+                replica=index < REPLICAS,
+            )
+        )
     for index in range(AGENTS):
-        machines.append(Machine(f"agent-{index + 1}", Role.AGENT, FIRST_AGENT + index, port,
-                                ZONES[index % len(ZONES)]))
+        machines.append(
+            Machine(f"agent-{index + 1}", Role.AGENT, FIRST_AGENT + index, port, ZONES[index % len(ZONES)])
+        )
     return tuple(machines)
 
 
@@ -98,8 +107,9 @@
     blocks = range(*PORT_BLOCKS, PORTS)
     for _ in range(BLOCK_ATTEMPTS):
         port = rng.choice(blocks)
-        if all(_is_free(machine.ip, port + offset)
-               for machine in plan_machines(port) for offset in range(PORTS)):
+        if all(
+            _is_free(machine.ip, port + offset) for machine in plan_machines(port) for offset in range(PORTS)
+        ):
             return port
     raise NoPorts(f"no {PORTS} free ports between {PORT_BLOCKS[0]} and {PORT_BLOCKS[1]}")
 
@@ -117,29 +127,37 @@
 def settings_text(machine: Machine, seeds: tuple[str, ...], folder: Path, bootstrap: bool) -> str:
     """The settings file of a machine; `bootstrap` is true at the very first start."""
     return _settings_of_any(machine, seeds, bootstrap) + (
-        _settings_of_scheduler(machine, folder) if machine.role is Role.SCHEDULER
-        else _settings_of_agent(machine))
+        _settings_of_scheduler(machine, folder)
+        if machine.role is Role.SCHEDULER
+        else _settings_of_agent(machine)
+    )
 
 
 def _settings_of_any(machine: Machine, seeds: tuple[str, ...], bootstrap: bool) -> str:
     names = ", ".join(f'"{seed}"' for seed in seeds)
-    return (f'nodeName = "{machine.name}"\nrole = "{machine.role.name.lower()}"\n'
-            f'ip = "{machine.ip}"\nzone = "{machine.zone}"\nregion = "{REGION}"\n'
-            f"portRange = [{machine.port + 4}, {machine.port + PORTS - 1}]\nseeds = [{names}]\n"
-            f"bootstrap = {'true' if bootstrap else 'false'}\nheartbeatMs = {HEARTBEAT_MS}\n"
-            'commands = "rpc"\n')
+    return (
+        f'nodeName = "{machine.name}"\nrole = "{machine.role.name.lower()}"\n'
+        f'ip = "{machine.ip}"\nzone = "{machine.zone}"\nregion = "{REGION}"\n'
+        f"portRange = [{machine.port + 4}, {machine.port + PORTS - 1}]\nseeds = [{names}]\n"
+        f"bootstrap = {'true' if bootstrap else 'false'}\nheartbeatMs = {HEARTBEAT_MS}\n"
+        'commands = "rpc"\n'
+    )
 
 
 def _settings_of_scheduler(machine: Machine, folder: Path) -> str:
     disk = ""
     if machine.replica:
         disk = f'countsForQuorum = true\ndataDir = "{folder / "data" / machine.name}"\n'
-    return (f'machineClass = "frontend"\nserves = ["frontend", "control_plane"]\n{disk}'
-            f'[listen]\nfront = "{machine.front}"\nready = "{machine.ready}"\n'
-            f'control = "{machine.control}"\n[limits]\ndiskMb = {DISK_MB}\n'
-            f"[faultTolerance]\nmachines = 1\n[bounds]\ngraceS = {GRACE_S}\n")
+    return (
+        f'machineClass = "frontend"\nserves = ["frontend", "control_plane"]\n{disk}'
+        f'[listen]\nfront = "{machine.front}"\nready = "{machine.ready}"\n'
+        f'control = "{machine.control}"\n[limits]\ndiskMb = {DISK_MB}\n'
+        f"[faultTolerance]\nmachines = 1\n[bounds]\ngraceS = {GRACE_S}\n"
+    )
 
 
 def _settings_of_agent(machine: Machine) -> str:
-    return (f'machineClass = "side"\nserves = ["side"]\napp = "{machine.app}"\nservice = "{SERVICE}"\n'
-            f'[listen]\ncontrol = "{machine.control}"\n[bounds]\ngraceS = {GRACE_S}\n')
+    return (
+        f'machineClass = "side"\nserves = ["side"]\napp = "{machine.app}"\nservice = "{SERVICE}"\n'
+        f'[listen]\ncontrol = "{machine.control}"\n[bounds]\ngraceS = {GRACE_S}\n'
+    )
--- a/flintfield/console/local/processes.py
+++ b/flintfield/console/local/processes.py
@@ -61,9 +61,23 @@
         """Begin the stand-in worker beside an agent."""
         if machine.role is not Role.AGENT:
             raise ValueError(f"{machine.name} has no worker")
-        arguments = [WORKER_MODULE, "--app", machine.app, "--agent", machine.control, "--service", SERVICE,
-                     "--zone", machine.zone, "--heartbeat-ms", str(HEARTBEAT_MS),
-                     "--label", KIND, "--label", RACKS[index % len(RACKS)]]
+        arguments = [
+            WORKER_MODULE,
+            "--app",
+            machine.app,
+            "--agent",
+            machine.control,
+            "--service",
+            SERVICE,
+            "--zone",
+            machine.zone,
+            "--heartbeat-ms",
+            str(HEARTBEAT_MS),
+            "--label",
+            KIND,
+            "--label",
+            RACKS[index % len(RACKS)],
+        ]
         if index % 2:
             arguments += ["--label", SPECIAL_LABEL]
         self._begin(f"worker-{index + 1}", tuple(arguments), {})
@@ -77,8 +91,9 @@
 
     def unexpected_ends(self) -> list[ClusterProcess]:
         """Processes that have ended though nobody told them to."""
-        return [process for process in self._by_name.values()
-                if not process.running and not process.expected_end]
+        return [
+            process for process in self._by_name.values() if not process.running and not process.expected_end
+        ]
 
     @property
     def running(self) -> int:
@@ -104,8 +119,14 @@
         environment = {**os.environ, "PYTHONPATH": _module_path(), **variables}
         log = self.folder / "logs" / f"{name}.log"
         with log.open("ab") as output:
-            handle = subprocess.Popen((sys.executable, "-m", *arguments), cwd=ROOT, env=environment,
-                                      stdin=subprocess.DEVNULL, stdout=output, stderr=output)
+            handle = subprocess.Popen(
+                (sys.executable, "-m", *arguments),
+                cwd=ROOT,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+            )
         self._by_name[name] = ClusterProcess(name, tuple(arguments), environment, log, handle)
 
 
--- a/flintfield/console/local/table.py
+++ b/flintfield/console/local/table.py
@@ -30,14 +30,18 @@
             self._append(snapshot)
 
     def _redraw(self, snapshot: Snapshot) -> None:
-        lines = [headline(snapshot), TITLES, *(job_line(job) for job in snapshot.jobs),
-                 *snapshot.events[-EVENTS_SHOWN:]]
+        lines = [
+            headline(snapshot),
+            TITLES,
+            *(job_line(job) for job in snapshot.jobs),
+            *snapshot.events[-EVENTS_SHOWN:],
+        ]
         up = f"\x1b[{self._lines}A" if self._lines else ""
         self._write(up + "".join(f"\x1b[2K{line}\n" for line in lines) + "\x1b[J")
         self._lines = len(lines)
 
     def _append(self, snapshot: Snapshot) -> None:
-        for event in snapshot.events[self._events:]:
+        for event in snapshot.events[self._events :]:
             self._write(event + "\n")
         self._events = len(snapshot.events)
         changed = [job for job in snapshot.jobs if self._states.get(job.id) != job.state]
@@ -53,13 +57,16 @@
     """One line on the cluster."""
     leader = f"{snapshot.leader} (epoch {snapshot.epoch})" if snapshot.leader else "none"
     ended = sum(job.ended for job in snapshot.jobs)
-    return (f"{snapshot.elapsed_s:5.1f} s  {snapshot.running} processes, dispatcher {leader}, "
-            f"{ended} of {len(snapshot.jobs)} jobs ended")
+    return (
+        f"{snapshot.elapsed_s:5.1f} s  {snapshot.running} processes, dispatcher {leader}, "
+        f"{ended} of {len(snapshot.jobs)} jobs ended"
+    )
 
 
 def job_line(job: PlayedJob) -> str:
     """One line on a job."""
     until_s = job.ended_s or time.monotonic()
     mark = "" if not job.ended or job.as_expected else "  <- wrong"
-    return FORM.format(job.kind.name, job.id, job.state, job.kind.end,
-                       f"{until_s - job.submitted_s:.1f}") + mark
+    return (
+        FORM.format(job.kind.name, job.id, job.state, job.kind.end, f"{until_s - job.submitted_s:.1f}") + mark
+    )
--- a/flintfield/console/output.py
+++ b/flintfield/console/output.py
@@ -39,12 +39,16 @@
     """Columns of equal width, a line of titles on top; numbers stand at the right."""
     texts = [[str(cell) for cell in row] for row in rows]
     widths = [max(len(line[column]) for line in [list(titles), *texts]) for column in range(len(titles))]
-    right = [bool(rows) and all(isinstance(row[column], int | float) for row in rows)
-             for column in range(len(titles))]
+    right = [
+        bool(rows) and all(isinstance(row[column], int | float) for row in rows)
+        for column in range(len(titles))
+    ]
     lines = []
     for line in [list(titles), *texts]:
-        cells = (cell.rjust(width) if at_right else cell.ljust(width)
-                 for cell, width, at_right in zip(line, widths, right, strict=True))
+        cells = (
+            cell.rjust(width) if at_right else cell.ljust(width)
+            for cell, width, at_right in zip(line, widths, right, strict=True)
+        )
         lines.append(GAP.join(cells).rstrip())
     return "\n".join(lines)
 
--- a/flintfield/console/rpc_client.py
+++ b/flintfield/console/rpc_client.py
@@ -67,6 +67,7 @@
 
 # Everybody.
 
+
 async def survey(addresses: Sequence[str]) -> Survey:
     """Ask all schedulers that the first to answer knows of; raises `NobodyAnswers`."""
     async with _pool() as pool:
@@ -79,7 +80,9 @@
     leaders = [status.leader for status in answered if status.leader is not None]
     return Survey(
         max(leaders, key=lambda leader: (leader.epoch, -leader.heard_ago_ms), default=known.leader),
-        max(cores, key=lambda core: core.version, default=None), processes)
+        max(cores, key=lambda core: core.version, default=None),
+        processes,
+    )
 
 
 async def _status(pool: Pool, address: str) -> ProcessStatus | None:
@@ -92,6 +95,7 @@
 
 # The dispatcher.
 
+
 async def ask_dispatcher(addresses: Sequence[str], question: Any, kind: type[Reply]) -> Reply:
     """The dispatcher's answer; follows a takeover. Raises `NobodyAnswers` or `NobodyLeads`."""
     async with _pool() as pool:
@@ -114,6 +118,7 @@
 
 # For the local cluster.
 
+
 def find_leader(addresses: Sequence[str]) -> KnownLeader | None:
     """The newest leader that the first process to answer knows of; raises `NobodyAnswers`."""
     return _where_is_leader(addresses).leader
--- a/flintfield/control/configuration.py
+++ b/flintfield/control/configuration.py
@@ -73,8 +73,7 @@
         object.__setattr__(self, "_hosts", _index(self.routes))
 
     def find_route(self, host: str, path: str) -> Route | None:
-        """The route with the longest prefix of this path; `host` is a `Host` header, with or without a port.
-        """
+        """The route with the longest prefix of this path; `host` is a `Host` header, port or none."""
         index = self._hosts.get(canonical_host(host))
         if index is None:
             return None
--- a/flintfield/control/documents.py
+++ b/flintfield/control/documents.py
@@ -152,8 +152,7 @@
 
 
 def check_change(change: Document) -> None:
-    """Check what can be checked of a change without the document it builds on; raises `InvalidConfiguration`.
-    """
+    """Check a change as far as that goes without its base; raises `InvalidConfiguration`."""
     _check_shape(_CHANGE, change)
     for items in _NAMED_ITEMS:
         upserted = [item["name"] for item in change.get("upsert", {}).get(items, ())]
@@ -219,7 +218,8 @@
     for route in document["routes"]:
         if route["service"] not in known:
             raise InvalidConfiguration(
-                f"routes: {route['name']!r} names the unknown service {route['service']!r}")
+                f"routes: {route['name']!r} names the unknown service {route['service']!r}"
+            )
 
 
 def _address(route: Document) -> tuple[str, str]:
--- a/flintfield/control/orders.py
+++ b/flintfield/control/orders.py
@@ -69,8 +69,7 @@
 
 
 def read_order(kind: Kind, base_version: int, body: bytes) -> Order:
-    """The order in a request; raises `documents.InvalidConfiguration` where it is invalid on top of anything.
-    """
+    """The order in a request; raises `InvalidConfiguration` where it is invalid on any base."""
     content = documents.parse(body)
     if kind is Kind.REPLACE:
         documents.check_whole(content)
--- a/flintfield/control/stored.py
+++ b/flintfield/control/stored.py
@@ -48,8 +48,9 @@
 """The record of a register that holds no value yet."""
 
 
-def encode_stored(version: int, document: bytes, taken: tuple[bytes, ...],
-                  taken_bases: tuple[int, ...]) -> bytes:
+def encode_stored(
+    version: int, document: bytes, taken: tuple[bytes, ...], taken_bases: tuple[int, ...]
+) -> bytes:
     """The value of the register for this JSON document."""
     packed = zlib.compress(document, PACK_LEVEL)
     shorter = packed if len(packed) < len(document) else document
--- a/flintfield/coordination/directory.py
+++ b/flintfield/coordination/directory.py
@@ -79,7 +79,7 @@
         self._rng.shuffle(core)
         self._rng.shuffle(others)
         addresses = core + others
-        return [tuple(addresses[at:at + AT_ONCE]) for at in range(0, len(addresses), AT_ONCE)]
+        return [tuple(addresses[at : at + AT_ONCE]) for at in range(0, len(addresses), AT_ONCE)]
 
     async def _ask(self, address: str) -> None:
         try:
--- a/flintfield/coordination/follower.py
+++ b/flintfield/coordination/follower.py
@@ -65,8 +65,9 @@
         if request.probe or again:
             return self._yes(request), []
         self.promised_ms = now_ms
-        pair = self._order_pair(replace(order, promised=request.epoch, candidate=request.candidate,
-                                        boot=request.boot))
+        pair = self._order_pair(
+            replace(order, promised=request.epoch, candidate=request.candidate, boot=request.boot)
+        )
         return self._yes(request), [pair]
 
     def _yes(self, request: PrepareEpoch) -> EpochPromised:
@@ -127,8 +128,9 @@
         position = Position(request.epoch, 0)
         return None, [*changes, self._order_pair(replace(self.order, position=position))]
 
-    def install(self, now_ms: int, request: Install) -> tuple[Refusal | None, list[Pair],
-                                                              list[tuple[bytes, bytes]] | None]:
+    def install(
+        self, now_ms: int, request: Install
+    ) -> tuple[Refusal | None, list[Pair], list[tuple[bytes, bytes]] | None]:
         """Gather the parts of a whole state; the last one brings the replacement of all items."""
         refusal, changes = self.hear(now_ms, request.epoch, request.leader, request.boot)
         if refusal is not None:
@@ -154,6 +156,7 @@
         if request.index != staged.next_index:
             return staged if request.index < staged.next_index and not request.last else None
         staged.next_index += 1
-        staged.pairs += [(ITEM_PREFIX + change.key, change.value) for change in request.changes
-                         if change.value is not None]
+        staged.pairs += [
+            (ITEM_PREFIX + change.key, change.value) for change in request.changes if change.value is not None
+        ]
         return staged
--- a/flintfield/coordination/foundation.py
+++ b/flintfield/coordination/foundation.py
@@ -30,8 +30,11 @@
         """A replica at its first start has announced itself."""
         if self._members.get(member.identity) == member:
             return
-        same = [identity for identity, known in self._members.items()
-                if known.name == member.name or known.address == member.address]
+        same = [
+            identity
+            for identity, known in self._members.items()
+            if known.name == member.name or known.address == member.address
+        ]
         for identity in same:  # its store was formatted anew since
             del self._members[identity]
         self._members[member.identity] = member
--- a/flintfield/coordination/leader.py
+++ b/flintfield/coordination/leader.py
@@ -62,8 +62,9 @@
 class Leader:
     """The state machine. `items` is the newest content, durable or not; it belongs to this object."""
 
-    def __init__(self, core: CoreSet, epoch: int, identity: int, boot: int, base: Position,
-                 items: dict[bytes, bytes]) -> None:
+    def __init__(
+        self, core: CoreSet, epoch: int, identity: int, boot: int, base: Position, items: dict[bytes, bytes]
+    ) -> None:
         self.core = core
         self.epoch = epoch
         self.identity = identity
@@ -114,8 +115,11 @@
 
     def wall_offset_ms(self, now_ms: int) -> int | None:
         """Common time less the steady clock; None before anybody has told a wall clock."""
-        told = [progress.wall_offset_ms for progress in self.followers.values()
-                if progress.wall_offset_ms is not None and now_ms - progress.contact_ms < 10 * HEARTBEAT_MS]
+        told = [
+            progress.wall_offset_ms
+            for progress in self.followers.values()
+            if progress.wall_offset_ms is not None and now_ms - progress.contact_ms < 10 * HEARTBEAT_MS
+        ]
         self._wall_offset_ms = median_offset(told, self._wall_offset_ms)
         return self._wall_offset_ms
 
@@ -178,8 +182,13 @@
                 self._send(now_ms, progress, append, APPEND_TIMEOUT_MS, out)
 
     @staticmethod
-    def _send(now_ms: int, progress: Progress, message: Adopt | Append | Install, timeout_ms: int,
-              out: list[Outgoing]) -> None:
+    def _send(
+        now_ms: int,
+        progress: Progress,
+        message: Adopt | Append | Install,
+        timeout_ms: int,
+        out: list[Outgoing],
+    ) -> None:
         progress.in_flight += 1
         out.append(Outgoing(progress.member, message, now_ms, timeout_ms, progress.round))
 
@@ -207,8 +216,17 @@
     def _part(self, progress: Progress) -> Install:
         index = progress.part
         last = index == len(progress.parts) - 1
-        return Install(self.core.version, self.epoch, self.identity, self.boot, progress.target,
-                       progress.transfer, index, last, progress.parts[index])
+        return Install(
+            self.core.version,
+            self.epoch,
+            self.identity,
+            self.boot,
+            progress.target,
+            progress.transfer,
+            index,
+            last,
+            progress.parts[index],
+        )
 
     def _trim(self) -> None:
         """Drop from the log what all followers have, and beyond the bound the oldest that is committed."""
--- a/flintfield/coordination/node.py
+++ b/flintfield/coordination/node.py
@@ -57,9 +57,21 @@
     """
 
     def __init__(
-        self, *, name: str, address: str, zone: str, seeds: Sequence[str], first_start: bool, counts: bool,
-        store: KeyedStore | None, tolerance_machines: int, pool: Pool, listener: LeaderListener | None,
-        rng: random.Random, steady_ms: Clock, wall_ms: Clock,
+        self,
+        *,
+        name: str,
+        address: str,
+        zone: str,
+        seeds: Sequence[str],
+        first_start: bool,
+        counts: bool,
+        store: KeyedStore | None,
+        tolerance_machines: int,
+        pool: Pool,
+        listener: LeaderListener | None,
+        rng: random.Random,
+        steady_ms: Clock,
+        wall_ms: Clock,
     ) -> None:
         self._name = name
         self._knowledge = Knowledge(steady_ms, tuple(seeds), address)
@@ -69,29 +81,49 @@
             self._host = ReplicaHost(store, first_start, self._knowledge, rng, steady_ms, wall_ms)
         self._peers = Peers(pool, self._host)
         proposer = Proposer(self._peers, rng)
-        self._register = RegisterClient(self._peers, proposer, self._knowledge, steady_ms,
-                                        self._newest.committed)
+        self._register = RegisterClient(
+            self._peers, proposer, self._knowledge, steady_ms, self._newest.committed
+        )
         self._poll_responder = PollResponder(self._host, self._knowledge, self._newest, steady_ms)
         self._peers.own_polls = self._poll_responder.answer
-        self._watcher = Watcher(self._peers, self._knowledge, self._newest, self._register, rng, steady_ms,
-                                address)
+        self._watcher = Watcher(
+            self._peers, self._knowledge, self._newest, self._register, rng, steady_ms, address
+        )
         self._elections: Elections | None = None
         self._changes: CoreChanges | None = None
         if self._host is not None:
             self._add_replica_parts(self._host, proposer, listener, rng, steady_ms, wall_ms)
         own = Member(name, address, zone, 0)
-        self._announcer = Announcer(own, first_start, 2 * tolerance_machines + 1, self._host, self._peers,
-                                    self._knowledge, self._changes, rng, steady_ms,
-                                    lambda: self._watcher.confirmed_ms)
+        self._announcer = Announcer(
+            own,
+            first_start,
+            2 * tolerance_machines + 1,
+            self._host,
+            self._peers,
+            self._knowledge,
+            self._changes,
+            rng,
+            steady_ms,
+            lambda: self._watcher.confirmed_ms,
+        )
         self._tasks: list[asyncio.Task[Any]] = []
 
-    def _add_replica_parts(self, host: ReplicaHost, proposer: Proposer, listener: LeaderListener | None,
-                           rng: random.Random, steady_ms: Clock, wall_ms: Clock) -> None:
+    def _add_replica_parts(
+        self,
+        host: ReplicaHost,
+        proposer: Proposer,
+        listener: LeaderListener | None,
+        rng: random.Random,
+        steady_ms: Clock,
+        wall_ms: Clock,
+    ) -> None:
         fetcher = Fetcher(self._peers, rng)
-        self._elections = Elections(host, self._peers, self._knowledge, fetcher, listener, rng, steady_ms,
-                                    wall_ms)
-        self._changes = CoreChanges(host, self._peers, proposer, self._knowledge, fetcher, self._elections,
-                                    rng, steady_ms)
+        self._elections = Elections(
+            host, self._peers, self._knowledge, fetcher, listener, rng, steady_ms, wall_ms
+        )
+        self._changes = CoreChanges(
+            host, self._peers, proposer, self._knowledge, fetcher, self._elections, rng, steady_ms
+        )
         self._register.on_sealed = self._changes.push
         self._elections.on_sealed = self._changes.push
         self._elections.prepare_leadership = self._wire
@@ -189,7 +221,8 @@
     def handlers(self) -> Handlers:
         """The handlers for the process's RPC server."""
         handlers: dict[type, Callable[[Any, Connection], Any]] = {
-            kind: self._replica_request for kind in HANDLED}
+            kind: self._replica_request for kind in HANDLED
+        }
         handlers[Poll] = lambda poll, _: self._answer_poll(poll)
         handlers[Announce] = lambda message, _: self._announcer.announced(message)
         handlers[SetDecided] = lambda message, _: self._knowledge.note_core(message.core)
@@ -214,8 +247,9 @@
         self._note_own_leadership()
         knowledge = self._knowledge
         members = knowledge.core.members if knowledge.core is not None else ()
-        return LeaderAnswer(knowledge.known_leader(), tuple(member.address for member in members),
-                            knowledge.schedulers())
+        return LeaderAnswer(
+            knowledge.known_leader(), tuple(member.address for member in members), knowledge.schedulers()
+        )
 
     def _note_own_leadership(self) -> None:
         if self._elections is not None:
--- a/flintfield/coordination/reconfiguration.py
+++ b/flintfield/coordination/reconfiguration.py
@@ -15,8 +15,13 @@
 from flintfield.coordination.timing import UNREACHABLE_MS
 
 
-def successor(core: CoreSet, candidates: Iterable[Member], silent_ms: Callable[[int], int],
-              leader: int, leaving: Collection[int] = ()) -> CoreSet | None:
+def successor(
+    core: CoreSet,
+    candidates: Iterable[Member],
+    silent_ms: Callable[[int], int],
+    leader: int,
+    leaving: Collection[int] = (),
+) -> CoreSet | None:
     """The next set, or None where the present one stays. `silent_ms(identity)` tells for how long a member
     has been out of the leader's reach; `leader` is the leader's own identity, which keeps its place;
     `leaving` are identities of members that are about to end."""
@@ -29,14 +34,24 @@
     return CoreSet(core.version + 1, chosen, core.founded_size, core.members)
 
 
-def _with(candidate: Member, members: list[Member], core: CoreSet, silent_ms: Callable[[int], int],
-          leader: int, leaving: Collection[int]) -> list[Member]:
+def _with(
+    candidate: Member,
+    members: list[Member],
+    core: CoreSet,
+    silent_ms: Callable[[int], int],
+    leader: int,
+    leaving: Collection[int],
+) -> list[Member]:
     if candidate in members or candidate.identity in leaving:
         return members
     before = {member.identity for member in core.members}
-    replaced = [member for member in members
-                if member.identity == candidate.identity or member.name == candidate.name
-                or member.address == candidate.address]
+    replaced = [
+        member
+        for member in members
+        if member.identity == candidate.identity
+        or member.name == candidate.name
+        or member.address == candidate.address
+    ]
     if any(member.identity == leader for member in replaced):
         return members  # a stranger under this process's own name or address is a fault of its settings
     if not replaced and len(members) >= core.founded_size:
--- a/flintfield/coordination/replica.py
+++ b/flintfield/coordination/replica.py
@@ -83,13 +83,22 @@
         guard = now_ms + PROMISE_GUARD_MS if order.holder or order.promised else now_ms
         self.follower = Follower(order, guard)
         self._registers: dict[Register, StoredAcceptor] = {
-            name: _load(stored, key) or StoredAcceptor() for name, key in _REGISTER_KEYS.items()}
+            name: _load(stored, key) or StoredAcceptor() for name, key in _REGISTER_KEYS.items()
+        }
         self._wall_ms = wall_ms
         self.snapshots = Snapshots(stored)
         self._handlers: dict[type, Callable[[int, Any], Step]] = {
-            Prepare: self._prepare, Accept: self._accept, PrepareEpoch: self._prepare_epoch,
-            Heartbeat: self._heartbeat, Adopt: self._adopt, Append: self._append, Install: self._install,
-            Resign: self._resign, AskState: self._ask_state, AskPart: self._ask_part, Found: self._found,
+            Prepare: self._prepare,
+            Accept: self._accept,
+            PrepareEpoch: self._prepare_epoch,
+            Heartbeat: self._heartbeat,
+            Adopt: self._adopt,
+            Append: self._append,
+            Install: self._install,
+            Resign: self._resign,
+            AskState: self._ask_state,
+            AskPart: self._ask_part,
+            Found: self._found,
         }
 
     @property
@@ -124,8 +133,13 @@
             return Refusal.OLD_SET
         return Refusal.SEALED if self.sealed else None
 
-    def _refused(self, kind: Refusal, asked: int, changes: list[Pair] | None = None,
-                 register: Register = Register.CONFIGURATION) -> Step:
+    def _refused(
+        self,
+        kind: Refusal,
+        asked: int,
+        changes: list[Pair] | None = None,
+        register: Register = Register.CONFIGURATION,
+    ) -> Step:
         newer = self.newest if self.newest is not None and self.newest.version > asked else None
         order = self.follower.order
         ballot = self._registers[register].promised
@@ -208,8 +222,9 @@
         step = self._appended(request.core, request.epoch, refusal, changes, request.index)
         return replace(step, replacement=replacement)
 
-    def _appended(self, core: int, epoch: int, refusal: Refusal | None, changes: list[Pair],
-                  index: int = -1) -> Step:
+    def _appended(
+        self, core: int, epoch: int, refusal: Refusal | None, changes: list[Pair], index: int = -1
+    ) -> Step:
         if refusal is not None:
             return self._refused(refusal, core, changes)
         reply = Appended(self.identity, epoch, self.follower.order.position, self._wall_ms(), index)
@@ -230,8 +245,17 @@
             self.snapshots.take(now_ms, request.transfer)
         order, register = self.follower.order, self.configuration
         stopped = self.active is not None and self.serving is None
-        return Step(StateAnswer(self.identity, self.active, stopped, order.promised, order.position,
-                                register.accepted, register.value))
+        return Step(
+            StateAnswer(
+                self.identity,
+                self.active,
+                stopped,
+                order.promised,
+                order.position,
+                register.accepted,
+                register.value,
+            )
+        )
 
     def _ask_part(self, now_ms: int, request: AskPart) -> Step:
         return Step(self.snapshots.part(now_ms, request), at_once=True)
@@ -256,8 +280,12 @@
         register = StoredAcceptor(accepted=state.accepted, value=state.value)
         self._registers = {Register.CONFIGURATION: register, Register.SUCCESSOR: StoredAcceptor()}
         changes: list[Pair] = [
-            *self.learn(core), (ACTIVE_KEY, encode(core)), (ORDER_KEY, encode(order)),
-            (CONFIGURATION_KEY, encode(register)), (SUCCESSOR_KEY, None), (FOUNDING_KEY, None),
+            *self.learn(core),
+            (ACTIVE_KEY, encode(core)),
+            (ORDER_KEY, encode(order)),
+            (CONFIGURATION_KEY, encode(register)),
+            (SUCCESSOR_KEY, None),
+            (FOUNDING_KEY, None),
         ]
         return Step(None, changes, state.items)
 
--- a/flintfield/coordination/shell/announcing.py
+++ b/flintfield/coordination/shell/announcing.py
@@ -32,9 +32,19 @@
     last answered (steady ms; None: never).
     """
 
-    def __init__(self, own: Member, first_start: bool, needed: int, host: ReplicaHost | None, peers: Peers,
-                 knowledge: Knowledge, changes: CoreChanges | None, rng: random.Random, steady_ms: Clock,
-                 in_touch_ms: Callable[[], int | None]) -> None:
+    def __init__(
+        self,
+        own: Member,
+        first_start: bool,
+        needed: int,
+        host: ReplicaHost | None,
+        peers: Peers,
+        knowledge: Knowledge,
+        changes: CoreChanges | None,
+        rng: random.Random,
+        steady_ms: Clock,
+        in_touch_ms: Callable[[], int | None],
+    ) -> None:
         self._own = own
         self._host = host
         self._peers = peers
@@ -126,8 +136,15 @@
     def _announcement(self) -> Announce:
         core = self._knowledge.core
         own = self._member()
-        return Announce(own.name, own.address, own.zone, own.identity, self._founder.may_take_part,
-                        core.version if core is not None else 0, self._leaving)
+        return Announce(
+            own.name,
+            own.address,
+            own.zone,
+            own.identity,
+            self._founder.may_take_part,
+            core.version if core is not None else 0,
+            self._leaving,
+        )
 
     def _member(self) -> Member:
         identity = self._host.identity if self._host is not None else 0
--- a/flintfield/coordination/shell/changes.py
+++ b/flintfield/coordination/shell/changes.py
@@ -35,8 +35,17 @@
 class CoreChanges:
     """What this replica does about the core set: as the leader, as a sealed one, as a new member."""
 
-    def __init__(self, host: ReplicaHost, peers: Peers, proposer: Proposer, knowledge: Knowledge,
-                 fetcher: Fetcher, elections: Elections, rng: random.Random, steady_ms: Clock) -> None:
+    def __init__(
+        self,
+        host: ReplicaHost,
+        peers: Peers,
+        proposer: Proposer,
+        knowledge: Knowledge,
+        fetcher: Fetcher,
+        elections: Elections,
+        rng: random.Random,
+        steady_ms: Clock,
+    ) -> None:
         self._host = host
         self._peers = peers
         self._proposer = proposer
@@ -151,8 +160,12 @@
         """Push a change on that was left half done: at once when told so, else after a while, by place."""
         replica, core = self._host.replica, self._knowledge.core
         assert replica is not None
-        unfinished = replica.sealed and replica.active is not None and core is not None \
+        unfinished = (
+            replica.sealed
+            and replica.active is not None
+            and core is not None
             and core.version == replica.active.version
+        )
         if not unfinished:
             self._sealed_since_ms = None
         elif self._sealed_since_ms is None:
@@ -188,19 +201,24 @@
     def _forget(self, now_ms: int) -> None:
         """Drop candidates and leavers that are not heard of any more."""
         self._candidates = {
-            identity: (member, seen_ms) for identity, (member, seen_ms) in self._candidates.items()
-            if now_ms - seen_ms <= CANDIDATE_FORGOTTEN_MS}
+            identity: (member, seen_ms)
+            for identity, (member, seen_ms) in self._candidates.items()
+            if now_ms - seen_ms <= CANDIDATE_FORGOTTEN_MS
+        }
         self._leaving = {
-            identity: seen_ms for identity, seen_ms in self._leaving.items()
-            if now_ms - seen_ms <= CANDIDATE_FORGOTTEN_MS}
+            identity: seen_ms
+            for identity, seen_ms in self._leaving.items()
+            if now_ms - seen_ms <= CANDIDATE_FORGOTTEN_MS
+        }
 
     def _next_set(self, core: CoreSet, candidates: list[Member]) -> CoreSet | None:
         leadership = self._elections.leadership
         if leadership is None:
             return None
         leader, now_ms = leadership.leader, self._steady_ms()
-        return successor(core, candidates, lambda member: leader.silent_ms(now_ms, member), leader.identity,
-                         self._leaving)
+        return successor(
+            core, candidates, lambda member: leader.silent_ms(now_ms, member), leader.identity, self._leaving
+        )
 
     async def can_be_spared(self) -> bool:
         """Whether the core goes on without this replica: it is no member, or the others are a majority that
@@ -211,7 +229,8 @@
         question = Poll(core.version, 0, NO_BALLOT, 0, "")
         others = [member for member in core.members if member.identity != replica.identity]
         told = await asyncio.gather(
-            *(self._peers.poll(member, question, CALL_TIMEOUT_MS) for member in others))
+            *(self._peers.poll(member, question, CALL_TIMEOUT_MS) for member in others)
+        )
         active = sum(answer is not None and answer.active >= core.version for answer in told)
         return active >= core.majority
 
@@ -228,6 +247,7 @@
 
         Without a wish nothing is proposed where nobody has accepted a successor.
         """
+
         def choose(accepted: bytes | None) -> bytes | None:
             if accepted is not None:
                 return None
--- a/flintfield/coordination/shell/elections.py
+++ b/flintfield/coordination/shell/elections.py
@@ -65,9 +65,17 @@
 class Elections:
     """Campaigns when it is due and leads when elected; `leadership` is the current one."""
 
-    def __init__(self, host: ReplicaHost, peers: Peers, knowledge: Knowledge, fetcher: Fetcher,
-                 listener: LeaderListener | None, rng: random.Random, steady_ms: Callable[[], int],
-                 wall_ms: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        host: ReplicaHost,
+        peers: Peers,
+        knowledge: Knowledge,
+        fetcher: Fetcher,
+        listener: LeaderListener | None,
+        rng: random.Random,
+        steady_ms: Callable[[], int],
+        wall_ms: Callable[[], int],
+    ) -> None:
         self._host = host
         self._peers = peers
         self._knowledge = knowledge
@@ -155,16 +163,21 @@
         return await self._take_over(candidacy)
 
     async def _ask(self, candidacy: Candidacy, phase: CampaignPhase) -> None:
-        await self._peers.gather(candidacy.core.members, candidacy.request, CALL_TIMEOUT_MS,
-                                 lambda _, answer: candidacy.take(answer) is not phase)
+        await self._peers.gather(
+            candidacy.core.members,
+            candidacy.request,
+            CALL_TIMEOUT_MS,
+            lambda _, answer: candidacy.take(answer) is not phase,
+        )
 
     async def _take_over(self, candidacy: Candidacy) -> bool:
         items = await self._items(candidacy)
         if items is None:
             return False
         self._host.resigned_ms = None
-        leader = Leader(candidacy.core, candidacy.epoch, candidacy.identity, candidacy.boot, candidacy.base,
-                        items)
+        leader = Leader(
+            candidacy.core, candidacy.epoch, candidacy.identity, candidacy.boot, candidacy.base, items
+        )
         leadership = Leadership(leader, self._peers, self._rng, self._steady_ms, self._wall_ms)
         self.prepare_leadership(leadership)
         self.leadership = leadership
--- a/flintfield/coordination/shell/fetch.py
+++ b/flintfield/coordination/shell/fetch.py
@@ -70,8 +70,9 @@
         except RpcError:
             return None
 
-    async def _fetch(self, target: CoreSet, source: Member,
-                     told: dict[int, StateAnswer]) -> WholeState | None:
+    async def _fetch(
+        self, target: CoreSet, source: Member, told: dict[int, StateAnswer]
+    ) -> WholeState | None:
         """The chosen state with its items. The source may have moved on since: what it tells with the
         snapshot counts."""
         transfer = self._rng.getrandbits(TRANSFER_BITS) | 1
--- a/flintfield/coordination/shell/founding.py
+++ b/flintfield/coordination/shell/founding.py
@@ -25,8 +25,16 @@
     member, with its present identity.
     """
 
-    def __init__(self, first_start: bool, needed: int, host: ReplicaHost | None, peers: Peers,
-                 knowledge: Knowledge, own_member: Callable[[], Member], steady_ms: Clock) -> None:
+    def __init__(
+        self,
+        first_start: bool,
+        needed: int,
+        host: ReplicaHost | None,
+        peers: Peers,
+        knowledge: Knowledge,
+        own_member: Callable[[], Member],
+        steady_ms: Clock,
+    ) -> None:
         self._first_start = first_start
         self._needed = needed
         self._host = host
--- a/flintfield/coordination/shell/host.py
+++ b/flintfield/coordination/shell/host.py
@@ -25,8 +25,15 @@
 class ReplicaHost:
     """One replica and its store. `replica` is None until the store is formatted durably."""
 
-    def __init__(self, store: KeyedStore, first_start: bool, knowledge: Knowledge, rng: random.Random,
-                 steady_ms: Callable[[], int], wall_ms: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        store: KeyedStore,
+        first_start: bool,
+        knowledge: Knowledge,
+        rng: random.Random,
+        steady_ms: Callable[[], int],
+        wall_ms: Callable[[], int],
+    ) -> None:
         self._store = store
         self._first_start = first_start
         self._knowledge = knowledge
@@ -104,7 +111,8 @@
         assert step.replacement is not None
         puts.update(step.replacement)
         return self._store.replace(
-            list(puts.items()), lambda key: not key.startswith(ITEM_PREFIX) and key not in dropped)
+            list(puts.items()), lambda key: not key.startswith(ITEM_PREFIX) and key not in dropped
+        )
 
     async def settled(self) -> bool:
         """Wait until all that was applied is durable; False where the store fails."""
--- a/flintfield/coordination/shell/leading.py
+++ b/flintfield/coordination/shell/leading.py
@@ -24,8 +24,14 @@
 class Leadership:
     """One epoch of leading. `items` is the live content of the ordered store, as written, durable or not."""
 
-    def __init__(self, leader: Leader, peers: Peers, rng: random.Random, steady_ms: Callable[[], int],
-                 wall_ms: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        leader: Leader,
+        peers: Peers,
+        rng: random.Random,
+        steady_ms: Callable[[], int],
+        wall_ms: Callable[[], int],
+    ) -> None:
         self.epoch = leader.epoch
         self.leader = leader
         self.items: Mapping[bytes, bytes] = MappingProxyType(leader.items)
@@ -197,5 +203,3 @@
                 batch.set_exception(Deposed(f"epoch {self.epoch} is over"))
                 batch.exception()  # its writers may be gone; that is no fault
         self._wake.set()
-
-
--- a/flintfield/coordination/shell/peers.py
+++ b/flintfield/coordination/shell/peers.py
@@ -65,8 +65,9 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
-    async def gather(self, members: Sequence[Member], message: Any, timeout_ms: int,
-                     take: Callable[[Member, Any], bool]) -> None:
+    async def gather(
+        self, members: Sequence[Member], message: Any, timeout_ms: int, take: Callable[[Member, Any], bool]
+    ) -> None:
         """Ask all members; return when `take(member, answer)` is True, or all have answered or failed.
 
         What is outstanding then goes on by itself, so that slow members still get the message.
--- a/flintfield/coordination/shell/poll_responder.py
+++ b/flintfield/coordination/shell/poll_responder.py
@@ -18,8 +18,9 @@
 class PollResponder:
     """Answers polls from what this process knows."""
 
-    def __init__(self, host: ReplicaHost | None, knowledge: Knowledge, newest: Newest,
-                 steady_ms: Callable[[], int]) -> None:
+    def __init__(
+        self, host: ReplicaHost | None, knowledge: Knowledge, newest: Newest, steady_ms: Callable[[], int]
+    ) -> None:
         self._host = host
         self._knowledge = knowledge
         self._newest = newest
@@ -72,5 +73,14 @@
             value = state.configuration.value if accepted != poll.accepted else None
         newest = self._newest
         committed_value = newest.value if newest.ballot > poll.accepted else None
-        return PollAnswer(replica, self._steady_ms() - came_ms, active, accepted, value, newest.ballot,
-                        committed_value, core, knowledge.known_leader())
+        return PollAnswer(
+            replica,
+            self._steady_ms() - came_ms,
+            active,
+            accepted,
+            value,
+            newest.ballot,
+            committed_value,
+            core,
+            knowledge.known_leader(),
+        )
--- a/flintfield/coordination/shell/register.py
+++ b/flintfield/coordination/shell/register.py
@@ -58,19 +58,28 @@
         self._counter += 1
         return Ballot(core.version, self._counter, self._identity)
 
-    async def attempt(self, core: CoreSet, register: Register,
-                      decide: Decide) -> tuple[Attempt, bytes | None]:
+    async def attempt(
+        self, core: CoreSet, register: Register, decide: Decide
+    ) -> tuple[Attempt, bytes | None]:
         """One attempt; its phase tells how it ended, the value what was proposed."""
         attempt = Attempt(core, register, self.ballot(core))
-        await self._peers.gather(core.members, attempt.prepare, CALL_TIMEOUT_MS,
-                                 lambda _, answer: attempt.take(answer) is not Phase.PREPARING)
+        await self._peers.gather(
+            core.members,
+            attempt.prepare,
+            CALL_TIMEOUT_MS,
+            lambda _, answer: attempt.take(answer) is not Phase.PREPARING,
+        )
         value = attempt.current
         if attempt.phase is Phase.PREPARED:
             wanted = decide(value)
             value = value if wanted is None else wanted
             accept = attempt.propose(value)
-            await self._peers.gather(core.members, accept, CALL_TIMEOUT_MS,
-                                     lambda _, answer: attempt.take(answer) is not Phase.ACCEPTING)
+            await self._peers.gather(
+                core.members,
+                accept,
+                CALL_TIMEOUT_MS,
+                lambda _, answer: attempt.take(answer) is not Phase.ACCEPTING,
+            )
         self._counter = max(self._counter, attempt.highest.counter)
         return attempt, value
 
@@ -89,8 +98,14 @@
 class RegisterClient:
     """Changes and reads; `on_commit(ballot, value)` hears of each value that was committed here."""
 
-    def __init__(self, peers: Peers, proposer: Proposer, knowledge: Knowledge, steady_ms: Callable[[], int],
-                 on_commit: Callable[[Ballot, bytes | None], None]) -> None:
+    def __init__(
+        self,
+        peers: Peers,
+        proposer: Proposer,
+        knowledge: Knowledge,
+        steady_ms: Callable[[], int],
+        on_commit: Callable[[Ballot, bytes | None], None],
+    ) -> None:
         self._peers = peers
         self._proposer = proposer
         self._knowledge = knowledge
@@ -137,8 +152,10 @@
     def _drop_late(self) -> bool:
         """Give up the wishes whose time is over; True where others are left."""
         now_ms = self._steady_ms()
-        self._fail([wish for wish in self._wishes if now_ms >= wish.deadline_ms],
-                   "no majority of the core took the ballot")
+        self._fail(
+            [wish for wish in self._wishes if now_ms >= wish.deadline_ms],
+            "no majority of the core took the ballot",
+        )
         self._wishes = [wish for wish in self._wishes if wish.open]
         return bool(self._wishes)
 
--- a/flintfield/coordination/shell/watcher.py
+++ b/flintfield/coordination/shell/watcher.py
@@ -60,8 +60,16 @@
 class Watcher:
     """Keeps this process up to date by long polls."""
 
-    def __init__(self, peers: Peers, knowledge: Knowledge, newest: Newest, register: RegisterClient,
-                 rng: random.Random, steady_ms: Callable[[], int], address: str) -> None:
+    def __init__(
+        self,
+        peers: Peers,
+        knowledge: Knowledge,
+        newest: Newest,
+        register: RegisterClient,
+        rng: random.Random,
+        steady_ms: Callable[[], int],
+        address: str,
+    ) -> None:
         self._peers = peers
         self._knowledge = knowledge
         self._newest = newest
@@ -158,7 +166,7 @@
         self._rng.shuffle(members)
         own = [member for member in core.members if member.address == self._address]
         members = own + members
-        return members[:core.majority], members[core.majority:]
+        return members[: core.majority], members[core.majority :]
 
     @staticmethod
     async def _wait(event: asyncio.Event, timeout_ms: int) -> None:
@@ -174,8 +182,13 @@
 
     async def _poll(self, round_: Round, member: Member, hold_ms: int, enough: asyncio.Event) -> None:
         leader = self._knowledge.leader
-        poll = Poll(round_.core.version, leader.epoch if leader is not None else 0, round_.known, hold_ms,
-                    self._address)
+        poll = Poll(
+            round_.core.version,
+            leader.epoch if leader is not None else 0,
+            round_.known,
+            hold_ms,
+            self._address,
+        )
         sent_ms = self._steady_ms()
         told = await self._peers.poll(member, poll, hold_ms + CALL_TIMEOUT_MS)
         if told is None:
--- a/flintfield/coordination/snapshots.py
+++ b/flintfield/coordination/snapshots.py
@@ -42,8 +42,9 @@
         while len(self._parts) >= SNAPSHOTS_KEPT:
             del self._parts[next(iter(self._parts))]
         cut = len(ITEM_PREFIX)
-        items = (Change(key[cut:], value) for key, value in self._stored.items()
-                 if key.startswith(ITEM_PREFIX))
+        items = (
+            Change(key[cut:], value) for key, value in self._stored.items() if key.startswith(ITEM_PREFIX)
+        )
         self._parts[transfer] = (now_ms, parts_of(items))
 
     def part(self, now_ms: int, request: AskPart) -> PartAnswer:
--- a/flintfield/coordination/storage/compaction.py
+++ b/flintfield/coordination/storage/compaction.py
@@ -37,8 +37,9 @@
         """Whether all were taken: with the frame that holds the last piece, the snapshot ends."""
         return not self._left
 
-    def take(self, changes: Container[bytes], size: int, room: int,
-             empty_room: int) -> tuple[list[Change], int]:
+    def take(
+        self, changes: Container[bytes], size: int, room: int, empty_room: int
+    ) -> tuple[list[Change], int]:
         """The next items, and their size in bytes, for a frame that holds these changes of that size.
 
         `room` is what the current segment's frame holds, `empty_room` what an empty segment's does: if
--- a/flintfield/coordination/storage/format.py
+++ b/flintfield/coordination/storage/format.py
@@ -76,8 +76,9 @@
 
 def encode_segment(header: SegmentHeader) -> tuple[bytes, int]:
     """The bytes of a header, and the chain's crc after it."""
-    head = _SEGMENT.pack(MAGIC, header.sequence, header.life, header.previous_life, header.previous_chain,
-                         header.flags)
+    head = _SEGMENT.pack(
+        MAGIC, header.sequence, header.life, header.previous_life, header.previous_chain, header.flags
+    )
     chain = zlib.crc32(head)
     return head + _CRC.pack(chain), chain
 
@@ -88,7 +89,7 @@
         return None
     magic, sequence, life, previous_life, previous_chain, flags = _SEGMENT.unpack_from(data)
     (chain,) = _CRC.unpack_from(data, _SEGMENT.size)
-    if magic != MAGIC or chain != zlib.crc32(data[:_SEGMENT.size]):
+    if magic != MAGIC or chain != zlib.crc32(data[: _SEGMENT.size]):
         return None
     return SegmentHeader(sequence, life, previous_life, previous_chain, SegmentFlag(flags)), chain
 
@@ -132,11 +133,11 @@
     while at < end:
         key_length, value_length = _ENTRY.unpack_from(payload, at)
         at += ENTRY_HEADER_BYTES
-        key = payload[at:at + key_length]
+        key = payload[at : at + key_length]
         at += key_length
         if value_length == _DELETED:
             entries.append((key, None))
             continue
-        entries.append((key, payload[at:at + value_length]))
+        entries.append((key, payload[at : at + value_length]))
         at += value_length
     return entries
--- a/flintfield/coordination/storage/opening.py
+++ b/flintfield/coordination/storage/opening.py
@@ -27,8 +27,14 @@
     return int.from_bytes(os.urandom(8), "little") | 1
 
 
-def open_store(directory: str, limit_bytes: int, disk: Disk = _OS_DISK, *, tools: Tools | None = None,
-               draw: Callable[[], int] = draw_life) -> RingStore:
+def open_store(
+    directory: str,
+    limit_bytes: int,
+    disk: Disk = _OS_DISK,
+    *,
+    tools: Tools | None = None,
+    draw: Callable[[], int] = draw_life,
+) -> RingStore:
     """Open the store in that folder; its files take at most that many bytes. Blocks: call it before the loop.
 
     What was found is written anew and synced before this returns, because a process that was killed may have
--- a/flintfield/coordination/storage/recovery.py
+++ b/flintfield/coordination/storage/recovery.py
@@ -96,8 +96,9 @@
         file.close()
 
 
-def _replay(disk: Disk, directory: str, start: FoundFile,
-            used: list[FoundFile]) -> tuple[dict[bytes, bytes], list[int]] | None:
+def _replay(
+    disk: Disk, directory: str, start: FoundFile, used: list[FoundFile]
+) -> tuple[dict[bytes, bytes], list[int]] | None:
     """The state of the chain that begins there and its files; None if its snapshot has no end."""
     items: dict[bytes, bytes] = {}
     complete = False
@@ -121,7 +122,11 @@
 def _successor(header: SegmentHeader, chain: int, used: list[FoundFile]) -> FoundFile | None:
     for file in used:
         candidate = file.header
-        if (candidate is not None and candidate.sequence == header.sequence + 1
-                and candidate.previous_life == header.life and candidate.previous_chain == chain):
+        if (
+            candidate is not None
+            and candidate.sequence == header.sequence + 1
+            and candidate.previous_life == header.life
+            and candidate.previous_chain == chain
+        ):
             return file
     return None
--- a/flintfield/coordination/storage/ring.py
+++ b/flintfield/coordination/storage/ring.py
@@ -84,8 +84,9 @@
         """The length of all files that hold the present chain."""
         return sum(file.size for file in self._in_use)
 
-    def append(self, entries: Sequence[Change], payload_bytes: int, flags: FrameFlag,
-               starts_snapshot: bool) -> None:
+    def append(
+        self, entries: Sequence[Change], payload_bytes: int, flags: FrameFlag, starts_snapshot: bool
+    ) -> None:
         """Append one frame and make it durable. With the end of a snapshot, files before it become free."""
         segment = self._segment
         if segment is None:
@@ -157,8 +158,9 @@
             raise
         return segment
 
-    def _next_segment(self, previous: Segment | None, flags: SegmentFlag,
-                      taken: list[RingFile]) -> tuple[Segment, bytes]:
+    def _next_segment(
+        self, previous: Segment | None, flags: SegmentFlag, taken: list[RingFile]
+    ) -> tuple[Segment, bytes]:
         """A free file as the successor of that segment (None: a new chain), and its header, not yet written.
 
         The file is added to those that were taken, also if an error follows.
@@ -173,8 +175,8 @@
         return Segment(file, handle, header.life, len(prefix), chain), prefix
 
     def _release_before_snapshot(self) -> None:
-        self.pool.release(self._in_use[:self._snapshot_start])
-        del self._in_use[:self._snapshot_start]
+        self.pool.release(self._in_use[: self._snapshot_start])
+        del self._in_use[: self._snapshot_start]
         self._snapshot_start = 0
 
     def _drop_segment(self) -> None:
--- a/flintfield/coordination/storage/store.py
+++ b/flintfield/coordination/storage/store.py
@@ -67,8 +67,9 @@
 class RingStore:
     """A `KeyedStore` on a `Ring`. Made by `open_store`."""
 
-    def __init__(self, ring: Ring, items: dict[bytes, bytes], fresh: bool, limit_bytes: int,
-                 tools: Tools) -> None:
+    def __init__(
+        self, ring: Ring, items: dict[bytes, bytes], fresh: bool, limit_bytes: int, tools: Tools
+    ) -> None:
         self.fresh = fresh
         self.counters = StoreCounters()
         self.ring = ring
--- a/flintfield/coordination/transfer.py
+++ b/flintfield/coordination/transfer.py
@@ -46,14 +46,22 @@
 
 def choose(target: CoreSet, told: Mapping[int, StateAnswer]) -> Choice | None:
     """The sufficient state among these answers, by identity; None while they don't suffice."""
-    active = [answer for answer in told.values()
-              if answer.core is not None and answer.core.version == target.version]
+    active = [
+        answer
+        for answer in told.values()
+        if answer.core is not None and answer.core.version == target.version
+    ]
     if active:
         return _best(active[:1])
     before = {member.identity for member in target.previous}
-    sealed = [answer for identity, answer in told.items()
-              if identity in before and answer.core is not None and answer.sealed
-              and answer.core.version == target.version - 1]
+    sealed = [
+        answer
+        for identity, answer in told.items()
+        if identity in before
+        and answer.core is not None
+        and answer.sealed
+        and answer.core.version == target.version - 1
+    ]
     if not before or len(sealed) <= len(before) // 2:
         return None
     return _best(sealed)
--- a/flintfield/dispatch/service.py
+++ b/flintfield/dispatch/service.py
@@ -19,8 +19,17 @@
 from flintfield.jobs.bounds import DispatcherBounds
 from flintfield.jobs.dispatcher import Dispatcher
 from flintfield.jobs.events import (
-    AgentLost, Answer, CallArrived, Configuration, ConfigurationChanged, Event, ReportArrived, SendOrders,
-    Tick, Write, Written,
+    AgentLost,
+    Answer,
+    CallArrived,
+    Configuration,
+    ConfigurationChanged,
+    Event,
+    ReportArrived,
+    SendOrders,
+    Tick,
+    Write,
+    Written,
 )
 from flintfield.jobs.recorder import Recorder
 from flintfield.jobs.messages import AgentReport, JobAnswer, JobCall, Method, NotDispatcher
@@ -76,10 +85,16 @@
     `make_recorder` what notes the history of jobs in one term (None: nobody does).
     """
 
-    def __init__(self, bounds: DispatcherBounds, configuration: ConfigurationSource,
-                 make_placement: MakePlacement, steady_ms: Callable[[], int], rng: random.Random,
-                 leader_address: Callable[[], str] = lambda: "",
-                 make_recorder: Callable[[], Recorder] | None = None) -> None:
+    def __init__(
+        self,
+        bounds: DispatcherBounds,
+        configuration: ConfigurationSource,
+        make_placement: MakePlacement,
+        steady_ms: Callable[[], int],
+        rng: random.Random,
+        leader_address: Callable[[], str] = lambda: "",
+        make_recorder: Callable[[], Recorder] | None = None,
+    ) -> None:
         self._bounds = bounds
         self._configuration = configuration
         self._make_placement = make_placement
@@ -113,8 +128,9 @@
         self.deposed()
         now_ms = self._steady_ms()
         placement = self._make_placement(self._rng.getrandbits(31))
-        dispatcher = Dispatcher(leadership.epoch, now_ms, self._bounds, placement, self._rng,
-                                self._configuration())
+        dispatcher = Dispatcher(
+            leadership.epoch, now_ms, self._bounds, placement, self._rng, self._configuration()
+        )
         if self._make_recorder is not None:
             dispatcher.state.recorder = self._make_recorder()
         dispatcher.restore(leadership.items)
--- a/flintfield/ingress/calls.py
+++ b/flintfield/ingress/calls.py
@@ -36,8 +36,7 @@
 
 
 def read_call(request: Request, configuration: Configuration | None, confirmed: bool) -> ClientCall | Reply:
-    """The call in this request, or its refusal. `confirmed` tells that the configuration is surely in force.
-    """
+    """The call in this request, or its refusal. `confirmed`: the configuration is surely in force."""
     method = _METHODS.get(request.method)
     if method is None:
         allow = (("Allow", ", ".join(_METHODS)),)
@@ -54,7 +53,7 @@
             return error_reply(ErrorKind.MALFORMED, "X-Deadline-Ms: is not a whole number of milliseconds")
         deadline_ms = int(deadline_text)
     route = configuration.find_route(host, request.path) if configuration is not None else None
-    job_id = request.path[len(route.path_prefix):] if route is not None else None
+    job_id = request.path[len(route.path_prefix) :] if route is not None else None
     if method is Method.STATUS and _asks_for_count(request.path, job_id):
         method = Method.COUNT
     elif confirmed and job_id is not None and not _JOB_ID.fullmatch(job_id):
--- a/flintfield/ingress/messages.py
+++ b/flintfield/ingress/messages.py
@@ -12,8 +12,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """A whole request. `path` has no query; `arrived_ms` is the steady time at which its headers were read.
-    """
+    """A whole request. `path` has no query; `arrived_ms`: the steady time when its headers were read."""
 
     method: str
     path: str
--- a/flintfield/jobs/demands.py
+++ b/flintfield/jobs/demands.py
@@ -12,9 +12,21 @@
     spec = step.spec
     job = step.occurrence.job
     needs = (*spec.needs, spec.affinity) if near_only else spec.needs
-    return Demand(task.name, job.terms.service, job.route, job.terms.priority, step.resources,
-                  spec.estimate_ms, needs, spec.affinity, spec.same_rack, siblings, spec.anti_affinity,
-                  step.group, task.avoid)
+    return Demand(
+        task.name,
+        job.terms.service,
+        job.route,
+        job.terms.priority,
+        step.resources,
+        spec.estimate_ms,
+        needs,
+        spec.affinity,
+        spec.same_rack,
+        siblings,
+        spec.anti_affinity,
+        step.group,
+        task.avoid,
+    )
 
 
 def may_hold(worker: Worker, demand: Demand) -> bool:
@@ -31,5 +43,8 @@
 def has_room(worker: Worker, demand: Demand) -> bool:
     """Whether the capacity that is not in use is enough."""
     asked, used, capacity = demand.resources, worker.used, worker.capacity
-    return (used.cpu + asked.cpu <= capacity.cpu and used.memory_mb + asked.memory_mb <= capacity.memory_mb
-            and used.gpu + asked.gpu <= capacity.gpu)
+    return (
+        used.cpu + asked.cpu <= capacity.cpu
+        and used.memory_mb + asked.memory_mb <= capacity.memory_mb
+        and used.gpu + asked.gpu <= capacity.gpu
+    )
--- a/flintfield/jobs/dispatcher.py
+++ b/flintfield/jobs/dispatcher.py
@@ -21,7 +21,15 @@
 from flintfield.jobs.copies import Copies
 from flintfield.jobs.ends import Ends
 from flintfield.jobs.events import (
-    AgentLost, CallArrived, Configuration, ConfigurationChanged, Effect, Event, ReportArrived, Tick, Written,
+    AgentLost,
+    CallArrived,
+    Configuration,
+    ConfigurationChanged,
+    Effect,
+    Event,
+    ReportArrived,
+    Tick,
+    Written,
 )
 from flintfield.jobs.gangs import Gangs
 from flintfield.jobs.intake import Intake
@@ -40,8 +48,15 @@
 class Dispatcher:
     """Decides on jobs, tasks and runs while its epoch lasts; dropped as a whole when it is over."""
 
-    def __init__(self, epoch: int, now_ms: int, bounds: DispatcherBounds, placement: Placement,
-                 rng: random.Random, configuration: Configuration | None) -> None:
+    def __init__(
+        self,
+        epoch: int,
+        now_ms: int,
+        bounds: DispatcherBounds,
+        placement: Placement,
+        rng: random.Random,
+        configuration: Configuration | None,
+    ) -> None:
         self._state = DispatcherState(epoch, now_ms, bounds, placement, rng, configuration)
         self._readiness = Readiness(self._state)
         self._ends = Ends(self._state, self._readiness)
--- a/flintfield/jobs/durable.py
+++ b/flintfield/jobs/durable.py
@@ -139,8 +139,9 @@
 
 def encode_terms(terms: Terms) -> TermsRecord:
     """The durable form of a queue's terms."""
-    return TermsRecord(terms.service, terms.priority, terms.max_attempts, terms.extension,
-                       terms.target_latency_ms)
+    return TermsRecord(
+        terms.service, terms.priority, terms.max_attempts, terms.extension, terms.target_latency_ms
+    )
 
 
 def decode_terms(terms: TermsRecord) -> Terms:
@@ -151,8 +152,9 @@
 def encode_run(run: Run) -> RunRecord:
     """The durable form of a run."""
     room = run.resources
-    return RunRecord(run.number, run.instance, run.machine, run.epoch, room.cpu, room.memory_mb, room.gpu,
-                     run.checkpoint)
+    return RunRecord(
+        run.number, run.instance, run.machine, run.epoch, room.cpu, room.memory_mb, room.gpu, run.checkpoint
+    )
 
 
 def encode_task(task: Task) -> bytes:
--- a/flintfield/jobs/ends.py
+++ b/flintfield/jobs/ends.py
@@ -161,7 +161,7 @@
         if occurrence.steps_left == 0:
             self._occurrence_done(occurrence)
             return
-        for later in occurrence.steps[step.index + 1:]:
+        for later in occurrence.steps[step.index + 1 :]:
             if step.index in later.spec.depends_on:
                 later.earlier_left -= 1
                 if later.earlier_left == 0:
--- a/flintfield/jobs/gangs.py
+++ b/flintfield/jobs/gangs.py
@@ -70,8 +70,12 @@
         demand, now = demands[0], self._state.now_ms  # all members ask for the same
         avoid = frozenset().union(*(each.avoid for each in demands))
         able = [worker for worker in queue.workers.values() if may_hold(worker, demand)]
-        able.sort(key=lambda worker: (worker.instance in avoid,
-                                      not self._state.placement.trusted(worker.instance, now)))
+        able.sort(
+            key=lambda worker: (
+                worker.instance in avoid,
+                not self._state.placement.trusted(worker.instance, now),
+            )
+        )
         chosen: list[Worker] = []
         for worker in able:
             free = worker.capacity.minus(worker.used)
@@ -129,8 +133,11 @@
     def _enough_workers(self, queue: ServiceQueue, step: Step, most: float) -> tuple[list[Worker], float]:
         """The workers that are free soonest for the whole step, and in how many ms; none if too many."""
         demand = demand_of(next(iter(step.ready.values())))
-        able = [(self._free_in_ms(worker, demand), worker.instance, worker)
-                for worker in queue.workers.values() if _could_hold(worker, demand)]
+        able = [
+            (self._free_in_ms(worker, demand), worker.instance, worker)
+            for worker in queue.workers.values()
+            if _could_hold(worker, demand)
+        ]
         taken: list[Worker] = []
         members = len(step.tasks) if step.spec.gang else 1
         for free_in_ms, _, worker in sorted(able, key=lambda each: each[:2]):
@@ -168,9 +175,12 @@
 
 
 def _could_hold(worker: Worker, demand: Demand) -> bool:
-    return (worker.ready and worker.service == demand.service
-            and all(label in worker.labels for label in demand.needs)
-            and demand.resources.fits(worker.capacity))
+    return (
+        worker.ready
+        and worker.service == demand.service
+        and all(label in worker.labels for label in demand.needs)
+        and demand.resources.fits(worker.capacity)
+    )
 
 
 def _members(room: Resources, demand: Demand, held: int = 0) -> int:
--- a/flintfield/jobs/intake.py
+++ b/flintfield/jobs/intake.py
@@ -70,7 +70,7 @@
         configuration = self._state.configuration
         route = configuration.find_route(request.host, request.path) if configuration is not None else None
         if route is not None:
-            rest = request.path[len(route.path_prefix):]
+            rest = request.path[len(route.path_prefix) :]
             if _ID.fullmatch(rest):
                 return rest
         last = request.path.rpartition("/")[2]
@@ -87,7 +87,7 @@
         if route is None:
             self._answer(call, 404, _reason("no such queue"))
             return
-        job_id = request.path[len(route.path_prefix):]
+        job_id = request.path[len(route.path_prefix) :]
         if not _ID.fullmatch(job_id):
             self._answer(call, 400, _reason("a job's id is 16 hex digits"))
             return
--- a/flintfield/jobs/model.py
+++ b/flintfield/jobs/model.py
@@ -13,7 +13,13 @@
 
 from flintfield.jobs.body import JobSpec, StepSpec, chain_left
 from flintfield.jobs.states import (
-    JOB_CHANGES, RUN_CHANGES, TASK_CHANGES, IllegalChange, JobState, RunState, TaskState,
+    JOB_CHANGES,
+    RUN_CHANGES,
+    TASK_CHANGES,
+    IllegalChange,
+    JobState,
+    RunState,
+    TaskState,
 )
 from flintfield.placement.interface import Resources
 
--- a/flintfield/jobs/moves.py
+++ b/flintfield/jobs/moves.py
@@ -68,8 +68,11 @@
             return False
         progress = self._state.service(record.worker.service).progress
         stood_ms = run.percent_at_ms + STALL_MS // 2
-        return any(at >= stood_ms and now - at <= FRESH_PROGRESS_MS
-                   for name, at in progress.items() if name != record.instance)
+        return any(
+            at >= stood_ms and now - at <= FRESH_PROGRESS_MS
+            for name, at in progress.items()
+            if name != record.instance
+        )
 
     def _too_slow(self, record: WorkerRecord, run: Run) -> bool:
         if record.slowness < SLOW_WORKER:
@@ -105,8 +108,10 @@
     def _has_room_elsewhere(self, run: Run) -> bool:
         demand = demand_of(run.task)
         workers = self._state.service(demand.service).workers
-        return any(name != run.instance and name not in demand.avoid and may_hold(worker, demand)
-                   for name, worker in workers.items())
+        return any(
+            name != run.instance and name not in demand.avoid and may_hold(worker, demand)
+            for name, worker in workers.items()
+        )
 
     # Workers that leave
 
--- a/flintfield/jobs/orders.py
+++ b/flintfield/jobs/orders.py
@@ -23,8 +23,9 @@
 class Orders:
     """What becomes of orders. `gone` is told of incarnations that are there no more."""
 
-    def __init__(self, state: DispatcherState, runs: Runs, resolve: Resolve,
-                 gone: Callable[[WorkerRecord], None]) -> None:
+    def __init__(
+        self, state: DispatcherState, runs: Runs, resolve: Resolve, gone: Callable[[WorkerRecord], None]
+    ) -> None:
         self._state = state
         self._runs = runs
         self._resolve = resolve
--- a/flintfield/jobs/preemption.py
+++ b/flintfield/jobs/preemption.py
@@ -133,5 +133,8 @@
 
 
 def _suits(worker: Worker, demand: Demand) -> bool:
-    return (worker.ready and all(label in worker.labels for label in demand.needs)
-            and demand.resources.fits(worker.capacity))
+    return (
+        worker.ready
+        and all(label in worker.labels for label in demand.needs)
+        and demand.resources.fits(worker.capacity)
+    )
--- a/flintfield/jobs/restore.py
+++ b/flintfield/jobs/restore.py
@@ -30,8 +30,12 @@
         by_kind: dict[bytes, list[tuple[str, bytes]]] = {}
         for key, value in items.items():
             by_kind.setdefault(key[:1], []).append((key[1:].decode("ascii", "replace"), value))
-        for kind, read in ((durable.JOB, self._job), (durable.END, self._end),
-                           (durable.OCCURRENCES, self._occurrences), (durable.TASK, self._task)):
+        for kind, read in (
+            (durable.JOB, self._job),
+            (durable.END, self._end),
+            (durable.OCCURRENCES, self._occurrences),
+            (durable.TASK, self._task),
+        ):
             for name, value in by_kind.get(kind, ()):
                 try:
                     read(name, decode(value))
@@ -45,8 +49,9 @@
         spec = read_job(record.body)
         terms = durable.decode_terms(record.terms)
         kept_bytes = durable.most_bytes(record.body, spec.tasks, spec.timed)
-        job = Job(job_id, record.route, terms, record.accepted_wall_ms, record.body, spec,
-                  kept_bytes=kept_bytes)
+        job = Job(
+            job_id, record.route, terms, record.accepted_wall_ms, record.body, spec, kept_bytes=kept_bytes
+        )
         job.become_active()
         self._state.jobs[job_id] = job
 
@@ -97,8 +102,17 @@
     def _run(self, task: Task, record: durable.RunRecord) -> None:
         state = self._state
         room = Resources(record.cpu, record.memory_mb, record.gpu)
-        run = Run(task, record.number, record.instance, record.machine, record.epoch, room, record.checkpoint,
-                  state.now_ms, RunState.INHERITED)
+        run = Run(
+            task,
+            record.number,
+            record.instance,
+            record.machine,
+            record.epoch,
+            room,
+            record.checkpoint,
+            state.now_ms,
+            RunState.INHERITED,
+        )
         task.step.run_opened(run)
         if record.instance not in state.workers:
             worker = unknown_worker(record.instance, record.machine)
--- a/flintfield/jobs/runs.py
+++ b/flintfield/jobs/runs.py
@@ -50,8 +50,16 @@
     def place(self, task: Task, demand: Demand, worker: Worker, number: int, checkpoint: str) -> Run:
         """Place a run of a ready task on this worker; its order leaves once that is durable."""
         state = self._state
-        run = Run(task, number, worker.instance, worker.machine, state.epoch, task.step.resources, checkpoint,
-                  state.now_ms)
+        run = Run(
+            task,
+            number,
+            worker.instance,
+            worker.machine,
+            state.epoch,
+            task.step.resources,
+            checkpoint,
+            state.now_ms,
+        )
         task.last_run = max(task.last_run, number)
         task.step.run_opened(run)
         task.become_placed()
--- a/flintfield/jobs/starts.py
+++ b/flintfield/jobs/starts.py
@@ -31,8 +31,9 @@
 class Starts:
     """Makes passes over queues."""
 
-    def __init__(self, state: DispatcherState, readiness: Readiness, ends: Ends, gangs: Gangs,
-                 preemption: Preemption) -> None:
+    def __init__(
+        self, state: DispatcherState, readiness: Readiness, ends: Ends, gangs: Gangs, preemption: Preemption
+    ) -> None:
         self._state = state
         self._readiness = readiness
         self._ends = ends
@@ -126,8 +127,10 @@
 
     def _has_rack(self, queue: ServiceQueue, step: Step) -> bool:
         """Whether a worker in the rack of the step's data could hold such a task if it were empty."""
-        return any(worker.ready and worker.rack == step.spec.affinity and step.resources.fits(worker.capacity)
-                   for worker in queue.workers.values())
+        return any(
+            worker.ready and worker.rack == step.spec.affinity and step.resources.fits(worker.capacity)
+            for worker in queue.workers.values()
+        )
 
     def _affinity_wait(self, step: Step) -> float:
         cost = step.spec.estimate_ms * (self._state.bounds.far_x - 1)
@@ -151,9 +154,14 @@
         fitting = [worker for worker in queue.workers.values() if may_hold(worker, demand)]
         if not fitting:
             return None
-        best = min(fitting, key=lambda worker: (
-            worker.instance in demand.avoid, not trusted(worker.instance, now),
-            worker.used.cpu / max(worker.capacity.cpu, 1)))
+        best = min(
+            fitting,
+            key=lambda worker: (
+                worker.instance in demand.avoid,
+                not trusted(worker.instance, now),
+                worker.used.cpu / max(worker.capacity.cpu, 1),
+            ),
+        )
         return demand, best
 
 
--- a/flintfield/jobs/state.py
+++ b/flintfield/jobs/state.py
@@ -44,8 +44,15 @@
 class DispatcherState:
     """The tables, and what the event in hand has brought about so far."""
 
-    def __init__(self, epoch: int, now_ms: int, bounds: DispatcherBounds, placement: Placement,
-                 rng: random.Random, configuration: Configuration | None) -> None:
+    def __init__(
+        self,
+        epoch: int,
+        now_ms: int,
+        bounds: DispatcherBounds,
+        placement: Placement,
+        rng: random.Random,
+        configuration: Configuration | None,
+    ) -> None:
         self.epoch = epoch
         self.now_ms = now_ms
         self.elected_ms = now_ms
@@ -174,8 +181,15 @@
         starts, stops = record.starts_out, record.stops_out
         record.starts_out, record.stops_out = [], []
         while True:
-            orders = AgentOrders(self.epoch, record.instance, record.granted_stamp, self.bounds.hold,
-                                 record.last_seen, tuple(starts[:MAX_STARTS_SENT]), tuple(stops))
+            orders = AgentOrders(
+                self.epoch,
+                record.instance,
+                record.granted_stamp,
+                self.bounds.hold,
+                record.last_seen,
+                tuple(starts[:MAX_STARTS_SENT]),
+                tuple(stops),
+            )
             self.emit(SendOrders(record.worker.machine, orders))
             starts, stops = starts[MAX_STARTS_SENT:], []
             if not starts:
--- a/flintfield/jobs/workers.py
+++ b/flintfield/jobs/workers.py
@@ -69,8 +69,12 @@
             if self._may_name(record, report):
                 instance, last_seen = record.instance, record.last_seen
                 record.granted_ms, record.granted_stamp = state.now_ms, report.stamp_ms
-        state.emit(SendOrders(report.machine, AgentOrders(
-            state.epoch, instance, report.stamp_ms, state.bounds.hold, last_seen, (), ())))
+        state.emit(
+            SendOrders(
+                report.machine,
+                AgentOrders(state.epoch, instance, report.stamp_ms, state.bounds.hold, last_seen, (), ()),
+            )
+        )
 
     def _may_name(self, record: WorkerRecord, report: AgentReport) -> bool:
         """Whether to tell a new life of the agent which worker it had, so that its hold goes on."""
@@ -198,9 +202,15 @@
         """Whether tasks may be placed there now."""
         state = self._state
         held = state.now_ms < record.granted_ms + state.bounds.hold // 2
-        ready = (record.connected and held and not record.draining and not record.silent
-                 and not record.barred and not record.strays
-                 and state.now_ms >= record.unwell_until_ms)
+        ready = (
+            record.connected
+            and held
+            and not record.draining
+            and not record.silent
+            and not record.barred
+            and not record.strays
+            and state.now_ms >= record.unwell_until_ms
+        )
         if ready and not record.worker.ready:
             state.service(record.worker.service).dirty = True
         record.worker.ready = ready
