--- a/flintfield/observe/history.py
+++ b/flintfield/observe/history.py
@@ -41,7 +41,7 @@
             self.events += event
         else:
             at = self.total % EVENTS_KEPT * EVENT.size
-            self.events[at:at + EVENT.size] = event
+            self.events[at : at + EVENT.size] = event
         self.total += 1
 
     def clear(self) -> None:
@@ -52,7 +52,7 @@
     def in_order(self) -> list[bytes]:
         """The events that are kept, eldest first."""
         raw = bytes(self.events)
-        events = [raw[at:at + EVENT.size] for at in range(0, len(raw), EVENT.size)]
+        events = [raw[at : at + EVENT.size] for at in range(0, len(raw), EVENT.size)]
         if len(raw) < FULL:
             return events
         eldest = self.total % EVENTS_KEPT
@@ -107,9 +107,19 @@
             return
         task = run.task
         step = task.step
-        notes.add(EVENT.pack(wall_ms, happening, step.occurrence.number & _NUMBER, step.index, task.index,
-                             run.number & _NUMBER, run.epoch & _NUMBER, self._number(run.instance),
-                             detail_number))
+        notes.add(
+            EVENT.pack(
+                wall_ms,
+                happening,
+                step.occurrence.number & _NUMBER,
+                step.index,
+                task.index,
+                run.number & _NUMBER,
+                run.epoch & _NUMBER,
+                self._number(run.instance),
+                detail_number,
+            )
+        )
 
     def events(self, job: Job, epoch: int) -> tuple[tuple[EventRow, ...], int]:
         """The events that are kept of a job, and how many earlier ones are not; `epoch` is the term's."""
@@ -124,8 +134,17 @@
 
         wall_ms, happening, time, step, index, run, run_epoch, worker, detail = EVENT.unpack(event)
         texts = self._words.texts
-        return EventRow(wall_ms, Happening(happening), time, step, index, run, texts[worker], texts[detail],
-                        run_epoch or epoch)
+        return EventRow(
+            wall_ms,
+            Happening(happening),
+            time,
+            step,
+            index,
+            run,
+            texts[worker],
+            texts[detail],
+            run_epoch or epoch,
+        )
 
     def _number(self, text: str) -> int:
         number = self._words.number(text)
--- a/flintfield/observe/process.py
+++ b/flintfield/observe/process.py
@@ -47,8 +47,16 @@
 class ProcessObserver:
     """Where the status is gathered from; costs nothing while nobody asks."""
 
-    def __init__(self, identity: Identity, core: Core, view: View, store: KeyedStore | None,
-                 store_limit_bytes: int, steady_ms: Callable[[], int], wall_ms: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        identity: Identity,
+        core: Core,
+        view: View,
+        store: KeyedStore | None,
+        store_limit_bytes: int,
+        steady_ms: Callable[[], int],
+        wall_ms: Callable[[], int],
+    ) -> None:
         self.identity = identity
         self.core = core
         self.view = view
--- a/flintfield/observe/replica_store.py
+++ b/flintfield/observe/replica_store.py
@@ -8,8 +8,16 @@
 from flintfield.control.stored import UnknownFormat, decode_stored
 from flintfield.coordination.model import CoreSet
 from flintfield.coordination.stored import (
-    ACTIVE_KEY, CONFIGURATION_KEY, IDENTITY_KEY, ITEM_PREFIX, KNOWN_KEY, ORDER_KEY, SUCCESSOR_KEY,
-    StoredAcceptor, StoredIdentity, StoredOrder,
+    ACTIVE_KEY,
+    CONFIGURATION_KEY,
+    IDENTITY_KEY,
+    ITEM_PREFIX,
+    KNOWN_KEY,
+    ORDER_KEY,
+    SUCCESSOR_KEY,
+    StoredAcceptor,
+    StoredIdentity,
+    StoredOrder,
 )
 from flintfield.jobs import durable
 from flintfield.observe.messages import ReplicaStatus
@@ -29,15 +37,23 @@
     successor = _read(items, SUCCESSOR_KEY, StoredAcceptor) or StoredAcceptor()
     kinds = _count_items(items)
     return ReplicaStatus(
-        identity=identity.identity, founding=identity.founding,
-        active_core=_read(items, ACTIVE_KEY, CoreSet), known_core=_read(items, KNOWN_KEY, CoreSet),
+        identity=identity.identity,
+        founding=identity.founding,
+        active_core=_read(items, ACTIVE_KEY, CoreSet),
+        known_core=_read(items, KNOWN_KEY, CoreSet),
         successor_accepted=successor.value is not None,
-        promised_epoch=order.promised, promised_candidate=order.candidate,
-        epoch=order.position.epoch, sequence=order.position.sequence,
-        promised_core=configuration.promised.core, promised_counter=configuration.promised.counter,
-        accepted_core=configuration.accepted.core, accepted_counter=configuration.accepted.counter,
+        promised_epoch=order.promised,
+        promised_candidate=order.candidate,
+        epoch=order.position.epoch,
+        sequence=order.position.sequence,
+        promised_core=configuration.promised.core,
+        promised_counter=configuration.promised.counter,
+        accepted_core=configuration.accepted.core,
+        accepted_counter=configuration.accepted.counter,
         configuration_version=_version(configuration.value),
-        jobs=kinds[durable.JOB], ended_jobs=kinds[durable.END], tasks=kinds[durable.TASK],
+        jobs=kinds[durable.JOB],
+        ended_jobs=kinds[durable.END],
+        tasks=kinds[durable.TASK],
         other_items=kinds[b""],
     )
 
@@ -58,7 +74,7 @@
     cut = len(ITEM_PREFIX)
     for key in items:
         if key.startswith(ITEM_PREFIX):
-            kind = key[cut:cut + 1]
+            kind = key[cut : cut + 1]
             counts[kind if kind in counts else b""] += 1
     return counts
 
--- a/flintfield/observe/status.py
+++ b/flintfield/observe/status.py
@@ -24,11 +24,22 @@
     current = observer.view.current
     age_ms = observer.view.confirmed_ms_ago()
     return ProcessStatus(
-        identity.name, identity.role, RELEASE, identity.zone, identity.address,
-        observer.steady_ms() - observer.started_ms, resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
-        observer.ready(), observer.leads(), _leader(observer), observer.core.core,
-        current.version if current is not None else 0, observer.taken_up_wall_ms,
-        age_ms if age_ms is not None else UNKNOWN, _replica(observer), _store(observer),
+        identity.name,
+        identity.role,
+        RELEASE,
+        identity.zone,
+        identity.address,
+        observer.steady_ms() - observer.started_ms,
+        resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
+        observer.ready(),
+        observer.leads(),
+        _leader(observer),
+        observer.core.core,
+        current.version if current is not None else 0,
+        observer.taken_up_wall_ms,
+        age_ms if age_ms is not None else UNKNOWN,
+        _replica(observer),
+        _store(observer),
         tuple(_counters(observer))[:MOST_COUNTERS],
     )
 
@@ -54,9 +65,14 @@
     if not isinstance(store, RingStore):
         return None
     live_bytes = sum(entry_bytes(key, value) for key, value in store.items.items())
-    return StoreStatus(store.state.name.lower(), len(store.items), live_bytes,
-                       content_bound(observer.store_limit_bytes), store.ring.chain_bytes,
-                       round(store.stalled_ms(observer.steady_ms())))
+    return StoreStatus(
+        store.state.name.lower(),
+        len(store.items),
+        live_bytes,
+        content_bound(observer.store_limit_bytes),
+        store.ring.chain_bytes,
+        round(store.stalled_ms(observer.steady_ms())),
+    )
 
 
 def _counters(observer: ProcessObserver) -> Iterator[Counter]:
--- a/flintfield/observe/tables.py
+++ b/flintfield/observe/tables.py
@@ -14,7 +14,15 @@
 from flintfield.jobs.worker_record import WorkerRecord
 from flintfield.observe.history import JobHistory
 from flintfield.observe.messages import (
-    JobDetail, JobRow, Jobs, RunRow, TasksRow, WaitReason, WorkerCondition, WorkerRow, Workers,
+    JobDetail,
+    JobRow,
+    Jobs,
+    RunRow,
+    TasksRow,
+    WaitReason,
+    WorkerCondition,
+    WorkerRow,
+    Workers,
 )
 from flintfield.observe.questions import PAGE_ROWS, AskJobs, AskWorkers
 from flintfield.observe.waiting import wait_reason
@@ -54,9 +62,12 @@
     history = state.recorder if isinstance(state.recorder, JobHistory) else JobHistory()
     events, earlier = history.events(job, dispatcher.epoch)
     return JobDetail(
-        dispatcher.epoch, _job_row(job),
+        dispatcher.epoch,
+        _job_row(job),
         tuple(TasksRow(*standing, count) for standing, count in standings[:PAGE_ROWS]),
-        tuple(_run_row(state, run) for run in runs[:PAGE_ROWS]), events, earlier,
+        tuple(_run_row(state, run) for run in runs[:PAGE_ROWS]),
+        events,
+        earlier,
         sum(len(task.failed) for task in tasks),
         cut or len(standings) > PAGE_ROWS or len(runs) > PAGE_ROWS,
     )
@@ -69,20 +80,33 @@
 
 # Workers.
 
+
 def _worker_row(state: DispatcherState, record: WorkerRecord) -> WorkerRow:
     worker = record.worker
     market = state.placement if isinstance(state.placement, Market) else None
     trusted = state.placement.trusted(worker.instance, state.now_ms)
     leaves_in_ms = max(0, record.leaves_ms - state.now_ms) if record.draining else -1
     return WorkerRow(
-        worker.instance, worker.machine, worker.service, worker.zone, worker.rack,
-        tuple(sorted(worker.labels)), _condition(state, record, trusted), trusted,
-        worker.capacity.cpu, worker.capacity.memory_mb, worker.capacity.gpu,
-        worker.used.cpu, worker.used.memory_mb, worker.used.gpu, len(record.runs),
+        worker.instance,
+        worker.machine,
+        worker.service,
+        worker.zone,
+        worker.rack,
+        tuple(sorted(worker.labels)),
+        _condition(state, record, trusted),
+        trusted,
+        worker.capacity.cpu,
+        worker.capacity.memory_mb,
+        worker.capacity.gpu,
+        worker.used.cpu,
+        worker.used.memory_mb,
+        worker.used.gpu,
+        len(record.runs),
         market.prices.price(worker.instance) if market else -1.0,
         market.speeds.zeta.get(worker.instance, 1.0) if market else -1.0,
         market.prices.load(worker.instance) if market else -1.0,
-        state.now_ms - record.granted_ms, leaves_in_ms,
+        state.now_ms - record.granted_ms,
+        leaves_in_ms,
     )
 
 
@@ -104,6 +128,7 @@
 
 # Jobs.
 
+
 def _matches(job: Job, question: AskJobs) -> bool:
     if not job.submitted or (question.queue and job.route != question.queue):
         return False
@@ -114,9 +139,17 @@
     steps = [step for occurrence in job.open.values() for step in occurrence.steps]
     tasks = sum(step.spec.count for step in steps)
     return JobRow(
-        job.id, job.route, job.terms.service, job.terms.priority, _state_word(job), job.accepted_wall_ms,
-        job.ended_wall_ms, tasks, tasks - sum(step.left for step in steps),
-        job.spec.occurrences if job.spec is not None else 0, job.done_below + len(job.done_above),
+        job.id,
+        job.route,
+        job.terms.service,
+        job.terms.priority,
+        _state_word(job),
+        job.accepted_wall_ms,
+        job.ended_wall_ms,
+        tasks,
+        tasks - sum(step.left for step in steps),
+        job.spec.occurrences if job.spec is not None else 0,
+        job.done_below + len(job.done_above),
     )
 
 
@@ -129,6 +162,7 @@
 
 # One job.
 
+
 def _tasks(job: Job) -> Iterator[Task]:
     for occurrence in job.open.values():
         for step in occurrence.steps:
@@ -153,5 +187,14 @@
 
 def _run_row(state: DispatcherState, run: Run) -> RunRow:
     started_ms_ago = state.now_ms - run.started_ms if run.started_ms >= 0 else -1
-    return RunRow(run.name, run.number, run.instance, run.machine, run.epoch, run.state,
-                  state.now_ms - run.placed_ms, started_ms_ago, run.percent)
+    return RunRow(
+        run.name,
+        run.number,
+        run.instance,
+        run.machine,
+        run.epoch,
+        run.state,
+        state.now_ms - run.placed_ms,
+        started_ms_ago,
+        run.percent,
+    )
--- a/flintfield/placement/candidates.py
+++ b/flintfield/placement/candidates.py
@@ -42,8 +42,15 @@
 class CandidateFinder:
     """Finds candidates; remembers for the instant which demands found no room on a large fleet."""
 
-    def __init__(self, index: WorkerIndex, prices: PriceTable, speeds: SpeedTable, health: HealthTable,
-                 generator: random.Random, far_x: float) -> None:
+    def __init__(
+        self,
+        index: WorkerIndex,
+        prices: PriceTable,
+        speeds: SpeedTable,
+        health: HealthTable,
+        generator: random.Random,
+        far_x: float,
+    ) -> None:
         self._index = index
         self._prices = prices
         self._speeds = speeds
@@ -74,8 +81,7 @@
             self._refused.add((demand.service, demand.needs, demand.resources))
         return found
 
-    def find_for_gang(self, demand: Demand, workers: dict[str, Worker],
-                      avoid: frozenset[str]) -> Candidates:
+    def find_for_gang(self, demand: Demand, workers: dict[str, Worker], avoid: frozenset[str]) -> Candidates:
         """Trusted workers that could take at least one such member, except those."""
         group = self._index.group(demand)
         if len(group) <= WALK_ALL:
@@ -120,8 +126,13 @@
         untrusted = self._health.untrusted(demand.service)
         for instance in self._index.group(demand):
             worker = workers.get(instance)
-            if (worker is not None and worker.ready and instance not in untrusted
-                    and instance not in demand.avoid and demand.resources.fits(worker.capacity)):
+            if (
+                worker is not None
+                and worker.ready
+                and instance not in untrusted
+                and instance not in demand.avoid
+                and demand.resources.fits(worker.capacity)
+            ):
                 return True
         return False
 
@@ -133,8 +144,15 @@
             return self._far_x
         return 1.0
 
-    def _filter(self, demand: Demand, group: Iterable[str], workers: dict[str, Worker], enough: int,
-                avoid: frozenset[str], trusted_only: bool = True) -> Candidates:
+    def _filter(
+        self,
+        demand: Demand,
+        group: Iterable[str],
+        workers: dict[str, Worker],
+        enough: int,
+        avoid: frozenset[str],
+        trusted_only: bool = True,
+    ) -> Candidates:
         """The hot path: one look at each worker, without a call for those that drop out."""
         needs, service, wants = demand.needs, demand.service, demand.resources
         cpu, memory_mb, gpu = wants.cpu, wants.memory_mb, wants.gpu
@@ -146,12 +164,20 @@
         fitting, goods = found.workers, found.goods
         for instance in group:
             worker = workers.get(instance)
-            if (worker is None or not worker.ready or worker.service != service or instance in untrusted
-                    or instance in avoid):
+            if (
+                worker is None
+                or not worker.ready
+                or worker.service != service
+                or instance in untrusted
+                or instance in avoid
+            ):
                 continue
             capacity, used = worker.capacity, worker.used
-            if (used.cpu + cpu > capacity.cpu or used.gpu + gpu > capacity.gpu
-                    or used.memory_mb + memory_mb > capacity.memory_mb):
+            if (
+                used.cpu + cpu > capacity.cpu
+                or used.gpu + gpu > capacity.gpu
+                or used.memory_mb + memory_mb > capacity.memory_mb
+            ):
                 continue
             if needs and not worker.labels.issuperset(needs):
                 continue
--- a/flintfield/placement/health.py
+++ b/flintfield/placement/health.py
@@ -101,8 +101,9 @@
         if standing.trust is Trust.PROBING and standing.probe == task:
             self._enter(instance, standing, Trust.TRUSTED, now_ms)
 
-    def note_failure(self, instance: str, service: str, task: str, failed_elsewhere: bool, workers: int,
-                     now_ms: int) -> float:
+    def note_failure(
+        self, instance: str, service: str, task: str, failed_elsewhere: bool, workers: int, now_ms: int
+    ) -> float:
         """A run on it failed or stalled; the service has so many workers.
 
         Returns how much it speaks against the worker, 0.0 (nothing) to 1.0.
--- a/flintfield/placement/interface.py
+++ b/flintfield/placement/interface.py
@@ -100,8 +100,9 @@
     def choose(self, demand: Demand, workers: dict[str, Worker], now_ms: int) -> str | None:
         """The instance on which to start it now, or None where it is better to wait."""
 
-    def choose_gang(self, demands: Sequence[Demand], workers: dict[str, Worker],
-                    now_ms: int) -> list[str] | None:
+    def choose_gang(
+        self, demands: Sequence[Demand], workers: dict[str, Worker], now_ms: int
+    ) -> list[str] | None:
         """An instance for each, all or none."""
 
     def trusted(self, instance: str, now_ms: int) -> bool:
--- a/flintfield/placement/market.py
+++ b/flintfield/placement/market.py
@@ -52,8 +52,9 @@
         self._shares = ShareTable()
         self._runs = RunTable()
         self._waiting = WaitingTable()
-        self._finder = CandidateFinder(self._index, self.prices, self.speeds, self.health, self._generator,
-                                       far_x)
+        self._finder = CandidateFinder(
+            self._index, self.prices, self.speeds, self.health, self._generator, far_x
+        )
         self._workers: dict[str, Worker] = {}
         self._ticks = 0
         self._turn = 0
@@ -78,8 +79,9 @@
         elif result in (Result.FAILED, Result.STALLED):
             workers = len(self._index.members(demand.service))
             elsewhere = bool(demand.avoid - {instance})
-            weight = self.health.note_failure(instance, demand.service, demand.task, elsewhere, workers,
-                                              now_ms)
+            weight = self.health.note_failure(
+                instance, demand.service, demand.task, elsewhere, workers, now_ms
+            )
             self.speeds.note_slowness(instance, BAD_END_SLOWNESS, weight, now_ms)
         elif result == Result.LOST:
             self.speeds.note_slowness(instance, BAD_END_SLOWNESS, LOST_WEIGHT, now_ms)
@@ -125,8 +127,9 @@
                 return None
         return candidates.workers[at].instance
 
-    def choose_gang(self, demands: Sequence[Demand], workers: dict[str, Worker],
-                    now_ms: int) -> list[str] | None:
+    def choose_gang(
+        self, demands: Sequence[Demand], workers: dict[str, Worker], now_ms: int
+    ) -> list[str] | None:
         """An instance for each, all or none."""
         if not demands:
             return []
@@ -143,8 +146,9 @@
         """False while the worker is in quarantine for failing or stalling."""
         return self.health.trusted(instance)
 
-    def _shares_of(self, demand: Demand, candidates: Candidates, workers: dict[str, Worker],
-                   now_ms: int) -> list[float]:
+    def _shares_of(
+        self, demand: Demand, candidates: Candidates, workers: dict[str, Worker], now_ms: int
+    ) -> list[float]:
         """η of each candidate for the client that is served."""
         key = demand.client, demand.service, demand.priority
         if self._shares.needs_solving(key, now_ms):
@@ -183,8 +187,9 @@
                 return worker.instance
         return candidates.workers[self._draw(demand, candidates, workers, now_ms)].instance
 
-    def _place_gang(self, demands: Sequence[Demand], candidates: Candidates, workers: dict[str, Worker],
-                    now_ms: int) -> list[str] | None:
+    def _place_gang(
+        self, demands: Sequence[Demand], candidates: Candidates, workers: dict[str, Worker], now_ms: int
+    ) -> list[str] | None:
         if not candidates:
             return None
         shares = self._shares_of(demands[0], candidates, workers, now_ms)
--- a/flintfield/programs/scheduler.py
+++ b/flintfield/programs/scheduler.py
@@ -34,7 +34,11 @@
 from flintfield.runtime import logs
 from flintfield.runtime.clock import steady_ms, wall_ms
 from flintfield.runtime.settings import (
-    EXIT_CODE, NodeSettings, SettingsError, path_from_environment, rpc_address,
+    EXIT_CODE,
+    NodeSettings,
+    SettingsError,
+    path_from_environment,
+    rpc_address,
 )
 from flintfield.transport.rpc import Pool, Server
 
@@ -72,8 +76,12 @@
     """The bounds of the dispatcher, as this deployment sets them."""
     bounds = settings.bounds
     return DispatcherBounds(
-        hold_max_ms=bounds.hold_max_ms, stop_ms=bounds.stop_ms, gang_ms=bounds.gang_ms,
-        early_ms=bounds.early_ms, status_s=round(bounds.status_s), far_x=bounds.far_x,
+        hold_max_ms=bounds.hold_max_ms,
+        stop_ms=bounds.stop_ms,
+        gang_ms=bounds.gang_ms,
+        early_ms=bounds.early_ms,
+        status_s=round(bounds.status_s),
+        far_x=bounds.far_x,
         max_kept_bytes=most_kept_bytes(settings),
     )
 
@@ -89,17 +97,28 @@
         self._store = open_replica_store(settings)
         self._pool = Pool()
         self._dispatch = DispatchService(
-            bounds=dispatcher_bounds(settings), configuration=self._current_configuration,
-            make_placement=Market, steady_ms=steady_ms, rng=generator, leader_address=self._leader_address,
+            bounds=dispatcher_bounds(settings),
+            configuration=self._current_configuration,
+            make_placement=Market,
+            steady_ms=steady_ms,
+            rng=generator,
+            leader_address=self._leader_address,
             make_recorder=JobHistory,
         )
         self._node = CoreNode(
-            name=settings.node_name, address=rpc_address(settings.ip, settings), zone=settings.zone,
-            seeds=seed_addresses(settings), first_start=settings.bootstrap,
-            counts=settings.counts_for_quorum, store=self._store,
-            tolerance_machines=settings.tolerance.machines, pool=self._pool,
+            name=settings.node_name,
+            address=rpc_address(settings.ip, settings),
+            zone=settings.zone,
+            seeds=seed_addresses(settings),
+            first_start=settings.bootstrap,
+            counts=settings.counts_for_quorum,
+            store=self._store,
+            tolerance_machines=settings.tolerance.machines,
+            pool=self._pool,
             listener=self._dispatch if self._store is not None else None,
-            rng=generator, steady_ms=steady_ms, wall_ms=wall_ms,
+            rng=generator,
+            steady_ms=steady_ms,
+            wall_ms=wall_ms,
         )
         self._view = ConfigurationView(self._node, steady_ms)
         self._view.on_change(self._dispatch.set_configuration)
@@ -113,10 +132,18 @@
 
     def _observer(self) -> ProcessObserver:
         settings = self.settings
-        identity = Identity(settings.node_name, settings.role, settings.zone,
-                            rpc_address(settings.ip, settings))
-        return ProcessObserver(identity, self._node, self._view, self._store,
-                               settings.limits.disk_mb * MEGABYTE, steady_ms, wall_ms)
+        identity = Identity(
+            settings.node_name, settings.role, settings.zone, rpc_address(settings.ip, settings)
+        )
+        return ProcessObserver(
+            identity,
+            self._node,
+            self._view,
+            self._store,
+            settings.limits.disk_mb * MEGABYTE,
+            steady_ms,
+            wall_ms,
+        )
 
     def _watch_parts(self, observer: ProcessObserver, link: DispatcherLink) -> None:
         """Have the process's status tell the counters of its parts."""
@@ -183,8 +210,7 @@
         self._node.set_seeds(seed_addresses(settings))
 
     async def _stop(self) -> None:
-        """Hand leadership over, answer what was taken in, wait until the core can spare this replica, close.
-        """
+        """Hand leadership over, answer what was taken in, wait until the core spares this replica, close."""
         logs.event(LOG, "stopping")
         started_ms = steady_ms()
         grace_s = self.settings.bounds.grace_s - SHUTDOWN_RESERVE_S
--- a/flintfield/runtime/errors.py
+++ b/flintfield/runtime/errors.py
@@ -51,26 +51,28 @@
         return self.retry_after_ms > 0
 
 
-ANSWERS: Mapping[ErrorKind, Answer] = MappingProxyType({
-    ErrorKind.NO_CONFIGURATION: Answer(503, 500),
-    ErrorKind.UNKNOWN_QUEUE: Answer(404),
-    ErrorKind.UNKNOWN_JOB: Answer(410),
-    ErrorKind.UNKNOWN_PATH: Answer(404),
-    ErrorKind.MALFORMED: Answer(400),
-    ErrorKind.TOO_LARGE: Answer(413),
-    ErrorKind.NOT_ALLOWED: Answer(405),
-    ErrorKind.OVERLOADED: Answer(429, 1_000),
-    ErrorKind.NO_DISPATCHER: Answer(503, 300),
-    ErrorKind.NO_QUORUM: Answer(503, 500),
-    ErrorKind.NOT_READY: Answer(503, 500),
-    ErrorKind.DRAINING: Answer(503, 200),
-    ErrorKind.OUTCOME_UNKNOWN: Answer(504),
-    ErrorKind.TIMED_OUT: Answer(504),
-    ErrorKind.STORAGE_FAILED: Answer(504),
-    ErrorKind.INTERNAL: Answer(502),
-    ErrorKind.VERSION_CONFLICT: Answer(412),
-    ErrorKind.INVALID_CONFIGURATION: Answer(400),
-})
+ANSWERS: Mapping[ErrorKind, Answer] = MappingProxyType(
+    {
+        ErrorKind.NO_CONFIGURATION: Answer(503, 500),
+        ErrorKind.UNKNOWN_QUEUE: Answer(404),
+        ErrorKind.UNKNOWN_JOB: Answer(410),
+        ErrorKind.UNKNOWN_PATH: Answer(404),
+        ErrorKind.MALFORMED: Answer(400),
+        ErrorKind.TOO_LARGE: Answer(413),
+        ErrorKind.NOT_ALLOWED: Answer(405),
+        ErrorKind.OVERLOADED: Answer(429, 1_000),
+        ErrorKind.NO_DISPATCHER: Answer(503, 300),
+        ErrorKind.NO_QUORUM: Answer(503, 500),
+        ErrorKind.NOT_READY: Answer(503, 500),
+        ErrorKind.DRAINING: Answer(503, 200),
+        ErrorKind.OUTCOME_UNKNOWN: Answer(504),
+        ErrorKind.TIMED_OUT: Answer(504),
+        ErrorKind.STORAGE_FAILED: Answer(504),
+        ErrorKind.INTERNAL: Answer(502),
+        ErrorKind.VERSION_CONFLICT: Answer(412),
+        ErrorKind.INVALID_CONFIGURATION: Answer(400),
+    }
+)
 
 
 def answer(kind: ErrorKind) -> Answer:
--- a/flintfield/runtime/settings_file.py
+++ b/flintfield/runtime/settings_file.py
@@ -168,31 +168,35 @@
 
 _FIGURES: dict[type, Any] = {int: WHOLE, float: NUMBER}
 
-_FORM = trafaret.Dict({
-    _required("nodeName", "node_name"): NAME,
-    _required("role", "role"): NAME,
-    _required("ip", "ip"): _expect("an IPv4 address", _ip),
-    _required("zone", "zone"): NAME,
-    _required("portRange", "port_range"): _expect("two ports, the first below the second", _ports),
-    _optional("machineClass", "machine_class"): TEXT,
-    _optional("serves", "serves"): TEXTS,
-    _optional("region", "region"): TEXT,
-    _optional("seeds", "seeds"): _expect("a list of addresses (ip:port)", _many(_address)),
-    _optional("bootstrap", "bootstrap"): FLAG,
-    _optional("countsForQuorum", "counts_for_quorum"): FLAG,
-    _optional("dataDir", "data_dir"): _expect("a path or nothing", lambda value: _text(value) or None),
-    _optional("heartbeatMs", "heartbeat_ms"): POSITIVE,
-    _optional("commands", "commands"): TEXT,
-    _optional("app", "app"): _expect("an address (ip:port) or nothing",
-                                     lambda value: _address_or_none(value) or ""),
-    _optional("service", "service"): TEXT,
-    _optional("contracts", "contracts"): TEXTS,
-    _optional("zones", "zones"): _expect("a table of the regions by zone", _zones),
-    _optional("listen", "listen"): _section(Listen, {type(None): ADDRESS}),
-    _optional("limits", "limits"): _section(Limits, _FIGURES),
-    _optional("faultTolerance", "tolerance"): _section(Tolerance, _FIGURES),
-    _optional("bounds", "bounds"): _section(Bounds, _FIGURES),
-}, ignore_extra="*")
+_FORM = trafaret.Dict(
+    {
+        _required("nodeName", "node_name"): NAME,
+        _required("role", "role"): NAME,
+        _required("ip", "ip"): _expect("an IPv4 address", _ip),
+        _required("zone", "zone"): NAME,
+        _required("portRange", "port_range"): _expect("two ports, the first below the second", _ports),
+        _optional("machineClass", "machine_class"): TEXT,
+        _optional("serves", "serves"): TEXTS,
+        _optional("region", "region"): TEXT,
+        _optional("seeds", "seeds"): _expect("a list of addresses (ip:port)", _many(_address)),
+        _optional("bootstrap", "bootstrap"): FLAG,
+        _optional("countsForQuorum", "counts_for_quorum"): FLAG,
+        _optional("dataDir", "data_dir"): _expect("a path or nothing", lambda value: _text(value) or None),
+        _optional("heartbeatMs", "heartbeat_ms"): POSITIVE,
+        _optional("commands", "commands"): TEXT,
+        _optional("app", "app"): _expect(
+            "an address (ip:port) or nothing", lambda value: _address_or_none(value) or ""
+        ),
+        _optional("service", "service"): TEXT,
+        _optional("contracts", "contracts"): TEXTS,
+        _optional("zones", "zones"): _expect("a table of the regions by zone", _zones),
+        _optional("listen", "listen"): _section(Listen, {type(None): ADDRESS}),
+        _optional("limits", "limits"): _section(Limits, _FIGURES),
+        _optional("faultTolerance", "tolerance"): _section(Tolerance, _FIGURES),
+        _optional("bounds", "bounds"): _section(Bounds, _FIGURES),
+    },
+    ignore_extra="*",
+)
 
 
 def _first_fault(error: trafaret.DataError) -> tuple[str, str, str]:
--- a/flintfield/simulation/__main__.py
+++ b/flintfield/simulation/__main__.py
@@ -39,16 +39,24 @@
 
 
 def _parser() -> argparse.ArgumentParser:
-    parser = argparse.ArgumentParser(prog="python -m flintfield.simulation", description=__doc__,
-                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        prog="python -m flintfield.simulation",
+        description=__doc__,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
     parser.add_argument("--histories", type=int, default=100, help="how many to play")
     parser.add_argument("--seed", type=int, default=0, help="the first seed")
     parser.add_argument("--jobs", type=int, default=1, help="processes")
     parser.add_argument("--replay", type=int, metavar="SEED", help="play one history and print its trace")
     parser.add_argument("--shrink", action="store_true", help="cut faults out of it while it still fails")
     parser.add_argument("--quiet", action="store_true", help="print no trace")
-    parser.add_argument("--planted", nargs="?", const="", metavar="NAME",
-                        help="with this fault planted; without a name: list them")
+    parser.add_argument(
+        "--planted",
+        nargs="?",
+        const="",
+        metavar="NAME",
+        help="with this fault planted; without a name: list them",
+    )
     parser.add_argument("--theme", choices=[theme.value for theme in Theme], help="of this theme only")
     return parser
 
--- a/flintfield/simulation/agent.py
+++ b/flintfield/simulation/agent.py
@@ -13,7 +13,15 @@
 from flintfield.agent import link as protocol
 from flintfield.agent.dispatcher_link import DispatcherLink
 from flintfield.agent.events import (
-    CallWorker, Effect, Event, LinkOpened, LookForLeader, OrdersArrived, SendReport, Stopping, Tick,
+    CallWorker,
+    Effect,
+    Event,
+    LinkOpened,
+    LookForLeader,
+    OrdersArrived,
+    SendReport,
+    Stopping,
+    Tick,
     WorkerAnswered,
 )
 from flintfield.agent.limits import AgentLimits
@@ -54,16 +62,22 @@
 class AgentProcess(Process):
     """One life of an agent."""
 
-    def __init__(self, world: World, machine: Machine, fleet: Fleet, seeds: tuple[str, ...],
-                 bounds: Bounds) -> None:
+    def __init__(
+        self, world: World, machine: Machine, fleet: Fleet, seeds: tuple[str, ...], bounds: Bounds
+    ) -> None:
         super().__init__(world, machine)
         self._fleet = fleet
         limits = AgentLimits(bounds.hold_max_ms, bounds.stop_ms)
         self.core = Agent(machine.name, self.rng.getrandbits(62), self.steady_ms(), limits, "app", self.rng)
         pool: Any = SimulatedPool(world.network, self)
         directory = Directory(seeds, pool, self.rng)
-        self._link = _Link(protocol.Link(self.rng), directory, self.steady_ms, self._take_orders,
-                           lambda: self.deliver(LinkOpened()))
+        self._link = _Link(
+            protocol.Link(self.rng),
+            directory,
+            self.steady_ms,
+            self._take_orders,
+            lambda: self.deliver(LinkOpened()),
+        )
         self._link.process = self
         self._client = SimulatedWorkerClient(fleet.calls, self.loop.call_later, self.post)
         self._timer: Handle | None = None
--- a/flintfield/simulation/clients.py
+++ b/flintfield/simulation/clients.py
@@ -56,8 +56,9 @@
     def finish(self) -> None:
         """Ask for every job that was accepted."""
         self._finishing = True
-        accepted = {call.job for call in self._record.calls
-                    if call.method == "POST" and 200 <= call.status < 300}
+        accepted = {
+            call.job for call in self._record.calls if call.method == "POST" and 200 <= call.status < 300
+        }
         for job in sorted(accepted):
             self._spawn(self._ask_at_last(job))
 
@@ -128,8 +129,9 @@
 
     # One call.
 
-    async def _call(self, method: str, job: str, path: str, body: bytes,
-                    deadline_ms: int = DEADLINE_MS) -> tuple[int, dict[str, Any]]:
+    async def _call(
+        self, method: str, job: str, path: str, body: bytes, deadline_ms: int = DEADLINE_MS
+    ) -> tuple[int, dict[str, Any]]:
         name = self._rng.choice(self._cluster.scenario.schedulers)
         sent_ms = self.world.now_ms
         life = self.world.machines[name].lives
@@ -147,8 +149,9 @@
             self.world.note(f"client: {method} {job} at {name}: {status} {state}")
         return status, fields
 
-    async def _exchange(self, name: str, method: str, path: str, body: bytes,
-                        deadline_ms: int) -> Reply | None:
+    async def _exchange(
+        self, name: str, method: str, path: str, body: bytes, deadline_ms: int
+    ) -> Reply | None:
         waiter: asyncio.Future[Reply | None] = self.loop.create_future()
         network = self.world.network
 
--- a/flintfield/simulation/cluster.py
+++ b/flintfield/simulation/cluster.py
@@ -32,8 +32,9 @@
 class Cluster:
     """Schedulers, agents and workers."""
 
-    def __init__(self, world: World, record: Record, scenario: Scenario, bounds: Bounds,
-                 plan_of: PlanOf) -> None:
+    def __init__(
+        self, world: World, record: Record, scenario: Scenario, bounds: Bounds, plan_of: PlanOf
+    ) -> None:
         self.world = world
         self.record = record
         self.scenario = scenario
@@ -45,7 +46,7 @@
             world.add_machine(name, f"10.0.0.{number}:{RPC_PORT}")
         seeds = tuple(world.machines[name].address for name in names[:3])
         tolerance = (scenario.replicas - 1) // 2
-        record.core = frozenset(names[:scenario.replicas])
+        record.core = frozenset(names[: scenario.replicas])
         self._armed: list[Fault] = []
         self._core = Core(seeds, record.core, scenario.diskless, tolerance, bounds)
         for number, name in enumerate(scenario.agents):
--- a/flintfield/simulation/explore/__main__.py
+++ b/flintfield/simulation/explore/__main__.py
@@ -22,11 +22,23 @@
     if arguments.world == "register":
         world = register_world(arguments.appenders, arguments.prepared)
     elif arguments.world == "core":
-        world = core_world(Limits(arguments.size, arguments.elections, arguments.writes, arguments.wipes,
-                                  arguments.unfinished))
+        world = core_world(
+            Limits(
+                arguments.size, arguments.elections, arguments.writes, arguments.wipes, arguments.unfinished
+            )
+        )
     else:
-        world = TakeoverWorld(Budget(arguments.takeovers, arguments.restarts, arguments.leaps,
-                                     arguments.unanswered, arguments.ends, arguments.slow, arguments.waits))
+        world = TakeoverWorld(
+            Budget(
+                arguments.takeovers,
+                arguments.restarts,
+                arguments.leaps,
+                arguments.unanswered,
+                arguments.ends,
+                arguments.slow,
+                arguments.waits,
+            )
+        )
     with planted(arguments.planted):
         explored = explore(world, arguments.depth, print, arguments.states)
     print(explored)
@@ -34,8 +46,11 @@
 
 
 def _parser() -> argparse.ArgumentParser:
-    parser = argparse.ArgumentParser(prog="python -m flintfield.simulation.explore", description=__doc__,
-                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        prog="python -m flintfield.simulation.explore",
+        description=__doc__,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
     parser.add_argument("world", choices=["register", "takeover", "core"])
     parser.add_argument("--depth", type=int, default=30)
     parser.add_argument("--states", type=int, default=500_000, help="stop after so many")
@@ -44,12 +59,14 @@
     parser.add_argument("--prepared", action="store_true", help="register: begin with promises of a majority")
     limits = Limits()
     for name in ("size", "elections", "writes", "wipes", "unfinished"):
-        parser.add_argument(f"--{name}", type=int, default=getattr(limits, name),
-                            help="core: members, and at most so many")
+        parser.add_argument(
+            f"--{name}", type=int, default=getattr(limits, name), help="core: members, and at most so many"
+        )
     budget = Budget()
     for name in ("takeovers", "restarts", "leaps", "unanswered", "ends", "slow", "waits"):
-        parser.add_argument(f"--{name}", type=int, default=getattr(budget, name),
-                            help="takeover: at most so many")
+        parser.add_argument(
+            f"--{name}", type=int, default=getattr(budget, name), help="takeover: at most so many"
+        )
     return parser
 
 
--- a/flintfield/simulation/explore/core_changes.py
+++ b/flintfield/simulation/explore/core_changes.py
@@ -19,7 +19,16 @@
 from typing import Any
 
 from flintfield.coordination.messages import (
-    Accept, Accepted, Appended, AskState, Change, EpochPromised, Install, Pair, Prepare, PrepareEpoch,
+    Accept,
+    Accepted,
+    Appended,
+    AskState,
+    Change,
+    EpochPromised,
+    Install,
+    Pair,
+    Prepare,
+    PrepareEpoch,
     Promised,
 )
 from flintfield.coordination.model import NO_BALLOT, Ballot, CoreSet, Member, Position, Register, ordered
@@ -100,7 +109,7 @@
 
 
 def _items(stored: Stored) -> frozenset[bytes]:
-    return frozenset(key[len(ITEM_PREFIX):] for key, _ in stored if key.startswith(ITEM_PREFIX))
+    return frozenset(key[len(ITEM_PREFIX) :] for key, _ in stored if key.startswith(ITEM_PREFIX))
 
 
 @dataclass(frozen=True)
@@ -137,8 +146,9 @@
                 if self.writes < self.limits.writes:
                     names.append(f"write {version} {slot}")
         names += self._changes_of_the_set()
-        names += [f"join {slot} {number}" for slot in self._joiners()
-                  for number in range(len(self._sources(slot)))]
+        names += [
+            f"join {slot} {number}" for slot in self._joiners() for number in range(len(self._sources(slot)))
+        ]
         names += [f"learn {slot}" for slot in self._alive() if self._may_learn(slot)]
         if self.wiped < 0 and self.limits.wipes:
             names += [f"wipe {slot}" for slot in self._alive() if slot != self._leaver]
@@ -168,8 +178,17 @@
 
     def key(self) -> Hashable:
         """All that the future depends on."""
-        return (self.replicas, self.sets, self.term, self.committed, self.elections, self.writes, self.wiped,
-                self.left, self.unfinished)
+        return (
+            self.replicas,
+            self.sets,
+            self.term,
+            self.committed,
+            self.elections,
+            self.writes,
+            self.wiped,
+            self.left,
+            self.unfinished,
+        )
 
     def broken(self) -> str:
         """What must not be, or ""."""
@@ -216,8 +235,11 @@
 
     def _servers(self, version: int) -> list[int]:
         core = self._set(version)
-        return [slot for slot in self._alive()
-                if core.member(slot + 1) is not None and _serving(self.replicas[slot]) == version]
+        return [
+            slot
+            for slot in self._alive()
+            if core.member(slot + 1) is not None and _serving(self.replicas[slot]) == version
+        ]
 
     def _majorities(self, version: int) -> Iterator[Few]:
         return itertools.combinations(self._servers(version), self._set(version).majority)
@@ -287,8 +309,11 @@
         wishes = [(self._leaver, size)]
         if self.wiped >= 0:
             wishes.append((self.wiped, size + 1))
-        return [_replaced(newest, old, new) for old, new in wishes
-                if newest.member(old + 1) is not None and newest.member(new + 1) is None]
+        return [
+            _replaced(newest, old, new)
+            for old, new in wishes
+            if newest.member(old + 1) is not None and newest.member(new + 1) is None
+        ]
 
     def _propose(self, number: int, asked: Few, accepting: Few) -> CoreWorld:
         """An attempt on the register of the successor: prepared at `asked`, accepted at `accepting`."""
@@ -319,8 +344,11 @@
 
     def _joiners(self) -> list[int]:
         newest = self.sets[-1]
-        return [slot for slot in self._alive()
-                if newest.member(slot + 1) is not None and _replica(self.replicas[slot]).active != newest]
+        return [
+            slot
+            for slot in self._alive()
+            if newest.member(slot + 1) is not None and _replica(self.replicas[slot]).active != newest
+        ]
 
     def _sources(self, slot: int) -> list[tuple[int, WholeState]]:
         """The states with which that replica may become active: from any sufficient few."""
--- a/flintfield/simulation/explore/explorer.py
+++ b/flintfield/simulation/explore/explorer.py
@@ -43,8 +43,9 @@
         return f"{told}; {found}"
 
 
-def explore(start: SmallWorld, depth: int, tell: Callable[[str], None] = lambda _: None,
-            most_states: int = 1_000_000) -> Explored:
+def explore(
+    start: SmallWorld, depth: int, tell: Callable[[str], None] = lambda _: None, most_states: int = 1_000_000
+) -> Explored:
     """Look at every state that so many actions can lead to; ends at the first one that is broken."""
     began_s = time.monotonic()
     seen: set[Hashable] = {start.key()}
@@ -60,8 +61,15 @@
                 child = world.after(action)
                 fault = child.broken()
                 if fault:
-                    return Explored(reached, len(seen), transitions, False, time.monotonic() - began_s, fault,
-                                    (*path, action))
+                    return Explored(
+                        reached,
+                        len(seen),
+                        transitions,
+                        False,
+                        time.monotonic() - began_s,
+                        fault,
+                        (*path, action),
+                    )
                 key = child.key()
                 if key not in seen:
                     seen.add(key)
--- a/flintfield/simulation/explore/register.py
+++ b/flintfield/simulation/explore/register.py
@@ -85,8 +85,13 @@
         core = newest if newest.version > core.version and self.register is Register.CONFIGURATION else core
         counter = max(self.counter, self.attempt.highest.counter) + 1
         ballot = Ballot(core.version, counter, ord(self.name[0]))
-        return replace(self, core=core, counter=counter, tries=self.tries + 1,
-                       attempt=Attempt(core, self.register, ballot))
+        return replace(
+            self,
+            core=core,
+            counter=counter,
+            tries=self.tries + 1,
+            attempt=Attempt(core, self.register, ballot),
+        )
 
     def decide(self, value: bytes | None) -> bytes | None:
         """The next value."""
@@ -98,9 +103,20 @@
     def key(self) -> Hashable:
         """All that its future depends on."""
         attempt = self.attempt
-        return (self.core.version, self.counter, self.tries, self.done, attempt.phase, attempt.ballot,
-                attempt.accepted, attempt.current, attempt.highest, attempt.newer is not None,
-                frozenset(attempt._agreed), frozenset(attempt._against))
+        return (
+            self.core.version,
+            self.counter,
+            self.tries,
+            self.done,
+            attempt.phase,
+            attempt.ballot,
+            attempt.accepted,
+            attempt.current,
+            attempt.highest,
+            attempt.newer is not None,
+            frozenset(attempt._agreed),
+            frozenset(attempt._against),
+        )
 
 
 def _first_try(name: str, register: Register) -> Proposer:
@@ -120,15 +136,17 @@
 
     def actions(self) -> list[str]:
         """What may happen next."""
-        names = [f"deliver {index}" for index, request in enumerate(self._requests())
-                 if self._matters(request)]
+        names = [
+            f"deliver {index}" for index, request in enumerate(self._requests()) if self._matters(request)
+        ]
         for index, proposer in enumerate(self.proposers):
             if not proposer.done and proposer.tries < MOST_TRIES:
                 names.append(f"again {index}")
         if self.decided:
             names += [f"learn {index}" for index in range(REPLICAS) if self._may_learn(index)]
-            names += [f"join {index} {number}" for index in (0, 1, 3)
-                      for number in range(len(self._sources(index)))]
+            names += [
+                f"join {index} {number}" for index in (0, 1, 3) for number in range(len(self._sources(index)))
+            ]
         return names
 
     def after(self, action: str) -> RegisterWorld:
@@ -149,8 +167,13 @@
 
     def key(self) -> Hashable:
         """All that the future depends on."""
-        return (self.replicas, tuple(proposer.key() for proposer in self.proposers), self.requests,
-                frozenset(self.committed), self.decided)
+        return (
+            self.replicas,
+            tuple(proposer.key() for proposer in self.proposers),
+            self.requests,
+            frozenset(self.committed),
+            self.decided,
+        )
 
     def broken(self) -> str:
         """Committed values must be prefixes of one another."""
@@ -193,8 +216,9 @@
         request = self._requests()[number]
         index, replica, message = request
         stored, reply = step(self.replicas[replica], message)
-        world = replace(self, requests=self.requests - {request},
-                        replicas=_put(self.replicas, replica, stored))
+        world = replace(
+            self, requests=self.requests - {request}, replicas=_put(self.replicas, replica, stored)
+        )
         return world._answered(index, message, reply)
 
     def _answered(self, index: int, message: Any, reply: Any) -> RegisterWorld:
@@ -253,7 +277,7 @@
 
 
 def _put(values: tuple[Any, ...], index: int, value: Any) -> tuple[Any, ...]:
-    return (*values[:index], value, *values[index + 1:])
+    return (*values[:index], value, *values[index + 1 :])
 
 
 def register_world(appenders: int = 1, prepared: bool = False) -> RegisterWorld:
--- a/flintfield/simulation/explore/takeover.py
+++ b/flintfield/simulation/explore/takeover.py
@@ -19,8 +19,19 @@
 
 from flintfield.agent.core import Agent
 from flintfield.agent.events import (
-    Answer, AnswerKind, CallWorker, Event, Heartbeat, Hold, LinkOpened, OrdersArrived, RunStart, RunStop,
-    SendReport, Tick, WorkerAnswered,
+    Answer,
+    AnswerKind,
+    CallWorker,
+    Event,
+    Heartbeat,
+    Hold,
+    LinkOpened,
+    OrdersArrived,
+    RunStart,
+    RunStop,
+    SendReport,
+    Tick,
+    WorkerAnswered,
 )
 from flintfield.agent.limits import AgentLimits
 from flintfield.jobs import events as job_events
@@ -95,8 +106,18 @@
         plan = Plan(10_000_000, 1_000, lasts=True, group=TASK)
         bounds = Bounds(hold_max_ms=HOLD_MAX_MS)
         self.world.now_ms = START_MS
-        self.worker = StandInWorker(self.world, self.record, "a0", "i-01", kind, bounds, lambda _: plan,
-                                    Gangs(), _no_signal, random.Random(0))
+        self.worker = StandInWorker(
+            self.world,
+            self.record,
+            "a0",
+            "i-01",
+            kind,
+            bounds,
+            lambda _: plan,
+            Gangs(),
+            _no_signal,
+            random.Random(0),
+        )
         self.configuration: Configuration = from_document(first_document(1))
         self._elect()
         self._start_agent()
@@ -113,8 +134,9 @@
     def _elect(self) -> None:
         self.epoch += 1
         bounds = DispatcherBounds(hold_max_ms=HOLD_MAX_MS)
-        self.dispatcher = Dispatcher(self.epoch, self.now, bounds, Market(1), random.Random(1),
-                                     self.configuration)
+        self.dispatcher = Dispatcher(
+            self.epoch, self.now, bounds, Market(1), random.Random(1), self.configuration
+        )
         self.dispatcher.restore(dict(self.store))
         self._tick()
 
@@ -295,8 +317,7 @@
         self._tick()
 
     def _settle(self) -> None:
-        """Deliver everything until the worker is known and held; the job's acceptance is the one open write.
-        """
+        """Deliver everything until the worker is known and held; only the job's acceptance is unwritten."""
         job, self.writes = self.writes, []
         for _ in range(6):
             while self.reports or self.orders or self.calls:
@@ -322,8 +343,23 @@
     def key(self) -> Hashable:
         """The same for states from which the same may follow."""
         waiting = tuple(sorted((repr(call.call.request), call.late, call.boot) for call in self.calls))
-        return fingerprint((self.now, self.dispatcher, self.agent, self.worker, self.store, self.writes,
-                            self.reports, self.orders, waiting, self.used, self.slow, self.epoch, self.link))
+        return fingerprint(
+            (
+                self.now,
+                self.dispatcher,
+                self.agent,
+                self.worker,
+                self.store,
+                self.writes,
+                self.reports,
+                self.orders,
+                waiting,
+                self.used,
+                self.slow,
+                self.epoch,
+                self.link,
+            )
+        )
 
 
 @dataclass(frozen=True)
--- a/flintfield/simulation/faults.py
+++ b/flintfield/simulation/faults.py
@@ -63,12 +63,19 @@
 
     def __str__(self) -> str:
         where = f"{self.target}-{self.other}" if self.other else self.target
-        return (f"{self.at_ms:6d} ms  {self.kind.value} {where} for {self.length_ms} ms, {self.amount:.2f}, "
-                f"{self.trigger.value}")
+        return (
+            f"{self.at_ms:6d} ms  {self.kind.value} {where} for {self.length_ms} ms, {self.amount:.2f}, "
+            f"{self.trigger.value}"
+        )
 
 
-_EVERYWHERE = (FaultKind.KILL_CORE, FaultKind.POWER_CORE, FaultKind.LOSSY, FaultKind.SPLIT,
-               FaultKind.WIPE_AND_POWER)
+_EVERYWHERE = (
+    FaultKind.KILL_CORE,
+    FaultKind.POWER_CORE,
+    FaultKind.LOSSY,
+    FaultKind.SPLIT,
+    FaultKind.WIPE_AND_POWER,
+)
 
 
 def keep_promise(drawn: Iterable[Fault], replicas: list[str], diskless: bool) -> tuple[Fault, ...]:
@@ -78,25 +85,39 @@
     """
     losing = {FaultKind.WIPE, FaultKind.WIPE_AND_POWER}
     if diskless:
-        drawn = [fault for fault in drawn if fault.kind not in
-                 (FaultKind.KILL_CORE, FaultKind.POWER_CORE, FaultKind.WIPE_AND_POWER)]
+        drawn = [
+            fault
+            for fault in drawn
+            if fault.kind not in (FaultKind.KILL_CORE, FaultKind.POWER_CORE, FaultKind.WIPE_AND_POWER)
+        ]
         losing |= {FaultKind.KILL_SCHEDULER, FaultKind.STOP_SCHEDULER, FaultKind.POWER}
     kept: list[Fault] = []
     for fault in sorted(drawn, key=lambda fault: fault.kind not in losing):
-        near = [other for other in kept if _touches_core(other, replicas) and _near(fault, other)
-                and (fault.kind in losing or other.kind in losing)]
+        near = [
+            other
+            for other in kept
+            if _touches_core(other, replicas)
+            and _near(fault, other)
+            and (fault.kind in losing or other.kind in losing)
+        ]
         if not (_touches_core(fault, replicas) and near):
             kept.append(fault)
     return tuple(sorted(kept, key=lambda fault: fault.at_ms))
 
 
 def _touches_core(fault: Fault, replicas: list[str]) -> bool:
-    return (fault.kind in _EVERYWHERE or fault.target in replicas or fault.other in replicas
-            or fault.target == LEADER)
+    return (
+        fault.kind in _EVERYWHERE
+        or fault.target in replicas
+        or fault.other in replicas
+        or fault.target == LEADER
+    )
 
 
 def _near(one: Fault, other: Fault) -> bool:
     if one.trigger is not Trigger.NONE or other.trigger is not Trigger.NONE:
         return True  # nobody knows when
-    return (one.at_ms <= other.at_ms + other.length_ms + WIPE_ALONE_MS
-            and other.at_ms <= one.at_ms + one.length_ms + WIPE_ALONE_MS)
+    return (
+        one.at_ms <= other.at_ms + other.length_ms + WIPE_ALONE_MS
+        and other.at_ms <= one.at_ms + one.length_ms + WIPE_ALONE_MS
+    )
--- a/flintfield/simulation/fleet.py
+++ b/flintfield/simulation/fleet.py
@@ -18,11 +18,19 @@
 RETURN_MS = (400.0, 2_500.0)  # until a new incarnation takes the place of one that ended
 LINGER_MS = (100.0, 2_500.0)  # how much longer than promised a leaving worker serves
 
+
 class Fleet:
     """All spots."""
 
-    def __init__(self, world: World, record: Record, bounds: Bounds, plan_of: PlanOf, signal: Signal,
-                 rng: random.Random) -> None:
+    def __init__(
+        self,
+        world: World,
+        record: Record,
+        bounds: Bounds,
+        plan_of: PlanOf,
+        signal: Signal,
+        rng: random.Random,
+    ) -> None:
         self.spots: dict[str, Spot] = {}
         self._world = world
         self._record = record
@@ -45,8 +53,18 @@
         self._incarnations += 1
         name = f"i-{self._incarnations:02d}"
         self._world.note(f"worker {name} starts on {machine}")
-        return StandInWorker(self._world, self._record, machine, name, kind, self._bounds, self._plan_of,
-                             self._gangs, self._signal, random.Random(self._rng.getrandbits(64)))
+        return StandInWorker(
+            self._world,
+            self._record,
+            machine,
+            name,
+            kind,
+            self._bounds,
+            self._plan_of,
+            self._gangs,
+            self._signal,
+            random.Random(self._rng.getrandbits(64)),
+        )
 
     # Ends and beginnings.
 
@@ -95,9 +113,20 @@
     def _say(self, spot: Spot, worker: StandInWorker) -> None:
         spot.beats += 1
         capacity = spot.kind.capacity
-        state = WorkerState(worker.instance, spot.kind.service, "app", "z", worker.draining, capacity.cpu,
-                            capacity.memory_mb, capacity.gpu, spot.kind.labels,
-                            self._bounds.drain_ms if worker.draining else 0, 8, 0)
+        state = WorkerState(
+            worker.instance,
+            spot.kind.service,
+            "app",
+            "z",
+            worker.draining,
+            capacity.cpu,
+            capacity.memory_mb,
+            capacity.gpu,
+            spot.kind.labels,
+            self._bounds.drain_ms if worker.draining else 0,
+            8,
+            0,
+        )
         beat = Heartbeat(state, spot.beats, int(worker.clock_ms))
 
         def arrive() -> None:
--- a/flintfield/simulation/history.py
+++ b/flintfield/simulation/history.py
@@ -115,6 +115,7 @@
 def _virtual_time(world: World) -> Iterator[None]:
     """The directory reads the system's steady clock; here it reads the world's."""
     clock = SimpleNamespace(
-        monotonic=lambda: world.now_ms / 1_000, monotonic_ns=lambda: int(world.now_ms * 1_000_000))
+        monotonic=lambda: world.now_ms / 1_000, monotonic_ns=lambda: int(world.now_ms * 1_000_000)
+    )
     with mock.patch.object(directory, "time", clock):
         yield
--- a/flintfield/simulation/judge/answers.py
+++ b/flintfield/simulation/judge/answers.py
@@ -30,8 +30,10 @@
         for step in range(len(job.steps)):
             done_ms = max(case.done_ms(task) for task in case.tasks_of_step(job, number, step))
             if done_ms > min(shown):
-                broken.append(f"MIXED {job.id}: shown as completed at {min(shown):.0f}, step {step} of time "
-                              f"{number} was done at {done_ms:.0f}")
+                broken.append(
+                    f"MIXED {job.id}: shown as completed at {min(shown):.0f}, step {step} of time "
+                    f"{number} was done at {done_ms:.0f}"
+                )
     return broken
 
 
@@ -57,8 +59,9 @@
     for number in range(job.times):
         for step in range(len(job.steps)):
             tasks = case.tasks_of_step(job, number, step)
-            failed = [{seen.run for seen in case.by_task.get(task, ()) if seen.how == "failed"}
-                      for task in tasks]
+            failed = [
+                {seen.run for seen in case.by_task.get(task, ()) if seen.how == "failed"} for task in tasks
+            ]
             together = case.plan_of(tasks[0]).gang > 1
             groups = [set().union(*failed)] if together else failed
             if any(len(runs) >= job.max_attempts for runs in groups):
@@ -79,8 +82,14 @@
         return [f"LOST {job.id}: not known in the end: {[call.status for call in asked]}"]
     if known[-1].state in ("completed", "failed", "cancelled") or case.cancel_sent_ms(job.id) is not None:
         return []
-    last_ms = max((seen.end_ms if seen.end_ms is not None else end_ms for seen in case.record.runs
-                   if seen.job == job.id), default=0.0)
+    last_ms = max(
+        (
+            seen.end_ms if seen.end_ms is not None else end_ms
+            for seen in case.record.runs
+            if seen.job == job.id
+        ),
+        default=0.0,
+    )
     due_ms = _last_due_ms(job)
     if max(last_ms, due_ms) < end_ms - STUCK_MS and _has_room(case, job):
         return [f"LOST {job.id}: {known[-1].state} with nothing running since {last_ms:.0f}"]
@@ -92,8 +101,11 @@
     service = case.service_of(job)
     room = sum(kind.capacity.cpu for kind in case.scenario.workers if kind.service == service)
     since_ms = case.record.end_ms - STUCK_MS
-    used = sum(case.plan_of(seen.task).cpu for seen in case.record.runs
-               if seen.service == service and (seen.end_ms is None or seen.end_ms > since_ms))
+    used = sum(
+        case.plan_of(seen.task).cpu
+        for seen in case.record.runs
+        if seen.service == service and (seen.end_ms is None or seen.end_ms > since_ms)
+    )
     return 2 * used < room
 
 
@@ -116,6 +128,8 @@
         at_ms = max(over_ms, seen.start_ms)
         until_ms = min(seen.end_ms if seen.end_ms is not None else case.record.end_ms, case.record.end_ms)
         if not seen.late and at_ms < until_ms and case.calm(cancelled_ms, at_ms):
-            broken.append(f"UNASKED {seen.task}: run {seen.run} still runs at {at_ms:.0f}, cancelled at "
-                          f"{cancelled_ms:.0f}")
+            broken.append(
+                f"UNASKED {seen.task}: run {seen.run} still runs at {at_ms:.0f}, cancelled at "
+                f"{cancelled_ms:.0f}"
+            )
     return broken
--- a/flintfield/simulation/judge/case.py
+++ b/flintfield/simulation/judge/case.py
@@ -23,8 +23,9 @@
         self.calls: dict[str, list[CallSeen]] = {}
         for call in record.calls:
             self.calls.setdefault(call.job, []).append(call)
-        self.cancels = {job: cancelled for job in record.jobs
-                        if (cancelled := self._cancel_acked(job)) is not None}
+        self.cancels = {
+            job: cancelled for job in record.jobs if (cancelled := self._cancel_acked(job)) is not None
+        }
         self._plans = {script.job.id: script.plans for script in scenario.jobs}
 
     def job_of(self, task: str) -> JobAsked:
@@ -42,17 +43,30 @@
 
     def accepted_ms(self, job: str) -> float | None:
         """When its acceptance was first told."""
-        return min((call.answered_ms for call in self.calls.get(job, ())
-                    if call.method == "POST" and 200 <= call.status < 300), default=None)
+        return min(
+            (
+                call.answered_ms
+                for call in self.calls.get(job, ())
+                if call.method == "POST" and 200 <= call.status < 300
+            ),
+            default=None,
+        )
 
     def cancel_sent_ms(self, job: str) -> float | None:
         """When somebody first asked to cancel it."""
-        return min((call.sent_ms for call in self.calls.get(job, ()) if call.method == "DELETE"),
-                   default=None)
+        return min(
+            (call.sent_ms for call in self.calls.get(job, ()) if call.method == "DELETE"), default=None
+        )
 
     def _cancel_acked(self, job: str) -> float | None:
-        return min((call.answered_ms for call in self.calls.get(job, ())
-                    if call.method == "DELETE" and 200 <= call.status < 300), default=None)
+        return min(
+            (
+                call.answered_ms
+                for call in self.calls.get(job, ())
+                if call.method == "DELETE" and 200 <= call.status < 300
+            ),
+            default=None,
+        )
 
     def done_ms(self, task: str) -> float:
         """When a run of the task first ended `done`; a member's end stands for its whole gang."""
@@ -61,8 +75,15 @@
         if plan.gang > 1:
             stem = task.rpartition(".")[0]
             names = [f"{stem}.{index}" for index in range(plan.gang)]
-        return min((seen.end_ms for name in names for seen in self.by_task.get(name, ())
-                    if seen.how == "done" and seen.end_ms is not None), default=NEVER_MS)
+        return min(
+            (
+                seen.end_ms
+                for name in names
+                for seen in self.by_task.get(name, ())
+                if seen.how == "done" and seen.end_ms is not None
+            ),
+            default=NEVER_MS,
+        )
 
     def tasks_of_step(self, job: JobAsked, number: int, step: int) -> list[str]:
         """The names of a step's tasks of one time."""
@@ -80,5 +101,6 @@
     def calm(self, from_ms: float, until_ms: float) -> bool:
         """Whether there was no trouble anywhere in this span, nor in the `contactMs` before."""
         from_ms -= self.bounds.contact_ms
-        return not any(trouble.begin_ms <= until_ms and trouble.end_ms >= from_ms
-                       for trouble in self.record.troubles)
+        return not any(
+            trouble.begin_ms <= until_ms and trouble.end_ms >= from_ms for trouble in self.record.troubles
+        )
--- a/flintfield/simulation/judge/configuration.py
+++ b/flintfield/simulation/judge/configuration.py
@@ -29,8 +29,11 @@
     for order in case.record.orders:
         if order.acked_ms is not None:
             by_base.setdefault(order.base, []).append(order)
-    return [f"CONFIG {[order.name for order in orders]}: all acknowledged on version {base}"
-            for base, orders in by_base.items() if len(orders) > 1]
+    return [
+        f"CONFIG {[order.name for order in orders]}: all acknowledged on version {base}"
+        for base, orders in by_base.items()
+        if len(orders) > 1
+    ]
 
 
 def _at_last(case: Case) -> list[str]:
@@ -57,6 +60,7 @@
 
 # What counts show.
 
+
 def _has(order: OrderSeen, path: str) -> bool:
     return any(item["pathPrefix"] == path for item in order.document["routes"])
 
@@ -68,8 +72,11 @@
 
 def _possible(case: Case, call: CallSeen) -> list[OrderSeen]:
     """The orders by which the answer may have been given: any sent by then that has this content."""
-    return [order for order in case.record.orders
-            if order.sent_ms <= call.answered_ms and _has(order, call.path) is _shows(call)]
+    return [
+        order
+        for order in case.record.orders
+        if order.sent_ms <= call.answered_ms and _has(order, call.path) is _shows(call)
+    ]
 
 
 def _in_force(case: Case) -> list[str]:
@@ -78,15 +85,18 @@
         if call.method != "COUNT" or _shows(call) is None:
             continue
         bound_ms = call.sent_ms - case.bounds.config_apply_ms
-        acked = [order for order in case.record.orders
-                 if order.acked_ms is not None and order.acked_ms < bound_ms]
+        acked = [
+            order for order in case.record.orders if order.acked_ms is not None and order.acked_ms < bound_ms
+        ]
         newest = max((order.version for order in acked), default=0)
         if not newest or not case.in_touch(call.scheduler, call.answered_ms):
             continue
         possible = [order for order in _possible(case, call) if order.version >= newest]
         if not possible:
-            broken.append(f"CONFIG {call.path} at {call.scheduler}: {call.status} at {call.answered_ms:.0f}, "
-                          f"long after version {newest} was acknowledged")
+            broken.append(
+                f"CONFIG {call.path} at {call.scheduler}: {call.status} at {call.answered_ms:.0f}, "
+                f"long after version {newest} was acknowledged"
+            )
     return broken
 
 
@@ -103,8 +113,11 @@
                 broken.append(f"CONFIG {call.path} at {call.scheduler}: {call.status} by no version")
             continue
         process = (call.scheduler, call.life)
-        before = [version for answered_ms, version in shown.get(process, ())
-                  if answered_ms + case.bounds.rollback_slack_ms < call.sent_ms]
+        before = [
+            version
+            for answered_ms, version in shown.get(process, ())
+            if answered_ms + case.bounds.rollback_slack_ms < call.sent_ms
+        ]
         if before and max(possible) < max(before):
             seen = f"{call.path} at {call.scheduler}: {call.status} at {call.answered_ms:.0f}"
             bound = f"only version {max(possible)} or older allows; {max(before)} was shown before"
--- a/flintfield/simulation/judge/runs.py
+++ b/flintfield/simulation/judge/runs.py
@@ -30,13 +30,17 @@
     if not step.get("speculative"):
         for one, other in itertools.combinations(ordered, 2):
             if one.end_ms is None or one.end_ms > other.start_ms:
-                broken.append(f"TWICE {task}: run {one.run} at {one.instance} from {one.start_ms:.0f} until "
-                              f"{one.end_ms}, run {other.run} at {other.instance} from {other.start_ms:.0f}")
+                broken.append(
+                    f"TWICE {task}: run {one.run} at {one.instance} from {one.start_ms:.0f} until "
+                    f"{one.end_ms}, run {other.run} at {other.instance} from {other.start_ms:.0f}"
+                )
         for done in [seen for seen in runs if seen.how == "done" and seen.noted]:
             for later in runs:
                 if done.end_ms is not None and later.start_ms > done.end_ms:
-                    broken.append(f"TWICE {task}: run {later.run} at {later.start_ms:.0f} after run "
-                                  f"{done.run} had ended done at {done.end_ms:.0f}")
+                    broken.append(
+                        f"TWICE {task}: run {later.run} at {later.start_ms:.0f} after run "
+                        f"{done.run} had ended done at {done.end_ms:.0f}"
+                    )
     completed = [call.answered_ms for call in case.calls.get(runs[0].job, ()) if call.state == "completed"]
     for seen in runs:
         overdue = completed and seen.start_ms > min(completed) + TOLD_LATE_MS
@@ -51,8 +55,9 @@
     if step.get("longRunning"):
         return []
     broken = []
-    failed = sorted(seen.end_ms for seen in runs
-                    if seen.how == "failed" and seen.noted and seen.end_ms is not None)
+    failed = sorted(
+        seen.end_ms for seen in runs if seen.how == "failed" and seen.noted and seen.end_ms is not None
+    )
     for seen in runs:
         before = [end_ms for end_ms in failed if end_ms < seen.start_ms]
         if len(before) < most:
@@ -76,8 +81,9 @@
     for earlier in step.get("dependsOn", ()):
         reached_ms = max(case.done_ms(name) for name in case.tasks_of_step(job, number, earlier))
         if reached_ms > first_ms:
-            broken.append(f"ORDER {task}: began at {first_ms:.0f}, before step {earlier} was done "
-                          f"({reached_ms:.0f})")
+            broken.append(
+                f"ORDER {task}: began at {first_ms:.0f}, before step {earlier} was done ({reached_ms:.0f})"
+            )
     return broken
 
 
--- a/flintfield/simulation/loop.py
+++ b/flintfield/simulation/loop.py
@@ -48,8 +48,9 @@
     Work that is handed in from outside is told: `on_ready()` if it is to be done at once, `on_timer(when)`.
     """
 
-    def __init__(self, now_s: Callable[[], float], on_ready: Callable[[], None],
-                 on_timer: Callable[[float], None]) -> None:
+    def __init__(
+        self, now_s: Callable[[], float], on_ready: Callable[[], None], on_timer: Callable[[float], None]
+    ) -> None:
         self._now_s = now_s
         self._on_ready = on_ready
         self._on_timer = on_timer
@@ -64,8 +65,12 @@
         """Virtual seconds."""
         return self._now_s()
 
-    def call_soon(self, callback: Callable[..., object], *args: Any,  # type: ignore[override]
-                  context: contextvars.Context | None = None) -> Handle:
+    def call_soon(  # type: ignore[override]
+        self,
+        callback: Callable[..., object],
+        *args: Any,
+        context: contextvars.Context | None = None,
+    ) -> Handle:
         """Run it at the next turn."""
         handle = Handle(callback, args)
         self._ready.append(handle)
@@ -73,13 +78,23 @@
             self._on_ready()
         return handle
 
-    def call_later(self, delay: float, callback: Callable[..., object],  # type: ignore[override]
-                   *args: Any, context: contextvars.Context | None = None) -> Handle:
+    def call_later(  # type: ignore[override]
+        self,
+        delay: float,
+        callback: Callable[..., object],
+        *args: Any,
+        context: contextvars.Context | None = None,
+    ) -> Handle:
         """Run it after a time."""
         return self.call_at(self._now_s() + delay, callback, *args)
 
-    def call_at(self, when: float, callback: Callable[..., object], *args: Any,  # type: ignore[override]
-                context: contextvars.Context | None = None) -> Handle:
+    def call_at(  # type: ignore[override]
+        self,
+        when: float,
+        callback: Callable[..., object],
+        *args: Any,
+        context: contextvars.Context | None = None,
+    ) -> Handle:
         """Run it at a time."""
         handle = Handle(callback, args)
         self._count += 1
--- a/flintfield/simulation/network.py
+++ b/flintfield/simulation/network.py
@@ -138,8 +138,9 @@
 
     # Connections.
 
-    async def connect(self, source: Peer, address: str, handlers: Handlers,
-                      timeout_s: float) -> SimulatedConnection:
+    async def connect(
+        self, source: Peer, address: str, handlers: Handlers, timeout_s: float
+    ) -> SimulatedConnection:
         """Open a connection; raises `Unreachable`."""
         loop = asyncio.get_running_loop()
         waiter: asyncio.Future[SimulatedConnection] = loop.create_future()
@@ -150,8 +151,9 @@
         except TimeoutError as error:
             raise Unreachable(f"{address}: timed out") from error
 
-    def _open(self, source: Peer, address: str, handlers: Handlers,
-              waiter: asyncio.Future[SimulatedConnection]) -> None:
+    def _open(
+        self, source: Peer, address: str, handlers: Handlers, waiter: asyncio.Future[SimulatedConnection]
+    ) -> None:
         name = self._world.machine_at(address)
         own = source.machine.name
         if not source.alive or self.weather.is_cut(own, name) or self.weather.is_cut(name, own):
--- a/flintfield/simulation/operator.py
+++ b/flintfield/simulation/operator.py
@@ -26,16 +26,29 @@
 
 def route(name: str, prefix: str, service: str, priority: int) -> Document:
     """An item of the configuration."""
-    return {"name": name, "host": HOST, "pathPrefix": prefix, "routeType": "non_idempotent",
-            "timeoutMs": 3_000, "targetLatencyMs": 1_000, "priority": priority, "service": service,
-            "maxAttempts": MAX_ATTEMPTS, "extension": 2.0}
+    return {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": prefix,
+        "routeType": "non_idempotent",
+        "timeoutMs": 3_000,
+        "targetLatencyMs": 1_000,
+        "priority": priority,
+        "service": service,
+        "maxAttempts": MAX_ATTEMPTS,
+        "extension": 2.0,
+    }
 
 
 def first_document(version: int) -> Document:
     """The configuration that everything begins with."""
     routes = [route(f"q{number}", *queue) for number, queue in enumerate(QUEUES)]
-    return {"version": version, "routes": routes, "services": [{"name": name} for name in SERVICES],
-            "limits": {"maxBodyBytes": 262_144}}
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": name} for name in SERVICES],
+        "limits": {"maxBodyBytes": 262_144},
+    }
 
 
 class Operator(Process):
@@ -113,8 +126,16 @@
     def _others(self, order: OrderSeen) -> bool:
         """Whether another order was under way since this one was sent, or is."""
         acked = order.acked_ms or 0.0
-        return any(other is not order and (other.sent_ms >= order.sent_ms or not other.tries
-                   or other.tries[-1][1] >= acked or other.acked_ms is None) for other in self._record.orders)
+        return any(
+            other is not order
+            and (
+                other.sent_ms >= order.sent_ms
+                or not other.tries
+                or other.tries[-1][1] >= acked
+                or other.acked_ms is None
+            )
+            for other in self._record.orders
+        )
 
     def _compose(self, present: Document, version: int, script: ChangeScript) -> tuple[OrderSeen, bytes]:
         self._paths += 1
@@ -154,7 +175,8 @@
         name = self._rng.choice(self._cluster.scenario.schedulers)
         sent_ms = self.world.now_ms
         answer = await self._exchange(
-            name, lambda process, answered: process.order(whole, order.base, body, answered))
+            name, lambda process, answered: process.order(whole, order.base, body, answered)
+        )
         status = answer.status if answer is not None else 0
         order.tries.append((sent_ms, self.world.now_ms, status))
         if status == 200:
@@ -184,8 +206,9 @@
                 return
             await asyncio.sleep(self._rng.uniform(*BACKOFF_MS) / 1_000)
 
-    async def _exchange(self, name: str,
-                        hand: Callable[[SchedulerProcess, Callable[[Answer], None]], None]) -> Answer | None:
+    async def _exchange(
+        self, name: str, hand: Callable[[SchedulerProcess, Callable[[Answer], None]], None]
+    ) -> Answer | None:
         waiter: asyncio.Future[Answer | None] = self.loop.create_future()
         network = self.world.network
 
--- a/flintfield/simulation/planted/__init__.py
+++ b/flintfield/simulation/planted/__init__.py
@@ -42,52 +42,92 @@
 
 
 FAULTS: dict[str, PlantedFault] = {
-    "acknowledge-before-sync": PlantedFault("replicas answer before their disk has synced",
-        coordination.acknowledge_before_sync, Theme.STRIKE, 4),
-    "vote-after-wipe": PlantedFault("a replica keeps its identity and set over the loss of its disk",
-        coordination.vote_after_wipe, Theme.CORE, IN_SMALL_WORLDS),
-    "obey-lower-epochs": PlantedFault("replicas promise and obey any epoch",
-        coordination.obey_lower_epochs, Theme.TAKEOVER, 48),
-    "forget-position-at-election": PlantedFault("a new leader begins with its own state",
-        coordination.forget_position_at_election, Theme.TAKEOVER, 4),
-    "act-without-lease": PlantedFault("a leader acts until somebody tells it that it is deposed",
-        coordination.act_without_lease, Theme.TAKEOVER, 20),
-    "skip-sealing": PlantedFault("replicas hand their state on while they still take writes",
-        coordination.skip_sealing, Theme.CORE, IN_SMALL_WORLDS),
-    "accept-below-promise": PlantedFault("registers accept ballots below a promise",
-        coordination.accept_below_promise, Theme.REGISTER, 20),
-    "commit-at-one-replica": PlantedFault("a change counts as committed at the first replica",
-        coordination.commit_at_one_replica, Theme.REGISTER, 10),
-    "place-before-durable": PlantedFault("start orders leave before the placement is durable",
-        dispatcher.place_before_durable, Theme.STRIKE, 10),
-    "accept-before-durable": PlantedFault("jobs are acknowledged before they are durable",
-        dispatcher.accept_before_durable, Theme.STRIKE, 60),
-    "advance-last-seen-early": PlantedFault("lastSeen passes ends that are not durable",
-        dispatcher.advance_last_seen_early, Theme.STRIKE, 150),
-    "one-epoch-for-all": PlantedFault("every dispatcher uses the same fencing token",
-        dispatcher.one_epoch_for_all, Theme.TAKEOVER, 48),
-    "silence-is-stopped": PlantedFault("a stop without an answer counts as carried out",
-        dispatcher.silence_is_stopped, Theme.WORKERS, 80),
-    "unanswered-is-not-started": PlantedFault("a start without an answer counts as not carried out",
-        dispatcher.unanswered_is_not_started, Theme.TAKEOVER, 6),
-    "free-at-silence": PlantedFault("runs are given up before their hold is over",
-        dispatcher.free_at_silence, Theme.HOLDS, 80),
-    "free-at-stop": PlantedFault("capacity is free when a stop is ordered",
-        dispatcher.free_at_stop, Theme.MIXED, 30),
-    "repeat-is-new": PlantedFault("a job that is sent again is a new job",
-        dispatcher.repeat_is_new, Theme.MIXED, 10),
-    "ignore-dependencies": PlantedFault("all steps of a job begin at once",
-        dispatcher.ignore_dependencies, Theme.MIXED, 10),
-    "forget-failures": PlantedFault("failed runs do not count",
-        dispatcher.forget_failures, Theme.MIXED, 20),
-    "late-cancel": PlantedFault("what runs of an ended job is not stopped",
-        dispatcher.late_cancel, Theme.CALM, 10),
-    "grant-from-receipt": PlantedFault("holds are granted from the receipt of the orders",
-        agent.grant_from_receipt, Theme.HOLDS, 10),
-    "start-while-draining": PlantedFault("workers that leave are still given runs",
-        agent.start_while_draining, Theme.WORKERS, 10),
-    "doubt-is-forgotten": PlantedFault("an unanswered try is told as not carried out",
-        agent.doubt_is_forgotten, Theme.TAKEOVER, 20),
-    "broken-is-not-sent": PlantedFault("a call that broke off is told as not sent",
-        agent.broken_is_not_sent, Theme.WORKERS, 24),
+    "acknowledge-before-sync": PlantedFault(
+        "replicas answer before their disk has synced", coordination.acknowledge_before_sync, Theme.STRIKE, 4
+    ),
+    "vote-after-wipe": PlantedFault(
+        "a replica keeps its identity and set over the loss of its disk",
+        coordination.vote_after_wipe,
+        Theme.CORE,
+        IN_SMALL_WORLDS,
+    ),
+    "obey-lower-epochs": PlantedFault(
+        "replicas promise and obey any epoch", coordination.obey_lower_epochs, Theme.TAKEOVER, 48
+    ),
+    "forget-position-at-election": PlantedFault(
+        "a new leader begins with its own state", coordination.forget_position_at_election, Theme.TAKEOVER, 4
+    ),
+    "act-without-lease": PlantedFault(
+        "a leader acts until somebody tells it that it is deposed",
+        coordination.act_without_lease,
+        Theme.TAKEOVER,
+        20,
+    ),
+    "skip-sealing": PlantedFault(
+        "replicas hand their state on while they still take writes",
+        coordination.skip_sealing,
+        Theme.CORE,
+        IN_SMALL_WORLDS,
+    ),
+    "accept-below-promise": PlantedFault(
+        "registers accept ballots below a promise", coordination.accept_below_promise, Theme.REGISTER, 20
+    ),
+    "commit-at-one-replica": PlantedFault(
+        "a change counts as committed at the first replica",
+        coordination.commit_at_one_replica,
+        Theme.REGISTER,
+        10,
+    ),
+    "place-before-durable": PlantedFault(
+        "start orders leave before the placement is durable",
+        dispatcher.place_before_durable,
+        Theme.STRIKE,
+        10,
+    ),
+    "accept-before-durable": PlantedFault(
+        "jobs are acknowledged before they are durable", dispatcher.accept_before_durable, Theme.STRIKE, 60
+    ),
+    "advance-last-seen-early": PlantedFault(
+        "lastSeen passes ends that are not durable", dispatcher.advance_last_seen_early, Theme.STRIKE, 150
+    ),
+    "one-epoch-for-all": PlantedFault(
+        "every dispatcher uses the same fencing token", dispatcher.one_epoch_for_all, Theme.TAKEOVER, 48
+    ),
+    "silence-is-stopped": PlantedFault(
+        "a stop without an answer counts as carried out", dispatcher.silence_is_stopped, Theme.WORKERS, 80
+    ),
+    "unanswered-is-not-started": PlantedFault(
+        "a start without an answer counts as not carried out",
+        dispatcher.unanswered_is_not_started,
+        Theme.TAKEOVER,
+        6,
+    ),
+    "free-at-silence": PlantedFault(
+        "runs are given up before their hold is over", dispatcher.free_at_silence, Theme.HOLDS, 80
+    ),
+    "free-at-stop": PlantedFault(
+        "capacity is free when a stop is ordered", dispatcher.free_at_stop, Theme.MIXED, 30
+    ),
+    "repeat-is-new": PlantedFault(
+        "a job that is sent again is a new job", dispatcher.repeat_is_new, Theme.MIXED, 10
+    ),
+    "ignore-dependencies": PlantedFault(
+        "all steps of a job begin at once", dispatcher.ignore_dependencies, Theme.MIXED, 10
+    ),
+    "forget-failures": PlantedFault("failed runs do not count", dispatcher.forget_failures, Theme.MIXED, 20),
+    "late-cancel": PlantedFault(
+        "what runs of an ended job is not stopped", dispatcher.late_cancel, Theme.CALM, 10
+    ),
+    "grant-from-receipt": PlantedFault(
+        "holds are granted from the receipt of the orders", agent.grant_from_receipt, Theme.HOLDS, 10
+    ),
+    "start-while-draining": PlantedFault(
+        "workers that leave are still given runs", agent.start_while_draining, Theme.WORKERS, 10
+    ),
+    "doubt-is-forgotten": PlantedFault(
+        "an unanswered try is told as not carried out", agent.doubt_is_forgotten, Theme.TAKEOVER, 20
+    ),
+    "broken-is-not-sent": PlantedFault(
+        "a call that broke off is told as not sent", agent.broken_is_not_sent, Theme.WORKERS, 24
+    ),
 }
--- a/flintfield/simulation/planted/agent.py
+++ b/flintfield/simulation/planted/agent.py
@@ -16,6 +16,7 @@
 
 def grant_from_receipt() -> list[Patch]:
     """Holds are granted from the receipt of the orders."""
+
     def extend(self: Agent, now: int, incarnation: Incarnation, orders: AgentOrders) -> None:
         incarnation.grant.extend(now + orders.hold_ms, orders.hold_ms)
 
@@ -36,8 +37,11 @@
         record.draining = draining
 
     update_ready = Workers.update_ready
-    return [Patch(Incarnation, "refusal", none), Patch(Workers, "update_ready", stay_ready),
-            Patch(OrderBook, "refuse_starts", lambda self, now, outcome: None)]
+    return [
+        Patch(Incarnation, "refusal", none),
+        Patch(Workers, "update_ready", stay_ready),
+        Patch(OrderBook, "refuse_starts", lambda self, now, outcome: None),
+    ]
 
 
 def doubt_is_forgotten() -> list[Patch]:
--- a/flintfield/simulation/planted/coordination.py
+++ b/flintfield/simulation/planted/coordination.py
@@ -21,6 +21,7 @@
 
 def acknowledge_before_sync() -> list[Patch]:
     """Replicas answer before their disk has synced."""
+
     async def durable(self: ReplicaHost, ticket: int) -> bool:
         return True
 
@@ -44,8 +45,9 @@
     async def activate_and_keep(self: ReplicaHost, core: Any, state: Any) -> bool:
         done = await activate(self, core, state)
         keys = (IDENTITY_KEY, ACTIVE_KEY, KNOWN_KEY)
-        kept[self._knowledge._own_address] = {key: self._store.items[key] for key in keys
-                                              if key in self._store.items}
+        kept[self._knowledge._own_address] = {
+            key: self._store.items[key] for key in keys if key in self._store.items
+        }
         return done
 
     return [Patch(ReplicaHost, "start", restore_and_start), Patch(ReplicaHost, "activate", activate_and_keep)]
@@ -53,6 +55,7 @@
 
 def obey_lower_epochs() -> list[Patch]:
     """Replicas promise and obey any epoch."""
+
     def prepare(self: Follower, now_ms: int, request: PrepareEpoch) -> Any:
         if self.leased(now_ms, request.candidate):
             return original(self, now_ms, request)
@@ -79,8 +82,10 @@
 
 def act_without_lease() -> list[Patch]:
     """A leader acts until somebody tells it that it is deposed."""
-    return [Patch(Leadership, "confirmed", lambda self: not self.over),
-            Patch(Leadership, "_lost", lambda self: self.over or self.leader.deposed)]
+    return [
+        Patch(Leadership, "confirmed", lambda self: not self.over),
+        Patch(Leadership, "_lost", lambda self: self.over or self.leader.deposed),
+    ]
 
 
 def skip_sealing() -> list[Patch]:
@@ -107,6 +112,7 @@
 
 def commit_at_one_replica() -> list[Patch]:
     """A change counts as committed at the first replica."""
+
     def count(self: Attempt, replica: int, ballot: Any, reached: Phase) -> None:
         if ballot != self.ballot or self.core.member(replica) is None:
             return
--- a/flintfield/simulation/planted/dispatcher.py
+++ b/flintfield/simulation/planted/dispatcher.py
@@ -42,6 +42,7 @@
 
 def accept_before_durable() -> list[Patch]:
     """Jobs are acknowledged before they are durable."""
+
     class Hasty(intake.Intake):
         def _new(self, call: int, job_id: str, route: Any, body: bytes) -> None:
             super()._new(call, job_id, route, body)
@@ -72,6 +73,7 @@
 
 def one_epoch_for_all() -> list[Patch]:
     """The fencing token never rises, so late orders of an earlier dispatcher are not fenced off."""
+
     def made(epoch: int, *arguments: Any) -> Dispatcher:
         return Dispatcher(1, *arguments)
 
@@ -92,6 +94,7 @@
 
 def unanswered_is_not_started() -> list[Patch]:
     """A start without an answer counts as not carried out, and the task is placed again."""
+
     def not_started(self: Orders, record: WorkerRecord, pending: Any, run: Any, outcome: Outcome) -> None:
         self._resolve(run, Ending.REFUSED, "")
 
@@ -159,5 +162,7 @@
 
 def late_cancel() -> list[Patch]:
     """What still runs of a job that has ended is not stopped."""
-    return [Patch(Ends, "_stop_all", lambda self, runs: None),
-            Patch(Listings, "_should_stop", lambda self, run, now: False)]
+    return [
+        Patch(Ends, "_stop_all", lambda self, runs: None),
+        Patch(Listings, "_should_stop", lambda self, run, now: False),
+    ]
--- a/flintfield/simulation/process.py
+++ b/flintfield/simulation/process.py
@@ -27,7 +27,8 @@
         self.connections: list[SimulatedConnection] = []
         self.rng: random.Random = world.draw()
         self.loop = ProcessLoop(  # type: ignore[abstract]  # without sockets, signals and threads
-            lambda: machine.clock.steady_ms(world.now_ms) / 1_000, self._on_ready, self._on_timer)
+            lambda: machine.clock.steady_ms(world.now_ms) / 1_000, self._on_ready, self._on_timer
+        )
         self._armed_ms: float | None = None
         machine.process = self
         machine.lives += 1
--- a/flintfield/simulation/scenario.py
+++ b/flintfield/simulation/scenario.py
@@ -82,9 +82,16 @@
     diskless = rng.random() < 0.07
     workers = tuple(_worker(rng, number) for number in range(rng.randint(3, 4)))
     scenario = Scenario(
-        seed, replicas, rng.choice((0, 0, 1)), diskless, workers,
+        seed,
+        replicas,
+        rng.choice((0, 0, 1)),
+        diskless,
+        workers,
         tuple(_job(rng, seed, number, theme) for number in range(rng.randint(6, 12))),
-        tuple(_change(rng, theme) for _ in range(rng.randint(*_changes(theme)))), (), theme)
+        tuple(_change(rng, theme) for _ in range(rng.randint(*_changes(theme)))),
+        (),
+        theme,
+    )
     place = Place(scenario.schedulers[:replicas], scenario.schedulers, scenario.agents, diskless)
     return scenario.with_faults(themes.draw_faults(rng, theme, place))
 
@@ -152,5 +159,4 @@
 def _change(rng: random.Random, theme: Theme) -> ChangeScript:
     at_ms = rng.randint(3_000, 9_500)
     orders = rng.choice((1, 2, 3)) if theme is Theme.REGISTER else rng.choice((1, 1, 2))
-    return ChangeScript(at_ms, orders, rng.random() < 0.4, rng.random() < 0.2,
-                        rng.random() < 0.4)
+    return ChangeScript(at_ms, orders, rng.random() < 0.4, rng.random() < 0.2, rng.random() < 0.4)
--- a/flintfield/simulation/scheduler.py
+++ b/flintfield/simulation/scheduler.py
@@ -54,20 +54,40 @@
         store = self._open_store(core)
         pool: Any = SimulatedPool(world.network, self)
         self.dispatch = DispatchService(
-            DispatcherBounds(hold_max_ms=bounds.hold_max_ms, stop_ms=bounds.stop_ms, gang_ms=bounds.gang_ms,
-                             early_ms=bounds.early_ms),
-            self._current, Market, self.steady_ms, self.rng, self._leader_address)
+            DispatcherBounds(
+                hold_max_ms=bounds.hold_max_ms,
+                stop_ms=bounds.stop_ms,
+                gang_ms=bounds.gang_ms,
+                early_ms=bounds.early_ms,
+            ),
+            self._current,
+            Market,
+            self.steady_ms,
+            self.rng,
+            self._leader_address,
+        )
         self.node = CoreNode(
-            name=machine.name, address=machine.address, zone="z", seeds=core.seeds, first_start=first_start,
-            counts=store is not None, store=store, tolerance_machines=core.tolerance, pool=pool,
-            listener=self.dispatch if store is not None else None, rng=self.rng, steady_ms=self.steady_ms,
-            wall_ms=self.wall_ms)
+            name=machine.name,
+            address=machine.address,
+            zone="z",
+            seeds=core.seeds,
+            first_start=first_start,
+            counts=store is not None,
+            store=store,
+            tolerance_machines=core.tolerance,
+            pool=pool,
+            listener=self.dispatch if store is not None else None,
+            rng=self.rng,
+            steady_ms=self.steady_ms,
+            wall_ms=self.wall_ms,
+        )
         self.view = ConfigurationView(self.node, self.steady_ms)
         self.view.on_change(self.dispatch.set_configuration)
         self._operator = OperatorService(self.node)
         link = DispatcherLink(pool, self.node, self.steady_ms, self.rng)
-        self._ingress = IngressServer(_settings(machine, bounds), self.view, link, self.node,
-                                      steady_ms=self.steady_ms)
+        self._ingress = IngressServer(
+            _settings(machine, bounds), self.view, link, self.node, steady_ms=self.steady_ms
+        )
         self.loop.call_soon(self._start)
 
     def _open_store(self, core: Core) -> KeyedStore | None:
@@ -75,8 +95,9 @@
             return None
         if core.diskless:
             return MemoryStore()
-        return SimulatedStore(self.machine.platter, random.Random(self.rng.getrandbits(64)),
-                              lambda: self.world.now_ms)
+        return SimulatedStore(
+            self.machine.platter, random.Random(self.rng.getrandbits(64)), lambda: self.world.now_ms
+        )
 
     def _start(self) -> None:
         self.handlers = {**self.node.handlers(), **self.dispatch.handlers()}
@@ -96,8 +117,15 @@
 
     # Requests from outside; `answer` is called in this process's loop.
 
-    def serve(self, method: str, path: str, host: str, body: bytes, deadline_ms: int,
-              answer: Callable[[Reply], None]) -> None:
+    def serve(
+        self,
+        method: str,
+        path: str,
+        host: str,
+        body: bytes,
+        deadline_ms: int,
+        answer: Callable[[Reply], None],
+    ) -> None:
         """A client's request."""
         headers = HTTPHeaders({"Host": host, "X-Deadline-Ms": str(deadline_ms)})
         request = Request(method, path, headers, body, self.steady_ms())
@@ -124,5 +152,11 @@
 def _settings(machine: Machine, bounds: Bounds) -> NodeSettings:
     ip = machine.address.partition(":")[0]
     settings_bounds = SettingsBounds(config_apply_ms=bounds.config_apply_ms, hold_max_ms=bounds.hold_max_ms)
-    return NodeSettings(node_name=machine.name, role="scheduler", ip=ip, zone="z", port_range=(7000, 7010),
-                        bounds=settings_bounds)
+    return NodeSettings(
+        node_name=machine.name,
+        role="scheduler",
+        ip=ip,
+        zone="z",
+        port_range=(7000, 7010),
+        bounds=settings_bounds,
+    )
--- a/flintfield/simulation/shrink.py
+++ b/flintfield/simulation/shrink.py
@@ -34,7 +34,7 @@
 
 def _without(outcome: Outcome, start: int, size: int, rules: set[str]) -> Outcome | None:
     faults = outcome.scenario.faults
-    kept: tuple[Fault, ...] = faults[:start] + faults[start + size:]
+    kept: tuple[Fault, ...] = faults[:start] + faults[start + size :]
     scenario: Scenario = outcome.scenario.with_faults(kept)
     played = play(scenario.seed, scenario)
     return played if played.rules & rules else None
--- a/flintfield/simulation/themes.py
+++ b/flintfield/simulation/themes.py
@@ -33,8 +33,16 @@
         return self in (Theme.HOLDS, Theme.TAKEOVER)
 
 
-WEIGHTS = {Theme.CALM: 3, Theme.MIXED: 37, Theme.TAKEOVER: 16, Theme.REGISTER: 8, Theme.CORE: 6,
-           Theme.WORKERS: 10, Theme.HOLDS: 8, Theme.STRIKE: 12}
+WEIGHTS = {
+    Theme.CALM: 3,
+    Theme.MIXED: 37,
+    Theme.TAKEOVER: 16,
+    Theme.REGISTER: 8,
+    Theme.CORE: 6,
+    Theme.WORKERS: 10,
+    Theme.HOLDS: 8,
+    Theme.STRIKE: 12,
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,11 +66,28 @@
 
 
 _K = FaultKind
-_OF_SCHEDULER = (_K.KILL_SCHEDULER, _K.STOP_SCHEDULER, _K.POWER, _K.FREEZE, _K.SPLIT, _K.DISK_STALL,
-                 _K.DISK_FAIL, _K.DISK_FULL, _K.WALL_STEP)
+_OF_SCHEDULER = (
+    _K.KILL_SCHEDULER,
+    _K.STOP_SCHEDULER,
+    _K.POWER,
+    _K.FREEZE,
+    _K.SPLIT,
+    _K.DISK_STALL,
+    _K.DISK_FAIL,
+    _K.DISK_FULL,
+    _K.WALL_STEP,
+)
 _OF_AGENT = (_K.KILL_AGENT, _K.STOP_AGENT, _K.FREEZE, _K.SPLIT)
-_OF_WORKER = (_K.CRASH_WORKER, _K.DRAIN_WORKER, _K.DARK_WORKER, _K.UNHEALTHY_WORKER, _K.LATE_ORDERS,
-              _K.LATE_ORDERS, _K.LOST_ANSWERS, _K.LATE_BEATS)
+_OF_WORKER = (
+    _K.CRASH_WORKER,
+    _K.DRAIN_WORKER,
+    _K.DARK_WORKER,
+    _K.UNHEALTHY_WORKER,
+    _K.LATE_ORDERS,
+    _K.LATE_ORDERS,
+    _K.LOST_ANSWERS,
+    _K.LATE_BEATS,
+)
 
 
 def _time(rng: random.Random) -> int:
@@ -120,8 +145,16 @@
     for agent in place.agents:
         if rng.random() < 0.7:
             kind = rng.choice((_K.LATE_ORDERS, _K.LATE_ORDERS, _K.LOST_ANSWERS, _K.DARK_WORKER))
-            drawn.append(Fault(kind, rng.randint(2_600, 5_000), agent, "", rng.randint(2_000, 6_000),
-                               rng.uniform(0.2, 0.8)))
+            drawn.append(
+                Fault(
+                    kind,
+                    rng.randint(2_600, 5_000),
+                    agent,
+                    "",
+                    rng.randint(2_000, 6_000),
+                    rng.uniform(0.2, 0.8),
+                )
+            )
     at_ms = rng.randint(3_500, 5_500)
     for _ in range(rng.randint(1, 3)):
         kind = rng.choice((_K.KILL_SCHEDULER, _K.POWER, _K.FREEZE, _K.STOP_SCHEDULER, _K.SPLIT))
@@ -146,8 +179,9 @@
 
 def _register(rng: random.Random, place: Place) -> list[Fault]:
     """Trouble between those who change the configuration at the same time."""
-    drawn = [Fault(_K.LOSSY, rng.randint(2_800, 6_000), "", "", rng.randint(1_500, 5_000),
-                   rng.uniform(0.1, 0.5))]
+    drawn = [
+        Fault(_K.LOSSY, rng.randint(2_800, 6_000), "", "", rng.randint(1_500, 5_000), rng.uniform(0.1, 0.5))
+    ]
     for _ in range(rng.randint(1, 3)):
         one, other = rng.sample(place.schedulers, 2)
         drawn.append(Fault(rng.choice((_K.CUT, _K.CUT_ONE_WAY)), _time(rng), one, other, _length(rng)))
@@ -160,8 +194,9 @@
     at_ms = rng.randint(3_500, 7_500)
     trigger = rng.choice((Trigger.NONE, Trigger.ACK, Trigger.ACK))
     kind = rng.choice((_K.WIPE, _K.WIPE_AND_POWER, _K.WIPE_AND_POWER))
-    drawn = [Fault(kind, at_ms, rng.choice([*place.replicas, LEADER]), "", rng.randint(200, 800),
-                   trigger=trigger)]
+    drawn = [
+        Fault(kind, at_ms, rng.choice([*place.replicas, LEADER]), "", rng.randint(200, 800), trigger=trigger)
+    ]
     drawn += [_of_worker(rng, place) for _ in range(rng.randint(0, 2))]
     return drawn
 
@@ -184,8 +219,10 @@
             drawn.append(Fault(_K.SPLIT, at_ms + rng.randint(-50, 400), agent, agent, length_ms))
         else:
             drawn += [Fault(_K.CUT_ONE_WAY, at_ms, agent, name, length_ms) for name in place.schedulers]
-            drawn += [Fault(_K.CUT_ONE_WAY, at_ms, name, agent, rng.randint(200, 2_400))
-                      for name in place.schedulers]
+            drawn += [
+                Fault(_K.CUT_ONE_WAY, at_ms, name, agent, rng.randint(200, 2_400))
+                for name in place.schedulers
+            ]
         if rng.random() < 0.4:
             drawn.append(Fault(_K.KILL_AGENT, at_ms + rng.randint(0, 5_000), agent, "", _length(rng)))
     if rng.random() < 0.3:
@@ -210,6 +247,12 @@
 
 
 _DRAWS: dict[Theme, Callable[[random.Random, Place], list[Fault]]] = {
-    Theme.CALM: _calm, Theme.MIXED: _mixed, Theme.TAKEOVER: _takeover, Theme.REGISTER: _register,
-    Theme.CORE: _core, Theme.WORKERS: _workers, Theme.HOLDS: _holds, Theme.STRIKE: _strike,
+    Theme.CALM: _calm,
+    Theme.MIXED: _mixed,
+    Theme.TAKEOVER: _takeover,
+    Theme.REGISTER: _register,
+    Theme.CORE: _core,
+    Theme.WORKERS: _workers,
+    Theme.HOLDS: _holds,
+    Theme.STRIKE: _strike,
 }
--- a/flintfield/simulation/worker.py
+++ b/flintfield/simulation/worker.py
@@ -25,8 +25,19 @@
 class StandInWorker:
     """One incarnation."""
 
-    def __init__(self, world: World, record: Record, machine: str, instance: str, kind: Kind, bounds: Bounds,
-                 plan_of: PlanOf, gangs: Gangs[StandInWorker], signal: Signal, rng: random.Random) -> None:
+    def __init__(
+        self,
+        world: World,
+        record: Record,
+        machine: str,
+        instance: str,
+        kind: Kind,
+        bounds: Bounds,
+        plan_of: PlanOf,
+        gangs: Gangs[StandInWorker],
+        signal: Signal,
+        rng: random.Random,
+    ) -> None:
         self.world = world
         self.machine = machine
         self.instance = instance
@@ -105,8 +116,10 @@
 
     def lists(self) -> Answer:
         """Both lists."""
-        running = tuple(Run(held.seen.task, held.seen.run, self._save_regularly(held), self._percent(held))
-                        for held in self._runs.values())
+        running = tuple(
+            Run(held.seen.task, held.seen.run, self._save_regularly(held), self._percent(held))
+            for held in self._runs.values()
+        )
         ends = tuple(end for end, _ in list(self._ends.values())[:MOST_ENDS_TOLD])
         return Answer(AnswerKind.OK, int(self.clock_ms), running, ends)
 
@@ -189,15 +202,28 @@
         over = self._overfull(plan)
         step = order.task.rpartition(".")[0]
         same = {held.seen.task for held in self._runs.values() if held.seen.task.rpartition(".")[0] == step}
-        seen = RunSeen(order.task, order.run, self.machine, self.instance, self.kind.service,
-                       self.kind.labels, order.spec, order.checkpoint, self.world.now_ms, over, late,
-                       self.drain_acked_ms, len(same | {order.task}))
+        seen = RunSeen(
+            order.task,
+            order.run,
+            self.machine,
+            self.instance,
+            self.kind.service,
+            self.kind.labels,
+            order.spec,
+            order.checkpoint,
+            self.world.now_ms,
+            over,
+            late,
+            self.drain_acked_ms,
+            len(same | {order.task}),
+        )
         self._record.runs.append(seen)
         held = Held(seen, plan, self.clock_ms, order.checkpoint)
         self._runs[order.task, order.run] = held
         self._signal(Trigger.START)
-        self.world.note(f"worker {self.instance}: run {order.run} of {order.task} begins"
-                        f"{' (late order)' if late else ''}")
+        self.world.note(
+            f"worker {self.instance}: run {order.run} of {order.task} begins{' (late order)' if late else ''}"
+        )
         if plan.gang <= 1:
             self._work(held)
             return
@@ -277,9 +303,11 @@
     def _overfull(self, plan: Plan) -> bool:
         plans = [held.plan for held in self._runs.values()] + [plan]
         capacity = self.kind.capacity
-        return (sum(each.cpu for each in plans) > capacity.cpu
-                or sum(each.memory_mb for each in plans) > capacity.memory_mb
-                or sum(each.gpu for each in plans) > capacity.gpu)
+        return (
+            sum(each.cpu for each in plans) > capacity.cpu
+            or sum(each.memory_mb for each in plans) > capacity.memory_mb
+            or sum(each.gpu for each in plans) > capacity.gpu
+        )
 
     # Parts of the calls.
 
--- a/flintfield/simulation/worker_calls.py
+++ b/flintfield/simulation/worker_calls.py
@@ -147,8 +147,12 @@
     event loop.
     """
 
-    def __init__(self, calls: WorkerCalls, start_timer: Callable[[float, Settle, Answer], Timer],
-                 post: Callable[[Settle, Answer], None]) -> None:
+    def __init__(
+        self,
+        calls: WorkerCalls,
+        start_timer: Callable[[float, Settle, Answer], Timer],
+        post: Callable[[Settle, Answer], None],
+    ) -> None:
         self._calls = calls
         self._start_timer = start_timer
         self._post = post
--- a/flintfield/transport/codecs.py
+++ b/flintfield/transport/codecs.py
@@ -53,6 +53,7 @@
 
 # Values.
 
+
 def _slice(data: bytes, at: int) -> tuple[int, int]:
     (length,) = _LENGTH.unpack_from(data, at)
     start = at + _LENGTH.size
@@ -194,6 +195,7 @@
 
 # Dataclasses.
 
+
 def _compile(kind: type) -> DataclassCodec:
     hints = typing.get_type_hints(kind)
     annotations = {field.name: hints[field.name] for field in dataclasses.fields(kind)}
@@ -245,8 +247,12 @@
             self._wait("B", f"message.{name}", value)
             value = f"member_{value}[{value}]"
         elif annotation is str or annotation is bytes:
-            self._add_text(name, value, ".encode()" if annotation is str else "",
-                           ".decode()" if annotation is str else "")
+            self._add_text(
+                name,
+                value,
+                ".encode()" if annotation is str else "",
+                ".decode()" if annotation is str else "",
+            )
         else:
             self._add_other(name, value, _value_codec(annotation))
         self.arguments.append(value)
@@ -254,11 +260,18 @@
     def compiled(self) -> DataclassCodec:
         """The functions."""
         self._flush()
-        lines = ["def write(message, out):", *self.writing, " return None",
-                 "def read(data, at, end):", " start = at", " try:", *self.reading,
-                 f"  if at <= end: return kind({', '.join(self.arguments)})",
-                 " except unreadable: pass",
-                 " return by_field(data, start, end)"]
+        lines = [
+            "def write(message, out):",
+            *self.writing,
+            " return None",
+            "def read(data, at, end):",
+            " start = at",
+            " try:",
+            *self.reading,
+            f"  if at <= end: return kind({', '.join(self.arguments)})",
+            " except unreadable: pass",
+            " return by_field(data, start, end)",
+        ]
         exec("\n".join(lines), self.names)
         return DataclassCodec(self.names["write"], self.names["read"])
 
--- a/flintfield/transport/frames.py
+++ b/flintfield/transport/frames.py
@@ -100,7 +100,7 @@
             end = at + LENGTH.size + length
             if end > size:
                 break
-            yield kind, number, view[at + HEADER.size:end]
+            yield kind, number, view[at + HEADER.size : end]
             at = end
         if at < size:
             self._keep(data, at)
--- a/flintfield/transport/http.py
+++ b/flintfield/transport/http.py
@@ -122,8 +122,14 @@
     return listener
 
 
-def respond(request: HTTPServerRequest, status: int, body: bytes = b"", retry_after_s: str = "",
-            content_type: str = JSON_TYPE, headers: dict[str, str] | None = None) -> None:
+def respond(
+    request: HTTPServerRequest,
+    status: int,
+    body: bytes = b"",
+    retry_after_s: str = "",
+    content_type: str = JSON_TYPE,
+    headers: dict[str, str] | None = None,
+) -> None:
     """Answer a request whole, in one write; a client that is gone is no error."""
     connection = request.connection
     assert connection is not None
@@ -148,8 +154,12 @@
         return "Unknown"
 
 
-def make_client(max_clients: int, connect_timeout_s: float, request_timeout_s: float,
-                max_body_bytes: int = 4 * 1024 * 1024) -> AsyncHTTPClient:
+def make_client(
+    max_clients: int,
+    connect_timeout_s: float,
+    request_timeout_s: float,
+    max_body_bytes: int = 4 * 1024 * 1024,
+) -> AsyncHTTPClient:
     """The curl client: at most `max_clients` calls at a time (further ones wait), connections are kept.
 
     No proxies (whatever the environment says), no redirects, no signals, IPv4, no compression. The timeouts
--- a/flintfield/transport/pool.py
+++ b/flintfield/transport/pool.py
@@ -18,8 +18,9 @@
 MAX_WAITING_MESSAGES = 64  # one-way messages that wait for one connection
 
 
-async def connect(address: str, handlers: Handlers, timeout_s: float,
-                  counters: Counters | None = None) -> Connection:
+async def connect(
+    address: str, handlers: Handlers, timeout_s: float, counters: Counters | None = None
+) -> Connection:
     """Open a connection to "ip:port"; raises `Unreachable`."""
     counted = counters if counters is not None else Counters()
     loop = asyncio.get_running_loop()
--- a/flintfield/transport/server.py
+++ b/flintfield/transport/server.py
@@ -36,7 +36,8 @@
         """Listen on ip:port (0: any free port) and return the port; raises `OSError`."""
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
-            lambda: _Accepted(self), ip, port, backlog=LISTEN_BACKLOG, reuse_address=True)
+            lambda: _Accepted(self), ip, port, backlog=LISTEN_BACKLOG, reuse_address=True
+        )
         bound: int = self._listener.sockets[0].getsockname()[1]
         return bound
 
--- a/flintfield/transport/single_send.py
+++ b/flintfield/transport/single_send.py
@@ -74,13 +74,15 @@
         gate = _SendGate()
         try:
             response = await self._client.fetch(
-                self._request(url, body, headers, timeout_s, gate), raise_error=False)
+                self._request(url, body, headers, timeout_s, gate), raise_error=False
+            )
         except Exception:  # libcurl's own errors, and requests that can't be made at all
             return CallResult(CallEnd.IN_DOUBT if gate.passed else CallEnd.NOT_SENT)
         return CallResult(CallEnd.ANSWERED, response.code, response.body or b"")
 
-    def _request(self, url: str, body: bytes, headers: Mapping[str, str], timeout_s: float,
-                 gate: _SendGate) -> HTTPRequest:
+    def _request(
+        self, url: str, body: bytes, headers: Mapping[str, str], timeout_s: float, gate: _SendGate
+    ) -> HTTPRequest:
         from tornado.httpclient import HTTPRequest
 
         return HTTPRequest(
--- a/tests/system/coordination_history.py
+++ b/tests/system/coordination_history.py
@@ -53,8 +53,11 @@
         if known is None:
             return
         value, as_of_ms = known
-        acknowledged = [int(name) for name, ms in zip(self.acknowledged[-50:], self.acknowledged_ms[-50:],
-                                                      strict=True) if ms < as_of_ms]
+        acknowledged = [
+            int(name)
+            for name, ms in zip(self.acknowledged[-50:], self.acknowledged_ms[-50:], strict=True)
+            if ms < as_of_ms
+        ]
         if acknowledged and number_in(value) < acknowledged[-1]:
             raise Violation(f"{process.machine.name} confirms {number_in(value)}, not {acknowledged[-1]}")
 
@@ -127,8 +130,11 @@
         """A replica's machine that doesn't lead."""
         leader = self.world.leader()
         assert leader is not None
-        return next(machine for machine in self.world.machines
-                    if machine.counts and machine is not leader.machine and machine.process is not None)
+        return next(
+            machine
+            for machine in self.world.machines
+            if machine.counts and machine is not leader.machine and machine.process is not None
+        )
 
     def caught_up(self, machine: Machine) -> bool:
         """Whether its replica has all that was committed."""
--- a/tests/system/coordination_loop.py
+++ b/tests/system/coordination_loop.py
@@ -34,20 +34,34 @@
         """Virtual seconds."""
         return self._now_s()
 
-    def call_soon(self, callback: Callable[..., Any], *args: Any,  # type: ignore[override]
-                  context: contextvars.Context | None = None) -> asyncio.Handle:
+    def call_soon(  # type: ignore[override]
+        self,
+        callback: Callable[..., Any],
+        *args: Any,
+        context: contextvars.Context | None = None,
+    ) -> asyncio.Handle:
         """Run it at the next turn."""
         handle = asyncio.Handle(callback, args, self, context)
         self._ready.append(handle)
         return handle
 
-    def call_later(self, delay: float, callback: Callable[..., Any], *args: Any,  # type: ignore[override]
-                   context: contextvars.Context | None = None) -> asyncio.TimerHandle:
+    def call_later(  # type: ignore[override]
+        self,
+        delay: float,
+        callback: Callable[..., Any],
+        *args: Any,
+        context: contextvars.Context | None = None,
+    ) -> asyncio.TimerHandle:
         """Run it after a time."""
         return self.call_at(self.time() + delay, callback, *args, context=context)
 
-    def call_at(self, when: float, callback: Callable[..., Any], *args: Any,  # type: ignore[override]
-                context: contextvars.Context | None = None) -> asyncio.TimerHandle:
+    def call_at(  # type: ignore[override]
+        self,
+        when: float,
+        callback: Callable[..., Any],
+        *args: Any,
+        context: contextvars.Context | None = None,
+    ) -> asyncio.TimerHandle:
         """Run it at a time."""
         handle = asyncio.TimerHandle(when, callback, args, self, context)
         self._count += 1
--- a/tests/system/coordination_network.py
+++ b/tests/system/coordination_network.py
@@ -93,8 +93,9 @@
         elif reply is not None:
             self._back(target.address, source, encode(result), reply)
 
-    async def _finish(self, target: Process, source: Process, result: Any,
-                      reply: Callable[[Any], None] | None) -> None:
+    async def _finish(
+        self, target: Process, source: Process, result: Any, reply: Callable[[Any], None] | None
+    ) -> None:
         answer = await result
         if reply is not None:
             self._back(target.address, source, encode(answer), reply)
--- a/tests/system/coordination_repair.py
+++ b/tests/system/coordination_repair.py
@@ -60,8 +60,11 @@
 def bears_losses(world: World, losses: int) -> bool:
     """Whether a majority of the newest set is left after this many losses."""
     leader = world.leader()
-    core = max((process.node.core for process in world.processes() if process.node.core is not None),
-               key=lambda core: core.version, default=None)
+    core = max(
+        (process.node.core for process in world.processes() if process.node.core is not None),
+        key=lambda core: core.version,
+        default=None,
+    )
     if leader is None or leader.leadership is None or core is None:
         return False
     state = leader.leadership.leader
@@ -195,8 +198,11 @@
                 never = times.count(NOT_WHOLE)
                 whole = times[never:]
                 middle = statistics.median(whole) if whole else NOT_WHOLE
-                print(f"{repair.value:45} {size.replicas} replicas, {size.losses} to lose: "
-                      f"median {middle:5.0f} ms, worst {times[-1]:5} ms, never {never}", flush=True)
+                print(
+                    f"{repair.value:45} {size.replicas} replicas, {size.losses} to lose: "
+                    f"median {middle:5.0f} ms, worst {times[-1]:5} ms, never {never}",
+                    flush=True,
+                )
 
 
 if __name__ == "__main__":
--- a/tests/system/coordination_storm.py
+++ b/tests/system/coordination_storm.py
@@ -18,9 +18,20 @@
         self.rng = world.rng
         self.log: list[str] = []
         self.faults = {
-            self.kill_one: 4, self.kill_all: 1, self.power_off_all: 1, self.wipe_one: 4, self.wipe_leader: 2,
-            self.freeze: 3, self.cut_one: 3, self.cut_one_way: 2, self.heal: 8, self.bad_links: 2,
-            self.slow_disk: 2, self.resign: 2, self.step_clock: 1, self.failing_disk: 1,
+            self.kill_one: 4,
+            self.kill_all: 1,
+            self.power_off_all: 1,
+            self.wipe_one: 4,
+            self.wipe_leader: 2,
+            self.freeze: 3,
+            self.cut_one: 3,
+            self.cut_one_way: 2,
+            self.heal: 8,
+            self.bad_links: 2,
+            self.slow_disk: 2,
+            self.resign: 2,
+            self.step_clock: 1,
+            self.failing_disk: 1,
         }
 
     def blow(self, duration_ms: int) -> None:
@@ -148,8 +159,9 @@
         self._machine().wall_step_ms = self.rng.choice((-4_000, 0, 0, 3_000))
 
 
-def play(seed: int, duration_ms: int = 20_000, replicas: int = 3, clients: int = 1,
-         tolerance: int = 1) -> Storm:
+def play(
+    seed: int, duration_ms: int = 20_000, replicas: int = 3, clients: int = 1, tolerance: int = 1
+) -> Storm:
     """One day: foundation, storm, calm. Raises `Violation` with the seed."""
     world = World(seed, replicas, clients, tolerance=tolerance)
     storm = Storm(world)
--- a/tests/system/coordination_world.py
+++ b/tests/system/coordination_world.py
@@ -66,15 +66,27 @@
         rng = random.Random(world.rng.getrandbits(64))
         store: Any = None
         if machine.counts:
-            store = MemoryStore() if machine.diskless else SimulatedStore(
-                machine.platter, random.Random(rng.getrandbits(64)), world.steady_ms)
+            store = (
+                MemoryStore()
+                if machine.diskless
+                else SimulatedStore(machine.platter, random.Random(rng.getrandbits(64)), world.steady_ms)
+            )
         pool: Any = SimulatedPool(world.network, self)
         self.node = CoreNode(
-            name=machine.name, address=machine.address, zone="z", seeds=world.seeds,
-            first_start=machine.first_start, counts=machine.counts, store=store,
-            tolerance_machines=world.tolerance, pool=pool,
-            listener=self if machine.counts else None, rng=rng, steady_ms=world.steady_ms,
-            wall_ms=lambda: WALL_0_MS + world.now_ms + machine.wall_step_ms)
+            name=machine.name,
+            address=machine.address,
+            zone="z",
+            seeds=world.seeds,
+            first_start=machine.first_start,
+            counts=machine.counts,
+            store=store,
+            tolerance_machines=world.tolerance,
+            pool=pool,
+            listener=self if machine.counts else None,
+            rng=rng,
+            steady_ms=world.steady_ms,
+            wall_ms=lambda: WALL_0_MS + world.now_ms + machine.wall_step_ms,
+        )
         self.node.on_change(self._changed)
         self.loop.call_soon(self._start)
 
@@ -139,8 +151,11 @@
         """What must hold at every moment."""
         confirmed = [process for process in self.world.processes() if process.confirmed()]
         if len(confirmed) > 1:
-            names = [(process.machine.name, process.leadership.epoch) for process in confirmed
-                     if process.leadership is not None]
+            names = [
+                (process.machine.name, process.leadership.epoch)
+                for process in confirmed
+                if process.leadership is not None
+            ]
             raise Violation(f"two leases hold: {names}")
         for process in self.world.processes():
             core = process.node.core
@@ -175,7 +190,7 @@
         """A committed value of the register: all of them are prefixes of one history."""
         history = tuple((value or b"").decode().split())
         shorter, longer = sorted((history, self.longest), key=len)
-        if longer[:len(shorter)] != shorter:
+        if longer[: len(shorter)] != shorter:
             raise Violation(f"two histories: {history} and {self.longest}")
         self.longest = longer
         return history
@@ -197,8 +212,9 @@
 class World:
     """Machines, a network, a clock."""
 
-    def __init__(self, seed: int, replicas: int = 3, clients: int = 1, *, tolerance: int = 1,
-                 diskless: bool = False) -> None:
+    def __init__(
+        self, seed: int, replicas: int = 3, clients: int = 1, *, tolerance: int = 1, diskless: bool = False
+    ) -> None:
         self.rng = random.Random(seed)
         self.now_ms = 0
         self.tolerance = tolerance
--- a/tests/system/jobs_fleet.py
+++ b/tests/system/jobs_fleet.py
@@ -84,8 +84,12 @@
 
     def gang(self, key: tuple[str, int]) -> list[tuple[WorldWorker, ModelRun]]:
         """All present members of a gang's run."""
-        return [(machine.worker, run) for machine in self.machines.values()
-                for run in list(machine.worker.runs.values()) if run.gang_key == key and run.plan.gang > 1]
+        return [
+            (machine.worker, run)
+            for machine in self.machines.values()
+            for run in list(machine.worker.runs.values())
+            if run.gang_key == key and run.plan.gang > 1
+        ]
 
     def plan(self, task: str, _spec: str) -> RunPlan:
         """What the runs of a task do."""
@@ -121,8 +125,9 @@
         """A new life of the agent."""
         machine.boot += 1
         limits = AgentLimits(self.worker_bounds.hold_max_ms)
-        machine.agent = Agent(machine.name, machine.boot, self.steady, limits, "app",
-                              random.Random(self.rng.random()))
+        machine.agent = Agent(
+            machine.name, machine.boot, self.steady, limits, "app", random.Random(self.rng.random())
+        )
         machine.linked = False
         self.after(self.rng.uniform(5, 100), partial(self.link, machine))
         self._wake(machine, machine.agent)
@@ -175,6 +180,7 @@
         def tick() -> None:
             if machine.agent is agent and agent.wake_at(self.steady) <= self.steady:
                 self.step_agent(machine, agent_events.Tick())
+
         self.after(max(1, agent.wake_at(self.steady) - self.steady + 1), tick)
 
     def _send_report(self, machine: Machine, report: AgentReport) -> None:
@@ -184,6 +190,7 @@
             def arrive() -> None:
                 if machine.linked and not machine.cut and term == self.term:
                     self.feed(ReportArrived(report))
+
             self.after(self.rng.uniform(0.5, JITTER_MS), arrive)
 
     def _take_orders(self, machine: Machine, orders: AgentOrders) -> None:
@@ -200,9 +207,20 @@
             if worker.draining_since is not None and worker.drain_acknowledged is None:
                 worker.drain_acknowledged = self.now
             capacity = worker.capacity
-            state = WorkerState(worker.instance, self.service, "app", "z", worker.draining_since is not None,
-                                capacity.cpu, capacity.memory_mb, capacity.gpu, ("a", f"rack-{machine.name}"),
-                                4_000 if worker.draining_since is not None else 0, 8, 0)
+            state = WorkerState(
+                worker.instance,
+                self.service,
+                "app",
+                "z",
+                worker.draining_since is not None,
+                capacity.cpu,
+                capacity.memory_mb,
+                capacity.gpu,
+                ("a", f"rack-{machine.name}"),
+                4_000 if worker.draining_since is not None else 0,
+                8,
+                0,
+            )
             self.step_agent(machine, agent_events.Heartbeat(state, machine.beat_seq, worker.clock()))
         self.after(self.rng.uniform(400, 600), partial(self._beat, machine))
 
@@ -215,6 +233,7 @@
         def restart() -> None:
             if machine.worker.dead:
                 machine.worker = self._new_worker(machine.name, cpu)
+
         self.after(down_ms, restart)
 
     def drain_worker(self, machine: Machine) -> None:
@@ -249,13 +268,23 @@
         delay = self.rng.uniform(2_000, 9_000) if late else self.rng.uniform(0.3, 2)
         self.after(delay, partial(carry_out, not late))
 
-    def _serve(self, machine: Machine, worker: WorldWorker, request: agent_events.WorkerRequest,
-               answer: Callable[[agent_events.Answer], None]) -> None:
+    def _serve(
+        self,
+        machine: Machine,
+        worker: WorldWorker,
+        request: agent_events.WorkerRequest,
+        answer: Callable[[agent_events.Answer], None],
+    ) -> None:
         clock = worker.clock()
         if isinstance(request, agent_events.RunStart):
             fields: dict[str, object] = {
-                "task": request.task, "runId": request.run, "spec": request.spec, "fenceToken": request.fence,
-                "expiresMs": request.expires_ms, "checkpointed": request.checkpoint}
+                "task": request.task,
+                "runId": request.run,
+                "spec": request.spec,
+                "fenceToken": request.fence,
+                "expiresMs": request.expires_ms,
+                "checkpointed": request.checkpoint,
+            }
             self._answer_order(worker, worker.start(clock, fields), answer)
         elif isinstance(request, agent_events.RunStop):
             fields = {"task": request.task, "runId": request.run, "fenceToken": request.fence}
@@ -270,23 +299,34 @@
             else:
                 self._wait(machine, worker, self.now + request.wait_ms, answer)
 
-    def _wait(self, machine: Machine, worker: WorldWorker, until: float,
-              answer: Callable[[agent_events.Answer], None]) -> None:
+    def _wait(
+        self,
+        machine: Machine,
+        worker: WorldWorker,
+        until: float,
+        answer: Callable[[agent_events.Answer], None],
+    ) -> None:
         worker.catch_up()
         if worker.dead:
             return
         if worker.ends_to_tell or self.now >= until:
             lists: dict[str, Any] = worker.lists(worker.clock())
             running = tuple(Run(*each) for each in lists["running"])
-            finished = tuple(End(number, task, run, How[how.upper()], saved)
-                             for number, task, run, how, saved in lists["finished"])
+            finished = tuple(
+                End(number, task, run, How[how.upper()], saved)
+                for number, task, run, how, saved in lists["finished"]
+            )
             if not machine.worker_cut:
                 answer(agent_events.Answer(agent_events.AnswerKind.OK, worker.clock(), running, finished))
             return
         self.after(10, partial(self._wait, machine, worker, until, answer))
 
-    def _answer_order(self, worker: WorldWorker, result: tuple[int, dict[str, object]],
-                      answer: Callable[[agent_events.Answer], None]) -> None:
+    def _answer_order(
+        self,
+        worker: WorldWorker,
+        result: tuple[int, dict[str, object]],
+        answer: Callable[[agent_events.Answer], None],
+    ) -> None:
         status, body = result
         kind = agent_events.AnswerKind
         kinds = {200: kind.OK, 400: kind.BAD, 409: kind(body["reason"]) if status == 409 else kind.BAD}
--- a/tests/system/jobs_judge.py
+++ b/tests/system/jobs_judge.py
@@ -51,7 +51,8 @@
         for before, after in itertools.pairwise(ordered):
             if before.end is None or before.end > after.start + 1:
                 self.faults.append(
-                    f"TWICE {task}: run {before.run} until {before.end}, {after.run} from {after.start}")
+                    f"TWICE {task}: run {before.run} until {before.end}, {after.run} from {after.start}"
+                )
         for done in [seen for seen in runs if seen.how == "done" and seen.noted and seen.end is not None]:
             for other in runs:
                 if other.start > (done.end or 0):
@@ -81,8 +82,11 @@
         if self._step(task).get("longRunning"):
             return
         for seen in runs:
-            failed = [other for other in runs if other.how == "failed" and other.noted
-                      and other.end is not None and other.end < seen.start]
+            failed = [
+                other
+                for other in runs
+                if other.how == "failed" and other.noted and other.end is not None and other.end < seen.start
+            ]
             if len(failed) >= MAX_ATTEMPTS:
                 self.faults.append(f"BUDGET {task}: run {seen.run} after {len(failed)} failed")
 
--- a/tests/system/jobs_worker.py
+++ b/tests/system/jobs_worker.py
@@ -91,8 +91,16 @@
             self.world.unnoted[self].update(late)
 
     def _begin(self, task: str, run: int, plan: RunPlan, saved: str) -> None:
-        seen = Seen(task, run, self, saved, self.spec_in_hand, self.to_world(self.now),
-                    draining_since=self.drain_acknowledged, late=self.serving_late)
+        seen = Seen(
+            task,
+            run,
+            self,
+            saved,
+            self.spec_in_hand,
+            self.to_world(self.now),
+            draining_since=self.drain_acknowledged,
+            late=self.serving_late,
+        )
         self.world.seen.append(seen)
         self.open[task] = seen
         self._begin_run(task, run, plan, saved)
--- a/tests/system/jobs_world.py
+++ b/tests/system/jobs_world.py
@@ -16,7 +16,15 @@
 from flintfield.jobs.bounds import DispatcherBounds
 from flintfield.jobs.dispatcher import Dispatcher
 from flintfield.jobs.events import (
-    Answer, CallArrived, Configuration, ConfigurationChanged, Event, SendOrders, Tick, Write, Written,
+    Answer,
+    CallArrived,
+    Configuration,
+    ConfigurationChanged,
+    Event,
+    SendOrders,
+    Tick,
+    Write,
+    Written,
 )
 from flintfield.jobs.messages import AgentReport, JobAnswer, JobCall, Method, WorkerState
 from flintfield.placement.interface import Placement
@@ -71,8 +79,15 @@
 class World(Fleet):
     """The whole system."""
 
-    def __init__(self, seed: int = 1, machines: int = 3, cpu: int = 4_000, service: str = "svc",
-                 placement: Callable[[int], Placement] = Market, hold_max_ms: int = 6_000) -> None:
+    def __init__(
+        self,
+        seed: int = 1,
+        machines: int = 3,
+        cpu: int = 4_000,
+        service: str = "svc",
+        placement: Callable[[int], Placement] = Market,
+        hold_max_ms: int = 6_000,
+    ) -> None:
         super().__init__(seed, service, hold_max_ms)
         self.bounds = DispatcherBounds(hold_max_ms=hold_max_ms)
         self.make_placement = placement
@@ -101,8 +116,14 @@
         """A new dispatcher takes over what is durable."""
         self.epoch += 1
         self.term += 1
-        dispatcher = Dispatcher(self.epoch, self.steady, self.bounds, self.make_placement(self.epoch),
-                                random.Random(self.epoch), self.configuration)
+        dispatcher = Dispatcher(
+            self.epoch,
+            self.steady,
+            self.bounds,
+            self.make_placement(self.epoch),
+            random.Random(self.epoch),
+            self.configuration,
+        )
         dispatcher.restore(dict(self.store))
         self.dispatcher = dispatcher
         for machine in self.machines.values():
@@ -164,8 +185,9 @@
 
     # Clients
 
-    def submit(self, job: str, steps: Steps, plan: Callable[[str], RunPlan],
-               route: str = "/a/", **fields: Any) -> None:
+    def submit(
+        self, job: str, steps: Steps, plan: Callable[[str], RunPlan], route: str = "/a/", **fields: Any
+    ) -> None:
         """Hand a job in."""
         body = {"spec": f"spec of {job}", "steps": steps, **fields}
         self.jobs.setdefault(job, body)
@@ -211,8 +233,9 @@
     return f"{number:016x}"
 
 
-def simple(work_ms: int = 500, how: str = "done", checkpoints: bool = False,
-           gang: int = 1) -> Callable[[str], RunPlan]:
+def simple(
+    work_ms: int = 500, how: str = "done", checkpoints: bool = False, gang: int = 1
+) -> Callable[[str], RunPlan]:
     """All tasks alike."""
     return lambda task: RunPlan(work_ms, how, checkpoints, gang)
 
--- a/tests/system/support/agent_dispatchers.py
+++ b/tests/system/support/agent_dispatchers.py
@@ -56,9 +56,14 @@
             told.grant_limit = max(told.grant_limit, report.stamp_ms + HOLD_MS)
         mine = self.orders_for(instance)
         return AgentOrders(
-            self.epoch, instance, report.stamp_ms, HOLD_MS, told.last_seen,
+            self.epoch,
+            instance,
+            report.stamp_ms,
+            HOLD_MS,
+            told.last_seen,
             tuple(order for order in mine if isinstance(order, StartOrder)),
-            tuple(order for order in mine if isinstance(order, StopOrder)))
+            tuple(order for order in mine if isinstance(order, StopOrder)),
+        )
 
     def newest_report(self) -> AgentReport | None:
         """The newest report that names a worker."""
--- a/tests/system/support/agent_judge.py
+++ b/tests/system/support/agent_judge.py
@@ -58,8 +58,9 @@
             if started_at < report.listing_stamp and (run.task, run.run) not in listed:
                 self.violations.append(f"{now}: {run.task} runs since {started_at} and is not listed")
 
-    def result(self, now: int, result: OrderResult, order: StartOrder | StopOrder,
-               worker: WorkerModel) -> None:
+    def result(
+        self, now: int, result: OrderResult, order: StartOrder | StopOrder, worker: WorkerModel
+    ) -> None:
         """The dispatcher is told what became of an order."""
         instance = self._dispatchers.instance_of[result.order]
         if result.outcome is Outcome.GONE and instance == worker.instance:
--- a/tests/system/support/agent_play.py
+++ b/tests/system/support/agent_play.py
@@ -77,16 +77,28 @@
         clock_ms = self.now - late_ms + CLOCK_AHEAD_MS
         self.step(Heartbeat(worker_state(instance, draining), self._seq, clock_ms))
 
-    def answer(self, call: CallWorker, kind: AnswerKind = AnswerKind.OK, running: tuple[Run, ...] = (),
-               finished: tuple[End, ...] = ()) -> None:
+    def answer(
+        self,
+        call: CallWorker,
+        kind: AnswerKind = AnswerKind.OK,
+        running: tuple[Run, ...] = (),
+        finished: tuple[End, ...] = (),
+    ) -> None:
         """End a call."""
         self.calls.remove(call)
         told = kind not in (AnswerKind.NONE, AnswerKind.NOT_SENT, AnswerKind.UNHEALTHY)
         clock_ms = self.now + CLOCK_AHEAD_MS if told else None
         self.step(WorkerAnswered(call.call, Answer(kind, clock_ms, running, finished)))
 
-    def order(self, *wanted: StartOrder | StopOrder, epoch: int = 3, instance: str = "i-1",
-              last_seen: int = 0, hold_ms: int = HOLD_MS, echo_stamp: int | None = None) -> None:
+    def order(
+        self,
+        *wanted: StartOrder | StopOrder,
+        epoch: int = 3,
+        instance: str = "i-1",
+        last_seen: int = 0,
+        hold_ms: int = HOLD_MS,
+        echo_stamp: int | None = None,
+    ) -> None:
         """Orders of the dispatcher."""
         echo = self.now if echo_stamp is None else echo_stamp
         starts = tuple(order for order in wanted if isinstance(order, StartOrder))
--- a/tests/system/support/agent_world.py
+++ b/tests/system/support/agent_world.py
@@ -11,7 +11,16 @@
 from flintfield.agent.answers import encode_request, read_answer
 from flintfield.agent.core import Agent
 from flintfield.agent.events import (
-    Answer, AnswerKind, CallWorker, Event, Hold, LinkOpened, OrdersArrived, SendReport, Tick, WorkerAnswered,
+    Answer,
+    AnswerKind,
+    CallWorker,
+    Event,
+    Hold,
+    LinkOpened,
+    OrdersArrived,
+    SendReport,
+    Tick,
+    WorkerAnswered,
 )
 from flintfield.agent.heartbeats import read_heartbeat
 from flintfield.agent.limits import AgentLimits
@@ -165,8 +174,13 @@
         self.at(call.timeout_ms, lambda: answer(Answer(AnswerKind.NONE)))
         path, body = encode_request(call.request)
         fields = json.loads(body)
-        fate = "done" if self.calm else self.rng.choices(
-            ("done", "lost", "late", "unanswered", "unhealthy", "refused"), (80, 4, 4, 4, 4, 4))[0]
+        fate = (
+            "done"
+            if self.calm
+            else self.rng.choices(
+                ("done", "lost", "late", "unanswered", "unhealthy", "refused"), (80, 4, 4, 4, 4, 4)
+            )[0]
+        )
         there, back = self.rng.randint(0, 3), self.rng.randint(0, 3)
         if not self.calm and self.rng.random() < 0.1:
             back = self.rng.randint(3, 900)  # passed by answers on other connections
@@ -194,8 +208,14 @@
 
         self.at(there, arrive)
 
-    def _do(self, worker: WorkerModel, call: CallWorker, path: str, fields: dict[str, object],
-            reply: Callable[[int, dict[str, object], bool], None]) -> None:
+    def _do(
+        self,
+        worker: WorkerModel,
+        call: CallWorker,
+        path: str,
+        fields: dict[str, object],
+        reply: Callable[[int, dict[str, object], bool], None],
+    ) -> None:
         clock = self.worker_clock()
         if path == "/-/run-start":
             known = len(worker.log.starts)
@@ -213,8 +233,13 @@
         limit = self.dispatchers.of(worker.instance).grant_limit
         self.judge.hold(self.now, worker, self.worker_clock(limit))
 
-    def _wait(self, worker: WorkerModel, until: int, known: int,
-              reply: Callable[[int, dict[str, object], bool], None]) -> None:
+    def _wait(
+        self,
+        worker: WorkerModel,
+        until: int,
+        known: int,
+        reply: Callable[[int, dict[str, object], bool], None],
+    ) -> None:
         worker.advance(self.worker_clock())
         if self.worker is not worker:
             return
@@ -228,9 +253,16 @@
     def heartbeat(self) -> None:
         """The worker's heartbeats, from now on."""
         worker = self.worker
-        fields = {"service": "s", "address": "10.0.0.9:80", "zone": "z", "slots": 8,
-                  "state": "draining" if self.draining else "ready", "capacity": {"cpu": 16_000},
-                  "clockMs": self.worker_clock(), "seq": next(self._seq)}
+        fields = {
+            "service": "s",
+            "address": "10.0.0.9:80",
+            "zone": "z",
+            "slots": 8,
+            "state": "draining" if self.draining else "ready",
+            "capacity": {"cpu": 16_000},
+            "clockMs": self.worker_clock(),
+            "seq": next(self._seq),
+        }
         beat = read_heartbeat(worker.instance, json.dumps(fields).encode())
         delay = 1 if self.calm or self.rng.random() < 0.8 else self.rng.randint(1, 3_000)
 
--- a/tests/system/support/scripted_peer.py
+++ b/tests/system/support/scripted_peer.py
@@ -93,7 +93,7 @@
                 reset(writer)
                 return False
             case Deed.HALF:
-                writer.write(whole_answer()[:-len(ANSWER_BODY) // 2])
+                writer.write(whole_answer()[: -len(ANSWER_BODY) // 2])
             case Deed.HALF_HEAD:
                 writer.write(HEAD[:8])
             case _:
--- a/tests/system/support/worker.py
+++ b/tests/system/support/worker.py
@@ -27,8 +27,16 @@
 from .worker_options import ManualClock, Trouble, WorkerOptions, steady_ms
 from .worker_plan import Bounds, Capacity, RunPlan, plan_of_spec
 
-__all__ = ["Bounds", "Capacity", "ManualClock", "RunPlan", "StandInWorker", "Trouble", "WorkerOptions",
-           "plan_of_spec"]
+__all__ = [
+    "Bounds",
+    "Capacity",
+    "ManualClock",
+    "RunPlan",
+    "StandInWorker",
+    "Trouble",
+    "WorkerOptions",
+    "plan_of_spec",
+]
 
 LIMITS = ServerLimits(max_body_bytes=64 * 1024)
 
@@ -128,11 +136,16 @@
     def _heartbeat_fields(self, seq: int) -> Fields:
         capacity = self.options.capacity
         fields: Fields = {
-            "service": self.options.service, "address": self.address, "zone": self.options.zone,
-            "version": self.options.version, "slots": self.options.slots,
+            "service": self.options.service,
+            "address": self.address,
+            "zone": self.options.zone,
+            "version": self.options.version,
+            "slots": self.options.slots,
             "state": "draining" if self.draining else "ready",
             "capacity": {"cpu": capacity.cpu, "memMb": capacity.memory_mb, "gpu": capacity.gpu},
-            "labels": list(self.options.labels), "clockMs": self.clock(), "seq": seq,
+            "labels": list(self.options.labels),
+            "clockMs": self.clock(),
+            "seq": seq,
         }
         if self.draining:
             fields["remainingMs"] = self.remaining_ms
@@ -147,8 +160,10 @@
         """POST to the agent over a connection of its own; returns the status (0: none within a second)."""
         ip, _, port = self.options.agent.rpartition(":")
         body = json.dumps(fields).encode()
-        head = (f"POST {path} HTTP/1.1\r\nHost: {self.options.agent}\r\nConnection: close\r\n"
-                f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n")
+        head = (
+            f"POST {path} HTTP/1.1\r\nHost: {self.options.agent}\r\nConnection: close\r\n"
+            f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
         writer: asyncio.StreamWriter | None = None
         try:
             async with asyncio.timeout(1.0):
@@ -258,8 +273,12 @@
 
 async def _run(arguments: argparse.Namespace) -> None:
     options = WorkerOptions(
-        service=arguments.service, zone=arguments.zone, labels=tuple(arguments.label), agent=arguments.agent,
-        heartbeat_ms=arguments.heartbeat_ms, guards=arguments.guards,
+        service=arguments.service,
+        zone=arguments.zone,
+        labels=tuple(arguments.label),
+        agent=arguments.agent,
+        heartbeat_ms=arguments.heartbeat_ms,
+        guards=arguments.guards,
         capacity=Capacity(arguments.cpu, arguments.memory_mb, arguments.gpu),
         bounds=Bounds(hold_max_ms=arguments.hold_max_ms),
     )
--- a/tests/system/support/worker_model.py
+++ b/tests/system/support/worker_model.py
@@ -55,9 +55,15 @@
 class WorkerModel:
     """One incarnation of a worker."""
 
-    def __init__(self, instance: str, now: int, bounds: Bounds | None = None,
-                 capacity: Capacity | None = None, guards: bool = False,
-                 plan: Callable[[str, str], RunPlan] = plan_of_spec) -> None:
+    def __init__(
+        self,
+        instance: str,
+        now: int,
+        bounds: Bounds | None = None,
+        capacity: Capacity | None = None,
+        guards: bool = False,
+        plan: Callable[[str, str], RunPlan] = plan_of_spec,
+    ) -> None:
         self.instance = instance
         self.bounds = bounds or Bounds()
         self.capacity = capacity or Capacity()
@@ -80,8 +86,12 @@
         self.advance(now)
         task, run = fields.get("task"), fields.get("runId")
         spec, expires = fields.get("spec"), fields.get("expiresMs")
-        if not (isinstance(task, str) and isinstance(run, int)
-                and isinstance(spec, str) and isinstance(expires, int)):
+        if not (
+            isinstance(task, str)
+            and isinstance(run, int)
+            and isinstance(spec, str)
+            and isinstance(expires, int)
+        ):
             return 400, self._with_clock({"error": "task, runId, spec and expiresMs are wanted"})
         if not self._take_fence(fields):
             return self._reject(task, "fence")
@@ -216,9 +226,11 @@
 
     def _fits(self, plan: RunPlan) -> bool:
         used = [run.plan for run in self.runs.values()]
-        return (sum(other.cpu for other in used) + plan.cpu <= self.capacity.cpu
-                and sum(other.memory_mb for other in used) + plan.memory_mb <= self.capacity.memory_mb
-                and sum(other.gpu for other in used) + plan.gpu <= self.capacity.gpu)
+        return (
+            sum(other.cpu for other in used) + plan.cpu <= self.capacity.cpu
+            and sum(other.memory_mb for other in used) + plan.memory_mb <= self.capacity.memory_mb
+            and sum(other.gpu for other in used) + plan.gpu <= self.capacity.gpu
+        )
 
     def _begin(self, task: str, run: int, plan: RunPlan, saved: str) -> None:
         begun = ModelRun(task, run, plan, self.now, saved)
--- a/tests/system/test_agent_orders.py
+++ b/tests/system/test_agent_orders.py
@@ -43,8 +43,12 @@
 
     def test_answers_become_outcomes(self) -> None:
         table = {
-            AnswerKind.OK: Outcome.DONE, AnswerKind.FENCE: Outcome.FENCE, AnswerKind.OLD: Outcome.OLD,
-            AnswerKind.LATE: Outcome.LATE, AnswerKind.ROOM: Outcome.ROOM, AnswerKind.BAD: Outcome.BAD,
+            AnswerKind.OK: Outcome.DONE,
+            AnswerKind.FENCE: Outcome.FENCE,
+            AnswerKind.OLD: Outcome.OLD,
+            AnswerKind.LATE: Outcome.LATE,
+            AnswerKind.ROOM: Outcome.ROOM,
+            AnswerKind.BAD: Outcome.BAD,
         }
         for number, (kind, outcome) in enumerate(table.items(), 1):
             with self.subTest(kind.name):
@@ -100,11 +104,12 @@
                 self.assertEqual({1: Outcome.UNKNOWN}, play.outcomes())
 
     def test_a_start_whose_every_try_was_refused_is_told_as_not_done(self) -> None:
-        """A call leaves at most once (test_agent_worker_calls.py), so its refusal says that nothing was done.
-        """
+        """A call leaves at most once (test_agent_worker_calls.py): its refusal says that nothing was done."""
         outcomes = {
-            AnswerKind.LATE: Outcome.LATE, AnswerKind.ROOM: Outcome.ROOM,
-            AnswerKind.UNHEALTHY: Outcome.BUSY, AnswerKind.NOT_SENT: Outcome.BUSY,
+            AnswerKind.LATE: Outcome.LATE,
+            AnswerKind.ROOM: Outcome.ROOM,
+            AnswerKind.UNHEALTHY: Outcome.BUSY,
+            AnswerKind.NOT_SENT: Outcome.BUSY,
         }
         for number, (kind, outcome) in enumerate(outcomes.items(), 1):
             with self.subTest(kind.name):
@@ -279,8 +284,11 @@
         self.play.pass_time(300)
         self.play.order()
         self.play.step(Stopping())
-        prompt = [call for call in self.play.pending(Hold)
-                  if isinstance(call.request, Hold) and not call.request.wait_ms]
+        prompt = [
+            call
+            for call in self.play.pending(Hold)
+            if isinstance(call.request, Hold) and not call.request.wait_ms
+        ]
         self.assertEqual(1, len(prompt))
         self.assertEqual(2, self.play.agent.calls_to_finish)
         self.play.order(self.start(2, task=OTHER_TASK))
--- a/tests/system/test_agent_parts.py
+++ b/tests/system/test_agent_parts.py
@@ -20,9 +20,12 @@
 class ClockBounds(unittest.TestCase):
     """Whatever the worker's clock does, a hold ends by its limit, and is over when it is said to be."""
 
-    @given(rate=strategies.floats(0.98, 1.0), zero=strategies.integers(0, 10**9),
-           readings=strategies.lists(PAUSE_AND_DELAY_MS, min_size=1, max_size=8),
-           hold_ms=strategies.integers(300, 10_000))
+    @given(
+        rate=strategies.floats(0.98, 1.0),
+        zero=strategies.integers(0, 10**9),
+        readings=strategies.lists(PAUSE_AND_DELAY_MS, min_size=1, max_size=8),
+        hold_ms=strategies.integers(300, 10_000),
+    )
     def test_bounds(self, rate: float, zero: int, readings: list[tuple[int, int]], hold_ms: int) -> None:
         clock, now = WorkerClock(), 1_000_000
         for pause_ms, delay_ms in readings:
--- a/tests/system/test_agent_program.py
+++ b/tests/system/test_agent_program.py
@@ -17,9 +17,11 @@
 
 def settings_text(control: str) -> str:
     """A settings file of an agent whose seeds nobody serves."""
-    return (f'nodeName = "side-1"\nrole = "agent"\nmachineClass = "side"\nserves = ["side"]\n'
-            f'ip = "127.0.0.1"\nzone = "z"\nregion = "r"\nportRange = [7660, 7675]\nseeds = ["127.0.0.1:1"]\n'
-            f'app = "127.0.0.1:2"\nservice = "s"\nheartbeatMs = 1500\n[listen]\n{control}')
+    return (
+        f'nodeName = "side-1"\nrole = "agent"\nmachineClass = "side"\nserves = ["side"]\n'
+        f'ip = "127.0.0.1"\nzone = "z"\nregion = "r"\nportRange = [7660, 7675]\nseeds = ["127.0.0.1:1"]\n'
+        f'app = "127.0.0.1:2"\nservice = "s"\nheartbeatMs = 1500\n[listen]\n{control}'
+    )
 
 
 def free_port() -> int:
@@ -41,8 +43,13 @@
         """Start the program with this settings file."""
         self.path.write_text(text)
         environment = {**os.environ, "FLINTFIELD_CONFIG": str(self.path)}
-        process = subprocess.Popen([sys.executable, "-m", "flintfield.programs.agent"], cwd=ROOT,
-                                   env=environment, stderr=subprocess.PIPE, text=True)
+        process = subprocess.Popen(
+            [sys.executable, "-m", "flintfield.programs.agent"],
+            cwd=ROOT,
+            env=environment,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
         self.addCleanup(process.wait)
         self.addCleanup(process.kill)
         assert process.stderr is not None
@@ -63,8 +70,12 @@
         self.until_line(process, "started")
         body = b'{"state":"ready","seq":1}'
         with socket.create_connection(("127.0.0.1", port), PATIENCE_S) as worker:
-            worker.sendall(b"POST /-/Instances.Heartbeat/i-1 HTTP/1.1\r\nHost: x\r\nContent-Length: "
-                           + str(len(body)).encode() + b"\r\n\r\n" + body)
+            worker.sendall(
+                b"POST /-/Instances.Heartbeat/i-1 HTTP/1.1\r\nHost: x\r\nContent-Length: "
+                + str(len(body)).encode()
+                + b"\r\n\r\n"
+                + body
+            )
             self.assertTrue(worker.recv(100).startswith(b"HTTP/1.1 200"))
         process.send_signal(signal.SIGHUP)
         self.until_line(process, "seeds")
--- a/tests/system/test_agent_sockets.py
+++ b/tests/system/test_agent_sockets.py
@@ -135,8 +135,14 @@
         self.worker = StandInWorker(WorkerOptions(instance="i-1", heartbeat_ms=0))
         app = await self.worker.start()
         settings = NodeSettings(
-            node_name="side-1", role="agent", ip="127.0.0.1", zone="zone-a", port_range=(7_000, 7_009),
-            app=app, listen=Listen(control="127.0.0.1:0"), bounds=Bounds(hold_max_ms=10_000),
+            node_name="side-1",
+            role="agent",
+            ip="127.0.0.1",
+            zone="zone-a",
+            port_range=(7_000, 7_009),
+            app=app,
+            listen=Listen(control="127.0.0.1:0"),
+            bounds=Bounds(hold_max_ms=10_000),
         )
         self.agent = AgentService(settings, self.directory, random.Random(7))
         self.worker.options.agent = f"127.0.0.1:{self.agent.start()}"
@@ -182,7 +188,8 @@
         await self.worker.heartbeat()
         await self.dispatcher.until(
             lambda: self.dispatcher.newest.worker is not None
-            and self.dispatcher.newest.worker.instance == "i-2")
+            and self.dispatcher.newest.worker.instance == "i-2"
+        )
         self.assertEqual((), self.dispatcher.newest.running)
 
     async def test_an_order_that_the_worker_carries_out_late(self) -> None:
--- a/tests/system/test_agent_worker_calls.py
+++ b/tests/system/test_agent_worker_calls.py
@@ -34,8 +34,7 @@
         self.addAsyncCleanup(peer.stop)
         return peer, address
 
-    async def call(self, address: str, request: RunStart | Hold = START,
-                   timeout_ms: int = LONG_MS) -> Answer:
+    async def call(self, address: str, request: RunStart | Hold = START, timeout_ms: int = LONG_MS) -> Answer:
         """One call to the worker at that address."""
         self.call_number += 1
         call = CallWorker(self.call_number, "i-1", address, timeout_ms, request)
@@ -105,6 +104,7 @@
 
     async def test_without_the_gate_libcurl_would_send_again(self) -> None:
         """The line of defence is needed: without it, a reset of a kept connection sends the call twice."""
+
         def keep_open(self: single_send._SendGate, *connection: object) -> int:
             self.passed = True
             return 0
--- a/tests/system/test_benchmarks_load.py
+++ b/tests/system/test_benchmarks_load.py
@@ -39,16 +39,25 @@
 
     def test_the_hollow_workers_do_nothing_that_counts_as_a_fault(self) -> None:
         counters = self.cluster.dispatcher.counters
-        faults = (counters.lost_runs, counters.vanished_runs, counters.strays, counters.bad_placements,
-                  counters.malformed)
+        faults = (
+            counters.lost_runs,
+            counters.vanished_runs,
+            counters.strays,
+            counters.bad_placements,
+            counters.malformed,
+        )
         self.assertEqual(faults, (0, 0, 0, 0, 0))
 
     def test_the_dispatcher_and_the_fleet_agree_on_what_runs(self) -> None:
         self.cluster.run(2_000)
-        held = {(run.name, run.number) for record in self.cluster.dispatcher.state.workers.values()
-                for run in record.runs.values()}
-        there = {(run.task, run.number) for worker in self.cluster.fleet.values()
-                 for run in worker.runs.values()}
+        held = {
+            (run.name, run.number)
+            for record in self.cluster.dispatcher.state.workers.values()
+            for run in record.runs.values()
+        }
+        there = {
+            (run.task, run.number) for worker in self.cluster.fleet.values() for run in worker.runs.values()
+        }
         self.assertLessEqual(there, held)
 
     def test_agents_without_news_report_about_twice_a_second(self) -> None:
--- a/tests/system/test_console_files.py
+++ b/tests/system/test_console_files.py
@@ -28,7 +28,9 @@
 KEYS = st.sampled_from(["version", "routes", "services", "name", "limits"])
 DOCUMENTS = st.recursive(
     st.none() | st.booleans() | st.integers() | st.text(max_size=5),
-    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(KEYS, inner, max_size=4), max_leaves=12)
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(KEYS, inner, max_size=4),
+    max_leaves=12,
+)
 
 
 class Files(unittest.TestCase):
@@ -157,8 +159,10 @@
         self.assertEqual(table(("a", "b"), []), "a  b")
 
     def test_times(self) -> None:
-        self.assertEqual([duration(ms) for ms in (-1, 0, 999, 1_500, 7_200_000)],
-                         ["unknown", "0 ms", "999 ms", "1.5 s", "2:00:00"])
+        self.assertEqual(
+            [duration(ms) for ms in (-1, 0, 999, 1_500, 7_200_000)],
+            ["unknown", "0 ms", "999 ms", "1.5 s", "2:00:00"],
+        )
         self.assertEqual((moment(0), moment(-1)), ("", ""))
         self.assertEqual(moment(1_700_000_000_123), "2023-11-14 22:13:20.123")
 
@@ -176,8 +180,15 @@
         """Run it to its end."""
         command = (sys.executable, "-m", "flintfield.programs.console", *arguments)
         environment = {name: value for name, value in os.environ.items() if name != "FLINTFIELD_CONFIG"}
-        return subprocess.run(command, cwd=ROOT, env={**environment, **variables}, capture_output=True,
-                              text=True, timeout=60, check=False)
+        return subprocess.run(
+            command,
+            cwd=ROOT,
+            env={**environment, **variables},
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=False,
+        )
 
     def test_exit_codes(self) -> None:
         cases = {
@@ -201,11 +212,14 @@
 
     def test_the_programs_import_neither_cleo_nor_the_console(self) -> None:
         for program in ("scheduler", "agent"):
-            code = (f"import sys, flintfield.programs.{program}\n"
-                    "print([name for name in sys.modules if name.startswith(('cleo', 'flintfield.console', "
-                    "'flintfield.observe.messages', 'trafaret'))])")
-            result = subprocess.run((sys.executable, "-c", code), cwd=ROOT, capture_output=True, text=True,
-                                    timeout=60, check=True)
+            code = (
+                f"import sys, flintfield.programs.{program}\n"
+                "print([name for name in sys.modules if name.startswith(('cleo', 'flintfield.console', "
+                "'flintfield.observe.messages', 'trafaret'))])"
+            )
+            result = subprocess.run(
+                (sys.executable, "-c", code), cwd=ROOT, capture_output=True, text=True, timeout=60, check=True
+            )
             self.assertEqual(result.stdout.strip(), "[]", program)
 
     def test_every_command_has_a_name_and_a_description(self) -> None:
--- a/tests/system/test_console_live.py
+++ b/tests/system/test_console_live.py
@@ -43,8 +43,13 @@
     def setUpClass(cls) -> None:
         cls.folder = tempfile.TemporaryDirectory()
         cls.addClassCleanup(cls.folder.cleanup)
-        cls.cluster = subprocess.Popen((*CONSOLE, "local", "--stay", "--folder", cls.folder.name), cwd=ROOT,
-                                       stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)
+        cls.cluster = subprocess.Popen(
+            (*CONSOLE, "local", "--stay", "--folder", cls.folder.name),
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+        )
         cls.addClassCleanup(cls._stop)
         assert cls.cluster.stdout is not None
         for line in cls.cluster.stdout:
--- a/tests/system/test_console_local.py
+++ b/tests/system/test_console_local.py
@@ -31,8 +31,10 @@
 
     def logs(self) -> str:
         """What the processes wrote, for a failure's message."""
-        return "".join(f"== {path.name}\n{path.read_text()[-2_000:]}"
-                       for path in sorted(Path(self.folder, "logs").glob("*.log")))
+        return "".join(
+            f"== {path.name}\n{path.read_text()[-2_000:]}"
+            for path in sorted(Path(self.folder, "logs").glob("*.log"))
+        )
 
     def assert_good(self, result: subprocess.CompletedProcess[str]) -> None:
         """All jobs of each kind ended as they must."""
--- a/tests/system/test_console_store.py
+++ b/tests/system/test_console_store.py
@@ -94,8 +94,13 @@
         tester = self.run_command("store show")
         self.assertEqual(tester.status_code, 0)
         shown = tester.io.fetch_output()
-        for text in ("identity        11", "promised epoch  5 to 12", "items stand at  5.40", "version 9",
-                     "5 open, 1 ended, 1 tasks"):
+        for text in (
+            "identity        11",
+            "promised epoch  5 to 12",
+            "items stand at  5.40",
+            "version 9",
+            "5 open, 1 ended, 1 tasks",
+        ):
             self.assertIn(text, shown)
 
     def test_show_tells_programs_the_same(self) -> None:
@@ -143,7 +148,7 @@
         assert cut is not None
         carry_out(self.directory, cut)
         kept = (Path(self.directory) / cut.copy).read_bytes()
-        self.assertEqual(kept, before[cut.offset:cut.offset + cut.length])
+        self.assertEqual(kept, before[cut.offset : cut.offset + cut.length])
         with self.assertRaises(FileExistsError):  # an earlier copy is never overwritten
             carry_out(self.directory, cut)
 
--- a/tests/system/test_control_orders.py
+++ b/tests/system/test_control_orders.py
@@ -15,7 +15,12 @@
 from flintfield.control.configuration import Configuration, from_document
 from flintfield.control.orders import Kind, Verdict
 from flintfield.control.stored import (
-    FORMAT, MOST_DOCUMENT_BYTES, StoredConfiguration, UnknownFormat, decode_configuration, decode_stored,
+    FORMAT,
+    MOST_DOCUMENT_BYTES,
+    StoredConfiguration,
+    UnknownFormat,
+    decode_configuration,
+    decode_stored,
 )
 from flintfield.transport import records
 
@@ -25,26 +30,45 @@
 def route(name: str, /, **changes: typing.Any) -> Document:
     """A valid route with its own prefix."""
     return {
-        "name": name, "host": "jobs.example", "pathPrefix": f"/{name}/", "routeType": "non_idempotent",
-        "timeoutMs": 3000, "targetLatencyMs": 1000, "priority": 1, "service": "mill", "maxAttempts": 2,
-        "extension": 1.5, **changes,
+        "name": name,
+        "host": "jobs.example",
+        "pathPrefix": f"/{name}/",
+        "routeType": "non_idempotent",
+        "timeoutMs": 3000,
+        "targetLatencyMs": 1000,
+        "priority": 1,
+        "service": "mill",
+        "maxAttempts": 2,
+        "extension": 1.5,
+        **changes,
     }
 
 
 def service(name: str, /, **changes: typing.Any) -> Document:
     """A valid service."""
     return {
-        "name": name, "healthPath": "/health", "maxConnections": 64, "protocol": "h1", "tls": False,
-        "guards": False, **changes,
+        "name": name,
+        "healthPath": "/health",
+        "maxConnections": 64,
+        "protocol": "h1",
+        "tls": False,
+        "guards": False,
+        **changes,
     }
 
 
 def whole(version: int, **changes: typing.Any) -> Document:
     """A valid configuration."""
     return {
-        "version": version, "routes": [route("a"), route("b")], "services": [service("mill")],
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
-                   "idleTimeoutMs": 15000},
+        "version": version,
+        "routes": [route("a"), route("b")],
+        "services": [service("mill")],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 262144,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
         **changes,
     }
 
@@ -92,8 +116,17 @@
                 orders.read_order(Kind.REPLACE, 0, body[:end])
 
     def test_bytes_that_are_no_json_object(self) -> None:
-        for body in (b"", b"[]", b"1", b"null", b'{"a":NaN}', b'{"a":1,"a":2}', b"\xff\xfe", b"[" * 100_000,
-                     b"9" * 10_000):
+        for body in (
+            b"",
+            b"[]",
+            b"1",
+            b"null",
+            b'{"a":NaN}',
+            b'{"a":1,"a":2}',
+            b"\xff\xfe",
+            b"[" * 100_000,
+            b"9" * 10_000,
+        ):
             with self.subTest(body[:20]), self.assertRaises(documents.InvalidConfiguration):
                 orders.read_order(Kind.REPLACE, 0, body)
 
@@ -110,12 +143,28 @@
 
     def test_values_of_routes(self) -> None:
         bad: list[tuple[str, typing.Any]] = [
-            ("timeoutMs", 0), ("timeoutMs", -1), ("timeoutMs", "3000"), ("timeoutMs", 1.5),
-            ("timeoutMs", True), ("timeoutMs", None), ("timeoutMs", 10**30), ("name", ""), ("name", 7),
-            ("host", ""), ("host", None),
-            ("pathPrefix", "a/"), ("pathPrefix", 3), ("service", []), ("priority", -1), ("priority", "0"),
-            ("maxAttempts", 0), ("extension", 0), ("extension", "1"), ("extension", 10**400),
-            ("targetLatencyMs", -1), ("routeType", 4),
+            ("timeoutMs", 0),
+            ("timeoutMs", -1),
+            ("timeoutMs", "3000"),
+            ("timeoutMs", 1.5),
+            ("timeoutMs", True),
+            ("timeoutMs", None),
+            ("timeoutMs", 10**30),
+            ("name", ""),
+            ("name", 7),
+            ("host", ""),
+            ("host", None),
+            ("pathPrefix", "a/"),
+            ("pathPrefix", 3),
+            ("service", []),
+            ("priority", -1),
+            ("priority", "0"),
+            ("maxAttempts", 0),
+            ("extension", 0),
+            ("extension", "1"),
+            ("extension", 10**400),
+            ("targetLatencyMs", -1),
+            ("routeType", 4),
         ]
         for key, value in bad:
             with self.subTest(key=key, value=str(value)[:20]):
@@ -158,12 +207,21 @@
                 self.assert_invalid(change, named, Kind.UPDATE)
 
     @settings(max_examples=300, deadline=None)
-    @given(strategies.recursive(
-        strategies.none() | strategies.booleans() | strategies.integers() | strategies.text(max_size=5)
-        | strategies.floats(allow_nan=False, allow_infinity=False),
-        lambda inner: strategies.lists(inner, max_size=4) | strategies.dictionaries(
-            strategies.sampled_from(["version", "routes", "services", "limits", "upsert", "remove"]), inner),
-        max_leaves=12))
+    @given(
+        strategies.recursive(
+            strategies.none()
+            | strategies.booleans()
+            | strategies.integers()
+            | strategies.text(max_size=5)
+            | strategies.floats(allow_nan=False, allow_infinity=False),
+            lambda inner: strategies.lists(inner, max_size=4)
+            | strategies.dictionaries(
+                strategies.sampled_from(["version", "routes", "services", "limits", "upsert", "remove"]),
+                inner,
+            ),
+            max_leaves=12,
+        )
+    )
     def test_any_json_is_an_order_or_invalid(self, content: typing.Any) -> None:
         for kind in Kind:
             try:
@@ -235,7 +293,8 @@
     @settings(max_examples=60, deadline=None)
     @given(strategies.data())
     def test_no_answer_to_a_repeated_order_contradicts_what_became_of_it(
-            self, data: strategies.DataObject) -> None:
+        self, data: strategies.DataObject
+    ) -> None:
         """Orders of several operators in any order, each sent again at any later time."""
         value: bytes | None = None
         version = 0
@@ -268,7 +327,7 @@
         after = take(replace(9, whole(12)), former)
         self.assertIs(orders.judge(replace(3, whole(5)), after).verdict, Verdict.FORGOTTEN)
         self.assertIs(orders.judge(replace(9, whole(11)), after).verdict, Verdict.STALE)
-        known = orders.Order(Kind.REPLACE, 3, whole(5), full[1][:orders.DIGEST_BYTES])
+        known = orders.Order(Kind.REPLACE, 3, whole(5), full[1][: orders.DIGEST_BYTES])
         self.assertIs(orders.judge(known, after).verdict, Verdict.TAKEN)
 
     def test_same_version_with_other_content_is_stale(self) -> None:
@@ -303,8 +362,10 @@
         value = take(replace(0, whole(3, extra="kept")), None)
         change = {
             "version": 8,
-            "upsert": {"routes": [route("b", timeoutMs=500, more=1), route("c", service="loom")],
-                       "services": [service("loom")]},
+            "upsert": {
+                "routes": [route("b", timeoutMs=500, more=1), route("c", service="loom")],
+                "services": [service("loom")],
+            },
             "remove": {"routes": ["a", "never-there"]},
             "limits": {"maxBodyBytes": 10},
         }
@@ -348,8 +409,9 @@
                 orders.judge(replace(0, whole(3)), value)
 
     @settings(max_examples=100, deadline=None)
-    @given(strategies.lists(
-        strategies.tuples(strategies.integers(0, 4), strategies.integers(1, 6)), max_size=12))
+    @given(
+        strategies.lists(strategies.tuples(strategies.integers(0, 4), strategies.integers(1, 6)), max_size=12)
+    )
     def test_versions_rise_and_each_base_has_one_successor(self, attempts: list[tuple[int, int]]) -> None:
         value: bytes | None = None
         bases: list[int] = []
@@ -372,7 +434,8 @@
 
     def test_longest_prefix_wins(self) -> None:
         found = self.configuration(
-            route("a", pathPrefix="/x/"), route("b", pathPrefix="/x/y/"), route("c", pathPrefix="/"))
+            route("a", pathPrefix="/x/"), route("b", pathPrefix="/x/y/"), route("c", pathPrefix="/")
+        )
         for path, name in (("/x/1", "a"), ("/x/y/1", "b"), ("/x/y", "a"), ("/z", "c"), ("/x", "c")):
             best = found.find_route("jobs.example", path)
             assert best is not None
--- a/tests/system/test_control_server.py
+++ b/tests/system/test_control_server.py
@@ -64,9 +64,12 @@
 def whole(version: int, **changes: typing.Any) -> Document:
     """A valid configuration."""
     return {
-        "version": version, "services": [{"name": "mill"}],
-        "routes": [{"name": "a", "host": "jobs.example", "pathPrefix": "/a/", "timeoutMs": 3000,
-                    "service": "mill"}], **changes,
+        "version": version,
+        "services": [{"name": "mill"}],
+        "routes": [
+            {"name": "a", "host": "jobs.example", "pathPrefix": "/a/", "timeoutMs": 3000, "service": "mill"}
+        ],
+        **changes,
     }
 
 
@@ -76,8 +79,13 @@
     async def asyncSetUp(self) -> None:
         self.register = Register()
         settings = NodeSettings(
-            node_name="n", role="scheduler", ip="127.0.0.1", zone="z", port_range=(1, 2),
-            listen=Listen(control="127.0.0.1:0"))
+            node_name="n",
+            role="scheduler",
+            ip="127.0.0.1",
+            zone="z",
+            port_range=(1, 2),
+            listen=Listen(control="127.0.0.1:0"),
+        )
         self.server = ControlServer(settings, self.register)
         self.other = OperatorService(self.register)  # another process
         await self.server.start()
@@ -196,8 +204,12 @@
 
     async def test_paths_methods_and_size(self) -> None:
         for method, path, status in (
-            ("POST", "/-/Instances.Heartbeat/i-1", 404), ("GET", "/", 404), ("GET", "/-/Config.Replace", 405),
-            ("POST", "/-/Config.Read", 405), ("PUT", "/-/Config.Update", 405), ("GET", "/-/ready", 404),
+            ("POST", "/-/Instances.Heartbeat/i-1", 404),
+            ("GET", "/", 404),
+            ("GET", "/-/Config.Replace", 405),
+            ("POST", "/-/Config.Read", 405),
+            ("PUT", "/-/Config.Update", 405),
+            ("GET", "/-/ready", 404),
         ):
             self.assertEqual((await self.ask(method, path))[0], status, path)
         too_large = b" " * (MAX_BODY_BYTES + 1)
--- a/tests/system/test_coordination_cuts.py
+++ b/tests/system/test_coordination_cuts.py
@@ -79,8 +79,11 @@
         if victim is Victim.LEADER:
             return leader
         wanted = victim is Victim.FOLLOWER
-        return next(process for process in self.world.processes()
-                    if process is not leader and process.machine.counts is wanted)
+        return next(
+            process
+            for process in self.world.processes()
+            if process is not leader and process.machine.counts is wanted
+        )
 
     def play(self, length_ms: int) -> None:
         """The cut, while others go on changing the configuration."""
@@ -139,8 +142,14 @@
 
     def ready(self) -> bool:
         """Whether the victim would call itself ready; it hears no dispatcher."""
-        return is_ready(Contact(draining=False, dispatcher_known=True, core_heard_ms_ago=self.age_ms(),
-                                dispatcher_heard_ms_ago=None))
+        return is_ready(
+            Contact(
+                draining=False,
+                dispatcher_known=True,
+                core_heard_ms_ago=self.age_ms(),
+                dispatcher_heard_ms_ago=None,
+            )
+        )
 
 
 CUTS_OFF = [(way, victim) for way in (Way.BOTH, Way.DEAF, Way.MUTE, Way.CORE) for victim in Victim]
@@ -190,8 +199,9 @@
 
     def _assert_back(self, cut: Cut) -> None:
         world = cut.world
-        self.assertTrue(world.run_for(BACK_MS, lambda: cut.answers() and world.settled()),
-                        f"{cut.age_ms()} ms old")
+        self.assertTrue(
+            world.run_for(BACK_MS, lambda: cut.answers() and world.settled()), f"{cut.age_ms()} ms old"
+        )
         world.run_for(1_000)
         for process in world.processes():
             world.read(process)
--- a/tests/system/test_coordination_exhaustive.py
+++ b/tests/system/test_coordination_exhaustive.py
@@ -129,8 +129,12 @@
         return State(list(self.stores), list(self.askers), self.told, self.decided)
 
 
-def explore(start: State, successors: Callable[[State], Iterator[State]], check: Callable[[State], None],
-            most: int = 3_000_000) -> int:
+def explore(
+    start: State,
+    successors: Callable[[State], Iterator[State]],
+    check: Callable[[State], None],
+    most: int = 3_000_000,
+) -> int:
     """Visit every reachable state; returns how many there are."""
     seen = {start.key()}
     frontier = [start]
@@ -150,7 +154,7 @@
 def histories_agree(values: tuple[bytes | None, ...]) -> bool:
     """Whether all committed values are prefixes of one history."""
     histories = sorted(((value or b"").split() for value in values), key=len)
-    return all(longer[:len(shorter)] == shorter for shorter, longer in pairwise(histories))
+    return all(longer[: len(shorter)] == shorter for shorter, longer in pairwise(histories))
 
 
 def take(state: State, at: int, answer: object) -> None:
@@ -205,8 +209,9 @@
 
     def test_two_proposers_and_three_replicas(self) -> None:
         askers = [attempt_of(FIRST, Register.CONFIGURATION, counter, counter) for counter in (1, 2)]
-        visited = explore(State(stores(FIRST, FIRST.members), askers),
-                          lambda state: exchanges(state, take), self.check)
+        visited = explore(
+            State(stores(FIRST, FIRST.members), askers), lambda state: exchanges(state, take), self.check
+        )
         self.assertGreater(visited, 1_000)
 
 
@@ -239,8 +244,9 @@
                 if choice is not None:
                     after = state.copy()
                     joining = Replica(dict(state.stores[replica]), STARTED_MS, lambda: 0)
-                    after.stores[replica] = carry_out(state.stores[replica],
-                                                      joining.activate(NOW_MS, SECOND, choice.state))
+                    after.stores[replica] = carry_out(
+                        state.stores[replica], joining.activate(NOW_MS, SECOND, choice.state)
+                    )
                     yield after
 
     def check(self, state: State) -> None:
@@ -249,8 +255,10 @@
     def visit(self, version_in_ballots: int) -> int:
         """An old proposer with a high ballot, and two in the new set with low ones; answers aren't lost
         here."""
-        first, second = (Attempt(SECOND, Register.CONFIGURATION, Ballot(version_in_ballots, counter, 3))
-                         for counter in (1, 2))
+        first, second = (
+            Attempt(SECOND, Register.CONFIGURATION, Ballot(version_in_ballots, counter, 3))
+            for counter in (1, 2)
+        )
         askers = [
             attempt_of(FIRST, Register.CONFIGURATION, 9, 1),
             attempt_of(FIRST, Register.SUCCESSOR, 1, 2),
@@ -298,8 +306,9 @@
     def takeover(state: State, candidacy: Candidacy) -> tuple[Any, ...]:
         """The whole state of the source, under the new epoch."""
         source = next(store for store in state.stores if replica_of(store).identity == candidacy.source)
-        items = tuple(Change(key[len(ITEM_PREFIX):], value) for key, value in source
-                      if key.startswith(ITEM_PREFIX))
+        items = tuple(
+            Change(key[len(ITEM_PREFIX) :], value) for key, value in source if key.startswith(ITEM_PREFIX)
+        )
         core, epoch, identity, boot = 1, candidacy.epoch, candidacy.identity, candidacy.boot
         return (Install(core, epoch, identity, boot, 0, 1, 0, True, items),)
 
@@ -334,8 +343,9 @@
             candidacy.phase = CampaignPhase.PREPARING
             askers.append(Asker(candidacy, (candidacy.request,)))
         askers[1].loses = second_loses
-        return explore(State(stores(FIRST, FIRST.members), askers),
-                       lambda state: exchanges(state, self.take), self.check)
+        return explore(
+            State(stores(FIRST, FIRST.members), askers), lambda state: exchanges(state, self.take), self.check
+        )
 
     def test_two_candidates_the_first_of_which_loses_answers(self) -> None:
         self.assertGreater(self.visit(False), 1_000)
--- a/tests/system/test_coordination_node.py
+++ b/tests/system/test_coordination_node.py
@@ -76,8 +76,11 @@
             world = founded(seed)
             world.write()
             world.run_for(1_000)
-            victim = next(machine for machine in world.machines
-                          if machine.counts and machine is not leading(world).machine)
+            victim = next(
+                machine
+                for machine in world.machines
+                if machine.counts and machine is not leading(world).machine
+            )
             world.wipe(victim)
             world.run_for(400)
             self.assertTrue(world.run_for(1_000, world.settled))
@@ -94,8 +97,9 @@
 
     def test_a_machine_with_a_new_name_replaces_one_that_is_gone(self) -> None:
         world = founded()
-        victim = next(machine for machine in world.machines
-                      if machine.counts and machine is not leading(world).machine)
+        victim = next(
+            machine for machine in world.machines if machine.counts and machine is not leading(world).machine
+        )
         world.kill(victim, None, power=True)
         victim.present = False
         newcomer = type(victim)(17, True, False)
--- a/tests/system/test_dispatch_service.py
+++ b/tests/system/test_dispatch_service.py
@@ -13,7 +13,12 @@
 from flintfield.jobs.bounds import DispatcherBounds
 from flintfield.jobs.events import Change
 from flintfield.jobs.messages import (
-    AgentOrders, AgentReport, JobAnswer, JobCall, Method, NotDispatcher,
+    AgentOrders,
+    AgentReport,
+    JobAnswer,
+    JobCall,
+    Method,
+    NotDispatcher,
 )
 from flintfield.placement.market import Market
 
@@ -70,8 +75,14 @@
     def setUp(self) -> None:
         self.now = 1_000
         self.configuration: ConfigurationModel | None = ConfigurationModel(version=4)
-        self.service = DispatchService(DispatcherBounds(), lambda: self.configuration, Market,
-                                       lambda: self.now, random.Random(1), lambda: "10.0.0.9:7660")
+        self.service = DispatchService(
+            DispatcherBounds(),
+            lambda: self.configuration,
+            Market,
+            lambda: self.now,
+            random.Random(1),
+            lambda: "10.0.0.9:7660",
+        )
         self.leadership = FakeLeadership()
         self.connection = FakeConnection()
 
--- a/tests/system/test_ingress_server.py
+++ b/tests/system/test_ingress_server.py
@@ -64,11 +64,23 @@
 
 def configuration(**limits: int) -> Configuration:
     """One queue `/a/` at `jobs.example`."""
-    return from_document({
-        "version": 4, "limits": limits, "services": [{"name": "mill"}],
-        "routes": [{"name": "a", "host": "jobs.example", "pathPrefix": "/a/", "timeoutMs": 3000,
-                    "targetLatencyMs": 1000, "service": "mill"}],
-    })
+    return from_document(
+        {
+            "version": 4,
+            "limits": limits,
+            "services": [{"name": "mill"}],
+            "routes": [
+                {
+                    "name": "a",
+                    "host": "jobs.example",
+                    "pathPrefix": "/a/",
+                    "timeoutMs": 3000,
+                    "targetLatencyMs": 1000,
+                    "service": "mill",
+                }
+            ],
+        }
+    )
 
 
 @dataclass(frozen=True)
@@ -95,8 +107,11 @@
         return cls(*await asyncio.open_connection("127.0.0.1", port))
 
     def send(self, method: str, path: str, body: bytes = b"", **headers: str) -> None:
-        fields = {"Host": "jobs.example", "Content-Length": str(len(body)),
-                  **{name.replace("_", "-"): value for name, value in headers.items()}}
+        fields = {
+            "Host": "jobs.example",
+            "Content-Length": str(len(body)),
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
         lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
         self.writer.write(f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode() + body)
 
@@ -127,11 +142,18 @@
 
     async def start(self, **tuning: typing.Any) -> None:
         settings = NodeSettings(
-            node_name="n", role="scheduler", ip="127.0.0.1", zone="z", port_range=(1, 2),
-            listen=Listen(front=LOOPBACK, ready=LOOPBACK), limits=Limits(max_fds=4_100))
+            node_name="n",
+            role="scheduler",
+            ip="127.0.0.1",
+            zone="z",
+            port_range=(1, 2),
+            listen=Listen(front=LOOPBACK, ready=LOOPBACK),
+            limits=Limits(max_fds=4_100),
+        )
         link = DispatcherLink(self.world, self.world, lambda: self.world.now_ms, random.Random(3))
         self.ingress = IngressServer(
-            settings, self.world, link, self.world, IngressSettings(**tuning), lambda: self.world.now_ms)
+            settings, self.world, link, self.world, IngressSettings(**tuning), lambda: self.world.now_ms
+        )
         await self.ingress.start()
 
     async def asyncTearDown(self) -> None:
@@ -160,15 +182,19 @@
 
     async def test_methods(self) -> None:
         for method, path, body, expected in (
-            ("POST", JOB, b'{"spec":"x"}', Method.SUBMIT), ("GET", JOB, b"", Method.STATUS),
-            ("DELETE", JOB, b"", Method.CANCEL), ("GET", "/a/", b"", Method.COUNT),
+            ("POST", JOB, b'{"spec":"x"}', Method.SUBMIT),
+            ("GET", JOB, b"", Method.STATUS),
+            ("DELETE", JOB, b"", Method.CANCEL),
+            ("GET", "/a/", b"", Method.COUNT),
             ("GET", "/a/?x=1", b"", Method.COUNT),
         ):
             got = await self.ask(method, path, body)
             self.assertEqual((got.status, got.document), (200, {"state": "queued"}))
             call = self.world.calls.pop()
-            self.assertEqual((call.method, call.host, call.path, call.body),
-                             (expected, "jobs.example", path.partition("?")[0], body))
+            self.assertEqual(
+                (call.method, call.host, call.path, call.body),
+                (expected, "jobs.example", path.partition("?")[0], body),
+            )
 
     async def test_connection_is_kept(self) -> None:
         client = await self.client()
@@ -241,10 +267,13 @@
 
     async def test_malformed_requests_say_why(self) -> None:
         cases: list[tuple[str, str, dict[str, str], int, str]] = [
-            ("POST", "/a/0123", {}, 400, "ID"), ("POST", "/a/", {}, 400, "ID"),
+            ("POST", "/a/0123", {}, 400, "ID"),
+            ("POST", "/a/", {}, 400, "ID"),
             ("DELETE", "/a/", {}, 400, "ID"),
-            ("GET", "/a/0123456789abcdeg", {}, 400, "ID"), ("GET", "/a/0123456789abcdef0", {}, 400, "ID"),
-            ("GET", "a", {}, 400, "path"), ("PUT", JOB, {}, 405, "PUT"),
+            ("GET", "/a/0123456789abcdeg", {}, 400, "ID"),
+            ("GET", "/a/0123456789abcdef0", {}, 400, "ID"),
+            ("GET", "a", {}, 400, "path"),
+            ("PUT", JOB, {}, 405, "PUT"),
             ("GET", JOB, {"X_Deadline_Ms": "soon"}, 400, "X-Deadline-Ms"),
             ("GET", JOB, {"X_Deadline_Ms": "-1"}, 400, "X-Deadline-Ms"),
             ("GET", JOB, {"X_Deadline_Ms": "9" * 30}, 400, "X-Deadline-Ms"),
@@ -273,8 +302,12 @@
             self.assertIn("1000 bytes", got.document["reason"])
         client = await self.client()
         chunk = b"3e8\r\n" + b"x" * 1_000 + b"\r\n"
-        client.writer.write(f"POST {JOB} HTTP/1.1\r\nHost: jobs.example\r\nTransfer-Encoding: chunked\r\n\r\n"
-                            .encode() + chunk + chunk + b"0\r\n\r\n")
+        client.writer.write(
+            f"POST {JOB} HTTP/1.1\r\nHost: jobs.example\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
+            + chunk
+            + chunk
+            + b"0\r\n\r\n"
+        )
         self.assertEqual((await client.receive()).status, 413)
         self.assertEqual(self.ingress.listener.counters.bodies_too_large, 4)
 
@@ -295,9 +328,13 @@
             await client.receive()
 
     async def test_what_is_no_http(self) -> None:
-        for data in (b"\x00\x01\x02\r\n\r\n", b"GET\r\n\r\n", b"GET / HTTP/9\r\nHost: x\r\n\r\n",
-                     b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: -4\r\n\r\n",
-                     b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1, 2\r\n\r\n"):
+        for data in (
+            b"\x00\x01\x02\r\n\r\n",
+            b"GET\r\n\r\n",
+            b"GET / HTTP/9\r\nHost: x\r\n\r\n",
+            b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: -4\r\n\r\n",
+            b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1, 2\r\n\r\n",
+        ):
             with self.subTest(data):
                 client = await self.client()
                 client.writer.write(data)
@@ -412,9 +449,12 @@
 
     def test_table(self) -> None:
         for contact, ready in (
-            (Contact(False, True, 0, None), True), (Contact(False, True, None, 0), True),
-            (Contact(False, True, None, None), False), (Contact(True, True, 0, 0), False),
-            (Contact(False, False, 0, 0), False), (Contact(False, True, HEARD_WITHIN_MS, None), True),
+            (Contact(False, True, 0, None), True),
+            (Contact(False, True, None, 0), True),
+            (Contact(False, True, None, None), False),
+            (Contact(True, True, 0, 0), False),
+            (Contact(False, False, 0, 0), False),
+            (Contact(False, True, HEARD_WITHIN_MS, None), True),
             (Contact(False, True, HEARD_WITHIN_MS + 1, HEARD_WITHIN_MS + 1), False),
         ):
             self.assertEqual(is_ready(contact), ready, contact)
--- a/tests/system/test_jobs_calm.py
+++ b/tests/system/test_jobs_calm.py
@@ -16,8 +16,13 @@
 class CalmDays(unittest.TestCase):
     """Without troubles."""
 
-    @settings(max_examples=10, deadline=None, suppress_health_check=list(HealthCheck), derandomize=True,
-              database=None)
+    @settings(
+        max_examples=10,
+        deadline=None,
+        suppress_health_check=list(HealthCheck),
+        derandomize=True,
+        database=None,
+    )
     @given(st.integers(0, 1_000_000))
     def test_no_gang_waits_in_vain_and_every_job_ends(self, seed: int) -> None:
         day = FaultyDay(seed)
--- a/tests/system/test_jobs_faults.py
+++ b/tests/system/test_jobs_faults.py
@@ -52,8 +52,18 @@
 
     def troubles(self) -> list[Callable[[], None]]:
         """What may happen."""
-        return [self.kill_dispatcher, self.kill_dispatcher, self.crash_worker, self.cut_agent,
-                self.cut_worker, self.kill_agent, self.late_orders, self.drain, self.stall, self.slow]
+        return [
+            self.kill_dispatcher,
+            self.kill_dispatcher,
+            self.crash_worker,
+            self.cut_agent,
+            self.cut_worker,
+            self.kill_agent,
+            self.late_orders,
+            self.drain,
+            self.stall,
+            self.slow,
+        ]
 
     def machine(self) -> Machine:
         """Any machine."""
@@ -65,12 +75,21 @@
         self.number += 1
         steps: list[dict[str, Any]] = []
         for index in range(rng.choice([1, 1, 2, 3])):
-            step: dict[str, Any] = {"count": rng.randint(1, 5), "cpu": rng.choice([500, 1_000, 2_000]),
-                                    "memMb": 100, "estimateMs": 900}
+            step: dict[str, Any] = {
+                "count": rng.randint(1, 5),
+                "cpu": rng.choice([500, 1_000, 2_000]),
+                "memMb": 100,
+                "estimateMs": 900,
+            }
             if index and rng.random() < 0.7:
                 step["dependsOn"] = [rng.randrange(index)]
-            step.update({name: True for name in ("checkpoints", "gang", "longRunning", "speculative")
-                         if rng.random() < 0.2})
+            step.update(
+                {
+                    name: True
+                    for name in ("checkpoints", "gang", "longRunning", "speculative")
+                    if rng.random() < 0.2
+                }
+            )
             if step.get("gang"):
                 step["count"] = rng.randint(2, 3)
             if rng.random() < 0.1:
@@ -85,6 +104,7 @@
             step = steps[int(task.split(".")[2])]
             gang = step["count"] if step.get("gang") else 1
             return varied(plan_rng, gang, bool(step.get("checkpoints")), bool(step.get("longRunning")))
+
         job = job_id(self.number)
         world.submit(job, steps, plan, **body)
         for _ in range(2):
@@ -124,6 +144,7 @@
 
         def end() -> None:
             machine.worker_cut = False
+
         self.world.after(self.rng.uniform(300, 14_000), end)
 
     def kill_agent(self) -> None:
@@ -140,6 +161,7 @@
 
         def end() -> None:
             machine.late_share = 0.0
+
         self.world.after(self.rng.uniform(1_000, 6_000), end)
 
     def drain(self) -> None:
@@ -164,20 +186,27 @@
 
         def end() -> None:
             worker.factor = 1.0
+
         self.world.after(self.rng.uniform(1_000, 9_000), end)
 
     def unfinished(self) -> list[str]:
         """Accepted jobs that have not ended."""
-        accepted = {told.job for told in self.world.told
-                    if told.method is Method.SUBMIT and told.answer.status == 200}
+        accepted = {
+            told.job for told in self.world.told if told.method is Method.SUBMIT and told.answer.status == 200
+        }
         return [job for job in sorted(accepted) if self.world.state_of(job) in ("queued", "running", "410")]
 
 
 class FaultyDays(unittest.TestCase):
     """Any mix of troubles."""
 
-    @settings(max_examples=25, deadline=None, suppress_health_check=list(HealthCheck), derandomize=True,
-              database=None)
+    @settings(
+        max_examples=25,
+        deadline=None,
+        suppress_health_check=list(HealthCheck),
+        derandomize=True,
+        database=None,
+    )
     @given(st.integers(0, 1_000_000))
     def test_no_rule_breaks_and_every_job_ends(self, seed: int) -> None:
         day = FaultyDay(seed)
--- a/tests/system/test_jobs_intake.py
+++ b/tests/system/test_jobs_intake.py
@@ -16,7 +16,14 @@
 from flintfield.jobs.dispatcher import Dispatcher
 from flintfield.jobs.durable import TaskRecord, parse_task
 from flintfield.jobs.events import (
-    Answer, CallArrived, Effect, Event, ReportArrived, Tick, Write, Written,
+    Answer,
+    CallArrived,
+    Effect,
+    Event,
+    ReportArrived,
+    Tick,
+    Write,
+    Written,
 )
 from flintfield.jobs.messages import JobAnswer, JobCall, Method
 from flintfield.placement.market import Market
@@ -49,7 +56,10 @@
 
     def test_every_malformed_body_says_why(self) -> None:
         cases = {
-            b"": "truncated", b"{": "truncated", b"[]": "object", b"\xff": "malformed",
+            b"": "truncated",
+            b"{": "truncated",
+            b"[]": "object",
+            b"\xff": "malformed",
             body(): "`steps` is empty",
             body({}): "`count`",
             body({"count": -1}): "`count`",
@@ -74,9 +84,14 @@
             read_job(data)
 
     def test_the_longest_chain_counts_from_each_step(self) -> None:
-        steps = read_job(body({"count": 1, "estimateMs": 5}, {"count": 1, "estimateMs": 7},
-                              {"count": 1, "estimateMs": 1, "dependsOn": [0, 1]},
-                              {"count": 1, "estimateMs": 2, "dependsOn": [2]})).steps
+        steps = read_job(
+            body(
+                {"count": 1, "estimateMs": 5},
+                {"count": 1, "estimateMs": 7},
+                {"count": 1, "estimateMs": 1, "dependsOn": [0, 1]},
+                {"count": 1, "estimateMs": 2, "dependsOn": [2]},
+            )
+        ).steps
         self.assertEqual(chain_left(steps), [8, 10, 3, 2])
 
 
@@ -106,8 +121,9 @@
         """A new dispatcher takes over what is durable."""
         self.answers: dict[int, JobAnswer] = {}
         self.pending: list[Write] = []
-        self.dispatcher = Dispatcher(epoch, self.now, self.bounds, Market(1), random.Random(1),
-                                     ConfigurationModel())
+        self.dispatcher = Dispatcher(
+            epoch, self.now, self.bounds, Market(1), random.Random(1), ConfigurationModel()
+        )
         self.dispatcher.restore(self.items)
         self.handle(Tick(WALL_0 + self.now))
 
--- a/tests/system/test_jobs_listings.py
+++ b/tests/system/test_jobs_listings.py
@@ -9,10 +9,27 @@
 from flintfield.jobs.bounds import DispatcherBounds
 from flintfield.jobs.dispatcher import Dispatcher
 from flintfield.jobs.events import (
-    AgentLost, CallArrived, Effect, Event, ReportArrived, SendOrders, Tick, Write, Written,
+    AgentLost,
+    CallArrived,
+    Effect,
+    Event,
+    ReportArrived,
+    SendOrders,
+    Tick,
+    Write,
+    Written,
 )
 from flintfield.jobs.messages import (
-    AgentReport, End, How, JobCall, Method, OrderResult, Outcome, Run, StartOrder, StopOrder,
+    AgentReport,
+    End,
+    How,
+    JobCall,
+    Method,
+    OrderResult,
+    Outcome,
+    Run,
+    StartOrder,
+    StopOrder,
 )
 from flintfield.placement.market import Market
 
@@ -40,8 +57,9 @@
         self.stops: list[StopOrder] = []
         self.last_seen = 0
         self.granted = 0
-        self.dispatcher = Dispatcher(epoch, self.now, DispatcherBounds(), Market(1), random.Random(1),
-                                     ConfigurationModel())
+        self.dispatcher = Dispatcher(
+            epoch, self.now, DispatcherBounds(), Market(1), random.Random(1), ConfigurationModel()
+        )
         self.dispatcher.restore(dict(self.items))
         self.handle(Tick(WALL_0))
 
@@ -158,8 +176,9 @@
         self.assertEqual([stop.run for stop in self.stops], [1])
         self.assertEqual(self.granted, granted)
         self.assertEqual(self.started(), [1])
-        self.send(report(self.now - 980), results=self.answered(Outcome.DONE, self.now - 985,
-                                                                self.stops[-1].order))
+        self.send(
+            report(self.now - 980), results=self.answered(Outcome.DONE, self.now - 985, self.stops[-1].order)
+        )
         self.assertEqual(self.granted, self.now - 990)
         self.assertEqual(self.started(), [1, 2])
 
--- a/tests/system/test_jobs_long_history.py
+++ b/tests/system/test_jobs_long_history.py
@@ -46,13 +46,15 @@
                 world.fail_dispatcher()
                 world.elect()
             for number in range(first, first + JOBS_AT_ONCE):
-                world.submit(job_id(number), [{"count": 1, "cpu": 500, "memMb": 10, "estimateMs": 200}],
-                             simple(200))
+                world.submit(
+                    job_id(number), [{"count": 1, "cpu": 500, "memMb": 10, "estimateMs": 200}], simple(200)
+                )
             world.run(BATCH_MS)
             largest = max(largest, stored_bytes(world))
         world.run(5_000)
-        accepted = {told.job for told in world.told
-                    if told.method is Method.SUBMIT and told.answer.status == 200}
+        accepted = {
+            told.job for told in world.told if told.method is Method.SUBMIT and told.answer.status == 200
+        }
         done = {seen.task.partition(".")[0] for seen in world.seen if seen.how == "done"}
         self.assertGreater(len(accepted), JOBS * 98 // 100)
         self.assertEqual(set(), accepted - done)
@@ -128,8 +130,9 @@
 
 def node_settings(data_dir: str | None, limits: Limits) -> NodeSettings:
     """The settings of a replica's process."""
-    return NodeSettings("frontend-a-1", "scheduler", "10.1.0.1", "a", (7_000, 7_015), data_dir=data_dir,
-                        limits=limits)
+    return NodeSettings(
+        "frontend-a-1", "scheduler", "10.1.0.1", "a", (7_000, 7_015), data_dir=data_dir, limits=limits
+    )
 
 
 class TheBoundOfADeployment(unittest.TestCase):
--- a/tests/system/test_jobs_moves.py
+++ b/tests/system/test_jobs_moves.py
@@ -102,8 +102,10 @@
 
     def setUp(self) -> None:
         self.world = World(machines=2)
-        routes = (RouteModel("r-a", "/a/", priority=2),
-                  RouteModel("r-u", "/u/", priority=0, target_latency_ms=100))
+        routes = (
+            RouteModel("r-a", "/a/", priority=2),
+            RouteModel("r-u", "/u/", priority=0, target_latency_ms=100),
+        )
         self.world.configuration = ConfigurationModel(1, routes)
         self.world.elect()
         self.world.run(1_500)
@@ -119,8 +121,14 @@
         self.world.submit(job_id(2), urgent, simple(500), route="/u/")
         self.world.run(2_500)
         self.assertEqual(self.world.state_of(job_id(2)), "completed")
-        self.assertIn("stopped", {seen.how for seen in self.world.runs_of(f"{job_id(1)}.0.0.0")
-                                  + self.world.runs_of(f"{job_id(1)}.0.0.1")})
+        self.assertIn(
+            "stopped",
+            {
+                seen.how
+                for seen in self.world.runs_of(f"{job_id(1)}.0.0.0")
+                + self.world.runs_of(f"{job_id(1)}.0.0.1")
+            },
+        )
         self.world.run(30_000)
         self.assertEqual(self.world.state_of(job_id(1)), "completed")
 
@@ -238,8 +246,9 @@
         """Never."""
         return None
 
-    def choose_gang(self, demands: Sequence[Demand], workers: dict[str, Worker],
-                    now_ms: int) -> list[str] | None:
+    def choose_gang(
+        self, demands: Sequence[Demand], workers: dict[str, Worker], now_ms: int
+    ) -> list[str] | None:
         """Never."""
         return None
 
@@ -252,8 +261,9 @@
         world.elect()
         world.run(1_500)
         world.submit(job_id(1), [{"count": 2, "cpu": 500, "estimateMs": 300}], simple(300))
-        world.submit(job_id(2), [{"count": 3, "cpu": 2_000, "estimateMs": 300, "gang": True}],
-                     simple(300, gang=3))
+        world.submit(
+            job_id(2), [{"count": 3, "cpu": 2_000, "estimateMs": 300, "gang": True}], simple(300, gang=3)
+        )
         world.submit(job_id(3), [{"count": 2, "cpu": 500, "estimateMs": 300}], simple(300))
         world.run(2_900)
         self.assertEqual(len(world.seen), 7)
--- a/tests/system/test_jobs_world.py
+++ b/tests/system/test_jobs_world.py
@@ -21,8 +21,10 @@
         self.assertEqual(Judge(self.world).check(), [])
 
     def test_steps_run_in_their_order_until_the_job_is_completed(self) -> None:
-        steps: Steps = [{"count": 4, "cpu": 500, "memMb": 100, "estimateMs": 500},
-                 {"count": 3, "cpu": 1_000, "memMb": 100, "estimateMs": 500, "dependsOn": [0]}]
+        steps: Steps = [
+            {"count": 4, "cpu": 500, "memMb": 100, "estimateMs": 500},
+            {"count": 3, "cpu": 1_000, "memMb": 100, "estimateMs": 500, "dependsOn": [0]},
+        ]
         self.world.submit(job_id(1), steps, simple())
         self.world.run(300)
         self.assertEqual(self.world.told[-1].answer.status, 200)
--- a/tests/system/test_observe_history.py
+++ b/tests/system/test_observe_history.py
@@ -49,8 +49,10 @@
         recorder, one = JobHistory(), job()
         recorder.note(99, one, Happening.JOB_ENDED, None, "cancelled")
         (event,), _ = recorder.events(one, EPOCH)
-        self.assertEqual((event.wall_ms, event.happening, event.detail, event.epoch),
-                         (99, Happening.JOB_ENDED, "cancelled", EPOCH))
+        self.assertEqual(
+            (event.wall_ms, event.happening, event.detail, event.epoch),
+            (99, Happening.JOB_ENDED, "cancelled", EPOCH),
+        )
 
     def test_a_job_that_nothing_was_noted_of_has_no_history(self) -> None:
         self.assertEqual(JobHistory().events(job(), EPOCH), ((), 0))
