--- a/tests/system/test_observe_logs.py
+++ b/tests/system/test_observe_logs.py
@@ -9,8 +9,19 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 PAGE = ROOT / "docs" / "system-logs.md"
-PACKAGES = ("agent", "control", "coordination", "dispatch", "ingress", "jobs", "observe", "placement",
-            "programs", "runtime", "transport")
+PACKAGES = (
+    "agent",
+    "control",
+    "coordination",
+    "dispatch",
+    "ingress",
+    "jobs",
+    "observe",
+    "placement",
+    "programs",
+    "runtime",
+    "transport",
+)
 LOGGERS = {"LOG", "_log", "log", "logger", "_logger", "LOGGER", "self._log", "self._logger"}
 LEVELS = {"debug", "info", "warning", "error", "exception", "critical"}
 ROW = re.compile(r"^\| `([^`]+)` \| (\w+) \|", re.MULTILINE)
@@ -18,8 +29,12 @@
 
 def events_of(source: str) -> set[tuple[str, str]]:
     """The events that a module logs: name and level."""
-    return {event for node in ast.walk(ast.parse(source)) if isinstance(node, ast.Call)
-            for event in _event_of(node)}
+    return {
+        event
+        for node in ast.walk(ast.parse(source))
+        if isinstance(node, ast.Call)
+        for event in _event_of(node)
+    }
 
 
 def _event_of(call: ast.Call) -> list[tuple[str, str]]:
@@ -72,11 +87,22 @@
         self.assertEqual(len(rows), len(set(rows)))
 
     def test_the_forms_of_logging_are_found(self) -> None:
-        source = ('logs.event(LOG, "one", count=1)\nlogs.event(LOG, "two", level=logging.WARNING)\n'
-                  'logger.exception("three")\n_log.error("four", extra={})\nprint("five")\n'
-                  'LOG.info("six" if bad else "seven")')
-        self.assertEqual(events_of(source), {("one", "info"), ("two", "warning"), ("three", "error"),
-                                             ("four", "error"), ("six", "info"), ("seven", "info")})
+        source = (
+            'logs.event(LOG, "one", count=1)\nlogs.event(LOG, "two", level=logging.WARNING)\n'
+            'logger.exception("three")\n_log.error("four", extra={})\nprint("five")\n'
+            'LOG.info("six" if bad else "seven")'
+        )
+        self.assertEqual(
+            events_of(source),
+            {
+                ("one", "info"),
+                ("two", "warning"),
+                ("three", "error"),
+                ("four", "error"),
+                ("six", "info"),
+                ("seven", "info"),
+            },
+        )
 
 
 if __name__ == "__main__":
--- a/tests/system/test_observe_page.py
+++ b/tests/system/test_observe_page.py
@@ -22,9 +22,15 @@
 PAGE = (ROOT / "docs" / "system-operations.md").read_text()
 PROGRAM = (ROOT / "flintfield" / "programs" / "scheduler.py").read_text()
 PARTS = {
-    "rpc_server": TransportCounters, "rpc_pool": TransportCounters, "ingress": IngressCounters,
-    "ingress_listener": ListenerCounters, "dispatcher_link": LinkCounters, "operator": OperatorCounters,
-    "dispatcher": DispatcherCounters, "history": HistoryCounters, "store": StoreCounters,
+    "rpc_server": TransportCounters,
+    "rpc_pool": TransportCounters,
+    "ingress": IngressCounters,
+    "ingress_listener": ListenerCounters,
+    "dispatcher_link": LinkCounters,
+    "operator": OperatorCounters,
+    "dispatcher": DispatcherCounters,
+    "history": HistoryCounters,
+    "store": StoreCounters,
     "disk": PoolCounters,
 }
 
@@ -37,10 +43,12 @@
 
     def test_each_counter_is_explained_once_and_no_other(self) -> None:
         rows = [line.split("|")[1] for line in PAGE.splitlines() if re.match(r"\| `\w+\.\w+`", line)]
-        on_page = [name for row in rows for name in re.findall(r"`(\w+\.\w+)`", row)
-                   if name.split(".")[0] in PARTS]
-        in_code = {f"{part}.{field.name}" for part, kind in PARTS.items()
-                   for field in dataclasses.fields(kind)}
+        on_page = [
+            name for row in rows for name in re.findall(r"`(\w+\.\w+)`", row) if name.split(".")[0] in PARTS
+        ]
+        in_code = {
+            f"{part}.{field.name}" for part, kind in PARTS.items() for field in dataclasses.fields(kind)
+        }
         self.assertEqual((in_code - set(on_page), set(on_page) - in_code), (set(), set()))
         self.assertEqual(len(on_page), len(set(on_page)))
 
--- a/tests/system/test_observe_process.py
+++ b/tests/system/test_observe_process.py
@@ -14,7 +14,13 @@
 from flintfield.coordination.model import Ballot, CoreSet, LeaderView, Member, Position
 from flintfield.coordination.storage import MemoryStore
 from flintfield.coordination.stored import (
-    ACTIVE_KEY, CONFIGURATION_KEY, IDENTITY_KEY, ITEM_PREFIX, ORDER_KEY, StoredAcceptor, StoredIdentity,
+    ACTIVE_KEY,
+    CONFIGURATION_KEY,
+    IDENTITY_KEY,
+    ITEM_PREFIX,
+    ORDER_KEY,
+    StoredAcceptor,
+    StoredIdentity,
     StoredOrder,
 )
 from flintfield.jobs import durable
@@ -77,8 +83,10 @@
         ACTIVE_KEY: encode(CORE),
         ORDER_KEY: encode(StoredOrder(5, 12, 1, Position(5, 40), 12)),
         CONFIGURATION_KEY: encode(StoredAcceptor(Ballot(2, 8, 98), ballot, stored_configuration(9))),
-        ITEM_PREFIX + durable.job_key("01"): b"j", ITEM_PREFIX + durable.job_key("02"): b"j",
-        ITEM_PREFIX + durable.end_key("03"): b"e", ITEM_PREFIX + durable.task_key("01.0.0.0"): b"t",
+        ITEM_PREFIX + durable.job_key("01"): b"j",
+        ITEM_PREFIX + durable.job_key("02"): b"j",
+        ITEM_PREFIX + durable.end_key("03"): b"e",
+        ITEM_PREFIX + durable.task_key("01.0.0.0"): b"t",
         ITEM_PREFIX + b"?later release": b"",
     }
 
@@ -89,8 +97,9 @@
     def test_a_replica_that_works(self) -> None:
         status = replica_status(replica_items())
         assert status is not None
-        self.assertEqual((status.identity, status.promised_epoch, status.epoch, status.sequence),
-                         (11, 5, 5, 40))
+        self.assertEqual(
+            (status.identity, status.promised_epoch, status.epoch, status.sequence), (11, 5, 5, 40)
+        )
         self.assertEqual((status.accepted_core, status.accepted_counter, status.promised_counter), (2, 7, 8))
         self.assertEqual((status.configuration_version, status.active_core), (9, CORE))
         self.assertEqual((status.jobs, status.ended_jobs, status.tasks, status.other_items), (2, 1, 1, 1))
@@ -124,13 +133,22 @@
         self.view = View()
         store = MemoryStore()
         store.apply(list(replica_items().items()))
-        self.observer = ProcessObserver(Identity("a", "scheduler", "z", "10.0.0.1:1"), Node(), self.view,
-                                        store, 0, self.clock, lambda: 77_000)
+        self.observer = ProcessObserver(
+            Identity("a", "scheduler", "z", "10.0.0.1:1"),
+            Node(),
+            self.view,
+            store,
+            0,
+            self.clock,
+            lambda: 77_000,
+        )
 
     def test_before_a_configuration_its_age_is_unknown(self) -> None:
         status = process_status(self.observer)
-        self.assertEqual((status.configuration_version, status.configuration_since_ms,
-                          status.confirmed_ms_ago), (0, -1, -1))
+        self.assertEqual(
+            (status.configuration_version, status.configuration_since_ms, status.confirmed_ms_ago),
+            (0, -1, -1),
+        )
 
     def test_the_whole_status_passes_the_wire(self) -> None:
         self.observer.watch("rpc", lambda: Counters(opened=3))
@@ -139,10 +157,18 @@
         self.clock.now_ms = 1_250
         status = process_status(self.observer)
         self.assertEqual(decode(encode(status)), status)
-        self.assertEqual((status.configuration_version, status.configuration_since_ms,
-                          status.confirmed_ms_ago, status.uptime_ms), (4, 77_000, 40, 250))
-        self.assertEqual({(counter.part, counter.name): counter.value
-                          for counter in status.counters}["rpc", "opened"], 3)
+        self.assertEqual(
+            (
+                status.configuration_version,
+                status.configuration_since_ms,
+                status.confirmed_ms_ago,
+                status.uptime_ms,
+            ),
+            (4, 77_000, 40, 250),
+        )
+        self.assertEqual(
+            {(counter.part, counter.name): counter.value for counter in status.counters}["rpc", "opened"], 3
+        )
         self.assertEqual({counter.part for counter in status.counters}, {"rpc"})
         assert status.leader is not None
         self.assertEqual((status.leader.epoch, status.leader.heard_ago_ms), (5, 350))
--- a/tests/system/test_observe_releases.py
+++ b/tests/system/test_observe_releases.py
@@ -38,14 +38,22 @@
         module = importlib.import_module(f"flintfield.{package}")
         for found in pkgutil.walk_packages(module.__path__, f"{module.__name__}."):
             importlib.import_module(found.name)
-    return {number: kind for number, kind in records._by_number.items()
-            if kind.__module__.startswith(f"{flintfield.__name__}.")}
+    return {
+        number: kind
+        for number, kind in records._by_number.items()
+        if kind.__module__.startswith(f"{flintfield.__name__}.")
+    }
 
 
 def values_of(annotation: Any) -> st.SearchStrategy[Any]:
     """Values of a field."""
-    plain = {int: st.integers(-2**63, 2**63 - 1), float: st.floats(allow_nan=False), bool: st.booleans(),
-             str: st.text(max_size=6), bytes: st.binary(max_size=6)}
+    plain = {
+        int: st.integers(-(2**63), 2**63 - 1),
+        float: st.floats(allow_nan=False),
+        bool: st.booleans(),
+        str: st.text(max_size=6),
+        bytes: st.binary(max_size=6),
+    }
     if annotation in plain:
         return plain[annotation]
     arguments = typing.get_args(annotation)
@@ -79,8 +87,7 @@
 def later_release(kind: type) -> type:
     """The dataclass, and all within it, with fields added at the end."""
     hints = typing.get_type_hints(kind)
-    own = [(field.name, transformed(hints[field.name], later_release))
-           for field in dataclasses.fields(kind)]
+    own = [(field.name, transformed(hints[field.name], later_release)) for field in dataclasses.fields(kind)]
     added = [(name, annotation, dataclasses.field(default=default)) for name, annotation, default in ADDED]
     return dataclasses.make_dataclass(f"Later{kind.__name__}", _with_defaults(kind, own) + added, frozen=True)
 
@@ -88,8 +95,11 @@
 def earlier_release(kind: type) -> type:
     """The dataclass, and all within it, without the fields at the end that have a default."""
     hints = typing.get_type_hints(kind)
-    own = [(field.name, transformed(hints[field.name], earlier_release))
-           for field in dataclasses.fields(kind) if not has_default(field)]
+    own = [
+        (field.name, transformed(hints[field.name], earlier_release))
+        for field in dataclasses.fields(kind)
+        if not has_default(field)
+    ]
     return dataclasses.make_dataclass(f"Earlier{kind.__name__}", own, frozen=True)
 
 
@@ -102,8 +112,9 @@
     fields: list[Any] = []
     for (name, annotation), field in zip(own, dataclasses.fields(kind), strict=True):
         known = has_default(field)
-        fields.append((name, annotation, dataclasses.field(default=field.default)) if known
-                      else (name, annotation))
+        fields.append(
+            (name, annotation, dataclasses.field(default=field.default)) if known else (name, annotation)
+        )
     return fields
 
 
@@ -122,8 +133,9 @@
     hints = typing.get_type_hints(annotation)
     target = transform(annotation)
     names = {field.name for field in dataclasses.fields(target)}
-    return target(**{name: converted(getattr(value, name), hints[name], transform)
-                     for name in hints if name in names})
+    return target(
+        **{name: converted(getattr(value, name), hints[name], transform) for name in hints if name in names}
+    )
 
 
 def plain(value: Any) -> Any:
@@ -159,8 +171,13 @@
     def check_values(self, number: int, kind: type, check: Callable[[int, type, Any], None]) -> None:
         """Check values of one record."""
 
-        @settings(max_examples=EXAMPLES, deadline=None, database=None, derandomize=True,
-                  suppress_health_check=list(HealthCheck))
+        @settings(
+            max_examples=EXAMPLES,
+            deadline=None,
+            database=None,
+            derandomize=True,
+            suppress_health_check=list(HealthCheck),
+        )
         @given(values_of(kind))
         def run(value: Any) -> None:
             check(number, kind, value)
--- a/tests/system/test_observe_tables.py
+++ b/tests/system/test_observe_tables.py
@@ -110,8 +110,9 @@
         world.run(1_500)
         self.assertEqual(jobs_page(world.observed, AskJobs()).total, 2)
         (row,) = jobs_page(world.observed, AskJobs("r-a", open_only=True)).rows
-        self.assertEqual((row.id, row.state, row.tasks, row.tasks_done, row.queue),
-                         (job_id(2), "running", 3, 0, "r-a"))
+        self.assertEqual(
+            (row.id, row.state, row.tasks, row.tasks_done, row.queue), (job_id(2), "running", 3, 0, "r-a")
+        )
         self.assertEqual(jobs_page(world.observed, AskJobs("no such queue")).total, 0)
 
     def test_no_page_is_larger_than_its_bound(self) -> None:
@@ -134,8 +135,10 @@
         detail = world.detail(1)
         assert detail.job is not None
         self.assertEqual(detail.job.state, "completed")
-        self.assertEqual([event.happening for event in detail.events],
-                         [Happening.ACCEPTED, Happening.PLACED, Happening.RUN_ENDED, Happening.JOB_ENDED])
+        self.assertEqual(
+            [event.happening for event in detail.events],
+            [Happening.ACCEPTED, Happening.PLACED, Happening.RUN_ENDED, Happening.JOB_ENDED],
+        )
         placed, ended = detail.events[1], detail.events[2]
         self.assertEqual((placed.run, placed.epoch, ended.detail), (1, 1, "done"))
         self.assertEqual(placed.instance, ended.instance)
@@ -149,8 +152,9 @@
         detail = world.detail(1)
         assert detail.job is not None
         self.assertEqual(detail.job.state, "failed")
-        self.assertEqual([event.detail for event in detail.events if event.detail],
-                         ["failed", "failed", "failed"])
+        self.assertEqual(
+            [event.detail for event in detail.events if event.detail], ["failed", "failed", "failed"]
+        )
 
     def test_an_open_run_is_told_with_its_place(self) -> None:
         world = self.world()
@@ -166,8 +170,9 @@
         world = self.world()
         world.submit(job_id(1), [ONE], simple(60_000))
         world.run(1_500)
-        successor = Dispatcher(2, world.steady, world.bounds, Market(1), random.Random(1),
-                               world.configuration)
+        successor = Dispatcher(
+            2, world.steady, world.bounds, Market(1), random.Random(1), world.configuration
+        )
         successor.state.recorder = JobHistory()
         successor.restore(dict(world.store))
         detail = job_detail(successor, job_id(1))
--- a/tests/system/test_placement.py
+++ b/tests/system/test_placement.py
@@ -12,15 +12,21 @@
 
 def fleet(count: int, capacity: Resources = LARGE, racks: int = 3) -> dict[str, Worker]:
     """Workers w0, w1, ... with `racks` of them on each rack r0, r1, ..."""
-    return {f"w{at}": Worker(f"w{at}", f"m{at}", "render", "zone", frozenset({"a"}), f"r{at // racks}",
-                             capacity)
-            for at in range(count)}
+    return {
+        f"w{at}": Worker(f"w{at}", f"m{at}", "render", "zone", frozenset({"a"}), f"r{at // racks}", capacity)
+        for at in range(count)
+    }
 
 
 def demand(task: str = "job.0.0.0", cpu: int = 6_500, gpu: int = 1, **more: object) -> Demand:
     """A task of that service that takes about a second."""
-    fields: dict[str, object] = {"service": "render", "client": "queue", "priority": 0, "estimate_ms": 1_000,
-                                 "resources": Resources(cpu, 1_000, gpu)}
+    fields: dict[str, object] = {
+        "service": "render",
+        "client": "queue",
+        "priority": 0,
+        "estimate_ms": 1_000,
+        "resources": Resources(cpu, 1_000, gpu),
+    }
     return Demand(task=task, **{**fields, **more})  # type: ignore[arg-type]
 
 
--- a/tests/system/test_placement_learning.py
+++ b/tests/system/test_placement_learning.py
@@ -29,8 +29,13 @@
 
 
 def demand(task: str, **more: object) -> Demand:
-    fields: dict[str, object] = {"service": "render", "client": "queue", "priority": 0, "estimate_ms": 1_000,
-                                 "resources": Resources(2_600, 1_000, 0)}
+    fields: dict[str, object] = {
+        "service": "render",
+        "client": "queue",
+        "priority": 0,
+        "estimate_ms": 1_000,
+        "resources": Resources(2_600, 1_000, 0),
+    }
     return Demand(task=task, **{**fields, **more})  # type: ignore[arg-type]
 
 
@@ -143,6 +148,7 @@
         def answers() -> list[str | None]:
             market, workers = Market(7), fleet(70)
             return [market.choose(demand(f"j{at}.0.0.0"), workers, at) for at in range(50)]
+
         self.assertEqual(answers(), answers())
 
 
@@ -221,15 +227,26 @@
 
 
 class Capacity(unittest.TestCase):
-    @given(st.lists(st.tuples(st.integers(1, 5), st.sampled_from((1, 2, 4)), st.booleans()), max_size=30),
-           st.integers(0, 99))
+    @given(
+        st.lists(st.tuples(st.integers(1, 5), st.sampled_from((1, 2, 4)), st.booleans()), max_size=30),
+        st.integers(0, 99),
+    )
     @settings(max_examples=60, deadline=None)
     def test_tasks_and_gangs_never_bring_a_worker_over_its_capacity(
-            self, jobs: list[tuple[int, int, bool]], seed: int) -> None:
+        self, jobs: list[tuple[int, int, bool]], seed: int
+    ) -> None:
         market, workers = Market(seed), fleet(5)
         for at, (width, gpu, together) in enumerate(jobs):
-            gang = [demand(f"j{at}.0.0.{member}", resources=Resources(6_500, 9_600, gpu), together=together,
-                           at_most=2, group=(f"j{at}", 0, 0)) for member in range(width)]
+            gang = [
+                demand(
+                    f"j{at}.0.0.{member}",
+                    resources=Resources(6_500, 9_600, gpu),
+                    together=together,
+                    at_most=2,
+                    group=(f"j{at}", 0, 0),
+                )
+                for member in range(width)
+            ]
             placed = market.choose_gang(gang, workers, at * 10)
             if placed is None:
                 continue
--- a/tests/system/test_runtime_basics.py
+++ b/tests/system/test_runtime_basics.py
@@ -76,8 +76,18 @@
         logs.event(self.logger, "job accepted", job="5c0e", tasks=3)
         (line,) = self.lines()
         self.assertIsInstance(line.pop("time"), float)
-        self.assertEqual(line, {"level": "INFO", "logger": "tests.runtime", "event": "job accepted",
-                                "node": "node-1", "role": "scheduler", "job": "5c0e", "tasks": 3})
+        self.assertEqual(
+            line,
+            {
+                "level": "INFO",
+                "logger": "tests.runtime",
+                "event": "job accepted",
+                "node": "node-1",
+                "role": "scheduler",
+                "job": "5c0e",
+                "tasks": 3,
+            },
+        )
 
     def test_events_below_the_level_are_not_written(self) -> None:
         logs.event(self.logger, "detail", level=logging.DEBUG)
@@ -117,13 +127,22 @@
                 self.assertEqual(row.tells_retry_after, row.status in (429, 503))
 
     def test_what_may_have_been_taken_is_never_answered_as_refused(self) -> None:
-        for kind in (ErrorKind.OUTCOME_UNKNOWN, ErrorKind.TIMED_OUT, ErrorKind.STORAGE_FAILED,
-                     ErrorKind.INTERNAL):
+        for kind in (
+            ErrorKind.OUTCOME_UNKNOWN,
+            ErrorKind.TIMED_OUT,
+            ErrorKind.STORAGE_FAILED,
+            ErrorKind.INTERNAL,
+        ):
             self.assertIn(answer(kind).status, (502, 504))
 
     def test_the_answers_that_the_users_pages_name(self) -> None:
-        named = {ErrorKind.NO_CONFIGURATION: 503, ErrorKind.UNKNOWN_QUEUE: 404, ErrorKind.UNKNOWN_JOB: 410,
-                 ErrorKind.VERSION_CONFLICT: 412, ErrorKind.INVALID_CONFIGURATION: 400}
+        named = {
+            ErrorKind.NO_CONFIGURATION: 503,
+            ErrorKind.UNKNOWN_QUEUE: 404,
+            ErrorKind.UNKNOWN_JOB: 410,
+            ErrorKind.VERSION_CONFLICT: 412,
+            ErrorKind.INVALID_CONFIGURATION: 400,
+        }
         self.assertEqual({kind: answer(kind).status for kind in named}, named)
 
     def test_retry_after_is_rounded_up_to_whole_seconds(self) -> None:
--- a/tests/system/test_simulation.py
+++ b/tests/system/test_simulation.py
@@ -134,11 +134,24 @@
         self.record = Record(jobs={self.job.id: self.job}, end_ms=20_000)
         self.service = {"/a/": "svc-a", "/b/": "svc-b", "/c/": "svc-a"}[self.job.path]
 
-    def _run(self, run: int, start_ms: float, end_ms: float | None = None, how: str = "",
-             **more: object) -> RunSeen:
-        seen = RunSeen(f"{self.job.id}.0.0.0", run, "a0", "i-01", self.service, ("a", "r1"),
-                       str(self.job.body["spec"]), "", start_ms, end_ms=end_ms, how=how,
-                       noted=bool(how), **more)  # type: ignore[arg-type]
+    def _run(
+        self, run: int, start_ms: float, end_ms: float | None = None, how: str = "", **more: object
+    ) -> RunSeen:
+        seen = RunSeen(
+            f"{self.job.id}.0.0.0",
+            run,
+            "a0",
+            "i-01",
+            self.service,
+            ("a", "r1"),
+            str(self.job.body["spec"]),
+            "",
+            start_ms,
+            end_ms=end_ms,
+            how=how,
+            noted=bool(how),
+            **more,  # type: ignore[arg-type]
+        )
         self.record.runs.append(seen)
         return seen
 
--- a/tests/system/test_simulation_planted.py
+++ b/tests/system/test_simulation_planted.py
@@ -136,10 +136,12 @@
 
     @pytest.mark.slow
     def test_takeovers_of_larger_worlds_start_nothing_twice(self) -> None:
-        for budget in (Budget(takeovers=1, unanswered=1, ends=1, waits=3),
-                       Budget(takeovers=2, unanswered=1, ends=0, waits=2),
-                       Budget(takeovers=1, restarts=1, unanswered=1, ends=0, waits=2),
-                       Budget(takeovers=1, unanswered=1, ends=0, slow=1, waits=2)):
+        for budget in (
+            Budget(takeovers=1, unanswered=1, ends=1, waits=3),
+            Budget(takeovers=2, unanswered=1, ends=0, waits=2),
+            Budget(takeovers=1, restarts=1, unanswered=1, ends=0, waits=2),
+            Budget(takeovers=1, unanswered=1, ends=0, slow=1, waits=2),
+        ):
             with self.subTest(budget):
                 explored = explore(TakeoverWorld(budget), 30)
                 self.assertEqual("", explored.broken)
--- a/tests/system/test_storage_disk.py
+++ b/tests/system/test_storage_disk.py
@@ -60,7 +60,7 @@
         if case == 2:
             return [first_bytes(write, chance.randint(0, len(write.data)))]
         blocks = range(0, len(write.data), 16)
-        return [Write(write.offset + at, write.data[at:at + 16]) for at in blocks if chance.random() < 0.5]
+        return [Write(write.offset + at, write.data[at : at + 16]) for at in blocks if chance.random() < 0.5]
 
     return survive
 
@@ -86,7 +86,7 @@
     end = write.offset + len(write.data)
     if len(content) < end:
         content.extend(bytes(end - len(content)))
-    content[write.offset:end] = write.data
+    content[write.offset : end] = write.data
 
 
 class SimulatedFile:
@@ -106,7 +106,7 @@
     def read(self, offset: int, length: int) -> bytes:
         """Up to that many bytes."""
         self._disk.step()
-        return bytes(self._inode.cache[offset:offset + length])
+        return bytes(self._inode.cache[offset : offset + length])
 
     def write(self, offset: int, data: bytes) -> None:
         """Write, or refuse after a part of it."""
@@ -213,8 +213,12 @@
         following.inodes = {name: inode.copy() for name, inode in self.inodes.items()}
         return following
 
-    def after_power_loss(self, survive: Survival, keep_name: Callable[[], bool] = lambda: True,
-                         shuffle: Callable[[list[Write]], None] = lambda writes: None) -> SimulatedDisk:
+    def after_power_loss(
+        self,
+        survive: Survival,
+        keep_name: Callable[[], bool] = lambda: True,
+        shuffle: Callable[[list[Write]], None] = lambda writes: None,
+    ) -> SimulatedDisk:
         """The disk after a loss of power."""
         following = SimulatedDisk(self.chance.getrandbits(32))
         for name, inode in self.inodes.items():
--- a/tests/system/test_storage_recovery.py
+++ b/tests/system/test_storage_recovery.py
@@ -38,8 +38,10 @@
         if last == len(writes) - 1:
             cuts += range(1, len(writes[last].data), cut_step)
         for cut in cuts:
-            def survive(write: Write, flags: tuple[bool, ...] = flags, cut: int | None = cut,
-                        last: int | None = last) -> list[Write]:
+
+            def survive(
+                write: Write, flags: tuple[bool, ...] = flags, cut: int | None = cut, last: int | None = last
+            ) -> list[Write]:
                 at = places[id(write)]
                 if not flags[at]:
                     return []
@@ -82,6 +84,7 @@
             named = all(inode.name_durable for inode in stepped.disk.inodes.values())
             keep_names = [always] if named else [always, never]
             for survive in survivals(recent, cut_step):
+
                 def all_survive(write: Write, survive: Survival = survive) -> list[Write]:
                     return [write] if id(write) in older else survive(write)
 
@@ -89,14 +92,14 @@
                     disk = stepped.disk.after_power_loss(all_survive, keep_name)
                     found = recover(disk, FOLDER)
                     self.tried += 1
-                    allowed = history.states[history.oldest:]
+                    allowed = history.states[history.oldest :]
                     self.assertTrue(history.allows(found.items), (found.items, allowed))
 
         stepped.disk.on_change = lose_power
         store = stepped.open()
         self.assertEqual(store.durable_ticket, 0)
         for at in range(0, len(groups), gather):
-            for group in groups[at:at + gather]:
+            for group in groups[at : at + gather]:
                 store.apply(group)
                 history.add(dict(store.items))
             await stepped.settle()
@@ -222,10 +225,25 @@
     st.tuples(st.just("apply"), GROUPS),
     st.tuples(st.just("apply many"), st.integers(2, 30)),
     st.tuples(st.just("replace"), GROUPS),
-    st.sampled_from([("run",), ("run",), ("run",), ("fire",), ("power loss",),
-                     ("power loss within a job",), ("kill",), ("kill within a job",), ("settle",),
-                     ("fail syncs", 1), ("fail syncs", 3), ("refuse",), ("accept",),
-                     ("wipe",), ("close",)]),
+    st.sampled_from(
+        [
+            ("run",),
+            ("run",),
+            ("run",),
+            ("fire",),
+            ("power loss",),
+            ("power loss within a job",),
+            ("kill",),
+            ("kill within a job",),
+            ("settle",),
+            ("fail syncs", 1),
+            ("fail syncs", 3),
+            ("refuse",),
+            ("accept",),
+            ("wipe",),
+            ("close",),
+        ]
+    ),
 )
 
 
@@ -245,7 +263,7 @@
         self.stepped = Stepped(disk, lives=self.stepped.lives)
         self.store = self.stepped.open()
         found = None if self.store.fresh else dict(self.store.items)
-        allowed = self.history.states[self.history.oldest:]
+        allowed = self.history.states[self.history.oldest :]
         self.test.assertTrue(self.history.allows(found), (found, allowed))
         self.first = self.history.recovered(found)
         if found is None:
--- a/tests/system/test_storage_steps.py
+++ b/tests/system/test_storage_steps.py
@@ -113,12 +113,12 @@
 
     def allows(self, items: dict[bytes, bytes] | None) -> bool:
         """Whether recovery may find this."""
-        return items in self.states[self.oldest:]
+        return items in self.states[self.oldest :]
 
     def recovered(self, items: dict[bytes, bytes] | None) -> int:
         """Recovery found this: what came after it is gone; returns its place."""
         place = max(at for at in range(self.oldest, len(self.states)) if self.states[at] == items)
-        del self.states[place + 1:]
+        del self.states[place + 1 :]
         return place
 
 
--- a/tests/system/test_transport_call_ends.py
+++ b/tests/system/test_transport_call_ends.py
@@ -32,8 +32,9 @@
         return await self._answer(deed, number, reader, writer)
 
     @staticmethod
-    async def _answer(deed: Deed, number: int, reader: asyncio.StreamReader,
-                      writer: asyncio.StreamWriter) -> bool:
+    async def _answer(
+        deed: Deed, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
         frames = FrameWriter()
         frames.append(REPLY, number, ANSWER)
         reply = bytes(frames.take())
@@ -49,7 +50,7 @@
             case Deed.RESET:
                 reset(writer)
             case Deed.HALF:
-                writer.write(reply[:len(reply) // 2])
+                writer.write(reply[: len(reply) // 2])
             case _:
                 pass
         return False
--- a/tests/system/test_transport_frames.py
+++ b/tests/system/test_transport_frames.py
@@ -7,17 +7,32 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from flintfield.transport.frames import (FAILURE, HEADER, LENGTH, MAX_FRAME_BYTES, ONE_WAY, REPLY, REQUEST,
-                                         FrameReader, MalformedFrame)
+from flintfield.transport.frames import (
+    FAILURE,
+    HEADER,
+    LENGTH,
+    MAX_FRAME_BYTES,
+    ONE_WAY,
+    REPLY,
+    REQUEST,
+    FrameReader,
+    MalformedFrame,
+)
 
 Frame = tuple[int, int, bytes]
-FRAMES = st.lists(st.tuples(st.sampled_from((REQUEST, REPLY, ONE_WAY, FAILURE)), st.integers(0, 2**32 - 1),
-                            st.binary(max_size=40)), max_size=8)
+FRAMES = st.lists(
+    st.tuples(
+        st.sampled_from((REQUEST, REPLY, ONE_WAY, FAILURE)), st.integers(0, 2**32 - 1), st.binary(max_size=40)
+    ),
+    max_size=8,
+)
 
 
 def written(frames: list[Frame]) -> bytes:
-    return b"".join(HEADER.pack(HEADER.size - LENGTH.size + len(body), kind, number) + body
-                    for kind, number, body in frames)
+    return b"".join(
+        HEADER.pack(HEADER.size - LENGTH.size + len(body), kind, number) + body
+        for kind, number, body in frames
+    )
 
 
 def read(reader: FrameReader, data: bytes) -> list[Frame]:
--- a/tests/system/test_transport_http.py
+++ b/tests/system/test_transport_http.py
@@ -54,19 +54,23 @@
         server = await self.start(echo)
         data = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi"
         closing = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
-        self.assertEqual(await self.exchange(server, data + closing),
-                         b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Type: application/json\r\n\r\nhi"
-                         b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+        self.assertEqual(
+            await self.exchange(server, data + closing),
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Type: application/json\r\n\r\nhi"
+            b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+        )
 
     async def test_an_answer_may_come_later_and_carry_headers(self) -> None:
         def serve(request: HTTPServerRequest) -> None:
             asyncio.get_running_loop().call_soon(
-                lambda: respond(request, 503, b"{}", "2", headers={"X-Version": "7"}))
+                lambda: respond(request, 503, b"{}", "2", headers={"X-Version": "7"})
+            )
 
         server = await self.start(serve)
         answer = await self.client().fetch(f"http://{IP}:{server.port}/", raise_error=False)
-        self.assertEqual((answer.code, answer.headers["Retry-After"], answer.headers["X-Version"]),
-                         (503, "2", "7"))
+        self.assertEqual(
+            (answer.code, answer.headers["Retry-After"], answer.headers["X-Version"]), (503, "2", "7")
+        )
 
     async def test_a_client_that_is_gone_is_no_error(self) -> None:
         taken: asyncio.Future[HTTPServerRequest] = asyncio.get_running_loop().create_future()
--- a/tests/system/test_transport_records.py
+++ b/tests/system/test_transport_records.py
@@ -86,17 +86,41 @@
     after: str
 
 
-NUMBERS = st.integers(-2**63, 2**63 - 1)
+NUMBERS = st.integers(-(2**63), 2**63 - 1)
 TEXTS = st.text(max_size=20)
 LEAVES = st.builds(Leaf, TEXTS, NUMBERS)
 MESSAGES = st.builds(
-    Everything, NUMBERS, st.booleans(), st.floats(allow_nan=False), TEXTS, st.sampled_from(Colour),
-    st.binary(max_size=20), LEAVES, st.lists(LEAVES, max_size=4).map(tuple), st.none() | LEAVES,
+    Everything,
+    NUMBERS,
+    st.booleans(),
+    st.floats(allow_nan=False),
+    TEXTS,
+    st.sampled_from(Colour),
+    st.binary(max_size=20),
+    LEAVES,
+    st.lists(LEAVES, max_size=4).map(tuple),
+    st.none() | LEAVES,
     st.lists(st.lists(NUMBERS, max_size=3).map(tuple), max_size=3).map(tuple),
-    st.lists(st.sampled_from(Colour), max_size=3).map(tuple), st.none() | TEXTS, NUMBERS)
-
-SAMPLE = Everything(-3, True, 2.5, "ä", Colour.BLUE, b"\0\xff", Leaf("x", 1), (Leaf("y", 2),), None,
-                    ((1, 2), ()), (Colour.RED,), None, 4)
+    st.lists(st.sampled_from(Colour), max_size=3).map(tuple),
+    st.none() | TEXTS,
+    NUMBERS,
+)
+
+SAMPLE = Everything(
+    -3,
+    True,
+    2.5,
+    "ä",
+    Colour.BLUE,
+    b"\0\xff",
+    Leaf("x", 1),
+    (Leaf("y", 2),),
+    None,
+    ((1, 2), ()),
+    (Colour.RED,),
+    None,
+    4,
+)
 
 
 def renumbered(data: bytes, number: int) -> bytes:
@@ -117,10 +141,11 @@
 
     def test_the_form_of_the_bytes_is_as_documented(self) -> None:
         number, text = struct.pack("<q", -2), b"\2\0\0\0hi"
-        self.assertEqual(encode(NewRelease(-2, "hi", 1, False, "")),
-                         struct.pack("<H", 60_101) + number + text + struct.pack("<q?I", 1, False, 0))
-        self.assertEqual(encode(OldItems((OldItem(7),), "")),
-                         struct.pack("<HIIqI", 60_102, 1, 8, 7, 0))
+        self.assertEqual(
+            encode(NewRelease(-2, "hi", 1, False, "")),
+            struct.pack("<H", 60_101) + number + text + struct.pack("<q?I", 1, False, 0),
+        )
+        self.assertEqual(encode(OldItems((OldItem(7),), "")), struct.pack("<HIIqI", 60_102, 1, 8, 7, 0))
 
     def test_encode_into_appends(self) -> None:
         out = bytearray(b"head")
@@ -136,8 +161,15 @@
             messages.JobCall(messages.Method.SUBMIT, "host", "/path", b"{}", 3),
             messages.AgentReport("m", 1, 2, 3, worker, 7, -1, (run,), (end,), (result,), 12, False),
             messages.AgentReport("m", 1, 2, 3, None, 0, -1, (), (), (), 12, True),
-            messages.AgentOrders(7, "i-1", 2, 6_000, 9, (messages.StartOrder(1, "t", 2, "spec", ""),),
-                                 (messages.StopOrder(2, "t", 1),)),
+            messages.AgentOrders(
+                7,
+                "i-1",
+                2,
+                6_000,
+                9,
+                (messages.StartOrder(1, "t", 2, "spec", ""),),
+                (messages.StopOrder(2, "t", 1),),
+            ),
         ):
             self.assertEqual(decode(encode(message)), message)
 
--- a/tests/system/test_transport_rpc.py
+++ b/tests/system/test_transport_rpc.py
@@ -15,8 +15,16 @@
 from flintfield.transport import connection as connection_module
 from flintfield.transport import frames, pool as pool_module, server as server_module, sockets
 from flintfield.transport.records import encode, record
-from flintfield.transport.rpc import (Connection, Handlers, Pool, Rejected, Server, Unanswered, Unreachable,
-                                      connect)
+from flintfield.transport.rpc import (
+    Connection,
+    Handlers,
+    Pool,
+    Rejected,
+    Server,
+    Unanswered,
+    Unreachable,
+    connect,
+)
 
 IP = "127.0.0.1"
 SOON_S = 60.0  # for what has to come, also on a machine that is busy: no test waits for it to pass
@@ -66,8 +74,9 @@
 
 
 @contextlib.asynccontextmanager
-async def connected(handlers: Handlers,
-                    own: Handlers | None = None) -> AsyncIterator[tuple[Server, Connection]]:
+async def connected(
+    handlers: Handlers, own: Handlers | None = None
+) -> AsyncIterator[tuple[Server, Connection]]:
     async with serving(handlers) as (server, address):
         connection = await connect(address, own or {}, SOON_S)
         try:
@@ -213,8 +222,12 @@
                 sock = cast(Any, side)._transport.get_extra_info("socket")
                 self.assertNotEqual(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY), 0)
                 self.assertNotEqual(sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE), 0)
-                for option, value in ((socket.TCP_USER_TIMEOUT, 2_000), (socket.TCP_KEEPIDLE, 1),
-                                      (socket.TCP_KEEPINTVL, 1), (socket.TCP_KEEPCNT, 2)):
+                for option, value in (
+                    (socket.TCP_USER_TIMEOUT, 2_000),
+                    (socket.TCP_KEEPIDLE, 1),
+                    (socket.TCP_KEEPINTVL, 1),
+                    (socket.TCP_KEEPCNT, 2),
+                ):
                     self.assertEqual(sock.getsockopt(socket.IPPROTO_TCP, option), value)
 
     async def test_the_peer_is_named(self) -> None:
@@ -468,12 +481,13 @@
                 body = bytearray(good)
                 for _ in range(source.randrange(3)):
                     body[source.randrange(len(body))] = source.randrange(256)
-                length = source.choice((header + len(body), header + len(body), source.randrange(40),
-                                        source.getrandbits(32)))
+                length = source.choice(
+                    (header + len(body), header + len(body), source.randrange(40), source.getrandbits(32))
+                )
                 kind = source.choice((1, 2, 3, 4, source.randrange(256)))
                 data = frames.HEADER.pack(length, kind, source.getrandbits(32)) + body
                 data += source.randbytes(source.randrange(30)) if source.random() < 0.5 else b""
-                await self.exchange(address, data[:source.randrange(1, len(data) + 1)])
+                await self.exchange(address, data[: source.randrange(1, len(data) + 1)])
             await until(lambda: not server.connections)
             self.assertEqual(server.counters.opened, server.counters.closed)
             self.assertGreater(server.counters.malformed_frames, 0)
--- a/tests/system/test_worker_call_contract.py
+++ b/tests/system/test_worker_call_contract.py
@@ -108,8 +108,18 @@
     def _spot(world: World, record: Record) -> Spot:
         kind = Kind("s", ("a", "r1"), Capacity(16_000, 32_768, 0))
         plan = Plan(work_ms=10_000, cpu=1_000)
-        worker = StandInWorker(world, record, "side-1", "i-1", kind, Bounds(), lambda _: plan, Gangs(),
-                               lambda _: None, random.Random(1))
+        worker = StandInWorker(
+            world,
+            record,
+            "side-1",
+            "i-1",
+            kind,
+            Bounds(),
+            lambda _: plan,
+            Gangs(),
+            lambda _: None,
+            random.Random(1),
+        )
         return Spot("side-1", kind, _not_delivered, worker)
 
 
