--- a/benchmarks/system_replication_load.py
+++ b/benchmarks/system_replication_load.py
@@ -18,7 +18,8 @@
 from flintfield.coordination.leader import Leader
 from flintfield.coordination.messages import Pair, PrepareEpoch
 from flintfield.coordination.model import NOWHERE, Ballot, CoreSet, Member, Register
-from flintfield.coordination.replica import Replica, format_store
+from flintfield.coordination.replica import Replica
+from flintfield.coordination.stored import format_store
 from flintfield.coordination.transfer import EMPTY
 from flintfield.transport.frames import HEADER
 from flintfield.transport.records import decode, encode
--- a/flintfield/coordination/leader.py
+++ b/flintfield/coordination/leader.py
@@ -9,10 +9,10 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from flintfield.coordination.batch_log import BatchLog
 from flintfield.coordination.clocks import median_offset
 from flintfield.coordination.follower import NEVER_MS
 from flintfield.coordination.messages import (
@@ -29,11 +29,10 @@
 )
 from flintfield.coordination.model import CoreSet, Member, Position, Refusal
 from flintfield.coordination.progress import UNKNOWN, Mode, Progress
-from flintfield.coordination.snapshots import ENTRY_OVERHEAD_BYTES, parts_of
+from flintfield.coordination.snapshots import parts_of
 from flintfield.coordination.timing import (
     APPEND_TIMEOUT_MS,
     CALL_TIMEOUT_MS,
-    CHUNK_BYTES,
     CHUNK_TIMEOUT_MS,
     HEARTBEAT_MS,
     INACTIVE_LONGEST_MS,
@@ -43,9 +42,6 @@
 )
 
 PIPELINE_DEPTH = 4  # appends under way to one follower: a write needn't wait for the round before it
-# Of batches kept for followers that lag; beyond it, or beyond the size of the whole state, they are sent that
-LOG_BYTES = 2 * 1024 * 1024
-LEAST_LOG_BYTES = 64 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,8 +74,7 @@
         self.sealed = False
         self.installs = 0
         self.followers: dict[int, Progress] = {}
-        self._log: deque[tuple[Batch, int]] = deque()
-        self._log_bytes = 0
+        self._log = BatchLog()
         self._item_bytes = sum(len(key) + len(value) for key, value in items.items())
         self._transfers = 0
         self._wall_offset_ms: int | None = None
@@ -91,12 +86,9 @@
         """Add a batch; returns its sequence, which is durable once `committed` has reached it."""
         self.sequence += 1
         batch = Batch(self.sequence, tuple(Change(key, value) for key, value in changes))
-        size = ENTRY_OVERHEAD_BYTES
         for key, value in changes:
-            size += len(key) + len(value or b"") + ENTRY_OVERHEAD_BYTES
             self._put(key, value)
-        self._log.append((batch, size))
-        self._log_bytes += size
+        self._log.add(batch)
         self._trim()
         return self.sequence
 
@@ -172,7 +164,7 @@
                 self._send(now_ms, progress, self._part(progress), CHUNK_TIMEOUT_MS, out)
         else:
             while progress.sent < self.sequence and progress.in_flight < PIPELINE_DEPTH:
-                batches = self._batches_after(progress.sent)
+                batches = self._log.after(progress.sent)
                 if not batches:
                     self._install(progress)
                     self._serve(now_ms, progress, out)
@@ -192,21 +184,6 @@
         progress.in_flight += 1
         out.append(Outgoing(progress.member, message, now_ms, timeout_ms, progress.round))
 
-    def _batches_after(self, sequence: int) -> tuple[Batch, ...]:
-        """The log after that sequence, up to a chunk; empty where the log doesn't reach back so far."""
-        if not self._log or self._log[0][0].sequence > sequence + 1:
-            return ()
-        batches: list[Batch] = []
-        size = 0
-        start = sequence + 1 - self._log[0][0].sequence
-        for index in range(start, len(self._log)):
-            batch, batch_size = self._log[index]
-            if batches and size + batch_size > CHUNK_BYTES:
-                break
-            batches.append(batch)
-            size += batch_size
-        return tuple(batches)
-
     def _install(self, progress: Progress) -> None:
         self._transfers += 1
         self.installs += 1
@@ -229,14 +206,9 @@
         )
 
     def _trim(self) -> None:
-        """Drop from the log what all followers have, and beyond the bound the oldest that is committed."""
+        """Keep of the log what followers that lag need, and no more than the state's own size."""
         needed = min(progress.acked for progress in self.followers.values())
-        bound = min(LOG_BYTES, max(LEAST_LOG_BYTES, self._item_bytes))
-        while self._log:
-            sequence = self._log[0][0].sequence
-            if sequence > needed and (sequence > self.committed or self._log_bytes <= bound):
-                return
-            self._log_bytes -= self._log.popleft()[1]
+        self._log.trim(needed, self.committed, self._item_bytes)
 
     # What comes back.
 
--- a/flintfield/coordination/replica.py
+++ b/flintfield/coordination/replica.py
@@ -64,11 +64,6 @@
 _REGISTER_KEYS = {Register.CONFIGURATION: CONFIGURATION_KEY, Register.SUCCESSOR: SUCCESSOR_KEY}
 
 
-def format_store(identity: int, founding: bool) -> list[Pair]:
-    """The first records of a store that was found empty; they must be durable before the replica is made."""
-    return [(IDENTITY_KEY, encode(StoredIdentity(identity, founding)))]
-
-
 class Replica:
     """The state machine. `stored` is the live view of the store's items, which the shell keeps in step."""
 
--- a/flintfield/coordination/shell/host.py
+++ b/flintfield/coordination/shell/host.py
@@ -10,11 +10,11 @@
 
 from flintfield.coordination.messages import Adopt, Alive, Append, Appended, Heartbeat, Refused, Resign
 from flintfield.coordination.model import CoreSet, Position, Refusal
-from flintfield.coordination.replica import Replica, format_store
+from flintfield.coordination.replica import Replica
 from flintfield.coordination.shell.knowledge import Knowledge
 from flintfield.coordination.step import Step
 from flintfield.coordination.storage.interface import KeyedStore, StorageError, StorageFailed
-from flintfield.coordination.stored import IDENTITY_KEY, ITEM_PREFIX
+from flintfield.coordination.stored import format_store, IDENTITY_KEY, ITEM_PREFIX
 from flintfield.coordination.transfer import WholeState
 
 LOG = logging.getLogger(__name__)
--- a/flintfield/coordination/storage/compaction.py
+++ b/flintfield/coordination/storage/compaction.py
@@ -15,10 +15,16 @@
 
 MODEST_RING_BYTES = 16 << 20  # the ring stays within this (or half the limit) unless its content needs more
 CHAIN_PER_LIVE = 2  # a snapshot starts once the log is this many times the content, or half of a modest ring
+LIVE_PART_OF_LIMIT = 8  # the content may take 1/8 of the limit: see "Space" in docs/system-storage.md
 PIECE_PART_OF_SEGMENT = 32  # a piece is 32 KiB for files of 1 MiB: 0.3 ms at 120 MB/s
 PIECE_PER_CHANGE = 2  # and at least this many times the changes beside it, so that the snapshot ends in time
 
 
+def content_bound(limit_bytes: int) -> int:
+    """The largest content in bytes of a store whose files may take this many; beyond: `StorageFull`."""
+    return limit_bytes // LIVE_PART_OF_LIMIT
+
+
 def chain_bound(limit_bytes: int, live_bytes: int) -> int:
     """The length of the log in bytes at which a snapshot starts."""
     return max(min(limit_bytes // 2, MODEST_RING_BYTES) // 2, CHAIN_PER_LIVE * live_bytes)
--- a/flintfield/coordination/storage/store.py
+++ b/flintfield/coordination/storage/store.py
@@ -17,23 +17,17 @@
 from functools import partial
 
 from flintfield.coordination.storage.backoff import Backoff
-from flintfield.coordination.storage.compaction import PiecewiseSnapshot, chain_bound
+from flintfield.coordination.storage.compaction import PiecewiseSnapshot, chain_bound, content_bound
 from flintfield.coordination.storage.format import LARGEST_KEY, FrameFlag, entry_bytes
 from flintfield.coordination.storage.interface import Change, StorageFailed, StorageFull
 from flintfield.coordination.storage.ring import Ring
 from flintfield.coordination.storage.sync_thread import Runner
 from flintfield.coordination.storage.waiters import Waiters
 
-LIVE_PART_OF_LIMIT = 8  # the content may take 1/8 of the limit: see "Space" in docs/system-storage.md
 
 logger = logging.getLogger(__name__)
 
 
-def content_bound(limit_bytes: int) -> int:
-    """The largest content in bytes of a store whose files may take this many; beyond: `StorageFull`."""
-    return limit_bytes // LIVE_PART_OF_LIMIT
-
-
 class State(enum.Enum):
     """What the store is doing with its disk."""
 
--- a/flintfield/coordination/stored.py
+++ b/flintfield/coordination/stored.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from flintfield.coordination.model import NO_BALLOT, NOWHERE, Ballot, Position
-from flintfield.transport.records import record
+from flintfield.transport.records import encode, record
 
 IDENTITY_KEY = b"c/identity"
 FOUNDING_KEY = b"c/founding"
@@ -48,3 +48,8 @@
     boot: int = 0
     position: Position = NOWHERE
     holder: int = 0
+
+
+def format_store(identity: int, founding: bool) -> list[tuple[bytes, bytes]]:
+    """The first records of a store that was found empty; they must be durable before the replica is made."""
+    return [(IDENTITY_KEY, encode(StoredIdentity(identity, founding)))]
--- a/flintfield/jobs/admission.py
+++ b/flintfield/jobs/admission.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from flintfield.jobs.model import Terms
+from flintfield.jobs.terms import Terms
 from flintfield.jobs.queues import ServiceQueue
 from flintfield.jobs.state import DispatcherState
 
--- a/flintfield/jobs/durable.py
+++ b/flintfield/jobs/durable.py
@@ -15,7 +15,8 @@
 
 from dataclasses import dataclass
 
-from flintfield.jobs.model import Run, Task, Terms
+from flintfield.jobs.model import Run, Task
+from flintfield.jobs.terms import Terms
 from flintfield.jobs.states import TaskState
 from flintfield.transport.records import encode, record
 
--- a/flintfield/jobs/intake.py
+++ b/flintfield/jobs/intake.py
@@ -17,7 +17,8 @@
 from flintfield.jobs.ends import Ends
 from flintfield.jobs.events import Answer, CallArrived, Configuration, Route
 from flintfield.jobs.messages import JobCall, Method
-from flintfield.jobs.model import Job, Terms
+from flintfield.jobs.model import Job
+from flintfield.jobs.terms import Terms
 from flintfield.jobs.readiness import Readiness
 from flintfield.jobs.recorder import Happening
 from flintfield.jobs.state import DispatcherState
--- a/flintfield/jobs/model.py
+++ b/flintfield/jobs/model.py
@@ -21,20 +21,10 @@
     RunState,
     TaskState,
 )
+from flintfield.jobs.terms import Terms
 from flintfield.placement.interface import Resources
 
 
-@dataclass(frozen=True, slots=True)
-class Terms:
-    """What the configuration says of a job's queue."""
-
-    service: str
-    priority: int
-    max_attempts: int
-    extension: float
-    target_latency_ms: int
-
-
 @dataclass(slots=True, eq=False)
 class Run:
     """One start of a task on one worker. Its resources count there until it is `CLOSED`."""
--- a/flintfield/jobs/readiness.py
+++ b/flintfield/jobs/readiness.py
@@ -10,7 +10,8 @@
 
 import heapq
 
-from flintfield.jobs.model import Job, Occurrence, Step, Task, Terms, open_occurrence
+from flintfield.jobs.model import Job, Occurrence, Step, Task, open_occurrence
+from flintfield.jobs.terms import Terms
 from flintfield.jobs.state import DispatcherState
 from flintfield.jobs.states import JobState, TaskState
 
--- a/flintfield/observe/status.py
+++ b/flintfield/observe/status.py
@@ -9,7 +9,8 @@
 from flintfield import __version__ as RELEASE
 from flintfield.coordination.messages import KnownLeader
 from flintfield.coordination.storage.format import entry_bytes
-from flintfield.coordination.storage.store import RingStore, content_bound
+from flintfield.coordination.storage.compaction import content_bound
+from flintfield.coordination.storage.store import RingStore
 from flintfield.observe.messages import Counter, ProcessStatus, ReplicaStatus, StoreStatus
 from flintfield.observe.process import UNKNOWN, ProcessObserver
 from flintfield.observe.replica_store import replica_status
--- a/flintfield/programs/scheduler.py
+++ b/flintfield/programs/scheduler.py
@@ -21,7 +21,8 @@
 from flintfield.control.view import ConfigurationView
 from flintfield.coordination.node import CoreNode
 from flintfield.coordination.storage import KeyedStore, MemoryStore, open_store
-from flintfield.coordination.storage.store import RingStore, content_bound
+from flintfield.coordination.storage.compaction import content_bound
+from flintfield.coordination.storage.store import RingStore
 from flintfield.dispatch.service import DispatchService
 from flintfield.ingress.link import DispatcherLink
 from flintfield.ingress.server import IngressServer
--- a/flintfield/simulation/explore/core_changes.py
+++ b/flintfield/simulation/explore/core_changes.py
@@ -13,9 +13,8 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Hashable, Iterable, Iterator
+from collections.abc import Hashable, Iterator
 from dataclasses import dataclass, replace
-from functools import lru_cache
 from typing import Any
 
 from flintfield.coordination.messages import (
@@ -26,18 +25,24 @@
     Change,
     EpochPromised,
     Install,
-    Pair,
     Prepare,
     PrepareEpoch,
     Promised,
 )
-from flintfield.coordination.model import NO_BALLOT, Ballot, CoreSet, Member, Position, Register, ordered
-from flintfield.coordination.replica import Replica, format_store
+from flintfield.coordination.model import NO_BALLOT, Ballot, CoreSet, Position, Register, ordered
 from flintfield.coordination.stored import ITEM_PREFIX
 from flintfield.coordination.transfer import EMPTY, WholeState, choose
+from flintfield.simulation.explore import stored_replicas
+from flintfield.simulation.explore.stored_replicas import (
+    Stored,
+    activated,
+    formatted,
+    items_of,
+    learned,
+    step,
+)
 from flintfield.transport.records import decode, encode
 
-Stored = tuple[tuple[bytes, bytes], ...]
 Few = tuple[int, ...]
 LATER_MS = 100_000  # after all guards: what time allows is allowed
 
@@ -62,56 +67,6 @@
     items: frozenset[bytes]
 
 
-def _member(slot: int) -> Member:
-    return Member(f"m{slot}", f"10.0.0.{slot}:7000", "z", slot + 1)
-
-
-def _replica(stored: Stored) -> Replica:
-    return Replica(dict(stored), 0, lambda: 0)
-
-
-def _after(stored: Stored, changes: Iterable[Pair], replacement: Any = None) -> Stored:
-    items = dict(stored)
-    if replacement is not None:
-        items = {key: value for key, value in items.items() if not key.startswith(ITEM_PREFIX)}
-        items.update(replacement)
-    for key, value in changes:
-        if value is None:
-            items.pop(key, None)
-        else:
-            items[key] = value
-    return tuple(sorted(items.items()))
-
-
-@lru_cache(maxsize=400_000)
-def _step(stored: Stored, message: Any) -> tuple[Stored, Any]:
-    """What a replica with these records stores and answers."""
-    done = _replica(stored).step(LATER_MS, message)
-    return _after(stored, done.changes, done.replacement), done.reply
-
-
-@lru_cache(maxsize=400_000)
-def _serving(stored: Stored) -> int:
-    """The version of the set that it serves; 0: none."""
-    serving = _replica(stored).serving
-    return serving.version if serving is not None else 0
-
-
-@lru_cache(maxsize=400_000)
-def _position(stored: Stored) -> Position:
-    return _replica(stored).follower.order.position
-
-
-def forget_steps() -> None:
-    """Drop what was remembered of the replicas' steps: another fault is planted now."""
-    for remembered in (_step, _serving, _position):
-        remembered.cache_clear()
-
-
-def _items(stored: Stored) -> frozenset[bytes]:
-    return frozenset(key[len(ITEM_PREFIX) :] for key, _ in stored if key.startswith(ITEM_PREFIX))
-
-
 @dataclass(frozen=True)
 class CoreWorld:
     """A state. Slots: the first members, the planned newcomer, the new life of the one that lost its disk.
@@ -139,9 +94,9 @@
         for version in {core.version for core in self.sets}:
             for few in self._majorities(version):
                 if self.elections < self.limits.elections:
-                    names.append(f"elect {version} {_told(few)}")
+                    names.append(f"elect {version} {_listed(few)}")
                 if self.writes < self.limits.writes:
-                    names.append(f"write {version} {_told(few)}")
+                    names.append(f"write {version} {_listed(few)}")
             for slot in self._servers(version):
                 if self.writes < self.limits.writes:
                     names.append(f"write {version} {slot}")
@@ -199,8 +154,8 @@
     def _lost(self) -> str:
         for core in self.sets:
             for few in self._majorities(core.version):
-                best = max((self.replicas[slot] for slot in few), key=_position)
-                missing = self.committed - _items(best)
+                best = max((self.replicas[slot] for slot in few), key=stored_replicas.position)
+                missing = self.committed - items_of(best)
                 if missing:
                     return f"a majority {few} of set {core.version} lacks {sorted(missing)}"
         return ""
@@ -216,7 +171,7 @@
         stopped = self
         for slot in self._alive():
             stopped = stopped._learn(slot)
-        told = {slot + 1: _step(stopped.replicas[slot], AskState(0))[1] for slot in stopped._alive()}
+        told = {slot + 1: step(stopped.replicas[slot], AskState(0), LATER_MS)[1] for slot in stopped._alive()}
         if newest.version > 1 and choose(newest, told) is None:
             return f"no state is sufficient for set {newest.version}"
         return ""
@@ -238,7 +193,8 @@
         return [
             slot
             for slot in self._alive()
-            if core.member(slot + 1) is not None and _serving(self.replicas[slot]) == version
+            if core.member(slot + 1) is not None
+            and stored_replicas.serving_version(self.replicas[slot]) == version
         ]
 
     def _majorities(self, version: int) -> Iterator[Few]:
@@ -262,8 +218,8 @@
             world, reply = world._ask(slot, PrepareEpoch(version, epoch, candidate, epoch, False))
             if not isinstance(reply, EpochPromised):
                 return world
-        best = max((world.replicas[slot] for slot in few), key=_position)
-        world = replace(world, term=Term(epoch, 0, _items(best)))
+        best = max((world.replicas[slot] for slot in few), key=stored_replicas.position)
+        world = replace(world, term=Term(epoch, 0, items_of(best)))
         return world._install(version, few)[0]
 
     def _write(self, version: int, few: Few) -> CoreWorld:
@@ -294,12 +250,12 @@
         agreeing = [slot for slot in self._alive() if self._takes_part(slot, newest)]
         for number in range(len(self._successors())):
             for few in itertools.combinations(agreeing, newest.majority):
-                yield f"propose {number} {_told(few)} {_told(few)}"
+                yield f"propose {number} {_listed(few)} {_listed(few)}"
                 if self.unfinished < self.limits.unfinished:
-                    yield f"propose {number} {_told(few)} {few[0]}"
+                    yield f"propose {number} {_listed(few)} {few[0]}"
 
     def _takes_part(self, slot: int, core: CoreSet) -> bool:
-        replica = _replica(self.replicas[slot])
+        replica = stored_replicas.replica(self.replicas[slot])
         return replica.active == core and core.member(slot + 1) is not None
 
     def _successors(self) -> list[CoreSet]:
@@ -335,25 +291,25 @@
         return replace(world, sets=(*world.sets, decode(value)))
 
     def _may_learn(self, slot: int) -> bool:
-        known = _replica(self.replicas[slot]).newest
+        known = stored_replicas.replica(self.replicas[slot]).newest
         return known is not None and known.version < self.sets[-1].version
 
     def _learn(self, slot: int) -> CoreWorld:
-        changes = _replica(self.replicas[slot]).learn(self.sets[-1])
-        return self._put({slot: _after(self.replicas[slot], changes)})
+        return self._put({slot: learned(self.replicas[slot], self.sets[-1])})
 
     def _joiners(self) -> list[int]:
         newest = self.sets[-1]
         return [
             slot
             for slot in self._alive()
-            if newest.member(slot + 1) is not None and _replica(self.replicas[slot]).active != newest
+            if newest.member(slot + 1) is not None
+            and stored_replicas.replica(self.replicas[slot]).active != newest
         ]
 
     def _sources(self, slot: int) -> list[tuple[int, WholeState]]:
         """The states with which that replica may become active: from any sufficient few."""
         newest = self.sets[-1]
-        answers = {each + 1: _step(self.replicas[each], AskState(0))[1] for each in self._alive()}
+        answers = {each + 1: step(self.replicas[each], AskState(0), LATER_MS)[1] for each in self._alive()}
         found: dict[tuple[int, Any], tuple[int, WholeState]] = {}
         for size in (1, len(newest.previous) // 2 + 1):
             for few in itertools.combinations(sorted(answers), size):
@@ -366,18 +322,17 @@
         source, state = self._sources(slot)[number]
         items = [pair for pair in self.replicas[source] if pair[0].startswith(ITEM_PREFIX)]
         state = replace(state, items=items)
-        done = _replica(self.replicas[slot]).activate(LATER_MS, self.sets[-1], state)
-        return self._put({slot: _after(self.replicas[slot], done.changes, done.replacement)})
+        return self._put({slot: activated(self.replicas[slot], self.sets[-1], state, LATER_MS)})
 
     def _wipe(self, slot: int) -> CoreWorld:
         """The disk is lost; the machine comes back as another replica."""
         reborn = self.limits.size + 1
-        return self._put({slot: (), reborn: _after((), format_store(reborn + 1, False))}, wiped=slot)
+        return self._put({slot: (), reborn: formatted(reborn, False)}, wiped=slot)
 
     # Messages.
 
     def _ask(self, slot: int, message: Any) -> tuple[CoreWorld, Any]:
-        stored, reply = _step(self.replicas[slot], message)
+        stored, reply = step(self.replicas[slot], message, LATER_MS)
         return self._put({slot: stored}), reply
 
     def _put(self, stored: dict[int, Stored], **changes: Any) -> CoreWorld:
@@ -385,23 +340,26 @@
         return replace(self, replicas=replicas, **changes)
 
 
-def _told(few: Few) -> str:
+def _listed(few: Few) -> str:
     return ",".join(map(str, few))
 
 
 def _replaced(core: CoreSet, old: int, new: int) -> CoreSet:
     members = [member for member in core.members if member.identity != old + 1]
-    return CoreSet(core.version + 1, ordered([*members, _member(new)]), core.founded_size, core.members)
+    return CoreSet(
+        core.version + 1, ordered([*members, stored_replicas.member(new)]), core.founded_size, core.members
+    )
 
 
 def core_world(limits: Limits) -> CoreWorld:
     """The state that everything begins with: set 1 serves under its first leader, the newcomer is there."""
-    first = CoreSet(1, ordered([_member(slot) for slot in range(limits.size)]), limits.size, ())
+    first = CoreSet(
+        1, ordered([stored_replicas.member(slot) for slot in range(limits.size)]), limits.size, ()
+    )
     replicas: list[Stored] = []
     for slot in range(limits.size + 1):
-        formatted = _after((), format_store(slot + 1, slot < limits.size))
-        activated = _replica(formatted).activate(0, first, EMPTY) if slot < limits.size else None
-        replicas.append(_after(formatted, activated.changes) if activated is not None else formatted)
+        stored = formatted(slot, slot < limits.size)
+        replicas.append(activated(stored, first, EMPTY, 0) if slot < limits.size else stored)
     world = CoreWorld(limits, (*replicas, ()), (first,), Term(0, 0, frozenset()))
     elected = world._elect(1, tuple(range(first.majority)))
     return replace(elected, elections=0)
--- a/flintfield/simulation/explore/register.py
+++ b/flintfield/simulation/explore/register.py
@@ -13,58 +13,30 @@
 import itertools
 from collections.abc import Hashable, Iterator
 from dataclasses import dataclass, replace
-from functools import lru_cache
 from typing import Any
 
 from flintfield.coordination.attempt import Attempt, Phase
 from flintfield.coordination.messages import AskState
-from flintfield.coordination.model import Ballot, CoreSet, Member, Register, ordered
-from flintfield.coordination.replica import Replica, format_store
+from flintfield.coordination.model import Ballot, CoreSet, Register, ordered
 from flintfield.coordination.transfer import EMPTY, WholeState, choose
+from flintfield.simulation.explore import stored_replicas
+from flintfield.simulation.explore.stored_replicas import Stored, step
 from flintfield.transport.records import decode, encode
 
-Stored = tuple[tuple[bytes, bytes], ...]
 REPLICAS = 4
+NOW_MS = 0  # no time passes in this world
 MOST_TRIES = 2  # of each process
 
 
-def _member(index: int) -> Member:
-    return Member(f"m{index}", f"10.0.0.{index}:7000", "z", index + 1)
-
-
-FIRST = CoreSet(1, ordered([_member(0), _member(1), _member(2)]), 3, ())
-SECOND = CoreSet(2, ordered([_member(0), _member(1), _member(3)]), 3, FIRST.members)
-
-
-def _replica(stored: Stored) -> Replica:
-    return Replica(dict(stored), 0, lambda: 0)
-
-
-def _changed(stored: Stored, changes: Any) -> Stored:
-    items = dict(stored)
-    for key, value in changes:
-        if value is None:
-            items.pop(key, None)
-        else:
-            items[key] = value
-    return tuple(sorted(items.items()))
-
-
-@lru_cache(maxsize=200_000)
-def step(stored: Stored, message: Any) -> tuple[Stored, Any]:
-    """What a replica with these records stores and answers."""
-    done = _replica(stored).step(0, message)
-    return _changed(stored, done.changes), done.reply
-
-
-@lru_cache(maxsize=10_000)
-def _activated(stored: Stored, core: CoreSet, state: WholeState) -> Stored:
-    return _changed(stored, _replica(stored).activate(0, core, state).changes)
-
-
-@lru_cache(maxsize=10_000)
-def _learned(stored: Stored, core: CoreSet) -> Stored:
-    return _changed(stored, _replica(stored).learn(core))
+FIRST = CoreSet(
+    1, ordered([stored_replicas.member(0), stored_replicas.member(1), stored_replicas.member(2)]), 3, ()
+)
+SECOND = CoreSet(
+    2,
+    ordered([stored_replicas.member(0), stored_replicas.member(1), stored_replicas.member(3)]),
+    3,
+    FIRST.members,
+)
 
 
 @dataclass(frozen=True)
@@ -160,9 +132,11 @@
             proposer = self.proposers[first].again(newest)
             return self._send(replace(self, proposers=_put(self.proposers, first, proposer)), first)
         if kind == "learn":
-            stored = _learned(self.replicas[first], SECOND)
+            stored = stored_replicas.learned(self.replicas[first], SECOND)
         else:
-            stored = _activated(self.replicas[first], SECOND, self._sources(first)[rest[0]])
+            stored = stored_replicas.activated(
+                self.replicas[first], SECOND, self._sources(first)[rest[0]], NOW_MS
+            )
         return replace(self, replicas=_put(self.replicas, first, stored))
 
     def key(self) -> Hashable:
@@ -186,7 +160,7 @@
         """Every majority of a set that is active has accepted the newest committed value."""
         newest = max(self.committed, key=len, default=b"")
         for core in (FIRST, SECOND):
-            states = [_replica(self.replicas[member.identity - 1]) for member in core.members]
+            states = [stored_replicas.replica(self.replicas[member.identity - 1]) for member in core.members]
             active = [state for state in states if state.serving == core]
             for few in itertools.combinations(active, core.majority):
                 best = max(few, key=lambda state: state.configuration.accepted).configuration.value or b""
@@ -210,12 +184,12 @@
         proposer = self.proposers[index]
         if message.ballot == proposer.attempt.ballot and not proposer.done:
             return True
-        return step(self.replicas[replica], message)[0] != self.replicas[replica]
+        return step(self.replicas[replica], message, NOW_MS)[0] != self.replicas[replica]
 
     def _deliver(self, number: int) -> RegisterWorld:
         request = self._requests()[number]
         index, replica, message = request
-        stored, reply = step(self.replicas[replica], message)
+        stored, reply = step(self.replicas[replica], message, NOW_MS)
         world = replace(
             self, requests=self.requests - {request}, replicas=_put(self.replicas, replica, stored)
         )
@@ -248,12 +222,12 @@
     # The change of the set.
 
     def _may_learn(self, index: int) -> bool:
-        newest = _replica(self.replicas[index]).newest
+        newest = stored_replicas.replica(self.replicas[index]).newest
         return newest is None or newest.version < SECOND.version
 
     def _sources(self, index: int) -> list[WholeState]:
         """The states with which that replica may become active: from any sufficient few that it reaches."""
-        own = _replica(self.replicas[index])
+        own = stored_replicas.replica(self.replicas[index])
         if own.newest is None or own.newest.version < 2:
             return []
         if own.active is not None and own.active.version == 2:
@@ -266,7 +240,7 @@
         return list(found)
 
     def _told(self) -> Iterator[dict[int, Any]]:
-        answers = {index + 1: step(self.replicas[index], AskState(0))[1] for index in range(REPLICAS)}
+        answers = {index + 1: step(self.replicas[index], AskState(0), NOW_MS)[1] for index in range(REPLICAS)}
         for size in (1, 2):
             for few in itertools.combinations(answers, size):
                 yield {identity: answers[identity] for identity in few}
@@ -287,8 +261,8 @@
     """
     stored = []
     for index in range(REPLICAS):
-        formatted = _changed((), format_store(index + 1, True))
-        stored.append(_activated(formatted, FIRST, EMPTY) if index < 3 else formatted)
+        formatted = stored_replicas.formatted(index, True)
+        stored.append(stored_replicas.activated(formatted, FIRST, EMPTY, NOW_MS) if index < 3 else formatted)
     proposers = [_first_try("ab"[number], Register.CONFIGURATION) for number in range(appenders)]
     proposers.append(_first_try("successor", Register.SUCCESSOR))
     world = RegisterWorld(tuple(stored), tuple(proposers), frozenset())
--- a/flintfield/transport/codecs.py
+++ b/flintfield/transport/codecs.py
@@ -15,24 +15,14 @@
 import typing
 from collections.abc import Callable
 
-WriteValue = Callable[[typing.Any, bytearray], None]
-ReadValue = Callable[[bytes, int], tuple[typing.Any, int]]  # bytes and position; value and position behind it
+from flintfield.transport.plain_codecs import LENGTH, PLAIN, ReadValue, ValueCodec, WriteValue, slice_of
+
 ReadWhole = Callable[[bytes, int, int], typing.Any]  # bytes, start and end
 
-_NUMBER = struct.Struct("<q")
-_DOUBLE = struct.Struct("<d")
-_LENGTH = struct.Struct("<I")
 
 FIXED: dict[object, str] = {int: "q", float: "d", bool: "?"}  # types of a fixed size and their `struct` codes
 
 
-class ValueCodec(typing.NamedTuple):
-    """How a value is appended to bytes, and read from a position in them."""
-
-    write: WriteValue
-    read: ReadValue
-
-
 class DataclassCodec(typing.NamedTuple):
     """How the fields of a dataclass are appended to bytes, and read from the bytes between two positions."""
 
@@ -54,77 +44,17 @@
 # Values.
 
 
-def _slice(data: bytes, at: int) -> tuple[int, int]:
-    (length,) = _LENGTH.unpack_from(data, at)
-    start = at + _LENGTH.size
-    if start + length > len(data):
-        raise ValueError(f"a length of {length} beyond the end")
-    return start, start + length
-
-
-def _write_int(value: int, out: bytearray) -> None:
-    out += _NUMBER.pack(value)
-
-
-def _read_int(data: bytes, at: int) -> tuple[int, int]:
-    return _NUMBER.unpack_from(data, at)[0], at + 8
-
-
-def _write_float(value: float, out: bytearray) -> None:
-    out += _DOUBLE.pack(value)
-
-
-def _read_float(data: bytes, at: int) -> tuple[float, int]:
-    return _DOUBLE.unpack_from(data, at)[0], at + 8
-
-
-def _write_bool(value: bool, out: bytearray) -> None:
-    out.append(1 if value else 0)
-
-
-def _read_bool(data: bytes, at: int) -> tuple[bool, int]:
-    return data[at] != 0, at + 1
-
-
-def _write_text(value: str, out: bytearray) -> None:
-    _write_raw(value.encode(), out)
-
-
-def _read_text(data: bytes, at: int) -> tuple[str, int]:
-    start, end = _slice(data, at)
-    return data[start:end].decode(), end
-
-
-def _write_raw(value: bytes, out: bytearray) -> None:
-    out += _LENGTH.pack(len(value))
-    out += value
-
-
-def _read_raw(data: bytes, at: int) -> tuple[bytes, int]:
-    start, end = _slice(data, at)
-    return data[start:end], end
-
-
-_PLAIN: dict[object, ValueCodec] = {
-    int: ValueCodec(_write_int, _read_int),
-    float: ValueCodec(_write_float, _read_float),
-    bool: ValueCodec(_write_bool, _read_bool),
-    str: ValueCodec(_write_text, _read_text),
-    bytes: ValueCodec(_write_raw, _read_raw),
-}
-
-
 def _many(item: ValueCodec) -> ValueCodec:
     write_item, read_item = item
 
     def write(values: tuple[typing.Any, ...], out: bytearray) -> None:
-        out += _LENGTH.pack(len(values))
+        out += LENGTH.pack(len(values))
         for value in values:
             write_item(value, out)
 
     def read(data: bytes, at: int) -> tuple[tuple[typing.Any, ...], int]:
-        (count,) = _LENGTH.unpack_from(data, at)
-        at += _LENGTH.size
+        (count,) = LENGTH.unpack_from(data, at)
+        at += LENGTH.size
         if count > len(data) - at:  # no item is smaller than a byte
             raise ValueError(f"a count of {count} beyond the end")
         values = []
@@ -164,18 +94,18 @@
         at = len(out)
         out += b"\0\0\0\0"
         codec_of(kind).write(value, out)
-        _LENGTH.pack_into(out, at, len(out) - at - _LENGTH.size)
+        LENGTH.pack_into(out, at, len(out) - at - LENGTH.size)
 
     def read(data: bytes, at: int) -> tuple[typing.Any, int]:
-        start, end = _slice(data, at)
+        start, end = slice_of(data, at)
         return codec_of(kind).read(data, start, end), end
 
     return ValueCodec(write, read)
 
 
 def _value_codec(annotation: typing.Any) -> ValueCodec:
-    if annotation in _PLAIN:
-        return _PLAIN[annotation]
+    if annotation in PLAIN:
+        return PLAIN[annotation]
     origin, arguments = typing.get_origin(annotation), typing.get_args(annotation)
     if origin is tuple and len(arguments) == 2 and arguments[1] is Ellipsis:
         return _many(_value_codec(arguments[0]))
--- a/tests/system/test_coordination_exhaustive.py
+++ b/tests/system/test_coordination_exhaustive.py
@@ -34,9 +34,9 @@
     StateAnswer,
 )
 from flintfield.coordination.model import Ballot, CoreSet, Member, Position, Register
-from flintfield.coordination.replica import Replica, format_store
+from flintfield.coordination.replica import Replica
 from flintfield.coordination.step import Step
-from flintfield.coordination.stored import ACTIVE_KEY, ITEM_PREFIX, KNOWN_KEY
+from flintfield.coordination.stored import format_store, ACTIVE_KEY, ITEM_PREFIX, KNOWN_KEY
 from flintfield.coordination.transfer import WholeState, choose
 from flintfield.transport.records import decode, encode
 
--- a/tests/system/test_jobs_long_history.py
+++ b/tests/system/test_jobs_long_history.py
@@ -8,7 +8,7 @@
 from unittest import mock
 
 from flintfield.coordination.storage.format import entry_bytes
-from flintfield.coordination.storage.store import content_bound
+from flintfield.coordination.storage.compaction import content_bound
 from flintfield.jobs import durable
 from flintfield.jobs.messages import JobAnswer, Method
 from flintfield.programs.scheduler import MEGABYTE, dispatcher_bounds
--- a/tests/system/test_observe_history.py
+++ b/tests/system/test_observe_history.py
@@ -8,7 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from flintfield.jobs.model import Job, Terms
+from flintfield.jobs.model import Job
+from flintfield.jobs.terms import Terms
 from flintfield.jobs.recorder import Happening
 from flintfield.observe import history
 from flintfield.observe.history import EVENT, EVENTS_KEPT, MOST_JOBS, JobHistory, Notes
--- a/tests/system/test_simulation_planted.py
+++ b/tests/system/test_simulation_planted.py
@@ -8,7 +8,7 @@
 import pytest
 
 from flintfield.coordination.stored import ACTIVE_KEY, IDENTITY_KEY, KNOWN_KEY
-from flintfield.simulation.explore import core_changes, register
+from flintfield.simulation.explore import core_changes, register, stored_replicas
 from flintfield.simulation.explore.explorer import Explored, explore
 from flintfield.simulation.explore.takeover import Budget, TakeoverWorld
 from flintfield.simulation.history import play
@@ -60,12 +60,10 @@
     """Every order of events, to a depth."""
 
     def setUp(self) -> None:
-        core_changes.forget_steps()
-        register.step.cache_clear()
+        stored_replicas.forget_steps()
 
     def tearDown(self) -> None:
-        core_changes.forget_steps()
-        register.step.cache_clear()
+        stored_replicas.forget_steps()
 
     def _register(self, depth: int, prepared: bool = False) -> Explored:
         return explore(register.register_world(1, prepared), depth)
