--- a/flintfield/lab/sockets/commands.py
+++ b/flintfield/lab/sockets/commands.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import random
+import signal
 from typing import TYPE_CHECKING
 
 import click
@@ -38,14 +38,17 @@
     except (FaultError, ValueError) as error:
         raise BadInput(f"lab proxy: {error}") from error
     chosen: Choose | list[AnyFault] = given if share is None else share_of(share, given, random.Random(seed))
-    with contextlib.suppress(KeyboardInterrupt):
-        asyncio.run(_serve(places[0], places[1], chosen))
+    asyncio.run(_serve(places[0], places[1], chosen))
 
 
 async def _serve(target: tuple[str, int], listen: tuple[str, int], chosen: Choose | list[AnyFault]) -> None:
     from flintfield.lab.sockets.addresses import text
     from flintfield.lab.sockets.proxy import Proxy
 
+    # Our own handlers: a process that a shell started in the background inherits that SIGINT is ignored.
+    ended, loop = asyncio.Event(), asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, ended.set)
     proxy = Proxy(target, chosen, listen)
     try:
         await proxy.start()
@@ -53,6 +56,6 @@
         raise BadInput(f"lab proxy: --listen {text(listen)}: {error.strerror}") from error
     print(f"{text(proxy.address)} -> {text(target)}", flush=True)
     try:
-        await asyncio.Event().wait()
+        await ended.wait()
     finally:
         await proxy.stop()
--- a/tests/test_membership_paths.py
+++ b/tests/test_membership_paths.py
@@ -67,6 +67,21 @@
     assert told[-1] == "we are heard again" and "we are isolated" in told
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_two_that_are_cut_off_from_three_doubt_each_of_them(seed: int) -> None:
+    """The cut of the fleet trial `cut+kill`, in virtual time; the latest of 400 seeds doubted after 4.7 s."""
+    world = World(seed, Rules(probe_ms=200, timeout_ms=100))
+    parties = world.settled(5)
+    world.run(4_000)
+    for party in parties[3:]:
+        party.side = 1
+    world.run(5_500)
+    for party in parties[3:]:
+        entries = party.state.table.entries
+        assert all(entries[name].status is not Status.ALIVE for name in ("m0", "m1", "m2"))
+        assert entries["m3" if party.name == "m4" else "m4"].status is Status.ALIVE
+
+
 def test_one_that_nobody_hears_knows_it_from_one_that_hears_nobody() -> None:
     for case, word in (("mute", "unheard"), ("deaf", "isolated")):
         world = World(4, RULES)
