--- a/flintfield/control/operator.py
+++ b/flintfield/control/operator.py
@@ -2,7 +2,8 @@
 
 An order is acknowledged once the register says that it is committed. It is refused only where it can never
 come into force: `change` returned a value without it, or it is invalid whatever it builds on. Everything else
-(no quorum, no answer in time) is left without a clear answer, and the operator repeats the order.
+(no quorum, no answer in time) is left without a clear answer, and the operator repeats the order. A process
+without a replica forwards orders to one (`forwarding`).
 """
 
 from __future__ import annotations
@@ -14,6 +15,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from flintfield.control.forwarding import NoReplicaTakes, OrderForwarder, unpack
+from flintfield.control.messages import ForwardedAnswer, ForwardedOrder, Kind
 from flintfield.control.stored import UnknownFormat, decode_stored
 
 if typing.TYPE_CHECKING:
@@ -22,6 +25,7 @@
 _log = logging.getLogger(__name__)
 
 CALL_DEADLINE_S = 1.5  # the operator moves on after a second of silence; what is later helps nobody
+MAX_BODY_BYTES = 4 * 1024 * 1024  # of an order: about 19,000 routes of the printed form
 MAX_CALLS = 32  # at once; the operators have at most eight orders under way, and repeat them
 
 
@@ -52,28 +56,59 @@
     invalid: int = 0
     in_doubt: int = 0
     overload: int = 0
+    forwarded: int = 0  # to a replica, whose answer is counted there
+    taken_for_others: int = 0  # from a process without a replica
 
 
 class OperatorService:
-    """Takes orders and reads for one process."""
-
-    def __init__(self, node: RegisterNode, deadline_s: float = CALL_DEADLINE_S) -> None:
+    """Takes orders and reads for one process; without a replica, `forwarder` hands orders on."""
+
+    def __init__(
+        self,
+        node: RegisterNode,
+        deadline_s: float = CALL_DEADLINE_S,
+        *,
+        forwarder: OrderForwarder | None = None,
+    ) -> None:
         self.counters = OperatorCounters()
         self._node = node
+        self._forwarder = forwarder
         self._deadline_s = deadline_s
         self._calls = 0
 
     async def replace(self, base_version: str | None, body: bytes) -> Answer:
         """Take a whole configuration."""
-        from flintfield.control import orders
-
-        return await self._order(orders.Kind.REPLACE, base_version, body)
+        return await self._take(Kind.REPLACE, base_version, body)
 
     async def update(self, base_version: str | None, body: bytes) -> Answer:
         """Take a change of named items."""
-        from flintfield.control import orders
-
-        return await self._order(orders.Kind.UPDATE, base_version, body)
+        return await self._take(Kind.UPDATE, base_version, body)
+
+    async def take_forwarded(self, order: ForwardedOrder) -> ForwardedAnswer:
+        """Take an order that came to a process without a replica; it is forwarded once only."""
+        self.counters.taken_for_others += 1
+        if self._forwarder is not None:
+            answer = self._doubt(503, "there is no replica here")
+        else:
+            body = unpack(order, MAX_BODY_BYTES)
+            if body is None:
+                self.counters.invalid += 1
+                answer = _error(400, "the body can't be unpacked")
+            else:
+                answer = await self._order(order.kind, order.base_version, body)
+        return ForwardedAnswer(answer.status, answer.body)
+
+    async def _take(self, kind: Kind, base_version: str | None, body: bytes) -> Answer:
+        if self._forwarder is not None:
+            try:
+                self.counters.forwarded += 1
+                forwarded = await self._forwarder.forward(kind, base_version, body)
+            except NoReplicaTakes:
+                return await self._order(kind, base_version, body)
+            if forwarded is None:
+                return self._doubt(504, "no replica answered in time")
+            return Answer(forwarded.status, forwarded.body)
+        return await self._order(kind, base_version, body)
 
     async def read(self) -> Answer:
         """The newest configuration, as the operator would have sent it."""
@@ -91,7 +126,7 @@
         except UnknownFormat as error:
             return self._doubt(503, f"a later release wrote the configuration: {error}")
 
-    async def _order(self, kind: orders.Kind, base_version: str | None, body: bytes) -> Answer:
+    async def _order(self, kind: Kind, base_version: str | None, body: bytes) -> Answer:
         from flintfield.control import documents, orders
 
         try:
--- a/flintfield/control/orders.py
+++ b/flintfield/control/orders.py
@@ -20,19 +20,13 @@
 from dataclasses import dataclass
 
 from flintfield.control import documents
+from flintfield.control.messages import Kind
 from flintfield.control.stored import NOTHING_STORED, StoredConfiguration, decode_stored, encode_stored
 
 REMEMBERED_ORDERS = 128  # 12 s of changes at 10 a second; an operator repeats an order for seconds
 DIGEST_BYTES = 16  # kept of each; former releases kept 32, of which the first ones are compared
 
 
-class Kind(enum.IntEnum):
-    """What an order does with the configuration."""
-
-    REPLACE = 1
-    UPDATE = 2
-
-
 @dataclass(frozen=True, slots=True)
 class Order:
     """A checked order. `digest` tells it from every other one."""
--- a/flintfield/control/server.py
+++ b/flintfield/control/server.py
@@ -8,14 +8,16 @@
 
 from tornado.httputil import HTTPServerRequest
 
-from flintfield.control.operator import Answer, OperatorService, RegisterNode
+from flintfield.control.forwarding import OrderForwarder
+from flintfield.control.messages import ForwardedOrder
+from flintfield.control.operator import MAX_BODY_BYTES, Answer, OperatorService, RegisterNode
 from flintfield.runtime.errors import ErrorKind, answer, retry_after_header
 from flintfield.runtime.settings import NodeSettings
+from flintfield.transport.rpc import Handlers
 from flintfield.transport.http import BoundedServer, ServerLimits, respond, start_server
 
 _log = logging.getLogger(__name__)
 
-MAX_BODY_BYTES = 4 * 1024 * 1024  # about 19,000 routes of the printed form
 # Up to here a body that is too large is read, so that the 413 is seen
 READ_BODY_BYTES = MAX_BODY_BYTES + 1024 * 1024
 MAX_CONNECTIONS = 64
@@ -28,8 +30,10 @@
 class ControlServer:
     """The listener for the operator."""
 
-    def __init__(self, settings: NodeSettings, node: RegisterNode) -> None:
-        self.service = OperatorService(node)
+    def __init__(
+        self, settings: NodeSettings, node: RegisterNode, forwarder: OrderForwarder | None = None
+    ) -> None:
+        self.service = OperatorService(node, forwarder=forwarder)
         self.port = 0
         self._settings = settings
         self._server: BoundedServer | None = None
@@ -40,6 +44,10 @@
             "/-/Config.Read": ("GET", self._read),
         }
 
+    def handlers(self) -> Handlers:
+        """The handlers for the process's RPC server."""
+        return {ForwardedOrder: lambda order, _: self.service.take_forwarded(order)}
+
     async def start(self) -> None:
         """Listen; raises `OSError`. Without an address in the settings, nothing is served."""
         address = self._settings.listen.control
--- a/flintfield/control/stored.py
+++ b/flintfield/control/stored.py
@@ -1,8 +1,9 @@
 """The record that the configuration register holds.
 
-The document is packed (RFC 1950) where that makes it shorter: each change carries it several times to and
-from every replica, and a proposer's link may be as narrow as 2 Mbit/s. A JSON object begins with "{", a
-packed one never does.
+The document is packed (RFC 1950) where that makes it shorter, for links may be as narrow as 2 Mbit/s. A JSON
+object begins with "{", a packed one never does. It is packed in pieces that don't build on one another, cut
+where the content says so: what a change leaves as it was is packed into the same bytes as before, wherever it
+stands, and the difference to the value before is short (`coordination.delta`).
 """
 
 from __future__ import annotations
@@ -16,6 +17,8 @@
 
 FORMAT = 2  # a higher one was written by a later release, and is not read; 1 had no packed documents
 PACK_LEVEL = 6  # zlib's default; a document of 10 kB takes less than 1 ms
+ITEM_END = b"},"  # of an item of a list
+ITEMS_A_PIECE = 128  # on average: longer pieces pack better, shorter ones make shorter differences
 MOST_DOCUMENT_BYTES = 8 * 1024 * 1024  # unpacked; far above what the operator's API takes in
 
 
@@ -52,7 +55,7 @@
     version: int, document: bytes, taken: tuple[bytes, ...], taken_bases: tuple[int, ...]
 ) -> bytes:
     """The value of the register for this JSON document."""
-    packed = zlib.compress(document, PACK_LEVEL)
+    packed = _pack(document)
     shorter = packed if len(packed) < len(document) else document
     return records.encode(StoredConfiguration(FORMAT, version, shorter, taken, taken_bases))
 
@@ -70,6 +73,19 @@
     return replace(stored, document=_unpack(stored.document))
 
 
+def _pack(document: bytes) -> bytes:
+    """The document, packed in pieces: a piece ends after an item whose checksum says so."""
+    packer = zlib.compressobj(PACK_LEVEL)
+    packed: list[bytes] = []
+    items = document.split(ITEM_END)
+    for number, item in enumerate(items, start=1):
+        packed.append(packer.compress(item if number == len(items) else item + ITEM_END))
+        if zlib.crc32(item) % ITEMS_A_PIECE == 0:
+            packed.append(packer.flush(zlib.Z_FULL_FLUSH))
+    packed.append(packer.flush())
+    return b"".join(packed)
+
+
 def _unpack(packed: bytes) -> bytes:
     """The document in a packed one; raises `UnknownFormat`."""
     unpacker = zlib.decompressobj()
--- a/flintfield/coordination/contacts.py
+++ b/flintfield/coordination/contacts.py
@@ -21,13 +21,15 @@
 @record(230)
 @dataclass(frozen=True, slots=True)
 class Poll:
-    """Tell what is newer than this; wait up to `hold_ms` for it. `address` is the asker's RPC address."""
+    """Tell what is newer than this; wait up to `hold_ms` for it. `address` is the asker's RPC address.
+    `ballots_only`: leave values out; a replica of the release before tells them all the same."""
 
     core: int
     epoch: int
     accepted: Ballot
     hold_ms: int
     address: str
+    ballots_only: bool = False
 
 
 @record(231)
@@ -37,8 +39,8 @@
 
     `active` is the version of the set it is active in and unsealed (0: none); only then `accepted` counts,
     and `value` is told where `accepted` is not the asker's. `committed` is the highest ballot that is known
-    to be committed, with `committed_value` where it is newer than the asker's. `core` is told where the
-    asker's is older.
+    to be committed, with `committed_value` where it is newer than the asker's. Both values are left out where
+    the asker wants ballots only. `core` is told where the asker's is older.
     """
 
     replica: int
--- a/flintfield/coordination/messages.py
+++ b/flintfield/coordination/messages.py
@@ -1,4 +1,4 @@
-"""What replicas, proposers and leaders say to one another: records 200 to 229.
+"""What replicas and leaders say to one another: records 200 and 210 to 229. Registers: `register_messages`.
 
 Every request names the version of the core set under which it is made (`core`), every answer the replica's
 identity.
@@ -18,8 +18,8 @@
     CoreSet,
     Position,
     Refusal,
-    Register,
 )
+from flintfield.coordination.register_messages import Accept, AcceptDelta, Prepare
 from flintfield.transport.records import record
 
 Pair = tuple[bytes, bytes | None]
@@ -39,59 +39,6 @@
     position: Position = NOWHERE
 
 
-# The registers (CASPaxos).
-
-
-@record(201)
-@dataclass(frozen=True, slots=True)
-class Prepare:
-    """Promise to take nothing below this ballot, and tell what was accepted."""
-
-    core: int
-    register: Register
-    ballot: Ballot
-
-
-@record(202)
-@dataclass(frozen=True, slots=True)
-class Promised:
-    """The promise for `ballot`, with the accepted ballot (`NO_BALLOT`: none) and its value."""
-
-    replica: int
-    ballot: Ballot
-    accepted: Ballot
-    value: bytes | None
-
-
-@record(203)
-@dataclass(frozen=True, slots=True)
-class Accept:
-    """Accept this value."""
-
-    core: int
-    register: Register
-    ballot: Ballot
-    value: bytes | None
-
-
-@record(204)
-@dataclass(frozen=True, slots=True)
-class Accepted:
-    """The value of `ballot` is durable here."""
-
-    replica: int
-    ballot: Ballot
-
-
-@record(205)
-@dataclass(frozen=True, slots=True)
-class Committed:
-    """One-way: the configuration of this ballot was accepted by a majority."""
-
-    ballot: Ballot
-    value: bytes | None
-
-
 # The ordered store.
 
 
@@ -283,6 +230,7 @@
 REPLICA_REQUESTS = (
     Prepare,
     Accept,
+    AcceptDelta,
     PrepareEpoch,
     Heartbeat,
     Adopt,
@@ -292,4 +240,4 @@
     AskState,
     AskPart,
 )
-"""The requests of this module that a replica answers."""
+"""The requests of this module and of `register_messages` that a replica answers."""
--- a/flintfield/coordination/model.py
+++ b/flintfield/coordination/model.py
@@ -122,3 +122,4 @@
     LEASE = 5  # a live leader was heard a moment ago
     GAP = 6  # the batch does not follow the replica's position
     BROKEN = 7  # the replica's store takes nothing
+    LACKS_BASE = 8  # the accepted value is not the one that the difference builds on
--- a/flintfield/coordination/node.py
+++ b/flintfield/coordination/node.py
@@ -16,7 +16,7 @@
     SetDecided,
     WhereIsLeader,
 )
-from flintfield.coordination.messages import Committed, Refused
+from flintfield.coordination.messages import Refused
 from flintfield.coordination.model import (
     Clock,
     CoreSet,
@@ -26,6 +26,7 @@
     NoQuorum,
     Refusal,
 )
+from flintfield.coordination.register_messages import AskValue, BallotCommitted, Committed
 from flintfield.coordination.replica import HANDLED
 from flintfield.coordination.shell.announcing import Announcer
 from flintfield.coordination.shell.changes import CoreChanges
@@ -34,12 +35,14 @@
 from flintfield.coordination.shell.host import ReplicaHost
 from flintfield.coordination.shell.introducing import Introducer
 from flintfield.coordination.shell.knowledge import Knowledge
+from flintfield.coordination.shell.known_values import KnownValues, ValueCounters
 from flintfield.coordination.shell.leading import Leadership
 from flintfield.coordination.shell.newest import Newest
 from flintfield.coordination.shell.peers import Peers
 from flintfield.coordination.shell.poll_responder import PollResponder
-from flintfield.coordination.shell.watcher import Watcher
 from flintfield.coordination.shell.register import Proposer, RegisterClient
+from flintfield.coordination.shell.value_fetch import ValueFetcher
+from flintfield.coordination.shell.watcher import Watcher
 from flintfield.coordination.storage.interface import KeyedStore
 from flintfield.transport.rpc import Connection, Handlers, Pool
 
@@ -81,14 +84,24 @@
         if counts and store is not None:
             self._host = ReplicaHost(store, first_start, self._knowledge, rng, steady_ms, wall_ms)
         self._peers = Peers(pool, self._host)
-        proposer = Proposer(self._peers, rng)
+        self._values = KnownValues(self._newest, self._host)
+        self._fetcher = ValueFetcher(self._peers, self._values, zone, address)
+        proposer = Proposer(self._peers, self._fetcher, rng)
         self._register = RegisterClient(
             self._peers, proposer, self._knowledge, steady_ms, self._newest.committed
         )
         self._poll_responder = PollResponder(self._host, self._knowledge, self._newest, steady_ms)
         self._peers.own_polls = self._poll_responder.answer
         self._watcher = Watcher(
-            self._peers, self._knowledge, self._newest, self._register, rng, steady_ms, address
+            self._peers,
+            self._knowledge,
+            self._newest,
+            self._register,
+            self._fetcher,
+            rng,
+            steady_ms,
+            address,
+            is_replica=self._host is not None,
         )
         self._elections: Elections | None = None
         self._changes: CoreChanges | None = None
@@ -148,6 +161,11 @@
         """The newest core set known."""
         return self._knowledge.core
 
+    @property
+    def value_counters(self) -> ValueCounters:
+        """How configurations were told to others and fetched from them."""
+        return self._values.counters
+
     def known(self) -> tuple[bytes | None, int] | None:
         """The newest committed configuration known here, and the steady time as of which it is surely the
         newest."""
@@ -231,6 +249,8 @@
         handlers[Announce] = lambda message, _: self._announcer.announced(message)
         handlers[SetDecided] = lambda message, _: self._knowledge.note_core(message.core)
         handlers[Committed] = lambda message, _: self._newest.committed(message.ballot, message.value)
+        handlers[BallotCommitted] = lambda message, _: self._values.committed(message)
+        handlers[AskValue] = lambda message, _: self._values.answer(message)
         handlers[AskIdentity] = lambda _, __: self._identity()
         handlers[WhereIsLeader] = lambda _, __: self._where_is_leader()
         return handlers
--- a/flintfield/coordination/replica.py
+++ b/flintfield/coordination/replica.py
@@ -15,14 +15,11 @@
 from dataclasses import replace
 from typing import Any
 
-from flintfield.coordination import acceptor
 from flintfield.coordination.contacts import AskFounding, Found
 from flintfield.coordination.follower import Follower
 from flintfield.coordination.founding_acceptor import FoundingAcceptor
 from flintfield.coordination.messages import (
     REPLICA_REQUESTS,
-    Accept,
-    Accepted,
     Adopt,
     Alive,
     Append,
@@ -33,25 +30,23 @@
     Heartbeat,
     Install,
     Pair,
-    Prepare,
     PrepareEpoch,
-    Promised,
     Refused,
     Resign,
     Resigned,
     StateAnswer,
 )
-from flintfield.coordination.model import NO_BALLOT, CoreSet, Refusal, Register
+from flintfield.coordination.model import CoreSet, Refusal, Register
+from flintfield.coordination.register_messages import Accept, AcceptDelta, Prepare
+from flintfield.coordination.registers import Outcome, Registers
 from flintfield.coordination.snapshots import Snapshots
 from flintfield.coordination.step import Step
 from flintfield.coordination.stored import (
     ACTIVE_KEY,
-    CONFIGURATION_KEY,
     FOUNDING_KEY,
     IDENTITY_KEY,
     KNOWN_KEY,
     ORDER_KEY,
-    SUCCESSOR_KEY,
     StoredAcceptor,
     StoredIdentity,
     StoredOrder,
@@ -65,7 +60,7 @@
 HANDLED = (*REPLICA_REQUESTS, AskFounding, Found)
 """The kinds of message that a replica takes."""
 
-_REGISTER_KEYS = {Register.CONFIGURATION: CONFIGURATION_KEY, Register.SUCCESSOR: SUCCESSOR_KEY}
+RegisterRequest = Prepare | Accept | AcceptDelta
 
 
 class Replica:
@@ -81,14 +76,13 @@
         order = load(stored, ORDER_KEY) or StoredOrder()
         guard = now_ms + PROMISE_GUARD_MS if order.holder or order.promised else now_ms
         self.follower = Follower(order, guard)
-        self._registers: dict[Register, StoredAcceptor] = {
-            name: load(stored, key) or StoredAcceptor() for name, key in _REGISTER_KEYS.items()
-        }
+        self._registers = Registers(own.identity, stored)
         self._wall_ms = wall_ms
         self.snapshots = Snapshots(stored)
         self._handlers: dict[type, Callable[[int, Any], Step]] = {
             Prepare: self._prepare,
             Accept: self._accept,
+            AcceptDelta: self._accept_delta,
             PrepareEpoch: self._prepare_epoch,
             Heartbeat: self._heartbeat,
             Adopt: self._adopt,
@@ -104,12 +98,12 @@
     @property
     def configuration(self) -> StoredAcceptor:
         """The acceptor of the configuration register."""
-        return self._registers[Register.CONFIGURATION]
+        return self._registers.configuration
 
     @property
     def sealed(self) -> bool:
         """Whether a successor of the active set was accepted here."""
-        return self._registers[Register.SUCCESSOR].accepted != NO_BALLOT
+        return self._registers.sealed
 
     @property
     def serving(self) -> CoreSet | None:
@@ -142,43 +136,35 @@
     ) -> Step:
         newer = self.newest if self.newest is not None and self.newest.version > asked else None
         order = self.follower.order
-        ballot = self._registers[register].promised
+        ballot = self._registers.promised(register)
         reply = Refused(kind, self.identity, newer, ballot, order.promised, order.position)
         return Step(reply, changes or [])
 
     # The registers.
 
     def _prepare(self, now_ms: int, request: Prepare) -> Step:
-        refusal = self._refusal(request.core)
-        if refusal is not None and not self._settles_successor(refusal, request):
-            return self._refused(refusal, request.core)
-        state = acceptor.prepare(self._registers[request.register], request.ballot)
-        if state is None:
-            return self._refused(Refusal.BALLOT, request.core, register=request.register)
-        changes = self._put(request.register, state)
-        return Step(Promised(self.identity, request.ballot, state.accepted, state.value), changes)
+        return self._ask_register(request, self._registers.prepare)
 
     def _accept(self, now_ms: int, request: Accept) -> Step:
+        return self._ask_register(request, self._registers.accept)
+
+    def _accept_delta(self, now_ms: int, request: AcceptDelta) -> Step:
+        return self._ask_register(request, self._registers.accept_delta)
+
+    def _ask_register(self, request: RegisterRequest, take: Callable[[Any], Outcome]) -> Step:
         refusal = self._refusal(request.core)
         if refusal is not None and not self._settles_successor(refusal, request):
             return self._refused(refusal, request.core)
-        state = acceptor.accept(self._registers[request.register], request.ballot, request.value)
-        if state is None:
-            return self._refused(Refusal.BALLOT, request.core, register=request.register)
-        changes = self._put(request.register, state)
-        return Step(Accepted(self.identity, request.ballot), changes)
+        answer, changes = take(request)
+        if isinstance(answer, Refusal):
+            return self._refused(answer, request.core, register=request.register)
+        return Step(answer, changes)
 
     @staticmethod
-    def _settles_successor(refusal: Refusal, request: Prepare | Accept) -> bool:
+    def _settles_successor(refusal: Refusal, request: RegisterRequest) -> bool:
         """A sealed replica still takes part in agreeing on the successor."""
         return refusal is Refusal.SEALED and request.register is Register.SUCCESSOR
 
-    def _put(self, register: Register, state: StoredAcceptor) -> list[Pair]:
-        if state == self._registers[register]:
-            return []
-        self._registers[register] = state
-        return [(_REGISTER_KEYS[register], encode(state))]
-
     # The ordered store.
 
     def _prepare_epoch(self, now_ms: int, request: PrepareEpoch) -> Step:
@@ -278,13 +264,11 @@
         self.active = core
         self.follower = Follower(order, now_ms + PROMISE_GUARD_MS if state.promised else now_ms)
         register = StoredAcceptor(accepted=state.accepted, value=state.value)
-        self._registers = {Register.CONFIGURATION: register, Register.SUCCESSOR: StoredAcceptor()}
         changes: list[Pair] = [
             *self.learn(core),
             (ACTIVE_KEY, encode(core)),
             (ORDER_KEY, encode(order)),
-            (CONFIGURATION_KEY, encode(register)),
-            (SUCCESSOR_KEY, None),
+            *self._registers.begin(register),
             (FOUNDING_KEY, None),
         ]
         return Step(None, changes, state.items)
--- a/flintfield/coordination/shell/peers.py
+++ b/flintfield/coordination/shell/peers.py
@@ -68,6 +68,15 @@
 
     async def gather(
         self, members: Sequence[Member], message: Any, timeout_ms: int, take: Callable[[Member, Any], bool]
+    ) -> None:
+        """Send all members a request, and take their answers as `gather_answers` does."""
+        await self.gather_answers(members, lambda member: self.call(member, message, timeout_ms), take)
+
+    async def gather_answers(
+        self,
+        members: Sequence[Member],
+        ask: Callable[[Member], Awaitable[Any]],
+        take: Callable[[Member, Any], bool],
     ) -> None:
         """Ask all members; return when `take(member, answer)` is True, or all have answered or failed.
 
@@ -79,7 +88,7 @@
         async def one(member: Member) -> None:
             nonlocal left
             try:
-                answer = await self.call(member, message, timeout_ms)
+                answer = await ask(member)
                 if not enough.done() and take(member, answer):
                     enough.set_result(None)
             except RpcError:
--- a/flintfield/coordination/shell/poll_responder.py
+++ b/flintfield/coordination/shell/poll_responder.py
@@ -70,9 +70,11 @@
             serving = state.serving
             active = serving.version if serving is not None else 0
             accepted = state.configuration.accepted
-            value = state.configuration.value if accepted != poll.accepted else None
+            if accepted != poll.accepted and not poll.ballots_only:
+                value = state.configuration.value
         newest = self._newest
-        committed_value = newest.value if newest.ballot > poll.accepted else None
+        tells_committed = newest.ballot > poll.accepted and not poll.ballots_only
+        committed_value = newest.value if tells_committed else None
         return PollAnswer(
             replica,
             self._steady_ms() - came_ms,
--- a/flintfield/coordination/shell/register.py
+++ b/flintfield/coordination/shell/register.py
@@ -13,13 +13,17 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from flintfield.coordination.attempt import Attempt, Phase
-from flintfield.coordination.messages import Committed
-from flintfield.coordination.model import Ballot, CoreSet, NoQuorum, Register
+from flintfield.coordination.messages import Refused
+from flintfield.coordination.model import Ballot, CoreSet, Member, NoQuorum, Refusal, Register
+from flintfield.coordination.register_messages import Accept, AcceptDelta, BallotCommitted
 from flintfield.coordination.shell.knowledge import Knowledge
 from flintfield.coordination.shell.peers import MS_PER_S, Peers
+from flintfield.coordination.shell.value_fetch import ValueFetcher
 from flintfield.coordination.timing import CALL_TIMEOUT_MS, CHANGE_BUDGET_MS, CONTENTION_MS, READ_BUDGET_MS
+from flintfield.transport.rpc import Rejected
 
 PROPOSER_BITS = 62
 LEAST_PAUSE = 0.5  # of the time that an attempt takes
@@ -47,8 +51,9 @@
 class Proposer:
     """Draws ballots that this process never uses twice, and runs attempts."""
 
-    def __init__(self, peers: Peers, rng: random.Random) -> None:
+    def __init__(self, peers: Peers, values: ValueFetcher, rng: random.Random) -> None:
         self._peers = peers
+        self._values = values
         self._rng = rng
         self._identity = rng.getrandbits(PROPOSER_BITS)
         self._counter = 0
@@ -62,7 +67,8 @@
         self, core: CoreSet, register: Register, decide: Decide
     ) -> tuple[Attempt, bytes | None]:
         """One attempt; its phase tells how it ended, the value what was proposed."""
-        attempt = Attempt(core, register, self.ballot(core))
+        ballots_only = register is Register.CONFIGURATION  # the other one's values are short
+        attempt = Attempt(core, register, self.ballot(core), ballots_only=ballots_only)
         await self._peers.gather(
             core.members,
             attempt.prepare,
@@ -70,19 +76,44 @@
             lambda _, answer: attempt.take(answer) is not Phase.PREPARING,
         )
         value = attempt.current
-        if attempt.phase is Phase.PREPARED:
+        if attempt.phase is Phase.PREPARED and await self._complete(attempt):
+            value = attempt.current
             wanted = decide(value)
             value = value if wanted is None else wanted
-            accept = attempt.propose(value)
-            await self._peers.gather(
-                core.members,
-                accept,
-                CALL_TIMEOUT_MS,
-                lambda _, answer: attempt.take(answer) is not Phase.ACCEPTING,
-            )
+            await self._accept(attempt, value)
         self._counter = max(self._counter, attempt.highest.counter)
         return attempt, value
 
+    async def _complete(self, attempt: Attempt) -> bool:
+        """Fetch the current value where the promises left it out; False where nobody tells it in time."""
+        if attempt.lacks_value:
+            known = await self._values.value_of(attempt.accepted, attempt.core, attempt.holders)
+            if known is None:
+                return False
+            attempt.supply(known.value)
+        return True
+
+    async def _accept(self, attempt: Attempt, value: bytes | None) -> None:
+        """Have the value accepted: as a difference to the current one, whole where a member lacks that."""
+        accept = attempt.propose(value)
+        delta = attempt.delta(accept)
+        await self._peers.gather_answers(
+            attempt.core.members,
+            lambda member: self._accept_at(member, accept, delta),
+            lambda _, answer: attempt.take(answer) is not Phase.ACCEPTING,
+        )
+
+    async def _accept_at(self, member: Member, accept: Accept, delta: AcceptDelta | None) -> Any:
+        """One member's answer; raises `RpcError`."""
+        if delta is not None:
+            try:
+                answer = await self._peers.call(member, delta, CALL_TIMEOUT_MS)
+                if not (isinstance(answer, Refused) and answer.kind is Refusal.LACKS_BASE):
+                    return answer
+            except Rejected:  # a release before, which has no such request
+                pass
+        return await self._peers.call(member, accept, CALL_TIMEOUT_MS)
+
     async def pause(self, failures: int, attempt_ms: float = CONTENTION_MS) -> None:
         """Wait a random time after a lost ballot, so that of several proposers one gets through.
 
@@ -205,7 +236,7 @@
     def _committed(self, attempt: Attempt, value: bytes | None) -> None:
         self._on_commit(attempt.ballot, value)
         for member in attempt.core.members:
-            self._peers.tell(member.address, Committed(attempt.ballot, value))
+            self._peers.tell(member.address, BallotCommitted(attempt.ballot))
 
 
 def _decide_in_turn(wishes: list[_Wish], value: bytes | None) -> bytes | None:
--- a/flintfield/coordination/shell/watcher.py
+++ b/flintfield/coordination/shell/watcher.py
@@ -2,14 +2,17 @@
 
 The watcher keeps polls at a majority; their agreement on one accepted ballot confirms the configuration as of
 the sending, plus the time that the replicas held the polls, since they read their state when they answered.
+Polls carry ballots; the value of a newer one is fetched once.
 """
 
 from __future__ import annotations
 
 import asyncio
+import enum
 import random
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from flintfield.coordination.contacts import Poll, PollAnswer
 from flintfield.coordination.model import Ballot, CoreSet, Member, NoQuorum
@@ -17,16 +20,38 @@
 from flintfield.coordination.shell.newest import Newest
 from flintfield.coordination.shell.peers import MS_PER_S, Peers
 from flintfield.coordination.shell.register import RegisterClient
+from flintfield.coordination.shell.value_fetch import ValueFetcher
 from flintfield.coordination.timing import (
     CALL_TIMEOUT_MS,
     HEDGE_MS,
+    OTHERS_SETTLE_AFTER,
     POLL_HOLD_MS,
     POLL_JITTER_MS,
+    REPLICA_SETTLES_AFTER,
     UNSETTLED_MS,
 )
 from flintfield.runtime.waiting import wait_for_event
 
 
+@dataclass(frozen=True, slots=True)
+class Agreement:
+    """A ballot that a majority has accepted, and as of when. `value` is None where the polls left it out;
+    `holders` are the identities of those who have it."""
+
+    ballot: Ballot
+    value: bytes | None
+    as_of_ms: int
+    holders: frozenset[int]
+
+
+class Conclusion(enum.Enum):
+    """What the answers of a majority come to."""
+
+    CONFIRMED = 1  # the newest value is known here
+    UNSETTLED = 2  # they differ: a change is under way, or its proposer has died
+    VALUE_MISSING = 3  # they agree on a ballot whose value nobody told in time
+
+
 class Round:
     """The answers to polls that were sent to the members of one set. No I/O."""
 
@@ -41,9 +66,8 @@
             self.told[member.identity] = (told, sent_ms)
         return len(self.told) >= self.core.majority
 
-    def agreed(self) -> tuple[Ballot, bytes | None, int] | None:
-        """The ballot that a majority has accepted, its value (told where it isn't the known one) and as of
-        when.
+    def agreed(self) -> Agreement | None:
+        """What a majority has accepted, if it is one ballot.
 
         A ballot that was brought over from an older set doesn't count: it stands here without having been
         accepted in this one, so a majority that has it proves nothing about other ballots of the older set.
@@ -54,7 +78,8 @@
                 continue
             same = [(told, sent_ms) for told, sent_ms in self.told.values() if told.accepted == ballot]
             as_of_ms = min(sent_ms + told.held_ms for told, sent_ms in same)
-            return ballot, same[0][0].value, as_of_ms
+            value = next((told.value for told, _ in same if told.value is not None), None)
+            return Agreement(ballot, value, as_of_ms, frozenset(told.replica for told, _ in same))
         return None
 
 
@@ -67,9 +92,12 @@
         knowledge: Knowledge,
         newest: Newest,
         register: RegisterClient,
+        values: ValueFetcher,
         rng: random.Random,
         steady_ms: Callable[[], int],
         address: str,
+        *,
+        is_replica: bool,
     ) -> None:
         self._peers = peers
         self._knowledge = knowledge
@@ -77,7 +105,9 @@
         self._register = register
         self._rng = rng
         self._steady_ms = steady_ms
+        self._values = values
         self._address = address
+        self._settles_after = REPLICA_SETTLES_AFTER if is_replica else OTHERS_SETTLE_AFTER
         self.confirmed_ms: int | None = None  # when a round last had a majority
         self.unsettled_rounds = 0
 
@@ -91,47 +121,55 @@
             if len(round_.told) < core.majority:
                 unsettled = 0
                 await self._sleep(UNSETTLED_MS)
-            elif self._conclude(round_):
-                unsettled = 0
-            else:
+                continue
+            conclusion = await self._conclude(round_)
+            if conclusion is Conclusion.UNSETTLED:
                 unsettled += 1
                 self.unsettled_rounds += 1
                 await self._unsettled(unsettled)
+                continue
+            unsettled = 0
+            if conclusion is Conclusion.VALUE_MISSING:
+                await self._sleep(UNSETTLED_MS)
 
     async def read(self) -> bytes | None:
         """A linearizable read; raises `NoQuorum`."""
         core = self._knowledge.core
         if core is not None:
             round_ = await self._round(core, 0)
-            if self._conclude(round_):
-                agreed = round_.agreed()
-                assert agreed is not None
-                return agreed[1] if agreed[0] != round_.known else self._value_of(agreed[0])
+            if len(round_.told) >= core.majority and await self._conclude(round_) is Conclusion.CONFIRMED:
+                return self._newest.value  # a newer one than the agreed one is as good for a read
         started_ms = self._steady_ms()
         value = await self._register.settle()
         self._newest.confirmed(self._newest.ballot, started_ms)
         return value
 
-    def _value_of(self, ballot: Ballot) -> bytes | None:
-        """The value of a ballot that was known at the start of a round; a newer one is as good for a read."""
-        assert ballot <= self._newest.ballot
-        return self._newest.value
-
-    def _conclude(self, round_: Round) -> bool:
+    async def _conclude(self, round_: Round) -> Conclusion:
+        """Take up what a majority agrees on."""
         self.confirmed_ms = self._steady_ms()
         agreed = round_.agreed()
         if agreed is None:
+            return Conclusion.UNSETTLED
+        if agreed.ballot > self._newest.ballot and not await self._learn(round_.core, agreed):
+            return Conclusion.VALUE_MISSING
+        self._newest.confirmed(agreed.ballot, agreed.as_of_ms)
+        return Conclusion.CONFIRMED
+
+    async def _learn(self, core: CoreSet, agreed: Agreement) -> bool:
+        """Get the value of a committed ballot; False where nobody tells it in time."""
+        if agreed.value is not None:
+            self._newest.committed(agreed.ballot, agreed.value)
+            return True
+        known = await self._values.value_of(agreed.ballot, core, agreed.holders)
+        if known is None:
             return False
-        ballot, value, as_of_ms = agreed
-        if ballot != round_.known:
-            self._newest.committed(ballot, value)
-        self._newest.confirmed(ballot, as_of_ms)
+        self._newest.committed(known.ballot, known.value)
         return True
 
     async def _unsettled(self, rounds: int) -> None:
         """A change is under way, or its proposer has died: look again soon, then settle it."""
         await self._sleep(UNSETTLED_MS * rounds)
-        if rounds < 2:
+        if rounds < self._settles_after:
             return
         started_ms = self._steady_ms()
         try:
@@ -186,6 +224,7 @@
             round_.known,
             hold_ms,
             self._address,
+            ballots_only=True,
         )
         sent_ms = self._steady_ms()
         told = await self._peers.poll(member, poll, hold_ms + CALL_TIMEOUT_MS)
@@ -193,7 +232,8 @@
             return
         self._knowledge.note_core(told.core)
         self._knowledge.note_known_leader(told.leader)
-        if told.committed > round_.known:
-            self._newest.committed(told.committed, told.committed_value)
         if round_.take(member, told, sent_ms):
             enough.set()
+        if told.committed > self._newest.ballot:
+            committed = Agreement(told.committed, told.committed_value, sent_ms, frozenset({told.replica}))
+            await self._learn(round_.core, committed)
--- a/flintfield/coordination/timing.py
+++ b/flintfield/coordination/timing.py
@@ -20,6 +20,8 @@
 CALL_TIMEOUT_MS = 500  # a request to a replica: a sync of a busy disk and a round trip fit
 APPEND_TIMEOUT_MS = 700  # an append, which may wait for a slow disk's sync
 CHUNK_TIMEOUT_MS = 1_500  # a part of a whole state
+VALUE_TIMEOUT_MS = 4_000  # a whole value over a link as slow as 2 Mbit/s that others use too
+VALUE_HEDGE_MS = 1_000  # then another replica is asked too; sooner, slow links would carry large values twice
 READ_BUDGET_MS = 1_500  # one linearizable read, retries counted
 CHANGE_BUDGET_MS = 3_000  # one change of the register, retries counted; below the operator's patience
 CONTENTION_MS = 15  # base of the random pause after a lost ballot; doubles up to 8 times
@@ -28,6 +30,8 @@
 POLL_HOLD_MS = 320  # for how long a replica holds a poll without news
 POLL_JITTER_MS = 60
 UNSETTLED_MS = 150  # a poll that saw no agreed value looks again after this, and settles it by a full round
+REPLICA_SETTLES_AFTER = 2  # rounds without an agreed value
+OTHERS_SETTLE_AFTER = 3  # replicas come first: the fewer proposers, the less they pass each other's ballots
 
 ANNOUNCE_MS = 150  # between two announcements of a candidate
 UNREACHABLE_MS = 1_500  # a member that is silent for longer gives its place to a waiting candidate
--- a/flintfield/programs/scheduler.py
+++ b/flintfield/programs/scheduler.py
@@ -23,6 +23,7 @@
 from functools import partial
 
 from flintfield.control.configuration import Configuration
+from flintfield.control.forwarding import OrderForwarder
 from flintfield.control.server import ControlServer
 from flintfield.control.view import ConfigurationView
 from flintfield.coordination.node import CoreNode
@@ -132,12 +133,25 @@
         self._view.on_change(self._dispatch.set_configuration)
         observer = self._observer()
         observing = ObserveService(observer, self._dispatch, self._node)
-        self._rpc = Server({**self._node.handlers(), **self._dispatch.handlers(), **observing.handlers()})
-        self._control = ControlServer(settings, self._node)
+        self._control = ControlServer(settings, self._node, self._order_forwarder(generator))
+        self._rpc = Server(
+            {
+                **self._node.handlers(),
+                **self._dispatch.handlers(),
+                **observing.handlers(),
+                **self._control.handlers(),
+            }
+        )
         link = DispatcherLink(self._pool, self._node)
         self._ingress = IngressServer(settings, self._view, link, self._node)
         self._watch_parts(observer, link)
 
+    def _order_forwarder(self, generator: random.Random) -> OrderForwarder | None:
+        """Where there is no replica here, what hands the operator's orders on to one."""
+        if self._store is not None:
+            return None
+        return OrderForwarder(self._pool, self._node, self.settings.zone, generator)
+
     def _observer(self) -> ProcessObserver:
         settings = self.settings
         identity = Identity(
@@ -162,6 +176,7 @@
         observer.watch("ingress", lambda: self._ingress.counters)
         observer.watch("ingress_listener", lambda: self._ingress.listener.counters)
         observer.watch("dispatcher_link", lambda: link.counters)
+        observer.watch("values", lambda: self._node.value_counters)
         observer.watch("operator", lambda: self._control.service.counters)
         observer.watch("dispatcher", self._dispatcher_counters)
         observer.watch("history", self._history_counters)
--- a/flintfield/simulation/explore/core_changes.py
+++ b/flintfield/simulation/explore/core_changes.py
@@ -19,16 +19,13 @@
 
 from flintfield.coordination import messages
 from flintfield.coordination.model import NO_BALLOT, Ballot, CoreSet, Position, Register
+from flintfield.coordination.register_messages import Accept, Accepted, Prepare, Promised
 from flintfield.coordination.stored import ITEM_PREFIX
 from flintfield.coordination.transfer import WholeState, choose
 from flintfield.simulation.explore import stored_replicas
 from flintfield.simulation.explore.core_parts import LATER_MS, Few, Limits, Term, listed, replaced
-from flintfield.simulation.explore.core_parts import (
-    answers_of,
-    first_set,
-    founded_replicas,
-    sufficient_states,
-)
+from flintfield.simulation.explore.core_parts import answers_of, first_set, founded_replicas
+from flintfield.simulation.explore.core_parts import sufficient_states
 from flintfield.simulation.explore.stored_replicas import Stored
 from flintfield.transport.records import decode, encode
 
@@ -235,15 +232,15 @@
         world = replace(self, ballots=self.ballots + 1, unfinished=self.unfinished + (accepting != asked))
         highest, value = NO_BALLOT, encode(self._successors()[number])
         for slot in asked:
-            world, reply = world._ask(slot, messages.Prepare(newest.version, Register.SUCCESSOR, ballot))
-            assert isinstance(reply, messages.Promised)
+            world, reply = world._ask(slot, Prepare(newest.version, Register.SUCCESSOR, ballot))
+            assert isinstance(reply, Promised)
             if reply.accepted > highest and reply.value is not None:
                 highest, value = reply.accepted, reply.value
-        accept = messages.Accept(newest.version, Register.SUCCESSOR, ballot, value)
+        accept = Accept(newest.version, Register.SUCCESSOR, ballot, value)
         accepted = 0
         for slot in accepting:
             world, reply = world._ask(slot, accept)
-            accepted += isinstance(reply, messages.Accepted)
+            accepted += isinstance(reply, Accepted)
         if accepted < newest.majority:
             return world
         return replace(world, sets=(*world.sets, decode(value)))
--- a/flintfield/simulation/explore/register.py
+++ b/flintfield/simulation/explore/register.py
@@ -3,99 +3,35 @@
 Three replicas, a fourth that takes the place of the third (which goes on living), two processes that each
 append their name to the register, and one that has the core set changed. Requests may arrive in any order,
 however late, or never. An answer that is lost needs no step of its own: a process that does not count it
-does nothing that it may not do later as well. Each committed value must contain all that were committed
-before.
+does nothing that it may not do later as well. Promises leave the value out, and it is fetched by its ballot;
+a value is proposed as a difference, and whole to a replica that lacks the base. Each committed value must
+contain all that were committed before.
 """
 
 from __future__ import annotations
 
-import copy
 import itertools
+import math
 from collections.abc import Hashable, Iterator
 from dataclasses import dataclass, replace
 from typing import Any
 
-from flintfield.coordination.attempt import Attempt, Phase
-from flintfield.coordination.messages import AskState
-from flintfield.coordination.model import Ballot, CoreSet, Register, ordered
+from flintfield.coordination.attempt import Phase
+from flintfield.coordination.messages import AskState, Refused
+from flintfield.coordination.model import CoreSet, Refusal, Register
+from flintfield.coordination.register_messages import Accept
+from flintfield.coordination.shell.known_values import KnownValue
 from flintfield.coordination.transfer import EMPTY, WholeState, choose
 from flintfield.simulation.explore import stored_replicas
+from flintfield.simulation.explore.register_proposer import FIRST, SECOND, Proposer, copy_of, first_try
 from flintfield.simulation.explore.stored_replicas import Stored, step
-from flintfield.transport.records import decode, encode
+from flintfield.transport.records import decode
 
 REPLICAS = 4
 NOW_MS = 0  # no time passes in this world
 MOST_TRIES = 2  # of each process
 
 
-FIRST = CoreSet(
-    1, ordered([stored_replicas.member(0), stored_replicas.member(1), stored_replicas.member(2)]), 3, ()
-)
-SECOND = CoreSet(
-    2,
-    ordered([stored_replicas.member(0), stored_replicas.member(1), stored_replicas.member(3)]),
-    3,
-    FIRST.members,
-)
-
-
-@dataclass(frozen=True)
-class Proposer:
-    """A process that tries to change a register; `attempt` is never changed in place."""
-
-    name: str
-    register: Register
-    core: CoreSet
-    counter: int
-    tries: int
-    attempt: Attempt
-    done: bool = False
-
-    def again(self, newest: CoreSet) -> Proposer:
-        """The next try."""
-        core = self.attempt.newer or self.core
-        core = newest if newest.version > core.version and self.register is Register.CONFIGURATION else core
-        counter = max(self.counter, self.attempt.highest.counter) + 1
-        ballot = Ballot(core.version, counter, ord(self.name[0]))
-        return replace(
-            self,
-            core=core,
-            counter=counter,
-            tries=self.tries + 1,
-            attempt=Attempt(core, self.register, ballot),
-        )
-
-    def decide(self, value: bytes | None) -> bytes | None:
-        """The next value."""
-        if self.register is Register.SUCCESSOR:
-            return encode(SECOND) if value is None else value
-        name = self.name.encode()
-        return value if value is not None and name in value else (value or b"") + name
-
-    def key(self) -> Hashable:
-        """All that its future depends on."""
-        attempt = self.attempt
-        return (
-            self.core.version,
-            self.counter,
-            self.tries,
-            self.done,
-            attempt.phase,
-            attempt.ballot,
-            attempt.accepted,
-            attempt.current,
-            attempt.highest,
-            attempt.newer is not None,
-            frozenset(attempt._agreed),
-            frozenset(attempt._against),
-        )
-
-
-def _first_try(name: str, register: Register) -> Proposer:
-    ballot = Ballot(1, 1, ord(name[0]))
-    return Proposer(name, register, FIRST, 1, 1, Attempt(FIRST, register, ballot))
-
-
 @dataclass(frozen=True)
 class RegisterWorld:
     """A state. `requests` are under way or late: (proposer, replica, message)."""
@@ -114,6 +50,8 @@
         for index, proposer in enumerate(self.proposers):
             if not proposer.done and proposer.tries < MOST_TRIES:
                 names.append(f"again {index}")
+            if self._fetched(proposer) is not None:
+                names.append(f"fetch {index}")
         if self.decided:
             names += [f"learn {index}" for index in range(REPLICAS) if self._may_learn(index)]
             names += [
@@ -131,6 +69,8 @@
             newest = SECOND if self.decided else FIRST
             proposer = self.proposers[first].again(newest)
             return self._send(replace(self, proposers=_put(self.proposers, first, proposer)), first)
+        if kind == "fetch":
+            return self._fetch(first)
         if kind == "learn":
             stored = stored_replicas.learned(self.replicas[first], SECOND)
         else:
@@ -199,19 +139,51 @@
         proposer = self.proposers[index]
         if message.ballot != proposer.attempt.ballot or proposer.done:
             return self
-        attempt = copy.copy(proposer.attempt)
-        attempt._agreed, attempt._against = set(attempt._agreed), set(attempt._against)
+        attempt = copy_of(proposer.attempt)
         phase = attempt.take(reply)
-        requests = self.requests
-        if phase is Phase.PREPARED:
-            accept = attempt.propose(proposer.decide(attempt.current))
-            requests |= _to_members(index, proposer.core, accept)
-            proposer = replace(proposer, attempt=attempt)
-            attempt.__dict__["proposed"] = accept.value
         proposer = replace(proposer, attempt=attempt, done=phase is Phase.COMMITTED)
-        world = replace(self, proposers=_put(self.proposers, index, proposer), requests=requests)
+        world = replace(self, proposers=_put(self.proposers, index, proposer))
+        if isinstance(reply, Refused) and reply.kind is Refusal.LACKS_BASE:
+            whole = Accept(message.core, message.register, message.ballot, attempt.__dict__["proposed"])
+            member = reply.replica - 1
+            return replace(world, requests=world.requests | {(index, member, whole)})
+        if phase is Phase.PREPARED and not attempt.lacks_value:
+            return world._propose(index)
         return world._commit(proposer) if proposer.done else world
 
+    def _propose(self, index: int) -> RegisterWorld:
+        """Have the value accepted, as a difference wherever there is a value to build on."""
+        proposer = self.proposers[index]
+        attempt = copy_of(proposer.attempt)
+        accept = attempt.propose(proposer.decide(attempt.current))
+        attempt.__dict__["proposed"] = accept.value
+        message = attempt.delta(accept, longest=math.inf) or accept
+        return replace(
+            self,
+            proposers=_put(self.proposers, index, replace(proposer, attempt=attempt)),
+            requests=self.requests | _to_members(index, proposer.core, message),
+        )
+
+    def _fetched(self, proposer: Proposer) -> KnownValue | None:
+        """What a replica tells of the ballot whose value this proposer lacks."""
+        attempt = proposer.attempt
+        if attempt.phase is not Phase.PREPARED or not attempt.lacks_value:
+            return None
+        for stored in self.replicas:
+            configuration = stored_replicas.replica(stored).configuration
+            if configuration.accepted == attempt.accepted:
+                return KnownValue(configuration.accepted, configuration.value)
+        return None
+
+    def _fetch(self, index: int) -> RegisterWorld:
+        proposer = self.proposers[index]
+        known = self._fetched(proposer)
+        assert known is not None
+        attempt = copy_of(proposer.attempt)
+        attempt.supply(known.value)
+        proposer = replace(proposer, attempt=attempt)
+        return replace(self, proposers=_put(self.proposers, index, proposer))._propose(index)
+
     def _commit(self, proposer: Proposer) -> RegisterWorld:
         value: bytes = proposer.attempt.__dict__["proposed"]
         if proposer.register is Register.CONFIGURATION:
@@ -263,8 +235,8 @@
     for index in range(REPLICAS):
         formatted = stored_replicas.formatted(index, True)
         stored.append(stored_replicas.activated(formatted, FIRST, EMPTY, NOW_MS) if index < 3 else formatted)
-    proposers = [_first_try("ab"[number], Register.CONFIGURATION) for number in range(appenders)]
-    proposers.append(_first_try("successor", Register.SUCCESSOR))
+    proposers = [first_try("ab"[number], Register.CONFIGURATION) for number in range(appenders)]
+    proposers.append(first_try("successor", Register.SUCCESSOR))
     world = RegisterWorld(tuple(stored), tuple(proposers), frozenset())
     for index in range(len(proposers)):
         world = world._send(world, index)
--- a/flintfield/simulation/planted/__init__.py
+++ b/flintfield/simulation/planted/__init__.py
@@ -82,7 +82,19 @@
         "a change counts as committed at the first replica",
         coordination.commit_at_one_replica,
         Theme.REGISTER,
-        10,
+        IN_SMALL_WORLDS,
+    ),
+    "tell-another-value": PlantedFault(
+        "whoever is asked for the value of a ballot tells the newest one",
+        coordination.tell_another_value,
+        Theme.REGISTER,
+        20,
+    ),
+    "accept-without-base": PlantedFault(
+        "a replica that lacks the base of a difference says that it has accepted",
+        coordination.accept_without_base,
+        Theme.REGISTER,
+        IN_SMALL_WORLDS,
     ),
     "introduce-nobody": PlantedFault(
         "who knows the core tells it to no seed", coordination.introduce_nobody, Theme.SEEDS, 12
--- a/flintfield/simulation/planted/coordination.py
+++ b/flintfield/simulation/planted/coordination.py
@@ -9,10 +9,13 @@
 from flintfield.coordination.attempt import Attempt, Phase
 from flintfield.coordination.follower import Follower
 from flintfield.coordination.messages import PrepareEpoch
-from flintfield.coordination.model import Position
+from flintfield.coordination.model import Position, Refusal
+from flintfield.coordination.register_messages import AcceptDelta, Accepted
+from flintfield.coordination.registers import Outcome, Registers
 from flintfield.coordination.replica import Replica
 from flintfield.coordination.shell.host import ReplicaHost
 from flintfield.coordination.shell.introducing import Introducer
+from flintfield.coordination.shell.known_values import KnownValue, KnownValues
 from flintfield.coordination.shell.leading import Leadership
 from flintfield.coordination.step import Step
 from flintfield.coordination.storage.interface import KeyedStore
@@ -131,3 +134,25 @@
             self.phase = reached
 
     return [Patch(Attempt, "_count", count)]
+
+
+def tell_another_value() -> list[Patch]:
+    """Whoever is asked for the value of a ballot tells the newest committed one."""
+
+    def find(self: KnownValues, ballot: Any) -> KnownValue:
+        return KnownValue(ballot, self._newest.value)
+
+    return [Patch(KnownValues, "find", find)]
+
+
+def accept_without_base() -> list[Patch]:
+    """A replica that lacks the base of a difference says that it has accepted."""
+    accept_delta = Registers.accept_delta
+
+    def accept(self: Registers, request: AcceptDelta) -> Outcome:
+        answer, changes = accept_delta(self, request)
+        if answer is Refusal.LACKS_BASE:
+            return Accepted(self._identity, request.ballot), []
+        return answer, changes
+
+    return [Patch(Registers, "accept_delta", accept)]
--- a/flintfield/simulation/scheduler.py
+++ b/flintfield/simulation/scheduler.py
@@ -15,6 +15,8 @@
 from tornado.httputil import HTTPHeaders
 
 from flintfield.control.configuration import Configuration
+from flintfield.control.forwarding import OrderForwarder
+from flintfield.control.messages import ForwardedOrder
 from flintfield.control.operator import Answer, OperatorService
 from flintfield.control.view import ConfigurationView
 from flintfield.coordination.node import CoreNode
@@ -83,7 +85,8 @@
         )
         self.view = ConfigurationView(self.node, self.steady_ms)
         self.view.on_change(self.dispatch.set_configuration)
-        self._operator = OperatorService(self.node)
+        forwarder = None if store is not None else OrderForwarder(pool, self.node, "z", self.rng)
+        self._operator = OperatorService(self.node, forwarder=forwarder)
         link = DispatcherLink(pool, self.node, self.steady_ms, self.rng)
         self._ingress = IngressServer(
             _settings(machine, bounds), self.view, link, self.node, steady_ms=self.steady_ms
@@ -100,7 +103,11 @@
         )
 
     def _start(self) -> None:
-        self.handlers = {**self.node.handlers(), **self.dispatch.handlers()}
+        self.handlers = {
+            **self.node.handlers(),
+            **self.dispatch.handlers(),
+            ForwardedOrder: lambda order, _: self._operator.take_forwarded(order),
+        }
         self.loop.create_task(self.node.start())
 
     def _current(self) -> Configuration | None:
--- a/tests/system/coordination_network.py
+++ b/tests/system/coordination_network.py
@@ -5,12 +5,14 @@
 
 import asyncio
 import inspect
+import math
 import random
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+from flintfield.simulation.links import Links
 from flintfield.transport.records import decode, encode
 from flintfield.transport.rpc import Rejected, RpcError, Unanswered, Unreachable
 
@@ -44,6 +46,7 @@
         self._world = world
         self._rng = rng
         self.weather = Weather()
+        self.links = Links()
         self.carried = 0
         self.bytes_to: Counter[str] = Counter()  # by the receiver's address
 
@@ -69,8 +72,14 @@
         self.carried += 1
         self.bytes_to[address] += len(data)
         for delay_ms in self.delays_ms(source.address, address):
+            delay_ms += self._link_ms(source.address, address, data)
             self._world.after(delay_ms, lambda: self._arrive(source, address, data, reply))
 
+    def _link_ms(self, source: str, target: str, data: Any) -> int:
+        """For how long a message waits for the links of both ends and passes through them."""
+        size = len(data) if isinstance(data, bytes) else 0
+        return math.ceil(self.links.passage_ms(source, target, size, self._world.now_ms))
+
     def _arrive(self, source: Process, address: str, data: bytes, reply: Reply | None) -> None:
         if self.weather.cut(source.address, address):
             return
@@ -105,6 +114,7 @@
             return
         self.bytes_to[source.address] += len(answer) if isinstance(answer, bytes) else 0
         for delay_ms in self.delays_ms(address, source.address):
+            delay_ms += self._link_ms(address, source.address, answer)
             self._world.after(delay_ms, lambda: self._return(address, source, answer, reply))
 
     def _return(self, address: str, source: Process, answer: Any, reply: Callable[[Any], None]) -> None:
--- a/tests/system/coordination_world.py
+++ b/tests/system/coordination_world.py
@@ -384,7 +384,11 @@
         """A process appends to the register."""
         if process.runs():
             self.operations += 1
-            self._begin(process, self._change, f"c{self.operations}")
+            self.append(process, f"c{self.operations}")
+
+    def append(self, process: Process, name: str) -> None:
+        """A process appends this name to the register."""
+        self._begin(process, self._change, name)
 
     async def _change(self, process: Process, name: str) -> None:
         required = set(self.judge.required)
--- a/tests/system/test_control_orders.py
+++ b/tests/system/test_control_orders.py
@@ -13,7 +13,8 @@
 
 from flintfield.control import documents, orders
 from flintfield.control.configuration import Configuration, from_document
-from flintfield.control.orders import Kind, Verdict
+from flintfield.control.messages import Kind
+from flintfield.control.orders import Verdict
 from flintfield.control.stored import (
     FORMAT,
     MOST_DOCUMENT_BYTES,
--- a/tests/system/test_control_server.py
+++ b/tests/system/test_control_server.py
@@ -10,8 +10,8 @@
 
 from flintfield.control import operator
 from flintfield.control.configuration import Configuration
-from flintfield.control.operator import OperatorService
-from flintfield.control.server import MAX_BODY_BYTES, READ_BODY_BYTES, ControlServer
+from flintfield.control.operator import MAX_BODY_BYTES, OperatorService
+from flintfield.control.server import READ_BODY_BYTES, ControlServer
 from flintfield.control.stored import FORMAT, StoredConfiguration, decode_stored
 from flintfield.control.view import ConfigurationView
 from flintfield.runtime.settings import Listen, NodeSettings
--- a/tests/system/test_coordination_cuts.py
+++ b/tests/system/test_coordination_cuts.py
@@ -9,12 +9,12 @@
 import enum
 import unittest
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from unittest import mock
 
 from flintfield.coordination.contacts import PollAnswer
-from flintfield.coordination.model import Ballot, NoQuorum
-from flintfield.coordination.shell.watcher import Round
+from flintfield.coordination.model import NoQuorum
+from flintfield.coordination.shell.watcher import Agreement, Round
 from flintfield.coordination.timing import POLL_HOLD_MS, POLL_JITTER_MS
 from flintfield.ingress.readiness import HEARD_WITHIN_MS, Contact, is_ready
 from flintfield.ingress.server import IngressSettings
@@ -223,9 +223,9 @@
         """As of when a replica was asked counts, not as of when its answer came."""
         agreed = Round.agreed
 
-        def as_of_now(self: Round) -> tuple[Ballot, bytes | None, int] | None:
+        def as_of_now(self: Round) -> Agreement | None:
             found = agreed(self)
-            return None if found is None else (found[0], found[1], found[2] + CONFIG_APPLY_MS)
+            return None if found is None else replace(found, as_of_ms=found.as_of_ms + CONFIG_APPLY_MS)
 
         with mock.patch.object(Round, "agreed", as_of_now), self.assertRaises(Violation):
             Cut(3, Way.BOTH, Victim.FOLLOWER).play(LENGTHS_MS[1])
--- a/tests/system/test_observe_page.py
+++ b/tests/system/test_observe_page.py
@@ -9,6 +9,7 @@
 
 from flintfield.console.application import COMMANDS
 from flintfield.control.operator import OperatorCounters
+from flintfield.coordination.shell.known_values import ValueCounters
 from flintfield.coordination.storage.pool import PoolCounters
 from flintfield.coordination.storage.store import StoreCounters
 from flintfield.ingress.link import LinkCounters
@@ -27,6 +28,7 @@
     "ingress": IngressCounters,
     "ingress_listener": ListenerCounters,
     "dispatcher_link": LinkCounters,
+    "values": ValueCounters,
     "operator": OperatorCounters,
     "dispatcher": DispatcherCounters,
     "history": HistoryCounters,
--- a/tests/system/test_simulation_planted.py
+++ b/tests/system/test_simulation_planted.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import unittest
+from typing import Any
 from unittest import mock
 
 import pytest
 
+from flintfield.coordination.model import Member
+from flintfield.coordination.register_messages import Accept, AcceptDelta
 from flintfield.coordination.stored import ACTIVE_KEY, IDENTITY_KEY, KNOWN_KEY
 from flintfield.simulation.explore import core_changes, core_parts, register, stored_replicas
 from flintfield.simulation.explore.explorer import Explored, explore
@@ -15,6 +18,9 @@
 from flintfield.simulation.history import play
 from flintfield.simulation.planted import FAULTS, IN_SMALL_WORLDS, planted
 from flintfield.simulation.scenario import draw
+from flintfield.transport.rpc import Unanswered
+
+from .coordination_world import Process, Violation, World
 
 QUICK = 12  # faults that are found within so few histories are looked for in each run
 
@@ -29,6 +35,18 @@
     return None
 
 
+def accept_at_one(process: Process, address: str) -> None:
+    """Let what this process proposes reach the replica at that address alone."""
+    call = process.node._peers.call
+
+    async def call_one(member: Member, message: Any, timeout_ms: int) -> Any:
+        if isinstance(message, Accept | AcceptDelta) and member.address != address:
+            raise Unanswered("lost")
+        return await call(member, message, timeout_ms)
+
+    process.node._peers.call = call_one  # type: ignore[method-assign]
+
+
 class Planted(unittest.TestCase):
     """Faults planted in the program."""
 
@@ -47,7 +65,8 @@
 
     def test_those_of_small_worlds_are_found_there(self) -> None:
         in_small_worlds = {name for name, fault in FAULTS.items() if fault.within == IN_SMALL_WORLDS}
-        self.assertEqual({"skip-sealing", "vote-after-wipe"}, in_small_worlds)  # by SmallWorlds, below
+        expected = {"skip-sealing", "vote-after-wipe", "commit-at-one-replica", "accept-without-base"}
+        self.assertEqual(expected, in_small_worlds)  # by SmallWorlds, below
 
     def test_nothing_stays_planted(self) -> None:
         fault = FAULTS["grant-from-receipt"].patches()[0]
@@ -128,6 +147,27 @@
         with planted("commit-at-one-replica"):
             self.assertIn("committed", self._register(5, prepared=True).broken)
 
+    def test_a_commit_at_a_single_replica_is_found_by_the_judge_of_whole_nodes(self) -> None:
+        """The others never get the proposal, and the one that has it loses power for good."""
+        with planted("commit-at-one-replica"):
+            world = World(5, replicas=3, clients=2)
+            world.start_all()
+            self.assertTrue(world.run_for(10_000, world.settled))
+            first, second = world.processes()[3:]
+            accept_at_one(first, world.processes()[0].address)
+            world.change(first)
+            world.run_for(200)
+            self.assertEqual(1, len(world.judge.acknowledged))
+            world.kill(world.machines[0], restart_ms=None, power=True)
+            with self.assertRaises(Violation):
+                world.change(second)
+                world.run_for(3_000)
+
+    @pytest.mark.slow
+    def test_an_accepted_difference_without_its_base_is_found(self) -> None:
+        with planted("accept-without-base"):
+            self.assertIn("committed", self._register(7, prepared=True).broken)
+
     def test_a_takeover_starts_nothing_twice(self) -> None:
         explored = explore(TakeoverWorld(Budget(takeovers=1, unanswered=1, ends=0, waits=1)), 30)
         self.assertEqual("", explored.broken)
