A successor knows which inherited runs are far from their data; dead wait cause removed

Ruled out: an estimate of 0 in patience (listed as a fault): the rank's chain counts it as 0 too, so the due time is right; left as it is. Change: the distance is noted when the worker's labels are learned; the phase's number 6 stays free. A field of the node is renamed.

--- a/flintfield/console/commands/times.py
+++ b/flintfield/console/commands/times.py
@@ -22,7 +22,6 @@
     Phase.WAIT_RACK: "ready, waits for the rack of its data",
     Phase.WAIT_WORKER: "ready, waits for a better worker",
     Phase.WAIT_GANG: "ready, the gang does not fit at once",
-    Phase.WAIT_URGENT: "ready, room is kept for more urgent queues",
     Phase.BACKOFF: "backs off after a run that ended badly",
     Phase.PLACEMENT: "placed, until its order leaves",
     Phase.START: "ordered, until its start is told",
--- a/flintfield/coordination/node.py
+++ b/flintfield/coordination/node.py
@@ -85,8 +85,8 @@
             self._host = ReplicaHost(store, first_start, self._knowledge, rng, steady_ms, wall_ms)
         self._peers = Peers(pool, self._host)
         self._values = KnownValues(self._newest, self._host)
-        self._fetcher = ValueFetcher(self._peers, self._values, zone, address)
-        proposer = Proposer(self._peers, self._fetcher, rng)
+        self._value_fetcher = ValueFetcher(self._peers, self._values, zone, address)
+        proposer = Proposer(self._peers, self._value_fetcher, rng)
         self._register = RegisterClient(
             self._peers, proposer, self._knowledge, steady_ms, self._newest.committed
         )
@@ -97,7 +97,7 @@
             self._knowledge,
             self._newest,
             self._register,
-            self._fetcher,
+            self._value_fetcher,
             rng,
             steady_ms,
             address,
--- a/flintfield/jobs/states.py
+++ b/flintfield/jobs/states.py
@@ -48,7 +48,6 @@
     RACK = enum.auto()  # they wait for room in the rack of their data
     WORKER = enum.auto()  # there is room, and the policy waits for a better worker
     GANG = enum.auto()  # single members would fit, all together don't
-    URGENT = enum.auto()  # the room that is left is kept for more urgent queues
 
 
 JOB_CHANGES = {
--- a/flintfield/jobs/timing.py
+++ b/flintfield/jobs/timing.py
@@ -32,7 +32,6 @@
     WAIT_RACK = 3  # for room in the rack of its data
     WAIT_WORKER = 4  # there is room, and the policy waits for a better or a trusted worker
     WAIT_GANG = 5  # single members would fit, all together don't
-    WAIT_URGENT = 6  # the room that is left is kept for more urgent queues
     BACKOFF = 7  # after a run that ended badly
     PLACEMENT = 8  # placed until its start order leaves: the placement is durable
     START = 9  # ordered until the worker has answered, as far as it is told
@@ -42,7 +41,7 @@
     SHOW = 13  # the last end is told until the job is shown as ended
 
 
-PHASES = len(Phase)
+PHASES = max(Phase) + 1  # number 6 is not used any more
 
 _PHASE_OF_WAIT = {
     WaitCause.PASS: Phase.WAIT_PASS,
@@ -50,7 +49,6 @@
     WaitCause.RACK: Phase.WAIT_RACK,
     WaitCause.WORKER: Phase.WAIT_WORKER,
     WaitCause.GANG: Phase.WAIT_GANG,
-    WaitCause.URGENT: Phase.WAIT_URGENT,
 }
 
 
--- a/flintfield/jobs/workers.py
+++ b/flintfield/jobs/workers.py
@@ -137,12 +137,20 @@
         if worker.labels != labels:
             worker.labels = labels
             worker.rack = rack_of(told.labels)
+            self._note_distances(record)
         if told.draining and (not record.draining or told.remaining_ms != record.remaining_ms):
             record.leaves_ms = state.now_ms + told.remaining_ms
         record.draining = told.draining
         record.remaining_ms = told.remaining_ms
         record.silent = report.silent_ms > state.bounds.silent_ms
 
+    def _note_distances(self, record: WorkerRecord) -> None:
+        """Which of the runs there are away from their data: those of an earlier dispatcher don't say."""
+        for run in record.runs.values():
+            affinity = run.task.step.spec.affinity
+            if affinity and record.worker.rack != affinity:
+                run.far = self._state.bounds.far_x
+
     # Holds
 
     def _take_in_lapse(self, record: WorkerRecord, report: AgentReport) -> None:
--- a/tests/system/test_jobs_distance.py
+++ b/tests/system/test_jobs_distance.py
@@ -47,6 +47,19 @@
         self.assertAlmostEqual(1.0, pace, delta=0.1)
         self.assertAlmostEqual(FAR_X * WORK_MS / 2, left_ms(run, now_ms, 1.0), delta=100)
 
+    def test_a_successor_knows_which_runs_are_away_from_their_data(self) -> None:
+        world = World(machines=2)
+        world.elect()
+        world.run(1_500)
+        steps = [{"count": 1, "cpu": 1_000, "estimateMs": WORK_MS, "affinity": "rack-none"}]
+        world.submit(job_id(1), steps, simple(30_000))
+        world.run(200)
+        world.fail_dispatcher()
+        world.elect()
+        world.run(1_500)
+        (run,) = runs_of(world, job_id(1))
+        self.assertEqual(FAR_X, run.far)
+
 
 if __name__ == "__main__":
     unittest.main()
