--- a/flintfield/control/operator.py
+++ b/flintfield/control/operator.py
@@ -58,6 +58,9 @@
     overload: int = 0
     forwarded: int = 0  # to a replica, whose answer is counted there
     taken_for_others: int = 0  # from a process without a replica
+    reads: int = 0  # answered with the configuration
+    answer_bytes: int = 0  # of all answers, as far as the kernel took them
+    cut_answers: int = 0  # whose caller left before the last byte
 
 
 class OperatorService:
@@ -122,9 +125,11 @@
         if value is None:
             return _error(404, "there is no configuration yet")
         try:
-            return Answer(200, decode_stored(value).document)
+            document = decode_stored(value).document
         except UnknownFormat as error:
             return self._doubt(503, f"a later release wrote the configuration: {error}")
+        self.counters.reads += 1
+        return Answer(200, document)
 
     async def _order(self, kind: Kind, base_version: str | None, body: bytes) -> Answer:
         from flintfield.control import documents, orders
--- a/flintfield/control/server.py
+++ b/flintfield/control/server.py
@@ -11,9 +11,11 @@
 from flintfield.control.forwarding import OrderForwarder
 from flintfield.control.messages import ForwardedOrder
 from flintfield.control.operator import MAX_BODY_BYTES, Answer, OperatorService, RegisterNode
+from flintfield.runtime.clock import steady_ms
 from flintfield.runtime.errors import ErrorKind, answer, retry_after_header
 from flintfield.runtime.settings import NodeSettings
 from flintfield.transport.rpc import Handlers
+from flintfield.transport.delivery import Delivery, respond_in_pieces
 from flintfield.transport.http import BoundedServer, ServerLimits, respond, start_server
 
 _log = logging.getLogger(__name__)
@@ -87,6 +89,7 @@
             task.add_done_callback(self._tasks.discard)
 
     async def _answer(self, request: HTTPServerRequest, call: Call) -> None:
+        started_ms = steady_ms()
         try:
             reply = await call(request)
         except asyncio.CancelledError:
@@ -96,7 +99,36 @@
             _log.exception("operator_call_failed")
             _refuse(request, ErrorKind.INTERNAL)  # no clear answer: the operator repeats the order
             return
-        respond(request, reply.status, reply.body)
+        answered_ms = steady_ms() - started_ms
+        delivery = await respond_in_pieces(request, reply.status, reply.body)
+        self._note(request, reply, delivery, answered_ms, steady_ms() - started_ms)
+
+    def _note(
+        self,
+        request: HTTPServerRequest,
+        reply: Answer,
+        delivery: Delivery,
+        answered_ms: int,
+        ended_ms: int,
+    ) -> None:
+        """Count and log how a call ended; the times are counted from when the request was whole."""
+        counters = self.service.counters
+        counters.answer_bytes += delivery.sent_bytes
+        counters.cut_answers += not delivery.complete
+        fields = {
+            "path": request.path,
+            "caller": request.remote_ip,
+            "request_bytes": len(request.body),
+            "status": reply.status,
+            "answer_bytes": len(reply.body),
+            "sent_bytes": delivery.sent_bytes,
+            "answered_ms": answered_ms,
+            "ended_ms": ended_ms,
+        }
+        if delivery.complete:
+            _log.info("operator_call", extra=fields)
+        else:
+            _log.warning("operator_call_cut", extra=fields)
 
     def _replace(self, request: HTTPServerRequest) -> Awaitable[Answer]:
         return self.service.replace(request.headers.get("X-Base-Version"), request.body)
--- a/flintfield/transport/http.py
+++ b/flintfield/transport/http.py
@@ -133,6 +133,22 @@
     """Answer a request whole, in one write; a client that is gone is no error."""
     connection = request.connection
     assert connection is not None
+    start, fields = answer_head(status, body, retry_after_s, content_type, headers)
+    try:
+        connection.write_headers(start, fields, body)
+        connection.finish()
+    except StreamClosedError:
+        return
+
+
+def answer_head(
+    status: int,
+    body: bytes,
+    retry_after_s: str = "",
+    content_type: str = JSON_TYPE,
+    headers: dict[str, str] | None = None,
+) -> tuple[ResponseStartLine, HTTPHeaders]:
+    """The status line and the headers of an answer with this body."""
     fields = HTTPHeaders({"Content-Length": str(len(body))})
     if body:
         fields["Content-Type"] = content_type
@@ -140,11 +156,7 @@
         fields["Retry-After"] = retry_after_s
     for name, value in (headers or {}).items():
         fields[name] = value
-    try:
-        connection.write_headers(ResponseStartLine("HTTP/1.1", status, _reason(status)), fields, body)
-        connection.finish()
-    except StreamClosedError:
-        return
+    return ResponseStartLine("HTTP/1.1", status, _reason(status)), fields
 
 
 def _reason(status: int) -> str:
