Long reads at a process with a slow link are redirected to a replica

Cause: a read was answered by whoever was asked, however long the answer takes over that process's link. 1,600 routes are 0.33 MB, 1.3 s over 2 Mbit/s, and callers wait for about a second in all. A message whose size grows with the deployment was sent over the thinnest link without a look at its receiver's patience.

Change: a process without a replica answers 307 where the document would take more than 0.25 s over its own link (limits.linkMbps), with the control address of a replica that answered one of its polls within the last second (CoreNode.responsive_replicas); without one it answers by itself.

--- a/flintfield/control/operator.py
+++ b/flintfield/control/operator.py
@@ -3,7 +3,8 @@
 An order is acknowledged once the register says that it is committed. It is refused only where it can never
 come into force: `change` returned a value without it, or it is invalid whatever it builds on. Everything else
 (no quorum, no answer in time) is left without a clear answer, and the operator repeats the order. A process
-without a replica forwards orders to one (`forwarding`).
+without a replica forwards orders to one (`forwarding`), and redirects reads to one where its own link is too
+slow for the answer (`redirection`).
 """
 
 from __future__ import annotations
@@ -14,9 +15,11 @@
 import typing
 from collections.abc import Callable
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from flintfield.control.forwarding import NoReplicaTakes, OrderForwarder, unpack
 from flintfield.control.messages import ForwardedAnswer, ForwardedOrder, Kind
+from flintfield.control.redirection import ReadRedirector
 from flintfield.control.stored import UnknownFormat, decode_stored
 
 if typing.TYPE_CHECKING:
@@ -26,6 +29,7 @@
 
 CALL_DEADLINE_S = 1.5  # the operator moves on after a second of silence; what is later helps nobody
 MAX_BODY_BYTES = 4 * 1024 * 1024  # of an order: about 19,000 routes of the printed form
+READ_PATH = "/-/Config.Read"
 MAX_CALLS = 32  # at once; the operators have at most eight orders under way, and repeat them
 
 
@@ -41,10 +45,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """An HTTP status and a JSON document, as bytes."""
+    """An HTTP status and a JSON document, as bytes; `location` is where a redirect (307) points to."""
 
     status: int
     body: bytes
+    location: str = ""
 
 
 @dataclass(slots=True)
@@ -59,12 +64,14 @@
     forwarded: int = 0  # to a replica, whose answer is counted there
     taken_for_others: int = 0  # from a process without a replica
     reads: int = 0  # answered with the configuration
+    redirected_reads: int = 0  # to a replica
     answer_bytes: int = 0  # of all answers, as far as the kernel took them
     cut_answers: int = 0  # whose caller left before the last byte
 
 
 class OperatorService:
-    """Takes orders and reads for one process; without a replica, `forwarder` hands orders on."""
+    """Takes orders and reads for one process; without a replica, `forwarder` hands orders on and `redirector`
+    redirects reads that are too long for the process's link."""
 
     def __init__(
         self,
@@ -72,10 +79,12 @@
         deadline_s: float = CALL_DEADLINE_S,
         *,
         forwarder: OrderForwarder | None = None,
+        redirector: ReadRedirector | None = None,
     ) -> None:
         self.counters = OperatorCounters()
         self._node = node
         self._forwarder = forwarder
+        self._redirector = redirector
         self._deadline_s = deadline_s
         self._calls = 0
 
@@ -128,8 +137,18 @@
             document = decode_stored(value).document
         except UnknownFormat as error:
             return self._doubt(503, f"a later release wrote the configuration: {error}")
-        self.counters.reads += 1
-        return Answer(200, document)
+        return self._deliver(document)
+
+    def _deliver(self, document: bytes) -> Answer:
+        """The document, or a redirect to where it is delivered sooner."""
+        location = None
+        if self._redirector is not None:
+            location = self._redirector.location(READ_PATH, len(document))
+        if location is None:
+            self.counters.reads += 1
+            return Answer(HTTPStatus.OK, document)
+        self.counters.redirected_reads += 1
+        return Answer(HTTPStatus.TEMPORARY_REDIRECT, b"", location)
 
     async def _order(self, kind: Kind, base_version: str | None, body: bytes) -> Answer:
         from flintfield.control import documents, orders
--- a/flintfield/control/server.py
+++ b/flintfield/control/server.py
@@ -10,7 +10,8 @@
 
 from flintfield.control.forwarding import OrderForwarder
 from flintfield.control.messages import ForwardedOrder
-from flintfield.control.operator import MAX_BODY_BYTES, Answer, OperatorService, RegisterNode
+from flintfield.control.operator import MAX_BODY_BYTES, READ_PATH, Answer, OperatorService, RegisterNode
+from flintfield.control.redirection import ReadRedirector
 from flintfield.runtime.clock import steady_ms
 from flintfield.runtime.errors import ErrorKind, answer, retry_after_header
 from flintfield.runtime.settings import NodeSettings
@@ -33,9 +34,13 @@
     """The listener for the operator."""
 
     def __init__(
-        self, settings: NodeSettings, node: RegisterNode, forwarder: OrderForwarder | None = None
+        self,
+        settings: NodeSettings,
+        node: RegisterNode,
+        forwarder: OrderForwarder | None = None,
+        redirector: ReadRedirector | None = None,
     ) -> None:
-        self.service = OperatorService(node, forwarder=forwarder)
+        self.service = OperatorService(node, forwarder=forwarder, redirector=redirector)
         self.port = 0
         self._settings = settings
         self._server: BoundedServer | None = None
@@ -43,7 +48,7 @@
         self._calls: dict[str, tuple[str, Call]] = {
             "/-/Config.Replace": ("POST", self._replace),
             "/-/Config.Update": ("POST", self._update),
-            "/-/Config.Read": ("GET", self._read),
+            READ_PATH: ("GET", self._read),
         }
 
     def handlers(self) -> Handlers:
@@ -100,7 +105,8 @@
             _refuse(request, ErrorKind.INTERNAL)  # no clear answer: the operator repeats the order
             return
         answered_ms = steady_ms() - started_ms
-        delivery = await respond_in_pieces(request, reply.status, reply.body)
+        headers = {"Location": reply.location} if reply.location else None
+        delivery = await respond_in_pieces(request, reply.status, reply.body, headers)
         self._note(request, reply, delivery, answered_ms, steady_ms() - started_ms)
 
     def _note(
--- a/flintfield/coordination/node.py
+++ b/flintfield/coordination/node.py
@@ -174,6 +174,11 @@
         """Register `callback(value)` for every newer committed configuration that becomes known here."""
         self._newest.callbacks.append(callback)
 
+    def responsive_replicas(self, within_ms: int) -> list[Member]:
+        """Return the members of the newest core set, active in it, that answered a poll of this process
+        within the last `within_ms`."""
+        return self._watcher.responsive_replicas(within_ms)
+
     async def read(self) -> bytes | None:
         """Read the newest committed configuration (linearizable); raises `NoQuorum`."""
         return await self._watcher.read()
--- a/flintfield/coordination/shell/watcher.py
+++ b/flintfield/coordination/shell/watcher.py
@@ -62,10 +62,14 @@
 
     def take(self, member: Member, told: PollAnswer, sent_ms: int) -> bool:
         """Count an answer; True once a majority has answered."""
-        if told.active == self.core.version and told.replica == member.identity:
+        if self.counts(member, told):
             self.told[member.identity] = (told, sent_ms)
         return len(self.told) >= self.core.majority
 
+    def counts(self, member: Member, told: PollAnswer) -> bool:
+        """Whether the answer is this member's, and it is active in the set."""
+        return told.active == self.core.version and told.replica == member.identity
+
     def agreed(self) -> Agreement | None:
         """What a majority has accepted, if it is one ballot.
 
@@ -110,6 +114,18 @@
         self._settles_after = REPLICA_SETTLES_AFTER if is_replica else OTHERS_SETTLE_AFTER
         self.confirmed_ms: int | None = None  # when a round last had a majority
         self.unsettled_rounds = 0
+        self._answered_ms: dict[int, int] = {}  # by identity, when a member last answered a poll
+
+    def responsive_replicas(self, within_ms: int) -> list[Member]:
+        """The members of the newest core set that answered a poll in this time, active in their set."""
+        core = self._knowledge.core
+        if core is None:
+            return []
+        oldest_ms = self._steady_ms() - within_ms
+        answered_ms = self._answered_ms
+        return [
+            member for member in core.members if answered_ms.get(member.identity, oldest_ms - 1) >= oldest_ms
+        ]
 
     async def run(self) -> None:
         """Poll on and on; cancelled at the end."""
@@ -216,6 +232,14 @@
         await asyncio.wait(polls)
         enough.set()
 
+    def _note_answered(self, core: CoreSet, member: Member) -> None:
+        self._answered_ms[member.identity] = self._steady_ms()
+        if len(self._answered_ms) > len(core.members):  # members of former sets
+            kept = {other.identity for other in core.members}
+            self._answered_ms = {
+                identity: at_ms for identity, at_ms in self._answered_ms.items() if identity in kept
+            }
+
     async def _poll(self, round_: Round, member: Member, hold_ms: int, enough: asyncio.Event) -> None:
         leader = self._knowledge.leader
         poll = Poll(
@@ -234,6 +258,8 @@
         self._knowledge.note_known_leader(told.leader)
         if round_.take(member, told, sent_ms):
             enough.set()
+        if round_.counts(member, told):
+            self._note_answered(round_.core, member)
         if told.committed > self._newest.ballot:
             committed = Agreement(told.committed, told.committed_value, sent_ms, frozenset({told.replica}))
             await self._learn(round_.core, committed)
--- a/flintfield/programs/scheduler.py
+++ b/flintfield/programs/scheduler.py
@@ -24,6 +24,7 @@
 
 from flintfield.control.configuration import Configuration
 from flintfield.control.forwarding import OrderForwarder
+from flintfield.control.redirection import ReadRedirector
 from flintfield.control.server import ControlServer
 from flintfield.control.view import ConfigurationView
 from flintfield.coordination.node import CoreNode
@@ -133,7 +134,9 @@
         self._view.on_change(self._dispatch.set_configuration)
         observer = self._observer()
         observing = ObserveService(observer, self._dispatch, self._node)
-        self._control = ControlServer(settings, self._node, self._order_forwarder(generator))
+        self._control = ControlServer(
+            settings, self._node, self._order_forwarder(generator), self._read_redirector(generator)
+        )
         self._rpc = Server(
             {
                 **self._node.handlers(),
@@ -152,6 +155,14 @@
             return None
         return OrderForwarder(self._pool, self._node, self.settings.zone, generator)
 
+    def _read_redirector(self, generator: random.Random) -> ReadRedirector | None:
+        """Where there is no replica here, what redirects the operator's long reads to one."""
+        address = self.settings.listen.control
+        if self._store is not None or address is None:
+            return None
+        _, _, port = address.rpartition(":")
+        return ReadRedirector(self._node, self.settings.limits.link_mbps, int(port), generator)
+
     def _observer(self) -> ProcessObserver:
         settings = self.settings
         identity = Identity(
--- /dev/null
+++ b/tests/system/test_control_redirection.py
@@ -0,0 +1,134 @@
+"""Reads that are too long for a process's own link: where they are redirected to, and when they are not."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from collections.abc import Sequence
+from dataclasses import replace
+
+from flintfield.control.redirection import MAX_TRANSMISSION_S, RESPONSIVE_MS, ReadRedirector
+from flintfield.control.server import ControlServer
+from flintfield.control.stored import encode_stored
+from flintfield.coordination.model import Member
+from flintfield.runtime.settings import Listen, NodeSettings
+
+from .coordination_world import World
+from .test_control_server import PATIENCE_S, Register
+
+CONTROL_PORT = 8_100
+SLOW_MBPS = 2.0
+SLOW_BYTES_PER_S = 250_000
+PATH = "/-/Config.Read"
+REPLICAS = tuple(Member(f"m{at}", f"10.0.{at}.1:7000", "zone", at + 1) for at in range(3))
+SETTLE_MS = 10_000
+
+
+class Responsive:
+    """The replicas that have answered lately."""
+
+    def __init__(self, members: Sequence[Member] = REPLICAS) -> None:
+        self.members = members
+
+    def responsive_replicas(self, within_ms: int) -> Sequence[Member]:
+        """As the test says."""
+        return self.members
+
+
+def redirector(link_mbps: float = SLOW_MBPS, members: Sequence[Member] = REPLICAS) -> ReadRedirector:
+    """A redirector with a link of this bandwidth."""
+    return ReadRedirector(Responsive(members), link_mbps, CONTROL_PORT, random.Random(1))
+
+
+class Locations(unittest.TestCase):
+    """When a read is redirected, and where to."""
+
+    # Guards against answers that take longer over a slow link than the caller waits.
+    def test_a_read_too_long_for_the_own_link_is_redirected_to_a_replica(self) -> None:
+        longest = int(SLOW_BYTES_PER_S * MAX_TRANSMISSION_S)
+        self.assertIsNone(redirector().location(PATH, longest))
+        wanted = {f"http://10.0.{at}.1:{CONTROL_PORT}{PATH}" for at in range(3)}
+        redirect = redirector()
+        self.assertEqual({redirect.location(PATH, longest + 1) for _ in range(50)}, wanted)
+
+    # Guards against a detour for what the own link carries at once.
+    def test_a_fast_link_answers_by_itself(self) -> None:
+        self.assertIsNone(redirector(200.0).location(PATH, 4_000_000))
+
+    # Guards against a redirect to nobody, or to a replica that was last heard of long ago.
+    def test_without_a_responsive_replica_the_process_answers_by_itself(self) -> None:
+        self.assertIsNone(redirector(members=()).location(PATH, 4_000_000))
+
+
+class Polls(unittest.TestCase):
+    """What a process without a replica knows of the replicas by its polls."""
+
+    def setUp(self) -> None:
+        self.world = World(7, 3, 1, tolerance=1)
+        self.world.start_all()
+        self.assertTrue(self.world.run_for(SETTLE_MS, self.world.settled))
+        self.world.run_for(2 * RESPONSIVE_MS)
+        self.client = self.world.machines[3]
+
+    def responsive(self) -> set[str]:
+        """The names of the replicas that have answered lately."""
+        assert self.client.process is not None
+        return {member.name for member in self.client.process.node.responsive_replicas(RESPONSIVE_MS)}
+
+    # Guards against a redirect to a replica that is down or cut off from the process.
+    def test_replicas_that_are_down_or_cut_off_are_left_out(self) -> None:
+        self.assertEqual(self.responsive(), {"m0", "m1", "m2"})
+        self.world.kill(self.world.machines[0], restart_ms=None, power=True)
+        self.world.run_for(2 * RESPONSIVE_MS)
+        self.assertEqual(self.responsive(), {"m1", "m2"})
+        self.world.cut([self.client], [self.world.machines[1]])
+        self.world.run_for(2 * RESPONSIVE_MS)
+        self.assertEqual(self.responsive(), {"m2"})
+        self.world.heal()
+        self.world.restart(self.world.machines[0])
+        self.world.run_for(SETTLE_MS)
+        self.assertEqual(self.responsive(), {"m0", "m1", "m2"})
+
+
+class Redirects(unittest.IsolatedAsyncioTestCase):
+    """What a caller gets over HTTP."""
+
+    async def asyncSetUp(self) -> None:
+        settings = NodeSettings(
+            node_name="n",
+            role="scheduler",
+            ip="127.0.0.1",
+            zone="z",
+            port_range=(1, 2),
+            listen=Listen(control="127.0.0.1:0"),
+        )
+        self.settings = replace(settings, limits=replace(settings.limits, link_mbps=SLOW_MBPS))
+        self.register = Register()
+        self.server = ControlServer(self.settings, self.register, None, redirector())
+        await self.server.start()
+
+    async def asyncTearDown(self) -> None:
+        await self.server.stop()
+
+    async def read(self) -> str:
+        """The head of the answer."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        writer.write(f"GET {PATH} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
+        async with asyncio.timeout(PATIENCE_S):
+            answer = await reader.read()
+        writer.close()
+        return answer.partition(b"\r\n\r\n")[0].decode()
+
+    # Guards against a redirect that names no place, and one of a document that is short.
+    async def test_a_long_document_is_answered_by_307_with_a_location_and_a_short_one_by_itself(self) -> None:
+        self.register.value = encode_stored(1, b'{"version":1}', (), ())
+        self.assertTrue((await self.read()).startswith("HTTP/1.1 200"))
+        self.register.value = encode_stored(
+            2, b'{"version":2,"x":"' + b"x" * SLOW_BYTES_PER_S + b'"}', (), ()
+        )
+        head = await self.read()
+        self.assertTrue(head.startswith("HTTP/1.1 307"), head)
+        self.assertRegex(head, rf"Location: http://10\.0\.\d\.1:{CONTROL_PORT}{PATH}")
+        counters = self.server.service.counters
+        self.assertEqual((counters.reads, counters.redirected_reads, counters.cut_answers), (1, 1, 0))
