--- a/flintfield/simulation/operator_calls.py
+++ b/flintfield/simulation/operator_calls.py
@@ -8,7 +8,7 @@
 from http import HTTPStatus
 from urllib.parse import urlsplit
 
-from flintfield.control.operator import Answer
+from flintfield.control.operator import READ_PATH, Answer
 from flintfield.simulation.cluster import RPC_PORT, Cluster
 from flintfield.simulation.network import Transfer
 from flintfield.simulation.process import Process
@@ -16,7 +16,6 @@
 
 SILENCE_MS = 1_000  # from a call to the last byte of its answer
 MAX_REDIRECTS = 2
-READ_PATH = "/-/Config.Read"
 
 Handler = Callable[[SchedulerProcess, Callable[[Answer], None]], None]
 
--- a/flintfield/simulation/planted/__init__.py
+++ b/flintfield/simulation/planted/__init__.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from unittest import mock
 
-from flintfield.simulation.planted import agent, coordination, dispatcher
+from flintfield.simulation.planted import agent, control, coordination, dispatcher
 from flintfield.simulation.planted.patch import Patch
 from flintfield.simulation.themes import Theme
 
@@ -151,4 +151,10 @@
     "broken-is-not-sent": PlantedFault(
         "a call that broke off is told as not sent", agent.broken_is_not_sent, Theme.WORKERS, 24
     ),
+    "answer-long-reads-by-itself": PlantedFault(
+        "reads whose answers are too long for a link are not redirected",
+        control.answer_long_reads_by_itself,
+        Theme.LINKS,
+        10,
+    ),
 }
--- a/flintfield/simulation/scheduler.py
+++ b/flintfield/simulation/scheduler.py
@@ -18,6 +18,7 @@
 from flintfield.control.forwarding import OrderForwarder
 from flintfield.control.messages import ForwardedOrder
 from flintfield.control.operator import Answer, OperatorService
+from flintfield.control.redirection import ReadRedirector
 from flintfield.control.view import ConfigurationView
 from flintfield.coordination.node import CoreNode
 from flintfield.coordination.storage import KeyedStore, MemoryStore
@@ -28,7 +29,7 @@
 from flintfield.jobs.bounds import DispatcherBounds
 from flintfield.placement.market import MarketPlacement
 from flintfield.runtime.settings import Bounds as SettingsBounds
-from flintfield.runtime.settings import NodeSettings
+from flintfield.runtime.settings import Limits, NodeSettings
 from flintfield.simulation.disk import SimulatedStore
 from flintfield.simulation.network import SimulatedPool
 from flintfield.simulation.plans import Bounds
@@ -89,7 +90,8 @@
         self.view = ConfigurationView(self.node, self.steady_ms)
         self.view.on_change(self.dispatch.set_configuration)
         forwarder = None if store is not None else OrderForwarder(pool, self.node, "z", self.rng)
-        self._operator = OperatorService(self.node, forwarder=forwarder)
+        redirector = None if store is not None else self._read_redirector()
+        self._operator = OperatorService(self.node, forwarder=forwarder, redirector=redirector)
         link = DispatcherLink(pool, self.node, self.steady_ms, self.rng)
         self._ingress = IngressServer(
             _settings(machine, bounds), self.view, link, self.node, steady_ms=self.steady_ms
@@ -105,6 +107,10 @@
             self.machine.platter, random.Random(self.rng.getrandbits(64)), lambda: self.world.now_ms
         )
 
+    def _read_redirector(self) -> ReadRedirector:
+        link_mbps = self.world.network.links.mbps(self.machine.name, Limits().link_mbps)
+        return ReadRedirector(self.node, link_mbps, CONTROL_PORT, self.rng)
+
     def _start(self) -> None:
         self.handlers = {
             **self.node.handlers(),
