Ingress passes on GET and DELETE of a job whose nested route was removed

Callers saw 400 ("the ID is not 16 hex digits") for an accepted job once its route was removed while a route with a shorter prefix still matched its path. Cause: `read_call` judged the form of the ID by the rest of the path behind the shorter prefix. Ruled out: the dispatcher, which finds such a job by its path. Change: a GET or DELETE whose path ends in an ID is passed on. A POST is still refused, as only routes in force take jobs. Test: test_job_of_a_removed_nested_route_is_the_dispatchers_to_find, failed before (400 for 200).

--- a/flintfield/ingress/calls.py
+++ b/flintfield/ingress/calls.py
@@ -56,12 +56,21 @@
     job_id = request.path[len(route.path_prefix) :] if route is not None else None
     if method is Method.STATUS and _asks_for_count(request.path, job_id):
         method = Method.COUNT
-    elif confirmed and job_id is not None and not _JOB_ID.fullmatch(job_id):
+    elif confirmed and job_id is not None and not _may_name_job(method, request.path, job_id):
         return error_reply(ErrorKind.MALFORMED, "the ID is not 16 hex digits")
     body = request.body if method is Method.SUBMIT else b""
     return ClientCall(method, host, request.path, body, route, deadline_ms)
 
 
+def _may_name_job(method: Method, path: str, job_id: str) -> bool:
+    """Whether the rest of the path is an ID. An accepted job is still known by its path after its route was
+    removed, and a shorter prefix may match that path now.
+    """
+    if _JOB_ID.fullmatch(job_id):
+        return True
+    return method is not Method.SUBMIT and _ENDS_IN_JOB_ID.search(path) is not None
+
+
 def _is_deadline(text: str) -> bool:
     return text.isascii() and text.isdigit() and len(text) <= _LONGEST_DEADLINE_DIGITS
 
--- a/tests/system/test_ingress_server.py
+++ b/tests/system/test_ingress_server.py
@@ -216,6 +216,18 @@
         self.assertEqual((await self.ask("POST", "/nowhere/0123456789abcdef", b"{}")).status, 404)
         self.assertEqual([call.method for call in self.world.calls], [Method.COUNT, Method.SUBMIT])
 
+    # Guards against: 400 for a job that was accepted by a nested route which has been removed since.
+    async def test_job_of_a_removed_nested_route_is_the_dispatchers_to_find(self) -> None:
+        for method, expected in (("GET", Method.STATUS), ("DELETE", Method.CANCEL)):
+            for path in ("/a/b/0123456789abcdef", "/a/x-0123456789abcdef"):
+                with self.subTest(f"{method} {path}"):
+                    self.assertEqual((await self.ask(method, path)).status, 200)
+                    call = self.world.calls.pop()
+                    self.assertEqual((call.method, call.path), (expected, path))
+        self.assertEqual((await self.ask("POST", "/a/b/0123456789abcdef", b"{}")).status, 400)
+        self.assertEqual((await self.ask("GET", "/a/b/")).status, 400)
+        self.assertEqual(self.world.calls, [])
+
     async def test_refusal_says_when_to_come_back(self) -> None:
         async def refuse(_: JobCall) -> JobAnswer:
             return JobAnswer(429, b"{}", 1_200, 4)
