Dispatcher finds a job by the ID at the end of a path without a last slash

Callers got the queue's count (200 `pending`) for a GET, and 400 for a DELETE, of a job whose removed prefix did not end in a slash (`/a/x-ID`) below a prefix in force. Cause: without a matching route, only the whole last segment was taken for an ID. Change: the last 16 hex digits, if no other hex digit stands before them, as the ingress reads it. Left: a removed prefix that ends in a hex digit. Test: test_a_job_of_a_removed_route_is_found_by_the_id_at_the_end_of_its_path, failed before (400 for 200).

--- a/flintfield/jobs/intake.py
+++ b/flintfield/jobs/intake.py
@@ -26,6 +26,7 @@
 from flintfield.transport.records import encode
 
 _ID = re.compile(r"[0-9a-fA-F]{16}")
+_ID_AT_END = re.compile(r"(?:^|[^0-9a-fA-F])([0-9a-fA-F]{16})\Z")
 
 _STATE_BODIES = {
     JobState.ACTIVE: b'{"state":"queued"}',
@@ -74,8 +75,8 @@
             rest = request.path[len(route.path_prefix) :]
             if _ID.fullmatch(rest):
                 return rest
-        last = request.path.rpartition("/")[2]
-        return last if _ID.fullmatch(last) else ""
+        found = _ID_AT_END.search(request.path)
+        return found.group(1) if found is not None else ""
 
     # Submit
 
--- a/tests/system/test_jobs_intake.py
+++ b/tests/system/test_jobs_intake.py
@@ -184,6 +184,17 @@
         self.assertEqual(self.call(1, Method.SUBMIT, "12", GOOD), 400)
         self.assertEqual(self.call(2, Method.CANCEL, "12"), 400)
 
+    # Guards against: a job that is not found because its removed prefix did not end in a slash.
+    def test_a_job_of_a_removed_route_is_found_by_the_id_at_the_end_of_its_path(self) -> None:
+        self.call(1, Method.SUBMIT, job_id(1), GOOD)
+        self.make_durable()
+        for number, path in enumerate(("b/", "x-"), 2):
+            self.assertEqual(self.call(number, Method.STATUS, path + job_id(1)), 200)
+            self.assertEqual(self.answers[number].body, b'{"state":"queued"}')
+        self.call(4, Method.CANCEL, "x-" + job_id(1))
+        self.make_durable()
+        self.assertEqual(self.answers[4].status, 200)
+
     def test_a_cancel_is_answered_once_durable_and_survives_a_takeover(self) -> None:
         self.call(1, Method.SUBMIT, job_id(1), GOOD)
         self.make_durable()
