Dispatcher does not answer a count below a prefix with that of the prefix

Callers that asked for the count of a removed or unknown `/a/b/` got that of `/a/` with 200, while the ingress could not confirm its configuration (else it answers 400). Cause: `_count` took the longest matching prefix without looking at the rest of the path. Change: 400, as at the ingress. Test: test_a_count_below_a_prefix_is_not_that_of_the_prefix, failed before (200 for 400).

--- a/flintfield/jobs/intake.py
+++ b/flintfield/jobs/intake.py
@@ -172,6 +172,9 @@
         if route is None:
             self._answer(call, 404, _reason("no such queue"))
             return
+        if request.path != route.path_prefix:  # of a nested queue that is not configured, or a malformed id
+            self._answer(call, 400, _reason("a job's id is 16 hex digits"))
+            return
         self._answer(call, 200, b'{"pending":%d}' % self._state.pending[route.name])
 
     # Cancel
--- a/tests/system/test_jobs_intake.py
+++ b/tests/system/test_jobs_intake.py
@@ -184,6 +184,13 @@
         self.assertEqual(self.call(1, Method.SUBMIT, "12", GOOD), 400)
         self.assertEqual(self.call(2, Method.CANCEL, "12"), 400)
 
+    # Guards against: a count of `/a/b/`, which is not configured (any more), answered with that of `/a/`.
+    def test_a_count_below_a_prefix_is_not_that_of_the_prefix(self) -> None:
+        self.call(1, Method.SUBMIT, job_id(1), GOOD)
+        self.make_durable()
+        self.assertEqual(self.call(2, Method.COUNT, "b/"), 400)
+        self.assertEqual(self.call(3, Method.STATUS, "12"), 400)
+
     # Guards against: a job that is not found because its removed prefix did not end in a slash.
     def test_a_job_of_a_removed_route_is_found_by_the_id_at_the_end_of_its_path(self) -> None:
         self.call(1, Method.SUBMIT, job_id(1), GOOD)
