Placement passes go on where the last one stopped, so each waiting step is tried

A job could stand still beside idle workers for as long as 48 different demands without capacity ranked ahead of it (each gang and each step with antiAffinity is one). Cause: a pass stops at 48 such demands, and the next one began at the front again. Ruled out: the starts of a pass (256), which leave the queue; those are tried next. Change: a pass leaves 32 demands waiting from the front, and 16 behind them from where the last pass stopped (of steps that wait for a rack: 192 and 64); while it stops early, the next pass follows after its pause (1 ms a demand, as before) instead of 200 ms. With 48 demands or fewer nothing changes. Not tested by itself: the limit of steps that wait for a rack.

--- a/flintfield/jobs/queues.py
+++ b/flintfield/jobs/queues.py
@@ -20,6 +20,7 @@
     dirty: bool = True
     last_pass_ms: int = -1
     next_pass_ms: int = 0  # earliest time of the next pass
+    resume_at: tuple[float, int] | None = None  # rank and serial where the second part of a pass goes on
     backlog_cpu: Counter[int] = field(default_factory=Counter)  # by priority: millicores x ms
     backlog_gpu: Counter[int] = field(default_factory=Counter)  # by priority: GPUs x ms
     reserved: dict[str, Step] = field(default_factory=dict)  # by instance: the step it is reserved for
--- a/flintfield/jobs/starts.py
+++ b/flintfield/jobs/starts.py
@@ -3,10 +3,17 @@
 The placement policy chooses a worker, and `can_place` checks the choice against the rules. A task whose data
 is in a rack waits for that rack while that costs less than running elsewhere (`racks`). A task that has
 waited long although a worker has capacity is placed there even if the policy would wait.
+
+The work of a pass is limited. Its first part begins at the front of the queue. If that part reaches its
+limit, a second part goes on behind it, where the second part of the last pass stopped, so that each step is
+tried within a few passes, however many ahead of it find no capacity.
 """
 
 from __future__ import annotations
 
+from bisect import bisect_left
+from dataclasses import dataclass, field
+
 from flintfield.jobs.demands import demand_of, can_place
 from flintfield.jobs.gangs import FORCE_AFTER_MS, Gangs
 from flintfield.jobs.model import Step, Task
@@ -20,17 +27,48 @@
 from flintfield.placement.interface import Demand, Worker
 
 MAX_STARTS = 256  # per pass, so that an event is processed quickly
-MAX_WAITING_SHAPES = 48  # different demands left waiting in one pass; the rest wait for the next pass
-MAX_RACK_WAITS = 256  # steps left waiting for a rack in one pass; they do not block other steps
+FIRST_WAITING_SHAPES = 32  # different demands left waiting in the first part of a pass
+LATER_WAITING_SHAPES = 16  # in the second part; while it stops early, the next pass follows at once
+FIRST_RACK_WAITS = 192  # steps left waiting for a rack in the first part; they do not block other steps
+LATER_RACK_WAITS = 64  # in the second part
 RACK_WAITS_PER_PAUSE_MS = 8  # per ms of pause; a check of a rack is cheap
 RETRY_PASS_MS = 200  # a queue is tried again after this time even without a known change
 PAUSE_PER_SHAPE_MS = 1  # a pass with many waiting demands is expensive, so the next one is delayed
 
 Shape = tuple[object, ...]
+QueuedStep = tuple[float, int, Step]  # rank, serial, step
 
 _SHORT_OF_ROOM = (WaitCause.ROOM, WaitCause.GANG)
 
 
+@dataclass(slots=True)
+class _Pass:
+    """One pass over one queue: what it found, and how far it may go."""
+
+    racks: RackWaits
+    causes: dict[Shape, WaitCause] = field(default_factory=dict)  # why steps of a shape wait
+    budget: int = MAX_STARTS
+    max_shapes: int = FIRST_WAITING_SHAPES
+    max_rack_waits: int = FIRST_RACK_WAITS
+
+    def is_over(self) -> bool:
+        """Whether this part of the pass has reached a limit."""
+        return (
+            self.budget <= 0
+            or len(self.causes) >= self.max_shapes
+            or self.racks.waiting_steps >= self.max_rack_waits
+        )
+
+    def begin_second_part(self) -> None:
+        """Allow the work of the second part."""
+        self.max_shapes = len(self.causes) + LATER_WAITING_SHAPES
+        self.max_rack_waits = self.racks.waiting_steps + LATER_RACK_WAITS
+
+    def note_placed(self, tasks: int) -> None:
+        """Count placed tasks."""
+        self.budget -= tasks
+
+
 class PlacementPasses:
     """Runs placement passes over the queues."""
 
@@ -66,41 +104,67 @@
             self._gangs.unhide_reserved(queue)
 
     def _place_steps(self, queue: ServiceQueue) -> None:
-        causes: dict[Shape, WaitCause] = {}  # why steps of a shape wait; others of that shape are skipped
-        budget = MAX_STARTS
-        racks = RackWaits(self._state, queue)
-        for _, _, step in tuple(queue.steps):
-            if budget <= 0 or len(causes) >= MAX_WAITING_SHAPES or racks.waiting_steps >= MAX_RACK_WAITS:
-                queue.dirty = queue.dirty or budget <= 0
-                break
-            self._gangs.hide_reserved(queue, step)
-            if step.queued_in != queue.name or step.occurrence.job.state is not JobState.ACTIVE:
-                continue
-            shape = _shape(step)
-            cause = causes.get(shape)
-            if cause is not None and (cause is WaitCause.ROOM or not self._overdue(step)):
-                self._note_wait(step, cause)
-                continue
-            placed = (
-                self._gangs.place(queue, step) if step.spec.gang else self._place(queue, step, racks, budget)
-            )
-            budget -= placed
-            if not step.ready:
-                continue
-            cause = self._wait_cause(queue, step)
-            self._note_wait(step, cause)
-            if cause is WaitCause.RACK:
-                racks.missed(step)  # each step is tried, also of the same shape, as it may run elsewhere
-                continue
-            causes[shape] = cause
-            if cause in _SHORT_OF_ROOM:
-                self._gangs.reserve(queue, step)
-                self._preemption.make_room(queue, step)
-        queue.short_of_room = any(cause in _SHORT_OF_ROOM for cause in causes.values())
-        queue.awaited_racks = racks.wanted
-        pause_ms = len(causes) * PAUSE_PER_SHAPE_MS + racks.waiting_steps // RACK_WAITS_PER_PAUSE_MS
+        attempt = _Pass(RackWaits(self._state, queue))
+        steps = tuple(queue.steps)
+        end = self._visit(queue, attempt, steps, 0)
+        if end < len(steps) and attempt.budget > 0:
+            self._visit_later(queue, attempt, steps, end)
+        elif end == len(steps):
+            queue.resume_at = None
+        queue.dirty = queue.dirty or attempt.budget <= 0 or queue.resume_at is not None
+        queue.short_of_room = any(cause in _SHORT_OF_ROOM for cause in attempt.causes.values())
+        queue.awaited_racks = attempt.racks.wanted
+        rack_pause_ms = attempt.racks.waiting_steps // RACK_WAITS_PER_PAUSE_MS
+        pause_ms = len(attempt.causes) * PAUSE_PER_SHAPE_MS + rack_pause_ms
         queue.next_pass_ms = self._state.now_ms + pause_ms
 
+    def _visit_later(
+        self, queue: ServiceQueue, attempt: _Pass, steps: tuple[QueuedStep, ...], first: int
+    ) -> None:
+        """The second part of a pass, over the steps from `first` on: goes on where the last one stopped."""
+        if queue.resume_at is not None:
+            resumed = bisect_left(steps, queue.resume_at)
+            first = resumed if first < resumed < len(steps) else first
+        attempt.begin_second_part()
+        end = self._visit(queue, attempt, steps, first)
+        queue.resume_at = steps[end][:2] if end < len(steps) else None
+
+    def _visit(self, queue: ServiceQueue, attempt: _Pass, steps: tuple[QueuedStep, ...], first: int) -> int:
+        """Try the steps from `first` on until a limit is reached; returns the position of the next one."""
+        for position in range(first, len(steps)):
+            if attempt.is_over():
+                return position
+            step = steps[position][2]
+            if step.queued_in == queue.name and step.occurrence.job.state is JobState.ACTIVE:
+                self._try_step(queue, attempt, step)
+        return len(steps)
+
+    def _try_step(self, queue: ServiceQueue, attempt: _Pass, step: Step) -> None:
+        shape = _shape(step)
+        cause = attempt.causes.get(shape)
+        if cause is not None and (cause is WaitCause.ROOM or not self._overdue(step)):
+            self._note_wait(step, cause)
+            return
+        self._gangs.hide_reserved(queue, step)
+        attempt.note_placed(self._place_step(queue, attempt, step))
+        if not step.ready:
+            return
+        cause = self._wait_cause(queue, step)
+        self._note_wait(step, cause)
+        if cause is WaitCause.RACK:
+            attempt.racks.missed(step)  # each step is tried, also of the same shape, as it may run elsewhere
+            return
+        attempt.causes[shape] = cause
+        if cause in _SHORT_OF_ROOM:
+            self._gangs.reserve(queue, step)
+            self._preemption.make_room(queue, step)
+
+    def _place_step(self, queue: ServiceQueue, attempt: _Pass, step: Step) -> int:
+        """Place the step's ready tasks; returns the number placed."""
+        if step.spec.gang:
+            return self._gangs.place(queue, step)
+        return self._place(queue, step, attempt.racks, attempt.budget)
+
     def _note_wait(self, step: Step, cause: WaitCause) -> None:
         self._state.timing.settle_wait(step, self._state.now_ms)
         step.wait_cause = cause
