Long reservations do not hold against steps that would count as lost

A job with nothing running waited for up to 8 s beside idle workers that were reserved for a gang, on a service under half in use; a long-running task did on a full one. Cause: a reservation within half of the workers may last 8 s and hides them from every step behind its holder. Ruled out: reservations of more workers, which last 2.5 s. Change: from 2 s on, a reservation of over 2.5 s is ignored for steps that have waited 2 s and are long-running, or whose job has nothing running while under half of the service's CPU is in use (`exemptions`).

--- a/flintfield/jobs/gangs.py
+++ b/flintfield/jobs/gangs.py
@@ -2,7 +2,7 @@
 
 A gang that finds no capacity may reserve workers: until it is placed or the reservation ends, they accept no
 task that ranks behind it. Reservations are limited in number and time, so that a gang that can never fit does
-not block other tasks.
+not block other tasks. Tasks that would count as lost are exempt (`exemptions`).
 """
 
 from __future__ import annotations
@@ -111,7 +111,7 @@
             worker.ready = False
 
     def unhide_reserved(self, queue: ServiceQueue) -> None:
-        """Show the hidden workers again after a pass."""
+        """Show the hidden workers again: to an exempt step, and after a pass."""
         for worker in queue.hidden_workers:
             worker.ready = True
         queue.hidden_workers = []
@@ -133,6 +133,7 @@
         wanted, free_in_ms = self._soonest_free_workers(queue, step, max(most, 1))
         if wanted:
             queue.reserved = {worker.instance: step for worker in wanted}
+            queue.reserved_since_ms = now
             within_share = len(wanted) <= len(queue.workers) * RESERVED_SHARE
             longest = LONGEST_RESERVATION_MS if within_share else RESERVATION_MS
             queue.reserved_until_ms = now + int(min(max(RESERVATION_MS, free_in_ms * 1.5), longest))
--- a/flintfield/jobs/queues.py
+++ b/flintfield/jobs/queues.py
@@ -24,6 +24,7 @@
     backlog_cpu: Counter[int] = field(default_factory=Counter)  # by priority: millicores x ms
     backlog_gpu: Counter[int] = field(default_factory=Counter)  # by priority: GPUs x ms
     reserved: dict[str, Step] = field(default_factory=dict)  # by instance: the step it is reserved for
+    reserved_since_ms: int = 0
     reserved_until_ms: int = 0
     last_reserve_attempt_ms: int = 0
     short_of_room: bool = False  # whether tasks found no capacity in the last pass
--- a/flintfield/jobs/starts.py
+++ b/flintfield/jobs/starts.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, field
 
 from flintfield.jobs.demands import demand_of, can_place
+from flintfield.jobs.exemptions import ReservationExemptions
 from flintfield.jobs.gangs import FORCE_AFTER_MS, Gangs
 from flintfield.jobs.model import Step, Task
 from flintfield.jobs.readiness import Readiness
@@ -46,6 +47,7 @@
     """One pass over one queue: what it found, and how far it may go."""
 
     racks: RackWaits
+    exemptions: ReservationExemptions
     causes: dict[Shape, WaitCause] = field(default_factory=dict)  # why steps of a shape wait
     budget: int = MAX_STARTS
     max_shapes: int = FIRST_WAITING_SHAPES
@@ -66,7 +68,9 @@
 
     def note_placed(self, tasks: int) -> None:
         """Count placed tasks."""
-        self.budget -= tasks
+        if tasks:
+            self.budget -= tasks
+            self.exemptions.capacity_taken()
 
 
 class PlacementPasses:
@@ -104,7 +108,7 @@
             self._gangs.unhide_reserved(queue)
 
     def _place_steps(self, queue: ServiceQueue) -> None:
-        attempt = _Pass(RackWaits(self._state, queue))
+        attempt = _Pass(RackWaits(self._state, queue), ReservationExemptions(queue, self._state.now_ms))
         steps = tuple(queue.steps)
         end = self._visit(queue, attempt, steps, 0)
         if end < len(steps) and attempt.budget > 0:
@@ -140,12 +144,16 @@
         return len(steps)
 
     def _try_step(self, queue: ServiceQueue, attempt: _Pass, step: Step) -> None:
-        shape = _shape(step)
+        exempt = attempt.exemptions.covers(step)
+        shape = (exempt, *_shape(step))
         cause = attempt.causes.get(shape)
         if cause is not None and (cause is WaitCause.ROOM or not self._overdue(step)):
             self._note_wait(step, cause)
             return
-        self._gangs.hide_reserved(queue, step)
+        if exempt:
+            self._gangs.unhide_reserved(queue)
+        else:
+            self._gangs.hide_reserved(queue, step)
         attempt.note_placed(self._place_step(queue, attempt, step))
         if not step.ready:
             return
