Judge of the simulator: a job may stand still for 3 s in the end, as the rule says, not 4

The judge of LOST allowed 4 s with nothing running beside free capacity; the target is 3 s. Nothing else of the judge changes. Test: a job whose last run lapsed 3.1 s before the end is LOST, one of 2.9 s is not; it failed before.

--- a/flintfield/simulation/judge/standstill.py
+++ b/flintfield/simulation/judge/standstill.py
@@ -15,7 +15,7 @@
 from flintfield.simulation.plans import Capacity, Plan
 from flintfield.simulation.record import JobAsked
 
-STUCK_MS = 4_000  # in a long calm, a job whose turn has come has something running within that
+STUCK_MS = 3_000  # in a long calm, a job whose turn has come has something running within that
 CALM_BEFORE_END_MS = 6_000  # longer than any hold, so that what was lost is known to be lost
 AGAIN_MS = 6_000  # within which a lasting task that has lost its run runs again
 CALM_MS = 7_000  # before a lasting task's standstill counts
--- a/tests/system/test_simulation.py
+++ b/tests/system/test_simulation.py
@@ -199,6 +199,15 @@
         self._call("GET", 2_000, 200, "completed")
         self.assertIn("MIXED", self._rules())
 
+    # Guards against: a judge that lets a job stand still beside free capacity for longer than 3 s.
+    def test_a_job_with_nothing_running_for_3_s_in_the_end(self) -> None:
+        self._call("POST", 1_000, 200)
+        self._call("GET", 20_010, 200, "running")
+        seen = self._run(1, 2_000, 17_100, "lapsed")
+        self.assertEqual(set(), self._rules())
+        seen.end_ms = 16_900
+        self.assertEqual({"LOST"}, self._rules())
+
     def test_a_start_after_the_cancel(self) -> None:
         self._call("POST", 1_000, 200)
         self._call("DELETE", 2_000, 200)
