--- a/flintfield/jobs/queues.py
+++ b/flintfield/jobs/queues.py
@@ -20,9 +20,11 @@
     dirty: bool = True
     last_pass_ms: int = -1
     next_pass_ms: int = 0  # earliest time of the next pass
+    resume_at: tuple[float, int] | None = None  # rank and serial where the second part of a pass goes on
     backlog_cpu: Counter[int] = field(default_factory=Counter)  # by priority: millicores x ms
     backlog_gpu: Counter[int] = field(default_factory=Counter)  # by priority: GPUs x ms
     reserved: dict[str, Step] = field(default_factory=dict)  # by instance: the step it is reserved for
+    reserved_since_ms: int = 0
     reserved_until_ms: int = 0
     last_reserve_attempt_ms: int = 0
     short_of_room: bool = False  # whether tasks found no capacity in the last pass
