A replica has the time that a forwarded order takes on a slow link

Cause: the operator's order may take DEADLINE_S and its transmission, but each replica that was asked had 1.85 s whatever its size; a packed order of 230 kB (12,000 routes) takes that over half of a 2 Mbit/s link.

Change: the call to a replica has DEADLINE_S + HEDGE_S + transmission. passage_s is named transmission_s.

Test: test_a_replica_has_the_time_that_a_large_order_takes_on_a_slow_link failed before (504 for 200), passes now; 19 passed in its file.

--- a/flintfield/control/forwarding.py
+++ b/flintfield/control/forwarding.py
@@ -66,13 +66,14 @@
     async def forward(self, kind: Kind, base_version: str | None, body: bytes) -> ForwardedAnswer | None:
         """The answer of a replica; None where no clear one came in time. Raises `NoReplicaTakes`."""
         order = ForwardedOrder(kind, base_version, zlib.compress(body, PACK_LEVEL))
-        passage_s = len(order.packed_body) / SLOW_LINK_BYTES_PER_S
+        transmission_s = len(order.packed_body) / SLOW_LINK_BYTES_PER_S
         replicas = self._replicas()
         turned_away: list[Member] = []
-        asks = [partial(self._ask, replica, order, turned_away) for replica in replicas]
+        timeout_s = DEADLINE_S + HEDGE_S + transmission_s
+        asks = [partial(self._ask, replica, order, timeout_s, turned_away) for replica in replicas]
         try:
-            async with asyncio.timeout(DEADLINE_S + passage_s):
-                answer = await first_answer(asks, HEDGE_S + passage_s)
+            async with asyncio.timeout(DEADLINE_S + transmission_s):
+                answer = await first_answer(asks, HEDGE_S + transmission_s)
         except TimeoutError:
             return None
         if len(turned_away) == len(replicas):
@@ -91,11 +92,11 @@
         return members[:MOST_REPLICAS]
 
     async def _ask(
-        self, replica: Member, order: ForwardedOrder, turned_away: list[Member]
+        self, replica: Member, order: ForwardedOrder, timeout_s: float, turned_away: list[Member]
     ) -> ForwardedAnswer | None:
         """One replica's answer; None where no clear one came. Who can't take the order is noted."""
         try:
-            answer = await self._pool.call(replica.address, order, DEADLINE_S + HEDGE_S)
+            answer = await self._pool.call(replica.address, order, timeout_s)
         except (Rejected, Unreachable):
             turned_away.append(replica)
             return None
--- a/tests/system/test_control_forwarding.py
+++ b/tests/system/test_control_forwarding.py
@@ -11,7 +11,14 @@
 
 import pytest
 
-from flintfield.control.forwarding import DEADLINE_S, HEDGE_S, MOST_REPLICAS, OrderForwarder, unpack
+from flintfield.control.forwarding import (
+    DEADLINE_S,
+    HEDGE_S,
+    MOST_REPLICAS,
+    SLOW_LINK_BYTES_PER_S,
+    OrderForwarder,
+    unpack,
+)
 from flintfield.control.messages import ForwardedAnswer, ForwardedOrder, Kind
 from flintfield.control.operator import MAX_BODY_BYTES, Answer, OperatorService
 from flintfield.coordination.model import CoreSet, LeaderView, Member, ordered
@@ -27,6 +34,7 @@
 LEADER, NEAR = MEMBERS[2], MEMBERS[1]
 TAKEN = ForwardedAnswer(200, b"{}")
 IN_DOUBT = ForwardedAnswer(503, b"{}")
+LONG_ORDER_BYTES = 250_000  # packed; 2 s over half of a link of 2 Mbit/s
 Replica = typing.Callable[[ForwardedOrder], Coroutine[typing.Any, typing.Any, ForwardedAnswer]]
 
 
@@ -58,6 +66,18 @@
         return await play(decode(data))
 
 
+class TimedReplicas(Replicas):
+    """Replicas whose answers are given up after the time-out of the call."""
+
+    async def call(self, address: str, message: typing.Any, timeout_s: float) -> typing.Any:
+        """Carry the order there."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await super().call(address, message, timeout_s)
+        except TimeoutError as error:
+            raise Unanswered(address) from error
+
+
 def always(answer: ForwardedAnswer | Exception) -> Replica:
     """A replica that answers so at once."""
 
@@ -180,6 +200,19 @@
     assert after_s > HEDGE_S
 
 
+# Guards against a large order that is given up at a replica while the operator still waits for it.
+def test_a_replica_has_the_time_that_a_large_order_takes_on_a_slow_link() -> None:
+    body = json.dumps({"x": random.Random(1).randbytes(LONG_ORDER_BYTES).hex()}).encode()
+    transmission_s = len(zlib.compress(body)) / SLOW_LINK_BYTES_PER_S
+
+    async def play(order: ForwardedOrder) -> ForwardedAnswer:
+        await asyncio.sleep(transmission_s)
+        return TAKEN
+
+    answer, after_s = forwarded(TimedReplicas({LEADER: play}), body=body)
+    assert (answer.status, after_s) == (200, pytest.approx(transmission_s, abs=0.01))
+
+
 @pytest.mark.parametrize(
     "packed", [b"no such form", zlib.compress(b" " * (MAX_BODY_BYTES + 1)), zlib.compress(b"{}" * 99)[:-3]]
 )
