A change that makes the configuration too long to be read back is refused

Changes that together built up a document of more than 8 MiB (some 40,000 routes) were acknowledged, and from then on no process could unpack it: every read and every order was in doubt for good, also after restarts.

Cause: the bound on the unpacked document was compared when it is read, not when it is taken.

--- a/tests/system/test_control_orders.py
+++ b/tests/system/test_control_orders.py
@@ -27,6 +27,8 @@
 
 Document = dict[str, typing.Any]
 
+NOTE_BYTES = 1_000_000
+
 
 def route(name: str, /, **changes: typing.Any) -> Document:
     """A valid route with its own prefix."""
@@ -102,6 +104,24 @@
     return document
 
 
+class LongDocuments(unittest.TestCase):
+    """Documents that grow by changes, each of which is short."""
+
+    # Guards against a document that is committed and that no process can read any more.
+    def test_a_change_that_makes_the_document_too_long_is_refused(self) -> None:
+        value = take(replace(0, whole(1)), None)
+        for version in range(2, 2 + MOST_DOCUMENT_BYTES // NOTE_BYTES + 1):
+            change = {"version": version, "upsert": {"routes": [route(f"x{version}", note="n" * NOTE_BYTES)]}}
+            judgement = orders.judge(update(version - 1, change), value)
+            if judgement.successor is None:
+                break
+            value = judgement.successor
+            self.assertEqual(decode_stored(value).version, version)
+        self.assertIs(judgement.verdict, Verdict.INVALID)
+        self.assertIn(str(MOST_DOCUMENT_BYTES), judgement.reason)
+        self.assertGreater(len(decode_stored(value).document), MOST_DOCUMENT_BYTES - 2 * NOTE_BYTES)
+
+
 class InvalidOrders(unittest.TestCase):
     """Orders that are invalid on top of anything; the message names the item."""
 
