Simulator: as many lost disks at once as are tolerated, theme "losses"

Change: WIPE and WIPE_AND_POWER take several targets; keep_promise lets through as many lost disks as are tolerated by the number of replicas, no more. Its weight is 0 and its sizes come from a random source of their own, so the other seeds draw what they drew.

--- a/flintfield/simulation/cluster.py
+++ b/flintfield/simulation/cluster.py
@@ -11,7 +11,7 @@
 from flintfield.simulation import worker_faults
 from flintfield.simulation.agent import AgentProcess
 from flintfield.simulation.disk import Platter
-from flintfield.simulation.faults import ALL, LEADER, Fault, FaultKind, Trigger
+from flintfield.simulation.faults import ALL, LEADER, Fault, FaultKind, Trigger, tolerated_losses
 from flintfield.simulation.fleet import Fleet
 from flintfield.simulation.plans import Bounds
 from flintfield.simulation.record import Record, Trouble
@@ -46,7 +46,7 @@
         for number, name in enumerate(names):
             world.add_machine(name, f"10.0.0.{number}:{RPC_PORT}")
         seeds = tuple(world.machines[name].address for name in names[:3])
-        tolerance = (scenario.replicas - 1) // 2
+        tolerance = tolerated_losses(scenario.replicas)
         record.core = frozenset(names[: scenario.replicas])
         self._armed: list[Fault] = []
         self._core = Core(seeds, record.core, scenario.diskless, tolerance, bounds)
@@ -137,8 +137,8 @@
 
     def apply(self, fault: Fault) -> None:
         """Let it happen now."""
-        if fault.target == LEADER:
-            fault = dataclasses.replace(fault, target=self._leader())
+        if LEADER in fault.target.split(","):
+            fault = dataclasses.replace(fault, target=fault.target.replace(LEADER, self._leader()))
         self.world.note(f"fault: {fault.kind.value} {fault.target} {fault.other} for {fault.length_ms} ms")
         self._apply[fault.kind](fault)
 
@@ -185,14 +185,16 @@
                 process.post(process.set_seeds, seeds)
 
     def _wipe(self, fault: Fault) -> None:
-        self._kill(fault.target, fault.length_ms, power=True)
-        self.world.machines[fault.target].platter = Platter()
+        for name in dict.fromkeys(fault.lost_disks):
+            later_ms = self._rng.uniform(0, fault.amount) if fault.amount else 0.0
+            self._kill(name, fault.length_ms + later_ms, power=True)
+            self.world.machines[name].platter = Platter()
 
     def _wipe_and_power(self, fault: Fault) -> None:
         others = set(self.record.core)
         if fault.other == ALL:
             others |= {*self.scenario.schedulers, *self.scenario.agents}
-        for name in sorted(others - {fault.target}):
+        for name in sorted(others.difference(fault.lost_disks)):
             self._kill(name, fault.length_ms + self._rng.uniform(*LATER_MS), power=True)
         self._wipe(fault)
 
--- a/flintfield/simulation/faults.py
+++ b/flintfield/simulation/faults.py
@@ -17,8 +17,8 @@
     KILL_SCHEDULER = "kill_scheduler"
     STOP_SCHEDULER = "stop_scheduler"  # SIGTERM
     POWER = "power"  # a scheduler's machine loses power
-    WIPE = "wipe"  # and its disk
-    WIPE_AND_POWER = "wipe_and_power"  # and all other replicas (or machines, `other`) lose power with it
+    WIPE = "wipe"  # and its disk; with commas: several at once; back up to `amount` ms later
+    WIPE_AND_POWER = "wipe_and_power"  # and all other replicas (or machines, `other`) lose power with them
     KILL_CORE = "kill_core"  # all schedulers at once
     POWER_CORE = "power_core"
     POWER_ALL = "power_all"  # every machine of the system: schedulers and agents
@@ -43,6 +43,9 @@
     LATE_BEATS = "late_beats"
 
 
+LOSING_DISKS = frozenset({FaultKind.WIPE, FaultKind.WIPE_AND_POWER})
+
+
 class Trigger(enum.Enum):
     """What a fault waits for from its time on."""
 
@@ -64,6 +67,11 @@
     amount: float = 0.0
     trigger: Trigger = Trigger.NONE
 
+    @property
+    def lost_disks(self) -> tuple[str, ...]:
+        """The machines that lose their disks."""
+        return tuple(self.target.split(",")) if self.kind in LOSING_DISKS else ()
+
     def __str__(self) -> str:
         where = f"{self.target}-{self.other}" if self.other else self.target
         return (
@@ -83,11 +91,13 @@
 
 
 def keep_promise(drawn: Iterable[Fault], replicas: list[str], diskless: bool) -> tuple[Fault, ...]:
-    """Leave out what the system has never promised to bear: a lost disk beside other losses in the core.
+    """Leave out what the system has never promised to bear.
 
+    That is a lost disk beside other losses in the core, and more lost disks at once than are tolerated.
     Where nothing has a disk, each end of a replica's process loses its state.
     """
-    losing = {FaultKind.WIPE, FaultKind.WIPE_AND_POWER}
+    drawn = [fault for fault in drawn if len(fault.lost_disks) <= tolerated_losses(len(replicas))]
+    losing = set(LOSING_DISKS)
     if diskless:
         drawn = [
             fault
@@ -115,12 +125,18 @@
     return tuple(sorted(kept, key=lambda fault: fault.at_ms))
 
 
+def tolerated_losses(replicas: int) -> int:
+    """The number of replicas that may lose their disks at once."""
+    return (replicas - 1) // 2
+
+
 def _touches_core(fault: Fault, replicas: list[str]) -> bool:
     return (
         fault.kind in _EVERYWHERE
         or fault.target in replicas
         or fault.other in replicas
         or fault.target == LEADER
+        or any(name in replicas for name in fault.lost_disks)
     )
 
 
--- a/flintfield/simulation/scenario.py
+++ b/flintfield/simulation/scenario.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from flintfield.simulation import themes
+from flintfield.simulation import disk_losses, themes
 from flintfield.simulation.faults import Fault
 from flintfield.simulation.plans import Capacity, Kind, Plan
 from flintfield.simulation.record import JobAsked
@@ -84,6 +84,9 @@
     clients = rng.choice((0, 0, 1))
     if theme is Theme.SEEDS:
         clients = random.Random(f"clients {seed}").choice((3, 4))
+    if theme is Theme.LOSSES:
+        replicas, clients = disk_losses.draw_core(seed)
+        diskless = False
     scenario = Scenario(
         seed,
         replicas,
@@ -101,7 +104,7 @@
 
 def _changes(theme: Theme) -> tuple[int, int]:
     """The least and the greatest number of changes of the configuration."""
-    return (6, 14) if theme in (Theme.REGISTER, Theme.CORE) else (1, 4)
+    return (6, 14) if theme in (Theme.REGISTER, Theme.CORE, Theme.LOSSES) else (1, 4)
 
 
 def _worker(rng: random.Random, number: int) -> Kind:
--- a/flintfield/simulation/themes.py
+++ b/flintfield/simulation/themes.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from flintfield.simulation.disk_losses import draw_loss
 from flintfield.simulation.faults import ALL, LEADER, Fault, FaultKind, Trigger, keep_promise
 
 FROM_MS, UNTIL_MS = 2_600, 9_500
@@ -27,6 +28,7 @@
     HOLDS = "holds"
     STRIKE = "strike"
     SEEDS = "seeds"
+    LOSSES = "losses"
 
     @property
     def long_jobs(self) -> bool:
@@ -44,6 +46,7 @@
     Theme.HOLDS: 8,
     Theme.STRIKE: 12,
     Theme.SEEDS: 8,
+    Theme.LOSSES: 0,  # only where it is asked for: the other seeds stay what they were
 }
 
 
@@ -273,6 +276,11 @@
     return [Fault(kind, at_ms, name, "", rng.randint(200, 700)) for name, kind in kinds.items()]
 
 
+def _losses(rng: random.Random, place: Place) -> list[Fault]:
+    """Several lost disks at once, among workers in some trouble."""
+    return [draw_loss(rng, place.replicas), *(_of_worker(rng, place) for _ in range(rng.randint(0, 2)))]
+
+
 _DRAWS: dict[Theme, Callable[[random.Random, Place], list[Fault]]] = {
     Theme.CALM: _calm,
     Theme.MIXED: _mixed,
@@ -283,4 +291,5 @@
     Theme.HOLDS: _holds,
     Theme.STRIKE: _strike,
     Theme.SEEDS: _seeds,
+    Theme.LOSSES: _losses,
 }
--- a/tests/system/test_simulation.py
+++ b/tests/system/test_simulation.py
@@ -69,6 +69,26 @@
         kept = keep_promise([wipe, near, far], ["s0", "s1", "s2"], diskless=False)
         self.assertEqual((wipe, far), kept)
 
+    # Guards against a judge that blames the system for more lost disks than it tolerates.
+    def test_no_more_disks_are_lost_at_once_than_are_tolerated(self) -> None:
+        pair = Fault(FaultKind.WIPE_AND_POWER, 5_000, "s0,s3", length_ms=500)
+        core = [f"s{number}" for number in range(5)]
+        self.assertEqual((pair,), keep_promise([pair], core, diskless=False))
+        self.assertEqual((), keep_promise([pair], core[:4], diskless=False))
+
+    # Guards against a second loss that strikes before the lost disks of several machines are replaced.
+    def test_several_lost_disks_strike_only_while_the_rest_of_the_core_is_sound(self) -> None:
+        pair = Fault(FaultKind.WIPE, 5_000, "s0,s3", length_ms=500)
+        near = Fault(FaultKind.POWER, 7_000, "s1", length_ms=500)
+        core = [f"s{number}" for number in range(5)]
+        self.assertEqual((pair,), keep_promise([pair, near], core, diskless=False))
+
+    # Guards against a theme whose promise check takes out the very losses that it is about.
+    def test_the_theme_of_losses_draws_as_many_lost_disks_as_are_tolerated(self) -> None:
+        for seed in range(50):
+            scenario = draw(seed, Theme.LOSSES)
+            self.assertEqual([2], [len(fault.lost_disks) for fault in scenario.faults if fault.lost_disks])
+
     def test_without_disks_no_two_replicas_end_together(self) -> None:
         whole = Fault(FaultKind.POWER_CORE, 5_000, length_ms=500, trigger=Trigger.ACK)
         self.assertEqual((), keep_promise([whole], ["s0", "s1", "s2"], diskless=True))
