--- a/flintfield/simulation/scenario.py
+++ b/flintfield/simulation/scenario.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from flintfield.simulation import themes
+from flintfield.simulation import disk_losses, themes
 from flintfield.simulation.faults import Fault
 from flintfield.simulation.plans import Capacity, Kind, Plan
 from flintfield.simulation.record import JobAsked
@@ -96,6 +96,9 @@
     clients = rng.choice((0, 0, 1))
     if theme in CLIENTS:
         clients = random.Random(f"clients {seed}").choice(CLIENTS[theme])
+    if theme is Theme.LOSSES:
+        replicas, clients = disk_losses.draw_core(seed)
+        diskless = False
     scenario = Scenario(
         seed,
         replicas,
@@ -124,7 +127,7 @@
 
 def _changes(theme: Theme) -> tuple[int, int]:
     """The least and the greatest number of changes of the configuration."""
-    return (6, 14) if theme in (Theme.REGISTER, Theme.CORE) else (1, 4)
+    return (6, 14) if theme in (Theme.REGISTER, Theme.CORE, Theme.LOSSES) else (1, 4)
 
 
 def _worker(rng: random.Random, number: int) -> Kind:
--- a/flintfield/simulation/themes.py
+++ b/flintfield/simulation/themes.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from flintfield.simulation.disk_losses import draw_loss
 from flintfield.simulation.faults import ALL, LEADER, Fault, FaultKind, Trigger, keep_promise
 
 FROM_MS, UNTIL_MS = 2_600, 9_500
@@ -28,6 +29,7 @@
     STRIKE = "strike"
     SEEDS = "seeds"
     LINKS = "links"
+    LOSSES = "losses"
 
     @property
     def long_jobs(self) -> bool:
@@ -45,8 +47,10 @@
     Theme.HOLDS: 8,
     Theme.STRIKE: 12,
     Theme.SEEDS: 8,
+    Theme.LOSSES: 0,
+    Theme.LINKS: 0,
 }
-"""Of the themes that seeds draw; `links` is played where it is asked for, so that seeds keep their themes."""
+"""A theme without weight is played only where it is asked for, so that seeds keep their themes."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -281,6 +285,11 @@
     return [_on(rng, rng.choice(kinds), rng.choice(place.replicas)) for _ in range(rng.randint(0, 2))]
 
 
+def _losses(rng: random.Random, place: Place) -> list[Fault]:
+    """Several lost disks at once, among workers in some trouble."""
+    return [draw_loss(rng, place.replicas), *(_of_worker(rng, place) for _ in range(rng.randint(0, 2)))]
+
+
 _DRAWS: dict[Theme, Callable[[random.Random, Place], list[Fault]]] = {
     Theme.CALM: _calm,
     Theme.MIXED: _mixed,
@@ -292,4 +301,5 @@
     Theme.STRIKE: _strike,
     Theme.SEEDS: _seeds,
     Theme.LINKS: _links,
+    Theme.LOSSES: _losses,
 }
