Ingress: no refusal by a version older than one that was shown here

A 404 was guarded (`outdated_answers`), the process's own refusals weren't. Ruled out: answers of the dispatcher: `JobCall.version` and `outdated_answers` guard those. Change: the version known here counts as confirmed only if it is no older than the newest one shown here. The test failed before (400 instead of 200).

--- a/flintfield/ingress/server.py
+++ b/flintfield/ingress/server.py
@@ -171,10 +171,15 @@
         return LinkRequest(call.method, call.host, call.path, call.body, unsent_ms, end_ms)
 
     def _is_confirmed(self) -> bool:
-        """Whether the version known here is surely one that may still be in force."""
+        """Whether the version known here is surely one that may still be in force, and no older than one by
+        which the dispatcher has answered a call of this process.
+        """
         ago_ms = self._view.confirmed_ms_ago()
         bound_ms = self._settings.bounds.config_apply_ms - self._tuning.confirmation_margin_ms
-        return ago_ms is not None and ago_ms <= bound_ms
+        if ago_ms is None or ago_ms > bound_ms:
+            return False
+        current = self._view.current
+        return (current.version if current is not None else 0) >= self._link.newest_version
 
     def _limits(self) -> ListenerLimits:
         configuration = self._view.current
--- a/tests/system/test_ingress_server.py
+++ b/tests/system/test_ingress_server.py
@@ -293,6 +293,19 @@
             self.assertEqual((await self.ask("POST", "/a/0123")).status, 200)
             self.assertEqual((await self.ask("POST", JOB, b"x" * 100)).status, 200)
 
+    # A call was refused by an older version after the dispatcher had answered by a newer one.
+    async def test_by_a_version_older_than_one_shown_here_nothing_is_refused(self) -> None:
+        self.world.current = configuration(maxBodyBytes=10)
+
+        async def answer_by_the_next_version(_: JobCall) -> JobAnswer:
+            return JobAnswer(200, b"{}", 0, 5)
+
+        self.world.answer = answer_by_the_next_version
+        self.assertEqual((await self.ask("POST", "/a/0123")).status, 400)
+        self.assertEqual((await self.ask("GET", JOB)).status, 200)
+        self.assertEqual((await self.ask("POST", "/a/0123")).status, 200)
+        self.assertEqual((await self.ask("POST", JOB, b"x" * 100)).status, 200)
+
     async def test_large_bodies(self) -> None:
         self.world.current = configuration(maxBodyBytes=1_000)
         self.assertEqual((await self.ask("POST", JOB, b"x" * 1_000)).status, 200)
