Orders: a number above the largest is invalid

What callers could see: a configuration with 1e400 under a key that isn't known was acknowledged, read back with `Infinity`, which is no JSON, and each later update was refused with 400. Cause: `json.loads` makes such a number infinite without calling `parse_constant`. Change: `parse_float` refuses it. Seen in no play; found by reading. The test failed before.

--- a/flintfield/control/documents.py
+++ b/flintfield/control/documents.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import math
 import typing
 from collections.abc import Callable, Iterable
 
@@ -122,7 +123,12 @@
 def parse(body: bytes) -> Document:
     """The JSON object in this body; raises `InvalidConfiguration` where there is none."""
     try:
-        document = json.loads(body.decode(), parse_constant=_refuse_constant, object_pairs_hook=_object)
+        document = json.loads(
+            body.decode(),
+            parse_constant=_refuse_constant,
+            parse_float=_finite_number,
+            object_pairs_hook=_object,
+        )
     except InvalidConfiguration:
         raise
     except (UnicodeDecodeError, json.JSONDecodeError, ValueError, RecursionError) as error:
@@ -230,6 +236,13 @@
     raise InvalidConfiguration(f"body: {text} is no JSON number")
 
 
+def _finite_number(text: str) -> float:
+    number = float(text)
+    if math.isinf(number):  # it would be written as a word that is no JSON
+        raise InvalidConfiguration(f"body: {text[:40]} is above the largest number")
+    return number
+
+
 def _object(pairs: list[tuple[str, typing.Any]]) -> Document:
     document = dict(pairs)
     if len(document) != len(pairs):
--- a/tests/system/test_control_orders.py
+++ b/tests/system/test_control_orders.py
@@ -131,6 +131,13 @@
             with self.subTest(body[:20]), self.assertRaises(documents.InvalidConfiguration):
                 orders.read_order(Kind.REPLACE, 0, body)
 
+    # A number that overflows was taken and read back as a word that is no JSON; later updates were refused.
+    def test_a_number_above_the_largest_is_refused(self) -> None:
+        for number in (b"1e400", b"-1e400", b"9" * 400 + b".0"):
+            body = body_of(whole(1, extra="NUMBER")).replace(b'"NUMBER"', number)
+            with self.subTest(number[:10]), self.assertRaises(documents.InvalidConfiguration):
+                orders.read_order(Kind.REPLACE, 0, body)
+
     def test_unknown_service(self) -> None:
         self.assert_invalid(whole(1, routes=[route("a", service="nobody")]), "'nobody'")
 
