Orders: a document too long to be read from the register is invalid

What callers could see: an acknowledged configuration above 8 MiB (updates that add up, or a body below 4 MiB whose characters become six as long when escaped) could be neither read nor changed any more: 503 for good. Cause: the bound was checked when a value is unpacked, not when it is written. Change: `judge` refuses the order. The test failed before.

--- a/flintfield/control/orders.py
+++ b/flintfield/control/orders.py
@@ -21,7 +21,13 @@
 
 from flintfield.control import documents
 from flintfield.control.messages import Kind
-from flintfield.control.stored import NOTHING_STORED, StoredConfiguration, decode_stored, encode_stored
+from flintfield.control.stored import (
+    MOST_DOCUMENT_BYTES,
+    NOTHING_STORED,
+    StoredConfiguration,
+    decode_stored,
+    encode_stored,
+)
 
 REMEMBERED_ORDERS = 128  # 12 s of changes at 10 a second; an operator repeats an order for seconds
 DIGEST_BYTES = 16  # kept of each; former releases kept 32, of which the first ones are compared
@@ -84,7 +90,7 @@
     if order.version <= stored.version:
         return Judgement(Verdict.INVALID, reason=f"version: {order.version} is not above {stored.version}")
     try:
-        document = _result(order, stored)
+        document = _document_after(order, stored)
     except documents.InvalidConfiguration as error:
         return Judgement(Verdict.INVALID, reason=str(error))
     return Judgement(Verdict.POSSIBLE, _successor(order, stored, document))
@@ -97,11 +103,19 @@
     return Judgement(Verdict.STALE, reason=f"version {stored.version} is current")
 
 
-def _successor(order: Order, stored: StoredConfiguration, document: documents.Document) -> bytes:
+def _successor(order: Order, stored: StoredConfiguration, document: bytes) -> bytes:
     """The record after this order was taken."""
     taken = (*stored.taken, order.digest)[-REMEMBERED_ORDERS:]
     bases = (*stored.taken_bases, order.base_version)[-REMEMBERED_ORDERS:]
-    return encode_stored(order.version, documents.dump(document), taken, bases)
+    return encode_stored(order.version, document, taken, bases)
+
+
+def _document_after(order: Order, stored: StoredConfiguration) -> bytes:
+    """The document after this order; raises `InvalidConfiguration`, also if it is too long to be read."""
+    document = documents.dump(_result(order, stored))
+    if len(document) > MOST_DOCUMENT_BYTES:
+        raise documents.InvalidConfiguration(f"the whole would be above {MOST_DOCUMENT_BYTES} bytes")
+    return document
 
 
 def _result(order: Order, stored: StoredConfiguration) -> documents.Document:
--- a/tests/system/test_control_orders.py
+++ b/tests/system/test_control_orders.py
@@ -14,6 +14,7 @@
 from flintfield.control import documents, orders
 from flintfield.control.configuration import Configuration, from_document
 from flintfield.control.messages import Kind
+from flintfield.control.operator import MAX_BODY_BYTES
 from flintfield.control.orders import Verdict
 from flintfield.control.stored import (
     FORMAT,
@@ -399,6 +400,21 @@
         self.assertEqual(read_back(value), whole(1, routes=many))
         self.assertLess(8 * len(value), 2_000_000 / 8 / 20)  # to eight replicas at 2 Mbit/s: below 50 ms
 
+    # A document grew beyond what is read from the register: from then on it was neither read nor changed.
+    def test_a_document_too_long_to_be_read_again_is_refused(self) -> None:
+        three_times_as_long_escaped = whole(1, note="\u00e9" * 1_900_000)
+        body = json.dumps(three_times_as_long_escaped, ensure_ascii=False).encode()
+        self.assertLess(len(body), MAX_BODY_BYTES)
+        order = orders.read_order(Kind.REPLACE, 0, body)
+        self.assertIs(orders.judge(order, None).verdict, Verdict.INVALID)
+        half = "x" * (MOST_DOCUMENT_BYTES // 2 - 10_000)
+        value = take(replace(0, whole(1, services=[service("mill"), service("a", note=half)])), None)
+        second = {"version": 2, "upsert": {"services": [service("b", note=half)]}}
+        value = take(update(1, second), value)
+        third = {"version": 3, "upsert": {"services": [service("c", note=half)]}}
+        self.assertIs(orders.judge(update(2, third), value).verdict, Verdict.INVALID)
+        self.assertEqual(read_back(value)["version"], 2)
+
     def test_record_of_the_former_release_is_read_and_succeeded(self) -> None:
         former = records.encode(StoredConfiguration(1, 1, body_of(whole(1)), ()))
         self.assertEqual(read_back(former), whole(1))
