View: a value that can't be decoded for whatever reason is not confirmed

What callers could see: a process that goes on by the version before, calls it confirmed, and follows no further version by its polls. Cause: only four kinds of errors were taken for an unreadable value. Others (AttributeError; RecursionError, e.g. for a document nested 990 deep, which `judge` still takes and a stack five frames deeper can't decode) ended the task that polls, and the next look at the value skipped it as known. Change: every error counts. Left: such a deep document is still taken. The test failed before (AttributeError).

--- a/flintfield/control/view.py
+++ b/flintfield/control/view.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 
 from flintfield.control.configuration import Configuration
-from flintfield.control.stored import UnknownFormat, decode_configuration
+from flintfield.control.stored import decode_configuration
 
 _log = logging.getLogger(__name__)
 
@@ -78,7 +78,7 @@
     def _decode(self, value: bytes) -> None:
         try:
             configuration = decode_configuration(value)
-        except (UnknownFormat, ValueError, KeyError, TypeError) as error:
+        except Exception as error:  # whatever it is, the version before must not pass for confirmed
             self._readable = False
             _log.error("configuration_unreadable", extra={"error": str(error)})
             return
--- a/tests/system/test_control_server.py
+++ b/tests/system/test_control_server.py
@@ -314,6 +314,18 @@
         self.known.learn(stored(4), 1_200)
         self.assertEqual(self.view.confirmed_ms_ago(), 0)
 
+    # A value of an unexpected form ended the polls, and the version before it passed for confirmed.
+    def test_value_of_any_other_form_is_not_confirmed(self) -> None:
+        forms: tuple[Document, ...] = ({"limits": []}, {"limits": 3}, {"routes": 7}, {"services": [{}]})
+        for number, changes in enumerate(forms):
+            with self.subTest(changes):
+                self.known.learn(stored(10 * number + 1), 1_000)
+                document = json.dumps(whole(10 * number + 2, **changes)).encode()
+                value = records.encode(StoredConfiguration(FORMAT, 10 * number + 2, document, ()))
+                self.known.learn(value, 1_100)
+                self.assertEqual(self.version(), 10 * number + 1)
+                self.assertIsNone(self.view.confirmed_ms_ago())
+
     def test_digests_are_kept_beside_the_document(self) -> None:
         self.assertEqual(decode_stored(stored(3)).taken, ())
 
