Orders: a name, host or prefix that can't be encoded is invalid

What callers could see: a queue whose name holds an escaped half of a surrogate pair was taken; the record of a job of it can't be encoded, so that its submission fails in the dispatcher. Change: such texts are refused with 400. The test failed before.

--- a/flintfield/control/documents.py
+++ b/flintfield/control/documents.py
@@ -43,17 +43,26 @@
 
 
 def _name(value: typing.Any) -> str:
-    if not isinstance(value, str) or not value:
+    if not isinstance(value, str) or not value or not _is_unicode(value):
         raise trafaret.DataError("is not a text that says something")
     return value
 
 
 def _path(value: typing.Any) -> str:
-    if not isinstance(value, str) or not value.startswith("/"):
+    if not isinstance(value, str) or not value.startswith("/") or not _is_unicode(value):
         raise trafaret.DataError("is not a path")
     return value
 
 
+def _is_unicode(text: str) -> bool:
+    """Whether the text can be encoded: JSON can escape half of a surrogate pair, which is no character."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _optional(name: str) -> trafaret.Key:
     return trafaret.Key(name, optional=True)
 
--- a/tests/system/test_control_orders.py
+++ b/tests/system/test_control_orders.py
@@ -188,6 +188,13 @@
             with self.subTest(key=key, value=str(value)[:20]):
                 self.assert_invalid(whole(1, routes=[route("a", **{key: value})]), key)
 
+    # A queue's name of half a character was taken: no job of that queue could be stored.
+    def test_a_text_that_cannot_be_encoded(self) -> None:
+        for key in ("name", "host", "pathPrefix", "service"):
+            for half in ("/\ud800", "/\udfff"):
+                with self.subTest(key):
+                    self.assert_invalid(whole(1, routes=[route("a", **{key: half})]), key)
+
     def test_values_of_services_and_limits(self) -> None:
         for key, value in (("guards", "no"), ("tls", 0), ("maxConnections", -1), ("name", "")):
             with self.subTest(key):
