--- a/tests/system/coordination_history.py
+++ b/tests/system/coordination_history.py
@@ -72,7 +72,10 @@
 class History:
     """A simulated cluster in which many changes are made."""
 
-    def __init__(self, seed: int, replicas: int = 3, clients: int = 1, losses: int = 1) -> None:
+    def __init__(
+        self, seed: int, replicas: int = 3, clients: int = 1, losses: int = 1, padding: bytes = PADDING
+    ) -> None:
+        self.padding = padding
         self.world = World(seed, replicas, clients, tolerance=losses)
         self.judge = CounterJudge(self.world)
         self.world.judge = self.judge
@@ -93,8 +96,11 @@
         """Start one change at a random running process."""
         processes = [process for process in self.world.processes() if process.runs()]
         if processes:
-            process = self.world.rng.choice(processes)
-            process.loop.create_task(self._change(process))
+            self.start_change_at(self.world.rng.choice(processes))
+
+    def start_change_at(self, process: Process) -> None:
+        """Start one change at this process."""
+        process.loop.create_task(self._change(process))
 
     async def _change(self, process: Process) -> None:
         required = set(self.judge.acknowledged[-1:])
@@ -103,7 +109,7 @@
         def decide(value: bytes | None) -> bytes:
             nonlocal new_number
             new_number = parse_number(value) + 1
-            return b"%d" % new_number + PADDING
+            return b"%d" % new_number + self.padding
 
         try:
             value = await process.node.change(decide)
