--- a/flintfield/control/documents.py
+++ b/flintfield/control/documents.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import math
 import typing
 from collections.abc import Callable, Iterable
 
@@ -42,17 +43,26 @@
 
 
 def _name(value: typing.Any) -> str:
-    if not isinstance(value, str) or not value:
+    if not isinstance(value, str) or not value or not _is_unicode(value):
         raise trafaret.DataError("is not a text that says something")
     return value
 
 
 def _path(value: typing.Any) -> str:
-    if not isinstance(value, str) or not value.startswith("/"):
+    if not isinstance(value, str) or not value.startswith("/") or not _is_unicode(value):
         raise trafaret.DataError("is not a path")
     return value
 
 
+def _is_unicode(text: str) -> bool:
+    """Whether the text can be encoded: JSON can escape half of a surrogate pair, which is no character."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _optional(name: str) -> trafaret.Key:
     return trafaret.Key(name, optional=True)
 
@@ -122,7 +132,12 @@
 def parse(body: bytes) -> Document:
     """The JSON object in this body; raises `InvalidConfiguration` where there is none."""
     try:
-        document = json.loads(body.decode(), parse_constant=_refuse_constant, object_pairs_hook=_object)
+        document = json.loads(
+            body.decode(),
+            parse_constant=_refuse_constant,
+            parse_float=_finite_number,
+            object_pairs_hook=_object,
+        )
     except InvalidConfiguration:
         raise
     except (UnicodeDecodeError, json.JSONDecodeError, ValueError, RecursionError) as error:
@@ -145,10 +160,7 @@
 def check_whole(document: Document) -> None:
     """Check a whole configuration; raises `InvalidConfiguration`."""
     _check_shape(_WHOLE, document)
-    _check_unique("routes", "name", (route["name"] for route in document["routes"]))
-    _check_unique("services", "name", (service["name"] for service in document["services"]))
-    _check_unique("routes", "host and pathPrefix", map(_address, document["routes"]))
-    _check_services_known(document)
+    _check_items_together(document)
 
 
 def check_change(change: Document) -> None:
@@ -163,9 +175,11 @@
 
 
 def merge(document: Document, change: Document) -> Document:
-    """The document with this change, checked as a whole; raises `InvalidConfiguration`.
+    """The document with this change; raises `InvalidConfiguration`.
 
-    Items keep their places, new ones come last; removing an item that is not there changes nothing.
+    Items keep their places, new ones come last; removing an item that is not there changes nothing. The form
+    of each item was checked when it came (`check_whole`, `check_change`); here it is checked how the items go
+    together, so that a short change of a long document takes little time.
     """
     merged = {**document, "version": change["version"]}
     for items in _NAMED_ITEMS:
@@ -174,7 +188,7 @@
         )
     if "limits" in change:
         merged["limits"] = {**document.get("limits", {}), **change["limits"]}
-    check_whole(merged)
+    _check_items_together(merged)
     return merged
 
 
@@ -205,6 +219,13 @@
     return f"{'.'.join(path) or 'body'}: {fault.error}"
 
 
+def _check_items_together(document: Document) -> None:
+    _check_unique("routes", "name", (route["name"] for route in document["routes"]))
+    _check_unique("services", "name", (service["name"] for service in document["services"]))
+    _check_unique("routes", "host and pathPrefix", map(_address, document["routes"]))
+    _check_services_known(document)
+
+
 def _check_unique(items: str, what: str, values: Iterable[typing.Any]) -> None:
     seen = set()
     for value in values:
@@ -230,6 +251,13 @@
     raise InvalidConfiguration(f"body: {text} is no JSON number")
 
 
+def _finite_number(text: str) -> float:
+    number = float(text)
+    if math.isinf(number):  # it would be written as a word that is no JSON
+        raise InvalidConfiguration(f"body: {text[:40]} is above the largest number")
+    return number
+
+
 def _object(pairs: list[tuple[str, typing.Any]]) -> Document:
     document = dict(pairs)
     if len(document) != len(pairs):
--- a/flintfield/control/orders.py
+++ b/flintfield/control/orders.py
@@ -90,7 +90,7 @@
     if order.version <= stored.version:
         return Judgement(Verdict.INVALID, reason=f"version: {order.version} is not above {stored.version}")
     try:
-        document = _dump(_result(order, stored))
+        document = _document_after(order, stored)
     except documents.InvalidConfiguration as error:
         return Judgement(Verdict.INVALID, reason=str(error))
     return Judgement(Verdict.POSSIBLE, _successor(order, stored, document))
@@ -103,14 +103,6 @@
     return Judgement(Verdict.STALE, reason=f"version {stored.version} is current")
 
 
-def _dump(document: documents.Document) -> bytes:
-    """The document as it is stored; raises `InvalidConfiguration` where nobody could read it back."""
-    dumped = documents.dump(document)
-    if len(dumped) > MOST_DOCUMENT_BYTES:
-        raise documents.InvalidConfiguration(f"body: the whole is longer than {MOST_DOCUMENT_BYTES} bytes")
-    return dumped
-
-
 def _successor(order: Order, stored: StoredConfiguration, document: bytes) -> bytes:
     """The record after this order was taken."""
     taken = (*stored.taken, order.digest)[-REMEMBERED_ORDERS:]
@@ -118,6 +110,14 @@
     return encode_stored(order.version, document, taken, bases)
 
 
+def _document_after(order: Order, stored: StoredConfiguration) -> bytes:
+    """The document after this order; raises `InvalidConfiguration`, also if it is too long to be read."""
+    document = documents.dump(_result(order, stored))
+    if len(document) > MOST_DOCUMENT_BYTES:
+        raise documents.InvalidConfiguration(f"the whole would be above {MOST_DOCUMENT_BYTES} bytes")
+    return document
+
+
 def _result(order: Order, stored: StoredConfiguration) -> documents.Document:
     if order.kind is Kind.REPLACE:
         return order.content
--- a/tests/system/test_control_orders.py
+++ b/tests/system/test_control_orders.py
@@ -4,16 +4,19 @@
 
 import hashlib
 import json
+import time
 import typing
 import unittest
 import unittest.mock
 import zlib
+from collections.abc import Callable
 
 from hypothesis import given, settings, strategies
 
 from flintfield.control import documents, orders
 from flintfield.control.configuration import Configuration, from_document
 from flintfield.control.messages import Kind
+from flintfield.control.operator import MAX_BODY_BYTES
 from flintfield.control.orders import Verdict
 from flintfield.control.stored import (
     FORMAT,
@@ -104,6 +107,13 @@
     return document
 
 
+def process_seconds(work: Callable[[], object]) -> float:
+    """The processor time that this takes."""
+    start_s = time.process_time()
+    work()
+    return time.process_time() - start_s
+
+
 class LongDocuments(unittest.TestCase):
     """Documents that grow by changes, each of which is short."""
 
@@ -151,6 +161,13 @@
             with self.subTest(body[:20]), self.assertRaises(documents.InvalidConfiguration):
                 orders.read_order(Kind.REPLACE, 0, body)
 
+    # A number that overflows was taken and read back as a word that is no JSON; later updates were refused.
+    def test_a_number_above_the_largest_is_refused(self) -> None:
+        for number in (b"1e400", b"-1e400", b"9" * 400 + b".0"):
+            body = body_of(whole(1, extra="NUMBER")).replace(b'"NUMBER"', number)
+            with self.subTest(number[:10]), self.assertRaises(documents.InvalidConfiguration):
+                orders.read_order(Kind.REPLACE, 0, body)
+
     def test_unknown_service(self) -> None:
         self.assert_invalid(whole(1, routes=[route("a", service="nobody")]), "'nobody'")
 
@@ -191,6 +208,13 @@
             with self.subTest(key=key, value=str(value)[:20]):
                 self.assert_invalid(whole(1, routes=[route("a", **{key: value})]), key)
 
+    # A queue's name of half a character was taken: no job of that queue could be stored.
+    def test_a_text_that_cannot_be_encoded(self) -> None:
+        for key in ("name", "host", "pathPrefix", "service"):
+            for half in ("/\ud800", "/\udfff"):
+                with self.subTest(key):
+                    self.assert_invalid(whole(1, routes=[route("a", **{key: half})]), key)
+
     def test_values_of_services_and_limits(self) -> None:
         for key, value in (("guards", "no"), ("tls", 0), ("maxConnections", -1), ("name", "")):
             with self.subTest(key):
@@ -412,6 +436,30 @@
         self.assertEqual(read_back(value), whole(1, routes=many))
         self.assertLess(8 * len(value), 2_000_000 / 8 / 20)  # to eight replicas at 2 Mbit/s: below 50 ms
 
+    # A document grew beyond what is read from the register: from then on it was neither read nor changed.
+    def test_a_document_too_long_to_be_read_again_is_refused(self) -> None:
+        three_times_as_long_escaped = whole(1, note="\u00e9" * 1_900_000)
+        body = json.dumps(three_times_as_long_escaped, ensure_ascii=False).encode()
+        self.assertLess(len(body), MAX_BODY_BYTES)
+        order = orders.read_order(Kind.REPLACE, 0, body)
+        self.assertIs(orders.judge(order, None).verdict, Verdict.INVALID)
+        half = "x" * (MOST_DOCUMENT_BYTES // 2 - 10_000)
+        value = take(replace(0, whole(1, services=[service("mill"), service("a", note=half)])), None)
+        second = {"version": 2, "upsert": {"services": [service("b", note=half)]}}
+        value = take(update(1, second), value)
+        third = {"version": 3, "upsert": {"services": [service("c", note=half)]}}
+        self.assertIs(orders.judge(update(2, third), value).verdict, Verdict.INVALID)
+        self.assertEqual(read_back(value)["version"], 2)
+
+    # A change of one route held the leader's event loop for as long as a check of all routes takes.
+    def test_a_change_of_one_route_takes_less_time_than_a_check_of_all(self) -> None:
+        document = whole(1, routes=[route(f"route-{number}") for number in range(3_200)])
+        value = take(replace(0, document), None)
+        order = update(1, {"version": 2, "upsert": {"routes": [route("route-7", timeoutMs=500)]}})
+        check_s = min(process_seconds(lambda: documents.check_whole(document)) for _ in range(3))
+        judge_s = min(process_seconds(lambda: orders.judge(order, value)) for _ in range(3))
+        self.assertLess(judge_s, check_s)
+
     def test_record_of_the_former_release_is_read_and_succeeded(self) -> None:
         former = records.encode(StoredConfiguration(1, 1, body_of(whole(1)), ()))
         self.assertEqual(read_back(former), whole(1))
