A process without a value fetches one whole value at a time, then differences

Cause: every change, and every read that settles, gives the value a new ballot. A process that knows no value yet fetched the value of each ballot whole, all at once over its own link, so that each delayed the others. Change: without a base, a fetch waits for the one before it, and then asks for the difference to its value. The test counted three whole values before, one now. Not mended: each first fetch still carries the value twice, as the hedge (1 s) is shorter than the transfer (1.6 s); with four changes a second beside the reads, some processes still don't read within 15 s (20 and more lost ballots each).

--- a/flintfield/coordination/shell/known_values.py
+++ b/flintfield/coordination/shell/known_values.py
@@ -48,15 +48,26 @@
         self._host = host
         self._kept: OrderedDict[bytes, bytes] = OrderedDict()  # by digest
         self._kept_bytes = 0
+        self._first_fetched: bytes | None = None
         self._digests: OrderedDict[Ballot, bytes] = OrderedDict()
         self.counters = ValueCounters()
         if host is not None:
             newest.on_commit.append(self._keep)
 
+    @property
+    def base(self) -> bytes | None:
+        """The value to which others tell differences; None where every value has to be told whole."""
+        return self._newest.value or self._first_fetched
+
+    def note_fetched(self, value: bytes | None) -> None:
+        """Keep a fetched value as the base until one is known to be committed."""
+        if self._newest.value is None:
+            self._first_fetched = value
+
     def question(self, ballot: Ballot) -> AskValue:
         """The request for the value of a ballot that isn't known here."""
-        newest = self._newest.value
-        return AskValue(ballot, digest_of(newest) if newest else b"")
+        base = self.base
+        return AskValue(ballot, digest_of(base) if base else b"")
 
     def find(self, ballot: Ballot) -> KnownValue | None:
         """The value of this ballot, if it is known here."""
@@ -100,9 +111,11 @@
 
     def _with_digest(self, digest: bytes) -> bytes | None:
         """The value with this digest, if it is known here."""
-        newest = self._newest.value
-        if newest is not None and digest_of(newest) == digest:
-            return newest
+        base = self.base
+        if base is not None and digest_of(base) == digest:
+            return base
+        if self._first_fetched is not None and digest_of(self._first_fetched) == digest:
+            return self._first_fetched
         return self._kept.get(digest)
 
     def _keep(self) -> None:
--- a/flintfield/coordination/shell/value_fetch.py
+++ b/flintfield/coordination/shell/value_fetch.py
@@ -37,7 +37,8 @@
             return known
         fetch = self._fetches.get(ballot)
         if fetch is None:
-            fetch = self._peers.start(self._fetch(ballot, self._sources(core, holders)))
+            earlier = next(reversed(self._fetches.values()), None)
+            fetch = self._peers.start(self._fetch(ballot, self._sources(core, holders), earlier))
             self._fetches[ballot] = fetch
             fetch.add_done_callback(lambda _: self._fetches.pop(ballot, None))
         return await asyncio.shield(fetch)
@@ -48,14 +49,23 @@
         others.sort(key=lambda member: (member.identity not in holders, member.zone != self._zone))
         return others[:MOST_SOURCES]
 
-    async def _fetch(self, ballot: Ballot, sources: list[Member]) -> KnownValue | None:
-        """Ask one after another, and count how it ended."""
+    async def _fetch(
+        self, ballot: Ballot, sources: list[Member], earlier: asyncio.Task[KnownValue | None] | None
+    ) -> KnownValue | None:
+        """Ask one after another, and count how it ended.
+
+        Without a base every value comes whole. Then wait for the `earlier` fetch: the difference to its value
+        is short, and a second whole value would delay both on a slow link.
+        """
+        if earlier is not None and self._values.base is None:
+            await asyncio.wait((earlier,))
         asks = [partial(self._ask, source, ballot) for source in sources]
         found = await first_answer(asks, VALUE_HEDGE_MS / MS_PER_S)
         if found is None:
             self._values.counters.fetch_failed += 1
         else:
             self._values.counters.fetched += 1
+            self._values.note_fetched(found.value)
         return found
 
     async def _ask(self, source: Member, ballot: Ballot) -> KnownValue | None:
--- a/tests/system/test_coordination_values.py
+++ b/tests/system/test_coordination_values.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
+from collections.abc import Coroutine
 from dataclasses import replace
 from typing import Any
 
@@ -10,8 +12,8 @@
 
 from flintfield.control.stored import decode_stored, encode_stored
 from flintfield.coordination.contacts import Poll
-from flintfield.coordination.delta import difference, patched
-from flintfield.coordination.model import NO_BALLOT, Ballot, Refusal, Register
+from flintfield.coordination.delta import difference, digest_of, patched
+from flintfield.coordination.model import NO_BALLOT, Ballot, CoreSet, Member, Refusal, Register
 from flintfield.coordination.register_messages import (
     Accept,
     AcceptDelta,
@@ -24,8 +26,9 @@
     ValueDelta,
 )
 from flintfield.coordination.registers import Registers
-from flintfield.coordination.shell.known_values import KEPT_VALUES, KnownValues
+from flintfield.coordination.shell.known_values import KEPT_VALUES, KnownValue, KnownValues
 from flintfield.coordination.shell.newest import Newest
+from flintfield.coordination.shell.value_fetch import ValueFetcher
 from flintfield.transport.records import decode, encode
 
 from .coordination_world import Process, World
@@ -213,3 +216,41 @@
     world.run_for(2_000)
     assert len(world.judge.acknowledged) == 6
     assert all(len(process.values[-1].split()) == 6 for process in world.processes())
+
+
+# Fetching.
+
+
+class _Source:
+    """Stands in for `Peers`: all members know `values`. Counts the whole values that they tell."""
+
+    def __init__(self, values: dict[Ballot, bytes]) -> None:
+        self._values = values
+        self.told_whole = 0
+
+    def start(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        return asyncio.get_running_loop().create_task(work)
+
+    async def ask(self, address: str, question: AskValue, timeout_ms: int) -> ValueAnswer:
+        await asyncio.sleep(0.01)
+        known = next((value for value in self._values.values() if digest_of(value) == question.known), None)
+        delta = difference(known, self._values[question.ballot])
+        if delta is not None:
+            return ValueAnswer(True, None, delta)
+        self.told_whole += 1
+        return ValueAnswer(True, self._values[question.ballot])
+
+
+# Guards against a restarted process that fetches a large value whole for every ballot that it hears of.
+def test_a_process_without_a_value_fetches_one_whole_value_and_then_differences() -> None:
+    values = {FIRST: LARGE, SECOND: changed(LARGE, 5), THIRD: changed(LARGE, 6)}
+    source: Any = _Source(values)
+    core = CoreSet(1, (Member("m0", "10.0.0.0:7000", "z", 1),), 1)
+
+    async def fetch_all() -> list[KnownValue | None]:
+        fetcher = ValueFetcher(source, KnownValues(Newest(), None), "z", "10.0.0.9:7000")
+        return await asyncio.gather(*(fetcher.value_of(ballot, core, ()) for ballot in values))
+
+    fetched = asyncio.run(fetch_all())
+    assert fetched == [KnownValue(ballot, value) for ballot, value in values.items()]
+    assert source.told_whole == 1
