--- a/tests/system/test_control_redirection.py
+++ b/tests/system/test_control_redirection.py
@@ -6,13 +6,15 @@
 import random
 import unittest
 from collections.abc import Sequence
+from dataclasses import replace
 
 from flintfield.control.operator import OperatorService
 from flintfield.control.redirection import MAX_TRANSMISSION_S, RESPONSIVE_MS, ReadRedirector
 from flintfield.control.server import ControlServer
 from flintfield.control.stored import encode_stored
 from flintfield.coordination.model import Member
-from flintfield.runtime.settings import Listen, NodeSettings
+from flintfield.programs.scheduler import Scheduler
+from flintfield.runtime.settings import Limits, Listen, NodeSettings
 
 from .coordination_world import World
 from .test_control_forwarding import played
@@ -114,6 +116,30 @@
         self.assertGreater(len(answer.body), SLOW_BYTES_PER_S)
 
 
+class Wiring(unittest.TestCase):
+    """Which schedulers redirect."""
+
+    # Guards against a program that never redirects although its link is slow.
+    def test_schedulers_without_a_replica_redirect(self) -> None:
+        settings = NodeSettings(
+            node_name="n",
+            role="scheduler",
+            ip="10.0.0.9",
+            zone="z",
+            port_range=(7_000, 7_010),
+            listen=Listen(control=f"10.0.0.9:{CONTROL_PORT}"),
+            limits=Limits(link_mbps=SLOW_MBPS),
+        )
+        redirect = Scheduler(settings, "")._control.service._redirector
+        assert redirect is not None
+        self.assertTrue(redirect.is_too_long(SLOW_BYTES_PER_S))
+        self.assertEqual(redirect._control_port, CONTROL_PORT)
+        replica = Scheduler(replace(settings, counts_for_quorum=True), "")
+        self.assertIsNone(replica._control.service._redirector)
+        unasked = Scheduler(replace(settings, listen=Listen()), "")
+        self.assertIsNone(unasked._control.service._redirector)
+
+
 class Polls(unittest.TestCase):
     """What a process without a replica knows of the replicas by its polls."""
 
