An attempt at the dispatcher lasts longer by the time of its body on a slow link

Callers saw: jobs with a body of more than some 125 kB, sent to a scheduler whose link to the dispatcher carries 125 kB/s (half of 2 Mbit/s), were answered 504.

Cause: DispatcherLink gave up an attempt after 1 s whatever its size, and each attempt sends the body anew. 262,144 bytes (maxBodyBytes) take 2.1 s.

Ruled out: a longer limit for all attempts, for a dead dispatcher would cost small calls more.

Change: an attempt lasts 1 s and the transmission time of its body at SLOW_LINK_BYTES_PER_S, bounded by the end of the call as before. The constant of control.forwarding moves to transport.slow_links, with transmission_s(size).

Tests: test_an_attempt_has_the_time_that_its_body_takes_on_a_slow_link failed before (Failure.IN_DOUBT in place of the answer); now the answer comes by one attempt after 2,097 ms of virtual time. test_an_attempt_with_a_large_body_ends_with_its_request holds the bound and passed before as well. test_control_forwarding only imports the constant from its new place.

--- a/flintfield/control/forwarding.py
+++ b/flintfield/control/forwarding.py
@@ -18,6 +18,7 @@
 
 from flintfield.control.messages import ForwardedAnswer, ForwardedOrder, Kind
 from flintfield.runtime.hedging import first_answer
+from flintfield.transport import slow_links
 from flintfield.transport.rpc import Rejected, RpcError, Unreachable
 
 if typing.TYPE_CHECKING:
@@ -26,7 +27,6 @@
 MOST_REPLICAS = 3  # asked with one order
 HEDGE_S = 0.35  # a replica that hasn't answered by then is joined by the next one
 DEADLINE_S = 1.5  # the operator moves on after a second of silence
-SLOW_LINK_BYTES_PER_S = 125_000  # half of 2 Mbit/s, which others use too: how long a large order takes
 PACK_LEVEL = 6  # zlib's default
 IN_DOUBT = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.GATEWAY_TIMEOUT)
 
@@ -66,7 +66,7 @@
     async def forward(self, kind: Kind, base_version: str | None, body: bytes) -> ForwardedAnswer | None:
         """The answer of a replica; None where no clear one came in time. Raises `NoReplicaTakes`."""
         order = ForwardedOrder(kind, base_version, zlib.compress(body, PACK_LEVEL))
-        transmission_s = len(order.packed_body) / SLOW_LINK_BYTES_PER_S
+        transmission_s = slow_links.transmission_s(len(order.packed_body))
         replicas = self._replicas()
         turned_away: list[Member] = []
         timeout_s = DEADLINE_S + HEDGE_S + transmission_s
--- a/flintfield/ingress/link.py
+++ b/flintfield/ingress/link.py
@@ -18,8 +18,11 @@
 from flintfield.jobs.messages import JobAnswer, JobCall, Method, NotDispatcher
 from flintfield.runtime.clock import steady_ms as system_steady_ms
 from flintfield.transport.errors import Rejected, Unanswered, Unreachable
+from flintfield.transport.slow_links import transmission_s
 
-ATTEMPT_MS = 1_000  # a connection on which nothing comes in for so long is given up by the transport
+# How long an attempt may last beside the transmission of its body. A connection on which nothing comes in for
+# so long is given up by the transport.
+ATTEMPT_MS = 1_000
 WATCH_MS = 100  # how often a call that waits looks whether another dispatcher has taken over
 # Mean of the first pause, with jitter of half of it; each further one is half as long again
 RETRY_PAUSE_MS = 40
@@ -146,7 +149,8 @@
     async def _attempt(self, address: str, request: Request) -> JobAnswer | NotDispatcher | _Setback:
         """One call to this address, given up once another dispatcher is known."""
         self.counters.attempts += 1
-        timeout_s = min(ATTEMPT_MS, request.end_ms - self._steady_ms()) / _MS_IN_S
+        attempt_s = ATTEMPT_MS / _MS_IN_S + transmission_s(len(request.body))
+        timeout_s = min(attempt_s, (request.end_ms - self._steady_ms()) / _MS_IN_S)
         call = JobCall(request.method, request.host, request.path, request.body, self.newest_version)
         attempt = asyncio.ensure_future(self._pool.call(address, call, timeout_s))
         try:
--- a/tests/system/test_control_forwarding.py
+++ b/tests/system/test_control_forwarding.py
@@ -15,7 +15,6 @@
     DEADLINE_S,
     HEDGE_S,
     MOST_REPLICAS,
-    SLOW_LINK_BYTES_PER_S,
     OrderForwarder,
     unpack,
 )
@@ -24,6 +23,7 @@
 from flintfield.coordination.model import CoreSet, LeaderView, Member, ordered
 from flintfield.transport.records import decode, encode
 from flintfield.transport.rpc import Rejected, Unanswered, Unreachable
+from flintfield.transport.slow_links import SLOW_LINK_BYTES_PER_S
 
 from .coordination_loop import ProcessLoop
 from .test_control_orders import body_of, route, whole
--- a/tests/system/test_ingress_link.py
+++ b/tests/system/test_ingress_link.py
@@ -18,6 +18,8 @@
 
 TAKEN = JobAnswer(200, b"{}", 0, 5)
 HOLD_S = 60.0  # a peer that says nothing
+LARGEST_BODY = bytes(262_144)  # `maxBodyBytes`
+SLOW_LINK_BYTES_PER_MS = 125  # half of 2 Mbit/s
 
 
 class _JumpingSelector(selectors.SelectSelector):
@@ -110,9 +112,17 @@
     await asyncio.sleep(HOLD_S)
 
 
-def request(method: Method = Method.SUBMIT, unsent_ms: int = 300, end_ms: int = 2_400) -> Request:
+async def behind_a_slow_link(call: JobCall) -> JobAnswer:
+    """A peer that answers once a slow link has carried the body."""
+    await asyncio.sleep(len(call.body) / SLOW_LINK_BYTES_PER_MS / 1_000)
+    return TAKEN
+
+
+def request(
+    method: Method = Method.SUBMIT, unsent_ms: int = 300, end_ms: int = 2_400, body: bytes = b"{}"
+) -> Request:
     """A call made at time 0."""
-    return Request(method, "jobs.example", "/a/0123456789abcdef", b"{}", unsent_ms, end_ms)
+    return Request(method, "jobs.example", "/a/0123456789abcdef", body, unsent_ms, end_ms)
 
 
 def make_link(network: Network, core: Core) -> DispatcherLink:
@@ -171,6 +181,25 @@
 
         run(work())
 
+    # Guards against attempts that are all given up before a slow link has carried the body, until 504.
+    def test_an_attempt_has_the_time_that_its_body_takes_on_a_slow_link(self) -> None:
+        async def work() -> None:
+            network = Network(A=behind_a_slow_link)
+            self.assertEqual(await make_link(network, Core(A)).call(request(body=LARGEST_BODY)), TAKEN)
+            self.assertAlmostEqual(now_ms(), len(LARGEST_BODY) / SLOW_LINK_BYTES_PER_MS, delta=2)
+            self.assertEqual(len(network.calls), 1)
+
+        run(work())
+
+    # Guards against the time for a large body being added beyond the end of the request.
+    def test_an_attempt_with_a_large_body_ends_with_its_request(self) -> None:
+        async def work() -> None:
+            outcome = await make_link(Network(A=silent), Core(A)).call(request(body=LARGEST_BODY))
+            self.assertIs(outcome, Failure.IN_DOUBT)
+            self.assertEqual(now_ms(), 2_400)
+
+        run(work())
+
     def test_a_new_dispatcher_gets_the_same_call_at_once(self) -> None:
         async def work() -> None:
             core = Core(A)
