The console asks eight schedulers at a time, so that their answers fit through a slow link

Cause: a survey asked up to 100 schedulers at once, each with a limit of 1 s, in which all answers share the caller's link.

Ruled out: a longer limit for each call; 100 answers would need several seconds, and one silent scheduler would cost as much.

Change: at most 8 calls at a time. The price, by calculation: where schedulers are silent (not refusing) each 8 of them cost 1 s, 13 s for 100.

--- a/flintfield/console/rpc_client.py
+++ b/flintfield/console/rpc_client.py
@@ -21,6 +21,7 @@
 DISPATCHER_TRIES = 6  # a takeover lasts 1 to 2 s
 TRY_PAUSE_S = 0.5
 MOST_PROCESSES = 100  # asked in one survey
+MOST_ASKED_AT_ONCE = 8  # the time limit of a call counts while its answer shares a slow link with the others
 Reply = TypeVar("Reply")
 
 
@@ -73,7 +74,8 @@
     async with _pool() as pool:
         known = await _first(pool, addresses, WhereIsLeader(), LeaderAnswer)
         targets = list(dict.fromkeys((*known.core, *addresses, *known.schedulers)))[:MOST_PROCESSES]
-        statuses = await asyncio.gather(*(_status(pool, address) for address in targets))
+        free = asyncio.Semaphore(MOST_ASKED_AT_ONCE)
+        statuses = await asyncio.gather(*(_status(pool, address, free) for address in targets))
     processes = dict(zip(targets, statuses, strict=True))
     answered = [status for status in statuses if status is not None]
     cores = [status.core for status in answered if status.core is not None]
@@ -85,11 +87,13 @@
     )
 
 
-async def _status(pool: Pool, address: str) -> ProcessStatus | None:
-    try:
-        reply = await pool.call(address, AskProcess(), CALL_TIMEOUT_S)
-    except RpcError:
-        return None
+async def _status(pool: Pool, address: str, free: asyncio.Semaphore) -> ProcessStatus | None:
+    """The answer of one process, once one of the calls at a time is free; None where there is none."""
+    async with free:
+        try:
+            reply = await pool.call(address, AskProcess(), CALL_TIMEOUT_S)
+        except RpcError:
+            return None
     return reply if isinstance(reply, ProcessStatus) else None
 
 
