A call that times out behind a large request no longer cuts the connection under it

Callers saw: an operator's large order handed on over a slow link was cut by the next poll on the same connection.

Cause: a call that timed out while nothing had come in aborted the whole connection, also when its own request still waited behind a larger one for the link. 80 kB take 0.64 s at half of 2 Mbit/s, a poll has 0.5 s.

Ruled out: counting the bytes without an answer alone. A request that is never answered (its caller gave up) would count for good, so that a silent peer would never be given up. Without the answers, by time alone, a fast link that carries more than 125 kB/s would build up an estimate without end.

Change: RequestBacklog estimates for each call how long a slow link takes to carry it and the requests before it: what had its time, or was written before an answered request, counts no more. Only where that is within the call's timeout does silence abort the connection; else only this call fails, as Unanswered. Where a request of n bytes has a timeout below n / 125,000 s, its silence no longer aborts.

Tests: test_a_call_that_times_out_behind_a_large_request_leaves_the_connection failed before (the connection was closed). test_silence_after_a_large_request_was_answered_ends_the_connection passed before and holds that the estimate falls with answers; the existing tests of silent aborts are unchanged.

--- a/flintfield/transport/connection.py
+++ b/flintfield/transport/connection.py
@@ -16,7 +16,9 @@
 from flintfield.transport import frames, sockets
 from flintfield.transport.counters import Counters
 from flintfield.transport.errors import Failure, Rejected, RpcError, Unanswered, Unreachable
+from flintfield.transport.outstanding import OutstandingCall
 from flintfield.transport.records import MalformedRecord, decode
+from flintfield.transport.slow_links import RequestBacklog
 
 MAX_BUFFERED_BYTES = 4 * 1024 * 1024  # a peer that does not read this is given up; one frame may go above
 MAX_OUTSTANDING_CALLS = 4_096
@@ -30,16 +32,6 @@
 Handlers = Mapping[type, Handler]
 
 
-class _Call:
-    """A request that waits for its reply; `mark` is the number of receipts when it was sent."""
-
-    __slots__ = ("mark", "waiter")
-
-    def __init__(self, waiter: asyncio.Future[Any], mark: int) -> None:
-        self.waiter = waiter
-        self.mark = mark
-
-
 class Connection(asyncio.Protocol):
     """A connection; made by `Server` and `connect`, used by one event loop.
 
@@ -60,7 +52,8 @@
         self._receiving = False
         self._receipts = 0
         self._next_call = 0
-        self._calls: dict[int, _Call] = {}
+        self._calls: dict[int, OutstandingCall] = {}
+        self._backlog = RequestBacklog()
         self._running: set[asyncio.Task[None]] = set()
         self._close_callbacks: list[Callable[[Connection], None]] = []
         self._told_s = 0.0
@@ -71,7 +64,7 @@
         """Send a request and wait for its reply; raises `Unreachable`, `Unanswered` or `Rejected`.
 
         If nothing at all has come in between the sending and the timeout, the connection is aborted, so that
-        a dead peer costs one timeout.
+        a dead peer costs one timeout; but not while a slow link may still be carrying the request.
         """
         if self.closed:
             raise Unreachable(f"connection to {self.peer} is closed")
@@ -80,8 +73,10 @@
             raise Unreachable(f"{MAX_OUTSTANDING_CALLS} calls to {self.peer} are outstanding")
         number = self._next_call
         self._next_call = (number + 1) & 0xFFFFFFFF
-        self._write(frames.REQUEST, number, message)
-        call = _Call(self._loop.create_future(), self._receipts)
+        size = self._write(frames.REQUEST, number, message)
+        in_reach = self._backlog.append(size, self._loop.time()) <= timeout_s
+        waiter = self._loop.create_future()
+        call = OutstandingCall(waiter, self._receipts, self._backlog.position, in_reach)
         self._calls[number] = call
         timer = self._loop.call_later(timeout_s, self._time_out, number)
         try:
@@ -170,6 +165,8 @@
 
     def _settle(self, kind: int, number: int, message: Any) -> None:
         call = self._calls.pop(number, None)
+        if call is not None:
+            self._backlog.arrived(call.position, self._loop.time())
         if call is None or call.waiter.done():
             self.counters.late_replies += 1
         elif kind == frames.REPLY:
@@ -237,10 +234,13 @@
         except Unreachable:
             return  # aborted for its full buffer; the caller sees the connection close
 
-    def _write(self, kind: int, number: int, message: Any) -> None:
-        """Append a frame; raises `Rejected` for one too large, `Unreachable` where too much waits already."""
+    def _write(self, kind: int, number: int, message: Any) -> int:
+        """Append a frame, and return its size; raises `Rejected` for one too large, `Unreachable` where too
+        much waits already.
+        """
         assert self._transport is not None
-        if len(self._writer.waiting) + self._transport.get_write_buffer_size() > MAX_BUFFERED_BYTES:
+        waiting_bytes = len(self._writer.waiting)
+        if waiting_bytes + self._transport.get_write_buffer_size() > MAX_BUFFERED_BYTES:
             self.counters.buffer_overflows += 1
             self._abort("the peer does not read")
             raise Unreachable(f"{self.peer} does not read")
@@ -252,6 +252,7 @@
         if not self._receiving and not self._flush_planned:
             self._flush_planned = True
             self._loop.call_soon(self._flush_soon)
+        return len(self._writer.waiting) - waiting_bytes
 
     def _flush_soon(self) -> None:
         self._flush_planned = False
@@ -270,7 +271,7 @@
             return
         self.counters.timed_out_calls += 1
         call.waiter.set_exception(Unanswered(f"{self.peer} did not answer in time"))
-        if call.mark == self._receipts and not self.closed:
+        if call.in_reach and call.receipts == self._receipts and not self.closed:
             self.counters.silent_aborts += 1
             self._abort("the peer is silent")
 
--- a/tests/system/test_transport_rpc.py
+++ b/tests/system/test_transport_rpc.py
@@ -30,6 +30,7 @@
 SOON_S = 60.0  # for what has to come, also on a machine that is busy: no test waits for it to pass
 BOUND = 8  # in place of a bound of thousands, which the loop's debug mode takes seconds to reach
 SHORT_S = 0.02  # for what never comes
+LARGE_ORDER = "x" * 80_000  # takes 0.64 s over half of 2 Mbit/s
 
 
 @record(60_200)
@@ -407,6 +408,48 @@
                 await other
             self.assertEqual((connection.counters.timed_out_calls, connection.counters.silent_aborts), (1, 1))
 
+    # Guards against a short call that cuts the connection while a large request is still on its way.
+    async def test_a_call_that_times_out_behind_a_large_request_leaves_the_connection(self) -> None:
+        carried = asyncio.Event()
+
+        async def answer_once_carried(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await carried.wait()
+            requests, replies = frames.FrameReader(), frames.FrameWriter()
+            while data := await reader.read(len(LARGE_ORDER)):
+                for _, number, _ in requests.feed(data):
+                    replies.append(frames.REPLY, number, Told(number))
+                writer.write(replies.take())
+
+        async with raw_peer(answer_once_carried) as address:
+            connection = await connect(address, {}, SOON_S)
+            order = asyncio.create_task(connection.call(Ask(1, LARGE_ORDER), SOON_S))
+            await settle()
+            with self.assertRaisesRegex(Unanswered, "did not answer in time"):
+                await connection.call(Ask(2), SHORT_S)
+            self.assertFalse(connection.closed)
+            carried.set()
+            self.assertEqual(await order, Told(0))
+            self.assertEqual((connection.counters.timed_out_calls, connection.counters.silent_aborts), (1, 0))
+            connection.close()
+
+    # Guards against a large request that was answered long ago and still keeps a dead peer's connection open.
+    async def test_silence_after_a_large_request_was_answered_ends_the_connection(self) -> None:
+        async def answer_the_first(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            requests, replies = frames.FrameReader(), frames.FrameWriter()
+            while data := await reader.read(len(LARGE_ORDER)):
+                for _, number, _ in requests.feed(data):
+                    replies.append(frames.REPLY, number, Told(number))
+                    writer.write(replies.take())
+                    await reader.read()  # until the caller gives up
+
+        async with raw_peer(answer_the_first) as address:
+            connection = await connect(address, {}, SOON_S)
+            await connection.call(Ask(1, LARGE_ORDER), SOON_S)
+            with self.assertRaises(Unanswered):
+                await connection.call(Ask(2), SHORT_S)
+            self.assertTrue(connection.closed)
+            self.assertEqual(connection.counters.silent_aborts, 1)
+
     async def test_a_call_that_times_out_while_others_are_answered_leaves_the_connection(self) -> None:
         never = asyncio.Event()
 
