--- a/tests/system/test_control_redirection.py
+++ b/tests/system/test_control_redirection.py
@@ -106,6 +106,16 @@
         self.assertEqual(answer.status, 307)
         self.assertLess(after_s, CALLER_PATIENCE_S / 4)
 
+    # Guards against a probe that is added to the deadline of the read, so that the answer comes too late.
+    def test_a_long_read_without_a_quorum_and_replicas_is_answered_within_the_callers_second(self) -> None:
+        register = Register()
+        register.silent = True
+        known = value_of(SLOW_BYTES_PER_S)
+        service = OperatorService(register, redirector=redirector(members=(), known=known))
+        answer, after_s = played(service.read())
+        self.assertEqual(answer.status, 504)
+        self.assertLess(after_s, CALLER_PATIENCE_S)
+
     # Guards against a long document that nobody answers where no replica is responsive.
     def test_without_a_responsive_replica_the_process_answers_by_itself(self) -> None:
         register = Register()
--- a/tests/system/test_coordination_values.py
+++ b/tests/system/test_coordination_values.py
@@ -29,6 +29,8 @@
 from flintfield.coordination.shell.known_values import KEPT_VALUES, KnownValue, KnownValues
 from flintfield.coordination.shell.newest import Newest
 from flintfield.coordination.shell.value_fetch import ValueFetcher
+from flintfield.coordination.timing import VALUE_HEDGE_MS
+from flintfield.transport.rpc import Unanswered
 from flintfield.transport.records import decode, encode
 
 from .coordination_world import Process, World
@@ -254,3 +256,32 @@
     fetched = asyncio.run(fetch_all())
     assert fetched == [KnownValue(ballot, value) for ballot, value in values.items()]
     assert source.told_whole == 1
+
+
+class _SilentForFirst(_Source):
+    """Nobody answers for the first ballot: its holders have just lost power."""
+
+    async def ask(self, address: str, question: AskValue, timeout_ms: int) -> ValueAnswer:
+        if question.ballot == FIRST:
+            await asyncio.sleep(timeout_ms / 1_000)
+            raise Unanswered(address)
+        return await super().ask(address, question, timeout_ms)
+
+
+# Guards against a process without a value for seconds because the holders of an older one are silent.
+def test_a_fetch_that_nobody_answers_does_not_hold_up_the_next_one() -> None:
+    source: Any = _SilentForFirst({FIRST: LARGE, SECOND: changed(LARGE, 5)})
+    members = tuple(Member(f"m{at}", f"10.0.0.{at}:7000", "z", at + 1) for at in range(3))
+    core = CoreSet(1, members, 1)
+
+    async def fetch_second() -> KnownValue | None:
+        fetcher = ValueFetcher(source, KnownValues(Newest(), None), "z", "10.0.0.9:7000")
+        first = asyncio.ensure_future(fetcher.value_of(FIRST, core, ()))
+        await asyncio.sleep(0.05)
+        try:
+            async with asyncio.timeout(2 * VALUE_HEDGE_MS / 1_000):
+                return await fetcher.value_of(SECOND, core, ())
+        finally:
+            first.cancel()
+
+    assert asyncio.run(fetch_second()) == KnownValue(SECOND, changed(LARGE, 5))
