--- a/flintfield/control/operator.py
+++ b/flintfield/control/operator.py
@@ -135,7 +135,7 @@
             redirect = self._redirect(self._redirector, started_s)
             if redirect is not None:
                 return redirect
-        answer = await self._read_here()
+        answer = await self._read_here(started_s + READ_DEADLINE_S)
         if self._redirector is not None and self._redirector.is_too_long(len(answer.body)):
             return self._redirect(self._redirector, started_s) or self._count_read(answer)
         return self._count_read(answer)
@@ -159,10 +159,11 @@
         self.counters.reads += answer.status == HTTPStatus.OK
         return answer
 
-    async def _read_here(self) -> Answer:
-        """The newest configuration, read by a quorum round."""
+    async def _read_here(self, deadline_s: float) -> Answer:
+        """The newest configuration, read by a quorum round until this time of the event loop."""
+        left_s = deadline_s - asyncio.get_running_loop().time()
         try:
-            async with asyncio.timeout(min(self._deadline_s, READ_DEADLINE_S)):
+            async with asyncio.timeout(min(self._deadline_s, left_s)):
                 value = await self._node.read()
         except TimeoutError:
             return self._doubt(504, "no quorum answered in time")
