--- a/flintfield/coordination/shell/value_fetch.py
+++ b/flintfield/coordination/shell/value_fetch.py
@@ -54,8 +54,8 @@
     ) -> KnownValue | None:
         """Ask one after another, and count how it ended.
 
-        Without a base every value comes whole. Then wait a while for the `earlier` fetch, whose sources may be
-        silent: the difference to its value is short, and a second whole one would delay both on a slow link.
+        Without a base every value comes whole. Then wait a while for the `earlier` fetch, whose sources may
+        be silent: the difference to its value is short, and a second whole one would delay both.
         """
         if earlier is not None and self._values.base is None:
             await asyncio.wait((earlier,), timeout=VALUE_HEDGE_MS / MS_PER_S)
