--- a/review/standins/cluster.py
+++ b/review/standins/cluster.py
@@ -325,7 +325,7 @@
     for port in range(21_000, 31_000, PORTS):
         if all(
             _is_free(f"127.0.0.{number}", port + offset)
-            for number in (11, 12, 13, 14, 31, 32, 33, 34)
+            for number in (*range(11, 15), *range(31, 38))
             for offset in range(6)
         ):
             return port
