--- /dev/null
+++ b/review/8/case.py
@@ -0,0 +1,46 @@
+"""Two clients choose the same ID in two queues, and whether the job that was accepted second is ever run."""
+
+from __future__ import annotations
+
+import sys
+import time
+from pathlib import Path
+
+HERE = Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE.parent / "standins-2"))
+
+from cluster import Cluster, new_id, play, route, trouble  # noqa: E402
+
+WAIT_S = 20.0
+
+
+def case() -> bool:
+    """True where the rule is broken."""
+    record = HERE / "record.txt"
+    with Cluster(record, services=("alpha", "beta")) as cluster:
+        cluster.start()
+        cluster.configure([route("r-one", "/one/", "alpha"), route("r-two", "/two/", "beta")])
+        first = new_id()
+        second = first if trouble() else new_id()
+        step = {"count": 3, "cpu": 500, "memMb": 64, "estimateMs": 300}
+        job = {"spec": "work=300 job=first", "steps": [step]}
+        cluster.await_true(lambda: cluster.submit(f"/one/{first}", job), "a job is accepted", 20)
+        job = {"spec": "work=300 job=second", "steps": [step]}
+        if not cluster.submit(f"/two/{second}", job, within_s=5.0):
+            cluster.note("verdict: the second job was not accepted: the rule holds")
+            return False
+        ends_s = time.monotonic() + WAIT_S
+        state, number = "", 0
+        while state != "completed" and time.monotonic() < ends_s:
+            time.sleep(1.0)
+            number += 1
+            machine = cluster.schedulers[number % len(cluster.schedulers)]
+            _, state = cluster.job(machine, "GET", f"/two/{second}")
+        time.sleep(2.0)
+        ran = sum("job=second" in line and " starts " in line for line in record.read_text().splitlines())
+        cluster.note(f"verdict: the second job is accepted, shown as {state!r}; {ran} of its 3 tasks ran")
+        return state != "completed" or ran < 3
+
+
+if __name__ == "__main__":
+    sys.exit(play(case))
