--- a/review/4/case.py
+++ b/review/4/case.py
@@ -16,15 +16,20 @@
 TASKS = 2_800  # of a job: 700 a worker, of a hundredth of a core each
 PERIOD_S = 5.0  # between two jobs
 TRAFFIC_S = 70.0
-CANCEL_EVERY_S = 0.1
+PAUSE_S = 0.08
+KEPT = 2  # small jobs that are not cancelled, for each that is: a share of a third
 ANSWER_MS = 150  # after the lists were made; "Answers on different connections may pass each other"
 QUIET_S = 8.0  # after the traffic, for what is under way
 
 
 def cancel_jobs(cluster: Cluster, ends: threading.Event) -> None:
-    """A client that hands small jobs in and cancels them a moment later."""
+    """A client that hands small jobs in and cancels one of three a moment later."""
     step = {"count": WORKERS, "cpu": 10, "memMb": 1, "estimateMs": 1000, "antiAffinity": 1}
-    while not ends.wait(CANCEL_EVERY_S):
+    kept = {"count": 1, "cpu": 10, "memMb": 1, "estimateMs": 300}
+    while not ends.wait(PAUSE_S):
+        for _ in range(KEPT):
+            other = f"/one/{new_id()}"
+            cluster.job(cluster.schedulers[0], "POST", other, {"spec": "work=300", "steps": [kept]})
         path = f"/one/{new_id()}"
         cluster.job(cluster.schedulers[0], "POST", path, {"spec": "work=20000", "steps": [step]})
         time.sleep(0.03)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -14,9 +14,9 @@
 TASKS = 4_000  # of each time; by the program's own estimate of 360 bytes, 1.4 MB
 TIMES = 256
 APART_MS = 1 if trouble() else 60_000
-FINISH_S = 60.0  # the rule asks `finish_s` = 14 s after the end of the traffic; here over four times that
+FINISH_S = 40.0  # the rule asks `finish_s` = 14 s after the end of the traffic; here over twice that
 DEADLINE_S = 3.0
-ROUNDS = 3
+ROUNDS = 5  # a first try and four more, as the sites' clients make them
 
 
 def peak_mb(machine: Machine) -> int:
@@ -61,9 +61,9 @@
                 states.append(state or str(status))
                 if status == 200:
                     break
-            if states[-1] != "completed":
+            if status != 200:
                 lost.append((path, states))
-            if len(lost) >= 3:
+            if len(lost) >= 2:
                 break
         for machine in cluster.schedulers:
             cluster.note(f"{machine.name}: peak memory {peak_mb(machine)} MB of memoryMb = 300")
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -14,6 +14,7 @@
 
 WORKERS = 2
 JOBS, TASKS = 30, 100
+KEPT = 60  # jobs of one task that are not cancelled: a share of a third is
 CANCELLED = JOBS if trouble() else 3
 CANCEL_S, STOP_S = 3.0, 0.2  # `cancel_ms` and `stop_ms` of the settings
 MARGIN_S = 0.3  # for the clocks of this script and its record
@@ -50,13 +51,16 @@
         time.sleep(3.0)  # the workers are known
         step = {"count": TASKS, "cpu": 10, "memMb": 8, "estimateMs": 30_000}
         jobs = [new_id() for _ in range(JOBS)]
+        small = {"count": 1, "cpu": 10, "memMb": 8, "estimateMs": 30_000}
+        for _ in range(KEPT):
+            cluster.submit(f"/one/{new_id()}", {"spec": "work=30000", "steps": [small]})
         for job in jobs:
             if not cluster.submit(f"/one/{job}", {"spec": "work=30000", "steps": [step]}):
                 raise CannotRun("a job was not accepted")
 
         def all_run() -> bool:
             text = record.read_text(errors="replace")
-            return text.count(" starts ") - text.count(" ends ") >= JOBS * TASKS
+            return text.count(" starts ") - text.count(" ends ") >= JOBS * TASKS + KEPT
 
         cluster.await_true(all_run, "all tasks run", 40.0)
         time.sleep(3.0)  # calm
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -14,6 +14,21 @@
 WAIT_S = 20.0
 
 
+def ends_of_second(record: Path) -> int:
+    """How many tasks of the second job have ended `done`: of runs that began with its `spec`."""
+    begun, done = set(), set()
+    for line in record.read_text().splitlines():
+        words = line.split()
+        if len(words) < 7 or words[1] != "worker":
+            continue
+        run = (words[2], words[4], words[6].rstrip(":"))
+        if words[3] == "starts" and "job=second" in line:
+            begun.add(run)
+        elif words[3] == "ends" and words[-1] == "done" and run in begun:
+            done.add(words[4])
+    return len(done)
+
+
 def case() -> bool:
     """True where the rule is broken."""
     record = HERE / "record.txt"
@@ -36,10 +51,9 @@
             number += 1
             machine = cluster.schedulers[number % len(cluster.schedulers)]
             _, state = cluster.job(machine, "GET", f"/two/{second}")
-        time.sleep(2.0)
-        ran = sum("job=second" in line and " starts " in line for line in record.read_text().splitlines())
-        cluster.note(f"verdict: the second job is accepted, shown as {state!r}; {ran} of its 3 tasks ran")
-        return state != "completed" or ran < 3
+        done = ends_of_second(record)
+        cluster.note(f"verdict: the second job is shown as {state!r}; {done} of its 3 tasks had ended done")
+        return state == "completed" and done < 3
 
 
 if __name__ == "__main__":
