--- a/flintfield/agent/incarnation.py
+++ b/flintfield/agent/incarnation.py
@@ -230,10 +230,13 @@
 
     def _hold_answered(self, now: int, call: int, flight: Flight, answer: Answer) -> bool:
         news = False
+        incomplete = self.listing.incomplete
         if answer.kind is AnswerKind.OK:
             news = self.listing.take(flight.sent_ms, answer.running, answer.finished)
         fenced = self.holds.fenced
         self.holds.answered(now, call, answer, news)
+        if self.listing.incomplete > incomplete:
+            self.holds.want_listing(now)
         if self.standing is Standing.REPLACED:
             return True
         if self.standing is Standing.UNCONFIRMED and answer.kind in (AnswerKind.OK, AnswerKind.FENCE):
--- a/flintfield/agent/listing.py
+++ b/flintfield/agent/listing.py
@@ -5,32 +5,44 @@
 from flintfield.jobs.messages import End, Run
 
 MAX_ENDS = 2_000  # four full answers; the worker keeps and repeats whatever is left out
+ENDS_IN_FULL_ANSWER = 500  # set by the protocol: an answer with this many ends may leave out more
+MAX_FORGOTTEN_RUNS = 1_000
 NEVER = -1
 
 
 class Listing:
-    """The newest list of runs by the time its call was sent, and all ends above `last_seen`.
+    """The newest complete list of runs by the time its call was sent, and all ends above `last_seen`.
 
     Answers may pass each other: the list of an older call never replaces that of a newer one. Ends are told
     apart by number, so they are taken from every answer; a run whose end is known is not listed as running.
+
+    A run that is in neither list is evidence that it does not exist, so `running` and `stamp_ms` come only
+    from answers that left out no end, and whose ends all found room here. Counting the ends that are still
+    kept would not tell: those that are durable by now are dropped, and the answer was made before.
     """
 
     def __init__(self) -> None:
         self.stamp_ms = NEVER
         self.last_seen = 0
         self.overflowed = 0
+        self.incomplete = 0  # answers whose list of runs was not taken
         self.running: tuple[Run, ...] = ()
         self._ends: dict[int, End] = {}
+        self._forgotten_runs: dict[tuple[str, int], None] = {}  # the newest; an older answer may list them
 
     def take(self, sent_ms: int, running: tuple[Run, ...], finished: tuple[End, ...]) -> bool:
         """Take in an answer; True where an end is new, or a run is no longer listed."""
         before = self._runs()
         first = self.stamp_ms == NEVER
-        if sent_ms > self.stamp_ms:
+        overflowed = self.overflowed
+        new_ends = self._take_ends(finished)
+        complete = len(finished) < ENDS_IN_FULL_ANSWER and self.overflowed == overflowed
+        if not complete:
+            self.incomplete += 1
+        elif sent_ms > self.stamp_ms:
             self.stamp_ms = sent_ms
             self.running = running
-        new_ends = self._take_ends(finished)
-        ended = {(end.task, end.run) for end in self._ends.values()}
+        ended = {(end.task, end.run) for end in self._ends.values()} | self._forgotten_runs.keys()
         self.running = tuple(run for run in self.running if (run.task, run.run) not in ended)
         return new_ends or first or not before <= self._runs()
 
@@ -39,7 +51,11 @@
         if last_seen <= self.last_seen:
             return False
         self.last_seen = last_seen
-        self._ends = {number: end for number, end in self._ends.items() if number > last_seen}
+        for number in [number for number in self._ends if number <= last_seen]:
+            end = self._ends.pop(number)
+            self._forgotten_runs[end.task, end.run] = None
+        while len(self._forgotten_runs) > MAX_FORGOTTEN_RUNS:
+            del self._forgotten_runs[next(iter(self._forgotten_runs))]
         return True
 
     def finished(self) -> tuple[End, ...]:
--- a/flintfield/agent/reports.py
+++ b/flintfield/agent/reports.py
@@ -74,4 +74,5 @@
         results=results,
         silent_ms=now - answered_ms,
         lapsed=present.lapsed(now),
+        complete_listing=True,
     )
--- a/flintfield/jobs/listings.py
+++ b/flintfield/jobs/listings.py
@@ -2,7 +2,7 @@
 
 Ends are durable before `last_seen` advances past them. A run in neither list has vanished if its order was
 answered early enough before the listing was requested, or if it was placed in an older epoch than the one the
-worker is fenced by. Both checks allow for the time that a stop may take.
+worker is fenced by. Both checks allow for the time that a stop may take, and both need a complete listing.
 """
 
 from __future__ import annotations
@@ -19,7 +19,6 @@
 from flintfield.jobs.states import RunState, TaskState
 from flintfield.jobs.worker_record import WorkerRecord
 
-LISTED_AT_ONCE = 500  # a listing with this many ends may be incomplete
 EXAMINE_MS = 300  # shortest interval between two checks of progress
 DONE_RUN_MS = 1_500  # a run of a task that is done is stopped if it does not end by itself within this time
 
@@ -43,6 +42,10 @@
 
     def process_report(self, record: WorkerRecord, report: AgentReport) -> None:
         """Process both lists; ends come first, as an ended run is no longer listed as running."""
+        if report.finished:
+            record.endless_stamp = None
+        elif record.endless_stamp is None:
+            record.endless_stamp = report.stamp_ms
         self._process_ends(record, report.finished)
         self._process_listing(record, report)
 
@@ -76,6 +79,7 @@
         listed = {(each.task, each.run): each for each in report.running}
         ended = {(each.task, each.run) for each in report.finished}
         self._stop_strays(record, listed)
+        complete = _is_complete(record, report)
         check_progress = self._state.now_ms - record.examined_ms >= EXAMINE_MS
         if check_progress:
             record.examined_ms = self._state.now_ms
@@ -86,8 +90,8 @@
                     self._note_running(record, run, each, report.listing_stamp)
             elif run.state is RunState.CLOSED or key in ended:
                 continue
-            elif len(report.finished) < LISTED_AT_ONCE:
-                self._not_listed(record, run, report)
+            else:
+                self._not_listed(record, run, report, complete)
 
     def _note_running(self, record: WorkerRecord, run: Run, listed: ListedRun, stamp: int) -> None:
         now = self._state.now_ms
@@ -117,14 +121,14 @@
             task.done_ms = now
         return now - task.done_ms > DONE_RUN_MS
 
-    def _not_listed(self, record: WorkerRecord, run: Run, report: AgentReport) -> None:
+    def _not_listed(self, record: WorkerRecord, run: Run, report: AgentReport, complete: bool) -> None:
         """Handle a run that the worker lists neither as running nor as ended."""
         settled = report.listing_stamp - self._state.bounds.settle_ms
-        fenced = report.fenced_epoch == self._state.epoch
-        if fenced and run.answered_stamp is not None and settled >= run.answered_stamp:
+        certain = complete and report.fenced_epoch == self._state.epoch
+        if certain and run.answered_stamp is not None and settled >= run.answered_stamp:
             self._resolve_vanished(run)
         elif run.state is RunState.INHERITED:
-            if fenced and record.fence_stamp is not None and settled >= record.fence_stamp:
+            if certain and record.fence_stamp is not None and settled >= record.fence_stamp:
                 self._resolve_vanished(run)
             elif run.task.job.ended or not gang_is_complete(run.task.step, run.number):
                 self._ends.runs.stop(run)
@@ -142,3 +146,15 @@
             if key not in record.runs and key not in record.blocked_runs and key not in record.unknown_runs:
                 self._state.counters.strays += 1
                 record.unknown_runs[key] = self._ends.runs.order_stray_stop(record, *key)
+
+
+def _is_complete(record: WorkerRecord, report: AgentReport) -> bool:
+    """Whether a run in neither list has ended or never began.
+
+    An agent that does not tell may have dropped ends of this listing that were durable before it came, and so
+    hide that the worker left others out. Its listing counts if it was requested after a report without ends,
+    and no end has been reported since.
+    """
+    if report.complete_listing:
+        return True
+    return record.endless_stamp is not None and report.listing_stamp >= record.endless_stamp
--- a/flintfield/jobs/messages.py
+++ b/flintfield/jobs/messages.py
@@ -148,7 +148,8 @@
     `running` and `finished` was sent (-1: none since the agent's restart, or it was of another incarnation).
     `finished` holds all ends that are not forgotten yet. `silent_ms` is the time since the worker last
     answered a call. `lapsed` means that no run is left there for certain: the longest hold ever granted has
-    expired even by the slowest clock allowed.
+    expired even by the slowest clock allowed. `complete_listing` means that the answer with `running` left no
+    end out, so that a run in neither list does not exist (False: an agent of a release that did not check).
     """
 
     machine: str
@@ -163,6 +164,7 @@
     results: tuple[OrderResult, ...]
     silent_ms: int
     lapsed: bool
+    complete_listing: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/system/jobs_fleet.py
+++ b/tests/system/jobs_fleet.py
@@ -35,6 +35,7 @@
     cut: bool = False  # whether the agent is cut off from the dispatcher
     worker_cut: bool = False  # whether the agent is cut off from the worker
     late_share: float = 0.0  # share of orders that get no answer and are carried out later
+    prompt_answer_ms: float = 0.0  # from the lists of a hold call that does not wait until its answer arrives
     beat_seq: int = 0
 
 
@@ -297,7 +298,8 @@
             if status != 200:
                 self._answer_order(worker, (status, body), answer)
             else:
-                self._wait(machine, worker, self.now + request.wait_ms, answer)
+                delayed = partial(self.after, machine.prompt_answer_ms) if not request.wait_ms else None
+                self._wait(machine, worker, self.now + request.wait_ms, _later(delayed, answer))
 
     def _wait(
         self,
@@ -331,3 +333,13 @@
         kind = agent_events.AnswerKind
         kinds = {200: kind.OK, 400: kind.BAD, 409: kind(body["reason"]) if status == 409 else kind.BAD}
         answer(agent_events.Answer(kinds[status], worker.clock()))
+
+
+def _later(
+    delayed: Callable[[Callable[[], None]], None] | None,
+    answer: Callable[[agent_events.Answer], None],
+) -> Callable[[agent_events.Answer], None]:
+    """An answer that arrives after a delay, so that others may pass it."""
+    if delayed is None:
+        return answer
+    return lambda reply: delayed(partial(answer, reply))
--- a/tests/system/test_agent_parts.py
+++ b/tests/system/test_agent_parts.py
@@ -8,7 +8,7 @@
 from hypothesis import given, strategies
 
 from flintfield.agent.clock import WorkerClock
-from flintfield.agent.listing import MAX_ENDS, Listing
+from flintfield.agent.listing import MAX_ENDS, NEVER, Listing
 from flintfield.jobs.messages import End, Run, RunResult
 
 from .support.agent_play import OTHER_TASK, TASK
@@ -92,6 +92,32 @@
         self.assertEqual(10, listing.overflowed)
         self.assertEqual(1, listing.finished()[0].number)
 
+    def test_an_answer_that_may_leave_ends_out_is_no_list_of_runs(self) -> None:
+        listing = Listing()
+        runs = tuple(Run(f"t{number}", 1, "", 5) for number in range(1, 701))
+        ends = tuple(End(number, f"t{number}", 1, RunResult.DONE, "") for number in range(1, 501))
+        listing.take(10, runs, ())
+        listing.take(20, (), ends)
+        listing.forget(500)
+        listing.take(30, (), ends)  # made before the ends were acknowledged, and overtaken
+        self.assertEqual(10, listing.stamp_ms)
+        self.assertEqual({f"t{number}" for number in range(501, 701)}, {run.task for run in listing.running})
+        self.assertEqual(2, listing.incomplete)
+
+    def test_ends_without_room_make_a_listing_incomplete(self) -> None:
+        listing = Listing()
+        listing.take(10, (), tuple(End(n, f"t{n}", 1, RunResult.DONE, "") for n in range(1, MAX_ENDS)))
+        ends = tuple(End(n, f"t{n}", 1, RunResult.DONE, "") for n in range(MAX_ENDS, MAX_ENDS + 2))
+        listing.take(20, (), ends)
+        self.assertEqual(NEVER, listing.stamp_ms)
+
+    def test_an_overtaken_answer_lists_no_run_whose_end_is_forgotten(self) -> None:
+        listing = Listing()
+        listing.take(10, (), (End(1, TASK, 1, RunResult.DONE, ""),))
+        listing.forget(1)
+        listing.take(20, (Run(TASK, 1, "", 99), Run(OTHER_TASK, 1, "", 5)), ())
+        self.assertEqual((Run(OTHER_TASK, 1, "", 5),), listing.running)
+
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/system/test_jobs_crowded_workers.py
@@ -0,0 +1,93 @@
+"""Workers with more runs and ends than one answer, list or table holds."""
+
+from __future__ import annotations
+
+import unittest
+from functools import partial
+
+from flintfield.jobs.messages import Method
+
+from .jobs_judge import Judge
+from .jobs_worker import WorldWorker
+from .jobs_world import World, job_id
+from .support.worker_plan import RunPlan
+
+PERIOD_MS = 4_000  # from one moment at which all tasks of a job end to the next
+CANCELS = 20  # in a period
+TINY = {"cpu": 5, "memMb": 1, "estimateMs": 4_000}
+
+
+def ending_at(worker: WorldWorker, clock_ms: int) -> RunPlan:
+    """A run that works until the worker's clock shows this time."""
+    return RunPlan(max(1, clock_ms - worker.clock()), cpu=5)
+
+
+class EndsOfOneMoment(unittest.TestCase):
+    """More runs end at once than an answer of a worker lists."""
+
+    def play(self, tasks: int, seed: int, moments: int = 1, faults: bool = False) -> World:
+        """Let all tasks of a job end at once, a few times, beside a client that cancels small jobs.
+
+        With `faults`, the dispatcher or the agent starts anew near each of these moments.
+        """
+        world = World(seed, machines=1)
+        world.elect()
+        world.machines["m0"].prompt_answer_ms = 150
+        world.run(1_500)
+        worker = world.machines["m0"].worker
+        for moment in range(moments):
+            begins_ms = moment * PERIOD_MS
+            clock_ms = worker.clock() + begins_ms + PERIOD_MS - 500 + world.rng.randrange(250)
+
+            def submit(number: int = moment, clock_ms: int = clock_ms) -> None:
+                step = {**TINY, "count": tasks}
+                world.submit(job_id(1 + number), [step], lambda _task: ending_at(worker, clock_ms))
+
+            world.after(begins_ms, submit)
+            if faults:
+                near_ms = begins_ms + PERIOD_MS - 500 + world.rng.uniform(-300, 600)
+                world.after(near_ms, partial(self.restart, world, agent=moment % 2 == 1))
+        for number in range(CANCELS * moments):
+            job, at_ms = job_id(1_000 + number), world.rng.uniform(1_000, moments * PERIOD_MS)
+            small = [{**TINY, "count": 2}]
+            world.after(at_ms, partial(world.submit, job, small, lambda _task: RunPlan(20_000, cpu=5)))
+            world.after(at_ms + 30, partial(world.call, Method.CANCEL, job))
+        world.run(moments * PERIOD_MS + 4_000)
+        return world
+
+    def restart(self, world: World, agent: bool) -> None:
+        """Let another dispatcher take over, or start the agent anew."""
+        if agent:
+            world.crash_agent(world.machines["m0"], down_ms=200)
+        else:
+            world.fail_dispatcher()
+            world.after(300, world.elect)
+
+    def test_tasks_that_are_done_do_not_start_again_while_answers_pass_each_other(self) -> None:
+        # Guards against the review's TWICE: ends beyond the 500 of an answer were taken for vanished runs.
+        for seed in (2, 5, 8):
+            with self.subTest(seed=seed):
+                world = self.play(tasks=600, seed=seed, moments=4)
+                self.assertEqual([], Judge(world).check())
+                for number in range(1, 5):
+                    runs = [seen for seen in world.seen if seen.task.startswith(job_id(number))]
+                    self.assertEqual(600, len(runs))
+                    self.assertEqual("completed", world.state_of(job_id(number)))
+
+    def test_nor_where_the_dispatcher_or_the_agent_starts_anew_in_between(self) -> None:
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                world = self.play(tasks=600, seed=seed, moments=2, faults=True)
+                self.assertEqual([], Judge(world).check())
+                self.assertEqual("completed", world.state_of(job_id(1)))
+
+    def test_a_listing_at_and_above_the_bound_of_an_answer_loses_no_end(self) -> None:
+        for tasks in (499, 500, 501):
+            with self.subTest(tasks=tasks):
+                world = self.play(tasks, seed=4)
+                self.assertEqual([], Judge(world).check())
+                self.assertEqual("completed", world.state_of(job_id(1)))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/system/test_jobs_listings.py
+++ b/tests/system/test_jobs_listings.py
@@ -114,6 +114,17 @@
         self.handle(Tick(WALL_0))
         self.assertEqual(self.started(), [1, 2])
 
+    def test_a_listing_of_the_release_before_counts_only_while_no_ends_come(self) -> None:
+        self.send(report(100), results=self.answered(Outcome.DONE, 90))
+        other = (End(1, f"{job_id(7)}.0.0.0", 1, RunResult.DONE, ""),)
+        self.send(report(900), finished=other)
+        self.send(report(950), listing_stamp=940)  # requested before the ends were gone from the reports
+        self.assertEqual(self.started(), [1])
+        self.send(report(1_400), listing_stamp=1_000)
+        self.now += 200
+        self.handle(Tick(WALL_0))
+        self.assertEqual(self.started(), [1, 2])
+
     def test_a_listing_under_an_older_fence_is_no_evidence(self) -> None:
         self.send(report(100), results=self.answered(Outcome.DONE, 90))
         self.send(report(900), fenced_epoch=EPOCH - 1)
