--- a/flintfield/agent/orders.py
+++ b/flintfield/agent/orders.py
@@ -11,10 +11,10 @@
 from __future__ import annotations
 
 import enum
-from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
+from flintfield.agent.bounded import Bounded
 from flintfield.agent.events import Answer, AnswerKind
 from flintfield.jobs.messages import OrderResult, Outcome, StartOrder, StopOrder
 
@@ -72,23 +72,6 @@
         return isinstance(self.wanted, StartOrder)
 
 
-@dataclass(slots=True)
-class Bounded:
-    """A table that forgets its oldest entry when it is full."""
-
-    size: int
-    dropped: int = 0
-    entries: OrderedDict[object, int] = field(default_factory=OrderedDict)
-
-    def put(self, key: object, value: int) -> None:
-        """Set the entry and make it the newest."""
-        self.entries[key] = value
-        self.entries.move_to_end(key)
-        if len(self.entries) > self.size:
-            self.entries.popitem(last=False)
-            self.dropped += 1
-
-
 class OrderBook:
     """All orders of the present epoch for one incarnation."""
 
--- a/flintfield/control/configuration.py
+++ b/flintfield/control/configuration.py
@@ -10,6 +10,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from flintfield.base.hosts import canonical_host
+
 DOCUMENT = Mapping[str, typing.Any]  # the operator's JSON object, as parsed
 
 
@@ -84,11 +86,6 @@
         return None
 
 
-def canonical_host(host: str) -> str:
-    """The name in a `Host` header: lower case, without the port."""
-    return host.strip().partition(":")[0].lower()
-
-
 def from_document(document: DOCUMENT) -> Configuration:
     """The configuration that a checked document describes."""
     services = (_service(item) for item in document["services"])
--- a/flintfield/control/documents.py
+++ b/flintfield/control/documents.py
@@ -13,7 +13,7 @@
 
 import trafaret  # type: ignore[import-untyped]
 
-from flintfield.control.configuration import canonical_host
+from flintfield.base.hosts import canonical_host
 
 Document = dict[str, typing.Any]
 
--- a/flintfield/dispatch/service.py
+++ b/flintfield/dispatch/service.py
@@ -11,11 +11,11 @@
 import asyncio
 import logging
 import random
-from collections import deque
 from collections.abc import Awaitable, Callable, Iterator, Mapping
 from typing import Any
 
 from flintfield.dispatch.interface import AgentConnection, ConfigurationSource, Leadership, MakePlacement
+from flintfield.dispatch.term import OpenCall, Reply, Term
 from flintfield.jobs.bounds import DispatcherBounds
 from flintfield.jobs.dispatcher import Dispatcher
 from flintfield.jobs.events import (
@@ -46,42 +46,6 @@
 
 logger = logging.getLogger(__name__)
 
-Reply = JobAnswer | NotDispatcher
-
-
-class _Call:
-    """A client's call, while it has no answer."""
-
-    __slots__ = ("answer", "method", "waiter")
-
-    def __init__(self, method: Method) -> None:
-        self.method = method
-        self.answer: Reply | None = None
-        self.waiter: asyncio.Future[Reply] | None = None
-
-    def settle(self, answer: Reply) -> None:
-        """Set the answer; called once."""
-        self.answer = answer
-        if self.waiter is not None and not self.waiter.done():
-            self.waiter.set_result(answer)
-
-
-class _Term:
-    """One term of leadership and its state machine."""
-
-    def __init__(self, leadership: Leadership, dispatcher: Dispatcher) -> None:
-        self.leadership = leadership
-        self.dispatcher = dispatcher
-        self.calls: dict[int, _Call] = {}
-        self.agents: dict[str, AgentConnection] = {}
-        self.waiting: deque[Write] = deque()
-        self.writes: set[asyncio.Task[None]] = set()
-        self.pending_bytes = 0
-        self.timer: asyncio.TimerHandle | None = None
-        self.restored = False
-        self.over = False
-        self.log_times_ms = 0
-
 
 class DispatchService:
     """Serves `JobCall` and `AgentReport`; a `LeaderListener` of the coordination library.
@@ -108,7 +72,7 @@
         self._rng = rng
         self._leader_address = leader_address
         self._make_recorder = make_recorder
-        self._term: _Term | None = None
+        self._term: Term | None = None
         self._last_epoch = 0
         self._next_call = 0
 
@@ -127,7 +91,7 @@
         term = self._serving_term()
         return term.dispatcher if term is not None else None
 
-    def _serving_term(self) -> _Term | None:
+    def _serving_term(self) -> Term | None:
         """The present term, if its tables are whole and its leadership is confirmed."""
         term = self._term
         return term if term is not None and term.restored and term.leadership.confirmed() else None
@@ -144,24 +108,22 @@
         )
         if self._make_recorder is not None:
             dispatcher.state.recorder = self._make_recorder()
-        term = self._term = _Term(leadership, dispatcher)
+        term = self._term = Term(leadership, dispatcher)
         self._last_epoch = leadership.epoch
-        self._restore(term, dispatcher.restore_in_parts(leadership.items), now_ms)
+        self._restore(term, dispatcher.restore_in_parts(leadership.items))
 
-    def _restore(self, term: _Term, parts: Iterator[None], began_ms: int) -> None:
+    def _restore(self, term: Term, parts: Iterator[None]) -> None:
         """Restore for one turn of the event loop; calls and reports are turned away until the last one."""
         if term.over:
             return
         turn_ends_ms = self._steady_ms() + RESTORE_TURN_MS
         for _ in parts:
             if self._steady_ms() >= turn_ends_ms:
-                asyncio.get_running_loop().call_soon(self._restore, term, parts, began_ms)
+                asyncio.get_running_loop().call_soon(self._restore, term, parts)
                 return
         term.restored = True
-        items, took_ms = len(term.leadership.items), self._steady_ms() - began_ms
-        logger.info(
-            "dispatching in epoch %d from %d items after %d ms", term.leadership.epoch, items, took_ms
-        )
+        items = len(term.leadership.items)
+        logger.info("dispatching in epoch %d from %d items", term.leadership.epoch, items)
         self._tick(term)
         self._follow(term, self._configuration())
 
@@ -186,12 +148,12 @@
         if self._term is not None and self._term.restored:
             self._follow(self._term, configuration)
 
-    def _follow(self, term: _Term, configuration: Configuration | None) -> None:
+    def _follow(self, term: Term, configuration: Configuration | None) -> None:
         """Pass the configuration to the state machine unless that has the same version or a newer one."""
         if configuration is not None and configuration.version > term.dispatcher.configuration_version:
             self._feed(term, ConfigurationChanged(configuration))
 
-    def _tick(self, term: _Term) -> None:
+    def _tick(self, term: Term) -> None:
         if term.over:
             return
         period_ms = TICK_MS * (1 + TICK_JITTER * (2 * self._rng.random() - 1))
@@ -199,7 +161,7 @@
         self._feed(term, Tick(term.leadership.wall_ms()))
         self._log_times(term)
 
-    def _log_times(self, term: _Term) -> None:
+    def _log_times(self, term: Term) -> None:
         """Log the queue times of jobs every `LOG_TIMES_MS`."""
         now_ms = self._steady_ms()
         if now_ms >= term.log_times_ms and not term.over:
@@ -219,20 +181,20 @@
         self._follow(term, configuration)
         self._next_call += 1
         number = self._next_call
-        call = term.calls[number] = _Call(request.method)
+        call = term.calls[number] = OpenCall(request.method)
         self._feed(term, CallArrived(number, request))
         if call.answer is not None:
             return call.answer
         call.waiter = asyncio.get_running_loop().create_future()
         return call.waiter
 
-    def _answer(self, term: _Term, effect: Answer) -> None:
+    def _answer(self, term: Term, effect: Answer) -> None:
         call = term.calls.pop(effect.call, None)
         if call is not None:
             confirmed = term.leadership.confirmed()
             call.settle(effect.answer if confirmed else self._unknown(call))
 
-    def _unknown(self, call: _Call) -> Reply:
+    def _unknown(self, call: OpenCall) -> Reply:
         """The answer if the call's outcome is unknown; a read-only call is redirected to the leader."""
         if call.method in (Method.SUBMIT, Method.CANCEL):
             return JobAnswer(504, b'{"error":"unknown"}', 0, 0)
@@ -256,14 +218,14 @@
             connection.on_close(lambda closed: self._agent_lost(term, report.machine, closed))
         self._feed(term, ReportArrived(report))
 
-    def _agent_lost(self, term: _Term, machine: str, connection: AgentConnection) -> None:
+    def _agent_lost(self, term: Term, machine: str, connection: AgentConnection) -> None:
         if not term.over and term.agents.get(machine) is connection:
             del term.agents[machine]
             self._feed(term, AgentLost(machine))
 
     # Effects
 
-    def _feed(self, term: _Term, event: Event) -> None:
+    def _feed(self, term: Term, event: Event) -> None:
         for effect in term.dispatcher.handle(self._steady_ms(), event):
             match effect:
                 case Answer():
@@ -273,17 +235,17 @@
                 case SendOrders():
                     self._send(term, effect)
 
-    def _send(self, term: _Term, effect: SendOrders) -> None:
+    def _send(self, term: Term, effect: SendOrders) -> None:
         """Send orders and grants, but only within the lease; orders dropped here are repeated later."""
         connection = term.agents.get(effect.machine)
         if connection is not None and term.leadership.confirmed():
             connection.send(effect.orders)
 
-    def _write(self, term: _Term, effect: Write) -> None:
+    def _write(self, term: Term, effect: Write) -> None:
         term.waiting.append(effect)
         self._begin_writes(term)
 
-    def _begin_writes(self, term: _Term) -> None:
+    def _begin_writes(self, term: Term) -> None:
         """Start writes in order, with few enough bytes pending that the leader accepts each without delay."""
         while term.waiting and (not term.writes or term.pending_bytes <= MAX_PENDING_BYTES):
             effect = term.waiting.popleft()
@@ -293,7 +255,7 @@
             term.writes.add(task)
             task.add_done_callback(term.writes.discard)
 
-    async def _make_durable(self, term: _Term, effect: Write, size: int) -> None:
+    async def _make_durable(self, term: Term, effect: Write, size: int) -> None:
         try:
             await term.leadership.write(effect.changes)
         except asyncio.CancelledError:
--- a/flintfield/jobs/durable.py
+++ b/flintfield/jobs/durable.py
@@ -15,7 +15,7 @@
 
 from dataclasses import dataclass
 
-from flintfield.jobs.model import Run, Task
+from flintfield.jobs.model import Job, Run, Task
 from flintfield.jobs.terms import Terms
 from flintfield.jobs.states import TaskState
 from flintfield.transport.records import encode, record
@@ -42,12 +42,13 @@
 @record(110)
 @dataclass(frozen=True, slots=True)
 class JobRecord:
-    """An accepted job; `accepted_wall_ms` is cluster time."""
+    """An accepted job; `accepted_wall_ms` is cluster time, `address` the host and prefix of its queue."""
 
     route: str
     terms: TermsRecord
     accepted_wall_ms: int
     body: bytes
+    address: str = ""
 
 
 @record(111)
@@ -59,6 +60,7 @@
     ended_wall_ms: int
     submitted: bool
     route: str
+    address: str = ""
 
 
 @record(112)
@@ -102,6 +104,11 @@
     return len(body) + JOB_RECORDS_BYTES + tasks * occurrences * TASK_RECORD_BYTES
 
 
+def end_record(job: Job) -> EndRecord:
+    """The record of an ended job."""
+    return EndRecord(int(job.state), job.ended_wall_ms, job.submitted, job.route, job.address)
+
+
 def job_key(job: str) -> bytes:
     """Key of the `JobRecord`."""
     return JOB + job.encode()
--- a/flintfield/jobs/ends.py
+++ b/flintfield/jobs/ends.py
@@ -207,8 +207,7 @@
         state.record(job, JobEvent.JOB_ENDED, detail=job_state.name.lower())
         if was_active:
             state.pending[job.route] -= 1
-        record = durable.EndRecord(int(job_state), job.ended_wall_ms, job.submitted, job.route)
-        state.put(durable.end_key(job.id), encode(record))
+        state.put(durable.end_key(job.id), encode(durable.end_record(job)))
         state.put(durable.job_key(job.id), None)
         state.put(durable.occurrences_key(job.id), None)
         state.remember_ended(job)
--- a/flintfield/jobs/intake.py
+++ b/flintfield/jobs/intake.py
@@ -3,14 +3,18 @@
 Answers reflect durable state only. Submission is idempotent: a repeated id is answered like the first time,
 whatever the job's current state. A rejected id leaves no record. The cancel of an unknown id is recorded, so
 that a delayed submission of it does not start after the client received 410.
+
+Workers know a task by its job's ID alone, so an ID is in use in one queue at a time: while a job of another
+queue with it is known, or a run of a forgotten one may exist, a submission is refused. To all other calls a job
+of another queue does not exist (`flintfield.jobs.addresses`).
 """
 
 from __future__ import annotations
 
-import re
 from functools import partial
 
 from flintfield.jobs import durable
+from flintfield.jobs.addresses import JobAddress, is_job_id, job_address, names_job, queue_of
 from flintfield.jobs.admission import refusal_reason
 from flintfield.jobs.body import JobTooLarge, MalformedJob, read_job
 from flintfield.jobs.ends import RunEnds
@@ -25,9 +29,6 @@
 from flintfield.jobs.timing import Phase
 from flintfield.transport.records import encode
 
-_ID = re.compile(r"[0-9a-fA-F]{16}")
-_ID_AT_END = re.compile(r"(?:^|[^0-9a-fA-F])([0-9a-fA-F]{16})\Z")
-
 _STATE_BODIES = {
     JobState.ACTIVE: b'{"state":"queued"}',
     JobState.COMPLETED: b'{"state":"completed"}',
@@ -57,7 +58,7 @@
             case Method.SUBMIT:
                 self._submit(event.call, request)
             case Method.CANCEL:
-                self._cancel(event.call, self._job_id(request))
+                self._cancel(event.call, request)
             case _:
                 self._read(event.call, request)
 
@@ -67,16 +68,12 @@
     def _answer_unconfigured(self, call: int) -> None:
         self._answer(call, 503, _reason("no configuration yet"), self._state.bounds.unready_retry_ms)
 
-    def _job_id(self, request: JobCall) -> str:
-        """The job id in the path, or ""; also works if the queue is no longer configured."""
-        configuration = self._state.configuration
-        route = configuration.find_route(request.host, request.path) if configuration is not None else None
-        if route is not None:
-            rest = request.path[len(route.path_prefix) :]
-            if _ID.fullmatch(rest):
-                return rest
-        found = _ID_AT_END.search(request.path)
-        return found.group(1) if found is not None else ""
+    def _find(self, request: JobCall, address: JobAddress) -> Job | None:
+        """The job that the call means; one of another queue with the same ID is none."""
+        job = self._state.jobs.get(address.job_id)
+        if job is None or not names_job(request, address, job, self._state.configuration):
+            return None
+        return job
 
     # Submit
 
@@ -89,24 +86,33 @@
         if route is None:
             self._answer(call, 404, _reason("no such queue"))
             return
-        job_id = request.path[len(route.path_prefix) :]
-        if not _ID.fullmatch(job_id):
+        address = job_address(request, configuration)
+        if address is None or not is_job_id(request.path[len(route.path_prefix) :]):
             self._answer(call, 400, _reason("a job's id is 16 hex digits"))
             return
-        known = self._state.jobs.get(job_id)
-        if known is None:
-            self._submit_new(call, job_id, route, request.body)
-        else:
+        known = self._find(request, address)
+        if known is not None:
             self._submit_known(call, known)
+        elif self._id_in_use(address.job_id):
+            self._state.counters.refused_ids += 1
+            self._refuse(call, "the id is in use")
+        else:
+            self._submit_new(call, address, route, request.body)
+
+    def _id_in_use(self, job_id: str) -> bool:
+        """Whether tasks with this ID may exist; the mark of a cancel elsewhere has none."""
+        state = self._state
+        job = state.jobs.get(job_id)
+        return (job is not None and job.submitted) or job_id in state.runs_of_job
 
     def _submit_known(self, call: int, job: Job) -> None:
         if not job.submitted:  # cancelled before its submission: it stays cancelled and never runs
             job.submitted = True
-            self._state.put(durable.end_key(job.id), encode(_end_record(job)))
+            self._state.put(durable.end_key(job.id), encode(durable.end_record(job)))
         self._state.after_write(partial(self._answer, call, 200))
 
-    def _submit_new(self, call: int, job_id: str, route: Route, body: bytes) -> None:
-        state = self._state
+    def _submit_new(self, call: int, address: JobAddress, route: Route, body: bytes) -> None:
+        state, job_id = self._state, address.job_id
         try:
             spec = read_job(body)
         except JobTooLarge as error:
@@ -123,10 +129,23 @@
             self._refuse(call, reason)
             return
         state.counters.accepted += 1
-        job = Job(job_id, route.name, terms, state.wall_ms, body, spec, kept_bytes=kept_bytes)
+        job = Job(
+            job_id,
+            route.name,
+            terms,
+            state.wall_ms,
+            body,
+            spec,
+            address=address.queue,
+            kept_bytes=kept_bytes,
+        )
+        if job_id in state.jobs:
+            state.put(durable.end_key(job_id), None)  # the mark of a cancel in another queue
         state.jobs[job_id] = job
         state.kept_bytes += kept_bytes
-        record = durable.JobRecord(route.name, durable.encode_terms(terms), job.accepted_wall_ms, body)
+        record = durable.JobRecord(
+            route.name, durable.encode_terms(terms), job.accepted_wall_ms, body, job.address
+        )
         state.put(durable.job_key(job_id), encode(record))
         state.timing.begin(job)
         state.after_write(partial(self._accepted, call, job, state.now_ms))
@@ -148,14 +167,13 @@
     # Status and count
 
     def _read(self, call: int, request: JobCall) -> None:
-        job_id = self._job_id(request)
-        if job_id:
-            self._status(call, job_id)
+        address = job_address(request, self._state.configuration)
+        if address is not None:
+            self._status(call, self._find(request, address))
         else:
             self._count(call, request)
 
-    def _status(self, call: int, job_id: str) -> None:
-        job = self._state.jobs.get(job_id)
+    def _status(self, call: int, job: Job | None) -> None:
         if job is None or not job.submitted:
             if self._state.configuration is None:
                 self._answer_unconfigured(call)
@@ -186,17 +204,18 @@
 
     # Cancel
 
-    def _cancel(self, call: int, job_id: str) -> None:
+    def _cancel(self, call: int, request: JobCall) -> None:
         state = self._state
-        if not job_id:
+        address = job_address(request, state.configuration)
+        if address is None:
             self._answer(call, 400, _reason("a job's id is 16 hex digits"))
             return
-        job = state.jobs.get(job_id)
+        job = self._find(request, address)
         if job is None:
             if state.configuration is None:
                 self._answer_unconfigured(call)
                 return
-            self._mark_cancelled(job_id)
+            self._mark_cancelled(address)
             status = 410
         else:
             status = 200 if job.submitted else 410
@@ -204,33 +223,49 @@
                 self._ends.finish_job(job, JobState.CANCELLED)
         state.after_write(partial(self._answer, call, status, b"{}"))
 
-    def _mark_cancelled(self, job_id: str) -> None:
-        """Record that an unknown id was cancelled, if the table has room."""
+    def _mark_cancelled(self, address: JobAddress) -> None:
+        """Record that an unknown id was cancelled, if the table has room and no other queue uses it."""
         state = self._state
-        if len(state.jobs) >= state.bounds.max_jobs:
+        if len(state.jobs) >= state.bounds.max_jobs or address.job_id in state.jobs:
             return
-        job = Job(job_id, "", Terms("", 0, 1, 1.0, 0), state.wall_ms, b"", None, submitted=False)
+        terms = Terms("", 0, 1, 1.0, 0)
+        job = Job(
+            address.job_id,
+            "",
+            terms,
+            state.wall_ms,
+            b"",
+            None,
+            submitted=False,
+            address=address.queue,
+        )
         job.end(JobState.CANCELLED, state.wall_ms)
         job.show_end()
-        state.jobs[job_id] = job
+        state.jobs[job.id] = job
         state.remember_ended(job)
-        state.put(durable.end_key(job_id), encode(_end_record(job)))
+        state.put(durable.end_key(job.id), encode(durable.end_record(job)))
 
     # Configuration
 
     def configure(self, configuration: Configuration) -> None:
-        """Apply a newer configuration: jobs keep their queue and adopt its new terms."""
+        """Apply a newer configuration: jobs stay with their queue, also a renamed one, and adopt its terms."""
         state = self._state
         state.configuration = configuration
-        by_name = {route.name: terms_of(route) for route in configuration.routes}
+        by_name = {route.name: route for route in configuration.routes}
         for job in state.jobs.values():
-            terms = by_name.get(job.route)
-            if terms is not None and not job.ended and terms != job.terms:
-                self._readiness.change_terms(job, terms)
-
-
-def _end_record(job: Job) -> durable.EndRecord:
-    return durable.EndRecord(int(job.state), job.ended_wall_ms, job.submitted, job.route)
+            route = queue_of(job, configuration, by_name) if not job.ended else None
+            if route is not None:
+                self._join_queue(job, route)
+
+    def _join_queue(self, job: Job, route: Route) -> None:
+        if route.name != job.route:
+            if job.state is JobState.ACTIVE:
+                self._state.pending[job.route] -= 1
+                self._state.pending[route.name] += 1
+            job.route = route.name
+        terms = terms_of(route)
+        if terms != job.terms:
+            self._readiness.change_terms(job, terms)
 
 
 def _reason(text: str) -> bytes:
--- a/flintfield/jobs/model.py
+++ b/flintfield/jobs/model.py
@@ -225,6 +225,9 @@
     state: JobState = JobState.ACCEPTING
     durable_state: JobState = JobState.ACCEPTING  # the durable state, which is shown to clients
     submitted: bool = True
+    address: str = (
+        ""  # host and prefix of its queue when it was accepted; "" if a former release did not store them
+    )
     kept_bytes: int = 0  # upper bound of its size in the store until it has ended
     started: bool = False
     chain: list[int] = field(default_factory=list)
--- a/flintfield/jobs/restore.py
+++ b/flintfield/jobs/restore.py
@@ -64,13 +64,23 @@
         terms = durable.decode_terms(record.terms)
         kept_bytes = durable.most_bytes(record.body, spec.tasks, spec.timed)
         job = Job(
-            job_id, record.route, terms, record.accepted_wall_ms, record.body, spec, kept_bytes=kept_bytes
+            job_id,
+            record.route,
+            terms,
+            record.accepted_wall_ms,
+            record.body,
+            spec,
+            address=record.address,
+            kept_bytes=kept_bytes,
         )
         job.become_active()
         self._state.jobs[job_id] = job
 
     def _end(self, job_id: str, record: durable.EndRecord) -> None:
-        job = Job(job_id, record.route, Terms("", 0, 1, 1.0, 0), 0, b"", None, submitted=record.submitted)
+        terms = Terms("", 0, 1, 1.0, 0)
+        job = Job(
+            job_id, record.route, terms, 0, b"", None, submitted=record.submitted, address=record.address
+        )
         job.become_active()
         job.end(JobState(record.state), record.ended_wall_ms)
         job.show_end()
--- a/flintfield/jobs/state.py
+++ b/flintfield/jobs/state.py
@@ -31,6 +31,7 @@
 
     accepted: int = 0
     refused: int = 0
+    refused_ids: int = 0  # of `refused`: the ID is in use in another queue, or by runs of a forgotten job
     malformed: int = 0
     starts: int = 0
     lost_runs: int = 0
@@ -67,6 +68,7 @@
         self.jobs: dict[str, Job] = {}
         self.ended: deque[tuple[int, Job]] = deque()  # (cluster time of the end, job), oldest first
         self.pending: Counter[str] = Counter()  # by queue: jobs that have not ended
+        self.runs_of_job: Counter[str] = Counter()  # by ID: runs that may exist, also of forgotten jobs
         self.kept_bytes = 0  # upper bound of the store size of the jobs that have not ended
         self.workers: dict[str, WorkerRecord] = {}
         self.placeable: dict[str, Worker] = {}  # workers named by reports; visible to the placement policy
@@ -224,6 +226,7 @@
         worker = record.worker
         worker.used = worker.used.plus(run.resources)
         worker.runs += 1
+        self.runs_of_job[run.task.job.id] += 1
         group = run.task.step.group
         worker.task_counts[group] = worker.task_counts.get(group, 0) + 1
 
@@ -235,6 +238,7 @@
         worker = record.worker
         worker.used = worker.used.minus(run.resources)
         worker.runs -= 1
+        self._uncount_run_of_job(run.task.job.id)
         group = run.task.step.group
         held = worker.task_counts.get(group, 0) - 1
         if held > 0:
@@ -243,6 +247,11 @@
             worker.task_counts.pop(group, None)
         self.service(worker.service).dirty = True
 
+    def _uncount_run_of_job(self, job_id: str) -> None:
+        self.runs_of_job[job_id] -= 1
+        if not self.runs_of_job[job_id]:
+            del self.runs_of_job[job_id]
+
     def answer(self, status: int, body: bytes = b"{}", retry_after_ms: int = 0) -> JobAnswer:
         """Build an answer based on the configuration in force."""
         version = self.configuration.version if self.configuration is not None else 0
--- a/flintfield/simulation/planted/dispatcher.py
+++ b/flintfield/simulation/planted/dispatcher.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from flintfield.dispatch import service
+from flintfield.jobs.addresses import JobAddress
 from flintfield.jobs import intake
 from flintfield.jobs.dispatcher import Dispatcher
 from flintfield.jobs.ends import RunEnds
@@ -44,9 +45,9 @@
     """Jobs are acknowledged before they are durable."""
 
     class Hasty(intake.Intake):
-        def _submit_new(self, call: int, job_id: str, route: Any, body: bytes) -> None:
-            super()._submit_new(call, job_id, route, body)
-            if job_id in self._state.jobs:
+        def _submit_new(self, call: int, address: JobAddress, route: Any, body: bytes) -> None:
+            super()._submit_new(call, address, route, body)
+            if address.job_id in self._state.jobs:
                 self._answer(call, 200)
 
     return [Patch(Dispatcher, "__init__", _with_parts(Dispatcher.__init__, "_intake", Hasty))]
--- a/tests/system/jobs_world.py
+++ b/tests/system/jobs_world.py
@@ -101,6 +101,7 @@
         self.calls: dict[int, tuple[str, Method]] = {}
         self.next_call = 0
         self.jobs: dict[str, dict[str, Any]] = {}
+        self.routes: dict[str, str] = {}  # by job: the prefix at which it was first submitted
         self.cancelled_at: dict[str, float] = {}
         for index in range(machines):
             self.add_machine(f"m{index}", cpu)
@@ -191,6 +192,7 @@
         """Submit a job."""
         body = {"spec": f"spec of {job}", "steps": steps, **fields}
         self.jobs.setdefault(job, body)
+        self.routes.setdefault(job, route)
         self.plans.setdefault(job, plan)
         self.call(Method.SUBMIT, job, json.dumps(body).encode(), route)
 
@@ -215,7 +217,7 @@
 
     def state_of(self, job: str) -> str:
         """The job's state as shown to a client, or the status code."""
-        answer = self.ask(Method.STATUS, job)
+        answer = self.ask(Method.STATUS, job, self.routes.get(job, "/a/"))
         return json.loads(answer.body)["state"] if answer.status == 200 else str(answer.status)
 
     def configure(self, configuration: Configuration) -> None:
--- /dev/null
+++ b/tests/system/test_jobs_addresses.py
@@ -0,0 +1,224 @@
+"""Which job a path names: one ID in several queues, and queues that change while their jobs live."""
+
+from __future__ import annotations
+
+import json
+import random
+import unittest
+
+from flintfield.jobs.bounds import DispatcherBounds
+from flintfield.jobs.dispatcher import Dispatcher
+from flintfield.jobs.durable import EndRecord, JobRecord, TermsRecord, end_key, job_key, task_key
+from flintfield.jobs.durable import RunRecord, TaskRecord
+from flintfield.jobs.events import Answer, CallArrived, ConfigurationChanged, Event, Tick, Write, Written
+from flintfield.jobs.messages import JobCall, Method
+from flintfield.placement.market import MarketPlacement
+from flintfield.transport.records import encode
+
+from .jobs_judge import Judge
+from .jobs_world import HOST, WALL_0, ConfigurationModel, RouteModel, World, job_id, simple
+
+ONE = RouteModel("r-one", "/one/")
+TWO = RouteModel("r-two", "/two/", "other")
+NESTED = RouteModel("r-nested", "/one/deep/")
+STEP = {"count": 3, "cpu": 500, "memMb": 64, "estimateMs": 300}
+BODY = json.dumps({"spec": "s", "steps": [STEP]}).encode()
+ID = job_id(7)
+
+
+class Addresses(unittest.TestCase):
+    """Calls at a dispatcher without workers; every write is durable at once."""
+
+    def setUp(self) -> None:
+        self.now = 1_000
+        self.calls = 0
+        self.items: dict[bytes, bytes] = {}
+        self.configuration = ConfigurationModel(1, (ONE, TWO))
+        self.elect()
+
+    def elect(self) -> None:
+        """Another dispatcher takes over from the durable records."""
+        self.answers: dict[int, Answer] = {}
+        self.dispatcher = Dispatcher(
+            3, self.now, DispatcherBounds(), MarketPlacement(1), random.Random(1), self.configuration
+        )
+        self.dispatcher.restore(dict(self.items))
+        self.handle(Tick(WALL_0 + self.now))
+
+    def configure(self, *routes: RouteModel) -> None:
+        """Put a newer configuration into force."""
+        self.configuration = ConfigurationModel(self.configuration.version + 1, routes)
+        self.handle(ConfigurationChanged(self.configuration))
+
+    def handle(self, event: Event) -> None:
+        """Process an event."""
+        waiting = self.dispatcher.handle(self.now, event)
+        while waiting:
+            effect = waiting.pop(0)
+            if isinstance(effect, Answer):
+                self.answers[effect.call] = effect
+            elif isinstance(effect, Write):
+                for key, value in effect.changes:
+                    if value is None:
+                        self.items.pop(key, None)
+                    else:
+                        self.items[key] = value
+                waiting += self.dispatcher.handle(self.now, Written(effect.write))
+
+    def call(self, method: Method, path: str, host: str = HOST) -> int:
+        """Make a call; returns the status of its answer."""
+        self.calls += 1
+        body = BODY if method is Method.SUBMIT else b""
+        self.handle(CallArrived(self.calls, JobCall(method, host, path, body, 1)))
+        return self.answers[self.calls].answer.status
+
+    def submit(self, path: str) -> int:
+        """Submit a job."""
+        return self.call(Method.SUBMIT, path)
+
+    def get(self, path: str) -> int:
+        """Ask for a job's state."""
+        return self.call(Method.STATUS, path)
+
+    def cancel(self, path: str) -> int:
+        """Cancel a job."""
+        return self.call(Method.CANCEL, path)
+
+    def pending(self, path: str) -> int:
+        """The count of a queue."""
+        self.assertEqual(200, self.call(Method.COUNT, path))
+        count: int = json.loads(self.answers[self.calls].answer.body)["pending"]
+        return count
+
+    def test_an_id_in_use_in_another_queue_is_refused_at_once_and_leaves_nothing_behind(self) -> None:
+        # Guards against the review's MIXED: the second job was answered 200 and the state of the first one.
+        self.assertEqual(200, self.submit(f"/one/{ID}"))
+        items = dict(self.items)
+        self.assertEqual(429, self.submit(f"/two/{ID}"))
+        self.assertEqual(410, self.get(f"/two/{ID}"))
+        self.assertEqual(410, self.cancel(f"/two/{ID}"))
+        self.assertEqual(items, self.items)
+        self.assertEqual(1, self.dispatcher.counters.refused_ids)
+        self.assertEqual(200, self.get(f"/one/{ID}"))
+        self.assertEqual([1, 0], [self.pending("/one/"), self.pending("/two/")])
+
+    def test_a_successor_tells_the_queues_apart_as_well(self) -> None:
+        self.submit(f"/one/{ID}")
+        self.elect()
+        self.assertEqual([200, 410], [self.get(f"/one/{ID}"), self.get(f"/two/{ID}")])
+        self.assertEqual(429, self.submit(f"/two/{ID}"))
+        self.assertEqual(200, self.submit(f"/one/{ID}"), "the same job again")
+        self.cancel(f"/one/{ID}")
+        self.elect()
+        self.assertEqual([200, 410], [self.get(f"/one/{ID}"), self.get(f"/two/{ID}")])
+        self.assertEqual(429, self.submit(f"/two/{ID}"))
+
+    def test_a_cancel_of_an_unknown_id_concerns_its_queue_only(self) -> None:
+        self.assertEqual(410, self.cancel(f"/two/{ID}"))
+        self.assertEqual(200, self.submit(f"/one/{ID}"))
+        self.assertEqual(b'{"state":"queued"}', self.state(f"/one/{ID}"))
+        self.assertEqual(429, self.submit(f"/two/{ID}"), "the late submission of the cancelled job")
+        self.elect()
+        self.assertEqual(b'{"state":"queued"}', self.state(f"/one/{ID}"))
+
+    def state(self, path: str) -> bytes:
+        """The body of the answer to a GET."""
+        self.assertEqual(200, self.get(path))
+        return self.answers[self.calls].answer.body
+
+    def test_a_job_is_found_at_its_address_while_its_queue_changes(self) -> None:
+        renamed = RouteModel("r-new", "/one/", priority=2)
+        moved = RouteModel("r-one", "/uno/")
+        for name, routes in {
+            "removed": (TWO,),
+            "renamed": (renamed, TWO),
+            "moved": (moved, TWO),
+            "moved, and another took its prefix": (moved, RouteModel("r-x", "/one/")),
+            "nothing left": (),
+        }.items():
+            with self.subTest(name):
+                self.setUp()
+                self.submit(f"/one/{ID}")
+                for successor in (False, True):
+                    self.configure(*routes)
+                    if successor:
+                        self.elect()
+                    self.assertEqual(200, self.get(f"/one/{ID}"))
+                    self.assertEqual(410, self.get(f"/two/{ID}"))
+                self.assertEqual(410, self.cancel(f"/two/{ID}"))
+                self.assertEqual(200, self.cancel(f"/one/{ID}"))
+
+    def test_a_moved_queue_shows_its_jobs_at_its_new_prefix(self) -> None:
+        self.submit(f"/one/{ID}")
+        self.configure(RouteModel("r-one", "/uno/"), TWO)
+        self.assertEqual(200, self.get(f"/uno/{ID}"))
+        self.assertEqual(200, self.submit(f"/uno/{ID}"), "the same job again")
+        self.assertEqual(1, self.pending("/uno/"))
+
+    def test_jobs_follow_a_renamed_queue(self) -> None:
+        self.submit(f"/one/{ID}")
+        for successor in (False, True):
+            self.configure(RouteModel("r-new", "/one/", priority=2), TWO)
+            if successor:
+                self.elect()
+            self.assertEqual(1, self.pending("/one/"))
+            self.assertEqual(2, self.dispatcher.state.jobs[ID].terms.priority)
+
+    def test_queues_that_are_nested_share_no_job(self) -> None:
+        self.configure(ONE, NESTED)
+        self.assertEqual(200, self.submit(f"/one/deep/{ID}"))
+        self.assertEqual([429, 410], [self.submit(f"/one/{ID}"), self.get(f"/one/{ID}")])
+        self.configure(ONE)
+        self.assertEqual(200, self.get(f"/one/deep/{ID}"))
+        self.assertEqual(410, self.get(f"/one/{ID}"))
+        self.assertEqual(200, self.cancel(f"/one/deep/{ID}"))
+
+    def test_the_host_is_part_of_the_address_as_it_is_compared(self) -> None:
+        self.submit(f"/one/{ID}")
+        self.configure()
+        self.assertEqual(200, self.call(Method.STATUS, f"/one/{ID}", "Q.example:8080"))
+        self.assertEqual(410, self.call(Method.STATUS, f"/one/{ID}", "elsewhere.example"))
+
+    def test_an_id_is_in_use_while_a_run_of_a_forgotten_job_may_exist(self) -> None:
+        run = RunRecord(1, "i-1", "m-1", 2, 100, 10, 0, "")
+        self.items[task_key(f"{ID}.0.0.0")] = encode(TaskRecord(1, False, (), "", (run,)))
+        self.elect()
+        self.assertEqual(429, self.submit(f"/one/{ID}"))
+        self.now += 10_000
+        self.handle(Tick(WALL_0 + self.now))  # its hold is over
+        self.assertEqual(200, self.submit(f"/one/{ID}"))
+
+    def test_records_of_the_release_before_are_known_by_their_queues_name(self) -> None:
+        terms = TermsRecord("svc", 1, 2, 1.5, 1_000)
+        self.items[job_key(ID)] = encode(JobRecord("r-one", terms, WALL_0, BODY))
+        self.items[end_key(job_id(8))] = encode(EndRecord(3, WALL_0, True, "r-two"))
+        self.elect()
+        self.assertEqual([200, 410], [self.get(f"/one/{ID}"), self.get(f"/two/{ID}")])
+        self.assertEqual([410, 200], [self.get(f"/one/{job_id(8)}"), self.get(f"/two/{job_id(8)}")])
+        self.assertEqual(429, self.submit(f"/two/{ID}"))
+        self.configure(TWO)
+        self.assertEqual(200, self.get(f"/one/{ID}"), "its queue is gone: known by its ID")
+
+
+class OneIdInTwoQueues(unittest.TestCase):
+    """The same with workers."""
+
+    def test_only_the_accepted_job_runs_and_is_shown(self) -> None:
+        world = World()
+        world.configuration = ConfigurationModel(1, (RouteModel(), RouteModel("r-b", "/b/")))
+        world.elect()
+        world.run(1_500)
+        world.submit(ID, [STEP], simple(300))
+        self.assertEqual(429, world.ask(Method.SUBMIT, ID, "/b/", BODY).status)
+        world.run(200)
+        world.fail_dispatcher()
+        world.elect()
+        world.run(6_000)
+        self.assertEqual(429, world.ask(Method.SUBMIT, ID, "/b/", BODY).status)
+        self.assertEqual(410, world.ask(Method.STATUS, ID, "/b/").status)
+        self.assertEqual("completed", world.state_of(ID))
+        self.assertEqual([], Judge(world).check())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/system/test_jobs_intake.py
+++ b/tests/system/test_jobs_intake.py
@@ -18,6 +18,7 @@
 from flintfield.jobs.events import (
     Answer,
     CallArrived,
+    ConfigurationChanged,
     Effect,
     Event,
     ReportArrived,
@@ -29,7 +30,7 @@
 from flintfield.placement.market import MarketPlacement
 from flintfield.transport.records import decode, encode
 
-from .jobs_world import HOST, WALL_0, ConfigurationModel, job_id, report
+from .jobs_world import HOST, WALL_0, ConfigurationModel, RouteModel, job_id, report
 
 
 def body(*steps: dict[str, Any], **fields: Any) -> bytes:
@@ -115,6 +116,7 @@
         self.bounds = DispatcherBounds(max_jobs=3)
         self.items: dict[bytes, bytes] = {}
         self.now = 1_000
+        self.version = 1
         self.elect(1)
 
     def elect(self, epoch: int) -> None:
@@ -127,6 +129,11 @@
         self.dispatcher.restore(self.items)
         self.handle(Tick(WALL_0 + self.now))
 
+    def configure(self, *routes: RouteModel) -> None:
+        """Put a newer configuration into force."""
+        self.version += 1
+        self.handle(ConfigurationChanged(ConfigurationModel(self.version, routes)))
+
     def handle(self, event: Event) -> list[Effect]:
         """Process an event and collect its effects."""
         effects = self.dispatcher.handle(self.now, event)
@@ -193,14 +200,18 @@
 
     # Guards against: a job that is not found because its removed prefix did not end in a slash.
     def test_a_job_of_a_removed_route_is_found_by_the_id_at_the_end_of_its_path(self) -> None:
-        self.call(1, Method.SUBMIT, job_id(1), GOOD)
-        self.make_durable()
-        for number, path in enumerate(("b/", "x-"), 2):
-            self.assertEqual(self.call(number, Method.STATUS, path + job_id(1)), 200)
-            self.assertEqual(self.answers[number].body, b'{"state":"queued"}')
-        self.call(4, Method.CANCEL, "x-" + job_id(1))
-        self.make_durable()
-        self.assertEqual(self.answers[4].status, 200)
+        for job, path in enumerate(("b/", "x-"), 1):
+            with self.subTest(path):
+                self.configure(RouteModel(), RouteModel("r-nested", "/a/" + path))
+                self.call(10 * job, Method.SUBMIT, path + job_id(job), GOOD)
+                self.make_durable()
+                self.configure(RouteModel())
+                self.assertEqual(self.call(10 * job + 1, Method.STATUS, path + job_id(job)), 200)
+                self.assertEqual(self.answers[10 * job + 1].body, b'{"state":"queued"}')
+                self.assertEqual(self.call(10 * job + 2, Method.STATUS, job_id(job)), 410)
+                self.call(10 * job + 3, Method.CANCEL, path + job_id(job))
+                self.make_durable()
+                self.assertEqual(self.answers[10 * job + 3].status, 200)
 
     def test_a_cancel_is_answered_once_durable_and_survives_a_takeover(self) -> None:
         self.call(1, Method.SUBMIT, job_id(1), GOOD)
