--- a/flintfield/jobs/intake.py
+++ b/flintfield/jobs/intake.py
@@ -5,8 +5,8 @@
 that a delayed submission of it does not start after the client received 410.
 
 Workers know a task by its job's ID alone, so an ID is in use in one queue at a time: while a job of another
-queue with it is known, or a run of a forgotten one may exist, a submission is refused. To all other calls a job
-of another queue does not exist (`flintfield.jobs.addresses`).
+queue with it is known, or a run of a forgotten one may exist, a submission is refused. To all other calls a
+job of another queue does not exist (`flintfield.jobs.addresses`).
 """
 
 from __future__ import annotations
@@ -248,7 +248,7 @@
     # Configuration
 
     def configure(self, configuration: Configuration) -> None:
-        """Apply a newer configuration: jobs stay with their queue, also a renamed one, and adopt its terms."""
+        """Apply a newer configuration: jobs stay with their queue, also if renamed, and adopt its terms."""
         state = self._state
         state.configuration = configuration
         by_name = {route.name: route for route in configuration.routes}
