--- a/flintfield/simulation/clients.py
+++ b/flintfield/simulation/clients.py
@@ -14,7 +14,8 @@
 from flintfield.simulation.faults import Trigger
 from flintfield.simulation.process import Process
 from flintfield.simulation.record import CallSeen, Record
-from flintfield.simulation.scenario import HOST, JobScript
+from flintfield.simulation.scenario import HOST
+from flintfield.simulation.scripts import JobScript
 
 DEADLINE_MS = 2_500
 TRIES = 14
@@ -83,6 +84,8 @@
         data = json.dumps(body).encode()
         if not await self._hand_in(job.id, data):
             return
+        if script.twin_path:
+            await self._choose_same_id(script)
         if script.sends_twice:
             await self._call("POST", job.id, job.path + job.id, data)
         while True:
@@ -91,6 +94,13 @@
             if answer.get("state") in ENDED:
                 return
 
+    async def _choose_same_id(self, script: JobScript) -> None:
+        """Another client hands in a job of the same ID in another queue, and asks for it."""
+        path = script.twin_path + script.job.id
+        data = json.dumps({**script.job.body, "spec": "another"}).encode()
+        await self._call("POST", "", path, data)
+        await self._call("GET", "", path, b"")
+
     async def _hand_in(self, job: str, data: bytes) -> bool:
         path = self._record.jobs[job].path + job
         for _ in range(TRIES):
--- a/flintfield/simulation/cluster.py
+++ b/flintfield/simulation/cluster.py
@@ -43,6 +43,7 @@
         self.bounds = bounds
         self._rng: random.Random = world.draw()
         self.fleet = Fleet(world, record, bounds, plan_of, self.signal, world.draw())
+        self.fleet.calls.prompt_answer_ms = scenario.prompt_answer_ms
         names = scenario.schedulers
         for number, name in enumerate(names):
             world.add_machine(name, f"10.0.0.{number}:{RPC_PORT}")
--- a/flintfield/simulation/held.py
+++ b/flintfield/simulation/held.py
@@ -51,6 +51,8 @@
         saved_ms = int(self.saved[:WORKED_DIGITS], 16) if self.saved else 0
         self.work_from = clock_ms + (restore_ms if self.saved else 0) - saved_ms
         self.ends_at = self.work_from + self.plan.work_ms
+        if self.plan.align_ms:
+            self.ends_at += -self.ends_at % self.plan.align_ms
         if self.plan.lasts and self.plan.fails == 0:
             self.ends_at = None
 
--- a/flintfield/simulation/judge/answers.py
+++ b/flintfield/simulation/judge/answers.py
@@ -8,6 +8,8 @@
 from flintfield.simulation.judge.case import Case
 from flintfield.simulation.record import JobAsked
 
+ID_LENGTH = 16
+
 
 def judge(case: Case) -> list[str]:
     """All broken rules."""
@@ -16,6 +18,18 @@
         broken += _mixed(case, job)
         broken += _lost(case, job)
         broken += _runs_on(case, job)
+    return broken + _same_id(case)
+
+
+def _same_id(case: Case) -> list[str]:
+    """A job with the ID of another queue's job is not taken, and not shown by the state of that one."""
+    broken = []
+    for call in case.calls.get("", ()):
+        job = case.record.jobs.get(call.path[-ID_LENGTH:])
+        if call.method == "COUNT" or job is None or call.path == job.path + job.id:
+            continue
+        if 200 <= call.status < 300:
+            broken.append(f"MIXED {job.id}: {call.method} {call.path} is answered {call.status} {call.state}")
     return broken
 
 
--- a/flintfield/simulation/operator.py
+++ b/flintfield/simulation/operator.py
@@ -15,7 +15,8 @@
 from flintfield.simulation.operator_calls import OperatorCalls
 from flintfield.simulation.process import Process
 from flintfield.simulation.record import Document, OrderSeen, ReadSeen
-from flintfield.simulation.scenario import HOST, MAX_ATTEMPTS, QUEUES, SERVICES, ChangeScript
+from flintfield.simulation.scenario import HOST, QUEUES, SERVICES
+from flintfield.simulation.scripts import MAX_ATTEMPTS, ChangeScript
 
 FIRST_MS = 300
 TRIES = 20
--- a/flintfield/simulation/plans.py
+++ b/flintfield/simulation/plans.py
@@ -57,3 +57,4 @@
     gang: int = 1
     lasts: bool = False
     group: str = ""  # what shares its checkpoints: the task, or its gang
+    align_ms: int = 0  # it ends at a multiple of this time on its worker's clock (0: as soon as it is done)
--- a/flintfield/simulation/planted/__init__.py
+++ b/flintfield/simulation/planted/__init__.py
@@ -151,6 +151,18 @@
     "broken-is-not-sent": PlantedFault(
         "a call that broke off is told as not sent", agent.broken_is_not_sent, Theme.WORKERS, 24
     ),
+    "take-incomplete-listings": PlantedFault(
+        "runs that an answer with 500 ends left out count as vanished",
+        agent.take_incomplete_listings,
+        Theme.CROWDS,
+        3,
+    ),
+    "drop-stops": PlantedFault(
+        "an agent drops stops beyond a bound without a word", agent.drop_stops, Theme.CROWDS, 3
+    ),
+    "know-jobs-by-id-alone": PlantedFault(
+        "a job is found by its ID whatever the queue", dispatcher.know_jobs_by_id_alone, Theme.CROWDS, 3
+    ),
     "answer-long-reads-by-itself": PlantedFault(
         "reads whose answers are too long for a link are not redirected",
         control.answer_long_reads_by_itself,
--- a/flintfield/simulation/planted/agent.py
+++ b/flintfield/simulation/planted/agent.py
@@ -4,16 +4,34 @@
 
 from typing import Any
 
+from flintfield.agent import listing
 from flintfield.agent.core import Agent
 from flintfield.agent.events import Answer, AnswerKind
 from flintfield.agent.incarnation import Incarnation
 from flintfield.agent.orders import Order, OrderBook
-from flintfield.jobs.messages import AgentOrders, Outcome
+from flintfield.jobs import worker_record
+from flintfield.jobs.messages import AgentOrders, Outcome, StopOrder
 from flintfield.jobs.worker_record import WorkerRecord
 from flintfield.jobs.workers import Workers
 from flintfield.simulation.planted.patch import Patch
 
 
+def take_incomplete_listings() -> list[Patch]:
+    """Runs that an answer with 500 ends left out count as vanished."""
+    return [Patch(listing, "ENDS_IN_FULL_ANSWER", 1 << 30)]
+
+
+def drop_stops() -> list[Patch]:
+    """Stops beyond 100 unresolved orders are dropped, and all are sent at once."""
+    take_stop = OrderBook.take_stop
+
+    def drop(self: OrderBook, now: int, stop: StopOrder) -> None:
+        if len(self._orders) < 100:
+            take_stop(self, now, stop)
+
+    return [Patch(OrderBook, "take_stop", drop), Patch(worker_record, "MAX_UNANSWERED", 1 << 30)]
+
+
 def grant_from_receipt() -> list[Patch]:
     """Holds are granted from the receipt of the orders."""
 
--- a/flintfield/simulation/planted/dispatcher.py
+++ b/flintfield/simulation/planted/dispatcher.py
@@ -41,6 +41,11 @@
     return [Patch(DispatcherState, "after_write", put_off), Patch(DispatcherState, "flush", flush_after)]
 
 
+def know_jobs_by_id_alone() -> list[Patch]:
+    """A job is found by its ID whatever the queue."""
+    return [Patch(intake, "names_job", lambda request, address, job, configuration: True)]
+
+
 def accept_before_durable() -> list[Patch]:
     """Jobs are acknowledged before they are durable."""
 
--- a/flintfield/simulation/scenario.py
+++ b/flintfield/simulation/scenario.py
@@ -7,16 +7,16 @@
 from dataclasses import dataclass
 from typing import Any
 
-from flintfield.simulation import disk_losses, themes
+from flintfield.simulation import crowds, disk_losses, themes
 from flintfield.simulation.faults import Fault
 from flintfield.simulation.plans import Capacity, Kind, Plan
 from flintfield.simulation.record import JobAsked
+from flintfield.simulation.scripts import MAX_ATTEMPTS, ChangeScript, JobScript
 from flintfield.simulation.themes import Place, Theme
 
 HOST = "q.example"
 SERVICES = ("svc-a", "svc-b")
 QUEUES = (("/a/", "svc-a", 0), ("/b/", "svc-b", 1), ("/c/", "svc-a", 2))  # prefix, service, priority
-MAX_ATTEMPTS = 2
 RACKS = ("r1", "r2")
 IDLE_ROUTES = (1_600, 2_400, 3_200)  # of the theme `links`; some 190 bytes each
 JOBS_FROM_MS, JOBS_UNTIL_MS = 2_600, 9_000
@@ -25,28 +25,6 @@
 """How many schedulers of these themes don't count for the quorum."""
 
 
-@dataclass(frozen=True, slots=True)
-class JobScript:
-    """A job, and what its client does: when it hands it in, cancels it, sends it twice."""
-
-    job: JobAsked
-    plans: tuple[Plan, ...]
-    submit_ms: int
-    cancel_ms: int | None
-    sends_twice: bool
-
-
-@dataclass(frozen=True, slots=True)
-class ChangeScript:
-    """What the operator does at a time: `orders` changes on one version at once; some may be invalid."""
-
-    at_ms: int
-    orders: int
-    whole: bool
-    invalid: bool
-    repeats: bool
-
-
 @dataclass(frozen=True, slots=True)
 class Scenario:
     """All that is decided before a history begins."""
@@ -62,6 +40,7 @@
     theme: Theme
     idle_routes: int = 0  # that the first configuration has besides those of the queues
     slow_links: bool = False  # of the schedulers that don't count for the quorum
+    prompt_answer_ms: float = 0.0  # how long workers' answers to calls that do not wait are under way
     read_rounds_ms: tuple[int, ...] = ()  # when the operator reads at one scheduler after the other
 
     def with_faults(self, kept: tuple[Fault, ...]) -> Scenario:
@@ -110,6 +89,11 @@
         (),
         theme,
     )
+    if theme is Theme.CROWDS:
+        workers, jobs = crowds.LARGE_WORKERS, crowds.draw_jobs(seed)
+        scenario = dataclasses.replace(
+            scenario, workers=workers, jobs=jobs, prompt_answer_ms=crowds.PROMPT_ANSWER_MS
+        )
     if theme is Theme.LINKS:
         scenario = _with_slow_links(scenario)
     place = Place(scenario.schedulers[:replicas], scenario.schedulers, scenario.agents, diskless)
--- a/flintfield/simulation/themes.py
+++ b/flintfield/simulation/themes.py
@@ -31,6 +31,7 @@
     SEEDS = "seeds"
     LINKS = "links"
     LOSSES = "losses"
+    CROWDS = "crowds"
 
     @property
     def long_jobs(self) -> bool:
@@ -50,6 +51,7 @@
     Theme.SEEDS: 8,
     Theme.LOSSES: 0,
     Theme.LINKS: 0,
+    Theme.CROWDS: 0,
 }
 """A theme without weight is played only where it is asked for, so that seeds keep their themes."""
 
@@ -270,6 +272,14 @@
     return [draw_loss(rng, place.replicas), *(_of_worker(rng, place) for _ in range(rng.randint(0, 2)))]
 
 
+def _crowds(rng: random.Random, place: Place) -> list[Fault]:
+    """At most one process that starts anew, so that most of a history is calm."""
+    if rng.random() < 0.5:
+        return []
+    kind, target = rng.choice(((_K.KILL_SCHEDULER, LEADER), (_K.KILL_AGENT, rng.choice(place.agents))))
+    return [Fault(kind, _time(rng), target, "", rng.randint(200, 800))]
+
+
 _DRAWS: dict[Theme, Callable[[random.Random, Place], list[Fault]]] = {
     Theme.CALM: _calm,
     Theme.MIXED: _mixed,
@@ -282,4 +292,5 @@
     Theme.SEEDS: _seeds,
     Theme.LINKS: _links,
     Theme.LOSSES: _losses,
+    Theme.CROWDS: _crowds,
 }
--- a/flintfield/simulation/worker_calls.py
+++ b/flintfield/simulation/worker_calls.py
@@ -52,6 +52,7 @@
         self._world = world
         self._rng = rng
         self._late = 0
+        self.prompt_answer_ms = 0.0  # how long answers to calls that do not wait are under way
 
     @property
     def idle(self) -> bool:
@@ -128,7 +129,11 @@
             nonlocal told
             if not told and not worker.dead:
                 told = True
-                self._reply(answer, worker.lists())
+                lists = worker.lists()
+                if request.wait_ms or not self.prompt_answer_ms:
+                    self._reply(answer, lists)
+                else:
+                    self._world.after(self.prompt_answer_ms, lambda: self._reply(answer, lists))
 
         if worker.has_ends or not request.wait_ms:
             tell()
--- a/tests/system/test_simulation.py
+++ b/tests/system/test_simulation.py
@@ -20,7 +20,8 @@
 from flintfield.simulation.planted import FAULTS, planted
 from flintfield.simulation.process import Process
 from flintfield.simulation.record import CallSeen, Document, JobAsked, OrderSeen, Record, RunSeen, Trouble
-from flintfield.simulation.scenario import JobScript, draw
+from flintfield.simulation.scenario import draw
+from flintfield.simulation.scripts import JobScript
 from flintfield.simulation.themes import Theme
 from flintfield.simulation.world import World
 
@@ -83,6 +84,11 @@
         core = [f"s{number}" for number in range(5)]
         self.assertEqual((pair,), keep_promise([pair, near], core, diskless=False))
 
+    def test_crowded_workers_break_no_rule(self) -> None:
+        for seed in range(200, 203):
+            with self.subTest(seed=seed):
+                self.assertEqual([], play(seed, draw(seed, Theme.CROWDS)).broken)
+
     # Guards against a theme whose promise check takes out the very losses that it is about.
     def test_the_theme_of_losses_draws_as_many_lost_disks_as_are_tolerated(self) -> None:
         for seed in range(50):
