Placement: evidence without weight on a worker's first failure no longer divides by zero

Where nearly all runs of a service fail, a failure weighs nothing as evidence against its worker; as the first evidence of that worker it raised ZeroDivisionError in the dispatcher, in the midst of a report, and again at each repeat of it. Found by playing a gang of 1,000 members that all fail. Ruled out: a wrong weight (0.0 is meant: 'none'). Change: evidence of weight 0 changes nothing. The new test raised before.

--- a/flintfield/placement/speeds.py
+++ b/flintfield/placement/speeds.py
@@ -61,6 +61,8 @@
 
     def note_slowness(self, instance: str, slowness: float, weight: float, now_ms: int) -> None:
         """Record evidence of `weight` (1.0: one completion) that a worker takes `slowness` times the mean."""
+        if weight <= 0.0:
+            return
         estimate = self._estimates.get(instance)
         if estimate is None:
             estimate = self._estimates[instance] = _SlownessEstimate(0.0, 0.0, now_ms)
--- a/tests/system/test_placement_learning.py
+++ b/tests/system/test_placement_learning.py
@@ -39,6 +39,14 @@
     return Demand(task=task, **{**fields, **more})  # type: ignore[arg-type]
 
 
+class WeightlessEvidence(unittest.TestCase):
+    def test_given_evidence_without_weight_when_noted_first_then_it_changes_nothing(self) -> None:
+        # Guards against a division by zero: the first failure on a worker of a service where all fail.
+        table = SpeedTable()
+        table.note_slowness("w", 2.0, 0.0, 0)
+        self.assertEqual(1.0, table.zeta.get("w", 1.0))
+
+
 class Prices(unittest.TestCase):
     def test_given_load_above_rho_when_stepped_then_the_price_rises_and_below_it_falls_to_zero(self) -> None:
         table, target = PriceTable(), worker("w")
