Tests: one played dispatcher for the tests that play it event by event

test_jobs_addresses and test_jobs_listings carried effects out in the same lines. PlayedDispatcher (jobs_table.py) does it for both; what they check is as it was.

--- a/tests/system/test_jobs_listings.py
+++ b/tests/system/test_jobs_listings.py
@@ -2,27 +2,13 @@
 
 from __future__ import annotations
 
-import random
 import unittest
 from dataclasses import replace
 
-from flintfield.jobs.bounds import DispatcherBounds
-from flintfield.jobs.dispatcher import Dispatcher
-from flintfield.jobs.events import (
-    AgentLost,
-    CallArrived,
-    Effect,
-    Event,
-    ReportArrived,
-    SendOrders,
-    Tick,
-    Write,
-    Written,
-)
+from flintfield.jobs.events import AgentLost, Event, ReportArrived, Tick
 from flintfield.jobs.messages import (
     AgentReport,
     End,
-    JobCall,
     Method,
     OrderResult,
     Outcome,
@@ -32,9 +18,9 @@
     StopOrder,
 )
 from flintfield.jobs.worker_record import MAX_UNANSWERED
-from flintfield.placement.market import MarketPlacement
 
-from .jobs_world import HOST, WALL_0, ConfigurationModel, job_id, report
+from .jobs_table import PlayedDispatcher
+from .jobs_world import WALL_0, job_id, report
 from .test_jobs_intake import body
 
 TASK = f"{job_id(1)}.0.0.0"
@@ -45,46 +31,32 @@
     """Listings of one worker with one task."""
 
     def setUp(self) -> None:
-        self.now = 1_000
-        self.items: dict[bytes, bytes] = {}
-        self.elect(EPOCH)
+        self.played = PlayedDispatcher(EPOCH)
         self.send(report(10))
         step = {"count": 1, "cpu": 1_000, "estimateMs": 500}
-        self.handle(CallArrived(1, JobCall(Method.SUBMIT, HOST, "/a/" + job_id(1), body(step), 0)))
-
-    def elect(self, epoch: int) -> None:
-        """Start a dispatcher from the durable records."""
-        self.starts: list[StartOrder] = []
-        self.stops: list[StopOrder] = []
-        self.last_seen = 0
-        self.granted = 0
-        self.dispatcher = Dispatcher(
-            epoch, self.now, DispatcherBounds(), MarketPlacement(1), random.Random(1), ConfigurationModel()
-        )
-        self.dispatcher.restore(dict(self.items))
-        self.handle(Tick(WALL_0))
+        self.played.call(Method.SUBMIT, "/a/" + job_id(1), body(step))
+
+    @property
+    def starts(self) -> list[StartOrder]:
+        """The start orders sent in this term."""
+        return self.played.starts
+
+    @property
+    def stops(self) -> list[StopOrder]:
+        """The stop orders sent in this term."""
+        return self.played.stops
 
     def handle(self, event: Event) -> None:
-        """Process an event, and make all writes durable."""
-        waiting: list[Effect] = self.dispatcher.handle(self.now, event)
-        while waiting:
-            effect = waiting.pop(0)
-            if isinstance(effect, SendOrders):
-                self.starts += effect.orders.starts
-                self.stops += effect.orders.stops
-                self.last_seen = effect.orders.last_seen
-                self.granted = effect.orders.echo_stamp
-            elif isinstance(effect, Write):
-                for key, value in effect.changes:
-                    if value is None:
-                        self.items.pop(key, None)
-                    else:
-                        self.items[key] = value
-                waiting += self.dispatcher.handle(self.now, Written(effect.write))
+        """Process an event."""
+        self.played.handle(event)
+
+    def wait(self, after_ms: int) -> None:
+        """Let time pass without an event."""
+        self.played.now += after_ms
 
     def send(self, template: AgentReport, **changes: object) -> None:
         """Deliver a report."""
-        self.now = max(self.now, 990 + template.stamp_ms)
+        self.played.now = max(self.played.now, 990 + template.stamp_ms)
         self.handle(ReportArrived(replace(template, **changes)))  # type: ignore[arg-type]
 
     def answered(self, outcome: Outcome, stamp: int, order: int | None = None) -> tuple[OrderResult, ...]:
@@ -102,7 +74,7 @@
         self.send(report(100), results=self.answered(Outcome.DONE, 90))
         self.send(report(900), finished=(End(1, TASK, 1, RunResult.DONE, ""),))
         self.send(report(1_000))
-        self.assertEqual(self.last_seen, 1)
+        self.assertEqual(self.played.last_seen, 1)
         self.assertEqual(self.started(), [1])
 
     def test_an_unlisted_run_has_vanished_only_after_the_time_of_a_stop(self) -> None:
@@ -111,7 +83,7 @@
         self.assertEqual(self.started(), [1])
         self.send(report(500), listing_stamp=400)
         self.handle(Tick(WALL_0))
-        self.now += 150
+        self.wait(150)
         self.handle(Tick(WALL_0))
         self.assertEqual(self.started(), [1, 2])
 
@@ -122,7 +94,7 @@
         self.send(report(950), listing_stamp=940)  # requested before the ends were gone from the reports
         self.assertEqual(self.started(), [1])
         self.send(report(1_400), listing_stamp=1_000)
-        self.now += 200
+        self.wait(200)
         self.handle(Tick(WALL_0))
         self.assertEqual(self.started(), [1, 2])
 
@@ -130,7 +102,7 @@
         step = {"count": 1, "cpu": 0, "estimateMs": 500}
         for number in range(2, 403):
             path = "/a/" + job_id(number)
-            self.handle(CallArrived(number, JobCall(Method.SUBMIT, HOST, path, body(step), 0)))
+            self.played.call(Method.SUBMIT, path, body(step))
         self.assertEqual(MAX_UNANSWERED, len(self.starts))
         answered = tuple(OrderResult(start.order, Outcome.DONE, 90) for start in self.starts[:100])
         self.send(report(100), results=answered)
@@ -149,7 +121,7 @@
 
     def test_an_unanswered_order_is_repeated_and_the_run_is_not_replaced(self) -> None:
         self.send(report(3_000))
-        self.now += 1_000
+        self.wait(1_000)
         self.handle(Tick(WALL_0))
         self.assertEqual({(start.run, start.order) for start in self.starts}, {(1, self.starts[0].order)})
 
@@ -168,7 +140,7 @@
     def test_a_refusal_without_a_restart_of_the_agent_frees_the_run_immediately(self) -> None:
         self.send(report(100), results=self.answered(Outcome.ROOM, 90))
         self.assertEqual(self.stops, [])
-        self.now += 200
+        self.wait(200)
         self.handle(Tick(WALL_0))
         self.assertEqual(self.started(), [1, 2])
 
@@ -183,7 +155,7 @@
         template = report(100)
         assert template.worker is not None
         self.send(template, worker=replace(template.worker, instance="i-2"), listing_stamp=-1)
-        self.now += 300
+        self.wait(300)
         self.handle(Tick(WALL_0))
         self.assertEqual(self.started(), [1, 2])
         self.send(report(200))  # a delayed report of the earlier incarnation
@@ -192,22 +164,23 @@
     def test_a_silent_worker_is_empty_once_its_hold_has_certainly_expired(self) -> None:
         self.send(report(100), results=self.answered(Outcome.DONE, 90))
         self.handle(AgentLost("m-1"))
-        self.now += 5_350
+        self.wait(5_350)
         self.handle(Tick(WALL_0))
-        self.send(report(self.now - 990), running=(Run(TASK, 1, "", 50),))
+        self.send(report(self.played.now - 990), running=(Run(TASK, 1, "", 50),))
         self.assertEqual(self.stops, [])
         self.handle(AgentLost("m-1"))
-        self.now += 5_450
+        self.wait(5_450)
         self.handle(Tick(WALL_0))
-        granted = self.granted
-        self.send(report(self.now - 990))
+        granted = self.played.granted
+        self.send(report(self.played.now - 990))
         self.assertEqual([stop.run for stop in self.stops], [1])
-        self.assertEqual(self.granted, granted)
+        self.assertEqual(self.played.granted, granted)
         self.assertEqual(self.started(), [1])
         self.send(
-            report(self.now - 980), results=self.answered(Outcome.DONE, self.now - 985, self.stops[-1].order)
+            report(self.played.now - 980),
+            results=self.answered(Outcome.DONE, self.played.now - 985, self.stops[-1].order),
         )
-        self.assertEqual(self.granted, self.now - 990)
+        self.assertEqual(self.played.granted, self.played.now - 990)
         self.assertEqual(self.started(), [1, 2])
 
     def test_an_end_after_a_gap_counts_but_last_seen_stops_at_the_gap(self) -> None:
@@ -215,7 +188,7 @@
         ends = (End(4, "x.0.0.0", 1, RunResult.DONE, ""), End(9, TASK, 1, RunResult.DONE, ""))
         self.send(report(900), finished=ends)
         self.send(report(1_300), finished=ends)
-        self.assertEqual(self.last_seen, 4)
+        self.assertEqual(self.played.last_seen, 4)
         self.assertEqual(self.started(), [1])
 
     def test_an_unknown_run_is_stopped(self) -> None:
@@ -224,25 +197,25 @@
         self.assertEqual([(stop.task, stop.run) for stop in self.stops], [(f"{job_id(7)}.0.0.0", 3)])
 
     def test_a_new_dispatcher_keeps_a_listed_run(self) -> None:
-        self.elect(EPOCH + 1)
+        self.played.elect(EPOCH + 1)
         self.send(report(700), running=(Run(TASK, 1, "", 1),))
         self.assertEqual(self.starts, [])
         self.send(report(1_200), fenced_epoch=EPOCH + 1, finished=(End(1, TASK, 1, RunResult.DONE, ""),))
         self.send(report(1_300), fenced_epoch=EPOCH + 1)
-        self.assertEqual(self.last_seen, 1)
+        self.assertEqual(self.played.last_seen, 1)
 
     def test_a_new_dispatcher_orders_an_unlisted_run_again(self) -> None:
-        self.elect(EPOCH + 1)
+        self.played.elect(EPOCH + 1)
         self.send(report(700))
         self.assertEqual(self.started(), [1])
 
     def test_a_new_dispatcher_ignores_results_of_earlier_orders(self) -> None:
         before = self.starts[-1].order
-        self.elect(EPOCH + 1)
+        self.played.elect(EPOCH + 1)
         self.send(report(700))
         self.assertNotEqual(self.starts[-1].order, before)
         self.send(report(710), results=(OrderResult(before, Outcome.ROOM, 705),))
-        self.now += 300
+        self.wait(300)
         self.handle(Tick(WALL_0))
         self.assertEqual(self.started(), [1])
 
