Free the IDs of a removed worker's runs, and keep jobs with the queue of their name

The count of runs by ID was not lowered for runs whose worker had been removed, so that their jobs' IDs were refused with 429 for good once the jobs were forgotten, and the table grew. Cause: the count hung on the worker's record. A job whose queue was given another prefix moved to the queue that took its old prefix, possibly of another service. It belongs to the queue that bears the name of its queue at its acceptance, or else to the one at its address; found by GET and DELETE it is at both, as before.

The route is looked up once a call instead of twice.

--- a/flintfield/jobs/addresses.py
+++ b/flintfield/jobs/addresses.py
@@ -37,35 +37,44 @@
     return _ID.fullmatch(text) is not None
 
 
-def job_address(request: JobCall, configuration: Configuration | None) -> JobAddress | None:
-    """The address that the call names, also below a queue that is not configured; None if it has no ID."""
-    route = configuration.find_route(request.host, request.path) if configuration is not None else None
-    is_below_queue = route is not None and is_job_id(request.path[len(route.path_prefix) :])
-    if not is_below_queue and _ID_AT_END.search(request.path) is None:
-        return None
-    host = canonical_host(request.host)
-    return JobAddress(host + request.path[:-ID_LENGTH], request.path[-ID_LENGTH:])
+def names_an_id(request: JobCall, route: Route | None) -> bool:
+    """Whether the path ends in an ID, below `route` or below a queue that is not configured."""
+    if route is not None and is_job_id(request.path[len(route.path_prefix) :]):
+        return True
+    return _ID_AT_END.search(request.path) is not None
+
+
+def address_of(request: JobCall) -> JobAddress:
+    """The address in a path that ends in an ID."""
+    queue = canonical_host(request.host) + request.path[:-ID_LENGTH]
+    return JobAddress(queue, request.path[-ID_LENGTH:])
 
 
-def names_job(request: JobCall, address: JobAddress, job: Job, configuration: Configuration | None) -> bool:
-    """Whether the call means this job, which has the ID of the address."""
+def names_job(
+    address: JobAddress, job: Job, route: Route | None, configuration: Configuration | None
+) -> bool:
+    """Whether this job, which has the ID of the address, is meant; `route` is the queue configured there."""
     if job.address and job.address == address.queue:
         return True
     if configuration is None:
         return not job.address
-    if not job.address and all(route.name != job.route for route in configuration.routes):
+    if not job.address and all(each.name != job.route for each in configuration.routes):
         return True
-    route = configuration.find_route(request.host, request.path)
-    if route is None or route.name != job.route:
-        return False
-    return request.path == route.path_prefix + address.job_id
+    return route is not None and route.name == job.route and route.path_prefix == _prefix(address.queue)
 
 
 def queue_of(job: Job, configuration: Configuration, by_name: dict[str, Route]) -> Route | None:
-    """The configured queue that the job belongs to now: that at its address, or else that of its name."""
-    host, slash, path = job.address.partition("/")
-    if slash:
-        route = configuration.find_route(host, slash + path)
-        if route is not None and route.path_prefix == slash + path:
-            return route
-    return by_name.get(job.route)
+    """The configured queue that the job belongs to: that of its queue's name, or else that at its address."""
+    named = by_name.get(job.accepted_route)
+    if named is not None:
+        return named
+    if not job.address:
+        return None
+    route = configuration.find_route(job.address.partition("/")[0], _prefix(job.address))
+    return route if route is not None and route.path_prefix == _prefix(job.address) else None
+
+
+def _prefix(queue: str) -> str:
+    """The path prefix in a queue's address."""
+    _, slash, path = queue.partition("/")
+    return slash + path
--- a/flintfield/jobs/intake.py
+++ b/flintfield/jobs/intake.py
@@ -14,7 +14,7 @@
 from functools import partial
 
 from flintfield.jobs import durable
-from flintfield.jobs.addresses import JobAddress, is_job_id, job_address, names_job, queue_of
+from flintfield.jobs.addresses import JobAddress, address_of, is_job_id, names_an_id, names_job, queue_of
 from flintfield.jobs.admission import refusal_reason
 from flintfield.jobs.body import JobTooLarge, MalformedJob, read_job
 from flintfield.jobs.ends import RunEnds
@@ -68,13 +68,17 @@
     def _answer_unconfigured(self, call: int) -> None:
         self._answer(call, 503, _reason("no configuration yet"), self._state.bounds.unready_retry_ms)
 
-    def _find(self, request: JobCall, address: JobAddress) -> Job | None:
-        """The job that the call means; one of another queue with the same ID is none."""
+    def _find(self, address: JobAddress, route: Route | None) -> Job | None:
+        """The job at this address, whose path is below `route`; one of another queue with its ID is none."""
         job = self._state.jobs.get(address.job_id)
-        if job is None or not names_job(request, address, job, self._state.configuration):
+        if job is None or not names_job(address, job, route, self._state.configuration):
             return None
         return job
 
+    def _find_route(self, request: JobCall) -> Route | None:
+        configuration = self._state.configuration
+        return configuration.find_route(request.host, request.path) if configuration is not None else None
+
     # Submit
 
     def _submit(self, call: int, request: JobCall) -> None:
@@ -86,11 +90,11 @@
         if route is None:
             self._answer(call, 404, _reason("no such queue"))
             return
-        address = job_address(request, configuration)
-        if address is None or not is_job_id(request.path[len(route.path_prefix) :]):
+        if not is_job_id(request.path[len(route.path_prefix) :]):
             self._answer(call, 400, _reason("a job's id is 16 hex digits"))
             return
-        known = self._find(request, address)
+        address = address_of(request)
+        known = self._find(address, route)
         if known is not None:
             self._submit_known(call, known)
         elif self._id_in_use(address.job_id):
@@ -167,11 +171,11 @@
     # Status and count
 
     def _read(self, call: int, request: JobCall) -> None:
-        address = job_address(request, self._state.configuration)
-        if address is not None:
-            self._status(call, self._find(request, address))
+        route = self._find_route(request)
+        if names_an_id(request, route):
+            self._status(call, self._find(address_of(request), route))
         else:
-            self._count(call, request)
+            self._count(call, request, route)
 
     def _status(self, call: int, job: Job | None) -> None:
         if job is None or not job.submitted:
@@ -188,12 +192,10 @@
             word = _RUNNING_BODY
         self._answer(call, 200, word)
 
-    def _count(self, call: int, request: JobCall) -> None:
-        configuration = self._state.configuration
-        if configuration is None:
+    def _count(self, call: int, request: JobCall, route: Route | None) -> None:
+        if self._state.configuration is None:
             self._answer_unconfigured(call)
             return
-        route = configuration.find_route(request.host, request.path)
         if route is None:
             self._answer(call, 404, _reason("no such queue"))
             return
@@ -206,11 +208,12 @@
 
     def _cancel(self, call: int, request: JobCall) -> None:
         state = self._state
-        address = job_address(request, state.configuration)
-        if address is None:
+        route = self._find_route(request)
+        if not names_an_id(request, route):
             self._answer(call, 400, _reason("a job's id is 16 hex digits"))
             return
-        job = self._find(request, address)
+        address = address_of(request)
+        job = self._find(address, route)
         if job is None:
             if state.configuration is None:
                 self._answer_unconfigured(call)
--- a/flintfield/jobs/model.py
+++ b/flintfield/jobs/model.py
@@ -225,9 +225,8 @@
     state: JobState = JobState.ACCEPTING
     durable_state: JobState = JobState.ACCEPTING  # the durable state, which is shown to clients
     submitted: bool = True
-    address: str = (
-        ""  # host and prefix of its queue when it was accepted; "" if a former release did not store them
-    )
+    address: str = ""  # its queue's host and prefix at its acceptance; "": stored by a former release
+    accepted_route: str = ""  # its queue's name at its acceptance; `route` is its name now
     kept_bytes: int = 0  # upper bound of its size in the store until it has ended
     started: bool = False
     chain: list[int] = field(default_factory=list)
@@ -241,6 +240,7 @@
     times: object | None = None  # its phase times, kept for the newest jobs (`flintfield.jobs.timing`)
 
     def __post_init__(self) -> None:
+        self.accepted_route = self.accepted_route or self.route
         if self.spec is not None:
             self.chain = longest_chain_ms(self.spec.steps)
 
--- a/flintfield/jobs/state.py
+++ b/flintfield/jobs/state.py
@@ -231,14 +231,14 @@
         worker.task_counts[group] = worker.task_counts.get(group, 0) + 1
 
     def uncount_run(self, run: Run) -> None:
-        """Remove a run's resources from the use of its worker."""
+        """Remove a closed run's resources from the use of its worker, which may be gone."""
+        self._uncount_run_of_job(run.task.job.id)
         record = self.workers.get(run.instance)
         if record is None or record.runs.pop((run.name, run.number), None) is None:
             return
         worker = record.worker
         worker.used = worker.used.minus(run.resources)
         worker.runs -= 1
-        self._uncount_run_of_job(run.task.job.id)
         group = run.task.step.group
         held = worker.task_counts.get(group, 0) - 1
         if held > 0:
--- a/tests/system/test_jobs_addresses.py
+++ b/tests/system/test_jobs_addresses.py
@@ -3,20 +3,19 @@
 from __future__ import annotations
 
 import json
-import random
 import unittest
+from dataclasses import replace
 
-from flintfield.jobs.bounds import DispatcherBounds
 from flintfield.jobs.dispatcher import Dispatcher
 from flintfield.jobs.durable import EndRecord, JobRecord, TermsRecord, end_key, job_key, task_key
 from flintfield.jobs.durable import RunRecord, TaskRecord
-from flintfield.jobs.events import Answer, CallArrived, ConfigurationChanged, Event, Tick, Write, Written
-from flintfield.jobs.messages import JobCall, Method
-from flintfield.placement.market import MarketPlacement
+from flintfield.jobs.events import ConfigurationChanged, ReportArrived
+from flintfield.jobs.messages import Method
 from flintfield.transport.records import encode
 
 from .jobs_judge import Judge
-from .jobs_world import HOST, WALL_0, ConfigurationModel, RouteModel, World, job_id, simple
+from .jobs_table import PlayedDispatcher
+from .jobs_world import HOST, WALL_0, ConfigurationModel, RouteModel, World, job_id, report, simple
 
 ONE = RouteModel("r-one", "/one/")
 TWO = RouteModel("r-two", "/two/", "other")
@@ -30,47 +29,32 @@
     """Calls at a dispatcher without workers; every write is durable at once."""
 
     def setUp(self) -> None:
-        self.now = 1_000
-        self.calls = 0
-        self.items: dict[bytes, bytes] = {}
-        self.configuration = ConfigurationModel(1, (ONE, TWO))
-        self.elect()
+        self.played = PlayedDispatcher(configuration=ConfigurationModel(1, (ONE, TWO)))
+        self.items = self.played.items
 
     def elect(self) -> None:
         """Another dispatcher takes over from the durable records."""
-        self.answers: dict[int, Answer] = {}
-        self.dispatcher = Dispatcher(
-            3, self.now, DispatcherBounds(), MarketPlacement(1), random.Random(1), self.configuration
-        )
-        self.dispatcher.restore(dict(self.items))
-        self.handle(Tick(WALL_0 + self.now))
+        self.played.elect(4)
+
+    @property
+    def dispatcher(self) -> Dispatcher:
+        """The present dispatcher."""
+        return self.played.dispatcher
 
     def configure(self, *routes: RouteModel) -> None:
         """Put a newer configuration into force."""
-        self.configuration = ConfigurationModel(self.configuration.version + 1, routes)
-        self.handle(ConfigurationChanged(self.configuration))
-
-    def handle(self, event: Event) -> None:
-        """Process an event."""
-        waiting = self.dispatcher.handle(self.now, event)
-        while waiting:
-            effect = waiting.pop(0)
-            if isinstance(effect, Answer):
-                self.answers[effect.call] = effect
-            elif isinstance(effect, Write):
-                for key, value in effect.changes:
-                    if value is None:
-                        self.items.pop(key, None)
-                    else:
-                        self.items[key] = value
-                waiting += self.dispatcher.handle(self.now, Written(effect.write))
+        version = self.played.configuration.version + 1
+        self.played.configuration = ConfigurationModel(version, routes)
+        self.played.handle(ConfigurationChanged(self.played.configuration))
 
     def call(self, method: Method, path: str, host: str = HOST) -> int:
         """Make a call; returns the status of its answer."""
-        self.calls += 1
-        body = BODY if method is Method.SUBMIT else b""
-        self.handle(CallArrived(self.calls, JobCall(method, host, path, body, 1)))
-        return self.answers[self.calls].answer.status
+        return self.played.call(method, path, BODY if method is Method.SUBMIT else b"", host)
+
+    @property
+    def answer_body(self) -> bytes:
+        """The body of the newest answer."""
+        return self.played.answers[self.played.calls].body
 
     def submit(self, path: str) -> int:
         """Submit a job."""
@@ -87,7 +71,7 @@
     def pending(self, path: str) -> int:
         """The count of a queue."""
         self.assertEqual(200, self.call(Method.COUNT, path))
-        count: int = json.loads(self.answers[self.calls].answer.body)["pending"]
+        count: int = json.loads(self.answer_body)["pending"]
         return count
 
     def test_an_id_in_use_in_another_queue_is_refused_at_once_and_leaves_nothing_behind(self) -> None:
@@ -124,7 +108,7 @@
     def state(self, path: str) -> bytes:
         """The body of the answer to a GET."""
         self.assertEqual(200, self.get(path))
-        return self.answers[self.calls].answer.body
+        return self.answer_body
 
     def test_a_job_is_found_at_its_address_while_its_queue_changes(self) -> None:
         renamed = RouteModel("r-new", "/one/", priority=2)
@@ -184,10 +168,29 @@
         self.items[task_key(f"{ID}.0.0.0")] = encode(TaskRecord(1, False, (), "", (run,)))
         self.elect()
         self.assertEqual(429, self.submit(f"/one/{ID}"))
-        self.now += 10_000
-        self.handle(Tick(WALL_0 + self.now))  # its hold is over
+        self.played.tick(10_000)  # its hold is over
         self.assertEqual(200, self.submit(f"/one/{ID}"))
 
+    def test_an_id_is_free_again_after_its_worker_is_gone(self) -> None:
+        first = report(10)
+        assert first.worker is not None
+        self.played.handle(ReportArrived(first))
+        self.submit(f"/one/{ID}")
+        self.assertEqual({ID: 3}, dict(self.dispatcher.state.runs_of_job))
+        successor = replace(first.worker, instance="i-2", service="none")
+        self.played.handle(ReportArrived(replace(first, stamp_ms=20, worker=successor)))
+        self.assertEqual({}, dict(self.dispatcher.state.runs_of_job))
+
+    def test_a_job_stays_with_its_queue_where_another_one_takes_the_prefix(self) -> None:
+        self.submit(f"/one/{ID}")
+        for successor in (False, True):
+            self.configure(RouteModel("r-one", "/uno/", priority=2), RouteModel("r-x", "/one/", "other"))
+            if successor:
+                self.elect()
+            job = self.dispatcher.state.jobs[ID]
+            self.assertEqual(("r-one", "svc", 2), (job.route, job.terms.service, job.terms.priority))
+            self.assertEqual([200, 200], [self.get(f"/one/{ID}"), self.get(f"/uno/{ID}")])
+
     def test_records_of_the_release_before_are_known_by_their_queues_name(self) -> None:
         terms = TermsRecord("svc", 1, 2, 1.5, 1_000)
         self.items[job_key(ID)] = encode(JobRecord("r-one", terms, WALL_0, BODY))
