Restore jobs and tasks that this build would not write

Records of the build before could be lost or end every term:

A gang of over 1,000 members that a former release had accepted was read as too large since, and so not restored: the accepted job was gone. Size is checked at admission only (check_size). 2. The record of a task that its job does not have (left by a run of a forgotten job with the same ID) raised IndexError, in every dispatcher anew. The run is kept as one that only occupies its worker. 3. A part of a restore counted records, not the tasks that they open: 64 records could open 64 times of 4,000 tasks. Parts now count work.

Ruled out for 2: reading it as unreadable, which would forget a run that may exist.

--- a/flintfield/jobs/body.py
+++ b/flintfield/jobs/body.py
@@ -24,7 +24,7 @@
     """The body is not a valid job; the message is the reason."""
 
 
-class JobTooLarge(MalformedJob):
+class JobTooLarge(ValueError):
     """The job is well-formed, and larger than what one job may be; answered with status 429."""
 
 
@@ -80,7 +80,7 @@
 
 
 def read_job(data: bytes) -> JobSpec:
-    """Parse and validate a job body; raises `MalformedJob`."""
+    """Parse and validate a job body; raises `MalformedJob`. A job of any size is read."""
     try:
         job = _decoder().decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
@@ -89,6 +89,18 @@
     return job
 
 
+def check_size(job: JobSpec) -> None:
+    """Raises `JobTooLarge` for a job that is not to be admitted; one of a former release may be larger."""
+    if len(job.steps) > MAX_STEPS:
+        raise JobTooLarge(f"more than {MAX_STEPS} steps")
+    if job.repeat_count > MAX_REPEAT:
+        raise JobTooLarge(f"more than {MAX_REPEAT} times")
+    if job.tasks > MAX_TASKS:
+        raise JobTooLarge(f"more than {MAX_TASKS} tasks")
+    if any(step.gang and step.count > MAX_GANG for step in job.steps):
+        raise JobTooLarge(f"more than {MAX_GANG} members of a gang")
+
+
 @functools.cache
 def _decoder() -> msgspec.json.Decoder[JobSpec]:
     return msgspec.json.Decoder(JobSpec)
@@ -99,25 +111,17 @@
         raise MalformedJob(f"`spec` is longer than {MAX_SPEC_BYTES} bytes")
     if not job.steps:
         raise MalformedJob("`steps` is empty")
-    if len(job.steps) > MAX_STEPS:
-        raise JobTooLarge(f"more than {MAX_STEPS} steps")
     _check_number("repeatCount", job.repeat_count, MAX_AMOUNT)
-    if job.repeat_count > MAX_REPEAT:
-        raise JobTooLarge(f"more than {MAX_REPEAT} times")
     _check_number("firstRunMs", job.first_run_ms, MAX_WALL_MS)
     _check_number("intervalMs", job.interval_ms, MAX_AMOUNT)
     for index, step in enumerate(job.steps):
         _check_step(index, step)
-    if job.tasks > MAX_TASKS:
-        raise JobTooLarge(f"more than {MAX_TASKS} tasks")
 
 
 def _check_step(index: int, step: StepSpec) -> None:
     where = f"step {index}: "
     if step.count < 1:
         raise MalformedJob(f"{where}`count` must be at least 1")
-    if step.gang and step.count > MAX_GANG:
-        raise JobTooLarge(f"{where}more than {MAX_GANG} members of a gang")
     _check_number(f"{where}cpu", step.cpu, MAX_AMOUNT)
     _check_number(f"{where}memMb", step.mem_mb, MAX_AMOUNT)
     _check_number(f"{where}gpu", step.gpu, MAX_AMOUNT)
--- a/flintfield/jobs/intake.py
+++ b/flintfield/jobs/intake.py
@@ -16,7 +16,7 @@
 from flintfield.jobs import durable
 from flintfield.jobs.addresses import JobAddress, address_of, is_job_id, names_an_id, names_job, queue_of
 from flintfield.jobs.admission import refusal_reason
-from flintfield.jobs.body import JobTooLarge, MalformedJob, read_job
+from flintfield.jobs.body import JobTooLarge, MalformedJob, check_size, read_job
 from flintfield.jobs.ends import RunEnds
 from flintfield.jobs.events import Answer, CallArrived, Configuration, Route
 from flintfield.jobs.messages import JobCall, Method
@@ -119,6 +119,7 @@
         state, job_id = self._state, address.job_id
         try:
             spec = read_job(body)
+            check_size(spec)
         except JobTooLarge as error:
             self._refuse(call, str(error))
             return
--- a/flintfield/jobs/restore.py
+++ b/flintfield/jobs/restore.py
@@ -19,8 +19,8 @@
 from flintfield.transport.records import MalformedRecord, decode
 
 
-RECORDS_IN_PART = 64
-TASKS_IN_PART = 1_000
+WORK_IN_PART = 1_000  # a task costs one, and a record
+RECORD_WORK = 16
 
 
 class Restore:
@@ -29,6 +29,7 @@
     def __init__(self, state: DispatcherState, readiness: Readiness) -> None:
         self._state = state
         self._readiness = readiness
+        self._work = 0
         self.unreadable = 0
 
     def parts(self, items: Mapping[bytes, bytes]) -> Iterator[None]:
@@ -42,8 +43,8 @@
             (durable.OCCURRENCES, self._occurrences),
             (durable.TASK, self._task),
         ):
-            for number, (name, value) in enumerate(by_kind.get(kind, ())):
-                if number % RECORDS_IN_PART == 0:
+            for name, value in by_kind.get(kind, ()):
+                if self._part_is_full(RECORD_WORK):
                     yield
                 try:
                     read(name, decode(value))
@@ -51,14 +52,20 @@
                     self.unreadable += 1
         yield
         self._state.ended = type(self._state.ended)(sorted(self._state.ended, key=lambda entry: entry[0]))
-        tasks = 0
         for job in self._state.jobs.values():
             self._resume(job)
-            tasks += 1 + sum(len(step.tasks) for each in job.open.values() for step in each.steps)
-            if tasks >= TASKS_IN_PART:
-                tasks = 0
+            tasks = sum(len(step.tasks) for each in job.open.values() for step in each.steps)
+            if self._part_is_full(RECORD_WORK + tasks):
                 yield
 
+    def _part_is_full(self, work: int) -> bool:
+        """Count work; True where a part ends here."""
+        self._work += work
+        if self._work < WORK_IN_PART:
+            return False
+        self._work = 0
+        return True
+
     def _job(self, job_id: str, record: durable.JobRecord) -> None:
         spec = read_job(record.body)
         terms = durable.decode_terms(record.terms)
@@ -120,7 +127,13 @@
             return None
         if where.occurrence >= job.spec.occurrences:
             return None
-        occurrence = job.open.get(where.occurrence) or open_occurrence(job, where.occurrence)
+        steps = job.spec.steps
+        if where.step >= len(steps) or where.index >= steps[where.step].count:
+            return None  # of a forgotten job with the same ID
+        occurrence = job.open.get(where.occurrence)
+        if occurrence is None:
+            occurrence = open_occurrence(job, where.occurrence)
+            self._work += job.spec.tasks
         return occurrence.steps[where.step].tasks[where.index]
 
     def _run(self, task: Task, record: durable.RunRecord) -> None:
--- a/tests/system/test_jobs_intake.py
+++ b/tests/system/test_jobs_intake.py
@@ -11,7 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from flintfield.jobs.body import MalformedJob, longest_chain_ms, read_job
+from flintfield.jobs.body import JobTooLarge, MalformedJob, check_size, longest_chain_ms, read_job
 from flintfield.jobs.bounds import DispatcherBounds
 from flintfield.jobs.dispatcher import Dispatcher
 from flintfield.jobs.durable import TaskRecord, parse_task
@@ -70,8 +70,6 @@
             body({"count": 1}, {"count": 1, "dependsOn": [0, 0]}): "twice",
             body({"count": 1}, {"count": 1, "dependsOn": [-1]}): "no earlier step",
             body({"count": 1}, repeatCount=-1): "repeatCount",
-            body({"count": 20_000}, {"count": 1}): "tasks",
-            body(*[{"count": 1}] * 300): "steps",
             json.dumps({"spec": "x" * 4_001, "steps": [{"count": 1}]}).encode(): "`spec`",
         }
         for data, reason in cases.items():
@@ -79,6 +77,19 @@
                 read_job(data)
             self.assertIn(reason, str(raised.exception))
 
+    def test_a_job_that_is_too_large_is_read_and_not_admitted(self) -> None:
+        cases = {
+            body({"count": 20_000}, {"count": 1}): "tasks",
+            body(*[{"count": 1}] * 300): "steps",
+            body({"count": 1}, repeatCount=1_000_001): "times",
+            body({"count": 1_001, "gang": True}): "gang",
+        }
+        for data, reason in cases.items():
+            with self.subTest(data[:60]), self.assertRaises(JobTooLarge) as raised:
+                check_size(read_job(data))
+            self.assertIn(reason, str(raised.exception))
+        check_size(read_job(body({"count": 20_000}, repeatCount=1_000_000)))
+
     @given(st.binary(max_size=200))
     def test_arbitrary_bytes_raise_only_malformed_job(self, data: bytes) -> None:
         with contextlib.suppress(MalformedJob):
