Look at a gang once when it breaks, not once for each member

A gang of 1,000 members that failed in one report took 322 ms of one turn (trial), and one whose first member could not start any more raised RecursionError in the dispatcher from some 300 members on, as each stop ended the next member at once.

Cause: each end looked at all members, for open runs, failed runs and stops. Change: the others are stopped once, marked before the stops; failed runs are a set of the step. Records of tasks with runs are not written again when their job or time ends, which put thousands of unchanged records into one write. Tests: test_jobs_long_turns (LargeGangs); both failed before (0.30 s of 0.2 s; RecursionError).

--- a/flintfield/jobs/ends.py
+++ b/flintfield/jobs/ends.py
@@ -53,7 +53,7 @@
         self.runs.close(run)
         self.save_checkpoint(task, checkpoint)
         if ending is Ending.FAILED and run.number not in task.failed:
-            task.failed = (*task.failed, run.number)
+            task.add_failed(run.number)
         if ending in (Ending.FAILED, Ending.VANISHED) or run.suspect:
             task.avoid |= {run.instance}
         over = task.job.state is not JobState.ACTIVE or task.step.occurrence.finished
@@ -101,7 +101,7 @@
     def _out_of_attempts(self, step: Step, task: Task) -> bool:
         if step.spec.long_running:
             return False
-        failed = step.failed_runs() if step.spec.gang else len(task.failed)
+        failed = len(step.failed_runs) if step.spec.gang else len(task.failed)
         return failed >= max(step.occurrence.job.terms.max_attempts, 1)
 
     def fail_if_exhausted(self, task: Task) -> bool:
@@ -120,10 +120,10 @@
 
     def _gang_member_ended(self, run: Run, ending: Ending) -> None:
         step = run.task.step
-        left = step.open_runs()
-        for other in left:
-            self.runs.stop(other)
-        if left or any(task.state is not TaskState.PLACED for task in step.tasks):
+        if step.broken_run < run.number:
+            step.broken_run = run.number  # before the stops, which may end further members at once
+            self._stop_all(step.open_runs())
+        if step.members or any(task.state is not TaskState.PLACED for task in step.tasks):
             return  # continues when the last member closes
         delay = self._backoff(run, ending)
         for task in step.tasks:
@@ -186,8 +186,7 @@
         job = occurrence.job
         occurrence.finished = True
         for step in occurrence.steps:
-            for task in step.tasks:
-                self._state.write_task(task)
+            self._forget_tasks(step)
         self._readiness.occurrence_done(occurrence)
         if job.spec is not None and job.done_below >= job.spec.occurrences:
             self.finish_job(job, JobState.COMPLETED)
@@ -226,6 +225,11 @@
                 self._readiness.drop_step(step)
                 self._readiness.count_backlog(step, -step.left)
                 left += step.open_runs()
-                for task in step.tasks:
-                    self._state.write_task(task)
+                self._forget_tasks(step)
         return left
+
+    def _forget_tasks(self, step: Step) -> None:
+        """Delete the records of tasks that are over; those with runs stay as they are until the runs end."""
+        for task in step.tasks:
+            if not task.runs:
+                self._state.write_task(task)
--- a/flintfield/jobs/model.py
+++ b/flintfield/jobs/model.py
@@ -126,6 +126,11 @@
         """The job that the task belongs to."""
         return self.step.occurrence.job
 
+    def add_failed(self, *runs: int) -> None:
+        """Record runs that ended `failed`."""
+        self.failed = (*self.failed, *runs)
+        self.step.failed_runs.update(runs)
+
     def become_ready(self) -> None:
         """The task may be placed."""
         self._change(TaskState.READY)
@@ -168,6 +173,8 @@
     preempted_ms: int = -1_000_000  # when runs were last preempted for it
     queued_in: str | None = None  # the service in whose queue it waits
     members: Counter[int] = field(default_factory=Counter)  # open runs by number; gang members share one
+    failed_runs: set[int] = field(default_factory=set)  # of a gang: a run counts once, however many failed
+    broken_run: int = 0  # of a gang: the newest run whose other members were stopped, as one has ended
 
     @property
     def group(self) -> tuple[str, int, int]:
@@ -179,10 +186,6 @@
         """The resources requested by each task."""
         return Resources(self.spec.cpu, self.spec.mem_mb, self.spec.gpu)
 
-    def failed_runs(self) -> int:
-        """Number of failed runs of the gang: a run counts once, no matter how many members failed."""
-        return len({number for task in self.tasks for number in task.failed})
-
     def run_opened(self, run: Run) -> None:
         """Add a run of one of its tasks that may exist from now on."""
         run.task.runs.append(run)
--- a/flintfield/jobs/restore.py
+++ b/flintfield/jobs/restore.py
@@ -110,7 +110,7 @@
         task = self._live_task(job, where) or _stub_task(job, where, name)
         task.recorded = True
         task.last_run = record.last_run
-        task.failed = record.failed
+        task.add_failed(*record.failed)
         task.checkpoint = record.checkpoint
         for run in record.runs:
             self._run(task, run)
