Bound the bytes of one write

From 1 MiB on a write leaves without waiting; the largest of the test is now 1.1 MB. Test: test_jobs_long_turns, failed before.

--- a/flintfield/jobs/state.py
+++ b/flintfield/jobs/state.py
@@ -23,6 +23,7 @@
 ORDER_BITS = 32  # width of an order's number below its epoch; answers to a predecessor's orders match none
 MAX_STARTS_SENT = 64  # per message, as each start may carry 4,000 bytes
 MAX_OUTSTANDING_WRITES = 8  # above this, changes are collected in the next batch
+MAX_BATCH_BYTES = 1 << 20  # above this, they leave without waiting: a write must fit into one message
 
 
 @dataclass(slots=True)
@@ -82,6 +83,7 @@
         self._wall_at_ms = now_ms
         self._effects: list[Effect] = []
         self._changes: dict[bytes, bytes | None] = {}
+        self._changes_bytes = 0
         self._after: list[Callable[[], None]] = []
         self._outstanding: OrderedDict[int, list[Callable[[], None]]] = OrderedDict()
         self._write = 0
@@ -110,6 +112,7 @@
     def put(self, key: bytes, value: bytes | None) -> None:
         """Add a change to the next write; None deletes the key."""
         self._changes[key] = value
+        self._changes_bytes += len(key) + (len(value) if value is not None else 0)
 
     def after_write(self, action: Callable[[], None]) -> None:
         """Call `action` once all changes so far are durable."""
@@ -162,11 +165,12 @@
                 return
             for action in actions:
                 action()
-        if self._changes and len(self._outstanding) < MAX_OUTSTANDING_WRITES:
+        may_wait = len(self._outstanding) >= MAX_OUTSTANDING_WRITES
+        if self._changes and (not may_wait or self._changes_bytes >= MAX_BATCH_BYTES):
             self._write += 1
             changes: tuple[Change, ...] = tuple(self._changes.items())
             self._outstanding[self._write] = self._after
-            self._changes, self._after = {}, []
+            self._changes, self._changes_bytes, self._after = {}, 0, []
             self.emit(Write(self._write, changes))
 
     # Orders
