Look up what an order result and a list concern instead of searching

Each result of a stray stop searched all blocked runs of its worker, and each answer of a worker built a set of up to 1,000 runs that are over. Both are lookups now.

--- a/flintfield/agent/listing.py
+++ b/flintfield/agent/listing.py
@@ -42,10 +42,14 @@
         elif sent_ms > self.stamp_ms:
             self.stamp_ms = sent_ms
             self.running = running
-        ended = {(end.task, end.run) for end in self._ends.values()} | self._forgotten_runs.keys()
-        self.running = tuple(run for run in self.running if (run.task, run.run) not in ended)
+        ended = {(end.task, end.run) for end in self._ends.values()}
+        self.running = tuple(run for run in self.running if not self._is_over(run, ended))
         return new_ends or first or not before <= self._runs()
 
+    def _is_over(self, run: Run, ended: set[tuple[str, int]]) -> bool:
+        key = (run.task, run.run)
+        return key in ended or key in self._forgotten_runs
+
     def forget(self, last_seen: int) -> bool:
         """Ends up to this number are durable; True where that was not known."""
         if last_seen <= self.last_seen:
--- a/flintfield/jobs/orders.py
+++ b/flintfield/jobs/orders.py
@@ -61,8 +61,9 @@
             pending.sent_ms = self._state.now_ms - REPEAT_MS + RETRY_MS
             return
         record.forget_order(result.order)
-        for key in [key for key, order in record.blocked_runs.items() if order == result.order]:
-            del record.blocked_runs[key]
+        stop = pending.stop
+        if stop is not None and record.blocked_runs.get((stop.task, stop.run)) == result.order:
+            del record.blocked_runs[stop.task, stop.run]
 
     def _handle_start_not_executed(
         self, record: WorkerRecord, pending: PendingOrder, run: Run, outcome: Outcome
