Soak: an ID in two queues and a million tasks that are due at once

Each run has a client that hands in IDs of accepted jobs at another queue, and one that hands in 256 times of 4,000 tasks, 1 ms apart, which no worker takes. Judged: MIXED (a 2xx there), and as before LOST. Crowds and cancels are still not judged, as the workers keep no record here.

--- a/flintfield/soak/clients.py
+++ b/flintfield/soak/clients.py
@@ -22,10 +22,11 @@
 CHANGE_SHARE = 0.4
 WORK_MS = (100, 900)
 MOST_IDLE_MS = 60_000  # a figure that tells the operators' documents apart begins above it
+OTHER_PREFIX = "/other-queue/"  # of a queue that has no jobs of its own
 IN_DOUBT = frozenset({HTTPStatus.BAD_GATEWAY, HTTPStatus.GATEWAY_TIMEOUT})
 
 
-class _Caller:
+class Caller:
     """Keeps one connection to a machine of its choice, and notes each call."""
 
     def __init__(self, machines: list[Machine], record: Record, rng: random.Random) -> None:
@@ -68,7 +69,18 @@
             self._connection.close()
 
 
-class JobClient(_Caller):
+class FrontCaller(Caller):
+    """A caller of the queues."""
+
+    def _address(self, machine: Machine) -> str:
+        return machine.front
+
+    async def _send(self, method: str, path: str, body: bytes) -> Answer | None:
+        headers = {"X-Deadline-Ms": str(DEADLINE_MS), "Content-Type": "application/json"}
+        return await self._call(method, path, body, headers, WITHIN_S)
+
+
+class JobClient(FrontCaller):
     """Hands in jobs, sends again what is in doubt, and looks at those that were accepted."""
 
     def __init__(self, machines: list[Machine], record: Record, rng: random.Random) -> None:
@@ -76,9 +88,6 @@
         self._in_doubt: tuple[str, bytes] | None = None
         self._own: list[str] = []
 
-    def _address(self, machine: Machine) -> str:
-        return machine.front
-
     async def run(self) -> None:
         """Call until cancelled."""
         while True:
@@ -108,10 +117,6 @@
         self._record.jobs[job].state = state
         return state
 
-    async def _send(self, method: str, path: str, body: bytes) -> Answer | None:
-        headers = {"X-Deadline-Ms": str(DEADLINE_MS), "Content-Type": "application/json"}
-        return await self._call(method, path, body, headers, WITHIN_S)
-
     def _draw_job(self) -> bytes:
         work_ms = self._rng.randint(*WORK_MS)
         steps = [
@@ -123,7 +128,7 @@
         return json.dumps({"spec": f"work_ms={work_ms}", "steps": steps}).encode()
 
 
-class OperatorClient(_Caller):
+class OperatorClient(Caller):
     """Reads the configuration and puts a new one on top of what it has read."""
 
     def __init__(self, machines: list[Machine], record: Record, rng: random.Random) -> None:
@@ -145,6 +150,8 @@
     async def change(self, base: int) -> bool:
         """Replace the configuration on top of that version; whether it was acknowledged."""
         document = configuration(base + 1)
+        other = {**document["routes"][0], "name": "other-queue", "pathPrefix": OTHER_PREFIX}
+        document["routes"].append(other)
         document["limits"]["idleTimeoutMs"] = self._rng.randrange(MOST_IDLE_MS, 2 * MOST_IDLE_MS)
         headers = {"X-Base-Version": str(base), "Content-Type": "application/json"}
         body = json.dumps(document).encode()
--- a/flintfield/soak/judge.py
+++ b/flintfield/soak/judge.py
@@ -8,6 +8,8 @@
 
 from http import HTTPStatus
 
+from flintfield.console.local.calls import PREFIX
+from flintfield.soak.clients import OTHER_PREFIX
 from flintfield.soak.record import CallEnd, CallSeen, Record
 
 LOSS_SLACK_S = 0.2  # a connection that ends so soon after the request may have ended before it was read
@@ -24,6 +26,7 @@
         *(f"UNSETTLED {text}" for text in record.unsettled),
         *_lost_calls(record),
         *_lost_jobs(record),
+        *_shared_ids(record),
         *_old_configurations(record),
         *_racing_changes(record),
         *_stops(record, grace_s),
@@ -55,9 +58,12 @@
 def _lost_jobs(record: Record) -> list[str]:
     broken = []
     for call in record.calls:
-        job = record.jobs.get(call.path.rpartition("/")[2])
+        prefix, _, job_id = call.path.rpartition("/")
+        job = record.jobs.get(job_id)
         if job is None or call.method != "GET" or call.status != HTTPStatus.GONE:
             continue
+        if prefix + "/" != PREFIX:
+            continue
         if call.sent_s > job.accepted_s + VISIBLE_S:
             broken.append(f"LOST {job.id}: 410 at {call.machine}, {call.sent_s - job.accepted_s:.1f} s later")
     for job in record.jobs.values():
@@ -66,6 +72,16 @@
     return broken
 
 
+def _shared_ids(record: Record) -> list[str]:
+    """The ID of an accepted job is not taken in another queue, and shows no state there."""
+    broken = []
+    for call in record.calls:
+        job = record.jobs.get(call.path.removeprefix(OTHER_PREFIX))
+        if call.path.startswith(OTHER_PREFIX) and job is not None and 200 <= call.status < 300:
+            broken.append(f"MIXED {job.id}: {call.method} {call.path} is answered {call.status}")
+    return broken
+
+
 def _old_configurations(record: Record) -> list[str]:
     broken = []
     acknowledged = [seen for seen in record.configurations if seen.by_change]
--- a/flintfield/soak/play.py
+++ b/flintfield/soak/play.py
@@ -10,10 +10,11 @@
 from pathlib import Path
 
 from flintfield.console.local.machines import GRACE_S, ClusterSize, Machine, free_port_block, plan_machines
-from flintfield.soak.clients import JobClient, OperatorClient
+from flintfield.soak.clients import Caller, JobClient, OperatorClient
 from flintfield.soak.cluster import SoakCluster
 from flintfield.soak.judge import broken_rules
 from flintfield.soak.plan import Action, Plan, draw
+from flintfield.soak.rare_clients import OverlappingTimesClient, SharedIdClient
 from flintfield.soak.record import Record
 
 OPERATORS = 2
@@ -55,8 +56,14 @@
         schedulers = self._cluster.schedulers
         clients = CLIENTS_A_SCHEDULER * len(schedulers)
         self._clients = [JobClient(schedulers, self._record, self._draw()) for _ in range(clients)]
+        self._overlapping = OverlappingTimesClient(schedulers, self._record, self._draw())
+        self._rare = (SharedIdClient(schedulers, self._record, self._draw()), self._overlapping)
         self._operators = [OperatorClient(schedulers, self._record, self._draw()) for _ in range(OPERATORS)]
 
+    @property
+    def _callers(self) -> tuple[Caller, ...]:
+        return (*self._clients, *self._rare, *self._operators)
+
     def _draw(self) -> random.Random:
         return random.Random(self._rng.getrandbits(64))
 
@@ -87,7 +94,7 @@
 
     async def _soak(self) -> None:
         """Clients and operators call; actions begin at their times and overlap."""
-        callers = [asyncio.create_task(each.run()) for each in (*self._clients, *self._operators)]
+        callers = [asyncio.create_task(each.run()) for each in self._callers]
         watch = asyncio.create_task(self._cluster.watch())
         start_s = time.monotonic()
         actions = [asyncio.create_task(self._act(action, start_s)) for action in self._plan.actions]
@@ -107,7 +114,8 @@
     # The end: everything is to come to rest.
 
     async def _settle(self) -> None:
-        for caller in (*self._clients, *self._operators):
+        await self._overlapping.cancel_job()
+        for caller in self._callers:
             caller.close()
         schedulers = self._cluster.schedulers
         await asyncio.gather(*(self._shows_newest(machine) for machine in schedulers))
