--- a/flintfield/agent/core.py
+++ b/flintfield/agent/core.py
@@ -29,7 +29,7 @@
 from flintfield.agent.incarnation import Incarnation, Planned
 from flintfield.agent.incarnations import Incarnations
 from flintfield.agent.limits import AgentLimits
-from flintfield.agent.reports import ReportSchedule, make_report
+from flintfield.agent.reports import ReportedListing, ReportSchedule, make_report
 from flintfield.jobs.messages import AgentOrders, AgentReport, OrderResult, Outcome
 
 RESENT_RESULTS = 256  # results that a new connection is told again
@@ -61,6 +61,7 @@
         self._calls: dict[int, tuple[Incarnation, int]] = {}  # with the time at which each was sent
         self._last_call = 0
         self._reports = ReportSchedule(rng)
+        self._reported_listing = ReportedListing()
         self._recent: deque[OrderResult] = deque(maxlen=RESENT_RESULTS)
 
     @property
@@ -83,6 +84,7 @@
             case LinkOpened():
                 self.incarnations.results[:0] = self._recent
                 self._recent.clear()
+                self._reported_listing.forget()
                 self._reports.news(now)
             case Stopping():
                 self._stop(now, effects)
@@ -123,6 +125,7 @@
 
     def _raise_epoch(self, epoch: int) -> None:
         self.epoch = epoch
+        self._reported_listing.forget()
         self.incarnations.results.clear()
         self._recent.clear()
         for incarnation in self.incarnations:
@@ -198,4 +201,10 @@
         if self.present is not None:
             results += self.present.book.take_results()
         self._recent.extend(results)
-        return make_report(now, self.machine, self.boot, self._start_ms, self.present, results)
+        with_listing = self.present is not None and self._reported_listing.is_due(now, self.present)
+        report = make_report(
+            now, self.machine, self.boot, self._start_ms, self.present, results, with_listing
+        )
+        if self.present is not None and report.worker is not None and with_listing:
+            self._reported_listing.reported(now, self.present)
+        return report
--- a/flintfield/agent/listing.py
+++ b/flintfield/agent/listing.py
@@ -27,12 +27,13 @@
         self.overflowed = 0
         self.incomplete = 0  # answers whose list of runs was not taken
         self.running: tuple[Run, ...] = ()
+        self._running_keys: set[tuple[str, int]] = set()
         self._ends: dict[int, End] = {}
         self._forgotten_runs: dict[tuple[str, int], None] = {}  # the newest; an older answer may list them
 
     def take(self, sent_ms: int, running: tuple[Run, ...], finished: tuple[End, ...]) -> bool:
         """Take in an answer; True where an end is new, or a run is no longer listed."""
-        before = self._runs()
+        before = self._running_keys
         first = self.stamp_ms == NEVER
         overflowed = self.overflowed
         new_ends = self._take_ends(finished)
@@ -44,7 +45,8 @@
             self.running = running
         ended = {(end.task, end.run) for end in self._ends.values()}
         self.running = tuple(run for run in self.running if not self._is_over(run, ended))
-        return new_ends or first or not before <= self._runs()
+        self._running_keys = {(run.task, run.run) for run in self.running}
+        return new_ends or first or not before <= self._running_keys
 
     def _is_over(self, run: Run, ended: set[tuple[str, int]]) -> bool:
         key = (run.task, run.run)
@@ -68,16 +70,13 @@
 
     def shows(self, task: str, run: int) -> bool:
         """Whether the run is listed as running."""
-        return any(known.task == task and known.run == run for known in self.running)
+        return (task, run) in self._running_keys
 
     @property
     def has_ends(self) -> bool:
         """Whether ends wait to become durable."""
         return bool(self._ends)
 
-    def _runs(self) -> set[tuple[str, int]]:
-        return {(run.task, run.run) for run in self.running}
-
     def _take_ends(self, finished: tuple[End, ...]) -> bool:
         new = False
         for end in finished:
--- a/flintfield/agent/reports.py
+++ b/flintfield/agent/reports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import dataclass
 
 from flintfield.agent.incarnation import Incarnation
 from flintfield.agent.listing import NEVER
@@ -11,6 +12,7 @@
 PERIOD_MS = 500  # well below the dispatcher's patience with an agent
 GATHER_MS = 4  # ends and answers of one moment go out together
 ACK_CHECK_MS = 40  # ends become durable after the answer to their report: the answer to the next tells it
+REPEAT_LISTING_MS = 400  # shorter than a period: every report that has no news holds the list
 LEISURE_MS = 100  # for what the dispatcher has reckoned with, such as a start that succeeded
 
 
@@ -47,6 +49,32 @@
         self._due_ms = now + int(PERIOD_MS * self._rng.uniform(0.85, 1.1))
 
 
+@dataclass(slots=True)
+class ReportedListing:
+    """The list of runs that was reported last.
+
+    It may be thousands of runs long, and results of orders are reported every few ms: a list that the
+    dispatcher knows is left out of most reports, which then hold no list (`listing_stamp` is -1).
+    """
+
+    instance: str = ""
+    stamp_ms: int = NEVER
+    reported_ms: int = 0
+
+    def is_due(self, now: int, present: Incarnation) -> bool:
+        """Whether the next report holds the list."""
+        known = present.instance == self.instance and present.listing.stamp_ms == self.stamp_ms
+        return not known or now - self.reported_ms >= REPEAT_LISTING_MS
+
+    def reported(self, now: int, present: Incarnation) -> None:
+        """A report with the list leaves."""
+        self.instance, self.stamp_ms, self.reported_ms = present.instance, present.listing.stamp_ms, now
+
+    def forget(self) -> None:
+        """Another dispatcher, or another connection: it may not know the list."""
+        self.instance = ""
+
+
 def make_report(
     now: int,
     machine: str,
@@ -54,6 +82,7 @@
     start_ms: int,
     present: Incarnation | None,
     results: tuple[OrderResult, ...],
+    with_listing: bool = True,
 ) -> AgentReport:
     """What is known of the worker now; `wall_ms` is left for the shell to fill in."""
     state = present.reported_state(now) if present is not None else None
@@ -68,8 +97,8 @@
         wall_ms=0,
         worker=state,
         fenced_epoch=present.holds.fenced,
-        listing_stamp=present.listing.stamp_ms,
-        running=present.listing.running,
+        listing_stamp=present.listing.stamp_ms if with_listing else NEVER,
+        running=present.listing.running if with_listing else (),
         finished=present.listing.finished(),
         results=results,
         silent_ms=now - answered_ms,
--- a/flintfield/jobs/messages.py
+++ b/flintfield/jobs/messages.py
@@ -145,11 +145,12 @@
     `machine` names the agent's machine, and `boot` identifies the agent's process since its last restart.
     `worker` is None until the first heartbeat and after the worker deregisters. `fenced_epoch` is the highest
     epoch that this incarnation of the worker has answered to. `listing_stamp` is when the call that returned
-    `running` and `finished` was sent (-1: none since the agent's restart, or it was of another incarnation).
-    `finished` holds all ends that are not forgotten yet. `silent_ms` is the time since the worker last
-    answered a call. `lapsed` means that no run is left there for certain: the longest hold ever granted has
-    expired even by the slowest clock allowed. `complete_listing` means that the answer with `running` left no
-    end out, so that a run in neither list does not exist (False: an agent of a release that did not check).
+    `running` was sent (-1: the report holds no list of runs, as none was taken since the agent's restart, or
+    the dispatcher was told the newest one). `finished` holds all ends that are not forgotten yet. `silent_ms`
+    is the time since the worker last answered a call. `lapsed` means that no run is left there for certain:
+    the longest hold ever granted has expired even by the slowest clock allowed. `complete_listing` means that
+    the answer with `running` left no end out, so that a run in neither list does not exist (False: an agent
+    of a release that did not check).
     """
 
     machine: str
--- a/tests/system/jobs_fleet.py
+++ b/tests/system/jobs_fleet.py
@@ -54,6 +54,7 @@
         self.unacknowledged: dict[WorldWorker, set[int]] = {}
         self.plans: dict[str, Callable[[str], RunPlan]] = {}
         self.faults = 0
+        self.listed_runs = 0  # in all reports of agents
         self.instances = 0
         self.machines: dict[str, Machine] = {}
 
@@ -187,6 +188,7 @@
     def _send_report(self, machine: Machine, report: AgentReport) -> None:
         if machine.linked and not machine.cut:
             term = self.term
+            self.listed_runs += len(report.running)
 
             def arrive() -> None:
                 if machine.linked and not machine.cut and term == self.term:
--- a/tests/system/support/agent_dispatchers.py
+++ b/tests/system/support/agent_dispatchers.py
@@ -19,6 +19,7 @@
     last_seen: int = 0
     ends: dict[int, tuple[str, int, str]] = field(default_factory=dict)
     last_report: AgentReport | None = None
+    last_listing: AgentReport | None = None  # the newest report that held a list of runs
 
 
 class Dispatchers:
@@ -49,6 +50,8 @@
         told = self.of(instance)
         if instance:
             told.last_report = report
+            if report.listing_stamp >= 0:
+                told.last_listing = report
             for end in report.finished:
                 told.ends[end.number] = (end.task, end.run, end.how.name)
             while told.last_seen + 1 in told.ends:
--- a/tests/system/test_agent_parts.py
+++ b/tests/system/test_agent_parts.py
@@ -8,10 +8,12 @@
 from hypothesis import given, strategies
 
 from flintfield.agent.clock import WorkerClock
+from flintfield.agent.events import Answer, AnswerKind, Event, LinkOpened, RunStop, WorkerAnswered
 from flintfield.agent.listing import MAX_ENDS, NEVER, Listing
-from flintfield.jobs.messages import End, Run, RunResult
+from flintfield.agent.reports import PERIOD_MS
+from flintfield.jobs.messages import AgentReport, End, Run, RunResult, StopOrder
 
-from .support.agent_play import OTHER_TASK, TASK
+from .support.agent_play import CLOCK_AHEAD_MS, OTHER_TASK, TASK, Play
 
 
 PAUSE_AND_DELAY_MS = strategies.tuples(strategies.integers(1, 5_000), strategies.integers(0, 900))
@@ -50,6 +52,57 @@
         self.assertIsNone(clock.over_at())
 
 
+class ReportedLists(unittest.TestCase):
+    """The list of runs is in a report where the dispatcher may not know it, and no more often."""
+
+    def setUp(self) -> None:
+        self.play = Play()
+        self.play.ready()
+        self.play.pass_time(2 * PERIOD_MS)  # the list was reported
+
+    def report_after(self, event: Event) -> AgentReport:
+        """The next report after an event."""
+        self.play.reports.clear()
+        self.play.step(event)
+        self.play.pass_time(10)
+        return self.play.reports[0]
+
+    def stop(self, number: int) -> AgentReport:
+        """The report with the result of a stop."""
+        self.play.order(StopOrder(number, TASK, 1))
+        call = self.play.only(RunStop)
+        self.play.calls.remove(call)
+        answer = Answer(AnswerKind.OK, self.play.now + CLOCK_AHEAD_MS)
+        return self.report_after(WorkerAnswered(call.call, answer))
+
+    def stamps(self, reports: list[AgentReport]) -> list[int]:
+        """The stamps of the lists in these reports."""
+        return [report.listing_stamp for report in reports if report.listing_stamp != NEVER]
+
+    def test_results_of_orders_do_not_repeat_it(self) -> None:
+        reports = [self.stop(number) for number in range(1, 20)]  # within 200 ms
+        results = [result.order for report in reports for result in report.results]
+        self.assertEqual(list(range(1, 20)), results)
+        self.assertLessEqual(len(self.stamps(reports)), 1)
+
+    def test_it_is_repeated_after_a_while(self) -> None:
+        self.play.reports.clear()
+        self.play.pass_time(1_500)
+        self.assertGreaterEqual(len(self.stamps(self.play.reports)), 2)
+
+    def test_a_new_connection_is_told(self) -> None:
+        self.stop(1)
+        self.assertNotEqual(NEVER, self.report_after(LinkOpened()).listing_stamp)
+
+    def test_a_new_dispatcher_is_told(self) -> None:
+        self.stop(1)
+        self.assertEqual(NEVER, self.stop(2).listing_stamp)
+        self.play.order(epoch=4)
+        self.play.reports.clear()
+        self.play.pass_time(PERIOD_MS)
+        self.assertNotEqual([], self.stamps(self.play.reports))
+
+
 class Lists(unittest.TestCase):
     """Listings that pass each other, and ends until they are durable."""
 
--- a/tests/system/test_jobs_crowded_workers.py
+++ b/tests/system/test_jobs_crowded_workers.py
@@ -119,6 +119,13 @@
         assert agent is not None and agent.present is not None
         self.assertEqual(0, agent.present.book.refused_for_bound)
 
+    def test_reports_of_stopped_runs_do_not_repeat_the_list_of_all_runs(self) -> None:
+        # Guards against the review's UNASKED on a busy machine: all runs were listed in each report.
+        world = self.play(jobs=14, tasks=100)
+        world.listed_runs = 0
+        world.run(CANCEL_MS + STOP_MS)
+        self.assertLess(world.listed_runs, 30 * 1_400)
+
     def test_a_successor_stops_what_its_predecessor_had_no_time_for(self) -> None:
         world = self.play(jobs=14, tasks=100)
         world.run(200)
