--- a/flintfield/jobs/dispatcher.py
+++ b/flintfield/jobs/dispatcher.py
@@ -125,6 +125,7 @@
         state = self._state
         state.set_wall(event.wall_ms)
         self._intake.join_queues()
+        self._ends.runs.stop_some()
         self._workers.tick()
         self._readiness.open_due()
         self._readiness.end_delays()
--- a/flintfield/jobs/ends.py
+++ b/flintfield/jobs/ends.py
@@ -211,7 +211,7 @@
         state.put(durable.occurrences_key(job.id), None)
         state.remember_ended(job)
         state.after_write(partial(self._show_end, job, state.now_ms))
-        state.after_write(partial(self._stop_all, left))
+        state.after_write(partial(self.runs.stop_all, left))
 
     def _show_end(self, job: Job, ended_ms: int) -> None:
         job.show_end()
@@ -219,10 +219,10 @@
 
     def _close_occurrences(self, job: Job) -> list[Run]:
         left: list[Run] = []
+        self._readiness.drop_steps(job)
         for occurrence in job.open.values():
             occurrence.finished = True
             for step in occurrence.steps:
-                self._readiness.drop_step(step)
                 self._readiness.count_backlog(step, -step.left)
                 left += step.open_runs()
                 self._forget_tasks(step)
--- a/flintfield/jobs/intake.py
+++ b/flintfield/jobs/intake.py
@@ -39,6 +39,7 @@
 _RUNNING_BODY = b'{"state":"running"}'
 
 JOBS_JOINED_AT_ONCE = 1_000
+STEPS_JOINED_AT_ONCE = 2_000  # open ones; a job that passes it is the last one
 
 
 def terms_of(route: Route) -> Terms:
@@ -270,10 +271,14 @@
     def join_queues(self) -> bool:
         """Let a part of the jobs take up the newest configuration; True while some are left."""
         configuration = self._state.configuration
+        steps = 0
         for _ in range(min(len(self._joining), JOBS_JOINED_AT_ONCE)):
+            if steps >= STEPS_JOINED_AT_ONCE:
+                break
             job = self._joining.popleft()
-            if job.ended or configuration is None:
+            if job.ended or job.spec is None or configuration is None:
                 continue
+            steps += len(job.open) * len(job.spec.steps)
             route = queue_of(job, configuration, self._queues)
             if route is not None:
                 self._join_queue(job, route)
--- a/flintfield/jobs/listings.py
+++ b/flintfield/jobs/listings.py
@@ -80,6 +80,7 @@
         ended = {(each.task, each.run) for each in report.finished}
         self._stop_strays(record, listed)
         complete = _is_complete(record, report)
+        self._moves.begin_checks()
         check_progress = self._state.now_ms - record.examined_ms >= EXAMINE_MS
         if check_progress:
             record.examined_ms = self._state.now_ms
--- a/flintfield/jobs/moves.py
+++ b/flintfield/jobs/moves.py
@@ -13,6 +13,7 @@
 from flintfield.jobs.state import DispatcherState
 from flintfield.jobs.states import RunState, TaskState
 from flintfield.jobs.worker_record import WorkerRecord
+from flintfield.placement.interface import Demand
 
 MAX_MOVES = 3  # per task
 COMPLETE_PERCENT = 100
@@ -37,6 +38,11 @@
         self._ends = ends
         self._allowance = MAX_MOVE_BURST
         self._allowed_at_ms = state.now_ms
+        self._rooms: dict[tuple[object, ...], bool] = {}  # by step, and by demand: whether another has room
+
+    def begin_checks(self) -> None:
+        """Begin the checks of one worker's runs; runs of the same demand share one look at all workers."""
+        self._rooms.clear()
 
     # Stalls and slow workers
 
@@ -106,31 +112,58 @@
         return True
 
     def _has_room_elsewhere(self, run: Run) -> bool:
+        by_step = (id(run.task.step), run.task.avoid)
+        room = self._rooms.get(by_step)
+        if room is None:
+            room = self._rooms[by_step] = self._has_room_for(run)
+        return room
+
+    def _has_room_for(self, run: Run) -> bool:
         demand = demand_of(run.task)
+        group = demand.group if demand.max_per_worker else None
+        key = (demand.service, demand.resources, demand.needs, group, demand.avoided_instances)
+        room = self._rooms.get(key)
+        if room is None:
+            room = self._rooms[key] = self._find_room_elsewhere(run.instance, demand)
+        return room
+
+    def _find_room_elsewhere(self, instance: str, demand: Demand) -> bool:
         workers = self._state.service(demand.service).workers
         return any(
-            name != run.instance and name not in demand.avoided_instances and can_place(worker, demand)
+            name != instance and name not in demand.avoided_instances and can_place(worker, demand)
             for name, worker in workers.items()
         )
 
     # Draining workers
 
-    def evacuate(self, record: WorkerRecord) -> None:
-        """Stop runs that can't end before the draining worker leaves, once another worker has room."""
-        now = self._state.now_ms
-        time_left = record.leaves_ms - now
+    def evacuate(self, record: WorkerRecord, most: int) -> int:
+        """Stop runs that can't end before the draining worker leaves, once another worker has room.
+
+        Stops at most so many; returns how many were stopped.
+        """
+        self.begin_checks()
+        stopped = 0
+        time_left = record.leaves_ms - self._state.now_ms
         for run in list(record.runs.values()):
-            task = run.task
-            if run.state not in (RunState.RUNNING, RunState.ORDERED) or task.state is not TaskState.PLACED:
+            if stopped >= most:
+                break
+            if not self._should_leave(run, time_left):
                 continue
-            spec = task.step.spec
-            usual = self._state.paces.usual(task.job.route)
-            ends_in_time = not spec.long_running and left_ms(run, now, usual) + LEAVE_MARGIN_MS < time_left
-            if ends_in_time:
-                continue
-            last_chance = spec.checkpoints and time_left < FORCED_STOP_MS
+            last_chance = run.task.step.spec.checkpoints and time_left < FORCED_STOP_MS
             if last_chance or self._has_room_elsewhere(run):
                 self._ends.runs.stop(run)
+                stopped += 1
+        return stopped
+
+    def _should_leave(self, run: Run, time_left_ms: int) -> bool:
+        """Whether the run does not end before its worker leaves."""
+        task = run.task
+        if run.state not in (RunState.RUNNING, RunState.ORDERED) or task.state is not TaskState.PLACED:
+            return False
+        if task.step.spec.long_running:
+            return True
+        usual = self._state.paces.usual(task.job.route)
+        return left_ms(run, self._state.now_ms, usual) + LEAVE_MARGIN_MS >= time_left_ms
 
 
 def _waits_for_gang(run: Run) -> bool:
--- a/flintfield/jobs/preemption.py
+++ b/flintfield/jobs/preemption.py
@@ -7,7 +7,9 @@
 
 from __future__ import annotations
 
+import heapq
 from dataclasses import dataclass
+from operator import itemgetter
 
 from flintfield.jobs.demands import demand_of
 from flintfield.jobs.ends import RunEnds
@@ -24,16 +26,31 @@
 MAX_TASKS_PER_PREEMPTION = 8  # of a step that is not a gang
 MAX_LOST_MS = 2_500  # of unsaved work per victim
 GPU_CORES = 8  # one GPU counts as this many cores
+MAX_RUNS_EXAMINED = 20_000  # per pass over a queue; the search that passes it is the last one of the pass
+MANY_RUNS = 5_000  # a search of so many without success is repeated only after `PREEMPT_INTERVAL_MS`
 
 
 @dataclass(slots=True)
 class Room:
-    """Free capacity of a worker if the runs in `victims` are stopped."""
+    """Capacity of a worker that is free, or would be if the victims chosen so far were stopped."""
 
     worker: Worker
     free: Resources
     held: int
-    victims: list[Run]
+    candidates: list[tuple[float, Run]] | None = None  # further runs that may be stopped, by work lost
+    victims: list[Run] | None = None  # to be stopped for the next task; None: it can't fit
+    loss: float = 0.0  # work lost with `victims`
+
+    def take(self, resources: Resources) -> list[Run]:
+        """Use the room for one task; returns the runs to be stopped for it."""
+        victims = self.victims or []
+        for run in victims:
+            self.free = self.free.plus(run.resources)
+        self.free = self.free.minus(resources)
+        self.held += 1
+        if self.candidates is not None:
+            del self.candidates[: len(victims)]  # the cheapest were taken
+        return victims
 
 
 class Preemption:
@@ -42,6 +59,11 @@
     def __init__(self, state: DispatcherState, ends: RunEnds) -> None:
         self._state = state
         self._ends = ends
+        self._examined = 0  # runs in this pass
+
+    def begin_pass(self) -> None:
+        """Begin a pass over a queue."""
+        self._examined = 0
 
     def make_room(self, queue: ServiceQueue, step: Step) -> None:
         """Preempt runs for a step that is late, if that frees enough capacity for it."""
@@ -51,13 +73,14 @@
         if (
             state.wall_ms + PREEMPT_AHEAD_MS < latest_wall_ms
             or state.now_ms - step.preempted_ms < PREEMPT_INTERVAL_MS
+            or self._examined >= MAX_RUNS_EXAMINED
         ):
             return
+        examined_before = self._examined
         demand = demand_of(next(iter(step.ready.values())))
         victims = self._victims(queue, step, demand)
-        if not victims:
-            return
-        step.preempted_ms = state.now_ms
+        if victims or self._examined - examined_before >= MANY_RUNS:
+            step.preempted_ms = state.now_ms
         for run in victims:
             run.task.preempted += 1
             state.counters.preempted_runs += 1
@@ -69,55 +92,60 @@
         ]
         gang = step.spec.gang
         members = len(step.ready) if gang else min(len(step.ready), MAX_TASKS_PER_PREEMPTION)
+        self._examined += members
+        by_loss: list[tuple[float, int, Room]] = []
+        for position, room in enumerate(rooms):
+            self._push(by_loss, position, room, demand, step)
         victims: list[Run] = []
         for _ in range(members):
-            best = self._cheapest(rooms, demand, step)
-            if best is None:
+            if not by_loss:
                 return [] if gang else victims
-            room, more = best
-            for run in more:
-                room.free = room.free.plus(run.resources)
-            room.victims += more
-            victims += more
-            room.free = room.free.minus(demand.resources)
-            room.held += 1
+            _, position, room = heapq.heappop(by_loss)
+            victims += room.take(demand.resources)
+            self._push(by_loss, position, room, demand, step)
         return victims
 
+    def _push(
+        self,
+        by_loss: list[tuple[float, int, Room]],
+        position: int,
+        room: Room,
+        demand: Demand,
+        step: Step,
+    ) -> None:
+        """Add the room to the heap if it can take one more task, by the work that is lost for it."""
+        if demand.max_per_worker and room.held >= demand.max_per_worker:
+            return
+        self._search(room, demand, step)
+        if room.victims is not None:
+            heapq.heappush(by_loss, (room.loss, position, room))
+
     def _room(self, worker: Worker, demand: Demand) -> Room:
         """The free capacity of a worker, including that of runs that are already being stopped."""
         free = worker.capacity.minus(worker.used)
+        self._examined += worker.runs
         for run in self._state.workers[worker.instance].runs.values():
             if run.state is RunState.STOPPING:
                 free = free.plus(run.resources)
-        return Room(worker, free, worker.task_counts.get(demand.group, 0), [])
-
-    def _cheapest(self, rooms: list[Room], demand: Demand, step: Step) -> tuple[Room, list[Run]] | None:
-        best: tuple[float, Room, list[Run]] | None = None
-        for room in rooms:
-            if demand.max_per_worker and room.held >= demand.max_per_worker:
-                continue
-            found = self._cheapest_victims(room, demand, step)
-            if found is None:
-                continue
-            loss = sum(self._work_lost(run) for run in found)
-            if best is None or loss < best[0]:
-                best = (loss, room, found)
-        return None if best is None else (best[1], best[2])
-
-    def _cheapest_victims(self, room: Room, demand: Demand, step: Step) -> list[Run] | None:
-        """The cheapest runs whose end frees capacity for one such task; None if that is impossible."""
+        return Room(worker, free, worker.task_counts.get(demand.group, 0))
+
+    def _search(self, room: Room, demand: Demand, step: Step) -> None:
+        """Find the cheapest runs whose end frees capacity for one such task."""
+        room.victims, room.loss = None, 0.0
         free = room.free
-        taken: list[Run] = []
         if demand.resources.fits(free):
-            return taken
-        runs = self._state.workers[room.worker.instance].runs.values()
-        candidates = [run for run in runs if run not in room.victims and self._may_stop(run, step)]
-        for run in sorted(candidates, key=self._work_lost):
-            taken.append(run)
+            room.victims = []
+            return
+        if room.candidates is None:
+            runs = self._state.workers[room.worker.instance].runs.values()
+            candidates = [(self._work_lost(run), run) for run in runs if self._may_stop(run, step)]
+            room.candidates = sorted(candidates, key=itemgetter(0))
+        for count, (loss, run) in enumerate(room.candidates, 1):
+            room.loss += loss
             free = free.plus(run.resources)
             if demand.resources.fits(free):
-                return taken
-        return None
+                room.victims = [each for _, each in room.candidates[:count]]
+                return
 
     def _may_stop(self, run: Run, step: Step) -> bool:
         task = run.task
--- a/flintfield/jobs/queues.py
+++ b/flintfield/jobs/queues.py
@@ -9,6 +9,8 @@
 from flintfield.jobs.model import Step
 from flintfield.placement.interface import Worker
 
+FEW_STEPS = 32  # of which each is searched for; more are found in one run through the queue
+
 
 @dataclass(slots=True, eq=False)
 class ServiceQueue:
@@ -43,6 +45,26 @@
         del self.steps[at]
         step.queued_in = None
 
+    def remove_all(self, steps: list[Step]) -> None:
+        """Remove many steps at once."""
+        if len(steps) < FEW_STEPS:
+            for step in steps:
+                self.remove(step)
+            return
+        for step in steps:
+            step.queued_in = None
+        self.steps = [entry for entry in self.steps if entry[2].queued_in is not None]
+
+    def add_all(self, steps: list[Step]) -> None:
+        """Add many steps at once."""
+        if len(steps) < FEW_STEPS:
+            for step in steps:
+                self.add(step)
+            return
+        for step in steps:
+            step.queued_in = self.name
+        self.steps = sorted([*self.steps, *((step.rank, step.serial, step) for step in steps)])
+
     def waits_for_room(self, worker: Worker) -> bool:
         """Whether, in the last pass, tasks were waiting for capacity on this worker."""
         return bool(self.steps) and (self.short_of_room or worker.rack in self.awaited_racks)
--- a/flintfield/jobs/racks.py
+++ b/flintfield/jobs/racks.py
@@ -31,12 +31,12 @@
             str, Resources
         ] = {}  # by rack, on a single worker, at the first check of the pass: an upper bound
 
-    def may_wait_for_rack(self, step: Step, task: Task) -> bool:
-        """Whether the task may still wait for the rack of its data; False if no worker is in that rack."""
+    def that_may_wait(self, step: Step, tasks: list[Task]) -> list[Task]:
+        """The tasks that may still wait for the rack of their data; none if no worker is in that rack."""
         if not step.spec.affinity or self._rack_capacity(step) <= 0:
-            return False
-        waited_ms = self._state.now_ms - task.ready_ms
-        return waited_ms < min(WAIT_SHARE * self._remote_cost_ms(step), LONGEST_WAIT_MS)
+            return []
+        longest_wait_ms = min(WAIT_SHARE * self._remote_cost_ms(step), LONGEST_WAIT_MS)
+        return [task for task in tasks if self._state.now_ms - task.ready_ms < longest_wait_ms]
 
     def missed(self, step: Step) -> None:
         """Record that tasks of the step were left waiting for their rack."""
--- a/flintfield/jobs/readiness.py
+++ b/flintfield/jobs/readiness.py
@@ -129,20 +129,23 @@
 
     def open_step(self, step: Step) -> None:
         """Make the tasks of a step ready after all steps that it depends on are done."""
-        for task in step.tasks:
-            if task.state is TaskState.WAITING:
-                self.make_ready(task)
+        waiting = [task for task in step.tasks if task.state is TaskState.WAITING]
+        if waiting:
+            self._make_ready(step, waiting)
 
     def make_ready(self, task: Task) -> None:
         """Allow the task to be placed from now on."""
-        task.become_ready()
-        task.ready_ms = self._state.now_ms
-        step = task.step
+        self._make_ready(task.step, [task])
+
+    def _make_ready(self, step: Step, tasks: list[Task]) -> None:
         self._state.timing.settle_wait(step, self._state.now_ms)
         if not step.ready:
             step.ready_since_ms = self._state.now_ms
             step.wait_cause = WaitCause.PASS
-        step.ready[task.index] = task
+        for task in tasks:
+            task.become_ready()
+            task.ready_ms = self._state.now_ms
+            step.ready[task.index] = task
         queue = self._state.service(step.occurrence.job.terms.service)
         if step.queued_in is None:
             queue.add(step)
@@ -180,6 +183,15 @@
         if step.queued_in is not None:
             self._state.service(step.queued_in).remove(step)
 
+    def drop_steps(self, job: Job) -> None:
+        """Remove all steps of the job from their queue."""
+        steps = [step for occurrence in job.open.values() for step in occurrence.steps]
+        for step in steps:
+            step.ready.clear()
+        self._state.service(job.terms.service).remove_all(
+            [step for step in steps if step.queued_in is not None]
+        )
+
     # Backlog
 
     def add_backlog(self, occurrence: Occurrence) -> None:
@@ -203,8 +215,7 @@
         """Apply changed terms of the job's queue."""
         steps = [step for occurrence in job.open.values() for step in occurrence.steps]
         queued = [step for step in steps if step.queued_in is not None]
-        for step in queued:
-            self._state.service(step.queued_in or "").remove(step)
+        self._state.service(job.terms.service).remove_all(queued)
         for step in steps:
             self.count_backlog(step, -step.left)
         job.terms = terms
@@ -213,9 +224,8 @@
         for occurrence in job.open.values():
             self.rank(occurrence)
         queue = self._state.service(terms.service)
-        for step in queued:
-            queue.add(step)
-            queue.dirty = True
+        queue.add_all(queued)
+        queue.dirty = queue.dirty or bool(queued)
 
 
 def reserved_bytes(job: Job, occurrences: int) -> int:
--- a/flintfield/jobs/runs.py
+++ b/flintfield/jobs/runs.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+from collections import deque
 from collections.abc import Callable
 from functools import partial
 
@@ -21,6 +22,7 @@
 from flintfield.placement.interface import Demand, Worker
 
 
+MAX_STOPPED_AT_ONCE = 2_000  # when a job ends; the next tick goes on
 NO_BOOT = -1  # no boot: earlier orders for the same run may still be unanswered
 
 
@@ -48,6 +50,7 @@
     def __init__(self, state: DispatcherState, resolve: Resolve) -> None:
         self._state = state
         self._resolve = resolve
+        self._to_stop: deque[Run] = deque()
 
     def place(self, task: Task, demand: Demand, worker: Worker, number: int, checkpoint: str) -> Run:
         """Place a run of a ready task on this worker; its start order is sent once that is durable."""
@@ -114,6 +117,16 @@
             self._state.record(run.task.job, JobEvent.STOPPING, run)
             self.order_stop(run, record)
 
+    def stop_all(self, runs: list[Run]) -> None:
+        """Stop runs, some at once and the others with the next ticks."""
+        self._to_stop.extend(runs)
+        self.stop_some()
+
+    def stop_some(self) -> None:
+        """Stop a part of the runs that are still to be stopped."""
+        for _ in range(min(len(self._to_stop), MAX_STOPPED_AT_ONCE)):
+            self.stop(self._to_stop.popleft())
+
     def order_stop(self, run: Run, record: WorkerRecord) -> None:
         """Send a stop order, possibly again."""
         record.forget_order(run.order)
--- a/flintfield/jobs/starts.py
+++ b/flintfield/jobs/starts.py
@@ -28,10 +28,14 @@
 from flintfield.placement.interface import Demand, Worker
 
 MAX_STARTS = 256  # per pass, so that an event is processed quickly
+MAX_MISSES = 8  # tasks of a step that avoid other workers and find none; those behind go first next time
 FIRST_WAITING_SHAPES = 32  # different demands left waiting in the first part of a pass
 LATER_WAITING_SHAPES = 16  # in the second part; while it stops early, the next pass follows at once
 FIRST_RACK_WAITS = 192  # steps left waiting for a rack in the first part; they do not block other steps
 LATER_RACK_WAITS = 64  # in the second part
+FIRST_STEPS = 2_000  # visited in the first part
+LATER_STEPS = 2_000  # in the second part
+STEPS_PER_PAUSE_MS = 64  # per ms of pause
 RACK_WAITS_PER_PAUSE_MS = 8  # per ms of pause; a check of a rack is cheap
 RETRY_PASS_MS = 200  # a queue is tried again after this time even without a known change
 PAUSE_PER_SHAPE_MS = 1  # a pass with many waiting demands is expensive, so the next one is delayed
@@ -52,17 +56,21 @@
     budget: int = MAX_STARTS
     max_shapes: int = FIRST_WAITING_SHAPES
     max_rack_waits: int = FIRST_RACK_WAITS
+    visited: int = 0  # steps, or members of gangs, which are placed together
+    max_visited: int = FIRST_STEPS
 
     def is_over(self) -> bool:
         """Whether this part of the pass has reached a limit."""
         return (
             self.budget <= 0
+            or self.visited >= self.max_visited
             or len(self.causes) >= self.max_shapes
             or self.racks.waiting_steps >= self.max_rack_waits
         )
 
     def begin_second_part(self) -> None:
         """Allow the work of the second part."""
+        self.max_visited = self.visited + LATER_STEPS
         self.max_shapes = len(self.causes) + LATER_WAITING_SHAPES
         self.max_rack_waits = self.racks.waiting_steps + LATER_RACK_WAITS
 
@@ -109,6 +117,7 @@
 
     def _place_steps(self, queue: ServiceQueue) -> None:
         attempt = _Pass(RackWaits(self._state, queue), ReservationExemptions(queue, self._state.now_ms))
+        self._preemption.begin_pass()
         steps = tuple(queue.steps)
         end = self._visit(queue, attempt, steps, 0)
         if end < len(steps) and attempt.budget > 0:
@@ -119,7 +128,8 @@
         queue.short_of_room = any(cause in _SHORT_OF_ROOM for cause in attempt.causes.values())
         queue.awaited_racks = attempt.racks.wanted
         rack_pause_ms = attempt.racks.waiting_steps // RACK_WAITS_PER_PAUSE_MS
-        pause_ms = len(attempt.causes) * PAUSE_PER_SHAPE_MS + rack_pause_ms
+        visits_pause_ms = attempt.visited // STEPS_PER_PAUSE_MS
+        pause_ms = len(attempt.causes) * PAUSE_PER_SHAPE_MS + rack_pause_ms + visits_pause_ms
         queue.next_pass_ms = self._state.now_ms + pause_ms
 
     def _visit_later(
@@ -139,6 +149,7 @@
             if attempt.is_over():
                 return position
             step = steps[position][2]
+            attempt.visited += len(step.tasks) if step.spec.gang else 1
             if step.queued_in == queue.name and step.occurrence.job.state is JobState.ACTIVE:
                 self._try_step(queue, attempt, step)
         return len(steps)
@@ -195,7 +206,7 @@
         tasks = list(step.ready.values())
         if not step.spec.affinity:
             return self._place_tasks(queue, step, tasks, budget, data_rack_only=False)
-        rack_candidates = [task for task in tasks if racks.may_wait_for_rack(step, task)]
+        rack_candidates = racks.that_may_wait(step, tasks)
         placed = 0
         if rack_candidates and racks.has_room(step):
             placed = self._place_tasks(queue, step, rack_candidates, budget, data_rack_only=True)
@@ -209,14 +220,16 @@
         self, queue: ServiceQueue, step: Step, tasks: list[Task], budget: int, data_rack_only: bool
     ) -> int:
         """Place these tasks, optionally only in the rack of their data; returns the number placed."""
-        placed = 0
+        placed = misses = 0
         for task in tasks:
             if placed >= budget or task.index not in step.ready or self._ends.fail_if_exhausted(task):
                 return placed
             chosen = self._choose(queue, task, data_rack_only)
             if chosen is None:
-                if not task.avoid:
+                misses += 1
+                if not task.avoid or misses >= MAX_MISSES or not self._has_room(queue, task, data_rack_only):
                     return placed  # the other tasks have the same demand
+                step.ready[task.index] = step.ready.pop(task.index)  # behind the others
                 continue
             demand, worker = chosen
             self._readiness.remove_ready(task)
@@ -225,6 +238,10 @@
             placed += 1
         return placed
 
+    def _has_room(self, queue: ServiceQueue, task: Task, data_rack_only: bool) -> bool:
+        demand = demand_of(task, data_rack_only=data_rack_only)
+        return any(can_place(worker, demand) for worker in queue.workers.values())
+
     def _choose(self, queue: ServiceQueue, task: Task, data_rack_only: bool) -> tuple[Demand, Worker] | None:
         step = task.step
         siblings = _racks(step, queue) if step.spec.same_rack else frozenset()
--- a/flintfield/jobs/state.py
+++ b/flintfield/jobs/state.py
@@ -23,6 +23,8 @@
 ORDER_BITS = 32  # width of an order's number below its epoch; answers to a predecessor's orders match none
 MAX_STARTS_SENT = 64  # per message, as each start may carry 4,000 bytes
 MAX_OUTSTANDING_WRITES = 8  # above this, changes are collected in the next batch
+MANY_RUNS = 64  # on a worker: its patience is computed every `PATIENCE_PERIOD_MS` instead of for each message
+PATIENCE_PERIOD_MS = 100
 MAX_BATCH_BYTES = 1 << 20  # above this, they leave without waiting: a write must fit into one message
 
 
@@ -206,6 +208,12 @@
                 return
 
     def _patience_ms(self, record: WorkerRecord) -> int:
+        if len(record.runs) > MANY_RUNS and self.now_ms - record.patience_at_ms < PATIENCE_PERIOD_MS:
+            return record.patience_ms
+        record.patience_ms, record.patience_at_ms = self._compute_patience_ms(record), self.now_ms
+        return record.patience_ms
+
+    def _compute_patience_ms(self, record: WorkerRecord) -> int:
         queue = self.services.get(record.worker.service)
         tasks_wait = queue is not None and queue.waits_for_room(record.worker)
         return patience_ms(record.runs.values(), tasks_wait, self.paces, self.now_ms, self.wall_ms)
--- a/flintfield/jobs/worker_record.py
+++ b/flintfield/jobs/worker_record.py
@@ -52,6 +52,8 @@
     remaining_ms: int = 0  # as last reported
     slowness: float = 1.0  # as a multiple of the usual
     silent: bool = False
+    patience_ms: int = 0  # as last computed, at `patience_at_ms`
+    patience_at_ms: int = -1_000
     paused_until_ms: int = 0
     unidentified_boot: int = 0  # boot of an agent that did not know its worker
     unidentified_since_ms: int = 0
--- a/flintfield/jobs/workers.py
+++ b/flintfield/jobs/workers.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from itertools import islice
+
 from flintfield.jobs.ends import RunEnds
 from flintfield.jobs.events import SendOrders
 from flintfield.jobs.listings import Listings
@@ -24,6 +26,8 @@
 FORGET_WORKER_MS = 600_000  # a silent worker without runs is forgotten after this time
 IDENTIFY_MS = 2_500  # how long a restarted agent that does not know its worker is sent the worker's id
 CHECK_PERIOD_MS = 150  # interval between checks of all workers
+MAX_RELEASED_AT_ONCE = 500  # runs per tick, of all workers together; the next tick goes on
+MAX_EVACUATED_AT_ONCE = 1_000  # runs per check, of all workers together
 
 
 class Workers:
@@ -35,6 +39,7 @@
         self._moves = moves
         self._listings = Listings(state, ends, moves)
         self._last_check_ms = state.now_ms
+        self._releasing = False  # whether runs of workers out of touch are still to be released
         self._orders = Orders(state, ends.runs, ends.resolve, self._remove_worker)
 
     # Reports
@@ -168,6 +173,19 @@
         record.granted_ms = self._state.now_ms
         record.granted_stamp = report.stamp_ms
 
+    def _release_unreachable(self) -> None:
+        """Release the runs of workers whose last hold is certainly over, a part of them in each tick."""
+        state = self._state
+        left = MAX_RELEASED_AT_ONCE
+        self._releasing = False
+        for record in list(state.workers.values()):
+            if not record.runs or state.now_ms - record.granted_ms < state.bounds.empty_after_ms:
+                continue
+            for run in list(islice(record.runs.values(), left)):
+                self._release(record, run)
+                left -= 1
+            self._releasing = self._releasing or bool(record.runs)
+
     def _release(self, record: WorkerRecord, run: Run) -> None:
         """Resolve a run that is certainly over; a stop order blocks a start order still in flight."""
         if run.state is RunState.CLOSED:
@@ -228,18 +246,17 @@
     def tick(self) -> None:
         """Release runs that are certainly over, repeat unanswered orders, forget long-silent workers."""
         state = self._state
-        if state.now_ms - self._last_check_ms < CHECK_PERIOD_MS:
+        if state.now_ms - self._last_check_ms < CHECK_PERIOD_MS and not self._releasing:
             return
         self._last_check_ms = state.now_ms
+        self._release_unreachable()
+        evacuations = MAX_EVACUATED_AT_ONCE
         for record in list(state.workers.values()):
             age = state.now_ms - record.granted_ms
-            if record.runs and age >= state.bounds.empty_after_ms:
-                for run in list(record.runs.values()):
-                    self._release(record, run)
             if record.connected:
                 self._orders.repeat_late(record)
                 if record.draining and record.runs:
-                    self._moves.evacuate(record)
+                    evacuations -= self._moves.evacuate(record, evacuations)
             elif not record.runs and age >= FORGET_WORKER_MS:
                 self._remove_worker(record)
                 continue
--- a/tests/system/jobs_table.py
+++ b/tests/system/jobs_table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import time
 
 from flintfield.jobs.bounds import DispatcherBounds
 from flintfield.jobs.dispatcher import Dispatcher
@@ -23,6 +24,7 @@
         self.items: dict[bytes, bytes] = {}
         self.writes_are_durable = True
         self.calls = 0
+        self.longest_turn_s = 0.0  # processor time of one event
         self.elect(epoch)
 
     def elect(self, epoch: int) -> None:
@@ -45,7 +47,7 @@
 
     def handle(self, event: Event) -> None:
         """Process an event, and make its writes durable unless `writes_are_durable` is off."""
-        waiting: list[Effect] = self.dispatcher.handle(self.now, event)
+        waiting = self._turn(event)
         while waiting:
             effect = waiting.pop(0)
             if isinstance(effect, SendOrders):
@@ -70,13 +72,20 @@
                 elif isinstance(effect, Write):
                     self.writes.append(effect)
 
+    def _turn(self, event: Event) -> list[Effect]:
+        """Process one event, and measure it."""
+        began_s = time.process_time()
+        effects = self.dispatcher.handle(self.now, event)
+        self.longest_turn_s = max(self.longest_turn_s, time.process_time() - began_s)
+        return effects
+
     def _written(self, write: Write) -> list[Effect]:
         for key, value in write.changes:
             if value is None:
                 self.items.pop(key, None)
             else:
                 self.items[key] = value
-        return self.dispatcher.handle(self.now, Written(write.write))
+        return self._turn(Written(write.write))
 
     def call(self, method: Method, path: str, body: bytes = b"", host: str = HOST) -> int:
         """Make a call; returns the status of its answer, 0 if there is none yet."""
--- /dev/null
+++ b/tests/system/test_jobs_turns_of_many_runs.py
@@ -0,0 +1,209 @@
+"""No event takes more than a share of the lease, with as many runs, steps and tasks as are let in."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+from typing import Any
+
+from flintfield.coordination.timing import LEASE_MS
+from flintfield.jobs.body import MAX_GANG, MAX_TASKS
+from flintfield.jobs.events import ConfigurationChanged, ReportArrived
+from flintfield.jobs.messages import AgentReport, Method, OrderResult, Outcome, Run
+from flintfield.jobs.model import Task
+
+from .jobs_table import PlayedDispatcher
+from .jobs_world import ConfigurationModel, RouteModel, job_id, report
+from .support.turns import MeasuredTurns
+
+TURN_S = LEASE_MS / 4 / 1_000
+TINY = {"count": 1, "cpu": 1, "memMb": 1, "estimateMs": 20_000}
+LATE_MS = 120_000
+
+
+class Fleet:
+    """A dispatcher and the reports of its workers, four to a rack."""
+
+    def __init__(self, workers: int, cpu: int, configuration: ConfigurationModel | None = None) -> None:
+        self.played = PlayedDispatcher(configuration=configuration)
+        worker = report(10).worker
+        assert worker is not None
+        self.reports = [
+            replace(
+                report(10),
+                machine=f"m-{number}",
+                complete_listing=True,
+                worker=replace(
+                    worker,
+                    instance=f"i-{number}",
+                    cpu=cpu,
+                    memory_mb=1 << 20,
+                    labels=("a", f"r-{number // 4}"),
+                ),
+            )
+            for number in range(workers)
+        ]
+        self.report_all()
+
+    def report_all(self, **changes: Any) -> None:
+        """Let every agent report, with the results of all orders, and pass a tick."""
+        starts, stops = self.played.starts, self.played.stops
+        orders = [order.order for order in (*starts, *stops)]
+        results = tuple(OrderResult(order, Outcome.DONE, self.played.now) for order in orders)
+        starts.clear()
+        stops.clear()
+        self.played.now += 100
+        for number in range(len(self.reports)):
+            self.report(number, results=results, **changes)
+        self.played.tick()
+
+    def report(self, number: int, **changes: Any) -> AgentReport:
+        """Let one agent report; without a list of runs unless that is given."""
+        fields: dict[str, Any] = {
+            "stamp_ms": self.played.now,
+            "listing_stamp": -1,
+            "running": (),
+            "results": (),
+        }
+        self.reports[number] = replace(self.reports[number], **(fields | changes))
+        self.played.handle(ReportArrived(self.reports[number]))
+        return self.reports[number]
+
+    def submit(self, number: int, *steps: dict[str, Any], queue: str = "/a/") -> None:
+        """Hand a job in; it is to be taken."""
+        body = json.dumps({"spec": "s", "steps": list(steps)}).encode()
+        status = self.played.call(Method.SUBMIT, queue + job_id(number), body)
+        assert status == 200, status
+
+    def fill(self) -> int:
+        """Let tasks start until no more do; returns the number of runs."""
+        runs = -1
+        while runs < (runs := self.runs()):
+            for _ in range(8):
+                self.report_all()
+        return runs
+
+    def runs(self) -> int:
+        """The runs that the dispatcher counts."""
+        return sum(len(record.runs) for record in self.played.dispatcher.state.workers.values())
+
+    def tasks(self, number: int) -> list[Task]:
+        """All tasks of a job."""
+        job = self.played.dispatcher.state.jobs[job_id(number)]
+        return [task for each in job.open.values() for step in each.steps for task in step.tasks]
+
+
+class ManyRuns(MeasuredTurns):
+    """Thousands of runs, to which the same happens in one moment."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = Fleet(workers=11, cpu=64_000)
+        self.played = self.fleet.played
+        self.fleet.submit(1, {**TINY, "count": MAX_TASKS, "checkpoints": True})
+        self.assertGreater(self.fleet.fill(), 15_000)
+        self.assertLess(self.played.longest_turn_s, TURN_S, "while they start")
+        self.played.longest_turn_s = 0.0
+
+    def tearDown(self) -> None:
+        self.assertLess(self.played.longest_turn_s, TURN_S)
+
+    def test_all_workers_may_be_out_of_touch(self) -> None:
+        self.played.tick(20_000)
+        for _ in range(50):
+            self.played.tick(50)
+        self.assertEqual(0, self.fleet.runs())
+
+    def test_all_workers_may_drain(self) -> None:
+        for number, each in enumerate(self.fleet.reports[:10]):
+            assert each.worker is not None
+            self.fleet.report(number, worker=replace(each.worker, draining=True, remaining_ms=8_000))
+        for _ in range(30):
+            self.fleet.report_all()
+        stopped = self.played.dispatcher.state.workers["i-0"].unanswered
+        self.assertLessEqual(len(stopped), 256)
+
+    def test_all_runs_may_be_slow_without_room_elsewhere(self) -> None:
+        workers = self.played.dispatcher.state.workers
+        for percent in (1, 2):
+            self.played.now += 5_000
+            for number in range(len(self.fleet.reports)):
+                record = workers[f"i-{number}"]
+                record.slowness = 10.0
+                running = tuple(Run(task, run, "", percent) for task, run in record.runs)
+                self.fleet.report(number, listing_stamp=self.played.now, running=running)
+
+    def test_their_job_may_be_cancelled(self) -> None:
+        self.assertEqual(200, self.played.call(Method.CANCEL, "/a/" + job_id(1)))
+        for _ in range(10):
+            self.played.tick(50)
+        workers = self.played.dispatcher.state.workers.values()
+        states = {run.state.name for record in workers for run in record.runs.values()}
+        self.assertEqual({"STOPPING"}, states)
+
+
+class ManyWaiting(MeasuredTurns):
+    """Tasks and steps that find no room, or not where they want it."""
+
+    def play(self, fleet: Fleet, ticks: int = 40) -> None:
+        """Let time pass; no turn may take too long."""
+        for _ in range(ticks):
+            fleet.report_all()
+        self.assertLess(fleet.played.longest_turn_s, TURN_S)
+
+    def test_tasks_that_each_avoid_a_worker(self) -> None:
+        fleet = Fleet(workers=11, cpu=0)
+        fleet.submit(1, {**TINY, "count": MAX_TASKS})
+        for task in fleet.tasks(1):
+            task.avoid = frozenset({"i-0"})
+        self.play(fleet)
+
+    def test_tasks_that_avoid_all_workers_give_way_to_others_of_their_step(self) -> None:
+        fleet = Fleet(workers=2, cpu=100_000)
+        fleet.submit(1, {**TINY, "count": 200, "cpu": 100_001})
+        everybody = frozenset({"i-0", "i-1"})
+        tasks = fleet.tasks(1)
+        for task in tasks[:100]:
+            task.avoid = everybody
+        for task in tasks[100:]:
+            task.avoid = frozenset({"i-0"})
+        for number, each in enumerate(fleet.reports):
+            assert each.worker is not None
+            fleet.report(number, worker=replace(each.worker, cpu=1 << 30))
+        fleet.played.tick(250)
+        self.assertGreater(sum(1 for task in tasks[100:] if task.runs), 0)
+        self.play(fleet)
+        self.assertEqual(200, sum(1 for task in tasks if task.runs), "in the end on a worker that it avoids")
+
+    def test_tasks_whose_rack_has_no_room(self) -> None:
+        fleet = Fleet(workers=400, cpu=50)
+        fleet.submit(1, {**TINY, "count": MAX_TASKS, "cpu": 50, "affinity": "r-1"})
+        self.play(fleet)
+
+    def test_steps_of_one_shape(self) -> None:
+        fleet = Fleet(workers=11, cpu=0)
+        for number in range(150):
+            fleet.submit(number, *[TINY] * 200)
+        self.play(fleet, ticks=20)
+        fleet.played.handle(ConfigurationChanged(ConfigurationModel(2, (RouteModel(priority=0),))))
+        self.play(fleet)
+        priorities = {job.terms.priority for job in fleet.played.dispatcher.state.jobs.values()}
+        self.assertEqual({0}, priorities)
+
+    def test_gangs(self) -> None:
+        fleet = Fleet(workers=400, cpu=64_000)
+        for number in range(34):
+            fleet.submit(number, {**TINY, "count": MAX_GANG, "gang": True, "cpu": 64_000, "estimateMs": 300})
+        self.play(fleet, ticks=20)
+
+    def test_urgent_steps_for_which_nothing_can_be_stopped(self) -> None:
+        urgent = RouteModel("r-u", "/u/", priority=0, extension=1.0, target_latency_ms=0)
+        fleet = Fleet(10, 2_000, ConfigurationModel(1, (RouteModel(priority=2), urgent)))
+        fleet.submit(1, {**TINY, "count": MAX_TASKS})
+        self.assertEqual(MAX_TASKS, fleet.fill())
+        fleet.played.now += LATE_MS
+        fleet.report_all()
+        for number in range(60):
+            step = {**TINY, "count": 3, "cpu": 1_900 - number, "estimateMs": 1_000}
+            fleet.submit(100 + number, step, queue="/u/")
+        self.play(fleet)
