--- a/tests/system/test_jobs_turns_of_many_runs.py
+++ b/tests/system/test_jobs_turns_of_many_runs.py
@@ -48,7 +48,7 @@
     def report_all(self, **changes: Any) -> None:
         """Let every agent report, with the results of all orders, and pass a tick."""
         starts, stops = self.played.starts, self.played.stops
-        orders = [order.order for order in (*starts, *stops)]
+        orders = [order.order for order in starts] + [order.order for order in stops]
         results = tuple(OrderResult(order, Outcome.DONE, self.played.now) for order in orders)
         starts.clear()
         stops.clear()
