Soak: judge by what workers run, with crowds and many cancels; log events that take long

Change: stand-in workers print starts, ends and how far ends were taken note of; the judge derives TWICE and UNASKED (for cancels in calm, at the end). Two clients more: 1,400 tasks on half of the workers that end in one moment, and 1,400 lasting ones that are cancelled at once. A traceback in any log, workers' too, is a fault, and so is an event of the dispatcher that takes half of the lease: service logs those above a quarter (long_turn, by processor time). The simulator counts logged exceptions as CRASH; it found the store's refusal logged with a traceback (an injected fault), now a plain error line.

--- a/flintfield/console/local/processes.py
+++ b/flintfield/console/local/processes.py
@@ -64,8 +64,8 @@
         draft.replace(path)
         return path
 
-    def start_worker(self, machine: Machine, index: int) -> None:
-        """Begin the stand-in worker beside an agent."""
+    def start_worker(self, machine: Machine, index: int, *, tells_runs: bool = False) -> None:
+        """Begin the stand-in worker beside an agent; its log tells each start and end if `tells_runs`."""
         if machine.role is not Role.AGENT:
             raise ValueError(f"{machine.name} has no worker")
         arguments = [
@@ -87,7 +87,9 @@
         ]
         if index % 2:
             arguments += ["--label", SPECIAL_LABEL]
-        self._begin(f"worker-{index + 1}", tuple(arguments), {})
+        if tells_runs:
+            arguments.append("--tell-runs")
+        self._begin(worker_name(index), tuple(arguments), {})
 
     def kill(self, name: str) -> None:
         """End a process without notice, as a crash would."""
@@ -165,6 +167,11 @@
         self._by_name[name] = ClusterProcess(name, tuple(arguments), environment, log, handle)
 
 
+def worker_name(index: int) -> str:
+    """The process name of the worker beside the agent with this position."""
+    return f"worker-{index + 1}"
+
+
 def _module_path() -> str:
     """Where the processes find this code and its libraries: as this process does."""
     return os.pathsep.join(str(Path(place).resolve()) for place in (str(ROOT), *sys.path) if place)
--- a/flintfield/coordination/shell/host.py
+++ b/flintfield/coordination/shell/host.py
@@ -101,7 +101,7 @@
         except StorageError as error:
             self.refusals += 1
             if not isinstance(error, StorageClosed):  # a replica that leaves may be asked once more
-                LOG.exception("the store takes nothing")
+                LOG.error("the store takes nothing", extra={"error": repr(error)})
             self._make()
             return False
         return True
--- a/flintfield/dispatch/service.py
+++ b/flintfield/dispatch/service.py
@@ -11,9 +11,11 @@
 import asyncio
 import logging
 import random
+import time
 from collections.abc import Awaitable, Callable, Iterator, Mapping
 from typing import Any
 
+from flintfield.coordination.timing import LEASE_MS
 from flintfield.dispatch.interface import AgentConnection, ConfigurationSource, Leadership, MakePlacement
 from flintfield.dispatch.term import OpenCall, Reply, Term
 from flintfield.jobs.bounds import DispatcherBounds
@@ -24,6 +26,7 @@
     CallArrived,
     Configuration,
     ConfigurationChanged,
+    Effect,
     Event,
     ReportArrived,
     SendOrders,
@@ -38,6 +41,7 @@
 
 TICK_MS = 50
 RESTORE_TURN_MS = 100  # an eighth of the lease; a longer restore goes on in the next turn of the event loop
+LONG_TURN_MS = LEASE_MS // 4  # longest that one event should take: others wait, and the lease is not renewed
 TICK_JITTER = 0.1  # fraction of the period, in either direction
 LOG_TIMES_MS = 10_000  # interval between log lines about the queue times of jobs
 MAX_PENDING_BYTES = 1 << 20  # limit on bytes of pending writes; beyond 4 MiB the leader makes calls wait
@@ -52,7 +56,8 @@
 
     `configuration` returns the newest configuration, `make_placement` a policy from a seed, `steady_ms` the
     time of a monotonic clock, `leader_address` the address of the leading process ("" if unknown),
-    `make_recorder` a recorder of the jobs' history in one term (None: no recording).
+    `make_recorder` a recorder of the jobs' history in one term (None: no recording). `processor_ns` is the
+    processor time of this process.
     """
 
     def __init__(
@@ -64,6 +69,7 @@
         rng: random.Random,
         leader_address: Callable[[], str] = lambda: "",
         make_recorder: Callable[[], Recorder] | None = None,
+        processor_ns: Callable[[], int] = time.process_time_ns,
     ) -> None:
         self._bounds = bounds
         self._configuration = configuration
@@ -72,6 +78,7 @@
         self._rng = rng
         self._leader_address = leader_address
         self._make_recorder = make_recorder
+        self._processor_ns = processor_ns
         self._term: Term | None = None
         self._last_epoch = 0
         self._next_call = 0
@@ -226,7 +233,7 @@
     # Effects
 
     def _feed(self, term: Term, event: Event) -> None:
-        for effect in term.dispatcher.handle(self._steady_ms(), event):
+        for effect in self._handle(term, event):
             match effect:
                 case Answer():
                     self._answer(term, effect)
@@ -235,6 +242,17 @@
                 case SendOrders():
                     self._send(term, effect)
 
+    def _handle(self, term: Term, event: Event) -> list[Effect]:
+        """Let the state machine process the event; log it if that took long, by processor time."""
+        began_ns = self._processor_ns()
+        effects = term.dispatcher.handle(self._steady_ms(), event)
+        turn_ms = (self._processor_ns() - began_ns) // 1_000_000
+        if turn_ms >= LONG_TURN_MS:
+            logs.event(
+                logger, "long_turn", level=logging.WARNING, turn_ms=turn_ms, cause=type(event).__name__
+            )
+        return effects
+
     def _send(self, term: Term, effect: SendOrders) -> None:
         """Send orders and grants, but only within the lease; orders dropped here are repeated later."""
         connection = term.agents.get(effect.machine)
--- a/flintfield/simulation/history.py
+++ b/flintfield/simulation/history.py
@@ -53,7 +53,7 @@
     record = Record()
     bounds = Bounds()
     plans = {script.job.id: script.plans for script in plot.jobs}
-    with _quiet(), _virtual_time(world), _without_collection():
+    with _quiet(record), _virtual_time(world), _without_collection():
         cluster = Cluster(world, record, plot, bounds, lambda task: _plan(plans, task))
         clients = Clients(cluster)
         operator = Operator(cluster, clients.paths.append)
@@ -100,15 +100,31 @@
         gc.enable()
 
 
+class _Tracebacks(logging.Handler):
+    """Notes exceptions that the program catches and logs."""
+
+    def __init__(self, record: Record) -> None:
+        super().__init__(logging.WARNING)
+        self._record = record
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Note the record if it holds an exception."""
+        if record.exc_info:
+            self._record.crashes.append(f"{record.name}: {record.getMessage()}: {record.exc_info[1]!r}")
+
+
 @contextmanager
-def _quiet() -> Iterator[None]:
-    """Without the program's own logs."""
+def _quiet(record: Record) -> Iterator[None]:
+    """Without the program's own logs, of which only exceptions are noted."""
     before = logging.root.manager.disable
-    logging.disable(logging.CRITICAL)
+    handler = _Tracebacks(record)
+    handlers, logging.root.handlers = logging.root.handlers, [handler]
+    logging.disable(logging.INFO)
     try:
         yield
     finally:
         logging.disable(before)
+        logging.root.handlers = handlers
 
 
 @contextmanager
--- a/flintfield/soak/cluster.py
+++ b/flintfield/soak/cluster.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import re
 import signal
 import time
 from collections.abc import Callable
@@ -11,10 +12,12 @@
 from pathlib import Path
 
 from flintfield.console.local.machines import GRACE_S, Machine, Role
-from flintfield.console.local.processes import Processes
+from flintfield.console.local.processes import Processes, worker_name
 from flintfield.console.rpc_client import core_size, is_listening
+from flintfield.coordination.timing import LEASE_MS
 from flintfield.soak.plan import Action, ActionKind, Plan
 from flintfield.soak.record import Record, StopSeen, Trouble
+from flintfield.soak.worker_events import WorkerEvents
 
 START_S = 60.0  # for the whole cluster, on a busy machine
 POLL_S = 0.05
@@ -25,6 +28,15 @@
 RELOAD_SPREAD_S = 1.0  # within which all processes are told of other seeds
 RESTART_SPREAD_S = 0.8  # within which all processes come back
 MOST_FAULT_CHARACTERS = 2_000
+LONG_TURN = re.compile(r'"long_turn".*"turn_ms": (\d+)')
+
+
+def is_fault(line: str) -> bool:
+    """Whether a line of a log tells of an error, a traceback, or an event that took half of the lease."""
+    if '"level": "ERROR"' in line or "Traceback" in line:
+        return True
+    turn = LONG_TURN.search(line)
+    return turn is not None and int(turn.group(1)) >= LEASE_MS // 2
 
 
 class ClusterFailed(Exception):
@@ -42,6 +54,7 @@
         self._record = record
         self._rng = rng
         self._processes = Processes(folder)
+        self._workers: list[str] = []
         self._seeds = tuple(machine.control for machine in machines if machine.replica)
         self._started_s = {name: 0.0 for name in self.machines}
         self._last_trouble_s = {name: 0.0 for name in self.machines}
@@ -72,7 +85,8 @@
         for index, machine in enumerate(others):
             self._processes.start_machine(machine, self._seeds, bootstrap=True)
             if machine.role is Role.AGENT:
-                self._processes.start_worker(machine, index)
+                self._processes.start_worker(machine, index, tells_runs=True)
+                self._workers.append(worker_name(index))
 
     async def _until(self, reached: Callable[[], bool]) -> None:
         deadline_s = time.monotonic() + START_S
@@ -88,9 +102,18 @@
             code = self._processes.exit_code(name)
             if code != 0:
                 self._record.faults.append(f"{name} ended with {code} at the end")
+        for name in (*self.machines, *self._workers):
             for line in self._processes.log(name).splitlines():
-                if '"level": "ERROR"' in line or line.startswith("Traceback"):
+                if is_fault(line):
                     self._record.errors.append(f"{name}: {line[:MOST_FAULT_CHARACTERS]}")
+        self._record.worker_events = self.worker_events()
+
+    def worker_events(self) -> WorkerEvents:
+        """What the workers have run up to now."""
+        events = WorkerEvents()
+        for name in self._workers:
+            events.read(name, self._processes.log(name))
+        return events
 
     async def watch(self) -> None:
         """Note processes that end though nobody told them to, and start them again; until cancelled."""
--- a/flintfield/soak/play.py
+++ b/flintfield/soak/play.py
@@ -14,7 +14,12 @@
 from flintfield.soak.cluster import SoakCluster
 from flintfield.soak.judge import broken_rules
 from flintfield.soak.plan import Action, Plan, draw
-from flintfield.soak.rare_clients import OverlappingTimesClient, SharedIdClient
+from flintfield.soak.rare_clients import (
+    CancellingClient,
+    CrowdClient,
+    OverlappingTimesClient,
+    SharedIdClient,
+)
 from flintfield.soak.record import Record
 
 OPERATORS = 2
@@ -22,6 +27,7 @@
 FIRST_CONFIGURATION_S = 30.0
 SETTLED_S = 20.0  # after the last action: every scheduler shows the newest configuration
 FINISHED_S = 60.0  # after that: every accepted job has ended
+CANCELS_S = 60.0  # after that: jobs handed in, started, cancelled and watched
 RETRY_S = 0.1
 STOP_MARGIN_S = 2.0  # above the grace period, for a busy machine
 ENDED = frozenset({"completed", "failed", "cancelled"})
@@ -57,7 +63,8 @@
         clients = CLIENTS_A_SCHEDULER * len(schedulers)
         self._clients = [JobClient(schedulers, self._record, self._draw()) for _ in range(clients)]
         self._overlapping = OverlappingTimesClient(schedulers, self._record, self._draw())
-        self._rare = (SharedIdClient(schedulers, self._record, self._draw()), self._overlapping)
+        crowd = CrowdClient(schedulers, self._record, self._draw())
+        self._rare = (SharedIdClient(schedulers, self._record, self._draw()), crowd, self._overlapping)
         self._operators = [OperatorClient(schedulers, self._record, self._draw()) for _ in range(OPERATORS)]
 
     @property
@@ -126,6 +133,16 @@
             while await looker.look_at(job.id) not in ENDED and time.monotonic() < deadline_s:
                 await asyncio.sleep(RETRY_S)
         looker.close()
+        await self._cancel_many()
+
+    async def _cancel_many(self) -> None:
+        client = CancellingClient(self._cluster.schedulers, self._record, self._draw())
+        try:
+            async with asyncio.timeout(CANCELS_S):
+                await client.play(lambda: self._cluster.worker_events().running(client.jobs))
+        except TimeoutError:
+            self._record.unsettled.append("the jobs to be cancelled were not all taken or cancelled")
+        client.close()
 
     async def _shows_newest(self, machine: Machine) -> None:
         newest = max((seen.version for seen in self._record.configurations if seen.by_change), default=0)
--- a/flintfield/soak/rare_clients.py
+++ b/flintfield/soak/rare_clients.py
@@ -1,4 +1,4 @@
-"""Clients of a soak run that do what is rare and allowed: an ID in use elsewhere, times due at once."""
+"""Clients of a soak run that do what is rare: shared IDs, times due at once, crowds, many cancels."""
 
 from __future__ import annotations
 
@@ -6,14 +6,24 @@
 import json
 import random
 import time
+from collections.abc import Callable
 from http import HTTPStatus
 
 from flintfield.console.local.calls import PREFIX
 from flintfield.console.local.machines import Machine
-from flintfield.soak.clients import OTHER_PREFIX, FrontCaller
-from flintfield.soak.record import Record
+from flintfield.console.local.processes import SPECIAL_LABEL
+from flintfield.soak.clients import IN_DOUBT, OTHER_PREFIX, FrontCaller
+from flintfield.soak.kept_connection import Answer
+from flintfield.soak.record import CallEnd, JobSeen, Record
 
 PAUSE_S = (0.2, 0.8)
+CROWD = 1_400  # tasks on the workers with the special label: more on each than one answer lists as ended
+CROWD_WORK = "work_ms=100 align_ms=4000"  # all that run end in one moment
+CROWD_PAUSE_S = 6.0
+CANCELLED_JOBS, CANCELLED_TASKS = 14, 100  # on the same workers: more than an agent keeps orders for
+STARTED_S = 40.0
+CALM_S = 3.0  # `contactMs`
+WATCHED_S = 4.0  # above `cancel_ms` and `stop_ms`
 CANCEL_S = 20.0
 TIMES, TASKS = 256, 4_000  # a million tasks, all due within a quarter of a second
 NOBODY = "nobody"  # a label that no worker has: the tasks take no room from other jobs
@@ -35,6 +45,60 @@
             await self._send("GET", path, b"")
 
 
+class CrowdClient(FrontCaller):
+    """Hands in jobs of so many small tasks that ends of one moment don't fit into one answer of a worker."""
+
+    async def run(self) -> None:
+        """Call until cancelled."""
+        step = {"count": CROWD, "cpu": 5, "memMb": 1, "estimateMs": 4_000, "constraints": SPECIAL_LABEL}
+        body = json.dumps({"spec": CROWD_WORK, "steps": [step]}).encode()
+        while True:
+            job = f"{self._rng.getrandbits(64):016x}"
+            answer = None
+            while answer is None or answer.end is not CallEnd.ANSWERED or answer.status in IN_DOUBT:
+                answer = await self._send("POST", PREFIX + job, body)
+                await asyncio.sleep(self._rng.uniform(*PAUSE_S))
+            if answer.status == HTTPStatus.OK:
+                self._record.jobs[job] = JobSeen(job, answer.ended_s)
+            await asyncio.sleep(CROWD_PAUSE_S)
+
+
+class CancellingClient(FrontCaller):
+    """In calm: hands in jobs that last, and cancels all of them at once."""
+
+    def __init__(self, machines: list[Machine], record: Record, rng: random.Random) -> None:
+        super().__init__(machines, record, rng)
+        self.jobs = [f"{rng.getrandbits(64):016x}" for _ in range(CANCELLED_JOBS)]
+
+    async def play(self, count_runs: Callable[[], int]) -> None:
+        """Do it; `count_runs` tells how many runs of these jobs there are."""
+        step = {"count": CANCELLED_TASKS, "cpu": 5, "memMb": 1, "estimateMs": 60_000}
+        body = json.dumps(
+            {"spec": "work_ms=60000", "steps": [{**step, "constraints": SPECIAL_LABEL}]}
+        ).encode()
+        for job in self.jobs:
+            await self._insist("POST", job, body)
+        deadline_s = time.monotonic() + STARTED_S
+        while await asyncio.to_thread(count_runs) < CANCELLED_JOBS * CANCELLED_TASKS:
+            if time.monotonic() > deadline_s:
+                self._record.unsettled.append("not all tasks that were to be cancelled have started")
+                break
+            await asyncio.sleep(PAUSE_S[0])
+        await asyncio.sleep(CALM_S)
+        for job in self.jobs:
+            answer = await self._insist("DELETE", job, b"")
+            self._record.cancelled_s[job] = answer.ended_s
+        await asyncio.sleep(WATCHED_S)
+
+    async def _insist(self, method: str, job: str, body: bytes) -> Answer:
+        """Call until the answer is a success."""
+        while True:
+            answer = await self._send(method, PREFIX + job, body)
+            if answer is not None and answer.status == HTTPStatus.OK:
+                return answer
+            await asyncio.sleep(PAUSE_S[0])
+
+
 class OverlappingTimesClient(FrontCaller):
     """Hands in one job with many large times that are due at once; it lives until the end of the run."""
 
--- a/flintfield/soak/record.py
+++ b/flintfield/soak/record.py
@@ -5,6 +5,8 @@
 import enum
 from dataclasses import dataclass, field
 
+from flintfield.soak.worker_events import WorkerEvents
+
 
 class CallEnd(enum.Enum):
     """How a call over an open connection ended."""
@@ -77,4 +79,6 @@
     stops: list[StopSeen] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)  # ends that nobody asked for
     errors: list[str] = field(default_factory=list)  # error lines in the logs
+    worker_events: WorkerEvents = field(default_factory=WorkerEvents)
+    cancelled_s: dict[str, float] = field(default_factory=dict)  # jobs cancelled in calm: acknowledgement
     unsettled: list[str] = field(default_factory=list)  # what was not as it must be at the end
--- a/tests/system/support/worker.py
+++ b/tests/system/support/worker.py
@@ -23,6 +23,7 @@
 from tornado.httputil import HTTPServerRequest
 
 from flintfield.transport.http import BoundedServer, ServerLimits, respond, start_server
+from .told_runs import ToldRuns
 from .worker_model import Fields, WorkerModel
 from .worker_options import ManualClock, Trouble, WorkerOptions, steady_ms
 from .worker_plan import Bounds, Capacity, RunPlan, plan_of_spec
@@ -63,6 +64,7 @@
         self._seen_number = 0
         self._held: list[HTTPServerRequest] = []  # calls that are never answered
         self._tasks: set[asyncio.Task[None]] = set()
+        self._told = ToldRuns()
         if isinstance(clock, ManualClock):
             clock.watch(self.poke)
 
@@ -112,6 +114,8 @@
             self._seen_number = self.model.last_number
             self._changed.set()
             self._changed = asyncio.Event()
+        if self.options.tells_runs:
+            self._told.tell(self.model.log)
         if not isinstance(self.clock, ManualClock):
             self._arm(now)
 
@@ -281,6 +285,7 @@
         guards=arguments.guards,
         capacity=Capacity(arguments.cpu, arguments.memory_mb, arguments.gpu),
         bounds=Bounds(hold_max_ms=arguments.hold_max_ms),
+        tells_runs=arguments.tell_runs,
     )
     worker = StandInWorker(options)
     ip, _, port = arguments.app.rpartition(":")
@@ -306,6 +311,7 @@
     parser.add_argument("--guards", action="store_true", help="reject what doesn't fit")
     parser.add_argument("--heartbeat-ms", type=int, default=1_500)
     parser.add_argument("--hold-max-ms", type=int, default=10_000)
+    parser.add_argument("--tell-runs", action="store_true", help="print what runs, for whoever judges by it")
     asyncio.run(_run(parser.parse_args()))
 
 
--- a/tests/system/support/worker_options.py
+++ b/tests/system/support/worker_options.py
@@ -52,6 +52,7 @@
     agent: str = ""
     heartbeat_ms: int = 1_500
     plan: Callable[[str, str], RunPlan] = plan_of_spec
+    tells_runs: bool = False  # prints each start, each end, and how far ends are taken note of
     waits_for_new_ends: bool = False  # a hold with `waitMs` waits although older ends are not acknowledged
 
 
--- a/tests/system/test_dispatch_service.py
+++ b/tests/system/test_dispatch_service.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import random
 import unittest
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Any
 
-from flintfield.dispatch.service import DispatchService
+from flintfield.dispatch.service import LONG_TURN_MS, DispatchService
 from flintfield.jobs.bounds import DispatcherBounds
 from flintfield.jobs.durable import JobRecord, TermsRecord, job_key
 from flintfield.jobs.events import Change
@@ -175,6 +176,22 @@
         self.assertTrue(service.leads)
         answer = handler(request, self.connection)
         self.assertEqual(200, answer.status)
+
+    async def test_an_event_that_takes_a_share_of_the_lease_is_logged(self) -> None:
+        for each_ms, logged in ((LONG_TURN_MS, True), (LONG_TURN_MS - 1, False)):
+            processor_ns = itertools.count(step=each_ms * 1_000_000)
+            service = DispatchService(
+                DispatcherBounds(),
+                lambda: self.configuration,
+                MarketPlacement,
+                lambda: self.now,
+                random.Random(1),
+                processor_ns=processor_ns.__next__,
+            )
+            with self.assertLogs("flintfield.dispatch.service") as logs:
+                service.elected(FakeLeadership(5, {}))
+            service.deposed()
+            self.assertEqual(logged, any(record.msg == "long_turn" for record in logs.records), each_ms)
         service.deposed()
 
     async def test_a_caller_that_has_seen_a_newer_configuration_comes_back(self) -> None:
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import contextlib
+import io
+import logging
 import tempfile
 import unittest
 from pathlib import Path
 
 from flintfield.console.local.machines import ClusterSize, plan_machines
+from flintfield.coordination.timing import LEASE_MS
+from flintfield.runtime.log_lines import line_format
+from flintfield.soak.cluster import is_fault
 from flintfield.soak.judge import (
     CONFIG_APPLY_S,
     LOSS_SLACK_S,
@@ -16,6 +22,10 @@
 from flintfield.soak.plan import ActionKind, draw
 from flintfield.soak.play import play
 from flintfield.soak.record import CallEnd, CallSeen, ConfigurationSeen, JobSeen, Record, StopSeen, Trouble
+from flintfield.soak.worker_events import CLOCK_AHEAD_MS, WorkerEvents
+
+from .support.told_runs import ToldRuns
+from .support.worker_model import Log
 
 CI_SEEDS = (100, 106)  # at these, what the soak has found in its first hour broke a rule
 CI_SECONDS = 8.0
@@ -29,6 +39,11 @@
     return CallSeen(machine, "GET", path, 10.0, 10.0 + took_s, end, status)
 
 
+def ms(steady_s: float) -> int:
+    """A worker's clock at a time of the steady clock."""
+    return int(steady_s * 1_000) + CLOCK_AHEAD_MS
+
+
 def rules(record: Record) -> list[str]:
     return [line.split(" ", 1)[0] for line in broken_rules(record, GRACE_S)]
 
@@ -96,6 +111,78 @@
         self.assertEqual(["FAULT", "UNSETTLED"], rules(Record(faults=["m1 ended"], unsettled=["m2"])))
 
 
+class WorkersTell(unittest.TestCase):
+    """What the workers of a run have told, as they print it."""
+
+    def setUp(self) -> None:
+        self.log = Log()
+        self.record = Record()
+
+    def rules(self, *logs: Log) -> list[str]:
+        """The rules that are broken after these workers have printed their logs."""
+        for number, log in enumerate(logs or (self.log,)):
+            with contextlib.redirect_stdout(io.StringIO()) as printed:
+                ToldRuns().tell(log)
+            self.record.worker_events.read(f"worker-{number}", printed.getvalue())
+        return rules(self.record)
+
+    def run_of(
+        self, task: str, run: int, began_s: float, ended_s: float, how: str, log: Log | None = None
+    ) -> None:
+        """A run, by the steady clock in s."""
+        log = log or self.log
+        log.starts.append((ms(began_s), task, run))
+        log.ends.append((ms(ended_s), task, run, how))
+
+    def test_a_task_that_is_done_does_not_start_again(self) -> None:
+        self.run_of("j1.0.0.0", 1, 1.0, 2.0, "done")
+        self.log.taken_note_of.append((ms(3.0), 1))
+        other = Log()
+        self.run_of("j1.0.0.0", 2, 2.5, 4.0, "done", other)
+        self.assertEqual(["TWICE"], self.rules(self.log, other))
+
+    def test_it_may_where_that_end_was_not_taken_note_of_or_the_hold_lapsed(self) -> None:
+        self.run_of("j1.0.0.0", 1, 1.0, 2.0, "done")
+        other = Log()
+        self.run_of("j1.0.0.0", 2, 2.5, 4.0, "done", other)
+        self.assertEqual([], self.rules(self.log, other))
+        self.record = Record()
+        self.run_of("j2.0.0.0", 1, 1.0, 2.2, "lapsed")
+        self.log.taken_note_of.append((ms(3.0), 2))
+        self.assertEqual([], self.rules(self.log, other))
+
+    def test_two_runs_of_a_task_do_not_overlap(self) -> None:
+        self.run_of("j1.0.0.0", 1, 1.0, 2.0, "stopped")
+        other = Log()
+        self.run_of("j1.0.0.0", 2, 1.9, 4.0, "done", other)
+        self.assertEqual(["TWICE"], self.rules(self.log, other))
+
+    def test_a_run_of_a_cancelled_job_ends_in_time_and_none_begins(self) -> None:
+        self.record.cancelled_s["j1"] = 10.0
+        self.run_of("j1.0.0.0", 1, 5.0, 13.4, "stopped")
+        self.assertEqual([], self.rules())
+        self.run_of("j1.0.0.1", 1, 5.0, 13.6, "stopped")
+        self.run_of("j1.0.0.2", 1, 13.4, 13.4, "stopped")
+        self.log.starts.append((ms(6.0), "j1.0.0.3", 1))
+        self.record.worker_events = WorkerEvents()
+        self.assertEqual(["UNASKED"] * 3, self.rules())
+
+
+class Logs(unittest.TestCase):
+    """Which lines of a program's log are faults."""
+
+    def test_errors_tracebacks_and_turns_of_half_the_lease(self) -> None:
+        formatter = line_format("n1", "scheduler")
+        for turn_ms, fault in ((LEASE_MS // 2, True), (LEASE_MS // 4, False)):
+            record = logging.LogRecord("x", logging.WARNING, "", 0, "long_turn", (), None)
+            record.__dict__.update(turn_ms=turn_ms, cause="Tick")
+            self.assertEqual(fault, is_fault(formatter.format(record)))
+        self.assertTrue(is_fault("Traceback (most recent call last):"))
+        self.assertTrue(is_fault('{"level": "WARNING", "exc_info": "Traceback (most recent call last): x"}'))
+        self.assertTrue(is_fault('{"level": "ERROR"}'))
+        self.assertFalse(is_fault('{"level": "INFO", "message": "started"}'))
+
+
 class Runs(unittest.TestCase):
     def test_no_rule_is_broken_in_two_short_runs(self) -> None:
         for seed in CI_SEEDS:
