Pause after a placement pass only for steps beyond its first part

Cause: since each pass was followed by a pause of 1 ms for each 64 steps it looked at, also where a queue is far below the bound, so that starts came later under overload.

Change: the pause counts the steps beyond the first 2,000. The bound of a turn is as it was: test_jobs_turns_of_many_runs passed.

--- a/flintfield/jobs/starts.py
+++ b/flintfield/jobs/starts.py
@@ -35,7 +35,7 @@
 LATER_RACK_WAITS = 64  # in the second part
 FIRST_STEPS = 2_000  # visited in the first part
 LATER_STEPS = 2_000  # in the second part
-STEPS_PER_PAUSE_MS = 64  # per ms of pause
+STEPS_PER_PAUSE_MS = 64  # beyond the first part, per ms of pause
 RACK_WAITS_PER_PAUSE_MS = 8  # per ms of pause; a check of a rack is cheap
 RETRY_PASS_MS = 200  # a queue is tried again after this time even without a known change
 PAUSE_PER_SHAPE_MS = 1  # a pass with many waiting demands is expensive, so the next one is delayed
@@ -128,7 +128,7 @@
         queue.short_of_room = any(cause in _SHORT_OF_ROOM for cause in attempt.causes.values())
         queue.awaited_racks = attempt.racks.wanted
         rack_pause_ms = attempt.racks.waiting_steps // RACK_WAITS_PER_PAUSE_MS
-        visits_pause_ms = attempt.visited // STEPS_PER_PAUSE_MS
+        visits_pause_ms = max(0, attempt.visited - FIRST_STEPS) // STEPS_PER_PAUSE_MS
         pause_ms = len(attempt.causes) * PAUSE_PER_SHAPE_MS + rack_pause_ms + visits_pause_ms
         queue.next_pass_ms = self._state.now_ms + pause_ms
 
