Remember as many forgotten runs as an answer may list

Where answers pass each other, an older list may name runs whose ends are durable and forgotten. An agent remembered 1,000 of those; of 4,096 runs that ended in a moment, the others would have counted as running, been stopped as strays, and kept the worker from starts until its next list.

Change: 4,096, the most runs that an answer may list. Ruled out: TWICE by it (a stray is stopped, never started). Test: test_nor_where_thousands_of_ends_were_forgotten; failed with 1,000.

--- a/flintfield/agent/answers.py
+++ b/flintfield/agent/answers.py
@@ -8,7 +8,7 @@
 from flintfield.agent.events import Answer, AnswerKind, Hold, RunStart, RunStop, WorkerRequest
 from flintfield.jobs.messages import End, Run, RunResult
 
-MAX_RUNNING = 4_096  # twice as many as the dispatcher places on one worker
+MAX_RUNNING = 4_096  # more than the dispatcher places on one worker, with a gang of the largest size
 
 _REASONS = {
     "fence": AnswerKind.FENCE,
--- a/flintfield/agent/listing.py
+++ b/flintfield/agent/listing.py
@@ -6,7 +6,7 @@
 
 MAX_ENDS = 2_000  # four full answers; the worker keeps and repeats whatever is left out
 ENDS_IN_FULL_ANSWER = 500  # set by the protocol: an answer with this many ends may leave out more
-MAX_FORGOTTEN_RUNS = 1_000
+MAX_FORGOTTEN_RUNS = 4_096  # as many as an answer may list as running
 NEVER = -1
 
 
--- a/tests/system/test_agent_parts.py
+++ b/tests/system/test_agent_parts.py
@@ -7,6 +7,7 @@
 
 from hypothesis import given, strategies
 
+from flintfield.agent.answers import MAX_RUNNING
 from flintfield.agent.clock import WorkerClock
 from flintfield.agent.events import Answer, AnswerKind, Event, LinkOpened, RunStop, WorkerAnswered
 from flintfield.agent.listing import MAX_ENDS, NEVER, Listing
@@ -171,6 +172,17 @@
         listing.take(20, (Run(TASK, 1, "", 99), Run(OTHER_TASK, 1, "", 5)), ())
         self.assertEqual((Run(OTHER_TASK, 1, "", 5),), listing.running)
 
+    def test_nor_where_thousands_of_ends_were_forgotten(self) -> None:
+        # They would count as strays, and nothing would be placed on the worker until its next list.
+        listing = Listing()
+        tasks = [f"{number:016x}.0.0.0" for number in range(1, MAX_RUNNING + 1)]
+        for first in range(0, MAX_RUNNING, 400):
+            part = list(enumerate(tasks[first : first + 400], first + 1))
+            listing.take(10, (), tuple(End(number, task, 1, RunResult.DONE, "") for number, task in part))
+            listing.forget(first + len(part))
+        listing.take(20, tuple(Run(task, 1, "", 99) for task in tasks), ())
+        self.assertEqual((), listing.running)
+
 
 if __name__ == "__main__":
     unittest.main()
