Tell jobs with nothing running apart in a pass only where a worker's table is full

Change: looked up once a pass. Ruled out: an effect on results with fewer runs, as room is the same for both then.

--- a/flintfield/jobs/starts.py
+++ b/flintfield/jobs/starts.py
@@ -25,7 +25,7 @@
 from flintfield.jobs.racks import RackWaits
 from flintfield.jobs.state import DispatcherState
 from flintfield.jobs.states import JobState, WaitCause
-from flintfield.placement.interface import Demand, Worker
+from flintfield.placement.interface import MAX_RUNS_PER_WORKER, Demand, Worker
 
 MAX_STARTS = 256  # per pass, so that an event is processed quickly
 MAX_MISSES = 8  # tasks of a step that avoid other workers and find none; those behind go first next time
@@ -56,6 +56,7 @@
     budget: int = MAX_STARTS
     max_shapes: int = FIRST_WAITING_SHAPES
     max_rack_waits: int = FIRST_RACK_WAITS
+    tables_full: bool = False  # whether a worker has as many runs as it gets for jobs that run already
     visited: int = 0  # steps, or members of gangs, which are placed together
     max_visited: int = FIRST_STEPS
 
@@ -117,6 +118,7 @@
 
     def _place_steps(self, queue: ServiceQueue) -> None:
         attempt = _Pass(RackWaits(self._state, queue), ReservationExemptions(queue, self._state.now_ms))
+        attempt.tables_full = any(worker.runs >= MAX_RUNS_PER_WORKER for worker in queue.workers.values())
         self._preemption.begin_pass()
         steps = tuple(queue.steps)
         end = self._visit(queue, attempt, steps, 0)
@@ -156,7 +158,7 @@
 
     def _try_step(self, queue: ServiceQueue, attempt: _Pass, step: Step) -> None:
         exempt = attempt.exemptions.covers(step)
-        shape = (exempt, *_shape(step))
+        shape = (exempt, attempt.tables_full and step.occurrence.job.open_runs == 0, *_shape(step))
         cause = attempt.causes.get(shape)
         if cause is not None and (cause is WaitCause.ROOM or not self._overdue(step)):
             self._note_wait(step, cause)
@@ -206,7 +208,7 @@
         tasks = list(step.ready.values())
         if not step.spec.affinity:
             return self._place_tasks(queue, step, tasks, budget, data_rack_only=False)
-        rack_candidates = racks.that_may_wait(step, tasks)
+        rack_candidates = racks.tasks_that_may_wait(step, tasks)
         placed = 0
         if rack_candidates and racks.has_room(step):
             placed = self._place_tasks(queue, step, rack_candidates, budget, data_rack_only=True)
@@ -285,8 +287,7 @@
     spec = step.spec
     if spec.anti_affinity or spec.same_rack or spec.gang:
         return (id(step),)
-    first_of_job = step.occurrence.job.open_runs == 0
-    return (spec.cpu, spec.mem_mb, spec.gpu, spec.needs, spec.affinity, first_of_job)
+    return (spec.cpu, spec.mem_mb, spec.gpu, spec.needs, spec.affinity)
 
 
 def _racks(step: Step, queue: ServiceQueue) -> frozenset[str]:
