--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -83,7 +83,7 @@
     "suspicion by rate": (Replacement(health, "MEAN_TIME_BETWEEN_FALSE_ALARMS_S", 0.0),),
     "waiting for a better worker": (Replacement(market, "SLOWNESS_THRESHOLD", math.inf),),
     "packing": (Replacement(market, "MAX_COMPARED", 1),),
-    "waiting for racks": (Replacement(RackWaits, "that_may_wait", _always([])),),
+    "waiting for racks": (Replacement(RackWaits, "tasks_that_may_wait", _always([])),),
     "back-off": (Replacement(RunEnds, "_backoff", _always(0)),),
     "preemption": (Replacement(Preemption, "make_room", _nothing),),
     "reservations of gangs": (Replacement(Gangs, "reserve", _nothing),),
--- a/flintfield/jobs/listings.py
+++ b/flintfield/jobs/listings.py
@@ -43,9 +43,9 @@
     def process_report(self, record: WorkerRecord, report: AgentReport) -> None:
         """Process both lists; ends come first, as an ended run is no longer listed as running."""
         if report.finished:
-            record.endless_stamp = None
-        elif record.endless_stamp is None:
-            record.endless_stamp = report.stamp_ms
+            record.no_ends_stamp = None
+        elif record.no_ends_stamp is None:
+            record.no_ends_stamp = report.stamp_ms
         self._process_ends(record, report.finished)
         self._process_listing(record, report)
 
@@ -158,4 +158,4 @@
     """
     if report.complete_listing:
         return True
-    return record.endless_stamp is not None and report.listing_stamp >= record.endless_stamp
+    return record.no_ends_stamp is not None and report.listing_stamp >= record.no_ends_stamp
--- a/flintfield/jobs/racks.py
+++ b/flintfield/jobs/racks.py
@@ -31,7 +31,7 @@
             str, Resources
         ] = {}  # by rack, on a single worker, at the first check of the pass: an upper bound
 
-    def that_may_wait(self, step: Step, tasks: list[Task]) -> list[Task]:
+    def tasks_that_may_wait(self, step: Step, tasks: list[Task]) -> list[Task]:
         """The tasks that may still wait for the rack of their data; none if no worker is in that rack."""
         if not step.spec.affinity or self._rack_capacity(step) <= 0:
             return []
--- a/flintfield/jobs/worker_record.py
+++ b/flintfield/jobs/worker_record.py
@@ -44,7 +44,7 @@
     granted_stamp: int = -1  # stamp of the newest report that was granted a hold
     listing_stamp: int = -1
     examined_ms: int = -1_000  # when the progress of its runs was last checked
-    endless_stamp: int | None = None  # stamp of the first report without ends since one with ends
+    no_ends_stamp: int | None = None  # stamp of the first report without ends since one with ends
     fence_stamp: int | None = None  # stamp of the first report that showed it fenced by this epoch
     connected: bool = False
     draining: bool = False
--- a/flintfield/jobs/workers.py
+++ b/flintfield/jobs/workers.py
@@ -114,7 +114,7 @@
             record.boot = report.boot
             record.fence_stamp = None
             record.listing_stamp = -1
-            record.endless_stamp = None
+            record.no_ends_stamp = None
             for run in record.runs.values():
                 if run.answered_stamp is not None:
                     run.answered_stamp = report.stamp_ms
--- a/tests/system/jobs_world.py
+++ b/tests/system/jobs_world.py
@@ -9,7 +9,7 @@
 import json
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from typing import Any
 
@@ -246,3 +246,24 @@
     """A report of an idle worker."""
     worker = WorkerState("i-1", "svc", "a", "z", False, 4_000, 8_000, 0, ("a", "r"), 0, 8, 0)
     return AgentReport("m-1", 7, stamp, 0, worker, 3, stamp - 1, (), (), (), 0, False)
+
+
+def worker_reports(count: int, cpu: int) -> list[AgentReport]:
+    """Reports of idle workers with this many millicores and enough memory, four to a rack."""
+    first = report(10)
+    assert first.worker is not None
+    return [
+        replace(
+            first,
+            machine=f"m-{number}",
+            complete_listing=True,
+            worker=replace(
+                first.worker,
+                instance=f"i-{number}",
+                cpu=cpu,
+                memory_mb=1 << 20,
+                labels=("a", f"r-{number // 4}"),
+            ),
+        )
+        for number in range(count)
+    ]
--- a/tests/system/support/told_runs.py
+++ b/tests/system/support/run_events.py
@@ -5,7 +5,7 @@
 from .worker_model import Log
 
 
-class ToldRuns:
+class RunEventPrinter:
     """How much of a worker's log was printed; times are ms of the worker's clock."""
 
     def __init__(self) -> None:
--- a/tests/system/support/worker.py
+++ b/tests/system/support/worker.py
@@ -23,7 +23,7 @@
 from tornado.httputil import HTTPServerRequest
 
 from flintfield.transport.http import BoundedServer, ServerLimits, respond, start_server
-from .told_runs import ToldRuns
+from .run_events import RunEventPrinter
 from .worker_model import Fields, WorkerModel
 from .worker_options import ManualClock, Trouble, WorkerOptions, steady_ms
 from .worker_plan import Bounds, Capacity, RunPlan, plan_of_spec
@@ -64,7 +64,7 @@
         self._seen_number = 0
         self._held: list[HTTPServerRequest] = []  # calls that are never answered
         self._tasks: set[asyncio.Task[None]] = set()
-        self._told = ToldRuns()
+        self._run_events = RunEventPrinter()
         if isinstance(clock, ManualClock):
             clock.watch(self.poke)
 
@@ -115,7 +115,7 @@
             self._changed.set()
             self._changed = asyncio.Event()
         if self.options.tells_runs:
-            self._told.tell(self.model.log)
+            self._run_events.tell(self.model.log)
         if not isinstance(self.clock, ManualClock):
             self._arm(now)
 
--- a/tests/system/test_jobs_long_turns.py
+++ b/tests/system/test_jobs_long_turns.py
@@ -19,7 +19,7 @@
 from flintfield.transport.records import encode
 
 from .jobs_table import PlayedDispatcher
-from .jobs_world import HOST, WALL_0, ConfigurationModel, RouteModel, job_id, report
+from .jobs_world import HOST, WALL_0, ConfigurationModel, RouteModel, job_id, worker_reports
 from .support.turns import MeasuredTurns
 
 TURN_S = LEASE_MS / 4 / 1_000
@@ -43,16 +43,7 @@
     def setUp(self) -> None:
         super().setUp()
         self.played = PlayedDispatcher()
-        worker = report(10).worker
-        assert worker is not None
-        self.reports = [
-            replace(
-                report(10),
-                machine=f"m-{number}",
-                worker=replace(worker, instance=f"i-{number}", cpu=64_000, memory_mb=1 << 20),
-            )
-            for number in range(2)
-        ]
+        self.reports = worker_reports(2, cpu=64_000)
         for each in self.reports:
             self.played.handle(ReportArrived(each))
 
--- a/tests/system/test_jobs_turns_of_many_runs.py
+++ b/tests/system/test_jobs_turns_of_many_runs.py
@@ -8,12 +8,13 @@
 
 from flintfield.coordination.timing import LEASE_MS
 from flintfield.jobs.body import MAX_GANG, MAX_TASKS
+from flintfield.jobs.estimates import Paces
 from flintfield.jobs.events import ConfigurationChanged, ReportArrived
 from flintfield.jobs.messages import AgentReport, Method, OrderResult, Outcome, Run
 from flintfield.jobs.model import Task
 
 from .jobs_table import PlayedDispatcher
-from .jobs_world import ConfigurationModel, RouteModel, job_id, report
+from .jobs_world import ConfigurationModel, RouteModel, job_id, worker_reports
 from .support.turns import MeasuredTurns
 
 TURN_S = LEASE_MS / 4 / 1_000
@@ -26,23 +27,7 @@
 
     def __init__(self, workers: int, cpu: int, configuration: ConfigurationModel | None = None) -> None:
         self.played = PlayedDispatcher(configuration=configuration)
-        worker = report(10).worker
-        assert worker is not None
-        self.reports = [
-            replace(
-                report(10),
-                machine=f"m-{number}",
-                complete_listing=True,
-                worker=replace(
-                    worker,
-                    instance=f"i-{number}",
-                    cpu=cpu,
-                    memory_mb=1 << 20,
-                    labels=("a", f"r-{number // 4}"),
-                ),
-            )
-            for number in range(workers)
-        ]
+        self.reports = worker_reports(workers, cpu)
         self.report_all()
 
     def report_all(self, **changes: Any) -> None:
@@ -123,16 +108,6 @@
         stopped = self.played.dispatcher.state.workers["i-0"].unanswered
         self.assertLessEqual(len(stopped), 256)
 
-    def test_all_runs_may_be_slow_without_room_elsewhere(self) -> None:
-        workers = self.played.dispatcher.state.workers
-        for percent in (1, 2):
-            self.played.now += 5_000
-            for number in range(len(self.fleet.reports)):
-                record = workers[f"i-{number}"]
-                record.slowness = 10.0
-                running = tuple(Run(task, run, "", percent) for task, run in record.runs)
-                self.fleet.report(number, listing_stamp=self.played.now, running=running)
-
     def test_their_job_may_be_cancelled(self) -> None:
         self.assertEqual(200, self.played.call(Method.CANCEL, "/a/" + job_id(1)))
         for _ in range(10):
@@ -142,6 +117,27 @@
         self.assertEqual({"STOPPING"}, states)
 
 
+class SlowRuns(MeasuredTurns):
+    """A worker whose runs are all far slower than usual."""
+
+    def test_they_share_one_look_at_all_other_workers(self) -> None:
+        fleet = Fleet(workers=400, cpu=0)
+        worker = fleet.reports[0].worker
+        assert worker is not None
+        fleet.report(0, worker=replace(worker, cpu=2_000))
+        fleet.submit(1, {**TINY, "count": 2_000})
+        self.assertEqual(2_000, fleet.fill())
+        state = fleet.played.dispatcher.state
+        record = state.workers["i-0"]
+        fleet.played.longest_turn_s = 0.0
+        for percent in (1, 4, 4):  # the last list shows no progress, and is no sample of what is usual
+            fleet.played.now += 1_000
+            record.slowness, state.paces = 10.0, Paces()
+            running = tuple(Run(task, run, "", percent) for task, run in record.runs)
+            fleet.report(0, listing_stamp=fleet.played.now, running=running)
+        self.assertLess(fleet.played.longest_turn_s, TURN_S)
+
+
 class ManyWaiting(MeasuredTurns):
     """Tasks and steps that find no room, or not where they want it."""
 
@@ -158,22 +154,24 @@
             task.avoid = frozenset({"i-0"})
         self.play(fleet)
 
-    def test_tasks_that_avoid_all_workers_give_way_to_others_of_their_step(self) -> None:
-        fleet = Fleet(workers=2, cpu=100_000)
-        fleet.submit(1, {**TINY, "count": 200, "cpu": 100_001})
-        everybody = frozenset({"i-0", "i-1"})
-        tasks = fleet.tasks(1)
-        for task in tasks[:100]:
-            task.avoid = everybody
-        for task in tasks[100:]:
-            task.avoid = frozenset({"i-0"})
-        for number, each in enumerate(fleet.reports):
-            assert each.worker is not None
-            fleet.report(number, worker=replace(each.worker, cpu=1 << 30))
-        fleet.played.tick(250)
-        self.assertGreater(sum(1 for task in tasks[100:] if task.runs), 0)
+    def test_tasks_that_wait_for_another_worker_give_way_to_others_of_their_step(self) -> None:
+        # Guards the bound on misses: the first tasks of a step wait for a worker without room now.
+        fleet = Fleet(workers=2, cpu=1_000)
+        fleet.submit(1, {**TINY, "count": 2, "cpu": 1_000})
+        self.assertEqual(2, fleet.fill())
+        fleet.submit(2, {**TINY, "count": 40, "cpu": 100})
+        tasks = fleet.tasks(2)
+        for index, task in enumerate(tasks):
+            task.avoid = frozenset({"i-0" if index < 20 else "i-1"})
+        first = fleet.reports[0].worker
+        assert first is not None
+        fleet.report(0, worker=replace(first, cpu=100_000))
+        for _ in range(10):  # the policy is overridden after 1,500 ms
+            fleet.report_all()
+        self.assertEqual(20, sum(1 for task in tasks[20:] if task.runs))
+        self.assertEqual(0, sum(1 for task in tasks[:20] if task.runs))
         self.play(fleet)
-        self.assertEqual(200, sum(1 for task in tasks if task.runs), "in the end on a worker that it avoids")
+        self.assertEqual(40, sum(1 for task in tasks if task.runs), "in the end on the worker that it avoids")
 
     def test_tasks_whose_rack_has_no_room(self) -> None:
         fleet = Fleet(workers=400, cpu=50)
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -24,7 +24,7 @@
 from flintfield.soak.record import CallEnd, CallSeen, ConfigurationSeen, JobSeen, Record, StopSeen, Trouble
 from flintfield.soak.worker_events import CLOCK_AHEAD_MS, WorkerEvents
 
-from .support.told_runs import ToldRuns
+from .support.run_events import RunEventPrinter
 from .support.worker_model import Log
 
 CI_SEEDS = (100, 106)  # at these, what the soak has found in its first hour broke a rule
@@ -122,7 +122,7 @@
         """The rules that are broken after these workers have printed their logs."""
         for number, log in enumerate(logs or (self.log,)):
             with contextlib.redirect_stdout(io.StringIO()) as printed:
-                ToldRuns().tell(log)
+                RunEventPrinter().tell(log)
             self.record.worker_events.read(f"worker-{number}", printed.getvalue())
         return rules(self.record)
 
