Count a gang's members against the bound of a worker's runs

Cause: a gang was placed where its first member was within the bound of 2,000 runs (2,500 for jobs with nothing running); the other members were only checked against CPU, memory and GPUs.

Ruled out: single tasks (each is checked), the agent's list (4,096 runs fit). Change: the policy, the check of its choice and the placement by room alone count the members placed so far.

--- a/flintfield/jobs/gangs.py
+++ b/flintfield/jobs/gangs.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from flintfield.jobs.demands import demand_of, has_room, can_place
+from flintfield.jobs.demands import can_place, demand_of, has_room, tasks_that_fit
 from flintfield.jobs.ends import RunEnds
 from flintfield.jobs.estimates import left_ms
 from flintfield.jobs.model import Run, Step
@@ -26,7 +26,6 @@
 RESERVED_SHARE = 0.5  # of the workers of a service
 RETRY_MS = 300
 NEVER_MS = 1e9
-UNLIMITED_MEMBERS = 1 << 20  # for members that request no resources
 
 
 class Gangs:
@@ -79,7 +78,8 @@
         chosen: list[Worker] = []
         for worker in eligible:
             free = worker.capacity.minus(worker.used)
-            places = _members_that_fit(free, demand, worker.task_counts.get(demand.group, 0))
+            held = worker.task_counts.get(demand.group, 0)
+            places = _members_that_fit(free, demand, demand.max_runs - worker.runs, held)
             chosen += [worker] * min(places, len(demands) - len(chosen))
         return chosen if len(chosen) == len(demands) and _can_place_all(demands, chosen) else None
 
@@ -152,7 +152,7 @@
         members = len(step.tasks) if step.spec.gang else 1
         for free_in_ms, _, worker in sorted(eligible, key=lambda each: each[:2]):
             taken.append(worker)
-            members -= _members_that_fit(worker.capacity, demand)
+            members -= _members_that_fit(worker.capacity, demand, demand.max_runs)
             if len(taken) > most:
                 break
             if members <= 0:
@@ -193,13 +193,12 @@
     )
 
 
-def _members_that_fit(room: Resources, demand: Demand, held: int = 0) -> int:
-    """Number of members that fit into `room` on a worker that already has `held` tasks of the step."""
-    asked = demand.resources
-    pairs = ((room.cpu, asked.cpu), (room.memory_mb, asked.memory_mb), (room.gpu, asked.gpu))
-    fits = min(
-        (available // required for available, required in pairs if required), default=UNLIMITED_MEMBERS
-    )
+def _members_that_fit(room: Resources, demand: Demand, runs_left: int, held: int = 0) -> int:
+    """Number of members that fit into `room` on a worker that may get `runs_left` more runs.
+
+    `held` is the number of the step's tasks that it already has.
+    """
+    fits = min(tasks_that_fit(room, demand.resources), runs_left)
     return min(fits, demand.max_per_worker - held) if demand.max_per_worker else fits
 
 
@@ -217,7 +216,7 @@
         count = added[worker.instance]
         asked = demand.resources
         together = Resources(asked.cpu * count, asked.memory_mb * count, asked.gpu * count)
-        if not worker.used.plus(together).fits(worker.capacity):
+        if not worker.used.plus(together).fits(worker.capacity) or worker.runs + count > demand.max_runs:
             return False
         if demand.max_per_worker and worker.task_counts.get(demand.group, 0) + count > demand.max_per_worker:
             return False
--- a/flintfield/placement/gangs.py
+++ b/flintfield/placement/gangs.py
@@ -25,6 +25,7 @@
     """Use of one worker including the members placed so far."""
 
     used: Resources
+    runs: int
     held: dict[tuple[str, int, int], int]
 
 
@@ -67,6 +68,8 @@
         worker = option.worker
         usage = usages.get(worker.instance)
         used = usage.used if usage is not None else worker.used
+        if (usage.runs if usage is not None else worker.runs) >= demand.max_runs:
+            continue
         if not demand.resources.fits(worker.capacity.minus(used)):
             continue
         if demand.needs and not worker.labels.issuperset(demand.needs):
@@ -77,8 +80,9 @@
         if demand.max_per_worker and held >= demand.max_per_worker:
             continue
         if usage is None:
-            usage = usages[worker.instance] = _WorkerUsage(used, {})
+            usage = usages[worker.instance] = _WorkerUsage(used, worker.runs, {})
         usage.used = used.plus(demand.resources)
+        usage.runs += 1
         usage.held[demand.group] = usage.held.get(demand.group, 0) + 1
         return worker.instance
     return None
--- a/tests/system/test_jobs_crowded_workers.py
+++ b/tests/system/test_jobs_crowded_workers.py
@@ -6,7 +6,7 @@
 from functools import partial
 
 from flintfield.jobs.messages import Method
-from flintfield.placement.interface import MAX_RUNS_PER_WORKER
+from flintfield.placement.interface import MAX_FIRST_RUNS, MAX_RUNS_PER_WORKER
 
 from .jobs_judge import CANCEL_MS, Judge
 from .jobs_worker import WorldWorker
@@ -147,6 +147,23 @@
         for machine in world.machines.values():
             self.assertEqual(MAX_RUNS_PER_WORKER, len(machine.worker.runs))
 
+    def test_members_of_gangs_count_as_well(self) -> None:
+        # Guards against UNASKED: a gang was placed where only its first member was within the bound.
+        world = World(machines=2, cpu=8_000)
+        world.elect()
+        world.run(1_500)
+        filler = {"count": 2 * MAX_RUNS_PER_WORKER - 200, "cpu": 1, "estimateMs": 60_000}
+        world.submit(job_id(1), [filler], lambda _task: RunPlan(60_000, cpu=1))
+        world.run(12_000)
+        gang = {"count": 900, "cpu": 1, "estimateMs": 60_000, "gang": True}
+        for number in range(4):
+            world.submit(job_id(2 + number), [gang], lambda _task: RunPlan(60_000, cpu=1))
+        world.run(8_000)
+        for machine in world.machines.values():
+            runs = len(machine.worker.runs)
+            self.assertGreater(runs, MAX_RUNS_PER_WORKER, "a gang of a job with nothing running is placed")
+            self.assertLessEqual(runs, MAX_RUNS_PER_WORKER + MAX_FIRST_RUNS)
+
     def test_a_job_with_nothing_running_starts_beside_them(self) -> None:
         # Guards against LOST: a full table of runs is no lack of capacity.
         world = World(machines=1, cpu=8_000)
