A call whose caller leaves as it fails is not logged as unhandled

Cause: a client's deadline and the timeout of the attempt are often the same moment; where the caller was cancelled in the turn in which its attempt failed, nobody read the attempt's error. Ruled out: a lost call (the caller had left). Test: failed before in one of six orders of the two events.

--- a/flintfield/ingress/link.py
+++ b/flintfield/ingress/link.py
@@ -101,6 +101,12 @@
     refusals_in_doubt: int = 0
 
 
+def _abandon(attempt: asyncio.Future[typing.Any]) -> None:
+    """Cancel what is under way; the error of an attempt that just failed is not to be logged as unhandled."""
+    if not attempt.cancel() and not attempt.cancelled():
+        attempt.exception()
+
+
 class DispatcherLink:
     """The calls of one process to whoever dispatches."""
 
@@ -159,8 +165,7 @@
                     self.counters.overtaken += 1
                     return _Setback.OVERTAKEN
         finally:
-            if not attempt.done():
-                attempt.cancel()
+            _abandon(attempt)
         return self._outcome(attempt)
 
     def _outcome(self, attempt: asyncio.Future[typing.Any]) -> JobAnswer | NotDispatcher | _Setback:
--- a/tests/system/test_ingress_link.py
+++ b/tests/system/test_ingress_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import random
 import selectors
 import typing
@@ -133,6 +134,36 @@
 A, B = LeaderView(3, "a", "A"), LeaderView(4, "b", "B")
 
 
+class Abandoned(unittest.TestCase):
+    """Calls whose caller leaves."""
+
+    def test_an_attempt_that_fails_as_its_caller_leaves_is_not_logged_as_unhandled(self) -> None:
+        # Guards against tracebacks in the log: a client's deadline and that of the attempt are often the same.
+        async def play(turns: int) -> None:
+            unhandled: list[object] = []
+            asyncio.get_running_loop().set_exception_handler(lambda _loop, context: unhandled.append(context))
+            fails: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+            async def failing(_: JobCall) -> None:
+                await fails
+
+            link = make_link(Network(one=failing), Core(LeaderView(1, "one", "one")))
+            call = asyncio.create_task(link.call(request()))
+            await asyncio.sleep(0.1)
+            fails.set_exception(Unanswered("one"))
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            call.cancel()
+            await asyncio.wait((call,))
+            del fails, call
+            gc.collect()
+            self.assertEqual([], unhandled)
+
+        for turns in range(6):
+            with self.subTest(turns=turns):
+                run(play(turns))
+
+
 class Link(unittest.TestCase):
     """One case each."""
 
