Placement passes leave processor time: cheaper visits, a pause by their work, bounded turns of reading

Clients got 504 or no answer to 112 of 800 submissions and waited up to 3.4 s for a GET; with 3,000 such jobs nothing was answered for 8 s after a change of the dispatcher. Turns of up to 315 ms.

Cause: each report, and an agent sends one every 4 ms while ends come, began a pass over all waiting steps, 2.5 to 6 ms for 600 of them; reports queued up before clients' calls. All frames that came in at once were served in one turn. Ruled out: the collector (no turn without a pass was long), the store's writes (8 under way).

Change: a step that waits for the same cause is recorded once a second; the shape of a step is computed once; a queue rests 1 ms for each 200 steps and for each 1,000 runs that a pass looked at; a connection serves frames for 50 ms in a turn, then others have theirs (counter long_turns).

--- a/flintfield/jobs/model.py
+++ b/flintfield/jobs/model.py
@@ -25,6 +25,8 @@
 from flintfield.jobs.terms import Terms
 from flintfield.placement.interface import Resources
 
+Shape = tuple[object, ...]
+
 
 @dataclass(slots=True, eq=False)
 class Run:
@@ -175,6 +177,14 @@
     members: Counter[int] = field(default_factory=Counter)  # open runs by number; gang members share one
     failed_runs: set[int] = field(default_factory=set)  # of a gang: a run counts once, however many failed
     broken_run: int = 0  # of a gang: the newest run whose other members were stopped, as one has ended
+    shape: Shape = ()  # steps of one shape have the same demand: if one finds no room, none does
+
+    def __post_init__(self) -> None:
+        spec = self.spec
+        if spec.anti_affinity or spec.same_rack or spec.gang:
+            self.shape = (id(self),)
+        else:
+            self.shape = (spec.cpu, spec.mem_mb, spec.gpu, spec.needs, spec.affinity)
 
     @property
     def group(self) -> tuple[str, int, int]:
--- a/flintfield/jobs/preemption.py
+++ b/flintfield/jobs/preemption.py
@@ -59,11 +59,11 @@
     def __init__(self, state: DispatcherState, ends: RunEnds) -> None:
         self._state = state
         self._ends = ends
-        self._examined = 0  # runs in this pass
+        self.examined = 0  # runs in this pass
 
     def begin_pass(self) -> None:
         """Begin a pass over a queue."""
-        self._examined = 0
+        self.examined = 0
 
     def make_room(self, queue: ServiceQueue, step: Step) -> None:
         """Preempt runs for a step that is late, if that frees enough capacity for it."""
@@ -73,13 +73,13 @@
         if (
             state.wall_ms + PREEMPT_AHEAD_MS < latest_wall_ms
             or state.now_ms - step.preempted_ms < PREEMPT_INTERVAL_MS
-            or self._examined >= MAX_RUNS_EXAMINED
+            or self.examined >= MAX_RUNS_EXAMINED
         ):
             return
-        examined_before = self._examined
+        examined_before = self.examined
         demand = demand_of(next(iter(step.ready.values())))
         victims = self._victims(queue, step, demand)
-        if victims or self._examined - examined_before >= MANY_RUNS:
+        if victims or self.examined - examined_before >= MANY_RUNS:
             step.preempted_ms = state.now_ms
         for run in victims:
             run.task.preempted += 1
@@ -92,7 +92,7 @@
         ]
         gang = step.spec.gang
         members = len(step.ready) if gang else min(len(step.ready), MAX_TASKS_PER_PREEMPTION)
-        self._examined += members
+        self.examined += members
         by_loss: list[tuple[float, int, Room]] = []
         for position, room in enumerate(rooms):
             self._push(by_loss, position, room, demand, step)
@@ -123,7 +123,7 @@
     def _room(self, worker: Worker, demand: Demand) -> Room:
         """The free capacity of a worker, including that of runs that are already being stopped."""
         free = worker.capacity.minus(worker.used)
-        self._examined += worker.runs
+        self.examined += worker.runs
         for run in self._state.workers[worker.instance].runs.values():
             if run.state is RunState.STOPPING:
                 free = free.plus(run.resources)
--- a/flintfield/jobs/starts.py
+++ b/flintfield/jobs/starts.py
@@ -17,7 +17,7 @@
 from flintfield.jobs.demands import demand_of, can_place
 from flintfield.jobs.exemptions import ReservationExemptions
 from flintfield.jobs.gangs import FORCE_AFTER_MS, Gangs
-from flintfield.jobs.model import Step, Task
+from flintfield.jobs.model import Shape, Step, Task
 from flintfield.jobs.readiness import Readiness
 from flintfield.jobs.ends import RunEnds
 from flintfield.jobs.preemption import Preemption
@@ -35,12 +35,15 @@
 LATER_RACK_WAITS = 64  # in the second part
 FIRST_STEPS = 2_000  # visited in the first part
 LATER_STEPS = 2_000  # in the second part
-STEPS_PER_PAUSE_MS = 64  # beyond the first part, per ms of pause
+STEPS_PER_PAUSE_MS = 200  # per ms of pause; a pass is to take no more than a third of the processor
+LATER_STEPS_PER_PAUSE_MS = 64  # the same beyond the first part
+SETTLE_WAIT_MS = 1_000  # the time of a step that goes on waiting is recorded once in this time
+RUNS_PER_PAUSE_MS = 1_000  # looked at for preemption, per ms of pause
 RACK_WAITS_PER_PAUSE_MS = 8  # per ms of pause; a check of a rack is cheap
 RETRY_PASS_MS = 200  # a queue is tried again after this time even without a known change
 PAUSE_PER_SHAPE_MS = 1  # a pass with many waiting demands is expensive, so the next one is delayed
 
-Shape = tuple[object, ...]
+WaitingShape = tuple[bool, bool, Shape]  # exempt from reservations, first of its job
 QueuedStep = tuple[float, int, Step]  # rank, serial, step
 
 _SHORT_OF_ROOM = (WaitCause.ROOM, WaitCause.GANG)
@@ -52,7 +55,7 @@
 
     racks: RackWaits
     exemptions: ReservationExemptions
-    causes: dict[Shape, WaitCause] = field(default_factory=dict)  # why steps of a shape wait
+    causes: dict[WaitingShape, WaitCause] = field(default_factory=dict)  # why steps of a shape wait
     budget: int = MAX_STARTS
     max_shapes: int = FIRST_WAITING_SHAPES
     max_rack_waits: int = FIRST_RACK_WAITS
@@ -129,10 +132,16 @@
         queue.dirty = queue.dirty or attempt.budget <= 0 or queue.resume_at is not None
         queue.short_of_room = any(cause in _SHORT_OF_ROOM for cause in attempt.causes.values())
         queue.awaited_racks = attempt.racks.wanted
+        queue.next_pass_ms = self._state.now_ms + self._pause_ms(attempt)
+
+    def _pause_ms(self, attempt: _Pass) -> int:
+        """How long the queue rests after a pass, so that passes leave processor time for everything else."""
         rack_pause_ms = attempt.racks.waiting_steps // RACK_WAITS_PER_PAUSE_MS
-        visits_pause_ms = max(0, attempt.visited - FIRST_STEPS) // STEPS_PER_PAUSE_MS
-        pause_ms = len(attempt.causes) * PAUSE_PER_SHAPE_MS + rack_pause_ms + visits_pause_ms
-        queue.next_pass_ms = self._state.now_ms + pause_ms
+        visits_pause_ms = attempt.visited // STEPS_PER_PAUSE_MS
+        later_pause_ms = max(0, attempt.visited - FIRST_STEPS) // LATER_STEPS_PER_PAUSE_MS
+        preemption_pause_ms = self._preemption.examined // RUNS_PER_PAUSE_MS
+        shapes_pause_ms = len(attempt.causes) * PAUSE_PER_SHAPE_MS
+        return shapes_pause_ms + rack_pause_ms + visits_pause_ms + later_pause_ms + preemption_pause_ms
 
     def _visit_later(
         self, queue: ServiceQueue, attempt: _Pass, steps: tuple[QueuedStep, ...], first: int
@@ -158,7 +167,8 @@
 
     def _try_step(self, queue: ServiceQueue, attempt: _Pass, step: Step) -> None:
         exempt = attempt.exemptions.covers(step)
-        shape = (exempt, attempt.tables_full and step.occurrence.job.open_runs == 0, *_shape(step))
+        first_of_job = attempt.tables_full and step.occurrence.job.open_runs == 0
+        shape = (exempt, first_of_job, step.shape)
         cause = attempt.causes.get(shape)
         if cause is not None and (cause is WaitCause.ROOM or not self._overdue(step)):
             self._note_wait(step, cause)
@@ -187,7 +197,10 @@
         return self._place(queue, step, attempt.racks, attempt.budget)
 
     def _note_wait(self, step: Step, cause: WaitCause) -> None:
-        self._state.timing.settle_wait(step, self._state.now_ms)
+        now = self._state.now_ms
+        if cause is step.wait_cause and now - step.waiting_since_ms < SETTLE_WAIT_MS:
+            return
+        self._state.timing.settle_wait(step, now)
         step.wait_cause = cause
 
     def _wait_cause(self, queue: ServiceQueue, step: Step) -> WaitCause:
@@ -282,14 +295,6 @@
         return demand, best
 
 
-def _shape(step: Step) -> Shape:
-    """Steps of the same shape have the same demand, so if one finds no capacity the others don't either."""
-    spec = step.spec
-    if spec.anti_affinity or spec.same_rack or spec.gang:
-        return (id(step),)
-    return (spec.cpu, spec.mem_mb, spec.gpu, spec.needs, spec.affinity)
-
-
 def _racks(step: Step, queue: ServiceQueue) -> frozenset[str]:
     """Racks in which tasks of the step run."""
     found = {queue.workers[run.instance].rack for run in step.open_runs() if run.instance in queue.workers}
--- a/flintfield/transport/connection.py
+++ b/flintfield/transport/connection.py
@@ -10,7 +10,8 @@
 import asyncio
 import logging
 import time
-from collections.abc import Awaitable, Callable, Mapping
+from collections import deque
+from collections.abc import Awaitable, Callable, Iterator, Mapping
 from typing import Any
 
 from flintfield.transport import frames, sockets
@@ -24,10 +25,12 @@
 MAX_OUTSTANDING_CALLS = 4_096
 MAX_RUNNING_HANDLERS = 1_024
 MAX_FAILURE_TEXT = 1_000  # characters
+MAX_TURN_S = 0.05  # of serving frames of one connection; the rest of them waits for the next turn
 LOG_INTERVAL_S = 1.0  # at most one line in this time about handlers that raise
 
 logger = logging.getLogger(__name__)
 
+Frame = tuple[int, int, memoryview]  # kind, correlation id, record
 Handler = Callable[[Any, "Connection"], Awaitable[Any] | Any]
 Handlers = Mapping[type, Handler]
 
@@ -50,6 +53,8 @@
         self._writer = frames.FrameWriter()
         self._flush_planned = False
         self._receiving = False
+        self._paused = False  # whether the transport reads nothing for now
+        self._unserved: deque[Iterator[Frame]] = deque()  # frames that came in and wait for the next turn
         self._receipts = 0
         self._next_call = 0
         self._calls: dict[int, OutstandingCall] = {}
@@ -128,20 +133,54 @@
         self._finish(str(exc) if exc else "closed by the peer")
 
     def data_received(self, data: bytes) -> None:
-        """Bytes have come in: serve the frames that are whole."""
+        """Bytes have come in: serve the frames that are whole, some of them in later turns of the loop."""
         self._receipts += 1
+        self._unserved.append(self._reader.feed(data))
+        if len(self._unserved) == 1:
+            self._serve()
+
+    def _serve(self) -> None:
+        """Serve frames for one turn of the event loop; reading goes on once all of them are served."""
+        if self.closed:
+            return
         self._receiving = True
         try:
-            for kind, number, body in self._reader.feed(data):
-                self._take(kind, number, body)
-                if self.closed:
-                    return
+            finished = self._serve_until(self._loop.time() + MAX_TURN_S)
         except frames.MalformedFrame as error:
             self.counters.malformed_frames += 1
             self._abort(str(error))
+            finished = True
         finally:
             self._receiving = False
+        if self.closed:
+            self._unserved.clear()
+            return
         self._flush()
+        self._set_reading(finished)
+        if not finished:
+            self._loop.call_soon(self._serve)
+
+    def _serve_until(self, ends_s: float) -> bool:
+        """Serve frames until then; True where none is left."""
+        while self._unserved:
+            for kind, number, body in self._unserved[0]:
+                self._take(kind, number, body)
+                if self.closed:
+                    return True
+                if self._loop.time() >= ends_s:
+                    return False
+            self._unserved.popleft()
+        return True
+
+    def _set_reading(self, reads: bool) -> None:
+        """Read on, or let the peer wait."""
+        assert self._transport is not None
+        if reads and self._paused:
+            self._transport.resume_reading()
+        elif not reads and not self._paused:
+            self.counters.long_turns += 1
+            self._transport.pause_reading()
+        self._paused = not reads
 
     # Incoming frames.
 
--- a/flintfield/transport/counters.py
+++ b/flintfield/transport/counters.py
@@ -24,4 +24,5 @@
     handler_failures: int = 0
     missing_handlers: int = 0
     overloads: int = 0  # too many handlers running for one connection
+    long_turns: int = 0  # frames that came in at once took too long: some were served in a later turn
     dropped_one_way: int = 0  # one-way messages that could not be sent
--- a/tests/system/test_jobs_turns_of_many_runs.py
+++ b/tests/system/test_jobs_turns_of_many_runs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 from dataclasses import replace
 from typing import Any
 
@@ -10,7 +11,7 @@
 from flintfield.jobs.body import MAX_GANG, MAX_TASKS
 from flintfield.jobs.estimates import Paces
 from flintfield.jobs.events import ConfigurationChanged, ReportArrived
-from flintfield.jobs.messages import AgentReport, Method, OrderResult, Outcome, Run
+from flintfield.jobs.messages import AgentReport, End, Method, OrderResult, Outcome, Run, RunResult
 from flintfield.jobs.model import Task
 
 from .jobs_table import PlayedDispatcher
@@ -20,6 +21,8 @@
 TURN_S = LEASE_MS / 4 / 1_000
 TINY = {"count": 1, "cpu": 1, "memMb": 1, "estimateMs": 20_000}
 LATE_MS = 120_000
+REPORTS = 200
+REPORT_GAP_MS = 4  # agents gather news for as long
 
 
 class Fleet:
@@ -205,3 +208,28 @@
             step = {**TINY, "count": 3, "cpu": 1_900 - number, "estimateMs": 1_000}
             fleet.submit(100 + number, step, queue="/u/")
         self.play(fleet)
+
+
+class QuickSuccession(MeasuredTurns):
+    """Reports that come one after another while thousands of steps wait."""
+
+    def test_passes_leave_processor_time_for_everything_else(self) -> None:
+        # Guards against LOST: a pass over all waiting steps for each report kept calls waiting beyond their deadline.
+        fleet = Fleet(workers=2, cpu=1_000)
+        for number in range(4_500):
+            fleet.submit(number, {**TINY, "estimateMs": 10})
+        self.assertEqual(2_000, fleet.fill())
+        played = fleet.played
+        ends = [0, 0]
+        began_ms, began_s = played.now, time.process_time()
+        for turn in range(REPORTS):
+            played.now += REPORT_GAP_MS
+            worker = turn % 2
+            run = next(iter(played.dispatcher.state.workers[f"i-{worker}"].runs.values()))
+            ends[worker] += 1
+            end = End(ends[worker], run.name, run.number, RunResult.DONE, "")
+            fleet.report(worker, finished=(end,))
+            if turn % 12 == 0:
+                played.tick()
+        self.assertLess(time.process_time() - began_s, (played.now - began_ms) / 1_000 / 2)
+        self.assertEqual(2_000, fleet.fill(), "others took the place of those that ended")
--- a/tests/system/test_transport_rpc.py
+++ b/tests/system/test_transport_rpc.py
@@ -183,6 +183,26 @@
             await connection.call(Ask(1), SOON_S)
         self.assertEqual(seen, list(range(100)))
 
+    @unittest.mock.patch.object(connection_module, "MAX_TURN_S", 0.0, create=True)
+    async def test_frames_that_take_long_are_served_in_several_turns_of_the_loop(self) -> None:
+        # Guards against LOST: all reports that came in at once were served in one turn, longer than the lease.
+        turns: list[int] = []
+        turn = 0
+
+        def take(_message: Note, _connection: Connection) -> None:
+            turns.append(turn)
+
+        async with connected({Note: take, Ask: tell}) as (server, connection):
+            for number in range(20):
+                self.assertTrue(connection.send(Note(number)))
+            asked = asyncio.create_task(connection.call(Ask(1), SOON_S))
+            while not asked.done():
+                turn += 1
+                await asyncio.sleep(0)
+            self.assertEqual(len(turns), len(set(turns)))
+            self.assertGreater(server.counters.long_turns, 0)
+            self.assertEqual(await connection.call(Ask(2), SOON_S), Told(2), "it reads on")
+
     async def test_a_large_message_goes_both_ways(self) -> None:
         text = "x" * (frames.MAX_FRAME_BYTES - 100)
         async with connected({Ask: tell}) as (_, connection):
