--- a/tests/system/test_ingress_link.py
+++ b/tests/system/test_ingress_link.py
@@ -137,25 +137,28 @@
 class Abandoned(unittest.TestCase):
     """Calls whose caller leaves."""
 
+    async def leave(self, turns: int) -> None:
+        """Let a caller leave this many turns after the answer to its attempt did not come."""
+        fails: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+        async def failing(_: JobCall) -> None:
+            await fails
+
+        link = make_link(Network(one=failing), Core(LeaderView(1, "one", "one")))
+        call = asyncio.create_task(link.call(request()))
+        await asyncio.sleep(0.1)
+        fails.set_exception(Unanswered("one"))
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        call.cancel()
+        await asyncio.wait((call,))
+
     def test_an_attempt_that_fails_as_its_caller_leaves_is_not_logged_as_unhandled(self) -> None:
-        # Guards against tracebacks in the log: a client's deadline and that of the attempt are often the same.
+        # Guards against tracebacks in the log: the deadlines of a client and of its attempt often coincide.
         async def play(turns: int) -> None:
             unhandled: list[object] = []
             asyncio.get_running_loop().set_exception_handler(lambda _loop, context: unhandled.append(context))
-            fails: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-
-            async def failing(_: JobCall) -> None:
-                await fails
-
-            link = make_link(Network(one=failing), Core(LeaderView(1, "one", "one")))
-            call = asyncio.create_task(link.call(request()))
-            await asyncio.sleep(0.1)
-            fails.set_exception(Unanswered("one"))
-            for _ in range(turns):
-                await asyncio.sleep(0)
-            call.cancel()
-            await asyncio.wait((call,))
-            del fails, call
+            await self.leave(turns)
             gc.collect()
             self.assertEqual([], unhandled)
 
--- a/tests/system/test_jobs_turns_of_many_runs.py
+++ b/tests/system/test_jobs_turns_of_many_runs.py
@@ -214,7 +214,7 @@
     """Reports that come one after another while thousands of steps wait."""
 
     def test_passes_leave_processor_time_for_everything_else(self) -> None:
-        # Guards against LOST: a pass over all waiting steps for each report kept calls waiting beyond their deadline.
+        # Guards against LOST: with a pass over all waiting steps for each report, calls got no answer in time.
         fleet = Fleet(workers=2, cpu=1_000)
         for number in range(4_500):
             fleet.submit(number, {**TINY, "estimateMs": 10})
--- a/tests/system/test_transport_rpc.py
+++ b/tests/system/test_transport_rpc.py
@@ -185,7 +185,7 @@
 
     @unittest.mock.patch.object(connection_module, "MAX_TURN_S", 0.0, create=True)
     async def test_frames_that_take_long_are_served_in_several_turns_of_the_loop(self) -> None:
-        # Guards against LOST: all reports that came in at once were served in one turn, longer than the lease.
+        # Guards against LOST: reports that came in at once were served in one turn, longer than the lease.
         turns: list[int] = []
         turn = 0
 
