Refuse jobs for whose first runs the workers' tables have no place (LOST)

A worker gets 2,000 runs, and 500 more of jobs of which nothing runs. Any number of small jobs was taken all the same: beyond 2,500 a worker they waited with nothing running beside free capacity, which counts as LOST after 3 s, and so did lasting tasks beyond 2,000 a worker.

Ruled out: a larger table (stops of more runs come too late); leaving it to the estimated work ahead (tiny tasks hardly count). Change: a service takes a job if all tasks of its jobs find a place, or else if there are places for the first runs of all its jobs, apart for each kind of worker that they need; the third and later open times of a job wait likewise. Otherwise 429 at once, counted in refused_places.

--- a/flintfield/jobs/admission.py
+++ b/flintfield/jobs/admission.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from flintfield.jobs.terms import Terms
+from flintfield.jobs.body import JobSpec
 from flintfield.jobs.queues import ServiceQueue
+from flintfield.jobs.run_tables import has_places
 from flintfield.jobs.state import DispatcherState
+from flintfield.jobs.terms import Terms
 
 
-def refusal_reason(state: DispatcherState, terms: Terms, kept_bytes: int) -> str:
+def refusal_reason(state: DispatcherState, terms: Terms, spec: JobSpec, kept_bytes: int) -> str:
     """The reason to reject a new job with these terms and this store size; "" if it is admitted."""
     bounds = state.bounds
     if len(state.jobs) >= bounds.max_jobs:
@@ -16,6 +18,9 @@
         return "too many bytes of jobs are kept"
     if _backlog_ms(state.service(terms.service), terms.priority) > bounds.backlog_ms:
         return "too much work waits for this service"
+    if not has_places(state.service(terms.service), spec):
+        state.counters.refused_places += 1
+        return "the workers' tables of runs have no place for the job"
     return ""
 
 
--- a/flintfield/jobs/durable.py
+++ b/flintfield/jobs/durable.py
@@ -15,6 +15,7 @@
 
 from dataclasses import dataclass
 
+from flintfield.jobs.body import JobSpec
 from flintfield.jobs.model import Job, Run, Task
 from flintfield.jobs.terms import Terms
 from flintfield.jobs.states import TaskState
@@ -104,6 +105,11 @@
     return len(body) + JOB_RECORDS_BYTES + tasks * occurrences * TASK_RECORD_BYTES
 
 
+def open_tasks(spec: JobSpec, occurrences: int) -> int:
+    """Tasks for which a job with this many open occurrences has room: at least those of its admission."""
+    return spec.tasks * max(OPEN_OCCURRENCES if spec.timed else 1, occurrences)
+
+
 def end_record(job: Job) -> EndRecord:
     """The record of an ended job."""
     return EndRecord(int(job.state), job.ended_wall_ms, job.submitted, job.route, job.address)
--- a/flintfield/jobs/ends.py
+++ b/flintfield/jobs/ends.py
@@ -13,6 +13,7 @@
 from flintfield.jobs.model import Job, Occurrence, Run, Step, Task
 from flintfield.jobs.readiness import Readiness
 from flintfield.jobs.recorder import JobEvent
+from flintfield.jobs.run_tables import uncount_job
 from flintfield.jobs.runs import Ending, Runs
 from flintfield.jobs.demands import demand_of
 from flintfield.jobs.state import DispatcherState
@@ -202,6 +203,7 @@
         was_active = job.state is JobState.ACTIVE
         left = self._close_occurrences(job)
         state.kept_bytes -= job.kept_bytes
+        uncount_job(state.service(job.terms.service), job)
         job.end(job_state, state.wall_ms)
         state.record(job, JobEvent.JOB_ENDED, detail=job_state.name.lower())
         if was_active:
--- a/flintfield/jobs/intake.py
+++ b/flintfield/jobs/intake.py
@@ -25,6 +25,7 @@
 from flintfield.jobs.terms import Terms
 from flintfield.jobs.readiness import Readiness
 from flintfield.jobs.recorder import JobEvent
+from flintfield.jobs.run_tables import count_job
 from flintfield.jobs.state import DispatcherState
 from flintfield.jobs.states import JobState
 from flintfield.jobs.timing import Phase
@@ -135,7 +136,7 @@
             return
         terms = terms_of(route)
         kept_bytes = durable.most_bytes(body, spec.tasks, spec.timed)
-        reason = refusal_reason(state, terms, kept_bytes)
+        reason = refusal_reason(state, terms, spec, kept_bytes)
         if reason:
             self._refuse(call, reason)
             return
@@ -154,6 +155,7 @@
             state.put(durable.end_key(job_id), None)  # the mark of a cancel in another queue
         state.jobs[job_id] = job
         state.kept_bytes += kept_bytes
+        count_job(state.service(terms.service), job)
         record = durable.JobRecord(
             route.name, durable.encode_terms(terms), job.accepted_wall_ms, body, job.address
         )
--- a/flintfield/jobs/queues.py
+++ b/flintfield/jobs/queues.py
@@ -9,6 +9,9 @@
 from flintfield.jobs.model import Step
 from flintfield.placement.interface import Worker
 
+Needs = tuple[str, ...]
+"""The labels that a worker must have."""
+
 FEW_STEPS = 32  # of which each is searched for; more are found in one run through the queue
 
 
@@ -25,6 +28,9 @@
     resume_at: tuple[float, int] | None = None  # rank and serial where the second part of a pass goes on
     backlog_cpu: Counter[int] = field(default_factory=Counter)  # by priority: millicores x ms
     backlog_gpu: Counter[int] = field(default_factory=Counter)  # by priority: GPUs x ms
+    open_tasks: int = 0  # of all jobs that have not ended, for as many occurrences as they may have open
+    lasting_tasks: int = 0  # of them: long-running
+    first_runs: Counter[Needs] = field(default_factory=Counter)  # runs that the jobs need at once to begin
     reserved: dict[str, Step] = field(default_factory=dict)  # by instance: the step it is reserved for
     reserved_since_ms: int = 0
     reserved_until_ms: int = 0
--- a/flintfield/jobs/readiness.py
+++ b/flintfield/jobs/readiness.py
@@ -10,9 +10,11 @@
 import heapq
 
 from flintfield.jobs import durable
+from flintfield.jobs.body import JobSpec
 from flintfield.jobs.model import Job, Occurrence, Step, Task
 from flintfield.jobs.occurrences import open_occurrence
 from flintfield.jobs.ranks import PRIORITY_GAP_MS
+from flintfield.jobs.run_tables import count_job, has_places_for_more, uncount_job
 from flintfield.jobs.terms import Terms
 from flintfield.jobs.state import DispatcherState
 from flintfield.jobs.states import JobState, TaskState, WaitCause
@@ -85,32 +87,40 @@
         spec = job.spec
         if spec is None or job.state is not JobState.ACTIVE:
             return 0
-        reserve = reserved_bytes(job, len(job.open) + 1) - reserved_bytes(job, len(job.open))
-        if not self._has_room(job, reserve):
+        if not self._has_room(job, spec):
             self._held[job.id] = job
             return 0
-        self._reserve(job, reserve)
+        before = len(job.open)
         self.open(job, job.next_occurrence)
+        self._reserve(job, spec, before)
         self._schedule(job)
         return spec.tasks
 
-    def _has_room(self, job: Job, reserve: int) -> bool:
+    def _has_room(self, job: Job, spec: JobSpec) -> bool:
         """Whether one more occurrence may be open; those that were counted at admission always may."""
-        state = self._state
-        if len(job.open) >= MAX_OPEN_OCCURRENCES:
+        state, occurrences = self._state, len(job.open)
+        if occurrences >= MAX_OPEN_OCCURRENCES:
+            return False
+        more = durable.open_tasks(spec, occurrences + 1) - durable.open_tasks(spec, occurrences)
+        if not more:
+            return True
+        if state.kept_bytes + more * durable.TASK_RECORD_BYTES > state.bounds.max_overlap_bytes:
             return False
-        return not reserve or state.kept_bytes + reserve <= state.bounds.max_overlap_bytes
+        return has_places_for_more(state.service(job.terms.service), spec)
 
-    def _reserve(self, job: Job, size: int) -> None:
-        job.kept_bytes += size
-        self._state.kept_bytes += size
+    def _reserve(self, job: Job, spec: JobSpec, before: int) -> None:
+        """Count the tasks of the open occurrences, of which there were `before` until now."""
+        more = durable.open_tasks(spec, len(job.open)) - durable.open_tasks(spec, before)
+        job.kept_bytes += more * durable.TASK_RECORD_BYTES
+        self._state.kept_bytes += more * durable.TASK_RECORD_BYTES
+        self._state.service(job.terms.service).open_tasks += more
 
     def occurrence_done(self, occurrence: Occurrence) -> None:
         """Remove a finished occurrence from its job, and what was reserved for it."""
-        job = occurrence.job
-        before = reserved_bytes(job, len(job.open))
+        job, before = occurrence.job, len(occurrence.job.open)
         job.occurrence_done(occurrence.number)
-        self._reserve(job, reserved_bytes(job, len(job.open)) - before)
+        if job.spec is not None:
+            self._reserve(job, job.spec, before)
         if len(job.open) < durable.OPEN_OCCURRENCES and self._held.pop(job.id, None) is not None:
             self._schedule(job)  # it need not wait for the other jobs that are held
 
@@ -218,7 +228,9 @@
         self._state.service(job.terms.service).remove_all(queued)
         for step in steps:
             self.count_backlog(step, -step.left)
+        uncount_job(self._state.service(job.terms.service), job)
         job.terms = terms
+        count_job(self._state.service(terms.service), job)
         for step in steps:
             self.count_backlog(step, step.left)
         for occurrence in job.open.values():
@@ -226,11 +238,3 @@
         queue = self._state.service(terms.service)
         queue.add_all(queued)
         queue.dirty = queue.dirty or bool(queued)
-
-
-def reserved_bytes(job: Job, occurrences: int) -> int:
-    """Store size (bytes) of this many open occurrences of the job beyond those counted at its admission."""
-    if job.spec is None or not job.spec.timed:
-        return 0
-    extra = max(0, occurrences - durable.OPEN_OCCURRENCES)
-    return extra * job.spec.tasks * durable.TASK_RECORD_BYTES
--- a/flintfield/jobs/restore.py
+++ b/flintfield/jobs/restore.py
@@ -10,8 +10,9 @@
 from flintfield.jobs.model import Job, Occurrence, Run, Step, Task
 from flintfield.jobs.occurrences import open_occurrence
 from flintfield.jobs.terms import Terms
-from flintfield.jobs.readiness import Readiness, reserved_bytes
+from flintfield.jobs.readiness import Readiness
 from flintfield.jobs.recorder import JobEvent
+from flintfield.jobs.run_tables import count_job
 from flintfield.jobs.state import DispatcherState
 from flintfield.jobs.states import JobState, RunState, TaskState
 from flintfield.jobs.worker_record import WorkerRecord, unknown_worker
@@ -159,10 +160,12 @@
         state.record(task.job, JobEvent.INHERITED, run)
 
     def _resume(self, job: Job) -> None:
-        if job.ended:
+        if job.ended or job.spec is None:
             return
-        job.kept_bytes += reserved_bytes(job, len(job.open))
+        overlapping = durable.open_tasks(job.spec, len(job.open)) - durable.open_tasks(job.spec, 0)
+        job.kept_bytes += overlapping * durable.TASK_RECORD_BYTES
         self._state.kept_bytes += job.kept_bytes
+        count_job(self._state.service(job.terms.service), job)
         self._state.pending[job.route] += 1
         for occurrence in list(job.open.values()):
             self._resume_occurrence(occurrence)
--- a/flintfield/jobs/state.py
+++ b/flintfield/jobs/state.py
@@ -35,6 +35,7 @@
     accepted: int = 0
     refused: int = 0
     refused_ids: int = 0  # of `refused`: the ID is in use in another queue, or by runs of a forgotten job
+    refused_places: int = 0  # of `refused`: the workers get no more runs (`flintfield.jobs.run_tables`)
     malformed: int = 0
     starts: int = 0
     lost_runs: int = 0
