--- a/flintfield/jobs/starts.py
+++ b/flintfield/jobs/starts.py
@@ -12,12 +12,12 @@
 from __future__ import annotations
 
 from bisect import bisect_left
-from dataclasses import dataclass, field
 
 from flintfield.jobs.demands import demand_of, can_place
 from flintfield.jobs.exemptions import ReservationExemptions
 from flintfield.jobs.gangs import FORCE_AFTER_MS, Gangs
-from flintfield.jobs.model import Shape, Step, Task
+from flintfield.jobs.model import Step, Task
+from flintfield.jobs.placement_pass import SHORT_OF_ROOM, PlacementPass
 from flintfield.jobs.readiness import Readiness
 from flintfield.jobs.ends import RunEnds
 from flintfield.jobs.preemption import Preemption
@@ -27,68 +27,11 @@
 from flintfield.jobs.states import JobState, WaitCause
 from flintfield.placement.interface import MAX_RUNS_PER_WORKER, Demand, Worker
 
-MAX_STARTS = 256  # per pass, so that an event is processed quickly
 MAX_MISSES = 8  # tasks of a step that avoid other workers and find none; those behind go first next time
-FIRST_WAITING_SHAPES = 32  # different demands left waiting in the first part of a pass
-LATER_WAITING_SHAPES = 16  # in the second part; while it stops early, the next pass follows at once
-FIRST_RACK_WAITS = 192  # steps left waiting for a rack in the first part; they do not block other steps
-LATER_RACK_WAITS = 64  # in the second part
-FIRST_STEPS = 2_000  # visited in the first part
-LATER_STEPS = 2_000  # in the second part
-STEPS_PER_PAUSE_MS = 200  # per ms of pause; a pass is to take no more than a third of the processor
-LATER_STEPS_PER_PAUSE_MS = 64  # the same beyond the first part
 SETTLE_WAIT_MS = 1_000  # the time of a step that goes on waiting is recorded once in this time
-RUNS_PER_PAUSE_MS = 1_000  # looked at for preemption, per ms of pause
-RACK_WAITS_PER_PAUSE_MS = 8  # per ms of pause; a check of a rack is cheap
 RETRY_PASS_MS = 200  # a queue is tried again after this time even without a known change
-PAUSE_PER_SHAPE_MS = 1  # a pass with many waiting demands is expensive, so the next one is delayed
-
-WaitingShape = tuple[bool, bool, Shape]  # exempt from reservations, first of its job
 QueuedStep = tuple[float, int, Step]  # rank, serial, step
 
-_SHORT_OF_ROOM = (WaitCause.ROOM, WaitCause.GANG)
-
-
-@dataclass(slots=True)
-class _Pass:
-    """One pass over one queue: what it found, and how far it may go."""
-
-    racks: RackWaits
-    exemptions: ReservationExemptions
-    causes: dict[WaitingShape, WaitCause] = field(default_factory=dict)  # why steps of a shape wait
-    budget: int = MAX_STARTS
-    max_shapes: int = FIRST_WAITING_SHAPES
-    max_rack_waits: int = FIRST_RACK_WAITS
-    tables_full: bool = False  # whether a worker has as many runs as it gets for jobs that run already
-    visited: int = 0  # steps, or members of gangs, which are placed together
-    max_visited: int = FIRST_STEPS
-
-    def is_over(self) -> bool:
-        """Whether this part of the pass has reached a limit."""
-        return (
-            self.budget <= 0
-            or self.visited >= self.max_visited
-            or len(self.causes) >= self.max_shapes
-            or self.racks.waiting_steps >= self.max_rack_waits
-        )
-
-    def waiting_shape(self, step: Step, exempt: bool) -> WaitingShape:
-        """Steps that wait under the same of these find room, or don't, together."""
-        first_of_job = self.tables_full and step.occurrence.job.open_runs == 0
-        return exempt, first_of_job, step.shape
-
-    def begin_second_part(self) -> None:
-        """Allow the work of the second part."""
-        self.max_visited = self.visited + LATER_STEPS
-        self.max_shapes = len(self.causes) + LATER_WAITING_SHAPES
-        self.max_rack_waits = self.racks.waiting_steps + LATER_RACK_WAITS
-
-    def note_placed(self, tasks: int) -> None:
-        """Count placed tasks."""
-        if tasks:
-            self.budget -= tasks
-            self.exemptions.capacity_taken()
-
 
 class PlacementPasses:
     """Runs placement passes over the queues."""
@@ -125,7 +68,9 @@
             self._gangs.unhide_reserved(queue)
 
     def _place_steps(self, queue: ServiceQueue) -> None:
-        attempt = _Pass(RackWaits(self._state, queue), ReservationExemptions(queue, self._state.now_ms))
+        attempt = PlacementPass(
+            RackWaits(self._state, queue), ReservationExemptions(queue, self._state.now_ms)
+        )
         attempt.tables_full = any(worker.runs >= MAX_RUNS_PER_WORKER for worker in queue.workers.values())
         self._preemption.begin_pass()
         steps = tuple(queue.steps)
@@ -135,21 +80,12 @@
         elif end == len(steps):
             queue.resume_at = None
         queue.dirty = queue.dirty or attempt.budget <= 0 or queue.resume_at is not None
-        queue.short_of_room = any(cause in _SHORT_OF_ROOM for cause in attempt.causes.values())
+        queue.short_of_room = attempt.short_of_room
         queue.awaited_racks = attempt.racks.wanted
-        queue.next_pass_ms = self._state.now_ms + self._pause_ms(attempt)
-
-    def _pause_ms(self, attempt: _Pass) -> int:
-        """How long the queue rests after a pass, so that passes leave processor time for everything else."""
-        rack_pause_ms = attempt.racks.waiting_steps // RACK_WAITS_PER_PAUSE_MS
-        visits_pause_ms = attempt.visited // STEPS_PER_PAUSE_MS
-        later_pause_ms = max(0, attempt.visited - FIRST_STEPS) // LATER_STEPS_PER_PAUSE_MS
-        preemption_pause_ms = self._preemption.examined // RUNS_PER_PAUSE_MS
-        shapes_pause_ms = len(attempt.causes) * PAUSE_PER_SHAPE_MS
-        return shapes_pause_ms + rack_pause_ms + visits_pause_ms + later_pause_ms + preemption_pause_ms
+        queue.next_pass_ms = self._state.now_ms + attempt.pause_ms(self._preemption.examined)
 
     def _visit_later(
-        self, queue: ServiceQueue, attempt: _Pass, steps: tuple[QueuedStep, ...], first: int
+        self, queue: ServiceQueue, attempt: PlacementPass, steps: tuple[QueuedStep, ...], first: int
     ) -> None:
         """The second part of a pass, over the steps from `first` on: goes on where the last one stopped."""
         if queue.resume_at is not None:
@@ -159,7 +95,9 @@
         end = self._visit(queue, attempt, steps, first)
         queue.resume_at = steps[end][:2] if end < len(steps) else None
 
-    def _visit(self, queue: ServiceQueue, attempt: _Pass, steps: tuple[QueuedStep, ...], first: int) -> int:
+    def _visit(
+        self, queue: ServiceQueue, attempt: PlacementPass, steps: tuple[QueuedStep, ...], first: int
+    ) -> int:
         """Try the steps from `first` on until a limit is reached; returns the position of the next one."""
         for position in range(first, len(steps)):
             if attempt.is_over():
@@ -170,7 +108,7 @@
                 self._try_step(queue, attempt, step)
         return len(steps)
 
-    def _try_step(self, queue: ServiceQueue, attempt: _Pass, step: Step) -> None:
+    def _try_step(self, queue: ServiceQueue, attempt: PlacementPass, step: Step) -> None:
         exempt = attempt.exemptions.covers(step)
         cause = attempt.causes.get(attempt.waiting_shape(step, exempt))
         if cause is not None and (cause is WaitCause.ROOM or not self._overdue(step)):
@@ -189,11 +127,11 @@
             attempt.racks.missed(step)  # each step is tried, also of the same shape, as it may run elsewhere
             return
         attempt.causes[attempt.waiting_shape(step, exempt)] = cause  # a job that has a run by now waits apart
-        if cause in _SHORT_OF_ROOM:
+        if cause in SHORT_OF_ROOM:
             self._gangs.reserve(queue, step)
             self._preemption.make_room(queue, step)
 
-    def _place_step(self, queue: ServiceQueue, attempt: _Pass, step: Step) -> int:
+    def _place_step(self, queue: ServiceQueue, attempt: PlacementPass, step: Step) -> int:
         """Place the step's ready tasks; returns the number placed."""
         if step.spec.gang:
             return self._gangs.place(queue, step)
--- a/flintfield/transport/connection.py
+++ b/flintfield/transport/connection.py
@@ -10,12 +10,12 @@
 import asyncio
 import logging
 import time
-from collections import deque
-from collections.abc import Awaitable, Callable, Iterator, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 from flintfield.transport import frames, sockets
 from flintfield.transport.counters import Counters
+from flintfield.transport.inbox import FrameInbox
 from flintfield.transport.errors import Failure, Rejected, RpcError, Unanswered, Unreachable
 from flintfield.transport.outstanding import OutstandingCall
 from flintfield.transport.records import MalformedRecord, decode
@@ -25,12 +25,10 @@
 MAX_OUTSTANDING_CALLS = 4_096
 MAX_RUNNING_HANDLERS = 1_024
 MAX_FAILURE_TEXT = 1_000  # characters
-MAX_TURN_S = 0.05  # of serving frames of one connection; the rest of them waits for the next turn
 LOG_INTERVAL_S = 1.0  # at most one line in this time about handlers that raise
 
 logger = logging.getLogger(__name__)
 
-Frame = tuple[int, int, memoryview]  # kind, correlation id, record
 Handler = Callable[[Any, "Connection"], Awaitable[Any] | Any]
 Handlers = Mapping[type, Handler]
 
@@ -49,12 +47,9 @@
         self._handlers = handlers
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._reader = frames.FrameReader()
+        self._inbox: FrameInbox | None = None
         self._writer = frames.FrameWriter()
         self._flush_planned = False
-        self._receiving = False
-        self._paused = False  # whether the transport reads nothing for now
-        self._unserved: deque[Iterator[Frame]] = deque()  # frames that came in and wait for the next turn
         self._receipts = 0
         self._next_call = 0
         self._calls: dict[int, OutstandingCall] = {}
@@ -122,6 +117,7 @@
         """The socket is connected."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._inbox = FrameInbox(self, self._loop, transport)
         self.closed = False
         self.peer = sockets.peer_of(transport)
         sockets.set_options(transport)
@@ -133,68 +129,36 @@
         self._finish(str(exc) if exc else "closed by the peer")
 
     def data_received(self, data: bytes) -> None:
-        """Bytes have come in: serve the frames that are whole, some of them in later turns of the loop."""
+        """Bytes have come in."""
+        assert self._inbox is not None
         self._receipts += 1
-        self._unserved.append(self._reader.feed(data))
-        if len(self._unserved) == 1:
-            self._serve()
+        self._inbox.add(data)
 
-    def _serve(self) -> None:
-        """Serve frames for one turn of the event loop; reading goes on once all of them are served."""
-        if self.closed:
-            return
-        self._receiving = True
-        try:
-            finished = self._serve_until(self._loop.time() + MAX_TURN_S)
-        except frames.MalformedFrame as error:
-            self.counters.malformed_frames += 1
-            self._abort(str(error))
-            finished = True
-        finally:
-            self._receiving = False
-        if self.closed:
-            self._unserved.clear()
-            return
+    # What its inbox calls.
+
+    def end_turn(self) -> bool:
+        """Send what the frames of this turn were answered; False once the connection is closed."""
         self._flush()
-        self._set_reading(finished)
-        if not finished:
-            self._loop.call_soon(self._serve)
-
-    def _serve_until(self, ends_s: float) -> bool:
-        """Serve frames until then; True where none is left."""
-        while self._unserved:
-            for kind, number, body in self._unserved[0]:
-                self._take(kind, number, body)
-                if self.closed:
-                    return True
-                if self._loop.time() >= ends_s:
-                    return False
-            self._unserved.popleft()
-        return True
-
-    def _set_reading(self, reads: bool) -> None:
-        """Read on, or let the peer wait."""
-        assert self._transport is not None
-        if reads and self._paused:
-            self._transport.resume_reading()
-        elif not reads and not self._paused:
-            self.counters.long_turns += 1
-            self._transport.pause_reading()
-        self._paused = not reads
+        return not self.closed
 
-    # Incoming frames.
+    def malformed_frame(self, reason: str) -> None:
+        """No frame can be read any more."""
+        self.counters.malformed_frames += 1
+        self._abort(reason)
 
-    def _take(self, kind: int, number: int, body: memoryview) -> None:
+    def take_frame(self, kind: int, number: int, body: memoryview) -> bool:
+        """Serve a frame; False once the connection is closed."""
+        if self.closed:
+            return False
         try:
             message = decode(body)
         except MalformedRecord as error:
             self.counters.malformed_records += 1
             self._refuse(kind, number, f"malformed: {error}")
-            return
-        if kind == frames.REQUEST or kind == frames.ONE_WAY:
-            self._handle(kind, number, message)
         else:
-            self._settle(kind, number, message)
+            serve = self._handle if kind in (frames.REQUEST, frames.ONE_WAY) else self._settle
+            serve(kind, number, message)
+        return not self.closed
 
     def _refuse(self, kind: int, number: int, text: str) -> None:
         if kind == frames.REQUEST:
@@ -288,7 +252,8 @@
         except frames.OversizedMessage as error:
             self.counters.oversized_messages += 1
             raise Rejected(str(error)) from error
-        if not self._receiving and not self._flush_planned:
+        serving = self._inbox is not None and self._inbox.serving  # then `end_turn` follows
+        if not serving and not self._flush_planned:
             self._flush_planned = True
             self._loop.call_soon(self._flush_soon)
         return len(self._writer.waiting) - waiting_bytes
--- a/tests/system/test_transport_rpc.py
+++ b/tests/system/test_transport_rpc.py
@@ -13,7 +13,13 @@
 from typing import Any, cast
 
 from flintfield.transport import connection as connection_module
-from flintfield.transport import frames, pool as pool_module, server as server_module, sockets
+from flintfield.transport import (
+    frames,
+    inbox as inbox_module,
+    pool as pool_module,
+    server as server_module,
+    sockets,
+)
 from flintfield.transport.records import encode, record
 from flintfield.transport.rpc import (
     Connection,
@@ -183,7 +189,7 @@
             await connection.call(Ask(1), SOON_S)
         self.assertEqual(seen, list(range(100)))
 
-    @unittest.mock.patch.object(connection_module, "MAX_TURN_S", 0.0, create=True)
+    @unittest.mock.patch.object(inbox_module, "MAX_TURN_S", 0.0)
     async def test_frames_that_take_long_are_served_in_several_turns_of_the_loop(self) -> None:
         # Guards against LOST: reports that came in at once were served in one turn, longer than the lease.
         turns: list[int] = []
