--- a/benchmarks/system_message_sizes.py
+++ b/benchmarks/system_message_sizes.py
@@ -189,7 +189,7 @@
 def take_up(current: Configuration) -> None:
     """What the dispatcher makes of a configuration, apart from its jobs."""
     dispatcher = new_dispatcher()
-    dispatcher._intake.configure(current)
+    dispatcher._reconfiguration.configure(current)
 
 
 def print_answers() -> None:
--- a/flintfield/jobs/body.py
+++ b/flintfield/jobs/body.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import functools
+import hashlib
 
 import msgspec
 
@@ -18,6 +19,7 @@
 MAX_LABEL_BYTES = 256
 MAX_AMOUNT = 1 << 40  # of a resource or a time in ms: keeps all sums within 64 bits
 MAX_WALL_MS = 1 << 53
+FINGERPRINT_BYTES = 8
 
 
 class MalformedJob(ValueError):
@@ -53,6 +55,11 @@
             return (self.constraints,) if self.constraints else ()
         return self.constraints
 
+    @property
+    def demand(self) -> tuple[object, ...]:
+        """What a task of the step asks of its worker; the same for steps that ask the same."""
+        return (self.cpu, self.mem_mb, self.gpu, self.needs, self.affinity)
+
 
 class JobSpec(msgspec.Struct, frozen=True, rename="camel"):
     """A job as submitted by the client. A `repeat_count` of 0 means that it runs once, immediately."""
@@ -101,6 +108,11 @@
         raise JobTooLarge(f"more than {MAX_GANG} members of a gang")
 
 
+def fingerprint(job: JobSpec) -> bytes:
+    """A hash by which a repeated submission is told from another job, however its JSON is written."""
+    return hashlib.blake2b(msgspec.json.encode(job), digest_size=FINGERPRINT_BYTES).digest()
+
+
 @functools.cache
 def _decoder() -> msgspec.json.Decoder[JobSpec]:
     return msgspec.json.Decoder(JobSpec)
--- a/flintfield/jobs/dispatcher.py
+++ b/flintfield/jobs/dispatcher.py
@@ -17,6 +17,7 @@
 
 from flintfield.jobs import durable
 from flintfield.jobs.bounds import DispatcherBounds
+from flintfield.jobs.cancel_marks import forget_marks
 from flintfield.jobs.ends import RunEnds
 from flintfield.jobs.events import (
     AgentLost,
@@ -34,6 +35,7 @@
 from flintfield.jobs.moves import Moves
 from flintfield.jobs.preemption import Preemption
 from flintfield.jobs.readiness import Readiness
+from flintfield.jobs.reconfiguration import Reconfiguration
 from flintfield.jobs.restore import Restore
 from flintfield.jobs.speculation import SpeculativeCopies
 from flintfield.jobs.starts import PlacementPasses
@@ -61,6 +63,7 @@
         self._readiness = Readiness(self._state)
         self._ends = RunEnds(self._state, self._readiness)
         self._intake = Intake(self._state, self._readiness, self._ends)
+        self._reconfiguration = Reconfiguration(self._state, self._readiness)
         self._workers = Workers(self._state, self._ends, Moves(self._state, self._ends))
         self._copies = SpeculativeCopies(self._state, self._ends)
         self._gangs = Gangs(self._state, self._readiness, self._ends)
@@ -98,8 +101,8 @@
         """Like `restore`, a few ms at a time, so that other work can be done between the parts."""
         yield from Restore(self._state, self._readiness).parts(items)
         if self._state.configuration is not None:
-            self._intake.configure(self._state.configuration)
-        while self._intake.join_queues():
+            self._reconfiguration.configure(self._state.configuration)
+        while self._reconfiguration.join_queues():
             yield
 
     def handle(self, now_ms: int, event: Event) -> list[Effect]:
@@ -113,7 +116,7 @@
             case AgentLost():
                 self._workers.lost(event.machine)
             case ConfigurationChanged():
-                self._intake.configure(event.configuration)
+                self._reconfiguration.configure(event.configuration)
             case Written():
                 self._state.written(event.write)
             case Tick():
@@ -124,13 +127,14 @@
     def _tick(self, event: Tick) -> None:
         state = self._state
         state.set_wall(event.wall_ms)
-        self._intake.join_queues()
+        self._reconfiguration.join_queues()
         self._ends.runs.stop_some()
         self._workers.tick()
         self._readiness.open_due()
         self._readiness.end_delays()
         self._copies.tick()
         self._forget_ended()
+        forget_marks(state, MAX_FORGOTTEN_AT_ONCE)
         if state.now_ms - self._placement_ticked_ms >= PLACEMENT_TICK_MS:
             self._placement_ticked_ms = state.now_ms
             state.placement.tick(state.now_ms, state.placeable)
--- a/flintfield/jobs/durable.py
+++ b/flintfield/jobs/durable.py
@@ -55,13 +55,17 @@
 @record(111)
 @dataclass(frozen=True, slots=True)
 class EndRecord:
-    """Final state of a job (a `JobState`). `submitted` is False if an unknown id was cancelled."""
+    """Final state of a job (a `JobState`). `submitted` is False if an unknown id was cancelled.
+
+    `fingerprint` is that of its body (`flintfield.jobs.body.fingerprint`).
+    """
 
     state: int
     ended_wall_ms: int
     submitted: bool
     route: str
     address: str = ""
+    fingerprint: bytes = b""
 
 
 @record(112)
@@ -112,7 +116,9 @@
 
 def end_record(job: Job) -> EndRecord:
     """The record of an ended job."""
-    return EndRecord(int(job.state), job.ended_wall_ms, job.submitted, job.route, job.address)
+    return EndRecord(
+        int(job.state), job.ended_wall_ms, job.submitted, job.route, job.address, job.fingerprint
+    )
 
 
 def job_key(job: str) -> bytes:
--- a/flintfield/jobs/intake.py
+++ b/flintfield/jobs/intake.py
@@ -4,6 +4,7 @@
 whatever the job's current state. A rejected id leaves no record. The cancel of an unknown id is recorded, so
 that a delayed submission of it does not start after the client received 410.
 
+A job is known by its queue's address and its ID; another body under these is another job, which is refused.
 Workers know a task by its job's ID alone, so an ID is in use in one queue at a time: while a job of another
 queue with it is known, or a run of a forgotten one may exist, a submission is refused. To all other calls a
 job of another queue does not exist (`flintfield.jobs.addresses`).
@@ -11,18 +12,18 @@
 
 from __future__ import annotations
 
-from collections import deque
 from functools import partial
 
 from flintfield.jobs import durable
-from flintfield.jobs.addresses import JobAddress, address_of, is_job_id, names_an_id, names_job, queue_of
+from flintfield.jobs.addresses import JobAddress, address_of, is_job_id, names_an_id, names_job
 from flintfield.jobs.admission import refusal_reason
-from flintfield.jobs.body import JobTooLarge, MalformedJob, check_size, read_job
+from flintfield.jobs.body import JobSpec, JobTooLarge, MalformedJob, check_size, fingerprint, read_job
+from flintfield.jobs.cancel_marks import add_mark
 from flintfield.jobs.ends import RunEnds
-from flintfield.jobs.events import Answer, CallArrived, Configuration, Route
+from flintfield.jobs.events import Answer, CallArrived, Route
 from flintfield.jobs.messages import JobCall, Method
 from flintfield.jobs.model import Job
-from flintfield.jobs.terms import Terms
+from flintfield.jobs.terms import terms_of
 from flintfield.jobs.readiness import Readiness
 from flintfield.jobs.recorder import JobEvent
 from flintfield.jobs.run_tables import count_job
@@ -39,14 +40,6 @@
 }
 _RUNNING_BODY = b'{"state":"running"}'
 
-JOBS_JOINED_AT_ONCE = 1_000
-STEPS_JOINED_AT_ONCE = 2_000  # open ones; a job that passes it is the last one
-
-
-def terms_of(route: Route) -> Terms:
-    """The terms of a configured queue."""
-    return Terms(route.service, route.priority, route.max_attempts, route.extension, route.target_latency_ms)
-
 
 class Intake:
     """Answers clients' calls."""
@@ -55,8 +48,6 @@
         self._state = state
         self._readiness = readiness
         self._ends = ends
-        self._queues: dict[str, Route] = {}  # by name
-        self._joining: deque[Job] = deque()  # jobs that are to take up the newest configuration
 
     def call(self, event: CallArrived) -> None:
         """Process a call; its `Answer` is emitted immediately or after a write."""
@@ -67,7 +58,7 @@
             case Method.CANCEL:
                 self._cancel(event.call, request)
             case _:
-                self._read(event.call, request)
+                self._ask(event.call, request)
 
     def _answer(self, call: int, status: int, body: bytes = b"{}", retry_after_ms: int = 0) -> None:
         self._state.emit(Answer(call, self._state.answer(status, body, retry_after_ms)))
@@ -103,7 +94,7 @@
         address = address_of(request)
         known = self._find(address, route)
         if known is not None:
-            self._submit_known(call, known)
+            self._submit_known(call, known, request.body)
         elif self._id_in_use(address.job_id):
             self._state.counters.refused_ids += 1
             self._refuse(call, "the id is in use")
@@ -116,24 +107,42 @@
         job = state.jobs.get(job_id)
         return (job is not None and job.submitted) or job_id in state.runs_of_job
 
-    def _submit_known(self, call: int, job: Job) -> None:
+    def _submit_known(self, call: int, job: Job, body: bytes) -> None:
+        if job.body and body == job.body:
+            self._state.after_write(partial(self._answer, call, 200))
+            return
+        spec = self._read(call, body)
+        if spec is None:
+            return
         if not job.submitted:  # cancelled before its submission: it stays cancelled and never runs
-            job.submitted = True
+            job.submitted, job.fingerprint = True, fingerprint(spec)
+            self._state.remember_ended(job)
             self._state.put(durable.end_key(job.id), encode(durable.end_record(job)))
+        elif not _is_same(job, spec):
+            self._state.counters.refused_ids += 1
+            self._refuse(call, "the id is that of another job")
+            return
         self._state.after_write(partial(self._answer, call, 200))
 
+    def _read(self, call: int, body: bytes) -> JobSpec | None:
+        """The job in the body; one that can't be read is answered here."""
+        try:
+            return read_job(body)
+        except MalformedJob as error:
+            self._state.counters.malformed += 1
+            self._answer(call, 400, _reason(str(error)))
+            return None
+
     def _submit_new(self, call: int, address: JobAddress, route: Route, body: bytes) -> None:
         state, job_id = self._state, address.job_id
+        spec = self._read(call, body)
+        if spec is None:
+            return
         try:
-            spec = read_job(body)
             check_size(spec)
         except JobTooLarge as error:
             self._refuse(call, str(error))
             return
-        except MalformedJob as error:
-            state.counters.malformed += 1
-            self._answer(call, 400, _reason(str(error)))
-            return
         terms = terms_of(route)
         kept_bytes = durable.most_bytes(body, spec.tasks, spec.timed)
         reason = refusal_reason(state, terms, spec, kept_bytes)
@@ -179,7 +188,7 @@
 
     # Status and count
 
-    def _read(self, call: int, request: JobCall) -> None:
+    def _ask(self, call: int, request: JobCall) -> None:
         route = self._find_route(request)
         if names_an_id(request, route):
             self._status(call, self._find(address_of(request), route))
@@ -227,7 +236,7 @@
             if state.configuration is None:
                 self._answer_unconfigured(call)
                 return
-            self._mark_cancelled(address)
+            add_mark(state, address)
             status = 410
         else:
             status = 200 if job.submitted else 410
@@ -235,66 +244,12 @@
                 self._ends.finish_job(job, JobState.CANCELLED)
         state.after_write(partial(self._answer, call, status, b"{}"))
 
-    def _mark_cancelled(self, address: JobAddress) -> None:
-        """Record that an unknown id was cancelled, if the table has room and no other queue uses it."""
-        state = self._state
-        if len(state.jobs) >= state.bounds.max_jobs or address.job_id in state.jobs:
-            return
-        terms = Terms("", 0, 1, 1.0, 0)
-        job = Job(
-            address.job_id,
-            "",
-            terms,
-            state.wall_ms,
-            b"",
-            None,
-            submitted=False,
-            address=address.queue,
-        )
-        job.end(JobState.CANCELLED, state.wall_ms)
-        job.show_end()
-        state.jobs[job.id] = job
-        state.remember_ended(job)
-        state.put(durable.end_key(job.id), encode(durable.end_record(job)))
-
-    # Configuration
 
-    def configure(self, configuration: Configuration) -> None:
-        """Apply a newer configuration: jobs stay with their queue, also if renamed, and adopt its terms.
-
-        Some do so now, the others with the next calls of `join_queues`.
-        """
-        state = self._state
-        state.configuration = configuration
-        self._queues = {route.name: route for route in configuration.routes}
-        self._joining = deque(job for job in state.jobs.values() if not job.ended)
-        self.join_queues()
-
-    def join_queues(self) -> bool:
-        """Let a part of the jobs take up the newest configuration; True while some are left."""
-        configuration = self._state.configuration
-        steps = 0
-        for _ in range(min(len(self._joining), JOBS_JOINED_AT_ONCE)):
-            if steps >= STEPS_JOINED_AT_ONCE:
-                break
-            job = self._joining.popleft()
-            if job.ended or job.spec is None or configuration is None:
-                continue
-            steps += len(job.open) * len(job.spec.steps)
-            route = queue_of(job, configuration, self._queues)
-            if route is not None:
-                self._join_queue(job, route)
-        return bool(self._joining)
-
-    def _join_queue(self, job: Job, route: Route) -> None:
-        if route.name != job.route:
-            if job.state is JobState.ACTIVE:
-                self._state.pending[job.route] -= 1
-                self._state.pending[route.name] += 1
-            job.route = route.name
-        terms = terms_of(route)
-        if terms != job.terms:
-            self._readiness.change_terms(job, terms)
+def _is_same(job: Job, spec: JobSpec) -> bool:
+    """Whether a repeated submission is that of the job; True if a former release did not keep what tells."""
+    if job.spec is not None:
+        return job.spec == spec
+    return job.fingerprint in (b"", fingerprint(spec))
 
 
 def _reason(text: str) -> bytes:
--- a/flintfield/jobs/model.py
+++ b/flintfield/jobs/model.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from flintfield.jobs.body import JobSpec, StepSpec, longest_chain_ms
+from flintfield.jobs.body import JobSpec, StepSpec, fingerprint, longest_chain_ms
 from flintfield.jobs.states import (
     JOB_CHANGES,
     RUN_CHANGES,
@@ -180,11 +180,8 @@
     shape: Shape = ()  # steps of one shape have the same demand: if one finds no room, none does
 
     def __post_init__(self) -> None:
-        spec = self.spec
-        if spec.anti_affinity or spec.same_rack or spec.gang:
-            self.shape = (id(self),)
-        else:
-            self.shape = (spec.cpu, spec.mem_mb, spec.gpu, spec.needs, spec.affinity)
+        apart = self.spec.anti_affinity or self.spec.same_rack or self.spec.gang
+        self.shape = (id(self),) if apart else self.spec.demand
 
     @property
     def group(self) -> tuple[str, int, int]:
@@ -237,6 +234,7 @@
     accepted_wall_ms: int
     body: bytes
     spec: JobSpec | None  # None once it has ended
+    fingerprint: bytes = b""  # of its body, once it has ended; b"": not known
     state: JobState = JobState.ACCEPTING
     durable_state: JobState = JobState.ACCEPTING  # the durable state, which is shown to clients
     submitted: bool = True
@@ -275,6 +273,8 @@
         self._change(state)
         self.ended_wall_ms = wall_ms
         self.open = {}
+        if self.spec is not None:
+            self.fingerprint = fingerprint(self.spec)
         self.spec = None
         self.body = b""
 
--- a/flintfield/jobs/restore.py
+++ b/flintfield/jobs/restore.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterator, Mapping
 
 from flintfield.jobs import durable
@@ -52,7 +53,8 @@
                 except (MalformedRecord, MalformedJob, ValueError):
                     self.unreadable += 1
         yield
-        self._state.ended = type(self._state.ended)(sorted(self._state.ended, key=lambda entry: entry[0]))
+        self._state.ended = deque(sorted(self._state.ended, key=lambda entry: entry[0]))
+        self._state.marks = deque(sorted(self._state.marks, key=lambda job: job.ended_wall_ms))
         for job in self._state.jobs.values():
             self._resume(job)
             tasks = sum(len(step.tasks) for each in job.open.values() for step in each.steps)
@@ -92,8 +94,12 @@
         job.become_active()
         job.end(JobState(record.state), record.ended_wall_ms)
         job.show_end()
+        job.fingerprint = record.fingerprint
         self._state.jobs[job_id] = job
-        self._state.remember_ended(job)
+        if job.submitted:
+            self._state.remember_ended(job)
+        else:
+            self._state.marks.append(job)
 
     def _occurrences(self, job_id: str, record: durable.OccurrencesRecord) -> None:
         job = self._state.jobs.get(job_id)
--- a/flintfield/jobs/state.py
+++ b/flintfield/jobs/state.py
@@ -34,9 +34,10 @@
 
     accepted: int = 0
     refused: int = 0
-    refused_ids: int = 0  # of `refused`: the ID is in use in another queue, or by runs of a forgotten job
+    refused_ids: int = 0  # of `refused`: the ID is that of another job, or of runs of a forgotten one
     refused_places: int = 0  # of `refused`: the workers get no more runs (`flintfield.jobs.run_tables`)
     malformed: int = 0
+    dropped_marks: int = 0  # of cancelled unknown IDs, for lack of room
     starts: int = 0
     lost_runs: int = 0
     vanished_runs: int = 0
@@ -71,6 +72,7 @@
         self.recorder: Recorder | None = None
         self.jobs: dict[str, Job] = {}
         self.ended: deque[tuple[int, Job]] = deque()  # (cluster time of the end, job), oldest first
+        self.marks: deque[Job] = deque()  # `cancel_marks`: cancelled IDs that no job has, oldest first
         self.pending: Counter[str] = Counter()  # by queue: jobs that have not ended
         self.runs_of_job: Counter[str] = Counter()  # by ID: runs that may exist, also of forgotten jobs
         self.kept_bytes = 0  # upper bound of the store size of the jobs that have not ended
--- a/tests/system/test_jobs_addresses.py
+++ b/tests/system/test_jobs_addresses.py
@@ -6,11 +6,14 @@
 import unittest
 from dataclasses import replace
 
+from flintfield.jobs.bounds import DispatcherBounds
+from flintfield.jobs.cancel_marks import MAX_MARKS
 from flintfield.jobs.dispatcher import Dispatcher
 from flintfield.jobs.durable import EndRecord, JobRecord, TermsRecord, end_key, job_key, task_key
 from flintfield.jobs.durable import RunRecord, TaskRecord
 from flintfield.jobs.events import ConfigurationChanged, ReportArrived
 from flintfield.jobs.messages import Method
+from flintfield.jobs.states import JobState
 from flintfield.transport.records import encode
 
 from .jobs_judge import Judge
@@ -22,6 +25,8 @@
 NESTED = RouteModel("r-nested", "/one/deep/")
 STEP = {"count": 3, "cpu": 500, "memMb": 64, "estimateMs": 300}
 BODY = json.dumps({"spec": "s", "steps": [STEP]}).encode()
+OTHER = json.dumps({"spec": "another", "steps": [STEP]}).encode()
+REWRITTEN = json.dumps({"steps": [dict(reversed(STEP.items()))], "spec": "s"}, indent=1).encode()
 ID = job_id(7)
 
 
@@ -203,6 +208,102 @@
         self.assertEqual(200, self.get(f"/one/{ID}"), "its queue is gone: known by its ID")
 
 
+class OneIdInOneQueue(unittest.TestCase):
+    """Two clients choose the same ID in the same queue."""
+
+    def setUp(self) -> None:
+        self.played = PlayedDispatcher(configuration=ConfigurationModel(1, (ONE, TWO)))
+
+    def submit(self, body: bytes) -> int:
+        """Submit a job under the same ID."""
+        return self.played.call(Method.SUBMIT, f"/one/{ID}", body)
+
+    def cancel(self) -> int:
+        """Cancel the job."""
+        return self.played.call(Method.CANCEL, f"/one/{ID}")
+
+    def assert_told_apart(self) -> None:
+        """The same job is answered as before, another one refused."""
+        items = dict(self.played.items)
+        refused = self.played.dispatcher.counters.refused_ids
+        self.assertEqual([200, 200], [self.submit(BODY), self.submit(REWRITTEN)])
+        self.assertEqual([429, 400], [self.submit(OTHER), self.submit(b"")])
+        self.assertEqual(refused + 1, self.played.dispatcher.counters.refused_ids)
+        self.assertEqual(items, self.played.items)
+
+    def test_another_job_under_the_id_of_one_is_refused(self) -> None:
+        # Guards against MIXED: the second client was answered 200, and its tasks never ran.
+        self.assertEqual(200, self.submit(BODY))
+        self.assert_told_apart()
+        self.played.elect(4)
+        self.assert_told_apart()
+
+    def test_also_once_that_has_ended(self) -> None:
+        self.submit(BODY)
+        self.assertEqual(200, self.cancel())
+        self.assert_told_apart()
+        self.played.elect(4)
+        self.assert_told_apart()
+
+    def test_also_where_it_was_cancelled_before_it_was_submitted(self) -> None:
+        self.assertEqual(410, self.cancel())
+        self.assertEqual(200, self.submit(BODY))
+        self.assert_told_apart()
+        self.played.elect(4)
+        self.assert_told_apart()
+
+    def test_ends_that_a_former_release_wrote_do_not_tell(self) -> None:
+        record = EndRecord(int(JobState.COMPLETED), WALL_0, True, "r-one", f"{HOST}/one/")
+        self.played.items[end_key(ID)] = encode(record)
+        self.played.elect(4)
+        self.assertEqual([200, 200], [self.submit(BODY), self.submit(OTHER)])
+
+
+class CancelMarks(unittest.TestCase):
+    """Cancels of IDs that nobody has submitted."""
+
+    def setUp(self) -> None:
+        self.played = PlayedDispatcher(configuration=ConfigurationModel(1, (ONE, TWO)))
+
+    def cancel(self, *numbers: int) -> None:
+        """Cancel unknown IDs."""
+        for number in numbers:
+            self.assertEqual(410, self.played.call(Method.CANCEL, f"/one/{job_id(number)}"))
+
+    def submit(self, number: int) -> int:
+        """Submit a job."""
+        return self.played.call(Method.SUBMIT, f"/one/{job_id(number)}", BODY)
+
+    def state_of(self, number: int) -> bytes:
+        """The state of a job as shown."""
+        self.assertEqual(200, self.played.call(Method.STATUS, f"/one/{job_id(number)}"))
+        return self.played.answers[self.played.calls].body
+
+    def test_any_number_of_them_leaves_room_for_jobs(self) -> None:
+        # Guards against LOST: 20,000 cancels of unknown IDs had every job refused for 180 s.
+        self.cancel(*range(MAX_MARKS + 500))
+        self.assertEqual(MAX_MARKS, len(self.played.items))
+        self.assertEqual(500, self.played.dispatcher.counters.dropped_marks)
+        for number in (MAX_MARKS + 499, 500):
+            self.assertEqual(200, self.submit(number))
+            self.assertEqual(b'{"state":"cancelled"}', self.state_of(number))
+        self.played.elect(4)
+        self.cancel(*range(100_000, 100_010))
+        self.assertEqual(200, self.submit(510 + 2))
+        self.assertEqual(b'{"state":"cancelled"}', self.state_of(512), "the oldest were dropped")
+        self.assertEqual(200, self.submit(501))
+        self.assertEqual(b'{"state":"queued"}', self.state_of(501))
+
+    def test_they_are_dropped_after_a_while(self) -> None:
+        self.cancel(1, 2)
+        self.submit(2)
+        self.played.tick(DispatcherBounds().keep_ended_ms - 1_000)
+        self.cancel(3)
+        self.played.tick(2_000)
+        self.assertEqual({end_key(job_id(3))}, set(self.played.items))
+        self.assertEqual({job_id(3)}, set(self.played.dispatcher.state.jobs))
+
+
 class OneIdInTwoQueues(unittest.TestCase):
     """The same with workers."""
 
--- a/tests/system/test_jobs_long_turns.py
+++ b/tests/system/test_jobs_long_turns.py
@@ -12,7 +12,7 @@
 from flintfield.jobs.body import MAX_GANG
 from flintfield.jobs.durable import JobRecord, RunRecord, TaskRecord, TermsRecord, job_key, task_key
 from flintfield.jobs.events import ConfigurationChanged, ReportArrived
-from flintfield.jobs.intake import JOBS_JOINED_AT_ONCE
+from flintfield.jobs.reconfiguration import JOBS_JOINED_AT_ONCE
 from flintfield.jobs.messages import AgentReport, End, Method, OrderResult, Outcome, RunResult
 from flintfield.jobs.state import MAX_BATCH_BYTES
 from flintfield.transport.frames import MAX_FRAME_BYTES
