An answer that lists too many runs extends the hold all the same

An agent took an answer with more than 4,096 runs for none. After some seconds without an answer the dispatcher grants nothing more, and all runs there lapse. Found by reading each list at its bound.

Change: the hold and the ends count, only the list of runs isn't taken, and another one is asked for, as where ends were left out. Test: read as AnswerKind.NONE before.

--- a/flintfield/agent/answers.py
+++ b/flintfield/agent/answers.py
@@ -8,7 +8,7 @@
 from flintfield.agent.events import Answer, AnswerKind, Hold, RunStart, RunStop, WorkerRequest
 from flintfield.jobs.messages import End, Run, RunResult
 
-MAX_RUNNING = 4_096  # more than the dispatcher places on one worker, with a gang of the largest size
+MAX_RUNNING = 4_096  # more than the dispatcher places on one worker; a former release had no bound
 
 _REASONS = {
     "fence": AnswerKind.FENCE,
@@ -68,8 +68,8 @@
         finished = tuple(_end(item) for item in fields["finished"])
     except (KeyError, TypeError, ValueError):
         return Answer(AnswerKind.NONE)
-    if len(running) > MAX_RUNNING:
-        return Answer(AnswerKind.NONE)
+    if len(running) > MAX_RUNNING:  # the hold was extended and the ends count; only the list is not taken
+        return Answer(AnswerKind.OK, clock_ms, (), finished, too_many_runs=True)
     return Answer(AnswerKind.OK, clock_ms, running, finished)
 
 
--- a/flintfield/agent/events.py
+++ b/flintfield/agent/events.py
@@ -28,12 +28,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """The outcome of a call; `clock_ms` is the worker's clock, the lists are those of a hold answered OK."""
+    """The outcome of a call; `clock_ms` is the worker's clock, the lists are those of a hold answered OK.
+
+    `too_many_runs`: the worker listed more runs than are taken in, so that `running` is empty.
+    """
 
     kind: AnswerKind
     clock_ms: int | None = None
     running: tuple[Run, ...] = ()
     finished: tuple[End, ...] = ()
+    too_many_runs: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/flintfield/agent/incarnation.py
+++ b/flintfield/agent/incarnation.py
@@ -232,7 +232,7 @@
         news = False
         incomplete = self.listing.incomplete
         if answer.kind is AnswerKind.OK:
-            news = self.listing.take(flight.sent_ms, answer.running, answer.finished)
+            news = self._take_lists(flight.sent_ms, answer)
         fenced = self.holds.fenced
         self.holds.answered(now, call, answer, news)
         if self.listing.incomplete > incomplete:
@@ -245,6 +245,9 @@
             return True
         return news or self.holds.fenced != fenced
 
+    def _take_lists(self, sent_ms: int, answer: Answer) -> bool:
+        return self.listing.take(sent_ms, answer.running, answer.finished, answer.too_many_runs)
+
     def _may_be_repeated(self, orders: AgentOrders) -> bool:
         """Whether the agent's last life may have sent these starts: the dispatcher repeats them once it has
         heard from the new life, and no later than their hold can last."""
--- a/flintfield/agent/listing.py
+++ b/flintfield/agent/listing.py
@@ -31,13 +31,20 @@
         self._ends: dict[int, End] = {}
         self._forgotten_runs: dict[tuple[str, int], None] = {}  # the newest; an older answer may list them
 
-    def take(self, sent_ms: int, running: tuple[Run, ...], finished: tuple[End, ...]) -> bool:
+    def take(
+        self,
+        sent_ms: int,
+        running: tuple[Run, ...],
+        finished: tuple[End, ...],
+        too_many_runs: bool = False,
+    ) -> bool:
         """Take in an answer; True where an end is new, or a run is no longer listed."""
         before = self._running_keys
         first = self.stamp_ms == NEVER
         overflowed = self.overflowed
         new_ends = self._take_ends(finished)
-        complete = len(finished) < ENDS_IN_FULL_ANSWER and self.overflowed == overflowed
+        all_ends = len(finished) < ENDS_IN_FULL_ANSWER and self.overflowed == overflowed
+        complete = all_ends and not too_many_runs
         if not complete:
             self.incomplete += 1
         elif sent_ms > self.stamp_ms:
--- a/tests/system/test_agent_parts.py
+++ b/tests/system/test_agent_parts.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import json
 import random
 import unittest
 
 from hypothesis import given, strategies
 
-from flintfield.agent.answers import MAX_RUNNING
+from flintfield.agent.answers import MAX_RUNNING, read_answer
 from flintfield.agent.clock import WorkerClock
 from flintfield.agent.events import Answer, AnswerKind, Event, LinkOpened, RunStop, WorkerAnswered
 from flintfield.agent.listing import MAX_ENDS, NEVER, Listing
@@ -172,6 +173,24 @@
         listing.take(20, (Run(TASK, 1, "", 99), Run(OTHER_TASK, 1, "", 5)), ())
         self.assertEqual((Run(OTHER_TASK, 1, "", 5),), listing.running)
 
+    def test_an_answer_with_too_many_runs_counts_but_for_its_list(self) -> None:
+        # Guards against LOST after an upgrade: it counted as no answer, so that all runs there lapsed.
+        ended = [7, OTHER_TASK, 1, "done", ""]
+        for count, too_many in ((MAX_RUNNING, False), (MAX_RUNNING + 1, True)):
+            running = [[f"{number:016x}.0.0.0", 1, "", 5] for number in range(count)]
+            body = json.dumps({"clockMs": 9, "running": running, "finished": [ended]}).encode()
+            answer = read_answer(200, body, is_hold=True)
+            self.assertEqual(
+                (AnswerKind.OK, 9, too_many), (answer.kind, answer.clock_ms, answer.too_many_runs)
+            )
+            listing = Listing()
+            listing.take(10, (Run(TASK, 1, "", 5),), ())
+            listing.take(20, answer.running, answer.finished, answer.too_many_runs)
+            self.assertEqual(10 if too_many else 20, listing.stamp_ms)
+            self.assertEqual(too_many, listing.shows(TASK, 1))
+            self.assertEqual([7], [end.number for end in listing.finished()])
+            self.assertEqual(too_many, listing.incomplete == 1, "another list is asked for")
+
     def test_nor_where_thousands_of_ends_were_forgotten(self) -> None:
         # They would count as strays, and nothing would be placed on the worker until its next list.
         listing = Listing()
