--- a/flintfield/jobs/ends.py
+++ b/flintfield/jobs/ends.py
@@ -11,6 +11,7 @@
 
 from flintfield.jobs import durable
 from flintfield.jobs.model import Job, Occurrence, Run, Step, Task
+from flintfield.jobs.occurrences import release_occurrence
 from flintfield.jobs.readiness import Readiness
 from flintfield.jobs.recorder import JobEvent
 from flintfield.jobs.run_tables import uncount_job
@@ -188,6 +189,7 @@
         occurrence.finished = True
         for step in occurrence.steps:
             self._forget_tasks(step)
+        release_occurrence(occurrence)
         self._readiness.occurrence_done(occurrence)
         if job.spec is not None and job.done_below >= job.spec.occurrences:
             self.finish_job(job, JobState.COMPLETED)
--- a/flintfield/jobs/model.py
+++ b/flintfield/jobs/model.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from flintfield.jobs.body import JobSpec, StepSpec, fingerprint, longest_chain_ms
@@ -249,7 +248,6 @@
     done_below: int = 0
     done_above: set[int] = field(default_factory=set)
     ended_wall_ms: int = 0
-    accepted: list[Callable[[], None]] = field(default_factory=list)  # to be called once it is durable
     history: object | None = None  # the recorder's entries about it, dropped with the job
     times: object | None = None  # its phase times, kept for the newest jobs (`flintfield.jobs.timing`)
 
--- a/flintfield/jobs/occurrences.py
+++ b/flintfield/jobs/occurrences.py
@@ -22,6 +22,13 @@
     return occurrence
 
 
+def release_occurrence(occurrence: Occurrence) -> None:
+    """Once all is done: refer to steps and tasks no more, so that no collection is needed to free them."""
+    for step in occurrence.steps:
+        step.tasks = []
+    occurrence.steps = []
+
+
 def gang_is_complete(step: Step, number: int) -> bool:
     """Whether every gang member has this run, or the step is done; True for a step that is not a gang."""
     if not step.spec.gang or step.left == 0:
--- a/flintfield/jobs/readiness.py
+++ b/flintfield/jobs/readiness.py
@@ -22,6 +22,7 @@
 
 MAX_OPEN_OCCURRENCES = 256  # per job; later occurrences wait until earlier ones are done
 MAX_TASKS_OPENED = 4_000  # per tick, beyond its first occurrence, so that a tick is processed quickly
+STEP_WORK = 4  # opening a step takes as long as opening so many tasks
 MAX_HELD_TRIED = 64  # per tick: jobs whose next occurrence is due and has no room yet
 DEFAULT_ESTIMATE_MS = 1_000  # if the client gives no estimate
 
@@ -83,7 +84,7 @@
             opened += self._open_next(heapq.heappop(self._due)[2])
 
     def _open_next(self, job: Job) -> int:
-        """Open the job's next occurrence, which is due, or hold it until there is room; returns its tasks."""
+        """Open the job's next occurrence, which is due, or hold it until there is room; returns the work."""
         spec = job.spec
         if spec is None or job.state is not JobState.ACTIVE:
             return 0
@@ -94,7 +95,7 @@
         self.open(job, job.next_occurrence)
         self._reserve(job, spec, before)
         self._schedule(job)
-        return spec.tasks
+        return spec.tasks + len(spec.steps) * STEP_WORK
 
     def _has_room(self, job: Job, spec: JobSpec) -> bool:
         """Whether one more occurrence may be open; those that were counted at admission always may."""
