Soak: 20 jobs with 200 overlapping times of one small task

Trials found calls without an answer where many timed jobs overlap; the soak had one such job, which no worker takes.

--- a/flintfield/soak/play.py
+++ b/flintfield/soak/play.py
@@ -17,6 +17,8 @@
 from flintfield.soak.rare_clients import (
     CancellingClient,
     CrowdClient,
+    LARGE_TIMES,
+    MANY_TIMES,
     OverlappingTimesClient,
     SharedIdClient,
 )
@@ -62,10 +64,13 @@
         schedulers = self._cluster.schedulers
         clients = CLIENTS_A_SCHEDULER * len(schedulers)
         self._clients = [JobClient(schedulers, self._record, self._draw()) for _ in range(clients)]
-        self._overlapping = OverlappingTimesClient(schedulers, self._record, self._draw())
+        self._timed = [
+            OverlappingTimesClient(schedulers, self._record, self._draw(), jobs)
+            for jobs in (LARGE_TIMES, MANY_TIMES)
+        ]
         self._special_workers = size.agents // 2
         crowd = CrowdClient(schedulers, self._record, self._draw(), self._special_workers)
-        self._rare = (SharedIdClient(schedulers, self._record, self._draw()), crowd, self._overlapping)
+        self._rare = (SharedIdClient(schedulers, self._record, self._draw()), crowd, *self._timed)
         self._operators = [OperatorClient(schedulers, self._record, self._draw()) for _ in range(OPERATORS)]
 
     @property
@@ -122,7 +127,7 @@
     # The end: everything is to come to rest.
 
     async def _settle(self) -> None:
-        await self._overlapping.cancel_job()
+        await asyncio.gather(*(client.cancel_jobs() for client in self._timed))
         for caller in self._callers:
             caller.close()
         schedulers = self._cluster.schedulers
--- a/flintfield/soak/rare_clients.py
+++ b/flintfield/soak/rare_clients.py
@@ -7,6 +7,7 @@
 import random
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from http import HTTPStatus
 
 from flintfield.console.local.calls import PREFIX
@@ -25,10 +26,29 @@
 CALM_S = 3.0  # `contactMs`
 WATCHED_S = 4.0  # above `cancel_ms` and `stop_ms`
 CANCEL_S = 20.0
-TIMES, TASKS = 256, 4_000  # a million tasks, all due within a quarter of a second
 NOBODY = "nobody"  # a label that no worker has: the tasks take no room from other jobs
 
 
+@dataclass(frozen=True, slots=True)
+class TimedJobs:
+    """Jobs with many times, 1 ms apart."""
+
+    count: int
+    times: int
+    spec: str
+    step: dict[str, object]
+
+
+# A million tasks in one job, and many jobs whose tasks keep workers and dispatcher busy for some seconds.
+LARGE_TIMES = TimedJobs(
+    1,
+    256,
+    "work_ms=100",
+    {"count": 4_000, "cpu": 100, "memMb": 16, "estimateMs": 1, "constraints": NOBODY},
+)
+MANY_TIMES = TimedJobs(20, 200, "work_ms=100", {"count": 1, "cpu": 5, "memMb": 1, "estimateMs": 100})
+
+
 class SharedIdClient(FrontCaller):
     """Hands in jobs whose IDs are those of accepted jobs of another queue, and asks for them."""
 
@@ -110,29 +130,30 @@
 
 
 class OverlappingTimesClient(FrontCaller):
-    """Hands in one job with many large times that are due at once; it lives until the end of the run."""
+    """Hands in jobs whose times are due at once; they live until the end of the run."""
 
-    def __init__(self, machines: list[Machine], record: Record, rng: random.Random) -> None:
+    def __init__(self, machines: list[Machine], record: Record, rng: random.Random, jobs: TimedJobs) -> None:
         super().__init__(machines, record, rng)
-        self._path = f"{PREFIX}{rng.getrandbits(64):016x}"
+        times = {"repeatCount": jobs.times, "intervalMs": 1, "firstRunMs": int(time.time() * 1_000)}
+        self._body = json.dumps({"spec": jobs.spec, "steps": [jobs.step], **times}).encode()
+        self._paths = [f"{PREFIX}{rng.getrandbits(64):016x}" for _ in range(jobs.count)]
 
     async def run(self) -> None:
-        """Call until the job is taken."""
-        step = {"count": TASKS, "cpu": 100, "memMb": 16, "estimateMs": 1, "constraints": NOBODY}
-        times = {"repeatCount": TIMES, "intervalMs": 1, "firstRunMs": int(time.time() * 1_000)}
-        body = json.dumps({"spec": "work_ms=100", "steps": [step], **times}).encode()
-        while True:
-            answer = await self._send("POST", self._path, body)
-            if answer is not None and answer.status == HTTPStatus.OK:
-                return
-            await asyncio.sleep(self._rng.uniform(*PAUSE_S))
+        """Call until the jobs are taken."""
+        for path in self._paths:
+            while not await self._is_settled("POST", path, (HTTPStatus.OK,)):
+                await asyncio.sleep(self._rng.uniform(*PAUSE_S))
 
-    async def cancel_job(self) -> None:
-        """Cancel the job; a cancel that does not get through is noted as not settled."""
+    async def cancel_jobs(self) -> None:
+        """Cancel the jobs; cancels that don't get through are noted as not settled."""
         deadline_s = time.monotonic() + CANCEL_S
-        while time.monotonic() < deadline_s:
-            answer = await self._send("DELETE", self._path, b"")
-            if answer is not None and answer.status in (HTTPStatus.OK, HTTPStatus.GONE):
-                return
-            await asyncio.sleep(self._rng.uniform(*PAUSE_S))
-        self._record.unsettled.append("the job with overlapping times could not be cancelled")
+        for path in self._paths:
+            while not await self._is_settled("DELETE", path, (HTTPStatus.OK, HTTPStatus.GONE)):
+                if time.monotonic() > deadline_s:
+                    self._record.unsettled.append("jobs with overlapping times could not be cancelled")
+                    return
+                await asyncio.sleep(self._rng.uniform(*PAUSE_S))
+
+    async def _is_settled(self, method: str, path: str, statuses: tuple[HTTPStatus, ...]) -> bool:
+        answer = await self._send(method, path, self._body if method == "POST" else b"")
+        return answer is not None and answer.status in statuses
