A late refusal from the agent's life before frees no run (TWICE)

Read, and shown by a test: an agent dies after it has reported that it refused a start; its next life connects, is sent the start again and may carry it out. If the dispatcher reads the old connection after the new one (both are readable after it stood still for a moment), the refusal counted as 'nothing was done', and the task was ordered as run 2 while run 1 ran.

Cause: the dispatcher takes the life of the newest report for the present one, and an order remembered the life to which it was sent first. Ruled out: listings, ends, lapses and holds of such a report (each is bound by its stamp). Change: once another life reports, no open order's refusal tells that nothing was done; the run is stopped first, as where one was in doubt before. Test: run 2 was ordered before. Messages are unchanged.

--- a/flintfield/jobs/runs.py
+++ b/flintfield/jobs/runs.py
@@ -18,12 +18,11 @@
 from flintfield.jobs.state import DispatcherState
 from flintfield.jobs.states import JobState, RunState, TaskState
 from flintfield.jobs.timing import Phase
-from flintfield.jobs.worker_record import PendingOrder, WorkerRecord
+from flintfield.jobs.worker_record import NO_BOOT, PendingOrder, WorkerRecord
 from flintfield.placement.interface import Demand, Worker
 
 
 MAX_STOPPED_AT_ONCE = 2_000  # when a job ends; the next tick goes on
-NO_BOOT = -1  # no boot: earlier orders for the same run may still be unanswered
 
 
 class Ending(enum.Enum):
--- a/flintfield/jobs/worker_record.py
+++ b/flintfield/jobs/worker_record.py
@@ -11,6 +11,7 @@
 from flintfield.placement.interface import Resources, Worker
 
 
+NO_BOOT = -1  # no boot: several tries, or several lives of the agent, may have carried the order out
 MAX_UNANSWERED = 256  # orders on their way to one agent; the others wait until some are answered
 
 
@@ -92,6 +93,15 @@
         self.unsent_stops.pop(number, None)
         return self.orders.pop(number, None)
 
+    def agent_restarted(self, boot: int) -> None:
+        """Another life of the agent reports: what was ordered before may be carried out by either of them.
+
+        A refusal that comes late, from the life before, no longer tells that nothing was done.
+        """
+        self.boot = boot
+        for pending in self.orders.values():
+            pending.boot = NO_BOOT
+
     def connection_lost(self) -> None:
         """What was under way may be lost; everything is sent again on the next connection."""
         self.unsent_starts.clear()
--- a/flintfield/jobs/workers.py
+++ b/flintfield/jobs/workers.py
@@ -111,7 +111,7 @@
     def _note_agent_process(self, record: WorkerRecord, report: AgentReport) -> bool:
         """Record the agent's boot; returns whether a restart or reconnect requires orders to be repeated."""
         if not record.known or record.boot != report.boot:
-            record.boot = report.boot
+            record.agent_restarted(report.boot)
             record.fence_stamp = None
             record.listing_stamp = -1
             record.no_ends_stamp = None
--- a/tests/system/test_jobs_listings.py
+++ b/tests/system/test_jobs_listings.py
@@ -151,6 +151,18 @@
         self.send(report(200), boot=8, results=self.answered(Outcome.ROOM, 190))
         self.assertEqual([stop.run for stop in self.stops], [1])
 
+    def test_a_late_refusal_by_the_life_before_a_restart_of_the_agent_stops_the_run_first(self) -> None:
+        # Guards against TWICE: the agent's present life has been sent the start as well, and may have run it.
+        self.handle(AgentLost("m-1"))
+        self.send(report(300), boot=8)
+        self.assertEqual(self.started(), [1, 1])
+        self.send(report(100), results=self.answered(Outcome.BUSY, 90))  # of the life before
+        self.send(report(400), boot=8, listing_stamp=-1)
+        self.wait(2_000)
+        self.handle(Tick(WALL_0))
+        self.assertNotIn(2, self.started())
+        self.assertEqual([stop.run for stop in self.stops][:1], [1])
+
     def test_another_incarnation_frees_all_runs_of_the_earlier_one(self) -> None:
         template = report(100)
         assert template.worker is not None
