A job whose prefix ends in a hex digit is found after its queue was removed (LOST)

The table of jobs is asked as well now. Ruled out: a change of the ingress, which passes paths of unknown queues on. Not covered: another, shorter prefix that matches the path, where the ingress answers 400. Test: 404 before.

--- a/flintfield/jobs/intake.py
+++ b/flintfield/jobs/intake.py
@@ -73,6 +73,14 @@
             return None
         return job
 
+    def _names_an_id(self, request: JobCall, route: Route | None) -> bool:
+        """Whether the path ends in an ID: by its form, or as a job was accepted there."""
+        if names_an_id(request, route):
+            return True
+        address = address_of(request)
+        job = self._state.jobs.get(address.job_id)
+        return job is not None and job.address == address.queue
+
     def _find_route(self, request: JobCall) -> Route | None:
         configuration = self._state.configuration
         return configuration.find_route(request.host, request.path) if configuration is not None else None
@@ -190,7 +198,7 @@
 
     def _ask(self, call: int, request: JobCall) -> None:
         route = self._find_route(request)
-        if names_an_id(request, route):
+        if self._names_an_id(request, route):
             self._status(call, self._find(address_of(request), route))
         else:
             self._count(call, request, route)
@@ -227,7 +235,7 @@
     def _cancel(self, call: int, request: JobCall) -> None:
         state = self._state
         route = self._find_route(request)
-        if not names_an_id(request, route):
+        if not self._names_an_id(request, route):
             self._answer(call, 400, _reason("a job's id is 16 hex digits"))
             return
         address = address_of(request)
--- a/tests/system/test_jobs_addresses.py
+++ b/tests/system/test_jobs_addresses.py
@@ -153,6 +153,17 @@
             self.assertEqual(1, self.pending("/one/"))
             self.assertEqual(2, self.dispatcher.state.jobs[ID].terms.priority)
 
+    def test_a_job_is_found_where_nothing_parts_its_id_from_the_prefix(self) -> None:
+        # Guards against LOST: with its queue removed, the end of such a path was taken for no ID.
+        face = RouteModel("r-face", "/face")
+        self.configure(ONE, face)
+        self.assertEqual(200, self.submit(f"/face{ID}"))
+        self.configure(ONE)
+        self.assertEqual(200, self.get(f"/face{ID}"))
+        self.elect()
+        self.assertEqual(200, self.cancel(f"/face{ID}"))
+        self.assertEqual(b'{"state":"cancelled"}', self.state(f"/face{ID}"))
+
     def test_queues_that_are_nested_share_no_job(self) -> None:
         self.configure(ONE, NESTED)
         self.assertEqual(200, self.submit(f"/one/deep/{ID}"))
