Free all runs of a replaced worker, also where a gang's member closed another (LOST)

Cause: runs of a replaced worker are resolved from a copied list; the end of one member of a gang closes another that was being placed, and the loop raised at it after the worker was removed. Ruled out: the other loops over runs, which skip closed ones. Change: so does this one.

--- a/flintfield/jobs/workers.py
+++ b/flintfield/jobs/workers.py
@@ -210,8 +210,9 @@
         state.placeable.pop(record.instance, None)
         state.service(record.worker.service).progress.pop(record.instance, None)
         for run in list(record.runs.values()):
-            state.counters.lost_runs += 1
-            self._ends.resolve(run, Ending.LOST, "")
+            if run.state is not RunState.CLOSED:  # the end of another member of its gang may have closed it
+                state.counters.lost_runs += 1
+                self._ends.resolve(run, Ending.LOST, "")
         record.runs.clear()
         state.placement.forget(record.instance)
 
--- a/tests/system/test_jobs_listings.py
+++ b/tests/system/test_jobs_listings.py
@@ -232,5 +232,29 @@
         self.assertEqual(self.started(), [1])
 
 
+class GangsOfAnEarlierIncarnation(unittest.TestCase):
+    """A worker is replaced while members of a gang are placed there, and the placement is not durable."""
+
+    def test_all_runs_of_the_earlier_one_are_freed(self) -> None:
+        # Guards against LOST: the end of one member closed the next one, and an exception left others behind.
+        played = PlayedDispatcher(EPOCH)
+        gang = {"count": 3, "cpu": 10, "estimateMs": 500, "gang": True}
+        played.call(Method.SUBMIT, "/a/" + job_id(1), body(gang))
+        played.call(Method.SUBMIT, "/a/" + job_id(2), body({"count": 2, "cpu": 10, "estimateMs": 500}))
+        played.writes_are_durable = False
+        played.now += 10
+        template = report(100)
+        assert template.worker is not None
+        played.handle(ReportArrived(template))
+        self.assertEqual(5, len(played.dispatcher.state.workers["i-1"].runs))
+        replaced = replace(template, worker=replace(template.worker, instance="i-2"), listing_stamp=-1)
+        played.handle(ReportArrived(replaced))
+        self.assertEqual({"i-2"}, set(played.dispatcher.state.workers))
+        played.release_writes()
+        played.writes_are_durable = True
+        played.tick(300)
+        self.assertEqual(5, len({start.task for start in played.starts}))
+
+
 if __name__ == "__main__":
     unittest.main()
