Drop marks that a former release wrote beyond the bound

After an upgrade in place up to 20,000 marks of cancelled IDs would have taken the places of jobs for 180 s more, unless further cancels came. Change: ticks drop those beyond 4,000, at most 1,000 each. Test: restored marks beyond the bound. Ruled out: dropping them while restoring (one turn).

--- a/flintfield/jobs/cancel_marks.py
+++ b/flintfield/jobs/cancel_marks.py
@@ -24,7 +24,7 @@
     if len(state.jobs) >= state.bounds.max_jobs:
         state.counters.dropped_marks += 1
         return
-    while len(state.marks) >= MAX_MARKS:
+    if len(state.marks) >= MAX_MARKS:
         _drop_oldest(state)
     terms = Terms("", 0, 1, 1.0, 0)
     job = Job(address.job_id, "", terms, state.wall_ms, b"", None, submitted=False, address=address.queue)
@@ -36,11 +36,16 @@
 
 
 def forget_marks(state: DispatcherState, most: int) -> None:
-    """Drop marks that were kept for long enough, at most this many."""
+    """Drop marks that were kept for long enough, or that a former release wrote beyond the bound."""
     for _ in range(most):
-        if not state.marks or state.wall_ms - state.marks[0].ended_wall_ms <= state.bounds.keep_ended_ms:
+        if not state.marks:
+            return
+        if state.wall_ms - state.marks[0].ended_wall_ms > state.bounds.keep_ended_ms:
+            _remove(state, state.marks.popleft())
+        elif len(state.marks) > MAX_MARKS:
+            _drop_oldest(state)
+        else:
             return
-        _remove(state, state.marks.popleft())
 
 
 def _drop_oldest(state: DispatcherState) -> None:
--- a/tests/system/test_jobs_addresses.py
+++ b/tests/system/test_jobs_addresses.py
@@ -305,6 +305,15 @@
         self.assertEqual(200, self.submit(501))
         self.assertEqual(b'{"state":"queued"}', self.state_of(501))
 
+    def test_those_that_a_former_release_wrote_beyond_the_bound_are_dropped(self) -> None:
+        for number in range(MAX_MARKS + 1_500):
+            record = EndRecord(int(JobState.CANCELLED), WALL_0 + number, False, "", f"{HOST}/one/")
+            self.played.items[end_key(job_id(number))] = encode(record)
+        self.played.elect(4)
+        self.played.tick(50)
+        self.assertEqual(MAX_MARKS, len(self.played.items))
+        self.assertNotIn(end_key(job_id(1_499)), self.played.items)
+
     def test_they_are_dropped_after_a_while(self) -> None:
         self.cancel(1, 2)
         self.submit(2)
