--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -439,6 +439,7 @@
         self.id = f"i-{random.getrandbits(32):08x}"
         self.state = "ready"
         self.ended = False
+        self.lapses_s: list[float] = []  # moments at which nothing held the runs here
         self.running: dict[str, Run] = {}
         self.ends: list[list[Any]] = []  # [N, task, run, how, saved], not yet forgotten
         self.events: list[tuple[float, str, str, int]] = []  # seconds, what, task, run
@@ -458,6 +459,10 @@
         """Its steady clock, in ms."""
         return int((time.monotonic() - self._zero) * 1000)
 
+    def lapsed_before(self, at_s: float) -> float:
+        """The newest moment up to then at which nothing held the runs here; 0 where there was none."""
+        return max((moment_s for moment_s in self.lapses_s if moment_s <= at_s), default=0.0)
+
     def _note(self, what: str, task: str, run: int, more: str = "") -> None:
         self.events.append((self.lab.record.now(), what, task, run))
         self.lab.record.note(f"{self.name}: {what} {task} run {run} {more}".rstrip())
@@ -503,6 +508,8 @@
         """Let runs end, and the hold lapse."""
         while True:
             now = self.clock()
+            if now >= self._hold_ms:
+                self.lapses_s.append(self.lab.record.now())
             for run in tuple(self.running.values()):
                 if now >= run.began_ms + run.work_ms:
                     self._end(run, run.how)
