--- a/flintfield/agent/core.py
+++ b/flintfield/agent/core.py
@@ -29,6 +29,7 @@
 from flintfield.agent.incarnation import Incarnation, Planned
 from flintfield.agent.incarnations import Incarnations
 from flintfield.agent.limits import AgentLimits
+from flintfield.agent.listing import NEVER
 from flintfield.agent.reports import ReportedListing, ReportSchedule, make_report
 from flintfield.jobs.messages import AgentOrders, AgentReport, OrderResult, Outcome
 
@@ -116,12 +117,13 @@
             self._raise_epoch(orders.epoch)
         if not orders.instance:
             return
-        incarnation = self.incarnations.addressee(orders.instance)
+        incarnation = self.incarnations.addressee(now, orders.instance)
         if incarnation is None:
             self._answer_for_absent(now, orders)
             return
         self._extend(now, incarnation, orders)
         incarnation.take_orders(now, orders, Outcome.BUSY if self.stopping else None)
+        self._news_if(now, self.incarnations.succeed(now))
 
     def _raise_epoch(self, epoch: int) -> None:
         self.epoch = epoch
@@ -205,6 +207,6 @@
         report = make_report(
             now, self.machine, self.boot, self._start_ms, self.present, results, with_listing
         )
-        if self.present is not None and report.worker is not None and with_listing:
+        if self.present is not None and report.listing_stamp != NEVER:
             self._reported_listing.reported(now, self.present)
         return report
--- a/flintfield/agent/incarnation.py
+++ b/flintfield/agent/incarnation.py
@@ -1,4 +1,10 @@
-"""One incarnation of the worker beside the agent: all that is known of it and wanted of it."""
+"""One incarnation of the worker beside the agent: all that is known of it and wanted of it.
+
+A worker that deregisters may serve on for many seconds. It takes no more starts, but it is called and
+reported for as long as it may hold runs, or ends that are not acknowledged. That is over once it lists
+neither, another incarnation answers in its place, or its last hold has certainly expired; no time is assumed
+for it.
+"""
 
 from __future__ import annotations
 
@@ -24,9 +30,7 @@
 from flintfield.jobs.messages import AgentOrders, Outcome, StartOrder, StopOrder, WorkerState
 
 CONFIRMING_BEATS_MS = 300  # two heartbeats this far apart confirm an incarnation that does not answer
-FAREWELL_MS = 2_000  # how long a deregistered worker is still reported if its last ends are not acknowledged
 LATE_BEAT_MS = 500  # a later heartbeat comes no sooner, except at the beginning of draining
-ENDED_MS = 5_000  # a deregistered worker is called no more: it ends in the next seconds
 
 
 class Standing(enum.Enum):
@@ -34,7 +38,7 @@
 
     UNCONFIRMED = "unconfirmed"  # named by a heartbeat or the dispatcher, which may both be late
     PRESENT = "present"  # it has answered, or goes on sending heartbeats
-    DEREGISTERED = "deregistered"  # it has said that it ends
+    DEREGISTERED = "deregistered"  # it has said that it ends, and may serve on until then
     REPLACED = "replaced"  # another one has answered in its place: it runs nothing any more
 
 
@@ -74,7 +78,10 @@
         self._beats = 0
         self._beat_offset: float | None = None  # of the clock that the newest heartbeat told
         self._first_beat_ms: int | None = None
-        self._left_ms = 0
+        self._deregistered = False
+        self._orders_settled_ms = 0  # a listing requested from then on shows the whole effect of all orders
+        self._start_in_doubt = False  # one may be carried out as long as a hold lasts
+        self._told_last_seen = 0  # as of the last answer to a hold call
 
     def take_heartbeat(self, now: int, beat: Heartbeat) -> bool:
         """Take in a heartbeat; True where it tells something that the dispatcher waits for."""
@@ -97,14 +104,20 @@
 
     def set_standing(self, now: int, standing: Standing) -> None:
         """The one place where the standing changes; nothing leads back from `REPLACED`."""
+        if standing is Standing.PRESENT and self._deregistered:
+            standing = Standing.DEREGISTERED
         if self.standing is standing or self.standing is Standing.REPLACED:
             return
         self.standing = standing
         if standing is Standing.REPLACED:
             self.book.gone(now)
-        elif standing is Standing.DEREGISTERED:
-            self._left_ms = now
-            self.book.refuse_starts(now, Outcome.DRAINING)
+
+    def deregister(self, now: int) -> None:
+        """The worker has said that it ends: it takes no more starts."""
+        self._deregistered = True
+        self.book.refuse_starts(now, Outcome.DRAINING)
+        if self.standing is Standing.PRESENT:
+            self.set_standing(now, Standing.DEREGISTERED)
 
     def new_epoch(self) -> None:
         """Another dispatcher acts."""
@@ -130,9 +143,11 @@
         """Why no start may be sent at this moment, if so."""
         if self.standing is Standing.REPLACED:
             return Outcome.GONE
+        if self._deregistered:
+            return Outcome.DRAINING
         if self.state is None or not self._beats_are_timely():
             return Outcome.BUSY
-        if self.state.draining or self.standing is Standing.DEREGISTERED:
+        if self.state.draining:
             return Outcome.DRAINING
         if self.grant.limit_ms - now < MIN_HOLD_LEFT_MS:
             return Outcome.LATE
@@ -193,8 +208,8 @@
         if flight is not None:
             return self._hold_answered(now, call, flight, answer)
         order = self.book.answered(now, call, answer)
-        if order is not None and answer.kind is AnswerKind.OK and self._is_in_question(order):
-            self.holds.want_listing(now)
+        if order is not None:
+            self._order_answered(now, order, answer)
         return False  # the book tells by itself what became of its orders
 
     def lapsed(self, now: int) -> bool:
@@ -207,15 +222,30 @@
         over_at = max(bounds)
         return now > over_at and (self.last_answer_ms is None or self.last_answer_ms < over_at)
 
-    def reported_state(self, now: int) -> WorkerState | None:
-        """The worker as the dispatcher should see it; one that is replaced or leaving takes no starts."""
-        if self.state is None or self.standing is Standing.UNCONFIRMED:
-            return None
-        if self.standing is Standing.PRESENT:
+    def is_over(self, now: int) -> bool:
+        """Whether nothing runs there for certain, and every end that it listed is durable.
+
+        Never true for a worker that is present: it may be given further runs.
+        """
+        if self.listing.has_ends:
+            return False
+        if self.standing is Standing.REPLACED:
+            return True
+        return self.standing is Standing.DEREGISTERED and (self.lapsed(now) or self._runs_nothing(now))
+
+    @property
+    def leaves(self) -> bool:
+        """Whether it has deregistered or was replaced."""
+        return self._deregistered or self.standing is Standing.REPLACED
+
+    @property
+    def reported_state(self) -> WorkerState | None:
+        """The worker as the dispatcher should see it; one that leaves takes no starts.
+
+        None before its first heartbeat to this life of the agent.
+        """
+        if self.state is None or not self.leaves:
             return self.state
-        said_all = not self.listing.has_ends and not self.listing.running
-        if self.standing is Standing.DEREGISTERED and (said_all or now - self._left_ms > FAREWELL_MS):
-            return None
         return replace(self.state, draining=True)
 
     def wake_at(self, now: int, fence: int) -> int | None:
@@ -232,6 +262,7 @@
         news = False
         incomplete = self.listing.incomplete
         if answer.kind is AnswerKind.OK:
+            self._told_last_seen = max(self._told_last_seen, flight.hold.last_seen)
             news = self._take_lists(flight.sent_ms, answer)
         fenced = self.holds.fenced
         self.holds.answered(now, call, answer, news)
@@ -257,11 +288,28 @@
             self._first_echo = orders.echo_stamp
         return orders.echo_stamp - self._first_echo < self._limits.longest_hold_ms
 
+    def _order_answered(self, now: int, order: Order, answer: Answer) -> None:
+        self._orders_settled_ms = now + self._limits.settle_ms
+        if order.is_start and answer.kind is AnswerKind.NONE:
+            self._start_in_doubt = True
+        in_question = answer.kind is AnswerKind.OK and self._is_in_question(order)
+        if in_question or self.standing is Standing.DEREGISTERED:
+            self.holds.want_listing(now)
+
+    def _runs_nothing(self, now: int) -> bool:
+        """Whether the newest listing shows that nothing runs there, nor may begin to."""
+        may_begin = self._start_in_doubt or (self._inherited_until or 0) >= now or self.book.unresolved > 0
+        listed = self.listing.stamp_ms >= self._orders_settled_ms and not self.listing.running
+        return listed and not may_begin
+
     def _answers(self, now: int) -> bool:
         """Whether calls to it make sense."""
-        if self.standing is Standing.DEREGISTERED:
-            return now - self._left_ms < ENDED_MS
-        return self.standing is not Standing.REPLACED
+        if self.standing is not Standing.DEREGISTERED:
+            return self.standing is not Standing.REPLACED
+        if self.lapsed(now):
+            return False
+        is_acknowledged = not self.listing.has_ends and self._told_last_seen >= self.listing.last_seen
+        return not is_acknowledged or not self._runs_nothing(now)
 
     def _beats_are_timely(self) -> bool:
         """False after a single heartbeat that came late: the last life may have seen a later one that told of
--- a/flintfield/agent/incarnations.py
+++ b/flintfield/agent/incarnations.py
@@ -3,6 +3,9 @@
 A heartbeat or the dispatcher names a candidate; it takes its place only when it is confirmed, by an answer to
 a call that named it or by heartbeats that go on. A late heartbeat of an incarnation that has crashed would
 otherwise make the dispatcher believe that the present one is gone, and place its runs a second time.
+
+The dispatcher takes the runs of an incarnation that is no longer reported for lost. So one that was replaced
+stays the reported one until the ends that it listed are durable; its successor waits for so long.
 """
 
 from __future__ import annotations
@@ -18,6 +21,7 @@
 from flintfield.jobs.messages import OrderResult
 
 MAX_PAST = 64  # incarnations known to be gone; late heartbeats come from the newest of them
+MAX_DEREGISTERED = 64  # incarnations that deregistered before anything else was known of them
 
 
 @dataclass(slots=True)
@@ -42,6 +46,7 @@
         self._limits = limits
         self._rng = rng
         self._past: deque[str] = deque(maxlen=MAX_PAST)
+        self._deregistered: deque[str] = deque(maxlen=MAX_DEREGISTERED)
 
     def __iter__(self) -> Iterator[Incarnation]:
         """Those that calls may go to."""
@@ -57,7 +62,7 @@
         if instance in self._past:
             self.counters.stale_heartbeats += 1
             return False
-        incarnation = self.known(instance) or self._new_candidate(instance, beat.state.address)
+        incarnation = self.known(instance) or self._new_candidate(now, instance, beat.state.address)
         news = incarnation.take_heartbeat(now, beat)
         return self.settle(now, incarnation) or (news and incarnation is self.present)
 
@@ -65,20 +70,21 @@
         """The worker has deregistered; True where that is news."""
         incarnation = self.known(instance)
         if incarnation is None:
+            self._deregistered.append(instance)
             return False
-        if incarnation is self.candidate:
-            self._drop_candidate()
+        if incarnation is self.candidate and self.present is not None:
+            self._drop_candidate()  # this life of the agent has started nothing there
             return False
-        incarnation.set_standing(now, Standing.DEREGISTERED)
-        return True
+        incarnation.deregister(now)
+        return incarnation is self.present
 
-    def addressee(self, instance: str) -> Incarnation | None:
+    def addressee(self, now: int, instance: str) -> Incarnation | None:
         """Whom orders for this id are meant for; after a restart here, the dispatcher may know it first."""
         known = self.known(instance)
         if known is not None:
             return known
         if self.present is None and self.candidate is None and instance not in self._past and self._app:
-            return self._new_candidate(instance, self._app)
+            return self._new_candidate(now, instance, self._app)
         return None
 
     def is_gone(self, instance: str) -> bool:
@@ -96,9 +102,20 @@
             return False
         if self.present is not None:
             self.present.set_standing(now, Standing.REPLACED)
+        self.succeed(now)
+        return True
+
+    def succeed(self, now: int) -> bool:
+        """Let the successor of a replaced incarnation be reported once that has nothing left to report."""
+        successor = self.candidate
+        if successor is None or successor.standing is Standing.UNCONFIRMED:
+            return False
+        if self.present is not None:
+            if not self.present.is_over(now):
+                return False
             self.results.extend(self.present.book.results)
             self._past.append(self.present.instance)
-        self.present, self.candidate = incarnation, None
+        self.present, self.candidate = successor, None
         self.counters.incarnations += 1
         return True
 
@@ -108,8 +125,10 @@
         self._past.append(self.candidate.instance)
         self.candidate = None
 
-    def _new_candidate(self, instance: str, address: str) -> Incarnation:
+    def _new_candidate(self, now: int, instance: str, address: str) -> Incarnation:
         """The last one named is the candidate; one that it displaces is named again by its next heartbeat."""
         inherited_until = self._inherited_until if self.present is None else None
         self.candidate = Incarnation(instance, self._app or address, self._rng, self._limits, inherited_until)
+        if instance in self._deregistered:
+            self.candidate.deregister(now)
         return self.candidate
--- a/flintfield/agent/reports.py
+++ b/flintfield/agent/reports.py
@@ -85,17 +85,30 @@
     with_listing: bool = True,
 ) -> AgentReport:
     """What is known of the worker now; `wall_ms` is left for the shell to fill in."""
-    state = present.reported_state(now) if present is not None else None
-    if present is None or state is None:
-        lapsed = present is not None and present.lapsed(now)
-        return AgentReport(machine, boot, now, 0, None, 0, NEVER, (), (), results, now - start_ms, lapsed)
+    if present is None or present.is_over(now):
+        return AgentReport(
+            machine=machine,
+            boot=boot,
+            stamp_ms=now,
+            wall_ms=0,
+            worker=None,
+            fenced_epoch=0,
+            listing_stamp=NEVER,
+            running=(),
+            finished=(),
+            results=results,
+            silent_ms=now - start_ms,
+            lapsed=present is not None,
+            instance=present.instance if present is not None else "",
+            deregistered=present is not None,
+        )
     answered_ms = present.last_answer_ms if present.last_answer_ms is not None else start_ms
     return AgentReport(
         machine=machine,
         boot=boot,
         stamp_ms=now,
         wall_ms=0,
-        worker=state,
+        worker=present.reported_state,
         fenced_epoch=present.holds.fenced,
         listing_stamp=present.listing.stamp_ms if with_listing else NEVER,
         running=present.listing.running if with_listing else (),
@@ -104,4 +117,6 @@
         silent_ms=now - answered_ms,
         lapsed=present.lapsed(now),
         complete_listing=True,
+        instance=present.instance,
+        deregistered=present.leaves,
     )
--- a/flintfield/agent/service.py
+++ b/flintfield/agent/service.py
@@ -122,12 +122,23 @@
         self._settled.set()
 
     def _tell(self) -> None:
-        """Log a change of epoch or incarnation."""
+        """Log a change of epoch or incarnation, and when a worker that leaves has nothing left to report."""
         present = self.core.present
-        told = (self.core.epoch, present and present.instance, present and present.standing.value)
-        if told != self._told:
-            self._told = told
-            logs.event(LOG, "state", epoch=told[0], instance=told[1], standing=told[2])
+        is_over = present is not None and present.is_over(self._steady_ms())
+        told = (self.core.epoch, present and present.instance, present and present.standing.value, is_over)
+        if told == self._told:
+            return
+        self._told = told
+        unacknowledged = len(present.listing.finished()) if present is not None else 0
+        logs.event(
+            LOG,
+            "state",
+            epoch=told[0],
+            instance=told[1],
+            standing=told[2],
+            over=is_over,
+            unacknowledged_ends=unacknowledged,
+        )
 
     def _arm(self) -> None:
         now = self._steady_ms()
--- a/flintfield/jobs/listings.py
+++ b/flintfield/jobs/listings.py
@@ -40,19 +40,14 @@
         self._ends = ends
         self._moves = moves
 
-    def process_report(self, record: WorkerRecord, report: AgentReport) -> None:
-        """Process both lists; ends come first, as an ended run is no longer listed as running."""
+    def process_ends(self, record: WorkerRecord, report: AgentReport) -> None:
+        """Process all reported ends; `last_seen` advances only up to the first gap in their numbers."""
         if report.finished:
             record.no_ends_stamp = None
         elif record.no_ends_stamp is None:
             record.no_ends_stamp = report.stamp_ms
-        self._process_ends(record, report.finished)
-        self._process_listing(record, report)
-
-    def _process_ends(self, record: WorkerRecord, finished: tuple[End, ...]) -> None:
-        """Process all reported ends; `last_seen` advances only up to the first gap in their numbers."""
         contiguous_up_to = None
-        for end in sorted(finished, key=lambda each: each.number):
+        for end in sorted(report.finished, key=lambda each: each.number):
             if end.number > record.processed_ends:
                 self._process_end(record, end)
             if contiguous_up_to is None or end.number == contiguous_up_to + 1:
@@ -72,7 +67,8 @@
     def _advance_last_seen(self, record: WorkerRecord, number: int) -> None:
         record.last_seen = max(record.last_seen, number)
 
-    def _process_listing(self, record: WorkerRecord, report: AgentReport) -> None:
+    def process_listing(self, record: WorkerRecord, report: AgentReport) -> None:
+        """Process the list of runs, after the ends: an ended run is no longer listed as running."""
         if report.listing_stamp < 0 or report.listing_stamp <= record.listing_stamp:
             return
         record.listing_stamp = report.listing_stamp
--- a/flintfield/jobs/messages.py
+++ b/flintfield/jobs/messages.py
@@ -143,7 +143,11 @@
     """An agent's report about the worker on its machine.
 
     `machine` names the agent's machine, and `boot` identifies the agent's process since its last restart.
-    `worker` is None until the first heartbeat and after the worker deregisters. `fenced_epoch` is the highest
+    `instance` is the incarnation of the worker that the rest is about ("": none is known, or the agent is of
+    a release that names it in `worker` alone). `worker` is its state; None before its first heartbeat to this
+    process, and once it has deregistered and is over. `deregistered` means that it ends and takes no more
+    starts; it may still run what it has. It is over if `lapsed` is set too and `worker` is None: it runs
+    nothing, and all its ends are acknowledged. `fenced_epoch` is the highest
     epoch that this incarnation of the worker has answered to. `listing_stamp` is when the call that returned
     `running` was sent (-1: the report holds no list of runs, as none was taken since the agent's restart, or
     the dispatcher was told the newest one). `finished` holds all ends that are not forgotten yet. `silent_ms`
@@ -166,6 +170,23 @@
     silent_ms: int
     lapsed: bool
     complete_listing: bool = False
+    instance: str = ""
+    deregistered: bool = False
+
+    @property
+    def subject(self) -> str:
+        """The incarnation that the report is about, or ""."""
+        return self.worker.instance if self.worker is not None else self.instance
+
+    @property
+    def last_end(self) -> int:
+        """The highest number of the ends (0: there is none)."""
+        return max((end.number for end in self.finished), default=0)
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the incarnation has deregistered, runs nothing, and has no end left to acknowledge."""
+        return self.worker is None and self.deregistered and self.lapsed
 
 
 @dataclass(frozen=True, slots=True)
--- a/flintfield/jobs/worker_record.py
+++ b/flintfield/jobs/worker_record.py
@@ -48,6 +48,7 @@
     no_ends_stamp: int | None = None  # stamp of the first report without ends since one with ends
     fence_stamp: int | None = None  # stamp of the first report that showed it fenced by this epoch
     connected: bool = False
+    state_known: bool = False  # whether the agent's newest report told the state of the worker
     draining: bool = False
     leaves_ms: int = 0  # if draining: when it may leave, by the dispatcher's clock
     remaining_ms: int = 0  # as last reported
--- a/flintfield/jobs/workers.py
+++ b/flintfield/jobs/workers.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from itertools import islice
 
 from flintfield.jobs.ends import RunEnds
@@ -46,41 +47,57 @@
 
     def report(self, report: AgentReport) -> None:
         """Process a report and answer it."""
-        state = self._state
-        reported = report.worker
-        if reported is None or reported.instance in state.removed_incarnations:
+        if not report.subject or report.is_over:
             self._answer_without_worker(report)
             return
-        record = self._record(report, reported)
+        if report.subject in self._state.removed_incarnations:
+            self._answer_for_removed(report)
+            return
+        record = self._record(report)
         if report.boot == record.boot and report.stamp_ms < record.stamp_ms:
             return  # a newer report has already arrived
         fresh = self._note_agent_process(record, report)
-        self._note_worker(record, reported, report)
+        self._note_worker(record, report)
+        self._listings.process_ends(record, report)  # before a result that tells that the worker is gone
         self._orders.results(record, report.results)
+        if record.instance in self._state.removed_incarnations:
+            self._answer_for_removed(report)
+            return
         if fresh:
             self._orders.repeat_all(record)
-        self._listings.process_report(record, report)
+        self._listings.process_listing(record, report)
         self._release_lapsed(record, report)
+        self._finish_report(record, report)
+
+    def _finish_report(self, record: WorkerRecord, report: AgentReport) -> None:
+        """Grant a hold, and send what is to be sent."""
         self._grant(record, report)
         self.update_ready(record)
-        state.send_to(record)
+        self._state.send_to(record)
 
     def _answer_without_worker(self, report: AgentReport) -> None:
         state = self._state
         instance, last_seen = "", 0
         record = state.workers.get(state.by_machine.get(report.machine, ""))
+        if record is not None and report.is_over and record.instance == report.instance:
+            self._remove_worker(record)
+            record = None
         if record is not None:
             record.connected = False
             self.update_ready(record)
             if self._may_identify(record, report):
                 instance, last_seen = record.instance, record.last_seen
                 record.granted_ms, record.granted_stamp = state.now_ms, report.stamp_ms
-        state.emit(
-            SendOrders(
-                report.machine,
-                AgentOrders(state.epoch, instance, report.stamp_ms, state.bounds.hold, last_seen, (), ()),
-            )
-        )
+        self._send_no_orders(report, instance, last_seen)
+
+    def _answer_for_removed(self, report: AgentReport) -> None:
+        """Acknowledge what an incarnation lists whose runs are all resolved, once that is durable."""
+        self._state.after_write(partial(self._send_no_orders, report, report.subject, report.last_end))
+
+    def _send_no_orders(self, report: AgentReport, instance: str, last_seen: int) -> None:
+        state = self._state
+        orders = AgentOrders(state.epoch, instance, report.stamp_ms, state.bounds.hold, last_seen, (), ())
+        state.emit(SendOrders(report.machine, orders))
 
     def _may_identify(self, record: WorkerRecord, report: AgentReport) -> bool:
         """Whether to tell a restarted agent which worker it had, so that the worker's hold is extended."""
@@ -91,15 +108,16 @@
             record.unidentified_boot, record.unidentified_since_ms = report.boot, now
         return now - record.unidentified_since_ms < IDENTIFY_MS
 
-    def _record(self, report: AgentReport, reported: WorkerState) -> WorkerRecord:
+    def _record(self, report: AgentReport) -> WorkerRecord:
         state = self._state
-        record = state.workers.get(reported.instance)
-        if record is None or state.by_machine.get(report.machine) != reported.instance:
-            self._drop_earlier_incarnations(report.machine, reported.instance)
-            state.by_machine[report.machine] = reported.instance
+        instance = report.subject
+        record = state.workers.get(instance)
+        if record is None or state.by_machine.get(report.machine) != instance:
+            self._drop_earlier_incarnations(report.machine, instance)
+            state.by_machine[report.machine] = instance
         if record is None:
-            record = WorkerRecord(unknown_worker(reported.instance, report.machine), False, state.now_ms)
-            state.workers[reported.instance] = record
+            record = WorkerRecord(unknown_worker(instance, report.machine), False, state.now_ms)
+            state.workers[instance] = record
         return record
 
     def _drop_earlier_incarnations(self, machine: str, instance: str) -> None:
@@ -127,7 +145,16 @@
             record.fence_stamp = report.stamp_ms
         return fresh
 
-    def _note_worker(self, record: WorkerRecord, reported: WorkerState, report: AgentReport) -> None:
+    def _note_worker(self, record: WorkerRecord, report: AgentReport) -> None:
+        record.silent = report.silent_ms > self._state.bounds.silent_ms
+        record.state_known = report.worker is not None
+        if report.worker is not None:
+            self._note_state(record, report.worker)
+        elif report.deregistered and not record.draining:
+            record.draining, record.leaves_ms = True, self._state.now_ms
+
+    def _note_state(self, record: WorkerRecord, reported: WorkerState) -> None:
+        """Record the state that the worker's newest heartbeat told."""
         state = self._state
         worker = record.worker
         capacity = Resources(reported.cpu, reported.memory_mb, reported.gpu)
@@ -149,7 +176,6 @@
             record.leaves_ms = state.now_ms + reported.remaining_ms
         record.draining = reported.draining
         record.remaining_ms = reported.remaining_ms
-        record.silent = report.silent_ms > state.bounds.silent_ms
 
     def _note_distances(self, record: WorkerRecord) -> None:
         """Mark the runs that are away from their data; the records of inherited runs do not tell."""
@@ -233,6 +259,7 @@
         held = state.now_ms < record.granted_ms + state.bounds.hold // 2
         ready = (
             record.connected
+            and record.state_known
             and held
             and not record.draining
             and not record.silent
--- a/flintfield/simulation/planted/dispatcher.py
+++ b/flintfield/simulation/planted/dispatcher.py
@@ -12,7 +12,7 @@
 from flintfield.jobs.ends import RunEnds
 from flintfield.jobs.events import CallArrived
 from flintfield.jobs.listings import Listings
-from flintfield.jobs.messages import Method, OrderResult, Outcome
+from flintfield.jobs.messages import AgentReport, Method, OrderResult, Outcome
 from flintfield.jobs.orders import Orders
 from flintfield.jobs.readiness import Readiness
 from flintfield.jobs.runs import Ending, Runs
@@ -68,13 +68,13 @@
 
 def advance_last_seen_early() -> list[Patch]:
     """LastSeen passes ends that are not durable."""
-    process_ends = Listings._process_ends
+    process_ends = Listings.process_ends
 
-    def early(self: Listings, record: WorkerRecord, finished: Any) -> None:
-        process_ends(self, record, finished)
+    def early(self: Listings, record: WorkerRecord, report: AgentReport) -> None:
+        process_ends(self, record, report)
         record.last_seen = max(record.last_seen, record.processed_ends)
 
-    return [Patch(Listings, "_process_ends", early)]
+    return [Patch(Listings, "process_ends", early)]
 
 
 def one_epoch_for_all() -> list[Patch]:
--- a/tests/system/jobs_fleet.py
+++ b/tests/system/jobs_fleet.py
@@ -37,6 +37,7 @@
     late_share: float = 0.0  # share of orders that get no answer and are carried out later
     prompt_answer_ms: float = 0.0  # from the lists of a hold call that does not wait until its answer arrives
     beat_seq: int = 0
+    deregistered: str = ""  # the incarnation that has deregistered, and beats no more
 
 
 class Fleet(ABC):
@@ -205,7 +206,8 @@
     def _beat(self, machine: Machine) -> None:
         worker = machine.worker
         worker.catch_up()
-        if machine.agent is not None and not worker.dead and not machine.worker_cut:
+        silent = worker.dead or machine.worker_cut or machine.deregistered == worker.instance
+        if machine.agent is not None and not silent:
             machine.beat_seq += 1
             if worker.draining_since is not None and worker.drain_acknowledged is None:
                 worker.drain_acknowledged = self.now
@@ -239,6 +241,21 @@
 
         self.after(down_ms, restart)
 
+    def deregister_worker(self, machine: Machine, serves_on_ms: float, down_ms: float = 500) -> None:
+        """Let the worker deregister without a word before, serve on for so long, and end.
+
+        Another incarnation starts `down_ms` later.
+        """
+        worker = machine.worker
+        machine.deregistered = worker.instance
+        self.step_agent(machine, agent_events.Deregistered(worker.instance))
+
+        def end() -> None:
+            if machine.worker is worker and not worker.dead:
+                self.crash_worker(machine, down_ms)
+
+        self.after(serves_on_ms, end)
+
     def drain_worker(self, machine: Machine) -> None:
         """Let the worker announce that it is draining."""
         machine.worker.draining_since = self.now
--- a/tests/system/support/agent_play.py
+++ b/tests/system/support/agent_play.py
@@ -37,6 +37,7 @@
 HOLD_MS = 4_000
 HOLD_MAX_MS = 10_000
 CLOCK_AHEAD_MS = 5_000_000  # of the worker's clock
+SERVED_EACH_MS = 250
 TASK = "5c0e7a21d94b36f8.0.0.1"
 OTHER_TASK = "5c0e7a21d94b36f8.0.0.2"
 
@@ -57,6 +58,7 @@
         self.reports: list[AgentReport] = []
         self.searches = 0
         self._seq = 0
+        self._sent_ms: dict[int, int] = {}  # by call
 
     def step(self, event: Event) -> None:
         """Take in an event now."""
@@ -126,6 +128,33 @@
                 self.answer(call)
         self.reports.clear()
 
+    def serve(
+        self,
+        length_ms: int,
+        running: tuple[Run, ...] = (),
+        finished: tuple[End, ...] = (),
+        last_seen: int = 0,
+    ) -> None:
+        """Let time pass with heartbeats, holds that are granted on, and a worker that lists the same."""
+        until = self.now + length_ms
+        while self.now < until:
+            present = self.agent.present
+            assert present is not None
+            for call in self._due_holds():
+                self.answer(call, running=running, finished=finished)
+            if not present.leaves:
+                self.beat(present.instance)
+            self.order(instance=present.instance, last_seen=last_seen)
+            self.pass_time(min(SERVED_EACH_MS, until - self.now))
+
+    def _due_holds(self) -> list[CallWorker]:
+        """The hold calls whose waits are over."""
+        return [
+            call
+            for call in self.calls
+            if isinstance(call.request, Hold) and self.now >= self._sent_ms[call.call] + call.request.wait_ms
+        ]
+
     def outcomes(self) -> dict[int, Outcome]:
         """What was reported of orders, after what is due now has been reported."""
         self.pass_time(150)
@@ -135,6 +164,7 @@
         for effect in effects:
             if isinstance(effect, CallWorker):
                 self.calls.append(effect)
+                self._sent_ms[effect.call] = self.now
             elif isinstance(effect, SendReport):
                 self.reports.append(effect.report)
             elif isinstance(effect, LookForLeader):
--- a/tests/system/test_agent_incarnations.py
+++ b/tests/system/test_agent_incarnations.py
@@ -114,9 +114,10 @@
         assert play.reports[-1].worker is not None
         self.assertFalse(play.reports[-1].worker.draining)
 
-    def test_a_deregistered_worker_is_no_longer_reported(self) -> None:
+    def test_a_deregistered_worker_that_runs_nothing_is_no_longer_reported(self) -> None:
         play = Play()
         play.ready()
+        play.serve(AgentLimits(HOLD_MAX_MS).longest_hold_ms)  # what the agent's last life has sent is over
         play.step(Deregistered("i-1"))
         play.pass_time(5)
         self.assertIsNone(play.reports[-1].worker)
@@ -124,6 +125,7 @@
     def test_the_last_ends_of_a_deregistered_worker_are_reported(self) -> None:
         play = Play()
         play.ready()
+        play.serve(AgentLimits(HOLD_MAX_MS).longest_hold_ms)
         play.answer(play.only(Hold), finished=(End(1, TASK, 1, RunResult.STOPPED, "00"),))
         play.step(Deregistered("i-1"))
         play.pass_time(5)
