Split the agent's incarnation: received heartbeats, and what listings prove

What heartbeats tell together (order, confirmation, lateness) and what the lists of a worker prove after orders are two concerns of their own with own state. No change of behaviour; the tests of the agent stay as they are and pass (agent worlds included).

--- a/flintfield/agent/incarnation.py
+++ b/flintfield/agent/incarnation.py
@@ -27,11 +27,10 @@
 from flintfield.agent.limits import AgentLimits
 from flintfield.agent.listing import Listing
 from flintfield.agent.orders import MIN_HOLD_LEFT_MS, Order, OrderBook
+from flintfield.agent.received_heartbeats import ReceivedHeartbeats
+from flintfield.agent.settling import Settling
 from flintfield.jobs.messages import AgentOrders, Outcome, StartOrder, StopOrder, WorkerState
 
-CONFIRMING_BEATS_MS = 300  # two heartbeats this far apart confirm an incarnation that does not answer
-LATE_BEAT_MS = 500  # a later heartbeat comes no sooner, except at the beginning of draining
-
 
 class Standing(enum.Enum):
     """Where an incarnation stands."""
@@ -73,30 +72,17 @@
         self.last_answer_ms: int | None = None
         self._limits = limits
         self._inherited_until = inherited_until  # until then, grants of the agent's last life may hold
-        self._first_echo: int | None = None  # of the orders that came first
-        self._seq = -1
-        self._beats = 0
-        self._beat_offset: float | None = None  # of the clock that the newest heartbeat told
-        self._first_beat_ms: int | None = None
+        self._heartbeats = ReceivedHeartbeats(self.clock)
         self._deregistered = False
-        self._orders_settled_ms = 0  # a listing requested from then on shows the whole effect of all orders
-        self._start_in_doubt = False  # one may be carried out as long as a hold lasts
-        self._told_last_seen = 0  # as of the last answer to a hold call
+        self._settling = Settling(limits.settle_ms, inherited_until)
 
     def take_heartbeat(self, now: int, beat: Heartbeat) -> bool:
         """Take in a heartbeat; True where it tells something that the dispatcher waits for."""
-        if beat.seq <= self._seq:
+        if not self._heartbeats.take(now, beat):
             return False
-        self._seq = beat.seq
-        self._beats += 1
-        if beat.clock_ms is not None:
-            self.clock.read(beat.clock_ms, now, None)
-            self._beat_offset = self.clock.offset_of(beat.clock_ms, now)
         news = self.state is None or self.state.draining != beat.state.draining
         self.state = beat.state
-        if self._first_beat_ms is None:
-            self._first_beat_ms = now
-        elif self.standing is Standing.UNCONFIRMED and now - self._first_beat_ms >= CONFIRMING_BEATS_MS:
+        if self.standing is Standing.UNCONFIRMED and self._heartbeats.confirm(now):
             self.set_standing(now, Standing.PRESENT)
         if beat.state.draining:
             self.book.refuse_starts(now, Outcome.DRAINING)
@@ -133,7 +119,7 @@
         self.holds.be_patient(orders.patience_ms)
         if orders.starts:
             self.holds.room_is_wanted()
-        in_doubt = self._may_be_repeated(orders)
+        in_doubt = self._settling.may_repeat(orders.echo_stamp, self._limits.longest_hold_ms)
         for start in orders.starts:
             self.book.take_start(now, start, refusal or self.refusal(now), in_doubt)
         if self.standing is Standing.REPLACED:
@@ -145,7 +131,7 @@
             return Outcome.GONE
         if self._deregistered:
             return Outcome.DRAINING
-        if self.state is None or not self._beats_are_timely():
+        if self.state is None or not self._heartbeats.are_timely:
             return Outcome.BUSY
         if self.state.draining:
             return Outcome.DRAINING
@@ -231,7 +217,8 @@
             return False
         if self.standing is Standing.REPLACED:
             return True
-        return self.standing is Standing.DEREGISTERED and (self.lapsed(now) or self._runs_nothing(now))
+        shows_no_run = self._settling.shows_no_run(now, self.listing, self.book)
+        return self.standing is Standing.DEREGISTERED and (shows_no_run or self.lapsed(now))
 
     @property
     def leaves(self) -> bool:
@@ -262,7 +249,7 @@
         news = False
         incomplete = self.listing.incomplete
         if answer.kind is AnswerKind.OK:
-            self._told_last_seen = max(self._told_last_seen, flight.hold.last_seen)
+            self._settling.hold_answered(flight.hold.last_seen)
             news = self._take_lists(flight.sent_ms, answer)
         fenced = self.holds.fenced
         self.holds.answered(now, call, answer, news)
@@ -279,44 +266,18 @@
     def _take_lists(self, sent_ms: int, answer: Answer) -> bool:
         return self.listing.take(sent_ms, answer.running, answer.finished, answer.too_many_runs)
 
-    def _may_be_repeated(self, orders: AgentOrders) -> bool:
-        """Whether the agent's last life may have sent these starts: the dispatcher repeats them once it has
-        heard from the new life, and no later than their hold can last."""
-        if self._inherited_until is None:
-            return False
-        if self._first_echo is None:
-            self._first_echo = orders.echo_stamp
-        return orders.echo_stamp - self._first_echo < self._limits.longest_hold_ms
-
     def _order_answered(self, now: int, order: Order, answer: Answer) -> None:
-        self._orders_settled_ms = now + self._limits.settle_ms
-        if order.is_start and answer.kind is AnswerKind.NONE:
-            self._start_in_doubt = True
+        self._settling.order_answered(now, order, answer)
         in_question = answer.kind is AnswerKind.OK and self._is_in_question(order)
         if in_question or self.standing is Standing.DEREGISTERED:
             self.holds.want_listing(now)
 
-    def _runs_nothing(self, now: int) -> bool:
-        """Whether the newest listing shows that nothing runs there, nor may begin to."""
-        may_begin = self._start_in_doubt or (self._inherited_until or 0) >= now or self.book.unresolved > 0
-        listed = self.listing.stamp_ms >= self._orders_settled_ms and not self.listing.running
-        return listed and not may_begin
-
     def _answers(self, now: int) -> bool:
         """Whether calls to it make sense."""
         if self.standing is not Standing.DEREGISTERED:
             return self.standing is not Standing.REPLACED
-        if self.lapsed(now):
-            return False
-        is_acknowledged = not self.listing.has_ends and self._told_last_seen >= self.listing.last_seen
-        return not is_acknowledged or not self._runs_nothing(now)
-
-    def _beats_are_timely(self) -> bool:
-        """False after a single heartbeat that came late: the last life may have seen a later one that told of
-        draining."""
-        if self._beats != 1 or self._beat_offset is None:
-            return self._beats > 0
-        return self.clock.behind(self._beat_offset) <= LATE_BEAT_MS
+        shows_no_run = self._settling.shows_no_run(now, self.listing, self.book)
+        return not self.lapsed(now) and not (shows_no_run and self._settling.has_been_told(self.listing))
 
     def _is_in_question(self, order: Order) -> bool:
         """Whether only a later listing tells what the order did: a stop of a run that is not listed."""
