--- a/flintfield/control/view.py
+++ b/flintfield/control/view.py
@@ -25,10 +25,17 @@
     def known(self) -> tuple[bytes | None, int] | None:
         """The newest committed value known here, and the steady ms as of which it is surely the newest."""
 
+    async def read(self) -> bytes | None:
+        """The newest value; raises where no quorum answers."""
+
     def on_change(self, callback: Callable[[bytes], None]) -> None:
         """Call back with each newer committed value, be it confirmed to be the newest or not."""
 
 
+class UnreadableConfiguration(ValueError):
+    """The newest configuration can't be read by this release."""
+
+
 class ConfigurationView:
     """Follows the register; `current` and `confirmed_ms_ago` are cheap enough for every request."""
 
@@ -55,6 +62,17 @@
             return None
         return max(0, self._steady_ms() - known[1])
 
+    async def read(self) -> Configuration | None:
+        """The configuration that a majority confirms to be the newest after this call; None before the first.
+
+        Raises `UnreadableConfiguration` where it has a form of a later release, and what the node raises.
+        """
+        await self._node.read()
+        self._refresh()
+        if not self._readable:
+            raise UnreadableConfiguration("a later release wrote the configuration")
+        return self._current
+
     def on_change(self, callback: Callable[[Configuration], None]) -> None:
         """Call back with each newer configuration; raises `RuntimeError` above `MAX_LISTENERS`."""
         if len(self._listeners) >= MAX_LISTENERS:
--- a/flintfield/dispatch/interface.py
+++ b/flintfield/dispatch/interface.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Protocol
 
 from flintfield.jobs.events import Change, Configuration
@@ -11,6 +11,12 @@
 ConfigurationSource = Callable[[], Configuration | None]
 """Returns the newest configuration in force in this process, or None."""
 
+ReadConfiguration = Callable[[], Awaitable[Configuration | None]]
+"""Returns the configuration that a majority confirms to be the newest after the call (None: there is none).
+
+Raises whatever kept it from being read; it may be called again.
+"""
+
 MakePlacement = Callable[[int], Placement]
 """Creates a placement policy from the seed of its random generator."""
 
--- a/flintfield/dispatch/service.py
+++ b/flintfield/dispatch/service.py
@@ -13,11 +13,20 @@
 import random
 import time
 from collections.abc import Awaitable, Callable, Iterator, Mapping
+from functools import partial
 from typing import Any
 
 from flintfield.coordination.timing import LEASE_MS
-from flintfield.dispatch.interface import AgentConnection, ConfigurationSource, Leadership, MakePlacement
+from flintfield.dispatch.confirmation import read_until_confirmed
+from flintfield.dispatch.interface import (
+    AgentConnection,
+    ConfigurationSource,
+    Leadership,
+    MakePlacement,
+    ReadConfiguration,
+)
 from flintfield.dispatch.term import OpenCall, Reply, Term
+from flintfield.dispatch.writes import WriteQueue
 from flintfield.jobs.bounds import DispatcherBounds
 from flintfield.jobs.dispatcher import Dispatcher
 from flintfield.jobs.events import (
@@ -36,15 +45,12 @@
 )
 from flintfield.jobs.recorder import Recorder
 from flintfield.jobs.messages import AgentReport, JobAnswer, JobCall, Method, NotDispatcher
-from flintfield.jobs.timing import logged_times
 from flintfield.runtime import logs
 
 TICK_MS = 50
 RESTORE_TURN_MS = 100  # an eighth of the lease; a longer restore goes on in the next turn of the event loop
 LONG_TURN_MS = LEASE_MS // 4  # longest that one event should take: others wait, and the lease is not renewed
 TICK_JITTER = 0.1  # fraction of the period, in either direction
-LOG_TIMES_MS = 10_000  # interval between log lines about the queue times of jobs
-MAX_PENDING_BYTES = 1 << 20  # limit on bytes of pending writes; beyond 4 MiB the leader makes calls wait
 MAX_CALLS = 2_000  # limit on calls that wait for a write; beyond it calls get a 503
 OUTDATED_RETRY_MS = 200  # retry delay for a caller that has seen a newer configuration than this process
 
@@ -54,10 +60,10 @@
 class DispatchService:
     """Serves `JobCall` and `AgentReport`; a `LeaderListener` of the coordination library.
 
-    `configuration` returns the newest configuration, `make_placement` a policy from a seed, `steady_ms` the
-    time of a monotonic clock, `leader_address` the address of the leading process ("" if unknown),
-    `make_recorder` a recorder of the jobs' history in one term (None: no recording). `processor_ns` is the
-    processor time of this process.
+    `configuration` returns the newest configuration known here, `read_configuration` the one that a majority
+    confirms to be the newest, `make_placement` a policy from a seed, `steady_ms` the time of a monotonic
+    clock, `leader_address` the address of the leading process ("" if unknown), `make_recorder` a recorder of
+    the jobs' history in one term (None: no recording). `processor_ns` is the processor time of this process.
     """
 
     def __init__(
@@ -67,6 +73,7 @@
         make_placement: MakePlacement,
         steady_ms: Callable[[], int],
         rng: random.Random,
+        read_configuration: ReadConfiguration,
         leader_address: Callable[[], str] = lambda: "",
         make_recorder: Callable[[], Recorder] | None = None,
         processor_ns: Callable[[], int] = time.process_time_ns,
@@ -76,6 +83,7 @@
         self._make_placement = make_placement
         self._steady_ms = steady_ms
         self._rng = rng
+        self._read_configuration = read_configuration
         self._leader_address = leader_address
         self._make_recorder = make_recorder
         self._processor_ns = processor_ns
@@ -111,12 +119,20 @@
         now_ms = self._steady_ms()
         placement = self._make_placement(self._rng.getrandbits(31))
         dispatcher = Dispatcher(
-            leadership.epoch, now_ms, self._bounds, placement, self._rng, self._configuration()
+            leadership.epoch,
+            now_ms,
+            self._bounds,
+            placement,
+            self._rng,
+            self._configuration(),
+            configuration_confirmed=False,
         )
         if self._make_recorder is not None:
             dispatcher.state.recorder = self._make_recorder()
         term = self._term = Term(leadership, dispatcher)
+        term.writes = WriteQueue(leadership, partial(self._written, term), partial(self._write_failed, term))
         self._last_epoch = leadership.epoch
+        term.reading = asyncio.get_running_loop().create_task(self._read(term))
         self._restore(term, dispatcher.restore_in_parts(leadership.items))
 
     def _restore(self, term: Term, parts: Iterator[None]) -> None:
@@ -131,8 +147,19 @@
         term.restored = True
         items = len(term.leadership.items)
         logger.info("dispatching in epoch %d from %d items", term.leadership.epoch, items)
-        self._tick(term)
         self._follow(term, self._configuration())
+        self._tick(term)
+        self._confirm(term)
+
+    async def _read(self, term: Term) -> None:
+        """Read the configuration, then let the dispatcher decide by it."""
+        term.confirmation = await read_until_confirmed(self._read_configuration, self._steady_ms, self._rng)
+        self._confirm(term)
+
+    def _confirm(self, term: Term) -> None:
+        """Tell the dispatcher that the configuration is confirmed, once its tables are whole."""
+        if term.confirmation is not None and term.restored and not term.over:
+            self._feed(term, term.confirmation)
 
     def deposed(self) -> None:
         """End the term: discard its state and answer its open calls."""
@@ -142,8 +169,9 @@
         term.over = True
         if term.timer is not None:
             term.timer.cancel()
-        for write in term.writes:
-            write.cancel()
+        if term.reading is not None:
+            term.reading.cancel()
+        term.writes.cancel()
         for call in term.calls.values():
             call.settle(self._unknown(call))
         for connection in term.agents.values():
@@ -166,20 +194,13 @@
         period_ms = TICK_MS * (1 + TICK_JITTER * (2 * self._rng.random() - 1))
         term.timer = asyncio.get_running_loop().call_later(period_ms / 1_000, self._tick, term)
         self._feed(term, Tick(term.leadership.wall_ms()))
-        self._log_times(term)
-
-    def _log_times(self, term: Term) -> None:
-        """Log the queue times of jobs every `LOG_TIMES_MS`."""
-        now_ms = self._steady_ms()
-        if now_ms >= term.log_times_ms and not term.over:
-            term.log_times_ms = now_ms + LOG_TIMES_MS
-            logs.event(logger, "queue_times", queues=logged_times(term.dispatcher.state.timing))
+        term.log_times(self._steady_ms())
 
     # Calls
 
     def _job_call(self, request: JobCall, connection: object) -> Reply | Awaitable[Reply]:
         term = self._serving_term()
-        if term is None:
+        if term is None or term.dispatcher.awaits_configuration(self._steady_ms()):
             return self._not_dispatcher()
         configuration = self._configuration()
         version = configuration.version if configuration is not None else 0
@@ -238,7 +259,7 @@
                 case Answer():
                     self._answer(term, effect)
                 case Write():
-                    self._write(term, effect)
+                    term.writes.add(effect)
                 case SendOrders():
                     self._send(term, effect)
 
@@ -268,31 +289,12 @@
         if connection is not None and term.leadership.confirmed():
             connection.send(effect.orders)
 
-    def _write(self, term: Term, effect: Write) -> None:
-        term.waiting.append(effect)
-        self._begin_writes(term)
-
-    def _begin_writes(self, term: Term) -> None:
-        """Start writes in order, with few enough bytes pending that the leader accepts each without delay."""
-        while term.waiting and (not term.writes or term.pending_bytes <= MAX_PENDING_BYTES):
-            effect = term.waiting.popleft()
-            size = sum(len(key) + len(value or b"") for key, value in effect.changes)
-            term.pending_bytes += size
-            task = asyncio.get_running_loop().create_task(self._make_durable(term, effect, size))
-            term.writes.add(task)
-            task.add_done_callback(term.writes.discard)
-
-    async def _make_durable(self, term: Term, effect: Write, size: int) -> None:
-        try:
-            await term.leadership.write(effect.changes)
-        except asyncio.CancelledError:
-            raise
-        except Exception as error:  # deposed; the listener is notified later; send nothing until then
-            logger.info("a write of epoch %d was not taken: %s", term.leadership.epoch, error)
-            if self._term is term:
-                self.deposed()
-            return
+    def _written(self, term: Term, write: int) -> None:
         if not term.over:
-            term.pending_bytes -= size
-            self._feed(term, Written(effect.write))
-            self._begin_writes(term)
+            self._feed(term, Written(write))
+
+    def _write_failed(self, term: Term, error: Exception) -> None:
+        """The leader is deposed and will be told so: send nothing until then."""
+        logger.info("a write of epoch %d was not taken: %s", term.leadership.epoch, error)
+        if self._term is term:
+            self.deposed()
--- a/flintfield/dispatch/term.py
+++ b/flintfield/dispatch/term.py
@@ -3,12 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+import logging
 
 from flintfield.dispatch.interface import AgentConnection, Leadership
+from flintfield.dispatch.writes import WriteQueue
 from flintfield.jobs.dispatcher import Dispatcher
-from flintfield.jobs.events import Write
+from flintfield.jobs.events import ConfigurationConfirmed
 from flintfield.jobs.messages import JobAnswer, Method, NotDispatcher
+from flintfield.jobs.timing import logged_times
+from flintfield.runtime import logs
+
+LOG_TIMES_MS = 10_000  # interval between log lines about the queue times of jobs
+
+logger = logging.getLogger(__name__)
 
 Reply = JobAnswer | NotDispatcher
 
@@ -38,11 +45,17 @@
         self.dispatcher = dispatcher
         self.calls: dict[int, OpenCall] = {}
         self.agents: dict[str, AgentConnection] = {}
-        self.waiting: deque[Write] = deque()
-        self.writes: set[asyncio.Task[None]] = set()
-        self.pending_bytes = 0
+        self.writes: WriteQueue
         self.timer: asyncio.TimerHandle | None = None
         self.restored = False
+        self.reading: asyncio.Task[None] | None = None  # of the configuration
+        self.confirmation: ConfigurationConfirmed | None = None
         self.over = False
-        self.log_times_ms = 0
+        self._log_times_ms = 0
         self.processor_ns = 0  # processor time of this process at the last tick
+
+    def log_times(self, now_ms: int) -> None:
+        """Log the queue times of jobs every `LOG_TIMES_MS`."""
+        if now_ms >= self._log_times_ms and not self.over:
+            self._log_times_ms = now_ms + LOG_TIMES_MS
+            logs.event(logger, "queue_times", queues=logged_times(self.dispatcher.state.timing))
--- a/flintfield/jobs/dispatcher.py
+++ b/flintfield/jobs/dispatcher.py
@@ -8,6 +8,8 @@
 - A task has one run at a time, except for copies of `speculative` steps. A run occupies capacity on its
   worker from its placement until its end is certain.
 - Capacity is released by a timeout only after the worker, by its own clock, has stopped using it.
+- What can't be taken back is decided by a configuration that was confirmed to be the newest since the
+  election. Jobs are restored with the terms of an earlier one, and the process may know no newer one yet.
 """
 
 from __future__ import annotations
@@ -24,6 +26,7 @@
     CallArrived,
     Configuration,
     ConfigurationChanged,
+    ConfigurationConfirmed,
     Effect,
     Event,
     ReportArrived,
@@ -58,8 +61,13 @@
         placement: Placement,
         rng: random.Random,
         configuration: Configuration | None,
+        *,
+        configuration_confirmed: bool = True,
     ) -> None:
+        """`configuration_confirmed`: whether a majority has confirmed since the election that `configuration`
+        is the newest; if not, a `ConfigurationConfirmed` is to follow."""
         self._state = DispatcherState(epoch, now_ms, bounds, placement, rng, configuration)
+        self._state.configuration_confirmed = configuration_confirmed
         self._readiness = Readiness(self._state)
         self._ends = RunEnds(self._state, self._readiness)
         self._intake = Intake(self._state, self._readiness, self._ends)
@@ -87,6 +95,10 @@
         configuration = self._state.configuration
         return configuration.version if configuration is not None else 0
 
+    def awaits_configuration(self, now_ms: int) -> bool:
+        """Whether calls and placements wait for a confirmed configuration."""
+        return self._state.awaits_configuration(now_ms)
+
     @property
     def epoch(self) -> int:
         """The fencing token of this dispatcher's orders."""
@@ -117,6 +129,8 @@
                 self._workers.lost(event.machine)
             case ConfigurationChanged():
                 self._reconfiguration.configure(event.configuration)
+            case ConfigurationConfirmed():
+                self._reconfiguration.confirm(event.configuration)
             case Written():
                 self._state.written(event.write)
             case Tick():
--- a/flintfield/jobs/events.py
+++ b/flintfield/jobs/events.py
@@ -70,6 +70,14 @@
     configuration: Configuration
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigurationConfirmed:
+    """A majority has confirmed, since the election, that this configuration is the newest (None: there is
+    none)."""
+
+    configuration: Configuration | None
+
+
 @dataclass(frozen=True, slots=True)
 class Written:
     """The write with this number is durable on a majority of replicas; writes are confirmed in order."""
@@ -84,7 +92,9 @@
     wall_ms: int
 
 
-Event = CallArrived | ReportArrived | AgentLost | ConfigurationChanged | Written | Tick
+Event = (
+    CallArrived | ReportArrived | AgentLost | ConfigurationChanged | ConfigurationConfirmed | Written | Tick
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/flintfield/jobs/gangs.py
+++ b/flintfield/jobs/gangs.py
@@ -40,6 +40,8 @@
         """Place all members or none; returns the number placed."""
         if any(task.state is not TaskState.READY for task in step.tasks):
             return 0
+        if self._ends.is_undecided(step.tasks[0]):
+            return 0
         if any(self._ends.fail_if_exhausted(task) for task in step.tasks if task.failed):
             return 0
         demands = [demand_of(task) for task in step.tasks]
--- a/flintfield/jobs/readiness.py
+++ b/flintfield/jobs/readiness.py
@@ -222,6 +222,12 @@
 
     # Configuration
 
+    def try_all(self) -> None:
+        """Have all queues tried at once."""
+        for queue in self._state.services.values():
+            queue.dirty = True
+            queue.next_pass_ms = self._state.now_ms
+
     def change_terms(self, job: Job, terms: Terms) -> None:
         """Apply changed terms of the job's queue."""
         steps = [step for occurrence in job.open.values() for step in occurrence.steps]
--- a/flintfield/jobs/reconfiguration.py
+++ b/flintfield/jobs/reconfiguration.py
@@ -1,4 +1,8 @@
-"""Lets jobs take up a newer configuration: they stay with their queue and adopt its terms."""
+"""Lets jobs take up a newer configuration: they stay with their queue and adopt its terms.
+
+After an election, jobs keep the terms with which they were restored until the configuration is confirmed to
+be the newest: the one that this process knows may be older than the one that the last dispatcher acted on.
+"""
 
 from __future__ import annotations
 
@@ -24,17 +28,37 @@
         self._readiness = readiness
         self._queues: dict[str, Route] = {}  # by name
         self._joining: deque[Job] = deque()
+        self._confirmed = state.configuration_confirmed  # that is set once all jobs have taken it up
 
     def configure(self, configuration: Configuration) -> None:
         """Apply a newer configuration to some jobs now, to the others with later calls of `join_queues`."""
         state = self._state
         state.configuration = configuration
         self._queues = {route.name: route for route in configuration.routes}
+        if not self._confirmed:
+            return
         self._joining = deque(job for job in state.jobs.values() if not job.ended)
         self.join_queues()
 
+    def confirm(self, configuration: Configuration | None) -> None:
+        """Apply a configuration that was confirmed to be the newest, unless a newer one is known by now."""
+        known = self._state.configuration
+        self._confirmed = True
+        newest = max(filter(None, (known, configuration)), key=lambda each: each.version, default=None)
+        if newest is not None:
+            self.configure(newest)
+        else:
+            self.join_queues()
+
     def join_queues(self) -> bool:
         """Let a part of the jobs take up the newest configuration; True while some are left."""
+        left = self._join_some()
+        if self._confirmed and not left and not self._state.configuration_confirmed:
+            self._state.configuration_confirmed = True
+            self._readiness.try_all()
+        return left
+
+    def _join_some(self) -> bool:
         configuration = self._state.configuration
         steps = 0
         for _ in range(min(len(self._joining), JOBS_JOINED_AT_ONCE)):
--- a/flintfield/jobs/starts.py
+++ b/flintfield/jobs/starts.py
@@ -53,6 +53,8 @@
     def run_passes(self) -> None:
         """Run a pass over each queue that has changed or was not tried for `RETRY_PASS_MS`."""
         now = self._state.now_ms
+        if self._state.awaits_configuration(now):
+            return
         for queue in self._state.services.values():
             if not queue.steps or now < queue.next_pass_ms:
                 continue
@@ -109,6 +111,8 @@
         return len(steps)
 
     def _try_step(self, queue: ServiceQueue, attempt: PlacementPass, step: Step) -> None:
+        if step.ready and all(self._ends.is_undecided(task) for task in step.ready.values()):
+            return
         exempt = attempt.exemptions.covers(step)
         cause = attempt.causes.get(attempt.waiting_shape(step, exempt))
         if cause is not None and (cause is WaitCause.ROOM or not self._overdue(step)):
@@ -159,7 +163,7 @@
 
     def _place(self, queue: ServiceQueue, step: Step, racks: RackWaits, budget: int) -> int:
         """Place ready tasks of the step; returns the number placed."""
-        tasks = list(step.ready.values())
+        tasks = [task for task in step.ready.values() if not self._ends.is_undecided(task)]
         if not step.spec.affinity:
             return self._place_tasks(queue, step, tasks, budget, data_rack_only=False)
         rack_candidates = racks.tasks_that_may_wait(step, tasks)
--- a/flintfield/jobs/state.py
+++ b/flintfield/jobs/state.py
@@ -25,6 +25,7 @@
 MAX_OUTSTANDING_WRITES = 8  # above this, changes are collected in the next batch
 MANY_RUNS = 64  # on a worker: its patience is computed every `PATIENCE_PERIOD_MS` instead of for each message
 PATIENCE_PERIOD_MS = 100
+CONFIRMATION_WAIT_MS = 1_000  # after an election, for the configuration; as long as an election takes
 MAX_BATCH_BYTES = 1 << 20  # above this, they leave without waiting: a write must fit into one message
 
 
@@ -68,6 +69,7 @@
         self.placement = placement
         self.rng = rng
         self.configuration = configuration
+        self.configuration_confirmed = True
         self.counters = Counters()
         self.recorder: Recorder | None = None
         self.jobs: dict[str, Job] = {}
@@ -112,6 +114,14 @@
         """The current cluster time, advanced by the monotonic clock since it was last set."""
         return (self._wall_ms or 0) + self.now_ms - self._wall_at_ms
 
+    def awaits_configuration(self, now_ms: int) -> bool:
+        """Whether nothing may be decided yet, as the configuration may have changed before the election.
+
+        The wait is bounded: then tasks are placed by the configuration that is known. Until one is confirmed,
+        nothing is decided that it may show to be wrong: a task that has failed is neither placed nor failed.
+        """
+        return not self.configuration_confirmed and now_ms < self.elected_ms + CONFIRMATION_WAIT_MS
+
     # Writes
 
     def put(self, key: bytes, value: bytes | None) -> None:
--- a/flintfield/programs/scheduler.py
+++ b/flintfield/programs/scheduler.py
@@ -112,6 +112,7 @@
             make_placement=partial(MarketPlacement, far_x=settings.bounds.far_x),
             steady_ms=steady_ms,
             rng=generator,
+            read_configuration=self._read_configuration,
             leader_address=self._leader_address,
             make_recorder=JobHistory,
         )
@@ -208,6 +209,9 @@
     def _current_configuration(self) -> Configuration | None:
         return self._view.current
 
+    async def _read_configuration(self) -> Configuration | None:
+        return await self._view.read()
+
     def _leader_address(self) -> str:
         leader = self._node.leader
         return leader.address if leader is not None else ""
--- a/flintfield/simulation/planted/dispatcher.py
+++ b/flintfield/simulation/planted/dispatcher.py
@@ -59,8 +59,8 @@
 
 
 def _with_parts(make: Callable[..., None], attribute: str, kind: type) -> Callable[..., None]:
-    def made(self: Any, *arguments: Any) -> None:
-        make(self, *arguments)
+    def made(self: Any, *arguments: Any, **options: Any) -> None:
+        make(self, *arguments, **options)
         getattr(self, attribute).__class__ = kind
 
     return made
@@ -77,11 +77,20 @@
     return [Patch(Listings, "process_ends", early)]
 
 
+def decide_before_confirmed() -> list[Patch]:
+    """A new dispatcher decides by whatever configuration its process knows."""
+
+    def made(*arguments: Any, configuration_confirmed: bool) -> Dispatcher:
+        return Dispatcher(*arguments)
+
+    return [Patch(service, "Dispatcher", made)]
+
+
 def one_epoch_for_all() -> list[Patch]:
     """The fencing token never rises, so late orders of an earlier dispatcher are not fenced off."""
 
-    def made(epoch: int, *arguments: Any) -> Dispatcher:
-        return Dispatcher(1, *arguments)
+    def made(epoch: int, *arguments: Any, **options: Any) -> Dispatcher:
+        return Dispatcher(1, *arguments, **options)
 
     return [Patch(service, "Dispatcher", made)]
 
--- a/flintfield/simulation/scheduler.py
+++ b/flintfield/simulation/scheduler.py
@@ -70,6 +70,7 @@
             MarketPlacement,
             self.steady_ms,
             self.rng,
+            self._read_configuration,
             self._leader_address,
         )
         self.node = CoreNode(
@@ -122,6 +123,9 @@
     def _current(self) -> Configuration | None:
         return self.view.current
 
+    async def _read_configuration(self) -> Configuration | None:
+        return await self.view.read()
+
     def _leader_address(self) -> str:
         leader = self.node.leader
         return leader.address if leader is not None else ""
--- a/tests/system/jobs_table.py
+++ b/tests/system/jobs_table.py
@@ -27,7 +27,7 @@
         self.longest_turn_s = 0.0  # processor time of one event
         self.elect(epoch)
 
-    def elect(self, epoch: int) -> None:
+    def elect(self, epoch: int, configuration_confirmed: bool = True) -> None:
         """Start a dispatcher from the durable records."""
         self.starts: list[StartOrder] = []
         self.stops: list[StopOrder] = []
@@ -36,7 +36,15 @@
         self.last_seen = 0
         self.granted = 0
         bounds, placement = DispatcherBounds(), MarketPlacement(1)
-        self.dispatcher = Dispatcher(epoch, self.now, bounds, placement, random.Random(1), self.configuration)
+        self.dispatcher = Dispatcher(
+            epoch,
+            self.now,
+            bounds,
+            placement,
+            random.Random(1),
+            self.configuration,
+            configuration_confirmed=configuration_confirmed,
+        )
         self.dispatcher.restore(dict(self.items))
         self.tick()
 
--- a/tests/system/test_control_server.py
+++ b/tests/system/test_control_server.py
@@ -245,6 +245,9 @@
     def known(self) -> tuple[bytes | None, int] | None:
         return self.state
 
+    async def read(self) -> bytes | None:
+        return self.state[0] if self.state is not None else None
+
     def on_change(self, callback: Callable[[bytes], None]) -> None:
         self.callbacks.append(callback)
 
