Simulate workers that deregister first, changed terms, and herd kills

`leaving`: workers deregister first, serve on for 1 to 9 s with runs of every kind, beat on or not, say `draining` afterwards, repeat their farewell; beside agents, dispatchers and calls in trouble. `terms`: maxAttempts (1 to 4) and priority change under 25 to 35 jobs, then all schedulers are killed, once or twice, and come back within 0, 0.3 or 1 s of one another. Not in it yet: changes of service, name and prefix under running jobs.

The ends that a stand-in worker lists are a module of their own.

--- a/flintfield/simulation/cluster.py
+++ b/flintfield/simulation/cluster.py
@@ -64,6 +64,7 @@
             FaultKind.WIPE_AND_POWER: self._wipe_and_power,
             FaultKind.KILL_CORE: lambda fault: self._kill_core(fault, power=False),
             FaultKind.POWER_CORE: lambda fault: self._kill_core(fault, power=True),
+            FaultKind.KILL_HERD: self._kill_herd,
             FaultKind.POWER_ALL: self._power_all,
             FaultKind.SEED_TURNOVER: self._name_seeds,
             FaultKind.FREEZE: self._freeze,
@@ -79,6 +80,7 @@
             FaultKind.STOP_AGENT: self._stop_agent,
             FaultKind.CRASH_WORKER: lambda fault: self.fleet.crash(self.fleet.spots[fault.target]),
             FaultKind.DRAIN_WORKER: lambda fault: self.fleet.drain(self.fleet.spots[fault.target]),
+            FaultKind.DEREGISTER_WORKER: self._deregister_worker,
             FaultKind.DARK_WORKER: self._worker,
             FaultKind.UNHEALTHY_WORKER: self._worker,
             FaultKind.LATE_ORDERS: self._worker,
@@ -173,6 +175,10 @@
         for name in self.scenario.schedulers:
             self._kill(name, fault.length_ms, power)
 
+    def _kill_herd(self, fault: Fault) -> None:
+        for name in self.scenario.schedulers:
+            self._kill(name, fault.length_ms + self._rng.uniform(0, fault.amount), power=False)
+
     def _power_all(self, fault: Fault) -> None:
         """Every machine goes at once; they come back in any order, within `amount` ms of one another."""
         for name in [*self.scenario.schedulers, *self.scenario.agents]:
@@ -281,6 +287,9 @@
 
         self.world.after(fault.length_ms, back)
 
+    def _deregister_worker(self, fault: Fault) -> None:
+        self.fleet.deregister(self.fleet.spots[fault.target], fault.length_ms)
+
     def _worker(self, fault: Fault) -> None:
         spot = self.fleet.spots[fault.target]
         self._troubled(fault.target, fault.length_ms)
--- a/flintfield/simulation/faults.py
+++ b/flintfield/simulation/faults.py
@@ -21,6 +21,7 @@
     WIPE_AND_POWER = "wipe_and_power"  # and all other replicas (or machines, `other`) lose power with them
     KILL_CORE = "kill_core"  # all schedulers at once
     POWER_CORE = "power_core"
+    KILL_HERD = "kill_herd"  # all schedulers at once, back in any order within `amount` ms of one another
     POWER_ALL = "power_all"  # every machine of the system: schedulers and agents
     SEED_TURNOVER = "seed_turnover"  # the settings name other seeds (`target`, with commas), SIGHUP to all
     FREEZE = "freeze"  # a scheduler or agent
@@ -36,6 +37,7 @@
     STOP_AGENT = "stop_agent"
     CRASH_WORKER = "crash_worker"
     DRAIN_WORKER = "drain_worker"
+    DEREGISTER_WORKER = "deregister_worker"  # it deregisters first, serves on for the length, and ends
     DARK_WORKER = "dark_worker"  # neither does nor answers what it is told
     UNHEALTHY_WORKER = "unhealthy_worker"
     LATE_ORDERS = "late_orders"
@@ -83,6 +85,7 @@
 _EVERYWHERE = (
     FaultKind.KILL_CORE,
     FaultKind.POWER_CORE,
+    FaultKind.KILL_HERD,
     FaultKind.POWER_ALL,
     FaultKind.LOSSY,
     FaultKind.SPLIT,
@@ -106,6 +109,7 @@
             not in (
                 FaultKind.KILL_CORE,
                 FaultKind.POWER_CORE,
+                FaultKind.KILL_HERD,
                 FaultKind.POWER_ALL,
                 FaultKind.WIPE_AND_POWER,
             )
--- a/flintfield/simulation/fleet.py
+++ b/flintfield/simulation/fleet.py
@@ -16,6 +16,7 @@
 
 LATE_BEAT_MS = (600.0, 5_000.0)
 RETURN_MS = (400.0, 2_500.0)  # until a new incarnation takes the place of one that ended
+FAREWELL_PERIOD_MS = 700.0
 LINGER_MS = (100.0, 2_500.0)  # how much longer than promised a leaving worker serves
 
 
@@ -90,13 +91,39 @@
         self._say(spot, worker)
         self._world.after(6_000, lambda: self._leave(spot, worker))  # if no acknowledgement comes
 
+    def deregister(self, spot: Spot, serves_on_ms: float) -> None:
+        """It deregisters without a word before, serves on for so long, and ends."""
+        worker = spot.worker
+        if worker.dead or worker.draining or worker.deregistered:
+            return
+        self._world.note(f"worker {worker.instance} deregisters")
+        worker.deregistered = True
+        worker.beats_on = self._rng.random() < 0.5
+        self._say_farewell(spot, worker)
+        if self._rng.random() < 0.3:
+            worker.draining = True
+            self._world.after(self._rng.uniform(0, serves_on_ms), lambda: self._say(spot, worker))
+        self._world.after(serves_on_ms, lambda: self._end(spot, worker))
+
+    def _say_farewell(self, spot: Spot, worker: StandInWorker) -> None:
+        """Repeated until an agent takes it in, and at times once more."""
+        if worker.dead:
+            return
+        taken = spot.deliver(Deregistered(worker.instance))
+        if not taken or self._rng.random() < 0.2:
+            self._world.after(FAREWELL_PERIOD_MS, lambda: self._say_farewell(spot, worker))
+
+    def _end(self, spot: Spot, worker: StandInWorker) -> None:
+        if spot.worker is worker:
+            self.crash(spot)
+
     def _drain_acked(self, spot: Spot, worker: StandInWorker) -> None:
         worker.drain_acked_ms = self._world.now_ms
         linger_ms = self._rng.uniform(*LINGER_MS)
         self._world.after(self._bounds.drain_ms + linger_ms, lambda: self._leave(spot, worker))
 
     def _leave(self, spot: Spot, worker: StandInWorker) -> None:
-        if worker.dead or spot.worker is not worker:
+        if worker.dead or spot.worker is not worker or worker.deregistered:
             return
         spot.deliver(Deregistered(worker.instance))
         self.crash(spot)
@@ -104,7 +131,7 @@
     # Heartbeats.
 
     def _beat(self, spot: Spot, worker: StandInWorker) -> None:
-        if worker.dead:
+        if worker.dead or not worker.beats_on:
             return
         self._say(spot, worker)
         period_ms = self._bounds.heartbeat_ms * self._rng.uniform(0.9, 1.1)
--- a/flintfield/simulation/judge/answers.py
+++ b/flintfield/simulation/judge/answers.py
@@ -56,7 +56,7 @@
     for call in case.calls.get(job.id, ()):
         if call.state == "cancelled" and cancel_sent_ms is None:
             broken.append(f"LOST {job.id}: shown as cancelled at {call.answered_ms:.0f}, by nobody")
-        if call.state == "failed" and not case.may_have_failed(job):
+        if call.state == "failed" and not case.may_have_failed(job, call.answered_ms):
             broken.append(f"LOST {job.id}: shown as failed at {call.answered_ms:.0f} without cause")
         if accepted_ms is None or cancel_sent_ms is not None or call.method != "GET" or call.status != 410:
             continue
--- a/flintfield/simulation/judge/case.py
+++ b/flintfield/simulation/judge/case.py
@@ -2,14 +2,34 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from flintfield.simulation.plans import Bounds, Plan
-from flintfield.simulation.record import CallSeen, JobAsked, Record, RunSeen
+from flintfield.simulation.record import CallSeen, JobAsked, OrderSeen, Record, RunSeen
 from flintfield.simulation.scenario import QUEUES, Scenario
 
 NEVER_MS = float("inf")
+NOTED_AFTER_MS = 100  # in a calm, an end counts as taken note of so long after it was listed
+AFTER_END_MS = 10_000  # the last questions
 _SERVICE_OF = {prefix: service for prefix, service, _ in QUEUES}
 
 
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """A configuration that the operator sent, as far as it tells how often tasks may fail."""
+
+    version: int
+    sent_ms: float
+    acked_ms: float
+    attempts: dict[str, int]  # by the prefix of the queue
+
+
+def _offer(order: OrderSeen) -> Offer:
+    attempts = {item["pathPrefix"]: int(item["maxAttempts"]) for item in order.document["routes"]}
+    acked_ms = order.acked_ms if order.acked_ms is not None else NEVER_MS
+    return Offer(order.version, order.sent_ms, acked_ms, attempts)
+
+
 class Case:
     """One record, indexed."""
 
@@ -26,6 +46,7 @@
         self.cancels = {
             job: cancelled for job in record.jobs if (cancelled := self._cancel_acked(job)) is not None
         }
+        self._offers = [_offer(order) for order in record.orders if order.valid]
         self._plans = {script.job.id: script.plans for script in scenario.jobs}
 
     def job_of(self, task: str) -> JobAsked:
@@ -85,18 +106,58 @@
             default=NEVER_MS,
         )
 
-    def may_have_failed(self, job: JobAsked) -> bool:
-        """Whether a task, or a gang, has failed often enough."""
+    def noted_ms(self, seen: RunSeen) -> float:
+        """From when on the run's end counts as taken note of."""
+        if seen.end_ms is None:
+            return NEVER_MS
+        if seen.noted:
+            return seen.end_ms
+        if seen.listed_ms is None:
+            return NEVER_MS
+        noted_ms = seen.listed_ms + NOTED_AFTER_MS
+        lapsed = seen.lapsed_ms is not None and seen.lapsed_ms <= noted_ms
+        return NEVER_MS if lapsed or not self.calm(seen.end_ms, noted_ms) else noted_ms
+
+    def attempts_in_force(self, job: JobAsked, time_ms: float) -> set[int]:
+        """The numbers of `maxAttempts` that a configuration may give the job's queue at this time."""
+        sent = [offer for offer in self._offers if offer.sent_ms <= time_ms]
+        apply_ms = self.bounds.config_apply_ms
+        newest = max((offer.version for offer in sent if offer.acked_ms + apply_ms <= time_ms), default=0)
+        return {
+            offer.attempts.get(job.queue, job.max_attempts) for offer in sent if offer.version >= newest
+        } or {job.max_attempts}
+
+    def may_have_failed(self, job: JobAsked, shown_ms: float = NEVER_MS) -> bool:
+        """Whether a task, or a gang, has failed often enough, at a time before it was shown."""
         for number in range(job.times):
             for step in range(len(job.steps)):
                 tasks = self.tasks_of_step(job, number, step)
                 failed = [self._failed_runs(task) for task in tasks]
                 together = self.plan_of(tasks[0]).gang > 1
                 groups = [set().union(*failed)] if together else failed
-                if any(len(runs) >= job.max_attempts for runs in groups):
+                if any(self._is_too_many(job, tasks, runs, shown_ms) for runs in groups):
                     return True
         return False
 
+    def _is_too_many(self, job: JobAsked, tasks: list[str], failed: set[int], shown_ms: float) -> bool:
+        """Whether so many failed runs were enough at a time between the last of them and `shown_ms`."""
+        ends_ms = [
+            seen.end_ms
+            for task in tasks
+            for seen in self.by_task.get(task, ())
+            if seen.run in failed and seen.how == "failed" and seen.end_ms is not None
+        ]
+        if not ends_ms:
+            return False
+        until_ms = min(shown_ms, self.record.end_ms + AFTER_END_MS)
+        looks = [time_ms for time_ms in self._change_times() if max(ends_ms) <= time_ms <= until_ms]
+        numbers = set().union(*(self.attempts_in_force(job, at_ms) for at_ms in (max(ends_ms), *looks)))
+        return len(failed) >= min(numbers)
+
+    def _change_times(self) -> list[float]:
+        """When the set of configurations that may be in force grows."""
+        return [offer.sent_ms for offer in self._offers]
+
     def _failed_runs(self, task: str) -> set[int]:
         return {seen.run for seen in self.by_task.get(task, ()) if seen.how == "failed"}
 
--- a/flintfield/simulation/judge/runs.py
+++ b/flintfield/simulation/judge/runs.py
@@ -5,7 +5,7 @@
 import itertools
 
 from flintfield.simulation.clock import WALL_START_MS
-from flintfield.simulation.judge.case import Case
+from flintfield.simulation.judge.case import NEVER_MS, Case
 from flintfield.simulation.record import RunSeen
 
 CLOCK_JUMP_MS = 5_000  # a scheduled start may be so much earlier on days when clocks jump
@@ -34,9 +34,10 @@
                     f"TWICE {task}: run {one.run} at {one.instance} from {one.start_ms:.0f} until "
                     f"{one.end_ms}, run {other.run} at {other.instance} from {other.start_ms:.0f}"
                 )
-        for done in [seen for seen in runs if seen.how == "done" and seen.noted]:
+        for done in [seen for seen in runs if seen.how == "done"]:
+            noted_ms = case.noted_ms(done)
             for later in runs:
-                if done.end_ms is not None and later.start_ms > done.end_ms:
+                if later is not done and later.start_ms > noted_ms:
                     broken.append(
                         f"TWICE {task}: run {later.run} at {later.start_ms:.0f} after run "
                         f"{done.run} had ended done at {done.end_ms:.0f}"
@@ -51,15 +52,15 @@
 
 def _budget(case: Case, task: str, runs: list[RunSeen]) -> list[str]:
     step = case.job_of(task).step_of(task)
-    most = case.job_of(task).max_attempts
     if step.get("longRunning"):
         return []
     broken = []
     failed = sorted(
-        seen.end_ms for seen in runs if seen.how == "failed" and seen.noted and seen.end_ms is not None
+        noted_ms for seen in runs if seen.how == "failed" and (noted_ms := case.noted_ms(seen)) < NEVER_MS
     )
     for seen in runs:
-        before = [end_ms for end_ms in failed if end_ms < seen.start_ms]
+        before = [noted_ms for noted_ms in failed if noted_ms < seen.start_ms]
+        most = max(case.attempts_in_force(case.job_of(task), seen.start_ms))
         if len(before) < most:
             continue
         if step.get("speculative") and (seen.late or seen.start_ms < before[most - 1] + TOLD_LATE_MS):
--- a/flintfield/simulation/judge/standstill.py
+++ b/flintfield/simulation/judge/standstill.py
@@ -21,7 +21,7 @@
 CALM_MS = 7_000  # before a lasting task's standstill counts
 LOOK_MS = 250
 ROOM_MS = 3_000  # for which there must have been room
-LEAVE = (FaultKind.CRASH_WORKER, FaultKind.DRAIN_WORKER)
+LEAVE = (FaultKind.CRASH_WORKER, FaultKind.DRAIN_WORKER, FaultKind.DEREGISTER_WORKER)
 
 
 def judge(case: Case) -> list[str]:
--- a/flintfield/simulation/operator.py
+++ b/flintfield/simulation/operator.py
@@ -20,6 +20,7 @@
 
 FIRST_MS = 300
 TRIES = 20
+ATTEMPTS = (1, 2, 3, 4)  # that a queue may be given
 BACKOFF_MS = (80.0, 500.0)
 FINAL = (200, 400, 409, 412, 413, 422)  # end an order's call
 
@@ -142,6 +143,8 @@
         )
 
     def _compose(self, present: Document, version: int, script: ChangeScript) -> tuple[OrderSeen, bytes]:
+        if script.terms:
+            return self._compose_terms(present, version, script.whole)
         self._paths += 1
         prefix = f"/x{self._paths}/"
         added = route(f"x{self._paths}", prefix, SERVICES[0], 3)
@@ -157,6 +160,20 @@
         self._on_path(prefix)
         return self._order(present["version"], sent, result, not script.invalid)
 
+    def _compose_terms(self, present: Document, version: int, whole: bool) -> tuple[OrderSeen, bytes]:
+        """Change how often the tasks of a queue may fail, and its priority."""
+        queues = [item for item in present["routes"] if item["name"].startswith("q")]
+        queue = self._rng.choice(queues)
+        changed = {
+            **queue,
+            "maxAttempts": self._rng.choice(ATTEMPTS),
+            "priority": self._rng.choice((0, 1, 2)),
+        }
+        routes = [changed if item is queue else item for item in present["routes"]]
+        result: Document = {**present, "version": version, "routes": routes}
+        sent = result if whole else {"version": version, "upsert": {"routes": [changed]}, "remove": {}}
+        return self._order(present["version"], sent, result, True)
+
     async def _send(self, made: tuple[OrderSeen, bytes], whole: bool) -> OrderSeen:
         order, body = made
         for _ in range(TRIES):
--- a/flintfield/simulation/planted/__init__.py
+++ b/flintfield/simulation/planted/__init__.py
@@ -61,7 +61,11 @@
         "replicas promise and obey any epoch", coordination.obey_lower_epochs, Theme.TAKEOVER, 48
     ),
     "forget-position-at-election": PlantedFault(
-        "a new leader begins with its own state", coordination.forget_position_at_election, Theme.TAKEOVER, 4
+        "a new leader begins with its own state",
+        coordination.forget_position_at_election,
+        Theme.TAKEOVER,
+        4,
+        first=9,
     ),
     "act-without-lease": PlantedFault(
         "a leader acts until somebody tells it that it is deposed",
@@ -163,6 +167,19 @@
     "know-jobs-by-id-alone": PlantedFault(
         "a job is found by its ID whatever the queue", dispatcher.know_jobs_by_id_alone, Theme.CROWDS, 3
     ),
+    "forget-deregistered-workers": PlantedFault(
+        "a deregistered worker is reported for 2 s and called for 5 s, whatever it still runs",
+        agent.forget_deregistered_workers,
+        Theme.LEAVING,
+        12,
+        first=50,
+    ),
+    "decide-before-confirmed": PlantedFault(
+        "a new dispatcher decides by whatever configuration its process knows",
+        dispatcher.decide_before_confirmed,
+        Theme.TERMS,
+        12,
+    ),
     "answer-long-reads-by-itself": PlantedFault(
         "reads whose answers are too long for a link are not redirected",
         control.answer_long_reads_by_itself,
--- a/flintfield/simulation/planted/agent.py
+++ b/flintfield/simulation/planted/agent.py
@@ -7,10 +7,10 @@
 from flintfield.agent import listing
 from flintfield.agent.core import Agent
 from flintfield.agent.events import Answer, AnswerKind
-from flintfield.agent.incarnation import Incarnation
+from flintfield.agent.incarnation import Incarnation, Standing
 from flintfield.agent.orders import Order, OrderBook
 from flintfield.jobs import worker_record
-from flintfield.jobs.messages import AgentOrders, Outcome, StopOrder
+from flintfield.jobs.messages import AgentOrders, AgentReport, Outcome, StopOrder
 from flintfield.jobs.worker_record import WorkerRecord
 from flintfield.jobs.workers import Workers
 from flintfield.simulation.planted.patch import Patch
@@ -32,6 +32,36 @@
     return [Patch(OrderBook, "take_stop", drop), Patch(worker_record, "MAX_UNANSWERED", 1 << 30)]
 
 
+def forget_deregistered_workers() -> list[Patch]:
+    """A deregistered worker is reported for 2 s and called for 5 s, whatever it still runs."""
+    left_ms: dict[int, int] = {}
+    deregister, answers = Incarnation.deregister, Incarnation._answers
+
+    def note(self: Incarnation, now: int) -> None:
+        left_ms.setdefault(id(self), now)
+        deregister(self, now)
+
+    def reported_for_a_while(self: Incarnation, now: int) -> bool:
+        owes = self.listing.has_ends or self.listing.running
+        if self.standing is Standing.REPLACED:
+            return True
+        leaves = self.standing is Standing.DEREGISTERED
+        return leaves and (not owes or now - left_ms.get(id(self), now) > 2_000)
+
+    def called_for_a_while(self: Incarnation, now: int) -> bool:
+        if self.standing is Standing.DEREGISTERED:
+            return now - left_ms.get(id(self), now) < 5_000
+        return answers(self, now)
+
+    return [
+        Patch(Incarnation, "deregister", note),
+        Patch(Incarnation, "is_over", reported_for_a_while),
+        Patch(Incarnation, "_answers", called_for_a_while),
+        Patch(AgentReport, "is_over", property(lambda _: False)),
+        Patch(AgentReport, "subject", property(lambda self: self.worker.instance if self.worker else "")),
+    ]
+
+
 def grant_from_receipt() -> list[Patch]:
     """Holds are granted from the receipt of the orders."""
 
--- a/flintfield/simulation/record.py
+++ b/flintfield/simulation/record.py
@@ -30,6 +30,8 @@
     how: str = ""
     number: int = 0
     noted: bool = False  # `lastSeen` reached its end, and the hold had not lapsed in between
+    listed_ms: float | None = None  # when the worker first listed its end
+    lapsed_ms: float | None = None  # when the hold first lapsed after its end
 
     @property
     def job(self) -> str:
--- a/flintfield/simulation/scenario.py
+++ b/flintfield/simulation/scenario.py
@@ -21,6 +21,10 @@
 IDLE_ROUTES = (1_600, 2_400, 3_200)  # of the theme `links`; some 190 bytes each
 JOBS_FROM_MS, JOBS_UNTIL_MS = 2_600, 9_000
 READ_ROUND_MS = (4_000, 9_000)
+LONG_WORK_MS = (150, 900, 4_000, 7_000)
+SHORT_WORK_MS = (150, 400, 900, 2_000)
+FAILS = (0, 0, 0, 0, 0, 1, 1, -1)  # runs of a task that fail first (-1: all)
+FAILS_UNDER_CHANGED_TERMS = (0, 1, 1, 2, 2, 2, 3, -1)
 CLIENTS = {Theme.SEEDS: (3, 4), Theme.LINKS: (8, 12)}
 """How many schedulers of these themes don't count for the quorum."""
 
@@ -84,7 +88,7 @@
         clients,
         diskless,
         workers,
-        tuple(_job(rng, seed, number, theme) for number in range(rng.randint(6, 12))),
+        tuple(_job(rng, seed, number, theme) for number in range(rng.randint(*_jobs(theme)))),
         tuple(_change(rng, theme) for _ in range(rng.randint(*_changes(theme)))),
         (),
         theme,
@@ -109,8 +113,15 @@
     )
 
 
+def _jobs(theme: Theme) -> tuple[int, int]:
+    """The least and the greatest number of jobs."""
+    return (25, 35) if theme is Theme.TERMS else (6, 12)
+
+
 def _changes(theme: Theme) -> tuple[int, int]:
     """The least and the greatest number of changes of the configuration."""
+    if theme is Theme.TERMS:
+        return (3, 6)
     return (6, 14) if theme in (Theme.REGISTER, Theme.CORE, Theme.LOSSES) else (1, 4)
 
 
@@ -147,9 +158,11 @@
 def _step(rng: random.Random, name: str, prefix: str, theme: Theme) -> tuple[dict[str, Any], Plan]:
     count = rng.choice((1, 2, 3))
     cpu = rng.choice((500, 1_000, 1_500))
-    work_ms = rng.choice((150, 900, 4_000, 7_000) if theme.long_jobs else (150, 400, 900, 2_000))
+    work_ms = rng.choice(LONG_WORK_MS if theme.long_jobs else SHORT_WORK_MS)
+    if theme is Theme.TERMS:  # tasks that have failed are to wait for room
+        cpu, work_ms = 1_500, rng.choice((400, 900, 2_000))
     step: dict[str, Any] = {"count": count, "cpu": cpu, "memMb": 64, "estimateMs": work_ms}
-    fails = rng.choice((0, 0, 0, 0, 0, 1, 1, -1))
+    fails = rng.choice(FAILS_UNDER_CHANGED_TERMS if theme is Theme.TERMS else FAILS)
     checkpoints = rng.random() < 0.3
     gang = 1
     lasts = False
@@ -174,4 +187,6 @@
 def _change(rng: random.Random, theme: Theme) -> ChangeScript:
     at_ms = rng.randint(3_000, 9_500)
     orders = rng.choice((1, 2, 3)) if theme is Theme.REGISTER else rng.choice((1, 1, 2))
+    if theme is Theme.TERMS:
+        return ChangeScript(rng.randint(2_700, 5_500), 1, rng.random() < 0.4, False, False, terms=True)
     return ChangeScript(at_ms, orders, rng.random() < 0.4, rng.random() < 0.2, rng.random() < 0.4)
--- a/flintfield/simulation/scripts.py
+++ b/flintfield/simulation/scripts.py
@@ -31,3 +31,4 @@
     whole: bool
     invalid: bool
     repeats: bool
+    terms: bool = False  # it changes the terms of a queue that jobs are handed in to
--- a/flintfield/simulation/themes.py
+++ b/flintfield/simulation/themes.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from flintfield.simulation.departures import draw_departures, draw_herd_kills
 from flintfield.simulation.disk_losses import draw_loss
 from flintfield.simulation.faults import LEADER, Fault, FaultKind, Trigger, keep_promise
 from flintfield.simulation.seed_turnover import draw_turnover
@@ -32,11 +33,13 @@
     LINKS = "links"
     LOSSES = "losses"
     CROWDS = "crowds"
+    LEAVING = "leaving"
+    TERMS = "terms"
 
     @property
     def long_jobs(self) -> bool:
         """Whether tasks outlast a hold."""
-        return self in (Theme.HOLDS, Theme.TAKEOVER)
+        return self in (Theme.HOLDS, Theme.TAKEOVER, Theme.LEAVING)
 
 
 WEIGHTS = {
@@ -52,6 +55,8 @@
     Theme.LOSSES: 0,
     Theme.LINKS: 0,
     Theme.CROWDS: 0,
+    Theme.LEAVING: 0,
+    Theme.TERMS: 0,
 }
 """A theme without weight is played only where it is asked for, so that seeds keep their themes."""
 
@@ -257,10 +262,6 @@
     return drawn
 
 
-def _seeds(rng: random.Random, place: Place) -> list[Fault]:
-    return draw_turnover(rng, place.replicas, place.schedulers, place.agents)
-
-
 def _links(rng: random.Random, place: Place) -> list[Fault]:
     """Replicas that end or freeze, so that those without one can't redirect to all of them."""
     kinds = (_K.KILL_SCHEDULER, _K.STOP_SCHEDULER, _K.FREEZE)
@@ -289,8 +290,10 @@
     Theme.WORKERS: _workers,
     Theme.HOLDS: _holds,
     Theme.STRIKE: _strike,
-    Theme.SEEDS: _seeds,
+    Theme.SEEDS: lambda rng, place: draw_turnover(rng, place.replicas, place.schedulers, place.agents),
     Theme.LINKS: _links,
     Theme.LOSSES: _losses,
     Theme.CROWDS: _crowds,
+    Theme.LEAVING: lambda rng, place: draw_departures(rng, place.agents),
+    Theme.TERMS: lambda rng, _: draw_herd_kills(rng),
 }
--- a/flintfield/simulation/worker.py
+++ b/flintfield/simulation/worker.py
@@ -10,14 +10,14 @@
 from collections.abc import Callable
 
 from flintfield.agent.events import Answer, AnswerKind, Hold, RunStart, RunStop
-from flintfield.jobs.messages import End, Run, RunResult
+from flintfield.jobs.messages import Run, RunResult
 from flintfield.simulation.faults import Trigger
 from flintfield.simulation.held import Gangs, Held, Phase, fits
+from flintfield.simulation.listed_ends import ListedEnds
 from flintfield.simulation.plans import Bounds, Kind, Plan
 from flintfield.simulation.record import Record, RunSeen
 from flintfield.simulation.world import World
 
-MOST_ENDS_TOLD = 500
 PlanOf = Callable[[str], Plan]
 Signal = Callable[[Trigger], None]
 
@@ -44,6 +44,8 @@
         self.kind = kind
         self.dead = False
         self.draining = False
+        self.deregistered = False
+        self.beats_on = True
         self.drain_acked_ms: float | None = None
         self.waiters: list[Callable[[], None]] = []  # long calls that wait for an end
         self._record = record
@@ -57,10 +59,7 @@
         self._barred: dict[str, int] = {}  # the highest run stopped or ended, by task
         self._fence = 0
         self._expires = 0.0
-        self._last_seen = 0
-        self._ends: dict[int, tuple[End, RunSeen]] = {}
-        self._unnoted: set[int] = set()  # ends that the hold's lapse came before
-        self._numbers = 0
+        self._ends = ListedEnds()
         self._armed: float | None = None
 
     @property
@@ -107,10 +106,7 @@
             return self._answer(AnswerKind.FENCE)
         if order.expires_ms is not None:
             self._extend(order.expires_ms)
-        self._last_seen = max(self._last_seen, order.last_seen)
-        for number in [number for number in self._ends if number <= self._last_seen]:
-            _, seen = self._ends.pop(number)
-            seen.noted = number not in self._unnoted
+        for _ in range(self._ends.forget(order.last_seen)):
             self._signal(Trigger.NOTED)
         return None
 
@@ -122,8 +118,7 @@
             Run(held.seen.task, held.seen.run, held.saved, held.percent(self.clock_ms))
             for held in self._runs.values()
         )
-        ends = tuple(end for end, _ in list(self._ends.values())[:MOST_ENDS_TOLD])
-        return Answer(AnswerKind.OK, int(self.clock_ms), running, ends)
+        return Answer(AnswerKind.OK, int(self.clock_ms), running, self._ends.told(self.world.now_ms))
 
     @property
     def has_ends(self) -> bool:
@@ -184,7 +179,7 @@
         return held.ends_at
 
     def _lapse(self) -> None:
-        self._unnoted.update(self._ends)
+        self._ends.lapse(self.world.now_ms)
         for held in list(self._runs.values()):
             self._end(held, RunResult.LAPSED)
 
@@ -247,12 +242,7 @@
         if self._runs.pop((seen.task, seen.run), None) is None:
             return  # it went with another member of its gang in the same moment
         self._barred[seen.task] = max(seen.run, self._barred.get(seen.task, 0))
-        self._numbers += 1
-        seen.end_ms, seen.how, seen.number = self.world.now_ms, how.name.lower(), self._numbers
-        saved = "" if how is RunResult.DONE else held.saved
-        self._ends[self._numbers] = (End(self._numbers, seen.task, seen.run, how, saved), seen)
-        if how is RunResult.LAPSED:
-            self._unnoted.add(self._numbers)
+        self._ends.add(self.world.now_ms, seen, how, "" if how is RunResult.DONE else held.saved)
         self.world.note(f"worker {self.instance}: run {seen.run} of {seen.task} {seen.how}")
         if held.plan.gang > 1:
             self._gangs.remove(held)
