Keep the last terms of a removed queue over a change of the dispatcher (LOST)

Cause: JobRecord.terms is written at the acceptance alone, and a configuration without the queue tells no terms. Ruled out: rewriting the JobRecord at each change, as it holds the body (up to thousands of bytes, for up to 20,000 jobs at one change); a stored version to compare with, as jobs take up confirmed configurations only.

Change: name and terms of a job's queue are a record of their own (`q` + id, some 90 bytes), written when a configuration changes them, read over the JobRecord, deleted with the job's end. A store of the build before has none: its jobs have the terms of their acceptance, as before.

--- a/flintfield/jobs/durable.py
+++ b/flintfield/jobs/durable.py
@@ -3,12 +3,14 @@
 | key | value | written |
 | --- | --- | --- |
 | `j` + id | `JobRecord`: body, queue, terms | once, before the client receives 200 |
+| `q` + id | `QueueRecord`: name and terms of its queue | when the configuration changes them |
 | `e` + id | `EndRecord`: final state and end time | when the job ends or is cancelled |
 | `k` + id | `OccurrencesRecord`: completed occurrences | each time an occurrence of a timed job completes |
 | `t` + id + `.` + K.STEP.INDEX | `TaskRecord` | at each change of a task that was ever placed |
 
 A task's record is deleted once its occurrence or job has ended and none of its runs may still exist. All
-records of a job are deleted when the job is forgotten.
+records of a job are deleted when the job is forgotten, and its `QueueRecord` when it ends. A job without one
+has the terms of its acceptance: so does one of a former release, which kept no such records.
 """
 
 from __future__ import annotations
@@ -21,10 +23,10 @@
 from flintfield.jobs.states import TaskState
 from flintfield.transport.records import encode, record
 
-JOB, END, OCCURRENCES, TASK = b"j", b"e", b"k", b"t"
+JOB, QUEUE, END, OCCURRENCES, TASK = b"j", b"q", b"e", b"k", b"t"
 
 # Upper estimates of the record sizes, including keys but not the body, for the longest usual names.
-JOB_RECORDS_BYTES = 256  # `JobRecord` without its body, `EndRecord` and `OccurrencesRecord`
+JOB_RECORDS_BYTES = 352  # `JobRecord` without its body, `QueueRecord`, `EndRecord` and `OccurrencesRecord`
 TASK_RECORD_BYTES = 360  # `TaskRecord` with two runs: a current one and one whose end is not certain yet
 OPEN_OCCURRENCES = 2  # of a timed job: a late one and the next
 
@@ -103,6 +105,15 @@
     runs: tuple[RunRecord, ...]
 
 
+@record(114)
+@dataclass(frozen=True, slots=True)
+class QueueRecord:
+    """The queue of a job by a configuration after its acceptance; it holds on after the queue's removal."""
+
+    route: str
+    terms: TermsRecord
+
+
 def most_bytes(body: bytes, tasks: int, timed: bool) -> int:
     """Upper bound of a job's size in the store (bytes) while it is active with all tasks placed."""
     occurrences = OPEN_OCCURRENCES if timed else 1
@@ -126,6 +137,11 @@
     return JOB + job.encode()
 
 
+def queue_key(job: str) -> bytes:
+    """Key of the `QueueRecord`."""
+    return QUEUE + job.encode()
+
+
 def end_key(job: str) -> bytes:
     """Key of the `EndRecord`."""
     return END + job.encode()
@@ -164,6 +180,11 @@
     )
 
 
+def encode_queue(job: Job) -> bytes:
+    """Encode the present queue of a job."""
+    return encode(QueueRecord(job.route, encode_terms(job.terms)))
+
+
 def decode_terms(terms: TermsRecord) -> Terms:
     """Convert terms from their stored form."""
     return Terms(terms.service, terms.priority, terms.max_attempts, terms.extension, terms.target_latency_ms)
--- a/flintfield/jobs/ends.py
+++ b/flintfield/jobs/ends.py
@@ -218,6 +218,8 @@
             state.pending[job.route] -= 1
         state.put(durable.end_key(job.id), encode(durable.end_record(job)))
         state.put(durable.job_key(job.id), None)
+        if job.queue_recorded:
+            state.put(durable.queue_key(job.id), None)
         state.put(durable.occurrences_key(job.id), None)
         state.remember_ended(job)
         state.after_write(partial(self._show_end, job, state.now_ms))
--- a/flintfield/jobs/model.py
+++ b/flintfield/jobs/model.py
@@ -239,6 +239,7 @@
     submitted: bool = True
     address: str = ""  # its queue's host and prefix at its acceptance; "": stored by a former release
     accepted_route: str = ""  # its queue's name at its acceptance; `route` is its name now
+    queue_recorded: bool = False  # whether the store has its `QueueRecord`
     kept_bytes: int = 0  # upper bound of its size in the store until it has ended
     started: bool = False
     open_runs: int = 0  # of its tasks, that may still exist
--- a/flintfield/jobs/reconfiguration.py
+++ b/flintfield/jobs/reconfiguration.py
@@ -8,6 +8,7 @@
 
 from collections import deque
 
+from flintfield.jobs import durable
 from flintfield.jobs.addresses import queue_of
 from flintfield.jobs.events import Configuration, Route
 from flintfield.jobs.model import Job
@@ -74,11 +75,15 @@
         return bool(self._joining)
 
     def _join_queue(self, job: Job, route: Route) -> None:
+        terms = terms_of(route)
+        if route.name == job.route and terms == job.terms:
+            return
         if route.name != job.route:
             if job.state is JobState.ACTIVE:
                 self._state.pending[job.route] -= 1
                 self._state.pending[route.name] += 1
             job.route = route.name
-        terms = terms_of(route)
         if terms != job.terms:
             self._readiness.change_terms(job, terms)
+        self._state.put(durable.queue_key(job.id), durable.encode_queue(job))
+        job.queue_recorded = True
--- a/flintfield/jobs/restore.py
+++ b/flintfield/jobs/restore.py
@@ -26,7 +26,7 @@
 
 
 class Restore:
-    """Reads jobs, ends, completed occurrences and tasks, in this order, then makes tasks ready."""
+    """Reads jobs, their queues, ends, completed occurrences and tasks in this order; makes tasks ready."""
 
     def __init__(self, state: DispatcherState, readiness: Readiness) -> None:
         self._state = state
@@ -41,6 +41,7 @@
             by_kind.setdefault(key[:1], []).append((key[1:].decode("ascii", "replace"), value))
         for kind, read in (
             (durable.JOB, self._job),
+            (durable.QUEUE, self._queue),
             (durable.END, self._end),
             (durable.OCCURRENCES, self._occurrences),
             (durable.TASK, self._task),
@@ -86,6 +87,14 @@
         job.become_active()
         self._state.jobs[job_id] = job
 
+    def _queue(self, job_id: str, record: durable.QueueRecord) -> None:
+        job = self._state.jobs.get(job_id)
+        if job is None:  # it ended under a former release, which leaves these records
+            self._state.put(durable.queue_key(job_id), None)
+            return
+        job.route, job.terms = record.route, durable.decode_terms(record.terms)
+        job.queue_recorded = True
+
     def _end(self, job_id: str, record: durable.EndRecord) -> None:
         terms = Terms("", 0, 1, 1.0, 0)
         job = Job(
--- a/tests/system/test_jobs_unconfirmed.py
+++ b/tests/system/test_jobs_unconfirmed.py
@@ -10,6 +10,7 @@
 from dataclasses import replace
 from typing import Any
 
+from flintfield.jobs.durable import QUEUE
 from flintfield.jobs.events import ConfigurationChanged, ConfigurationConfirmed, ReportArrived, Tick
 from flintfield.jobs.messages import AgentReport, End, Method, OrderResult, Outcome, Run, RunResult
 from flintfield.jobs.state import CONFIRMATION_WAIT_MS
@@ -185,6 +186,39 @@
         self.report()
         self.assertEqual([TASK], self.started())
 
+    # Guards against a job that fails by the terms of its acceptance, or waits for workers of its first
+    # service, where its queue was changed and then removed.
+    def test_the_last_terms_of_a_removed_queue_outlive_the_dispatcher(self) -> None:
+        self.fail_twice_while_an_urgent_job_waits()
+        removed = ConfigurationModel(6, (URGENT,))
+        self.played.handle(ConfigurationChanged(removed))
+        self.take_over(removed)
+        self.wait_for_room()
+        self.played.handle(ConfigurationConfirmed(removed))
+        self.report()
+        self.assertEqual([TASK], self.started())
+
+    def test_a_job_goes_on_at_the_last_service_of_its_removed_queue(self) -> None:
+        elsewhere = ConfigurationModel(1, (replace(USUAL, service="elsewhere"), URGENT))
+        self.played = PlayedDispatcher(FIRST_EPOCH, elsewhere)
+        self.submit(1, STEP)
+        self.configure(2)
+        removed = ConfigurationModel(6, (URGENT,))
+        self.played.handle(ConfigurationChanged(removed))
+        self.played.configuration = removed
+        self.elect()
+        self.report()
+        self.played.handle(ConfigurationConfirmed(removed))
+        self.assertEqual([TASK], self.started())
+
+    def test_nothing_of_a_job_is_left_in_the_store_once_it_is_forgotten(self) -> None:
+        self.submit(1, STEP)
+        self.configure(4)
+        self.assertTrue(any(key.startswith(QUEUE) for key in self.played.items))
+        self.played.call(Method.CANCEL, "/a/" + job_id(1))
+        self.report(running=())
+        self.assertFalse(any(key.startswith(QUEUE) for key in self.played.items))
+
     def test_that_there_is_no_configuration_is_a_confirmation_too(self) -> None:
         self.elect()
         self.played.handle(ConfigurationConfirmed(None))
