Soak: workers that deregister first and serve on, and the whole core killed

Change: a stand-in worker deregisters on SIGUSR1, beats no more, serves on for 1 to 7 s and comes back as another incarnation (up to 3 in a run); all schedulers are killed and come back in any order (in two runs of five). Both are drawn apart, so that the series of a seed stay. The judge counts an end `done` as taken note of 0.1 s after it was listed, where nothing was done to a process from 3 s before. Not in it yet: configurations that change the terms of queues with failing jobs.

--- a/flintfield/soak/cluster.py
+++ b/flintfield/soak/cluster.py
@@ -55,6 +55,7 @@
         self._rng = rng
         self._processes = Processes(folder)
         self._workers: list[str] = []
+        self._worker_of: dict[str, str] = {}  # by the name of its agent's machine
         self._seeds = tuple(machine.control for machine in machines if machine.replica)
         self._started_s = {name: 0.0 for name in self.machines}
         self._last_trouble_s = {name: 0.0 for name in self.machines}
@@ -87,6 +88,7 @@
             if machine.role is Role.AGENT:
                 self._processes.start_worker(machine, index, tells_runs=True)
                 self._workers.append(worker_name(index))
+                self._worker_of[machine.name] = worker_name(index)
 
     async def _until(self, reached: Callable[[], bool]) -> None:
         deadline_s = time.monotonic() + START_S
@@ -131,6 +133,12 @@
 
     async def carry_out(self, action: Action) -> None:
         """Do it, with the new start that belongs to it."""
+        begin_s = time.monotonic()
+        await self._do(action)
+        if action.kind is not ActionKind.LEAVE:
+            self._record.actions_s.append((begin_s, time.monotonic()))
+
+    async def _do(self, action: Action) -> None:
         match action.kind:
             case ActionKind.TERMINATE | ActionKind.TERMINATE_TWICE:
                 await self._terminate(action)
@@ -143,7 +151,11 @@
             case ActionKind.NAME_SEEDS:
                 await self._name_seeds(action.seeds)
             case ActionKind.KILL_ALL:
-                await self._kill_all(action.length_s)
+                await self._kill_all(list(self.machines), action.length_s)
+            case ActionKind.KILL_CORE:
+                await self._kill_all([machine.name for machine in self.schedulers], action.length_s)
+            case ActionKind.LEAVE:
+                await self._send(self._worker_of[action.target], signal.SIGUSR1)
 
     def _begin(self, machine: Machine) -> None:
         if self._processes.exit_code(machine.name) is None:
@@ -190,9 +202,8 @@
         self._begin(self.machines[name])
         self._note_trouble(name, begin_s)
 
-    async def _kill_all(self, down_s: float) -> None:
-        spread = [self._rng.uniform(0.0, RESTART_SPREAD_S) for _ in self.machines]
-        names = list(self.machines)
+    async def _kill_all(self, names: list[str], down_s: float) -> None:
+        spread = [self._rng.uniform(0.0, RESTART_SPREAD_S) for _ in names]
         await asyncio.gather(
             *(self._kill(name, down_s + later_s) for name, later_s in zip(names, spread, strict=True))
         )
--- a/flintfield/soak/judge.py
+++ b/flintfield/soak/judge.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from http import HTTPStatus
 
 from flintfield.console.local.calls import PREFIX
@@ -17,6 +18,7 @@
 VISIBLE_S = 3.0
 CONFIG_APPLY_S = 2.0
 TROUBLE_MARGIN_S = 0.5
+CONTACT_S = 3.0
 
 
 def broken_rules(record: Record, grace_s: float) -> list[str]:
@@ -28,7 +30,7 @@
         *_lost_calls(record),
         *_lost_jobs(record),
         *_shared_ids(record),
-        *runs_twice(record.worker_events),
+        *runs_twice(record.worker_events, partial(_calm, record)),
         *runs_after_cancel(record.worker_events, record.cancelled_s),
         *_old_configurations(record),
         *_racing_changes(record),
@@ -36,6 +38,12 @@
     ]
 
 
+def _calm(record: Record, from_s: float, until_s: float) -> bool:
+    """Whether no process was ended, started, frozen or told anything in this span, nor in the time before."""
+    from_s -= CONTACT_S
+    return not any(begin_s <= until_s and from_s <= end_s for begin_s, end_s in record.actions_s)
+
+
 def _in_trouble(record: Record, call: CallSeen) -> bool:
     return any(
         trouble.machine == call.machine
--- a/flintfield/soak/plan.py
+++ b/flintfield/soak/plan.py
@@ -14,6 +14,8 @@
 FREEZE_S = (0.3, 2.5)  # around the patience of an election
 SERIES = (3, 5)  # of one run; they overlap
 STEPS = (2, 6)  # of one series
+LEAVERS = (0, 3)  # workers that leave in one run
+KILL_CORE_SHARE = 0.4  # of the runs
 GAP_S = (0.05, 1.5)  # between two steps
 
 
@@ -27,6 +29,8 @@
     RELOAD = "SIGHUP"
     NAME_SEEDS = "other seeds in all settings, and SIGHUP to all"
     KILL_ALL = "SIGKILL to all schedulers and agents, and new starts"
+    KILL_CORE = "SIGKILL to all schedulers, back in any order"
+    LEAVE = "a worker deregisters, serves on for seconds, and comes back as another incarnation"
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +64,7 @@
     actions: list[Action] = []
     for _ in range(rng.randint(*SERIES)):
         actions += rng.choice(_SERIES)(rng, machines, rng.uniform(FIRST_ACTION_S, seconds * 0.7))
+    actions += _departures(random.Random(f"departures {seed}"), machines, seconds)
     kept = sorted((action for action in actions if action.at_s <= seconds), key=lambda action: action.at_s)
     return Plan(seed, size, seconds, tuple(kept))
 
@@ -115,6 +120,17 @@
     return actions
 
 
+def _departures(rng: random.Random, machines: tuple[Machine, ...], seconds: float) -> list[Action]:
+    """Workers that leave, and at times the end of the whole core; drawn apart, so that series keep seeds."""
+    agents = [machine.name for machine in machines if machine.role is Role.AGENT]
+    times_s = [rng.uniform(FIRST_ACTION_S, seconds) for _ in range(rng.randint(*LEAVERS))]
+    actions = [Action(time_s, ActionKind.LEAVE, rng.choice(agents)) for time_s in times_s]
+    if rng.random() < KILL_CORE_SHARE:
+        at_s = rng.uniform(FIRST_ACTION_S, seconds * 0.8)
+        actions.append(Action(at_s, ActionKind.KILL_CORE, length_s=rng.uniform(*DOWN_S)))
+    return actions
+
+
 _SERIES: tuple[Callable[[random.Random, tuple[Machine, ...], float], list[Action]], ...] = (
     _rolling_restart,
     _crashes,
--- a/flintfield/soak/record.py
+++ b/flintfield/soak/record.py
@@ -80,5 +80,6 @@
     faults: list[str] = field(default_factory=list)  # ends that nobody asked for
     errors: list[str] = field(default_factory=list)  # error lines in the logs
     worker_events: WorkerEvents = field(default_factory=WorkerEvents)
+    actions_s: list[tuple[float, float]] = field(default_factory=list)  # when something was done to a process
     cancelled_s: dict[str, float] = field(default_factory=dict)  # jobs cancelled in calm: acknowledgement
     unsettled: list[str] = field(default_factory=list)  # what was not as it must be at the end
--- a/tests/system/support/worker.py
+++ b/tests/system/support/worker.py
@@ -7,6 +7,7 @@
 
     python3 -m tests.system.support.worker --app 127.0.0.1:9001 --agent 127.0.0.1:9002 --service print
 
+On SIGUSR1 it deregisters, serves on for some seconds, and comes back as another incarnation.
 A spec of a task is read by `plan_of_spec`: "work_ms=500 how=failed gang=4 checkpoints=1 cpu=1000".
 """
 
@@ -39,6 +40,9 @@
     "plan_of_spec",
 ]
 
+FAREWELLS = 5  # until one is acknowledged
+FAREWELL_PAUSE_S = 0.5
+SERVES_ON_S = (1.0, 7.0)  # after it has deregistered, in a local cluster
 LIMITS = ServerLimits(max_body_bytes=64 * 1024)
 
 
@@ -94,6 +98,9 @@
 
     def crash(self, instance: str = "") -> str:
         """Lose everything and come back at once with another id, which is returned."""
+        if self.options.tells_runs:
+            self._run_events.tell(self.model.log)
+            self._run_events.tell_gone(self.clock())
         self.model.crash()
         self.model = self._new_incarnation(instance)
         self._seq = 0
@@ -106,6 +113,19 @@
         self.draining = True
         self.remaining_ms = remaining_ms
 
+    async def leave(self, serves_on_s: float) -> None:
+        """Deregister without a word before, beat no more, serve on for so long, and come back anew."""
+        if self._heart is not None:
+            self._heart.cancel()
+        for _ in range(FAREWELLS):
+            if 200 <= await self.deregister() < 300:
+                break
+            await asyncio.sleep(FAREWELL_PAUSE_S)
+        await asyncio.sleep(serves_on_s)
+        self.poke()
+        self.crash()
+        self._heart = asyncio.get_running_loop().create_task(self._beat())
+
     def poke(self) -> None:
         """Bring the model up to the clock, and answer holds that wait for an end."""
         now = self.clock()
@@ -291,6 +311,13 @@
     ip, _, port = arguments.app.rpartition(":")
     await worker.start(ip, int(port))
     stopping = asyncio.Event()
+    leaving: set[asyncio.Task[None]] = set()
+
+    def leave() -> None:
+        if not any(not task.done() for task in leaving):
+            leaving.add(asyncio.create_task(worker.leave(random.uniform(*SERVES_ON_S))))
+
+    asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, leave)
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopping.set)
     asyncio.get_running_loop().add_signal_handler(signal.SIGINT, stopping.set)
     await stopping.wait()
--- a/tests/system/support/worker_model.py
+++ b/tests/system/support/worker_model.py
@@ -51,6 +51,7 @@
     ends: list[tuple[int, str, int, str]] = field(default_factory=list)
     rejected: list[tuple[str, str]] = field(default_factory=list)  # task, reason
     taken_note_of: list[tuple[int, int]] = field(default_factory=list)  # numbers of ends, by `lastSeen`
+    listed: list[tuple[int, int]] = field(default_factory=list)  # the highest number of an end, when first
 
 
 class WorkerModel:
@@ -147,6 +148,9 @@
         """Both lists, with the clock."""
         self.advance(now)
         running = [[run.task, run.run, run.saved, self._percent(run)] for run in self.runs.values()]
+        highest = int(str(self._finished[:500][-1][0])) if self._finished else 0
+        if highest > (self.log.listed[-1][1] if self.log.listed else 0):
+            self.log.listed.append((self.now, highest))
         return self._with_clock({"running": running, "finished": self._finished[:500]})
 
     @property
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -151,6 +151,33 @@
         self.log.taken_note_of.append((ms(3.0), 2))
         self.assertEqual([], self.rules(self.log, other))
 
+    # Guards against a judge that counts an end as taken note of by `lastSeen` alone.
+    def test_in_a_calm_an_end_counts_once_it_was_listed(self) -> None:
+        self.run_of("j1.0.0.0", 1, 10.0, 12.0, "done")
+        self.log.listed.append((ms(12.1), 1))
+        other = Log()
+        self.run_of("j1.0.0.0", 2, 13.0, 14.0, "done", other)
+        self.assertEqual(["TWICE"], self.rules(self.log, other))
+        self.record = Record(actions_s=[(9.5, 9.6)])
+        self.assertEqual([], self.rules(self.log, other))
+        self.record = Record()
+        self.run_of("j2.0.0.0", 1, 10.0, 12.15, "lapsed")
+        self.assertEqual([], self.rules(self.log, other))
+
+    def test_the_numbers_of_another_incarnation_begin_anew(self) -> None:
+        with contextlib.redirect_stdout(io.StringIO()) as printed:
+            printer = RunEventPrinter()
+            self.log.starts.append((ms(1.0), "j1.0.0.0", 1))
+            printer.tell(self.log)
+            printer.tell_gone(ms(2.0))
+            self.run_of("j2.0.0.0", 1, 3.0, 4.0, "done", anew := Log())
+            anew.taken_note_of.append((ms(4.1), 1))
+            printer.tell(anew)
+        events = self.record.worker_events
+        events.read("worker-0", printed.getvalue())
+        self.assertEqual([("gone", 2.0), ("done", 4.0)], [(run.how, run.ended_s) for run in events.runs])
+        self.assertEqual({"worker-0/2": 1}, events.noted)
+
     def test_two_runs_of_a_task_do_not_overlap(self) -> None:
         self.run_of("j1.0.0.0", 1, 1.0, 2.0, "stopped")
         other = Log()
