Explore workers that leave and are replaced, exhaustively

The takeover world had one worker for ever. Now it may deregister, serve on, and be replaced by another incarnation at any later moment; an end `done` that the present life of the agent was told counts, whatever becomes of the worker and of dispatchers. The worker's side is a module of its own.

A successor that displaces ends that are not durable is found.

--- a/flintfield/simulation/explore/takeover_play.py
+++ b/flintfield/simulation/explore/takeover_play.py
@@ -14,28 +14,24 @@
     Answer,
     AnswerKind,
     CallWorker,
+    Deregistered,
     Event,
-    Heartbeat,
     Hold,
     LinkOpened,
     OrdersArrived,
-    RunStart,
-    RunStop,
     SendReport,
     Tick,
     WorkerAnswered,
 )
 from flintfield.agent.limits import AgentLimits
 from flintfield.jobs import events as job_events
-from flintfield.jobs.messages import AgentOrders, AgentReport, WorkerState
+from flintfield.jobs.messages import AgentOrders, AgentReport
 from flintfield.simulation.explore.fingerprint import fingerprint
 from flintfield.simulation.explore.takeover_budget import Budget
 from flintfield.simulation.explore.takeover_dispatcher import HOLD_MAX_MS, JOB, DurableDispatcher
-from flintfield.simulation.faults import Trigger
-from flintfield.simulation.held import Gangs
-from flintfield.simulation.plans import Bounds, Capacity, Kind, Plan
+from flintfield.simulation.explore.takeover_workers import WorkerPlace
+from flintfield.simulation.plans import Plan
 from flintfield.simulation.record import Record
-from flintfield.simulation.worker import StandInWorker
 from flintfield.simulation.world import World
 
 TASK = f"{JOB}.0.0.0"
@@ -71,22 +67,8 @@
     slow: bool = False
 
     def __post_init__(self) -> None:
-        kind = Kind("svc-a", ("a", "r1"), Capacity(1_000, 4_096, 0))
-        plan = Plan(10_000_000, 1_000, lasts=True, group=TASK)
-        bounds = Bounds(hold_max_ms=HOLD_MAX_MS)
         self.world.now_ms = START_MS
-        self.worker = StandInWorker(
-            self.world,
-            self.record,
-            "a0",
-            "i-01",
-            kind,
-            bounds,
-            lambda _: plan,
-            Gangs(),
-            _no_signal,
-            random.Random(0),
-        )
+        self.place = WorkerPlace(self.world, self.record, Plan(10_000_000, 1_000, lasts=True, group=TASK))
         self.dispatcher = DurableDispatcher(lambda: self.now, self._send_orders)
         self._start_agent()
         self.dispatcher.accept_job()
@@ -115,8 +97,9 @@
         self._step(LinkOpened())
 
     def _beat(self) -> None:
-        state = WorkerState("i-01", "svc-a", "app", "z", False, 1_000, 4_096, 0, ("a", "r1"), 0, 8, 0)
-        self._step(Heartbeat(state, self.now, int(self.worker.clock_ms)))
+        beat = self.place.heartbeat(self.now)
+        if beat is not None:
+            self._step(beat)
 
     def _step(self, event: Event) -> None:
         for effect in self.agent.step(self.now, event):
@@ -151,8 +134,12 @@
             names.append("restart")
         if self._left("leap", self.budget.leaps):
             names.append("leap")
-        if self._left("done", self.budget.ends) and self.worker.holds_runs:
+        if self._left("done", self.budget.ends) and self.place.worker.holds_runs:
             names.append("done")
+        if not self.place.has_left and self._left("farewell", self.budget.farewells):
+            names.append("farewell")
+        if self.place.has_left:
+            names.append("replace")
         return names
 
     def _left(self, what: str, most: int) -> bool:
@@ -161,7 +148,7 @@
     def do(self, action: str) -> None:
         """Let it happen, and what follows from it at once."""
         what, _, number = action.partition(" ")
-        if what in ("takeover", "restart", "leap", "done", "slow", "wait"):
+        if what in ("takeover", "restart", "leap", "done", "slow", "wait", "farewell"):
             self.used[what] = self.used.get(what, 0) + 1
         self._do(what, number)
         self._flow()
@@ -205,9 +192,16 @@
                     call.late = True
                 self.orders.clear()
                 self.dispatcher.feed(job_events.AgentLost("a0"))
+                self.place.agent_lost()
                 self._start_agent()
             case "done":
-                self.worker.finish_runs()
+                self.place.worker.finish_runs()
+            case "farewell":
+                self.place.has_left = True
+                self._step(Deregistered(self.place.worker.instance))
+            case "replace":
+                self.place.replace()
+                self._beat()
 
     def _deliver_orders(self) -> None:
         _, orders = self.orders.pop(0)
@@ -220,14 +214,9 @@
         self._open_link()
 
     def _carry_out(self, call: PendingCall) -> None:
-        request = call.call.request
-        if isinstance(request, RunStart):
-            answer = self.worker.start(request, call.late)
-        elif isinstance(request, RunStop):
-            answer = self.worker.stop(request)
-        else:
-            answer = self.worker.hold(request) or self.worker.lists()
+        answer = self.place.carry_out(call.call.instance, call.call.request, call.late)
         if not call.late and call.boot == self.boot:
+            self.place.note_told(call.call.instance, answer)
             self._step(WorkerAnswered(call.call.call, answer))
 
     def _lose(self, call: PendingCall) -> None:
@@ -265,7 +254,14 @@
         runs = self.record.runs
         if len([seen for seen in runs if seen.end_ms is None]) > 1:
             return "TWICE: " + ", ".join(f"run {seen.run} from {seen.start_ms:.0f}" for seen in runs)
-        done = [seen.end_ms for seen in runs if seen.how == "done" and seen.noted and seen.end_ms is not None]
+        told = self.place.told_done
+        done = [
+            seen.end_ms
+            for seen in runs
+            if seen.how == "done"
+            and seen.end_ms is not None
+            and (seen.noted or (seen.instance, seen.task, seen.run) in told)
+        ]
         if done and any(seen.start_ms > min(done) or seen.end_ms is None for seen in runs):
             return "TWICE: a run after one was done"
         return ""
@@ -278,7 +274,7 @@
                 self.now,
                 self.dispatcher.dispatcher,
                 self.agent,
-                self.worker,
+                self.place,
                 self.dispatcher.store,
                 self.dispatcher.writes,
                 self.reports,
@@ -290,7 +286,3 @@
                 self.link,
             )
         )
-
-
-def _no_signal(_: Trigger) -> None:
-    return
--- a/tests/system/test_simulation_planted.py
+++ b/tests/system/test_simulation_planted.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from flintfield.agent.incarnation import Incarnation, Standing
 from flintfield.coordination.model import Member
 from flintfield.coordination.register_messages import Accept, AcceptDelta
 from flintfield.coordination.stored import ACTIVE_KEY, IDENTITY_KEY, KNOWN_KEY
@@ -173,6 +174,22 @@
         self.assertEqual("", explored.broken)
         self.assertTrue(explored.complete)
 
+    # Guards against the review's TWICE: an end that a worker lists after its farewell is lost.
+    def test_a_worker_that_leaves_and_is_replaced_starts_nothing_twice(self) -> None:
+        explored = explore(TakeoverWorld(Budget(unanswered=0, waits=2, farewells=1)), 30)
+        self.assertEqual("", explored.broken)
+        self.assertTrue(explored.complete)
+
+    def test_a_successor_that_displaces_ends_that_are_not_durable_is_found(self) -> None:
+        is_over = Incarnation.is_over
+
+        def hasty(self: Incarnation, now: int) -> bool:
+            return self.standing is Standing.REPLACED or is_over(self, now)
+
+        with mock.patch.object(Incarnation, "is_over", hasty):
+            explored = explore(TakeoverWorld(Budget(unanswered=0, waits=2, farewells=1)), 30)
+        self.assertIn("TWICE", explored.broken)
+
     @pytest.mark.slow
     def test_takeovers_of_larger_worlds_start_nothing_twice(self) -> None:
         for budget in (
@@ -180,6 +197,7 @@
             Budget(takeovers=2, unanswered=1, ends=0, waits=2),
             Budget(takeovers=1, restarts=1, unanswered=1, ends=0, waits=2),
             Budget(takeovers=1, unanswered=1, ends=0, slow=1, waits=2),
+            Budget(takeovers=1, restarts=1, unanswered=1, ends=1, waits=1, farewells=1),
         ):
             with self.subTest(budget):
                 explored = explore(TakeoverWorld(budget), 30)
