--- a/flintfield/agent/core.py
+++ b/flintfield/agent/core.py
@@ -186,9 +186,10 @@
 
     def _report(self, now: int, effects: list[Effect]) -> None:
         present = self.present
-        if self.incarnations.results or (present is not None and present.book.has_urgent_results):
+        book = present.book if present is not None and present.tells_results else None
+        if self.incarnations.results or (book is not None and book.has_urgent_results):
             self._reports.news(now)
-        elif present is not None and present.book.results:
+        elif book is not None and book.results:
             self._reports.leisurely_news(now)
         if now < self._reports.due_ms:
             return
@@ -200,7 +201,7 @@
     def _make_report(self, now: int) -> AgentReport:
         results = tuple(self.incarnations.results)
         self.incarnations.results.clear()
-        if self.present is not None:
+        if self.present is not None and self.present.tells_results:
             results += self.present.book.take_results()
         self._recent.extend(results)
         with_listing = self.present is not None and self._reported_listing.is_due(now, self.present)
--- a/flintfield/agent/incarnation.py
+++ b/flintfield/agent/incarnation.py
@@ -220,6 +220,11 @@
         shows_no_run = self._settling.shows_no_run(now, self.listing, self.book)
         return self.standing is Standing.DEREGISTERED and (shows_no_run or self.lapsed(now))
 
+    @property
+    def tells_results(self) -> bool:
+        """Whether results of orders may be reported: one that it is gone must not overtake its ends."""
+        return self.standing is not Standing.REPLACED or not self.listing.has_ends
+
     @property
     def leaves(self) -> bool:
         """Whether it has deregistered or was replaced."""
--- a/flintfield/simulation/planted/__init__.py
+++ b/flintfield/simulation/planted/__init__.py
@@ -175,10 +175,11 @@
         first=50,
     ),
     "decide-before-confirmed": PlantedFault(
-        "a new dispatcher decides by whatever configuration its process knows",
+        "a new dispatcher decides by whatever its process knows: no configuration, the terms of acceptances",
         dispatcher.decide_before_confirmed,
         Theme.TERMS,
         12,
+        first=11,
     ),
     "answer-long-reads-by-itself": PlantedFault(
         "reads whose answers are too long for a link are not redirected",
--- a/flintfield/simulation/planted/dispatcher.py
+++ b/flintfield/simulation/planted/dispatcher.py
@@ -15,6 +15,7 @@
 from flintfield.jobs.messages import AgentReport, Method, OrderResult, Outcome
 from flintfield.jobs.orders import Orders
 from flintfield.jobs.readiness import Readiness
+from flintfield.jobs.restore import Restore
 from flintfield.jobs.runs import Ending, Runs
 from flintfield.jobs.state import DispatcherState
 from flintfield.jobs.worker_record import WorkerRecord
@@ -78,12 +79,15 @@
 
 
 def decide_before_confirmed() -> list[Patch]:
-    """A new dispatcher decides by whatever configuration its process knows."""
+    """A new dispatcher decides by whatever its process knows: no configuration, the terms of acceptances."""
 
     def made(*arguments: Any, configuration_confirmed: bool) -> Dispatcher:
         return Dispatcher(*arguments)
 
-    return [Patch(service, "Dispatcher", made)]
+    def left_out(self: Restore, job_id: str, record: Any) -> None:
+        return
+
+    return [Patch(service, "Dispatcher", made), Patch(Restore, "_queue", left_out)]
 
 
 def one_epoch_for_all() -> list[Patch]:
--- a/tests/system/test_agent_deregistered.py
+++ b/tests/system/test_agent_deregistered.py
@@ -125,6 +125,17 @@
         self.play.pass_time(5)
         self.assertEqual("i-2", self.play.reports[-1].subject)
 
+    def test_that_it_is_gone_is_told_after_its_ends_and_reports_do_not_spin(self) -> None:
+        # A dispatcher of a former release forgets a worker that is gone, and its ends with it.
+        self.play.order(StopOrder(5, OTHER_TASK, 1))
+        self.play.answer(self.play.pending(Hold)[0], finished=DONE)
+        self.play.answer(self.play.only(RunStop), AnswerKind.OTHER_INSTANCE)
+        self.play.pass_time(2_000)
+        self.assertLess(len(self.play.reports), 60)
+        self.assertEqual({}, self.play.outcomes())
+        self.play.order(last_seen=1)
+        self.assertEqual({5: Outcome.GONE}, self.play.outcomes())
+
     def test_another_dispatcher_hears_of_it(self) -> None:
         self.play.order(epoch=4)
         self.play.answer(
