--- a/flintfield/agent/incarnation.py
+++ b/flintfield/agent/incarnation.py
@@ -174,6 +174,7 @@
         """The request leaves under this call number."""
         cause, request = planned.cause, planned.request
         if isinstance(cause, Order):
+            self._settling.order_sent(call)
             timeout_ms = self.book.sent(now, cause, call)
             if isinstance(request, RunStart):
                 self.clock.note_sent(request.expires_ms)
@@ -193,9 +194,11 @@
         flight = self.holds.flights.get(call)
         if flight is not None:
             return self._hold_answered(now, call, flight, answer)
+        self._settling.order_answered(now, call, answer, self.clock.over_at())
         order = self.book.answered(now, call, answer)
-        if order is not None:
-            self._order_answered(now, order, answer)
+        in_question = order is not None and answer.kind is AnswerKind.OK and self._is_in_question(order)
+        if in_question or self.standing is Standing.DEREGISTERED:
+            self.holds.want_listing(now)
         return False  # the book tells by itself what became of its orders
 
     def lapsed(self, now: int) -> bool:
@@ -215,10 +218,9 @@
         """
         if self.listing.has_ends:
             return False
-        if self.standing is Standing.REPLACED:
-            return True
-        shows_no_run = self._settling.shows_no_run(now, self.listing, self.book)
-        return self.standing is Standing.DEREGISTERED and (shows_no_run or self.lapsed(now))
+        if self.standing is not Standing.DEREGISTERED:
+            return self.standing is Standing.REPLACED
+        return self.lapsed(now) or self._settling.shows_no_run(now, self.listing, self.book)
 
     @property
     def tells_results(self) -> bool:
@@ -271,14 +273,10 @@
     def _take_lists(self, sent_ms: int, answer: Answer) -> bool:
         return self.listing.take(sent_ms, answer.running, answer.finished, answer.too_many_runs)
 
-    def _order_answered(self, now: int, order: Order, answer: Answer) -> None:
-        self._settling.order_answered(now, order, answer)
-        in_question = answer.kind is AnswerKind.OK and self._is_in_question(order)
-        if in_question or self.standing is Standing.DEREGISTERED:
-            self.holds.want_listing(now)
-
     def _answers(self, now: int) -> bool:
         """Whether calls to it make sense."""
+        if self.standing is Standing.UNCONFIRMED and self._deregistered:
+            return now <= (self._inherited_until or 0)  # then it runs nothing, be it there or not
         if self.standing is not Standing.DEREGISTERED:
             return self.standing is not Standing.REPLACED
         shows_no_run = self._settling.shows_no_run(now, self.listing, self.book)
--- a/flintfield/agent/service.py
+++ b/flintfield/agent/service.py
@@ -124,7 +124,7 @@
     def _tell(self) -> None:
         """Log a change of epoch or incarnation, and when a worker that leaves has nothing left to report."""
         present = self.core.present
-        is_over = present is not None and present.is_over(self._steady_ms())
+        is_over = present is not None and present.leaves and present.is_over(self._steady_ms())
         told = (self.core.epoch, present and present.instance, present and present.standing.value, is_over)
         if told == self._told:
             return
--- a/flintfield/agent/settling.py
+++ b/flintfield/agent/settling.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from flintfield.agent.events import Answer, AnswerKind
 from flintfield.agent.listing import Listing
-from flintfield.agent.orders import Order, OrderBook
+from flintfield.agent.orders import OrderBook
 
 
 @dataclass(slots=True)
@@ -20,15 +20,21 @@
     settle_ms: int
     inherited_until: int | None
     settled_from_ms: int = 0  # a listing requested from then on shows the effect of all answered orders
-    start_in_doubt: bool = False  # one may be carried out as long as a hold lasts
+    doubt_until_ms: float = 0.0  # until then, a start without an answer may still be carried out
     told_last_seen: int = 0  # as of the last answer to a hold call
+    _calls: set[int] = field(default_factory=set)  # of orders, under way; also of an earlier dispatcher's
     _first_echo: int | None = None  # of the orders that came first
 
-    def order_answered(self, now: int, order: Order, answer: Answer) -> None:
-        """A call for an order has ended."""
+    def order_sent(self, call: int) -> None:
+        """A call for an order leaves."""
+        self._calls.add(call)
+
+    def order_answered(self, now: int, call: int, answer: Answer, over_at: float | None) -> None:
+        """A call for an order has ended; `over_at` is when all that was sent so far is over for certain."""
+        self._calls.discard(call)
         self.settled_from_ms = now + self.settle_ms
-        if order.is_start and answer.kind is AnswerKind.NONE:
-            self.start_in_doubt = True
+        if answer.kind is AnswerKind.NONE:
+            self.doubt_until_ms = max(self.doubt_until_ms, over_at or 0.0)
 
     def may_repeat(self, echo_stamp: int, longest_hold_ms: int) -> bool:
         """Whether the agent's last life may have sent the starts of these orders: the dispatcher repeats them
@@ -45,7 +51,8 @@
 
     def shows_no_run(self, now: int, listing: Listing, book: OrderBook) -> bool:
         """Whether the newest listing proves that nothing runs there, nor may begin to."""
-        may_begin = self.start_in_doubt or (self.inherited_until or 0) >= now or book.unresolved > 0
+        in_doubt = now <= max(self.doubt_until_ms, self.inherited_until or 0)
+        may_begin = in_doubt or bool(self._calls) or book.unresolved > 0
         return not may_begin and not listing.running and listing.stamp_ms >= self.settled_from_ms
 
     def has_been_told(self, listing: Listing) -> bool:
--- a/flintfield/jobs/starts.py
+++ b/flintfield/jobs/starts.py
@@ -111,7 +111,7 @@
         return len(steps)
 
     def _try_step(self, queue: ServiceQueue, attempt: PlacementPass, step: Step) -> None:
-        if step.ready and all(self._ends.is_undecided(task) for task in step.ready.values()):
+        if not self._state.configuration_confirmed and not self._decided_tasks(step):
             return
         exempt = attempt.exemptions.covers(step)
         cause = attempt.causes.get(attempt.waiting_shape(step, exempt))
@@ -163,7 +163,7 @@
 
     def _place(self, queue: ServiceQueue, step: Step, racks: RackWaits, budget: int) -> int:
         """Place ready tasks of the step; returns the number placed."""
-        tasks = [task for task in step.ready.values() if not self._ends.is_undecided(task)]
+        tasks = self._decided_tasks(step)
         if not step.spec.affinity:
             return self._place_tasks(queue, step, tasks, budget, data_rack_only=False)
         rack_candidates = racks.tasks_that_may_wait(step, tasks)
@@ -176,6 +176,13 @@
         others = [task for task in tasks if task.index in step.ready and task.index not in kept]
         return placed + self._place_tasks(queue, step, others, budget - placed, data_rack_only=False)
 
+    def _decided_tasks(self, step: Step) -> list[Task]:
+        """The ready tasks, without those that wait for a confirmed configuration."""
+        tasks = list(step.ready.values())
+        if self._state.configuration_confirmed:
+            return tasks
+        return [task for task in tasks if not self._ends.is_undecided(task)]
+
     def _place_tasks(
         self, queue: ServiceQueue, step: Step, tasks: list[Task], budget: int, data_rack_only: bool
     ) -> int:
