Take a stored queue only for the job that it was stored for

Found by reading: a former release passes over QueueRecords, so it leaves the one of a job that ends, and may take another job with the same ID. The next dispatcher of this build gave that job the terms of the old one. Change: the record names the time of the job's acceptance; one that differs is deleted. Test: the new one fails without the check.

--- a/flintfield/jobs/durable.py
+++ b/flintfield/jobs/durable.py
@@ -108,8 +108,13 @@
 @record(114)
 @dataclass(frozen=True, slots=True)
 class QueueRecord:
-    """The queue of a job by a configuration after its acceptance; it holds on after the queue's removal."""
+    """The queue of a job by a configuration after its acceptance; it holds on after the queue's removal.
 
+    `accepted_wall_ms` is that of the job: a former release leaves the record of a job that ends, and may take
+    another one with its ID.
+    """
+
+    accepted_wall_ms: int
     route: str
     terms: TermsRecord
 
@@ -182,7 +187,7 @@
 
 def encode_queue(job: Job) -> bytes:
     """Encode the present queue of a job."""
-    return encode(QueueRecord(job.route, encode_terms(job.terms)))
+    return encode(QueueRecord(job.accepted_wall_ms, job.route, encode_terms(job.terms)))
 
 
 def decode_terms(terms: TermsRecord) -> Terms:
--- a/flintfield/jobs/restore.py
+++ b/flintfield/jobs/restore.py
@@ -89,7 +89,7 @@
 
     def _queue(self, job_id: str, record: durable.QueueRecord) -> None:
         job = self._state.jobs.get(job_id)
-        if job is None:  # it ended under a former release, which leaves these records
+        if job is None or job.accepted_wall_ms != record.accepted_wall_ms:  # of a job that has ended
             self._state.put(durable.queue_key(job_id), None)
             return
         job.route, job.terms = record.route, durable.decode_terms(record.terms)
--- a/tests/system/test_jobs_unconfirmed.py
+++ b/tests/system/test_jobs_unconfirmed.py
@@ -10,11 +10,13 @@
 from dataclasses import replace
 from typing import Any
 
-from flintfield.jobs.durable import QUEUE
+from flintfield.jobs.durable import QUEUE, QueueRecord, TermsRecord, queue_key
 from flintfield.jobs.events import ConfigurationChanged, ConfigurationConfirmed, ReportArrived, Tick
 from flintfield.jobs.messages import AgentReport, End, Method, OrderResult, Outcome, Run, RunResult
 from flintfield.jobs.state import CONFIRMATION_WAIT_MS
 
+from flintfield.transport.records import encode
+
 from .jobs_table import PlayedDispatcher
 from .jobs_world import WALL_0, ConfigurationModel, RouteModel, job_id, report
 from .test_jobs_intake import body
@@ -211,6 +213,15 @@
         self.played.handle(ConfigurationConfirmed(removed))
         self.assertEqual([TASK], self.started())
 
+    def test_the_queue_of_another_job_with_the_same_id_is_not_taken(self) -> None:
+        # A former release leaves the record of a job that ends, and may take another job with its ID.
+        self.submit(1, {**STEP, "cpu": 9_000})
+        other = TermsRecord("elsewhere", 1, 9, 1.5, 1_000)
+        self.played.items[queue_key(job_id(1))] = encode(QueueRecord(77, "r-old", other))
+        self.elect()
+        self.assertEqual("svc", self.played.dispatcher.state.jobs[job_id(1)].terms.service)
+        self.assertNotIn(queue_key(job_id(1)), self.played.items)
+
     def test_nothing_of_a_job_is_left_in_the_store_once_it_is_forgotten(self) -> None:
         self.submit(1, STEP)
         self.configure(4)
