Place at once when the configuration is confirmed; hold no removed worker

With more than 1,000 jobs, these take up a configuration a part a tick, and nothing was placed until the last of them had, up to 1 s after an election. Change: placements wait for the confirmation alone; only what needs the terms of tasks that have failed (and preemption and copies) waits for the last job. Test: no start before.

The answer to a report about a removed incarnation, which acknowledges what it lists, granted a hold as well, so that a run which nobody wants could have lived on. It grants none now.

--- a/flintfield/agent/core.py
+++ b/flintfield/agent/core.py
@@ -77,7 +77,7 @@
             case Heartbeat():
                 self._news_if(now, self.incarnations.take_heartbeat(now, event))
             case Deregistered():
-                self._news_if(now, self.incarnations.take_farewell(now, event.instance))
+                self._news_if(now, self.incarnations.take_deregistration(now, event.instance))
             case OrdersArrived():
                 self._take_orders(now, event.orders)
             case WorkerAnswered():
--- a/flintfield/agent/incarnations.py
+++ b/flintfield/agent/incarnations.py
@@ -66,7 +66,7 @@
         news = incarnation.take_heartbeat(now, beat)
         return self.settle(now, incarnation) or (news and incarnation is self.present)
 
-    def take_farewell(self, now: int, instance: str) -> bool:
+    def take_deregistration(self, now: int, instance: str) -> bool:
         """The worker has deregistered; True where that is news."""
         incarnation = self.known(instance)
         if incarnation is None:
--- a/flintfield/jobs/dispatcher.py
+++ b/flintfield/jobs/dispatcher.py
@@ -68,6 +68,7 @@
         is the newest; if not, a `ConfigurationConfirmed` is to follow."""
         self._state = DispatcherState(epoch, now_ms, bounds, placement, rng, configuration)
         self._state.configuration_confirmed = configuration_confirmed
+        self._state.terms_confirmed = configuration_confirmed
         self._readiness = Readiness(self._state)
         self._ends = RunEnds(self._state, self._readiness)
         self._intake = Intake(self._state, self._readiness, self._ends)
--- a/flintfield/jobs/ends.py
+++ b/flintfield/jobs/ends.py
@@ -101,14 +101,14 @@
         self._state.timing.note(job, Phase.NOTE, self._state.now_ms - reported_ms)
 
     def _out_of_attempts(self, step: Step, task: Task) -> bool:
-        if step.spec.long_running or not self._state.configuration_confirmed:
+        if step.spec.long_running or not self._state.terms_confirmed:
             return False
         failed = len(step.failed_runs) if step.spec.gang else len(task.failed)
         return failed >= max(step.occurrence.job.terms.max_attempts, 1)
 
     def is_undecided(self, task: Task) -> bool:
         """Whether only a confirmed configuration tells if the task may run again, or its job has failed."""
-        if self._state.configuration_confirmed or task.step.spec.long_running:
+        if self._state.terms_confirmed or task.step.spec.long_running:
             return False
         return bool(task.step.failed_runs if task.step.spec.gang else task.failed)
 
--- a/flintfield/jobs/preemption.py
+++ b/flintfield/jobs/preemption.py
@@ -68,7 +68,7 @@
     def make_room(self, queue: ServiceQueue, step: Step) -> None:
         """Preempt runs for a step that is late, if that frees enough capacity for it."""
         state = self._state
-        if not state.configuration_confirmed:
+        if not state.terms_confirmed:
             return  # it may have changed the priorities
         priority = step.occurrence.job.terms.priority
         latest_wall_ms = step.rank - priority * PRIORITY_GAP_MS
--- a/flintfield/jobs/reconfiguration.py
+++ b/flintfield/jobs/reconfiguration.py
@@ -29,33 +29,35 @@
         self._readiness = readiness
         self._queues: dict[str, Route] = {}  # by name
         self._joining: deque[Job] = deque()
-        self._confirmed = state.configuration_confirmed  # that is set once all jobs have taken it up
 
     def configure(self, configuration: Configuration) -> None:
         """Apply a newer configuration to some jobs now, to the others with later calls of `join_queues`."""
         state = self._state
         state.configuration = configuration
         self._queues = {route.name: route for route in configuration.routes}
-        if not self._confirmed:
+        if not state.configuration_confirmed:
             return
         self._joining = deque(job for job in state.jobs.values() if not job.ended)
         self.join_queues()
 
     def confirm(self, configuration: Configuration | None) -> None:
         """Apply a configuration that was confirmed to be the newest, unless a newer one is known by now."""
+        self._state.configuration_confirmed = True
         known = self._state.configuration
-        self._confirmed = True
-        newest = max(filter(None, (known, configuration)), key=lambda each: each.version, default=None)
-        if newest is not None:
-            self.configure(newest)
+        if configuration is None or (known is not None and known.version > configuration.version):
+            configuration = known
+        if configuration is not None:
+            self.configure(configuration)
         else:
             self.join_queues()
+        self._readiness.try_all()
 
     def join_queues(self) -> bool:
         """Let a part of the jobs take up the newest configuration; True while some are left."""
         left = self._join_some()
-        if self._confirmed and not left and not self._state.configuration_confirmed:
-            self._state.configuration_confirmed = True
+        state = self._state
+        if state.configuration_confirmed and not left and not state.terms_confirmed:
+            state.terms_confirmed = True
             self._readiness.try_all()
         return left
 
--- a/flintfield/jobs/speculation.py
+++ b/flintfield/jobs/speculation.py
@@ -33,7 +33,7 @@
     def tick(self) -> None:
         """Start copies of late tasks."""
         state = self._state
-        if state.now_ms - self._last_check_ms < CHECK_PERIOD_MS or not state.configuration_confirmed:
+        if state.now_ms - self._last_check_ms < CHECK_PERIOD_MS or not state.terms_confirmed:
             return
         self._last_check_ms = state.now_ms
         for task in list(state.speculative)[:MAX_CHECKED_TASKS]:
--- a/flintfield/jobs/starts.py
+++ b/flintfield/jobs/starts.py
@@ -111,7 +111,7 @@
         return len(steps)
 
     def _try_step(self, queue: ServiceQueue, attempt: PlacementPass, step: Step) -> None:
-        if not self._state.configuration_confirmed and not self._decided_tasks(step):
+        if not self._state.terms_confirmed and not self._decided_tasks(step):
             return
         exempt = attempt.exemptions.covers(step)
         cause = attempt.causes.get(attempt.waiting_shape(step, exempt))
@@ -179,7 +179,7 @@
     def _decided_tasks(self, step: Step) -> list[Task]:
         """The ready tasks, without those that wait for a confirmed configuration."""
         tasks = list(step.ready.values())
-        if self._state.configuration_confirmed:
+        if self._state.terms_confirmed:
             return tasks
         return [task for task in tasks if not self._ends.is_undecided(task)]
 
--- a/flintfield/jobs/state.py
+++ b/flintfield/jobs/state.py
@@ -70,6 +70,7 @@
         self.rng = rng
         self.configuration = configuration
         self.configuration_confirmed = True
+        self.terms_confirmed = True  # all jobs have taken up the confirmed configuration
         self.counters = Counters()
         self.recorder: Recorder | None = None
         self.jobs: dict[str, Job] = {}
@@ -117,8 +118,9 @@
     def awaits_configuration(self, now_ms: int) -> bool:
         """Whether nothing may be decided yet, as the configuration may have changed before the election.
 
-        The wait is bounded: then tasks are placed by the configuration that is known. Until one is confirmed,
-        nothing is decided that it may show to be wrong: a task that has failed is neither placed nor failed.
+        The wait is bounded: then tasks are placed by the configuration that is known. Until all
+        jobs have taken up a confirmed one, nothing is decided that it may show to be wrong: a task that has
+        failed is neither placed nor failed.
         """
         return not self.configuration_confirmed and now_ms < self.elected_ms + CONFIRMATION_WAIT_MS
 
--- a/flintfield/jobs/workers.py
+++ b/flintfield/jobs/workers.py
@@ -88,16 +88,20 @@
             if self._may_identify(record, report):
                 instance, last_seen = record.instance, record.last_seen
                 record.granted_ms, record.granted_stamp = state.now_ms, report.stamp_ms
-        self._send_no_orders(report, instance, last_seen)
+        self._answer(report, instance, last_seen, state.bounds.hold)
 
     def _answer_for_removed(self, report: AgentReport) -> None:
-        """Acknowledge what an incarnation lists whose runs are all resolved, once that is durable."""
-        self._state.after_write(partial(self._send_no_orders, report, report.subject, report.last_end))
+        """Acknowledge what an incarnation lists whose runs are all resolved, once that is durable.
 
-    def _send_no_orders(self, report: AgentReport, instance: str, last_seen: int) -> None:
-        state = self._state
-        orders = AgentOrders(state.epoch, instance, report.stamp_ms, state.bounds.hold, last_seen, (), ())
-        state.emit(SendOrders(report.machine, orders))
+        It is granted no hold: whatever it may still run is not wanted.
+        """
+        self._state.after_write(partial(self._answer, report, report.subject, report.last_end, 0))
+
+    def _answer(self, report: AgentReport, instance: str, last_seen: int, hold_ms: int) -> None:
+        """Answer a report without orders."""
+        epoch = self._state.epoch
+        orders = AgentOrders(epoch, instance, report.stamp_ms, hold_ms, last_seen, (), ())
+        self._state.emit(SendOrders(report.machine, orders))
 
     def _may_identify(self, record: WorkerRecord, report: AgentReport) -> bool:
         """Whether to tell a restarted agent which worker it had, so that the worker's hold is extended."""
--- a/flintfield/simulation/cluster.py
+++ b/flintfield/simulation/cluster.py
@@ -64,7 +64,7 @@
             FaultKind.WIPE_AND_POWER: self._wipe_and_power,
             FaultKind.KILL_CORE: lambda fault: self._kill_core(fault, power=False),
             FaultKind.POWER_CORE: lambda fault: self._kill_core(fault, power=True),
-            FaultKind.KILL_HERD: self._kill_herd,
+            FaultKind.KILL_ALL_SCHEDULERS: self._kill_all_schedulers,
             FaultKind.POWER_ALL: self._power_all,
             FaultKind.SEED_TURNOVER: self._name_seeds,
             FaultKind.FREEZE: self._freeze,
@@ -175,7 +175,7 @@
         for name in self.scenario.schedulers:
             self._kill(name, fault.length_ms, power)
 
-    def _kill_herd(self, fault: Fault) -> None:
+    def _kill_all_schedulers(self, fault: Fault) -> None:
         for name in self.scenario.schedulers:
             self._kill(name, fault.length_ms + self._rng.uniform(0, fault.amount), power=False)
 
--- a/flintfield/simulation/departures.py
+++ b/flintfield/simulation/departures.py
@@ -13,7 +13,7 @@
 _BESIDE_WORKER = (FaultKind.LATE_ORDERS, FaultKind.LOST_ANSWERS, FaultKind.LATE_BEATS, FaultKind.CRASH_WORKER)
 
 
-def draw_departures(rng: random.Random, agents: list[str]) -> list[Fault]:
+def draw_deregistrations(rng: random.Random, agents: list[str]) -> list[Fault]:
     """Workers that deregister first and serve on, at times beside an agent or a dispatcher that ends."""
     drawn: list[Fault] = []
     for agent in rng.sample(agents, rng.choice((1, 1, 2))):
@@ -31,10 +31,10 @@
     return drawn
 
 
-def draw_herd_kills(rng: random.Random) -> list[Fault]:
+def draw_core_kills(rng: random.Random) -> list[Fault]:
     """The whole core killed at once, and back in any order; at times twice."""
     times_ms = [rng.randint(4_500, 6_500), rng.randint(8_000, 9_500)]
     return [
-        Fault(FaultKind.KILL_HERD, at_ms, "", "", rng.randint(0, 300), rng.choice(BACK_WITHIN_MS))
+        Fault(FaultKind.KILL_ALL_SCHEDULERS, at_ms, "", "", rng.randint(0, 300), rng.choice(BACK_WITHIN_MS))
         for at_ms in times_ms[: rng.choice((1, 2))]
     ]
--- a/flintfield/simulation/explore/__main__.py
+++ b/flintfield/simulation/explore/__main__.py
@@ -42,7 +42,7 @@
                 arguments.ends,
                 arguments.slow,
                 arguments.waits,
-                arguments.farewells,
+                arguments.deregistrations,
             )
         )
     with planted(arguments.planted):
@@ -73,7 +73,7 @@
             f"--{name}", type=int, default=getattr(limits, name), help="core: members, and at most so many"
         )
     budget = Budget()
-    for name in ("takeovers", "restarts", "leaps", "unanswered", "ends", "slow", "waits", "farewells"):
+    for name in ("takeovers", "restarts", "leaps", "unanswered", "ends", "slow", "waits", "deregistrations"):
         parser.add_argument(
             f"--{name}", type=int, default=getattr(budget, name), help="takeover: at most so many"
         )
--- a/flintfield/simulation/explore/takeover_budget.py
+++ b/flintfield/simulation/explore/takeover_budget.py
@@ -16,4 +16,4 @@
     ends: int = 1  # runs that end done
     slow: int = 0  # times that the messages between dispatcher and agent wait, to be delivered one by one
     waits: int = 4
-    farewells: int = 0  # workers that deregister, serve on, and are replaced at any later time
+    deregistrations: int = 0  # workers that deregister, serve on, and are replaced at any later time
--- a/flintfield/simulation/explore/takeover_play.py
+++ b/flintfield/simulation/explore/takeover_play.py
@@ -136,8 +136,8 @@
             names.append("leap")
         if self._left("done", self.budget.ends) and self.place.worker.holds_runs:
             names.append("done")
-        if not self.place.has_left and self._left("farewell", self.budget.farewells):
-            names.append("farewell")
+        if not self.place.has_left and self._left("deregister", self.budget.deregistrations):
+            names.append("deregister")
         if self.place.has_left:
             names.append("replace")
         return names
@@ -148,7 +148,7 @@
     def do(self, action: str) -> None:
         """Let it happen, and what follows from it at once."""
         what, _, number = action.partition(" ")
-        if what in ("takeover", "restart", "leap", "done", "slow", "wait", "farewell"):
+        if what in ("takeover", "restart", "leap", "done", "slow", "wait", "deregister"):
             self.used[what] = self.used.get(what, 0) + 1
         self._do(what, number)
         self._flow()
@@ -196,7 +196,7 @@
                 self._start_agent()
             case "done":
                 self.place.worker.finish_runs()
-            case "farewell":
+            case "deregister":
                 self.place.has_left = True
                 self._step(Deregistered(self.place.worker.instance))
             case "replace":
--- a/flintfield/simulation/faults.py
+++ b/flintfield/simulation/faults.py
@@ -21,7 +21,9 @@
     WIPE_AND_POWER = "wipe_and_power"  # and all other replicas (or machines, `other`) lose power with them
     KILL_CORE = "kill_core"  # all schedulers at once
     POWER_CORE = "power_core"
-    KILL_HERD = "kill_herd"  # all schedulers at once, back in any order within `amount` ms of one another
+    KILL_ALL_SCHEDULERS = (
+        "kill_all_schedulers"  # all schedulers at once, back in any order within `amount` ms of one another
+    )
     POWER_ALL = "power_all"  # every machine of the system: schedulers and agents
     SEED_TURNOVER = "seed_turnover"  # the settings name other seeds (`target`, with commas), SIGHUP to all
     FREEZE = "freeze"  # a scheduler or agent
@@ -85,7 +87,7 @@
 _EVERYWHERE = (
     FaultKind.KILL_CORE,
     FaultKind.POWER_CORE,
-    FaultKind.KILL_HERD,
+    FaultKind.KILL_ALL_SCHEDULERS,
     FaultKind.POWER_ALL,
     FaultKind.LOSSY,
     FaultKind.SPLIT,
@@ -109,7 +111,7 @@
             not in (
                 FaultKind.KILL_CORE,
                 FaultKind.POWER_CORE,
-                FaultKind.KILL_HERD,
+                FaultKind.KILL_ALL_SCHEDULERS,
                 FaultKind.POWER_ALL,
                 FaultKind.WIPE_AND_POWER,
             )
--- a/flintfield/simulation/fleet.py
+++ b/flintfield/simulation/fleet.py
@@ -16,7 +16,7 @@
 
 LATE_BEAT_MS = (600.0, 5_000.0)
 RETURN_MS = (400.0, 2_500.0)  # until a new incarnation takes the place of one that ended
-FAREWELL_PERIOD_MS = 700.0
+DEREGISTER_PERIOD_MS = 700.0
 LINGER_MS = (100.0, 2_500.0)  # how much longer than promised a leaving worker serves
 
 
@@ -99,19 +99,19 @@
         self._world.note(f"worker {worker.instance} deregisters")
         worker.deregistered = True
         worker.beats_on = self._rng.random() < 0.5
-        self._say_farewell(spot, worker)
+        self._say_deregistered(spot, worker)
         if self._rng.random() < 0.3:
             worker.draining = True
             self._world.after(self._rng.uniform(0, serves_on_ms), lambda: self._say(spot, worker))
         self._world.after(serves_on_ms, lambda: self._end(spot, worker))
 
-    def _say_farewell(self, spot: Spot, worker: StandInWorker) -> None:
+    def _say_deregistered(self, spot: Spot, worker: StandInWorker) -> None:
         """Repeated until an agent takes it in, and at times once more."""
         if worker.dead:
             return
         taken = spot.deliver(Deregistered(worker.instance))
         if not taken or self._rng.random() < 0.2:
-            self._world.after(FAREWELL_PERIOD_MS, lambda: self._say_farewell(spot, worker))
+            self._world.after(DEREGISTER_PERIOD_MS, lambda: self._say_deregistered(spot, worker))
 
     def _end(self, spot: Spot, worker: StandInWorker) -> None:
         if spot.worker is worker:
--- a/flintfield/simulation/themes.py
+++ b/flintfield/simulation/themes.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from flintfield.simulation.departures import draw_departures, draw_herd_kills
+from flintfield.simulation.departures import draw_deregistrations, draw_core_kills
 from flintfield.simulation.disk_losses import draw_loss
 from flintfield.simulation.faults import LEADER, Fault, FaultKind, Trigger, keep_promise
 from flintfield.simulation.seed_turnover import draw_turnover
@@ -294,6 +294,6 @@
     Theme.LINKS: _links,
     Theme.LOSSES: _losses,
     Theme.CROWDS: _crowds,
-    Theme.LEAVING: lambda rng, place: draw_departures(rng, place.agents),
-    Theme.TERMS: lambda rng, _: draw_herd_kills(rng),
+    Theme.LEAVING: lambda rng, place: draw_deregistrations(rng, place.agents),
+    Theme.TERMS: lambda rng, _: draw_core_kills(rng),
 }
--- a/tests/system/jobs_table.py
+++ b/tests/system/jobs_table.py
@@ -35,6 +35,7 @@
         self.writes: list[Write] = []
         self.last_seen = 0
         self.granted = 0
+        self.hold_ms = 0
         bounds, placement = DispatcherBounds(), MarketPlacement(1)
         self.dispatcher = Dispatcher(
             epoch,
@@ -63,6 +64,7 @@
                 self.stops += effect.orders.stops
                 self.last_seen = effect.orders.last_seen
                 self.granted = effect.orders.echo_stamp
+                self.hold_ms = effect.orders.hold_ms
             elif isinstance(effect, Answer):
                 self.answers[effect.call] = effect.answer
             elif isinstance(effect, Write):
--- a/tests/system/support/worker.py
+++ b/tests/system/support/worker.py
@@ -40,8 +40,8 @@
     "plan_of_spec",
 ]
 
-FAREWELLS = 5  # until one is acknowledged
-FAREWELL_PAUSE_S = 0.5
+DEREGISTER_TRIES = 5  # until one is acknowledged
+DEREGISTER_PAUSE_S = 0.5
 SERVES_ON_S = (1.0, 7.0)  # after it has deregistered, in a local cluster
 LIMITS = ServerLimits(max_body_bytes=64 * 1024)
 
@@ -117,10 +117,10 @@
         """Deregister without a word before, beat no more, serve on for so long, and come back anew."""
         if self._heart is not None:
             self._heart.cancel()
-        for _ in range(FAREWELLS):
+        for _ in range(DEREGISTER_TRIES):
             if 200 <= await self.deregister() < 300:
                 break
-            await asyncio.sleep(FAREWELL_PAUSE_S)
+            await asyncio.sleep(DEREGISTER_PAUSE_S)
         await asyncio.sleep(serves_on_s)
         self.poke()
         self.crash()
--- a/tests/system/test_agent_deregistered.py
+++ b/tests/system/test_agent_deregistered.py
@@ -95,7 +95,7 @@
         self.assertEqual([], self.play.pending(RunStart))
         self.assertEqual({6: Outcome.DRAINING}, self.play.outcomes())
 
-    def test_a_farewell_that_is_repeated_changes_nothing(self) -> None:
+    def test_a_deregistration_that_is_repeated_changes_nothing(self) -> None:
         self.play.serve(1_000, RUNNING)
         self.play.step(Deregistered("i-1"))
         self.play.step(Deregistered("i-0"))
@@ -192,7 +192,7 @@
         newest = self.play.reports[-1]
         self.assertEqual((None, "i-1", DONE), (newest.worker, newest.instance, newest.finished))
 
-    def test_a_farewell_before_the_first_answer_does_not_hide_it(self) -> None:
+    def test_a_deregistration_before_the_first_answer_does_not_hide_it(self) -> None:
         self.play.order()
         self.play.step(Deregistered("i-1"))
         self.play.answer(self.play.only(Hold))
@@ -201,7 +201,7 @@
         newest = self.play.reports[-1]
         self.assertEqual(("i-1", DONE, True), (newest.subject, newest.finished, newest.deregistered))
 
-    def test_a_farewell_before_everything_else_is_remembered(self) -> None:
+    def test_a_deregistration_before_everything_else_is_remembered(self) -> None:
         self.play.step(Deregistered("i-1"))
         self.play.ready()
         self.play.order(StartOrder(1, TASK, 1, "", ""))
--- a/tests/system/test_jobs_deregistered.py
+++ b/tests/system/test_jobs_deregistered.py
@@ -7,10 +7,12 @@
 
 import unittest
 from dataclasses import replace
+from typing import Any
 
 from flintfield.jobs.events import ReportArrived
 from flintfield.jobs.messages import AgentReport, End, Method, OrderResult, Outcome, Run, RunResult
 
+from .jobs_fleet import Machine
 from .jobs_judge import Judge
 from .jobs_table import PlayedDispatcher
 from .jobs_world import World, job_id, report, simple
@@ -103,7 +105,7 @@
         self.played.writes_are_durable = True
         self.played.release_writes()
         self.send(finished=DONE, running=(), deregistered=True)
-        self.assertEqual(1, self.played.last_seen)
+        self.assertEqual((1, 0), (self.played.last_seen, self.played.hold_ms), "and it is held no longer")
 
 
 class Histories(unittest.TestCase):
@@ -124,6 +126,14 @@
         (seen,) = world.runs_of(TASK)
         return seen.worker.machine
 
+    def leave(self, seed: int, serves_on_ms: float = 8_000, **options: Any) -> tuple[World, Machine]:
+        """The same, with the other machine full and the deregistration done."""
+        world = self.play(seed, **options)
+        self.keep_rooms_full(world)
+        machine = world.machines[self.leaver(world)]
+        world.deregister_worker(machine, serves_on_ms)
+        return world, machine
+
     def keep_rooms_full(self, world: World) -> None:
         """A task of another job takes the rest of the other machine, so that nothing is evacuated there."""
         steps = [{"count": 1, "cpu": 4_000, "estimateMs": 6_000}]
@@ -140,18 +150,13 @@
     def test_the_end_counts_that_it_lists_seconds_later(self) -> None:
         for seed in range(10):
             with self.subTest(seed):
-                world = self.play(seed)
-                self.keep_rooms_full(world)
-                world.deregister_worker(world.machines[self.leaver(world)], 8_000)
+                world, _ = self.leave(seed)
                 self.check(world)
 
     def test_its_agent_is_killed_and_starts_again_meanwhile(self) -> None:
         for seed in range(10):
             with self.subTest(seed):
-                world = self.play(seed)
-                self.keep_rooms_full(world)
-                machine = world.machines[self.leaver(world)]
-                world.deregister_worker(machine, 8_000)
+                world, machine = self.leave(seed)
                 world.run(world.rng.uniform(0, 1_000))
                 world.crash_agent(machine, 300)
                 self.check(world)
@@ -159,9 +164,7 @@
     def test_another_dispatcher_takes_over_meanwhile(self) -> None:
         for seed in range(10):
             with self.subTest(seed):
-                world = self.play(seed)
-                self.keep_rooms_full(world)
-                world.deregister_worker(world.machines[self.leaver(world)], 8_000)
+                world, _ = self.leave(seed)
                 world.run(world.rng.uniform(0, 2_500))
                 world.fail_dispatcher()
                 world.run(800)
@@ -185,10 +188,7 @@
                 self.assertTrue(not was_listed or not others, others)
 
     def test_one_that_never_ends_is_left_alone_once_it_runs_nothing(self) -> None:
-        world = self.play(1)
-        self.keep_rooms_full(world)
-        machine = world.machines[self.leaver(world)]
-        world.deregister_worker(machine, 1e9)
+        world, machine = self.leave(1, serves_on_ms=1e9)
         self.check(world)
         world.run(20_000)
         assert world.dispatcher is not None
@@ -198,9 +198,7 @@
         # Guards against the review's UNASKED: a cancelled task ran on for seconds.
         for seed in range(5):
             with self.subTest(seed):
-                world = self.play(seed, work_ms=9_000)
-                self.keep_rooms_full(world)
-                world.deregister_worker(world.machines[self.leaver(world)], 8_000)
+                world, _ = self.leave(seed, work_ms=9_000)
                 world.run(2_100)
                 world.call(Method.CANCEL, job_id(1))
                 world.run(600)
@@ -210,9 +208,7 @@
     def test_a_gang_with_a_member_there(self) -> None:
         for seed in range(10):
             with self.subTest(seed):
-                world = self.play(seed, count=2, cpu=2_500, gang=True)
-                self.keep_rooms_full(world)
-                world.deregister_worker(world.machines[self.leaver(world)], 8_000)
+                world, _ = self.leave(seed, count=2, cpu=2_500, gang=True)
                 self.check(world)
 
 
--- a/tests/system/test_jobs_unconfirmed.py
+++ b/tests/system/test_jobs_unconfirmed.py
@@ -13,6 +13,7 @@
 from flintfield.jobs.durable import QUEUE, QueueRecord, TermsRecord, queue_key
 from flintfield.jobs.events import ConfigurationChanged, ConfigurationConfirmed, ReportArrived, Tick
 from flintfield.jobs.messages import AgentReport, End, Method, OrderResult, Outcome, Run, RunResult
+from flintfield.jobs.reconfiguration import JOBS_JOINED_AT_ONCE
 from flintfield.jobs.state import CONFIRMATION_WAIT_MS
 
 from flintfield.transport.records import encode
@@ -171,6 +172,19 @@
         self.played.handle(ConfigurationConfirmed(self.configuration(2)))
         self.assertEqual([TASK], self.started())
 
+    # Guards against a standstill where thousands of jobs take up the configuration part by part.
+    def test_placements_do_not_wait_until_all_jobs_have_taken_up_their_terms(self) -> None:
+        for number in range(2, JOBS_JOINED_AT_ONCE + 200):
+            self.submit(number, {**STEP, "cpu": 9_000, "estimateMs": 1})
+        self.elect()
+        self.report()
+        self.submit(1, STEP)
+        self.played.handle(ConfigurationConfirmed(self.configuration(2)))
+        self.assertFalse(self.played.dispatcher.state.terms_confirmed)
+        self.assertEqual([TASK], self.started())
+        self.played.tick(50)
+        self.assertTrue(self.played.dispatcher.state.terms_confirmed)
+
     def test_tasks_that_have_not_failed_do_not_wait_for_ever(self) -> None:
         self.elect()
         self.report()
--- a/tests/system/test_simulation_planted.py
+++ b/tests/system/test_simulation_planted.py
@@ -174,9 +174,9 @@
         self.assertEqual("", explored.broken)
         self.assertTrue(explored.complete)
 
-    # Guards against the review's TWICE: an end that a worker lists after its farewell is lost.
+    # Guards against the review's TWICE: an end that a worker lists after it has deregistered is lost.
     def test_a_worker_that_leaves_and_is_replaced_starts_nothing_twice(self) -> None:
-        explored = explore(TakeoverWorld(Budget(unanswered=0, waits=2, farewells=1)), 30)
+        explored = explore(TakeoverWorld(Budget(unanswered=0, waits=2, deregistrations=1)), 30)
         self.assertEqual("", explored.broken)
         self.assertTrue(explored.complete)
 
@@ -187,7 +187,7 @@
             return self.standing is Standing.REPLACED or is_over(self, now)
 
         with mock.patch.object(Incarnation, "is_over", hasty):
-            explored = explore(TakeoverWorld(Budget(unanswered=0, waits=2, farewells=1)), 30)
+            explored = explore(TakeoverWorld(Budget(unanswered=0, waits=2, deregistrations=1)), 30)
         self.assertIn("TWICE", explored.broken)
 
     @pytest.mark.slow
@@ -197,7 +197,7 @@
             Budget(takeovers=2, unanswered=1, ends=0, waits=2),
             Budget(takeovers=1, restarts=1, unanswered=1, ends=0, waits=2),
             Budget(takeovers=1, unanswered=1, ends=0, slow=1, waits=2),
-            Budget(takeovers=1, restarts=1, unanswered=1, ends=1, waits=1, farewells=1),
+            Budget(takeovers=1, restarts=1, unanswered=1, ends=1, waits=1, deregistrations=1),
         ):
             with self.subTest(budget):
                 explored = explore(TakeoverWorld(budget), 30)
